--- /dev/null
+++ b/crates/benchlink/src/born.rs
@@ -0,0 +1,191 @@
+//! Reads the settings that an instance is born with.
+
+use std::collections::HashMap;
+
+use anyhow::{Context, Result, bail};
+use cedarpulley::Control;
+use cedarpulley::interface::*;
+
+use crate::codec::micros;
+
+/// The names of the values in a load report, in the order of the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportField {
+    Held,
+    Waiting,
+    Busy,
+    Loads,
+    MemoryPart,
+    Other,
+}
+
+struct Pairs<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> Pairs<'a> {
+    fn read(text: &'a str) -> Result<Self> {
+        let mut pairs = HashMap::new();
+        for part in text.split(' ').filter(|p| !p.is_empty()) {
+            let (path, value) = part.split_once('=').with_context(|| format!("setting '{part}' has no ="))?;
+            pairs.insert(path, value);
+        }
+        Ok(Self(pairs))
+    }
+
+    fn text(&self, path: &str) -> Option<&'a str> {
+        self.0.get(path).copied().filter(|v| *v != "-")
+    }
+
+    fn number(&self, path: &str, absent: f64) -> Result<f64> {
+        match self.text(path) {
+            None => Ok(absent),
+            Some(v) => match v.parse::<f64>() {
+                Ok(x) if x.is_finite() => Ok(x),
+                _ => bail!("setting {path}={v} is not a number"),
+            },
+        }
+    }
+
+    fn time(&self, path: &str, absent: Micros) -> Result<Micros> {
+        match self.text(path) {
+            None => Ok(absent),
+            Some(v) => {
+                v.parse::<i64>().map(micros).with_context(|| format!("setting {path}={v} is not a time"))
+            }
+        }
+    }
+
+    fn flag(&self, path: &str, absent: bool) -> Result<bool> {
+        match self.text(path) {
+            None => Ok(absent),
+            Some("true" | "1") => Ok(true),
+            Some("false" | "0") => Ok(false),
+            Some(v) => bail!("setting {path}={v} is not a bool"),
+        }
+    }
+
+    /// The length of a list of objects; a length beyond the pairs given is a fault.
+    fn count(&self, list: &str) -> Result<usize> {
+        let n = self.number(&format!("{list}.count"), 0.0)?;
+        if n < 0.0 || n.fract() != 0.0 || n > self.0.len() as f64 {
+            bail!("setting {list}.count={n} does not fit the settings");
+        }
+        Ok(n as usize)
+    }
+}
+
+/// An unlimited time, for rules that a site leaves out.
+const NEVER: Micros = i64::MAX / 8;
+
+pub fn read(seed: u64, text: &str) -> Result<(Control, Vec<ReportField>)> {
+    let p = Pairs::read(text)?;
+    let fleet = FleetPosition {
+        routers: p.number("fleetSize", 1.0)?.max(1.0) as u32,
+        position: p.number("position", 0.0)?.max(0.0) as u32,
+        zone: p.number("zone", 0.0)?.max(0.0) as u32,
+        granularity: p.time("granularity", 1_000)?,
+    };
+    let limits = DispatchLimits {
+        max_dispatches: p.number("permissions.sendCap", 1.0)?.max(1.0) as u32,
+        second_copies: p.flag("permissions.mayDuplicate", false)?,
+        withdrawals: p.flag("permissions.cancel", false)?,
+        probes: p.flag("permissions.probes", false)?,
+        connect_within: p.time("permissions.connectTimeout", 0)?,
+        max_advice: match p.flag("permissions.retryAfter", false)? {
+            true => p.time("permissions.maxRetryAfter", 0)?,
+            false => 0,
+        },
+    };
+    let rules = RuleTerms {
+        answer_slack: p.time("rules.answerSlack", 0)?,
+        drain_grace: p.time("rules.stopSendingWithin", 0)?,
+        ask_within: p.time("rules.askWithin", NEVER)?,
+        list_on_request: match p.text("discovery") {
+            Some("on_request") => true,
+            Some("pushed") | None => false,
+            Some(v) => bail!("setting discovery={v} is unknown"),
+        },
+        cold_part: p.number("rules.coldShare", 1.0)?,
+        cold_for: p.time("rules.cold", 0)?,
+        overload_multiple: p.number("rules.overloadFactor", f64::MAX)?,
+        overload_window: p.time("rules.fall", 0)?,
+    };
+    let mut triggers = Vec::new();
+    for i in 0..p.count("services")? {
+        let key = |k: &str| format!("services.{i}.{k}");
+        let group = match p.text(&key("keyScope")) {
+            Some("all") | None => RepeatGroup::All,
+            Some("zone") => RepeatGroup::Zone,
+            Some("cell") => RepeatGroup::Cell,
+            Some(v) => bail!("setting {}={v} is unknown", key("keyScope")),
+        };
+        triggers.push(TriggerType {
+            effect: match p.text(&key("effect")) {
+                Some("retryable") => Effect::Idempotent,
+                Some("dedup") => Effect::Tokened { group, window: p.time(&key("window"), 0)? },
+                Some("fragile") | None => Effect::NonIdempotent,
+                Some(v) => bail!("setting {}={v} is unknown", key("effect")),
+            },
+            latency_objective: p.time(&key("aim"), NEVER)?,
+            objective_stretch: p.number(&key("aimStretch"), 0.0)?,
+            client_timeout: p.time(&key("hardLimit"), NEVER)?,
+            billed_value: p.number(&key("value"), 1.0)?,
+            late_part: p.number(&key("lateValue"), 0.0)?,
+            streamed: p.flag(&key("streamed"), false)?,
+        });
+    }
+    let mut accounts = Vec::new();
+    for i in 0..p.count("orgs")? {
+        accounts.push(Account {
+            allowance_per_s: p.number(&format!("orgs.{i}.allowancePerS"), f64::MAX)?,
+            share: p.number(&format!("orgs.{i}.share"), 1.0)?,
+        });
+    }
+    let mut memory_mb = Vec::new();
+    for v in p.text("familyInfo.machineMb").into_iter().flat_map(|v| v.split(',')) {
+        memory_mb.push(v.parse().with_context(|| format!("setting familyInfo.machineMb holds '{v}'"))?);
+    }
+    let loads = LoadTerms {
+        idle_kept: p.time("familyInfo.staysLoaded", 0)?,
+        orders: p.flag("familyInfo.mayLoad", false)?,
+        loads_when_absent: match p.text("familyInfo.whenAbsent") {
+            Some("load") | None => true,
+            Some("miss") => false,
+            Some(v) => bail!("setting familyInfo.whenAbsent={v} is unknown"),
+        },
+        order_answered_within: p.time("familyInfo.answerWithin", 0)?,
+        ration_window: p.time("familyInfo.loadWindow", 0)?,
+        ration_few: p.number("familyInfo.freeLoads", 0.0)?,
+        ration_part: p.number("familyInfo.loadPart", 0.0)?,
+        notes: p.flag("familyInfo.warmNotes", false)?,
+        crowds: p.flag("familyInfo.tellsCrowd", false)?,
+        memory_mb,
+    };
+    let prices = Prices {
+        crossing: p.number("tariffs.crossZone", 0.0)?,
+        fetch: p.number("tariffs.origin", 0.0)?,
+        waste: p.number("tariffs.waste", 0.0)?,
+        probe: p.number("tariffs.probe", 0.0)?,
+        late_error: p.number("tariffs.lateFail", 0.0)?,
+        over_share: p.number("overShareWorth", 1.0)?,
+    };
+    let reports_in = match p.text("stats.how") {
+        Some("answers") => ReportsIn::Answers,
+        Some("probe") => ReportsIn::Probes,
+        Some("none") | None => ReportsIn::Nothing,
+        Some(v) => bail!("setting stats.how={v} is unknown"),
+    };
+    let fields = p.text("stats.fields").unwrap_or("").split(',').map(field).collect();
+    let control = Control::new(seed, fleet, limits, rules, triggers, accounts, loads, prices, reports_in);
+    Ok((control, fields))
+}
+
+pub fn field(name: &str) -> ReportField {
+    match name {
+        "rif" => ReportField::Held,
+        "q" => ReportField::Waiting,
+        "busy" => ReportField::Busy,
+        "x1" => ReportField::Loads,
+        "x0" => ReportField::MemoryPart,
+        _ => ReportField::Other,
+    }
+}
--- /dev/null
+++ b/crates/benchlink/src/host.rs
@@ -0,0 +1,332 @@
+//! Keeps the instances of one process and hands them their news.
+
+use std::collections::BTreeMap;
+
+use anyhow::{Context, Result, bail, ensure};
+use cedarpulley::Control;
+use cedarpulley::ids::{Ids, fingerprint};
+use cedarpulley::interface::*;
+
+use crate::born::{self, ReportField};
+use crate::codec::{self, Names, Values, micros};
+
+/// What keeps the id of an invocation alive: it is not ended, or a dispatch is still out.
+#[derive(Clone, Copy, Default)]
+struct Open {
+    ended: bool,
+    out: u32,
+}
+
+struct Instance {
+    control: Control,
+    fields: Vec<ReportField>,
+    crowds: bool,
+    triggers: u32,
+    invs: Ids<String>,
+    open: Vec<Open>,
+    funcs: Ids<String>,
+    workers: Ids<String>,
+}
+
+impl Names for Instance {
+    fn inv(&self, ix: InvIx) -> Result<&str> {
+        self.invs.id(ix).map(String::as_str).context("an action names an unknown invocation")
+    }
+    fn func(&self, ix: FnIx) -> Result<&str> {
+        self.funcs.id(ix).map(String::as_str).context("an action names an unknown function")
+    }
+    fn worker(&self, ix: WorkerIx) -> Result<&str> {
+        self.workers.id(ix).map(String::as_str).context("an action names an unknown worker")
+    }
+}
+
+impl Instance {
+    fn tell(&mut self, now: Micros, router: u32, event: &Event, reply: &mut Vec<u8>) -> Result<()> {
+        let mut actions = Vec::new();
+        self.control.decide(now, event, &mut actions);
+        let concerns = match *event {
+            Event::Invocation { inv, .. } | Event::Departed { inv } => Some(inv),
+            Event::DispatchEnded { inv, concluded, .. } => {
+                let open = &mut self.open[inv as usize];
+                open.out = open.out.saturating_sub(1);
+                open.ended |= concluded;
+                Some(inv)
+            }
+            _ => None,
+        };
+        if let Event::Departed { inv } = *event {
+            self.open[inv as usize].ended = true;
+        }
+        for action in &actions {
+            codec::write(reply, router, action, self)?;
+            match *action {
+                Action::Dispatch { inv, .. } => self.open[inv as usize].out += 1,
+                Action::Throttle { inv, .. } | Action::Error { inv } => self.open[inv as usize].ended = true,
+                _ => {}
+            }
+        }
+        // Only once every action is written may an id go.
+        for action in &actions {
+            match *action {
+                Action::Throttle { inv, .. } | Action::Error { inv } => self.release(inv),
+                Action::Forget { func } => self.funcs.release(func),
+                _ => {}
+            }
+        }
+        if let Some(inv) = concerns {
+            self.release(inv);
+        }
+        Ok(())
+    }
+
+    fn release(&mut self, inv: InvIx) {
+        let open = self.open[inv as usize];
+        if open.ended && open.out == 0 {
+            self.invs.release(inv);
+        }
+    }
+
+    fn known_worker(&self, id: &str) -> Result<WorkerIx> {
+        self.workers.find(id).with_context(|| format!("worker '{id}' was on no list"))
+    }
+}
+
+/// A list whose entries are still coming in.
+struct List {
+    router: u32,
+    mode: ListMode,
+    left: usize,
+    entries: Vec<ListEntry>,
+}
+
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u32, Instance>,
+    now: Option<Micros>,
+    list: Option<List>,
+}
+
+impl Host {
+    /// Input may end between batches only.
+    pub fn at_end(&self) -> Result<()> {
+        ensure!(self.now.is_none(), "the input ends within a batch");
+        Ok(())
+    }
+
+    /// Takes one line; true when it closed a batch and the reply is whole.
+    pub fn line(&mut self, line: &str, reply: &mut Vec<u8>) -> Result<bool> {
+        let mut v = Values::of(line);
+        let word = v.text("message")?;
+        if self.list.is_some() {
+            ensure!(word == "m", "'{word}' where a list entry is due");
+            self.entry(v, reply)?;
+            return Ok(false);
+        }
+        if word == "clock" {
+            ensure!(self.now.is_none(), "clock within a batch");
+            self.now = Some(v.time("clock")?);
+            v.end()?;
+            return Ok(false);
+        }
+        let Some(now) = self.now else { bail!("'{word}' outside a batch") };
+        if word == "commit" {
+            v.end()?;
+            self.now = None;
+            reply.extend_from_slice(b"eor\n");
+            return Ok(true);
+        }
+        self.event(now, word, v, reply).with_context(|| word.to_owned())?;
+        Ok(false)
+    }
+
+    fn event(&mut self, now: Micros, word: &str, mut v: Values, reply: &mut Vec<u8>) -> Result<()> {
+        const WORDS: [&str; 11] = [
+            "born",
+            "sync",
+            "query",
+            "vanished",
+            "under_way",
+            "datagram",
+            "bell",
+            "power_off",
+            "loaded",
+            "response",
+            "echo",
+        ];
+        ensure!(WORDS.contains(&word), "unknown event '{word}'");
+        let router: u32 = v.value("routerId")?;
+        if word == "born" {
+            let seed = v.value("seed")?;
+            let text = v.rest();
+            let (control, fields) = born::read(seed, &text)?;
+            let (crowds, triggers) = (control.crowds_told(), control.trigger_types());
+            let instance = Instance {
+                control,
+                fields,
+                crowds,
+                triggers,
+                invs: Ids::default(),
+                open: Vec::new(),
+                funcs: Ids::default(),
+                workers: Ids::default(),
+            };
+            self.instances.insert(router, instance);
+            return Ok(());
+        }
+        if word == "power_off" {
+            v.end()?;
+            ensure!(self.instances.remove(&router).is_some(), "instance {router} is not alive");
+            return Ok(());
+        }
+        let it =
+            self.instances.get_mut(&router).with_context(|| format!("instance {router} is not alive"))?;
+        match word {
+            "sync" => {
+                let _epoch: Option<i64> = v.maybe("epoch")?;
+                let mode = codec::mode(v.text("mode")?)?;
+                let left = v.maybe("membersList")?.unwrap_or(0);
+                v.end()?;
+                let list = List { router, mode, left, entries: Vec::new() };
+                match left {
+                    0 => it.tell(now, router, &Event::List { mode, entries: &[] }, reply)?,
+                    _ => self.list = Some(list),
+                }
+            }
+            "query" => {
+                let id = v.text("requestId")?;
+                let cost_hint: Option<i64> = v.maybe("costGuess")?;
+                let load_ms: Option<f64> = v.maybe("loadTimeMs")?;
+                let account = v.maybe("realm")?.unwrap_or(0);
+                let copy_mb = v.maybe("residentMb")?.unwrap_or(0.0);
+                let client_gives_up_in = v.time("expiresIn")?;
+                let bits: u32 = v.maybe("bits")?.unwrap_or(0);
+                let name = v.text("fn")?;
+                let trigger = v.value("category")?;
+                let lanes: Option<f64> = v.maybe("atOnce")?;
+                v.end()?;
+                ensure!(trigger < it.triggers, "category {trigger} is unknown");
+                ensure!(it.invs.find(id).is_none(), "requestId '{id}' is in use");
+                let inv = it.invs.enter(id);
+                let func = it.funcs.enter(name);
+                if it.open.len() <= inv as usize {
+                    it.open.resize(inv as usize + 1, Open::default());
+                }
+                it.open[inv as usize] = Open::default();
+                let event = Event::Invocation {
+                    inv,
+                    trigger,
+                    account,
+                    func,
+                    fingerprint: fingerprint(name),
+                    cost_hint: cost_hint.filter(|_| bits & 1 != 0).map(micros),
+                    load_hint: load_ms.map(|ms| (ms * 1e3) as Micros),
+                    copy_mb,
+                    lanes: lanes.unwrap_or(1.0).max(1.0) as u32,
+                    client_gives_up_in,
+                    repeat: bits & 2 != 0,
+                };
+                it.tell(now, router, &event, reply)?;
+            }
+            "vanished" => {
+                let id = v.text("requestId")?;
+                v.end()?;
+                if let Some(inv) = it.invs.find(id) {
+                    it.tell(now, router, &Event::Departed { inv }, reply)?;
+                }
+            }
+            "under_way" => {
+                let id = v.text("requestId")?;
+                let dispatch = v.value("n")?;
+                let worker = it.known_worker(v.text("worker")?)?;
+                v.time("lag")?;
+                v.end()?;
+                if let Some(inv) = it.invs.find(id) {
+                    it.tell(now, router, &Event::Answering { inv, dispatch, worker }, reply)?;
+                }
+            }
+            "datagram" => {
+                // Nothing is said between routers; what comes is read and left.
+                v.value::<u32>("srcPeer")?;
+                v.text("payload")?;
+                v.end()?;
+            }
+            "bell" => {
+                let token = v.value("token")?;
+                v.end()?;
+                it.tell(now, router, &Event::Timer { token }, reply)?;
+            }
+            "loaded" => {
+                let name = v.text("fn")?;
+                let result = codec::order_result(v.text("result")?)?;
+                let took = v.time("lag")?;
+                let copies = v.maybe("unitsHeld")?.unwrap_or(0);
+                let worker = it.known_worker(v.text("worker")?)?;
+                v.end()?;
+                if let Some(func) = it.funcs.find(name) {
+                    it.tell(now, router, &Event::OrderEnded { worker, func, result, took, copies }, reply)?;
+                }
+            }
+            "response" => {
+                let id = v.text("requestId")?;
+                let concluded = v.flag("complete")?;
+                let took = v.time("lag")?;
+                let dispatch = v.value("n")?;
+                let worker = it.known_worker(v.text("worker")?)?;
+                let remark = v.maybe("remark")?;
+                let outcome = codec::outcome(v.text("result")?)?;
+                let report = codec::report(v.text("serverStats")?, &it.fields)?;
+                v.end()?;
+                let (note, crowd) = codec::remark(remark, outcome, it.crowds);
+                if let Some(inv) = it.invs.find(id) {
+                    let event = Event::DispatchEnded {
+                        inv,
+                        dispatch,
+                        worker,
+                        outcome,
+                        took,
+                        concluded,
+                        note,
+                        crowd,
+                        report,
+                    };
+                    it.tell(now, router, &event, reply)?;
+                }
+            }
+            "echo" => {
+                let worker = it.known_worker(v.text("worker")?)?;
+                let outcome = codec::outcome(v.text("result")?)?;
+                let took = v.time("lag")?;
+                let report = codec::report(v.text("serverStats")?, &it.fields)?;
+                v.end()?;
+                it.tell(now, router, &Event::Probed { worker, outcome, took, report }, reply)?;
+            }
+            _ => unreachable!("checked against the words above"),
+        }
+        Ok(())
+    }
+
+    fn entry(&mut self, mut v: Values, reply: &mut Vec<u8>) -> Result<()> {
+        let (Some(list), Some(now)) = (&mut self.list, self.now) else { bail!("entry outside a list") };
+        let it = self.instances.get_mut(&list.router).context("the list's instance is not alive")?;
+        let id = v.text("worker")?;
+        let entry = ListEntry {
+            worker: it.workers.enter(id),
+            fingerprint: fingerprint(id),
+            zone: v.maybe("dc")?.unwrap_or(0),
+            kind: v.maybe("model")?.unwrap_or(0),
+            cell: v.maybe("group")?.unwrap_or(0),
+            standing: codec::standing(v.text("readiness")?)?,
+            weight: v.maybe("powerHint")?.unwrap_or(1.0),
+            started: v.maybe::<i64>("startTime")?.filter(|t| *t != 0).map(micros),
+        };
+        v.end()?;
+        list.entries.push(entry);
+        list.left -= 1;
+        if list.left == 0
+            && let Some(List { router, mode, entries, .. }) = self.list.take()
+        {
+            it.tell(now, router, &Event::List { mode, entries: &entries }, reply)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/benchlink/src/main.rs
@@ -0,0 +1,51 @@
+//! Hosts cedarpulley instances on the bench's wire: news in on standard input, actions out on standard output.
+
+mod born;
+mod codec;
+mod host;
+
+use std::io::{BufRead, Write};
+use std::process::ExitCode;
+
+use anyhow::Result;
+use host::Host;
+
+/// Longest buffer kept between batches.
+const KEPT_BYTES: usize = 1 << 20;
+
+fn serve(mut input: impl BufRead, mut output: impl Write) -> Result<()> {
+    let mut host = Host::default();
+    let mut line = Vec::new();
+    let mut reply = Vec::new();
+    let mut number = 0u64;
+    loop {
+        line.clear();
+        number += 1;
+        if input.read_until(b'\n', &mut line)? == 0 {
+            return host.at_end().map_err(|e| e.context(format!("line {number}")));
+        }
+        let at = |e: anyhow::Error| e.context(format!("line {number}"));
+        let text = std::str::from_utf8(&line).map_err(|e| at(e.into()))?;
+        let text = text.strip_suffix('\n').unwrap_or(text);
+        let text = text.strip_suffix('\r').unwrap_or(text);
+        if host.line(text, &mut reply).map_err(at)? {
+            output.write_all(&reply)?;
+            output.flush()?;
+            reply.clear();
+            reply.shrink_to(KEPT_BYTES);
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match serve(std::io::stdin().lock(), std::io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("cedarpulley-benchlink: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,945 @@
+//! All decisions of the router.
+//!
+//! A front makes one [`Control`] per router with [`Control::new`] and calls [`Control::decide`] for each piece
+//! of news, in order; the answer is the list of actions to carry out at once. Events, actions and start records
+//! are in `interface.rs`. The ordinary path is [`Control::route`]; `docs/design.md` tells where it comes from.
+//!
+//! Mechanisms beside the design:
+//! 1. Judging: a worker is judged by its last few outcomes and by silence; a bad one gets rare trials.
+//! 2. Patience: what may run again is dispatched with a time-out and goes elsewhere if time is left.
+//! 3. Cold budget: a worker that has just started gets this router's part of what it can bear.
+//! 4. Orders, where allowed: copies are asked for, ordered ahead of the invocation, and kept warm.
+
+use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use crate::interface::*;
+
+/// One load on so many draws when every warm lane is busy (the paper's 20%).
+const LOAD_ONE_IN: u64 = 5;
+/// The design's retry pace for held invocations.
+const RETRY_PACE: Micros = 10_000;
+/// Upkeep (beliefs, keeping warm, forgetting) runs this many times within the time that an idle copy is kept.
+const UPKEEP_STEPS: Micros = 100;
+/// New loads choose among so many unwarmed workers in the shared order (the design's two).
+const LOAD_CHOICES: usize = 2;
+/// Outcomes that a worker is judged by; few, so that a hang shows at once and is soon forgiven.
+const JUDGED: u32 = 8;
+/// Fewest outcomes that make a judgement.
+const JUDGED_LEAST: u32 = 3;
+/// An answer is overdue after its usual time and so many usual deviations, twice over.
+const DEVIATIONS: Micros = 4;
+const OVERDUE: Micros = 2;
+/// A bad worker's first trial comes after this part of the shortest latency objective; the gap then doubles
+/// up to so many times.
+const TRIAL_PART: Micros = 2;
+const TRIAL_DOUBLINGS: u32 = 3;
+/// Estimates move by one part in so many with each sample (as for round trips in TCP).
+const GAIN: Micros = 8;
+/// Part of the cold budget that is used: arrivals are not even and the other routers' parts only roughly known.
+const COLD_CAUTION: f64 = 0.7;
+/// The rate of dispatches is averaged over this multiple of the cold rule's window.
+const RATE_WINDOWS: f64 = 3.0;
+/// A function unused for so many times the kept-idle time is forgotten.
+const FORGET_AFTER: Micros = 4;
+/// Functions used within this many kept-idle times are kept warm by order.
+const KEEP_WARM_FOR: Micros = 1;
+
+const NO_TIME: Micros = Micros::MIN / 2;
+
+/// A usual time and how far samples stray from it.
+#[derive(Clone, Copy, Default)]
+struct Usual {
+    mean: Micros,
+    stray: Micros,
+}
+
+impl Usual {
+    fn learn(&mut self, sample: Micros) {
+        if self.mean == 0 {
+            *self = Usual { mean: sample.max(1), stray: sample / 2 };
+        } else {
+            self.stray += ((sample - self.mean).abs() - self.stray) / GAIN;
+            self.mean += (sample - self.mean) / GAIN;
+        }
+    }
+
+    fn overdue(&self) -> Micros {
+        OVERDUE * (self.mean + DEVIATIONS * self.stray)
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+struct Dispatch {
+    worker: WorkerIx,
+    at: Micros,
+    fate: Fate,
+    /// It was sent to a worker not believed warm.
+    load: bool,
+}
+
+struct Inv {
+    func: FnIx,
+    trigger: usize,
+    arrived: Micros,
+    objective_at: Micros,
+    gives_up_at: Micros,
+    ended: bool,
+    held: bool,
+    dispatches: Vec<Dispatch>,
+}
+
+impl Inv {
+    fn out(&self) -> bool {
+        self.dispatches.iter().any(|d| d.fate == Fate::Out)
+    }
+    fn may_have_run(&self) -> bool {
+        self.dispatches.iter().any(|d| d.fate != Fate::NeverRan)
+    }
+}
+
+/// What is known of the workers, in parallel arrays.
+#[derive(Default)]
+struct Workers {
+    fingerprint: Vec<u64>,
+    zone: Vec<u32>,
+    cell: Vec<u32>,
+    standing: Vec<Standing>,
+    weight: Vec<f64>,
+    started: Vec<Micros>,
+    own: Vec<u32>,
+    /// Last outcomes, newest in the lowest bit, and how many count.
+    outcomes: Vec<u32>,
+    judged: Vec<u32>,
+    /// While dispatches are out: an answer should have come by then.
+    due: Vec<Micros>,
+    trial_at: Vec<Micros>,
+    trials: Vec<u32>,
+    /// The function that this router has loading there.
+    loading: Vec<Option<FnIx>>,
+    /// Dispatches within the cold rule's window.
+    recent: Vec<VecDeque<Micros>>,
+}
+
+impl Workers {
+    fn len(&self) -> usize {
+        self.zone.len()
+    }
+
+    fn grow(&mut self, n: usize) {
+        self.fingerprint.resize(n, 0);
+        self.zone.resize(n, 0);
+        self.cell.resize(n, 0);
+        self.standing.resize(n, Standing::Gone);
+        self.weight.resize(n, 1.0);
+        self.started.resize(n, NO_TIME);
+        self.own.resize(n, 0);
+        self.outcomes.resize(n, 0);
+        self.judged.resize(n, 0);
+        self.due.resize(n, 0);
+        self.trial_at.resize(n, 0);
+        self.trials.resize(n, 0);
+        self.loading.resize(n, None);
+        self.recent.resize_with(n, VecDeque::new);
+    }
+
+    /// Symptom: errors, broken or refused connections, time-outs (few successes among the last outcomes), or
+    /// dispatches out and nothing heard past the time an answer was due (a hang or a silent cut).
+    fn bad(&self, w: usize, now: Micros) -> bool {
+        let silent = self.own[w] > 0 && now > self.due[w];
+        silent || (self.judged[w] >= JUDGED_LEAST && self.outcomes[w].count_ones() * 2 < self.judged[w])
+    }
+
+    fn judge(&mut self, w: usize, succeeded: bool) {
+        if succeeded && self.judged[w] >= JUDGED_LEAST && self.outcomes[w].count_ones() * 2 < self.judged[w] {
+            // A bad worker that succeeds starts anew.
+            self.judged[w] = 0;
+            self.outcomes[w] = 0;
+        }
+        self.outcomes[w] = (self.outcomes[w] << 1 | u32::from(succeeded)) & ((1 << JUDGED) - 1);
+        self.judged[w] = (self.judged[w] + 1).min(JUDGED);
+        if succeeded {
+            self.trials[w] = 0;
+        }
+    }
+}
+
+/// A function and what is believed of it, by worker.
+#[derive(Default)]
+struct Function {
+    known: bool,
+    fingerprint: u64,
+    lanes: u32,
+    trigger: usize,
+    used: Micros,
+    /// Invocations not yet done with.
+    open: u32,
+    service: Usual,
+    load: Usual,
+    held: Vec<InvIx>,
+    order: Vec<WorkerIx>,
+    /// This router's load under way.
+    loading: Option<(WorkerIx, Micros)>,
+    /// Orders out, and until when answers to questions are waited for.
+    orders: u32,
+    asked_until: Micros,
+    own: Vec<u32>,
+    warm_until: Vec<Micros>,
+    copies: Vec<u32>,
+}
+
+impl Function {
+    fn warm(&self, w: usize, now: Micros) -> bool {
+        self.own[w] > 0 && self.warm_until[w] > NO_TIME || self.warm_until[w] > now
+    }
+    fn lanes_at(&self, w: usize) -> u32 {
+        self.lanes * self.copies[w].max(1)
+    }
+    fn cool(&mut self, w: usize) {
+        self.warm_until[w] = NO_TIME;
+        self.copies[w] = 0;
+    }
+}
+
+pub struct Control {
+    seed: u64,
+    draws: u64,
+    now: Micros,
+    fleet: FleetPosition,
+    limits: DispatchLimits,
+    rules: RuleTerms,
+    triggers: Vec<TriggerType>,
+    loads: LoadTerms,
+    workers: Workers,
+    funcs: Vec<Function>,
+    invs: Vec<Option<Inv>>,
+    service: Vec<Usual>,
+    load: Usual,
+    held: u32,
+    next_tick: Micros,
+    /// Dispatches a second, averaged, and when last brought up to date.
+    rate: f64,
+    rate_at: Micros,
+    /// Times of load orders and of invocations taken within the ration's window.
+    ordered: VecDeque<Micros>,
+    taken: VecDeque<Micros>,
+}
+
+impl Control {
+    #[allow(clippy::too_many_arguments)] // No record holds all settings.
+    pub fn new(
+        seed: u64,
+        fleet: FleetPosition,
+        limits: DispatchLimits,
+        rules: RuleTerms,
+        triggers: Vec<TriggerType>,
+        _accounts: Vec<Account>,
+        loads: LoadTerms,
+        _prices: Prices,
+        _reports: ReportsIn,
+    ) -> Self {
+        Control {
+            seed,
+            draws: 0,
+            now: 0,
+            fleet,
+            limits,
+            rules,
+            service: vec![Usual::default(); triggers.len()],
+            triggers,
+            loads,
+            workers: Workers::default(),
+            funcs: Vec::new(),
+            invs: Vec::new(),
+            load: Usual::default(),
+            held: 0,
+            next_tick: Micros::MAX,
+            rate: 0.0,
+            rate_at: 0,
+            ordered: VecDeque::new(),
+            taken: VecDeque::new(),
+        }
+    }
+
+    pub fn trigger_types(&self) -> u32 {
+        self.triggers.len() as u32
+    }
+
+    pub fn crowds_told(&self) -> bool {
+        self.loads.crowds
+    }
+
+    /// The one entry point: what happened goes in, what is to be done comes out.
+    pub fn decide(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
+        self.now = now;
+        match *event {
+            Event::List { mode, entries } => self.follow_list(mode, entries, out),
+            Event::Invocation { inv, .. } => {
+                self.take(event, out);
+                self.route(inv, out);
+            }
+            Event::Departed { inv } => self.conclude(inv),
+            Event::Answering { inv, .. } => self.conclude(inv),
+            Event::DispatchEnded { .. } => self.settle(event, out),
+            Event::OrderEnded { worker, func, result, copies, took } => {
+                self.order_ended(worker as usize, func, result, copies, took, out)
+            }
+            Event::Probed { worker, outcome, .. } => {
+                if outcome != Outcome::Succeeded {
+                    self.workers.judge(worker as usize, false);
+                }
+            }
+            Event::Timer { token } => {
+                if token == self.next_tick as u64 {
+                    self.next_tick = Micros::MAX;
+                    self.tick(out);
+                }
+            }
+        }
+        let pace = if self.held > 0 { RETRY_PACE } else { self.loads.idle_kept / UPKEEP_STEPS };
+        let due = now + pace.max(self.fleet.granularity).max(RETRY_PACE);
+        if due < self.next_tick {
+            self.next_tick = due;
+            out.push(Action::Timer { token: due as u64, after: due - now });
+        }
+    }
+
+    fn chance(&mut self) -> u64 {
+        self.draws += 1;
+        let mut h = DefaultHasher::new();
+        (self.seed, self.draws).hash(&mut h);
+        h.finish()
+    }
+
+    // ---- taking and routing -------------------------------------------------------------------------------
+
+    fn take(&mut self, event: &Event, out: &mut Vec<Action>) {
+        let &Event::Invocation {
+            inv,
+            trigger,
+            func,
+            fingerprint,
+            load_hint,
+            lanes,
+            client_gives_up_in,
+            cost_hint,
+            ..
+        } = event
+        else {
+            return;
+        };
+        let now = self.now;
+        let t = &self.triggers[trigger as usize];
+        let stretch = (cost_hint.unwrap_or(0) as f64 * t.objective_stretch) as Micros;
+        let gives_up_at = now + client_gives_up_in;
+        let taken = Inv {
+            func,
+            trigger: trigger as usize,
+            arrived: now,
+            objective_at: (now + t.latency_objective + stretch).min(gives_up_at),
+            gives_up_at,
+            ended: false,
+            held: false,
+            dispatches: Vec::new(),
+        };
+        if self.invs.len() <= inv as usize {
+            self.invs.resize_with(inv as usize + 1, || None);
+        }
+        self.invs[inv as usize] = Some(taken);
+        if self.loads.ration_window > 0 {
+            self.taken.push_back(now);
+        }
+        if self.funcs.len() <= func as usize {
+            self.funcs.resize_with(func as usize + 1, Function::default);
+        }
+        let n = self.workers.len();
+        let f = &mut self.funcs[func as usize];
+        let new = !f.known;
+        if new {
+            *f = Function {
+                known: true,
+                fingerprint,
+                trigger: trigger as usize,
+                own: vec![0; n],
+                warm_until: vec![NO_TIME; n],
+                copies: vec![0; n],
+                ..Function::default()
+            };
+        }
+        f.lanes = lanes;
+        f.used = now;
+        f.open += 1;
+        if let Some(hint) = load_hint
+            && f.load.mean == 0
+        {
+            f.load = Usual { mean: hint.max(1), stray: hint / 4 };
+        }
+        if new {
+            self.rank(func);
+            self.ask(func, n, out);
+        }
+    }
+
+    /// The shared hash order of workers for a function: the same at every router.
+    fn rank(&mut self, func: FnIx) {
+        let (workers, f) = (&self.workers, &mut self.funcs[func as usize]);
+        let key = |w: u32| {
+            let mut h = DefaultHasher::new();
+            (workers.fingerprint[w as usize], f.fingerprint).hash(&mut h);
+            h.finish()
+        };
+        f.order = (0..workers.len() as u32)
+            .filter(|&w| workers.standing[w as usize] == Standing::InService)
+            .collect();
+        f.order.sort_by_cached_key(|&w| key(w));
+    }
+
+    /// Asks the first workers in the shared order whether copies stand there.
+    fn ask(&mut self, func: FnIx, most: usize, out: &mut Vec<Action>) {
+        if !self.loads.orders {
+            return;
+        }
+        let f = &mut self.funcs[func as usize];
+        for &worker in f.order.iter().take(most) {
+            out.push(Action::Order { worker, func, copies: 0 });
+            f.orders += 1;
+        }
+        f.asked_until = self.now + self.limits.connect_within / 4;
+    }
+
+    /// The ordinary path of an invocation, from top to bottom.
+    fn route(&mut self, ix: InvIx, out: &mut Vec<Action>) {
+        let Some(inv) = self.invs[ix as usize].as_ref() else { return };
+        let (func, first) = (inv.func, inv.dispatches.is_empty() && !inv.held);
+        // A warm worker with a free lane, fewest own in flight.
+        if let Some(w) = self.free_lane(ix) {
+            return self.dispatch(ix, w, false, out);
+        }
+        // All lanes busy: one in five loads. No warm worker: load at once, within the bound.
+        let warm = self.any_warm(ix);
+        if (!warm || (first && self.chance().is_multiple_of(LOAD_ONE_IN)))
+            && let Some(w) = self.load_place(ix)
+        {
+            if !self.loads.orders {
+                return self.dispatch(ix, w, true, out);
+            }
+            self.order(func, w, 1, out);
+        }
+        // Otherwise held for a lane, while the queue has room.
+        if self.room_to_hold(ix) {
+            return self.hold(ix);
+        }
+        // Queue full: the busy warm worker with the lowest ratio of work to lanes.
+        match self.least_busy(ix) {
+            Some(w) => self.dispatch(ix, w, false, out),
+            None => self.hold(ix),
+        }
+    }
+
+    /// Whether this worker may be sent this invocation now: the rules, in one place.
+    fn may_dispatch(&self, ix: InvIx, w: usize) -> bool {
+        let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
+        if inv.ended
+            || inv.out()
+            || inv.dispatches.len() as u32 >= self.limits.max_dispatches
+            || self.workers.standing[w] != Standing::InService
+            || !self.cold_room(w)
+        {
+            return false;
+        }
+        let mut ran = inv.dispatches.iter().filter(|d| d.fate != Fate::NeverRan);
+        match self.triggers[inv.trigger].effect {
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => ran.next().is_none(),
+            Effect::Tokened { group, window } => ran.all(|d| {
+                let v = d.worker as usize;
+                let same = match group {
+                    RepeatGroup::All => true,
+                    RepeatGroup::Zone => self.workers.zone[v] == self.workers.zone[w],
+                    RepeatGroup::Cell => self.workers.cell[v] == self.workers.cell[w],
+                };
+                same && self.now - d.at < window
+            }),
+        }
+    }
+
+    fn may_throttle(&self, inv: &Inv) -> bool {
+        match self.triggers[inv.trigger].effect {
+            Effect::Idempotent => true,
+            Effect::Tokened { group: RepeatGroup::All, .. } => true,
+            _ => !inv.may_have_run(),
+        }
+    }
+
+    /// Rule 4: what a worker that has just started can surely bear is the cold part of what this router sends
+    /// to a worker on average, which the warm ones carry; all routers doing so keep to the whole budget.
+    fn cold_room(&self, w: usize) -> bool {
+        let r = &self.rules;
+        let age = self.now - self.workers.started[w];
+        if age >= r.cold_for {
+            return true;
+        }
+        let grown = r.cold_part + (1.0 - r.cold_part) * (age.max(0) as f64 / r.cold_for as f64);
+        let each = self.rate / self.in_service().max(1) as f64;
+        let budget = COLD_CAUTION * r.overload_multiple * grown * each * r.overload_window as f64 / 1e6;
+        let since = self.now - r.overload_window;
+        let sent = self.workers.recent[w].iter().filter(|&&t| t > since).count();
+        (sent as f64) < budget.max(1.0)
+    }
+
+    fn in_service(&self) -> usize {
+        self.workers.standing.iter().filter(|s| **s == Standing::InService).count()
+    }
+
+    /// Good enough for this invocation: judged good, or due for a trial with what can go elsewhere after.
+    fn fit(&self, ix: InvIx, w: usize) -> bool {
+        if !self.may_dispatch(ix, w) {
+            return false;
+        }
+        if !self.workers.bad(w, self.now) {
+            return true;
+        }
+        let again = self.invs[ix as usize].as_ref().is_some_and(|i| {
+            self.triggers[i.trigger].effect != Effect::NonIdempotent && i.dispatches.is_empty()
+        });
+        again && self.workers.trial_at[w] <= self.now
+    }
+
+    fn free_lane(&mut self, ix: InvIx) -> Option<usize> {
+        let draw = self.chance();
+        let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
+        let free = |w: &usize| {
+            let loading = self.loads.orders && f.loading.is_some_and(|(l, _)| l as usize == *w);
+            f.warm(*w, self.now) && !loading && f.own[*w] < f.lanes_at(*w) && self.fit(ix, *w)
+        };
+        let least = (0..f.own.len()).filter(free).map(|w| f.own[w]).min()?;
+        let ties: Vec<usize> = (0..f.own.len()).filter(free).filter(|&w| f.own[w] == least).collect();
+        Some(ties[(draw % ties.len() as u64) as usize])
+    }
+
+    fn any_warm(&self, ix: InvIx) -> bool {
+        let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
+        let f = &self.funcs[inv.func as usize];
+        f.asked_until > self.now || (0..f.own.len()).any(|w| f.warm(w, self.now) && self.fit(ix, w))
+    }
+
+    /// Where a new load goes: the less busy of the first two unwarmed workers in the shared order. One load
+    /// under way per function and per worker.
+    fn load_place(&self, ix: InvIx) -> Option<usize> {
+        let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
+        if f.loading.is_some() || (self.loads.orders && !self.order_left()) {
+            return None;
+        }
+        let busy =
+            |w: &usize| (f64::from(self.workers.own[*w]) / self.workers.weight[*w].max(0.1) * 1e3) as u64;
+        f.order
+            .iter()
+            .map(|&w| w as usize)
+            .filter(|&w| !f.warm(w, self.now) && self.workers.loading[w].is_none() && self.fit(ix, w))
+            .take(LOAD_CHOICES)
+            .min_by_key(busy)
+    }
+
+    /// Held ones should leave within half of what their latency objective leaves beside the work itself.
+    fn room_to_hold(&self, ix: InvIx) -> bool {
+        let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
+        let f = &self.funcs[inv.func as usize];
+        let service = self.usual_service(f).mean.max(1);
+        let lanes: u32 = (0..f.own.len()).filter(|&w| f.warm(w, self.now)).map(|w| f.lanes_at(w)).sum();
+        let wait = f.held.len() as Micros * service / Micros::from(lanes.max(1));
+        wait < (inv.objective_at - self.now - service).max(0) / 2
+    }
+
+    fn least_busy(&self, ix: InvIx) -> Option<usize> {
+        let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
+        let ratio =
+            |w: &usize| (u64::from(f.own[*w]) + f.held.len() as u64) * 1_000 / u64::from(f.lanes_at(*w));
+        (0..f.own.len()).filter(|&w| f.warm(w, self.now) && self.fit(ix, w)).min_by_key(ratio)
+    }
+
+    fn hold(&mut self, ix: InvIx) {
+        if let Some(inv) = self.invs[ix as usize].as_mut().filter(|i| !i.held) {
+            inv.held = true;
+            self.held += 1;
+            self.funcs[inv.func as usize].held.push(ix);
+        }
+    }
+
+    fn unhold(&mut self, ix: InvIx) {
+        if let Some(inv) = self.invs[ix as usize].as_mut().filter(|i| i.held) {
+            inv.held = false;
+            self.held -= 1;
+            self.funcs[inv.func as usize].held.retain(|&h| h != ix);
+        }
+    }
+
+    fn dispatch(&mut self, ix: InvIx, w: usize, load: bool, out: &mut Vec<Action>) {
+        self.unhold(ix);
+        let now = self.now;
+        let bad = self.workers.bad(w, now);
+        let Some(inv) = self.invs[ix as usize].as_ref() else { return };
+        let (func, effect, left) = (inv.func, self.triggers[inv.trigger].effect, inv.gives_up_at - now);
+        let f = &self.funcs[func as usize];
+        let loading = load || f.loading.is_some_and(|(l, _)| l as usize == w);
+        let usual = self.usual_service(f);
+        let mut patience = usual.overdue();
+        if loading {
+            patience += self.usual_load(f).overdue();
+        }
+        // A further dispatch only if the time left then exceeds the time it is expected to take.
+        let again = effect != Effect::NonIdempotent
+            && inv.dispatches.len() as u32 + 1 < self.limits.max_dispatches
+            && left - patience > usual.mean;
+        out.push(Action::Dispatch { inv: ix, worker: w as WorkerIx, time_out: again.then_some(patience) });
+        if let Some(inv) = self.invs[ix as usize].as_mut() {
+            inv.dispatches.push(Dispatch { worker: w as WorkerIx, at: now, fate: Fate::Out, load });
+        }
+        let f = &mut self.funcs[func as usize];
+        f.own[w] += 1;
+        f.warm_until[w] = now + self.loads.idle_kept;
+        if f.copies[w] == 0 {
+            f.copies[w] = 1;
+        }
+        if load {
+            f.loading = Some((w as WorkerIx, now));
+            self.workers.loading[w] = Some(func);
+        }
+        let workers = &mut self.workers;
+        workers.due[w] =
+            if workers.own[w] == 0 { now + patience } else { workers.due[w].max(now + patience / 4) };
+        workers.own[w] += 1;
+        if bad {
+            self.next_trial(w);
+        }
+        let since = now - self.rules.overload_window;
+        let workers = &mut self.workers;
+        while workers.recent[w].front().is_some_and(|&t| t <= since) {
+            workers.recent[w].pop_front();
+        }
+        workers.recent[w].push_back(now);
+        self.learn_rate(1.0);
+    }
+
+    fn next_trial(&mut self, w: usize) {
+        let shortest = self.triggers.iter().map(|t| t.latency_objective).min().unwrap_or(0);
+        self.workers.trial_at[w] = self.now + ((shortest / TRIAL_PART) << self.workers.trials[w]);
+        self.workers.trials[w] = (self.workers.trials[w] + 1).min(TRIAL_DOUBLINGS);
+    }
+
+    fn learn_rate(&mut self, sent: f64) {
+        let over = RATE_WINDOWS * self.rules.overload_window.max(1) as f64;
+        let dt = (self.now - self.rate_at) as f64;
+        self.rate = self.rate * (-dt / over).exp() + sent / over * 1e6;
+        self.rate_at = self.now;
+    }
+
+    fn usual_service(&self, f: &Function) -> Usual {
+        let t = &self.triggers[f.trigger];
+        let first = Usual { mean: t.latency_objective / 8, stray: t.latency_objective / 16 };
+        [f.service, self.service[f.trigger]].into_iter().find(|u| u.mean > 0).unwrap_or(first)
+    }
+
+    fn usual_load(&self, f: &Function) -> Usual {
+        let t = &self.triggers[f.trigger];
+        let first = Usual { mean: t.latency_objective, stray: t.latency_objective / 4 };
+        [f.load, self.load].into_iter().find(|u| u.mean > 0).unwrap_or(first)
+    }
+
+    // ---- what comes back ----------------------------------------------------------------------------------
+
+    fn settle(&mut self, event: &Event, out: &mut Vec<Action>) {
+        let &Event::DispatchEnded { inv: ix, dispatch, worker, outcome, took, concluded, note, .. } = event
+        else {
+            return;
+        };
+        let (now, w) = (self.now, worker as usize);
+        let Some(inv) = self.invs[ix as usize].as_mut() else { return };
+        let Some(d) = inv.dispatches.get_mut(dispatch as usize).filter(|d| d.fate == Fate::Out) else {
+            return;
+        };
+        d.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+        let (load, func, trigger) = (d.load, inv.func, inv.trigger);
+        let f = &mut self.funcs[func as usize];
+        f.own[w] = f.own[w].saturating_sub(1);
+        self.workers.own[w] = self.workers.own[w].saturating_sub(1);
+        if load && f.loading.is_some_and(|(l, _)| l == worker) {
+            f.loading = None;
+            self.workers.loading[w] = None;
+        }
+        let usual = self.usual_service(&self.funcs[func as usize]);
+        let f = &mut self.funcs[func as usize];
+        match outcome {
+            Outcome::Succeeded => {
+                self.workers.judge(w, true);
+                self.workers.due[w] = now + usual.overdue();
+                f.warm_until[w] = now + self.loads.idle_kept;
+                let loaded = match note {
+                    CopyNote::Found => false,
+                    CopyNote::Untold => load,
+                    _ => true,
+                };
+                if !loaded {
+                    f.service.learn(took);
+                    self.service[trigger].learn(took);
+                } else if note == CopyNote::Began || load {
+                    let took = (took - usual.mean).max(1);
+                    f.load.learn(took);
+                    self.load.learn(took);
+                }
+            }
+            Outcome::Missed => f.cool(w),
+            Outcome::Throttled | Outcome::NotSent | Outcome::Withdrawn => {}
+            Outcome::Errored | Outcome::TimedOut => self.workers.judge(w, false),
+            Outcome::Unreachable | Outcome::Broken => {
+                // A dead process or a cut link: strong signs, so they weigh twice.
+                self.workers.judge(w, false);
+                self.workers.judge(w, false);
+            }
+        }
+        if concluded {
+            self.conclude(ix);
+        }
+        self.follow_up(ix, out);
+        self.release(ix);
+        self.retry_held(func, out);
+    }
+
+    /// After a dispatch without success: another one, or the final answer at once.
+    fn follow_up(&mut self, ix: InvIx, out: &mut Vec<Action>) {
+        let Some(inv) = self.invs[ix as usize].as_ref().filter(|i| !i.ended && !i.out()) else { return };
+        let left = inv.gives_up_at - self.now;
+        let f = &self.funcs[inv.func as usize];
+        let again = (0..self.workers.len()).any(|w| self.may_dispatch(ix, w));
+        if again && left > self.usual_service(f).mean {
+            self.route(ix, out);
+        } else {
+            self.give_up(ix, out);
+        }
+    }
+
+    /// The final answer of an invocation that gets no success.
+    fn give_up(&mut self, ix: InvIx, out: &mut Vec<Action>) {
+        self.unhold(ix);
+        let Some(inv) = self.invs[ix as usize].as_ref().filter(|i| !i.ended) else { return };
+        if self.may_throttle(inv) {
+            let advice = self.triggers[inv.trigger].latency_objective / 4;
+            let return_after = Some(advice.min(self.limits.max_advice)).filter(|&t| t > 0);
+            out.push(Action::Throttle { inv: ix, return_after });
+        } else {
+            out.push(Action::Error { inv: ix });
+        }
+        self.conclude(ix);
+        self.release(ix);
+    }
+
+    fn conclude(&mut self, ix: InvIx) {
+        self.unhold(ix);
+        if let Some(inv) = self.invs[ix as usize].as_mut() {
+            inv.ended = true;
+        }
+        self.release(ix);
+    }
+
+    fn release(&mut self, ix: InvIx) {
+        if let Some(inv) = self.invs[ix as usize].take_if(|i| i.ended && !i.out()) {
+            self.funcs[inv.func as usize].open -= 1;
+        }
+    }
+
+    fn retry_held(&mut self, func: FnIx, out: &mut Vec<Action>) {
+        // Those that can still meet their latency objective go first, dearer before older.
+        let f = &self.funcs[func as usize];
+        if f.held.is_empty() {
+            return;
+        }
+        let service = self.usual_service(f).mean;
+        let mut held = f.held.clone();
+        held.sort_by_cached_key(|&ix| {
+            let Some(i) = self.invs[ix as usize].as_ref() else { return (true, 0, 0) };
+            let value = (self.triggers[i.trigger].billed_value * 1e3) as i64;
+            (self.now + service > i.objective_at, -value, i.arrived)
+        });
+        for ix in held {
+            let Some(inv) = self.invs[ix as usize].as_ref() else { continue };
+            if inv.gives_up_at - self.now <= service {
+                self.give_up(ix, out);
+            } else if let Some(w) = self.free_lane(ix) {
+                self.dispatch(ix, w, false, out);
+            } else if !self.any_warm(ix)
+                && let Some(w) = self.load_place(ix)
+            {
+                if self.loads.orders {
+                    self.order(func, w, 1, out);
+                } else {
+                    self.dispatch(ix, w, true, out);
+                }
+            }
+        }
+    }
+
+    // ---- orders -------------------------------------------------------------------------------------------
+
+    /// Rule 5: this order included, within the ration of its window.
+    fn order_left(&self) -> bool {
+        let since = self.now - self.loads.ration_window;
+        let within = |q: &VecDeque<Micros>| q.iter().filter(|&&t| t > since).count() as f64;
+        self.loads.ration_window <= 0
+            || within(&self.ordered) + 1.0
+                <= self.loads.ration_few + self.loads.ration_part * within(&self.taken)
+    }
+
+    fn order(&mut self, func: FnIx, w: usize, copies: u32, out: &mut Vec<Action>) {
+        if !self.order_left() || self.workers.standing[w] != Standing::InService {
+            return;
+        }
+        if self.loads.ration_window > 0 {
+            self.ordered.push_back(self.now);
+        }
+        out.push(Action::Order { worker: w as WorkerIx, func, copies });
+        let f = &mut self.funcs[func as usize];
+        f.orders += 1;
+        if !f.warm(w, self.now) {
+            f.loading = Some((w as WorkerIx, self.now));
+            self.workers.loading[w] = Some(func);
+        }
+        f.warm_until[w] = self.now + self.loads.idle_kept;
+    }
+
+    fn order_ended(
+        &mut self,
+        w: usize,
+        func: FnIx,
+        result: OrderResult,
+        copies: u32,
+        took: Micros,
+        out: &mut Vec<Action>,
+    ) {
+        let f = &mut self.funcs[func as usize];
+        if !f.known {
+            return;
+        }
+        f.orders = f.orders.saturating_sub(1);
+        if f.orders == 0 {
+            f.asked_until = NO_TIME;
+        }
+        let loaded = f.loading.is_some_and(|(l, _)| l as usize == w);
+        if loaded {
+            f.loading = None;
+            self.workers.loading[w] = None;
+        }
+        match result {
+            OrderResult::Stand | OrderResult::NoRoom => {
+                if copies > 0 {
+                    f.copies[w] = copies;
+                    f.warm_until[w] = f.warm_until[w].max(self.now + self.loads.idle_kept);
+                    if loaded {
+                        f.load.learn(took);
+                        self.load.learn(took);
+                    }
+                } else if !(result == OrderResult::Stand && f.own[w] > 0) {
+                    f.cool(w);
+                }
+            }
+            OrderResult::LoadErrored => f.cool(w),
+            OrderResult::Broken | OrderResult::Unreachable | OrderResult::TimedOut => {
+                f.cool(w);
+                self.workers.judge(w, false);
+            }
+        }
+        self.retry_held(func, out);
+    }
+
+    // ---- time and the list --------------------------------------------------------------------------------
+
+    fn tick(&mut self, out: &mut Vec<Action>) {
+        let (now, kept) = (self.now, self.loads.idle_kept);
+        self.learn_rate(0.0);
+        let since = now - self.loads.ration_window;
+        for q in [&mut self.ordered, &mut self.taken] {
+            while q.front().is_some_and(|&t| t <= since) {
+                q.pop_front();
+            }
+        }
+        for func in 0..self.funcs.len() as u32 {
+            self.retry_held(func, out);
+            let f = &mut self.funcs[func as usize];
+            if !f.known {
+                continue;
+            }
+            if f.open == 0 && f.orders == 0 && now - f.used > FORGET_AFTER * kept {
+                *f = Function::default();
+                out.push(Action::Forget { func });
+                continue;
+            }
+            if self.loads.orders && now - f.used < KEEP_WARM_FOR * kept {
+                for w in 0..self.workers.len() {
+                    let f = &self.funcs[func as usize];
+                    let ends = f.warm_until[w] - now;
+                    if ends > 0 && ends < kept / 8 && f.own[w] == 0 && !self.workers.bad(w, now) {
+                        self.order(func, w, 1, out);
+                    }
+                }
+            }
+        }
+    }
+
+    fn follow_list(&mut self, mode: ListMode, entries: &[ListEntry], out: &mut Vec<Action>) {
+        if mode == ListMode::Failed || (mode == ListMode::Saved && self.rules.list_on_request) {
+            out.push(Action::AskList { follow: true });
+        }
+        if mode == ListMode::Failed {
+            return;
+        }
+        let most = entries.iter().map(|e| e.worker as usize + 1).max().unwrap_or(0).max(self.workers.len());
+        self.workers.grow(most);
+        for f in &mut self.funcs {
+            f.own.resize(most, 0);
+            f.warm_until.resize(most, NO_TIME);
+            f.copies.resize(most, 0);
+        }
+        let mut lost: Vec<usize> = Vec::new();
+        if mode != ListMode::Changes {
+            let gone = |w: &usize| !entries.iter().any(|e| e.worker as usize == *w);
+            for w in (0..most).filter(gone) {
+                self.workers.standing[w] = Standing::Gone;
+                lost.push(w);
+            }
+        }
+        for e in entries {
+            let w = e.worker as usize;
+            let started = e.started.unwrap_or(NO_TIME);
+            if self.workers.started[w] != started || e.standing == Standing::Gone {
+                lost.push(w);
+            }
+            self.workers.fingerprint[w] = e.fingerprint;
+            self.workers.zone[w] = e.zone;
+            self.workers.cell[w] = e.cell;
+            self.workers.standing[w] = e.standing;
+            self.workers.weight[w] = e.weight;
+            self.workers.started[w] = started;
+        }
+        for w in lost {
+            // A restarted process is empty and not yet judged.
+            self.workers.judged[w] = 0;
+            self.workers.loading[w] = None;
+            for f in &mut self.funcs {
+                f.cool(w);
+                if f.loading.is_some_and(|(l, _)| l as usize == w) {
+                    f.loading = None;
+                }
+            }
+        }
+        for func in 0..self.funcs.len() as u32 {
+            if self.funcs[func as usize].known {
+                self.rank(func);
+                self.retry_held(func, out);
+            }
+        }
+    }
+}
