Longer patience, no keep-warm orders, full workers left alone

Cause: time-outs cut off work that was only slow or rode on an untold load; keep-warm orders reloaded copies that had made room for others; a full worker answers first and drew ever more dispatches. Could harm: a worker full only for some functions is passed over for all.

--- a/src/control.rs
+++ b/src/control.rs
@@ -8,7 +8,7 @@
 //! 1. Judging: a worker is judged by its last few outcomes and by silence; a bad one gets rare trials.
 //! 2. Patience: what may run again is dispatched with a time-out and goes elsewhere if time is left.
 //! 3. Cold budget: a worker that has just started gets this router's part of what it can bear.
-//! 4. Orders, where allowed: copies are asked for, ordered ahead of the invocation, and kept warm.
+//! 4. Orders, where allowed: copies are asked for, and ordered ahead of the invocation.
 
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -27,9 +27,10 @@
 const JUDGED: u32 = 8;
 /// Fewest outcomes that make a judgement.
 const JUDGED_LEAST: u32 = 3;
-/// An answer is overdue after its usual time and so many usual deviations, twice over.
+/// An answer is overdue after its usual time and so many usual deviations, so many times over: shorter
+/// time-outs repeat work that was only slow, or rode on a load nobody told of.
 const DEVIATIONS: Micros = 4;
-const OVERDUE: Micros = 2;
+const OVERDUE: Micros = 6;
 /// A bad worker's first trial comes after this part of the shortest latency objective; the gap then doubles
 /// up to so many times.
 const TRIAL_PART: Micros = 2;
@@ -42,8 +43,6 @@
 const RATE_WINDOWS: f64 = 3.0;
 /// A function unused for so many times the kept-idle time is forgotten.
 const FORGET_AFTER: Micros = 4;
-/// Functions used within this many kept-idle times are kept warm by order.
-const KEEP_WARM_FOR: Micros = 1;
 
 const NO_TIME: Micros = Micros::MIN / 2;
 
@@ -121,6 +120,8 @@
     due: Vec<Micros>,
     trial_at: Vec<Micros>,
     trials: Vec<u32>,
+    /// It turned work away: nothing more until then.
+    full_until: Vec<Micros>,
     /// The function that this router has loading there.
     loading: Vec<Option<FnIx>>,
     /// Dispatches within the cold rule's window.
@@ -145,6 +146,7 @@
         self.due.resize(n, 0);
         self.trial_at.resize(n, 0);
         self.trials.resize(n, 0);
+        self.full_until.resize(n, NO_TIME);
         self.loading.resize(n, None);
         self.recent.resize_with(n, VecDeque::new);
     }
@@ -442,14 +444,12 @@
         }
     }
 
-    /// Whether this worker may be sent this invocation now: the rules, in one place.
-    fn may_dispatch(&self, ix: InvIx, w: usize) -> bool {
-        let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
+    /// Whether the rules let this invocation go to this worker, ever.
+    fn allowed(&self, inv: &Inv, w: usize) -> bool {
         if inv.ended
             || inv.out()
             || inv.dispatches.len() as u32 >= self.limits.max_dispatches
             || self.workers.standing[w] != Standing::InService
-            || !self.cold_room(w)
         {
             return false;
         }
@@ -499,16 +499,15 @@
 
     /// Good enough for this invocation: judged good, or due for a trial with what can go elsewhere after.
     fn fit(&self, ix: InvIx, w: usize) -> bool {
-        if !self.may_dispatch(ix, w) {
+        let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
+        if !self.allowed(inv, w) || self.workers.full_until[w] > self.now || !self.cold_room(w) {
             return false;
         }
         if !self.workers.bad(w, self.now) {
             return true;
         }
-        let again = self.invs[ix as usize].as_ref().is_some_and(|i| {
-            self.triggers[i.trigger].effect != Effect::NonIdempotent && i.dispatches.is_empty()
-        });
-        again && self.workers.trial_at[w] <= self.now
+        let safe = self.triggers[inv.trigger].effect != Effect::NonIdempotent;
+        safe && inv.dispatches.is_empty() && self.workers.trial_at[w] <= self.now
     }
 
     fn free_lane(&mut self, ix: InvIx) -> Option<usize> {
@@ -694,7 +693,9 @@
                 }
             }
             Outcome::Missed => f.cool(w),
-            Outcome::Throttled | Outcome::NotSent | Outcome::Withdrawn => {}
+            // Symptom: a full worker answers fastest of all and so looks idle; left alone for a usual work's time.
+            Outcome::Throttled => self.workers.full_until[w] = now + usual.mean,
+            Outcome::NotSent | Outcome::Withdrawn => {}
             Outcome::Errored | Outcome::TimedOut => self.workers.judge(w, false),
             Outcome::Unreachable | Outcome::Broken => {
                 // A dead process or a cut link: strong signs, so they weigh twice.
@@ -715,7 +716,7 @@
         let Some(inv) = self.invs[ix as usize].as_ref().filter(|i| !i.ended && !i.out()) else { return };
         let left = inv.gives_up_at - self.now;
         let f = &self.funcs[inv.func as usize];
-        let again = (0..self.workers.len()).any(|w| self.may_dispatch(ix, w));
+        let again = (0..self.workers.len()).any(|w| self.allowed(inv, w));
         if again && left > self.usual_service(f).mean {
             self.route(ix, out);
         } else {
@@ -877,15 +878,6 @@
                 out.push(Action::Forget { func });
                 continue;
             }
-            if self.loads.orders && now - f.used < KEEP_WARM_FOR * kept {
-                for w in 0..self.workers.len() {
-                    let f = &self.funcs[func as usize];
-                    let ends = f.warm_until[w] - now;
-                    if ends > 0 && ends < kept / 8 && f.own[w] == 0 && !self.workers.bad(w, now) {
-                        self.order(func, w, 1, out);
-                    }
-                }
-            }
         }
     }
 
