Judge silence apart from time-outs

Cause: the time a silent worker was noticed after grew with the patience of dispatches. A worker with dispatches out and no answer for two stretched usual times now counts as bad. Also covers cut links and pauses; could harm where all of a worker's work is heavy, and then only until it answers.

--- a/src/control.rs
+++ b/src/control.rs
@@ -27,10 +27,13 @@
 const JUDGED: u32 = 8;
 /// Fewest outcomes that make a judgement.
 const JUDGED_LEAST: u32 = 3;
-/// An answer is overdue after its usual time and so many usual deviations, so many times over: shorter
-/// time-outs repeat work that was only slow, or rode on a load nobody told of.
+/// A long but usual time: the mean and so many deviations.
 const DEVIATIONS: Micros = 4;
-const OVERDUE: Micros = 6;
+/// A worker is silent when it has given no answer at all for so many times that.
+const HUSH: Micros = 2;
+/// A dispatch is timed out after so many times that: shorter ones repeat work that was only slow, or rode on a
+/// load nobody told of.
+const PATIENCE: Micros = 6;
 /// A bad worker's first trial comes after this part of the shortest latency objective; the gap then doubles
 /// up to so many times.
 const TRIAL_PART: Micros = 2;
@@ -63,8 +66,8 @@
         }
     }
 
-    fn overdue(&self) -> Micros {
-        OVERDUE * (self.mean + DEVIATIONS * self.stray)
+    fn stretched(&self) -> Micros {
+        self.mean + DEVIATIONS * self.stray
     }
 }
 
@@ -587,10 +590,9 @@
         let f = &self.funcs[func as usize];
         let loading = load || f.loading.is_some_and(|(l, _)| l as usize == w);
         let usual = self.usual_service(f);
-        let mut patience = usual.overdue();
-        if loading {
-            patience += self.usual_load(f).overdue();
-        }
+        let wait = if loading { self.usual_load(f).stretched() } else { 0 };
+        let hush = HUSH * (usual.stretched() + wait);
+        let patience = PATIENCE * (usual.stretched() + wait);
         // A further dispatch only if the time left then exceeds the time it is expected to take.
         let again = effect != Effect::NonIdempotent
             && inv.dispatches.len() as u32 + 1 < self.limits.max_dispatches
@@ -672,11 +674,13 @@
             self.workers.loading[w] = None;
         }
         let usual = self.usual_service(&self.funcs[func as usize]);
-        let f = &mut self.funcs[func as usize];
         match outcome {
             Outcome::Succeeded => {
                 self.workers.judge(w, true);
-                self.workers.due[w] = now + usual.overdue();
+                let wait = self.workers.loading[w]
+                    .map_or(0, |l| self.usual_load(&self.funcs[l as usize]).stretched());
+                self.workers.due[w] = now + HUSH * (usual.stretched() + wait);
+                let f = &mut self.funcs[func as usize];
                 f.warm_until[w] = now + self.loads.idle_kept;
                 let loaded = match note {
                     CopyNote::Found => false,
@@ -692,7 +696,7 @@
                     self.load.learn(took);
                 }
             }
-            Outcome::Missed => f.cool(w),
+            Outcome::Missed => self.funcs[func as usize].cool(w),
             // Symptom: a full worker answers fastest of all and so looks idle; left alone for a usual work's time.
             Outcome::Throttled => self.workers.full_until[w] = now + usual.mean,
             Outcome::NotSent | Outcome::Withdrawn => {}
