--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,7 @@
 /// Upkeep (beliefs, keeping warm, forgetting) runs this many times within the time that an idle copy is kept.
 const UPKEEP_STEPS: Micros = 100;
 /// New loads choose among so many unwarmed workers in the shared order (the design's two).
-const LOAD_CHOICES: usize = 2;
+const LOAD_CHOICES: usize = 1;
 /// Outcomes that a worker is judged by; few, so that a hang shows at once and is soon forgiven.
 const JUDGED: u32 = 8;
 /// Fewest outcomes that make a judgement.
@@ -520,8 +520,9 @@
             let loading = self.loads.orders && f.loading.is_some_and(|(l, _)| l as usize == *w);
             f.warm(*w, self.now) && !loading && f.own[*w] < f.lanes_at(*w) && self.fit(ix, *w)
         };
-        let least = (0..f.own.len()).filter(free).map(|w| f.own[w]).min()?;
-        let ties: Vec<usize> = (0..f.own.len()).filter(free).filter(|&w| f.own[w] == least).collect();
+        let own = &self.workers.own;
+        let least = (0..f.own.len()).filter(free).map(|w| own[w]).min()?;
+        let ties: Vec<usize> = (0..f.own.len()).filter(free).filter(|&w| own[w] == least).collect();
         Some(ties[(draw % ties.len() as u64) as usize])
     }
 
@@ -555,7 +556,7 @@
         let service = self.usual_service(f).mean.max(1);
         let lanes: u32 = (0..f.own.len()).filter(|&w| f.warm(w, self.now)).map(|w| f.lanes_at(w)).sum();
         let wait = f.held.len() as Micros * service / Micros::from(lanes.max(1));
-        wait < (inv.objective_at - self.now - service).max(0) / 2
+        wait < (inv.objective_at - self.now - service).max(0)
     }
 
     fn least_busy(&self, ix: InvIx) -> Option<usize> {
@@ -612,8 +613,7 @@
             self.workers.loading[w] = Some(func);
         }
         let workers = &mut self.workers;
-        workers.due[w] =
-            if workers.own[w] == 0 { now + patience } else { workers.due[w].max(now + patience / 4) };
+        workers.due[w] = if workers.own[w] == 0 { now + hush } else { workers.due[w].min(now + hush) };
         workers.own[w] += 1;
         if bad {
             self.next_trial(w);
