--- a/src/control.rs
+++ b/src/control.rs
@@ -38,6 +38,9 @@
 /// up to so many times.
 const TRIAL_PART: Micros = 2;
 const TRIAL_DOUBLINGS: u32 = 3;
+/// A worker is crowded with so many times the mean load, and so many dispatches in any case.
+const CROWD: f64 = 1.5;
+const CROWD_LEAST: f64 = 1.0;
 /// Estimates move by one part in so many with each sample (as for round trips in TCP).
 const GAIN: Micros = 8;
 /// Part of the cold budget that is used: arrivals are not even and the other routers' parts only roughly known.
@@ -496,6 +499,31 @@
         (sent as f64) < budget.max(1.0)
     }
 
+    /// What a worker can do beside others: its registered size, less while it is cold.
+    fn size(&self, w: usize) -> f64 {
+        let age = (self.now - self.workers.started[w]).max(0) as f64 / self.rules.cold_for.max(1) as f64;
+        let cold = self.rules.cold_part;
+        self.workers.weight[w].max(0.1) * (cold + (1.0 - cold) * age.min(1.0))
+    }
+
+    /// Own dispatches in flight for each unit of size, over the workers judged good.
+    fn mean_load(&self) -> f64 {
+        let good =
+            |w: &usize| self.workers.standing[*w] == Standing::InService && !self.workers.bad(*w, self.now);
+        let (mut own, mut size) = (0.0, 0.0);
+        for w in (0..self.workers.len()).filter(good) {
+            own += f64::from(self.workers.own[w]);
+            size += self.size(w);
+        }
+        own / size.max(0.1)
+    }
+
+    /// Symptom: lanes are free but the cores behind them are not (many functions on one worker, a cold or a slow
+    /// one): more own work there than its size would take of all of it. A lane there does not count as free.
+    fn crowded(&self, w: usize, mean: f64) -> bool {
+        f64::from(self.workers.own[w]) >= CROWD * mean * self.size(w) + CROWD_LEAST
+    }
+
     fn in_service(&self) -> usize {
         self.workers.standing.iter().filter(|s| **s == Standing::InService).count()
     }
@@ -516,9 +544,14 @@
     fn free_lane(&mut self, ix: InvIx) -> Option<usize> {
         let draw = self.chance();
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
+        let mean = self.mean_load();
         let free = |w: &usize| {
             let loading = self.loads.orders && f.loading.is_some_and(|(l, _)| l as usize == *w);
-            f.warm(*w, self.now) && !loading && f.own[*w] < f.lanes_at(*w) && self.fit(ix, *w)
+            f.warm(*w, self.now)
+                && !loading
+                && f.own[*w] < f.lanes_at(*w)
+                && !self.crowded(*w, mean)
+                && self.fit(ix, *w)
         };
         let own = &self.workers.own;
         let least = (0..f.own.len()).filter(free).map(|w| own[w]).min()?;
@@ -541,10 +574,12 @@
         }
         let busy =
             |w: &usize| (f64::from(self.workers.own[*w]) / self.workers.weight[*w].max(0.1) * 1e3) as u64;
+        let mean = self.mean_load();
         f.order
             .iter()
             .map(|&w| w as usize)
-            .filter(|&w| !f.warm(w, self.now) && self.workers.loading[w].is_none() && self.fit(ix, w))
+            .filter(|&w| !f.warm(w, self.now) && self.workers.loading[w].is_none())
+            .filter(|&w| !self.crowded(w, mean) && self.fit(ix, w))
             .take(LOAD_CHOICES)
             .min_by_key(busy)
     }
