Bound on the work a worker bears; stop asking where copies stand

The first unwarmed worker in the shared order is now simply ordered to hold a copy, which costs nothing where one stands. Could harm: slow loads nobody tells of look like late answers and shrink the bound.

--- a/src/control.rs
+++ b/src/control.rs
@@ -8,7 +8,7 @@
 //! 1. Judging: a worker is judged by its last few outcomes and by silence; a bad one gets rare trials.
 //! 2. Patience: what may run again is dispatched with a time-out and goes elsewhere if time is left.
 //! 3. Cold budget: a worker that has just started gets this router's part of what it can bear.
-//! 4. Orders, where allowed: copies are asked for, and ordered ahead of the invocation.
+//! 4. Orders, where allowed: a copy is ordered ahead of the invocation, which waits for whichever lane is first.
 
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -41,6 +41,11 @@
 /// A worker is crowded with so many times the mean load, and so many dispatches in any case.
 const CROWD: f64 = 1.5;
 const CROWD_LEAST: f64 = 1.0;
+/// An answer that took over one part in so many of the latency objective shows a worker with too much.
+const LATE_PART: Micros = 1;
+const BACK_OFF: f64 = 0.8;
+/// No bound known yet.
+const BEARS_MOST: f64 = 1e6;
 /// Estimates move by one part in so many with each sample (as for round trips in TCP).
 const GAIN: Micros = 8;
 /// Part of the cold budget that is used: arrivals are not even and the other routers' parts only roughly known.
@@ -126,6 +131,9 @@
     due: Vec<Micros>,
     trial_at: Vec<Micros>,
     trials: Vec<u32>,
+    /// Own dispatches that it answers in time, as far as has been seen.
+    bears: Vec<f64>,
+    bears_at: Vec<Micros>,
     /// It turned work away: nothing more until then.
     full_until: Vec<Micros>,
     /// The function that this router has loading there.
@@ -153,6 +161,8 @@
         self.trial_at.resize(n, 0);
         self.trials.resize(n, 0);
         self.full_until.resize(n, NO_TIME);
+        self.bears.resize(n, BEARS_MOST);
+        self.bears_at.resize(n, NO_TIME);
         self.loading.resize(n, None);
         self.recent.resize_with(n, VecDeque::new);
     }
@@ -178,6 +188,22 @@
     }
 }
 
+impl Workers {
+    /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out there now;
+    /// with answers in time it is let have more, slowly.
+    fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros) {
+        let own = f64::from(self.own[w]) + 1.0;
+        if took * LATE_PART > objective {
+            if now - self.bears_at[w] > took.min(objective) {
+                self.bears[w] = (self.bears[w].min(own) * BACK_OFF).max(1.0);
+                self.bears_at[w] = now;
+            }
+        } else if own >= self.bears[w] {
+            self.bears[w] = (self.bears[w] + 1.0 / self.bears[w]).min(BEARS_MOST);
+        }
+    }
+}
+
 /// A function and what is believed of it, by worker.
 #[derive(Default)]
 struct Function {
@@ -194,9 +220,8 @@
     order: Vec<WorkerIx>,
     /// This router's load under way.
     loading: Option<(WorkerIx, Micros)>,
-    /// Orders out, and until when answers to questions are waited for.
+    /// Orders out.
     orders: u32,
-    asked_until: Micros,
     own: Vec<u32>,
     warm_until: Vec<Micros>,
     copies: Vec<u32>,
@@ -289,7 +314,7 @@
         match *event {
             Event::List { mode, entries } => self.follow_list(mode, entries, out),
             Event::Invocation { inv, .. } => {
-                self.take(event, out);
+                self.take(event);
                 self.route(inv, out);
             }
             Event::Departed { inv } => self.conclude(inv),
@@ -327,7 +352,7 @@
 
     // ---- taking and routing -------------------------------------------------------------------------------
 
-    fn take(&mut self, event: &Event, out: &mut Vec<Action>) {
+    fn take(&mut self, event: &Event) {
         let &Event::Invocation {
             inv,
             trigger,
@@ -390,7 +415,6 @@
         }
         if new {
             self.rank(func);
-            self.ask(func, n, out);
         }
     }
 
@@ -408,19 +432,6 @@
         f.order.sort_by_cached_key(|&w| key(w));
     }
 
-    /// Asks the first workers in the shared order whether copies stand there.
-    fn ask(&mut self, func: FnIx, most: usize, out: &mut Vec<Action>) {
-        if !self.loads.orders {
-            return;
-        }
-        let f = &mut self.funcs[func as usize];
-        for &worker in f.order.iter().take(most) {
-            out.push(Action::Order { worker, func, copies: 0 });
-            f.orders += 1;
-        }
-        f.asked_until = self.now + self.limits.connect_within / 4;
-    }
-
     /// The ordinary path of an invocation, from top to bottom.
     fn route(&mut self, ix: InvIx, out: &mut Vec<Action>) {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return };
@@ -445,8 +456,8 @@
         }
         // Queue full: the busy warm worker with the lowest ratio of work to lanes.
         match self.least_busy(ix) {
-            Some(w) => self.dispatch(ix, w, false, out),
-            None => self.hold(ix),
+            Some(w) if !self.scarce() => self.dispatch(ix, w, false, out),
+            _ => self.hold(ix),
         }
     }
 
@@ -521,7 +532,15 @@
     /// Symptom: lanes are free but the cores behind them are not (many functions on one worker, a cold or a slow
     /// one): more own work there than its size would take of all of it. A lane there does not count as free.
     fn crowded(&self, w: usize, mean: f64) -> bool {
-        f64::from(self.workers.own[w]) >= CROWD * mean * self.size(w) + CROWD_LEAST
+        let own = f64::from(self.workers.own[w]);
+        own >= self.workers.bears[w] || own >= CROWD * mean * self.size(w) + CROWD_LEAST
+    }
+
+    /// Every good worker has all that it bears: the fleet is overloaded as far as this router can see.
+    fn scarce(&self) -> bool {
+        (0..self.workers.len())
+            .filter(|&w| self.workers.standing[w] == Standing::InService && !self.workers.bad(w, self.now))
+            .all(|w| f64::from(self.workers.own[w]) + 1.0 >= self.workers.bears[w])
     }
 
     fn in_service(&self) -> usize {
@@ -562,7 +581,7 @@
     fn any_warm(&self, ix: InvIx) -> bool {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
         let f = &self.funcs[inv.func as usize];
-        f.asked_until > self.now || (0..f.own.len()).any(|w| f.warm(w, self.now) && self.fit(ix, w))
+        (0..f.own.len()).any(|w| f.warm(w, self.now) && self.fit(ix, w))
     }
 
     /// Where a new load goes: the less busy of the first two unwarmed workers in the shared order. One load
@@ -725,6 +744,7 @@
                 if !loaded {
                     f.service.learn(took);
                     self.service[trigger].learn(took);
+                    self.workers.learn_bears(w, now, took, self.triggers[trigger].latency_objective);
                 } else if note == CopyNote::Began || load {
                     let took = (took - usual.mean).max(1);
                     f.load.learn(took);
@@ -733,7 +753,10 @@
             }
             Outcome::Missed => self.funcs[func as usize].cool(w),
             // Symptom: a full worker answers fastest of all and so looks idle; left alone for a usual work's time.
-            Outcome::Throttled => self.workers.full_until[w] = now + usual.mean,
+            Outcome::Throttled => {
+                self.workers.full_until[w] = now + usual.mean;
+                self.workers.learn_bears(w, now, Micros::MAX / 8, self.triggers[trigger].latency_objective);
+            }
             Outcome::NotSent | Outcome::Withdrawn => {}
             Outcome::Errored | Outcome::TimedOut => self.workers.judge(w, false),
             Outcome::Unreachable | Outcome::Broken => {
@@ -747,7 +770,7 @@
         }
         self.follow_up(ix, out);
         self.release(ix);
-        self.retry_held(func, out);
+        self.retry_held(Some(func), out);
     }
 
     /// After a dispatch without success: another one, or the final answer at once.
@@ -792,22 +815,30 @@
         }
     }
 
-    fn retry_held(&mut self, func: FnIx, out: &mut Vec<Action>) {
-        // Those that can still meet their latency objective go first, dearer before older.
-        let f = &self.funcs[func as usize];
-        if f.held.is_empty() {
-            return;
-        }
-        let service = self.usual_service(f).mean;
-        let mut held = f.held.clone();
+    /// What an answer still earns; nothing is lost by serving the dearest first.
+    fn worth(&self, inv: &Inv) -> i64 {
+        let t = &self.triggers[inv.trigger];
+        let usual = self.usual_service(&self.funcs[inv.func as usize]);
+        let late = self.now + usual.mean + usual.stray > inv.objective_at;
+        (t.billed_value * if late { t.late_part } else { 1.0 } * 1e3) as i64
+    }
+
+    /// Held invocations of one function, or of all, leave for the lanes that have become free.
+    fn retry_held(&mut self, only: Option<FnIx>, out: &mut Vec<Action>) {
+        let all = 0..self.funcs.len() as u32;
+        let funcs = only.map_or(all, |f| f..f + 1);
+        let mut held: Vec<InvIx> = funcs.flat_map(|f| self.funcs[f as usize].held.iter().copied()).collect();
         held.sort_by_cached_key(|&ix| {
-            let Some(i) = self.invs[ix as usize].as_ref() else { return (true, 0, 0) };
-            let value = (self.triggers[i.trigger].billed_value * 1e3) as i64;
-            (self.now + service > i.objective_at, -value, i.arrived)
+            let inv = self.invs[ix as usize].as_ref();
+            inv.map_or((0, 0, ix), |i| (-self.worth(i), i.arrived, ix))
         });
+        let scarce = self.scarce();
         for ix in held {
             let Some(inv) = self.invs[ix as usize].as_ref() else { continue };
-            if inv.gives_up_at - self.now <= service {
+            let (func, service) = (inv.func, self.usual_service(&self.funcs[inv.func as usize]));
+            // When work is scarce, an answer that can only be late takes the place of one in time.
+            let ends = if scarce { inv.objective_at - service.stray } else { inv.gives_up_at };
+            if ends - self.now <= service.mean {
                 self.give_up(ix, out);
             } else if let Some(w) = self.free_lane(ix) {
                 self.dispatch(ix, w, false, out);
@@ -865,9 +896,6 @@
             return;
         }
         f.orders = f.orders.saturating_sub(1);
-        if f.orders == 0 {
-            f.asked_until = NO_TIME;
-        }
         let loaded = f.loading.is_some_and(|(l, _)| l as usize == w);
         if loaded {
             f.loading = None;
@@ -892,7 +920,7 @@
                 self.workers.judge(w, false);
             }
         }
-        self.retry_held(func, out);
+        self.retry_held(Some(func), out);
     }
 
     // ---- time and the list --------------------------------------------------------------------------------
@@ -906,8 +934,8 @@
                 q.pop_front();
             }
         }
+        self.retry_held(None, out);
         for func in 0..self.funcs.len() as u32 {
-            self.retry_held(func, out);
             let f = &mut self.funcs[func as usize];
             if !f.known {
                 continue;
@@ -969,8 +997,8 @@
         for func in 0..self.funcs.len() as u32 {
             if self.funcs[func as usize].known {
                 self.rank(func);
-                self.retry_held(func, out);
             }
         }
+        self.retry_held(None, out);
     }
 }
