A load counts against its worker's bound for its usual time only

Found by logging why held ones ended: 11 to 16 of 16 workers "loading". Told apart from crowding and bad workers, which the same lines showed as absent.

--- a/src/control.rs
+++ b/src/control.rs
@@ -136,8 +136,9 @@
     bears_at: Vec<Micros>,
     /// It turned work away: nothing more until then.
     full_until: Vec<Micros>,
-    /// The function that this router has loading there.
+    /// The function that this router has loading there, and until when that should be done.
     loading: Vec<Option<FnIx>>,
+    loaded_by: Vec<Micros>,
     /// Dispatches within the cold rule's window.
     recent: Vec<VecDeque<Micros>>,
 }
@@ -164,6 +165,7 @@
         self.bears.resize(n, BEARS_MOST);
         self.bears_at.resize(n, NO_TIME);
         self.loading.resize(n, None);
+        self.loaded_by.resize(n, NO_TIME);
         self.recent.resize_with(n, VecDeque::new);
     }
 
@@ -597,7 +599,8 @@
         f.order
             .iter()
             .map(|&w| w as usize)
-            .filter(|&w| !f.warm(w, self.now) && self.workers.loading[w].is_none())
+            .filter(|&w| !f.warm(w, self.now))
+            .filter(|&w| self.workers.loading[w].is_none() || self.workers.loaded_by[w] < self.now)
             .filter(|&w| !self.crowded(w, mean) && self.fit(ix, w))
             .take(LOAD_CHOICES)
             .min_by_key(busy)
@@ -665,6 +668,7 @@
         if load {
             f.loading = Some((w as WorkerIx, now));
             self.workers.loading[w] = Some(func);
+            self.workers.loaded_by[w] = now + self.usual_load(&self.funcs[func as usize]).mean;
         }
         let workers = &mut self.workers;
         workers.due[w] = if workers.own[w] == 0 { now + hush } else { workers.due[w].min(now + hush) };
@@ -873,11 +877,13 @@
             self.ordered.push_back(self.now);
         }
         out.push(Action::Order { worker: w as WorkerIx, func, copies });
+        let wait = self.usual_load(&self.funcs[func as usize]).mean;
         let f = &mut self.funcs[func as usize];
         f.orders += 1;
         if !f.warm(w, self.now) {
             f.loading = Some((w as WorkerIx, self.now));
             self.workers.loading[w] = Some(func);
+            self.workers.loaded_by[w] = self.now + wait;
         }
         f.warm_until[w] = self.now + self.loads.idle_kept;
     }
