No pause for full workers; loads on the way take no core; no draw when work is scarce

Cause: leaving a full worker alone made its functions look unloaded and sent their loads elsewhere. The shrinking bound on own work stays as the answer to full workers.

--- a/src/control.rs
+++ b/src/control.rs
@@ -92,6 +92,8 @@
     fate: Fate,
     /// It was sent to a worker not believed warm.
     load: bool,
+    /// It waits for a load, so takes no core yet.
+    waits: bool,
 }
 
 struct Inv {
@@ -124,6 +126,8 @@
     weight: Vec<f64>,
     started: Vec<Micros>,
     own: Vec<u32>,
+    /// Of these, sent to wait for a load.
+    waiting: Vec<u32>,
     /// Last outcomes, newest in the lowest bit, and how many count.
     outcomes: Vec<u32>,
     judged: Vec<u32>,
@@ -134,8 +138,6 @@
     /// Own dispatches that it answers in time, as far as has been seen.
     bears: Vec<f64>,
     bears_at: Vec<Micros>,
-    /// It turned work away: nothing more until then.
-    full_until: Vec<Micros>,
     /// The function that this router has loading there, and until when that should be done.
     loading: Vec<Option<FnIx>>,
     loaded_by: Vec<Micros>,
@@ -156,12 +158,12 @@
         self.weight.resize(n, 1.0);
         self.started.resize(n, NO_TIME);
         self.own.resize(n, 0);
+        self.waiting.resize(n, 0);
         self.outcomes.resize(n, 0);
         self.judged.resize(n, 0);
         self.due.resize(n, 0);
         self.trial_at.resize(n, 0);
         self.trials.resize(n, 0);
-        self.full_until.resize(n, NO_TIME);
         self.bears.resize(n, BEARS_MOST);
         self.bears_at.resize(n, NO_TIME);
         self.loading.resize(n, None);
@@ -176,6 +178,11 @@
         silent || (self.judged[w] >= JUDGED_LEAST && self.outcomes[w].count_ones() * 2 < self.judged[w])
     }
 
+    /// Own dispatches there that are believed to take its cores.
+    fn working(&self, w: usize) -> f64 {
+        f64::from(self.own[w] - self.waiting[w])
+    }
+
     fn judge(&mut self, w: usize, succeeded: bool) {
         if succeeded && self.judged[w] >= JUDGED_LEAST && self.outcomes[w].count_ones() * 2 < self.judged[w] {
             // A bad worker that succeeds starts anew.
@@ -194,7 +201,7 @@
     /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out there now;
     /// with answers in time it is let have more, slowly.
     fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros) {
-        let own = f64::from(self.own[w]) + 1.0;
+        let own = self.working(w) + 1.0;
         if took * LATE_PART > objective {
             if now - self.bears_at[w] > took.min(objective) {
                 self.bears[w] = (self.bears[w].min(own) * BACK_OFF).max(1.0);
@@ -444,7 +451,8 @@
         }
         // All lanes busy: one in five loads. No warm worker: load at once, within the bound.
         let warm = self.any_warm(ix);
-        if (!warm || (first && self.chance().is_multiple_of(LOAD_ONE_IN)))
+        let draw = first && !self.scarce() && self.chance().is_multiple_of(LOAD_ONE_IN);
+        if (!warm || draw)
             && let Some(w) = self.load_place(ix)
         {
             if !self.loads.orders {
@@ -525,7 +533,7 @@
             |w: &usize| self.workers.standing[*w] == Standing::InService && !self.workers.bad(*w, self.now);
         let (mut own, mut size) = (0.0, 0.0);
         for w in (0..self.workers.len()).filter(good) {
-            own += f64::from(self.workers.own[w]);
+            own += self.workers.working(w);
             size += self.size(w);
         }
         own / size.max(0.1)
@@ -534,7 +542,7 @@
     /// Symptom: lanes are free but the cores behind them are not (many functions on one worker, a cold or a slow
     /// one): more own work there than its size would take of all of it. A lane there does not count as free.
     fn crowded(&self, w: usize, mean: f64) -> bool {
-        let own = f64::from(self.workers.own[w]);
+        let own = self.workers.working(w);
         own >= self.workers.bears[w] || own >= CROWD * mean * self.size(w) + CROWD_LEAST
     }
 
@@ -542,7 +550,7 @@
     fn scarce(&self) -> bool {
         (0..self.workers.len())
             .filter(|&w| self.workers.standing[w] == Standing::InService && !self.workers.bad(w, self.now))
-            .all(|w| f64::from(self.workers.own[w]) + 1.0 >= self.workers.bears[w])
+            .all(|w| self.workers.working(w) + 1.0 >= self.workers.bears[w])
     }
 
     fn in_service(&self) -> usize {
@@ -552,7 +560,7 @@
     /// Good enough for this invocation: judged good, or due for a trial with what can go elsewhere after.
     fn fit(&self, ix: InvIx, w: usize) -> bool {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
-        if !self.allowed(inv, w) || self.workers.full_until[w] > self.now || !self.cold_room(w) {
+        if !self.allowed(inv, w) || !self.cold_room(w) {
             return false;
         }
         if !self.workers.bad(w, self.now) {
@@ -657,7 +665,13 @@
             && left - patience > usual.mean;
         out.push(Action::Dispatch { inv: ix, worker: w as WorkerIx, time_out: again.then_some(patience) });
         if let Some(inv) = self.invs[ix as usize].as_mut() {
-            inv.dispatches.push(Dispatch { worker: w as WorkerIx, at: now, fate: Fate::Out, load });
+            inv.dispatches.push(Dispatch {
+                worker: w as WorkerIx,
+                at: now,
+                fate: Fate::Out,
+                load,
+                waits: loading,
+            });
         }
         let f = &mut self.funcs[func as usize];
         f.own[w] += 1;
@@ -673,6 +687,7 @@
         let workers = &mut self.workers;
         workers.due[w] = if workers.own[w] == 0 { now + hush } else { workers.due[w].min(now + hush) };
         workers.own[w] += 1;
+        workers.waiting[w] += u32::from(loading);
         if bad {
             self.next_trial(w);
         }
@@ -723,13 +738,14 @@
             return;
         };
         d.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (load, func, trigger) = (d.load, inv.func, inv.trigger);
+        let (load, waits, func, trigger) = (d.load, d.waits, inv.func, inv.trigger);
         let f = &mut self.funcs[func as usize];
         f.own[w] = f.own[w].saturating_sub(1);
         self.workers.own[w] = self.workers.own[w].saturating_sub(1);
+        self.workers.waiting[w] -= u32::from(waits);
         if load && f.loading.is_some_and(|(l, _)| l == worker) {
             f.loading = None;
-            self.workers.loading[w] = None;
+            self.workers.loading[w].take_if(|l| *l == func);
         }
         let usual = self.usual_service(&self.funcs[func as usize]);
         match outcome {
@@ -756,9 +772,8 @@
                 }
             }
             Outcome::Missed => self.funcs[func as usize].cool(w),
-            // Symptom: a full worker answers fastest of all and so looks idle; left alone for a usual work's time.
+            // Symptom: a full worker answers fastest of all and so looks idle.
             Outcome::Throttled => {
-                self.workers.full_until[w] = now + usual.mean;
                 self.workers.learn_bears(w, now, Micros::MAX / 8, self.triggers[trigger].latency_objective);
             }
             Outcome::NotSent | Outcome::Withdrawn => {}
@@ -905,7 +920,7 @@
         let loaded = f.loading.is_some_and(|(l, _)| l as usize == w);
         if loaded {
             f.loading = None;
-            self.workers.loading[w] = None;
+            self.workers.loading[w].take_if(|l| *l == func);
         }
         match result {
             OrderResult::Stand | OrderResult::NoRoom => {
