--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -45,8 +45,8 @@
         let mut actions = Vec::new();
         self.control.decide(now, event, &mut actions);
         let concerns = match *event {
-            Event::Invocation { inv, .. } | Event::Departed { inv } => Some(inv),
-            Event::DispatchEnded { inv, concluded, .. } => {
+            Event::Invocation(Arrival { inv, .. }) | Event::Departed { inv } => Some(inv),
+            Event::DispatchEnded(Ending { inv, concluded, .. }) => {
                 let open = &mut self.open[inv as usize];
                 open.out = open.out.saturating_sub(1);
                 open.ended |= concluded;
@@ -212,7 +212,7 @@
                     it.open.resize(inv as usize + 1, Open::default());
                 }
                 it.open[inv as usize] = Open::default();
-                let event = Event::Invocation {
+                let arrival = Arrival {
                     inv,
                     trigger,
                     account,
@@ -225,7 +225,7 @@
                     client_gives_up_in,
                     repeat: bits & 2 != 0,
                 };
-                it.tell(now, router, &event, reply)?;
+                it.tell(now, router, &Event::Invocation(arrival), reply)?;
             }
             "vanished" => {
                 let id = v.text("requestId")?;
@@ -278,18 +278,9 @@
                 v.end()?;
                 let (note, crowd) = codec::remark(remark, outcome, it.crowds);
                 if let Some(inv) = it.invs.find(id) {
-                    let event = Event::DispatchEnded {
-                        inv,
-                        dispatch,
-                        worker,
-                        outcome,
-                        took,
-                        concluded,
-                        note,
-                        crowd,
-                        report,
-                    };
-                    it.tell(now, router, &event, reply)?;
+                    let ending =
+                        Ending { inv, dispatch, worker, outcome, took, concluded, note, crowd, report };
+                    it.tell(now, router, &Event::DispatchEnded(ending), reply)?;
                 }
             }
             "echo" => {
--- a/src/control.rs
+++ b/src/control.rs
@@ -21,8 +21,6 @@
 const RETRY_PACE: Micros = 10_000;
 /// Upkeep (beliefs, keeping warm, forgetting) runs this many times within the time that an idle copy is kept.
 const UPKEEP_STEPS: Micros = 100;
-/// New loads choose among so many unwarmed workers in the shared order (the design's two).
-const LOAD_CHOICES: usize = 1;
 /// Outcomes that a worker is judged by; few, so that a hang shows at once and is soon forgiven.
 const JUDGED: u32 = 8;
 /// Fewest outcomes that make a judgement.
@@ -50,8 +48,8 @@
 const GAIN: Micros = 8;
 /// Part of the cold budget that is used: arrivals are not even and the other routers' parts only roughly known.
 const COLD_CAUTION: f64 = 0.7;
-/// The rate of dispatches is averaged over this multiple of the cold rule's window.
-const RATE_WINDOWS: f64 = 3.0;
+/// What workers carry is averaged over so many of the cold rule's windows.
+const CARRIED_WINDOWS: f64 = 3.0;
 /// A function unused for so many times the kept-idle time is forgotten.
 const FORGET_AFTER: Micros = 4;
 
@@ -122,6 +120,7 @@
     fingerprint: Vec<u64>,
     zone: Vec<u32>,
     cell: Vec<u32>,
+    kind: Vec<u32>,
     standing: Vec<Standing>,
     weight: Vec<f64>,
     started: Vec<Micros>,
@@ -151,23 +150,17 @@
     }
 
     fn grow(&mut self, n: usize) {
+        let counts = [&mut self.zone, &mut self.cell, &mut self.kind, &mut self.own, &mut self.waiting];
+        counts.into_iter().for_each(|v| v.resize(n, 0));
+        [&mut self.outcomes, &mut self.judged, &mut self.trials].into_iter().for_each(|v| v.resize(n, 0));
+        let times =
+            [&mut self.started, &mut self.due, &mut self.trial_at, &mut self.bears_at, &mut self.loaded_by];
+        times.into_iter().for_each(|v| v.resize(n, NO_TIME));
         self.fingerprint.resize(n, 0);
-        self.zone.resize(n, 0);
-        self.cell.resize(n, 0);
         self.standing.resize(n, Standing::Gone);
         self.weight.resize(n, 1.0);
-        self.started.resize(n, NO_TIME);
-        self.own.resize(n, 0);
-        self.waiting.resize(n, 0);
-        self.outcomes.resize(n, 0);
-        self.judged.resize(n, 0);
-        self.due.resize(n, 0);
-        self.trial_at.resize(n, 0);
-        self.trials.resize(n, 0);
         self.bears.resize(n, BEARS_MOST);
-        self.bears_at.resize(n, NO_TIME);
         self.loading.resize(n, None);
-        self.loaded_by.resize(n, NO_TIME);
         self.recent.resize_with(n, VecDeque::new);
     }
 
@@ -195,9 +188,7 @@
             self.trials[w] = 0;
         }
     }
-}
 
-impl Workers {
     /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out there now;
     /// with answers in time it is let have more, slowly.
     fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros) {
@@ -237,6 +228,11 @@
 }
 
 impl Function {
+    fn grow(&mut self, n: usize) {
+        self.own.resize(n, 0);
+        self.warm_until.resize(n, NO_TIME);
+        self.copies.resize(n, 0);
+    }
     fn warm(&self, w: usize, now: Micros) -> bool {
         self.own[w] > 0 && self.warm_until[w] > NO_TIME || self.warm_until[w] > now
     }
@@ -249,6 +245,7 @@
     }
 }
 
+#[derive(Default)]
 pub struct Control {
     seed: u64,
     draws: u64,
@@ -264,10 +261,10 @@
     service: Vec<Usual>,
     load: Usual,
     held: u32,
-    next_tick: Micros,
-    /// Dispatches a second, averaged, and when last brought up to date.
-    rate: f64,
-    rate_at: Micros,
+    next_tick: Option<Micros>,
+    /// Invocations succeeded within the averaging time, by kind of worker, and when last brought up to date.
+    carried: Vec<f64>,
+    carried_at: Micros,
     /// Times of load orders and of invocations taken within the ration's window.
     ordered: VecDeque<Micros>,
     taken: VecDeque<Micros>,
@@ -288,24 +285,13 @@
     ) -> Self {
         Control {
             seed,
-            draws: 0,
-            now: 0,
             fleet,
             limits,
             rules,
             service: vec![Usual::default(); triggers.len()],
             triggers,
             loads,
-            workers: Workers::default(),
-            funcs: Vec::new(),
-            invs: Vec::new(),
-            load: Usual::default(),
-            held: 0,
-            next_tick: Micros::MAX,
-            rate: 0.0,
-            rate_at: 0,
-            ordered: VecDeque::new(),
-            taken: VecDeque::new(),
+            ..Control::default()
         }
     }
 
@@ -322,13 +308,13 @@
         self.now = now;
         match *event {
             Event::List { mode, entries } => self.follow_list(mode, entries, out),
-            Event::Invocation { inv, .. } => {
-                self.take(event);
-                self.route(inv, out);
+            Event::Invocation(arrival) => {
+                self.take(&arrival);
+                self.route(arrival.inv, out);
             }
             Event::Departed { inv } => self.conclude(inv),
             Event::Answering { inv, .. } => self.conclude(inv),
-            Event::DispatchEnded { .. } => self.settle(event, out),
+            Event::DispatchEnded(ending) => self.settle(&ending, out),
             Event::OrderEnded { worker, func, result, copies, took } => {
                 self.order_ended(worker as usize, func, result, copies, took, out)
             }
@@ -338,16 +324,15 @@
                 }
             }
             Event::Timer { token } => {
-                if token == self.next_tick as u64 {
-                    self.next_tick = Micros::MAX;
+                if self.next_tick.take_if(|t| token == *t as u64).is_some() {
                     self.tick(out);
                 }
             }
         }
         let pace = if self.held > 0 { RETRY_PACE } else { self.loads.idle_kept / UPKEEP_STEPS };
         let due = now + pace.max(self.fleet.granularity).max(RETRY_PACE);
-        if due < self.next_tick {
-            self.next_tick = due;
+        if self.next_tick.is_none_or(|t| due < t) {
+            self.next_tick = Some(due);
             out.push(Action::Timer { token: due as u64, after: due - now });
         }
     }
@@ -361,69 +346,40 @@
 
     // ---- taking and routing -------------------------------------------------------------------------------
 
-    fn take(&mut self, event: &Event) {
-        let &Event::Invocation {
-            inv,
-            trigger,
-            func,
-            fingerprint,
-            load_hint,
-            lanes,
-            client_gives_up_in,
-            cost_hint,
-            ..
-        } = event
-        else {
-            return;
-        };
-        let now = self.now;
-        let t = &self.triggers[trigger as usize];
-        let stretch = (cost_hint.unwrap_or(0) as f64 * t.objective_stretch) as Micros;
-        let gives_up_at = now + client_gives_up_in;
-        let taken = Inv {
-            func,
-            trigger: trigger as usize,
+    fn take(&mut self, a: &Arrival) {
+        let (now, t) = (self.now, &self.triggers[a.trigger as usize]);
+        let stretch = (a.cost_hint.unwrap_or(0) as f64 * t.objective_stretch) as Micros;
+        let gives_up_at = now + a.client_gives_up_in;
+        if self.invs.len() <= a.inv as usize {
+            self.invs.resize_with(a.inv as usize + 1, || None);
+        }
+        self.invs[a.inv as usize] = Some(Inv {
+            func: a.func,
+            trigger: a.trigger as usize,
             arrived: now,
             objective_at: (now + t.latency_objective + stretch).min(gives_up_at),
             gives_up_at,
             ended: false,
             held: false,
             dispatches: Vec::new(),
-        };
-        if self.invs.len() <= inv as usize {
-            self.invs.resize_with(inv as usize + 1, || None);
-        }
-        self.invs[inv as usize] = Some(taken);
+        });
         if self.loads.ration_window > 0 {
             self.taken.push_back(now);
         }
-        if self.funcs.len() <= func as usize {
-            self.funcs.resize_with(func as usize + 1, Function::default);
+        if self.funcs.len() <= a.func as usize {
+            self.funcs.resize_with(a.func as usize + 1, Function::default);
         }
-        let n = self.workers.len();
-        let f = &mut self.funcs[func as usize];
+        let f = &mut self.funcs[a.func as usize];
         let new = !f.known;
-        if new {
-            *f = Function {
-                known: true,
-                fingerprint,
-                trigger: trigger as usize,
-                own: vec![0; n],
-                warm_until: vec![NO_TIME; n],
-                copies: vec![0; n],
-                ..Function::default()
-            };
-        }
-        f.lanes = lanes;
-        f.used = now;
+        (f.known, f.fingerprint, f.trigger) = (true, a.fingerprint, a.trigger as usize);
+        (f.lanes, f.used) = (a.lanes, now);
         f.open += 1;
-        if let Some(hint) = load_hint
-            && f.load.mean == 0
-        {
+        if let Some(hint) = a.load_hint.filter(|_| f.load.mean == 0) {
             f.load = Usual { mean: hint.max(1), stray: hint / 4 };
         }
         if new {
-            self.rank(func);
+            f.grow(self.workers.len());
+            self.rank(a.func);
         }
     }
 
@@ -504,22 +460,36 @@
         }
     }
 
-    /// Rule 4: what a worker that has just started can surely bear is the cold part of what this router sends
-    /// to a worker on average, which the warm ones carry; all routers doing so keep to the whole budget.
+    /// Rule 4: what a worker that has just started can surely bear is the cold part of what this router has seen
+    /// one of its kind carry on average; all routers doing so keep to the whole budget.
     fn cold_room(&self, w: usize) -> bool {
-        let r = &self.rules;
+        let (r, kind) = (&self.rules, self.workers.kind[w]);
         let age = self.now - self.workers.started[w];
         if age >= r.cold_for {
             return true;
         }
+        let of_kind =
+            |v: &usize| self.workers.kind[*v] == kind && self.workers.standing[*v] == Standing::InService;
+        let all = (0..self.workers.len()).filter(of_kind).count().max(1);
+        let carried = self.carried.get(kind as usize).map_or(0.0, |c| c / CARRIED_WINDOWS / all as f64);
         let grown = r.cold_part + (1.0 - r.cold_part) * (age.max(0) as f64 / r.cold_for as f64);
-        let each = self.rate / self.in_service().max(1) as f64;
-        let budget = COLD_CAUTION * r.overload_multiple * grown * each * r.overload_window as f64 / 1e6;
+        let budget = COLD_CAUTION * r.overload_multiple * grown * carried;
         let since = self.now - r.overload_window;
         let sent = self.workers.recent[w].iter().filter(|&&t| t > since).count();
         (sent as f64) < budget.max(1.0)
     }
 
+    fn learn_carried(&mut self, kind: usize) {
+        let over = CARRIED_WINDOWS * self.rules.overload_window.max(1) as f64;
+        let left = (-(self.now - self.carried_at) as f64 / over).exp();
+        self.carried.iter_mut().for_each(|c| *c *= left);
+        self.carried_at = self.now;
+        if self.carried.len() <= kind {
+            self.carried.resize(kind + 1, 0.0);
+        }
+        self.carried[kind] += 1.0;
+    }
+
     /// What a worker can do beside others: its registered size, less while it is cold.
     fn size(&self, w: usize) -> f64 {
         let age = (self.now - self.workers.started[w]).max(0) as f64 / self.rules.cold_for.max(1) as f64;
@@ -527,15 +497,17 @@
         self.workers.weight[w].max(0.1) * (cold + (1.0 - cold) * age.min(1.0))
     }
 
-    /// Own dispatches in flight for each unit of size, over the workers judged good.
-    fn mean_load(&self) -> f64 {
+    fn good(&self) -> impl Iterator<Item = usize> {
         let good =
             |w: &usize| self.workers.standing[*w] == Standing::InService && !self.workers.bad(*w, self.now);
-        let (mut own, mut size) = (0.0, 0.0);
-        for w in (0..self.workers.len()).filter(good) {
-            own += self.workers.working(w);
-            size += self.size(w);
-        }
+        (0..self.workers.len()).filter(good)
+    }
+
+    /// Own dispatches in flight for each unit of size, over the workers judged good.
+    fn mean_load(&self) -> f64 {
+        let (own, size) = self
+            .good()
+            .fold((0.0, 0.0), |(own, size), w| (own + self.workers.working(w), size + self.size(w)));
         own / size.max(0.1)
     }
 
@@ -548,13 +520,7 @@
 
     /// Every good worker has all that it bears: the fleet is overloaded as far as this router can see.
     fn scarce(&self) -> bool {
-        (0..self.workers.len())
-            .filter(|&w| self.workers.standing[w] == Standing::InService && !self.workers.bad(w, self.now))
-            .all(|w| self.workers.working(w) + 1.0 >= self.workers.bears[w])
-    }
-
-    fn in_service(&self) -> usize {
-        self.workers.standing.iter().filter(|s| **s == Standing::InService).count()
+        self.good().all(|w| self.workers.working(w) + 1.0 >= self.workers.bears[w])
     }
 
     /// Good enough for this invocation: judged good, or due for a trial with what can go elsewhere after.
@@ -594,24 +560,18 @@
         (0..f.own.len()).any(|w| f.warm(w, self.now) && self.fit(ix, w))
     }
 
-    /// Where a new load goes: the less busy of the first two unwarmed workers in the shared order. One load
-    /// under way per function and per worker.
+    /// Where a new load goes: the first unwarmed worker in the shared order, so that routers find each other's
+    /// copies. One load under way per function and, for its usual time, per worker.
     fn load_place(&self, ix: InvIx) -> Option<usize> {
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
         if f.loading.is_some() || (self.loads.orders && !self.order_left()) {
             return None;
         }
-        let busy =
-            |w: &usize| (f64::from(self.workers.own[*w]) / self.workers.weight[*w].max(0.1) * 1e3) as u64;
         let mean = self.mean_load();
-        f.order
-            .iter()
-            .map(|&w| w as usize)
-            .filter(|&w| !f.warm(w, self.now))
-            .filter(|&w| self.workers.loading[w].is_none() || self.workers.loaded_by[w] < self.now)
-            .filter(|&w| !self.crowded(w, mean) && self.fit(ix, w))
-            .take(LOAD_CHOICES)
-            .min_by_key(busy)
+        f.order.iter().map(|&w| w as usize).find(|&w| {
+            let open = self.workers.loading[w].is_none() || self.workers.loaded_by[w] < self.now;
+            open && !f.warm(w, self.now) && !self.crowded(w, mean) && self.fit(ix, w)
+        })
     }
 
     /// Held ones should leave within half of what their latency objective leaves beside the work itself.
@@ -697,7 +657,6 @@
             workers.recent[w].pop_front();
         }
         workers.recent[w].push_back(now);
-        self.learn_rate(1.0);
     }
 
     fn next_trial(&mut self, w: usize) {
@@ -706,13 +665,6 @@
         self.workers.trials[w] = (self.workers.trials[w] + 1).min(TRIAL_DOUBLINGS);
     }
 
-    fn learn_rate(&mut self, sent: f64) {
-        let over = RATE_WINDOWS * self.rules.overload_window.max(1) as f64;
-        let dt = (self.now - self.rate_at) as f64;
-        self.rate = self.rate * (-dt / over).exp() + sent / over * 1e6;
-        self.rate_at = self.now;
-    }
-
     fn usual_service(&self, f: &Function) -> Usual {
         let t = &self.triggers[f.trigger];
         let first = Usual { mean: t.latency_objective / 8, stray: t.latency_objective / 16 };
@@ -727,11 +679,8 @@
 
     // ---- what comes back ----------------------------------------------------------------------------------
 
-    fn settle(&mut self, event: &Event, out: &mut Vec<Action>) {
-        let &Event::DispatchEnded { inv: ix, dispatch, worker, outcome, took, concluded, note, .. } = event
-        else {
-            return;
-        };
+    fn settle(&mut self, e: &Ending, out: &mut Vec<Action>) {
+        let &Ending { inv: ix, dispatch, worker, outcome, took, concluded, note, .. } = e;
         let (now, w) = (self.now, worker as usize);
         let Some(inv) = self.invs[ix as usize].as_mut() else { return };
         let Some(d) = inv.dispatches.get_mut(dispatch as usize).filter(|d| d.fate == Fate::Out) else {
@@ -751,6 +700,7 @@
         match outcome {
             Outcome::Succeeded => {
                 self.workers.judge(w, true);
+                self.learn_carried(self.workers.kind[w] as usize);
                 let wait = self.workers.loading[w]
                     .map_or(0, |l| self.usual_load(&self.funcs[l as usize]).stretched());
                 self.workers.due[w] = now + HUSH * (usual.stretched() + wait);
@@ -948,7 +898,6 @@
 
     fn tick(&mut self, out: &mut Vec<Action>) {
         let (now, kept) = (self.now, self.loads.idle_kept);
-        self.learn_rate(0.0);
         let since = now - self.loads.ration_window;
         for q in [&mut self.ordered, &mut self.taken] {
             while q.front().is_some_and(|&t| t <= since) {
@@ -979,9 +928,7 @@
         let most = entries.iter().map(|e| e.worker as usize + 1).max().unwrap_or(0).max(self.workers.len());
         self.workers.grow(most);
         for f in &mut self.funcs {
-            f.own.resize(most, 0);
-            f.warm_until.resize(most, NO_TIME);
-            f.copies.resize(most, 0);
+            f.grow(most);
         }
         let mut lost: Vec<usize> = Vec::new();
         if mode != ListMode::Changes {
@@ -1000,6 +947,7 @@
             self.workers.fingerprint[w] = e.fingerprint;
             self.workers.zone[w] = e.zone;
             self.workers.cell[w] = e.cell;
+            self.workers.kind[w] = e.kind;
             self.workers.standing[w] = e.standing;
             self.workers.weight[w] = e.weight;
             self.workers.started[w] = started;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,7 +10,7 @@
 pub type InvIx = u32;
 
 /// Where this router stands among those before the same workers.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct FleetPosition {
     pub routers: u32,
     pub position: u32,
@@ -56,7 +56,7 @@
     pub share: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct DispatchLimits {
     pub max_dispatches: u32,
     pub second_copies: bool,
@@ -67,7 +67,7 @@
     pub max_advice: Micros,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RuleTerms {
     pub answer_slack: Micros,
     pub drain_grace: Micros,
@@ -80,7 +80,7 @@
     pub overload_window: Micros,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct LoadTerms {
     /// An idle copy stays at least this long.
     pub idle_kept: Micros,
@@ -127,10 +127,11 @@
     pub memory_part: Option<f64>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     InService,
     Draining,
+    #[default]
     Gone,
 }
 
@@ -198,26 +199,47 @@
     TimedOut,
 }
 
+/// An invocation that this router has taken.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub inv: InvIx,
+    pub trigger: u32,
+    pub account: u32,
+    pub func: FnIx,
+    /// The function's fingerprint, the same at every router.
+    pub fingerprint: u64,
+    pub cost_hint: Option<Micros>,
+    pub load_hint: Option<Micros>,
+    pub copy_mb: f64,
+    /// Invocations that one copy runs at a time.
+    pub lanes: u32,
+    pub client_gives_up_in: Micros,
+    pub repeat: bool,
+}
+
+/// How a dispatch ended; each has exactly one.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    pub inv: InvIx,
+    pub dispatch: u32,
+    pub worker: WorkerIx,
+    pub outcome: Outcome,
+    pub took: Micros,
+    /// The invocation has its final answer.
+    pub concluded: bool,
+    pub note: CopyNote,
+    /// Invocations of the same function that the worker held when this one came.
+    pub crowd: Option<u32>,
+    pub report: Report,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
     List {
         mode: ListMode,
         entries: &'a [ListEntry],
     },
-    Invocation {
-        inv: InvIx,
-        trigger: u32,
-        account: u32,
-        func: FnIx,
-        /// The function's fingerprint, the same at every router.
-        fingerprint: u64,
-        cost_hint: Option<Micros>,
-        load_hint: Option<Micros>,
-        copy_mb: f64,
-        lanes: u32,
-        client_gives_up_in: Micros,
-        repeat: bool,
-    },
+    Invocation(Arrival),
     /// The client has left: no answer is owed.
     Departed {
         inv: InvIx,
@@ -228,19 +250,7 @@
         dispatch: u32,
         worker: WorkerIx,
     },
-    DispatchEnded {
-        inv: InvIx,
-        dispatch: u32,
-        worker: WorkerIx,
-        outcome: Outcome,
-        took: Micros,
-        /// The invocation has its final answer.
-        concluded: bool,
-        note: CopyNote,
-        /// Invocations of the same function that the worker held when this one came.
-        crowd: Option<u32>,
-        report: Report,
-    },
+    DispatchEnded(Ending),
     OrderEnded {
         worker: WorkerIx,
         func: FnIx,
