--- a/src/control.rs
+++ b/src/control.rs
@@ -422,8 +422,8 @@
         }
         // Queue full: the busy warm worker with the lowest ratio of work to lanes.
         match self.least_busy(ix) {
-            Some(w) if !self.scarce() => self.dispatch(ix, w, false, out),
-            _ => self.hold(ix),
+            Some(w) => self.dispatch(ix, w, false, out),
+            None => self.hold(ix),
         }
     }
 
@@ -588,7 +588,8 @@
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
         let ratio =
             |w: &usize| (u64::from(f.own[*w]) + f.held.len() as u64) * 1_000 / u64::from(f.lanes_at(*w));
-        (0..f.own.len()).filter(|&w| f.warm(w, self.now) && self.fit(ix, w)).min_by_key(ratio)
+        let bears = |w: usize| self.workers.working(w) < self.workers.bears[w];
+        (0..f.own.len()).filter(|&w| f.warm(w, self.now) && bears(w) && self.fit(ix, w)).min_by_key(ratio)
     }
 
     fn hold(&mut self, ix: InvIx) {
