A worker that turned an invocation away is not asked again for it at once

Symptom: a full worker answers in milliseconds, has the fewest own in flight and so draws the same invocation again. Could harm: an invocation waits a usual work's time although the worker's queue has just emptied.

--- a/src/control.rs
+++ b/src/control.rs
@@ -536,6 +536,15 @@
         safe && inv.dispatches.is_empty() && self.workers.trial_at[w] <= self.now
     }
 
+    /// Symptom: a full worker answers fastest of all, so it has the fewest own in flight and is asked again at once.
+    /// It is not asked again for the same invocation before a usual work's time has passed.
+    fn turned_away(&self, ix: InvIx, w: usize) -> bool {
+        let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
+        let rest = self.usual_service(&self.funcs[inv.func as usize]).mean;
+        let at = |d: &Dispatch| d.worker as usize == w && d.fate == Fate::NeverRan && self.now - d.at < rest;
+        inv.dispatches.iter().any(at)
+    }
+
     fn free_lane(&mut self, ix: InvIx) -> Option<usize> {
         let draw = self.chance();
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
@@ -546,6 +555,7 @@
                 && !loading
                 && f.own[*w] < f.lanes_at(*w)
                 && !self.crowded(*w, mean)
+                && !self.turned_away(ix, *w)
                 && self.fit(ix, *w)
         };
         let own = &self.workers.own;
@@ -588,7 +598,7 @@
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
         let ratio =
             |w: &usize| (u64::from(f.own[*w]) + f.held.len() as u64) * 1_000 / u64::from(f.lanes_at(*w));
-        let bears = |w: usize| self.workers.working(w) < self.workers.bears[w];
+        let bears = |w: usize| self.workers.working(w) < self.workers.bears[w] && !self.turned_away(ix, w);
         (0..f.own.len()).filter(|&w| f.warm(w, self.now) && bears(w) && self.fit(ix, w)).min_by_key(ratio)
     }
 
