Warm workers told to drain still serve within the grace

Cause: a home told to drain was dropped at once although the rule leaves a grace and draining workers still answer; its functions then waited for a load. Now nothing new goes there only after three quarters of the grace. Could harm: where draining workers turn work away, one more dispatch is needed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -134,6 +134,8 @@
     due: Vec<Micros>,
     trial_at: Vec<Micros>,
     trials: Vec<u32>,
+    /// When it drains: nothing new after this.
+    stops_at: Vec<Micros>,
     /// Own dispatches that it answers in time, as far as has been seen.
     bears: Vec<f64>,
     bears_at: Vec<Micros>,
@@ -153,8 +155,14 @@
         let counts = [&mut self.zone, &mut self.cell, &mut self.kind, &mut self.own, &mut self.waiting];
         counts.into_iter().for_each(|v| v.resize(n, 0));
         [&mut self.outcomes, &mut self.judged, &mut self.trials].into_iter().for_each(|v| v.resize(n, 0));
-        let times =
-            [&mut self.started, &mut self.due, &mut self.trial_at, &mut self.bears_at, &mut self.loaded_by];
+        let times = [
+            &mut self.started,
+            &mut self.due,
+            &mut self.trial_at,
+            &mut self.stops_at,
+            &mut self.bears_at,
+            &mut self.loaded_by,
+        ];
         times.into_iter().for_each(|v| v.resize(n, NO_TIME));
         self.fingerprint.resize(n, 0);
         self.standing.resize(n, Standing::Gone);
@@ -432,7 +440,7 @@
         if inv.ended
             || inv.out()
             || inv.dispatches.len() as u32 >= self.limits.max_dispatches
-            || self.workers.standing[w] != Standing::InService
+            || !self.takes_new(w)
         {
             return false;
         }
@@ -452,6 +460,15 @@
         }
     }
 
+    /// Rule 3: in service, or told to drain so short a time ago that the grace still runs.
+    fn takes_new(&self, w: usize) -> bool {
+        match self.workers.standing[w] {
+            Standing::InService => true,
+            Standing::Draining => self.now < self.workers.stops_at[w],
+            Standing::Gone => false,
+        }
+    }
+
     fn may_throttle(&self, inv: &Inv) -> bool {
         match self.triggers[inv.trigger].effect {
             Effect::Idempotent => true,
@@ -846,7 +863,7 @@
     }
 
     fn order(&mut self, func: FnIx, w: usize, copies: u32, out: &mut Vec<Action>) {
-        if !self.order_left() || self.workers.standing[w] != Standing::InService {
+        if !self.order_left() || !self.takes_new(w) {
             return;
         }
         if self.loads.ration_window > 0 {
@@ -959,6 +976,9 @@
             self.workers.zone[w] = e.zone;
             self.workers.cell[w] = e.cell;
             self.workers.kind[w] = e.kind;
+            if e.standing == Standing::Draining && self.workers.standing[w] == Standing::InService {
+                self.workers.stops_at[w] = self.now + self.rules.drain_grace * 3 / 4;
+            }
             self.workers.standing[w] = e.standing;
             self.workers.weight[w] = e.weight;
             self.workers.started[w] = started;
