Random runs check the five rules after every step; cold budget counts the dispatch itself

The runs found that a cold worker could get one dispatch more than its budget, and that an entry without a start time made a young worker look old. Both are fixed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -493,7 +493,7 @@
         let budget = COLD_CAUTION * r.overload_multiple * grown * carried;
         let since = self.now - r.overload_window;
         let sent = self.workers.recent[w].iter().filter(|&&t| t > since).count();
-        (sent as f64) < budget.max(1.0)
+        sent as f64 + 1.0 <= budget.max(1.0)
     }
 
     fn learn_carried(&mut self, kind: usize) {
@@ -968,7 +968,7 @@
         }
         for e in entries {
             let w = e.worker as usize;
-            let started = e.started.unwrap_or(NO_TIME);
+            let started = e.started.unwrap_or(self.workers.started[w]);
             if self.workers.started[w] != started || e.standing == Standing::Gone {
                 lost.push(w);
             }
--- /dev/null
+++ b/tests/decisions/cases.rs
@@ -0,0 +1,175 @@
+//! Plain cases of the ordinary path, and one for each failure found.
+
+use crate::script::*;
+use cedarpulley::interface::*;
+
+fn sent(actions: &[Action]) -> Vec<WorkerIx> {
+    let to = |a: &Action| match a {
+        Action::Dispatch { worker, .. } => Some(*worker),
+        _ => None,
+    };
+    actions.iter().filter_map(to).collect()
+}
+
+fn ordered(actions: &[Action]) -> Vec<WorkerIx> {
+    let to = |a: &Action| match a {
+        Action::Order { worker, copies: 1.., .. } => Some(*worker),
+        _ => None,
+    };
+    actions.iter().filter_map(to).collect()
+}
+
+/// Has one worker loaded with the function, and tells which.
+fn warm_up(s: &mut Script, func: FnIx, lanes: u32) -> WorkerIx {
+    let (inv, actions) = s.arrive(0, func, lanes, 2 * SECOND);
+    let home = sent(&actions)[0];
+    s.pass(600 * MS);
+    s.end(inv, 0, Outcome::Succeeded, CopyNote::Began);
+    home
+}
+
+/// Answers the invocation's first dispatch after the time given.
+fn answer(s: &mut Script, inv: InvIx, after: Micros) -> Vec<Action> {
+    s.pass(after);
+    s.end(inv, 0, Outcome::Succeeded, CopyNote::Found)
+}
+
+#[test]
+fn a_free_warm_lane_is_used_and_a_held_one_follows_into_it() {
+    let mut s = Script::new(1, PLAIN, 4);
+    let home = warm_up(&mut s, 0, 1);
+    let (first, actions) = s.arrive(0, 0, 1, 2 * SECOND);
+    assert_eq!(sent(&actions), [home]);
+    // The lane is taken: most are held, one in five loads.
+    let mut held = None;
+    for _ in 0..3 {
+        let (inv, actions) = s.arrive(0, 0, 1, 2 * SECOND);
+        if actions.is_empty() {
+            held = Some(inv);
+        }
+    }
+    assert!(held.is_some());
+    let actions = answer(&mut s, first, 50 * MS);
+    assert_eq!(sent(&actions), [home]);
+}
+
+#[test]
+fn the_draw_loads_for_about_one_in_five() {
+    let (mut loads, mut held) = (0, 0);
+    for seed in 0..400 {
+        let mut s = Script::new(seed, PLAIN, 4);
+        let home = warm_up(&mut s, 0, 1);
+        s.arrive(0, 0, 1, 2 * SECOND);
+        let (_, actions) = s.arrive(0, 0, 1, 2 * SECOND);
+        match sent(&actions).as_slice() {
+            [] => held += 1,
+            [w] => {
+                assert_ne!(*w, home);
+                loads += 1;
+            }
+            more => panic!("{more:?}"),
+        }
+    }
+    assert_eq!(loads + held, 400);
+    assert!((50..110).contains(&loads), "{loads} of 400 loaded");
+}
+
+#[test]
+fn a_full_queue_overflows_to_the_busy_home() {
+    let mut s = Script::new(5, PLAIN, 1);
+    let home = warm_up(&mut s, 0, 1);
+    s.arrive(0, 0, 1, 2 * SECOND);
+    let mut overflow = Vec::new();
+    for _ in 0..40 {
+        overflow.extend(sent(&s.arrive(0, 0, 1, 2 * SECOND).1));
+    }
+    assert!(!overflow.is_empty() && overflow.iter().all(|w| *w == home));
+}
+
+#[test]
+fn a_belief_lapses_and_the_next_one_loads_where_other_routers_look() {
+    let mut s = Script::new(6, PLAIN, 6);
+    let home = warm_up(&mut s, 0, 1);
+    s.pass(KEPT + SECOND);
+    let mut other = Script::new(99, Site { routers: 2, ..PLAIN }, 6);
+    let (_, again) = s.arrive(0, 0, 1, 2 * SECOND);
+    let (_, elsewhere) = other.arrive(0, 0, 1, 2 * SECOND);
+    assert_eq!((sent(&again), sent(&elsewhere)), (vec![home], vec![home]));
+}
+
+/// slot-service, deploy: a home told to drain serves on within the grace, and nothing goes there after it.
+#[test]
+fn a_draining_home_serves_within_the_grace_only() {
+    let mut s = Script::new(7, PLAIN, 4);
+    let home = warm_up(&mut s, 0, 2);
+    s.list(ListMode::Changes, &[entry(home, Standing::Draining, None)]);
+    s.pass(100 * MS);
+    let (_, actions) = s.arrive(0, 0, 2, 2 * SECOND);
+    assert_eq!(sent(&actions), [home]);
+    s.pass(GRACE);
+    let (_, actions) = s.arrive(0, 0, 2, 2 * SECOND);
+    assert!(!sent(&actions).contains(&home));
+}
+
+/// catania-main, hot_key+zone_cut: asking where copies stand kept far too many of them warm.
+#[test]
+fn where_orders_are_allowed_one_copy_is_ordered_and_the_invocation_waits_for_it() {
+    let site = Site { orders: true, ..PLAIN };
+    let mut s = Script::new(8, site, 6);
+    let (inv, actions) = s.arrive(2, 0, 1, 2 * SECOND);
+    let orders: Vec<_> = actions.iter().filter(|a| matches!(a, Action::Order { .. })).collect();
+    assert_eq!((orders.len(), sent(&actions).len()), (1, 0));
+    let worker = ordered(&actions)[0];
+    s.pass(400 * MS);
+    let stand = Event::OrderEnded { worker, func: 0, result: OrderResult::Stand, took: 400 * MS, copies: 1 };
+    assert_eq!(sent(&s.tell(&stand)), [worker]);
+    assert!(s.owes(inv));
+}
+
+/// slot-service, overload: a full worker answers first, looks idle and drew the same invocation again and again.
+#[test]
+fn a_worker_that_turned_an_invocation_away_is_not_asked_again_at_once() {
+    let mut s = Script::new(9, PLAIN, 1);
+    let home = warm_up(&mut s, 0, 4);
+    let (inv, actions) = s.arrive(0, 0, 4, 2 * SECOND);
+    assert_eq!(sent(&actions), [home]);
+    s.pass(2 * MS);
+    let actions = s.end(inv, 0, Outcome::Throttled, CopyNote::Untold);
+    assert!(sent(&actions).is_empty() && s.owes(inv));
+    assert_eq!(sent(&s.pass(SECOND)), [home]);
+}
+
+/// All deployments: an invocation that must not run again gets its answer as soon as that is known.
+#[test]
+fn a_non_idempotent_invocation_that_may_have_run_is_answered_at_once() {
+    let mut s = Script::new(10, PLAIN, 4);
+    let (inv, _) = s.arrive(2, 0, 1, 2 * SECOND);
+    s.pass(50 * MS);
+    let actions = s.end(inv, 0, Outcome::Broken, CopyNote::Untold);
+    assert!(actions.contains(&Action::Error { inv }));
+}
+
+/// Symptom of hangs and cut links: work out and no answer at all. Only what may run again tries the worker.
+#[test]
+fn a_silent_worker_is_passed_over() {
+    let mut s = Script::new(11, PLAIN, 4);
+    let home = warm_up(&mut s, 0, 4);
+    for _ in 0..8 {
+        let (inv, _) = s.arrive(0, 0, 4, 2 * SECOND);
+        answer(&mut s, inv, 40 * MS);
+    }
+    let (_, actions) = s.arrive(0, 0, 4, 2 * SECOND);
+    assert_eq!(sent(&actions), [home]);
+    s.pass(1_500 * MS);
+    let (_, actions) = s.arrive(2, 0, 4, 2 * SECOND);
+    assert!(!sent(&actions).contains(&home));
+}
+
+/// kumamoto-office: with as many loads under way as workers, held ones expired; a load counts for its usual time.
+#[test]
+fn a_load_takes_its_worker_for_its_usual_time_only() {
+    let mut s = Script::new(12, PLAIN, 1);
+    assert_eq!(sent(&s.arrive(0, 0, 1, 2 * SECOND).1), [0]);
+    assert!(sent(&s.arrive(0, 1, 1, 2 * SECOND).1).is_empty());
+    assert_eq!(sent(&s.pass(700 * MS)), [0]);
+}
--- /dev/null
+++ b/tests/decisions/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the decision module; none needs the bench.
+
+mod cases;
+mod rules;
+mod script;
--- /dev/null
+++ b/tests/decisions/rules.rs
@@ -0,0 +1,183 @@
+//! Seeded random runs: whatever the workers do, the five rules hold after every step.
+
+use std::collections::BTreeMap;
+
+use crate::script::*;
+use cedarpulley::interface::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+const WORKERS: u32 = 8;
+const FUNCTIONS: u32 = 6;
+
+/// One step of a run: some time passes, then something happens.
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive { trigger: u32, func: FnIx, gives_up_in: Micros },
+    Leave { nth: usize },
+    Drain { worker: WorkerIx },
+    Restart { worker: WorkerIx },
+    Mood { worker: WorkerIx, mood: u32 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<(Micros, Step)>> {
+    let step = prop_oneof![
+        60 => (0..3u32, 0..FUNCTIONS, 300..2_000i64)
+            .prop_map(|(trigger, func, ms)| Step::Arrive { trigger, func, gives_up_in: ms * MS }),
+        1 => (0..50usize).prop_map(|nth| Step::Leave { nth }),
+        1 => (0..WORKERS).prop_map(|worker| Step::Drain { worker }),
+        2 => (0..WORKERS).prop_map(|worker| Step::Restart { worker }),
+        2 => (0..WORKERS, 0..6u32).prop_map(|(worker, mood)| Step::Mood { worker, mood }),
+    ];
+    proptest::collection::vec((0..40 * MS, step), 100..500)
+}
+
+fn sites() -> impl Strategy<Value = Site> {
+    let groups = [RepeatGroup::All, RepeatGroup::Zone, RepeatGroup::Cell];
+    (any::<[bool; 3]>(), 0..3usize).prop_map(move |([orders, second_copies, ration], group)| Site {
+        orders,
+        loads_when_absent: !orders || second_copies,
+        second_copies,
+        ration: orders && ration,
+        group: groups[group],
+        routers: 1,
+    })
+}
+
+/// How a worker in this mood ends a dispatch, and after what time.
+fn ending(mood: u32, draw: u64, warm: bool) -> (Outcome, Micros, CopyNote) {
+    let work = (20 + draw % 150) as Micros * MS;
+    let (note, load) = if warm { (CopyNote::Found, 0) } else { (CopyNote::Began, 500 * MS) };
+    match mood {
+        1 => (Outcome::TimedOut, Micros::MAX, CopyNote::Untold),
+        2 => (Outcome::Throttled, 2 * MS, CopyNote::Untold),
+        3 => (Outcome::Unreachable, 250 * MS, CopyNote::Untold),
+        4 if draw.is_multiple_of(2) => (Outcome::Broken, work / 2, CopyNote::Untold),
+        5 if draw.is_multiple_of(2) => (Outcome::Errored, work, CopyNote::Untold),
+        5 if draw.is_multiple_of(3) => (Outcome::Missed, 3 * MS, CopyNote::LoadErrored),
+        _ => (Outcome::Succeeded, work + load, note),
+    }
+}
+
+#[derive(Default)]
+struct World {
+    due: BTreeMap<(Micros, u64), Back>,
+    moods: [u32; WORKERS as usize],
+    serial: u64,
+}
+
+enum Back {
+    Dispatch(InvIx, u32, Outcome, CopyNote, WorkerIx, FnIx),
+    Order(WorkerIx, FnIx, u32, Micros),
+}
+
+impl World {
+    fn take(&mut self, s: &Script, funcs: &[FnIx], counts: &mut BTreeMap<InvIx, u32>, actions: &[Action]) {
+        for action in actions {
+            self.serial += 1;
+            let draw = self.serial.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 20;
+            match *action {
+                Action::Dispatch { inv, worker, time_out } => {
+                    let n = counts.entry(inv).and_modify(|n| *n += 1).or_insert(0);
+                    let func = funcs[inv as usize];
+                    let (mut outcome, after, mut note) =
+                        ending(self.moods[worker as usize], draw, s.warm.contains(&(worker, func)));
+                    let mut at = s.now.saturating_add(after);
+                    let limit = time_out.map_or(s.gives_up_at(inv), |t| s.gives_up_at(inv).min(s.now + t));
+                    if at >= limit {
+                        (at, outcome, note) = (limit, Outcome::TimedOut, CopyNote::Untold);
+                    }
+                    self.due.insert((at, self.serial), Back::Dispatch(inv, *n, outcome, note, worker, func));
+                }
+                Action::Order { worker, func, copies } => {
+                    let after = (5 + draw % 900) as Micros * MS;
+                    self.due.insert((s.now + after, self.serial), Back::Order(worker, func, copies, after));
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn run(seed: u64, site: Site, steps: &[(Micros, Step)]) -> Vec<Action> {
+    let mut s = Script::new(seed, site, WORKERS);
+    let (mut world, mut funcs, mut counts, mut log) =
+        (World::default(), Vec::new(), BTreeMap::new(), Vec::new());
+    let quiet = [(100 * MS, None); 60];
+    for (span, step) in steps.iter().map(|(t, s)| (*t, Some(s))).chain(quiet) {
+        let until = s.now + span;
+        loop {
+            let back = world.due.first_key_value().map(|(k, _)| k.0).filter(|t| *t <= until);
+            let next = back.unwrap_or(until).max(s.now);
+            let rung = s.pass(next - s.now);
+            world.take(&s, &funcs, &mut counts, &rung);
+            log.extend(rung);
+            let Some((_, back)) = back.and_then(|_| world.due.pop_first()) else { break };
+            let actions = match back {
+                Back::Dispatch(inv, n, outcome, note, worker, func) => {
+                    if outcome == Outcome::Succeeded {
+                        s.warm.insert((worker, func));
+                    }
+                    s.end(inv, n, outcome, note)
+                }
+                Back::Order(worker, func, copies, took) => {
+                    let result = match world.moods[worker as usize] {
+                        3 => OrderResult::Unreachable,
+                        5 => OrderResult::LoadErrored,
+                        _ => OrderResult::Stand,
+                    };
+                    s.tell(&Event::OrderEnded { worker, func, result, took, copies })
+                }
+            };
+            world.take(&s, &funcs, &mut counts, &actions);
+            log.extend(actions);
+        }
+        let actions = match step {
+            Some(&Step::Arrive { trigger, func, gives_up_in }) => {
+                // A function has one trigger type.
+                funcs.push(func * 3 + trigger);
+                s.arrive(trigger, func * 3 + trigger, 1 + func % 2, gives_up_in).1
+            }
+            Some(&Step::Leave { nth }) => match funcs.len().checked_sub(nth + 1) {
+                Some(inv) if s.owes(inv as InvIx) => s.depart(inv as InvIx),
+                _ => Vec::new(),
+            },
+            Some(&Step::Drain { worker }) => {
+                s.list(ListMode::Changes, &[entry(worker, Standing::Draining, None)])
+            }
+            Some(&Step::Restart { worker }) => {
+                world.moods[worker as usize] = 0;
+                s.list(ListMode::Changes, &[entry(worker, Standing::InService, Some(s.now))])
+            }
+            Some(&Step::Mood { worker, mood }) => {
+                world.moods[worker as usize] = mood;
+                Vec::new()
+            }
+            None => Vec::new(),
+        };
+        world.take(&s, &funcs, &mut counts, &actions);
+        log.extend(actions);
+    }
+    log
+}
+
+#[test]
+fn the_rules_hold_after_every_step() {
+    let config = Config {
+        cases: 100,
+        rng_seed: RngSeed::Fixed(20_261_201),
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new(config);
+    let runs = (any::<u64>(), sites(), steps());
+    let result = runner.run(&runs, |(seed, site, steps)| {
+        let once = run(seed, site, &steps);
+        prop_assert!(once == run(seed, site, &steps), "the same events gave other actions");
+        Ok(())
+    });
+    if let Err(e) = result {
+        panic!("{e}");
+    }
+}
--- /dev/null
+++ b/tests/decisions/script.rs
@@ -0,0 +1,356 @@
+//! A small script of outcomes around one router, and a ledger that checks the five rules after every step.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cedarpulley::Control;
+use cedarpulley::interface::*;
+
+pub const SECOND: Micros = 1_000_000;
+pub const MS: Micros = 1_000;
+pub const GRACE: Micros = 500 * MS;
+pub const SLACK: Micros = 16 * MS;
+pub const COLD_FOR: Micros = 10 * SECOND;
+pub const COLD_PART: f64 = 0.2;
+pub const WINDOW: Micros = SECOND;
+pub const MULTIPLE: f64 = 1.0;
+pub const KEPT: Micros = 10 * SECOND;
+
+/// The plain ways in which a site may differ.
+#[derive(Clone, Copy, Debug)]
+pub struct Site {
+    pub orders: bool,
+    pub loads_when_absent: bool,
+    pub second_copies: bool,
+    pub ration: bool,
+    pub group: RepeatGroup,
+    pub routers: u32,
+}
+
+pub const PLAIN: Site = Site {
+    orders: false,
+    loads_when_absent: true,
+    second_copies: false,
+    ration: false,
+    group: RepeatGroup::All,
+    routers: 1,
+};
+
+pub fn triggers(group: RepeatGroup) -> Vec<TriggerType> {
+    let effects = [Effect::Idempotent, Effect::Tokened { group, window: 1_200 * MS }, Effect::NonIdempotent];
+    effects
+        .map(|effect| TriggerType {
+            effect,
+            latency_objective: 800 * MS,
+            objective_stretch: 0.0,
+            client_timeout: 2 * SECOND,
+            billed_value: 1.0,
+            late_part: 0.1,
+            streamed: false,
+        })
+        .to_vec()
+}
+
+pub fn router(seed: u64, site: Site) -> Control {
+    Control::new(
+        seed,
+        FleetPosition { routers: site.routers, position: 0, zone: 0, granularity: 4 * MS },
+        DispatchLimits {
+            max_dispatches: 4,
+            second_copies: site.second_copies,
+            withdrawals: true,
+            probes: true,
+            connect_within: 250 * MS,
+            max_advice: SECOND,
+        },
+        RuleTerms {
+            answer_slack: SLACK,
+            drain_grace: GRACE,
+            ask_within: 10 * SECOND,
+            list_on_request: false,
+            cold_part: COLD_PART,
+            cold_for: COLD_FOR,
+            overload_multiple: MULTIPLE,
+            overload_window: WINDOW,
+        },
+        triggers(site.group),
+        Vec::new(),
+        LoadTerms {
+            idle_kept: KEPT,
+            orders: site.orders,
+            loads_when_absent: site.loads_when_absent,
+            order_answered_within: 10 * SECOND,
+            ration_window: if site.ration { 5 * SECOND } else { 0 },
+            ration_few: 2.0,
+            ration_part: 0.02,
+            notes: true,
+            crowds: false,
+            memory_mb: vec![8_000.0],
+        },
+        Prices::default(),
+        ReportsIn::Nothing,
+    )
+}
+
+pub fn entry(worker: WorkerIx, standing: Standing, started: Option<Micros>) -> ListEntry {
+    let fingerprint = 0x9e37_79b9_u64.wrapping_mul(u64::from(worker) + 1);
+    let zone = worker % 2;
+    ListEntry { worker, fingerprint, zone, kind: 0, cell: worker / 2, standing, weight: 1.0, started }
+}
+
+struct Sent {
+    worker: WorkerIx,
+    at: Micros,
+    out: bool,
+    never_ran: bool,
+}
+
+struct Account {
+    effect: Effect,
+    gives_up_at: Micros,
+    answered: bool,
+    sent: Vec<Sent>,
+}
+
+/// The router, the clock, what is on its way back, and the ledger.
+pub struct Script {
+    pub control: Control,
+    pub now: Micros,
+    site: Site,
+    ledger: Vec<Account>,
+    open: BTreeSet<(Micros, InvIx)>,
+    /// When the router was told that a worker drains or is gone.
+    told: BTreeMap<WorkerIx, Micros>,
+    started: BTreeMap<WorkerIx, Micros>,
+    sends: Vec<(Micros, WorkerIx)>,
+    successes: Vec<(Micros, WorkerIx)>,
+    orders: Vec<Micros>,
+    arrivals: Vec<Micros>,
+    pub timers: BTreeSet<(Micros, u64)>,
+    pub warm: BTreeSet<(WorkerIx, FnIx)>,
+}
+
+impl Script {
+    pub fn new(seed: u64, site: Site, workers: u32) -> Self {
+        let mut script = Script {
+            control: router(seed, site),
+            now: 1_000 * SECOND,
+            site,
+            ledger: Vec::new(),
+            open: BTreeSet::new(),
+            told: BTreeMap::new(),
+            started: BTreeMap::new(),
+            sends: Vec::new(),
+            successes: Vec::new(),
+            orders: Vec::new(),
+            arrivals: Vec::new(),
+            timers: BTreeSet::new(),
+            warm: BTreeSet::new(),
+        };
+        let entries: Vec<_> = (0..workers).map(|w| entry(w, Standing::InService, None)).collect();
+        script.list(ListMode::Saved, &entries);
+        script
+    }
+
+    pub fn list(&mut self, mode: ListMode, entries: &[ListEntry]) -> Vec<Action> {
+        for e in entries {
+            match e.standing {
+                Standing::InService => {
+                    self.told.remove(&e.worker);
+                    if let Some(at) = e.started {
+                        self.started.insert(e.worker, at);
+                        self.warm.retain(|(w, _)| *w != e.worker);
+                    }
+                }
+                _ => {
+                    self.told.entry(e.worker).or_insert(self.now);
+                }
+            }
+        }
+        self.tell(&Event::List { mode, entries })
+    }
+
+    pub fn arrive(
+        &mut self,
+        trigger: u32,
+        func: FnIx,
+        lanes: u32,
+        gives_up_in: Micros,
+    ) -> (InvIx, Vec<Action>) {
+        let inv = self.ledger.len() as InvIx;
+        let effect = triggers(self.site.group)[trigger as usize].effect;
+        let gives_up_at = self.now + gives_up_in;
+        self.ledger.push(Account { effect, gives_up_at, answered: false, sent: Vec::new() });
+        self.open.insert((gives_up_at, inv));
+        self.arrivals.push(self.now);
+        let arrival = Arrival {
+            inv,
+            trigger,
+            account: 0,
+            func,
+            fingerprint: 77 + u64::from(func),
+            cost_hint: None,
+            load_hint: Some(500 * MS),
+            copy_mb: 300.0,
+            lanes,
+            client_gives_up_in: gives_up_in,
+            repeat: false,
+        };
+        (inv, self.tell(&Event::Invocation(arrival)))
+    }
+
+    /// Whether the router still owes an answer.
+    pub fn owes(&self, inv: InvIx) -> bool {
+        !self.ledger[inv as usize].answered
+    }
+
+    pub fn gives_up_at(&self, inv: InvIx) -> Micros {
+        self.ledger[inv as usize].gives_up_at
+    }
+
+    pub fn depart(&mut self, inv: InvIx) -> Vec<Action> {
+        self.ledger[inv as usize].answered = true;
+        self.tell(&Event::Departed { inv })
+    }
+
+    pub fn end(&mut self, inv: InvIx, dispatch: u32, outcome: Outcome, note: CopyNote) -> Vec<Action> {
+        let account = &mut self.ledger[inv as usize];
+        let sent = &mut account.sent[dispatch as usize];
+        assert!(sent.out, "the script ends a dispatch twice");
+        (sent.out, sent.never_ran) = (false, outcome.never_ran());
+        let (worker, took) = (sent.worker, self.now - sent.at);
+        account.answered |= outcome == Outcome::Succeeded;
+        if outcome == Outcome::Succeeded {
+            self.successes.push((self.now, worker));
+        }
+        let ending = Ending {
+            inv,
+            dispatch,
+            worker,
+            outcome,
+            took,
+            concluded: account.answered,
+            note,
+            crowd: None,
+            report: Report::default(),
+        };
+        self.tell(&Event::DispatchEnded(ending))
+    }
+
+    /// Moves the clock and rings the timers that fall due.
+    pub fn pass(&mut self, span: Micros) -> Vec<Action> {
+        let until = self.now + span;
+        let mut all = Vec::new();
+        while let Some(&(at, token)) = self.timers.first().filter(|(at, _)| *at <= until) {
+            self.timers.remove(&(at, token));
+            self.now = self.now.max(at);
+            all.extend(self.tell(&Event::Timer { token }));
+        }
+        self.now = until;
+        all
+    }
+
+    pub fn tell(&mut self, event: &Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.control.decide(self.now, event, &mut actions);
+        for action in &actions {
+            self.check(action);
+        }
+        while let Some(&(gives_up_at, inv)) = self.open.first() {
+            if self.ledger[inv as usize].answered {
+                self.open.pop_first();
+                continue;
+            }
+            assert!(self.now <= gives_up_at + SLACK, "rule 1: {inv} has no answer when its client gave up");
+            break;
+        }
+        actions
+    }
+
+    fn check(&mut self, action: &Action) {
+        let now = self.now;
+        match *action {
+            Action::Dispatch { inv, worker, .. } => {
+                let account = &mut self.ledger[inv as usize];
+                assert!(!account.answered, "rule 1: {inv} is dispatched after its answer");
+                let out = account.sent.iter().filter(|s| s.out).count();
+                assert!(out == 0 || (self.site.second_copies && out == 1), "rule 2: {inv} is out twice");
+                let mut ran = account.sent.iter().filter(|s| s.out || !s.never_ran);
+                match account.effect {
+                    Effect::Idempotent => {}
+                    Effect::NonIdempotent => assert!(ran.next().is_none(), "rule 2: {inv} may run twice"),
+                    Effect::Tokened { group, window } => {
+                        for s in ran {
+                            let same = match group {
+                                RepeatGroup::All => true,
+                                RepeatGroup::Zone => s.worker % 2 == worker % 2,
+                                RepeatGroup::Cell => s.worker / 2 == worker / 2,
+                            };
+                            assert!(
+                                same && now - s.at < window,
+                                "rule 2: {inv} is repeated where not dropped"
+                            );
+                        }
+                    }
+                }
+                account.sent.push(Sent { worker, at: now, out: true, never_ran: false });
+                assert!(account.sent.len() <= 4, "{inv} is dispatched too often");
+                self.check_told(worker);
+                self.sends.push((now, worker));
+                self.check_cold(worker);
+            }
+            Action::Order { worker, copies, .. } if copies > 0 => {
+                assert!(self.site.orders, "an order where none may be given");
+                self.check_told(worker);
+                self.orders.push(now);
+                let within = |q: &[Micros]| q.iter().filter(|t| now - **t < 5 * SECOND).count() as f64;
+                let most = 2.0 + 0.02 * within(&self.arrivals);
+                assert!(!self.site.ration || within(&self.orders) <= most, "rule 5: too many orders");
+            }
+            Action::Throttle { inv, .. } => {
+                let account = &mut self.ledger[inv as usize];
+                assert!(!account.answered, "rule 1: {inv} is answered twice");
+                let ran = account.sent.iter().any(|s| s.out || !s.never_ran);
+                let harmless = match account.effect {
+                    Effect::Idempotent => true,
+                    Effect::Tokened { group, .. } => group == RepeatGroup::All,
+                    Effect::NonIdempotent => false,
+                };
+                assert!(!ran || harmless, "rule 2: {inv} is throttled though it may have run");
+                account.answered = true;
+            }
+            Action::Error { inv } => {
+                let account = &mut self.ledger[inv as usize];
+                assert!(!account.answered, "rule 1: {inv} is answered twice");
+                account.answered = true;
+            }
+            Action::Timer { token, after } => {
+                self.timers.insert((now + after, token));
+            }
+            _ => {}
+        }
+    }
+
+    fn check_told(&self, worker: WorkerIx) {
+        let late = self.told.get(&worker).is_some_and(|t| self.now - t > GRACE);
+        assert!(!late, "rule 3: worker {worker} is sent new work after the grace");
+    }
+
+    /// Rule 4, by what the busiest warm worker has been seen to carry: it can do at least that.
+    fn check_cold(&self, worker: WorkerIx) {
+        let Some(age) = self.started.get(&worker).map(|s| self.now - s).filter(|a| *a < COLD_FOR) else {
+            return;
+        };
+        let within = |q: &[(Micros, WorkerIx)], w: WorkerIx, from: Micros, to: Micros| {
+            let recent = q.iter().rev().skip_while(|(t, _)| *t > to).take_while(|(t, _)| *t > from);
+            recent.filter(|(_, v)| *v == w).count() as f64
+        };
+        let carried = (0..16)
+            .flat_map(|w| (0..4).map(move |k| (w, k)))
+            .map(|(w, k)| within(&self.successes, w, self.now - (k + 1) * WINDOW, self.now - k * WINDOW))
+            .fold(0.0, f64::max);
+        let grown = COLD_PART + (1.0 - COLD_PART) * age as f64 / COLD_FOR as f64;
+        let most = (MULTIPLE * grown * carried).max(1.0);
+        let sent = within(&self.sends, worker, self.now - WINDOW, self.now);
+        assert!(sent <= most, "rule 4: a cold worker {worker} is sent {sent}, can bear {most}");
+    }
+}
