A router that finds copies by guessing looks beyond one load per worker

While most dispatches to workers not believed warm find a copy, an invocation held longer than its work takes goes to the first unwarmed worker whatever this router loads there.

--- a/src/control.rs
+++ b/src/control.rs
@@ -1,14 +1,16 @@
 //! All decisions of the router.
 //!
-//! A front makes one [`Control`] per router with [`Control::new`] and calls [`Control::decide`] for each piece
-//! of news, in order; the answer is the list of actions to carry out at once. Events, actions and start records
-//! are in `interface.rs`. The ordinary path is [`Control::route`]; `docs/design.md` tells where it comes from.
+//! A front makes one [`Control`] per router with [`Control::new`] and calls [`Control::decide`] for each
+//! piece of news, in order; the answer lists the actions to carry out at once. Events, actions and start
+//! records are in `interface.rs`. The ordinary path is [`Control::route`]; its source is in docs/design.md.
 //!
 //! Mechanisms beside the design:
 //! 1. Judging: a worker is judged by its last few outcomes and by silence; a bad one gets rare trials.
 //! 2. Patience: what may run again is dispatched with a time-out and goes elsewhere if time is left.
 //! 3. Cold budget: a worker that has just started gets this router's part of what it can bear.
-//! 4. Orders, where allowed: a copy is ordered ahead of the invocation, which waits for whichever lane is first.
+//! 4. Orders, where allowed: a copy is ordered ahead of the invocation, which waits for the first free lane.
+//! 5. What a worker bears: late and full answers bound own work there; once all are at it, waits end early.
+//! 6. Drains: a warm worker told to drain serves on within the grace.
 
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -19,7 +21,7 @@
 const LOAD_ONE_IN: u64 = 5;
 /// The design's retry pace for held invocations.
 const RETRY_PACE: Micros = 10_000;
-/// Upkeep (beliefs, keeping warm, forgetting) runs this many times within the time that an idle copy is kept.
+/// Upkeep runs this many times within the time that an idle copy is kept.
 const UPKEEP_STEPS: Micros = 100;
 /// Outcomes that a worker is judged by; few, so that a hang shows at once and is soon forgiven.
 const JUDGED: u32 = 8;
@@ -29,24 +31,23 @@
 const DEVIATIONS: Micros = 4;
 /// A worker is silent when it has given no answer at all for so many times that.
 const HUSH: Micros = 2;
-/// A dispatch is timed out after so many times that: shorter ones repeat work that was only slow, or rode on a
-/// load nobody told of.
+/// A dispatch is timed out after so many times that; shorter ones repeat what was only slow.
 const PATIENCE: Micros = 6;
-/// A bad worker's first trial comes after this part of the shortest latency objective; the gap then doubles
-/// up to so many times.
+/// A bad worker is tried after this part of the shortest latency objective; the gap doubles so many times.
 const TRIAL_PART: Micros = 2;
 const TRIAL_DOUBLINGS: u32 = 3;
 /// A worker is crowded with so many times the mean load, and so many dispatches in any case.
 const CROWD: f64 = 1.5;
 const CROWD_LEAST: f64 = 1.0;
-/// An answer that took over one part in so many of the latency objective shows a worker with too much.
-const LATE_PART: Micros = 1;
+/// An answer past the latency objective, or a full one, leaves so much of what the worker bore.
 const BACK_OFF: f64 = 0.8;
+/// Dispatches to workers not believed warm are mostly no loads when over this part found a copy.
+const FINDS: f64 = 0.5;
 /// No bound known yet.
 const BEARS_MOST: f64 = 1e6;
 /// Estimates move by one part in so many with each sample (as for round trips in TCP).
 const GAIN: Micros = 8;
-/// Part of the cold budget that is used: arrivals are not even and the other routers' parts only roughly known.
+/// Part of the cold budget that is used: arrivals are uneven, other routers' parts known but roughly.
 const COLD_CAUTION: f64 = 0.7;
 /// What workers carry is averaged over so many of the cold rule's windows.
 const CARRIED_WINDOWS: f64 = 3.0;
@@ -197,11 +198,11 @@
         }
     }
 
-    /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out there now;
-    /// with answers in time it is let have more, slowly.
+    /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out
+    /// there now; with answers in time it is let have more, slowly.
     fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros) {
         let own = self.working(w) + 1.0;
-        if took * LATE_PART > objective {
+        if took > objective {
             if now - self.bears_at[w] > took.min(objective) {
                 self.bears[w] = (self.bears[w].min(own) * BACK_OFF).max(1.0);
                 self.bears_at[w] = now;
@@ -268,6 +269,8 @@
     invs: Vec<Option<Inv>>,
     service: Vec<Usual>,
     load: Usual,
+    /// Part of the dispatches to workers not believed warm that found a copy, averaged.
+    finds: f64,
     held: u32,
     next_tick: Option<Micros>,
     /// Invocations succeeded within the averaging time, by kind of worker, and when last brought up to date.
@@ -299,18 +302,11 @@
             service: vec![Usual::default(); triggers.len()],
             triggers,
             loads,
+            finds: 1.0,
             ..Control::default()
         }
     }
 
-    pub fn trigger_types(&self) -> u32 {
-        self.triggers.len() as u32
-    }
-
-    pub fn crowds_told(&self) -> bool {
-        self.loads.crowds
-    }
-
     /// The one entry point: what happened goes in, what is to be done comes out.
     pub fn decide(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
         self.now = now;
@@ -320,8 +316,7 @@
                 self.take(&arrival);
                 self.route(arrival.inv, out);
             }
-            Event::Departed { inv } => self.conclude(inv),
-            Event::Answering { inv, .. } => self.conclude(inv),
+            Event::Departed { inv } | Event::Answering { inv, .. } => self.conclude(inv),
             Event::DispatchEnded(ending) => self.settle(&ending, out),
             Event::OrderEnded { worker, func, result, copies, took } => {
                 self.order_ended(worker as usize, func, result, copies, took, out)
@@ -477,8 +472,8 @@
         }
     }
 
-    /// Rule 4: what a worker that has just started can surely bear is the cold part of what this router has seen
-    /// one of its kind carry on average; all routers doing so keep to the whole budget.
+    /// Rule 4: what a worker that has just started can surely bear is the cold part of what this router has
+    /// seen one of its kind carry on average; all routers doing so keep to the whole budget.
     fn cold_room(&self, w: usize) -> bool {
         let (r, kind) = (&self.rules, self.workers.kind[w]);
         let age = self.now - self.workers.started[w];
@@ -528,8 +523,9 @@
         own / size.max(0.1)
     }
 
-    /// Symptom: lanes are free but the cores behind them are not (many functions on one worker, a cold or a slow
-    /// one): more own work there than its size would take of all of it. A lane there does not count as free.
+    /// Symptom: lanes are free but the cores behind them are not (many functions on one worker, a cold or a
+    /// slow one): more own work there than its size would take of all of it. A lane there does not count as
+    /// free.
     fn crowded(&self, w: usize, mean: f64) -> bool {
         let own = self.workers.working(w);
         own >= self.workers.bears[w] || own >= CROWD * mean * self.size(w) + CROWD_LEAST
@@ -553,8 +549,8 @@
         safe && inv.dispatches.is_empty() && self.workers.trial_at[w] <= self.now
     }
 
-    /// Symptom: a full worker answers fastest of all, so it has the fewest own in flight and is asked again at once.
-    /// It is not asked again for the same invocation before a usual work's time has passed.
+    /// Symptom: a full worker answers fastest of all, so it has the fewest own in flight and is asked again
+    /// at once. It is not asked again for the same invocation before a usual work's time has passed.
     fn turned_away(&self, ix: InvIx, w: usize) -> bool {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
         let rest = self.usual_service(&self.funcs[inv.func as usize]).mean;
@@ -587,21 +583,26 @@
         (0..f.own.len()).any(|w| f.warm(w, self.now) && self.fit(ix, w))
     }
 
-    /// Where a new load goes: the first unwarmed worker in the shared order, so that routers find each other's
-    /// copies. One load under way per function and, for its usual time, per worker.
+    /// Where a new load goes: the first unwarmed worker in the shared order, so that routers find each
+    /// other's copies. One load under way per function and, for its usual time, per worker. Symptom: a
+    /// router that knows nothing yet (a restart) has more functions to find than workers, and held ones
+    /// expire: while most such dispatches find a copy, who is held longer than the work takes goes beyond
+    /// the latter bound.
     fn load_place(&self, ix: InvIx) -> Option<usize> {
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
         if f.loading.is_some() || (self.loads.orders && !self.order_left()) {
             return None;
         }
         let mean = self.mean_load();
+        let waited = self.now - self.invs[ix as usize].as_ref()?.arrived;
+        let long = self.finds > FINDS && waited > self.usual_service(f).mean;
         f.order.iter().map(|&w| w as usize).find(|&w| {
-            let open = self.workers.loading[w].is_none() || self.workers.loaded_by[w] < self.now;
+            let open = self.workers.loading[w].is_none() || self.workers.loaded_by[w] < self.now || long;
             open && !f.warm(w, self.now) && !self.crowded(w, mean) && self.fit(ix, w)
         })
     }
 
-    /// Held ones should leave within half of what their latency objective leaves beside the work itself.
+    /// Held ones should leave within what their latency objective leaves beside the work itself.
     fn room_to_hold(&self, ix: InvIx) -> bool {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
         let f = &self.funcs[inv.func as usize];
@@ -734,6 +735,9 @@
                 self.workers.due[w] = now + HUSH * (usual.stretched() + wait);
                 let f = &mut self.funcs[func as usize];
                 f.warm_until[w] = now + self.loads.idle_kept;
+                if load && note != CopyNote::Untold {
+                    self.finds += (f64::from(u8::from(note == CopyNote::Found)) - self.finds) / GAIN as f64;
+                }
                 let loaded = match note {
                     CopyNote::Found => false,
                     CopyNote::Untold => load,
@@ -757,9 +761,8 @@
             Outcome::NotSent | Outcome::Withdrawn => {}
             Outcome::Errored | Outcome::TimedOut => self.workers.judge(w, false),
             Outcome::Unreachable | Outcome::Broken => {
-                // A dead process or a cut link: strong signs, so they weigh twice.
-                self.workers.judge(w, false);
-                self.workers.judge(w, false);
+                // A dead process or a cut link weighs twice.
+                (0..2).for_each(|_| self.workers.judge(w, false));
             }
         }
         if concluded {
@@ -785,7 +788,6 @@
 
     /// The final answer of an invocation that gets no success.
     fn give_up(&mut self, ix: InvIx, out: &mut Vec<Action>) {
-        self.unhold(ix);
         let Some(inv) = self.invs[ix as usize].as_ref().filter(|i| !i.ended) else { return };
         if self.may_throttle(inv) {
             let advice = self.triggers[inv.trigger].latency_objective / 4;
@@ -795,7 +797,6 @@
             out.push(Action::Error { inv: ix });
         }
         self.conclude(ix);
-        self.release(ix);
     }
 
     fn conclude(&mut self, ix: InvIx) {
