No dispatch where the client waits no longer than the work takes

Such a try is now given up at once; the expected time learns from time-outs too. Told apart from hangs and cuts: the time-outs are alike on all workers and on one account only. Also guards any storm of tries shorter than the work; could harm an account whose tries are always short.

--- a/src/control.rs
+++ b/src/control.rs
@@ -43,8 +43,7 @@
 const BACK_OFF: f64 = 0.8;
 /// Dispatches to workers not believed warm are mostly no loads when over this part found a copy.
 const FINDS: f64 = 0.5;
-/// No bound known yet.
-const BEARS_MOST: f64 = 1e6;
+const BEARS_MOST: f64 = 1e6; // No bound known yet.
 /// Estimates move by one part in so many with each sample (as for round trips in TCP).
 const GAIN: Micros = 8;
 /// Part of the cold budget that is used: arrivals are uneven, other routers' parts known but roughly.
@@ -193,9 +192,7 @@
         }
         self.outcomes[w] = (self.outcomes[w] << 1 | u32::from(succeeded)) & ((1 << JUDGED) - 1);
         self.judged[w] = (self.judged[w] + 1).min(JUDGED);
-        if succeeded {
-            self.trials[w] = 0;
-        }
+        self.trials[w] *= u32::from(!succeeded);
     }
 
     /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out
@@ -347,8 +344,6 @@
         h.finish()
     }
 
-    // ---- taking and routing -------------------------------------------------------------------------------
-
     fn take(&mut self, a: &Arrival) {
         let (now, t) = (self.now, &self.triggers[a.trigger as usize]);
         let stretch = (a.cost_hint.unwrap_or(0) as f64 * t.objective_stretch) as Micros;
@@ -404,6 +399,10 @@
     fn route(&mut self, ix: InvIx, out: &mut Vec<Action>) {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return };
         let (func, first) = (inv.func, inv.dispatches.is_empty() && !inv.held);
+        // Symptom: tries too short for the work fill the workers with what no one waits for any more.
+        if inv.gives_up_at - self.now <= self.usual_service(&self.funcs[inv.func as usize]).mean {
+            return self.give_up(ix, out);
+        }
         // A warm worker with a free lane, fewest own in flight.
         if let Some(w) = self.free_lane(ix) {
             return self.dispatch(ix, w, false, out);
@@ -466,8 +465,7 @@
 
     fn may_throttle(&self, inv: &Inv) -> bool {
         match self.triggers[inv.trigger].effect {
-            Effect::Idempotent => true,
-            Effect::Tokened { group: RepeatGroup::All, .. } => true,
+            Effect::Idempotent | Effect::Tokened { group: RepeatGroup::All, .. } => true,
             _ => !inv.may_have_run(),
         }
     }
@@ -706,8 +704,6 @@
         [f.load, self.load].into_iter().find(|u| u.mean > 0).unwrap_or(first)
     }
 
-    // ---- what comes back ----------------------------------------------------------------------------------
-
     fn settle(&mut self, e: &Ending, out: &mut Vec<Action>) {
         let &Ending { inv: ix, dispatch, worker, outcome, took, concluded, note, .. } = e;
         let (now, w) = (self.now, worker as usize);
@@ -759,7 +755,12 @@
                 self.workers.learn_bears(w, now, Micros::MAX / 8, self.triggers[trigger].latency_objective);
             }
             Outcome::NotSent | Outcome::Withdrawn => {}
-            Outcome::Errored | Outcome::TimedOut => self.workers.judge(w, false),
+            Outcome::Errored | Outcome::TimedOut => {
+                self.workers.judge(w, false);
+                if outcome == Outcome::TimedOut && !waits && took > usual.mean {
+                    self.funcs[func as usize].service.learn(took);
+                }
+            }
             Outcome::Unreachable | Outcome::Broken => {
                 // A dead process or a cut link weighs twice.
                 (0..2).for_each(|_| self.workers.judge(w, false));
@@ -852,8 +853,6 @@
         }
     }
 
-    // ---- orders -------------------------------------------------------------------------------------------
-
     /// Rule 5: this order included, within the ration of its window.
     fn order_left(&self) -> bool {
         let since = self.now - self.loads.ration_window;
@@ -923,8 +922,6 @@
         self.retry_held(Some(func), out);
     }
 
-    // ---- time and the list --------------------------------------------------------------------------------
-
     fn tick(&mut self, out: &mut Vec<Action>) {
         let (now, kept) = (self.now, self.loads.idle_kept);
         let since = now - self.loads.ration_window;
--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -187,3 +187,16 @@
     assert!(sent(&s.arrive(0, 1, 1, 2 * SECOND).1).is_empty());
     assert_eq!(sent(&s.pass(200 * MS)), [0]);
 }
+
+/// i93b1a3: tries too short for the work were begun anew each time and filled the workers for nobody.
+#[test]
+fn a_try_too_short_for_the_work_is_not_begun() {
+    let mut s = Script::new(14, PLAIN, 4);
+    warm_up(&mut s, 0, 4);
+    for _ in 0..8 {
+        let (inv, _) = s.arrive(0, 0, 4, 2 * SECOND);
+        answer(&mut s, inv, 200 * MS);
+    }
+    let (inv, actions) = s.arrive(2, 0, 4, 150 * MS);
+    assert!(matches!(actions[0], Action::Throttle { inv: i, .. } if i == inv), "{actions:?}");
+}
