--- a/src/control.rs
+++ b/src/control.rs
@@ -757,9 +757,6 @@
             Outcome::NotSent | Outcome::Withdrawn => {}
             Outcome::Errored | Outcome::TimedOut => {
                 self.workers.judge(w, false);
-                if outcome == Outcome::TimedOut && !waits && took > usual.mean {
-                    self.funcs[func as usize].service.learn(took);
-                }
             }
             Outcome::Unreachable | Outcome::Broken => {
                 // A dead process or a cut link weighs twice.
