Fold twins in the module: one way to begin, keep and end a load

Beginning a load stood in two places, its bookkeeping in four; few successes, a young worker's part and the trimming of times in two each. The time a load began, a copy count of nothing and the number of copies of an order were never read or always the same. Free lanes are looked for once an invocation instead of twice.

--- a/src/control.rs
+++ b/src/control.rs
@@ -114,6 +114,12 @@
     }
 }
 
+fn forget_before(times: &mut VecDeque<Micros>, since: Micros) {
+    while times.front().is_some_and(|&t| t <= since) {
+        times.pop_front();
+    }
+}
+
 /// What is known of the workers, in parallel arrays.
 #[derive(Default)]
 struct Workers {
@@ -176,7 +182,11 @@
     /// dispatches out and nothing heard past the time an answer was due (a hang or a silent cut).
     fn bad(&self, w: usize, now: Micros) -> bool {
         let silent = self.own[w] > 0 && now > self.due[w];
-        silent || (self.judged[w] >= JUDGED_LEAST && self.outcomes[w].count_ones() * 2 < self.judged[w])
+        silent || self.fails(w)
+    }
+
+    fn fails(&self, w: usize) -> bool {
+        self.judged[w] >= JUDGED_LEAST && self.outcomes[w].count_ones() * 2 < self.judged[w]
     }
 
     /// Own dispatches there that are believed to take its cores.
@@ -185,7 +195,7 @@
     }
 
     fn judge(&mut self, w: usize, succeeded: bool) {
-        if succeeded && self.judged[w] >= JUDGED_LEAST && self.outcomes[w].count_ones() * 2 < self.judged[w] {
+        if succeeded && self.fails(w) {
             // A bad worker that succeeds starts anew.
             self.judged[w] = 0;
             self.outcomes[w] = 0;
@@ -225,7 +235,7 @@
     held: Vec<InvIx>,
     order: Vec<WorkerIx>,
     /// This router's load under way.
-    loading: Option<(WorkerIx, Micros)>,
+    loading: Option<WorkerIx>,
     /// Orders out.
     orders: u32,
     own: Vec<u32>,
@@ -398,7 +408,7 @@
     /// The ordinary path of an invocation, from top to bottom.
     fn route(&mut self, ix: InvIx, out: &mut Vec<Action>) {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return };
-        let (func, first) = (inv.func, inv.dispatches.is_empty() && !inv.held);
+        let first = inv.dispatches.is_empty() && !inv.held;
         // Symptom: tries too short for the work fill the workers with what no one waits for any more.
         if inv.gives_up_at - self.now <= self.usual_service(&self.funcs[inv.func as usize]).mean {
             return self.give_up(ix, out);
@@ -412,11 +422,9 @@
         let draw = first && !self.scarce() && self.chance().is_multiple_of(LOAD_ONE_IN);
         if (!warm || draw)
             && let Some(w) = self.load_place(ix)
+            && self.begin_load(ix, w, out)
         {
-            if !self.loads.orders {
-                return self.dispatch(ix, w, true, out);
-            }
-            self.order(func, w, 1, out);
+            return;
         }
         // Otherwise held for a lane, while the queue has room.
         if self.room_to_hold(ix) {
@@ -429,6 +437,16 @@
         }
     }
 
+    /// Begins a load for this invocation; true when it went along. Where orders are allowed it stays, for
+    /// whichever lane is free first.
+    fn begin_load(&mut self, ix: InvIx, w: usize, out: &mut Vec<Action>) -> bool {
+        match self.invs[ix as usize].as_ref() {
+            Some(inv) if self.loads.orders => self.order(inv.func, w, out),
+            _ => self.dispatch(ix, w, true, out),
+        }
+        !self.loads.orders
+    }
+
     /// Whether the rules let this invocation go to this worker, ever.
     fn allowed(&self, inv: &Inv, w: usize) -> bool {
         if inv.ended
@@ -482,8 +500,7 @@
             |v: &usize| self.workers.kind[*v] == kind && self.workers.standing[*v] == Standing::InService;
         let all = (0..self.workers.len()).filter(of_kind).count().max(1);
         let carried = self.carried.get(kind as usize).map_or(0.0, |c| c / CARRIED_WINDOWS / all as f64);
-        let grown = r.cold_part + (1.0 - r.cold_part) * (age.max(0) as f64 / r.cold_for as f64);
-        let budget = COLD_CAUTION * r.overload_multiple * grown * carried;
+        let budget = COLD_CAUTION * r.overload_multiple * self.grown(w) * carried;
         let since = self.now - r.overload_window;
         let sent = self.workers.recent[w].iter().filter(|&&t| t > since).count();
         sent as f64 + 1.0 <= budget.max(1.0)
@@ -500,11 +517,15 @@
         self.carried[kind] += 1.0;
     }
 
+    /// The part of its full capacity that a worker surely has at its age.
+    fn grown(&self, w: usize) -> f64 {
+        let age = (self.now - self.workers.started[w]).max(0) as f64 / self.rules.cold_for.max(1) as f64;
+        self.rules.cold_part + (1.0 - self.rules.cold_part) * age.min(1.0)
+    }
+
     /// What a worker can do beside others: its registered size, less while it is cold.
     fn size(&self, w: usize) -> f64 {
-        let age = (self.now - self.workers.started[w]).max(0) as f64 / self.rules.cold_for.max(1) as f64;
-        let cold = self.rules.cold_part;
-        self.workers.weight[w].max(0.1) * (cold + (1.0 - cold) * age.min(1.0))
+        self.workers.weight[w].max(0.1) * self.grown(w)
     }
 
     fn good(&self) -> impl Iterator<Item = usize> {
@@ -561,7 +582,7 @@
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
         let mean = self.mean_load();
         let free = |w: &usize| {
-            let loading = self.loads.orders && f.loading.is_some_and(|(l, _)| l as usize == *w);
+            let loading = self.loads.orders && f.loading.is_some_and(|l| l as usize == *w);
             f.warm(*w, self.now)
                 && !loading
                 && f.own[*w] < f.lanes_at(*w)
@@ -570,8 +591,9 @@
                 && self.fit(ix, *w)
         };
         let own = &self.workers.own;
-        let least = (0..f.own.len()).filter(free).map(|w| own[w]).min()?;
-        let ties: Vec<usize> = (0..f.own.len()).filter(free).filter(|&w| own[w] == least).collect();
+        let mut ties: Vec<usize> = (0..f.own.len()).filter(free).collect();
+        let least = ties.iter().map(|&w| own[w]).min()?;
+        ties.retain(|&w| own[w] == least);
         Some(ties[(draw % ties.len() as u64) as usize])
     }
 
@@ -641,7 +663,7 @@
         let Some(inv) = self.invs[ix as usize].as_ref() else { return };
         let (func, effect, left) = (inv.func, self.triggers[inv.trigger].effect, inv.gives_up_at - now);
         let f = &self.funcs[func as usize];
-        let loading = load || f.loading.is_some_and(|(l, _)| l as usize == w);
+        let loading = load || f.loading.is_some_and(|l| l as usize == w);
         let usual = self.usual_service(f);
         let wait = if loading { self.usual_load(f).stretched() } else { 0 };
         let hush = HUSH * (usual.stretched() + wait);
@@ -663,13 +685,8 @@
         let f = &mut self.funcs[func as usize];
         f.own[w] += 1;
         f.warm_until[w] = now + self.loads.idle_kept;
-        if f.copies[w] == 0 {
-            f.copies[w] = 1;
-        }
         if load {
-            f.loading = Some((w as WorkerIx, now));
-            self.workers.loading[w] = Some(func);
-            self.workers.loaded_by[w] = now + self.usual_load(&self.funcs[func as usize]).mean;
+            self.load_begins(func, w);
         }
         let workers = &mut self.workers;
         workers.due[w] = if workers.own[w] == 0 { now + hush } else { workers.due[w].min(now + hush) };
@@ -678,12 +695,8 @@
         if bad {
             self.next_trial(w);
         }
-        let since = now - self.rules.overload_window;
-        let workers = &mut self.workers;
-        while workers.recent[w].front().is_some_and(|&t| t <= since) {
-            workers.recent[w].pop_front();
-        }
-        workers.recent[w].push_back(now);
+        forget_before(&mut self.workers.recent[w], now - self.rules.overload_window);
+        self.workers.recent[w].push_back(now);
     }
 
     fn next_trial(&mut self, w: usize) {
@@ -717,9 +730,8 @@
         f.own[w] = f.own[w].saturating_sub(1);
         self.workers.own[w] = self.workers.own[w].saturating_sub(1);
         self.workers.waiting[w] -= u32::from(waits);
-        if load && f.loading.is_some_and(|(l, _)| l == worker) {
-            f.loading = None;
-            self.workers.loading[w].take_if(|l| *l == func);
+        if load {
+            self.load_ends(func, w);
         }
         let usual = self.usual_service(&self.funcs[func as usize]);
         match outcome {
@@ -755,9 +767,7 @@
                 self.workers.learn_bears(w, now, Micros::MAX / 8, self.triggers[trigger].latency_objective);
             }
             Outcome::NotSent | Outcome::Withdrawn => {}
-            Outcome::Errored | Outcome::TimedOut => {
-                self.workers.judge(w, false);
-            }
+            Outcome::Errored | Outcome::TimedOut => self.workers.judge(w, false),
             Outcome::Unreachable | Outcome::Broken => {
                 // A dead process or a cut link weighs twice.
                 (0..2).for_each(|_| self.workers.judge(w, false));
@@ -831,7 +841,7 @@
         let scarce = self.scarce();
         for ix in held {
             let Some(inv) = self.invs[ix as usize].as_ref() else { continue };
-            let (func, service) = (inv.func, self.usual_service(&self.funcs[inv.func as usize]));
+            let service = self.usual_service(&self.funcs[inv.func as usize]);
             // When work is scarce, an answer that can only be late takes the place of one in time.
             let ends = if scarce { inv.objective_at - service.stray } else { inv.gives_up_at };
             if ends - self.now <= service.mean {
@@ -841,11 +851,7 @@
             } else if !self.any_warm(ix)
                 && let Some(w) = self.load_place(ix)
             {
-                if self.loads.orders {
-                    self.order(func, w, 1, out);
-                } else {
-                    self.dispatch(ix, w, true, out);
-                }
+                self.begin_load(ix, w, out);
             }
         }
     }
@@ -859,25 +865,35 @@
                 <= self.loads.ration_few + self.loads.ration_part * within(&self.taken)
     }
 
-    fn order(&mut self, func: FnIx, w: usize, copies: u32, out: &mut Vec<Action>) {
+    fn order(&mut self, func: FnIx, w: usize, out: &mut Vec<Action>) {
         if !self.order_left() || !self.takes_new(w) {
             return;
         }
         if self.loads.ration_window > 0 {
             self.ordered.push_back(self.now);
         }
-        out.push(Action::Order { worker: w as WorkerIx, func, copies });
-        let wait = self.usual_load(&self.funcs[func as usize]).mean;
+        out.push(Action::Order { worker: w as WorkerIx, func, copies: 1 });
+        self.load_begins(func, w);
         let f = &mut self.funcs[func as usize];
         f.orders += 1;
-        if !f.warm(w, self.now) {
-            f.loading = Some((w as WorkerIx, self.now));
-            self.workers.loading[w] = Some(func);
-            self.workers.loaded_by[w] = self.now + wait;
-        }
         f.warm_until[w] = self.now + self.loads.idle_kept;
     }
 
+    fn load_begins(&mut self, func: FnIx, w: usize) {
+        self.funcs[func as usize].loading = Some(w as WorkerIx);
+        self.workers.loading[w] = Some(func);
+        self.workers.loaded_by[w] = self.now + self.usual_load(&self.funcs[func as usize]).mean;
+    }
+
+    /// The load of this function there, if one was under way, is over; true if so.
+    fn load_ends(&mut self, func: FnIx, w: usize) -> bool {
+        let ended = self.funcs[func as usize].loading.take_if(|l| *l as usize == w).is_some();
+        if ended {
+            self.workers.loading[w].take_if(|l| *l == func);
+        }
+        ended
+    }
+
     fn order_ended(
         &mut self,
         w: usize,
@@ -892,11 +908,8 @@
             return;
         }
         f.orders = f.orders.saturating_sub(1);
-        let loaded = f.loading.is_some_and(|(l, _)| l as usize == w);
-        if loaded {
-            f.loading = None;
-            self.workers.loading[w].take_if(|l| *l == func);
-        }
+        let loaded = self.load_ends(func, w);
+        let f = &mut self.funcs[func as usize];
         match result {
             OrderResult::Stand | OrderResult::NoRoom => {
                 if copies > 0 {
@@ -922,21 +935,13 @@
     fn tick(&mut self, out: &mut Vec<Action>) {
         let (now, kept) = (self.now, self.loads.idle_kept);
         let since = now - self.loads.ration_window;
-        for q in [&mut self.ordered, &mut self.taken] {
-            while q.front().is_some_and(|&t| t <= since) {
-                q.pop_front();
-            }
-        }
+        [&mut self.ordered, &mut self.taken].into_iter().for_each(|q| forget_before(q, since));
         self.retry_held(None, out);
         for func in 0..self.funcs.len() as u32 {
             let f = &mut self.funcs[func as usize];
-            if !f.known {
-                continue;
-            }
-            if f.open == 0 && f.orders == 0 && now - f.used > FORGET_AFTER * kept {
+            if f.known && f.open == 0 && f.orders == 0 && now - f.used > FORGET_AFTER * kept {
                 *f = Function::default();
                 out.push(Action::Forget { func });
-                continue;
             }
         }
     }
@@ -984,9 +989,7 @@
             self.workers.loading[w] = None;
             for f in &mut self.funcs {
                 f.cool(w);
-                if f.loading.is_some_and(|(l, _)| l as usize == w) {
-                    f.loading = None;
-                }
+                f.loading.take_if(|l| *l as usize == w);
             }
         }
         for func in 0..self.funcs.len() as u32 {
