--- a/src/control.rs
+++ b/src/control.rs
@@ -53,6 +53,9 @@
 /// A function unused for so many times the kept-idle time is forgotten.
 const FORGET_AFTER: Micros = 4;
 
+/// Homes of a function: so many for each worker's worth of work that it asks for.
+const HOMES: f64 = 2.0;
+
 const NO_TIME: Micros = Micros::MIN / 2;
 
 /// A usual time and how far samples stray from it.
@@ -234,6 +237,10 @@
     load: Usual,
     held: Vec<InvIx>,
     order: Vec<WorkerIx>,
+    /// Invocations taken within about the kept-idle time, when last brought up to date, and homes wanted.
+    asked: f64,
+    asked_at: Micros,
+    homes: usize,
     /// This router's load under way.
     loading: Option<WorkerIx>,
     /// Orders out.
@@ -278,6 +285,9 @@
     load: Usual,
     /// Part of the dispatches to workers not believed warm that found a copy, averaged.
     finds: f64,
+    /// Work taken of all functions within about the kept-idle time.
+    asked: f64,
+    asked_at: Micros,
     held: u32,
     next_tick: Option<Micros>,
     /// Invocations succeeded within the averaging time, by kind of worker, and when last brought up to date.
@@ -389,6 +399,32 @@
             f.grow(self.workers.len());
             self.rank(a.func);
         }
+        self.spread(a.func);
+    }
+
+    /// Symptom: every router brings a busy function to the same first workers, each seeing a small part of what
+    /// they hold. It is given homes by its part of all work this router takes, a power of two, so that few
+    /// move as it grows; this router's place among the routers tells its own.
+    fn spread(&mut self, func: FnIx) {
+        let (now, over) = (self.now, self.loads.idle_kept.max(1) as f64);
+        let work = self.usual_service(&self.funcs[func as usize]).mean as f64;
+        let workers = self.funcs[func as usize].order.len().max(1);
+        let f = &mut self.funcs[func as usize];
+        let before = f.asked * (-(now - f.asked_at) as f64 / over).exp();
+        let all = self.asked * (-(now - self.asked_at) as f64 / over).exp();
+        (f.asked, f.asked_at) = (before + 1.0, now);
+        (self.asked, self.asked_at) = (all + work, now);
+        let surely = (before - before.sqrt()).max(0.0) * work;
+        let wanted = (HOMES * workers as f64 * surely / all.max(1.0)).ceil() as usize;
+        let wanted = wanted.clamp(1, workers).next_power_of_two();
+        if wanted > f.homes || wanted * 4 <= f.homes {
+            let place = self.fleet.position as usize;
+            let moved = f.homes > 0 && place % wanted != place % f.homes;
+            f.homes = wanted;
+            if moved {
+                (0..f.own.len()).for_each(|w| f.cool(w));
+            }
+        }
     }
 
     /// The shared hash order of workers for a function: the same at every router.
@@ -616,7 +652,10 @@
         let mean = self.mean_load();
         let waited = self.now - self.invs[ix as usize].as_ref()?.arrived;
         let long = self.finds > FINDS && waited > self.usual_service(f).mean;
-        f.order.iter().map(|&w| w as usize).find(|&w| {
+        let homes = f.homes.clamp(1, f.order.len().max(1));
+        let first = self.fleet.position as usize % f.homes.max(1);
+        let mine = (0..homes).map(|i| (first + i) % homes).chain(homes..f.order.len());
+        mine.map(|i| f.order[i] as usize).find(|&w| {
             let open = self.workers.loading[w].is_none() || self.workers.loaded_by[w] < self.now || long;
             open && !f.warm(w, self.now) && !self.crowded(w, mean) && self.fit(ix, w)
         })
