--- a/src/control.rs
+++ b/src/control.rs
@@ -55,6 +55,8 @@
 
 /// Homes of a function: so many for each worker's worth of work that it asks for.
 const HOMES: f64 = 2.0;
+/// With so many of a function's invocations for each lane at a home it has too few homes.
+const HOME_CROWD: u32 = 2;
 
 const NO_TIME: Micros = Micros::MIN / 2;
 
@@ -241,6 +243,7 @@
     asked: f64,
     asked_at: Micros,
     homes: usize,
+    homes_at: Micros,
     /// This router's load under way.
     loading: Option<WorkerIx>,
     /// Orders out.
@@ -416,17 +419,30 @@
         (self.asked, self.asked_at) = (all + work, now);
         let surely = (before - before.sqrt()).max(0.0) * work;
         let wanted = (HOMES * workers as f64 * surely / all.max(1.0)).ceil() as usize;
-        let wanted = wanted.clamp(1, workers).next_power_of_two();
-        if wanted > f.homes || wanted * 4 <= f.homes {
-            let place = self.fleet.position as usize;
+        self.more_homes(func, wanted);
+    }
+
+    fn more_homes(&mut self, func: FnIx, wanted: usize) {
+        let (now, place) = (self.now, self.fleet.position as usize);
+        let f = &mut self.funcs[func as usize];
+        let wanted = wanted.clamp(1, f.order.len().max(1)).next_power_of_two();
+        if wanted > f.homes {
             let moved = f.homes > 0 && place % wanted != place % f.homes;
-            f.homes = wanted;
+            (f.homes, f.homes_at) = (wanted, now);
             if moved {
                 (0..f.own.len()).for_each(|w| f.cool(w));
             }
         }
     }
 
+    /// A load was needed at a home: too many homes, none is used often enough to keep its copy.
+    fn fewer_homes(&mut self, func: FnIx) {
+        let f = &mut self.funcs[func as usize];
+        if f.homes > 1 && self.now - f.homes_at > self.loads.idle_kept {
+            (f.homes, f.homes_at) = (f.homes / 2, self.now);
+        }
+    }
+
     /// The shared hash order of workers for a function: the same at every router.
     fn rank(&mut self, func: FnIx) {
         let (workers, f) = (&self.workers, &mut self.funcs[func as usize]);
@@ -757,14 +773,14 @@
     }
 
     fn settle(&mut self, e: &Ending, out: &mut Vec<Action>) {
-        let &Ending { inv: ix, dispatch, worker, outcome, took, concluded, note, .. } = e;
+        let &Ending { inv: ix, dispatch, worker, outcome, took, concluded, note, crowd, .. } = e;
         let (now, w) = (self.now, worker as usize);
         let Some(inv) = self.invs[ix as usize].as_mut() else { return };
         let Some(d) = inv.dispatches.get_mut(dispatch as usize).filter(|d| d.fate == Fate::Out) else {
             return;
         };
         d.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (load, waits, func, trigger) = (d.load, d.waits, inv.func, inv.trigger);
+        let (load, waits, sent_at, func, trigger) = (d.load, d.waits, d.at, inv.func, inv.trigger);
         let f = &mut self.funcs[func as usize];
         f.own[w] = f.own[w].saturating_sub(1);
         self.workers.own[w] = self.workers.own[w].saturating_sub(1);
@@ -773,6 +789,11 @@
             self.load_ends(func, w);
         }
         let usual = self.usual_service(&self.funcs[func as usize]);
+        let f = &self.funcs[func as usize];
+        let crowd = crowd.unwrap_or(0) / (HOME_CROWD * f.lanes);
+        if crowd > 0 && sent_at >= f.homes_at {
+            self.more_homes(func, f.homes * crowd as usize * 2);
+        }
         match outcome {
             Outcome::Succeeded => {
                 self.workers.judge(w, true);
@@ -795,6 +816,8 @@
                     self.service[trigger].learn(took);
                     self.workers.learn_bears(w, now, took, self.triggers[trigger].latency_objective);
                 } else if note == CopyNote::Began || load {
+                    self.fewer_homes(func);
+                    let f = &mut self.funcs[func as usize];
                     let took = (took - usual.mean).max(1);
                     f.load.learn(took);
                     self.load.learn(took);
@@ -947,6 +970,7 @@
             return;
         }
         f.orders = f.orders.saturating_sub(1);
+        let usual = self.usual_load(&self.funcs[func as usize]);
         let loaded = self.load_ends(func, w);
         let f = &mut self.funcs[func as usize];
         match result {
@@ -954,9 +978,11 @@
                 if copies > 0 {
                     f.copies[w] = copies;
                     f.warm_until[w] = f.warm_until[w].max(self.now + self.loads.idle_kept);
-                    if loaded {
+                    // One answered at once found the copy standing.
+                    if loaded && took > usual.mean / GAIN {
                         f.load.learn(took);
                         self.load.learn(took);
+                        self.fewer_homes(func);
                     }
                 } else if !(result == OrderResult::Stand && f.own[w] > 0) {
                     f.cool(w);
