--- a/src/control.rs
+++ b/src/control.rs
@@ -150,6 +150,8 @@
     /// Own dispatches that it answers in time, as far as has been seen.
     bears: Vec<f64>,
     bears_at: Vec<Micros>,
+    /// Where it bears less than one: nothing before this.
+    paced: Vec<Micros>,
     /// The function that this router has loading there, and until when that should be done.
     loading: Vec<Option<FnIx>>,
     loaded_by: Vec<Micros>,
@@ -172,6 +174,7 @@
             &mut self.trial_at,
             &mut self.stops_at,
             &mut self.bears_at,
+            &mut self.paced,
             &mut self.loaded_by,
         ];
         times.into_iter().for_each(|v| v.resize(n, NO_TIME));
@@ -212,17 +215,22 @@
 
     /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out
     /// there now; with answers in time it is let have more, slowly.
-    fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros) {
+    fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros, least: f64) {
         let own = self.working(w) + 1.0;
         if took > objective {
             if now - self.bears_at[w] > took.min(objective) {
-                self.bears[w] = (self.bears[w].min(own) * BACK_OFF).max(1.0);
+                self.bears[w] = (self.bears[w].min(own) * BACK_OFF).max(least);
                 self.bears_at[w] = now;
             }
         } else if own >= self.bears[w] {
-            self.bears[w] = (self.bears[w] + 1.0 / self.bears[w]).min(BEARS_MOST);
+            self.bears[w] += self.bears[w].min(1.0 / self.bears[w]);
         }
     }
+
+    /// It has all that it bears; where that is less than one, a part of the time only.
+    fn full(&self, w: usize, now: Micros) -> bool {
+        self.working(w) >= self.bears[w].max(1.0) || now < self.paced[w]
+    }
 }
 
 /// A function and what is believed of it, by worker.
@@ -599,7 +607,7 @@
     /// free.
     fn crowded(&self, w: usize, mean: f64) -> bool {
         let own = self.workers.working(w);
-        own >= self.workers.bears[w] || own >= CROWD * mean * self.size(w) + CROWD_LEAST
+        self.workers.full(w, self.now) || own >= CROWD * mean * self.size(w) + CROWD_LEAST
     }
 
     /// Every good worker has all that it bears: the fleet is overloaded as far as this router can see.
@@ -691,7 +699,7 @@
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
         let ratio =
             |w: &usize| (u64::from(f.own[*w]) + f.held.len() as u64) * 1_000 / u64::from(f.lanes_at(*w));
-        let bears = |w: usize| self.workers.working(w) < self.workers.bears[w] && !self.turned_away(ix, w);
+        let bears = |w: usize| !self.workers.full(w, self.now) && !self.turned_away(ix, w);
         (0..f.own.len()).filter(|&w| f.warm(w, self.now) && bears(w) && self.fit(ix, w)).min_by_key(ratio)
     }
 
@@ -747,6 +755,8 @@
         workers.due[w] = if workers.own[w] == 0 { now + hush } else { workers.due[w].min(now + hush) };
         workers.own[w] += 1;
         workers.waiting[w] += u32::from(loading);
+        let gap = usual.mean as f64 * (1.0 / workers.bears[w] - 1.0);
+        workers.paced[w] = now + gap.max(0.0) as Micros;
         if bad {
             self.next_trial(w);
         }
@@ -790,6 +800,7 @@
         }
         let usual = self.usual_service(&self.funcs[func as usize]);
         let f = &self.funcs[func as usize];
+        let least = 1.0 / f64::from(self.fleet.routers.max(1));
         let crowd = crowd.unwrap_or(0) / (HOME_CROWD * f.lanes);
         if crowd > 0 && sent_at >= f.homes_at {
             self.more_homes(func, f.homes * crowd as usize * 2);
@@ -814,7 +825,7 @@
                 if !loaded {
                     f.service.learn(took);
                     self.service[trigger].learn(took);
-                    self.workers.learn_bears(w, now, took, self.triggers[trigger].latency_objective);
+                    self.workers.learn_bears(w, now, took, self.triggers[trigger].latency_objective, least);
                 } else if note == CopyNote::Began || load {
                     self.fewer_homes(func);
                     let f = &mut self.funcs[func as usize];
@@ -826,7 +837,7 @@
             Outcome::Missed => self.funcs[func as usize].cool(w),
             // Symptom: a full worker answers fastest of all and so looks idle.
             Outcome::Throttled => {
-                self.workers.learn_bears(w, now, Micros::MAX / 8, self.triggers[trigger].latency_objective);
+                self.workers.learn_bears(w, now, Micros::MAX / 8, self.triggers[trigger].latency_objective, least);
             }
             Outcome::NotSent | Outcome::Withdrawn => {}
             Outcome::Errored | Outcome::TimedOut => self.workers.judge(w, false),
