--- a/src/control.rs
+++ b/src/control.rs
@@ -58,6 +58,11 @@
 /// With so many of a function's invocations for each lane at a home it has too few homes.
 const HOME_CROWD: u32 = 2;
 
+/// An account's share may be used this unevenly: so many seconds of it at once.
+const SHARE_SECONDS: f64 = 2.0;
+/// Workers are pressed when over this part of the dispatches ends late, full or timed out.
+const PRESSED: f64 = 0.2;
+
 const NO_TIME: Micros = Micros::MIN / 2;
 
 /// A usual time and how far samples stray from it.
@@ -102,6 +107,8 @@
 struct Inv {
     func: FnIx,
     trigger: usize,
+    /// Beyond its account's share.
+    over: bool,
     arrived: Micros,
     objective_at: Micros,
     gives_up_at: Micros,
@@ -288,6 +295,12 @@
     limits: DispatchLimits,
     rules: RuleTerms,
     triggers: Vec<TriggerType>,
+    accounts: Vec<Account>,
+    /// What is left of each account's share here, and when last brought up to date.
+    left: Vec<(f64, Micros)>,
+    over_worth: f64,
+    /// Part of the dispatches that end late, full or timed out, averaged.
+    pressed: f64,
     loads: LoadTerms,
     workers: Workers,
     funcs: Vec<Function>,
@@ -317,9 +330,9 @@
         limits: DispatchLimits,
         rules: RuleTerms,
         triggers: Vec<TriggerType>,
-        _accounts: Vec<Account>,
+        accounts: Vec<Account>,
         loads: LoadTerms,
-        _prices: Prices,
+        prices: Prices,
         _reports: ReportsIn,
     ) -> Self {
         Control {
@@ -329,6 +342,9 @@
             rules,
             service: vec![Usual::default(); triggers.len()],
             triggers,
+            left: vec![(f64::MAX, 0); accounts.len()],
+            accounts,
+            over_worth: prices.over_share,
             loads,
             finds: 1.0,
             ..Control::default()
@@ -375,7 +391,22 @@
         h.finish()
     }
 
+    /// Whether one more is beyond the account's share: its allowance comes in steadily, this router's part of it.
+    fn over_share(&mut self, account: usize) -> bool {
+        let (Some(a), Some((left, at))) = (self.accounts.get(account), self.left.get_mut(account)) else {
+            return false;
+        };
+        let part = a.allowance_per_s / f64::from(self.fleet.routers.max(1));
+        let come = part * (self.now - *at).max(0) as f64 / 1e6;
+        *left = (*left + come).min((part * SHARE_SECONDS).max(1.0) + 1.0);
+        *at = self.now;
+        let over = *left < 1.0;
+        *left -= f64::from(u8::from(!over));
+        over
+    }
+
     fn take(&mut self, a: &Arrival) {
+        let over = self.over_share(a.account as usize);
         let (now, t) = (self.now, &self.triggers[a.trigger as usize]);
         let stretch = (a.cost_hint.unwrap_or(0) as f64 * t.objective_stretch) as Micros;
         let gives_up_at = now + a.client_gives_up_in;
@@ -385,6 +416,7 @@
         self.invs[a.inv as usize] = Some(Inv {
             func: a.func,
             trigger: a.trigger as usize,
+            over,
             arrived: now,
             objective_at: (now + t.latency_objective + stretch).min(gives_up_at),
             gives_up_at,
@@ -473,6 +505,10 @@
         if inv.gives_up_at - self.now <= self.usual_service(&self.funcs[inv.func as usize]).mean {
             return self.give_up(ix, out);
         }
+        // Symptom: work beyond an account's share crowds out what is within.
+        if inv.over && self.pressed > PRESSED {
+            return self.give_up(ix, out);
+        }
         // A warm worker with a free lane, fewest own in flight.
         if let Some(w) = self.free_lane(ix) {
             return self.dispatch(ix, w, false, out);
@@ -805,6 +841,11 @@
         if crowd > 0 && sent_at >= f.homes_at {
             self.more_homes(func, f.homes * crowd as usize * 2);
         }
+        let late = match outcome {
+            Outcome::Throttled | Outcome::TimedOut => true,
+            _ => took > self.triggers[trigger].latency_objective,
+        };
+        self.pressed += (f64::from(u8::from(late)) - self.pressed) / GAIN as f64;
         match outcome {
             Outcome::Succeeded => {
                 self.workers.judge(w, true);
@@ -899,7 +940,8 @@
         let t = &self.triggers[inv.trigger];
         let usual = self.usual_service(&self.funcs[inv.func as usize]);
         let late = self.now + usual.mean + usual.stray > inv.objective_at;
-        (t.billed_value * if late { t.late_part } else { 1.0 } * 1e3) as i64
+        let part = if inv.over { self.over_worth } else { 1.0 };
+        (t.billed_value * part * if late { t.late_part } else { 1.0 } * 1e3) as i64
     }
 
     /// Held invocations of one function, or of all, leave for the lanes that have become free.
