--- a/src/control.rs
+++ b/src/control.rs
@@ -360,7 +360,11 @@
                 self.take(&arrival);
                 self.route(arrival.inv, out);
             }
-            Event::Departed { inv } | Event::Answering { inv, .. } => self.conclude(inv),
+            Event::Departed { inv } => {
+                self.call_back(inv, out);
+                self.conclude(inv);
+            }
+            Event::Answering { inv, .. } => self.conclude(inv),
             Event::DispatchEnded(ending) => self.settle(&ending, out),
             Event::OrderEnded { worker, func, result, copies, took } => {
                 self.order_ended(worker as usize, func, result, copies, took, out)
@@ -921,6 +925,14 @@
         self.conclude(ix);
     }
 
+    /// Symptom: clients that leave early have their work done for nobody. What still waits at a worker is dropped.
+    fn call_back(&mut self, ix: InvIx, out: &mut Vec<Action>) {
+        if let Some(inv) = self.invs[ix as usize].as_ref().filter(|_| self.limits.withdrawals) {
+            let outs = inv.dispatches.iter().enumerate().filter(|(_, d)| d.fate == Fate::Out);
+            out.extend(outs.map(|(n, _)| Action::Withdraw { inv: ix, dispatch: n as u32 }));
+        }
+    }
+
     fn conclude(&mut self, ix: InvIx) {
         self.unhold(ix);
         if let Some(inv) = self.invs[ix as usize].as_mut() {
