--- a/src/control.rs
+++ b/src/control.rs
@@ -461,7 +461,7 @@
         let all = self.asked * (-(now - self.asked_at) as f64 / over).exp();
         (f.asked, f.asked_at) = (before + 1.0, now);
         (self.asked, self.asked_at) = (all + work, now);
-        let surely = (before - before.sqrt()).max(0.0) * work;
+        let surely = before * work;
         let wanted = (HOMES * workers as f64 * surely / all.max(1.0)).ceil() as usize;
         self.more_homes(func, wanted);
     }
