--- a/src/control.rs
+++ b/src/control.rs
@@ -882,7 +882,13 @@
             Outcome::Missed => self.funcs[func as usize].cool(w),
             // Symptom: a full worker answers fastest of all and so looks idle.
             Outcome::Throttled => {
-                self.workers.learn_bears(w, now, Micros::MAX / 8, self.triggers[trigger].latency_objective, least);
+                self.workers.learn_bears(
+                    w,
+                    now,
+                    Micros::MAX / 8,
+                    self.triggers[trigger].latency_objective,
+                    least,
+                );
             }
             Outcome::NotSent | Outcome::Withdrawn => {}
             Outcome::Errored | Outcome::TimedOut => self.workers.judge(w, false),
