--- a/src/control.rs
+++ b/src/control.rs
@@ -25,8 +25,6 @@
 const UPKEEP_STEPS: Micros = 100;
 /// Outcomes that a worker is judged by; few, so that a hang shows at once and is soon forgiven.
 const JUDGED: u32 = 8;
-/// Fewest outcomes that make a judgement.
-const JUDGED_LEAST: u32 = 3;
 /// A long but usual time: the mean and so many deviations.
 const DEVIATIONS: Micros = 4;
 /// A worker is silent when it has given no answer at all for so many times that.
@@ -36,6 +34,8 @@
 /// A bad worker is tried after this part of the shortest latency objective; the gap doubles so many times.
 const TRIAL_PART: Micros = 2;
 const TRIAL_DOUBLINGS: u32 = 3;
+/// At most one in so many dispatches is a trial, however many workers are bad.
+const TRIAL_ONE_IN: i32 = 10;
 /// A worker is crowded with so many times the mean load, and so many dispatches in any case.
 const CROWD: f64 = 1.5;
 const CROWD_LEAST: f64 = 1.0;
@@ -145,13 +145,6 @@
     own: Vec<u32>,
     /// Of these, sent to wait for a load.
     waiting: Vec<u32>,
-    /// Last outcomes, newest in the lowest bit, and how many count.
-    outcomes: Vec<u32>,
-    judged: Vec<u32>,
-    /// While dispatches are out: an answer should have come by then.
-    due: Vec<Micros>,
-    trial_at: Vec<Micros>,
-    trials: Vec<u32>,
     /// When it drains: nothing new after this.
     stops_at: Vec<Micros>,
     /// Own dispatches that it answers in time, as far as has been seen.
@@ -174,11 +167,8 @@
     fn grow(&mut self, n: usize) {
         let counts = [&mut self.zone, &mut self.cell, &mut self.kind, &mut self.own, &mut self.waiting];
         counts.into_iter().for_each(|v| v.resize(n, 0));
-        [&mut self.outcomes, &mut self.judged, &mut self.trials].into_iter().for_each(|v| v.resize(n, 0));
         let times = [
             &mut self.started,
-            &mut self.due,
-            &mut self.trial_at,
             &mut self.stops_at,
             &mut self.bears_at,
             &mut self.paced,
@@ -193,33 +183,11 @@
         self.recent.resize_with(n, VecDeque::new);
     }
 
-    /// Symptom: errors, broken or refused connections, time-outs (few successes among the last outcomes), or
-    /// dispatches out and nothing heard past the time an answer was due (a hang or a silent cut).
-    fn bad(&self, w: usize, now: Micros) -> bool {
-        let silent = self.own[w] > 0 && now > self.due[w];
-        silent || self.fails(w)
-    }
-
-    fn fails(&self, w: usize) -> bool {
-        self.judged[w] >= JUDGED_LEAST && self.outcomes[w].count_ones() * 2 < self.judged[w]
-    }
-
     /// Own dispatches there that are believed to take its cores.
     fn working(&self, w: usize) -> f64 {
         f64::from(self.own[w] - self.waiting[w])
     }
 
-    fn judge(&mut self, w: usize, succeeded: bool) {
-        if succeeded && self.fails(w) {
-            // A bad worker that succeeds starts anew.
-            self.judged[w] = 0;
-            self.outcomes[w] = 0;
-        }
-        self.outcomes[w] = (self.outcomes[w] << 1 | u32::from(succeeded)) & ((1 << JUDGED) - 1);
-        self.judged[w] = (self.judged[w] + 1).min(JUDGED);
-        self.trials[w] *= u32::from(!succeeded);
-    }
-
     /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out
     /// there now; with answers in time it is let have more, slowly.
     fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros, least: f64) {
@@ -240,6 +208,94 @@
     }
 }
 
+/// How workers have answered of late, by worker and trigger type, and for each worker over all types. Symptom:
+/// a worker fails or leaves unanswered one type and serves the others; no silence of one hides behind the
+/// answers of another, and the others keep using it. A type not yet seen there goes by all of them.
+#[derive(Default)]
+struct Health {
+    types: usize,
+    kept: Micros,
+    own: Vec<u32>,
+    /// Last outcomes, newest in the lowest bit, how many count, and when the last came.
+    outcomes: Vec<u32>,
+    judged: Vec<u32>,
+    judged_at: Vec<Micros>,
+    /// While dispatches are out: an answer should have come by then.
+    due: Vec<Micros>,
+    trial_at: Vec<Micros>,
+    trials: Vec<u32>,
+}
+
+impl Health {
+    fn grow(&mut self, workers: usize) {
+        let n = workers * (self.types + 1);
+        let counts = [&mut self.own, &mut self.outcomes, &mut self.judged, &mut self.trials];
+        counts.into_iter().for_each(|v| v.resize(n, 0));
+        let times = [&mut self.judged_at, &mut self.due, &mut self.trial_at];
+        times.into_iter().for_each(|v| v.resize(n, NO_TIME));
+    }
+
+    /// The places of a type and of all types together.
+    fn slots(&self, w: usize, t: usize) -> [usize; 2] {
+        [w * (self.types + 1) + t, w * (self.types + 1) + self.types]
+    }
+
+    /// Symptom: errors, broken or refused connections, time-outs (few successes among the last outcomes), or
+    /// dispatches out and nothing heard past the time an answer was due (a hang or a silent cut).
+    fn bad(&self, w: usize, t: usize, now: Micros) -> bool {
+        let [one, all] = self.slots(w, t);
+        self.suspect(one, now) || !self.recent(one, now) && self.suspect(all, now)
+    }
+
+    fn suspect(&self, slot: usize, now: Micros) -> bool {
+        self.own[slot] > 0 && now > self.due[slot] || self.fails(slot, now)
+    }
+
+    fn recent(&self, slot: usize, now: Micros) -> bool {
+        self.judged[slot] > 0 && now - self.judged_at[slot] < self.kept
+    }
+
+    fn fails(&self, slot: usize, now: Micros) -> bool {
+        self.recent(slot, now) && self.outcomes[slot].count_ones() * 2 < self.judged[slot]
+    }
+
+    fn forget(&mut self, w: usize) {
+        let [first, all] = self.slots(w, 0);
+        (first..=all).for_each(|slot| (self.judged[slot], self.outcomes[slot]) = (0, 0));
+    }
+
+    fn judge(&mut self, w: usize, t: usize, now: Micros, succeeded: bool) {
+        for slot in self.slots(w, t) {
+            if succeeded && self.fails(slot, now) || !self.recent(slot, now) {
+                // A bad worker that succeeds starts anew, and so does one long not heard from.
+                (self.judged[slot], self.outcomes[slot]) = (0, 0);
+            }
+            self.outcomes[slot] = (self.outcomes[slot] << 1 | u32::from(succeeded)) & ((1 << JUDGED) - 1);
+            self.judged[slot] = (self.judged[slot] + 1).min(JUDGED);
+            self.judged_at[slot] = now;
+            self.trials[slot] *= u32::from(!succeeded);
+        }
+    }
+
+    fn sent(&mut self, w: usize, t: usize, due: Micros) {
+        for slot in self.slots(w, t) {
+            self.due[slot] = if self.own[slot] == 0 { due } else { self.due[slot].min(due) };
+            self.own[slot] += 1;
+        }
+    }
+
+    fn ended(&mut self, w: usize, t: usize) {
+        for slot in self.slots(w, t) {
+            self.own[slot] = self.own[slot].saturating_sub(1);
+        }
+    }
+
+    /// An answer came; the next, if any is out, is due after this.
+    fn heard(&mut self, w: usize, t: usize, due: Micros) {
+        self.slots(w, t).into_iter().for_each(|slot| self.due[slot] = due);
+    }
+}
+
 /// A function and what is believed of it, by worker.
 #[derive(Default)]
 struct Function {
@@ -301,8 +357,11 @@
     over_worth: f64,
     /// Part of the dispatches that end late, full or timed out, averaged.
     pressed: f64,
+    /// Dispatches to go before the next trial of a bad worker.
+    trial_due: i32,
     loads: LoadTerms,
     workers: Workers,
+    health: Health,
     funcs: Vec<Function>,
     invs: Vec<Option<Inv>>,
     service: Vec<Usual>,
@@ -341,6 +400,7 @@
             limits,
             rules,
             service: vec![Usual::default(); triggers.len()],
+            health: Health { types: triggers.len(), kept: loads.idle_kept, ..Health::default() },
             triggers,
             left: vec![(f64::MAX, 0); accounts.len()],
             accounts,
@@ -371,7 +431,7 @@
             }
             Event::Probed { worker, outcome, .. } => {
                 if outcome != Outcome::Succeeded {
-                    self.workers.judge(worker as usize, false);
+                    self.health.judge(worker as usize, self.triggers.len(), now, false);
                 }
             }
             Event::Timer { token } => {
@@ -629,8 +689,9 @@
     }
 
     fn good(&self) -> impl Iterator<Item = usize> {
+        let (all, now) = (self.triggers.len(), self.now);
         let good =
-            |w: &usize| self.workers.standing[*w] == Standing::InService && !self.workers.bad(*w, self.now);
+            move |w: &usize| self.workers.standing[*w] == Standing::InService && !self.health.bad(*w, all, now);
         (0..self.workers.len()).filter(good)
     }
 
@@ -661,11 +722,12 @@
         if !self.allowed(inv, w) || !self.cold_room(w) {
             return false;
         }
-        if !self.workers.bad(w, self.now) {
+        if !self.health.bad(w, inv.trigger, self.now) {
             return true;
         }
         let safe = self.triggers[inv.trigger].effect != Effect::NonIdempotent;
-        safe && inv.dispatches.is_empty() && self.workers.trial_at[w] <= self.now
+        let [slot, _] = self.health.slots(w, inv.trigger);
+        safe && inv.dispatches.is_empty() && self.health.trial_at[slot] <= self.now && self.trial_due <= 0
     }
 
     /// Symptom: a full worker answers fastest of all, so it has the fewest own in flight and is asked again
@@ -762,8 +824,10 @@
     fn dispatch(&mut self, ix: InvIx, w: usize, load: bool, out: &mut Vec<Action>) {
         self.unhold(ix);
         let now = self.now;
-        let bad = self.workers.bad(w, now);
         let Some(inv) = self.invs[ix as usize].as_ref() else { return };
+        let trigger = inv.trigger;
+        let bad = self.health.bad(w, trigger, now);
+        self.trial_due -= 1;
         let (func, effect, left) = (inv.func, self.triggers[inv.trigger].effect, inv.gives_up_at - now);
         let f = &self.funcs[func as usize];
         let loading = load || f.loading.is_some_and(|l| l as usize == w);
@@ -792,22 +856,25 @@
             self.load_begins(func, w);
         }
         let workers = &mut self.workers;
-        workers.due[w] = if workers.own[w] == 0 { now + hush } else { workers.due[w].min(now + hush) };
         workers.own[w] += 1;
         workers.waiting[w] += u32::from(loading);
         let gap = usual.mean as f64 * (1.0 / workers.bears[w] - 1.0);
         workers.paced[w] = now + gap.max(0.0) as Micros;
+        self.health.sent(w, trigger, now + hush);
         if bad {
-            self.next_trial(w);
+            self.next_trial(w, trigger);
         }
         forget_before(&mut self.workers.recent[w], now - self.rules.overload_window);
         self.workers.recent[w].push_back(now);
     }
 
-    fn next_trial(&mut self, w: usize) {
+    fn next_trial(&mut self, w: usize, t: usize) {
         let shortest = self.triggers.iter().map(|t| t.latency_objective).min().unwrap_or(0);
-        self.workers.trial_at[w] = self.now + ((shortest / TRIAL_PART) << self.workers.trials[w]);
-        self.workers.trials[w] = (self.workers.trials[w] + 1).min(TRIAL_DOUBLINGS);
+        let [slot, _] = self.health.slots(w, t);
+        let h = &mut self.health;
+        h.trial_at[slot] = self.now + ((shortest / TRIAL_PART) << h.trials[slot]);
+        h.trials[slot] = (h.trials[slot] + 1).min(TRIAL_DOUBLINGS);
+        self.trial_due = TRIAL_ONE_IN;
     }
 
     fn usual_service(&self, f: &Function) -> Usual {
@@ -834,6 +901,7 @@
         let f = &mut self.funcs[func as usize];
         f.own[w] = f.own[w].saturating_sub(1);
         self.workers.own[w] = self.workers.own[w].saturating_sub(1);
+        self.health.ended(w, trigger);
         self.workers.waiting[w] -= u32::from(waits);
         if load {
             self.load_ends(func, w);
@@ -852,11 +920,11 @@
         self.pressed += (f64::from(u8::from(late)) - self.pressed) / GAIN as f64;
         match outcome {
             Outcome::Succeeded => {
-                self.workers.judge(w, true);
+                self.health.judge(w, trigger, now, true);
                 self.learn_carried(self.workers.kind[w] as usize);
                 let wait = self.workers.loading[w]
                     .map_or(0, |l| self.usual_load(&self.funcs[l as usize]).stretched());
-                self.workers.due[w] = now + HUSH * (usual.stretched() + wait);
+                self.health.heard(w, trigger, now + HUSH * (usual.stretched() + wait));
                 let f = &mut self.funcs[func as usize];
                 f.warm_until[w] = now + self.loads.idle_kept;
                 if load && note != CopyNote::Untold {
@@ -891,10 +959,12 @@
                 );
             }
             Outcome::NotSent | Outcome::Withdrawn => {}
-            Outcome::Errored | Outcome::TimedOut => self.workers.judge(w, false),
+            // A try that its client ended before an answer was due tells nothing.
+            Outcome::TimedOut if took < usual.stretched() => {}
+            Outcome::Errored | Outcome::TimedOut => self.health.judge(w, trigger, now, false),
             Outcome::Unreachable | Outcome::Broken => {
                 // A dead process or a cut link weighs twice.
-                (0..2).for_each(|_| self.workers.judge(w, false));
+                (0..2).for_each(|_| self.health.judge(w, trigger, now, false));
             }
         }
         if concluded {
@@ -1062,7 +1132,7 @@
             OrderResult::LoadErrored => f.cool(w),
             OrderResult::Broken | OrderResult::Unreachable | OrderResult::TimedOut => {
                 f.cool(w);
-                self.workers.judge(w, false);
+                self.health.judge(w, self.triggers.len(), self.now, false);
             }
         }
         self.retry_held(Some(func), out);
@@ -1091,6 +1161,7 @@
         }
         let most = entries.iter().map(|e| e.worker as usize + 1).max().unwrap_or(0).max(self.workers.len());
         self.workers.grow(most);
+        self.health.grow(most);
         for f in &mut self.funcs {
             f.grow(most);
         }
@@ -1121,7 +1192,7 @@
         }
         for w in lost {
             // A restarted process is empty and not yet judged.
-            self.workers.judged[w] = 0;
+            self.health.forget(w);
             self.workers.loading[w] = None;
             for f in &mut self.funcs {
                 f.cool(w);
