--- a/src/control.rs
+++ b/src/control.rs
@@ -41,8 +41,6 @@
 const CROWD_LEAST: f64 = 1.0;
 /// An answer past the latency objective, or a full one, leaves so much of what the worker bore.
 const BACK_OFF: f64 = 0.8;
-/// Dispatches to workers not believed warm are mostly no loads when over this part found a copy.
-const FINDS: f64 = 0.5;
 const BEARS_MOST: f64 = 1e6; // No bound known yet.
 /// Estimates move by one part in so many with each sample (as for round trips in TCP).
 const GAIN: Micros = 8;
@@ -63,6 +61,10 @@
 /// Workers are pressed when over this part of the dispatches ends late, full or timed out.
 const PRESSED: f64 = 0.2;
 
+/// Slowness of a kind of machine moves by one part in so many; a sample counts so much at most.
+const SLOWNESS_GAIN: f64 = 32.0;
+const SLOWEST: f64 = 8.0;
+
 const NO_TIME: Micros = Micros::MIN / 2;
 
 /// A usual time and how far samples stray from it.
@@ -109,6 +111,8 @@
     trigger: usize,
     /// Beyond its account's share.
     over: bool,
+    /// Its work by the hint; 0 where there is none.
+    work: Micros,
     arrived: Micros,
     objective_at: Micros,
     gives_up_at: Micros,
@@ -366,13 +370,13 @@
     invs: Vec<Option<Inv>>,
     service: Vec<Usual>,
     load: Usual,
-    /// Part of the dispatches to workers not believed warm that found a copy, averaged.
-    finds: f64,
     /// Work taken of all functions within about the kept-idle time.
     asked: f64,
     asked_at: Micros,
     held: u32,
     next_tick: Option<Micros>,
+    /// Time that a unit of work takes, by kind of worker, averaged.
+    slowness: Vec<f64>,
     /// Invocations succeeded within the averaging time, by kind of worker, and when last brought up to date.
     carried: Vec<f64>,
     carried_at: Micros,
@@ -406,7 +410,6 @@
             accounts,
             over_worth: prices.over_share,
             loads,
-            finds: 1.0,
             ..Control::default()
         }
     }
@@ -481,6 +484,7 @@
             func: a.func,
             trigger: a.trigger as usize,
             over,
+            work: a.cost_hint.unwrap_or(0),
             arrived: now,
             objective_at: (now + t.latency_objective + stretch).min(gives_up_at),
             gives_up_at,
@@ -719,7 +723,7 @@
     /// Good enough for this invocation: judged good, or due for a trial with what can go elsewhere after.
     fn fit(&self, ix: InvIx, w: usize) -> bool {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
-        if !self.allowed(inv, w) || !self.cold_room(w) {
+        if !self.allowed(inv, w) || !self.cold_room(w) || self.too_slow(inv, w) {
             return false;
         }
         if !self.health.bad(w, inv.trigger, self.now) {
@@ -730,13 +734,13 @@
         safe && inv.dispatches.is_empty() && self.health.trial_at[slot] <= self.now && self.trial_due <= 0
     }
 
-    /// Symptom: a full worker answers fastest of all, so it has the fewest own in flight and is asked again
-    /// at once. It is not asked again for the same invocation before a usual work's time has passed.
-    fn turned_away(&self, ix: InvIx, w: usize) -> bool {
-        let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
-        let rest = self.usual_service(&self.funcs[inv.func as usize]).mean;
-        let at = |d: &Dispatch| d.worker as usize == w && d.fate == Fate::NeverRan && self.now - d.at < rest;
-        inv.dispatches.iter().any(at)
+    /// Symptom: heavy invocations, dear where value goes by work, come late from slow machines even when idle.
+    /// For a while they wait for a kind on which their time suffices, if there is one.
+    fn too_slow(&self, inv: &Inv, w: usize) -> bool {
+        let slowness = |k: usize| self.slowness.get(k).copied().unwrap_or(1.0);
+        let (left, own) = ((inv.objective_at - self.now) as f64, slowness(self.workers.kind[w] as usize));
+        let best = self.slowness.iter().copied().fold(own, f64::min);
+        inv.work as f64 * own > left && inv.work as f64 * best < left && self.now - inv.arrived < inv.work
     }
 
     fn free_lane(&mut self, ix: InvIx) -> Option<usize> {
@@ -749,7 +753,6 @@
                 && !loading
                 && f.own[*w] < f.lanes_at(*w)
                 && !self.crowded(*w, mean)
-                && !self.turned_away(ix, *w)
                 && self.fit(ix, *w)
         };
         let own = &self.workers.own;
@@ -765,24 +768,20 @@
         (0..f.own.len()).any(|w| f.warm(w, self.now) && self.fit(ix, w))
     }
 
-    /// Where a new load goes: the first unwarmed worker in the shared order, so that routers find each
-    /// other's copies. One load under way per function and, for its usual time, per worker. Symptom: a
-    /// router that knows nothing yet (a restart) has more functions to find than workers, and held ones
-    /// expire: while most such dispatches find a copy, who is held longer than the work takes goes beyond
-    /// the latter bound.
+    /// Where a new load goes: this router's home of the function, then the other homes, then the shared order,
+    /// so that routers find each other's copies. One load under way per function and, for its usual time, per
+    /// worker.
     fn load_place(&self, ix: InvIx) -> Option<usize> {
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
         if f.loading.is_some() || (self.loads.orders && !self.order_left()) {
             return None;
         }
         let mean = self.mean_load();
-        let waited = self.now - self.invs[ix as usize].as_ref()?.arrived;
-        let long = self.finds > FINDS && waited > self.usual_service(f).mean;
         let homes = f.homes.clamp(1, f.order.len().max(1));
         let first = self.fleet.position as usize % f.homes.max(1);
         let mine = (0..homes).map(|i| (first + i) % homes).chain(homes..f.order.len());
         mine.map(|i| f.order[i] as usize).find(|&w| {
-            let open = self.workers.loading[w].is_none() || self.workers.loaded_by[w] < self.now || long;
+            let open = self.workers.loading[w].is_none() || self.workers.loaded_by[w] < self.now;
             open && !f.warm(w, self.now) && !self.crowded(w, mean) && self.fit(ix, w)
         })
     }
@@ -801,8 +800,8 @@
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
         let ratio =
             |w: &usize| (u64::from(f.own[*w]) + f.held.len() as u64) * 1_000 / u64::from(f.lanes_at(*w));
-        let bears = |w: usize| !self.workers.full(w, self.now) && !self.turned_away(ix, w);
-        (0..f.own.len()).filter(|&w| f.warm(w, self.now) && bears(w) && self.fit(ix, w)).min_by_key(ratio)
+        let room = |w: usize| f.warm(w, self.now) && !self.workers.full(w, self.now);
+        (0..f.own.len()).filter(|&w| room(w) && self.fit(ix, w)).min_by_key(ratio)
     }
 
     fn hold(&mut self, ix: InvIx) {
@@ -897,7 +896,8 @@
             return;
         };
         d.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (load, waits, sent_at, func, trigger) = (d.load, d.waits, d.at, inv.func, inv.trigger);
+        let (load, waits, sent_at, func, trigger, work) =
+            (d.load, d.waits, d.at, inv.func, inv.trigger, inv.work);
         let f = &mut self.funcs[func as usize];
         f.own[w] = f.own[w].saturating_sub(1);
         self.workers.own[w] = self.workers.own[w].saturating_sub(1);
@@ -927,9 +927,6 @@
                 self.health.heard(w, trigger, now + HUSH * (usual.stretched() + wait));
                 let f = &mut self.funcs[func as usize];
                 f.warm_until[w] = now + self.loads.idle_kept;
-                if load && note != CopyNote::Untold {
-                    self.finds += (f64::from(u8::from(note == CopyNote::Found)) - self.finds) / GAIN as f64;
-                }
                 let loaded = match note {
                     CopyNote::Found => false,
                     CopyNote::Untold => load,
@@ -938,6 +935,14 @@
                 if !loaded {
                     f.service.learn(took);
                     self.service[trigger].learn(took);
+                    let kind = self.workers.kind[w] as usize;
+                    if work > 0 && self.slowness.len() <= kind {
+                        self.slowness.resize(kind + 1, 1.0);
+                    }
+                    if let Some(slowness) = self.slowness.get_mut(kind).filter(|_| work > 0) {
+                        let sample = (took as f64 / work as f64).min(SLOWEST);
+                        *slowness += (sample - *slowness) / SLOWNESS_GAIN;
+                    }
                     self.workers.learn_bears(w, now, took, self.triggers[trigger].latency_objective, least);
                 } else if note == CopyNote::Began || load {
                     self.fewer_homes(func);
