--- a/src/control.rs
+++ b/src/control.rs
@@ -1093,6 +1093,13 @@
         self.workers.loaded_by[w] = self.now + self.usual_load(&self.funcs[func as usize]).mean;
     }
 
+    /// Symptom: a worker without room for a copy says so at once and is asked again at once. It takes no load
+    /// from here for a load's usual time.
+    fn no_load(&mut self, w: usize, func: FnIx) {
+        self.workers.loading[w] = Some(func);
+        self.workers.loaded_by[w] = self.now + self.usual_load(&self.funcs[func as usize]).mean;
+    }
+
     /// The load of this function there, if one was under way, is over; true if so.
     fn load_ends(&mut self, func: FnIx, w: usize) -> bool {
         let ended = self.funcs[func as usize].loading.take_if(|l| *l as usize == w).is_some();
@@ -1118,6 +1125,9 @@
         f.orders = f.orders.saturating_sub(1);
         let usual = self.usual_load(&self.funcs[func as usize]);
         let loaded = self.load_ends(func, w);
+        if matches!(result, OrderResult::NoRoom | OrderResult::LoadErrored) {
+            self.no_load(w, func);
+        }
         let f = &mut self.funcs[func as usize];
         match result {
             OrderResult::Stand | OrderResult::NoRoom => {
