--- a/src/control.rs
+++ b/src/control.rs
@@ -154,8 +154,6 @@
     /// Own dispatches that it answers in time, as far as has been seen.
     bears: Vec<f64>,
     bears_at: Vec<Micros>,
-    /// Where it bears less than one: nothing before this.
-    paced: Vec<Micros>,
     /// The function that this router has loading there, and until when that should be done.
     loading: Vec<Option<FnIx>>,
     loaded_by: Vec<Micros>,
@@ -171,13 +169,7 @@
     fn grow(&mut self, n: usize) {
         let counts = [&mut self.zone, &mut self.cell, &mut self.kind, &mut self.own, &mut self.waiting];
         counts.into_iter().for_each(|v| v.resize(n, 0));
-        let times = [
-            &mut self.started,
-            &mut self.stops_at,
-            &mut self.bears_at,
-            &mut self.paced,
-            &mut self.loaded_by,
-        ];
+        let times = [&mut self.started, &mut self.stops_at, &mut self.bears_at, &mut self.loaded_by];
         times.into_iter().for_each(|v| v.resize(n, NO_TIME));
         self.fingerprint.resize(n, 0);
         self.standing.resize(n, Standing::Gone);
@@ -194,22 +186,17 @@
 
     /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out
     /// there now; with answers in time it is let have more, slowly.
-    fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros, least: f64) {
+    fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros) {
         let own = self.working(w) + 1.0;
         if took > objective {
             if now - self.bears_at[w] > took.min(objective) {
-                self.bears[w] = (self.bears[w].min(own) * BACK_OFF).max(least);
+                self.bears[w] = (self.bears[w].min(own) * BACK_OFF).max(1.0);
                 self.bears_at[w] = now;
             }
         } else if own >= self.bears[w] {
-            self.bears[w] += self.bears[w].min(1.0 / self.bears[w]);
+            self.bears[w] = (self.bears[w] + 1.0 / self.bears[w]).min(BEARS_MOST);
         }
     }
-
-    /// It has all that it bears; where that is less than one, a part of the time only.
-    fn full(&self, w: usize, now: Micros) -> bool {
-        self.working(w) >= self.bears[w].max(1.0) || now < self.paced[w]
-    }
 }
 
 /// How workers have answered of late, by worker and trigger type, and for each worker over all types. Symptom:
@@ -694,8 +681,9 @@
 
     fn good(&self) -> impl Iterator<Item = usize> {
         let (all, now) = (self.triggers.len(), self.now);
-        let good =
-            move |w: &usize| self.workers.standing[*w] == Standing::InService && !self.health.bad(*w, all, now);
+        let good = move |w: &usize| {
+            self.workers.standing[*w] == Standing::InService && !self.health.bad(*w, all, now)
+        };
         (0..self.workers.len()).filter(good)
     }
 
@@ -712,7 +700,7 @@
     /// free.
     fn crowded(&self, w: usize, mean: f64) -> bool {
         let own = self.workers.working(w);
-        self.workers.full(w, self.now) || own >= CROWD * mean * self.size(w) + CROWD_LEAST
+        own >= self.workers.bears[w] || own >= CROWD * mean * self.size(w) + CROWD_LEAST
     }
 
     /// Every good worker has all that it bears: the fleet is overloaded as far as this router can see.
@@ -723,7 +711,7 @@
     /// Good enough for this invocation: judged good, or due for a trial with what can go elsewhere after.
     fn fit(&self, ix: InvIx, w: usize) -> bool {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
-        if !self.allowed(inv, w) || !self.cold_room(w) || self.too_slow(inv, w) {
+        if !self.allowed(inv, w) || !self.cold_room(w) || self.too_slow(inv, w) || self.turned_away(inv, w) {
             return false;
         }
         if !self.health.bad(w, inv.trigger, self.now) {
@@ -734,6 +722,14 @@
         safe && inv.dispatches.is_empty() && self.health.trial_at[slot] <= self.now && self.trial_due <= 0
     }
 
+    /// Symptom: a full worker answers fastest of all, so it has the fewest own in flight and is asked again
+    /// at once. It is not asked again for the same invocation before a usual work's time has passed.
+    fn turned_away(&self, inv: &Inv, w: usize) -> bool {
+        let rest = self.usual_service(&self.funcs[inv.func as usize]).mean;
+        let at = |d: &Dispatch| d.worker as usize == w && d.fate == Fate::NeverRan && self.now - d.at < rest;
+        inv.dispatches.iter().any(at)
+    }
+
     /// Symptom: heavy invocations, dear where value goes by work, come late from slow machines even when idle.
     /// For a while they wait for a kind on which their time suffices, if there is one.
     fn too_slow(&self, inv: &Inv, w: usize) -> bool {
@@ -800,7 +796,7 @@
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
         let ratio =
             |w: &usize| (u64::from(f.own[*w]) + f.held.len() as u64) * 1_000 / u64::from(f.lanes_at(*w));
-        let room = |w: usize| f.warm(w, self.now) && !self.workers.full(w, self.now);
+        let room = |w: usize| f.warm(w, self.now) && self.workers.working(w) < self.workers.bears[w];
         (0..f.own.len()).filter(|&w| room(w) && self.fit(ix, w)).min_by_key(ratio)
     }
 
@@ -857,8 +853,6 @@
         let workers = &mut self.workers;
         workers.own[w] += 1;
         workers.waiting[w] += u32::from(loading);
-        let gap = usual.mean as f64 * (1.0 / workers.bears[w] - 1.0);
-        workers.paced[w] = now + gap.max(0.0) as Micros;
         self.health.sent(w, trigger, now + hush);
         if bad {
             self.next_trial(w, trigger);
@@ -908,7 +902,6 @@
         }
         let usual = self.usual_service(&self.funcs[func as usize]);
         let f = &self.funcs[func as usize];
-        let least = 1.0 / f64::from(self.fleet.routers.max(1));
         let crowd = crowd.unwrap_or(0) / (HOME_CROWD * f.lanes);
         if crowd > 0 && sent_at >= f.homes_at {
             self.more_homes(func, f.homes * crowd as usize * 2);
@@ -943,7 +936,7 @@
                         let sample = (took as f64 / work as f64).min(SLOWEST);
                         *slowness += (sample - *slowness) / SLOWNESS_GAIN;
                     }
-                    self.workers.learn_bears(w, now, took, self.triggers[trigger].latency_objective, least);
+                    self.workers.learn_bears(w, now, took, self.triggers[trigger].latency_objective);
                 } else if note == CopyNote::Began || load {
                     self.fewer_homes(func);
                     let f = &mut self.funcs[func as usize];
@@ -955,13 +948,7 @@
             Outcome::Missed => self.funcs[func as usize].cool(w),
             // Symptom: a full worker answers fastest of all and so looks idle.
             Outcome::Throttled => {
-                self.workers.learn_bears(
-                    w,
-                    now,
-                    Micros::MAX / 8,
-                    self.triggers[trigger].latency_objective,
-                    least,
-                );
+                self.workers.learn_bears(w, now, Micros::MAX / 8, self.triggers[trigger].latency_objective);
             }
             Outcome::NotSent | Outcome::Withdrawn => {}
             // A try that its client ended before an answer was due tells nothing.
