--- a/src/control.rs
+++ b/src/control.rs
@@ -89,6 +89,11 @@
     }
 }
 
+/// The first that has samples, or a first guess.
+fn usual(known: [Usual; 2], guess: Micros) -> Usual {
+    known.into_iter().find(|u| u.mean > 0).unwrap_or(Usual { mean: guess, stray: guess / 4 })
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Fate {
     Out,
@@ -102,10 +107,9 @@
     fate: Fate,
     /// It was sent to a worker not believed warm.
     load: bool,
-    /// It waits for a load, so takes no core yet.
-    waits: bool,
 }
 
+#[derive(Default)]
 struct Inv {
     func: FnIx,
     trigger: usize,
@@ -147,8 +151,6 @@
     weight: Vec<f64>,
     started: Vec<Micros>,
     own: Vec<u32>,
-    /// Of these, sent to wait for a load.
-    waiting: Vec<u32>,
     /// When it drains: nothing new after this.
     stops_at: Vec<Micros>,
     /// Own dispatches that it answers in time, as far as has been seen.
@@ -167,7 +169,7 @@
     }
 
     fn grow(&mut self, n: usize) {
-        let counts = [&mut self.zone, &mut self.cell, &mut self.kind, &mut self.own, &mut self.waiting];
+        let counts = [&mut self.zone, &mut self.cell, &mut self.kind, &mut self.own];
         counts.into_iter().for_each(|v| v.resize(n, 0));
         let times = [&mut self.started, &mut self.stops_at, &mut self.bears_at, &mut self.loaded_by];
         times.into_iter().for_each(|v| v.resize(n, NO_TIME));
@@ -179,15 +181,10 @@
         self.recent.resize_with(n, VecDeque::new);
     }
 
-    /// Own dispatches there that are believed to take its cores.
-    fn working(&self, w: usize) -> f64 {
-        f64::from(self.own[w] - self.waiting[w])
-    }
-
     /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out
     /// there now; with answers in time it is let have more, slowly.
     fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros) {
-        let own = self.working(w) + 1.0;
+        let own = f64::from(self.own[w]) + 1.0;
         if took > objective {
             if now - self.bears_at[w] > took.min(objective) {
                 self.bears[w] = (self.bears[w].min(own) * BACK_OFF).max(1.0);
@@ -364,8 +361,8 @@
     next_tick: Option<Micros>,
     /// Time that a unit of work takes, by kind of worker, averaged.
     slowness: Vec<f64>,
-    /// Invocations succeeded within the averaging time, by kind of worker, and when last brought up to date.
-    carried: Vec<f64>,
+    /// Invocations succeeded within the averaging time, and when last brought up to date.
+    carried: f64,
     carried_at: Micros,
     /// Times of load orders and of invocations taken within the ration's window.
     ordered: VecDeque<Micros>,
@@ -416,19 +413,9 @@
             }
             Event::Answering { inv, .. } => self.conclude(inv),
             Event::DispatchEnded(ending) => self.settle(&ending, out),
-            Event::OrderEnded { worker, func, result, copies, took } => {
-                self.order_ended(worker as usize, func, result, copies, took, out)
-            }
-            Event::Probed { worker, outcome, .. } => {
-                if outcome != Outcome::Succeeded {
-                    self.health.judge(worker as usize, self.triggers.len(), now, false);
-                }
-            }
-            Event::Timer { token } => {
-                if self.next_tick.take_if(|t| token == *t as u64).is_some() {
-                    self.tick(out);
-                }
-            }
+            Event::OrderEnded { .. } => self.order_ended(event, out),
+            Event::Timer { token } if self.next_tick == Some(token as Micros) => self.tick(out),
+            Event::Timer { .. } | Event::Probed { .. } => {}
         }
         let pace = if self.held > 0 { RETRY_PACE } else { self.loads.idle_kept / UPKEEP_STEPS };
         let due = now + pace.max(self.fleet.granularity).max(RETRY_PACE);
@@ -475,9 +462,7 @@
             arrived: now,
             objective_at: (now + t.latency_objective + stretch).min(gives_up_at),
             gives_up_at,
-            ended: false,
-            held: false,
-            dispatches: Vec::new(),
+            ..Inv::default()
         });
         if self.loads.ration_window > 0 {
             self.taken.push_back(now);
@@ -556,12 +541,10 @@
     fn route(&mut self, ix: InvIx, out: &mut Vec<Action>) {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return };
         let first = inv.dispatches.is_empty() && !inv.held;
-        // Symptom: tries too short for the work fill the workers with what no one waits for any more.
-        if inv.gives_up_at - self.now <= self.usual_service(&self.funcs[inv.func as usize]).mean {
-            return self.give_up(ix, out);
-        }
-        // Symptom: work beyond an account's share crowds out what is within.
-        if inv.over && self.pressed > PRESSED {
+        // Symptom: tries too short for the work fill the workers with what no one waits for any more, or work
+        // beyond an account's share crowds out what is within.
+        let short = inv.gives_up_at - self.now <= self.usual_service(&self.funcs[inv.func as usize]).mean;
+        if short || inv.over && self.pressed > PRESSED {
             return self.give_up(ix, out);
         }
         // A warm worker with a free lane, fewest own in flight.
@@ -570,12 +553,14 @@
         }
         // All lanes busy: one in five loads. No warm worker: load at once, within the bound.
         let warm = self.any_warm(ix);
-        let draw = first && !self.scarce() && self.chance().is_multiple_of(LOAD_ONE_IN);
+        let draw = first && self.pressed < PRESSED && self.chance().is_multiple_of(LOAD_ONE_IN);
         if (!warm || draw)
             && let Some(w) = self.load_place(ix)
-            && self.begin_load(ix, w, out)
         {
-            return;
+            self.begin_load(ix, w, out);
+            if !self.loads.orders {
+                return;
+            }
         }
         // Otherwise held for a lane, while the queue has room.
         if self.room_to_hold(ix) {
@@ -588,14 +573,12 @@
         }
     }
 
-    /// Begins a load for this invocation; true when it went along. Where orders are allowed it stays, for
-    /// whichever lane is free first.
-    fn begin_load(&mut self, ix: InvIx, w: usize, out: &mut Vec<Action>) -> bool {
+    /// Begins a load for this invocation; where orders are allowed it stays, for whichever lane is free first.
+    fn begin_load(&mut self, ix: InvIx, w: usize, out: &mut Vec<Action>) {
         match self.invs[ix as usize].as_ref() {
             Some(inv) if self.loads.orders => self.order(inv.func, w, out),
             _ => self.dispatch(ix, w, true, out),
         }
-        !self.loads.orders
     }
 
     /// Whether the rules let this invocation go to this worker, ever.
@@ -640,32 +623,24 @@
     }
 
     /// Rule 4: what a worker that has just started can surely bear is the cold part of what this router has
-    /// seen one of its kind carry on average; all routers doing so keep to the whole budget.
+    /// seen one carry on average; all routers doing so keep to the whole budget.
     fn cold_room(&self, w: usize) -> bool {
-        let (r, kind) = (&self.rules, self.workers.kind[w]);
-        let age = self.now - self.workers.started[w];
-        if age >= r.cold_for {
+        let r = &self.rules;
+        if self.now - self.workers.started[w] >= r.cold_for {
             return true;
         }
-        let of_kind =
-            |v: &usize| self.workers.kind[*v] == kind && self.workers.standing[*v] == Standing::InService;
-        let all = (0..self.workers.len()).filter(of_kind).count().max(1);
-        let carried = self.carried.get(kind as usize).map_or(0.0, |c| c / CARRIED_WINDOWS / all as f64);
+        let serving = self.workers.standing.iter().filter(|s| **s == Standing::InService).count();
+        let carried = self.carried / CARRIED_WINDOWS / serving.max(1) as f64;
         let budget = COLD_CAUTION * r.overload_multiple * self.grown(w) * carried;
         let since = self.now - r.overload_window;
         let sent = self.workers.recent[w].iter().filter(|&&t| t > since).count();
         sent as f64 + 1.0 <= budget.max(1.0)
     }
 
-    fn learn_carried(&mut self, kind: usize) {
+    fn learn_carried(&mut self) {
         let over = CARRIED_WINDOWS * self.rules.overload_window.max(1) as f64;
-        let left = (-(self.now - self.carried_at) as f64 / over).exp();
-        self.carried.iter_mut().for_each(|c| *c *= left);
+        self.carried = self.carried * (-(self.now - self.carried_at) as f64 / over).exp() + 1.0;
         self.carried_at = self.now;
-        if self.carried.len() <= kind {
-            self.carried.resize(kind + 1, 0.0);
-        }
-        self.carried[kind] += 1.0;
     }
 
     /// The part of its full capacity that a worker surely has at its age.
@@ -691,7 +666,7 @@
     fn mean_load(&self) -> f64 {
         let (own, size) = self
             .good()
-            .fold((0.0, 0.0), |(own, size), w| (own + self.workers.working(w), size + self.size(w)));
+            .fold((0.0, 0.0), |(own, size), w| (own + f64::from(self.workers.own[w]), size + self.size(w)));
         own / size.max(0.1)
     }
 
@@ -699,15 +674,10 @@
     /// slow one): more own work there than its size would take of all of it. A lane there does not count as
     /// free.
     fn crowded(&self, w: usize, mean: f64) -> bool {
-        let own = self.workers.working(w);
+        let own = f64::from(self.workers.own[w]);
         own >= self.workers.bears[w] || own >= CROWD * mean * self.size(w) + CROWD_LEAST
     }
 
-    /// Every good worker has all that it bears: the fleet is overloaded as far as this router can see.
-    fn scarce(&self) -> bool {
-        self.good().all(|w| self.workers.working(w) + 1.0 >= self.workers.bears[w])
-    }
-
     /// Good enough for this invocation: judged good, or due for a trial with what can go elsewhere after.
     fn fit(&self, ix: InvIx, w: usize) -> bool {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
@@ -796,7 +766,7 @@
         let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
         let ratio =
             |w: &usize| (u64::from(f.own[*w]) + f.held.len() as u64) * 1_000 / u64::from(f.lanes_at(*w));
-        let room = |w: usize| f.warm(w, self.now) && self.workers.working(w) < self.workers.bears[w];
+        let room = |w: usize| f.warm(w, self.now) && f64::from(self.workers.own[w]) < self.workers.bears[w];
         (0..f.own.len()).filter(|&w| room(w) && self.fit(ix, w)).min_by_key(ratio)
     }
 
@@ -820,10 +790,9 @@
         self.unhold(ix);
         let now = self.now;
         let Some(inv) = self.invs[ix as usize].as_ref() else { return };
-        let trigger = inv.trigger;
+        let (func, trigger, left) = (inv.func, inv.trigger, inv.gives_up_at - now);
         let bad = self.health.bad(w, trigger, now);
         self.trial_due -= 1;
-        let (func, effect, left) = (inv.func, self.triggers[inv.trigger].effect, inv.gives_up_at - now);
         let f = &self.funcs[func as usize];
         let loading = load || f.loading.is_some_and(|l| l as usize == w);
         let usual = self.usual_service(f);
@@ -831,18 +800,13 @@
         let hush = HUSH * (usual.stretched() + wait);
         let patience = PATIENCE * (usual.stretched() + wait);
         // A further dispatch only if the time left then exceeds the time it is expected to take.
-        let again = effect != Effect::NonIdempotent
+        let again = self.triggers[trigger].effect != Effect::NonIdempotent
             && inv.dispatches.len() as u32 + 1 < self.limits.max_dispatches
             && left - patience > usual.mean;
         out.push(Action::Dispatch { inv: ix, worker: w as WorkerIx, time_out: again.then_some(patience) });
+        let dispatch = Dispatch { worker: w as WorkerIx, at: now, fate: Fate::Out, load };
         if let Some(inv) = self.invs[ix as usize].as_mut() {
-            inv.dispatches.push(Dispatch {
-                worker: w as WorkerIx,
-                at: now,
-                fate: Fate::Out,
-                load,
-                waits: loading,
-            });
+            inv.dispatches.push(dispatch);
         }
         let f = &mut self.funcs[func as usize];
         f.own[w] += 1;
@@ -850,9 +814,7 @@
         if load {
             self.load_begins(func, w);
         }
-        let workers = &mut self.workers;
-        workers.own[w] += 1;
-        workers.waiting[w] += u32::from(loading);
+        self.workers.own[w] += 1;
         self.health.sent(w, trigger, now + hush);
         if bad {
             self.next_trial(w, trigger);
@@ -871,15 +833,11 @@
     }
 
     fn usual_service(&self, f: &Function) -> Usual {
-        let t = &self.triggers[f.trigger];
-        let first = Usual { mean: t.latency_objective / 8, stray: t.latency_objective / 16 };
-        [f.service, self.service[f.trigger]].into_iter().find(|u| u.mean > 0).unwrap_or(first)
+        usual([f.service, self.service[f.trigger]], self.triggers[f.trigger].latency_objective / 8)
     }
 
     fn usual_load(&self, f: &Function) -> Usual {
-        let t = &self.triggers[f.trigger];
-        let first = Usual { mean: t.latency_objective, stray: t.latency_objective / 4 };
-        [f.load, self.load].into_iter().find(|u| u.mean > 0).unwrap_or(first)
+        usual([f.load, self.load], self.triggers[f.trigger].latency_objective)
     }
 
     fn settle(&mut self, e: &Ending, out: &mut Vec<Action>) {
@@ -890,13 +848,11 @@
             return;
         };
         d.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (load, waits, sent_at, func, trigger, work) =
-            (d.load, d.waits, d.at, inv.func, inv.trigger, inv.work);
+        let (load, sent_at, func, trigger, work) = (d.load, d.at, inv.func, inv.trigger, inv.work);
         let f = &mut self.funcs[func as usize];
         f.own[w] = f.own[w].saturating_sub(1);
         self.workers.own[w] = self.workers.own[w].saturating_sub(1);
         self.health.ended(w, trigger);
-        self.workers.waiting[w] -= u32::from(waits);
         if load {
             self.load_ends(func, w);
         }
@@ -914,7 +870,7 @@
         match outcome {
             Outcome::Succeeded => {
                 self.health.judge(w, trigger, now, true);
-                self.learn_carried(self.workers.kind[w] as usize);
+                self.learn_carried();
                 let wait = self.workers.loading[w]
                     .map_or(0, |l| self.usual_load(&self.funcs[l as usize]).stretched());
                 self.health.heard(w, trigger, now + HUSH * (usual.stretched() + wait));
@@ -954,9 +910,9 @@
             // A try that its client ended before an answer was due tells nothing.
             Outcome::TimedOut if took < usual.stretched() => {}
             Outcome::Errored | Outcome::TimedOut => self.health.judge(w, trigger, now, false),
+            // A dead process or a cut link weighs twice.
             Outcome::Unreachable | Outcome::Broken => {
-                // A dead process or a cut link weighs twice.
-                (0..2).for_each(|_| self.health.judge(w, trigger, now, false));
+                (0..2).for_each(|_| self.health.judge(w, trigger, now, false))
             }
         }
         if concluded {
@@ -1033,12 +989,12 @@
             let inv = self.invs[ix as usize].as_ref();
             inv.map_or((0, 0, ix), |i| (-self.worth(i), i.arrived, ix))
         });
-        let scarce = self.scarce();
         for ix in held {
             let Some(inv) = self.invs[ix as usize].as_ref() else { continue };
             let service = self.usual_service(&self.funcs[inv.func as usize]);
-            // When work is scarce, an answer that can only be late takes the place of one in time.
-            let ends = if scarce { inv.objective_at - service.stray } else { inv.gives_up_at };
+            // While workers are pressed, an answer that can only be late takes the place of one in time.
+            let ends =
+                if self.pressed > PRESSED { inv.objective_at - service.stray } else { inv.gives_up_at };
             if ends - self.now <= service.mean {
                 self.give_up(ix, out);
             } else if let Some(w) = self.free_lane(ix) {
@@ -1076,13 +1032,10 @@
 
     fn load_begins(&mut self, func: FnIx, w: usize) {
         self.funcs[func as usize].loading = Some(w as WorkerIx);
-        self.workers.loading[w] = Some(func);
-        self.workers.loaded_by[w] = self.now + self.usual_load(&self.funcs[func as usize]).mean;
+        self.takes_load(func, w);
     }
 
-    /// Symptom: a worker without room for a copy says so at once and is asked again at once. It takes no load
-    /// from here for a load's usual time.
-    fn no_load(&mut self, w: usize, func: FnIx) {
+    fn takes_load(&mut self, func: FnIx, w: usize) {
         self.workers.loading[w] = Some(func);
         self.workers.loaded_by[w] = self.now + self.usual_load(&self.funcs[func as usize]).mean;
     }
@@ -1096,51 +1049,41 @@
         ended
     }
 
-    fn order_ended(
-        &mut self,
-        w: usize,
-        func: FnIx,
-        result: OrderResult,
-        copies: u32,
-        took: Micros,
-        out: &mut Vec<Action>,
-    ) {
-        let f = &mut self.funcs[func as usize];
-        if !f.known {
+    fn order_ended(&mut self, event: &Event, out: &mut Vec<Action>) {
+        let &Event::OrderEnded { worker, func, result, copies, took } = event else { return };
+        if !self.funcs[func as usize].known {
             return;
         }
-        f.orders = f.orders.saturating_sub(1);
+        let w = worker as usize;
         let usual = self.usual_load(&self.funcs[func as usize]);
         let loaded = self.load_ends(func, w);
-        if matches!(result, OrderResult::NoRoom | OrderResult::LoadErrored) {
-            self.no_load(w, func);
-        }
         let f = &mut self.funcs[func as usize];
-        match result {
-            OrderResult::Stand | OrderResult::NoRoom => {
-                if copies > 0 {
-                    f.copies[w] = copies;
-                    f.warm_until[w] = f.warm_until[w].max(self.now + self.loads.idle_kept);
-                    // One answered at once found the copy standing.
-                    if loaded && took > usual.mean / GAIN {
-                        f.load.learn(took);
-                        self.load.learn(took);
-                        self.fewer_homes(func);
-                    }
-                } else if !(result == OrderResult::Stand && f.own[w] > 0) {
-                    f.cool(w);
-                }
-            }
-            OrderResult::LoadErrored => f.cool(w),
-            OrderResult::Broken | OrderResult::Unreachable | OrderResult::TimedOut => {
-                f.cool(w);
-                self.health.judge(w, self.triggers.len(), self.now, false);
+        f.orders = f.orders.saturating_sub(1);
+        let answered = matches!(result, OrderResult::Stand | OrderResult::NoRoom);
+        if answered && copies > 0 {
+            f.copies[w] = copies;
+            f.warm_until[w] = f.warm_until[w].max(self.now + self.loads.idle_kept);
+            // One answered at once found the copy standing.
+            if loaded && took > usual.mean / GAIN {
+                f.load.learn(took);
+                self.load.learn(took);
+                self.fewer_homes(func);
             }
+        } else if result != OrderResult::Stand || f.own[w] == 0 {
+            f.cool(w);
+        }
+        if matches!(result, OrderResult::NoRoom | OrderResult::LoadErrored) {
+            // Symptom: a worker without room for a copy says so at once and is asked again at once. It takes
+            // no load from here for a load's usual time.
+            self.takes_load(func, w);
+        } else if !answered {
+            self.health.judge(w, self.triggers.len(), self.now, false);
         }
         self.retry_held(Some(func), out);
     }
 
     fn tick(&mut self, out: &mut Vec<Action>) {
+        self.next_tick = None;
         let (now, kept) = (self.now, self.loads.idle_kept);
         let since = now - self.loads.ration_window;
         [&mut self.ordered, &mut self.taken].into_iter().for_each(|q| forget_before(q, since));
