--- a/src/control.rs
+++ b/src/control.rs
@@ -862,11 +862,11 @@
         if crowd > 0 && sent_at >= f.homes_at {
             self.more_homes(func, f.homes * crowd as usize * 2);
         }
-        let late = match outcome {
-            Outcome::Throttled | Outcome::TimedOut => true,
-            _ => took > self.triggers[trigger].latency_objective,
-        };
-        self.pressed += (f64::from(u8::from(late)) - self.pressed) / GAIN as f64;
+        let late = took > self.triggers[trigger].latency_objective;
+        if let Outcome::Succeeded | Outcome::Throttled = outcome {
+            let late = late || outcome == Outcome::Throttled;
+            self.pressed += (f64::from(u8::from(late)) - self.pressed) / GAIN as f64;
+        }
         match outcome {
             Outcome::Succeeded => {
                 self.health.judge(w, trigger, now, true);
