--- a/src/control.rs
+++ b/src/control.rs
@@ -31,9 +31,8 @@
 const HUSH: Micros = 2;
 /// A dispatch is timed out after so many times that; shorter ones repeat what was only slow.
 const PATIENCE: Micros = 6;
-/// A bad worker is tried after this part of the shortest latency objective; the gap doubles so many times.
+/// A bad worker is tried again after this part of the shortest latency objective.
 const TRIAL_PART: Micros = 2;
-const TRIAL_DOUBLINGS: u32 = 3;
 /// At most one in so many dispatches is a trial, however many workers are bad.
 const TRIAL_ONE_IN: i32 = 10;
 /// A worker is crowded with so many times the mean load, and so many dispatches in any case.
@@ -41,7 +40,6 @@
 const CROWD_LEAST: f64 = 1.0;
 /// An answer past the latency objective, or a full one, leaves so much of what the worker bore.
 const BACK_OFF: f64 = 0.8;
-const BEARS_MOST: f64 = 1e6; // No bound known yet.
 /// Estimates move by one part in so many with each sample (as for round trips in TCP).
 const GAIN: Micros = 8;
 /// Part of the cold budget that is used: arrivals are uneven, other routers' parts known but roughly.
@@ -176,7 +174,7 @@
         self.fingerprint.resize(n, 0);
         self.standing.resize(n, Standing::Gone);
         self.weight.resize(n, 1.0);
-        self.bears.resize(n, BEARS_MOST);
+        self.bears.resize(n, f64::INFINITY);
         self.loading.resize(n, None);
         self.recent.resize_with(n, VecDeque::new);
     }
@@ -191,7 +189,7 @@
                 self.bears_at[w] = now;
             }
         } else if own >= self.bears[w] {
-            self.bears[w] = (self.bears[w] + 1.0 / self.bears[w]).min(BEARS_MOST);
+            self.bears[w] += 1.0 / self.bears[w];
         }
     }
 }
@@ -211,13 +209,12 @@
     /// While dispatches are out: an answer should have come by then.
     due: Vec<Micros>,
     trial_at: Vec<Micros>,
-    trials: Vec<u32>,
 }
 
 impl Health {
     fn grow(&mut self, workers: usize) {
         let n = workers * (self.types + 1);
-        let counts = [&mut self.own, &mut self.outcomes, &mut self.judged, &mut self.trials];
+        let counts = [&mut self.own, &mut self.outcomes, &mut self.judged];
         counts.into_iter().for_each(|v| v.resize(n, 0));
         let times = [&mut self.judged_at, &mut self.due, &mut self.trial_at];
         times.into_iter().for_each(|v| v.resize(n, NO_TIME));
@@ -261,7 +258,6 @@
             self.outcomes[slot] = (self.outcomes[slot] << 1 | u32::from(succeeded)) & ((1 << JUDGED) - 1);
             self.judged[slot] = (self.judged[slot] + 1).min(JUDGED);
             self.judged_at[slot] = now;
-            self.trials[slot] *= u32::from(!succeeded);
         }
     }
 
@@ -309,24 +305,18 @@
     orders: u32,
     own: Vec<u32>,
     warm_until: Vec<Micros>,
-    copies: Vec<u32>,
 }
 
 impl Function {
     fn grow(&mut self, n: usize) {
         self.own.resize(n, 0);
         self.warm_until.resize(n, NO_TIME);
-        self.copies.resize(n, 0);
     }
     fn warm(&self, w: usize, now: Micros) -> bool {
         self.own[w] > 0 && self.warm_until[w] > NO_TIME || self.warm_until[w] > now
     }
-    fn lanes_at(&self, w: usize) -> u32 {
-        self.lanes * self.copies[w].max(1)
-    }
     fn cool(&mut self, w: usize) {
         self.warm_until[w] = NO_TIME;
-        self.copies[w] = 0;
     }
 }
 
@@ -581,6 +571,11 @@
         }
     }
 
+    fn found(&self, ix: InvIx) -> Option<(&Inv, &Function)> {
+        let inv = self.invs[ix as usize].as_ref()?;
+        Some((inv, &self.funcs[inv.func as usize]))
+    }
+
     /// Whether the rules let this invocation go to this worker, ever.
     fn allowed(&self, inv: &Inv, w: usize) -> bool {
         if inv.ended
@@ -654,19 +649,11 @@
         self.workers.weight[w].max(0.1) * self.grown(w)
     }
 
-    fn good(&self) -> impl Iterator<Item = usize> {
-        let (all, now) = (self.triggers.len(), self.now);
-        let good = move |w: &usize| {
-            self.workers.standing[*w] == Standing::InService && !self.health.bad(*w, all, now)
-        };
-        (0..self.workers.len()).filter(good)
-    }
-
-    /// Own dispatches in flight for each unit of size, over the workers judged good.
+    /// Own dispatches in flight for each unit of size, over the workers in service.
     fn mean_load(&self) -> f64 {
-        let (own, size) = self
-            .good()
-            .fold((0.0, 0.0), |(own, size), w| (own + f64::from(self.workers.own[w]), size + self.size(w)));
+        let serving = (0..self.workers.len()).filter(|&w| self.workers.standing[w] == Standing::InService);
+        let add = |(own, size), w| (own + f64::from(self.workers.own[w]), size + self.size(w));
+        let (own, size): (f64, f64) = serving.fold((0.0, 0.0), add);
         own / size.max(0.1)
     }
 
@@ -679,9 +666,8 @@
     }
 
     /// Good enough for this invocation: judged good, or due for a trial with what can go elsewhere after.
-    fn fit(&self, ix: InvIx, w: usize) -> bool {
-        let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
-        if !self.allowed(inv, w) || !self.cold_room(w) || self.too_slow(inv, w) || self.turned_away(inv, w) {
+    fn fit(&self, inv: &Inv, w: usize) -> bool {
+        if !self.allowed(inv, w) || !self.cold_room(w) || self.too_slow(inv, w) {
             return false;
         }
         if !self.health.bad(w, inv.trigger, self.now) {
@@ -692,14 +678,6 @@
         safe && inv.dispatches.is_empty() && self.health.trial_at[slot] <= self.now && self.trial_due <= 0
     }
 
-    /// Symptom: a full worker answers fastest of all, so it has the fewest own in flight and is asked again
-    /// at once. It is not asked again for the same invocation before a usual work's time has passed.
-    fn turned_away(&self, inv: &Inv, w: usize) -> bool {
-        let rest = self.usual_service(&self.funcs[inv.func as usize]).mean;
-        let at = |d: &Dispatch| d.worker as usize == w && d.fate == Fate::NeverRan && self.now - d.at < rest;
-        inv.dispatches.iter().any(at)
-    }
-
     /// Symptom: heavy invocations, dear where value goes by work, come late from slow machines even when idle.
     /// For a while they wait for a kind on which their time suffices, if there is one.
     fn too_slow(&self, inv: &Inv, w: usize) -> bool {
@@ -711,15 +689,15 @@
 
     fn free_lane(&mut self, ix: InvIx) -> Option<usize> {
         let draw = self.chance();
-        let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
+        let (inv, f) = self.found(ix)?;
         let mean = self.mean_load();
         let free = |w: &usize| {
             let loading = self.loads.orders && f.loading.is_some_and(|l| l as usize == *w);
             f.warm(*w, self.now)
                 && !loading
-                && f.own[*w] < f.lanes_at(*w)
+                && f.own[*w] < f.lanes
                 && !self.crowded(*w, mean)
-                && self.fit(ix, *w)
+                && self.fit(inv, *w)
         };
         let own = &self.workers.own;
         let mut ties: Vec<usize> = (0..f.own.len()).filter(free).collect();
@@ -729,16 +707,16 @@
     }
 
     fn any_warm(&self, ix: InvIx) -> bool {
-        let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
-        let f = &self.funcs[inv.func as usize];
-        (0..f.own.len()).any(|w| f.warm(w, self.now) && self.fit(ix, w))
+        let warm =
+            |(inv, f): (&Inv, &Function)| (0..f.own.len()).any(|w| f.warm(w, self.now) && self.fit(inv, w));
+        self.found(ix).is_some_and(warm)
     }
 
     /// Where a new load goes: this router's home of the function, then the other homes, then the shared order,
     /// so that routers find each other's copies. One load under way per function and, for its usual time, per
     /// worker.
     fn load_place(&self, ix: InvIx) -> Option<usize> {
-        let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
+        let (inv, f) = self.found(ix)?;
         if f.loading.is_some() || (self.loads.orders && !self.order_left()) {
             return None;
         }
@@ -748,26 +726,24 @@
         let mine = (0..homes).map(|i| (first + i) % homes).chain(homes..f.order.len());
         mine.map(|i| f.order[i] as usize).find(|&w| {
             let open = self.workers.loading[w].is_none() || self.workers.loaded_by[w] < self.now;
-            open && !f.warm(w, self.now) && !self.crowded(w, mean) && self.fit(ix, w)
+            open && !f.warm(w, self.now) && !self.crowded(w, mean) && self.fit(inv, w)
         })
     }
 
     /// Held ones should leave within what their latency objective leaves beside the work itself.
     fn room_to_hold(&self, ix: InvIx) -> bool {
-        let Some(inv) = self.invs[ix as usize].as_ref() else { return false };
-        let f = &self.funcs[inv.func as usize];
+        let Some((inv, f)) = self.found(ix) else { return false };
         let service = self.usual_service(f).mean.max(1);
-        let lanes: u32 = (0..f.own.len()).filter(|&w| f.warm(w, self.now)).map(|w| f.lanes_at(w)).sum();
-        let wait = f.held.len() as Micros * service / Micros::from(lanes.max(1));
+        let homes = (0..f.own.len()).filter(|&w| f.warm(w, self.now)).count() as Micros;
+        let wait = f.held.len() as Micros * service / (homes * Micros::from(f.lanes)).max(1);
         wait < (inv.objective_at - self.now - service).max(0)
     }
 
+    /// The lowest ratio of own in flight and held to lanes: all have the same lanes and held ones.
     fn least_busy(&self, ix: InvIx) -> Option<usize> {
-        let f = &self.funcs[self.invs[ix as usize].as_ref()?.func as usize];
-        let ratio =
-            |w: &usize| (u64::from(f.own[*w]) + f.held.len() as u64) * 1_000 / u64::from(f.lanes_at(*w));
+        let (inv, f) = self.found(ix)?;
         let room = |w: usize| f.warm(w, self.now) && f64::from(self.workers.own[w]) < self.workers.bears[w];
-        (0..f.own.len()).filter(|&w| room(w) && self.fit(ix, w)).min_by_key(ratio)
+        (0..f.own.len()).filter(|&w| room(w) && self.fit(inv, w)).min_by_key(|&w| f.own[w])
     }
 
     fn hold(&mut self, ix: InvIx) {
@@ -817,21 +793,15 @@
         self.workers.own[w] += 1;
         self.health.sent(w, trigger, now + hush);
         if bad {
-            self.next_trial(w, trigger);
+            let shortest = self.triggers.iter().map(|t| t.latency_objective).min().unwrap_or(0);
+            let [slot, _] = self.health.slots(w, trigger);
+            self.health.trial_at[slot] = now + shortest / TRIAL_PART;
+            self.trial_due = TRIAL_ONE_IN;
         }
         forget_before(&mut self.workers.recent[w], now - self.rules.overload_window);
         self.workers.recent[w].push_back(now);
     }
 
-    fn next_trial(&mut self, w: usize, t: usize) {
-        let shortest = self.triggers.iter().map(|t| t.latency_objective).min().unwrap_or(0);
-        let [slot, _] = self.health.slots(w, t);
-        let h = &mut self.health;
-        h.trial_at[slot] = self.now + ((shortest / TRIAL_PART) << h.trials[slot]);
-        h.trials[slot] = (h.trials[slot] + 1).min(TRIAL_DOUBLINGS);
-        self.trial_due = TRIAL_ONE_IN;
-    }
-
     fn usual_service(&self, f: &Function) -> Usual {
         usual([f.service, self.service[f.trigger]], self.triggers[f.trigger].latency_objective / 8)
     }
@@ -1061,7 +1031,6 @@
         f.orders = f.orders.saturating_sub(1);
         let answered = matches!(result, OrderResult::Stand | OrderResult::NoRoom);
         if answered && copies > 0 {
-            f.copies[w] = copies;
             f.warm_until[w] = f.warm_until[w].max(self.now + self.loads.idle_kept);
             // One answered at once found the copy standing.
             if loaded && took > usual.mean / GAIN {
