--- a/src/control.rs
+++ b/src/control.rs
@@ -119,7 +119,6 @@
     objective_at: Micros,
     gives_up_at: Micros,
     ended: bool,
-    held: bool,
     dispatches: Vec<Dispatch>,
 }
 
@@ -154,8 +153,7 @@
     /// Own dispatches that it answers in time, as far as has been seen.
     bears: Vec<f64>,
     bears_at: Vec<Micros>,
-    /// The function that this router has loading there, and until when that should be done.
-    loading: Vec<Option<FnIx>>,
+    /// It takes no further load from here until then: one is under way, or it has no room.
     loaded_by: Vec<Micros>,
     /// Dispatches within the cold rule's window.
     recent: Vec<VecDeque<Micros>>,
@@ -175,7 +173,6 @@
         self.standing.resize(n, Standing::Gone);
         self.weight.resize(n, 1.0);
         self.bears.resize(n, f64::INFINITY);
-        self.loading.resize(n, None);
         self.recent.resize_with(n, VecDeque::new);
     }
 
@@ -269,9 +266,7 @@
     }
 
     fn ended(&mut self, w: usize, t: usize) {
-        for slot in self.slots(w, t) {
-            self.own[slot] = self.own[slot].saturating_sub(1);
-        }
+        self.slots(w, t).into_iter().for_each(|slot| self.own[slot] = self.own[slot].saturating_sub(1));
     }
 
     /// An answer came; the next, if any is out, is due after this.
@@ -454,9 +449,7 @@
             gives_up_at,
             ..Inv::default()
         });
-        if self.loads.ration_window > 0 {
-            self.taken.push_back(now);
-        }
+        self.taken.push_back(now);
         if self.funcs.len() <= a.func as usize {
             self.funcs.resize_with(a.func as usize + 1, Function::default);
         }
@@ -530,7 +523,7 @@
     /// The ordinary path of an invocation, from top to bottom.
     fn route(&mut self, ix: InvIx, out: &mut Vec<Action>) {
         let Some(inv) = self.invs[ix as usize].as_ref() else { return };
-        let first = inv.dispatches.is_empty() && !inv.held;
+        let first = inv.dispatches.is_empty();
         // Symptom: tries too short for the work fill the workers with what no one waits for any more, or work
         // beyond an account's share crowds out what is within.
         let short = inv.gives_up_at - self.now <= self.usual_service(&self.funcs[inv.func as usize]).mean;
@@ -725,8 +718,10 @@
         let first = self.fleet.position as usize % f.homes.max(1);
         let mine = (0..homes).map(|i| (first + i) % homes).chain(homes..f.order.len());
         mine.map(|i| f.order[i] as usize).find(|&w| {
-            let open = self.workers.loading[w].is_none() || self.workers.loaded_by[w] < self.now;
-            open && !f.warm(w, self.now) && !self.crowded(w, mean) && self.fit(inv, w)
+            self.workers.loaded_by[w] < self.now
+                && !f.warm(w, self.now)
+                && !self.crowded(w, mean)
+                && self.fit(inv, w)
         })
     }
 
@@ -747,18 +742,17 @@
     }
 
     fn hold(&mut self, ix: InvIx) {
-        if let Some(inv) = self.invs[ix as usize].as_mut().filter(|i| !i.held) {
-            inv.held = true;
+        self.unhold(ix);
+        if let Some(inv) = self.invs[ix as usize].as_ref() {
             self.held += 1;
             self.funcs[inv.func as usize].held.push(ix);
         }
     }
 
     fn unhold(&mut self, ix: InvIx) {
-        if let Some(inv) = self.invs[ix as usize].as_mut().filter(|i| i.held) {
-            inv.held = false;
-            self.held -= 1;
-            self.funcs[inv.func as usize].held.retain(|&h| h != ix);
+        if let Some(inv) = self.invs[ix as usize].as_ref() {
+            let held = &mut self.funcs[inv.func as usize].held;
+            self.held -= held.extract_if(.., |h| *h == ix).count() as u32;
         }
     }
 
@@ -841,9 +835,8 @@
             Outcome::Succeeded => {
                 self.health.judge(w, trigger, now, true);
                 self.learn_carried();
-                let wait = self.workers.loading[w]
-                    .map_or(0, |l| self.usual_load(&self.funcs[l as usize]).stretched());
-                self.health.heard(w, trigger, now + HUSH * (usual.stretched() + wait));
+                let loaded_by = self.workers.loaded_by[w].max(now);
+                self.health.heard(w, trigger, loaded_by + HUSH * usual.stretched());
                 let f = &mut self.funcs[func as usize];
                 f.warm_until[w] = now + self.loads.idle_kept;
                 let loaded = match note {
@@ -987,12 +980,7 @@
     }
 
     fn order(&mut self, func: FnIx, w: usize, out: &mut Vec<Action>) {
-        if !self.order_left() || !self.takes_new(w) {
-            return;
-        }
-        if self.loads.ration_window > 0 {
-            self.ordered.push_back(self.now);
-        }
+        self.ordered.push_back(self.now);
         out.push(Action::Order { worker: w as WorkerIx, func, copies: 1 });
         self.load_begins(func, w);
         let f = &mut self.funcs[func as usize];
@@ -1002,11 +990,6 @@
 
     fn load_begins(&mut self, func: FnIx, w: usize) {
         self.funcs[func as usize].loading = Some(w as WorkerIx);
-        self.takes_load(func, w);
-    }
-
-    fn takes_load(&mut self, func: FnIx, w: usize) {
-        self.workers.loading[w] = Some(func);
         self.workers.loaded_by[w] = self.now + self.usual_load(&self.funcs[func as usize]).mean;
     }
 
@@ -1014,7 +997,7 @@
     fn load_ends(&mut self, func: FnIx, w: usize) -> bool {
         let ended = self.funcs[func as usize].loading.take_if(|l| *l as usize == w).is_some();
         if ended {
-            self.workers.loading[w].take_if(|l| *l == func);
+            self.workers.loaded_by[w] = NO_TIME;
         }
         ended
     }
@@ -1044,7 +1027,7 @@
         if matches!(result, OrderResult::NoRoom | OrderResult::LoadErrored) {
             // Symptom: a worker without room for a copy says so at once and is asked again at once. It takes
             // no load from here for a load's usual time.
-            self.takes_load(func, w);
+            self.workers.loaded_by[w] = self.now + usual.mean;
         } else if !answered {
             self.health.judge(w, self.triggers.len(), self.now, false);
         }
@@ -1107,7 +1090,7 @@
         for w in lost {
             // A restarted process is empty and not yet judged.
             self.health.forget(w);
-            self.workers.loading[w] = None;
+            self.workers.loaded_by[w] = NO_TIME;
             for f in &mut self.funcs {
                 f.cool(w);
                 f.loading.take_if(|l| *l as usize == w);
