--- a/src/control.rs
+++ b/src/control.rs
@@ -13,27 +13,24 @@
 //! 6. Drains: a warm worker told to drain serves on within the grace.
 
 use std::collections::VecDeque;
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
 use crate::interface::*;
 
 /// One load on so many draws when every warm lane is busy (the paper's 20%).
 const LOAD_ONE_IN: u64 = 5;
-/// The design's retry pace for held invocations.
+/// The design's retry pace for held invocations; without any, upkeep this often in the time a copy is kept.
 const RETRY_PACE: Micros = 10_000;
-/// Upkeep runs this many times within the time that an idle copy is kept.
 const UPKEEP_STEPS: Micros = 100;
 /// Outcomes that a worker is judged by; few, so that a hang shows at once and is soon forgiven.
 const JUDGED: u32 = 8;
 /// A long but usual time: the mean and so many deviations.
 const DEVIATIONS: Micros = 4;
-/// A worker is silent when it has given no answer at all for so many times that.
+/// Silent for so many times that is a hang; a dispatch is timed out later: sooner repeats what was only slow.
 const HUSH: Micros = 2;
-/// A dispatch is timed out after so many times that; shorter ones repeat what was only slow.
 const PATIENCE: Micros = 6;
-/// A bad worker is tried again after this part of the shortest latency objective.
+/// A bad worker is tried again after this part of the shortest objective, by one in so many dispatches at most.
 const TRIAL_PART: Micros = 2;
-/// At most one in so many dispatches is a trial, however many workers are bad.
 const TRIAL_ONE_IN: i32 = 10;
 /// A worker is crowded with so many times the mean load, and so many dispatches in any case.
 const CROWD: f64 = 1.5;
@@ -42,27 +39,21 @@
 const BACK_OFF: f64 = 0.8;
 /// Estimates move by one part in so many with each sample (as for round trips in TCP).
 const GAIN: Micros = 8;
-/// Part of the cold budget that is used: arrivals are uneven, other routers' parts known but roughly.
+/// Part of the cold budget that is used, as arrivals are uneven; what workers carry is averaged over windows.
 const COLD_CAUTION: f64 = 0.7;
-/// What workers carry is averaged over so many of the cold rule's windows.
 const CARRIED_WINDOWS: f64 = 3.0;
 /// A function unused for so many times the kept-idle time is forgotten.
 const FORGET_AFTER: Micros = 4;
-
-/// Homes of a function: so many for each worker's worth of work that it asks for.
+/// Homes of a function for each worker's worth of work; more with so many invocations a lane at one of them.
 const HOMES: f64 = 2.0;
-/// With so many of a function's invocations for each lane at a home it has too few homes.
 const HOME_CROWD: u32 = 2;
-
 /// An account's share may be used this unevenly: so many seconds of it at once.
 const SHARE_SECONDS: f64 = 2.0;
-/// Workers are pressed when over this part of the dispatches ends late, full or timed out.
+/// Workers are pressed when over this part of the answers is late or full.
 const PRESSED: f64 = 0.2;
-
 /// Slowness of a kind of machine moves by one part in so many; a sample counts so much at most.
 const SLOWNESS_GAIN: f64 = 32.0;
 const SLOWEST: f64 = 8.0;
-
 const NO_TIME: Micros = Micros::MIN / 2;
 
 /// A usual time and how far samples stray from it.
@@ -126,9 +117,10 @@
     fn out(&self) -> bool {
         self.dispatches.iter().any(|d| d.fate == Fate::Out)
     }
-    fn may_have_run(&self) -> bool {
-        self.dispatches.iter().any(|d| d.fate != Fate::NeverRan)
-    }
+}
+
+fn hashed(of: (u64, u64)) -> u64 {
+    BuildHasherDefault::<DefaultHasher>::default().hash_one(of)
 }
 
 fn forget_before(times: &mut VecDeque<Micros>, since: Micros) {
@@ -392,9 +384,13 @@
                 self.take(&arrival);
                 self.route(arrival.inv, out);
             }
-            Event::Departed { inv } => {
-                self.call_back(inv, out);
-                self.conclude(inv);
+            Event::Departed { inv: ix } => {
+                // Symptom: work is done for clients that have left. What still waits at a worker is dropped.
+                if let Some(inv) = self.invs[ix as usize].as_ref().filter(|_| self.limits.withdrawals) {
+                    let outs = inv.dispatches.iter().enumerate().filter(|(_, d)| d.fate == Fate::Out);
+                    out.extend(outs.map(|(n, _)| Action::Withdraw { inv: ix, dispatch: n as u32 }));
+                }
+                self.conclude(ix);
             }
             Event::Answering { inv, .. } => self.conclude(inv),
             Event::DispatchEnded(ending) => self.settle(&ending, out),
@@ -412,9 +408,7 @@
 
     fn chance(&mut self) -> u64 {
         self.draws += 1;
-        let mut h = DefaultHasher::new();
-        (self.seed, self.draws).hash(&mut h);
-        h.finish()
+        hashed((self.seed, self.draws))
     }
 
     /// Whether one more is beyond the account's share: its allowance comes in steadily, this router's part of it.
@@ -456,7 +450,7 @@
         let f = &mut self.funcs[a.func as usize];
         let new = !f.known;
         (f.known, f.fingerprint, f.trigger) = (true, a.fingerprint, a.trigger as usize);
-        (f.lanes, f.used) = (a.lanes, now);
+        (f.lanes, f.used) = (a.lanes.max(1), now);
         f.open += 1;
         if let Some(hint) = a.load_hint.filter(|_| f.load.mean == 0) {
             f.load = Usual { mean: hint.max(1), stray: hint / 4 };
@@ -480,9 +474,7 @@
         let all = self.asked * (-(now - self.asked_at) as f64 / over).exp();
         (f.asked, f.asked_at) = (before + 1.0, now);
         (self.asked, self.asked_at) = (all + work, now);
-        let surely = before * work;
-        let wanted = (HOMES * workers as f64 * surely / all.max(1.0)).ceil() as usize;
-        self.more_homes(func, wanted);
+        self.more_homes(func, (HOMES * workers as f64 * before * work / all.max(1.0)).ceil() as usize);
     }
 
     fn more_homes(&mut self, func: FnIx, wanted: usize) {
@@ -509,24 +501,18 @@
     /// The shared hash order of workers for a function: the same at every router.
     fn rank(&mut self, func: FnIx) {
         let (workers, f) = (&self.workers, &mut self.funcs[func as usize]);
-        let key = |w: u32| {
-            let mut h = DefaultHasher::new();
-            (workers.fingerprint[w as usize], f.fingerprint).hash(&mut h);
-            h.finish()
-        };
-        f.order = (0..workers.len() as u32)
-            .filter(|&w| workers.standing[w as usize] == Standing::InService)
-            .collect();
-        f.order.sort_by_cached_key(|&w| key(w));
+        let serves = |w: &u32| workers.standing[*w as usize] == Standing::InService;
+        f.order = (0..workers.len() as u32).filter(serves).collect();
+        f.order.sort_by_cached_key(|&w| hashed((workers.fingerprint[w as usize], f.fingerprint)));
     }
 
     /// The ordinary path of an invocation, from top to bottom.
     fn route(&mut self, ix: InvIx, out: &mut Vec<Action>) {
-        let Some(inv) = self.invs[ix as usize].as_ref() else { return };
+        let Some((inv, f)) = self.found(ix) else { return };
         let first = inv.dispatches.is_empty();
         // Symptom: tries too short for the work fill the workers with what no one waits for any more, or work
         // beyond an account's share crowds out what is within.
-        let short = inv.gives_up_at - self.now <= self.usual_service(&self.funcs[inv.func as usize]).mean;
+        let short = inv.gives_up_at - self.now <= self.usual_service(f).mean;
         if short || inv.over && self.pressed > PRESSED {
             return self.give_up(ix, out);
         }
@@ -603,13 +589,6 @@
         }
     }
 
-    fn may_throttle(&self, inv: &Inv) -> bool {
-        match self.triggers[inv.trigger].effect {
-            Effect::Idempotent | Effect::Tokened { group: RepeatGroup::All, .. } => true,
-            _ => !inv.may_have_run(),
-        }
-    }
-
     /// Rule 4: what a worker that has just started can surely bear is the cold part of what this router has
     /// seen one carry on average; all routers doing so keep to the whole budget.
     fn cold_room(&self, w: usize) -> bool {
@@ -625,10 +604,9 @@
         sent as f64 + 1.0 <= budget.max(1.0)
     }
 
-    fn learn_carried(&mut self) {
-        let over = CARRIED_WINDOWS * self.rules.overload_window.max(1) as f64;
-        self.carried = self.carried * (-(self.now - self.carried_at) as f64 / over).exp() + 1.0;
-        self.carried_at = self.now;
+    /// What a worker can do beside others: its registered size, less while it is cold.
+    fn size(&self, w: usize) -> f64 {
+        self.workers.weight[w].max(0.1) * self.grown(w)
     }
 
     /// The part of its full capacity that a worker surely has at its age.
@@ -637,11 +615,6 @@
         self.rules.cold_part + (1.0 - self.rules.cold_part) * age.min(1.0)
     }
 
-    /// What a worker can do beside others: its registered size, less while it is cold.
-    fn size(&self, w: usize) -> f64 {
-        self.workers.weight[w].max(0.1) * self.grown(w)
-    }
-
     /// Own dispatches in flight for each unit of size, over the workers in service.
     fn mean_load(&self) -> f64 {
         let serving = (0..self.workers.len()).filter(|&w| self.workers.standing[w] == Standing::InService);
@@ -674,8 +647,8 @@
     /// Symptom: heavy invocations, dear where value goes by work, come late from slow machines even when idle.
     /// For a while they wait for a kind on which their time suffices, if there is one.
     fn too_slow(&self, inv: &Inv, w: usize) -> bool {
-        let slowness = |k: usize| self.slowness.get(k).copied().unwrap_or(1.0);
-        let (left, own) = ((inv.objective_at - self.now) as f64, slowness(self.workers.kind[w] as usize));
+        let (left, own) =
+            ((inv.objective_at - self.now) as f64, self.slowness[self.workers.kind[w] as usize]);
         let best = self.slowness.iter().copied().fold(own, f64::min);
         inv.work as f64 * own > left && inv.work as f64 * best < left && self.now - inv.arrived < inv.work
     }
@@ -714,7 +687,7 @@
             return None;
         }
         let mean = self.mean_load();
-        let homes = f.homes.clamp(1, f.order.len().max(1));
+        let homes = f.homes.min(f.order.len());
         let first = self.fleet.position as usize % f.homes.max(1);
         let mine = (0..homes).map(|i| (first + i) % homes).chain(homes..f.order.len());
         mine.map(|i| f.order[i] as usize).find(|&w| {
@@ -834,7 +807,9 @@
         match outcome {
             Outcome::Succeeded => {
                 self.health.judge(w, trigger, now, true);
-                self.learn_carried();
+                let over = CARRIED_WINDOWS * self.rules.overload_window.max(1) as f64;
+                self.carried = self.carried * (-(now - self.carried_at) as f64 / over).exp() + 1.0;
+                self.carried_at = now;
                 let loaded_by = self.workers.loaded_by[w].max(now);
                 self.health.heard(w, trigger, loaded_by + HUSH * usual.stretched());
                 let f = &mut self.funcs[func as usize];
@@ -847,13 +822,9 @@
                 if !loaded {
                     f.service.learn(took);
                     self.service[trigger].learn(took);
-                    let kind = self.workers.kind[w] as usize;
-                    if work > 0 && self.slowness.len() <= kind {
-                        self.slowness.resize(kind + 1, 1.0);
-                    }
-                    if let Some(slowness) = self.slowness.get_mut(kind).filter(|_| work > 0) {
-                        let sample = (took as f64 / work as f64).min(SLOWEST);
-                        *slowness += (sample - *slowness) / SLOWNESS_GAIN;
+                    if work > 0 {
+                        let slowness = &mut self.slowness[self.workers.kind[w] as usize];
+                        *slowness += ((took as f64 / work as f64).min(SLOWEST) - *slowness) / SLOWNESS_GAIN;
                     }
                     self.workers.learn_bears(w, now, took, self.triggers[trigger].latency_objective);
                 } else if note == CopyNote::Began || load {
@@ -888,11 +859,9 @@
 
     /// After a dispatch without success: another one, or the final answer at once.
     fn follow_up(&mut self, ix: InvIx, out: &mut Vec<Action>) {
-        let Some(inv) = self.invs[ix as usize].as_ref().filter(|i| !i.ended && !i.out()) else { return };
-        let left = inv.gives_up_at - self.now;
-        let f = &self.funcs[inv.func as usize];
+        let Some((inv, f)) = self.found(ix).filter(|(i, _)| !i.ended && !i.out()) else { return };
         let again = (0..self.workers.len()).any(|w| self.allowed(inv, w));
-        if again && left > self.usual_service(f).mean {
+        if again && inv.gives_up_at - self.now > self.usual_service(f).mean {
             self.route(ix, out);
         } else {
             self.give_up(ix, out);
@@ -902,7 +871,11 @@
     /// The final answer of an invocation that gets no success.
     fn give_up(&mut self, ix: InvIx, out: &mut Vec<Action>) {
         let Some(inv) = self.invs[ix as usize].as_ref().filter(|i| !i.ended) else { return };
-        if self.may_throttle(inv) {
+        let harmless = match self.triggers[inv.trigger].effect {
+            Effect::Idempotent | Effect::Tokened { group: RepeatGroup::All, .. } => true,
+            _ => inv.dispatches.iter().all(|d| d.fate == Fate::NeverRan),
+        };
+        if harmless {
             let advice = self.triggers[inv.trigger].latency_objective / 4;
             let return_after = Some(advice.min(self.limits.max_advice)).filter(|&t| t > 0);
             out.push(Action::Throttle { inv: ix, return_after });
@@ -912,14 +885,6 @@
         self.conclude(ix);
     }
 
-    /// Symptom: clients that leave early have their work done for nobody. What still waits at a worker is dropped.
-    fn call_back(&mut self, ix: InvIx, out: &mut Vec<Action>) {
-        if let Some(inv) = self.invs[ix as usize].as_ref().filter(|_| self.limits.withdrawals) {
-            let outs = inv.dispatches.iter().enumerate().filter(|(_, d)| d.fate == Fate::Out);
-            out.extend(outs.map(|(n, _)| Action::Withdraw { inv: ix, dispatch: n as u32 }));
-        }
-    }
-
     fn conclude(&mut self, ix: InvIx) {
         self.unhold(ix);
         if let Some(inv) = self.invs[ix as usize].as_mut() {
@@ -935,9 +900,8 @@
     }
 
     /// What an answer still earns; nothing is lost by serving the dearest first.
-    fn worth(&self, inv: &Inv) -> i64 {
-        let t = &self.triggers[inv.trigger];
-        let usual = self.usual_service(&self.funcs[inv.func as usize]);
+    fn worth(&self, inv: &Inv, f: &Function) -> i64 {
+        let (t, usual) = (&self.triggers[inv.trigger], self.usual_service(f));
         let late = self.now + usual.mean + usual.stray > inv.objective_at;
         let part = if inv.over { self.over_worth } else { 1.0 };
         (t.billed_value * part * if late { t.late_part } else { 1.0 } * 1e3) as i64
@@ -949,12 +913,11 @@
         let funcs = only.map_or(all, |f| f..f + 1);
         let mut held: Vec<InvIx> = funcs.flat_map(|f| self.funcs[f as usize].held.iter().copied()).collect();
         held.sort_by_cached_key(|&ix| {
-            let inv = self.invs[ix as usize].as_ref();
-            inv.map_or((0, 0, ix), |i| (-self.worth(i), i.arrived, ix))
+            self.found(ix).map_or((0, 0, ix), |(inv, f)| (-self.worth(inv, f), inv.arrived, ix))
         });
         for ix in held {
-            let Some(inv) = self.invs[ix as usize].as_ref() else { continue };
-            let service = self.usual_service(&self.funcs[inv.func as usize]);
+            let Some((inv, f)) = self.found(ix) else { continue };
+            let service = self.usual_service(f);
             // While workers are pressed, an answer that can only be late takes the place of one in time.
             let ends =
                 if self.pressed > PRESSED { inv.objective_at - service.stray } else { inv.gives_up_at };
@@ -1059,17 +1022,10 @@
         let most = entries.iter().map(|e| e.worker as usize + 1).max().unwrap_or(0).max(self.workers.len());
         self.workers.grow(most);
         self.health.grow(most);
-        for f in &mut self.funcs {
-            f.grow(most);
-        }
-        let mut lost: Vec<usize> = Vec::new();
-        if mode != ListMode::Changes {
-            let gone = |w: &usize| !entries.iter().any(|e| e.worker as usize == *w);
-            for w in (0..most).filter(gone) {
-                self.workers.standing[w] = Standing::Gone;
-                lost.push(w);
-            }
-        }
+        self.funcs.iter_mut().for_each(|f| f.grow(most));
+        let gone = |w: &usize| mode != ListMode::Changes && !entries.iter().any(|e| e.worker as usize == *w);
+        let mut lost: Vec<usize> = (0..most).filter(gone).collect();
+        lost.iter().for_each(|&w| self.workers.standing[w] = Standing::Gone);
         for e in entries {
             let w = e.worker as usize;
             let started = e.started.unwrap_or(self.workers.started[w]);
@@ -1083,6 +1039,7 @@
             if e.standing == Standing::Draining && self.workers.standing[w] == Standing::InService {
                 self.workers.stops_at[w] = self.now + self.rules.drain_grace * 3 / 4;
             }
+            self.slowness.resize(self.slowness.len().max(e.kind as usize + 1), 1.0);
             self.workers.standing[w] = e.standing;
             self.workers.weight[w] = e.weight;
             self.workers.started[w] = started;
