--- a/src/control.rs
+++ b/src/control.rs
@@ -1,15 +1,15 @@
-//! All decisions of the router.
-//!
-//! A front makes one [`Control`] per router with [`Control::new`] and calls [`Control::decide`] for each
-//! piece of news, in order; the answer lists the actions to carry out at once. Events, actions and start
-//! records are in `interface.rs`. The ordinary path is [`Control::route`]; its source is in docs/design.md.
+//! All decisions of the router. A front makes one [`Control`] per router with [`Control::new`] and calls
+//! [`Control::decide`] for each piece of news, in order; the answer lists the actions to carry out at once.
+//! Events, actions and start records are in `interface.rs`. The ordinary path is [`Control::route`]; its
+//! source is in docs/design.md.
 //!
 //! Mechanisms beside the design:
-//! 1. Judging: a worker is judged by its last few outcomes and by silence; a bad one gets rare trials.
+//! 1. Judging: by a worker's last outcomes and silence, for each trigger type; a bad one gets rare trials.
 //! 2. Patience: what may run again is dispatched with a time-out and goes elsewhere if time is left.
 //! 3. Cold budget: a worker that has just started gets this router's part of what it can bear.
-//! 4. Orders, where allowed: a copy is ordered ahead of the invocation, which waits for the first free lane.
-//! 5. What a worker bears: late and full answers bound own work there; once all are at it, waits end early.
+//! 4. Homes: a busy function has several, by its part of the work and the crowds told; a router goes to one.
+//! 5. Pressure: late and full answers bound own work on a worker; when many, no draws, waits end early and
+//!    nothing beyond an account's share is begun.
 //! 6. Drains: a warm worker told to drain serves on within the grace.
 
 use std::collections::VecDeque;
@@ -29,7 +29,7 @@
 /// Silent for so many times that is a hang; a dispatch is timed out later: sooner repeats what was only slow.
 const HUSH: Micros = 2;
 const PATIENCE: Micros = 6;
-/// A bad worker is tried again after this part of the shortest objective, by one in so many dispatches at most.
+/// A bad worker is tried again after this part of the shortest objective, by one in so many dispatches.
 const TRIAL_PART: Micros = 2;
 const TRIAL_ONE_IN: i32 = 10;
 /// A worker is crowded with so many times the mean load, and so many dispatches in any case.
@@ -56,7 +56,6 @@
 const SLOWEST: f64 = 8.0;
 const NO_TIME: Micros = Micros::MIN / 2;
 
-/// A usual time and how far samples stray from it.
 #[derive(Clone, Copy, Default)]
 struct Usual {
     mean: Micros,
@@ -78,7 +77,6 @@
     }
 }
 
-/// The first that has samples, or a first guess.
 fn usual(known: [Usual; 2], guess: Micros) -> Usual {
     known.into_iter().find(|u| u.mean > 0).unwrap_or(Usual { mean: guess, stray: guess / 4 })
 }
@@ -94,7 +92,6 @@
     worker: WorkerIx,
     at: Micros,
     fate: Fate,
-    /// It was sent to a worker not believed warm.
     load: bool,
 }
 
@@ -102,10 +99,8 @@
 struct Inv {
     func: FnIx,
     trigger: usize,
-    /// Beyond its account's share.
-    over: bool,
-    /// Its work by the hint; 0 where there is none.
-    work: Micros,
+    over: bool,   // Beyond its account's share.
+    work: Micros, // By the hint; 0 where there is none.
     arrived: Micros,
     objective_at: Micros,
     gives_up_at: Micros,
@@ -129,7 +124,6 @@
     }
 }
 
-/// What is known of the workers, in parallel arrays.
 #[derive(Default)]
 struct Workers {
     fingerprint: Vec<u64>,
@@ -137,25 +131,18 @@
     cell: Vec<u32>,
     kind: Vec<u32>,
     standing: Vec<Standing>,
-    weight: Vec<f64>,
     started: Vec<Micros>,
     own: Vec<u32>,
-    /// When it drains: nothing new after this.
     stops_at: Vec<Micros>,
     /// Own dispatches that it answers in time, as far as has been seen.
     bears: Vec<f64>,
     bears_at: Vec<Micros>,
     /// It takes no further load from here until then: one is under way, or it has no room.
     loaded_by: Vec<Micros>,
-    /// Dispatches within the cold rule's window.
     recent: Vec<VecDeque<Micros>>,
 }
 
 impl Workers {
-    fn len(&self) -> usize {
-        self.zone.len()
-    }
-
     fn grow(&mut self, n: usize) {
         let counts = [&mut self.zone, &mut self.cell, &mut self.kind, &mut self.own];
         counts.into_iter().for_each(|v| v.resize(n, 0));
@@ -163,7 +150,6 @@
         times.into_iter().for_each(|v| v.resize(n, NO_TIME));
         self.fingerprint.resize(n, 0);
         self.standing.resize(n, Standing::Gone);
-        self.weight.resize(n, 1.0);
         self.bears.resize(n, f64::INFINITY);
         self.recent.resize_with(n, VecDeque::new);
     }
@@ -183,9 +169,8 @@
     }
 }
 
-/// How workers have answered of late, by worker and trigger type, and for each worker over all types. Symptom:
-/// a worker fails or leaves unanswered one type and serves the others; no silence of one hides behind the
-/// answers of another, and the others keep using it. A type not yet seen there goes by all of them.
+/// How workers have answered of late, by trigger type and over all types. Symptom: a worker leaves one type
+/// unanswered and serves the others. A type not yet seen there goes by all of them.
 #[derive(Default)]
 struct Health {
     types: usize,
@@ -209,7 +194,6 @@
         times.into_iter().for_each(|v| v.resize(n, NO_TIME));
     }
 
-    /// The places of a type and of all types together.
     fn slots(&self, w: usize, t: usize) -> [usize; 2] {
         [w * (self.types + 1) + t, w * (self.types + 1) + self.types]
     }
@@ -233,11 +217,6 @@
         self.recent(slot, now) && self.outcomes[slot].count_ones() * 2 < self.judged[slot]
     }
 
-    fn forget(&mut self, w: usize) {
-        let [first, all] = self.slots(w, 0);
-        (first..=all).for_each(|slot| (self.judged[slot], self.outcomes[slot]) = (0, 0));
-    }
-
     fn judge(&mut self, w: usize, t: usize, now: Micros, succeeded: bool) {
         for slot in self.slots(w, t) {
             if succeeded && self.fails(slot, now) || !self.recent(slot, now) {
@@ -260,14 +239,8 @@
     fn ended(&mut self, w: usize, t: usize) {
         self.slots(w, t).into_iter().for_each(|slot| self.own[slot] = self.own[slot].saturating_sub(1));
     }
-
-    /// An answer came; the next, if any is out, is due after this.
-    fn heard(&mut self, w: usize, t: usize, due: Micros) {
-        self.slots(w, t).into_iter().for_each(|slot| self.due[slot] = due);
-    }
 }
 
-/// A function and what is believed of it, by worker.
 #[derive(Default)]
 struct Function {
     known: bool,
@@ -275,20 +248,17 @@
     lanes: u32,
     trigger: usize,
     used: Micros,
-    /// Invocations not yet done with.
     open: u32,
     service: Usual,
     load: Usual,
     held: Vec<InvIx>,
     order: Vec<WorkerIx>,
-    /// Invocations taken within about the kept-idle time, when last brought up to date, and homes wanted.
+    /// Invocations taken (for all functions: work) within about the kept-idle time, and homes wanted.
     asked: f64,
     asked_at: Micros,
     homes: usize,
     homes_at: Micros,
-    /// This router's load under way.
     loading: Option<WorkerIx>,
-    /// Orders out.
     orders: u32,
     own: Vec<u32>,
     warm_until: Vec<Micros>,
@@ -320,9 +290,8 @@
     /// What is left of each account's share here, and when last brought up to date.
     left: Vec<(f64, Micros)>,
     over_worth: f64,
-    /// Part of the dispatches that end late, full or timed out, averaged.
+    /// Part of the answers that are late or full, averaged.
     pressed: f64,
-    /// Dispatches to go before the next trial of a bad worker.
     trial_due: i32,
     loads: LoadTerms,
     workers: Workers,
@@ -331,13 +300,11 @@
     invs: Vec<Option<Inv>>,
     service: Vec<Usual>,
     load: Usual,
-    /// Work taken of all functions within about the kept-idle time.
     asked: f64,
     asked_at: Micros,
     held: u32,
     next_tick: Option<Micros>,
-    /// Time that a unit of work takes, by kind of worker, averaged.
-    slowness: Vec<f64>,
+    slowness: Vec<f64>, // By kind of worker.
     /// Invocations succeeded within the averaging time, and when last brought up to date.
     carried: f64,
     carried_at: Micros,
@@ -411,12 +378,10 @@
         hashed((self.seed, self.draws))
     }
 
-    /// Whether one more is beyond the account's share: its allowance comes in steadily, this router's part of it.
+    /// Whether one more is beyond the account's share, which comes in steadily, this router's part of it.
     fn over_share(&mut self, account: usize) -> bool {
-        let (Some(a), Some((left, at))) = (self.accounts.get(account), self.left.get_mut(account)) else {
-            return false;
-        };
-        let part = a.allowance_per_s / f64::from(self.fleet.routers.max(1));
+        let Some((left, at)) = self.left.get_mut(account) else { return false };
+        let part = self.accounts[account].allowance_per_s / f64::from(self.fleet.routers.max(1));
         let come = part * (self.now - *at).max(0) as f64 / 1e6;
         *left = (*left + come).min((part * SHARE_SECONDS).max(1.0) + 1.0);
         *at = self.now;
@@ -448,23 +413,22 @@
             self.funcs.resize_with(a.func as usize + 1, Function::default);
         }
         let f = &mut self.funcs[a.func as usize];
-        let new = !f.known;
-        (f.known, f.fingerprint, f.trigger) = (true, a.fingerprint, a.trigger as usize);
+        let new = !std::mem::replace(&mut f.known, true);
+        (f.fingerprint, f.trigger) = (a.fingerprint, a.trigger as usize);
         (f.lanes, f.used) = (a.lanes.max(1), now);
         f.open += 1;
         if let Some(hint) = a.load_hint.filter(|_| f.load.mean == 0) {
             f.load = Usual { mean: hint.max(1), stray: hint / 4 };
         }
         if new {
-            f.grow(self.workers.len());
+            f.grow(self.workers.own.len());
             self.rank(a.func);
         }
         self.spread(a.func);
     }
 
-    /// Symptom: every router brings a busy function to the same first workers, each seeing a small part of what
-    /// they hold. It is given homes by its part of all work this router takes, a power of two, so that few
-    /// move as it grows; this router's place among the routers tells its own.
+    /// Symptom: many routers bring a busy function to the same first workers. It gets homes by its part of
+    /// the work taken here, a power of two so that few move; the place among the routers tells this one's.
     fn spread(&mut self, func: FnIx) {
         let (now, over) = (self.now, self.loads.idle_kept.max(1) as f64);
         let work = self.usual_service(&self.funcs[func as usize]).mean as f64;
@@ -490,9 +454,11 @@
         }
     }
 
-    /// A load was needed at a home: too many homes, none is used often enough to keep its copy.
-    fn fewer_homes(&mut self, func: FnIx) {
+    /// A load was needed at a home: where there are many, none is used often enough to keep its copy.
+    fn loaded_in(&mut self, took: Micros, func: FnIx) {
         let f = &mut self.funcs[func as usize];
+        f.load.learn(took);
+        self.load.learn(took);
         if f.homes > 1 && self.now - f.homes_at > self.loads.idle_kept {
             (f.homes, f.homes_at) = (f.homes / 2, self.now);
         }
@@ -502,7 +468,7 @@
     fn rank(&mut self, func: FnIx) {
         let (workers, f) = (&self.workers, &mut self.funcs[func as usize]);
         let serves = |w: &u32| workers.standing[*w as usize] == Standing::InService;
-        f.order = (0..workers.len() as u32).filter(serves).collect();
+        f.order = (0..workers.own.len() as u32).filter(serves).collect();
         f.order.sort_by_cached_key(|&w| hashed((workers.fingerprint[w as usize], f.fingerprint)));
     }
 
@@ -542,12 +508,18 @@
         }
     }
 
-    /// Begins a load for this invocation; where orders are allowed it stays, for whichever lane is free first.
+    /// Begins a load; where orders are allowed the invocation stays, for whichever lane is free first.
     fn begin_load(&mut self, ix: InvIx, w: usize, out: &mut Vec<Action>) {
-        match self.invs[ix as usize].as_ref() {
-            Some(inv) if self.loads.orders => self.order(inv.func, w, out),
-            _ => self.dispatch(ix, w, true, out),
+        if !self.loads.orders {
+            return self.dispatch(ix, w, true, out);
         }
+        let Some(func) = self.found(ix).map(|(inv, _)| inv.func) else { return };
+        self.ordered.push_back(self.now);
+        out.push(Action::Order { worker: w as WorkerIx, func, copies: 1 });
+        self.load_begins(func, w);
+        let f = &mut self.funcs[func as usize];
+        f.orders += 1;
+        f.warm_until[w] = self.now + self.loads.idle_kept;
     }
 
     fn found(&self, ix: InvIx) -> Option<(&Inv, &Function)> {
@@ -590,23 +562,22 @@
     }
 
     /// Rule 4: what a worker that has just started can surely bear is the cold part of what this router has
-    /// seen one carry on average; all routers doing so keep to the whole budget.
+    /// seen one carry on average, and of what one core does; all routers doing so keep to the whole budget.
+    /// A part under one dispatch is kept by chance, drawn anew each window.
     fn cold_room(&self, w: usize) -> bool {
-        let r = &self.rules;
+        let (r, window) = (&self.rules, self.rules.overload_window.max(1));
         if self.now - self.workers.started[w] >= r.cold_for {
             return true;
         }
         let serving = self.workers.standing.iter().filter(|s| **s == Standing::InService).count();
         let carried = self.carried / CARRIED_WINDOWS / serving.max(1) as f64;
-        let budget = COLD_CAUTION * r.overload_multiple * self.grown(w) * carried;
-        let since = self.now - r.overload_window;
-        let sent = self.workers.recent[w].iter().filter(|&&t| t > since).count();
-        sent as f64 + 1.0 <= budget.max(1.0)
-    }
-
-    /// What a worker can do beside others: its registered size, less while it is cold.
-    fn size(&self, w: usize) -> f64 {
-        self.workers.weight[w].max(0.1) * self.grown(w)
+        let of = |(u, t): (&Usual, &TriggerType)| usual([*u; 2], t.latency_objective / 8).stretched();
+        let work = self.service.iter().zip(&self.triggers).map(of).max().unwrap_or(window).max(1);
+        let core = window as f64 / work as f64 / f64::from(self.fleet.routers.max(1));
+        let budget = COLD_CAUTION * r.overload_multiple * self.grown(w) * carried.max(core);
+        let sent = self.workers.recent[w].iter().filter(|&&t| t > self.now - window).count() as f64;
+        let turn = (self.workers.fingerprint[w] ^ u64::from(self.fleet.position), (self.now / window) as u64);
+        sent + 1.0 <= budget || sent == 0.0 && hashed(turn) as f64 / (u64::MAX as f64) < budget
     }
 
     /// The part of its full capacity that a worker surely has at its age.
@@ -615,20 +586,20 @@
         self.rules.cold_part + (1.0 - self.rules.cold_part) * age.min(1.0)
     }
 
-    /// Own dispatches in flight for each unit of size, over the workers in service.
+    /// Own dispatches in flight for each full-grown worker, over the workers in service.
     fn mean_load(&self) -> f64 {
-        let serving = (0..self.workers.len()).filter(|&w| self.workers.standing[w] == Standing::InService);
-        let add = |(own, size), w| (own + f64::from(self.workers.own[w]), size + self.size(w));
+        let serving =
+            (0..self.workers.own.len()).filter(|&w| self.workers.standing[w] == Standing::InService);
+        let add = |(own, size), w| (own + f64::from(self.workers.own[w]), size + self.grown(w));
         let (own, size): (f64, f64) = serving.fold((0.0, 0.0), add);
         own / size.max(0.1)
     }
 
-    /// Symptom: lanes are free but the cores behind them are not (many functions on one worker, a cold or a
-    /// slow one): more own work there than its size would take of all of it. A lane there does not count as
-    /// free.
+    /// Symptom: lanes are free but the cores behind them are not (many functions there, a cold or a slow
+    /// worker): more own work than its part of all of it. A lane there does not count as free.
     fn crowded(&self, w: usize, mean: f64) -> bool {
         let own = f64::from(self.workers.own[w]);
-        own >= self.workers.bears[w] || own >= CROWD * mean * self.size(w) + CROWD_LEAST
+        own >= self.workers.bears[w] || own >= CROWD * mean * self.grown(w) + CROWD_LEAST
     }
 
     /// Good enough for this invocation: judged good, or due for a trial with what can go elsewhere after.
@@ -644,8 +615,8 @@
         safe && inv.dispatches.is_empty() && self.health.trial_at[slot] <= self.now && self.trial_due <= 0
     }
 
-    /// Symptom: heavy invocations, dear where value goes by work, come late from slow machines even when idle.
-    /// For a while they wait for a kind on which their time suffices, if there is one.
+    /// Symptom: heavy invocations, dear where value goes by work, come late from slow machines even when
+    /// idle. For a while they wait for a kind on which their time suffices, if there is one.
     fn too_slow(&self, inv: &Inv, w: usize) -> bool {
         let (left, own) =
             ((inv.objective_at - self.now) as f64, self.slowness[self.workers.kind[w] as usize]);
@@ -678,9 +649,8 @@
         self.found(ix).is_some_and(warm)
     }
 
-    /// Where a new load goes: this router's home of the function, then the other homes, then the shared order,
-    /// so that routers find each other's copies. One load under way per function and, for its usual time, per
-    /// worker.
+    /// Where a new load goes: this router's home, the other homes, then the shared order, so that routers
+    /// find each other's copies. One load under way per function and, for its usual time, per worker.
     fn load_place(&self, ix: InvIx) -> Option<usize> {
         let (inv, f) = self.found(ix)?;
         if f.loading.is_some() || (self.loads.orders && !self.order_left()) {
@@ -707,7 +677,7 @@
         wait < (inv.objective_at - self.now - service).max(0)
     }
 
-    /// The lowest ratio of own in flight and held to lanes: all have the same lanes and held ones.
+    /// The lowest ratio of own work to lanes; all have the same lanes and held ones.
     fn least_busy(&self, ix: InvIx) -> Option<usize> {
         let (inv, f) = self.found(ix)?;
         let room = |w: usize| f.warm(w, self.now) && f64::from(self.workers.own[w]) < self.workers.bears[w];
@@ -715,7 +685,6 @@
     }
 
     fn hold(&mut self, ix: InvIx) {
-        self.unhold(ix);
         if let Some(inv) = self.invs[ix as usize].as_ref() {
             self.held += 1;
             self.funcs[inv.func as usize].held.push(ix);
@@ -781,9 +750,8 @@
         let &Ending { inv: ix, dispatch, worker, outcome, took, concluded, note, crowd, .. } = e;
         let (now, w) = (self.now, worker as usize);
         let Some(inv) = self.invs[ix as usize].as_mut() else { return };
-        let Some(d) = inv.dispatches.get_mut(dispatch as usize).filter(|d| d.fate == Fate::Out) else {
-            return;
-        };
+        let sent = inv.dispatches.get_mut(dispatch as usize).filter(|d| d.fate == Fate::Out);
+        let Some(d) = sent else { return };
         d.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (load, sent_at, func, trigger, work) = (d.load, d.at, inv.func, inv.trigger, inv.work);
         let f = &mut self.funcs[func as usize];
@@ -799,9 +767,9 @@
         if crowd > 0 && sent_at >= f.homes_at {
             self.more_homes(func, f.homes * crowd as usize * 2);
         }
-        let late = took > self.triggers[trigger].latency_objective;
+        let objective = self.triggers[trigger].latency_objective;
         if let Outcome::Succeeded | Outcome::Throttled = outcome {
-            let late = late || outcome == Outcome::Throttled;
+            let late = outcome == Outcome::Throttled || took > objective;
             self.pressed += (f64::from(u8::from(late)) - self.pressed) / GAIN as f64;
         }
         match outcome {
@@ -811,43 +779,30 @@
                 self.carried = self.carried * (-(now - self.carried_at) as f64 / over).exp() + 1.0;
                 self.carried_at = now;
                 let loaded_by = self.workers.loaded_by[w].max(now);
-                self.health.heard(w, trigger, loaded_by + HUSH * usual.stretched());
+                for slot in self.health.slots(w, trigger) {
+                    self.health.due[slot] = loaded_by + HUSH * usual.stretched();
+                }
                 let f = &mut self.funcs[func as usize];
                 f.warm_until[w] = now + self.loads.idle_kept;
-                let loaded = match note {
-                    CopyNote::Found => false,
-                    CopyNote::Untold => load,
-                    _ => true,
-                };
-                if !loaded {
+                if note == CopyNote::Found || note == CopyNote::Untold && !load {
                     f.service.learn(took);
                     self.service[trigger].learn(took);
                     if work > 0 {
                         let slowness = &mut self.slowness[self.workers.kind[w] as usize];
                         *slowness += ((took as f64 / work as f64).min(SLOWEST) - *slowness) / SLOWNESS_GAIN;
                     }
-                    self.workers.learn_bears(w, now, took, self.triggers[trigger].latency_objective);
+                    self.workers.learn_bears(w, now, took, objective);
                 } else if note == CopyNote::Began || load {
-                    self.fewer_homes(func);
-                    let f = &mut self.funcs[func as usize];
-                    let took = (took - usual.mean).max(1);
-                    f.load.learn(took);
-                    self.load.learn(took);
+                    self.loaded_in((took - usual.mean).max(1), func);
                 }
             }
             Outcome::Missed => self.funcs[func as usize].cool(w),
             // Symptom: a full worker answers fastest of all and so looks idle.
-            Outcome::Throttled => {
-                self.workers.learn_bears(w, now, Micros::MAX / 8, self.triggers[trigger].latency_objective);
-            }
+            Outcome::Throttled => self.workers.learn_bears(w, now, Micros::MAX / 8, objective),
             Outcome::NotSent | Outcome::Withdrawn => {}
             // A try that its client ended before an answer was due tells nothing.
             Outcome::TimedOut if took < usual.stretched() => {}
-            Outcome::Errored | Outcome::TimedOut => self.health.judge(w, trigger, now, false),
-            // A dead process or a cut link weighs twice.
-            Outcome::Unreachable | Outcome::Broken => {
-                (0..2).for_each(|_| self.health.judge(w, trigger, now, false))
-            }
+            _ => self.health.judge(w, trigger, now, false),
         }
         if concluded {
             self.conclude(ix);
@@ -860,7 +815,7 @@
     /// After a dispatch without success: another one, or the final answer at once.
     fn follow_up(&mut self, ix: InvIx, out: &mut Vec<Action>) {
         let Some((inv, f)) = self.found(ix).filter(|(i, _)| !i.ended && !i.out()) else { return };
-        let again = (0..self.workers.len()).any(|w| self.allowed(inv, w));
+        let again = (0..self.workers.own.len()).any(|w| self.allowed(inv, w));
         if again && inv.gives_up_at - self.now > self.usual_service(f).mean {
             self.route(ix, out);
         } else {
@@ -942,15 +897,6 @@
                 <= self.loads.ration_few + self.loads.ration_part * within(&self.taken)
     }
 
-    fn order(&mut self, func: FnIx, w: usize, out: &mut Vec<Action>) {
-        self.ordered.push_back(self.now);
-        out.push(Action::Order { worker: w as WorkerIx, func, copies: 1 });
-        self.load_begins(func, w);
-        let f = &mut self.funcs[func as usize];
-        f.orders += 1;
-        f.warm_until[w] = self.now + self.loads.idle_kept;
-    }
-
     fn load_begins(&mut self, func: FnIx, w: usize) {
         self.funcs[func as usize].loading = Some(w as WorkerIx);
         self.workers.loaded_by[w] = self.now + self.usual_load(&self.funcs[func as usize]).mean;
@@ -980,9 +926,7 @@
             f.warm_until[w] = f.warm_until[w].max(self.now + self.loads.idle_kept);
             // One answered at once found the copy standing.
             if loaded && took > usual.mean / GAIN {
-                f.load.learn(took);
-                self.load.learn(took);
-                self.fewer_homes(func);
+                self.loaded_in(took, func);
             }
         } else if result != OrderResult::Stand || f.own[w] == 0 {
             f.cool(w);
@@ -999,13 +943,16 @@
 
     fn tick(&mut self, out: &mut Vec<Action>) {
         self.next_tick = None;
-        let (now, kept) = (self.now, self.loads.idle_kept);
-        let since = now - self.loads.ration_window;
-        [&mut self.ordered, &mut self.taken].into_iter().for_each(|q| forget_before(q, since));
+        forget_before(&mut self.ordered, self.now - self.loads.ration_window);
+        forget_before(&mut self.taken, self.now - self.loads.ration_window);
         self.retry_held(None, out);
         for func in 0..self.funcs.len() as u32 {
             let f = &mut self.funcs[func as usize];
-            if f.known && f.open == 0 && f.orders == 0 && now - f.used > FORGET_AFTER * kept {
+            if f.known
+                && f.open == 0
+                && f.orders == 0
+                && self.now - f.used > FORGET_AFTER * self.loads.idle_kept
+            {
                 *f = Function::default();
                 out.push(Action::Forget { func });
             }
@@ -1019,7 +966,8 @@
         if mode == ListMode::Failed {
             return;
         }
-        let most = entries.iter().map(|e| e.worker as usize + 1).max().unwrap_or(0).max(self.workers.len());
+        let most =
+            entries.iter().map(|e| e.worker as usize + 1).max().unwrap_or(0).max(self.workers.own.len());
         self.workers.grow(most);
         self.health.grow(most);
         self.funcs.iter_mut().for_each(|f| f.grow(most));
@@ -1041,12 +989,12 @@
             }
             self.slowness.resize(self.slowness.len().max(e.kind as usize + 1), 1.0);
             self.workers.standing[w] = e.standing;
-            self.workers.weight[w] = e.weight;
             self.workers.started[w] = started;
         }
+        // A restarted process is empty and not yet judged.
         for w in lost {
-            // A restarted process is empty and not yet judged.
-            self.health.forget(w);
+            let [first, all] = self.health.slots(w, 0);
+            self.health.judged[first..=all].fill(0);
             self.workers.loaded_by[w] = NO_TIME;
             for f in &mut self.funcs {
                 f.cool(w);
