--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -226,7 +226,7 @@
 fn beyond_its_share_nothing_is_begun_while_answers_are_late() {
     let mut s = Script::new(16, PLAIN, 2);
     warm_up(&mut s, 0, 64);
-    let mut burst = |s: &mut Script, took: Micros| {
+    let burst = |s: &mut Script, took: Micros| {
         let (invs, actions): (Vec<_>, Vec<_>) = (0..40).map(|_| s.arrive(0, 0, 64, 2 * SECOND)).unzip();
         s.pass(took);
         for inv in invs {
