--- a/src/control.rs
+++ b/src/control.rs
@@ -656,19 +656,21 @@
         if f.loading.is_some() || (self.loads.orders && !self.order_left()) {
             return None;
         }
-        let mean = self.mean_load();
-        let homes = f.homes.min(f.order.len());
+        let (mean, homes) = (self.mean_load(), f.homes.min(f.order.len()));
         let first = self.fleet.position as usize % f.homes.max(1);
         let mine = (0..homes).map(|i| (first + i) % homes).chain(homes..f.order.len());
-        mine.map(|i| f.order[i] as usize).find(|&w| {
-            self.workers.loaded_by[w] < self.now
-                && !f.warm(w, self.now)
-                && !self.crowded(w, mean)
-                && self.fit(inv, w)
-        })
+        let free = |w: &usize| {
+            let open = self.workers.loaded_by[*w] < self.now && !f.warm(*w, self.now);
+            open && !self.crowded(*w, mean) && self.fit(inv, *w)
+        };
+        let mut places = mine.map(|i| f.order[i] as usize);
+        let near = |w: &usize| self.workers.zone[*w] == self.fleet.zone && free(w);
+        // Those in its own zone first, where each home still has two routers or more.
+        let choice = if homes * 2 <= self.fleet.routers as usize { homes } else { 0 };
+        places.clone().take(choice).find(near).or_else(|| places.find(free))
     }
 
-    /// Held ones should leave within what their latency objective leaves beside the work itself.
+    /// Held ones should leave within what their objective leaves beside the work itself.
     fn room_to_hold(&self, ix: InvIx) -> bool {
         let Some((inv, f)) = self.found(ix) else { return false };
         let service = self.usual_service(f).mean.max(1);
@@ -677,7 +679,6 @@
         wait < (inv.objective_at - self.now - service).max(0)
     }
 
-    /// The lowest ratio of own work to lanes; all have the same lanes and held ones.
     fn least_busy(&self, ix: InvIx) -> Option<usize> {
         let (inv, f) = self.found(ix)?;
         let room = |w: usize| f.warm(w, self.now) && f64::from(self.workers.own[w]) < self.workers.bears[w];
