One fading sum, one count of own work, one filter for the workers in service

The same average stood three times, each with two fields; own work on a worker was counted beside the all-types count of its health; three places filtered the list for workers in service. In the tests a router at a place is made by the script.

--- a/src/control.rs
+++ b/src/control.rs
@@ -77,6 +77,22 @@
     }
 }
 
+/// A sum in which older things count less and less.
+#[derive(Clone, Copy, Default)]
+struct Fading {
+    sum: f64,
+    at: Micros,
+}
+
+impl Fading {
+    /// Adds something new; the sum without it.
+    fn add(&mut self, now: Micros, over: f64, more: f64) -> f64 {
+        let before = self.sum * (-(now - self.at) as f64 / over).exp();
+        *self = Fading { sum: before + more, at: now };
+        before
+    }
+}
+
 fn usual(known: [Usual; 2], guess: Micros) -> Usual {
     known.into_iter().find(|u| u.mean > 0).unwrap_or(Usual { mean: guess, stray: guess / 4 })
 }
@@ -132,7 +148,6 @@
     kind: Vec<u32>,
     standing: Vec<Standing>,
     started: Vec<Micros>,
-    own: Vec<u32>,
     stops_at: Vec<Micros>,
     /// Own dispatches that it answers in time, as far as has been seen.
     bears: Vec<f64>,
@@ -143,8 +158,12 @@
 }
 
 impl Workers {
+    fn serving(&self) -> impl Iterator<Item = usize> {
+        (0..self.standing.len()).filter(|&w| self.standing[w] == Standing::InService)
+    }
+
     fn grow(&mut self, n: usize) {
-        let counts = [&mut self.zone, &mut self.cell, &mut self.kind, &mut self.own];
+        let counts = [&mut self.zone, &mut self.cell, &mut self.kind];
         counts.into_iter().for_each(|v| v.resize(n, 0));
         let times = [&mut self.started, &mut self.stops_at, &mut self.bears_at, &mut self.loaded_by];
         times.into_iter().for_each(|v| v.resize(n, NO_TIME));
@@ -155,9 +174,8 @@
     }
 
     /// Symptom: answers late though the copy stood loaded. The worker then bears less than what is out
-    /// there now; with answers in time it is let have more, slowly.
-    fn learn_bears(&mut self, w: usize, now: Micros, took: Micros, objective: Micros) {
-        let own = f64::from(self.own[w]) + 1.0;
+    /// there, `own`; with answers in time it is let have more, slowly.
+    fn learn_bears(&mut self, w: usize, now: Micros, own: f64, took: Micros, objective: Micros) {
         if took > objective {
             if now - self.bears_at[w] > took.min(objective) {
                 self.bears[w] = (self.bears[w].min(own) * BACK_OFF).max(1.0);
@@ -198,6 +216,11 @@
         [w * (self.types + 1) + t, w * (self.types + 1) + self.types]
     }
 
+    /// Own dispatches out there, of all types.
+    fn own_at(&self, w: usize) -> u32 {
+        self.own[self.slots(w, 0)[1]]
+    }
+
     /// Symptom: errors, broken or refused connections, time-outs (few successes among the last outcomes), or
     /// dispatches out and nothing heard past the time an answer was due (a hang or a silent cut).
     fn bad(&self, w: usize, t: usize, now: Micros) -> bool {
@@ -254,8 +277,7 @@
     held: Vec<InvIx>,
     order: Vec<WorkerIx>,
     /// Invocations taken (for all functions: work) within about the kept-idle time, and homes wanted.
-    asked: f64,
-    asked_at: Micros,
+    asked: Fading,
     homes: usize,
     homes_at: Micros,
     loading: Option<WorkerIx>,
@@ -300,14 +322,12 @@
     invs: Vec<Option<Inv>>,
     service: Vec<Usual>,
     load: Usual,
-    asked: f64,
-    asked_at: Micros,
+    asked: Fading,
     held: u32,
     next_tick: Option<Micros>,
     slowness: Vec<f64>, // By kind of worker.
-    /// Invocations succeeded within the averaging time, and when last brought up to date.
-    carried: f64,
-    carried_at: Micros,
+    /// Invocations succeeded within the averaging time.
+    carried: Fading,
     /// Times of load orders and of invocations taken within the ration's window.
     ordered: VecDeque<Micros>,
     taken: VecDeque<Micros>,
@@ -421,7 +441,7 @@
             f.load = Usual { mean: hint.max(1), stray: hint / 4 };
         }
         if new {
-            f.grow(self.workers.own.len());
+            f.grow(self.workers.zone.len());
             self.rank(a.func);
         }
         self.spread(a.func);
@@ -434,10 +454,8 @@
         let work = self.usual_service(&self.funcs[func as usize]).mean as f64;
         let workers = self.funcs[func as usize].order.len().max(1);
         let f = &mut self.funcs[func as usize];
-        let before = f.asked * (-(now - f.asked_at) as f64 / over).exp();
-        let all = self.asked * (-(now - self.asked_at) as f64 / over).exp();
-        (f.asked, f.asked_at) = (before + 1.0, now);
-        (self.asked, self.asked_at) = (all + work, now);
+        let before = f.asked.add(now, over, 1.0);
+        let all = self.asked.add(now, over, work);
         self.more_homes(func, (HOMES * workers as f64 * before * work / all.max(1.0)).ceil() as usize);
     }
 
@@ -467,8 +485,7 @@
     /// The shared hash order of workers for a function: the same at every router.
     fn rank(&mut self, func: FnIx) {
         let (workers, f) = (&self.workers, &mut self.funcs[func as usize]);
-        let serves = |w: &u32| workers.standing[*w as usize] == Standing::InService;
-        f.order = (0..workers.own.len() as u32).filter(serves).collect();
+        f.order = workers.serving().map(|w| w as WorkerIx).collect();
         f.order.sort_by_cached_key(|&w| hashed((workers.fingerprint[w as usize], f.fingerprint)));
     }
 
@@ -569,8 +586,7 @@
         if self.now - self.workers.started[w] >= r.cold_for {
             return true;
         }
-        let serving = self.workers.standing.iter().filter(|s| **s == Standing::InService).count();
-        let carried = self.carried / CARRIED_WINDOWS / serving.max(1) as f64;
+        let carried = self.carried.sum / CARRIED_WINDOWS / self.workers.serving().count().max(1) as f64;
         let of = |(u, t): (&Usual, &TriggerType)| usual([*u; 2], t.latency_objective / 8).stretched();
         let work = self.service.iter().zip(&self.triggers).map(of).max().unwrap_or(window).max(1);
         let core = window as f64 / work as f64 / f64::from(self.fleet.routers.max(1));
@@ -588,17 +604,15 @@
 
     /// Own dispatches in flight for each full-grown worker, over the workers in service.
     fn mean_load(&self) -> f64 {
-        let serving =
-            (0..self.workers.own.len()).filter(|&w| self.workers.standing[w] == Standing::InService);
-        let add = |(own, size), w| (own + f64::from(self.workers.own[w]), size + self.grown(w));
-        let (own, size): (f64, f64) = serving.fold((0.0, 0.0), add);
+        let add = |(own, size), w| (own + f64::from(self.health.own_at(w)), size + self.grown(w));
+        let (own, size): (f64, f64) = self.workers.serving().fold((0.0, 0.0), add);
         own / size.max(0.1)
     }
 
     /// Symptom: lanes are free but the cores behind them are not (many functions there, a cold or a slow
     /// worker): more own work than its part of all of it. A lane there does not count as free.
     fn crowded(&self, w: usize, mean: f64) -> bool {
-        let own = f64::from(self.workers.own[w]);
+        let own = f64::from(self.health.own_at(w));
         own >= self.workers.bears[w] || own >= CROWD * mean * self.grown(w) + CROWD_LEAST
     }
 
@@ -630,23 +644,18 @@
         let mean = self.mean_load();
         let free = |w: &usize| {
             let loading = self.loads.orders && f.loading.is_some_and(|l| l as usize == *w);
-            f.warm(*w, self.now)
-                && !loading
-                && f.own[*w] < f.lanes
-                && !self.crowded(*w, mean)
-                && self.fit(inv, *w)
+            let open = f.warm(*w, self.now) && !loading && f.own[*w] < f.lanes;
+            open && !self.crowded(*w, mean) && self.fit(inv, *w)
         };
-        let own = &self.workers.own;
         let mut ties: Vec<usize> = (0..f.own.len()).filter(free).collect();
-        let least = ties.iter().map(|&w| own[w]).min()?;
-        ties.retain(|&w| own[w] == least);
+        let least = ties.iter().map(|&w| self.health.own_at(w)).min()?;
+        ties.retain(|&w| self.health.own_at(w) == least);
         Some(ties[(draw % ties.len() as u64) as usize])
     }
 
     fn any_warm(&self, ix: InvIx) -> bool {
-        let warm =
-            |(inv, f): (&Inv, &Function)| (0..f.own.len()).any(|w| f.warm(w, self.now) && self.fit(inv, w));
-        self.found(ix).is_some_and(warm)
+        let Some((inv, f)) = self.found(ix) else { return false };
+        (0..f.own.len()).any(|w| f.warm(w, self.now) && self.fit(inv, w))
     }
 
     /// Where a new load goes: this router's home, the other homes, then the shared order, so that routers
@@ -681,7 +690,7 @@
 
     fn least_busy(&self, ix: InvIx) -> Option<usize> {
         let (inv, f) = self.found(ix)?;
-        let room = |w: usize| f.warm(w, self.now) && f64::from(self.workers.own[w]) < self.workers.bears[w];
+        let room = |w: usize| f.warm(w, self.now) && f64::from(self.health.own_at(w)) < self.workers.bears[w];
         (0..f.own.len()).filter(|&w| room(w) && self.fit(inv, w)).min_by_key(|&w| f.own[w])
     }
 
@@ -727,7 +736,6 @@
         if load {
             self.load_begins(func, w);
         }
-        self.workers.own[w] += 1;
         self.health.sent(w, trigger, now + hush);
         if bad {
             let shortest = self.triggers.iter().map(|t| t.latency_objective).min().unwrap_or(0);
@@ -757,7 +765,7 @@
         let (load, sent_at, func, trigger, work) = (d.load, d.at, inv.func, inv.trigger, inv.work);
         let f = &mut self.funcs[func as usize];
         f.own[w] = f.own[w].saturating_sub(1);
-        self.workers.own[w] = self.workers.own[w].saturating_sub(1);
+        let own = f64::from(self.health.own_at(w));
         self.health.ended(w, trigger);
         if load {
             self.load_ends(func, w);
@@ -777,8 +785,7 @@
             Outcome::Succeeded => {
                 self.health.judge(w, trigger, now, true);
                 let over = CARRIED_WINDOWS * self.rules.overload_window.max(1) as f64;
-                self.carried = self.carried * (-(now - self.carried_at) as f64 / over).exp() + 1.0;
-                self.carried_at = now;
+                self.carried.add(now, over, 1.0);
                 let loaded_by = self.workers.loaded_by[w].max(now);
                 for slot in self.health.slots(w, trigger) {
                     self.health.due[slot] = loaded_by + HUSH * usual.stretched();
@@ -792,14 +799,14 @@
                         let slowness = &mut self.slowness[self.workers.kind[w] as usize];
                         *slowness += ((took as f64 / work as f64).min(SLOWEST) - *slowness) / SLOWNESS_GAIN;
                     }
-                    self.workers.learn_bears(w, now, took, objective);
+                    self.workers.learn_bears(w, now, own, took, objective);
                 } else if note == CopyNote::Began || load {
                     self.loaded_in((took - usual.mean).max(1), func);
                 }
             }
             Outcome::Missed => self.funcs[func as usize].cool(w),
             // Symptom: a full worker answers fastest of all and so looks idle.
-            Outcome::Throttled => self.workers.learn_bears(w, now, Micros::MAX / 8, objective),
+            Outcome::Throttled => self.workers.learn_bears(w, now, own, Micros::MAX / 8, objective),
             Outcome::NotSent | Outcome::Withdrawn => {}
             // A try that its client ended before an answer was due tells nothing.
             Outcome::TimedOut if took < usual.stretched() => {}
@@ -816,7 +823,7 @@
     /// After a dispatch without success: another one, or the final answer at once.
     fn follow_up(&mut self, ix: InvIx, out: &mut Vec<Action>) {
         let Some((inv, f)) = self.found(ix).filter(|(i, _)| !i.ended && !i.out()) else { return };
-        let again = (0..self.workers.own.len()).any(|w| self.allowed(inv, w));
+        let again = (0..self.workers.zone.len()).any(|w| self.allowed(inv, w));
         if again && inv.gives_up_at - self.now > self.usual_service(f).mean {
             self.route(ix, out);
         } else {
@@ -949,11 +956,8 @@
         self.retry_held(None, out);
         for func in 0..self.funcs.len() as u32 {
             let f = &mut self.funcs[func as usize];
-            if f.known
-                && f.open == 0
-                && f.orders == 0
-                && self.now - f.used > FORGET_AFTER * self.loads.idle_kept
-            {
+            let unused = self.now - f.used > FORGET_AFTER * self.loads.idle_kept;
+            if f.known && f.open == 0 && f.orders == 0 && unused {
                 *f = Function::default();
                 out.push(Action::Forget { func });
             }
@@ -967,8 +971,8 @@
         if mode == ListMode::Failed {
             return;
         }
-        let most =
-            entries.iter().map(|e| e.worker as usize + 1).max().unwrap_or(0).max(self.workers.own.len());
+        let known = self.workers.zone.len();
+        let most = entries.iter().map(|e| e.worker as usize + 1).fold(known, usize::max);
         self.workers.grow(most);
         self.health.grow(most);
         self.funcs.iter_mut().for_each(|f| f.grow(most));
--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -185,10 +185,7 @@
 fn many_routers_bring_a_busy_function_to_several_homes() {
     let mut homes = BTreeSet::new();
     for position in 0..16 {
-        let mut s = Script::new(position, Site { routers: 16, ..PLAIN }, 8);
-        s.control = router_at(position as u32, Site { routers: 16, ..PLAIN });
-        let entries: Vec<_> = (0..8).map(|w| entry(w, Standing::InService, None)).collect();
-        s.list(ListMode::Saved, &entries);
+        let mut s = Script::at(position, position.into(), Site { routers: 16, ..PLAIN }, 8);
         let mut last = 0;
         for _ in 0..12 {
             let (inv, actions) = s.arrive(0, 0, 1, 2 * SECOND);
@@ -267,8 +264,7 @@
     let site = Site { routers: 100, ..PLAIN };
     let mut sends = 0;
     for position in 0..100 {
-        let mut s = Script::new(u64::from(position), site, 1);
-        s.control = router_at(position, site);
+        let mut s = Script::at(position, position.into(), site, 1);
         s.list(ListMode::Saved, &[entry(0, Standing::InService, Some(s.now))]);
         for trigger in 0..3 {
             sends += sent(&s.arrive(trigger, trigger, 1, 500 * MS).1).len();
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -52,11 +52,6 @@
         .to_vec()
 }
 
-/// One of the routers; its seed is its place.
-pub fn router_at(position: u32, site: Site) -> Control {
-    router(u64::from(position), position, site)
-}
-
 fn router(seed: u64, position: u32, site: Site) -> Control {
     Control::new(
         seed,
@@ -138,8 +133,13 @@
 
 impl Script {
     pub fn new(seed: u64, site: Site, workers: u32) -> Self {
+        Script::at(0, seed, site, workers)
+    }
+
+    /// The router at this place among them.
+    pub fn at(position: u32, seed: u64, site: Site, workers: u32) -> Self {
         let mut script = Script {
-            control: router(seed, 0, site),
+            control: router(seed, position, site),
             now: 1_000 * SECOND,
             site,
             ledger: Vec::new(),
