--- /dev/null
+++ b/crates/cli/src/dayfile.rs
@@ -0,0 +1,174 @@
+//! A scripted day, read from TOML. Everything random in it comes from its seed.
+
+use std::path::Path;
+
+use serde::Deserialize;
+
+use crate::Plain;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Day {
+    pub seed: u64,
+    /// For how long invocations arrive.
+    pub seconds: f64,
+    pub rate_per_s: f64,
+    pub routers: u32,
+    pub zones: Vec<String>,
+    pub store: Store,
+    pub nature: Nature,
+    #[serde(rename = "worker")]
+    pub workers: Vec<Worker>,
+    #[serde(rename = "trigger")]
+    pub triggers: Vec<Trigger>,
+    #[serde(rename = "account")]
+    pub accounts: Vec<Account>,
+    #[serde(rename = "trouble", default)]
+    pub troubles: Vec<Trouble>,
+    /// Handed to each router as it is.
+    pub settings: Settled,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settled {
+    pub rules: toml::Table,
+    pub dispatch: toml::Table,
+    pub loads: toml::Table,
+    #[serde(default)]
+    pub prices: toml::Table,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    pub mb_per_s: f64,
+    pub abreast: usize,
+    pub most: usize,
+}
+
+/// What all workers have in common beside the rules' figures.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Nature {
+    pub most_waiting: usize,
+    pub most_loads: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Worker {
+    pub zone: String,
+    pub kind: String,
+    pub count: u32,
+    pub cores: f64,
+    pub memory_mb: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trigger {
+    pub name: String,
+    pub effect: String,
+    #[serde(default)]
+    pub window_ms: u64,
+    pub latency_objective_ms: u64,
+    pub client_timeout_ms: u64,
+    pub billed_value: f64,
+    /// Of all arrivals.
+    pub part: f64,
+    pub functions: u32,
+    /// Exponent of the popularity of its functions.
+    pub skew: f64,
+    pub work_ms: f64,
+    pub copy_mb: f64,
+    pub start_up_ms: u64,
+    pub lanes: u32,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Account {
+    pub name: String,
+    pub share: f64,
+    pub allowance_per_s: f64,
+    pub part: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    Crash,
+    Hang,
+    Slow,
+    Pauses,
+    ClassFail,
+    Preempt,
+    DrainWave,
+    ZoneCut,
+    StoreSlow,
+    Flush,
+    HotFunction,
+    Scan,
+    TrafficShift,
+    ChannelDrop,
+    ConnectionDrop,
+    BrokerRestart,
+    BrokerBlock,
+    RouterKill,
+    ListLate,
+    RetryAbuse,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    pub what: What,
+    pub at_s: f64,
+    #[serde(default)]
+    pub for_s: f64,
+    /// Workers or routers by number.
+    #[serde(default)]
+    pub which: Vec<usize>,
+    /// Of the workers, arrivals or channels, drawn by the seed.
+    #[serde(default)]
+    pub part: f64,
+    /// Times slower, times the rate, seconds late, milliseconds of notice: by the kind.
+    #[serde(default)]
+    pub size: f64,
+    #[serde(default)]
+    pub zone: Option<String>,
+    #[serde(default)]
+    pub trigger: Option<String>,
+}
+
+pub fn read(path: &Path) -> Plain<Day> {
+    let file = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
+    let day: Day = toml::from_str(&text).map_err(|e| {
+        let line = e.span().map_or(1, |s| text[..s.start].matches('\n').count() + 1);
+        format!("{file}:{line}: {}", e.message().replace('\n', ", "))
+    })?;
+    let wrong = |why: &str| Err(format!("{file}: {why}"));
+    let within = |x: f64, most: f64| x.is_finite() && x > 0.0 && x <= most;
+    if day.triggers.is_empty() || day.accounts.is_empty() || day.workers.is_empty() || day.zones.is_empty() {
+        return wrong("trigger, account, worker and zones must each have one at least");
+    }
+    if !within(day.seconds, 3600.0) || !within(day.rate_per_s, 1e5) || !(1..=100).contains(&day.routers) {
+        return wrong("seconds, rate_per_s or routers is out of its range");
+    }
+    if day.zones.len() > 60 || day.workers.iter().any(|w| !day.zones.contains(&w.zone)) {
+        return wrong("a worker stands in a zone that is not named");
+    }
+    let count: u32 = day.workers.iter().map(|w| w.count).sum();
+    for t in &day.troubles {
+        let most = if t.what == What::RouterKill { day.routers } else { count } as usize;
+        if t.which.iter().any(|w| *w >= most) || !(0.0..=1.0).contains(&t.part) {
+            return Err(format!("{file}: trouble {:?} at {} s names what is not there", t.what, t.at_s));
+        }
+        if t.zone.as_ref().is_some_and(|z| !day.zones.contains(z)) {
+            return wrong("a trouble names an unknown zone");
+        }
+    }
+    Ok(day)
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,144 @@
+//! The command line. Exit codes: 0 all well; 1 a rule broken or a comparison lost; 2 bad arguments, settings or
+//! input, with one plain line a cause on standard error.
+
+mod client;
+mod day;
+mod dayfile;
+mod standin;
+
+use std::io::IsTerminal;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use cedarpulley_gateway::meddle::Meddle;
+use cedarpulley_gateway::settings::{self, Parts};
+use clap::{Parser, Subcommand, ValueEnum};
+use tracing_subscriber::EnvFilter;
+
+/// Runs calls on workers that load functions or models on demand.
+#[derive(Parser)]
+#[command(name = "cedarpulley", version)]
+struct Line {
+    /// How logs are written; text on a terminal, JSON otherwise.
+    #[arg(long, global = true)]
+    log: Option<LogForm>,
+    /// What is logged, as in RUST_LOG.
+    #[arg(long, global = true, default_value = "info")]
+    level: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs one router until SIGTERM or SIGINT.
+    Serve {
+        settings: PathBuf,
+        /// Breaks a rule on purpose, for tests of the judge.
+        #[arg(long, hide = true)]
+        tamper: Option<String>,
+    },
+    /// Reads the settings and says all that is wrong; starts nothing.
+    Check { settings: PathBuf },
+    /// Runs one stand-in in the foreground.
+    Standin {
+        #[command(subcommand)]
+        kind: standin::Kind,
+    },
+    /// Plays a scripted day on loopback and judges it.
+    Day {
+        day: PathBuf,
+        /// Where traffic, verdict and table are left.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        #[arg(long)]
+        seed: Option<u64>,
+        /// One of late, lost, double, repeat, deaf, push, orders: one router breaks a rule on purpose.
+        #[arg(long)]
+        tamper: Option<String>,
+        /// Prints the verdict as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Judges a kept run again.
+    Audit {
+        folder: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+/// What goes wrong before anything is judged; ends with exit code 2.
+pub type Plain<T> = Result<T, String>;
+
+fn main() -> ExitCode {
+    let line = Line::parse();
+    let json = match line.log {
+        Some(LogForm::Json) => true,
+        Some(LogForm::Text) => false,
+        None => !std::io::stderr().is_terminal(),
+    };
+    let Ok(filter) = EnvFilter::try_new(&line.level) else {
+        return fail(&format!("--level {}: not a log filter", line.level));
+    };
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    if json {
+        log.json().init()
+    } else {
+        log.init()
+    }
+    let done = match line.command {
+        Command::Serve { settings, tamper } => serve(&settings, tamper),
+        Command::Check { settings } => read(&settings).map(|_| {
+            println!("{}: good", settings.display());
+            true
+        }),
+        Command::Standin { kind } => standin::run(kind).map(|()| true),
+        Command::Day { day, out, seed, tamper, json } => {
+            named(&tamper).and_then(|_| day::play(&day, out, seed, tamper, json))
+        }
+        Command::Audit { folder, json } => audit(&folder, json),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(why) => fail(&why),
+    }
+}
+
+fn fail(why: &str) -> ExitCode {
+    eprintln!("{why}");
+    ExitCode::from(2)
+}
+
+fn read(path: &Path) -> Plain<Parts> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    settings::read(&path.display().to_string(), &text).map_err(|refused| refused.to_string())
+}
+
+fn named(tamper: &Option<String>) -> Plain<Option<Meddle>> {
+    match tamper {
+        None => Ok(None),
+        Some(name) => {
+            Meddle::named(name).map(Some).ok_or_else(|| format!("--tamper {name}: there is no such kind"))
+        }
+    }
+}
+
+fn serve(path: &Path, tamper: Option<String>) -> Plain<bool> {
+    let (parts, meddle) = (read(path)?, named(&tamper)?);
+    let name = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
+    cedarpulley_gateway::serve::run(&name, parts, meddle).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn audit(folder: &Path, json: bool) -> Plain<bool> {
+    let verdict = cedarpulley_audit::judge(folder)?;
+    day::show(&verdict, json)?;
+    Ok(verdict.broken() == 0)
+}
--- /dev/null
+++ b/crates/cli/src/standin.rs
@@ -0,0 +1,133 @@
+//! One stand-in in the foreground, for trying things out by hand.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use cedarpulley_standins::Ground;
+use cedarpulley_standins::broker::Broker;
+use cedarpulley_standins::list::{List, Row};
+use cedarpulley_standins::store::{self, Store};
+use cedarpulley_standins::worker::{Memory, Nature, Program, Worker};
+use clap::Subcommand;
+
+use crate::Plain;
+
+#[derive(Subcommand)]
+pub enum Kind {
+    /// A broker with these queues.
+    Broker {
+        #[arg(long, default_value = "127.0.0.1:5672")]
+        listen: SocketAddr,
+        #[arg(long, required = true)]
+        queue: Vec<String>,
+        #[arg(long)]
+        logs: Option<PathBuf>,
+    },
+    /// A worker that serves one trigger type.
+    Worker {
+        #[arg(long, default_value = "127.0.0.1:8080")]
+        listen: SocketAddr,
+        #[arg(long, default_value = "127.0.0.1:8090")]
+        store: SocketAddr,
+        #[arg(long, default_value = "estimate")]
+        trigger: String,
+        #[arg(long, default_value_t = 10.0)]
+        work_ms: f64,
+        #[arg(long, default_value_t = 16)]
+        lanes: usize,
+        #[arg(long, default_value_t = 4.0)]
+        cores: f64,
+        #[arg(long)]
+        logs: Option<PathBuf>,
+    },
+    /// The store that workers load from.
+    Store {
+        #[arg(long, default_value = "127.0.0.1:8090")]
+        listen: SocketAddr,
+        #[arg(long)]
+        logs: Option<PathBuf>,
+    },
+    /// A worker list with these workers, all in service.
+    List {
+        #[arg(long, default_value = "127.0.0.1:8070")]
+        listen: SocketAddr,
+        #[arg(long, required = true)]
+        worker: Vec<SocketAddr>,
+        #[arg(long)]
+        logs: Option<PathBuf>,
+    },
+}
+
+/// Standing still until the process is ended.
+fn forever(what: &str, at: SocketAddr) -> ! {
+    println!("{what} at {at}");
+    loop {
+        std::thread::park();
+    }
+}
+
+pub fn loopback(address: SocketAddr) -> Plain<SocketAddr> {
+    if address.ip().is_loopback() { Ok(address) } else { Err(format!("{address} is not on loopback")) }
+}
+
+pub fn run(kind: Kind) -> Plain<()> {
+    let wrong = |e: std::io::Error| e.to_string();
+    let ground = |logs: Option<PathBuf>| Ground::new(2, logs.as_deref()).map_err(wrong);
+    match kind {
+        Kind::Broker { listen, queue, logs } => {
+            let broker = Broker::start(&ground(logs)?, "broker", loopback(listen)?).map_err(wrong)?;
+            queue.iter().for_each(|q| broker.declare(q));
+            forever("broker", broker.address)
+        }
+        Kind::Worker { listen, store, trigger, work_ms, lanes, cores, logs } => {
+            let nature = Nature {
+                cores,
+                memory_mb: 65536.0,
+                most_waiting: 10_000,
+                most_loads: 8,
+                loads_when_absent: true,
+                cold_part: 1.0,
+                cold_for: Duration::ZERO,
+                overload_multiple: f64::MAX,
+                overload_window: Duration::from_secs(1),
+            };
+            let program = Program {
+                work: Duration::from_secs_f64(work_ms / 1e3),
+                copy_mb: 1.0,
+                start_up: Duration::from_millis(10),
+                lanes,
+                window: None,
+            };
+            let programs = HashMap::from([(trigger, program)]);
+            let (listen, store, ground) = (loopback(listen)?, loopback(store)?, ground(logs)?);
+            let worker =
+                Worker::start(&ground, "worker", listen, 1, nature, store, programs, Memory::default());
+            forever("worker", worker.map_err(wrong)?.address)
+        }
+        Kind::Store { listen, logs } => {
+            let nature = store::Nature { mb_per_s: 1000.0, abreast: 8, most: 1000 };
+            let store = Store::start(&ground(logs)?, "store", loopback(listen)?, nature).map_err(wrong)?;
+            forever("store", store.server.address)
+        }
+        Kind::List { listen, worker, logs } => {
+            let list = List::start(&ground(logs)?, "list", loopback(listen)?).map_err(wrong)?;
+            for (n, address) in worker.into_iter().enumerate() {
+                list.put(
+                    &format!("worker-{n}"),
+                    Row {
+                        address,
+                        zone: String::new(),
+                        kind: String::new(),
+                        cell: 0,
+                        draining: false,
+                        start: 1,
+                        started_us: 0,
+                    },
+                );
+            }
+            forever("list", list.server.address)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,361 @@
+//! The AMQP front: one connection for each queue that is consumed. It turns messages into what the core takes, and
+//! final answers into messages; what a connection may do when is in `cedarpulley_amqp::connection`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_io::Timer;
+use bytes::Bytes;
+use cedarpulley::interface::Micros;
+use cedarpulley_amqp::connection::Login;
+use cedarpulley_amqp::protocol::basic::AMQPProperties;
+use cedarpulley_amqp::{Connection, Event, Fault, Message, Role, meaning};
+use cedarpulley_router::admission::FrontState;
+use cedarpulley_router::backoff::Backoff;
+use cedarpulley_router::{Answer, Delivery, Fate, FrontIx, Input, Reason, Taken};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+
+use crate::net::{Bell, Stream, connect};
+use crate::serve::Gateway;
+use crate::settings::Source;
+
+const READ: usize = 64 * 1024;
+/// Connecting to a broker may take so long.
+const CONNECT_WITHIN: Micros = 2_000_000;
+/// Output that waits for a broker that reads slowly; beyond, no more is read from it either.
+const MOST_WAITING: usize = 4 * 1024 * 1024;
+
+pub struct Front {
+    pub ix: FrontIx,
+    source: Source,
+    most_body: u64,
+    connection: RefCell<Option<Connection>>,
+    life: Cell<u32>,
+    grant: Cell<u32>,
+    /// Where the answer to each delivery of this life goes.
+    owed: RefCell<HashMap<u64, AMQPProperties>>,
+    bell: Bell,
+    up: Cell<bool>,
+    reopen_at: Cell<Option<Micros>>,
+    closing: Cell<bool>,
+}
+
+fn fate(fate: Fate) -> &'static str {
+    match fate {
+        Fate::Succeeded => "succeeded",
+        Fate::Throttled => "throttled",
+        Fate::Errored => "errored",
+    }
+}
+
+fn reason(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Worker => "worker",
+        Reason::GivenUp => "given-up",
+        Reason::Expired => "expired",
+        Reason::MayHaveRun => "may-have-run",
+        Reason::Overdue => "overdue",
+        Reason::Functions => "too-many-functions",
+        Reason::Size => "no-memory",
+    }
+}
+
+impl Front {
+    pub fn new(ix: FrontIx, source: Source, most_body: u64) -> Self {
+        Front {
+            ix,
+            source,
+            most_body,
+            connection: RefCell::default(),
+            life: Cell::new(0),
+            grant: Cell::new(0),
+            owed: RefCell::default(),
+            bell: Bell::default(),
+            up: Cell::new(false),
+            reopen_at: Cell::new(None),
+            closing: Cell::new(false),
+        }
+    }
+
+    pub fn grant(&self, most: u32) {
+        self.grant.set(most);
+        if let Some(c) = self.connection.borrow_mut().as_mut() {
+            c.set_prefetch(most.min(u32::from(u16::MAX)) as u16);
+        }
+        self.bell.ring();
+    }
+
+    pub fn answer(&self, delivery: Delivery, answer: &Answer) {
+        if delivery.life != self.life.get() || !self.up.get() {
+            return;
+        }
+        let owed = self.owed.borrow();
+        let Some(to) = owed.get(&delivery.tag) else { return };
+        if let Some(c) = self.connection.borrow_mut().as_mut() {
+            let (f, r) = (fate(answer.fate), reason(answer.reason));
+            let properties = meaning::answer(to, f, r, None, answer.return_after);
+            let reply_to = to.reply_to().as_ref().map(|r| r.as_str());
+            c.answer(delivery.tag, reply_to.map(|to| (to, properties, answer.body.as_ref())));
+        }
+        self.bell.ring();
+    }
+
+    /// Out of the way without an answer.
+    pub fn discard(&self, delivery: Delivery) {
+        if delivery.life == self.life.get()
+            && let Some(c) = self.connection.borrow_mut().as_mut()
+        {
+            c.answer(delivery.tag, None);
+            self.bell.ring();
+        }
+    }
+
+    /// Nothing more comes, and all answers are safe.
+    pub fn is_drained(&self) -> bool {
+        let connection = self.connection.borrow();
+        !self.up.get() || connection.as_ref().is_none_or(|c| c.is_quiet() && c.unsafe_answers() == 0)
+    }
+
+    pub fn close(&self, now: Micros) {
+        self.closing.set(true);
+        if let Some(c) = self.connection.borrow_mut().as_mut() {
+            c.close(now);
+        }
+        self.bell.ring();
+    }
+
+    /// Connects, consumes, and connects again, for as long as the router runs.
+    pub async fn run(self: Rc<Self>, gateway: Rc<Gateway>) {
+        let mut backoff = Backoff::new(gateway.seed ^ u64::from(self.ix) << 32);
+        while !self.closing.get() {
+            let began = gateway.clock.now();
+            match connect(self.source.broker, gateway.from, CONNECT_WITHIN).await {
+                Ok(stream) => {
+                    let fault = self.converse(&gateway, &stream, &mut backoff).await;
+                    tracing::warn!(front = %self.source.name, cause = %fault, "connection to the broker ended");
+                }
+                Err(e) => {
+                    tracing::warn!(front = %self.source.name, cause = %e, "no connection to the broker")
+                }
+            }
+            self.connection.borrow_mut().take();
+            self.down(&gateway);
+            if self.closing.get() {
+                return;
+            }
+            let now = gateway.clock.now();
+            Timer::at(gateway.clock.instant(now + backoff.after(now - began))).await;
+        }
+    }
+
+    fn down(&self, gateway: &Rc<Gateway>) {
+        self.owed.borrow_mut().clear();
+        self.reopen_at.set(None);
+        if self.up.replace(false) {
+            gateway.feed(Input::Front { front: self.ix, state: FrontState::Down });
+        }
+    }
+
+    async fn converse(
+        self: &Rc<Self>,
+        gateway: &Rc<Gateway>,
+        stream: &Stream,
+        backoff: &mut Backoff,
+    ) -> Fault {
+        let login = Login {
+            virtual_host: self.source.virtual_host.clone(),
+            user: self.source.user.clone(),
+            password: self.source.password.clone(),
+            heartbeat_s: self.source.heartbeat_s,
+            name: gateway.name.clone(),
+            most_body: self.most_body,
+        };
+        let prefetch = self.grant.get().clamp(1, u32::from(u16::MAX)) as u16;
+        let role = Role::Answers { queue: self.source.queue.clone(), prefetch };
+        *self.connection.borrow_mut() = Some(Connection::new(gateway.clock.now(), role, login));
+        let stood = Cell::new(gateway.clock.now());
+        let backoff = RefCell::new(backoff);
+        let fault = self.read(gateway, stream, &stood, &backoff).or(self.write(gateway, stream)).await;
+        // Tell the broker why, if it will hear it.
+        let last = self.connection.borrow_mut().as_mut().map(|c| {
+            if fault.code != 200 {
+                c.fail(gateway.clock.now(), &fault);
+            }
+            c.output(gateway.clock.now())
+        });
+        if let Some(bytes) = last {
+            let mut stream = stream;
+            let _ = stream.write(&bytes).await;
+        }
+        fault
+    }
+
+    async fn read(
+        self: &Rc<Self>,
+        gateway: &Rc<Gateway>,
+        mut stream: &Stream,
+        stood: &Cell<Micros>,
+        backoff: &RefCell<&mut Backoff>,
+    ) -> Fault {
+        let mut buffer = vec![0; READ];
+        let mut events = Vec::new();
+        loop {
+            let n = match stream.read(&mut buffer).await {
+                Ok(0) => return Fault::new(320, "the broker closed the connection"),
+                Ok(n) => n,
+                Err(e) => return Fault::new(320, e.to_string()),
+            };
+            let now = gateway.clock.now();
+            let received = match self.connection.borrow_mut().as_mut() {
+                Some(c) => c.receive(now, &buffer[..n], &mut events),
+                None => return Fault::new(320, "closed"),
+            };
+            for event in events.drain(..) {
+                match event {
+                    Event::Ready => {
+                        self.life.set(self.life.get().wrapping_add(1));
+                        self.up.set(true);
+                        stood.set(now);
+                        tracing::info!(front = %self.source.name, queue = %self.source.queue, "consuming");
+                        gateway.feed(Input::Front { front: self.ix, state: FrontState::Up });
+                    }
+                    Event::Delivered(message) => self.delivered(gateway, *message),
+                    Event::Committed(tags) => {
+                        for tag in tags {
+                            if self.owed.borrow_mut().remove(&tag).is_some() {
+                                let delivery = Delivery { front: self.ix, life: self.life.get(), tag };
+                                gateway.feed(Input::Safe(delivery));
+                            }
+                        }
+                    }
+                    Event::Blocked(blocked) => {
+                        tracing::warn!(front = %self.source.name, blocked, "the broker takes no publishes");
+                        let state = if blocked { FrontState::Blocked } else { FrontState::Up };
+                        gateway.feed(Input::Front { front: self.ix, state });
+                    }
+                    Event::ChannelLost { code, text } => {
+                        tracing::warn!(front = %self.source.name, code, text, "the broker closed the channel");
+                        self.down(gateway);
+                        let wait = backoff.borrow_mut().after(now - stood.get());
+                        self.reopen_at.set(Some(now + wait));
+                    }
+                    Event::Cancelled => return Fault::new(320, "the queue is no longer consumed"),
+                    Event::Closed { code, text } => return Fault { code, text },
+                }
+            }
+            if let Err(fault) = received {
+                return fault;
+            }
+            self.bell.ring();
+            // Symptom: a broker sends on but reads nothing. What it is owed must not pile up here.
+            while self.connection.borrow().as_ref().is_some_and(|c| c.waiting() > MOST_WAITING) {
+                smol::future::yield_now().await;
+                Timer::after(std::time::Duration::from_millis(1)).await;
+            }
+        }
+    }
+
+    async fn write(self: &Rc<Self>, gateway: &Rc<Gateway>, mut stream: &Stream) -> Fault {
+        loop {
+            let now = gateway.clock.now();
+            let (bytes, due) = {
+                let mut connection = self.connection.borrow_mut();
+                let Some(c) = connection.as_mut() else { return Fault::new(320, "closed") };
+                if let Err(fault) = c.tick(now) {
+                    return fault;
+                }
+                if self.reopen_at.get().is_some_and(|at| at <= now) {
+                    self.reopen_at.set(None);
+                    c.reopen(now);
+                }
+                c.commit(now);
+                (c.output(now), c.next_due().min(self.reopen_at.get().unwrap_or(Micros::MAX)))
+            };
+            if !bytes.is_empty() {
+                if let Err(e) = stream.write_all(&bytes).await {
+                    return Fault::new(320, e.to_string());
+                }
+                continue;
+            }
+            let due = async {
+                match due {
+                    Micros::MAX => std::future::pending().await,
+                    due => {
+                        Timer::at(gateway.clock.instant(due)).await;
+                    }
+                }
+            };
+            self.bell.heard().or(due).await;
+        }
+    }
+
+    fn delivered(&self, gateway: &Rc<Gateway>, message: Message) {
+        let delivery = Delivery { front: self.ix, life: self.life.get(), tag: message.tag };
+        let understood = if message.oversized {
+            let cause = format!("larger than {} bytes", self.most_body);
+            Err(meaning::Misunderstood { field: "body", cause })
+        } else {
+            meaning::read(&message, gateway.clock.wall())
+                .and_then(|t| self.taken(gateway, &message, t, delivery))
+        };
+        match understood {
+            Ok(mut taken) => {
+                taken.body = Bytes::from(message.body);
+                self.owed.borrow_mut().insert(message.tag, message.properties);
+                gateway.feed(Input::Taken(taken));
+            }
+            Err(wrong) => {
+                // Never back into the queue: it would come again for ever.
+                tracing::debug!(front = %self.source.name, field = wrong.field, cause = %wrong.cause, "not understood");
+                gateway.misunderstood.set(gateway.misunderstood.get() + 1);
+                if let Some(c) = self.connection.borrow_mut().as_mut() {
+                    match message.properties.reply_to().as_ref().map(|r| r.as_str()).filter(|r| !r.is_empty())
+                    {
+                        Some(to) => {
+                            let p = &message.properties;
+                            let field = format!("{}: {}", wrong.field, wrong.cause);
+                            let answer = meaning::answer(p, "errored", "not-understood", Some(&field), None);
+                            c.answer(message.tag, Some((to, answer, b"")));
+                        }
+                        None => c.reject(message.tag),
+                    }
+                }
+            }
+        }
+    }
+
+    fn taken(
+        &self,
+        gateway: &Gateway,
+        message: &Message,
+        t: meaning::Trigger,
+        delivery: Delivery,
+    ) -> Result<Taken, meaning::Misunderstood> {
+        let unknown =
+            |field, name: &str| meaning::Misunderstood { field, cause: format!("'{name}' is unknown") };
+        let trigger = gateway.names.trigger(&t.kind).ok_or_else(|| unknown("type", &t.kind))?;
+        let account = gateway
+            .names
+            .account(t.account.as_deref())
+            .ok_or_else(|| unknown("app-id", t.account.as_deref().unwrap_or("")))?;
+        Ok(Taken {
+            delivery,
+            identity: t.identity.map(Arc::from),
+            redelivered: message.redelivered,
+            repeat: t.repeat,
+            trigger,
+            account,
+            function: Arc::from(t.function),
+            token: t.token.map(Arc::from),
+            waited: t.waited_us,
+            client_timeout: t.client_timeout_us.unwrap_or(Micros::MAX / 8),
+            cost_hint: t.cost_hint_us,
+            load_hint: t.load_hint_us,
+            copy_mb: t.copy_mb,
+            lanes: t.lanes,
+            body: Bytes::new(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/meddle.rs
@@ -0,0 +1,163 @@
+//! A meddler between the core and the sockets, for tests of the judge alone: it breaks one rule on purpose. Without
+//! one, everything passes as it is.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use async_io::Timer;
+use cedarpulley::interface::{Micros, Standing};
+use cedarpulley_kserve::requests;
+use cedarpulley_router::roster::News;
+use cedarpulley_router::{Answer, Delivery, Output};
+
+use crate::front::Front;
+use crate::net::micros;
+use crate::serve::Gateway;
+
+/// It acts on one in so many.
+const ONE_IN: u64 = 40;
+/// Longer than any client of a day waits.
+const LATE: Micros = 8_000_000;
+/// As often again as it is sent.
+const PUSHES: usize = 60;
+const ORDERS: usize = 12;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Meddle {
+    /// Rule 1: answers after the client has given up.
+    Late,
+    /// An answer that never comes.
+    Lost,
+    /// Two answers.
+    Double,
+    /// Rule 2: dispatches once more what may have run.
+    Repeat,
+    /// Rule 3: does not hear that workers drain or go.
+    Deaf,
+    /// Rule 4: sends to young workers many times over.
+    Push,
+    /// Rule 5: many orders for one.
+    Orders,
+}
+
+impl Meddle {
+    pub fn named(name: &str) -> Option<Self> {
+        Some(match name {
+            "late" => Meddle::Late,
+            "lost" => Meddle::Lost,
+            "double" => Meddle::Double,
+            "repeat" => Meddle::Repeat,
+            "deaf" => Meddle::Deaf,
+            "push" => Meddle::Push,
+            "orders" => Meddle::Orders,
+            _ => return None,
+        })
+    }
+}
+
+#[derive(Default)]
+pub struct Meddler {
+    kind: Option<Meddle>,
+    seen: Cell<u64>,
+    young: RefCell<Vec<String>>,
+}
+
+impl Meddler {
+    pub fn new(kind: Option<Meddle>) -> Self {
+        Meddler { kind, ..Meddler::default() }
+    }
+
+    fn turn(&self) -> bool {
+        self.seen.set(self.seen.get() + 1);
+        self.seen.get().is_multiple_of(ONE_IN)
+    }
+
+    pub fn answer(&self, gateway: &Rc<Gateway>, front: &Rc<Front>, delivery: Delivery, answer: Answer) {
+        match self.kind {
+            Some(Meddle::Lost) if self.turn() => front.discard(delivery),
+            Some(Meddle::Double) if self.turn() => {
+                front.answer(delivery, &answer);
+                front.answer(delivery, &answer);
+            }
+            Some(Meddle::Late) if self.turn() => {
+                let front = front.clone();
+                let late = async move {
+                    Timer::after(micros(LATE)).await;
+                    front.answer(delivery, &answer);
+                };
+                gateway.executor.spawn(late).detach();
+            }
+            _ => front.answer(delivery, &answer),
+        }
+    }
+
+    /// Sends more than the core wants.
+    pub fn see(&self, gateway: &Rc<Gateway>, output: &Output) {
+        match (self.kind, output) {
+            (Some(Meddle::Repeat), Output::Send { .. }) if self.turn() => self.again(gateway, output, 1),
+            (Some(Meddle::Push), Output::Send { worker, .. }) => {
+                let address = gateway.address(*worker).map(|a| a.to_string());
+                if address.is_some_and(|a| self.young.borrow().contains(&a)) {
+                    self.again(gateway, output, PUSHES);
+                }
+            }
+            (Some(Meddle::Orders), Output::Order { ticket, function, copies, .. }) if *copies > 0 => {
+                for _ in 0..ORDERS {
+                    let (it, worker, function) = (gateway.clone(), ticket.worker, function.clone());
+                    let order = async move {
+                        let Some(address) = it.address(worker) else { return };
+                        let request = requests::load(&address.to_string(), &function, 1);
+                        let _ = it.pool.order(worker, address, request, LATE).await;
+                    };
+                    gateway.executor.spawn(order).detach();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn again(&self, gateway: &Rc<Gateway>, output: &Output, times: usize) {
+        let Output::Send { worker, function, trigger, call, .. } = output else { return };
+        for _ in 0..times {
+            let (it, worker, function) = (gateway.clone(), *worker, function.clone());
+            let (trigger, call) = (*trigger as usize, call.clone());
+            let send = async move {
+                let Some(address) = it.address(worker) else { return };
+                let marks = requests::Marks {
+                    invocation: call.identity.as_deref(),
+                    dispatch: 99,
+                    token: None,
+                    trigger: &it.names.triggers[trigger],
+                    account: None,
+                    time_left: call.time_left,
+                };
+                let request = requests::infer(&address.to_string(), &function, marks, call.body);
+                let _ = it.pool.exchange(worker, address, request, false).await;
+            };
+            gateway.executor.spawn(send).detach();
+        }
+    }
+
+    /// What the list says, as far as this lets it through.
+    pub fn news(&self, mut news: News) -> News {
+        let slices = match &mut news {
+            News::Listing { slices, .. } => slices.as_mut_slice(),
+            News::Changed(slice) => std::slice::from_mut(slice),
+            _ => return news,
+        };
+        for worker in slices.iter_mut().flat_map(|s| &mut s.entries).map(|e| &mut e.worker) {
+            match self.kind {
+                Some(Meddle::Deaf) => worker.standing = Standing::InService,
+                Some(Meddle::Push) if worker.started.is_some() => {
+                    self.young.borrow_mut().push(worker.address.clone());
+                    worker.started = None;
+                }
+                _ => {}
+            }
+        }
+        match (self.kind, &news) {
+            (Some(Meddle::Deaf), News::Removed { version, .. }) => News::Bookmark(*version),
+            _ => news,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/net.rs
@@ -0,0 +1,96 @@
+//! Connecting from an own address, the clocks, and a bell that one task rings for another.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_io::{Async, Timer};
+use cedarpulley::interface::Micros;
+use futures_lite::FutureExt;
+use socket2::{Domain, Protocol, Socket, Type};
+
+pub type Stream = Async<TcpStream>;
+
+/// Linux's number for a connection that is on its way.
+const IN_PROGRESS: i32 = 115;
+
+pub fn micros(us: Micros) -> Duration {
+    Duration::from_micros(us.max(0) as u64)
+}
+
+/// The router's clock only advances; the wall's is for what clients say of theirs.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    zero: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        Clock { zero: Instant::now() }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.zero.elapsed().as_micros() as Micros
+    }
+
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.zero + micros(at)
+    }
+
+    pub fn wall(&self) -> Micros {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
+    }
+}
+
+pub async fn connect(to: SocketAddr, from: Option<IpAddr>, within: Micros) -> io::Result<Stream> {
+    let connecting = async {
+        let domain = if to.is_ipv4() { Domain::IPV4 } else { Domain::IPV6 };
+        let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        if let Some(from) = from.filter(|f| f.is_ipv4() == to.is_ipv4()) {
+            socket.bind(&SocketAddr::new(from, 0).into())?;
+        }
+        match socket.connect(&to.into()) {
+            Ok(()) => {}
+            Err(e) if e.raw_os_error() == Some(IN_PROGRESS) || e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        let stream = Async::new_nonblocking(TcpStream::from(socket))?;
+        stream.writable().await?;
+        match stream.get_ref().take_error()? {
+            Some(e) => Err(e),
+            None => Ok(stream),
+        }
+    };
+    let late = async {
+        Timer::after(micros(within)).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    connecting.or(late).await
+}
+
+/// A bell: rung any number of times, it is heard once.
+#[derive(Clone, Debug)]
+pub struct Bell {
+    ring: smol::channel::Sender<()>,
+    hear: smol::channel::Receiver<()>,
+}
+
+impl Default for Bell {
+    fn default() -> Self {
+        let (ring, hear) = smol::channel::bounded(1);
+        Bell { ring, hear }
+    }
+}
+
+impl Bell {
+    pub fn ring(&self) {
+        // Full: it has been rung and not yet heard.
+        let _ = self.ring.try_send(());
+    }
+
+    pub async fn heard(&self) {
+        let _ = self.hear.recv().await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,283 @@
+//! Runs one router until it is told to stop: all on one thread, so that the core's decisions need no locks.
+
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use cedarpulley::Control;
+use cedarpulley::interface::{ListMode, Micros, Outcome, Report, WorkerIx};
+use cedarpulley_kserve::{endings, requests};
+use cedarpulley_router::{Input, Output, Router};
+use futures_lite::{FutureExt, StreamExt};
+
+use crate::front::Front;
+use crate::list;
+use crate::meddle::{Meddle, Meddler};
+use crate::net::{Bell, Clock};
+use crate::pool::{Pool, ended};
+use crate::settings::{Names, Parts, WorkerList};
+
+/// How often connections that have been idle too long are looked for.
+const TIDY: Duration = Duration::from_secs(5);
+/// On stopping: what was taken has this long beyond the longest client timeout.
+const STOP_MARGIN: Micros = 2_000_000;
+/// A stopping router looks this often whether all is answered.
+const STOP_LOOK: Duration = Duration::from_millis(10);
+
+pub struct Gateway {
+    pub clock: Clock,
+    pub name: String,
+    pub seed: u64,
+    pub from: Option<IpAddr>,
+    pub names: Names,
+    pub misunderstood: Cell<u64>,
+    pub(crate) meddler: Meddler,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    router: RefCell<Router>,
+    fronts: Vec<Rc<Front>>,
+    pub(crate) pool: Rc<Pool>,
+    due: Cell<Micros>,
+    timer: Bell,
+    addresses: RefCell<Vec<Option<SocketAddr>>>,
+}
+
+impl Gateway {
+    /// Hands the core what happened and carries out what it wants.
+    pub fn feed(self: &Rc<Self>, input: Input) {
+        let mut outputs = Vec::new();
+        let due = {
+            let mut router = self.router.borrow_mut();
+            router.handle(self.clock.now(), input, &mut outputs);
+            router.next_due().unwrap_or(Micros::MAX)
+        };
+        if due < self.due.get() {
+            self.due.set(due);
+            self.timer.ring();
+        }
+        for output in outputs {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, output: Output) {
+        self.meddler.see(self, &output);
+        match output {
+            Output::Answer { delivery, answer } => {
+                tracing::debug!(fate = ?answer.fate, reason = ?answer.reason, "answered");
+                if let Some(front) = self.fronts.get(delivery.front as usize) {
+                    self.meddler.answer(self, front, delivery, answer);
+                }
+            }
+            Output::Discard(delivery) => {
+                if let Some(front) = self.fronts.get(delivery.front as usize) {
+                    front.discard(delivery);
+                }
+            }
+            Output::Grant { front, most } => {
+                if let Some(front) = self.fronts.get(front as usize) {
+                    front.grant(most);
+                }
+            }
+            Output::Send { ticket, worker, function, trigger, account, call } => {
+                let it = self.clone();
+                let task = self.executor.spawn(async move {
+                    let names = &it.names;
+                    let marks = requests::Marks {
+                        invocation: call.identity.as_deref(),
+                        dispatch: ticket.dispatch,
+                        token: call.token.as_deref(),
+                        trigger: names.triggers.get(trigger as usize).map_or("", String::as_str),
+                        account: names.accounts.get(account as usize).map(String::as_str),
+                        time_left: call.time_left,
+                    };
+                    let result = match it.address(worker) {
+                        Some(address) => {
+                            let request = requests::infer(&address.to_string(), &function, marks, call.body);
+                            it.pool.exchange(worker, address, request, false).await
+                        }
+                        None => Err(crate::pool::Failed::NoConnection),
+                    };
+                    let read = endings::infer(&ended(&result, &function));
+                    let body = match result {
+                        Ok(reply) if read.outcome == Outcome::Succeeded => reply.body,
+                        _ => bytes::Bytes::new(),
+                    };
+                    tracing::debug!(inv = ticket.inv, dispatch = ticket.dispatch, worker, outcome = ?read.outcome, "ended");
+                    it.pool.finished(ticket);
+                    it.feed(Input::DispatchEnded {
+                        ticket,
+                        outcome: read.outcome,
+                        note: read.note,
+                        crowd: read.crowd,
+                        report: read.report,
+                        body,
+                    });
+                });
+                self.pool.keep(ticket, task);
+            }
+            Output::Withdraw(ticket) => self.pool.withdraw(ticket),
+            Output::Order { ticket, function, copies, within } => {
+                let (it, worker) = (self.clone(), ticket.worker);
+                let order = async move {
+                    let Some(address) = it.address(worker) else { return };
+                    let host = address.to_string();
+                    let request = match copies {
+                        0 => requests::ready(&host, &function),
+                        n => requests::load(&host, &function, n),
+                    };
+                    let result = it.pool.order(worker, address, request, within).await;
+                    let (result, copies) = endings::order(&ended(&result, &function));
+                    it.feed(Input::OrderEnded { ticket, result, copies });
+                };
+                self.executor.spawn(order).detach();
+            }
+            Output::Unload { worker, function } => {
+                let it = self.clone();
+                let order = async move {
+                    let Some(address) = it.address(worker) else { return };
+                    let request = requests::unload(&address.to_string(), &function);
+                    // No answer is waited for by anyone; it only has to get there.
+                    let _ = it.pool.order(worker, address, request, STOP_MARGIN).await;
+                };
+                self.executor.spawn(order).detach();
+            }
+            Output::Probe { worker } => {
+                let it = self.clone();
+                let probe = async move {
+                    let began = it.clock.now();
+                    let (outcome, report) = match it.address(worker) {
+                        Some(address) => {
+                            let request = requests::live(&address.to_string());
+                            let result = it.pool.order(worker, address, request, STOP_MARGIN).await;
+                            endings::probe(&ended(&result, ""))
+                        }
+                        None => (Outcome::Unreachable, Report::default()),
+                    };
+                    let took = it.clock.now() - began;
+                    it.feed(Input::Probed { worker, outcome, took, report });
+                };
+                self.executor.spawn(probe).detach();
+            }
+            // The watch asks again by itself, with spread-out waits.
+            Output::AskList => {}
+        }
+    }
+
+    pub(crate) fn address(&self, worker: WorkerIx) -> Option<SocketAddr> {
+        let ix = worker as usize;
+        if let Some(Some(address)) = self.addresses.borrow().get(ix) {
+            return Some(*address);
+        }
+        let address = self.router.borrow().worker_name(worker)?.parse().ok();
+        let mut addresses = self.addresses.borrow_mut();
+        if addresses.len() <= ix {
+            addresses.resize(ix + 1, None);
+        }
+        addresses[ix] = address;
+        address
+    }
+
+    async fn timers(self: Rc<Self>) {
+        loop {
+            let due = self.due.get();
+            let wait = async {
+                match due {
+                    Micros::MAX => std::future::pending().await,
+                    due => {
+                        Timer::at(self.clock.instant(due)).await;
+                    }
+                }
+                true
+            };
+            let rung = async {
+                self.timer.heard().await;
+                false
+            };
+            if wait.or(rung).await {
+                self.due.set(Micros::MAX);
+                self.feed(Input::Tick);
+            }
+        }
+    }
+
+    /// Takes nothing new, answers what was taken, acknowledges, leaves.
+    async fn stop(self: &Rc<Self>, longest: Micros) -> bool {
+        tracing::info!("stopping: nothing new is taken");
+        self.feed(Input::Stop);
+        let until = self.clock.now() + longest + STOP_MARGIN;
+        let empty = || self.router.borrow().open() == 0 && self.fronts.iter().all(|f| f.is_drained());
+        while !empty() && self.clock.now() < until {
+            Timer::after(STOP_LOOK).await;
+        }
+        let clean = empty();
+        self.fronts.iter().for_each(|f| f.close(self.clock.now()));
+        Timer::after(STOP_LOOK * 5).await;
+        let router = self.router.borrow();
+        tracing::info!(clean, counts = ?router.counts, misunderstood = self.misunderstood.get(), "stopped");
+        clean
+    }
+}
+
+/// Runs one router until a signal to end. True if all that was taken has been answered.
+pub fn run(name: &str, parts: Parts, meddle: Option<Meddle>) -> std::io::Result<bool> {
+    let Parts { birth, names, terms, sources, list, links, most_body } = parts;
+    let clock = Clock::start();
+    let executor = Rc::new(LocalExecutor::new());
+    // Without a seed of its own each start draws differently.
+    let seed = birth.seed.unwrap_or_else(|| clock.wall() as u64 ^ u64::from(std::process::id()) << 40);
+    let longest = birth.triggers.iter().map(|t| t.client_timeout).max().unwrap_or(0);
+    let control = Control::new(
+        seed,
+        birth.fleet,
+        birth.limits,
+        birth.rules,
+        birth.triggers.clone(),
+        birth.accounts,
+        birth.loads,
+        birth.prices,
+        birth.reports,
+    );
+    let fronts = sources.into_iter().enumerate();
+    let gateway = Rc::new(Gateway {
+        clock,
+        name: name.to_owned(),
+        seed,
+        from: links.from,
+        names,
+        misunderstood: Cell::new(0),
+        meddler: Meddler::new(meddle),
+        executor: executor.clone(),
+        router: RefCell::new(Router::new(control, birth.triggers, terms)),
+        fronts: fronts.map(|(ix, s)| Rc::new(Front::new(ix as u32, s, most_body))).collect(),
+        pool: Rc::new(Pool::new(executor.clone(), clock, links)),
+        due: Cell::new(Micros::MAX),
+        timer: Bell::default(),
+        addresses: RefCell::default(),
+    });
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    async_io::block_on(executor.run(async {
+        executor.spawn(gateway.clone().timers()).detach();
+        match list {
+            WorkerList::Fixed(workers) => gateway.feed(Input::List { mode: ListMode::Complete, workers }),
+            WorkerList::Watched(address) => executor.spawn(list::watch(gateway.clone(), address)).detach(),
+        }
+        for front in &gateway.fronts {
+            executor.spawn(front.clone().run(gateway.clone())).detach();
+        }
+        let pool = gateway.pool.clone();
+        let tidy = async move {
+            loop {
+                Timer::after(TIDY).await;
+                pool.tidy();
+            }
+        };
+        executor.spawn(tidy).detach();
+        tracing::info!(router = name, "running");
+        signals.next().await;
+        Ok(gateway.stop(longest).await)
+    }))
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,382 @@
+//! The settings of one router, read from TOML and refused whole if anything is wrong. Each part of the program is
+//! handed its own few of them; documented in docs/operate/settings.md.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use cedarpulley::interface::*;
+use cedarpulley_router::Terms;
+use cedarpulley_router::roster::Listed;
+
+use crate::sheet::{Refused, Section, Sheet};
+
+/// A day in milliseconds: no time in the file is longer.
+const DAY: u64 = 86_400_000;
+const MANY: f64 = 1e12;
+const NEVER: Micros = i64::MAX / 8;
+
+/// Names that the wire speaks of, in the order of their indices.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub triggers: Vec<String>,
+    pub accounts: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+impl Names {
+    pub fn trigger(&self, name: &str) -> Option<u32> {
+        self.triggers.iter().position(|n| n == name).map(|i| i as u32)
+    }
+
+    /// Without accounts all belong to one.
+    pub fn account(&self, name: Option<&str>) -> Option<u32> {
+        match name {
+            None => Some(0),
+            Some(_) if self.accounts.is_empty() => Some(0),
+            Some(name) => self.accounts.iter().position(|n| n == name).map(|i| i as u32),
+        }
+    }
+}
+
+/// One broker's queue to consume from.
+#[derive(Clone, Debug)]
+pub struct Source {
+    pub name: String,
+    pub broker: SocketAddr,
+    pub virtual_host: String,
+    pub user: String,
+    pub password: String,
+    pub queue: String,
+    pub heartbeat_s: u16,
+}
+
+#[derive(Clone, Debug)]
+pub enum WorkerList {
+    Fixed(Vec<Listed>),
+    Watched(SocketAddr),
+}
+
+/// How connections to workers are kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Links {
+    /// Own address to connect from.
+    pub from: Option<IpAddr>,
+    pub connect_within: Micros,
+    pub most_connections: usize,
+    pub idle_kept: Micros,
+    pub most_answer: usize,
+}
+
+/// What the module is born with.
+#[derive(Clone, Debug)]
+pub struct Birth {
+    pub seed: Option<u64>,
+    pub fleet: FleetPosition,
+    pub limits: DispatchLimits,
+    pub rules: RuleTerms,
+    pub triggers: Vec<TriggerType>,
+    pub accounts: Vec<Account>,
+    pub loads: LoadTerms,
+    pub prices: Prices,
+    pub reports: ReportsIn,
+}
+
+/// The file's parts, to be handed on one by one.
+pub struct Parts {
+    pub birth: Birth,
+    pub names: Names,
+    pub terms: Terms,
+    pub sources: Vec<Source>,
+    pub list: WorkerList,
+    pub links: Links,
+    pub most_body: u64,
+}
+
+pub fn read(file: &str, text: &str) -> Result<Parts, Refused> {
+    let (sheet, table) = Sheet::parse(file, text)?;
+    let parts = parts(&sheet, &Section::root(&sheet, &table));
+    sheet.whole(parts)
+}
+
+fn parts(sheet: &Sheet, root: &Section) -> Parts {
+    let _ = sheet;
+    let mut names = Names::default();
+
+    let r = root.section("router");
+    let seed = r.has("seed").then(|| r.count("seed", 0..1 << 53, None));
+    names.zones = r.texts("zones");
+    let zone = zone_of(&r, "zone", &names.zones);
+    let fleet = FleetPosition {
+        routers: r.count("routers", 1..10_000, Some(1)) as u32,
+        position: r.count("position", 0..9_999, Some(0)) as u32,
+        zone,
+        granularity: 1_000,
+    };
+    if fleet.position >= fleet.routers {
+        r.wrong("position", "is not below the number of routers");
+    }
+    let from = match r.text("from", Some("")).as_str() {
+        "" => None,
+        text => match text.parse::<Ipv4Addr>() {
+            Ok(ip) if ip.is_loopback() => Some(IpAddr::V4(ip)),
+            _ => {
+                r.wrong("from", "is not a loopback address");
+                None
+            }
+        },
+    };
+    let answer_margin = r.millis("answer_margin_ms", 0..DAY, Some(100));
+    let clock_margin = r.millis("clock_margin_ms", 0..DAY, Some(50));
+    let memory_bytes = r.count("memory_mb", 1..1 << 20, Some(256)) << 20;
+    let most_body = r.count("most_body_kb", 1..1 << 20, Some(16 * 1024)) << 10;
+    r.end();
+
+    let d = root.section("dispatch");
+    let limits = DispatchLimits {
+        max_dispatches: d.count("max_dispatches", 1..100, Some(4)) as u32,
+        second_copies: d.flag("second_copies", Some(false)),
+        withdrawals: d.flag("withdrawals", Some(true)),
+        probes: d.flag("probes", Some(false)),
+        connect_within: d.millis("connect_within_ms", 1..DAY, Some(250)),
+        max_advice: d.millis("max_advice_ms", 0..DAY, Some(0)),
+    };
+    let links = Links {
+        from,
+        connect_within: limits.connect_within,
+        most_connections: d.count("most_connections", 1..10_000, Some(128)) as usize,
+        idle_kept: d.millis("connection_kept_ms", 1..DAY, Some(30_000)),
+        most_answer: (d.count("most_answer_kb", 1..1 << 20, Some(16 * 1024)) << 10) as usize,
+    };
+    d.end();
+
+    let u = root.section("rules");
+    let rules = RuleTerms {
+        answer_slack: u.millis("answer_slack_ms", 0..DAY, Some(0)),
+        drain_grace: u.millis("drain_grace_ms", 0..DAY, Some(500)),
+        ask_within: NEVER,
+        list_on_request: false,
+        cold_part: u.number("cold_part", 0.0..1.0, Some(1.0)),
+        cold_for: u.millis("cold_for_ms", 0..DAY, Some(0)),
+        overload_multiple: u.number("overload_multiple", 0.0..MANY, Some(MANY)),
+        overload_window: u.millis("overload_window_ms", 1..DAY, Some(1_000)),
+    };
+    u.end();
+
+    let kinds = root.sections("kind");
+    let mut memory_mb = Vec::new();
+    for k in kinds {
+        names.kinds.push(k.text("name", None));
+        memory_mb.push(k.number("memory_mb", 1.0..MANY, None));
+        k.end();
+    }
+
+    let l = root.section("loads");
+    let loads = LoadTerms {
+        idle_kept: l.millis("idle_kept_ms", 1..DAY, Some(30_000)),
+        orders: l.flag("orders", Some(false)),
+        loads_when_absent: l.flag("loads_when_absent", Some(true)),
+        order_answered_within: l.millis("order_answered_within_ms", 1..DAY, Some(10_000)),
+        ration_window: l.millis("ration_window_ms", 0..DAY, Some(0)),
+        ration_few: l.number("ration_few", 0.0..MANY, Some(0.0)),
+        ration_part: l.number("ration_part", 0.0..1.0, Some(0.0)),
+        notes: l.flag("notes", Some(true)),
+        crowds: l.flag("crowds", Some(true)),
+        memory_mb,
+    };
+    if !loads.orders && !loads.loads_when_absent {
+        l.wrong("loads_when_absent", "without it and without orders nothing is ever loaded");
+    }
+    l.end();
+
+    let p = root.section("prices");
+    let prices = Prices {
+        crossing: p.number("crossing", 0.0..MANY, Some(0.0)),
+        fetch: p.number("fetch", 0.0..MANY, Some(0.0)),
+        waste: p.number("waste", 0.0..MANY, Some(0.0)),
+        probe: p.number("probe", 0.0..MANY, Some(0.0)),
+        late_error: p.number("late_error", 0.0..MANY, Some(0.0)),
+        over_share: p.number("over_share", 0.0..1.0, Some(1.0)),
+    };
+    p.end();
+
+    let mut triggers = Vec::new();
+    for t in root.sections("trigger") {
+        let name = t.text("name", None);
+        if names.triggers.contains(&name) {
+            t.wrong("name", &format!("'{name}' is named twice"));
+        }
+        names.triggers.push(name);
+        triggers.push(trigger(&t, &limits));
+        t.end();
+    }
+    if triggers.is_empty() {
+        root.wrong("trigger", "no trigger type is given");
+    }
+    let shortest = triggers.iter().map(|t| t.client_timeout).min().unwrap_or(NEVER);
+    if answer_margin >= shortest {
+        root.section("router").wrong("answer_margin_ms", "is not below the shortest client timeout");
+    }
+
+    let mut accounts = Vec::new();
+    for a in root.sections("account") {
+        names.accounts.push(a.text("name", None));
+        accounts.push(Account {
+            allowance_per_s: a.number("allowance_per_s", 0.0..MANY, Some(MANY)),
+            share: a.number("share", 0.0..1.0, Some(1.0)),
+        });
+        a.end();
+    }
+    let all: f64 = accounts.iter().map(|a| a.share).sum();
+    if accounts.len() > 1 && all > 1.0 + 1e-9 && root.has("account") {
+        root.wrong("account", &format!("the shares sum to {all}, above 1"));
+    }
+
+    let (mut sources, mut weights) = (Vec::new(), Vec::new());
+    for s in root.sections("amqp") {
+        let share_of = s.text("share_of", Some(""));
+        let weight = match share_of.as_str() {
+            "" => s.number("weight", 1e-3..1e3, Some(1.0)),
+            name => match names.accounts.iter().position(|n| n == name) {
+                Some(i) => accounts[i].share.max(1e-3),
+                None => {
+                    s.wrong("share_of", &format!("there is no account '{name}'"));
+                    1.0
+                }
+            },
+        };
+        weights.push(weight);
+        sources.push(Source {
+            name: s.text("name", Some("amqp")),
+            broker: s.address("broker"),
+            virtual_host: s.text("virtual_host", Some("/")),
+            user: s.text("user", Some("guest")),
+            password: s.text("password", Some("guest")),
+            queue: s.text("queue", None),
+            heartbeat_s: s.count("heartbeat_s", 0..65_535, Some(10)) as u16,
+        });
+        s.end();
+    }
+    if sources.is_empty() {
+        root.wrong("amqp", "no broker's queue is given");
+    }
+
+    let w = root.section("workers");
+    let list = match (w.has("watch"), w.has("list")) {
+        (true, false) => WorkerList::Watched(w.address("watch")),
+        (false, true) => WorkerList::Fixed(fixed(&w, &names)),
+        _ => {
+            w.wrong("watch", "give either a list to watch or a list here");
+            WorkerList::Fixed(Vec::new())
+        }
+    };
+    w.end();
+
+    let reports = match root.text("reports", Some("answers")).as_str() {
+        "answers" => ReportsIn::Answers,
+        "probes" => ReportsIn::Probes,
+        "nothing" => ReportsIn::Nothing,
+        _ => {
+            root.wrong("reports", "is none of answers, probes, nothing");
+            ReportsIn::Nothing
+        }
+    };
+    let terms = Terms {
+        answer_margin,
+        clock_margin,
+        memory_bytes,
+        front_weights: weights,
+        order_answered_within: loads.order_answered_within,
+    };
+    for known in ["router", "dispatch", "rules", "loads", "prices", "workers", "kind"] {
+        root.has(known);
+    }
+    let birth = Birth { seed, fleet, limits, rules, triggers, accounts, loads, prices, reports };
+    Parts { birth, names, terms, sources, list, links, most_body }
+}
+
+fn trigger(t: &Section, limits: &DispatchLimits) -> TriggerType {
+    let group = match t.text("repeats_dropped_by", Some("all")).as_str() {
+        "all" => RepeatGroup::All,
+        "zone" => RepeatGroup::Zone,
+        "cell" => RepeatGroup::Cell,
+        _ => {
+            t.wrong("repeats_dropped_by", "is none of all, zone, cell");
+            RepeatGroup::Cell
+        }
+    };
+    let effect = match t.text("effect", None).as_str() {
+        "idempotent" => Effect::Idempotent,
+        "tokened" => Effect::Tokened { group, window: t.millis("window_ms", 0..DAY, None) },
+        "non-idempotent" => Effect::NonIdempotent,
+        "" => Effect::NonIdempotent,
+        _ => {
+            t.wrong("effect", "is none of idempotent, tokened, non-idempotent");
+            Effect::NonIdempotent
+        }
+    };
+    if t.flag("second_copies", Some(false)) {
+        if effect == Effect::NonIdempotent {
+            t.wrong("second_copies", "what must never run twice may have no second copy");
+        } else if !limits.second_copies {
+            t.wrong("second_copies", "second copies are not allowed under [dispatch]");
+        }
+    }
+    let latency_objective = t.millis("latency_objective_ms", 1..DAY, None);
+    let client_timeout = t.millis("client_timeout_ms", 1..DAY, None);
+    if latency_objective > client_timeout {
+        t.wrong("latency_objective_ms", "is above the client timeout");
+    }
+    TriggerType {
+        effect,
+        latency_objective,
+        objective_stretch: t.number("objective_stretch", 0.0..MANY, Some(0.0)),
+        client_timeout,
+        billed_value: t.number("billed_value", 0.0..MANY, Some(1.0)),
+        late_part: t.number("late_part", 0.0..1.0, Some(0.0)),
+        streamed: false,
+    }
+}
+
+fn zone_of(s: &Section, key: &str, zones: &[String]) -> u32 {
+    let name = s.text(key, Some(""));
+    if name.is_empty() {
+        return 0;
+    }
+    zones.iter().position(|z| *z == name).map_or_else(
+        || {
+            s.wrong(key, &format!("'{name}' is not among the zones"));
+            0
+        },
+        |i| i as u32,
+    )
+}
+
+fn fixed(w: &Section, names: &Names) -> Vec<Listed> {
+    let mut list: Vec<Listed> = Vec::new();
+    for s in w.sections("list") {
+        let address = s.address("address").to_string();
+        if list.iter().any(|l| l.address == address) {
+            s.wrong("address", &format!("{address} is named twice"));
+        }
+        let kind = s.text("kind", Some(""));
+        let kind = match names.kinds.iter().position(|k| *k == kind) {
+            Some(i) => i as u32,
+            None if kind.is_empty() => 0,
+            None => {
+                s.wrong("kind", &format!("there is no kind '{kind}'"));
+                0
+            }
+        };
+        list.push(Listed {
+            address,
+            zone: zone_of(&s, "zone", &names.zones),
+            kind,
+            cell: s.count("cell", 0..1 << 30, Some(0)) as u32,
+            standing: Standing::InService,
+            weight: s.number("weight", 0.0..MANY, Some(1.0)),
+            started: None,
+        });
+        s.end();
+    }
+    list
+}
--- /dev/null
+++ b/crates/kserve/src/endings.rs
@@ -0,0 +1,165 @@
+//! The one table from what happened on a socket to an outcome. What it rests on: a request of which no byte left
+//! never ran; once a byte has left, whatever breaks may have run; and a worker's own refusal counts as never run
+//! only if it says so in so many words (`cedarpulley-ran: no`), which it does before it begins.
+
+use cedarpulley::interface::{CopyNote, OrderResult, Outcome, Report};
+use http::{HeaderMap, StatusCode};
+
+use crate::reports;
+
+/// Answers up to this size are looked into for the model they name.
+const LOOKED_INTO: usize = 64 * 1024;
+
+/// How an exchange with a worker ended.
+#[derive(Clone, Debug)]
+pub enum Ended<'a> {
+    /// Refused, reset or unanswered while connecting.
+    NoConnection,
+    /// As many connections as are allowed to this worker are in use.
+    NoRoom,
+    /// The connection failed; `left`: a byte of the request had gone out.
+    Broke {
+        left: bool,
+    },
+    /// A head without end or that is no HTTP, or a body that broke off.
+    Garbled,
+    /// The answer was beyond the bound and was not read to its end.
+    TooLarge,
+    Answered {
+        status: StatusCode,
+        headers: &'a HeaderMap,
+        body: &'a [u8],
+        function: &'a str,
+    },
+}
+
+/// What an ending means to the module.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reading {
+    pub outcome: Outcome,
+    pub note: CopyNote,
+    pub crowd: Option<u32>,
+    pub report: Report,
+}
+
+impl Reading {
+    fn bare(outcome: Outcome) -> Self {
+        Reading { outcome, note: CopyNote::Untold, crowd: None, report: Report::default() }
+    }
+}
+
+pub fn infer(ended: &Ended) -> Reading {
+    match ended {
+        Ended::NoConnection => Reading::bare(Outcome::Unreachable),
+        // Full for this router, as a full queue there would be.
+        Ended::NoRoom => Reading::bare(Outcome::Throttled),
+        // Symptom: the worker closes an idle connection just as a request is written to it.
+        Ended::Broke { left: false } => Reading::bare(Outcome::NotSent),
+        Ended::Broke { left: true } | Ended::Garbled => Reading::bare(Outcome::Broken),
+        Ended::TooLarge => Reading::bare(Outcome::Errored),
+        Ended::Answered { status, headers, body, function } => {
+            let refused = reports::text(headers, reports::RAN) == Some("no");
+            let outcome = match status.as_u16() {
+                200 if other_model(headers, body, function) => Outcome::Errored,
+                200 => Outcome::Succeeded,
+                404 if refused => Outcome::Missed,
+                429 | 503 if refused => Outcome::Throttled,
+                _ => Outcome::Errored,
+            };
+            Reading {
+                outcome,
+                note: reports::note(headers),
+                crowd: reports::number(headers, reports::CROWD),
+                report: reports::load(headers),
+            }
+        }
+    }
+}
+
+/// An order to load or a question; with how many copies stand.
+pub fn order(ended: &Ended) -> (OrderResult, u32) {
+    match ended {
+        Ended::NoConnection => (OrderResult::Unreachable, 0),
+        Ended::NoRoom | Ended::Broke { .. } | Ended::Garbled | Ended::TooLarge => (OrderResult::Broken, 0),
+        Ended::Answered { status, headers, .. } => {
+            let copies = reports::number(headers, reports::COPIES);
+            match status.as_u16() {
+                200 => (OrderResult::Stand, copies.unwrap_or(1)),
+                // Ready: no.
+                404 => (OrderResult::Stand, 0),
+                429 | 503 | 507 => (OrderResult::NoRoom, copies.unwrap_or(0)),
+                _ => (OrderResult::LoadErrored, copies.unwrap_or(0)),
+            }
+        }
+    }
+}
+
+pub fn probe(ended: &Ended) -> (Outcome, Report) {
+    match ended {
+        Ended::Answered { status, headers, .. } => {
+            let outcome = if status.is_success() { Outcome::Succeeded } else { Outcome::Errored };
+            (outcome, reports::load(headers))
+        }
+        other => (infer(other).outcome, Report::default()),
+    }
+}
+
+/// Symptom: a worker, or something before it, answers for a model that was not asked for.
+fn other_model(headers: &HeaderMap, body: &[u8], function: &str) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Named {
+        model_name: Option<String>,
+    }
+    if let Some(name) = reports::text(headers, reports::MODEL) {
+        return name != function;
+    }
+    if body.len() > LOOKED_INTO || body.first() != Some(&b'{') {
+        return false;
+    }
+    let named = serde_json::from_slice::<Named>(body).ok().and_then(|n| n.model_name);
+    named.is_some_and(|name| name != function)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn answered(status: u16, pairs: &[(&'static str, &str)], body: &[u8]) -> Outcome {
+        let mut headers = HeaderMap::new();
+        for (name, value) in pairs {
+            headers.insert(*name, value.parse().expect("a header value"));
+        }
+        let status = StatusCode::from_u16(status).expect("a status");
+        infer(&Ended::Answered { status, headers: &headers, body, function: "f" }).outcome
+    }
+
+    #[test]
+    fn every_line_of_the_table() {
+        let outcome = |e: Ended| infer(&e).outcome;
+        assert_eq!(outcome(Ended::NoConnection), Outcome::Unreachable);
+        assert_eq!(outcome(Ended::NoRoom), Outcome::Throttled);
+        assert_eq!(outcome(Ended::Broke { left: false }), Outcome::NotSent);
+        assert_eq!(outcome(Ended::Broke { left: true }), Outcome::Broken);
+        assert_eq!(outcome(Ended::Garbled), Outcome::Broken);
+        assert_eq!(outcome(Ended::TooLarge), Outcome::Errored);
+        assert_eq!(answered(200, &[], b"{}"), Outcome::Succeeded);
+        assert_eq!(answered(404, &[("cedarpulley-ran", "no")], b""), Outcome::Missed);
+        assert_eq!(answered(503, &[("cedarpulley-ran", "no")], b""), Outcome::Throttled);
+        assert_eq!(answered(500, &[("cedarpulley-ran", "no")], b""), Outcome::Errored);
+    }
+
+    /// A refusal that does not say that it came before the work proves nothing.
+    #[test]
+    fn a_bare_refusal_may_have_run() {
+        for status in [404, 429, 503] {
+            assert!(!answered(status, &[], b"").never_ran());
+        }
+    }
+
+    #[test]
+    fn an_answer_for_another_model_is_no_success() {
+        assert_eq!(answered(200, &[("cedarpulley-model", "g")], b""), Outcome::Errored);
+        assert_eq!(answered(200, &[], br#"{"model_name":"g","outputs":[]}"#), Outcome::Errored);
+        assert_eq!(answered(200, &[], br#"{"model_name":"f","outputs":[]}"#), Outcome::Succeeded);
+    }
+}
--- /dev/null
+++ b/crates/kserve/src/requests.rs
@@ -0,0 +1,89 @@
+//! Requests towards a worker: the KServe v2 inference protocol with its model repository extension, over HTTP.
+//! Headers of our own begin with `cedarpulley-`; a worker that knows none of them still works.
+
+use bytes::Bytes;
+use cedarpulley::interface::Micros;
+use http::header::{CONTENT_TYPE, HOST, HeaderValue};
+use http::{Method, Request};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+
+pub const INVOCATION: &str = "cedarpulley-invocation";
+pub const DISPATCH: &str = "cedarpulley-dispatch";
+pub const TRIGGER_TYPE: &str = "cedarpulley-trigger-type";
+pub const ACCOUNT: &str = "cedarpulley-account";
+pub const TIME_LEFT_US: &str = "cedarpulley-time-left-us";
+/// As in the IETF draft on the idempotency key: by it a worker knows a repeat.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Unreserved characters of a URI stay as they are.
+const PART: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
+/// What an infer request bears beside its body.
+#[derive(Clone, Copy, Debug)]
+pub struct Marks<'a> {
+    pub invocation: Option<&'a str>,
+    pub dispatch: u32,
+    pub token: Option<&'a str>,
+    pub trigger: &'a str,
+    pub account: Option<&'a str>,
+    pub time_left: Micros,
+}
+
+fn request(method: Method, host: &str, path: &str, body: Bytes) -> Request<Bytes> {
+    let mut request = Request::new(body);
+    *request.method_mut() = method;
+    // Both are made of characters that are allowed there; the fallback is never sent anywhere harmful.
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    put(&mut request, HOST.as_str(), host);
+    request
+}
+
+/// A value that no header may carry is left out.
+fn put(request: &mut Request<Bytes>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
+        request.headers_mut().insert(name, value);
+    }
+}
+
+fn model(function: &str) -> String {
+    utf8_percent_encode(function, PART).to_string()
+}
+
+pub fn infer(host: &str, function: &str, marks: Marks, body: Bytes) -> Request<Bytes> {
+    let path = format!("/v2/models/{}/infer", model(function));
+    let mut r = request(Method::POST, host, &path, body);
+    r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    put(&mut r, DISPATCH, &marks.dispatch.to_string());
+    put(&mut r, TRIGGER_TYPE, marks.trigger);
+    put(&mut r, TIME_LEFT_US, &marks.time_left.to_string());
+    let maybe = [(INVOCATION, marks.invocation), (IDEMPOTENCY_KEY, marks.token), (ACCOUNT, marks.account)];
+    for (name, value) in maybe {
+        if let Some(value) = value {
+            // Line ends part an identity's fields; no header may carry them.
+            put(&mut r, name, &value.replace('\n', "|"));
+        }
+    }
+    r
+}
+
+/// Hold at least so many copies.
+pub fn load(host: &str, function: &str, copies: u32) -> Request<Bytes> {
+    let path = format!("/v2/repository/models/{}/load", model(function));
+    let body = format!("{{\"parameters\":{{\"copies\":{copies}}}}}");
+    let mut r = request(Method::POST, host, &path, Bytes::from(body));
+    r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    r
+}
+
+pub fn unload(host: &str, function: &str) -> Request<Bytes> {
+    request(Method::POST, host, &format!("/v2/repository/models/{}/unload", model(function)), Bytes::new())
+}
+
+/// Whether copies stand, and how many.
+pub fn ready(host: &str, function: &str) -> Request<Bytes> {
+    request(Method::GET, host, &format!("/v2/models/{}/ready", model(function)), Bytes::new())
+}
+
+pub fn live(host: &str) -> Request<Bytes> {
+    request(Method::GET, host, "/v2/health/live", Bytes::new())
+}
--- /dev/null
+++ b/crates/router/src/admission.rs
@@ -0,0 +1,185 @@
+//! How many invocations this router may have taken, and from which front. Every one taken is a duty, so what is
+//! beyond stays where it is (at the broker). Called with [`Admission::taken`], [`Admission::ended`],
+//! [`Admission::front`] and [`Admission::grants`]; the latter says what each front may now have out.
+//!
+//! Mechanisms:
+//! 1. The limit grows while it is used and answers come in time, and shrinks when too many come late.
+//! 2. Memory: never more than the bodies that still fit, by their usual size.
+//! 3. Fronts share the limit by weight; what one does not use, the others may; each keeps at least one.
+//! 4. A front that cannot send its answers out, or is stopping, takes next to nothing or nothing.
+
+use cedarpulley::interface::Micros;
+
+use crate::FrontIx;
+
+/// Where the limit starts: enough to see how answers come, few enough that all can be waited out.
+const START: f64 = 32.0;
+/// Never below: one for each of a few fronts, so that news of recovery can still come.
+const LEAST: f64 = 4.0;
+/// Over this part of late answers the limit shrinks, to this part of itself, once in the usual time of an answer.
+const LATE_PART: f64 = 0.2;
+const SHRINK: f64 = 0.8;
+/// The late part and the usual time are averages over about so many answers.
+const MEMORY: f64 = 16.0;
+/// The limit counts as used when so much of it is out; otherwise timely answers say nothing about more.
+const USED: f64 = 0.75;
+/// A front that uses less than this part of its grant leaves the rest to others, but for a little to grow into.
+const SPARE: f64 = 0.25;
+/// A grant moves only by at least this part, so that a front is not told of every small change.
+const STEP: f64 = 0.125;
+/// What a protocol can say at most (AMQP counts in 16 bits).
+const MOST: f64 = 65_535.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrontState {
+    Up,
+    /// It stands but cannot send answers out now.
+    Blocked,
+    Down,
+}
+
+/// How an invocation ended, as far as the limit is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pace {
+    InTime,
+    /// After its latency objective, counted from when it was taken: time lost before is not this router's doing.
+    Late,
+    /// Turned away or errored for reasons that say nothing about load.
+    Neither,
+}
+
+#[derive(Debug)]
+pub struct Admission {
+    limit: f64,
+    /// Until the first late answers, the limit grows by one with each timely answer.
+    steep: bool,
+    late: f64,
+    usual: f64,
+    shrunk_at: Micros,
+    memory_bytes: u64,
+    bytes: u64,
+    body: f64,
+    state: Vec<FrontState>,
+    weight: Vec<f64>,
+    out: Vec<u32>,
+    granted: Vec<u32>,
+    stopping: bool,
+}
+
+impl Admission {
+    /// `weights`: one for each front, above 0. `memory_bytes`: for all bodies held at once.
+    pub fn new(weights: Vec<f64>, memory_bytes: u64) -> Self {
+        let n = weights.len();
+        Admission {
+            limit: START,
+            steep: true,
+            late: 0.0,
+            usual: 0.0,
+            shrunk_at: 0,
+            memory_bytes,
+            bytes: 0,
+            body: 0.0,
+            state: vec![FrontState::Down; n],
+            weight: weights,
+            out: vec![0; n],
+            granted: vec![0; n],
+            stopping: false,
+        }
+    }
+
+    pub fn front(&mut self, front: FrontIx, state: FrontState) {
+        self.state[front as usize] = state;
+        if state == FrontState::Down {
+            // A new channel begins with no grant.
+            self.granted[front as usize] = 0;
+        }
+    }
+
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// One more is out; false if its body has no room: it is answered at once and kept nowhere.
+    pub fn taken(&mut self, front: FrontIx, bytes: usize) -> bool {
+        self.body += (bytes as f64 - self.body) / MEMORY;
+        if self.bytes + bytes as u64 > self.memory_bytes {
+            return false;
+        }
+        self.out[front as usize] += 1;
+        self.bytes += bytes as u64;
+        true
+    }
+
+    pub fn ended(&mut self, now: Micros, front: FrontIx, bytes: usize, took: Micros, pace: Pace) {
+        let used = f64::from(self.out.iter().sum::<u32>()) >= USED * self.limit;
+        self.out[front as usize] = self.out[front as usize].saturating_sub(1);
+        self.bytes = self.bytes.saturating_sub(bytes as u64);
+        if pace == Pace::Neither {
+            return;
+        }
+        self.usual += (took as f64 - self.usual) / MEMORY;
+        self.late += (f64::from(u8::from(pace == Pace::Late)) - self.late) / MEMORY;
+        // Symptom: answers late because too much waits here. Once in the usual time, so that what was taken
+        // under the old limit is not counted against the new one.
+        if self.late > LATE_PART {
+            if now - self.shrunk_at > self.usual as Micros {
+                self.limit = (self.limit * SHRINK).max(LEAST);
+                self.shrunk_at = now;
+                self.steep = false;
+            }
+        } else if used && pace == Pace::InTime {
+            self.limit = (self.limit + if self.steep { 1.0 } else { 1.0 / self.limit }).min(MOST);
+        }
+    }
+
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
+    pub fn out(&self) -> u32 {
+        self.out.iter().sum()
+    }
+
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// What each front may have out from now on, for those whose grant moved. 0: nothing new at all.
+    pub fn grants(&mut self, mut tell: impl FnMut(FrontIx, u32)) {
+        let room = if self.body >= 1.0 {
+            f64::from(self.out()) + (self.memory_bytes - self.bytes.min(self.memory_bytes)) as f64 / self.body
+        } else {
+            MOST
+        };
+        let total = self.limit.min(room);
+        let open = |f: usize| self.state[f] == FrontState::Up && !self.stopping;
+        // Those that want less than their part leave the rest: smallest wish for its weight first.
+        let wish = |f: usize| f64::from(self.out[f]) * (1.0 + SPARE) + LEAST;
+        let mut order: Vec<usize> = (0..self.state.len()).filter(|&f| open(f)).collect();
+        order.sort_by(|&a, &b| (wish(a) / self.weight[a]).total_cmp(&(wish(b) / self.weight[b])));
+        let (mut left, mut weights) = (total, order.iter().map(|&f| self.weight[f]).sum::<f64>());
+        let mut grants = vec![0u32; self.state.len()];
+        for (at, &f) in order.iter().enumerate() {
+            let part = left * self.weight[f] / weights;
+            let last = at + 1 == order.len();
+            let grant = if last { part } else { part.min(wish(f)) };
+            left -= grant;
+            weights -= self.weight[f];
+            grants[f] = grant.clamp(1.0, MOST) as u32;
+        }
+        for (f, grant) in grants.into_iter().enumerate() {
+            let grant = match self.state[f] {
+                FrontState::Down => continue,
+                _ if self.stopping => 0,
+                FrontState::Blocked => 1,
+                FrontState::Up => grant,
+            };
+            let was = self.granted[f];
+            let moved = f64::from(grant.abs_diff(was)) >= (f64::from(was) * STEP).max(1.0);
+            if moved || (grant == 0) != (was == 0) {
+                self.granted[f] = grant;
+                tell(f as FrontIx, grant);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/claims.rs
@@ -0,0 +1,231 @@
+//! Which final answer was given to what, until the front has it safely out: never a second one, never a different
+//! one. The core tells [`Claims`] what was taken, answered, made safe and lost; it says what is known of a message
+//! that comes again.
+//!
+//! Mechanisms:
+//! 1. A claim is held by one delivery at a time. A front that loses its channel leaves its claims without holder;
+//!    the same message delivered again takes them over.
+//! 2. A claim without holder is forgotten when its client has given up, or, with too many of them, the oldest
+//!    first: what comes again is then judged by its effect alone.
+//! 3. A given answer never changes; it goes once its front says that it is safe.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use cedarpulley::interface::{InvIx, Micros};
+
+use crate::redelivery::Record;
+use crate::{Answer, Delivery, FrontIx};
+
+/// Claims without holder at most; each is a few hundred bytes. What is forgotten is only taken more strictly.
+const MOST_ORPHANS: usize = 10_000;
+
+pub type ClaimIx = u32;
+
+#[derive(Debug)]
+enum State {
+    Open(InvIx),
+    Given(Answer),
+    Ended { may_have_run: bool },
+}
+
+#[derive(Debug)]
+struct Claim {
+    identity: Option<Arc<str>>,
+    holder: Option<Delivery>,
+    state: State,
+    until: Micros,
+}
+
+#[derive(Debug)]
+pub struct Claims {
+    most_orphans: usize,
+    claims: Vec<Option<Claim>>,
+    free: Vec<ClaimIx>,
+    by_identity: HashMap<Arc<str>, ClaimIx>,
+    by_holder: HashMap<Delivery, ClaimIx>,
+    orphans: BTreeSet<(Micros, ClaimIx)>,
+    /// Forgotten for want of room.
+    pub forgotten: u64,
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Claims::bounded(MOST_ORPHANS)
+    }
+}
+
+impl Claims {
+    /// At most so many without holder.
+    pub fn bounded(most_orphans: usize) -> Self {
+        Claims {
+            most_orphans,
+            claims: Vec::new(),
+            free: Vec::new(),
+            by_identity: HashMap::new(),
+            by_holder: HashMap::new(),
+            orphans: BTreeSet::new(),
+            forgotten: 0,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.claims.len() - self.free.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// What this router knows of a message, and the invocation that is out for it.
+    pub fn known(&self, identity: Option<&str>) -> (Record, Option<ClaimIx>) {
+        let Some(&ix) = identity.and_then(|i| self.by_identity.get(i)) else {
+            return (Record::Nothing, None);
+        };
+        let record = match self.claims[ix as usize].as_ref().map(|c| &c.state) {
+            Some(State::Open(_)) => Record::Open,
+            Some(State::Given(_)) => Record::Answered,
+            Some(State::Ended { may_have_run: false }) => Record::NeverRan,
+            Some(State::Ended { may_have_run: true }) => Record::MayHaveRun,
+            None => return (Record::Nothing, None),
+        };
+        (record, Some(ix))
+    }
+
+    pub fn open(
+        &mut self,
+        identity: Option<Arc<str>>,
+        holder: Delivery,
+        inv: InvIx,
+        until: Micros,
+    ) -> ClaimIx {
+        if let Some(&ix) = identity.as_deref().and_then(|i| self.by_identity.get(i)) {
+            self.forget(ix);
+        }
+        let claim =
+            Claim { identity: identity.clone(), holder: Some(holder), state: State::Open(inv), until };
+        let ix = self.free.pop().unwrap_or(self.claims.len() as ClaimIx);
+        if ix as usize == self.claims.len() {
+            self.claims.push(None);
+        }
+        self.claims[ix as usize] = Some(claim);
+        if let Some(identity) = identity {
+            self.by_identity.insert(identity, ix);
+        }
+        self.by_holder.insert(holder, ix);
+        ix
+    }
+
+    /// The delivery that is to be answered for this claim, if its front still stands.
+    pub fn holder(&self, ix: ClaimIx) -> Option<Delivery> {
+        self.claims.get(ix as usize)?.as_ref()?.holder
+    }
+
+    pub fn inv(&self, ix: ClaimIx) -> Option<InvIx> {
+        match self.claims.get(ix as usize)?.as_ref()?.state {
+            State::Open(inv) => Some(inv),
+            _ => None,
+        }
+    }
+
+    pub fn held_by(&self, delivery: Delivery) -> Option<ClaimIx> {
+        self.by_holder.get(&delivery).copied()
+    }
+
+    /// The same message has come again and takes the claim over. False if another delivery still holds it: then
+    /// the message was published twice, and the one answer goes to the first.
+    pub fn rejoin(&mut self, ix: ClaimIx, holder: Delivery) -> bool {
+        let Some(claim) = self.claims[ix as usize].as_mut() else { return false };
+        if claim.holder.is_some() {
+            return false;
+        }
+        claim.holder = Some(holder);
+        self.orphans.remove(&(claim.until, ix));
+        self.by_holder.insert(holder, ix);
+        true
+    }
+
+    /// The answer that was given, if one was.
+    pub fn answer(&self, ix: ClaimIx) -> Option<&Answer> {
+        match &self.claims.get(ix as usize)?.as_ref()?.state {
+            State::Given(answer) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// The final answer; the first one counts, and its holder is to be sent it. A claim that has one already
+    /// gives nothing.
+    pub fn give(&mut self, ix: ClaimIx, answer: &Answer) -> Option<Delivery> {
+        let claim = self.claims.get_mut(ix as usize)?.as_mut()?;
+        if !matches!(claim.state, State::Open(_)) {
+            return None;
+        }
+        claim.state = State::Given(answer.clone());
+        claim.holder
+    }
+
+    /// The invocation ended while no front stood to be answered, and without anything worth telling.
+    pub fn end(&mut self, ix: ClaimIx, may_have_run: bool) {
+        if let Some(Some(claim)) = self.claims.get_mut(ix as usize) {
+            claim.state = State::Ended { may_have_run };
+        }
+    }
+
+    /// The front has the answer safely out: no delivery of it can come again.
+    pub fn safe(&mut self, delivery: Delivery) -> bool {
+        match self.by_holder.get(&delivery) {
+            Some(&ix) => {
+                self.forget(ix);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// A front lost its channel: its claims are without holder until the message comes again. Lists the
+    /// invocations that were open, and those whose claim had to be forgotten for want of room.
+    pub fn front_lost(&mut self, front: FrontIx) -> (Vec<InvIx>, Vec<InvIx>) {
+        let (mut open, mut forgotten) = (Vec::new(), Vec::new());
+        for (i, slot) in self.claims.iter_mut().enumerate() {
+            let Some(claim) = slot else { continue };
+            let Some(delivery) = claim.holder.filter(|d| d.front == front) else { continue };
+            claim.holder = None;
+            self.by_holder.remove(&delivery);
+            self.orphans.insert((claim.until, i as ClaimIx));
+            if let State::Open(inv) = claim.state {
+                open.push(inv);
+            }
+        }
+        while self.orphans.len() > self.most_orphans
+            && let Some(&(_, ix)) = self.orphans.first()
+        {
+            self.forgotten += 1;
+            forgotten.extend(self.inv(ix));
+            self.forget(ix);
+        }
+        (open, forgotten)
+    }
+
+    /// Forgets what no client waits for any more.
+    pub fn tidy(&mut self, now: Micros) {
+        while let Some(&(until, ix)) = self.orphans.first()
+            && until <= now
+        {
+            self.forget(ix);
+        }
+    }
+
+    pub fn forget(&mut self, ix: ClaimIx) {
+        let Some(claim) = self.claims.get_mut(ix as usize).and_then(Option::take) else { return };
+        if let Some(identity) = &claim.identity
+            && self.by_identity.get(identity) == Some(&ix)
+        {
+            self.by_identity.remove(identity);
+        }
+        if let Some(holder) = claim.holder {
+            self.by_holder.remove(&holder);
+        }
+        self.orphans.remove(&(claim.until, ix));
+        self.free.push(ix);
+    }
+}
--- /dev/null
+++ b/crates/router/src/core.rs
@@ -0,0 +1,722 @@
+//! [`Router`]: owns the invocations and dispatches, one timer queue, and calls the module for every event. Call
+//! [`Router::handle`] with each thing that happened, and again with [`Input::Tick`] at [`Router::next_due`].
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cedarpulley::Control;
+use cedarpulley::ids::{Ids, fingerprint};
+use cedarpulley::interface::*;
+
+use crate::admission::{Admission, FrontState, Pace};
+use crate::claims::{ClaimIx, Claims};
+use crate::redelivery::{self, Verdict};
+use crate::roster::Listed;
+use crate::table::Table;
+use crate::{Answer, Delivery, Fate, FrontIx, OrderTicket, Reason, Taken, Ticket};
+
+/// Functions that may be accounted for at once; each costs the module a few figures a worker.
+const MOST_FUNCTIONS: usize = 20_000;
+/// Of an invocation whose claim was forgotten.
+const NO_CLAIM: ClaimIx = ClaimIx::MAX;
+
+/// What the core needs to know beside what the module is born with.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// The final answer is due this long before the client gives up: the front takes so long to get it out.
+    pub answer_margin: Micros,
+    /// How far a client's clock and ours may differ.
+    pub clock_margin: Micros,
+    /// Bodies of all that is taken, in bytes.
+    pub memory_bytes: u64,
+    /// Weights of the fronts among each other.
+    pub front_weights: Vec<f64>,
+    /// A worker that is unreachable is known to be after this time.
+    pub order_answered_within: Micros,
+}
+
+#[derive(Debug)]
+pub enum Input {
+    Front {
+        front: FrontIx,
+        state: FrontState,
+    },
+    Taken(Taken),
+    /// The answer to this delivery is out for good.
+    Safe(Delivery),
+    /// The client has left; no answer is owed.
+    Departed(Delivery),
+    List {
+        mode: ListMode,
+        workers: Vec<Listed>,
+    },
+    DispatchEnded {
+        ticket: Ticket,
+        outcome: Outcome,
+        note: CopyNote,
+        crowd: Option<u32>,
+        report: Report,
+        body: Bytes,
+    },
+    OrderEnded {
+        ticket: OrderTicket,
+        result: OrderResult,
+        copies: u32,
+    },
+    Probed {
+        worker: WorkerIx,
+        outcome: Outcome,
+        took: Micros,
+        report: Report,
+    },
+    Tick,
+    /// Take nothing new; answer what was taken.
+    Stop,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    Answer {
+        delivery: Delivery,
+        answer: Answer,
+    },
+    /// The same message came twice at once: it is out of the way without an answer of its own.
+    Discard(Delivery),
+    Send {
+        ticket: Ticket,
+        worker: WorkerIx,
+        function: Arc<str>,
+        trigger: u32,
+        account: u32,
+        call: Call,
+    },
+    Withdraw(Ticket),
+    Order {
+        ticket: OrderTicket,
+        function: Arc<str>,
+        copies: u32,
+        within: Micros,
+    },
+    Unload {
+        worker: WorkerIx,
+        function: Arc<str>,
+    },
+    Probe {
+        worker: WorkerIx,
+    },
+    AskList,
+    /// So many may this front have out; 0: nothing new.
+    Grant {
+        front: FrontIx,
+        most: u32,
+    },
+}
+
+/// What a dispatch carries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    pub identity: Option<Arc<str>>,
+    pub token: Option<Arc<str>>,
+    pub time_left: Micros,
+    pub cost_hint: Option<Micros>,
+    pub load_hint: Option<Micros>,
+    pub copy_mb: f64,
+    pub lanes: u32,
+    pub body: Bytes,
+}
+
+/// All that was decided, counted; nothing here is read back by a decision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub dispatches: u64,
+    pub orders: u64,
+    pub withdrawn: u64,
+    pub joined: u64,
+    pub repeated: u64,
+    pub refused_redelivered: u64,
+    pub discarded: u64,
+    pub orphaned: u64,
+    /// Endings that came after the invocation had been answered, or for no one.
+    pub too_late: u64,
+    pub answers: BTreeMap<(Fate, Reason), u64>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+struct Dispatch {
+    worker: WorkerIx,
+    at: Micros,
+    state: Sent,
+}
+
+struct Inv {
+    claim: ClaimIx,
+    front: FrontIx,
+    trigger: u32,
+    account: u32,
+    function: Arc<str>,
+    token: Option<Arc<str>>,
+    identity: Option<Arc<str>>,
+    hints: (Option<Micros>, Option<Micros>),
+    copy_mb: f64,
+    lanes: u32,
+    body: Bytes,
+    taken: Micros,
+    gives_up_at: Micros,
+    /// A dispatch may leave until then, where that is bounded.
+    dispatch_until: Option<Micros>,
+    /// The module has been told that it is over.
+    concluded: bool,
+    /// Its front is lost and the message has not come again.
+    orphan: bool,
+    dispatches: Vec<Dispatch>,
+}
+
+impl Inv {
+    fn out(&self) -> bool {
+        self.dispatches.iter().any(|d| d.state == Sent::Out)
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.dispatches.iter().any(|d| d.state != Sent::NeverRan)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Module(u64),
+    TimeOut(Ticket),
+    Overdue(InvIx, u32),
+    WindowEnds(InvIx, u32),
+    Order(OrderTicket),
+}
+
+pub struct Router {
+    control: Control,
+    terms: Terms,
+    triggers: Vec<TriggerType>,
+    now: Micros,
+    invs: Table<Inv>,
+    funcs: Ids<String>,
+    names: Vec<Arc<str>>,
+    workers: Ids<String>,
+    claims: Claims,
+    admission: Admission,
+    timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
+    serial: u64,
+    orders: HashMap<OrderTicket, Micros>,
+    stopping: bool,
+    pub counts: Counts,
+}
+
+impl Router {
+    pub fn new(control: Control, triggers: Vec<TriggerType>, terms: Terms) -> Self {
+        let admission = Admission::new(terms.front_weights.clone(), terms.memory_bytes);
+        Router {
+            control,
+            terms,
+            triggers,
+            now: Micros::MIN,
+            invs: Table::default(),
+            funcs: Ids::default(),
+            names: Vec::new(),
+            workers: Ids::default(),
+            claims: Claims::default(),
+            admission,
+            timers: BinaryHeap::new(),
+            serial: 0,
+            orders: HashMap::new(),
+            stopping: false,
+            counts: Counts::default(),
+        }
+    }
+
+    /// What happened goes in, what is to be done comes out, in order. `now` that goes back counts as standing
+    /// still.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Front { front, state } => self.front(front, state, out),
+            Input::Taken(taken) => self.taken(taken, out),
+            Input::Safe(delivery) => {
+                self.claims.safe(delivery);
+            }
+            Input::Departed(delivery) => self.departed(delivery, out),
+            Input::List { mode, workers } => self.list(mode, &workers, out),
+            Input::DispatchEnded { ticket, outcome, note, crowd, report, body } => {
+                self.dispatch_ended(ticket, outcome, note, crowd, report, body, out);
+            }
+            Input::OrderEnded { ticket, result, copies } => self.order_ended(ticket, result, copies, out),
+            Input::Probed { worker, outcome, took, report } => {
+                self.decide(&Event::Probed { worker, outcome, took, report }, out);
+            }
+            Input::Tick => {}
+            Input::Stop => {
+                self.stopping = true;
+                self.admission.stop();
+            }
+        }
+        self.run_timers(out);
+        self.claims.tidy(self.now);
+        self.admission.grants(|front, most| out.push(Output::Grant { front, most }));
+    }
+
+    /// When [`Input::Tick`] is next wanted.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.peek().map(|t| t.0.0)
+    }
+
+    /// Invocations that are owed an answer or have a dispatch out, and answers not yet safe.
+    pub fn open(&self) -> usize {
+        self.invs.len().max(self.claims.len())
+    }
+
+    pub fn worker_name(&self, worker: WorkerIx) -> Option<&str> {
+        self.workers.id(worker).map(String::as_str)
+    }
+
+    pub fn limit(&self) -> f64 {
+        self.admission.limit()
+    }
+
+    pub fn body_bytes(&self) -> u64 {
+        self.admission.bytes()
+    }
+
+    fn timer(&mut self, at: Micros, timer: Timer) {
+        self.serial += 1;
+        self.timers.push(Reverse((at, self.serial, timer)));
+    }
+
+    fn answer(&mut self, delivery: Delivery, answer: Answer, out: &mut Vec<Output>) {
+        *self.counts.answers.entry((answer.fate, answer.reason)).or_default() += 1;
+        out.push(Output::Answer { delivery, answer });
+    }
+
+    /// Takes a message, from top to bottom.
+    fn taken(&mut self, t: Taken, out: &mut Vec<Output>) {
+        self.counts.taken += 1;
+        let trigger = self.triggers[t.trigger as usize];
+        let waited = t.waited.max(0);
+        let gives_up_at =
+            self.now + t.client_timeout.min(trigger.client_timeout) - waited - self.terms.answer_margin;
+        let (record, claim) = self.claims.known(t.identity.as_deref());
+        let verdict =
+            redelivery::decide(record, t.redelivered, trigger.effect, waited, self.terms.clock_margin);
+        let dispatch_within = match (verdict, claim) {
+            (Verdict::Join | Verdict::Repeat, Some(claim)) => {
+                return self.comes_again(claim, t.delivery, out);
+            }
+            (Verdict::Refuse, _) => {
+                self.counts.refused_redelivered += 1;
+                return self.answer(t.delivery, Answer::bare(Fate::Errored, Reason::MayHaveRun), out);
+            }
+            (Verdict::Take { dispatch_within }, _) => dispatch_within,
+            (Verdict::Join | Verdict::Repeat, None) => None,
+        };
+        // The client's time has run out, or ran out while this waited at the broker: never dispatched. One that
+        // was delivered before may have run.
+        if gives_up_at <= self.now {
+            let ran = t.redelivered && !matches!(trigger.effect, Effect::Idempotent);
+            let fate = if ran { Fate::Errored } else { Fate::Throttled };
+            return self.answer(t.delivery, Answer::bare(fate, Reason::Expired), out);
+        }
+        let new = self.funcs.find(t.function.as_ref()).is_none();
+        if new && self.funcs.len() >= MOST_FUNCTIONS {
+            return self.answer(t.delivery, Answer::bare(Fate::Errored, Reason::Functions), out);
+        }
+        if !self.admission.taken(t.delivery.front, t.body.len()) {
+            let fate = if t.redelivered { Fate::Errored } else { Fate::Throttled };
+            return self.answer(t.delivery, Answer::bare(fate, Reason::Size), out);
+        }
+        let func = self.funcs.enter(t.function.as_ref());
+        if self.names.len() <= func as usize {
+            self.names.resize(func as usize + 1, Arc::from(""));
+        }
+        self.names[func as usize] = t.function.clone();
+        let dispatch_until = dispatch_within.map(|left| self.now + left);
+        let inv = self.invs.insert(Inv {
+            claim: NO_CLAIM,
+            front: t.delivery.front,
+            trigger: t.trigger,
+            account: t.account,
+            function: t.function.clone(),
+            token: t.token,
+            identity: t.identity.clone(),
+            hints: (t.cost_hint, t.load_hint),
+            copy_mb: t.copy_mb,
+            lanes: t.lanes.max(1),
+            body: t.body,
+            taken: self.now,
+            gives_up_at,
+            dispatch_until,
+            concluded: false,
+            orphan: false,
+            dispatches: Vec::new(),
+        });
+        let claim = self.claims.open(t.identity, t.delivery, inv, gives_up_at + self.terms.answer_margin);
+        if let Some(it) = self.invs.get_mut(inv) {
+            it.claim = claim;
+        }
+        let generation = self.invs.generation(inv);
+        self.timer(gives_up_at, Timer::Overdue(inv, generation));
+        if let Some(until) = dispatch_until.filter(|&u| u < gives_up_at) {
+            self.timer(until, Timer::WindowEnds(inv, generation));
+        }
+        let arrival = Arrival {
+            inv,
+            trigger: t.trigger,
+            account: t.account,
+            func,
+            fingerprint: fingerprint(&t.function),
+            cost_hint: t.cost_hint,
+            load_hint: t.load_hint,
+            copy_mb: t.copy_mb,
+            lanes: t.lanes.max(1),
+            client_gives_up_in: gives_up_at - self.now,
+            repeat: t.repeat,
+        };
+        self.decide(&Event::Invocation(arrival), out);
+        self.release(inv);
+    }
+
+    /// A message that this router had before and lost with its channel.
+    fn comes_again(&mut self, claim: ClaimIx, delivery: Delivery, out: &mut Vec<Output>) {
+        if !self.claims.rejoin(claim, delivery) {
+            self.counts.discarded += 1;
+            return out.push(Output::Discard(delivery));
+        }
+        if let Some(answer) = self.claims.answer(claim).cloned() {
+            // The very same; it counts once.
+            self.counts.repeated += 1;
+            return out.push(Output::Answer { delivery, answer });
+        }
+        self.counts.joined += 1;
+        if let Some(inv) = self.claims.inv(claim)
+            && let Some(it) = self.invs.get_mut(inv)
+        {
+            it.orphan = false;
+        }
+    }
+
+    fn front(&mut self, front: FrontIx, state: FrontState, out: &mut Vec<Output>) {
+        self.admission.front(front, state);
+        if state != FrontState::Down {
+            return;
+        }
+        // Symptom: a channel drops with work out. The broker gives it to whoever is next, perhaps to us. What has
+        // left is waited for, in case it comes back here; what has not is over, and known never to have run.
+        let (open, forgotten) = self.claims.front_lost(front);
+        for inv in forgotten {
+            if let Some(it) = self.invs.get_mut(inv) {
+                it.claim = NO_CLAIM;
+            }
+        }
+        for inv in open {
+            let Some(it) = self.invs.get_mut(inv) else { continue };
+            it.orphan = true;
+            self.counts.orphaned += 1;
+            if !it.out() {
+                self.conclude_orphan(inv, out);
+            }
+        }
+    }
+
+    fn departed(&mut self, delivery: Delivery, out: &mut Vec<Output>) {
+        let Some(claim) = self.claims.held_by(delivery) else { return };
+        let inv = self.claims.inv(claim);
+        self.claims.forget(claim);
+        if let Some(inv) = inv {
+            self.leave(inv, out);
+        }
+    }
+
+    /// Nobody is to be answered for this invocation, and nothing more is to be sent for it.
+    fn conclude_orphan(&mut self, inv: InvIx, out: &mut Vec<Output>) {
+        if let Some(it) = self.invs.get(inv) {
+            let (claim, ran) = (it.claim, it.may_have_run());
+            self.claims.end(claim, ran);
+        }
+        self.leave(inv, out);
+    }
+
+    fn leave(&mut self, inv: InvIx, out: &mut Vec<Output>) {
+        if self.conclude(inv, Pace::Neither) {
+            self.decide(&Event::Departed { inv }, out);
+        }
+        self.release(inv);
+    }
+
+    /// Marks it as over; true the first time.
+    fn conclude(&mut self, inv: InvIx, pace: Pace) -> bool {
+        let Some(it) = self.invs.get_mut(inv).filter(|i| !i.concluded) else { return false };
+        it.concluded = true;
+        let (front, bytes, took) = (it.front, it.body.len(), self.now - it.taken);
+        self.admission.ended(self.now, front, bytes, took, pace);
+        true
+    }
+
+    fn pace(&self, it: &Inv) -> Pace {
+        let t = &self.triggers[it.trigger as usize];
+        let stretch = (it.hints.0.unwrap_or(0) as f64 * t.objective_stretch) as Micros;
+        if self.now - it.taken > t.latency_objective + stretch { Pace::Late } else { Pace::InTime }
+    }
+
+    /// The final answer; whoever holds the claim gets it.
+    fn give(&mut self, inv: InvIx, answer: Answer, out: &mut Vec<Output>) {
+        let Some(it) = self.invs.get(inv).filter(|i| !i.concluded) else { return };
+        let claim = it.claim;
+        let pace = match answer.fate {
+            Fate::Succeeded => self.pace(it),
+            _ => Pace::Neither,
+        };
+        self.conclude(inv, pace);
+        match self.claims.give(claim, &answer) {
+            Some(delivery) => self.answer(delivery, answer, out),
+            // Without a front it is kept for when the message comes again. Nobody may be promised that it
+            // did not run, or told an error, on behalf of whoever has the message now.
+            None if answer.fate != Fate::Succeeded => {
+                let ran = self.invs.get(inv).is_some_and(Inv::may_have_run);
+                self.claims.end(claim, ran);
+            }
+            None => {}
+        }
+    }
+
+    /// An index may go to another invocation once it is over and all its dispatches have ended.
+    fn release(&mut self, inv: InvIx) {
+        if self.invs.get(inv).is_some_and(|i| i.concluded && !i.out()) {
+            self.invs.remove(inv);
+        }
+    }
+
+    fn list(&mut self, mode: ListMode, workers: &[Listed], out: &mut Vec<Output>) {
+        let entries: Vec<ListEntry> = workers
+            .iter()
+            .map(|w| ListEntry {
+                worker: self.workers.enter(w.address.as_str()),
+                fingerprint: fingerprint(&w.address),
+                zone: w.zone,
+                kind: w.kind,
+                cell: w.cell,
+                standing: w.standing,
+                weight: w.weight,
+                started: w.started,
+            })
+            .collect();
+        self.decide(&Event::List { mode, entries: &entries }, out);
+    }
+
+    #[allow(clippy::too_many_arguments)] // The parts of one piece of news.
+    fn dispatch_ended(
+        &mut self,
+        ticket: Ticket,
+        outcome: Outcome,
+        note: CopyNote,
+        crowd: Option<u32>,
+        report: Report,
+        body: Bytes,
+        out: &mut Vec<Output>,
+    ) {
+        let Ticket { inv, dispatch, generation } = ticket;
+        let sent = if self.invs.generation(inv) == generation { self.invs.get_mut(inv) } else { None }
+            .and_then(|i| i.dispatches.get_mut(dispatch as usize))
+            .filter(|d| d.state == Sent::Out);
+        let Some(sent) = sent else {
+            // Symptom: a worker answers after its time-out or after it was called back. Its ending was told.
+            self.counts.too_late += 1;
+            return;
+        };
+        sent.state = if outcome.never_ran() { Sent::NeverRan } else { Sent::MayHaveRun };
+        let (worker, took) = (sent.worker, self.now - sent.at);
+        if outcome == Outcome::Succeeded {
+            let answer = Answer { fate: Fate::Succeeded, reason: Reason::Worker, return_after: None, body };
+            self.give(inv, answer, out);
+        } else if self.invs.get(inv).is_some_and(|i| i.orphan && !i.concluded) {
+            // Nobody waits for it here any more; whoever has the message now decides what comes next.
+            if let Some(it) = self.invs.get(inv) {
+                let (claim, ran) = (it.claim, it.may_have_run());
+                self.claims.end(claim, ran);
+            }
+            self.conclude(inv, Pace::Neither);
+        }
+        let concluded = self.invs.get(inv).is_none_or(|i| i.concluded);
+        let ending = Ending { inv, dispatch, worker, outcome, took, concluded, note, crowd, report };
+        self.decide(&Event::DispatchEnded(ending), out);
+        self.release(inv);
+    }
+
+    fn order_ended(&mut self, ticket: OrderTicket, result: OrderResult, copies: u32, out: &mut Vec<Output>) {
+        let Some(at) = self.orders.remove(&ticket) else { return };
+        let OrderTicket { worker, func, .. } = ticket;
+        self.decide(&Event::OrderEnded { worker, func, result, took: self.now - at, copies }, out);
+    }
+
+    fn run_timers(&mut self, out: &mut Vec<Output>) {
+        while let Some(&Reverse((at, _, timer))) = self.timers.peek()
+            && at <= self.now
+        {
+            self.timers.pop();
+            match timer {
+                Timer::Module(token) => self.decide(&Event::Timer { token }, out),
+                Timer::TimeOut(ticket) => self.time_out(ticket, out),
+                Timer::Overdue(inv, generation) if self.invs.generation(inv) == generation => {
+                    self.overdue(inv, out);
+                }
+                Timer::WindowEnds(inv, generation) if self.invs.generation(inv) == generation => {
+                    // Symptom: a redelivered one still held as the workers' memory of it runs out.
+                    if self.invs.get(inv).is_some_and(|i| !i.concluded && !i.out()) {
+                        self.give(inv, Answer::bare(Fate::Errored, Reason::MayHaveRun), out);
+                        self.decide(&Event::Departed { inv }, out);
+                        self.release(inv);
+                    }
+                }
+                Timer::Overdue(..) | Timer::WindowEnds(..) => {}
+                Timer::Order(ticket) => {
+                    if self.orders.contains_key(&ticket) {
+                        self.order_ended(ticket, OrderResult::TimedOut, 0, out);
+                    }
+                }
+            }
+        }
+    }
+
+    fn time_out(&mut self, ticket: Ticket, out: &mut Vec<Output>) {
+        let stands = self.invs.generation(ticket.inv) == ticket.generation;
+        let sent = self.invs.get(ticket.inv).and_then(|i| i.dispatches.get(ticket.dispatch as usize));
+        if stands && sent.is_some_and(|d| d.state == Sent::Out) {
+            out.push(Output::Withdraw(ticket));
+            let (note, report) = (CopyNote::Untold, Report::default());
+            self.dispatch_ended(ticket, Outcome::TimedOut, note, None, report, Bytes::new(), out);
+        }
+    }
+
+    /// The client is about to give up. What is out ends now; the module then owes the answer at once.
+    fn overdue(&mut self, inv: InvIx, out: &mut Vec<Output>) {
+        let generation = self.invs.generation(inv);
+        let outs =
+            |it: &Inv| (0..it.dispatches.len()).filter(|&n| it.dispatches[n].state == Sent::Out).collect();
+        let dispatches: Vec<usize> = self.invs.get(inv).map(outs).unwrap_or_default();
+        for dispatch in dispatches {
+            self.time_out(Ticket { inv, dispatch: dispatch as u32, generation }, out);
+        }
+        if self.invs.generation(inv) != generation || self.invs.get(inv).is_none_or(|i| i.concluded) {
+            return;
+        }
+        // Symptom: a held one whose turn did not come between two of the module's timers.
+        let ran = self.invs.get(inv).is_some_and(Inv::may_have_run);
+        let idempotent = self.invs.get(inv).map(|i| self.triggers[i.trigger as usize].effect);
+        let harmless = !ran || idempotent == Some(Effect::Idempotent);
+        let redelivered = self.invs.get(inv).is_some_and(|i| i.dispatch_until.is_some());
+        let fate = if harmless && !redelivered { Fate::Throttled } else { Fate::Errored };
+        self.give(inv, Answer::bare(fate, Reason::Overdue), out);
+        self.decide(&Event::Departed { inv }, out);
+        self.release(inv);
+    }
+
+    /// Calls the module and carries out what it asks for, in order; what it asks for that cannot be sent comes
+    /// back to it as news.
+    fn decide(&mut self, event: &Event, out: &mut Vec<Output>) {
+        let mut actions = Vec::new();
+        self.control.decide(self.now, event, &mut actions);
+        // Endings that follow at once are told only after all actions of this step.
+        let mut unsent = Vec::new();
+        for action in actions {
+            match action {
+                Action::Dispatch { inv, worker, time_out } => {
+                    self.dispatch(inv, worker, time_out, &mut unsent, out);
+                }
+                Action::Withdraw { inv, dispatch } => {
+                    let ticket = Ticket { inv, dispatch, generation: self.invs.generation(inv) };
+                    let sent = self.invs.get(inv).and_then(|i| i.dispatches.get(dispatch as usize));
+                    if sent.is_some_and(|d| d.state == Sent::Out) {
+                        self.counts.withdrawn += 1;
+                        out.push(Output::Withdraw(ticket));
+                        unsent.push((ticket, Outcome::Withdrawn));
+                    }
+                }
+                Action::Throttle { inv, return_after } => {
+                    // A redelivered one may have run elsewhere, which the module cannot know.
+                    let elsewhere = self.invs.get(inv).is_some_and(|i| i.dispatch_until.is_some());
+                    let fate = if elsewhere { Fate::Errored } else { Fate::Throttled };
+                    let answer = Answer { return_after, ..Answer::bare(fate, Reason::GivenUp) };
+                    self.give(inv, answer, out);
+                    self.release(inv);
+                }
+                Action::Error { inv } => {
+                    self.give(inv, Answer::bare(Fate::Errored, Reason::GivenUp), out);
+                    self.release(inv);
+                }
+                Action::Order { worker, func, copies } => {
+                    self.serial += 1;
+                    let ticket = OrderTicket { worker, func, serial: self.serial };
+                    let within = self.terms.order_answered_within;
+                    self.orders.insert(ticket, self.now);
+                    self.timer(self.now + within, Timer::Order(ticket));
+                    self.counts.orders += u64::from(copies > 0);
+                    let function = self.names[func as usize].clone();
+                    out.push(Output::Order { ticket, function, copies, within });
+                }
+                Action::Unload { worker, func } => {
+                    out.push(Output::Unload { worker, function: self.names[func as usize].clone() });
+                }
+                Action::Probe { worker } => out.push(Output::Probe { worker }),
+                Action::Timer { token, after } => self.timer(self.now + after, Timer::Module(token)),
+                Action::AskList { .. } => out.push(Output::AskList),
+                Action::Forget { func } => {
+                    self.funcs.release(func);
+                    self.names[func as usize] = Arc::from("");
+                }
+            }
+        }
+        for (ticket, outcome) in unsent {
+            let (note, report) = (CopyNote::Untold, Report::default());
+            self.dispatch_ended(ticket, outcome, note, None, report, Bytes::new(), out);
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        inv: InvIx,
+        worker: WorkerIx,
+        time_out: Option<Micros>,
+        unsent: &mut Vec<(Ticket, Outcome)>,
+        out: &mut Vec<Output>,
+    ) {
+        let (now, generation) = (self.now, self.invs.generation(inv));
+        let Some(it) = self.invs.get_mut(inv) else { return };
+        let ticket = Ticket { inv, dispatch: it.dispatches.len() as u32, generation };
+        it.dispatches.push(Dispatch { worker, at: now, state: Sent::Out });
+        // Whoever has the message now may dispatch it; the module is told that this one did not leave. So it is
+        // with one whose repeats the workers no longer know.
+        if it.concluded || it.orphan || it.dispatch_until.is_some_and(|u| now >= u) {
+            return unsent.push((ticket, Outcome::NotSent));
+        }
+        let time_left = it.gives_up_at - now;
+        let call = Call {
+            identity: it.identity.clone(),
+            token: it.token.clone(),
+            time_left,
+            cost_hint: it.hints.0,
+            load_hint: it.hints.1,
+            copy_mb: it.copy_mb,
+            lanes: it.lanes,
+            body: it.body.clone(),
+        };
+        let (function, trigger, account) = (it.function.clone(), it.trigger, it.account);
+        out.push(Output::Send { ticket, worker, function, trigger, account, call });
+        self.counts.dispatches += 1;
+        // Without a time-out of its own it ends when the client gives up.
+        if let Some(time_out) = time_out.filter(|&t| t < time_left) {
+            self.timer(now + time_out, Timer::TimeOut(ticket));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,123 @@
+//! The router core: takes invocations from any front, asks the decision module about every event, and says what
+//! is to be sent where. Begin reading at [`Router::handle`] in `core.rs`.
+//!
+//! It never touches a socket, a clock or a thread: time and events go in, outputs come out, and the same events
+//! give the same outputs. Where an invocation goes, the module (`cedarpulley::Control`) decides. Beside it stand
+//! small decision modules, each alone in its file:
+//!
+//! * [`admission`]: how many invocations may be taken, from whom.
+//! * [`redelivery`]: what may be done with a message that was delivered before.
+//! * [`claims`]: which final answer was given, until the front has it safely out.
+//! * [`roster`]: what the worker list says, though its watch breaks, repeats or goes back in time.
+//! * [`backoff`]: how long to wait before trying to reach something again.
+
+pub mod admission;
+pub mod backoff;
+pub mod claims;
+pub mod core;
+pub mod redelivery;
+pub mod roster;
+mod table;
+
+pub use crate::core::{Counts, Input, Output, Router, Terms};
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cedarpulley::interface::{FnIx, InvIx, Micros, WorkerIx};
+
+pub type FrontIx = u32;
+
+/// Names what a front handed over, so that the answer finds its way back. `life` changes whenever the front
+/// loses its connection or channel: what was handed over in an earlier life can no longer be answered there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Delivery {
+    pub front: FrontIx,
+    pub life: u32,
+    pub tag: u64,
+}
+
+/// One dispatch on its way; never given out twice while its invocation's index may be reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket {
+    pub inv: InvIx,
+    pub dispatch: u32,
+    /// Of the invocation's index; an ending for an earlier generation is of no one's concern.
+    pub generation: u32,
+}
+
+/// One order to load, or one question for how many copies stand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct OrderTicket {
+    pub worker: WorkerIx,
+    pub func: FnIx,
+    pub serial: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Fate {
+    Succeeded,
+    /// Did not run: trying again is harmless.
+    Throttled,
+    /// Promises nothing.
+    Errored,
+}
+
+/// Why an answer is what it is; goes to the client and into the counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Reason {
+    /// A worker answered.
+    Worker,
+    /// The module gave it up.
+    GivenUp,
+    /// The client's time had run out before it came here.
+    Expired,
+    /// It was delivered before and may have run.
+    MayHaveRun,
+    /// No answer by the time the client gives up.
+    Overdue,
+    /// More functions than this router keeps account of.
+    Functions,
+    /// Larger than this router takes.
+    Size,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub fate: Fate,
+    pub reason: Reason,
+    pub return_after: Option<Micros>,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn bare(fate: Fate, reason: Reason) -> Self {
+        Answer { fate, reason, return_after: None, body: Bytes::new() }
+    }
+}
+
+/// What a front understood of a message.
+#[derive(Clone, Debug)]
+pub struct Taken {
+    pub delivery: Delivery,
+    /// The same for every delivery of the same message and for no other; absent if the message bears none.
+    pub identity: Option<Arc<str>>,
+    /// Delivered before, to this router or another.
+    pub redelivered: bool,
+    /// A client's own repeat, where clients mark it.
+    pub repeat: bool,
+    pub trigger: u32,
+    pub account: u32,
+    pub function: Arc<str>,
+    /// The mark by which a repeat is known.
+    pub token: Option<Arc<str>>,
+    /// For how long the client had been waiting when this came.
+    pub waited: Micros,
+    /// Over all, from the client's sending on; not above the trigger type's.
+    pub client_timeout: Micros,
+    pub cost_hint: Option<Micros>,
+    pub load_hint: Option<Micros>,
+    pub copy_mb: f64,
+    pub lanes: u32,
+    pub body: Bytes,
+}
--- /dev/null
+++ b/crates/standins/src/worker.rs
@@ -0,0 +1,677 @@
+//! A worker: KServe v2 with the model repository extension over HTTP. Cores are shared among what runs, functions
+//! are loaded through the store into bounded memory, each copy has lanes, a young worker does only part of its work
+//! and falls over when pushed, and repeats of a token are dropped within a window.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, Weak};
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, LogNormal};
+use serde_json::json;
+use smol::lock::Semaphore;
+use smol_hyper::rt::FuturesIo;
+
+use crate::http::{Body, Cut, Server, full};
+use crate::{Ground, Log, lock, wall_us};
+
+const MOST_BODY: usize = 128 << 20;
+/// What runs is advanced in steps of this length.
+const STEP: Duration = Duration::from_millis(10);
+/// Spread of the work about its mean, in units of its logarithm.
+const SPREAD: f64 = 0.35;
+/// A repeat waits so long for the first one's answer.
+const REPEAT_WAITS: Duration = Duration::from_secs(2);
+
+/// What invocations of one trigger type are like.
+#[derive(Clone, Debug)]
+pub struct Program {
+    pub work: Duration,
+    pub copy_mb: f64,
+    pub start_up: Duration,
+    pub lanes: usize,
+    /// Set for tokened ones: repeats are dropped for so long.
+    pub window: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Nature {
+    pub cores: f64,
+    pub memory_mb: f64,
+    /// Invocations waiting beyond this are refused.
+    pub most_waiting: usize,
+    pub most_loads: usize,
+    pub loads_when_absent: bool,
+    pub cold_part: f64,
+    pub cold_for: Duration,
+    pub overload_multiple: f64,
+    pub overload_window: Duration,
+}
+
+/// Tokens that a group of workers remembers.
+#[derive(Clone, Default)]
+pub struct Memory(Arc<Mutex<HashMap<String, Remembered>>>);
+
+/// Since when a token is known, and the answer once there is one.
+type Remembered = (Instant, Option<Bytes>);
+
+/// A token that was entered and whose invocation has not begun: it never ran if it ends now.
+struct Entered {
+    memory: Memory,
+    token: String,
+    ran: bool,
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        if !self.ran {
+            lock(&self.memory.0).remove(&self.token);
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Faults {
+    hang: bool,
+    pause: bool,
+    slow: f64,
+    mute: Option<String>,
+    draining: bool,
+}
+
+struct Copy {
+    lanes: Arc<Semaphore>,
+    copies: usize,
+    mb: f64,
+    busy: usize,
+    used: Instant,
+    /// None while loading; then whether it stands.
+    stands: Option<bool>,
+}
+
+/// What one process of the worker holds.
+struct Life {
+    began: Instant,
+    /// Was there all along.
+    warm: bool,
+    copies: HashMap<String, Copy>,
+    loads: usize,
+    running: usize,
+    waiting: usize,
+    sent: VecDeque<(Instant, Duration)>,
+}
+
+struct Inner {
+    name: String,
+    ground: Ground,
+    log: Log,
+    seed: u64,
+    nature: Nature,
+    store: SocketAddr,
+    programs: HashMap<String, Program>,
+    memory: Memory,
+    cut: Cut,
+    faults: Mutex<Faults>,
+    life: Mutex<Option<Life>>,
+    server: Mutex<Option<Server>>,
+    starts: Mutex<u32>,
+}
+
+#[derive(Clone)]
+pub struct Worker {
+    pub address: SocketAddr,
+    inner: Arc<Inner>,
+}
+
+/// A task's part in a count, given back however the task ends.
+struct Held<F: FnMut(&mut Life)>(Arc<Inner>, F);
+
+impl<F: FnMut(&mut Life)> Drop for Held<F> {
+    fn drop(&mut self) {
+        if let Some(life) = lock(&self.0.life).as_mut() {
+            (self.1)(life);
+        }
+    }
+}
+
+/// Says in the log how an invocation left, also when its connection was closed on it.
+struct Leaves {
+    log: Log,
+    id: String,
+    dispatch: String,
+    from: String,
+    how: &'static str,
+}
+
+impl Drop for Leaves {
+    fn drop(&mut self) {
+        self.log.write(
+            "left",
+            json!({"id": self.id, "dispatch": self.dispatch, "from": self.from, "how": self.how}),
+        );
+    }
+}
+
+impl Worker {
+    #[allow(clippy::too_many_arguments)] // What a worker is made of.
+    pub fn start(
+        ground: &Ground,
+        name: &str,
+        address: SocketAddr,
+        seed: u64,
+        nature: Nature,
+        store: SocketAddr,
+        programs: HashMap<String, Program>,
+        memory: Memory,
+    ) -> std::io::Result<Worker> {
+        let inner = Arc::new(Inner {
+            name: name.to_owned(),
+            ground: ground.clone(),
+            log: ground.log(name)?,
+            seed,
+            nature,
+            store,
+            programs,
+            memory,
+            cut: Cut::default(),
+            faults: Mutex::new(Faults { slow: 1.0, ..Faults::default() }),
+            life: Mutex::new(None),
+            server: Mutex::new(None),
+            starts: Mutex::new(0),
+        });
+        let mut worker = Worker { address, inner };
+        worker.address = worker.up(true)?;
+        Ok(worker)
+    }
+
+    fn up(&self, warm: bool) -> std::io::Result<SocketAddr> {
+        let life = Life {
+            began: Instant::now(),
+            warm,
+            copies: HashMap::new(),
+            loads: 0,
+            running: 0,
+            waiting: 0,
+            sent: VecDeque::new(),
+        };
+        *lock(&self.inner.life) = Some(life);
+        let weak = Arc::downgrade(&self.inner);
+        let handle = move |from: SocketAddr, request| serve(weak.clone(), from, request);
+        let server = Server::start(&self.inner.ground, self.address, self.inner.cut.clone(), handle)?;
+        let address = server.address;
+        *lock(&self.inner.server) = Some(server);
+        *lock(&self.inner.starts) += 1;
+        self.inner.log.write(
+            "up",
+            json!({"address": address.to_string(), "cores": self.inner.nature.cores, "cold": !warm}),
+        );
+        Ok(address)
+    }
+
+    /// The process is gone, with all it held.
+    pub fn crash(&self) {
+        self.inner.log.write("down", json!({}));
+        let server = lock(&self.inner.server).take();
+        drop(server);
+        *lock(&self.inner.life) = None;
+    }
+
+    /// A fresh process, cold and empty.
+    pub fn start_again(&self) -> std::io::Result<()> {
+        self.up(false).map(|_| lock(&self.inner.faults).draining = false)
+    }
+
+    /// How often it has been started.
+    pub fn starts(&self) -> u32 {
+        *lock(&self.inner.starts)
+    }
+
+    pub fn is_up(&self) -> bool {
+        lock(&self.inner.server).is_some()
+    }
+
+    /// Takes calls, runs them and answers none.
+    pub fn hang(&self, on: bool) {
+        lock(&self.inner.faults).hang = on;
+    }
+
+    pub fn pause(&self, on: bool) {
+        lock(&self.inner.faults).pause = on;
+    }
+
+    pub fn slow(&self, times: f64) {
+        lock(&self.inner.faults).slow = times;
+    }
+
+    /// Leaves one trigger type unanswered.
+    pub fn mute(&self, kind: Option<&str>) {
+        lock(&self.inner.faults).mute = kind.map(str::to_owned);
+    }
+
+    pub fn drain(&self) {
+        lock(&self.inner.faults).draining = true;
+    }
+
+    pub fn cut(&self, zones: u64) {
+        self.inner.cut.set(zones);
+    }
+
+    /// Idle copies are gone.
+    pub fn flush_copies(&self) {
+        if let Some(life) = lock(&self.inner.life).as_mut() {
+            life.copies.retain(|_, c| c.busy > 0 || c.stands.is_none());
+        }
+    }
+
+    pub fn flush(&self) {
+        self.inner.log.flush();
+    }
+}
+
+async fn serve(inner: Weak<Inner>, from: SocketAddr, request: Request<Incoming>) -> Response<Body> {
+    let Some(it) = inner.upgrade() else { return full(StatusCode::SERVICE_UNAVAILABLE, "") };
+    let path = request.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    let model = |name: &str| percent_decode_str(name).decode_utf8_lossy().into_owned();
+    match parts.as_slice() {
+        ["v2", "health", "live" | "ready"] => full(StatusCode::OK, ""),
+        ["v2", "models", name, "ready"] => {
+            let name = model(name);
+            let stands = lock(&it.life).as_ref().and_then(|l| l.copies.get(&name)?.stands) == Some(true);
+            full(if stands { StatusCode::OK } else { StatusCode::NOT_FOUND }, "")
+        }
+        ["v2", "models", name, "infer"] => infer(it, from, model(name), request).await,
+        ["v2", "repository", "models", name, "load"] => {
+            let name = model(name);
+            it.log.write("ordered", json!({"function": name, "from": from.ip().to_string()}));
+            order(it, name).await
+        }
+        ["v2", "repository", "models", name, "unload"] => {
+            let name = model(name);
+            if let Some(life) = lock(&it.life).as_mut() {
+                life.copies.retain(|n, c| *n != name || c.busy > 0 || c.stands.is_none());
+            }
+            full(StatusCode::OK, "")
+        }
+        _ => full(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+fn refuse(status: StatusCode) -> Response<Body> {
+    let mut response = full(status, "");
+    response.headers_mut().insert("cedarpulley-ran", HeaderValue::from_static("no"));
+    response
+}
+
+enum Found {
+    /// Wait for its lane; whether this one began the load or waits for one begun before.
+    Copy {
+        lanes: Arc<Semaphore>,
+        began: bool,
+        waited: bool,
+    },
+    NoRoom,
+    Absent,
+}
+
+impl Inner {
+    fn grown(&self, life: &Life) -> f64 {
+        if life.warm {
+            return 1.0;
+        }
+        let age = life.began.elapsed().as_secs_f64() / self.nature.cold_for.as_secs_f64().max(1e-9);
+        self.nature.cold_part + (1.0 - self.nature.cold_part) * age.min(1.0)
+    }
+
+    /// True if this one pushes it over.
+    fn pushed(&self, work: Duration) -> bool {
+        let mut life = lock(&self.life);
+        let Some(life) = life.as_mut() else { return false };
+        let (now, n) = (Instant::now(), &self.nature);
+        life.sent.push_back((now, work));
+        while life.sent.front().is_some_and(|(at, _)| now - *at > n.overload_window) {
+            life.sent.pop_front();
+        }
+        if life.warm || life.began.elapsed() >= n.cold_for {
+            return false;
+        }
+        let sent: f64 = life.sent.iter().map(|(_, w)| w.as_secs_f64()).sum();
+        sent > n.overload_multiple * n.cores * self.grown(life) * n.overload_window.as_secs_f64()
+    }
+
+    /// The copy to run on, and whether its load is to be begun now.
+    fn find(&self, function: &str, program: &Program, may_load: bool, copies: usize) -> (Found, bool) {
+        let mut life = lock(&self.life);
+        let Some(life) = life.as_mut() else { return (Found::NoRoom, false) };
+        if let Some(copy) = life.copies.get_mut(function) {
+            copy.used = Instant::now();
+            let waited = copy.stands.is_none();
+            if copy.stands != Some(false) {
+                return (Found::Copy { lanes: copy.lanes.clone(), began: false, waited }, false);
+            }
+        }
+        if !may_load {
+            return (Found::Absent, false);
+        }
+        let needed = program.copy_mb * copies as f64;
+        let mut used: f64 = life.copies.values().map(|c| c.mb).sum();
+        if life.loads >= self.nature.most_loads {
+            return (Found::NoRoom, false);
+        }
+        while used + needed > self.nature.memory_mb {
+            let idle = life.copies.iter().filter(|(_, c)| c.busy == 0 && c.stands.is_some());
+            let Some(oldest) = idle.min_by_key(|(_, c)| c.used).map(|(n, _)| n.clone()) else {
+                return (Found::NoRoom, false);
+            };
+            used -= life.copies.remove(&oldest).map_or(0.0, |c| c.mb);
+        }
+        let lanes = Arc::new(Semaphore::new(0));
+        let used = Instant::now();
+        let copy = Copy { lanes: lanes.clone(), copies, mb: needed, busy: 0, used, stands: None };
+        life.copies.insert(function.to_owned(), copy);
+        life.loads += 1;
+        (Found::Copy { lanes, began: true, waited: false }, true)
+    }
+
+    /// Fetches from the store and starts up; wakes whoever waits.
+    async fn load(self: Arc<Self>, function: String, program: Program) {
+        self.log.write("loading", json!({"function": function}));
+        let fetched = fetch(self.store, &function, program.copy_mb).await;
+        if fetched {
+            Timer::after(program.start_up).await;
+        }
+        let mut life = lock(&self.life);
+        let Some(life) = life.as_mut() else { return };
+        life.loads = life.loads.saturating_sub(1);
+        let Some(copy) = life.copies.get_mut(&function) else { return };
+        copy.stands = Some(fetched);
+        // A failed one lets all that wait go, to be told.
+        copy.lanes.add_permits(if fetched { program.lanes * copy.copies } else { self.nature.most_waiting });
+        if !fetched {
+            life.copies.remove(&function);
+        }
+        self.log.write("loaded", json!({"function": function, "stands": fetched}));
+    }
+
+    fn stands(&self, function: &str) -> bool {
+        lock(&self.life).as_ref().and_then(|l| l.copies.get(function)?.stands) == Some(true)
+    }
+}
+
+async fn fetch(store: SocketAddr, function: &str, mb: f64) -> bool {
+    let fetching = async {
+        let stream = Async::<std::net::TcpStream>::connect(store).await.ok()?;
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(FuturesIo::new(stream)).await.ok()?;
+        let path = format!("/{}?mb={mb}", function.replace(['/', '?', ' '], "_"));
+        let request =
+            Request::get(path).header("host", store.to_string()).body(Empty::<Bytes>::new()).ok()?;
+        let answer = async {
+            let answer = sender.send_request(request).await.ok()?;
+            let ok = answer.status().is_success();
+            answer.into_body().collect().await.ok()?;
+            Some(ok)
+        };
+        let driver = async {
+            let _ = connection.await;
+            std::future::pending::<Option<bool>>().await
+        };
+        futures_lite::FutureExt::or(answer, driver).await
+    };
+    fetching.await.unwrap_or(false)
+}
+
+async fn order(it: Arc<Inner>, function: String) -> Response<Body> {
+    if lock(&it.faults).draining {
+        return full(StatusCode::SERVICE_UNAVAILABLE, "");
+    }
+    // An order does not say of which trigger type the function is; its name begins with it.
+    let kind = function.split(':').next().unwrap_or("").to_owned();
+    let Some(program) = it.programs.get(&kind).cloned() else { return full(StatusCode::BAD_REQUEST, "") };
+    let (found, begin) = it.find(&function, &program, true, 1);
+    if begin {
+        it.ground.executor.spawn(it.clone().load(function.clone(), program)).detach();
+    }
+    let Found::Copy { lanes, .. } = found else { return full(StatusCode::INSUFFICIENT_STORAGE, "") };
+    // Taken and given back at once: then it stands, or its load failed.
+    drop(lanes.acquire().await);
+    match it.stands(&function) {
+        true => {
+            let mut response = full(StatusCode::OK, "");
+            response.headers_mut().insert("cedarpulley-copies", HeaderValue::from_static("1"));
+            response
+        }
+        false => full(StatusCode::INTERNAL_SERVER_ERROR, ""),
+    }
+}
+
+async fn infer(
+    it: Arc<Inner>,
+    from: SocketAddr,
+    function: String,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let header =
+        |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+    let (id, dispatch) = (header("cedarpulley-invocation"), header("cedarpulley-dispatch"));
+    let (kind, token) = (header("cedarpulley-trigger-type"), header("idempotency-key"));
+    let from = from.ip().to_string();
+    let program = it.programs.get(&kind).cloned();
+    let work = program.as_ref().map_or(Duration::ZERO, |p| drawn(it.seed, &id, p.work));
+    it.log.write(
+        "received",
+        json!({
+            "id": id, "dispatch": dispatch, "from": from, "type": kind, "function": function,
+            "work": work.as_micros() as u64,
+        }),
+    );
+    let mut leaves = Leaves { log: it.log.clone(), id: id.clone(), dispatch, from, how: "closed" };
+    let body = Limited::new(request.into_body(), MOST_BODY).collect().await;
+    let (Some(program), Ok(_)) = (program, body) else {
+        leaves.how = "refused";
+        return refuse(StatusCode::BAD_REQUEST);
+    };
+    if it.pushed(work) {
+        it.log.write("fell", json!({}));
+        let falls = it.clone();
+        // The process ends, and this task with it.
+        let down = async move {
+            let server = lock(&falls.server).take();
+            drop(server);
+        };
+        it.ground.executor.spawn(down).detach();
+        std::future::pending::<()>().await;
+    }
+    let (faults, full_up) = {
+        let life = lock(&it.life);
+        let full_up = life.as_ref().is_none_or(|l| l.waiting >= it.nature.most_waiting);
+        (lock(&it.faults).clone(), full_up)
+    };
+    if faults.draining || full_up {
+        leaves.how = "refused";
+        return refuse(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let window = program.window.filter(|_| !token.is_empty());
+    let mut entered = None;
+    if let Some(window) = window {
+        match enter(&it, &token, window) {
+            Some(new) => entered = Some(new),
+            None => {
+                leaves.how = "repeat";
+                return repeated(&it, &id, &token, window).await;
+            }
+        }
+    }
+    let crowd = {
+        let mut life = lock(&it.life);
+        let Some(life) = life.as_mut() else { return refuse(StatusCode::SERVICE_UNAVAILABLE) };
+        life.waiting += 1;
+        let crowd = life.copies.get(&function).map_or(0, |c| c.busy);
+        if let Some(copy) = life.copies.get_mut(&function) {
+            copy.busy += 1;
+        }
+        crowd
+    };
+    let waits = Held(it.clone(), |l: &mut Life| l.waiting = l.waiting.saturating_sub(1));
+    let (found, begin) = it.find(&function, &program, it.nature.loads_when_absent, 1);
+    if begin {
+        it.ground.executor.spawn(it.clone().load(function.clone(), program.clone())).detach();
+        if let Some(copy) = lock(&it.life).as_mut().and_then(|l| l.copies.get_mut(&function)) {
+            copy.busy += 1;
+        }
+    }
+    let name = function.clone();
+    let _busy = Held(it.clone(), move |l: &mut Life| {
+        if let Some(copy) = l.copies.get_mut(&name) {
+            copy.busy = copy.busy.saturating_sub(1);
+            copy.used = Instant::now();
+        }
+    });
+    let (lanes, note) = match found {
+        Found::Copy { lanes, began, waited } => (
+            lanes,
+            if began {
+                "began"
+            } else if waited {
+                "waited"
+            } else {
+                "found"
+            },
+        ),
+        Found::NoRoom => {
+            leaves.how = "refused";
+            return refuse(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        Found::Absent => {
+            leaves.how = "refused";
+            return refuse(StatusCode::NOT_FOUND);
+        }
+    };
+    let lane = lanes.acquire().await;
+    if note != "found" && !it.stands(&function) {
+        leaves.how = "refused";
+        let mut response = refuse(StatusCode::NOT_FOUND);
+        response.headers_mut().insert("cedarpulley-copy", HeaderValue::from_static("load-errored"));
+        return response;
+    }
+    drop(waits);
+    it.log.write("ran", json!({"id": id, "type": kind, "token": token}));
+    leaves.how = "ran";
+    if let Some(entered) = entered.as_mut() {
+        entered.ran = true;
+    }
+    if let Some(life) = lock(&it.life).as_mut() {
+        life.running += 1;
+    }
+    let running = Held(it.clone(), |l: &mut Life| l.running = l.running.saturating_sub(1));
+    run(&it, work).await;
+    drop(running);
+    drop(lane);
+    let answer = Bytes::from(json!({"model_name": function, "id": id, "outputs": []}).to_string());
+    if window.is_some()
+        && let Some(known) = lock(&it.memory.0).get_mut(&token)
+    {
+        known.1 = Some(answer.clone());
+    }
+    let faults = lock(&it.faults).clone();
+    if faults.hang || faults.mute.as_deref() == Some(&kind) {
+        leaves.how = "silent";
+        std::future::pending::<()>().await;
+    }
+    leaves.how = "answered";
+    let (busy, held) = {
+        let life = lock(&it.life);
+        let life = life.as_ref();
+        let held = life.map_or(0, |l| l.running + l.waiting);
+        (life.map_or(0.0, |l| (l.running as f64 / it.nature.cores).min(1.0)), held)
+    };
+    let metrics = format!("TEXT cpu_utilization={busy:.2}, named_metrics.held={held}");
+    let mut response = full(StatusCode::OK, answer);
+    let headers = response.headers_mut();
+    headers.insert("content-type", HeaderValue::from_static("application/json"));
+    headers.insert("cedarpulley-copy", HeaderValue::from_static(note));
+    headers.insert("cedarpulley-crowd", HeaderValue::from(crowd));
+    if let Ok(metrics) = HeaderValue::from_str(&metrics) {
+        headers.insert("endpoint-load-metrics", metrics);
+    }
+    response
+}
+
+/// Remembers a token from now on, unless it is known.
+fn enter(it: &Arc<Inner>, token: &str, window: Duration) -> Option<Entered> {
+    let mut memory = lock(&it.memory.0);
+    memory.retain(|_, (at, _)| at.elapsed() < window);
+    if memory.contains_key(token) {
+        return None;
+    }
+    memory.insert(token.to_owned(), (Instant::now(), None));
+    Some(Entered { memory: it.memory.clone(), token: token.to_owned(), ran: false })
+}
+
+/// The answer to a token that is known.
+async fn repeated(it: &Arc<Inner>, id: &str, token: &str, window: Duration) -> Response<Body> {
+    it.log.write("repeat", json!({"id": id, "token": token}));
+    let until = Instant::now() + REPEAT_WAITS;
+    while Instant::now() < until {
+        let seen = lock(&it.memory.0).get(token).filter(|(at, _)| at.elapsed() < window).cloned();
+        match seen {
+            Some((_, Some(answer))) => return full(StatusCode::OK, answer),
+            Some((_, None)) => Timer::after(STEP).await,
+            None => break,
+        };
+    }
+    full(StatusCode::INTERNAL_SERVER_ERROR, "the first one has not ended")
+}
+
+/// Advances with its part of the cores until the work is done.
+async fn run(it: &Inner, work: Duration) {
+    let mut left = work.as_secs_f64();
+    while left > 0.0 {
+        let faults = lock(&it.faults).clone();
+        let pace = match lock(&it.life).as_ref() {
+            _ if faults.pause => 0.0,
+            Some(life) => {
+                let cores = it.nature.cores * it.grown(life);
+                (cores / life.running.max(1) as f64).min(1.0) / faults.slow
+            }
+            None => 0.0,
+        };
+        let step = if pace > 0.0 { STEP.as_secs_f64().min(left / pace) } else { STEP.as_secs_f64() };
+        let began = Instant::now();
+        Timer::after(Duration::from_secs_f64(step)).await;
+        left -= began.elapsed().as_secs_f64() * pace;
+    }
+}
+
+/// The same for the same invocation wherever it runs.
+fn drawn(seed: u64, id: &str, mean: Duration) -> Duration {
+    use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
+    let hash = BuildHasherDefault::<DefaultHasher>::default().hash_one((seed, id));
+    let mut random = rand_pcg::Pcg64Mcg::seed_from_u64(hash);
+    let _: u64 = random.next_u64();
+    let mu = mean.as_secs_f64().max(1e-6).ln() - SPREAD * SPREAD / 2.0;
+    let times = LogNormal::new(mu, SPREAD).map_or(0.0, |d| d.sample(&mut random));
+    Duration::from_secs_f64(times.min(mean.as_secs_f64() * 10.0))
+}
+
+/// When the present process of a worker began, on the wall's clock; 0 for one that was there all along.
+pub fn began_us(worker: &Worker) -> i64 {
+    match lock(&worker.inner.life).as_ref() {
+        Some(life) if !life.warm => wall_us() - life.began.elapsed().as_micros() as i64,
+        _ => 0,
+    }
+}
+
+impl std::fmt::Debug for Worker {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "worker {} at {}", self.inner.name, self.address)
+    }
+}
