Trials go on when every worker is judged bad; patience never below the router's granularity

Cause: on the real router with work under a millisecond, a pause of its own process timed every dispatch out, all workers were judged bad, and as trials came due by dispatches only, nothing was sent until the judgements lapsed. Change: a tick with held invocations and nothing out counts like a dispatch; hush and patience get the granularity on top; a small test; the random runs pass timer by timer, as dispatches from ticks were ended too late by the harness.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
@@ -12,7 +12,7 @@
 use cedarpulley_amqp::types::{AMQPValue, FieldTable, LongString, ShortString};
 use cedarpulley_amqp::{Connection, Event, Role, meaning};
 use cedarpulley_gateway::net::{Stream, connect};
-use cedarpulley_standins::wall_us;
+use cedarpulley_standins::{lock, wall_us};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
 const CONNECT_WITHIN: i64 = 1_000_000;
@@ -37,6 +37,9 @@
     pub retries: u32,
 }
 
+/// Times from publishing to the answer, in microseconds, of those published after a moment.
+pub type Times = Arc<Mutex<(hdrhistogram::Histogram<u64>, Instant)>>;
+
 pub struct Client {
     pub broker: SocketAddr,
     pub from: IpAddr,
@@ -44,6 +47,7 @@
     pub began: Instant,
     /// In the order of their times.
     pub arrivals: Vec<Arrival>,
+    pub times: Option<Times>,
 }
 
 fn short(s: &str) -> ShortString {
@@ -120,7 +124,7 @@
                 while let Some(a) = self.arrivals.get(*next).filter(|a| a.at <= passed) {
                     if connection.waiting() < MOST_WAITING {
                         connection.publish(&a.queue, properties(a, &self.replies), a.body.as_bytes());
-                        if a.retries > 0 {
+                        if a.retries > 0 || self.times.is_some() {
                             open.insert(a.id.clone(), a.clone());
                         }
                     }
@@ -159,6 +163,14 @@
                             continue;
                         };
                         let Some(mut a) = open.remove(&id) else { continue };
+                        if let Some(times) = &self.times {
+                            let mut times = lock(times);
+                            let due = self.began + a.at;
+                            // From when it was due, so that a late client is not taken for a quick router.
+                            if due >= times.1 {
+                                times.0.saturating_record(due.elapsed().as_micros() as u64);
+                            }
+                        }
                         let fate = p.headers().as_ref().and_then(|h| h.inner().get(meaning::FATE));
                         if fate.and_then(meaning::text) != Some("succeeded") && a.retries > 0 {
                             a.retries -= 1;
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -346,6 +346,7 @@
             replies: format!("replies-{n}"),
             began,
             arrivals,
+            times: None,
         };
         tasks.push(fleet.ground.executor.spawn(client.run()));
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod day;
 mod dayfile;
+mod measure;
 mod standin;
 
 use std::io::IsTerminal;
@@ -66,6 +67,17 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measures what one router adds on the warm path.
+    Measure {
+        #[arg(long, default_value_t = 1000.0)]
+        rate: f64,
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 0.0)]
+        work_ms: f64,
+        #[arg(long, default_value = "target/measure")]
+        folder: PathBuf,
+    },
     /// Judges a kept run again.
     Audit {
         folder: PathBuf,
@@ -103,6 +115,9 @@
         Command::Day { day, out, seed, tamper, json } => {
             named(&tamper).and_then(|_| day::play(&day, out, seed, tamper, json))
         }
+        Command::Measure { rate, seconds, work_ms, folder } => {
+            measure::run(rate, seconds, work_ms, &folder).map(|()| true)
+        }
         Command::Audit { folder, json } => audit(&folder, json),
     };
     match done {
--- /dev/null
+++ b/crates/cli/src/measure.rs
@@ -0,0 +1,218 @@
+//! What one router adds on the warm path, and what holds it back: a broker, workers that do no work, one router
+//! process, an open-loop client, and the same call straight to a worker. All on this machine, none of it logged.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use cedarpulley_standins::broker::Broker;
+use cedarpulley_standins::store::{self, Store};
+use cedarpulley_standins::worker::{Memory, Nature, Program, Worker};
+use cedarpulley_standins::{Ground, lock};
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use smol_hyper::rt::FuturesIo;
+
+use crate::Plain;
+use crate::client::{Arrival, Client, Times};
+
+const WORKERS: usize = 4;
+const CLIENTS: usize = 2;
+const THREADS: usize = 3;
+/// Loads and connections settle in this time; it is not counted.
+const WARM_UP: Duration = Duration::from_secs(2);
+const STOP_WITHIN: Duration = Duration::from_secs(3);
+const DIRECT_CALLS: usize = 3000;
+const BODY: &str = r#"{"inputs":[{"name":"x","shape":[4],"datatype":"FP32","data":[0.1,0.2,0.3,0.4]}]}"#;
+
+struct Ended(Child);
+
+impl Drop for Ended {
+    /// In good order if it ends by itself soon, as its log then says what it counted.
+    fn drop(&mut self) {
+        if let Some(pid) = Pid::from_raw(self.0.id() as i32) {
+            let _ = kill_process(pid, Signal::TERM);
+        }
+        let until = Instant::now() + STOP_WITHIN;
+        while Instant::now() < until && matches!(self.0.try_wait(), Ok(None)) {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+pub fn histogram() -> Histogram<u64> {
+    // Microseconds up to a minute, three digits; these bounds are always valid.
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds")
+}
+
+fn quantiles(h: &Histogram<u64>) -> Value {
+    let at = |q| h.value_at_quantile(q);
+    json!({"count": h.len(), "p50_us": at(0.5), "p90_us": at(0.9), "p99_us": at(0.99), "max_us": h.max()})
+}
+
+/// Processor time in microseconds and resident kilobytes of a process.
+fn used(pid: u32) -> Option<(u64, u64)> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    // Fields 14 and 15 of the line, in hundredths of a second.
+    let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let rss =
+        status.lines().find_map(|l| l.strip_prefix("VmRSS:")?.split_whitespace().next()?.parse().ok())?;
+    Some((ticks * 10_000, rss))
+}
+
+fn settings(broker: SocketAddr, workers: &[Worker]) -> String {
+    let mut t = format!(
+        "[router]\nseed = 1\nanswer_margin_ms = 100\n\n[loads]\nidle_kept_ms = 600000\n\n[dispatch]\n\
+         most_connections = 512\n\n[[trigger]]\nname = \"warm\"\neffect = \"idempotent\"\n\
+         latency_objective_ms = 1000\nclient_timeout_ms = 20000\n\n[[amqp]]\nbroker = \"{broker}\"\n\
+         queue = \"triggers\"\n\n[workers]\nlist = [\n"
+    );
+    workers.iter().for_each(|w| t.push_str(&format!("  {{ address = \"{}\" }},\n", w.address)));
+    t + "]\n"
+}
+
+/// At this rate for so long, with workers that take `work_ms`; prints one JSON object.
+pub fn run(rate: f64, seconds: f64, work_ms: f64, folder: &Path) -> Plain<()> {
+    let io = |e: std::io::Error| e.to_string();
+    std::fs::create_dir_all(folder).map_err(io)?;
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let ground = Ground::new(THREADS, None).map_err(io)?;
+    let broker = Broker::start(&ground, "broker", any).map_err(io)?;
+    broker.declare("triggers");
+    let nature = store::Nature { mb_per_s: 1e6, abreast: 100, most: 1000 };
+    let store = Store::start(&ground, "store", any, nature).map_err(io)?;
+    let mut workers = Vec::new();
+    for n in 0..WORKERS {
+        let nature = Nature {
+            cores: 1e6,
+            memory_mb: 1e6,
+            most_waiting: 100_000,
+            most_loads: 8,
+            loads_when_absent: true,
+            cold_part: 1.0,
+            cold_for: Duration::ZERO,
+            overload_multiple: f64::MAX,
+            overload_window: Duration::from_secs(1),
+        };
+        let program = Program {
+            work: Duration::from_secs_f64(work_ms / 1e3),
+            copy_mb: 1.0,
+            start_up: Duration::from_millis(1),
+            lanes: 10_000,
+            window: None,
+        };
+        let programs = HashMap::from([("warm".to_owned(), program)]);
+        let (name, memory) = (format!("worker-{n}"), Memory::default());
+        let worker = Worker::start(&ground, &name, any, 1, nature, store.server.address, programs, memory);
+        workers.push(worker.map_err(io)?);
+    }
+    let file = folder.join("router.toml");
+    std::fs::write(&file, settings(broker.address, &workers)).map_err(io)?;
+    let log = std::fs::File::create(folder.join("router.log")).map_err(io)?;
+    let program = std::env::current_exe().map_err(io)?;
+    let mut command = Command::new(program);
+    command.arg("serve").arg(&file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+    let router = Ended(command.spawn().map_err(io)?);
+    let pid = router.0.id();
+    let result = async_io::block_on(async {
+        while broker.consumers() == 0 {
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        let began = Instant::now();
+        let times: Times = Arc::new(Mutex::new((histogram(), began + WARM_UP)));
+        let all = ((WARM_UP.as_secs_f64() + seconds) * rate) as usize;
+        let mut clients = Vec::new();
+        for c in 0..CLIENTS {
+            let arrivals = (c..all).step_by(CLIENTS).map(|n| Arrival {
+                at: Duration::from_secs_f64(n as f64 / rate),
+                id: format!("m{n}"),
+                kind: "warm".into(),
+                function: format!("warm:{}", n % 8),
+                account: String::new(),
+                queue: "triggers".into(),
+                timeout_ms: 20_000,
+                copy_mb: 1.0,
+                lanes: 10_000,
+                body: BODY.into(),
+                retries: 0,
+            });
+            let client = Client {
+                broker: broker.address,
+                from: [127, 0, 2, 1 + c as u8].into(),
+                replies: format!("replies-{c}"),
+                began,
+                arrivals: arrivals.collect(),
+                times: Some(times.clone()),
+            };
+            clients.push(ground.executor.spawn(client.run()));
+        }
+        Timer::at(began + WARM_UP).await;
+        let before = used(pid);
+        let direct = direct(workers[0].address, seconds).await;
+        Timer::at(began + WARM_UP + Duration::from_secs_f64(seconds)).await;
+        let (after, waiting) = (used(pid), broker.waiting("triggers"));
+        Timer::after(Duration::from_secs(1)).await;
+        let h = lock(&times).0.clone();
+        let per = |n: u64| if h.is_empty() { 0.0 } else { n as f64 / h.len() as f64 };
+        let cpu = before.zip(after).map_or(0, |(b, a)| a.0 - b.0);
+        let added = |q| h.value_at_quantile(q) as i64 - direct.value_at_quantile(q) as i64;
+        json!({
+            "rate_per_s": rate, "seconds": seconds, "work_ms": work_ms,
+            "answered_per_s": h.len() as f64 / seconds, "left_at_broker": waiting,
+            "through": quantiles(&h), "straight": quantiles(&direct),
+            "added_p50_us": added(0.5), "added_p99_us": added(0.99),
+            "router_cpu_us_per_invocation": per(cpu), "router_cpu_part": cpu as f64 / 1e6 / seconds,
+            "router_rss_kb": after.map_or(0, |a| a.1),
+        })
+    });
+    drop(router);
+    println!("{}", serde_json::to_string_pretty(&result).map_err(|e| e.to_string())?);
+    Ok(())
+}
+
+/// The same call without a router, one after the other, spread over the time of the run.
+async fn direct(address: SocketAddr, seconds: f64) -> Histogram<u64> {
+    let mut h = histogram();
+    let calls = async {
+        let stream = Async::<std::net::TcpStream>::connect(address).await.ok()?;
+        stream.get_ref().set_nodelay(true).ok()?;
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(FuturesIo::new(stream)).await.ok()?;
+        let calling = async {
+            let pause = Duration::from_secs_f64(seconds / DIRECT_CALLS as f64 * 0.8);
+            for n in 0..DIRECT_CALLS {
+                let request = hyper::Request::post("/v2/models/warm:0/infer")
+                    .header("host", address.to_string())
+                    .header("cedarpulley-trigger-type", "warm")
+                    .header("cedarpulley-invocation", format!("d|d{n}"))
+                    .body(Full::new(Bytes::from_static(BODY.as_bytes())))
+                    .ok()?;
+                let began = Instant::now();
+                let answer = sender.send_request(request).await.ok()?;
+                answer.into_body().collect().await.ok()?;
+                h.saturating_record(began.elapsed().as_micros() as u64);
+                Timer::after(pause).await;
+            }
+            Some(())
+        };
+        let driving = async {
+            let _ = connection.await;
+            None
+        };
+        futures_lite::FutureExt::or(calling, driving).await
+    };
+    // Cut short, it shows in the count.
+    let _ = calls.await;
+    h
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -110,7 +110,7 @@
         routers: r.count("routers", 1..10_000, Some(1)) as u32,
         position: r.count("position", 0..9_999, Some(0)) as u32,
         zone,
-        granularity: 1_000,
+        granularity: r.millis("granularity_ms", 0..1000, Some(10)),
     };
     if fleet.position >= fleet.routers {
         r.wrong("position", "is not below the number of routers");
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -64,6 +64,8 @@
     out: Vec<u32>,
     granted: Vec<u32>,
     stopping: bool,
+    /// Something came in since the grants were last worked out.
+    moved: bool,
 }
 
 impl Admission {
@@ -84,11 +86,13 @@
             out: vec![0; n],
             granted: vec![0; n],
             stopping: false,
+            moved: true,
         }
     }
 
     pub fn front(&mut self, front: FrontIx, state: FrontState) {
         self.state[front as usize] = state;
+        self.moved = true;
         if state == FrontState::Down {
             // A new channel begins with no grant.
             self.granted[front as usize] = 0;
@@ -97,10 +101,12 @@
 
     pub fn stop(&mut self) {
         self.stopping = true;
+        self.moved = true;
     }
 
     /// One more is out; false if its body has no room: it is answered at once and kept nowhere.
     pub fn taken(&mut self, front: FrontIx, bytes: usize) -> bool {
+        self.moved = true;
         self.body += (bytes as f64 - self.body) / MEMORY;
         if self.bytes + bytes as u64 > self.memory_bytes {
             return false;
@@ -111,6 +117,7 @@
     }
 
     pub fn ended(&mut self, now: Micros, front: FrontIx, bytes: usize, took: Micros, pace: Pace) {
+        self.moved = true;
         let used = f64::from(self.out.iter().sum::<u32>()) >= USED * self.limit;
         self.out[front as usize] = self.out[front as usize].saturating_sub(1);
         self.bytes = self.bytes.saturating_sub(bytes as u64);
@@ -146,6 +153,9 @@
 
     /// What each front may have out from now on, for those whose grant moved. 0: nothing new at all.
     pub fn grants(&mut self, mut tell: impl FnMut(FrontIx, u32)) {
+        if !std::mem::take(&mut self.moved) {
+            return;
+        }
         let room = if self.body >= 1.0 {
             f64::from(self.out()) + (self.memory_bytes - self.bytes.min(self.memory_bytes)) as f64 / self.body
         } else {
--- a/crates/standins/src/broker.rs
+++ b/crates/standins/src/broker.rs
@@ -383,6 +383,11 @@
                 peer.method(AMQPClass::Channel(channel::AMQPMethod::OpenOk(channel::OpenOk {})));
             }
             AMQPClass::Channel(channel::AMQPMethod::CloseOk(_)) => {}
+            AMQPClass::Channel(channel::AMQPMethod::Close(_)) => {
+                peer.method(AMQPClass::Channel(channel::AMQPMethod::CloseOk(channel::CloseOk {})));
+                peer.open = false;
+                self.requeue(state, id);
+            }
             // What was on its way as the channel closed is void.
             _ if !peer.open => {}
             AMQPClass::Tx(tx::AMQPMethod::Select(_)) => {
@@ -395,9 +400,14 @@
                 peer.method(AMQPClass::Basic(B::QosOk(basic::QosOk {})));
             }
             AMQPClass::Queue(queue::AMQPMethod::Declare(d)) => {
-                let ok = queue::DeclareOk { queue: d.queue.clone(), message_count: 0, consumer_count: 0 };
+                // One without a name gets one.
+                let name = match d.queue.as_str() {
+                    "" => format!("replies-of-{id}"),
+                    name => name.to_owned(),
+                };
+                let ok = queue::DeclareOk { queue: short(&name), message_count: 0, consumer_count: 0 };
                 peer.method(AMQPClass::Queue(queue::AMQPMethod::DeclareOk(ok)));
-                state.queues.entry(d.queue.as_str().to_owned()).or_default();
+                state.queues.entry(name).or_default();
             }
             AMQPClass::Basic(B::Consume(c)) => {
                 let name = c.queue.as_str().to_owned();
--- a/src/control.rs
+++ b/src/control.rs
@@ -719,8 +719,9 @@
         let loading = load || f.loading.is_some_and(|l| l as usize == w);
         let usual = self.usual_service(f);
         let wait = if loading { self.usual_load(f).stretched() } else { 0 };
-        let hush = HUSH * (usual.stretched() + wait);
-        let patience = PATIENCE * (usual.stretched() + wait);
+        // Symptom: work far shorter than this router's own pauses; each pause would look like every worker's.
+        let due = usual.stretched() + wait + self.fleet.granularity;
+        let (hush, patience) = (HUSH * due, PATIENCE * due);
         // A further dispatch only if the time left then exceeds the time it is expected to take.
         let again = self.triggers[trigger].effect != Effect::NonIdempotent
             && inv.dispatches.len() as u32 + 1 < self.limits.max_dispatches
@@ -953,6 +954,9 @@
         self.next_tick = None;
         forget_before(&mut self.ordered, self.now - self.loads.ration_window);
         forget_before(&mut self.taken, self.now - self.loads.ration_window);
+        // Symptom: with every worker judged bad nothing is sent, and trials that dispatches make due never are.
+        let stalled = self.held > 0 && self.workers.serving().all(|w| self.health.own_at(w) == 0);
+        self.trial_due -= i32::from(stalled);
         self.retry_held(None, out);
         for func in 0..self.funcs.len() as u32 {
             let f = &mut self.funcs[func as usize];
--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -155,6 +155,27 @@
 }
 
 /// kumamoto-office: with as many loads under way as workers, held ones expired; a load counts for its usual time.
+/// All dispatches out time out at once (the router's own process was stopped, say), and so does the first trial.
+#[test]
+fn with_every_worker_judged_bad_trials_go_on() {
+    let mut s = Script::new(1, PLAIN, 1);
+    warm_up(&mut s, 0, 8);
+    let tries: Vec<InvIx> = (0..8).map(|_| s.arrive(0, 0, 8, 2 * SECOND).0).collect();
+    s.pass(1_500 * MS);
+    tries.iter().filter(|inv| s.is_out(**inv)).copied().collect::<Vec<_>>().into_iter().for_each(|inv| {
+        s.end(inv, 0, Outcome::TimedOut, CopyNote::Untold);
+    });
+    // The first trial is lost too.
+    let (inv, _) = s.arrive(0, 0, 8, 2 * SECOND);
+    s.pass(600 * MS);
+    assert!(s.is_out(inv));
+    s.end(inv, 0, Outcome::TimedOut, CopyNote::Untold);
+    s.pass(500 * MS);
+    let (_, now) = s.arrive(0, 0, 8, 2 * SECOND);
+    let later = s.pass(SECOND);
+    assert_eq!(sent(&now).len() + sent(&later).len(), 1);
+}
+
 #[test]
 fn a_load_takes_its_worker_for_its_usual_time_only() {
     let mut s = Script::new(12, PLAIN, 1);
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -108,11 +108,19 @@
         let until = s.now + span;
         loop {
             let back = world.due.first_key_value().map(|(k, _)| k.0).filter(|t| *t <= until);
-            let next = back.unwrap_or(until).max(s.now);
+            // Timer by timer, as what one sends may be due before the next.
+            let timer = s.timers.first().map_or(until, |t| t.0).max(s.now);
+            let next = back.unwrap_or(until).max(s.now).min(timer);
             let rung = s.pass(next - s.now);
             world.take(&s, &funcs, &mut counts, &rung);
             log.extend(rung);
-            let Some((_, back)) = back.and_then(|_| world.due.pop_first()) else { break };
+            if back.is_none_or(|at| at > next) {
+                if next < until {
+                    continue;
+                }
+                break;
+            }
+            let Some((_, back)) = world.due.pop_first() else { break };
             let actions = match back {
                 Back::Dispatch(inv, n, outcome, note, worker, func) => {
                     if outcome == Outcome::Succeeded {
