Pressure is seen by an answer's whole time; nothing late is begun under it; more is taken at first

Cause: a burst of 2,000 messages on the real program. All waited in the hold queue while each dispatch was quick, so nothing told of pressure; and with 32 taken at first, the rest grew old at the broker, unseen by the module. Change: lateness is judged from arrival to answer; under pressure nothing too late for its objective is begun; an arrival says how long its client had waited; admission starts at 256.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -222,6 +222,7 @@
                     copy_mb,
                     lanes: lanes.unwrap_or(1.0).max(1.0) as u32,
                     client_gives_up_in,
+                    waited: 0,
                     repeat: bits & 2 != 0,
                 };
                 it.tell(now, router, &Event::Invocation(arrival), reply)?;
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -12,10 +12,12 @@
 
 use crate::FrontIx;
 
-/// Where the limit starts: enough to see how answers come, few enough that all can be waited out.
-const START: f64 = 32.0;
-/// Never below: one for each of a few fronts, so that news of recovery can still come.
-const LEAST: f64 = 4.0;
+/// Where the limit starts: what is taken waits in the module's order, dearest and timeliest first, and shows it the
+/// demand to load for; what stays at the broker waits first come, first served, until all of it is late. A few
+/// hundred bodies cost little.
+const START: f64 = 256.0;
+/// Never below: so that the module still sees what is asked for.
+const LEAST: f64 = 32.0;
 /// Over this part of late answers the limit shrinks, to this part of itself, once in the usual time of an answer.
 const LATE_PART: f64 = 0.2;
 const SHRINK: f64 = 0.8;
@@ -25,6 +27,7 @@
 const USED: f64 = 0.75;
 /// A front that uses less than this part of its grant leaves the rest to others, but for a little to grow into.
 const SPARE: f64 = 0.25;
+const GROW: f64 = 4.0;
 /// A grant moves only by at least this part, so that a front is not told of every small change.
 const STEP: f64 = 0.125;
 /// What a protocol can say at most (AMQP counts in 16 bits).
@@ -164,7 +167,7 @@
         let total = self.limit.min(room);
         let open = |f: usize| self.state[f] == FrontState::Up && !self.stopping;
         // Those that want less than their part leave the rest: smallest wish for its weight first.
-        let wish = |f: usize| f64::from(self.out[f]) * (1.0 + SPARE) + LEAST;
+        let wish = |f: usize| f64::from(self.out[f]) * (1.0 + SPARE) + GROW;
         let mut order: Vec<usize> = (0..self.state.len()).filter(|&f| open(f)).collect();
         order.sort_by(|&a, &b| (wish(a) / self.weight[a]).total_cmp(&(wish(b) / self.weight[b])));
         let (mut left, mut weights) = (total, order.iter().map(|&f| self.weight[f]).sum::<f64>());
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -382,6 +382,7 @@
             copy_mb: t.copy_mb,
             lanes: t.lanes.max(1),
             client_gives_up_in: gives_up_at - self.now,
+            waited,
             repeat: t.repeat,
         };
         self.decide(&Event::Invocation(arrival), out);
--- a/src/control.rs
+++ b/src/control.rs
@@ -424,7 +424,7 @@
             over,
             work: a.cost_hint.unwrap_or(0),
             arrived: now,
-            objective_at: (now + t.latency_objective + stretch).min(gives_up_at),
+            objective_at: (now - a.waited + t.latency_objective + stretch).min(gives_up_at),
             gives_up_at,
             ..Inv::default()
         });
@@ -494,9 +494,10 @@
         let Some((inv, f)) = self.found(ix) else { return };
         let first = inv.dispatches.is_empty();
         // Symptom: tries too short for the work fill the workers with what no one waits for any more, or work
-        // beyond an account's share crowds out what is within.
-        let short = inv.gives_up_at - self.now <= self.usual_service(f).mean;
-        if short || inv.over && self.pressed > PRESSED {
+        // beyond an account's share, or too late for its objective, crowds out what is within and in time.
+        let (now, mean) = (self.now, self.usual_service(f).mean);
+        let spare = inv.over || inv.objective_at - now <= mean;
+        if inv.gives_up_at - now <= mean || spare && self.pressed > PRESSED {
             return self.give_up(ix, out);
         }
         // A warm worker with a free lane, fewest own in flight.
@@ -764,6 +765,7 @@
         let Some(d) = sent else { return };
         d.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (load, sent_at, func, trigger, work) = (d.load, d.at, inv.func, inv.trigger, inv.work);
+        let objective_at = inv.objective_at;
         let f = &mut self.funcs[func as usize];
         f.own[w] = f.own[w].saturating_sub(1);
         let own = f64::from(self.health.own_at(w));
@@ -779,7 +781,7 @@
         }
         let objective = self.triggers[trigger].latency_objective;
         if let Outcome::Succeeded | Outcome::Throttled = outcome {
-            let late = outcome == Outcome::Throttled || took > objective;
+            let late = outcome == Outcome::Throttled || now > objective_at;
             self.pressed += (f64::from(u8::from(late)) - self.pressed) / GAIN as f64;
         }
         match outcome {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -214,6 +214,8 @@
     /// Invocations that one copy runs at a time.
     pub lanes: u32,
     pub client_gives_up_in: Micros,
+    /// For how long the client had waited when this came; its latency objective runs from its sending.
+    pub waited: Micros,
     pub repeat: bool,
 }
 
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -200,6 +200,7 @@
             copy_mb: 300.0,
             lanes,
             client_gives_up_in: gives_up_in,
+            waited: 0,
             repeat: false,
         };
         (inv, self.tell(&Event::Invocation(arrival)))
