Times until answered and safe are measured in the router; broker stand-in beats though others talk

Need: figures on what a router adds, and where. Found with them: the broker stand-in's heartbeat was put off by every other peer's news, so idle routers rightly left it after two heartbeats.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -75,6 +75,9 @@
         seconds: f64,
         #[arg(long, default_value_t = 0.0)]
         work_ms: f64,
+        /// Of each copy of a function.
+        #[arg(long, default_value_t = 10_000)]
+        lanes: u32,
         #[arg(long, default_value = "target/measure")]
         folder: PathBuf,
     },
@@ -115,8 +118,8 @@
         Command::Day { day, out, seed, tamper, json } => {
             named(&tamper).and_then(|_| day::play(&day, out, seed, tamper, json))
         }
-        Command::Measure { rate, seconds, work_ms, folder } => {
-            measure::run(rate, seconds, work_ms, &folder).map(|()| true)
+        Command::Measure { rate, seconds, work_ms, lanes, folder } => {
+            measure::run(rate, seconds, work_ms, lanes, &folder).map(|()| true)
         }
         Command::Audit { folder, json } => audit(&folder, json),
     };
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -74,8 +74,8 @@
 fn settings(broker: SocketAddr, workers: &[Worker]) -> String {
     let mut t = format!(
         "[router]\nseed = 1\nanswer_margin_ms = 100\n\n[loads]\nidle_kept_ms = 600000\n\n[dispatch]\n\
-         most_connections = 512\n\n[[trigger]]\nname = \"warm\"\neffect = \"idempotent\"\n\
-         latency_objective_ms = 1000\nclient_timeout_ms = 20000\n\n[[amqp]]\nbroker = \"{broker}\"\n\
+         most_connections = 4000\n\n[[trigger]]\nname = \"warm\"\neffect = \"idempotent\"\n\
+         latency_objective_ms = 20000\nclient_timeout_ms = 20000\n\n[[amqp]]\nbroker = \"{broker}\"\n\
          queue = \"triggers\"\n\n[workers]\nlist = [\n"
     );
     workers.iter().for_each(|w| t.push_str(&format!("  {{ address = \"{}\" }},\n", w.address)));
@@ -83,7 +83,7 @@
 }
 
 /// At this rate for so long, with workers that take `work_ms`; prints one JSON object.
-pub fn run(rate: f64, seconds: f64, work_ms: f64, folder: &Path) -> Plain<()> {
+pub fn run(rate: f64, seconds: f64, work_ms: f64, lanes: u32, folder: &Path) -> Plain<()> {
     let io = |e: std::io::Error| e.to_string();
     std::fs::create_dir_all(folder).map_err(io)?;
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -109,7 +109,7 @@
             work: Duration::from_secs_f64(work_ms / 1e3),
             copy_mb: 1.0,
             start_up: Duration::from_millis(1),
-            lanes: 10_000,
+            lanes: lanes as usize,
             window: None,
         };
         let programs = HashMap::from([("warm".to_owned(), program)]);
@@ -143,7 +143,7 @@
                 queue: "triggers".into(),
                 timeout_ms: 20_000,
                 copy_mb: 1.0,
-                lanes: 10_000,
+                lanes,
                 body: BODY.into(),
                 retries: 0,
             });
@@ -158,10 +158,12 @@
             clients.push(ground.executor.spawn(client.run()));
         }
         Timer::at(began + WARM_UP).await;
-        let before = used(pid);
+        let (before, own) = (used(pid), used(std::process::id()));
         let direct = direct(workers[0].address, seconds).await;
         Timer::at(began + WARM_UP + Duration::from_secs_f64(seconds)).await;
         let (after, waiting) = (used(pid), broker.waiting("triggers"));
+        let own = own.zip(used(std::process::id())).map_or(0, |(b, a)| a.0 - b.0);
+        let taken = broker.unacked();
         Timer::after(Duration::from_secs(1)).await;
         let h = lock(&times).0.clone();
         let per = |n: u64| if h.is_empty() { 0.0 } else { n as f64 / h.len() as f64 };
@@ -173,6 +175,7 @@
             "through": quantiles(&h), "straight": quantiles(&direct),
             "added_p50_us": added(0.5), "added_p99_us": added(0.99),
             "router_cpu_us_per_invocation": per(cpu), "router_cpu_part": cpu as f64 / 1e6 / seconds,
+            "standins_cpu_part": own as f64 / 1e6 / seconds, "taken_at_end": taken,
             "router_rss_kb": after.map_or(0, |a| a.1),
         })
     });
@@ -212,7 +215,11 @@
         };
         futures_lite::FutureExt::or(calling, driving).await
     };
+    let late = async {
+        Timer::after(Duration::from_secs_f64(seconds)).await;
+        None
+    };
     // Cut short, it shows in the count.
-    let _ = calls.await;
+    let _ = futures_lite::FutureExt::or(calls, late).await;
     h
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -35,7 +35,7 @@
     life: Cell<u32>,
     grant: Cell<u32>,
     /// Where the answer to each delivery of this life goes.
-    owed: RefCell<HashMap<u64, AMQPProperties>>,
+    owed: RefCell<HashMap<u64, (AMQPProperties, Micros)>>,
     bell: Bell,
     up: Cell<bool>,
     reopen_at: Cell<Option<Micros>>,
@@ -87,12 +87,13 @@
         self.bell.ring();
     }
 
-    pub fn answer(&self, delivery: Delivery, answer: &Answer) {
+    pub fn answer(&self, gateway: &Gateway, delivery: Delivery, answer: &Answer) {
         if delivery.life != self.life.get() || !self.up.get() {
             return;
         }
         let owed = self.owed.borrow();
-        let Some(to) = owed.get(&delivery.tag) else { return };
+        let Some((to, taken)) = owed.get(&delivery.tag) else { return };
+        gateway.answered.borrow_mut().saturating_record((gateway.clock.now() - taken).max(0) as u64);
         if let Some(c) = self.connection.borrow_mut().as_mut() {
             let (f, r) = (fate(answer.fate), reason(answer.reason));
             let properties = meaning::answer(to, f, r, None, answer.return_after);
@@ -224,7 +225,9 @@
                     Event::Delivered(message) => self.delivered(gateway, *message),
                     Event::Committed(tags) => {
                         for tag in tags {
-                            if self.owed.borrow_mut().remove(&tag).is_some() {
+                            let owed = self.owed.borrow_mut().remove(&tag);
+                            if let Some((_, taken)) = owed {
+                                gateway.safe.borrow_mut().saturating_record((now - taken).max(0) as u64);
                                 let delivery = Delivery { front: self.ix, life: self.life.get(), tag };
                                 gateway.feed(Input::Safe(delivery));
                             }
@@ -303,7 +306,7 @@
         match understood {
             Ok(mut taken) => {
                 taken.body = Bytes::from(message.body);
-                self.owed.borrow_mut().insert(message.tag, message.properties);
+                self.owed.borrow_mut().insert(message.tag, (message.properties, gateway.clock.now()));
                 gateway.feed(Input::Taken(taken));
             }
             Err(wrong) => {
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -76,18 +76,18 @@
         match self.kind {
             Some(Meddle::Lost) if self.turn() => front.discard(delivery),
             Some(Meddle::Double) if self.turn() => {
-                front.answer(delivery, &answer);
-                front.answer(delivery, &answer);
+                front.answer(gateway, delivery, &answer);
+                front.answer(gateway, delivery, &answer);
             }
             Some(Meddle::Late) if self.turn() => {
-                let front = front.clone();
+                let (it, front) = (gateway.clone(), front.clone());
                 let late = async move {
                     Timer::after(micros(LATE)).await;
-                    front.answer(delivery, &answer);
+                    front.answer(&it, delivery, &answer);
                 };
                 gateway.executor.spawn(late).detach();
             }
-            _ => front.answer(delivery, &answer),
+            _ => front.answer(gateway, delivery, &answer),
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,6 +13,7 @@
 use cedarpulley_kserve::{endings, requests};
 use cedarpulley_router::{Input, Output, Router};
 use futures_lite::{FutureExt, StreamExt};
+use hdrhistogram::Histogram;
 
 use crate::front::Front;
 use crate::list;
@@ -36,6 +37,9 @@
     pub names: Names,
     pub misunderstood: Cell<u64>,
     pub(crate) meddler: Meddler,
+    /// Microseconds from taking to the final answer, and until that was safely out.
+    pub(crate) answered: RefCell<Histogram<u64>>,
+    pub(crate) safe: RefCell<Histogram<u64>>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     router: RefCell<Router>,
     fronts: Vec<Rc<Front>>,
@@ -217,11 +221,21 @@
         self.fronts.iter().for_each(|f| f.close(self.clock.now()));
         Timer::after(STOP_LOOK * 5).await;
         let router = self.router.borrow();
+        for (name, times) in [("answered", &self.answered), ("safe", &self.safe)] {
+            let t = times.borrow();
+            let (p50_us, p99_us) = (t.value_at_quantile(0.5), t.value_at_quantile(0.99));
+            tracing::info!(p50_us, p99_us, max_us = t.max(), "time until {name}");
+        }
         tracing::info!(clean, counts = ?router.counts, misunderstood = self.misunderstood.get(), "stopped");
         clean
     }
 }
 
+/// From a microsecond to ten minutes, three digits; such bounds are always valid.
+fn times() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 600_000_000, 3).expect("valid bounds")
+}
+
 /// Runs one router until a signal to end. True if all that was taken has been answered.
 pub fn run(name: &str, parts: Parts, meddle: Option<Meddle>) -> std::io::Result<bool> {
     let Parts { birth, names, terms, sources, list, links, most_body } = parts;
@@ -250,6 +264,8 @@
         names,
         misunderstood: Cell::new(0),
         meddler: Meddler::new(meddle),
+        answered: RefCell::new(times()),
+        safe: RefCell::new(times()),
         executor: executor.clone(),
         router: RefCell::new(Router::new(control, birth.triggers, terms)),
         fronts: fronts.map(|(ix, s)| Rc::new(Front::new(ix as u32, s, most_body))).collect(),
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -131,6 +131,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     pub taken: u64,
+    /// Neither dispatched nor answered at once.
+    pub held: u64,
     pub dispatches: u64,
     pub orders: u64,
     pub withdrawn: u64,
@@ -386,6 +388,8 @@
             repeat: t.repeat,
         };
         self.decide(&Event::Invocation(arrival), out);
+        let waits = self.invs.get(inv).is_some_and(|i| !i.concluded && i.dispatches.is_empty());
+        self.counts.held += u64::from(waits);
         self.release(inv);
     }
 
--- a/crates/standins/src/broker.rs
+++ b/crates/standins/src/broker.rs
@@ -251,6 +251,7 @@
         };
         let writing = async {
             let mut stream = &stream;
+            let mut spoke = std::time::Instant::now();
             loop {
                 let (bytes, gone) = match lock(&self.state).peers.get_mut(&id) {
                     Some(p) => (std::mem::take(&mut p.out), p.gone),
@@ -260,13 +261,15 @@
                     if stream.write_all(&bytes).await.is_err() {
                         return;
                     }
+                    spoke = std::time::Instant::now();
                     continue;
                 }
                 if gone {
                     return;
                 }
                 let beat = async {
-                    Timer::after(Duration::from_secs(u64::from(HEARTBEAT_S) / 2)).await;
+                    // Others' news ring too; the beat is due all the same.
+                    Timer::at(spoke + Duration::from_secs(u64::from(HEARTBEAT_S) / 2)).await;
                     if let Some(p) = lock(&self.state).peers.get_mut(&id) {
                         write(&mut p.out, &cedarpulley_amqp::frames::heartbeat());
                     }
