--- a/interop/run.sh
+++ b/interop/run.sh
@@ -27,4 +27,4 @@
 TOML
 $bin serve "$out/router.toml" > "$out/router.log" 2>&1 & pids+=($!)
 sleep 1
-python3 interop/amqp_client.py 45672
+node interop/amqp_client.mjs 45672
