--- a/crates/standins/src/broker.rs
+++ b/crates/standins/src/broker.rs
@@ -56,7 +56,8 @@
     open: bool,
     tx: bool,
     prefetch: usize,
-    consumes: Option<(String, bool)>,
+    /// Whether it acknowledges nothing, and its consumer's tag.
+    consumes: Option<(bool, ShortString)>,
     next_tag: u64,
     unacked: BTreeMap<u64, Stored>,
     ops: Vec<Op>,
@@ -156,7 +157,7 @@
         lock(&self.state)
             .peers
             .values()
-            .filter(|p| p.consumes.as_ref().is_some_and(|(_, no_ack)| !no_ack))
+            .filter(|p| p.consumes.as_ref().is_some_and(|(no_ack, _)| !no_ack))
             .count()
     }
 
@@ -244,7 +245,9 @@
                     }
                 }
                 reader.feed(bytes);
-                if self.frames(id, &mut reader).is_err() {
+                if let Err(fault) = self.frames(id, &mut reader) {
+                    self.log.write("refused", json!({"peer": id, "why": fault.to_string()}));
+                    self.log.flush();
                     break;
                 }
             }
@@ -423,10 +426,12 @@
                     return Ok(());
                 };
                 queue.consumers.push_back(id);
-                peer.consumes = Some((name, c.no_ack));
-                peer.method(AMQPClass::Basic(B::ConsumeOk(basic::ConsumeOk {
-                    consumer_tag: c.consumer_tag,
-                })));
+                let consumer_tag = match c.consumer_tag.as_str() {
+                    "" => short(&format!("consumer-{id}")),
+                    _ => c.consumer_tag,
+                };
+                peer.consumes = Some((c.no_ack, consumer_tag.clone()));
+                peer.method(AMQPClass::Basic(B::ConsumeOk(basic::ConsumeOk { consumer_tag })));
             }
             AMQPClass::Basic(B::Cancel(c)) => {
                 peer.consumes = None;
@@ -524,7 +529,7 @@
                 let Some(id) = queue.consumers.pop_front() else { break };
                 queue.consumers.push_back(id);
                 let Some(peer) = peers.get_mut(&id) else { break };
-                let Some((_, no_ack)) = peer.consumes else { break };
+                let Some((no_ack, consumer_tag)) = peer.consumes.clone() else { break };
                 if !no_ack && peer.prefetch > 0 && peer.unacked.len() >= peer.prefetch {
                     full += 1;
                     continue;
@@ -545,7 +550,7 @@
                     }),
                 );
                 let deliver = basic::AMQPMethod::Deliver(basic::Deliver {
-                    consumer_tag: short("cedarpulley"),
+                    consumer_tag,
                     delivery_tag: tag,
                     redelivered: stored.redelivered,
                     exchange: short(""),
--- a/interop/run.sh
+++ b/interop/run.sh
@@ -8,7 +8,7 @@
 mkdir -p "$out"
 pids=()
 trap 'kill "${pids[@]}" 2>/dev/null || true' EXIT
-$bin standin broker --listen 127.0.0.1:45672 --queue triggers > "$out/broker.log" 2>&1 & pids+=($!)
+$bin standin broker --listen 127.0.0.1:45672 --queue triggers --logs "$out" > "$out/broker.log" 2>&1 & pids+=($!)
 $bin standin store --listen 127.0.0.1:45690 > "$out/store.log" 2>&1 & pids+=($!)
 $bin standin worker --listen 127.0.0.1:45680 --store 127.0.0.1:45690 > "$out/worker.log" 2>&1 & pids+=($!)
 cat > "$out/router.toml" <<TOML
