--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -360,6 +360,7 @@
                     told.remove(&key);
                 }
             }
+            "router-up" => told.retain(|(to, _), _| to != l.text("address")),
             "listed" => {
                 let all = l.texts("workers");
                 for worker in address.values().filter(|a| !all.contains(&a.as_str())) {
@@ -426,6 +427,10 @@
     let mut routers: HashMap<&str, Router> = HashMap::new();
     for l in lines {
         match l.what.as_str() {
+            // A fresh process knows nothing of what the one before ordered or took.
+            "router-up" => {
+                routers.remove(l.text("address"));
+            }
             "delivered" => routers.entry(l.text("to")).or_default().taken.push_back(l.t),
             "ordered" => {
                 let r = routers.entry(l.text("from")).or_default();
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -15,7 +15,7 @@
 use cedarpulley_standins::list::{List, Row};
 use cedarpulley_standins::store::{self, Store};
 use cedarpulley_standins::worker::{Memory, Nature, Program, Worker, began_us};
-use cedarpulley_standins::{Ground, lock, router_address};
+use cedarpulley_standins::{Ground, Log, lock, router_address};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, Zipf};
 use rand_pcg::Pcg64Mcg;
@@ -55,6 +55,8 @@
     rows: Mutex<Vec<Row>>,
     routers: Mutex<Vec<Option<Child>>>,
     files: Vec<PathBuf>,
+    addresses: Vec<std::net::IpAddr>,
+    log: Log,
     tamper: Option<String>,
 }
 
@@ -89,6 +91,7 @@
         let _ = c.wait();
     });
     let stopped = stopped?;
+    fleet.log.flush();
     fleet.broker.flush();
     fleet.store.flush();
     fleet.list.flush();
@@ -221,7 +224,13 @@
     }
     let routers = Mutex::new((0..day.routers).map(|_| None).collect());
     let rows = Mutex::new(rows);
-    Ok(Fleet { ground, broker, store, list, workers, rows, routers, files, tamper })
+    let log = ground.log("day")?;
+    let addresses = (0..day.routers).map(|n| address_of(day, n)).collect();
+    Ok(Fleet { ground, broker, store, list, workers, rows, routers, files, addresses, log, tamper })
+}
+
+fn address_of(day: &Day, n: u32) -> std::net::IpAddr {
+    router_address(n % day.zones.len() as u32, n)
 }
 
 /// The settings of one router of the day.
@@ -235,7 +244,7 @@
         day.routers
     );
     let _ = writeln!(t, "zone = {:?}\nzones = {:?}", day.zones[zone as usize], day.zones);
-    let _ = writeln!(t, "from = \"{}\"\n", router_address(zone, n));
+    let _ = writeln!(t, "from = \"{}\"\n", address_of(day, n));
     let s = &day.settings;
     for (name, table) in
         [("rules", &s.rules), ("dispatch", &s.dispatch), ("loads", &s.loads), ("prices", &s.prices)]
@@ -274,7 +283,12 @@
 
 impl Fleet {
     fn start_router(&self, n: usize) -> Plain<()> {
+        // Two troubles may have killed it; it comes back once.
+        if lock(&self.routers)[n].is_some() {
+            return Ok(());
+        }
         let wrong = |e: std::io::Error| format!("router {n}: {e}");
+        self.log.write("router-up", serde_json::json!({"address": self.addresses[n].to_string()}));
         let program = std::env::current_exe().map_err(wrong)?;
         let log = std::fs::File::options()
             .create(true)
