--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -42,7 +42,7 @@
     closing: Cell<bool>,
 }
 
-fn fate(fate: Fate) -> &'static str {
+pub(crate) fn fate(fate: Fate) -> &'static str {
     match fate {
         Fate::Succeeded => "succeeded",
         Fate::Throttled => "throttled",
@@ -50,7 +50,7 @@
     }
 }
 
-fn reason(reason: Reason) -> &'static str {
+pub(crate) fn reason(reason: Reason) -> &'static str {
     match reason {
         Reason::Worker => "worker",
         Reason::GivenUp => "given-up",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,13 +1,14 @@
 //! One router as a process: sockets, timers, signals and settings around the core in `cedarpulley-router`. It
 //! decides nothing of its own: what came in goes to the core, what the core puts out is carried out in order.
 //!
-//! Begin reading at [`serve`]; then [`front`] (AMQP), [`pool`] (workers), [`list`] (the worker list).
+//! Begin reading at [`serve`]; then [`front`] (AMQP), [`rest`] (KServe v2), [`pool`] (workers), [`list`] (the worker list).
 
 pub mod front;
 pub mod list;
 pub mod meddle;
 pub mod net;
 pub mod pool;
+pub mod rest;
 pub mod serve;
 pub mod settings;
 pub mod sheet;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,17 +1,17 @@
 //! Runs one router until it is told to stop: all on one thread, so that the core's decisions need no locks.
 
 use std::cell::{Cell, RefCell};
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use cedarpulley::Control;
 use cedarpulley::interface::{ListMode, Micros, Outcome, Report, WorkerIx};
 use cedarpulley_kserve::{endings, requests};
-use cedarpulley_router::{Input, Output, Router};
+use cedarpulley_router::{FrontIx, Input, Output, Router};
 use futures_lite::{FutureExt, StreamExt};
 use hdrhistogram::Histogram;
 
@@ -20,6 +20,7 @@
 use crate::meddle::{Meddle, Meddler};
 use crate::net::{Bell, Clock};
 use crate::pool::{Pool, ended};
+use crate::rest::Rest;
 use crate::settings::{Names, Parts, WorkerList};
 
 /// How often connections that have been idle too long are looked for.
@@ -43,6 +44,8 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     router: RefCell<Router>,
     fronts: Vec<Rc<Front>>,
+    /// Their indices follow those of `fronts`.
+    rests: Vec<Rc<Rest>>,
     pub(crate) pool: Rc<Pool>,
     due: Cell<Micros>,
     timer: Bell,
@@ -72,8 +75,13 @@
         match output {
             Output::Answer { delivery, answer } => {
                 tracing::debug!(fate = ?answer.fate, reason = ?answer.reason, "answered");
-                if let Some(front) = self.fronts.get(delivery.front as usize) {
-                    self.meddler.answer(self, front, delivery, answer);
+                match self.fronts.get(delivery.front as usize) {
+                    Some(front) => self.meddler.answer(self, front, delivery, answer),
+                    None => {
+                        if let Some(rest) = self.rest(delivery.front) {
+                            rest.answer(delivery, answer);
+                        }
+                    }
                 }
             }
             Output::Discard(delivery) => {
@@ -81,11 +89,14 @@
                     front.discard(delivery);
                 }
             }
-            Output::Grant { front, most } => {
-                if let Some(front) = self.fronts.get(front as usize) {
-                    front.grant(most);
+            Output::Grant { front, most } => match self.fronts.get(front as usize) {
+                Some(front) => front.grant(most),
+                None => {
+                    if let Some(rest) = self.rest(front) {
+                        rest.grant(most);
+                    }
                 }
-            }
+            },
             Output::Send { ticket, worker, function, trigger, account, call } => {
                 let it = self.clone();
                 let task = self.executor.spawn(async move {
@@ -171,6 +182,10 @@
         }
     }
 
+    fn rest(&self, front: FrontIx) -> Option<&Rc<Rest>> {
+        self.rests.get((front as usize).checked_sub(self.fronts.len())?)
+    }
+
     pub(crate) fn address(&self, worker: WorkerIx) -> Option<SocketAddr> {
         let ix = worker as usize;
         if let Some(Some(address)) = self.addresses.borrow().get(ix) {
@@ -213,7 +228,9 @@
         tracing::info!("stopping: nothing new is taken");
         self.feed(Input::Stop);
         let until = self.clock.now() + longest + STOP_MARGIN;
-        let empty = || self.router.borrow().open() == 0 && self.fronts.iter().all(|f| f.is_drained());
+        let fronts =
+            || self.fronts.iter().all(|f| f.is_drained()) && self.rests.iter().all(|r| r.is_drained());
+        let empty = || self.router.borrow().open() == 0 && fronts();
         while !empty() && self.clock.now() < until {
             Timer::after(STOP_LOOK).await;
         }
@@ -238,7 +255,7 @@
 
 /// Runs one router until a signal to end. True if all that was taken has been answered.
 pub fn run(name: &str, parts: Parts, meddle: Option<Meddle>) -> std::io::Result<bool> {
-    let Parts { birth, names, terms, sources, list, links, most_body } = parts;
+    let Parts { birth, names, terms, sources, listens, list, links, most_body } = parts;
     let clock = Clock::start();
     let executor = Rc::new(LocalExecutor::new());
     // Without a seed of its own each start draws differently.
@@ -255,6 +272,13 @@
         birth.prices,
         birth.reports,
     );
+    let mut listeners = Vec::new();
+    for listen in &listens {
+        listeners.push(Async::<TcpListener>::bind(listen.address)?);
+    }
+    let first = sources.len();
+    let rests = listens.into_iter().enumerate();
+    let rests = rests.map(|(n, l)| Rc::new(Rest::new((first + n) as u32, l, most_body))).collect();
     let fronts = sources.into_iter().enumerate();
     let gateway = Rc::new(Gateway {
         clock,
@@ -269,6 +293,7 @@
         executor: executor.clone(),
         router: RefCell::new(Router::new(control, birth.triggers, terms)),
         fronts: fronts.map(|(ix, s)| Rc::new(Front::new(ix as u32, s, most_body))).collect(),
+        rests,
         pool: Rc::new(Pool::new(executor.clone(), clock, links)),
         due: Cell::new(Micros::MAX),
         timer: Bell::default(),
@@ -284,6 +309,9 @@
         for front in &gateway.fronts {
             executor.spawn(front.clone().run(gateway.clone())).detach();
         }
+        for (rest, listener) in gateway.rests.iter().zip(listeners) {
+            executor.spawn(rest.clone().run(gateway.clone(), listener)).detach();
+        }
         let pool = gateway.pool.clone();
         let tidy = async move {
             loop {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use cedarpulley_router::Terms;
 use cedarpulley_router::roster::Listed;
 
+use crate::rest::Listen;
 use crate::sheet::{Refused, Section, Sheet};
 
 /// A day in milliseconds: no time in the file is longer.
@@ -87,6 +88,7 @@
     pub names: Names,
     pub terms: Terms,
     pub sources: Vec<Source>,
+    pub listens: Vec<Listen>,
     pub list: WorkerList,
     pub links: Links,
     pub most_body: u64,
@@ -233,18 +235,7 @@
 
     let (mut sources, mut weights) = (Vec::new(), Vec::new());
     for s in root.sections("amqp") {
-        let share_of = s.text("share_of", Some(""));
-        let weight = match share_of.as_str() {
-            "" => s.number("weight", 1e-3..1e3, Some(1.0)),
-            name => match names.accounts.iter().position(|n| n == name) {
-                Some(i) => accounts[i].share.max(1e-3),
-                None => {
-                    s.wrong("share_of", &format!("there is no account '{name}'"));
-                    1.0
-                }
-            },
-        };
-        weights.push(weight);
+        weights.push(weight_of(&s, &names, &accounts));
         sources.push(Source {
             name: s.text("name", Some("amqp")),
             broker: s.address("broker"),
@@ -256,8 +247,22 @@
         });
         s.end();
     }
-    if sources.is_empty() {
-        root.wrong("amqp", "no broker's queue is given");
+    let mut listens: Vec<Listen> = Vec::new();
+    for s in root.sections("kserve") {
+        weights.push(weight_of(&s, &names, &accounts));
+        let listen = Listen {
+            name: s.text("name", Some("kserve")),
+            address: s.address("listen"),
+            most_connections: s.count("most_connections", 1..1_000_000, Some(10_000)) as usize,
+        };
+        if listens.iter().any(|l| l.address == listen.address && l.address.port() != 0) {
+            s.wrong("listen", "is given twice");
+        }
+        listens.push(listen);
+        s.end();
+    }
+    if sources.is_empty() && listens.is_empty() {
+        root.wrong("amqp", "neither a broker's queue nor an address to listen on is given");
     }
 
     let w = root.section("workers");
@@ -291,7 +296,7 @@
         root.has(known);
     }
     let birth = Birth { seed, fleet, limits, rules, triggers, accounts, loads, prices, reports };
-    Parts { birth, names, terms, sources, list, links, most_body }
+    Parts { birth, names, terms, sources, listens, list, links, most_body }
 }
 
 fn trigger(t: &Section, limits: &DispatchLimits) -> TriggerType {
@@ -337,6 +342,20 @@
     }
 }
 
+/// A front's weight: its own, or the share of an account.
+fn weight_of(s: &Section, names: &Names, accounts: &[Account]) -> f64 {
+    match s.text("share_of", Some("")).as_str() {
+        "" => s.number("weight", 1e-3..1e3, Some(1.0)),
+        name => match names.accounts.iter().position(|n| n == name) {
+            Some(i) => accounts[i].share.max(1e-3),
+            None => {
+                s.wrong("share_of", &format!("there is no account '{name}'"));
+                1.0
+            }
+        },
+    }
+}
+
 fn zone_of(s: &Section, key: &str, zones: &[String]) -> u32 {
     let name = s.text(key, Some(""));
     if name.is_empty() {
--- a/crates/kserve/src/lib.rs
+++ b/crates/kserve/src/lib.rs
@@ -1,11 +1,13 @@
-//! KServe v2 towards workers, free of I/O: the requests that are sent, and what each ending proves.
+//! KServe v2, free of I/O: towards workers (the requests that are sent, and what each ending proves) and as a front.
 //!
 //! * [`requests`]: infer, load, unload, ready and live, as HTTP requests.
 //! * [`endings`]: every way in which a request can end, and whether it may have run; begin reading here.
 //! * [`reports`]: what answers tell of the worker.
+//! * [`serving`]: the other side: what a client of the front asks, and how it is answered.
 
 pub mod endings;
 pub mod reports;
 pub mod requests;
+pub mod serving;
 
 pub use endings::{Ended, Reading};
