A client's retry with the same token joins what is out, on any front, and gets the same answer

Need: the second front brings clients that retry by themselves, also across fronts; each retry would have been a dispatch. Change: tokens.rs decides what a token's retry gets; a claim may be held by several deliveries; each waits within its own time; one vanishing holder does not call the others' dispatch back.

--- a/crates/cli/tests/rest.rs
+++ b/crates/cli/tests/rest.rs
@@ -193,3 +193,18 @@
     drop(idle);
     assert_eq!(r.ask("POST", "/v2/models/f/infer", ONCE, b"{}").0, 200);
 }
+
+/// A client's own retry while the first is out: one dispatch, the same answer to both.
+#[test]
+fn the_same_token_twice_at_once_is_one_dispatch() {
+    let r = start("rest-token", Duration::from_millis(500));
+    let headers = format!("{ONCE}idempotency-key: k1\r\n");
+    let first = r.send("POST", "/v2/models/f/infer", &headers, b"{}");
+    std::thread::sleep(Duration::from_millis(100));
+    let second = r.send("POST", "/v2/models/f/infer", &headers, b"{}");
+    let (first, second) = (read(first), read(second));
+    assert_eq!((first.0, second.0), (200, 200));
+    let body = |text: &str| text.split("\r\n\r\n").nth(1).map(str::to_owned);
+    assert_eq!(body(&first.1), body(&second.1));
+    assert_eq!(r.logged(r#""what":"received""#), 1);
+}
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -3,8 +3,9 @@
 //! that comes again.
 //!
 //! Mechanisms:
-//! 1. A claim is held by one delivery at a time. A front that loses its channel leaves its claims without holder;
-//!    the same message delivered again takes them over.
+//! 1. A claim is held by one delivery of its message at a time, and by those that joined it by their token; all
+//!    get the same answer. A front that loses its channel holds nothing any more; the same message delivered
+//!    again takes its place.
 //! 2. A claim without holder is forgotten when its client has given up, or, with too many of them, the oldest
 //!    first: what comes again is then judged by its effect alone.
 //! 3. A given answer never changes; it goes once its front says that it is safe.
@@ -20,6 +21,9 @@
 /// Claims without holder at most; each is a few hundred bytes. What is forgotten is only taken more strictly.
 const MOST_ORPHANS: usize = 10_000;
 
+/// Deliveries that may wait for one answer.
+const MOST_HOLDERS: usize = 16;
+
 pub type ClaimIx = u32;
 
 #[derive(Debug)]
@@ -29,10 +33,17 @@
     Ended { may_have_run: bool },
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    delivery: Delivery,
+    /// Another message with the same token.
+    joined: bool,
+}
+
 #[derive(Debug)]
 struct Claim {
     identity: Option<Arc<str>>,
-    holder: Option<Delivery>,
+    holders: Vec<Holder>,
     state: State,
     until: Micros,
 }
@@ -107,8 +118,8 @@
         if let Some(&ix) = identity.as_deref().and_then(|i| self.by_identity.get(i)) {
             self.forget(ix);
         }
-        let claim =
-            Claim { identity: identity.clone(), holder: Some(holder), state: State::Open(inv), until };
+        let holders = vec![Holder { delivery: holder, joined: false }];
+        let claim = Claim { identity: identity.clone(), holders, state: State::Open(inv), until };
         let ix = self.free.pop().unwrap_or(self.claims.len() as ClaimIx);
         if ix as usize == self.claims.len() {
             self.claims.push(None);
@@ -121,11 +132,6 @@
         ix
     }
 
-    /// The delivery that is to be answered for this claim, if its front still stands.
-    pub fn holder(&self, ix: ClaimIx) -> Option<Delivery> {
-        self.claims.get(ix as usize)?.as_ref()?.holder
-    }
-
     pub fn inv(&self, ix: ClaimIx) -> Option<InvIx> {
         match self.claims.get(ix as usize)?.as_ref()?.state {
             State::Open(inv) => Some(inv),
@@ -133,23 +139,42 @@
         }
     }
 
-    pub fn held_by(&self, delivery: Delivery) -> Option<ClaimIx> {
-        self.by_holder.get(&delivery).copied()
-    }
-
     /// The same message has come again and takes the claim over. False if another delivery still holds it: then
     /// the message was published twice, and the one answer goes to the first.
     pub fn rejoin(&mut self, ix: ClaimIx, holder: Delivery) -> bool {
         let Some(claim) = self.claims[ix as usize].as_mut() else { return false };
-        if claim.holder.is_some() {
+        if claim.holders.iter().any(|h| !h.joined) {
             return false;
         }
-        claim.holder = Some(holder);
+        claim.holders.push(Holder { delivery: holder, joined: false });
         self.orphans.remove(&(claim.until, ix));
         self.by_holder.insert(holder, ix);
         true
     }
 
+    /// Another message with the same token waits for the same answer. False if too many do already.
+    pub fn join(&mut self, ix: ClaimIx, holder: Delivery) -> bool {
+        let claim = self.claims.get_mut(ix as usize).and_then(Option::as_mut);
+        let Some(claim) = claim.filter(|c| c.holders.len() < MOST_HOLDERS) else { return false };
+        claim.holders.push(Holder { delivery: holder, joined: true });
+        self.orphans.remove(&(claim.until, ix));
+        self.by_holder.insert(holder, ix);
+        true
+    }
+
+    /// Whether this delivery holds a claim that has no answer yet.
+    pub fn waits(&self, delivery: Delivery) -> bool {
+        self.by_holder.get(&delivery).is_some_and(|&ix| self.inv(ix).is_some())
+    }
+
+    /// This delivery waits no more. The claim it held and whether nobody holds that now.
+    pub fn let_go(&mut self, delivery: Delivery) -> Option<(ClaimIx, bool)> {
+        let ix = self.by_holder.remove(&delivery)?;
+        let claim = self.claims.get_mut(ix as usize)?.as_mut()?;
+        claim.holders.retain(|h| h.delivery != delivery);
+        Some((ix, claim.holders.is_empty()))
+    }
+
     /// The answer that was given, if one was.
     pub fn answer(&self, ix: ClaimIx) -> Option<&Answer> {
         match &self.claims.get(ix as usize)?.as_ref()?.state {
@@ -158,15 +183,16 @@
         }
     }
 
-    /// The final answer; the first one counts, and its holder is to be sent it. A claim that has one already
+    /// The final answer; the first one counts, and its holders are to be sent it. A claim that has one already
     /// gives nothing.
-    pub fn give(&mut self, ix: ClaimIx, answer: &Answer) -> Option<Delivery> {
-        let claim = self.claims.get_mut(ix as usize)?.as_mut()?;
-        if !matches!(claim.state, State::Open(_)) {
-            return None;
+    pub fn give(&mut self, ix: ClaimIx, answer: &Answer) -> Vec<Delivery> {
+        match self.claims.get_mut(ix as usize) {
+            Some(Some(claim)) if matches!(claim.state, State::Open(_)) => {
+                claim.state = State::Given(answer.clone());
+                claim.holders.iter().map(|h| h.delivery).collect()
+            }
+            _ => Vec::new(),
         }
-        claim.state = State::Given(answer.clone());
-        claim.holder
     }
 
     /// The invocation ended while no front stood to be answered, and without anything worth telling.
@@ -178,9 +204,11 @@
 
     /// The front has the answer safely out: no delivery of it can come again.
     pub fn safe(&mut self, delivery: Delivery) -> bool {
-        match self.by_holder.get(&delivery) {
-            Some(&ix) => {
-                self.forget(ix);
+        match self.let_go(delivery) {
+            Some((ix, last)) => {
+                if last {
+                    self.forget(ix);
+                }
                 true
             }
             None => false,
@@ -193,9 +221,14 @@
         let (mut open, mut forgotten) = (Vec::new(), Vec::new());
         for (i, slot) in self.claims.iter_mut().enumerate() {
             let Some(claim) = slot else { continue };
-            let Some(delivery) = claim.holder.filter(|d| d.front == front) else { continue };
-            claim.holder = None;
-            self.by_holder.remove(&delivery);
+            let lost: Vec<Delivery> =
+                claim.holders.extract_if(.., |h| h.delivery.front == front).map(|h| h.delivery).collect();
+            lost.iter().for_each(|d| {
+                self.by_holder.remove(d);
+            });
+            if lost.is_empty() || !claim.holders.is_empty() {
+                continue;
+            }
             self.orphans.insert((claim.until, i as ClaimIx));
             if let State::Open(inv) = claim.state {
                 open.push(inv);
@@ -227,9 +260,9 @@
         {
             self.by_identity.remove(identity);
         }
-        if let Some(holder) = claim.holder {
-            self.by_holder.remove(&holder);
-        }
+        claim.holders.iter().for_each(|h| {
+            self.by_holder.remove(&h.delivery);
+        });
         self.orphans.remove(&(claim.until, ix));
         self.free.push(ix);
     }
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -15,6 +15,7 @@
 use crate::redelivery::{self, Verdict};
 use crate::roster::Listed;
 use crate::table::Table;
+use crate::tokens::{self, Key, Seen, Tokens};
 use crate::{Answer, Delivery, Fate, FrontIx, OrderTicket, Reason, Taken, Ticket};
 
 /// Functions that may be accounted for at once; each costs the module a few figures a worker.
@@ -137,6 +138,9 @@
     pub orders: u64,
     pub withdrawn: u64,
     pub joined: u64,
+    /// By their token, to one that was out; and answered as one before was.
+    pub joined_by_token: u64,
+    pub remembered: u64,
     pub repeated: u64,
     pub refused_redelivered: u64,
     pub discarded: u64,
@@ -161,6 +165,8 @@
 
 struct Inv {
     claim: ClaimIx,
+    /// By which its client's retries are known.
+    key: Option<Key>,
     front: FrontIx,
     trigger: u32,
     account: u32,
@@ -198,6 +204,8 @@
     TimeOut(Ticket),
     Overdue(InvIx, u32),
     WindowEnds(InvIx, u32),
+    /// One that joined another is given up on.
+    JoinedOverdue(Delivery),
     Order(OrderTicket),
 }
 
@@ -211,6 +219,7 @@
     names: Vec<Arc<str>>,
     workers: Ids<String>,
     claims: Claims,
+    tokens: Tokens,
     admission: Admission,
     timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
     serial: u64,
@@ -232,6 +241,7 @@
             names: Vec::new(),
             workers: Ids::default(),
             claims: Claims::default(),
+            tokens: Tokens::default(),
             admission,
             timers: BinaryHeap::new(),
             serial: 0,
@@ -324,6 +334,18 @@
             (Verdict::Take { dispatch_within }, _) => dispatch_within,
             (Verdict::Join | Verdict::Repeat, None) => None,
         };
+        let key = t.token.as_deref().map(|token| tokens::key(t.account, t.trigger, &t.function, token));
+        if let Some(key) = &key {
+            match self.tokens.seen(self.now, key) {
+                Seen::Out(claim) => return self.join(claim, t.delivery, gives_up_at, out),
+                // Given in full to the first, and given alike to its client's retry.
+                Seen::Answered(answer) => {
+                    self.counts.remembered += 1;
+                    return self.answer(t.delivery, answer, out);
+                }
+                Seen::Nothing => {}
+            }
+        }
         // The client's time has run out, or ran out while this waited at the broker: never dispatched. One that
         // was delivered before may have run.
         if gives_up_at <= self.now {
@@ -347,6 +369,7 @@
         let dispatch_until = dispatch_within.map(|left| self.now + left);
         let inv = self.invs.insert(Inv {
             claim: NO_CLAIM,
+            key: None,
             front: t.delivery.front,
             trigger: t.trigger,
             account: t.account,
@@ -367,6 +390,10 @@
         let claim = self.claims.open(t.identity, t.delivery, inv, gives_up_at + self.terms.answer_margin);
         if let Some(it) = self.invs.get_mut(inv) {
             it.claim = claim;
+            it.key = key.clone();
+        }
+        if let Some(key) = key {
+            self.tokens.began(key, claim);
         }
         let generation = self.invs.generation(inv);
         self.timer(gives_up_at, Timer::Overdue(inv, generation));
@@ -423,6 +450,9 @@
         for inv in forgotten {
             if let Some(it) = self.invs.get_mut(inv) {
                 it.claim = NO_CLAIM;
+                if let Some(key) = it.key.take() {
+                    self.tokens.ended(self.now, &key, None);
+                }
             }
         }
         for inv in open {
@@ -435,8 +465,21 @@
         }
     }
 
+    /// A client's own retry with the token of one that is out: it waits for the same answer, within its own time.
+    fn join(&mut self, claim: ClaimIx, delivery: Delivery, gives_up_at: Micros, out: &mut Vec<Output>) {
+        if gives_up_at <= self.now || !self.claims.join(claim, delivery) {
+            return self.answer(delivery, Answer::bare(Fate::Errored, Reason::MayHaveRun), out);
+        }
+        self.counts.joined_by_token += 1;
+        self.timer(gives_up_at, Timer::JoinedOverdue(delivery));
+        if let Some(it) = self.claims.inv(claim).and_then(|inv| self.invs.get_mut(inv)) {
+            it.orphan = false;
+        }
+    }
+
     fn departed(&mut self, delivery: Delivery, out: &mut Vec<Output>) {
-        let Some(claim) = self.claims.held_by(delivery) else { return };
+        // While another waits for the same answer, the invocation goes on.
+        let Some((claim, true)) = self.claims.let_go(delivery) else { return };
         let inv = self.claims.inv(claim);
         self.claims.forget(claim);
         if let Some(inv) = inv {
@@ -464,6 +507,9 @@
     fn conclude(&mut self, inv: InvIx, pace: Pace) -> bool {
         let Some(it) = self.invs.get_mut(inv).filter(|i| !i.concluded) else { return false };
         it.concluded = true;
+        if let Some(key) = it.key.take() {
+            self.tokens.ended(self.now, &key, None);
+        }
         let (front, bytes, took) = (it.front, it.body.len(), self.now - it.taken);
         self.admission.ended(self.now, front, bytes, took, pace);
         true
@@ -483,16 +529,22 @@
             Fate::Succeeded => self.pace(it),
             _ => Pace::Neither,
         };
+        let effect = self.triggers[it.trigger as usize].effect;
+        if let (Some(key), Fate::Succeeded, Effect::Tokened { window, .. }) =
+            (it.key.clone(), answer.fate, effect)
+        {
+            self.tokens.ended(self.now, &key, Some((answer.clone(), self.now + window)));
+        }
         self.conclude(inv, pace);
-        match self.claims.give(claim, &answer) {
-            Some(delivery) => self.answer(delivery, answer, out),
-            // Without a front it is kept for when the message comes again. Nobody may be promised that it
-            // did not run, or told an error, on behalf of whoever has the message now.
-            None if answer.fate != Fate::Succeeded => {
-                let ran = self.invs.get(inv).is_some_and(Inv::may_have_run);
-                self.claims.end(claim, ran);
-            }
-            None => {}
+        let holders = self.claims.give(claim, &answer);
+        // Without a front a success is kept for when the message comes again. Nobody may be promised that it did
+        // not run, or told an error, on behalf of whoever has the message now.
+        if holders.is_empty() && answer.fate != Fate::Succeeded {
+            let ran = self.invs.get(inv).is_some_and(Inv::may_have_run);
+            self.claims.end(claim, ran);
+        }
+        for delivery in holders {
+            self.answer(delivery, answer.clone(), out);
         }
     }
 
@@ -585,6 +637,14 @@
                     }
                 }
                 Timer::Overdue(..) | Timer::WindowEnds(..) => {}
+                Timer::JoinedOverdue(delivery) => {
+                    // Still waiting: the one it joined has more time than it, and may run.
+                    let waits = self.claims.waits(delivery);
+                    if waits {
+                        self.claims.let_go(delivery);
+                        self.answer(delivery, Answer::bare(Fate::Errored, Reason::Overdue), out);
+                    }
+                }
                 Timer::Order(ticket) => {
                     if self.orders.contains_key(&ticket) {
                         self.order_ended(ticket, OrderResult::TimedOut, 0, out);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`redelivery`]: what may be done with a message that was delivered before.
 //! * [`claims`]: which final answer was given, until the front has it safely out.
 //! * [`roster`]: what the worker list says, though its watch breaks, repeats or goes back in time.
+//! * [`tokens`]: what a client's own retry with the same token gets.
 //! * [`backoff`]: how long to wait before trying to reach something again.
 
 pub mod admission;
@@ -18,6 +19,7 @@
 pub mod redelivery;
 pub mod roster;
 mod table;
+pub mod tokens;
 
 pub use crate::core::{Counts, Input, Output, Router, Terms};
 
--- a/crates/router/tests/hard.rs
+++ b/crates/router/tests/hard.rs
@@ -323,3 +323,103 @@
         prop_assert_eq!(w.router.open(), 0);
     }
 }
+
+fn sent_by(w: &World, life: u32, tag: u64, id: &str, trigger: u32) -> Taken {
+    // Another message with the same token.
+    Taken { identity: Some(format!("{id}-{tag}").into()), ..w.message(id, trigger, life, tag) }
+}
+
+/// The same token while the first is out: one dispatch, the same answer to both.
+#[test]
+fn a_clients_retry_joins_what_is_out() {
+    let mut w = World::new(2);
+    for kind in [IDEMPOTENT, TOKENED, NON_IDEMPOTENT] {
+        let id = format!("t{kind}");
+        let first = sent_by(&w, 1, 10, &id, kind);
+        w.feed(Input::Taken(first));
+        let ticket = w.sent()[0];
+        let second = sent_by(&w, 1, 11, &id, kind);
+        w.feed(Input::Taken(second));
+        assert!(w.sent().is_empty() && w.answers().is_empty());
+        w.end(ticket, Outcome::Succeeded);
+        let both = [(10, Fate::Succeeded, Reason::Worker), (11, Fate::Succeeded, Reason::Worker)];
+        assert_eq!(w.answers(), both);
+        for tag in [10, 11] {
+            w.feed(Input::Safe(Delivery { front: 0, life: 1, tag }));
+        }
+        assert_eq!(w.router.open(), 0);
+    }
+}
+
+/// After the answer a tokened one is answered alike within the window; a success of another effect is not kept.
+#[test]
+fn a_retry_after_the_answer_gets_it_again_within_the_window() {
+    let mut w = World::new(2);
+    let first = sent_by(&w, 1, 1, "a", TOKENED);
+    w.feed(Input::Taken(first));
+    let ticket = w.sent()[0];
+    w.end(ticket, Outcome::Succeeded);
+    w.feed(Input::Safe(Delivery { front: 0, life: 1, tag: 1 }));
+    w.pass(WINDOW - SECOND);
+    let again = sent_by(&w, 1, 2, "a", TOKENED);
+    w.feed(Input::Taken(again));
+    assert_eq!((w.sent().len(), w.answers()), (0, vec![(2, Fate::Succeeded, Reason::Worker)]));
+    w.pass(2 * SECOND);
+    let again = sent_by(&w, 1, 3, "a", TOKENED);
+    w.feed(Input::Taken(again));
+    assert_eq!(w.sent().len(), 1);
+    // Another account, trigger type or function is another token.
+    let other = Taken { function: "g".into(), ..sent_by(&w, 1, 4, "a", TOKENED) };
+    w.feed(Input::Taken(other));
+    assert_eq!(w.sent().len(), 1);
+}
+
+/// The first client vanishes while its retry waits: the dispatch goes on for the retry. Then that one goes too.
+#[test]
+fn while_one_of_them_waits_nothing_is_called_back() {
+    let mut w = World::new(2);
+    let first = sent_by(&w, 1, 1, "a", NON_IDEMPOTENT);
+    w.feed(Input::Taken(first));
+    let ticket = w.sent()[0];
+    let second = sent_by(&w, 1, 2, "a", NON_IDEMPOTENT);
+    w.feed(Input::Taken(second));
+    w.feed(Input::Departed(Delivery { front: 0, life: 1, tag: 1 }));
+    assert!(w.out.iter().all(|o| !matches!(o, Output::Withdraw(_))));
+    w.feed(Input::Departed(Delivery { front: 0, life: 1, tag: 2 }));
+    assert!(w.out.contains(&Output::Withdraw(ticket)));
+    assert_eq!(w.router.open(), 0);
+}
+
+/// A retry with less time than the first is not left waiting beyond it, and gets no second answer.
+#[test]
+fn a_retry_is_answered_in_its_own_time() {
+    let mut w = World::new(2);
+    let first = sent_by(&w, 1, 1, "a", NON_IDEMPOTENT);
+    w.feed(Input::Taken(first));
+    let ticket = w.sent()[0];
+    let hasty = Taken { client_timeout: SECOND, ..sent_by(&w, 1, 2, "a", NON_IDEMPOTENT) };
+    w.feed(Input::Taken(hasty));
+    w.pass(SECOND);
+    assert_eq!(w.answers(), [(2, Fate::Errored, Reason::Overdue)]);
+    w.end(ticket, Outcome::Succeeded);
+    assert_eq!(w.answers(), [(1, Fate::Succeeded, Reason::Worker)]);
+}
+
+/// The channel of the first drops while a retry from elsewhere waits; the first comes again: one dispatch, two answers.
+#[test]
+fn a_redelivered_one_finds_its_place_beside_a_retry() {
+    let mut w = World::new(2);
+    let first = Taken { identity: Some("m".into()), ..w.message("a", NON_IDEMPOTENT, 1, 1) };
+    w.feed(Input::Taken(first.clone()));
+    let ticket = w.sent()[0];
+    let elsewhere = Delivery { front: 1, life: 1, tag: 2 };
+    let retry = Taken { delivery: elsewhere, ..sent_by(&w, 1, 2, "a", NON_IDEMPOTENT) };
+    w.feed(Input::Taken(retry));
+    w.front(FrontState::Down);
+    w.front(FrontState::Up);
+    let again = Taken { redelivered: true, delivery: Delivery { front: 0, life: 2, tag: 1 }, ..first };
+    w.feed(Input::Taken(again));
+    assert!(w.out.is_empty(), "neither sent nor put out of the way");
+    w.end(ticket, Outcome::Succeeded);
+    assert_eq!(w.answers().len(), 2);
+}
--- a/crates/router/tests/parts.rs
+++ b/crates/router/tests/parts.rs
@@ -113,8 +113,8 @@
     let mut c = Claims::default();
     let claim = c.open(Some(Arc::from("a")), delivery(0, 1), 5, SECOND);
     let first = Answer::bare(Fate::Succeeded, Reason::Worker);
-    assert_eq!(c.give(claim, &first), Some(delivery(0, 1)));
-    assert_eq!(c.give(claim, &Answer::bare(Fate::Errored, Reason::Overdue)), None);
+    assert_eq!(c.give(claim, &first), [delivery(0, 1)]);
+    assert!(c.give(claim, &Answer::bare(Fate::Errored, Reason::Overdue)).is_empty());
     assert_eq!(c.answer(claim), Some(&first));
     assert!(c.safe(delivery(0, 1)) && c.is_empty());
 }
--- a/crates/router/tests/world.rs
+++ b/crates/router/tests/world.rs
@@ -70,7 +70,7 @@
             answer_margin: MARGIN,
             clock_margin: 50 * MS,
             memory_bytes: 1 << 20,
-            front_weights: vec![1.0],
+            front_weights: vec![1.0, 1.0],
             order_answered_within: 5 * SECOND,
         };
         let mut w = World { router: Router::new(control(), triggers(), terms), now: SECOND, out: Vec::new() };
