--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -60,6 +60,8 @@
     answers: Vec<(i64, String, String)>,
     expired: bool,
     dead: bool,
+    /// A connection that its router broke off, when and which.
+    lost: Option<(i64, String)>,
     dispatches: Vec<Dispatch>,
     ran: Vec<i64>,
 }
@@ -164,7 +166,7 @@
         v.answers.insert(fate.into(), 0);
     }
     let invs = gather(&lines, &mut v);
-    answers(&invs, &blocked(&lines), &terms, &mut v);
+    answers(&invs, &blocked(&lines), &killed(&lines), &terms, &mut v);
     effects(&invs, &terms, &mut v);
     drains(&lines, &terms, &mut v);
     cold(&lines, &terms, &mut v);
@@ -193,6 +195,7 @@
                 invs.entry(id).or_default().delivered.push((l.t, l.text("to").to_owned()));
             }
             "expired" => invs.entry(id).or_default().expired = true,
+            "lost" => invs.entry(id).or_default().lost = Some((l.t, l.text("to").to_owned())),
             "dead" => invs.entry(id).or_default().dead = true,
             "received" => {
                 v.dispatches += 1;
@@ -242,8 +245,20 @@
     times
 }
 
+/// Which routers were killed outright, and when.
+fn killed(lines: &[Line]) -> Vec<(i64, String)> {
+    let kills = lines.iter().filter(|l| l.what == "router-down");
+    kills.map(|l| (l.t, l.text("address").to_owned())).collect()
+}
+
 /// Rule 1: what was taken gets exactly one final answer before the client timeout, and nothing after.
-fn answers(invs: &BTreeMap<String, Inv>, blocked: &[(i64, i64)], terms: &Terms, v: &mut Verdict) {
+fn answers(
+    invs: &BTreeMap<String, Inv>,
+    blocked: &[(i64, i64)],
+    killed: &[(i64, String)],
+    terms: &Terms,
+    v: &mut Verdict,
+) {
     for (id, inv) in invs {
         for (_, fate, reason) in &inv.answers {
             *v.answers.entry(fate.clone()).or_default() += 1;
@@ -274,6 +289,11 @@
             // The broker took it back, from a router that was killed or lost its channel, and no one had it
             // again before its client gave up.
             0 if inv.expired || inv.dead => {}
+            // What a router held when it was killed is no longer its duty.
+            0 if inv.lost.as_ref().is_some_and(|(at, router)| {
+                let held = first - APART_US..=at + APART_US;
+                killed.iter().any(|(t, k)| k == router && held.contains(t))
+            }) => {}
             0 => {
                 v.unanswered += 1;
                 v.breaks(1, format!("{id} was taken and never answered"));
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -24,8 +24,11 @@
 use crate::Plain;
 use crate::client::{Arrival, Client};
 use crate::dayfile::{self, Day, Trouble, What};
+use crate::rest_client::Callers;
 
 const CLIENTS: u32 = 3;
+/// Tells the draw of the front apart from the others of the same seed.
+const CALLS: u64 = 0xca11;
 const THREADS: usize = 3;
 /// Routers consume within this time of their start, or the day is not played.
 const READY_WITHIN: Duration = Duration::from_secs(15);
@@ -56,6 +59,7 @@
     routers: Mutex<Vec<Option<Child>>>,
     files: Vec<PathBuf>,
     addresses: Vec<std::net::IpAddr>,
+    listens: Vec<SocketAddr>,
     log: Log,
     tamper: Option<String>,
 }
@@ -217,16 +221,19 @@
         }
     }
     let mut files = Vec::new();
+    let addresses: Vec<std::net::IpAddr> = (0..day.routers).map(|n| address_of(day, n)).collect();
+    // Ports that are free now; the routers take them in a moment.
+    let listens = addresses.iter().map(|ip| std::net::TcpListener::bind((*ip, 0))?.local_addr());
+    let listens: Vec<SocketAddr> = listens.collect::<std::io::Result<_>>()?;
     for n in 0..day.routers {
         let file = out.join("routers").join(format!("router-{n}.toml"));
-        std::fs::write(&file, router_file(day, n, broker.address, list.server.address))?;
+        std::fs::write(&file, router_file(day, n, broker.address, list.server.address, listens[n as usize]))?;
         files.push(file);
     }
     let routers = Mutex::new((0..day.routers).map(|_| None).collect());
     let rows = Mutex::new(rows);
     let log = ground.log("day")?;
-    let addresses = (0..day.routers).map(|n| address_of(day, n)).collect();
-    Ok(Fleet { ground, broker, store, list, workers, rows, routers, files, addresses, log, tamper })
+    Ok(Fleet { ground, broker, store, list, workers, rows, routers, files, addresses, listens, log, tamper })
 }
 
 fn address_of(day: &Day, n: u32) -> std::net::IpAddr {
@@ -234,7 +241,7 @@
 }
 
 /// The settings of one router of the day.
-fn router_file(day: &Day, n: u32, broker: SocketAddr, list: SocketAddr) -> String {
+fn router_file(day: &Day, n: u32, broker: SocketAddr, list: SocketAddr, listen: SocketAddr) -> String {
     let zone = n % day.zones.len() as u32;
     let mut t = String::new();
     let _ = writeln!(
@@ -277,6 +284,9 @@
         let _ = writeln!(t, "[[amqp]]\nname = {:?}\nbroker = \"{broker}\"", a.name);
         let _ = writeln!(t, "queue = {:?}\nshare_of = {:?}\n", queue(&a.name), a.name);
     }
+    if day.kserve_part > 0.0 {
+        let _ = writeln!(t, "[[kserve]]\nlisten = \"{listen}\"\n");
+    }
     let _ = writeln!(t, "[workers]\nwatch = \"{list}\"");
     t
 }
@@ -310,6 +320,8 @@
 
     fn kill_router(&self, n: usize) {
         if let Some(mut child) = lock(&self.routers)[n].take() {
+            let address = self.addresses[n].to_string();
+            self.log.write("router-down", serde_json::json!({"address": address}));
             // Outright, and gone for good before another takes its place.
             let _ = child.kill();
             let _ = child.wait();
@@ -349,10 +361,23 @@
     }
     let began = Instant::now();
     let mut clients: Vec<Vec<Arrival>> = (0..CLIENTS).map(|_| Vec::new()).collect();
+    let mut calls = Vec::new();
+    let mut random = Pcg64Mcg::seed_from_u64(day.seed ^ CALLS);
     for (n, arrival) in arrivals(day).into_iter().enumerate() {
-        clients[n % CLIENTS as usize].push(arrival);
+        match random.random::<f64>() < day.kserve_part {
+            true => calls.push(arrival),
+            false => clients[n % CLIENTS as usize].push(arrival),
+        }
     }
     let mut tasks = Vec::new();
+    let callers = Callers {
+        routers: fleet.listens.clone(),
+        from: [127, 0, 2, 200].into(),
+        log: fleet.log.clone(),
+        began,
+    };
+    let executor = fleet.ground.executor.clone();
+    tasks.push(fleet.ground.executor.spawn(Arc::new(callers).run(executor, calls)));
     for (n, arrivals) in clients.into_iter().enumerate() {
         let client = Client {
             broker: fleet.broker.address,
--- a/crates/cli/src/dayfile.rs
+++ b/crates/cli/src/dayfile.rs
@@ -13,6 +13,9 @@
     /// For how long invocations arrive.
     pub seconds: f64,
     pub rate_per_s: f64,
+    /// Of the invocations, so many come over KServe v2; the rest over AMQP.
+    #[serde(default)]
+    pub kserve_part: f64,
     pub routers: u32,
     pub zones: Vec<String>,
     pub store: Store,
@@ -157,6 +160,9 @@
     if !within(day.seconds, 3600.0) || !within(day.rate_per_s, 1e5) || !(1..=100).contains(&day.routers) {
         return wrong("seconds, rate_per_s or routers is out of its range");
     }
+    if !(0.0..=1.0).contains(&day.kserve_part) {
+        return wrong("kserve_part is not within 0 to 1");
+    }
     if day.zones.len() > 60 || day.workers.iter().any(|w| !day.zones.contains(&w.zone)) {
         return wrong("a worker stands in a zone that is not named");
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod day;
 mod dayfile;
 mod measure;
+mod rest_client;
 mod standin;
 
 use std::io::IsTerminal;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -343,9 +343,11 @@
             .names
             .account(t.account.as_deref())
             .ok_or_else(|| unknown("app-id", t.account.as_deref().unwrap_or("")))?;
+        let identity: Option<Arc<str>> = t.identity.map(Arc::from);
         Ok(Taken {
             delivery,
-            identity: t.identity.map(Arc::from),
+            mark: identity.clone(),
+            identity,
             redelivered: message.redelivered,
             repeat: t.repeat,
             trigger,
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Whether this answer to a caller never comes.
+    pub fn loses(&self) -> bool {
+        self.kind == Some(Meddle::Lost) && self.turn()
+    }
+
     /// Sends more than the core wants.
     pub fn see(&self, gateway: &Rc<Gateway>, output: &Output) {
         match (self.kind, output) {
@@ -124,7 +129,7 @@
             let send = async move {
                 let Some(address) = it.address(worker) else { return };
                 let marks = requests::Marks {
-                    invocation: call.identity.as_deref(),
+                    invocation: call.mark.as_deref(),
                     dispatch: 99,
                     token: None,
                     trigger: &it.names.triggers[trigger],
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -35,6 +35,8 @@
 const BODY_WITHIN: Micros = 10_000_000;
 const MOST_HEADERS: usize = 64;
 const MOST_HEAD: usize = 32 * 1024;
+/// By which logs of clients, routers and workers are held against each other.
+const REQUEST_ID: &str = "x-request-id";
 /// Advice while nothing more is taken: about when some of what is out will have been answered.
 const COME_BACK_S: &str = "1";
 
@@ -230,6 +232,7 @@
         gateway.feed(Input::Taken(Taken {
             delivery,
             identity: None,
+            mark: head.headers.get(REQUEST_ID).and_then(|v| v.to_str().ok()).map(Arc::from),
             redelivered: false,
             repeat: w.repeat,
             trigger,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -78,7 +78,7 @@
                 match self.fronts.get(delivery.front as usize) {
                     Some(front) => self.meddler.answer(self, front, delivery, answer),
                     None => {
-                        if let Some(rest) = self.rest(delivery.front) {
+                        if let Some(rest) = self.rest(delivery.front).filter(|_| !self.meddler.loses()) {
                             rest.answer(delivery, answer);
                         }
                     }
@@ -102,7 +102,7 @@
                 let task = self.executor.spawn(async move {
                     let names = &it.names;
                     let marks = requests::Marks {
-                        invocation: call.identity.as_deref(),
+                        invocation: call.mark.as_deref(),
                         dispatch: ticket.dispatch,
                         token: call.token.as_deref(),
                         trigger: names.triggers.get(trigger as usize).map_or("", String::as_str),
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -118,7 +118,7 @@
 /// What a dispatch carries.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Call {
-    pub identity: Option<Arc<str>>,
+    pub mark: Option<Arc<str>>,
     pub token: Option<Arc<str>>,
     pub time_left: Micros,
     pub cost_hint: Option<Micros>,
@@ -172,7 +172,7 @@
     account: u32,
     function: Arc<str>,
     token: Option<Arc<str>>,
-    identity: Option<Arc<str>>,
+    mark: Option<Arc<str>>,
     hints: (Option<Micros>, Option<Micros>),
     copy_mb: f64,
     lanes: u32,
@@ -375,7 +375,7 @@
             account: t.account,
             function: t.function.clone(),
             token: t.token,
-            identity: t.identity.clone(),
+            mark: t.mark,
             hints: (t.cost_hint, t.load_hint),
             copy_mb: t.copy_mb,
             lanes: t.lanes.max(1),
@@ -766,7 +766,7 @@
         }
         let time_left = it.gives_up_at - now;
         let call = Call {
-            identity: it.identity.clone(),
+            mark: it.mark.clone(),
             token: it.token.clone(),
             time_left,
             cost_hint: it.hints.0,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -104,6 +104,8 @@
     pub delivery: Delivery,
     /// The same for every delivery of the same message and for no other; absent if the message bears none.
     pub identity: Option<Arc<str>>,
+    /// What the worker is told as the invocation's name; nothing is decided by it.
+    pub mark: Option<Arc<str>>,
     /// Delivered before, to this router or another.
     pub redelivered: bool,
     /// A client's own repeat, where clients mark it.
--- a/crates/router/tests/world.rs
+++ b/crates/router/tests/world.rs
@@ -114,6 +114,7 @@
         Taken {
             delivery: Delivery { front: 0, life, tag },
             identity: Some(Arc::from(id)),
+            mark: Some(Arc::from(id)),
             redelivered: false,
             repeat: false,
             trigger,
