--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -387,6 +387,8 @@
                     told.entry((l.text("to").to_owned(), worker.clone())).or_insert(l.t);
                 }
             }
+            // When it was sent is not known: a cut held it back.
+            "received" | "ordered" if l.flag("held_back") => {}
             "received" | "ordered" => {
                 let Some(worker) = address.get(l.of.as_str()) else { continue };
                 let since = told.get(&(l.text("from").to_owned(), worker.clone()));
@@ -452,6 +454,7 @@
                 routers.remove(l.text("address"));
             }
             "delivered" => routers.entry(l.text("to")).or_default().taken.push_back(l.t),
+            "ordered" if l.flag("held_back") => {}
             "ordered" => {
                 let r = routers.entry(l.text("from")).or_default();
                 r.ordered.push_back(l.t);
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -291,7 +291,7 @@
         ["v2", "models", name, "infer"] => infer(it, from, model(name), request).await,
         ["v2", "repository", "models", name, "load"] => {
             let name = model(name);
-            it.log.write("ordered", json!({"function": name, "from": from.ip().to_string()}));
+            it.log.write("ordered", json!({"function": name, "from": from.ip().to_string(), "held_back": it.cut.held_back(from.ip())}));
             order(it, name).await
         }
         ["v2", "repository", "models", name, "unload"] => {
@@ -463,6 +463,7 @@
         |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
     let (id, dispatch) = (header("cedarpulley-invocation"), header("cedarpulley-dispatch"));
     let (kind, token) = (header("cedarpulley-trigger-type"), header("idempotency-key"));
+    let held_back = it.cut.held_back(from.ip());
     let from = from.ip().to_string();
     let program = it.programs.get(&kind).cloned();
     let work = program.as_ref().map_or(Duration::ZERO, |p| drawn(it.seed, &id, p.work));
@@ -470,7 +471,7 @@
         "received",
         json!({
             "id": id, "dispatch": dispatch, "from": from, "type": kind, "function": function,
-            "work": work.as_micros() as u64,
+            "work": work.as_micros() as u64, "held_back": held_back,
         }),
     );
     let mut leaves = Leaves { log: it.log.clone(), id: id.clone(), dispatch, from, how: "closed" };
