--- a/src/control.rs
+++ b/src/control.rs
@@ -956,7 +956,7 @@
         self.next_tick = None;
         forget_before(&mut self.ordered, self.now - self.loads.ration_window);
         forget_before(&mut self.taken, self.now - self.loads.ration_window);
-        // Symptom: with every worker judged bad nothing is sent, and trials that dispatches make due never are.
+        // Symptom: with every worker judged bad nothing is sent, and trials that come by dispatches never do.
         let stalled = self.held > 0 && self.workers.serving().all(|w| self.health.own_at(w) == 0);
         self.trial_due -= i32::from(stalled);
         self.retry_held(None, out);
