Bodies being read over REST count against the memory bound; one roomy stand-in worker

Cause: on rereading, bodies not yet whole were counted nowhere: 256 of them at 16 MB each could be held at once. Change: each promises its stated length (or the most one may have) until it is whole; beyond memory_mb a request is turned away unread. What a stand-in worker without limits is made of stands once instead of three times. Measured: a test with promised bodies up to the bound; it fails with the guard taken out.

--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -94,17 +94,7 @@
     let store = Store::start(&ground, "store", any, nature).map_err(io)?;
     let mut workers = Vec::new();
     for n in 0..WORKERS {
-        let nature = Nature {
-            cores: 1e6,
-            memory_mb: 1e6,
-            most_waiting: 100_000,
-            most_loads: 8,
-            loads_when_absent: true,
-            cold_part: 1.0,
-            cold_for: Duration::ZERO,
-            overload_multiple: f64::MAX,
-            overload_window: Duration::from_secs(1),
-        };
+        let nature = Nature::roomy(1e6);
         let program = Program {
             work: Duration::from_secs_f64(work_ms / 1e3),
             copy_mb: 1.0,
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -82,17 +82,7 @@
             forever("broker", broker.address)
         }
         Kind::Worker { listen, store, trigger, work_ms, lanes, cores, logs } => {
-            let nature = Nature {
-                cores,
-                memory_mb: 65536.0,
-                most_waiting: 10_000,
-                most_loads: 8,
-                loads_when_absent: true,
-                cold_part: 1.0,
-                cold_for: Duration::ZERO,
-                overload_multiple: f64::MAX,
-                overload_window: Duration::from_secs(1),
-            };
+            let nature = Nature::roomy(cores);
             let program = Program {
                 work: Duration::from_secs_f64(work_ms / 1e3),
                 copy_mb: 1.0,
--- a/crates/cli/tests/rest.rs
+++ b/crates/cli/tests/rest.rs
@@ -37,17 +37,7 @@
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let nature = store::Nature { mb_per_s: 1e6, abreast: 8, most: 100 };
     let store = Store::start(&ground, "store", any, nature).expect("a store");
-    let nature = Nature {
-        cores: 100.0,
-        memory_mb: 1e6,
-        most_waiting: 100,
-        most_loads: 8,
-        loads_when_absent: true,
-        cold_part: 1.0,
-        cold_for: Duration::ZERO,
-        overload_multiple: f64::MAX,
-        overload_window: Duration::from_secs(1),
-    };
+    let nature = Nature::roomy(100.0);
     let program = Program { work, copy_mb: 1.0, start_up: Duration::from_millis(1), lanes: 50, window: None };
     let programs = ["once", "again"].map(|k| (k.to_owned(), program.clone()));
     let (at, programs) = (store.server.address, HashMap::from(programs));
@@ -57,7 +47,7 @@
     let address = TcpListener::bind(any).and_then(|l| l.local_addr()).expect("a free port");
     let file = folder.join("router.toml");
     let settings = format!(
-        "[router]\nseed = 1\nmost_body_kb = {}\n[[trigger]]\nname = \"once\"\neffect = \"non-idempotent\"\n\
+        "[router]\nseed = 1\nmemory_mb = 1\nmost_body_kb = {}\n[[trigger]]\nname = \"once\"\neffect = \"non-idempotent\"\n\
          latency_objective_ms = 900\nclient_timeout_ms = 3000\n[[trigger]]\nname = \"again\"\n\
          effect = \"idempotent\"\nlatency_objective_ms = 900\nclient_timeout_ms = 3000\n\
          [[kserve]]\nlisten = \"{address}\"\n[workers]\nlist = [{{ address = \"{}\" }}]\n",
@@ -208,3 +198,22 @@
     assert_eq!(body(&first.1), body(&second.1));
     assert_eq!(r.logged(r#""what":"received""#), 1);
 }
+
+/// Bodies that are only promised count against the memory bound: beyond it a request is turned away unread.
+#[test]
+fn promised_bodies_are_bounded() {
+    let r = start("rest-promised", Duration::from_millis(1));
+    let head =
+        format!("POST /v2/models/f/infer HTTP/1.1\r\nhost: x\r\n{ONCE}content-length: {MOST_BODY}\r\n\r\n");
+    let promise = || {
+        let mut stream = TcpStream::connect(r.address).expect("it listens");
+        stream.write_all(head.as_bytes()).expect("written");
+        stream
+    };
+    let promised: Vec<TcpStream> = (0..(1 << 20) / MOST_BODY).map(|_| promise()).collect();
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(r.ask("POST", "/v2/models/f/infer", ONCE, b"{}").0, 429);
+    drop(promised);
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(r.ask("POST", "/v2/models/f/infer", ONCE, b"{}").0, 200);
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -254,7 +254,6 @@
             self.bell.ring();
             // Symptom: a broker sends on but reads nothing. What it is owed must not pile up here.
             while self.connection.borrow().as_ref().is_some_and(|c| c.waiting() > MOST_WAITING) {
-                smol::future::yield_now().await;
                 Timer::after(std::time::Duration::from_millis(1)).await;
             }
         }
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -17,7 +17,7 @@
 use cedarpulley_router::{Answer, Delivery, Fate, FrontIx, Input, Taken};
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -54,6 +54,9 @@
     most_body: u64,
     grant: Cell<u32>,
     out: Cell<u32>,
+    /// Bytes promised by bodies that are still being read, and the most of that.
+    reading: Cell<u64>,
+    most_reading: u64,
     next: Cell<u64>,
     waiting: RefCell<HashMap<u64, Sender<Answer>>>,
     /// Requests turned away for want of room.
@@ -82,6 +85,22 @@
     }
 }
 
+/// Bytes that a body being read may take, given back when it is whole or its client has gone.
+struct Reads<'a>(&'a Rest, u64);
+
+impl<'a> Reads<'a> {
+    fn begin(rest: &'a Rest, promised: u64) -> Self {
+        rest.reading.set(rest.reading.get() + promised);
+        Reads(rest, promised)
+    }
+}
+
+impl Drop for Reads<'_> {
+    fn drop(&mut self) {
+        self.0.reading.set(self.0.reading.get().saturating_sub(self.1));
+    }
+}
+
 type Reply = Response<Full<Bytes>>;
 
 fn reply(status: StatusCode, body: impl Into<Bytes>) -> Reply {
@@ -96,13 +115,15 @@
 }
 
 impl Rest {
-    pub fn new(ix: FrontIx, listen: Listen, most_body: u64) -> Self {
+    pub fn new(ix: FrontIx, listen: Listen, most_body: u64, most_reading: u64) -> Self {
         Rest {
             ix,
             listen,
             most_body,
             grant: Cell::new(0),
             out: Cell::new(0),
+            reading: Cell::new(0),
+            most_reading,
             next: Cell::new(0),
             waiting: RefCell::default(),
             turned_away: Cell::new(0),
@@ -198,7 +219,9 @@
             }
         };
         // Turned away before it is taken: nothing is owed but this, and nothing of it has run.
-        if self.out.get() >= self.grant.get() {
+        // A body without a stated length may be as long as any.
+        let promised = body.size_hint().exact().unwrap_or(self.most_body).min(self.most_body);
+        if self.out.get() >= self.grant.get() || self.reading.get() + promised > self.most_reading {
             self.turned_away.set(self.turned_away.get() + 1);
             let mut reply = wrong(StatusCode::TOO_MANY_REQUESTS, "as much is out as may be");
             reply.headers_mut().insert(serving::FATE, HeaderValue::from_static("throttled"));
@@ -215,6 +238,7 @@
             Timer::after(micros(BODY_WITHIN)).await;
             None
         };
+        let reads = Reads::begin(&self, promised);
         let whole = async { Some(Limited::new(body, self.most_body as usize).collect().await) };
         let body = match whole.or(late).await {
             Some(Ok(body)) => body.to_bytes(),
@@ -227,6 +251,7 @@
             Some(Err(_)) => return wrong(StatusCode::BAD_REQUEST, "the body broke off"),
             None => return wrong(StatusCode::REQUEST_TIMEOUT, "the body was not whole in time"),
         };
+        drop(reads);
         let (answers, answered) = bounded(1);
         self.waiting.borrow_mut().insert(tag, answers);
         gateway.feed(Input::Taken(Taken {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -276,9 +276,10 @@
     for listen in &listens {
         listeners.push(Async::<TcpListener>::bind(listen.address)?);
     }
-    let first = sources.len();
+    let (first, memory_bytes) = (sources.len(), terms.memory_bytes);
     let rests = listens.into_iter().enumerate();
-    let rests = rests.map(|(n, l)| Rc::new(Rest::new((first + n) as u32, l, most_body))).collect();
+    let rests =
+        rests.map(|(n, l)| Rc::new(Rest::new((first + n) as u32, l, most_body, memory_bytes))).collect();
     let fronts = sources.into_iter().enumerate();
     let gateway = Rc::new(Gateway {
         clock,
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -56,6 +56,23 @@
     pub overload_window: Duration,
 }
 
+impl Nature {
+    /// Room for all that comes, and warm from its start.
+    pub fn roomy(cores: f64) -> Self {
+        Nature {
+            cores,
+            memory_mb: 1e6,
+            most_waiting: 100_000,
+            most_loads: 8,
+            loads_when_absent: true,
+            cold_part: 1.0,
+            cold_for: Duration::ZERO,
+            overload_multiple: f64::MAX,
+            overload_window: Duration::from_secs(1),
+        }
+    }
+}
+
 /// Tokens that a group of workers remembers.
 #[derive(Clone, Default)]
 pub struct Memory(Arc<Mutex<HashMap<String, Remembered>>>);
