--- a/crates/amqp/src/meaning.rs
+++ b/crates/amqp/src/meaning.rs
@@ -14,6 +14,8 @@
 pub const COPY_MB: &str = "copy-mb";
 pub const LANES: &str = "lanes";
 pub const REPEAT: &str = "repeat";
+/// Of a body with two parts: the length of the first.
+pub const FIRST_PART: &str = "first-part";
 /// Headers of an answer.
 pub const FATE: &str = "fate";
 pub const REASON: &str = "reason";
@@ -40,6 +42,7 @@
     pub copy_mb: f64,
     pub lanes: u32,
     pub repeat: bool,
+    pub first_part: Option<u32>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -134,6 +137,7 @@
         load_hint_us: headers.number(LOAD_HINT_US, LONGEST_US)?,
         copy_mb,
         lanes: headers.number(LANES, MOST_LANES)?.unwrap_or(1).max(1) as u32,
+        first_part: headers.number(FIRST_PART, message.body.len() as i64)?.map(|n| n as u32),
         repeat: matches!(headers.get(REPEAT), Some(AMQPValue::Boolean(true))),
     })
 }
@@ -145,6 +149,7 @@
     reason: &str,
     field: Option<&str>,
     return_after_us: Option<i64>,
+    first_part: Option<u32>,
 ) -> AMQPProperties {
     let mut headers = FieldTable::default();
     let mut put = |name: &str, value: &str| {
@@ -158,6 +163,9 @@
     if let Some(us) = return_after_us {
         headers.insert(ShortString::from(RETURN_AFTER_US), AMQPValue::LongLongInt(us));
     }
+    if let Some(n) = first_part {
+        headers.insert(ShortString::from(FIRST_PART), AMQPValue::LongLongInt(i64::from(n)));
+    }
     let mut properties = AMQPProperties::default().with_headers(headers);
     if let Some(id) = to.correlation_id() {
         properties = properties.with_correlation_id(id.clone());
--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -36,6 +36,8 @@
     pub fetches: u64,
     pub by_type: BTreeMap<String, Tally>,
     pub by_account: BTreeMap<String, Tally>,
+    /// By the queue that it was published to, or `calls`.
+    pub by_front: BTreeMap<String, Tally>,
     pub by_reason: BTreeMap<String, u64>,
     pub breaks: Vec<String>,
 }
@@ -53,6 +55,7 @@
 struct Inv {
     kind: String,
     account: String,
+    front: String,
     published: i64,
     timeout: Option<i64>,
     /// When, and to whom.
@@ -120,7 +123,7 @@
             "{:<18} {:>8} {:>9} {:>9} {:>8} {:>12}",
             "", "taken", "succeeded", "throttled", "errored", "in objective"
         );
-        for (name, s) in self.by_type.iter().chain(&self.by_account) {
+        for (name, s) in self.by_type.iter().chain(&self.by_account).chain(&self.by_front) {
             let _ = writeln!(
                 t,
                 "{name:<18} {:>8} {:>9} {:>9} {:>8} {:>11.1}%",
@@ -184,6 +187,7 @@
                 inv.kind = l.text("type").to_owned();
                 inv.account = l.text("account").to_owned();
                 (inv.published, inv.timeout) = (l.t, l.number("timeout"));
+                inv.front = l.text("queue").to_owned();
             }
             "published" => {
                 let answer = (l.t, l.text("fate").to_owned(), l.text("reason").to_owned());
@@ -280,6 +284,8 @@
         count(kinds, inv, good);
         let account = v.by_account.entry(inv.account.clone()).or_default();
         count(account, inv, good);
+        let front = v.by_front.entry(inv.front.clone()).or_default();
+        count(front, inv, good);
         if let Some(answer) = inv.answers.first()
             && let Some(d) = inv.dispatches.iter().find(|d| d.at > answer.0 + APART_US)
         {
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -28,6 +28,8 @@
     pub kind: String,
     pub function: String,
     pub account: String,
+    /// Over KServe v2.
+    pub calls: bool,
     pub queue: String,
     pub timeout_ms: u64,
     pub copy_mb: f64,
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -23,12 +23,13 @@
 
 use crate::Plain;
 use crate::client::{Arrival, Client};
-use crate::dayfile::{self, Day, Trouble, What};
+use crate::dayfile::{self, Day, Trouble, Way, What};
 use crate::rest_client::Callers;
 
 const CLIENTS: u32 = 3;
 /// Tells the draw of the front apart from the others of the same seed.
 const CALLS: u64 = 0xca11;
+const FLOODS: u64 = 0xf100d << 8;
 const THREADS: usize = 3;
 /// Routers consume within this time of their start, or the day is not played.
 const READY_WITHIN: Duration = Duration::from_secs(15);
@@ -62,6 +63,7 @@
     listens: Vec<SocketAddr>,
     log: Log,
     tamper: Option<String>,
+    program: Option<PathBuf>,
 }
 
 pub fn play(
@@ -69,6 +71,7 @@
     out: Option<PathBuf>,
     seed: Option<u64>,
     tamper: Option<String>,
+    program: Option<PathBuf>,
     json: bool,
 ) -> Plain<bool> {
     let mut day = dayfile::read(path)?;
@@ -87,7 +90,7 @@
     let text = serde_json::to_string_pretty(&terms).map_err(|e| e.to_string())?;
     std::fs::write(out.join("terms.json"), text).map_err(io)?;
     let ground = Ground::new(THREADS, Some(&out.join("traffic"))).map_err(io)?;
-    let fleet = Arc::new(fleet(&day, &terms, ground, &out, tamper).map_err(io)?);
+    let fleet = Arc::new(fleet(&day, &terms, ground, &out, tamper, program).map_err(io)?);
     let stopped = async_io::block_on(run(&day, &fleet));
     // No router outlives the day, however it went.
     lock(&fleet.routers).iter_mut().flatten().for_each(|c| {
@@ -163,6 +166,7 @@
     ground: Ground,
     out: &Path,
     tamper: Option<String>,
+    program: Option<PathBuf>,
 ) -> std::io::Result<Fleet> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let us = |t: i64| Duration::from_micros(t.max(0) as u64);
@@ -233,7 +237,21 @@
     let routers = Mutex::new((0..day.routers).map(|_| None).collect());
     let rows = Mutex::new(rows);
     let log = ground.log("day")?;
-    Ok(Fleet { ground, broker, store, list, workers, rows, routers, files, addresses, listens, log, tamper })
+    Ok(Fleet {
+        ground,
+        broker,
+        store,
+        list,
+        workers,
+        rows,
+        routers,
+        files,
+        addresses,
+        listens,
+        log,
+        tamper,
+        program,
+    })
 }
 
 fn address_of(day: &Day, n: u32) -> std::net::IpAddr {
@@ -299,7 +317,10 @@
         }
         let wrong = |e: std::io::Error| format!("router {n}: {e}");
         self.log.write("router-up", serde_json::json!({"address": self.addresses[n].to_string()}));
-        let program = std::env::current_exe().map_err(wrong)?;
+        let program = match &self.program {
+            Some(program) => program.clone(),
+            None => std::env::current_exe().map_err(wrong)?,
+        };
         let log = std::fs::File::options()
             .create(true)
             .append(true)
@@ -362,9 +383,8 @@
     let began = Instant::now();
     let mut clients: Vec<Vec<Arrival>> = (0..CLIENTS).map(|_| Vec::new()).collect();
     let mut calls = Vec::new();
-    let mut random = Pcg64Mcg::seed_from_u64(day.seed ^ CALLS);
     for (n, arrival) in arrivals(day).into_iter().enumerate() {
-        match random.random::<f64>() < day.kserve_part {
+        match arrival.calls {
             true => calls.push(arrival),
             false => clients[n % CLIENTS as usize].push(arrival),
         }
@@ -447,12 +467,13 @@
     };
     let triggers: Vec<f64> = day.triggers.iter().map(|t| t.part).collect();
     let accounts: Vec<f64> = day.accounts.iter().map(|a| a.part).collect();
+    let mut ways = Pcg64Mcg::seed_from_u64(day.seed ^ CALLS);
     loop {
         let now = |what: What| {
             day.troubles.iter().find(|t| t.what == what && (t.at_s..t.at_s + t.for_s).contains(&at))
         };
         let rate = day.rate_per_s * now(What::TrafficShift).map_or(1.0, |t| t.size);
-        let Ok(gap) = Exp::new(rate) else { return all };
+        let Ok(gap) = Exp::new(rate) else { break };
         let (hot, scan, abuse) = (now(What::HotFunction), now(What::Scan), now(What::RetryAbuse));
         let retries = abuse.map_or(0, |t| t.size as u32);
         let t = &day.triggers[pick(&mut random, &triggers).unwrap_or(0)];
@@ -466,7 +487,7 @@
         };
         at += gap.sample(&mut random);
         if at >= day.seconds {
-            return all;
+            break;
         }
         all.push(Arrival {
             at: Duration::from_secs_f64(at),
@@ -474,6 +495,7 @@
             kind: t.name.clone(),
             function: format!("{}:{number}", t.name),
             account: account.name.clone(),
+            calls: ways.random::<f64>() < day.kserve_part,
             queue: queue(&account.name),
             timeout_ms: t.client_timeout_ms,
             copy_mb: t.copy_mb,
@@ -482,6 +504,35 @@
             retries,
         });
     }
+    // Floods have draws of their own: taken away, the rest of the day stays as it is.
+    let usual = all.clone();
+    for (n, flood) in day.troubles.iter().enumerate().filter(|(_, t)| t.what == What::Flood) {
+        let mut random = Pcg64Mcg::seed_from_u64(day.seed ^ FLOODS ^ n as u64);
+        let calls = flood.front == Some(Way::Kserve);
+        let part = if calls { day.kserve_part } else { 1.0 - day.kserve_part };
+        // Its share is there already.
+        let Ok(gap) = Exp::new(day.rate_per_s * part * (flood.size - 1.0)) else { continue };
+        let mut at = flood.at_s;
+        loop {
+            at += gap.sample(&mut random);
+            if at >= (flood.at_s + flood.for_s).min(day.seconds) {
+                break;
+            }
+            // Alike in all to one of the day's, but for its front and account.
+            let like = usual[random.random_range(0..usual.len())].clone();
+            let account = flood.account.clone().unwrap_or(like.account);
+            all.push(Arrival {
+                at: Duration::from_secs_f64(at),
+                id: format!("i{:06}", all.len()),
+                queue: queue(&account),
+                account,
+                calls,
+                ..like
+            });
+        }
+    }
+    all.sort_by_key(|a| a.at);
+    all
 }
 
 async fn bring(fleet: &Arc<Fleet>, t: &Trouble, zones: &[String], mut random: Pcg64Mcg) {
@@ -600,7 +651,7 @@
             fleet.list.late(Duration::ZERO);
         }
         // These are in the arrivals.
-        What::HotFunction | What::Scan | What::TrafficShift | What::RetryAbuse => {}
+        What::HotFunction | What::Scan | What::TrafficShift | What::RetryAbuse | What::Flood => {}
     }
 }
 
--- a/crates/cli/src/dayfile.rs
+++ b/crates/cli/src/dayfile.rs
@@ -121,6 +121,8 @@
     RouterKill,
     ListLate,
     RetryAbuse,
+    /// One front gets so many times its share.
+    Flood,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -143,6 +145,19 @@
     pub zone: Option<String>,
     #[serde(default)]
     pub trigger: Option<String>,
+    #[serde(default)]
+    pub front: Option<Way>,
+    /// All of a flood is this account's.
+    #[serde(default)]
+    pub account: Option<String>,
+}
+
+/// By which front invocations come.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Way {
+    Amqp,
+    Kserve,
 }
 
 pub fn read(path: &Path) -> Plain<Day> {
@@ -172,6 +187,12 @@
         if t.which.iter().any(|w| *w >= most) || !(0.0..=1.0).contains(&t.part) {
             return Err(format!("{file}: trouble {:?} at {} s names what is not there", t.what, t.at_s));
         }
+        if t.what == What::Flood && (t.front.is_none() || !within(t.size, 1000.0)) {
+            return wrong("a flood needs a front and a size");
+        }
+        if t.account.as_ref().is_some_and(|a| day.accounts.iter().all(|d| d.name != *a)) {
+            return wrong("a trouble names an unknown account");
+        }
         if t.zone.as_ref().is_some_and(|z| !day.zones.contains(z)) {
             return wrong("a trouble names an unknown zone");
         }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -64,6 +64,9 @@
         /// One of late, lost, double, repeat, deaf, push, orders: one router breaks a rule on purpose.
         #[arg(long)]
         tamper: Option<String>,
+        /// Another build of this program to run as the routers, to be compared with this one.
+        #[arg(long)]
+        router: Option<PathBuf>,
         /// Prints the verdict as JSON.
         #[arg(long)]
         json: bool,
@@ -116,8 +119,8 @@
             true
         }),
         Command::Standin { kind } => standin::run(kind).map(|()| true),
-        Command::Day { day, out, seed, tamper, json } => {
-            named(&tamper).and_then(|_| day::play(&day, out, seed, tamper, json))
+        Command::Day { day, out, seed, tamper, router, json } => {
+            named(&tamper).and_then(|_| day::play(&day, out, seed, tamper, router, json))
         }
         Command::Measure { rate, seconds, work_ms, lanes, folder } => {
             measure::run(rate, seconds, work_ms, lanes, &folder).map(|()| true)
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -136,6 +136,7 @@
                 lanes,
                 body: BODY.into(),
                 retries: 0,
+                calls: false,
             });
             let client = Client {
                 broker: broker.address,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -14,7 +14,7 @@
 use cedarpulley_amqp::{Connection, Event, Fault, Message, Role, meaning};
 use cedarpulley_router::admission::FrontState;
 use cedarpulley_router::backoff::Backoff;
-use cedarpulley_router::{Answer, Delivery, Fate, FrontIx, Input, Reason, Taken};
+use cedarpulley_router::{Answer, Delivery, Fate, FrontIx, Input, Payload, Reason, Taken};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
 use crate::net::{Bell, Stream, connect};
@@ -59,6 +59,7 @@
         Reason::Overdue => "overdue",
         Reason::Functions => "too-many-functions",
         Reason::Size => "no-memory",
+        Reason::Share => "beyond-share",
     }
 }
 
@@ -96,9 +97,9 @@
         gateway.answered.borrow_mut().saturating_record((gateway.clock.now() - taken).max(0) as u64);
         if let Some(c) = self.connection.borrow_mut().as_mut() {
             let (f, r) = (fate(answer.fate), reason(answer.reason));
-            let properties = meaning::answer(to, f, r, None, answer.return_after);
+            let properties = meaning::answer(to, f, r, None, answer.return_after, answer.body.first);
             let reply_to = to.reply_to().as_ref().map(|r| r.as_str());
-            c.answer(delivery.tag, reply_to.map(|to| (to, properties, answer.body.as_ref())));
+            c.answer(delivery.tag, reply_to.map(|to| (to, properties, answer.body.bytes.as_ref())));
         }
         self.bell.ring();
     }
@@ -304,7 +305,7 @@
         };
         match understood {
             Ok(mut taken) => {
-                taken.body = Bytes::from(message.body);
+                taken.body = Payload { bytes: Bytes::from(message.body), first: taken.body.first };
                 self.owed.borrow_mut().insert(message.tag, (message.properties, gateway.clock.now()));
                 gateway.feed(Input::Taken(taken));
             }
@@ -318,7 +319,8 @@
                         Some(to) => {
                             let p = &message.properties;
                             let field = format!("{}: {}", wrong.field, wrong.cause);
-                            let answer = meaning::answer(p, "errored", "not-understood", Some(&field), None);
+                            let answer =
+                                meaning::answer(p, "errored", "not-understood", Some(&field), None, None);
                             c.answer(message.tag, Some((to, answer, b"")));
                         }
                         None => c.reject(message.tag),
@@ -359,7 +361,7 @@
             load_hint: t.load_hint_us,
             copy_mb: t.copy_mb,
             lanes: t.lanes,
-            body: Bytes::new(),
+            body: Payload { bytes: Bytes::new(), first: t.first_part },
         })
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,9 @@
 //!
 //! Begin reading at [`serve`]; then [`front`] (AMQP), [`rest`] (KServe v2), [`pool`] (workers), [`list`] (the worker list).
 
+pub mod calls;
 pub mod front;
+pub mod grpc;
 pub mod list;
 pub mod meddle;
 pub mod net;
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -136,7 +136,8 @@
                     account: None,
                     time_left: call.time_left,
                 };
-                let request = requests::infer(&address.to_string(), &function, marks, call.body);
+                let request =
+                    requests::infer(&address.to_string(), &function, marks, call.body.bytes, call.body.first);
                 let _ = it.pool.exchange(worker, address, request, false).await;
             };
             gateway.executor.spawn(send).detach();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,16 +11,16 @@
 use cedarpulley::Control;
 use cedarpulley::interface::{ListMode, Micros, Outcome, Report, WorkerIx};
 use cedarpulley_kserve::{endings, requests};
-use cedarpulley_router::{FrontIx, Input, Output, Router};
+use cedarpulley_router::{FrontIx, Input, Output, Payload, Router};
 use futures_lite::{FutureExt, StreamExt};
 use hdrhistogram::Histogram;
 
+use crate::calls::Calls;
 use crate::front::Front;
 use crate::list;
 use crate::meddle::{Meddle, Meddler};
 use crate::net::{Bell, Clock};
 use crate::pool::{Pool, ended};
-use crate::rest::Rest;
 use crate::settings::{Names, Parts, WorkerList};
 
 /// How often connections that have been idle too long are looked for.
@@ -45,7 +45,7 @@
     router: RefCell<Router>,
     fronts: Vec<Rc<Front>>,
     /// Their indices follow those of `fronts`.
-    rests: Vec<Rc<Rest>>,
+    callers: Vec<Rc<Calls>>,
     pub(crate) pool: Rc<Pool>,
     due: Cell<Micros>,
     timer: Bell,
@@ -78,12 +78,17 @@
                 match self.fronts.get(delivery.front as usize) {
                     Some(front) => self.meddler.answer(self, front, delivery, answer),
                     None => {
-                        if let Some(rest) = self.rest(delivery.front).filter(|_| !self.meddler.loses()) {
-                            rest.answer(delivery, answer);
+                        if let Some(calls) = self.calls(delivery.front).filter(|_| !self.meddler.loses()) {
+                            calls.answer(delivery, answer);
                         }
                     }
                 }
             }
+            Output::Entry { delivery, entry } => {
+                if let Some(calls) = self.calls(delivery.front) {
+                    calls.entry(entry);
+                }
+            }
             Output::Discard(delivery) => {
                 if let Some(front) = self.fronts.get(delivery.front as usize) {
                     front.discard(delivery);
@@ -92,8 +97,8 @@
             Output::Grant { front, most } => match self.fronts.get(front as usize) {
                 Some(front) => front.grant(most),
                 None => {
-                    if let Some(rest) = self.rest(front) {
-                        rest.grant(most);
+                    if let Some(calls) = self.calls(front) {
+                        calls.grant(most);
                     }
                 }
             },
@@ -111,15 +116,20 @@
                     };
                     let result = match it.address(worker) {
                         Some(address) => {
-                            let request = requests::infer(&address.to_string(), &function, marks, call.body);
+                            let (host, body) = (address.to_string(), call.body);
+                            let request = requests::infer(&host, &function, marks, body.bytes, body.first);
                             it.pool.exchange(worker, address, request, false).await
                         }
                         None => Err(crate::pool::Failed::NoConnection),
                     };
                     let read = endings::infer(&ended(&result, &function));
                     let body = match result {
-                        Ok(reply) if read.outcome == Outcome::Succeeded => reply.body,
-                        _ => bytes::Bytes::new(),
+                        Ok(reply) if read.outcome == Outcome::Succeeded => {
+                            let json = endings::json_length(&reply.headers, &reply.body);
+                            let first = json.filter(|n| *n < reply.body.len()).map(|n| n as u32);
+                            Payload { bytes: reply.body, first }
+                        }
+                        _ => Payload::default(),
                     };
                     tracing::debug!(inv = ticket.inv, dispatch = ticket.dispatch, worker, outcome = ?read.outcome, "ended");
                     it.pool.finished(ticket);
@@ -182,8 +192,12 @@
         }
     }
 
-    fn rest(&self, front: FrontIx) -> Option<&Rc<Rest>> {
-        self.rests.get((front as usize).checked_sub(self.fronts.len())?)
+    fn calls(&self, front: FrontIx) -> Option<&Rc<Calls>> {
+        self.callers.get((front as usize).checked_sub(self.fronts.len())?)
+    }
+
+    pub(crate) fn functions(&self) -> Vec<String> {
+        self.router.borrow().functions().map(str::to_owned).collect()
     }
 
     pub(crate) fn address(&self, worker: WorkerIx) -> Option<SocketAddr> {
@@ -227,9 +241,10 @@
     async fn stop(self: &Rc<Self>, longest: Micros) -> bool {
         tracing::info!("stopping: nothing new is taken");
         self.feed(Input::Stop);
+        self.callers.iter().for_each(|c| c.stop());
         let until = self.clock.now() + longest + STOP_MARGIN;
         let fronts =
-            || self.fronts.iter().all(|f| f.is_drained()) && self.rests.iter().all(|r| r.is_drained());
+            || self.fronts.iter().all(|f| f.is_drained()) && self.callers.iter().all(|r| r.is_drained());
         let empty = || self.router.borrow().open() == 0 && fronts();
         while !empty() && self.clock.now() < until {
             Timer::after(STOP_LOOK).await;
@@ -276,10 +291,9 @@
     for listen in &listens {
         listeners.push(Async::<TcpListener>::bind(listen.address)?);
     }
-    let (first, memory_bytes) = (sources.len(), terms.memory_bytes);
-    let rests = listens.into_iter().enumerate();
-    let rests =
-        rests.map(|(n, l)| Rc::new(Rest::new((first + n) as u32, l, most_body, memory_bytes))).collect();
+    let first = sources.len();
+    let callers = listens.into_iter().enumerate();
+    let callers = callers.map(|(n, l)| Rc::new(Calls::new((first + n) as u32, l, most_body))).collect();
     let fronts = sources.into_iter().enumerate();
     let gateway = Rc::new(Gateway {
         clock,
@@ -294,7 +308,7 @@
         executor: executor.clone(),
         router: RefCell::new(Router::new(control, birth.triggers, terms)),
         fronts: fronts.map(|(ix, s)| Rc::new(Front::new(ix as u32, s, most_body))).collect(),
-        rests,
+        callers,
         pool: Rc::new(Pool::new(executor.clone(), clock, links)),
         due: Cell::new(Micros::MAX),
         timer: Bell::default(),
@@ -310,8 +324,8 @@
         for front in &gateway.fronts {
             executor.spawn(front.clone().run(gateway.clone())).detach();
         }
-        for (rest, listener) in gateway.rests.iter().zip(listeners) {
-            executor.spawn(rest.clone().run(gateway.clone(), listener)).detach();
+        for (calls, listener) in gateway.callers.iter().zip(listeners) {
+            executor.spawn(calls.clone().run(gateway.clone(), listener)).detach();
         }
         let pool = gateway.pool.clone();
         let tidy = async move {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,7 +7,7 @@
 use cedarpulley_router::Terms;
 use cedarpulley_router::roster::Listed;
 
-use crate::rest::Listen;
+use crate::calls::{Listen, Protocol};
 use crate::sheet::{Refused, Section, Sheet};
 
 /// A day in milliseconds: no time in the file is longer.
@@ -253,6 +253,15 @@
         let listen = Listen {
             name: s.text("name", Some("kserve")),
             address: s.address("listen"),
+            protocol: match s.text("protocol", Some("rest")).as_str() {
+                "rest" => Protocol::Rest,
+                "grpc" => Protocol::Grpc,
+                _ => {
+                    s.wrong("protocol", "is none of rest, grpc");
+                    Protocol::Rest
+                }
+            },
+            most_streams: s.count("most_streams", 1..10_000, Some(100)) as u32,
             most_connections: s.count("most_connections", 1..1_000_000, Some(10_000)) as usize,
         };
         if listens.iter().any(|l| l.address == listen.address && l.address.port() != 0) {
@@ -290,6 +299,7 @@
         clock_margin,
         memory_bytes,
         front_weights: weights,
+        account_shares: accounts.iter().map(|a| a.share).collect(),
         order_answered_within: loads.order_answered_within,
     };
     for known in ["router", "dispatch", "rules", "loads", "prices", "workers", "kind"] {
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -61,7 +61,7 @@
         account: None,
         time_left: 1_000_000,
     };
-    requests::infer(&address.to_string(), "f", marks, Bytes::from_static(b"{}"))
+    requests::infer(&address.to_string(), "f", marks, Bytes::from_static(b"{}"), None)
 }
 
 /// So many exchanges one after the other, within a time.
--- a/crates/kserve/src/endings.rs
+++ b/crates/kserve/src/endings.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, StatusCode};
 
 use crate::reports;
+use crate::requests::{JSON_LENGTH, VERSIONS};
 
 /// Answers up to this size are looked into for the model they name.
 const LOOKED_INTO: usize = 64 * 1024;
@@ -60,6 +61,8 @@
         Ended::Answered { status, headers, body, function } => {
             let refused = reports::text(headers, reports::RAN) == Some("no");
             let outcome = match status.as_u16() {
+                // Symptom: raw tensors are told of that are not there.
+                200 if json_length(headers, body).is_none() => Outcome::Errored,
                 200 if other_model(headers, body, function) => Outcome::Errored,
                 200 => Outcome::Succeeded,
                 404 if refused => Outcome::Missed,
@@ -76,6 +79,14 @@
     }
 }
 
+/// How much of an answer is JSON: all of it, unless the binary-data extension says less; absent if it says more.
+pub fn json_length(headers: &HeaderMap, body: &[u8]) -> Option<usize> {
+    match headers.get(JSON_LENGTH) {
+        None => Some(body.len()),
+        Some(_) => reports::number(headers, JSON_LENGTH).map(|n| n as usize).filter(|n| *n <= body.len()),
+    }
+}
+
 /// An order to load or a question; with how many copies stand.
 pub fn order(ended: &Ended) -> (OrderResult, u32) {
     match ended {
@@ -113,11 +124,14 @@
     if let Some(name) = reports::text(headers, reports::MODEL) {
         return name != function;
     }
+    let body = &body[..json_length(headers, body).unwrap_or(0)];
     if body.len() > LOOKED_INTO || body.first() != Some(&b'{') {
         return false;
     }
     let named = serde_json::from_slice::<Named>(body).ok().and_then(|n| n.model_name);
-    named.is_some_and(|name| name != function)
+    // A versioned one is named without its version.
+    let asked = function.split_once(VERSIONS).map_or(function, |(name, _)| name);
+    named.is_some_and(|name| name != function && name != asked)
 }
 
 #[cfg(test)]
@@ -161,5 +175,10 @@
         assert_eq!(answered(200, &[("cedarpulley-model", "g")], b""), Outcome::Errored);
         assert_eq!(answered(200, &[], br#"{"model_name":"g","outputs":[]}"#), Outcome::Errored);
         assert_eq!(answered(200, &[], br#"{"model_name":"f","outputs":[]}"#), Outcome::Succeeded);
+        let raw = |n| answered(200, &[("inference-header-content-length", n)], b"{\"model_name\":\"f\"}\x01");
+        assert_eq!(
+            (raw("18"), raw("30"), raw("x")),
+            (Outcome::Succeeded, Outcome::Errored, Outcome::Errored)
+        );
     }
 }
--- a/crates/kserve/src/requests.rs
+++ b/crates/kserve/src/requests.rs
@@ -12,6 +12,10 @@
 pub const TRIGGER_TYPE: &str = "cedarpulley-trigger-type";
 pub const ACCOUNT: &str = "cedarpulley-account";
 pub const TIME_LEFT_US: &str = "cedarpulley-time-left-us";
+/// Of the binary-data extension: the JSON's length; raw tensors follow it.
+pub const JSON_LENGTH: &str = "inference-header-content-length";
+/// Parts the version from the name in a function's name, as it does in paths.
+pub const VERSIONS: &str = "/versions/";
 /// As in the IETF draft on the idempotency key: by it a worker knows a repeat.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
@@ -45,14 +49,24 @@
     }
 }
 
+/// As it stands in a path, with its version if it has one.
 fn model(function: &str) -> String {
-    utf8_percent_encode(function, PART).to_string()
+    let part = |text| utf8_percent_encode(text, PART).to_string();
+    match function.split_once(VERSIONS) {
+        Some((name, version)) => format!("{}{VERSIONS}{}", part(name), part(version)),
+        None => part(function),
+    }
 }
 
-pub fn infer(host: &str, function: &str, marks: Marks, body: Bytes) -> Request<Bytes> {
+/// `json`: where raw tensors follow in the body, the length of what is JSON.
+pub fn infer(host: &str, function: &str, marks: Marks, body: Bytes, json: Option<u32>) -> Request<Bytes> {
     let path = format!("/v2/models/{}/infer", model(function));
     let mut r = request(Method::POST, host, &path, body);
-    r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let kind = if json.is_some() { "application/octet-stream" } else { "application/json" };
+    r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    if let Some(json) = json {
+        r.headers_mut().insert(JSON_LENGTH, HeaderValue::from(json));
+    }
     put(&mut r, DISPATCH, &marks.dispatch.to_string());
     put(&mut r, TRIGGER_TYPE, marks.trigger);
     put(&mut r, TIME_LEFT_US, &marks.time_left.to_string());
--- a/crates/kserve/src/serving.rs
+++ b/crates/kserve/src/serving.rs
@@ -4,9 +4,10 @@
 use cedarpulley::interface::Micros;
 use http::{HeaderMap, Method, StatusCode};
 use percent_encoding::percent_decode_str;
+use serde_json::json;
 
 use crate::reports::text;
-use crate::requests::{ACCOUNT, IDEMPOTENCY_KEY, TRIGGER_TYPE};
+use crate::requests::{ACCOUNT, IDEMPOTENCY_KEY, JSON_LENGTH, TRIGGER_TYPE, VERSIONS};
 
 pub const CLIENT_TIMEOUT_MS: &str = "cedarpulley-client-timeout-ms";
 pub const SENT_AT_US: &str = "cedarpulley-sent-at-us";
@@ -29,6 +30,7 @@
     ServerLive,
     ServerReady,
     ServerMetadata,
+    Index,
     ModelReady(String),
     ModelMetadata(String),
     Infer(String),
@@ -36,12 +38,34 @@
     WrongMethod,
 }
 
+/// The function that a model's name and version make; absent if there can be none. A name may not look as if it
+/// bore a version.
+pub fn function(name: &str, version: &str) -> Option<String> {
+    let fits = |text: &str| text.len() <= MOST_NAME && !text.contains(VERSIONS);
+    match (name, version) {
+        ("", _) => None,
+        (name, "") => fits(name).then(|| name.to_owned()),
+        (name, version) => {
+            let whole = format!("{name}{VERSIONS}{version}");
+            (fits(name) && fits(version) && whole.len() <= MOST_NAME).then_some(whole)
+        }
+    }
+}
+
+/// Name and version of a function; the version is empty if it has none.
+pub fn model(function: &str) -> (&str, &str) {
+    function.split_once(VERSIONS).unwrap_or((function, ""))
+}
+
 pub fn asked(method: &Method, path: &str) -> Asked {
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
-    let name = |raw: &str| percent_decode_str(raw).decode_utf8().ok().map(|n| n.into_owned());
-    let named = |raw: &str, of: fn(String) -> Asked| match name(raw) {
-        Some(name) if !name.is_empty() && name.len() <= MOST_NAME => of(name),
-        _ => Asked::Unknown,
+    let text = |raw: &str| percent_decode_str(raw).decode_utf8().ok().map(|n| n.into_owned());
+    let named = |raw: &str, of: fn(String) -> Asked| {
+        text(raw).and_then(|name| function(&name, "")).map_or(Asked::Unknown, of)
+    };
+    let versioned = |raw: &str, version: &str, of: fn(String) -> Asked| {
+        let both = text(raw).zip(text(version)).filter(|(_, v)| !v.is_empty());
+        both.and_then(|(name, version)| function(&name, &version)).map_or(Asked::Unknown, of)
     };
     let found = match parts.as_slice() {
         ["v2"] => Asked::ServerMetadata,
@@ -50,9 +74,14 @@
         ["v2", "models", raw] => named(raw, Asked::ModelMetadata),
         ["v2", "models", raw, "ready"] => named(raw, Asked::ModelReady),
         ["v2", "models", raw, "infer"] => named(raw, Asked::Infer),
+        ["v2", "models", raw, "versions", v] => versioned(raw, v, Asked::ModelMetadata),
+        ["v2", "models", raw, "versions", v, "ready"] => versioned(raw, v, Asked::ModelReady),
+        ["v2", "models", raw, "versions", v, "infer"] => versioned(raw, v, Asked::Infer),
+        ["v2", "repository", "index"] => Asked::Index,
         _ => Asked::Unknown,
     };
-    let wanted = if matches!(found, Asked::Infer(_)) { Method::POST } else { Method::GET };
+    let posted = matches!(found, Asked::Infer(_) | Asked::Index);
+    let wanted = if posted { Method::POST } else { Method::GET };
     match found {
         Asked::Unknown => Asked::Unknown,
         _ if *method != wanted => Asked::WrongMethod,
@@ -73,6 +102,8 @@
     pub copy_mb: f64,
     pub lanes: u32,
     pub repeat: bool,
+    /// Of the body so much is JSON, where raw tensors follow it.
+    pub json: Option<u32>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -111,6 +142,7 @@
         copy_mb: number(COPY_MB, 1 << 30)?.unwrap_or(0) as f64,
         lanes: number(LANES, MOST_LANES)?.unwrap_or(1).max(1) as u32,
         repeat: own(REPEAT)?.as_deref() == Some("true"),
+        json: number(JSON_LENGTH, i64::from(u32::MAX))?.map(|n| n as u32),
     })
 }
 
@@ -124,8 +156,27 @@
     (advice.max(0) + 999_999) / 1_000_000
 }
 
+/// What is offered beyond the protocol's core.
+pub const EXTENSIONS: [&str; 2] = ["binary_tensor_data", "model_repository"];
+
+/// Shapes are the workers' matter; a router knows a model by name alone.
+pub fn metadata(function: &str) -> String {
+    let (name, version) = model(function);
+    let versions: Vec<&str> = if version.is_empty() { vec![] } else { vec![version] };
+    json!({"name": name, "versions": versions, "platform": "", "inputs": [], "outputs": []}).to_string()
+}
+
+/// The functions asked for of late; each is loaded on demand, and so counts as ready.
+pub fn index(functions: &[String]) -> String {
+    let entry = |f: &String| {
+        let (name, version) = model(f);
+        json!({"name": name, "version": version, "state": "READY", "reason": ""})
+    };
+    serde_json::Value::Array(functions.iter().map(entry).collect()).to_string()
+}
+
 pub fn error(cause: &str) -> String {
-    serde_json::json!({ "error": cause }).to_string()
+    json!({ "error": cause }).to_string()
 }
 
 #[cfg(test)]
@@ -140,7 +191,12 @@
         assert_eq!(get("/v2/models/a%2Fb/ready"), Asked::ModelReady("a/b".into()));
         assert_eq!(get("/v2/models/a/infer"), Asked::WrongMethod);
         assert_eq!(asked(&Method::POST, "/v2/models/a/infer"), Asked::Infer("a".into()));
-        for path in ["/", "/v1/models/a", "/v2/models/%FF/ready", "/v2/models//infer"] {
+        assert_eq!(asked(&Method::POST, "/v2/repository/index"), Asked::Index);
+        assert_eq!(get("/v2/models/a/versions/2/ready"), Asked::ModelReady("a/versions/2".into()));
+        let tricks = ["/v2/models/a%2Fversions%2F2", "/v2/models/a/versions//ready"];
+        for path in
+            tricks.into_iter().chain(["/", "/v1/models/a", "/v2/models/%FF/ready", "/v2/models//infer"])
+        {
             assert_eq!(get(path), Asked::Unknown, "{path}");
         }
     }
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -1,16 +1,21 @@
 //! How many invocations this router may have taken, and from which front. Every one taken is a duty, so what is
-//! beyond stays where it is (at the broker). Called with [`Admission::taken`], [`Admission::ended`],
-//! [`Admission::front`] and [`Admission::grants`]; the latter says what each front may now have out.
+//! beyond stays where it is (at the broker), or is turned away at the door (`entry.rs`, which asks
+//! [`Admission::fill`]). Called with [`Admission::entered`], [`Admission::left`], [`Admission::kept`],
+//! [`Admission::ended`], [`Admission::front`] and [`Admission::grants`]; the latter says what each front may now
+//! have out.
 //!
 //! Mechanisms:
 //! 1. The limit grows while it is used and answers come in time, and shrinks when too many come late.
 //! 2. Memory: never more than the bodies that still fit, by their usual size.
-//! 3. Fronts share the limit by weight; what one does not use, the others may; each keeps at least one.
+//! 3. Fronts share the limit by weight; what one does not use, the others may; each keeps at least one. A front or an
+//!    account whose flood makes the others' few wait is capped (`shares.rs`).
 //! 4. A front that cannot send its answers out, or is stopping, takes next to nothing or nothing.
 
 use cedarpulley::interface::Micros;
 
 use crate::FrontIx;
+use crate::entry::Fill;
+use crate::shares::{Felt, Shares};
 
 /// Where the limit starts: what is taken waits in the module's order, dearest and timeliest first, and shows it the
 /// demand to load for; what stays at the broker waits first come, first served, until all of it is late. A few
@@ -30,6 +35,8 @@
 const GROW: f64 = 4.0;
 /// A grant moves only by at least this part, so that a front is not told of every small change.
 const STEP: f64 = 0.125;
+/// A late answer was crowded out if it waited here for more than this part of its time: less is its own work.
+const WAITED: f64 = 0.25;
 /// What a protocol can say at most (AMQP counts in 16 bits).
 const MOST: f64 = 65_535.0;
 
@@ -64,7 +71,8 @@
     body: f64,
     state: Vec<FrontState>,
     weight: Vec<f64>,
-    out: Vec<u32>,
+    fronts: Shares,
+    accounts: Shares,
     granted: Vec<u32>,
     stopping: bool,
     /// Something came in since the grants were last worked out.
@@ -72,8 +80,9 @@
 }
 
 impl Admission {
-    /// `weights`: one for each front, above 0. `memory_bytes`: for all bodies held at once.
-    pub fn new(weights: Vec<f64>, memory_bytes: u64) -> Self {
+    /// `weights`: one for each front, above 0. `shares`: one for each account; none if there is but one.
+    /// `memory_bytes`: for all bodies held at once.
+    pub fn new(weights: Vec<f64>, shares: &[f64], memory_bytes: u64) -> Self {
         let n = weights.len();
         Admission {
             limit: START,
@@ -85,8 +94,9 @@
             bytes: 0,
             body: 0.0,
             state: vec![FrontState::Down; n],
+            fronts: Shares::new(&weights),
+            accounts: Shares::new(shares),
             weight: weights,
-            out: vec![0; n],
             granted: vec![0; n],
             stopping: false,
             moved: true,
@@ -107,23 +117,74 @@
         self.moved = true;
     }
 
-    /// One more is out; false if its body has no room: it is answered at once and kept nowhere.
-    pub fn taken(&mut self, front: FrontIx, bytes: usize) -> bool {
+    /// One more is out: let in at the door, or taken from a broker.
+    pub fn entered(&mut self, now: Micros, front: FrontIx, account: u32) {
+        self.moved = true;
+        self.fronts.entered(now, front as usize);
+        self.accounts.entered(now, account as usize);
+    }
+
+    pub fn left(&mut self, front: FrontIx, account: u32) {
+        self.moved = true;
+        self.fronts.left(front as usize);
+        self.accounts.left(account as usize);
+    }
+
+    /// The body is to be kept; false if it has no room: it is answered at once and kept nowhere.
+    pub fn kept(&mut self, bytes: usize) -> bool {
         self.moved = true;
         self.body += (bytes as f64 - self.body) / MEMORY;
         if self.bytes + bytes as u64 > self.memory_bytes {
             return false;
         }
-        self.out[front as usize] += 1;
         self.bytes += bytes as u64;
         true
     }
 
-    pub fn ended(&mut self, now: Micros, front: FrontIx, bytes: usize, took: Micros, pace: Pace) {
+    /// An account that floods while others suffer: what it sends beyond its cap is given back at once, as a broker
+    /// hands out first come, first served, and the others' messages stand behind it.
+    pub fn beyond(&self, now: Micros, account: u32) -> bool {
+        let account = account as usize;
+        f64::from(self.accounts.out(account)) >= self.accounts.cap(now, account, self.limit)
+    }
+
+    /// How full it is for the door; `coming`: bytes of bodies on their way in.
+    pub fn fill(&self, now: Micros, front: FrontIx, account: u32, coming: u64) -> Fill {
+        let (f, a) = (front as usize, account as usize);
+        Fill {
+            limit: self.limit,
+            out: self.out(),
+            front: (self.fronts.out(f), self.fronts.cap(now, f, self.limit)),
+            account: (self.accounts.out(a), self.accounts.cap(now, a, self.limit)),
+            free_bytes: self.memory_bytes.saturating_sub(self.bytes + coming),
+            usual: self.usual as Micros,
+            stopping: self.stopping,
+        }
+    }
+
+    /// An invocation of `bytes` is over, `took` after it was taken, of which it waited `held` for a lane.
+    #[allow(clippy::too_many_arguments)] // What is known of one that ended.
+    pub fn ended(
+        &mut self,
+        now: Micros,
+        front: FrontIx,
+        account: u32,
+        bytes: usize,
+        took: Micros,
+        held: Micros,
+        pace: Pace,
+    ) {
         self.moved = true;
-        let used = f64::from(self.out.iter().sum::<u32>()) >= USED * self.limit;
-        self.out[front as usize] = self.out[front as usize].saturating_sub(1);
+        let used = f64::from(self.out()) >= USED * self.limit;
         self.bytes = self.bytes.saturating_sub(bytes as u64);
+        let felt = match pace {
+            Pace::InTime => Felt::InTime,
+            Pace::Late if held as f64 > WAITED * took as f64 => Felt::Crowded,
+            _ => Felt::Neither,
+        };
+        let usual = self.usual as Micros;
+        self.fronts.ended(now, front as usize, self.limit, usual, felt);
+        self.accounts.ended(now, account as usize, self.limit, usual, felt);
         if pace == Pace::Neither {
             return;
         }
@@ -147,7 +208,7 @@
     }
 
     pub fn out(&self) -> u32 {
-        self.out.iter().sum()
+        self.fronts.all_out()
     }
 
     pub fn bytes(&self) -> u64 {
@@ -155,7 +216,7 @@
     }
 
     /// What each front may have out from now on, for those whose grant moved. 0: nothing new at all.
-    pub fn grants(&mut self, mut tell: impl FnMut(FrontIx, u32)) {
+    pub fn grants(&mut self, now: Micros, mut tell: impl FnMut(FrontIx, u32)) {
         if !std::mem::take(&mut self.moved) {
             return;
         }
@@ -167,7 +228,10 @@
         let total = self.limit.min(room);
         let open = |f: usize| self.state[f] == FrontState::Up && !self.stopping;
         // Those that want less than their part leave the rest: smallest wish for its weight first.
-        let wish = |f: usize| f64::from(self.out[f]) * (1.0 + SPARE) + GROW;
+        let wish = |f: usize| {
+            let more = f64::from(self.fronts.out(f)) * (1.0 + SPARE) + GROW;
+            more.min(self.fronts.cap(now, f, self.limit))
+        };
         let mut order: Vec<usize> = (0..self.state.len()).filter(|&f| open(f)).collect();
         order.sort_by(|&a, &b| (wish(a) / self.weight[a]).total_cmp(&(wish(b) / self.weight[b])));
         let (mut left, mut weights) = (total, order.iter().map(|&f| self.weight[f]).sum::<f64>());
@@ -176,6 +240,7 @@
             let part = left * self.weight[f] / weights;
             let last = at + 1 == order.len();
             let grant = if last { part } else { part.min(wish(f)) };
+            let grant = grant.min(self.fronts.cap(now, f, self.limit));
             left -= grant;
             weights -= self.weight[f];
             grants[f] = grant.clamp(1.0, MOST) as u32;
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -5,18 +5,18 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::sync::Arc;
 
-use bytes::Bytes;
 use cedarpulley::Control;
 use cedarpulley::ids::{Ids, fingerprint};
 use cedarpulley::interface::*;
 
 use crate::admission::{Admission, FrontState, Pace};
 use crate::claims::{ClaimIx, Claims};
+use crate::entry::{self, Door, Entry, Knock, Short};
 use crate::redelivery::{self, Verdict};
 use crate::roster::Listed;
 use crate::table::Table;
 use crate::tokens::{self, Key, Seen, Tokens};
-use crate::{Answer, Delivery, Fate, FrontIx, OrderTicket, Reason, Taken, Ticket};
+use crate::{Answer, Delivery, Fate, FrontIx, OrderTicket, Payload, Reason, Taken, Ticket};
 
 /// Functions that may be accounted for at once; each costs the module a few figures a worker.
 const MOST_FUNCTIONS: usize = 20_000;
@@ -34,6 +34,8 @@
     pub memory_bytes: u64,
     /// Weights of the fronts among each other.
     pub front_weights: Vec<f64>,
+    /// Shares of the accounts; none if all belong to one.
+    pub account_shares: Vec<f64>,
     /// A worker that is unreachable is known to be after this time.
     pub order_answered_within: Micros,
 }
@@ -44,6 +46,12 @@
         front: FrontIx,
         state: FrontState,
     },
+    /// A request is at the door of a front that can turn it away. What is let in is taken with this delivery, or
+    /// departs.
+    Knock {
+        delivery: Delivery,
+        knock: Knock,
+    },
     Taken(Taken),
     /// The answer to this delivery is out for good.
     Safe(Delivery),
@@ -59,7 +67,7 @@
         note: CopyNote,
         crowd: Option<u32>,
         report: Report,
-        body: Bytes,
+        body: Payload,
     },
     OrderEnded {
         ticket: OrderTicket,
@@ -83,6 +91,11 @@
         delivery: Delivery,
         answer: Answer,
     },
+    /// What is to become of the one at the door.
+    Entry {
+        delivery: Delivery,
+        entry: Entry,
+    },
     /// The same message came twice at once: it is out of the way without an answer of its own.
     Discard(Delivery),
     Send {
@@ -125,7 +138,7 @@
     pub load_hint: Option<Micros>,
     pub copy_mb: f64,
     pub lanes: u32,
-    pub body: Bytes,
+    pub body: Payload,
 }
 
 /// All that was decided, counted; nothing here is read back by a decision.
@@ -148,6 +161,8 @@
     /// Endings that came after the invocation had been answered, or for no one.
     pub too_late: u64,
     pub answers: BTreeMap<(Fate, Reason), u64>,
+    /// At the door, by front and cause; none of them was taken.
+    pub turned_away: BTreeMap<(FrontIx, Short), u64>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -168,6 +183,8 @@
     /// By which its client's retries are known.
     key: Option<Key>,
     front: FrontIx,
+    /// It came in at the door, and counts as out until it leaves by it.
+    knocked: bool,
     trigger: u32,
     account: u32,
     function: Arc<str>,
@@ -176,7 +193,7 @@
     hints: (Option<Micros>, Option<Micros>),
     copy_mb: f64,
     lanes: u32,
-    body: Bytes,
+    body: Payload,
     taken: Micros,
     gives_up_at: Micros,
     /// A dispatch may leave until then, where that is bounded.
@@ -221,6 +238,11 @@
     claims: Claims,
     tokens: Tokens,
     admission: Admission,
+    door: Door,
+    /// Those that were let in: account, and bytes of a body that is not here yet.
+    inside: HashMap<Delivery, (u32, u64)>,
+    /// Sum of those bytes.
+    coming: u64,
     timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
     serial: u64,
     orders: HashMap<OrderTicket, Micros>,
@@ -230,7 +252,8 @@
 
 impl Router {
     pub fn new(control: Control, triggers: Vec<TriggerType>, terms: Terms) -> Self {
-        let admission = Admission::new(terms.front_weights.clone(), terms.memory_bytes);
+        let admission =
+            Admission::new(terms.front_weights.clone(), &terms.account_shares, terms.memory_bytes);
         Router {
             control,
             terms,
@@ -243,6 +266,9 @@
             claims: Claims::default(),
             tokens: Tokens::default(),
             admission,
+            door: Door::default(),
+            inside: HashMap::new(),
+            coming: 0,
             timers: BinaryHeap::new(),
             serial: 0,
             orders: HashMap::new(),
@@ -257,11 +283,16 @@
         self.now = self.now.max(now);
         match input {
             Input::Front { front, state } => self.front(front, state, out),
+            Input::Knock { delivery, knock } => self.knock(delivery, &knock, out),
             Input::Taken(taken) => self.taken(taken, out),
             Input::Safe(delivery) => {
+                self.gone(delivery);
                 self.claims.safe(delivery);
             }
-            Input::Departed(delivery) => self.departed(delivery, out),
+            Input::Departed(delivery) => {
+                self.gone(delivery);
+                self.departed(delivery, out);
+            }
             Input::List { mode, workers } => self.list(mode, &workers, out),
             Input::DispatchEnded { ticket, outcome, note, crowd, report, body } => {
                 self.dispatch_ended(ticket, outcome, note, crowd, report, body, out);
@@ -278,7 +309,7 @@
         }
         self.run_timers(out);
         self.claims.tidy(self.now);
-        self.admission.grants(|front, most| out.push(Output::Grant { front, most }));
+        self.admission.grants(self.now, |front, most| out.push(Output::Grant { front, most }));
     }
 
     /// When [`Input::Tick`] is next wanted.
@@ -295,6 +326,11 @@
         self.workers.id(worker).map(String::as_str)
     }
 
+    /// Functions that are accounted for at present.
+    pub fn functions(&self) -> impl Iterator<Item = &str> {
+        self.names.iter().map(|n| n.as_ref()).filter(|n| !n.is_empty())
+    }
+
     pub fn limit(&self) -> f64 {
         self.admission.limit()
     }
@@ -313,9 +349,42 @@
         out.push(Output::Answer { delivery, answer });
     }
 
+    fn knock(&mut self, delivery: Delivery, knock: &Knock, out: &mut Vec<Output>) {
+        let trigger = &self.triggers[knock.trigger as usize];
+        let fill = self.admission.fill(self.now, delivery.front, knock.account, self.coming);
+        let worth = entry::worth(trigger, knock.waited, fill.usual);
+        let entry = self.door.decide(self.now, knock, worth, &fill);
+        match entry {
+            Entry::Enter => {
+                self.admission.entered(self.now, delivery.front, knock.account);
+                self.inside.insert(delivery, (knock.account, knock.bytes));
+                self.coming += knock.bytes;
+            }
+            Entry::TurnedAway { why, .. } => {
+                *self.counts.turned_away.entry((delivery.front, why)).or_default() += 1;
+            }
+        }
+        out.push(Output::Entry { delivery, entry });
+    }
+
+    /// It left by the door, answered or not.
+    fn gone(&mut self, delivery: Delivery) {
+        if let Some((account, bytes)) = self.inside.remove(&delivery) {
+            self.coming -= bytes;
+            self.admission.left(delivery.front, account);
+        }
+    }
+
     /// Takes a message, from top to bottom.
     fn taken(&mut self, t: Taken, out: &mut Vec<Output>) {
         self.counts.taken += 1;
+        let knocked = match self.inside.get_mut(&t.delivery) {
+            Some((_, bytes)) => {
+                self.coming -= std::mem::take(bytes);
+                true
+            }
+            None => false,
+        };
         let trigger = self.triggers[t.trigger as usize];
         let waited = t.waited.max(0);
         let gives_up_at =
@@ -357,10 +426,17 @@
         if new && self.funcs.len() >= MOST_FUNCTIONS {
             return self.answer(t.delivery, Answer::bare(Fate::Errored, Reason::Functions), out);
         }
-        if !self.admission.taken(t.delivery.front, t.body.len()) {
+        // Symptom: one account's flood fills the queue, and all others' messages come late behind it.
+        if !knocked && !t.redelivered && self.admission.beyond(self.now, t.account) {
+            return self.answer(t.delivery, Answer::bare(Fate::Throttled, Reason::Share), out);
+        }
+        if !self.admission.kept(t.body.len()) {
             let fate = if t.redelivered { Fate::Errored } else { Fate::Throttled };
             return self.answer(t.delivery, Answer::bare(fate, Reason::Size), out);
         }
+        if !knocked {
+            self.admission.entered(self.now, t.delivery.front, t.account);
+        }
         let func = self.funcs.enter(t.function.as_ref());
         if self.names.len() <= func as usize {
             self.names.resize(func as usize + 1, Arc::from(""));
@@ -371,6 +447,7 @@
             claim: NO_CLAIM,
             key: None,
             front: t.delivery.front,
+            knocked,
             trigger: t.trigger,
             account: t.account,
             function: t.function.clone(),
@@ -510,8 +587,13 @@
         if let Some(key) = it.key.take() {
             self.tokens.ended(self.now, &key, None);
         }
-        let (front, bytes, took) = (it.front, it.body.len(), self.now - it.taken);
-        self.admission.ended(self.now, front, bytes, took, pace);
+        let (front, account, bytes, took) = (it.front, it.account, it.body.len(), self.now - it.taken);
+        let held = it.dispatches.first().map_or(took, |d| d.at - it.taken);
+        if !it.knocked {
+            self.admission.left(front, account);
+        }
+        self.admission.ended(self.now, front, account, bytes, took, held, pace);
+        self.door.noted(self.now);
         true
     }
 
@@ -580,7 +662,7 @@
         note: CopyNote,
         crowd: Option<u32>,
         report: Report,
-        body: Bytes,
+        body: Payload,
         out: &mut Vec<Output>,
     ) {
         let Ticket { inv, dispatch, generation } = ticket;
@@ -660,7 +742,7 @@
         if stands && sent.is_some_and(|d| d.state == Sent::Out) {
             out.push(Output::Withdraw(ticket));
             let (note, report) = (CopyNote::Untold, Report::default());
-            self.dispatch_ended(ticket, Outcome::TimedOut, note, None, report, Bytes::new(), out);
+            self.dispatch_ended(ticket, Outcome::TimedOut, note, None, report, Payload::default(), out);
         }
     }
 
@@ -744,7 +826,7 @@
         }
         for (ticket, outcome) in unsent {
             let (note, report) = (CopyNote::Untold, Report::default());
-            self.dispatch_ended(ticket, outcome, note, None, report, Bytes::new(), out);
+            self.dispatch_ended(ticket, outcome, note, None, report, Payload::default(), out);
         }
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,8 @@
 //! small decision modules, each alone in its file:
 //!
 //! * [`admission`]: how many invocations may be taken, from whom.
+//! * [`entry`]: whether a request at the door may come in.
+//! * [`shares`]: what part of all each front and account may use when one floods.
 //! * [`redelivery`]: what may be done with a message that was delivered before.
 //! * [`claims`]: which final answer was given, until the front has it safely out.
 //! * [`roster`]: what the worker list says, though its watch breaks, repeats or goes back in time.
@@ -16,8 +18,10 @@
 pub mod backoff;
 pub mod claims;
 pub mod core;
+pub mod entry;
 pub mod redelivery;
 pub mod roster;
+pub mod shares;
 mod table;
 pub mod tokens;
 
@@ -82,6 +86,32 @@
     Functions,
     /// Larger than this router takes.
     Size,
+    /// Its account floods, and others suffer by it.
+    Share,
+}
+
+/// What is carried to a worker or back. Nothing is decided by it but by its length.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Payload {
+    pub bytes: Bytes,
+    /// Its first part is so long, where it has two.
+    pub first: Option<u32>,
+}
+
+impl Payload {
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+}
+
+impl From<Bytes> for Payload {
+    fn from(bytes: Bytes) -> Self {
+        Payload { bytes, first: None }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -89,12 +119,12 @@
     pub fate: Fate,
     pub reason: Reason,
     pub return_after: Option<Micros>,
-    pub body: Bytes,
+    pub body: Payload,
 }
 
 impl Answer {
     pub fn bare(fate: Fate, reason: Reason) -> Self {
-        Answer { fate, reason, return_after: None, body: Bytes::new() }
+        Answer { fate, reason, return_after: None, body: Payload::default() }
     }
 }
 
@@ -123,5 +153,5 @@
     pub load_hint: Option<Micros>,
     pub copy_mb: f64,
     pub lanes: u32,
-    pub body: Bytes,
+    pub body: Payload,
 }
--- a/crates/router/tests/hard.rs
+++ b/crates/router/tests/hard.rs
@@ -189,7 +189,7 @@
     let mut out = Vec::new();
     for tag in 0..2_000 {
         let mut message = w.message(&format!("a{tag}"), (tag % 3) as u32, 1, tag);
-        message.body = bytes::Bytes::from(vec![0; 1_000]);
+        message.body = bytes::Bytes::from(vec![0; 1_000]).into();
         w.feed(Input::Taken(message));
         assert!(w.router.body_bytes() <= 1 << 20);
         out.append(&mut w.out);
--- a/crates/router/tests/parts.rs
+++ b/crates/router/tests/parts.rs
@@ -2,12 +2,16 @@
 
 use std::sync::Arc;
 
-use cedarpulley::interface::{ListMode, Micros, Standing};
+use cedarpulley::interface::{ListMode, Micros, Standing, TriggerType};
 use cedarpulley_router::admission::{Admission, FrontState, Pace};
 use cedarpulley_router::claims::Claims;
+use cedarpulley_router::entry::{self, Door, Entry as Let, Fill, Knock, Short};
 use cedarpulley_router::roster::{Entry, Listed, News, Roster, Slice, Step};
+use cedarpulley_router::shares::{Felt, Shares};
 use cedarpulley_router::{Answer, Delivery, Fate, Reason};
 
+mod world;
+
 const SECOND: Micros = 1_000_000;
 
 fn worker(port: u16, standing: Standing, mark: &str) -> Entry {
@@ -134,22 +138,28 @@
 
 fn grants(a: &mut Admission) -> Vec<u32> {
     let mut g = vec![u32::MAX; 2];
-    a.grants(|f, n| g[f as usize] = n);
+    a.grants(0, |f, n| g[f as usize] = n);
     g
 }
 
+fn take(a: &mut Admission, front: u32, bytes: usize) -> bool {
+    a.entered(0, front, 0);
+    a.kept(bytes)
+}
+
 fn answered(a: &mut Admission, now: Micros, front: u32, n: usize, pace: Pace) {
     for _ in 0..n {
-        a.ended(now, front, 100, 100_000, pace);
-        assert!(a.taken(front, 100));
+        a.left(front, 0);
+        a.ended(now, front, 0, 100, 100_000, 0, pace);
+        assert!(take(a, front, 100));
     }
 }
 
 #[test]
 fn the_limit_follows_what_is_answered_in_time() {
-    let mut a = Admission::new(vec![1.0, 1.0], 1 << 20);
+    let mut a = Admission::new(vec![1.0, 1.0], &[], 1 << 20);
     a.front(0, FrontState::Up);
-    (0..256).for_each(|_| assert!(a.taken(0, 100)));
+    (0..256).for_each(|_| assert!(take(&mut a, 0, 100)));
     let first = a.limit();
     answered(&mut a, SECOND, 0, 30, Pace::InTime);
     let grown = a.limit();
@@ -167,13 +177,13 @@
 
 #[test]
 fn fronts_share_by_weight_and_lend_what_they_do_not_use() {
-    let mut a = Admission::new(vec![3.0, 1.0], 1 << 20);
+    let mut a = Admission::new(vec![3.0, 1.0], &[], 1 << 20);
     a.front(0, FrontState::Up);
     a.front(1, FrontState::Up);
-    (0..300).for_each(|_| assert!(a.taken(0, 1) && a.taken(1, 1)));
+    (0..300).for_each(|_| assert!(take(&mut a, 0, 1) && take(&mut a, 1, 1)));
     let both = grants(&mut a);
     assert_eq!(both, [192, 64]);
-    (0..300).for_each(|_| a.ended(0, 0, 1, 1, Pace::Neither));
+    (0..300).for_each(|_| a.left(0, 0));
     let lent = grants(&mut a);
     assert!(lent[1] > 200, "{lent:?}");
     // One that cannot answer takes next to nothing; on stopping nothing is taken.
@@ -185,9 +195,132 @@
 
 #[test]
 fn bodies_beyond_memory_are_not_taken() {
-    let mut a = Admission::new(vec![1.0, 1.0], 1_000);
+    let mut a = Admission::new(vec![1.0, 1.0], &[], 1_000);
     a.front(0, FrontState::Up);
-    assert!(a.taken(0, 600) && !a.taken(0, 600));
+    assert!(take(&mut a, 0, 600) && !take(&mut a, 0, 600));
     assert_eq!(a.bytes(), 600);
     assert!(grants(&mut a)[0] <= 12, "no more than still fit");
 }
+
+#[test]
+fn who_floods_pays_for_the_lateness_of_who_does_not() {
+    let mut s = Shares::new(&[1.0, 1.0]);
+    let limit = 100.0;
+    (0..90).for_each(|_| s.entered(0, 0));
+    (0..5).for_each(|_| s.entered(0, 1));
+    assert_eq!(s.cap(0, 0, limit), limit, "nobody suffers yet");
+    // Its own lateness caps nobody, nor does lateness by one's own work.
+    s.ended(0, 0, limit, 1, Felt::Crowded);
+    s.ended(0, 1, limit, 1, Felt::Neither);
+    assert_eq!((s.cap(0, 0, limit), s.cap(0, 1, limit)), (limit, limit));
+    s.ended(0, 1, limit, 1, Felt::Crowded);
+    assert_eq!((s.cap(0, 0, limit), s.cap(0, 1, limit)), (72.0, limit));
+    // One burst of late answers is one sign.
+    s.ended(1, 1, limit, 1, Felt::Crowded);
+    assert_eq!(s.cap(0, 0, limit), 72.0);
+    (1..20).for_each(|n| s.ended(n * SECOND, 1, limit, 1, Felt::Crowded));
+    assert_eq!(s.cap(SECOND, 0, limit), 50.0, "never below its fair part");
+    // It comes back with timely answers, and at last is free.
+    (0..6000).for_each(|_| s.ended(20 * SECOND, 0, limit, 1, Felt::InTime));
+    assert_eq!(s.cap(20 * SECOND, 0, limit), limit);
+}
+
+#[test]
+fn a_fair_part_is_among_those_that_are_there() {
+    let mut s = Shares::new(&[3.0, 1.0, 4.0]);
+    (0..5).for_each(|_| s.entered(0, 0));
+    s.entered(0, 1);
+    assert_eq!((s.fair(0, 0, 80.0), s.fair(0, 1, 80.0)), (60.0, 20.0));
+    s.left(1);
+    assert_eq!(s.fair(SECOND, 0, 80.0), 60.0, "it was here a moment ago");
+    assert_eq!(s.fair(10 * SECOND, 0, 80.0), 80.0);
+}
+
+fn at_the_door(out: u32) -> (Knock, Fill) {
+    let knock = Knock {
+        trigger: 0,
+        account: 0,
+        waited: 0,
+        bytes: 10,
+        here: 0,
+        unread: 0,
+        connections: 1,
+        unread_bytes: 0,
+    };
+    let fill = Fill {
+        limit: 100.0,
+        out,
+        front: (out, 100.0),
+        account: (out, 100.0),
+        free_bytes: 1000,
+        usual: 100_000,
+        stopping: false,
+    };
+    (knock, fill)
+}
+
+fn turned(entry: Let) -> Option<Short> {
+    match entry {
+        Let::Enter => None,
+        Let::TurnedAway { why, come_back } => {
+            assert!((100_000..=10_000_000).contains(&come_back), "{come_back}");
+            Some(why)
+        }
+    }
+}
+
+#[test]
+fn each_bound_of_the_door_has_its_cause() {
+    let mut d = Door::default();
+    let mut ask = |knock: Knock, fill: Fill| turned(d.decide(0, &knock, 1.0, &fill));
+    let (knock, fill) = at_the_door(60);
+    assert_eq!(ask(knock, fill), None);
+    assert_eq!(ask(knock, Fill { stopping: true, ..fill }), Some(Short::Stopping));
+    assert_eq!(ask(knock, Fill { free_bytes: 9, ..fill }), Some(Short::Memory));
+    assert_eq!(ask(Knock { unread_bytes: 991, ..knock }, fill), Some(Short::Memory));
+    assert_eq!(ask(knock, Fill { out: 100, ..fill }), Some(Short::All));
+    assert_eq!(ask(knock, Fill { front: (50, 50.0), ..fill }), Some(Short::Front));
+    assert_eq!(ask(knock, Fill { account: (50, 50.0), ..fill }), Some(Short::Account));
+    // Half of all is used: of 10 connections each may have 20; one that reads nothing gets nothing.
+    let many = Knock { connections: 10, here: 20, ..knock };
+    assert_eq!(ask(many, fill), Some(Short::Connection));
+    assert_eq!(ask(many, Fill { out: 40, ..fill }), None);
+    assert_eq!(ask(Knock { unread: 32, ..knock }, fill), Some(Short::Connection));
+}
+
+#[test]
+fn the_cheaper_and_the_lost_are_turned_away_first() {
+    let mut d = Door::default();
+    let dear = TriggerType { billed_value: 5.0, ..world::triggers()[0] };
+    let cheap = world::triggers()[0];
+    let (knock, fill) = at_the_door(80);
+    let worth = |t: &TriggerType, waited| entry::worth(t, waited, 0);
+    (0..100).for_each(|n| {
+        d.decide(0, &knock, worth(if n % 2 == 0 { &dear } else { &cheap }, 0), &at_the_door(10).1);
+    });
+    assert_eq!(turned(d.decide(0, &knock, worth(&dear, 0), &fill)), None);
+    assert_eq!(turned(d.decide(0, &knock, worth(&cheap, 0), &at_the_door(90).1)), Some(Short::Worth));
+    // The dear one that comes too late earns a tenth: less than the cheap one in time.
+    assert_eq!(turned(d.decide(0, &knock, worth(&dear, SECOND), &at_the_door(90).1)), Some(Short::Worth));
+    assert_eq!(turned(d.decide(0, &knock, worth(&dear, 0), &at_the_door(99).1)), None);
+}
+
+#[test]
+fn advice_grows_with_those_turned_away_and_is_spread() {
+    let mut d = Door::default();
+    let (knock, fill) = at_the_door(100);
+    (0..20).for_each(|_| d.noted(0));
+    let advice = |d: &mut Door, n: usize| {
+        (0..n)
+            .filter_map(|_| match d.decide(1, &knock, 1.0, &fill) {
+                Let::TurnedAway { come_back, .. } => Some(come_back),
+                Let::Enter => None,
+            })
+            .collect::<Vec<_>>()
+    };
+    let few = advice(&mut d, 10);
+    let many = advice(&mut d, 100);
+    let mean = |of: &[Micros]| of.iter().sum::<Micros>() / of.len() as Micros;
+    assert!(mean(&many[90..]) > 3 * mean(&few), "{few:?} {many:?}");
+    assert!(many.iter().collect::<std::collections::HashSet<_>>().len() > 50);
+}
--- a/crates/router/tests/world.rs
+++ b/crates/router/tests/world.rs
@@ -71,6 +71,7 @@
             clock_margin: 50 * MS,
             memory_bytes: 1 << 20,
             front_weights: vec![1.0, 1.0],
+            account_shares: vec![1.0],
             order_answered_within: 5 * SECOND,
         };
         let mut w = World { router: Router::new(control(), triggers(), terms), now: SECOND, out: Vec::new() };
@@ -127,7 +128,7 @@
             load_hint: Some(50 * MS),
             copy_mb: 1.0,
             lanes: 100_000,
-            body: Bytes::from_static(b"{}"),
+            body: Bytes::from_static(b"{}").into(),
         }
     }
 
@@ -163,7 +164,7 @@
             note: CopyNote::Untold,
             crowd: None,
             report: Report::default(),
-            body: Bytes::from_static(b"done"),
+            body: Bytes::from_static(b"done").into(),
         });
     }
 }
