gRPC front over HTTP/2; fuzz targets; who floods pays for who suffers

Need: KServe v2 clients speak gRPC as well; bytes of four kinds come from sockets untested by drawn inputs; caps that rested on the limit hardly helped the quiet front.

--- /dev/null
+++ b/crates/cli/tests/grpc.rs
@@ -0,0 +1,281 @@
+//! The KServe v2 front over gRPC of a running router, before a stand-in worker.
+
+use std::convert::Infallible;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use cedarpulley_kserve::rpc::inference::model_infer_request::InferInputTensor;
+use cedarpulley_kserve::rpc::inference::*;
+use cedarpulley_kserve::rpc::{frame, unframe};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Bytes, Frame};
+use hyper::client::conn::http2::{self, SendRequest};
+use hyper::{HeaderMap, Request};
+use prost::Message;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+mod running;
+use running::{Running, comes, start, start_with};
+
+const GRPC: &str = "protocol = \"grpc\"\nmost_streams = 200\n";
+
+#[derive(Clone)]
+struct Local(Rc<LocalExecutor<'static>>);
+
+impl<F: Future<Output = ()> + 'static> hyper::rt::Executor<F> for Local {
+    fn execute(&self, future: F) {
+        self.0.spawn(future).detach();
+    }
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+fn run<T>(test: impl AsyncFnOnce(Local) -> T) -> T {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(test(Local(executor.clone()))))
+}
+
+async fn connect(local: &Local, r: &Running) -> Sender {
+    let stream = Async::<TcpStream>::connect(r.address).await.expect("it listens");
+    let mut builder = http2::Builder::new(local.clone());
+    let io = FuturesIo::new(stream);
+    let (sender, connection) = builder.timer(SmolTimer::new()).handshake(io).await.expect("HTTP/2");
+    local.0.spawn(async move { drop(connection.await) }).detach();
+    sender
+}
+
+fn request(r: &Running, method: &str, headers: &[(&str, &str)], body: Bytes) -> Request<Full<Bytes>> {
+    let uri = format!("http://{}/inference.GRPCInferenceService/{method}", r.address);
+    let mut request = Request::post(uri).header("content-type", "application/grpc").header("te", "trailers");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(Full::new(body)).expect("a request")
+}
+
+/// Message, and what head and trailers say.
+async fn call(sender: &mut Sender, request: Request<Full<Bytes>>) -> Option<(Bytes, HeaderMap)> {
+    let answer = sender.send_request(request).await.ok()?;
+    let mut said = answer.headers().clone();
+    let whole = answer.into_body().collect().await.ok()?;
+    if let Some(trailers) = whole.trailers() {
+        said.extend(trailers.clone());
+    }
+    Some((whole.to_bytes(), said))
+}
+
+fn said<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("")
+}
+
+const ONCE: [(&str, &str); 2] = [("cedarpulley-trigger-type", "once"), ("cedarpulley-lanes", "50")];
+
+fn ask(raw: Option<&'static [u8]>) -> Bytes {
+    let input = InferInputTensor {
+        name: "x".into(),
+        datatype: "FP32".into(),
+        shape: vec![1],
+        contents: raw
+            .is_none()
+            .then(|| InferTensorContents { fp32_contents: vec![0.5], ..Default::default() }),
+        ..Default::default()
+    };
+    frame(&ModelInferRequest {
+        model_name: "once:f".into(),
+        id: "7".into(),
+        inputs: vec![input],
+        raw_input_contents: raw.into_iter().map(Bytes::from_static).collect(),
+        ..Default::default()
+    })
+}
+
+#[test]
+fn methods_answer_and_wrong_calls_are_named() {
+    let r = start_with("grpc-plain", Duration::from_millis(5), 64, 1, GRPC);
+    run(async |local| {
+        let mut s = connect(&local, &r).await;
+        let (body, _) =
+            call(&mut s, request(&r, "ServerReady", &[], frame(&ServerReadyRequest {}))).await.unwrap();
+        assert!(ServerReadyResponse::decode(unframe(body).unwrap()).unwrap().ready);
+        // Typed and raw tensors.
+        let (body, h) = call(&mut s, request(&r, "ModelInfer", &ONCE, ask(None))).await.unwrap();
+        assert_eq!((said(&h, "grpc-status"), said(&h, "cedarpulley-fate")), ("0", "succeeded"), "{h:?}");
+        assert_eq!(ModelInferResponse::decode(unframe(body).unwrap()).unwrap().model_name, "once:f");
+        let (body, h) =
+            call(&mut s, request(&r, "ModelInfer", &ONCE, ask(Some(&[1, 2, 3, 255])))).await.unwrap();
+        assert_eq!(said(&h, "grpc-status"), "0", "{h:?}");
+        let answer = ModelInferResponse::decode(unframe(body).unwrap()).unwrap();
+        assert_eq!(answer.raw_output_contents, [Bytes::from_static(&[1, 2, 3, 255])]);
+        assert_eq!(answer.outputs[0].name, "x");
+        let index = request(&r, "RepositoryIndex", &[], frame(&RepositoryIndexRequest::default()));
+        let (body, _) = call(&mut s, index).await.unwrap();
+        let index = RepositoryIndexResponse::decode(unframe(body).unwrap()).unwrap();
+        assert_eq!(index.models[0].name, "once:f");
+        let metadata = frame(&ModelMetadataRequest { name: "m".into(), version: "3".into() });
+        let (body, _) = call(&mut s, request(&r, "ModelMetadata", &[], metadata)).await.unwrap();
+        assert_eq!(ModelMetadataResponse::decode(unframe(body).unwrap()).unwrap().versions, ["3"]);
+        // What is wrong is named, and nothing of it reaches a worker.
+        let before = r.logged(r#""what":"received""#);
+        let long = Bytes::from([&[0, 0, 0, 0, 1], [7u8; 9].as_slice()].concat());
+        let packed = Bytes::from_static(&[1, 0, 0, 0, 1, 7]);
+        for (headers, body, cause) in [
+            (&[][..], ask(None), "no trigger type"),
+            (&[("cedarpulley-trigger-type", "no")], ask(None), "'no' is unknown"),
+            (&[ONCE[0], ("grpc-timeout", "5x")], ask(None), "grpc-timeout"),
+            (&ONCE, long, "too large"),
+            (&ONCE, packed, "compressed"),
+            (&ONCE, Bytes::from_static(&[0, 0, 0, 0, 1, 255]), "cannot be read"),
+            (&ONCE, frame(&ModelInferRequest::default()), "model_name"),
+            (&ONCE, Bytes::from_static(&[0, 255, 255, 255, 255, 0]), "larger"),
+        ] {
+            let (_, h) = call(&mut s, request(&r, "ModelInfer", headers, body)).await.unwrap();
+            assert_eq!(said(&h, "grpc-status"), "3", "{h:?}");
+            assert!(said(&h, "grpc-message").contains(cause), "{h:?}");
+        }
+        let (_, h) = call(&mut s, request(&r, "ModelStream", &ONCE, ask(None))).await.unwrap();
+        assert_eq!(said(&h, "grpc-status"), "12");
+        assert_eq!(r.logged(r#""what":"received""#), before);
+    });
+}
+
+/// Throttled is harmless and says when to come back; what was out as the client's time ended may have run.
+#[test]
+fn harmless_ends_and_others_are_told_apart() {
+    let r = start_with("grpc-fates", Duration::from_millis(1500), 64, 1, GRPC);
+    run(async |local| {
+        let mut s = connect(&local, &r).await;
+        let late = [ONCE[0], ONCE[1], ("cedarpulley-sent-at-us", "1000")];
+        let (_, h) = call(&mut s, request(&r, "ModelInfer", &late, ask(None))).await.unwrap();
+        assert_eq!((said(&h, "grpc-status"), said(&h, "cedarpulley-reason")), ("8", "expired"), "{h:?}");
+        let short = [ONCE[0], ONCE[1], ("grpc-timeout", "600m")];
+        let (_, h) = call(&mut s, request(&r, "ModelInfer", &short, ask(None))).await.unwrap();
+        assert_eq!(said(&h, "cedarpulley-fate"), "errored", "{h:?}");
+        assert!(["2", "4"].contains(&said(&h, "grpc-status")), "{h:?}");
+        assert!(h.get("grpc-retry-pushback-ms").is_none());
+    });
+}
+
+/// A client that resets its streams as fast as it can: what it dispatches is bounded, and others are served.
+#[test]
+fn a_storm_of_resets_costs_little_and_others_are_served() {
+    let r = start_with("grpc-resets", Duration::from_millis(400), 64, 1, GRPC);
+    run(async |local| {
+        let mut s = connect(&local, &r).await;
+        let mut reset = 0;
+        for _ in 0..600 {
+            if s.ready().await.is_err() {
+                s = connect(&local, &r).await;
+            }
+            // Polled once, it has been sent; dropped, it is reset.
+            let sent = s.send_request(request(&r, "ModelInfer", &ONCE, ask(None)));
+            let now = async {
+                Timer::after(Duration::from_millis(3)).await;
+                None
+            };
+            let done = futures_lite::FutureExt::or(async { Some(sent.await) }, now).await;
+            reset += usize::from(done.is_none());
+        }
+        let mut other = connect(&local, &r).await;
+        let (_, h) = call(&mut other, request(&r, "ModelInfer", &ONCE, ask(None))).await.unwrap();
+        assert_eq!(said(&h, "grpc-status"), "0", "{h:?}");
+        let received = r.logged(r#""what":"received""#);
+        println!("{reset} resets, {received} dispatches");
+        assert!(reset > 200 && received < 100, "{reset} resets, {received} dispatches");
+    });
+}
+
+/// One connection's many streams: beyond its bound they wait, and all that are taken are answered.
+#[test]
+fn stopping_says_so_and_answers_all_streams() {
+    let mut r = start_with("grpc-stop", Duration::from_millis(600), 64, 1, GRPC);
+    run(async |local| {
+        let s = connect(&local, &r).await;
+        let calls: Vec<_> = (0..20)
+            .map(|_| {
+                let (mut s, request) = (s.clone(), request(&r, "ModelInfer", &ONCE, ask(None)));
+                local.0.spawn(async move { call(&mut s, request).await })
+            })
+            .collect();
+        Timer::after(Duration::from_millis(200)).await;
+        r.told_to_stop();
+        Timer::after(Duration::from_millis(100)).await;
+        // The connection has been told to go away: nothing new begins on it.
+        let mut late = s.clone();
+        let refused = call(&mut late, request(&r, "ModelInfer", &ONCE, ask(None))).await;
+        assert!(refused.is_none(), "{refused:?}");
+        for answer in calls {
+            let (_, h) = answer.await.expect("answered");
+            assert_eq!(said(&h, "grpc-status"), "0", "{h:?}");
+        }
+    });
+    assert!(r.ended_well());
+}
+
+/// Bodies that come byte by byte hold a stream each, and nobody else up.
+#[test]
+fn slow_bytes_hold_nobody_up() {
+    let r = start_with("grpc-slow", Duration::from_millis(5), 64, 1, GRPC);
+    run(async |local| {
+        let stream = Async::<TcpStream>::connect(r.address).await.expect("it listens");
+        let io = FuturesIo::new(stream);
+        let (s, connection) = http2::handshake(local.clone(), io).await.expect("HTTP/2");
+        local.0.spawn(async move { drop(connection.await) }).detach();
+        let slow: Vec<_> = (0..50)
+            .map(|_| {
+                let bytes = futures_lite::stream::unfold(0u8, |n| async move {
+                    Timer::after(Duration::from_millis(50)).await;
+                    Some((Ok::<_, Infallible>(Frame::data(Bytes::copy_from_slice(&[0]))), n))
+                });
+                let request = request(&r, "ModelInfer", &ONCE, Bytes::new());
+                let request = request.map(|_| StreamBody::new(Box::pin(bytes)));
+                let mut s = s.clone();
+                local.0.spawn(async move { s.send_request(request).await.is_ok() })
+            })
+            .collect();
+        Timer::after(Duration::from_millis(300)).await;
+        let mut other = connect(&local, &r).await;
+        let (_, h) = call(&mut other, request(&r, "ModelInfer", &ONCE, ask(None))).await.unwrap();
+        assert_eq!(said(&h, "grpc-status"), "0", "{h:?}");
+        drop(slow);
+    });
+}
+
+/// Whatever comes instead of HTTP/2, the router goes on.
+#[test]
+fn garbage_closes_its_connection_alone() {
+    let r = start_with("grpc-garbage", Duration::from_millis(5), 64, 1, GRPC);
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    let floods: [&[u8]; 4] = [
+        b"GET / HTTP/1.1\r\n\r\n",
+        &[0xff; 4096],
+        // A frame longer than any may be; headers without end.
+        &[0xff, 0xff, 0xff, 0, 0, 0, 0, 0, 1],
+        &[0, 0, 0, 1, 0, 0, 0, 0, 1, 0, 0, 0, 9, 0, 0, 0, 0, 2],
+    ];
+    for flood in floods {
+        for before in [&b""[..], preface] {
+            let mut stream = TcpStream::connect(r.address).expect("it listens");
+            stream.set_read_timeout(Some(Duration::from_secs(5))).expect("set");
+            let _ = stream.write_all(before).and_then(|()| stream.write_all(flood));
+            let _ = stream.shutdown(std::net::Shutdown::Write);
+            let mut answer = Vec::new();
+            let _ = stream.read_to_end(&mut answer);
+        }
+    }
+    run(async |local| {
+        let mut s = connect(&local, &r).await;
+        let (_, h) = call(&mut s, request(&r, "ModelInfer", &ONCE, ask(None))).await.unwrap();
+        assert_eq!(said(&h, "grpc-status"), "0", "{h:?}");
+    });
+    // Over REST the same router type does the same.
+    let plain = start("grpc-garbage-rest", Duration::from_millis(5));
+    for flood in floods {
+        let mut stream = TcpStream::connect(plain.address).expect("it listens");
+        let _ = stream.write_all(flood);
+    }
+    assert!(comes(|| plain.ask("GET", "/v2/health/live", "", b"").0 == 200));
+}
--- /dev/null
+++ b/crates/cli/tests/running/mod.rs
@@ -0,0 +1,139 @@
+//! A running router with a front for callers, before a stand-in worker.
+#![allow(dead_code)] // Each test file uses its part.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use cedarpulley_standins::Ground;
+use cedarpulley_standins::store::{self, Store};
+use cedarpulley_standins::worker::{Memory, Nature, Program, Worker};
+use rustix::process::{Pid, Signal, kill_process};
+
+pub const MOST_BODY: usize = 64 * 1024;
+
+pub struct Running {
+    pub router: Child,
+    pub address: SocketAddr,
+    pub folder: PathBuf,
+    logs: PathBuf,
+    pub worker: Worker,
+    _store: Store,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.router.kill();
+        let _ = self.router.wait();
+    }
+}
+
+/// A router with one worker whose invocations take so long.
+pub fn start(name: &str, work: Duration) -> Running {
+    start_with(name, work, MOST_BODY / 1024, 1, "")
+}
+
+/// With bodies up to `body_kb`, so many megabytes for all of them, and more lines for its front.
+pub fn start_with(name: &str, work: Duration, body_kb: usize, memory_mb: usize, front: &str) -> Running {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let logs = folder.join("traffic");
+    let ground = Ground::new(2, Some(&logs)).expect("a ground");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let nature = store::Nature { mb_per_s: 1e6, abreast: 8, most: 100 };
+    let store = Store::start(&ground, "store", any, nature).expect("a store");
+    let nature = Nature::roomy(100.0);
+    let program = Program { work, copy_mb: 1.0, start_up: Duration::from_millis(1), lanes: 50, window: None };
+    let programs = ["once", "again"].map(|k| (k.to_owned(), program.clone()));
+    let (at, programs) = (store.server.address, HashMap::from(programs));
+    let worker =
+        Worker::start(&ground, "worker", any, 1, nature, at, programs, Memory::default()).expect("a worker");
+    // A port that is free now; nobody else asks for it in the moment between.
+    let address = TcpListener::bind(any).and_then(|l| l.local_addr()).expect("a free port");
+    let file = folder.join("router.toml");
+    let settings = format!(
+        "[router]\nseed = 1\nmemory_mb = {memory_mb}\nmost_body_kb = {body_kb}\n[[trigger]]\nname = \"once\"\neffect = \"non-idempotent\"\n\
+         latency_objective_ms = 900\nclient_timeout_ms = 3000\n[[trigger]]\nname = \"again\"\n\
+         effect = \"idempotent\"\nlatency_objective_ms = 900\nclient_timeout_ms = 3000\n\
+         [[kserve]]\nlisten = \"{address}\"\n{front}[workers]\nlist = [{{ address = \"{}\" }}]\n",
+        worker.address
+    );
+    std::fs::write(&file, settings).expect("written");
+    let router = Command::new(env!("CARGO_BIN_EXE_cedarpulley"))
+        .args(["--level", "warn", "serve"])
+        .arg(&file)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the program starts");
+    let running = Running { router, address, folder, logs, worker, _store: store };
+    let until = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < until && TcpStream::connect(address).is_err() {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    running
+}
+
+impl Running {
+    pub fn send(&self, method: &str, path: &str, headers: &str, body: &[u8]) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).expect("it listens");
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("set");
+        let length = body.len();
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n{headers}\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("written");
+        // A router that has said no already may not read all of it.
+        let _ = stream.write_all(body);
+        stream
+    }
+
+    /// Status, and head and body as text.
+    pub fn ask(&self, method: &str, path: &str, headers: &str, body: &[u8]) -> (u16, String) {
+        read(self.send(method, path, headers, body))
+    }
+
+    pub fn logged(&self, word: &str) -> usize {
+        self.worker.flush();
+        let text = std::fs::read_to_string(self.logs.join("worker.ndjson")).expect("a log");
+        text.matches(word).count()
+    }
+}
+
+pub fn read(mut stream: TcpStream) -> (u16, String) {
+    let mut text = Vec::new();
+    let _ = stream.read_to_end(&mut text);
+    let text = String::from_utf8_lossy(&text).into_owned();
+    (text.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0), text)
+}
+
+/// Waits for it to hold; false if it does not within ten seconds.
+pub fn comes(mut holds: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < until {
+        if holds() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+impl Running {
+    pub fn told_to_stop(&self) {
+        let pid = Pid::from_raw(self.router.id() as i32).expect("a pid");
+        kill_process(pid, Signal::TERM).expect("told");
+    }
+
+    /// Ended by itself and in good order.
+    pub fn ended_well(&mut self) -> bool {
+        let mut code = None;
+        comes(|| {
+            code = self.router.try_wait().expect("waited").map(|s| s.code());
+            code.is_some()
+        });
+        code == Some(Some(0))
+    }
+}
--- /dev/null
+++ b/crates/fuzz/src/lib.rs
@@ -0,0 +1,118 @@
+//! One function for each reader of foreign bytes: it must take anything and keep to its bounds. The targets that
+//! call them are in `tests/targets.rs`; docs/operate/fuzzing.md says how to hunt for longer.
+
+use bytes::Bytes;
+use cedarpulley_amqp::connection::Login;
+use cedarpulley_amqp::frames::Reader;
+use cedarpulley_amqp::{Connection, Role};
+use cedarpulley_kserve::rpc::inference::{ModelInferRequest, ModelInferResponse};
+use cedarpulley_kserve::tensors::{Rest, request, response};
+use cedarpulley_kserve::{rpc, serving};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use prost::Message;
+
+/// Of a worker's answer: JSON, and raw tensors from `split` on.
+pub fn rest_body(bytes: &[u8], split: Option<u16>) {
+    let bytes = Bytes::copy_from_slice(bytes);
+    let size = bytes.len();
+    if let Ok(message) = response(&Rest { bytes, json: split.map(u32::from) }) {
+        let raw: usize = message.raw_output_contents.iter().map(Bytes::len).sum();
+        // Texts get four bytes of length each, whole numbers up to eight for one digit and its comma.
+        assert!(raw <= 8 * size, "{raw} raw bytes from {size}");
+    }
+}
+
+/// Any body of a call; what can be read of it has a form for workers that reads back as JSON.
+pub fn grpc_body(bytes: &[u8]) {
+    let Ok(message) = rpc::unframe(Bytes::copy_from_slice(bytes)) else { return };
+    let told = bytes[1..rpc::FRAME].iter().fold(0, |n, b| n << 8 | usize::from(*b));
+    assert_eq!((message.len(), message.len() + rpc::FRAME), (told, bytes.len()));
+    grpc_message(&message);
+}
+
+pub fn grpc_message(bytes: &[u8]) {
+    let Ok(message) = ModelInferRequest::decode(bytes) else { return };
+    if let Ok(rest) = request(&message) {
+        let json = rest.json.map_or(rest.bytes.len(), |n| n as usize);
+        assert_eq!(rest.bytes[..json].first(), Some(&b'{'));
+        let raw: usize = message.raw_input_contents.iter().map(Bytes::len).sum();
+        assert_eq!(rest.bytes.len() - json, raw);
+    }
+    let _ = ModelInferResponse::decode(bytes);
+}
+
+/// Paths and headers as HTTP lets them through.
+pub fn head(path: &str, headers: &[(u8, Vec<u8>)]) {
+    let _ = serving::asked(&Method::POST, path);
+    const NAMES: [&str; 8] = [
+        "cedarpulley-trigger-type",
+        "cedarpulley-account",
+        "cedarpulley-client-timeout-ms",
+        "cedarpulley-sent-at-us",
+        "cedarpulley-lanes",
+        "inference-header-content-length",
+        "idempotency-key",
+        "grpc-timeout",
+    ];
+    let mut map = HeaderMap::new();
+    for (n, value) in headers {
+        if let Ok(value) = HeaderValue::from_bytes(value) {
+            map.insert(HeaderName::from_static(NAMES[*n as usize % NAMES.len()]), value);
+        }
+    }
+    if let Ok(w) = serving::wanted(&map, 1_000_000) {
+        assert!(w.lanes >= 1 && w.waited >= 0 && w.client_timeout.is_none_or(|t| t >= 0));
+    }
+    if let Ok(Some(t)) = rpc::timeout(&map) {
+        assert!(t >= 0);
+    }
+}
+
+/// Most pieces become whole frames by their first two bytes, so that more is reached than the first check.
+fn framed(piece: &[u8]) -> Vec<u8> {
+    match piece {
+        [kind, channel, payload @ ..] if kind % 8 != 0 => {
+            let mut frame = vec![[1, 1, 1, 2, 3, 8, 9, 1][*kind as usize % 8], 0, channel % 3];
+            frame.extend((payload.len() as u32).to_be_bytes());
+            frame.extend(payload);
+            frame.push(0xce);
+            frame
+        }
+        raw => raw.to_vec(),
+    }
+}
+
+/// A broker's bytes, in the pieces in which they come. What is kept of them stays within the frame's bound.
+pub fn amqp_frames(pieces: &[Vec<u8>]) {
+    let mut reader = Reader::new(8192);
+    for piece in pieces {
+        reader.feed(&framed(piece));
+        loop {
+            match reader.next_frame() {
+                Ok(Some(_)) => {}
+                Ok(None) => break,
+                Err(_) => return,
+            }
+        }
+    }
+}
+
+/// The same, before a connection that answers triggers.
+pub fn amqp_connection(pieces: &[Vec<u8>]) {
+    let login = Login {
+        virtual_host: "/".into(),
+        user: "u".into(),
+        password: "p".into(),
+        heartbeat_s: 4,
+        name: "fuzz".into(),
+        most_body: 1_000,
+    };
+    let mut connection = Connection::new(0, Role::Answers { queue: "q".into(), prefetch: 5 }, login);
+    for (n, piece) in pieces.iter().enumerate() {
+        let mut events = Vec::new();
+        if connection.receive(n as i64, &framed(piece), &mut events).is_err() {
+            return;
+        }
+        let _ = connection.output(n as i64);
+    }
+}
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -28,7 +28,7 @@
 use crate::{grpc, rest};
 
 /// A body comes whole within this time of its head.
-const BODY_WITHIN: Micros = 10_000_000;
+pub(crate) const BODY_WITHIN: Micros = 10_000_000;
 /// A client that reads nothing for so long while something waits for it has gone, for all that we can tell.
 const READ_WITHIN: Micros = 30_000_000;
 /// An answer is handed to the connection in pieces of this size, so that little is copied for who does not read.
@@ -57,6 +57,9 @@
 pub struct Line {
     inside: Cell<u32>,
     unread: Cell<u32>,
+    /// Of the last 32 that were inside, a bit for each that left without its answer; and when that was last.
+    left: Cell<u32>,
+    left_at: Cell<Micros>,
 }
 
 pub struct Calls {
@@ -97,6 +100,10 @@
             calls.connections.set(calls.connections.get().saturating_sub(1));
         }
         calls.waiting.borrow_mut().remove(&self.delivery.tag);
+        line.left.set(line.left.get() << 1 | u32::from(!self.answered));
+        if !self.answered {
+            line.left_at.set(self.gateway.clock.now());
+        }
         let input = match self.answered {
             true => Input::Safe(self.delivery),
             false => Input::Departed(self.delivery),
@@ -329,6 +336,8 @@
             bytes,
             here: line.inside.get(),
             unread: line.unread.get(),
+            left: line.left.get().count_ones(),
+            left_ago: gateway.clock.now() - line.left_at.get(),
             connections: self.connections.get().max(1),
             unread_bytes: self.unread_bytes.get(),
         };
@@ -379,8 +388,9 @@
                 let (stream, line) = (Paced::new(stream), Rc::new(Line::default()));
                 // However it ends, its open requests have been dropped by then.
                 match it.listen.protocol {
-                    Protocol::Rest => rest::serve(it, gateway, line, stream, stop).await,
-                    Protocol::Grpc => grpc::serve(it, gateway, line, stream, stop).await,
+                    // Each on its own: ten thousand idle ones must not take the larger one's room.
+                    Protocol::Rest => Box::pin(rest::serve(it, gateway, line, stream, stop)).await,
+                    Protocol::Grpc => Box::pin(grpc::serve(it, gateway, line, stream, stop)).await,
                 }
             });
             served.detach();
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -1,7 +1,7 @@
 //! Connecting from an own address, the clocks, and a bell that one task rings for another.
 
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_io::{Async, Timer};
@@ -42,6 +42,20 @@
     }
 }
 
+/// Connections that wait to be accepted. Symptom: a thousand clients come at once, and those beyond the system's
+/// short default try again only a second later.
+const BACKLOG: i32 = 4096;
+
+pub fn listen(at: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let domain = if at.is_ipv4() { Domain::IPV4 } else { Domain::IPV6 };
+    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    // A router that restarts takes its address again while old connections fade.
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Async::new(TcpListener::from(socket))
+}
+
 pub async fn connect(to: SocketAddr, from: Option<IpAddr>, within: Micros) -> io::Result<Stream> {
     let connecting = async {
         let domain = if to.is_ipv4() { Domain::IPV4 } else { Domain::IPV6 };
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -62,6 +62,7 @@
 pub(crate) fn understood(
     gateway: &Gateway,
     calls: &Calls,
+    _line: &Line,
     headers: &HeaderMap,
     function: String,
 ) -> Result<Taken, Misunderstood> {
@@ -152,7 +153,7 @@
     request: Request<Incoming>,
 ) -> Reply {
     let (head, body) = request.into_parts();
-    let mut taken = match understood(&gateway, &calls, &head.headers, function) {
+    let mut taken = match understood(&gateway, &calls, &line, &head.headers, function) {
         Ok(taken) => taken,
         Err(e) => {
             gateway.misunderstood.set(gateway.misunderstood.get() + 1);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,12 +1,12 @@
 //! Runs one router until it is told to stop: all on one thread, so that the core's decisions need no locks.
 
 use std::cell::{Cell, RefCell};
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use cedarpulley::Control;
 use cedarpulley::interface::{ListMode, Micros, Outcome, Report, WorkerIx};
@@ -19,7 +19,7 @@
 use crate::front::Front;
 use crate::list;
 use crate::meddle::{Meddle, Meddler};
-use crate::net::{Bell, Clock};
+use crate::net::{Bell, Clock, listen};
 use crate::pool::{Pool, ended};
 use crate::settings::{Names, Parts, WorkerList};
 
@@ -288,8 +288,8 @@
         birth.reports,
     );
     let mut listeners = Vec::new();
-    for listen in &listens {
-        listeners.push(Async::<TcpListener>::bind(listen.address)?);
+    for front in &listens {
+        listeners.push(listen(front.address)?);
     }
     let first = sources.len();
     let callers = listens.into_iter().enumerate();
--- a/crates/kserve/src/lib.rs
+++ b/crates/kserve/src/lib.rs
@@ -4,10 +4,14 @@
 //! * [`endings`]: every way in which a request can end, and whether it may have run; begin reading here.
 //! * [`reports`]: what answers tell of the worker.
 //! * [`serving`]: the other side: what a client of the front asks, and how it is answered.
+//! * [`rpc`]: the same over gRPC; its messages are made from `proto/`.
+//! * [`tensors`]: between a gRPC message and what workers speak.
 
 pub mod endings;
 pub mod reports;
 pub mod requests;
+pub mod rpc;
 pub mod serving;
+pub mod tensors;
 
 pub use endings::{Ended, Reading};
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -54,6 +54,8 @@
     InTime,
     /// After its latency objective, counted from when it was taken: time lost before is not this router's doing.
     Late,
+    /// Given up here, as no lane came free for it.
+    GivenUp,
     /// Turned away or errored for reasons that say nothing about load.
     Neither,
 }
@@ -118,10 +120,10 @@
     }
 
     /// One more is out: let in at the door, or taken from a broker.
-    pub fn entered(&mut self, now: Micros, front: FrontIx, account: u32) {
+    pub fn entered(&mut self, front: FrontIx, account: u32) {
         self.moved = true;
-        self.fronts.entered(now, front as usize);
-        self.accounts.entered(now, account as usize);
+        self.fronts.entered(front as usize);
+        self.accounts.entered(account as usize);
     }
 
     pub fn left(&mut self, front: FrontIx, account: u32) {
@@ -143,19 +145,19 @@
 
     /// An account that floods while others suffer: what it sends beyond its cap is given back at once, as a broker
     /// hands out first come, first served, and the others' messages stand behind it.
-    pub fn beyond(&self, now: Micros, account: u32) -> bool {
+    pub fn beyond(&self, account: u32) -> bool {
         let account = account as usize;
-        f64::from(self.accounts.out(account)) >= self.accounts.cap(now, account, self.limit)
+        f64::from(self.accounts.out(account)) >= self.accounts.cap(account, self.limit)
     }
 
     /// How full it is for the door; `coming`: bytes of bodies on their way in.
-    pub fn fill(&self, now: Micros, front: FrontIx, account: u32, coming: u64) -> Fill {
+    pub fn fill(&self, front: FrontIx, account: u32, coming: u64) -> Fill {
         let (f, a) = (front as usize, account as usize);
         Fill {
             limit: self.limit,
             out: self.out(),
-            front: (self.fronts.out(f), self.fronts.cap(now, f, self.limit)),
-            account: (self.accounts.out(a), self.accounts.cap(now, a, self.limit)),
+            front: (self.fronts.out(f), self.fronts.cap(f, self.limit)),
+            account: (self.accounts.out(a), self.accounts.cap(a, self.limit)),
             free_bytes: self.memory_bytes.saturating_sub(self.bytes + coming),
             usual: self.usual as Micros,
             stopping: self.stopping,
@@ -179,13 +181,15 @@
         self.bytes = self.bytes.saturating_sub(bytes as u64);
         let felt = match pace {
             Pace::InTime => Felt::InTime,
+            Pace::GivenUp => Felt::Crowded,
             Pace::Late if held as f64 > WAITED * took as f64 => Felt::Crowded,
             _ => Felt::Neither,
         };
         let usual = self.usual as Micros;
         self.fronts.ended(now, front as usize, self.limit, usual, felt);
         self.accounts.ended(now, account as usize, self.limit, usual, felt);
-        if pace == Pace::Neither {
+        // What the module gives up in a burst says nothing about how much may be taken.
+        if matches!(pace, Pace::GivenUp | Pace::Neither) {
             return;
         }
         self.usual += (took as f64 - self.usual) / MEMORY;
@@ -216,7 +220,7 @@
     }
 
     /// What each front may have out from now on, for those whose grant moved. 0: nothing new at all.
-    pub fn grants(&mut self, now: Micros, mut tell: impl FnMut(FrontIx, u32)) {
+    pub fn grants(&mut self, mut tell: impl FnMut(FrontIx, u32)) {
         if !std::mem::take(&mut self.moved) {
             return;
         }
@@ -230,7 +234,7 @@
         // Those that want less than their part leave the rest: smallest wish for its weight first.
         let wish = |f: usize| {
             let more = f64::from(self.fronts.out(f)) * (1.0 + SPARE) + GROW;
-            more.min(self.fronts.cap(now, f, self.limit))
+            more.min(self.fronts.cap(f, self.limit))
         };
         let mut order: Vec<usize> = (0..self.state.len()).filter(|&f| open(f)).collect();
         order.sort_by(|&a, &b| (wish(a) / self.weight[a]).total_cmp(&(wish(b) / self.weight[b])));
@@ -240,7 +244,7 @@
             let part = left * self.weight[f] / weights;
             let last = at + 1 == order.len();
             let grant = if last { part } else { part.min(wish(f)) };
-            let grant = grant.min(self.fronts.cap(now, f, self.limit));
+            let grant = grant.min(self.fronts.cap(f, self.limit));
             left -= grant;
             weights -= self.weight[f];
             grants[f] = grant.clamp(1.0, MOST) as u32;
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -309,7 +309,7 @@
         }
         self.run_timers(out);
         self.claims.tidy(self.now);
-        self.admission.grants(self.now, |front, most| out.push(Output::Grant { front, most }));
+        self.admission.grants(|front, most| out.push(Output::Grant { front, most }));
     }
 
     /// When [`Input::Tick`] is next wanted.
@@ -351,12 +351,12 @@
 
     fn knock(&mut self, delivery: Delivery, knock: &Knock, out: &mut Vec<Output>) {
         let trigger = &self.triggers[knock.trigger as usize];
-        let fill = self.admission.fill(self.now, delivery.front, knock.account, self.coming);
+        let fill = self.admission.fill(delivery.front, knock.account, self.coming);
         let worth = entry::worth(trigger, knock.waited, fill.usual);
         let entry = self.door.decide(self.now, knock, worth, &fill);
         match entry {
             Entry::Enter => {
-                self.admission.entered(self.now, delivery.front, knock.account);
+                self.admission.entered(delivery.front, knock.account);
                 self.inside.insert(delivery, (knock.account, knock.bytes));
                 self.coming += knock.bytes;
             }
@@ -427,7 +427,7 @@
             return self.answer(t.delivery, Answer::bare(Fate::Errored, Reason::Functions), out);
         }
         // Symptom: one account's flood fills the queue, and all others' messages come late behind it.
-        if !knocked && !t.redelivered && self.admission.beyond(self.now, t.account) {
+        if !knocked && !t.redelivered && self.admission.beyond(t.account) {
             return self.answer(t.delivery, Answer::bare(Fate::Throttled, Reason::Share), out);
         }
         if !self.admission.kept(t.body.len()) {
@@ -435,7 +435,7 @@
             return self.answer(t.delivery, Answer::bare(fate, Reason::Size), out);
         }
         if !knocked {
-            self.admission.entered(self.now, t.delivery.front, t.account);
+            self.admission.entered(t.delivery.front, t.account);
         }
         let func = self.funcs.enter(t.function.as_ref());
         if self.names.len() <= func as usize {
@@ -609,6 +609,7 @@
         let claim = it.claim;
         let pace = match answer.fate {
             Fate::Succeeded => self.pace(it),
+            Fate::Throttled => Pace::GivenUp,
             _ => Pace::Neither,
         };
         let effect = self.triggers[it.trigger as usize].effect;
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -5,7 +5,7 @@
 //! Mechanisms:
 //! 1. Hard bounds first: stopping, memory, the limit on all, the caps of its front and its account.
 //! 2. A connection may have a few times its equal part once little is left: one client's many streams do not shut
-//!    out the others.
+//!    out the others. One that mostly leaves before its answers, or reads none, gets next to nothing.
 //! 3. The last part of the limit is kept for what is worth more: the cheaper a request among those of late, the
 //!    sooner it is turned away. One that will come late is worth what a late answer earns.
 //! 4. Advice on when to return: as long as it takes to serve those that were turned away of late, spread out.
@@ -27,6 +27,8 @@
 /// Answers that a connection has not read may be so many before it is given more: a client that does not read what
 /// it has got has no use for more of it.
 const UNREAD: u32 = 32;
+/// A connection of whose last 32 so many left before their answer is let in again once `SPAN` has passed without.
+const LEAVES: u32 = 24;
 /// What was turned away and answered is counted over this time.
 const SPAN: Micros = 1_000_000;
 /// Advice is never shorter (the client would find the same) and never longer (by then all may be well).
@@ -57,6 +59,9 @@
     /// Requests of its connection that are inside, without this one, and answers it has not read.
     pub here: u32,
     pub unread: u32,
+    /// Of the last 32 of its connection, so many left without their answer, the last of them so long ago.
+    pub left: u32,
+    pub left_ago: Micros,
     /// Connections of its front that have something inside.
     pub connections: u32,
     /// Bytes of answers that clients of its front have not read.
@@ -100,6 +105,11 @@
     trigger.billed_value * if late { trigger.late_part } else { 1.0 }
 }
 
+/// Symptom: a client opens streams and resets them as fast as it can; each costs a dispatch that may run on.
+fn storms(knock: &Knock) -> bool {
+    knock.left >= LEAVES && knock.left_ago < SPAN
+}
+
 impl Door {
     /// From top to bottom; `worth` as [`worth`] has it.
     pub fn decide(&mut self, now: Micros, knock: &Knock, worth: f64, fill: &Fill) -> Entry {
@@ -116,7 +126,7 @@
             Some(Short::Front)
         } else if f64::from(fill.account.0) >= fill.account.1 {
             Some(Short::Account)
-        } else if knock.unread >= UNREAD || self.crowds(knock, fill) {
+        } else if knock.unread >= UNREAD || self.crowds(knock, fill) || storms(knock) {
             Some(Short::Connection)
         } else if used >= fill.limit * (1.0 - RESERVE * better) {
             Some(Short::Worth)
--- a/crates/router/src/shares.rs
+++ b/crates/router/src/shares.rs
@@ -3,30 +3,32 @@
 //!
 //! Mechanisms:
 //! 1. Nobody is capped until somebody suffers: what others leave unused is free to all.
-//! 2. Who has more out than its fair part pays when one within its fair part was late after waiting here: its cap
-//!    falls by steps, never below its fair part.
-//! 3. A cap rises again with each timely answer, and is gone once it holds nothing back.
+//! 2. One that was late or given up after waiting here has suffered. Who has more out than its party, for the weights
+//!    of both, pays: its cap falls by steps, never below as much as that party has. So all come to have as much,
+//!    for their weights, as the one that suffers, or none suffers.
+//! 3. Who feels no crowding itself pays nothing: then it is not lanes that are short, and less of its work would
+//!    not help the other.
+//! 4. A cap rises again with each timely answer, and is gone once it holds nothing back.
 
 use cedarpulley::interface::Micros;
 
 /// A cap falls to this part of what its party has out, so that the room it leaves is felt at the first step.
 const SHRINK: f64 = 0.8;
-/// A party counts as there for so long after its last entry: a front whose requests come one by one keeps its part
-/// through the gaps between them.
-const THERE: Micros = 5_000_000;
-/// A fair part is never below so many: a party may always have a few out, or it could never show that it is in time.
+/// A party may always have a few out, or it could never show that it is in time.
 const FEW: f64 = 4.0;
 /// An uncapped party.
 const FREE: f64 = f64::INFINITY;
 /// The time between two steps down is the usual time of an answer, but at least this: answers of one burst come
 /// together and are one sign, not many.
 const STEP_APART: Micros = 50_000;
+/// A party feels crowding if so many of its last 32 did: a few late ones are there on any day.
+const FEELS: u32 = 4;
 
 /// How an invocation ended, as its party felt it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Felt {
     InTime,
-    /// After its latency objective, a good part of which it spent waiting here for a lane.
+    /// After its latency objective, a good part of which it spent waiting here for a lane; or given up in the end.
     Crowded,
     /// Late by its own work, or an end that says nothing about load.
     Neither,
@@ -37,7 +39,8 @@
     weight: Vec<f64>,
     out: Vec<u32>,
     cap: Vec<f64>,
-    entered_at: Vec<Micros>,
+    /// Of its last 32 that felt anything, a bit for each that was crowded.
+    crowded: Vec<u32>,
     shrunk_at: Vec<Micros>,
 }
 
@@ -50,14 +53,13 @@
             weight,
             out: vec![0; n],
             cap: vec![FREE; n],
-            entered_at: vec![Micros::MIN / 2; n],
+            crowded: vec![0; n],
             shrunk_at: vec![Micros::MIN / 2; n],
         }
     }
 
-    pub fn entered(&mut self, now: Micros, party: usize) {
+    pub fn entered(&mut self, party: usize) {
         self.out[party] += 1;
-        self.entered_at[party] = now;
     }
 
     pub fn left(&mut self, party: usize) {
@@ -72,48 +74,35 @@
         self.out.iter().sum()
     }
 
-    fn there(&self, now: Micros, party: usize) -> bool {
-        self.out[party] > 0 || now - self.entered_at[party] < THERE
-    }
-
-    /// Its part of the limit among those that are there, by weight.
-    pub fn fair(&self, now: Micros, party: usize, limit: f64) -> f64 {
-        let others = (0..self.weight.len()).filter(|&p| p != party && self.there(now, p));
-        let all = others.map(|p| self.weight[p]).sum::<f64>() + self.weight[party];
-        (limit * self.weight[party] / all).max(FEW)
-    }
-
     /// How many it may have out.
-    pub fn cap(&self, now: Micros, party: usize, limit: f64) -> f64 {
-        self.cap[party].max(self.fair(now, party, limit)).min(limit)
+    pub fn cap(&self, party: usize, limit: f64) -> f64 {
+        self.cap[party].min(limit)
     }
 
     /// `usual`: time of an answer.
     pub fn ended(&mut self, now: Micros, party: usize, limit: f64, usual: Micros, felt: Felt) {
-        match felt {
-            Felt::Neither => {}
-            Felt::InTime => {
-                if self.cap[party] == FREE {
-                    return;
-                }
-                self.cap[party] += 1.0 / self.cap[party].max(1.0);
-                if self.cap[party] >= limit {
-                    self.cap[party] = FREE;
-                }
+        if felt == Felt::Neither {
+            return;
+        }
+        self.crowded[party] = self.crowded[party] << 1 | u32::from(felt == Felt::Crowded);
+        if felt == Felt::InTime {
+            if self.cap[party] < FREE {
+                self.cap[party] += 1.0 / self.cap[party];
+            }
+            if self.cap[party] >= limit {
+                self.cap[party] = FREE;
             }
-            // Symptom: one front's flood fills the lanes, and the other's few wait behind it.
-            Felt::Crowded if f64::from(self.out[party]) <= self.fair(now, party, limit) => {
-                for q in (0..self.weight.len()).filter(|&q| q != party) {
-                    let fair = self.fair(now, q, limit);
-                    let has = f64::from(self.out[q]);
-                    if has <= fair || now - self.shrunk_at[q] < usual.max(STEP_APART) {
-                        continue;
-                    }
-                    self.cap[q] = (self.cap[q].min(has) * SHRINK).max(fair);
-                    self.shrunk_at[q] = now;
-                }
+            return;
+        }
+        // Symptom: one front's flood fills the lanes, and the other's few wait behind it.
+        for q in (0..self.weight.len()).filter(|&q| q != party) {
+            let as_much = f64::from(self.out[party]) * self.weight[q] / self.weight[party];
+            let (has, least) = (f64::from(self.out[q]), as_much.max(FEW));
+            let feels = self.crowded[q].count_ones() >= FEELS;
+            if has > least && feels && now - self.shrunk_at[q] >= usual.max(STEP_APART) {
+                self.cap[q] = (self.cap[q].min(has) * SHRINK).max(least);
+                self.shrunk_at[q] = now;
             }
-            Felt::Crowded => {}
         }
     }
 }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -23,6 +23,8 @@
 use crate::http::{Body, Cut, Server, full};
 use crate::{Ground, Log, lock, wall_us};
 
+/// Of the binary-data extension.
+const JSON_LENGTH: &str = "inference-header-content-length";
 const MOST_BODY: usize = 128 << 20;
 /// What runs is advanced in steps of this length.
 const STEP: Duration = Duration::from_millis(10);
@@ -78,7 +80,10 @@
 pub struct Memory(Arc<Mutex<HashMap<String, Remembered>>>);
 
 /// Since when a token is known, and the answer once there is one.
-type Remembered = (Instant, Option<Bytes>);
+type Remembered = (Instant, Option<Told>);
+
+/// An answer's body, and how much of it is JSON where raw tensors follow.
+type Told = (Bytes, Option<usize>);
 
 /// A token that was entered and whose invocation has not begun: it never ran if it ends now.
 struct Entered {
@@ -306,6 +311,10 @@
             full(if stands { StatusCode::OK } else { StatusCode::NOT_FOUND }, "")
         }
         ["v2", "models", name, "infer"] => infer(it, from, model(name), request).await,
+        ["v2", "models", name, "versions", version, "infer"] => {
+            let function = format!("{}/versions/{}", model(name), model(version));
+            infer(it, from, function, request).await
+        }
         ["v2", "repository", "models", name, "load"] => {
             let name = model(name);
             it.log.write("ordered", json!({"function": name, "from": from.ip().to_string(), "held_back": it.cut.held_back(from.ip())}));
@@ -480,6 +489,7 @@
         |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
     let (id, dispatch) = (header("cedarpulley-invocation"), header("cedarpulley-dispatch"));
     let (kind, token) = (header("cedarpulley-trigger-type"), header("idempotency-key"));
+    let json_length = header(JSON_LENGTH).parse::<usize>().ok();
     let held_back = it.cut.held_back(from.ip());
     let from = from.ip().to_string();
     let program = it.programs.get(&kind).cloned();
@@ -493,7 +503,7 @@
     );
     let mut leaves = Leaves { log: it.log.clone(), id: id.clone(), dispatch, from, how: "closed" };
     let body = Limited::new(request.into_body(), MOST_BODY).collect().await;
-    let (Some(program), Ok(_)) = (program, body) else {
+    let (Some(program), Ok(body)) = (program, body) else {
         leaves.how = "refused";
         return refuse(StatusCode::BAD_REQUEST);
     };
@@ -593,7 +603,7 @@
     run(&it, work).await;
     drop(running);
     drop(lane);
-    let answer = Bytes::from(json!({"model_name": function, "id": id, "outputs": []}).to_string());
+    let answer = echoed(&function, &id, json_length, &body.to_bytes());
     if window.is_some()
         && let Some(known) = lock(&it.memory.0).get_mut(&token)
     {
@@ -612,7 +622,7 @@
         (life.map_or(0.0, |l| (l.running as f64 / it.nature.cores).min(1.0)), held)
     };
     let metrics = format!("TEXT cpu_utilization={busy:.2}, named_metrics.held={held}");
-    let mut response = full(StatusCode::OK, answer);
+    let mut response = told(answer);
     let headers = response.headers_mut();
     headers.insert("content-type", HeaderValue::from_static("application/json"));
     headers.insert("cedarpulley-copy", HeaderValue::from_static(note));
@@ -623,6 +633,29 @@
     response
 }
 
+/// Raw tensors come back as they came; of others only the name is told.
+fn echoed(function: &str, id: &str, json_length: Option<usize>, body: &Bytes) -> Told {
+    let mut outputs = json!([]);
+    let raw = json_length.filter(|n| n < &body.len()).map(|n| body.slice(n..));
+    if let (Some(n), Some(_)) = (json_length, &raw) {
+        let head = serde_json::from_slice::<serde_json::Value>(&body[..n]).unwrap_or_default();
+        outputs = head.get("inputs").cloned().unwrap_or(outputs);
+    }
+    let head = json!({"model_name": function, "id": id, "outputs": outputs}).to_string();
+    match raw {
+        None => (Bytes::from(head), None),
+        Some(raw) => (Bytes::from([head.as_bytes(), &raw].concat()), Some(head.len())),
+    }
+}
+
+fn told((body, json): Told) -> Response<Body> {
+    let mut response = full(StatusCode::OK, body);
+    if let Some(json) = json {
+        response.headers_mut().insert(JSON_LENGTH, HeaderValue::from(json));
+    }
+    response
+}
+
 /// Remembers a token from now on, unless it is known.
 fn enter(it: &Arc<Inner>, token: &str, window: Duration) -> Option<Entered> {
     let mut memory = lock(&it.memory.0);
@@ -641,7 +674,7 @@
     while Instant::now() < until {
         let seen = lock(&it.memory.0).get(token).filter(|(at, _)| at.elapsed() < window).cloned();
         match seen {
-            Some((_, Some(answer))) => return full(StatusCode::OK, answer),
+            Some((_, Some(answer))) => return told(answer),
             Some((_, None)) => Timer::after(STEP).await,
             None => break,
         };
