TLS on rustls for both fronts: judged, replaced while running, accounts by certificate

Need: callers and brokers outside a trusted network, and certificates that end. Change: crates/certificates decides, free of I/O, which pair may serve, when changed files replace it and for whom a client's certificate speaks; the gateway makes the handshakes and looks at the files; check refuses a key that others may read, one that does not match and a certificate out of its time. Measured: a stream that stood through a replacement is answered; a wrong pair replaces nothing; tests over loopback.

--- /dev/null
+++ b/crates/cli/tests/tls.rs
@@ -0,0 +1,278 @@
+//! TLS of a running router: both fronts, certificates replaced while streams stand, accounts by certificate.
+
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::process::Command;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use cedarpulley_standins::Ground;
+use cedarpulley_standins::broker::Broker;
+use futures_rustls::client::TlsStream;
+use futures_rustls::rustls::pki_types::pem::PemObject;
+use futures_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use futures_rustls::rustls::{ClientConfig, RootCertStore, ServerConfig, crypto::ring};
+use futures_rustls::{TlsAcceptor, TlsConnector};
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::body::Bytes;
+use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair, date_time_ymd};
+use smol_hyper::rt::FuturesIo;
+
+mod running;
+use running::{Running, comes, start_with};
+
+/// An authority and what it has signed.
+struct Authority {
+    issuer: Issuer<'static, KeyPair>,
+    pem: String,
+}
+
+struct Pair {
+    certificate: String,
+    key: String,
+}
+
+impl Authority {
+    fn new() -> Self {
+        let key = KeyPair::generate().expect("a key");
+        let mut params = CertificateParams::new(Vec::new()).expect("no names");
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let pem = params.self_signed(&key).expect("signed").pem();
+        Authority { issuer: Issuer::new(params, key), pem }
+    }
+
+    fn pair(&self, name: &str, last_year: i32) -> Pair {
+        let key = KeyPair::generate().expect("a key");
+        let mut params = CertificateParams::new(vec!["localhost".to_owned()]).expect("a name");
+        params.not_after = date_time_ymd(last_year, 1, 1);
+        params.distinguished_name.push(DnType::CommonName, name);
+        let certificate = params.signed_by(&key, &self.issuer).expect("signed").pem();
+        Pair { certificate, key: key.serialize_pem() }
+    }
+
+    fn client(&self, own: Option<&Pair>) -> TlsConnector {
+        let mut roots = RootCertStore::empty();
+        roots.add(CertificateDer::from_pem_slice(self.pem.as_bytes()).expect("PEM")).expect("an authority");
+        let builder = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+            .with_safe_default_protocol_versions()
+            .expect("versions")
+            .with_root_certificates(roots);
+        let config = match own {
+            None => builder.with_no_client_auth(),
+            Some(pair) => {
+                let chain = vec![CertificateDer::from_pem_slice(pair.certificate.as_bytes()).expect("PEM")];
+                let key = PrivateKeyDer::from_pem_slice(pair.key.as_bytes()).expect("PEM");
+                builder.with_client_auth_cert(chain, key).expect("a pair")
+            }
+        };
+        TlsConnector::from(Arc::new(config))
+    }
+}
+
+fn folder(name: &str) -> std::path::PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+fn write(folder: &Path, name: &str, text: &str, mode: u32) {
+    let file = folder.join(name);
+    let _ = std::fs::remove_file(&file);
+    std::fs::write(&file, text).expect("written");
+    std::fs::set_permissions(&file, std::fs::Permissions::from_mode(mode)).expect("set");
+}
+
+fn put(folder: &Path, pair: &Pair) {
+    write(folder, "certificate.pem", &pair.certificate, 0o644);
+    write(folder, "key.pem", &pair.key, 0o600);
+}
+
+const FILES: &str = "certificate = \"certificate.pem\"\nkey = \"key.pem\"\n";
+
+async fn connect(connector: &TlsConnector, at: SocketAddr) -> std::io::Result<TlsStream<Async<TcpStream>>> {
+    let stream = Async::<TcpStream>::connect(at).await?;
+    connector.connect(ServerName::try_from("localhost").expect("a name"), stream).await
+}
+
+fn shown(stream: &TlsStream<Async<TcpStream>>) -> Vec<u8> {
+    stream.get_ref().1.peer_certificates().expect("one is shown")[0].to_vec()
+}
+
+async fn ask(stream: TlsStream<Async<TcpStream>>, headers: &[(&str, &str)]) -> Option<(u16, String)> {
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(FuturesIo::new(stream)).await.ok()?;
+    let mut request = Request::post("/v2/models/f/infer").header("host", "x");
+    for (name, value) in
+        [("cedarpulley-trigger-type", "once"), ("cedarpulley-lanes", "50")].iter().chain(headers)
+    {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::from_static(b"{}"))).expect("a request");
+    let asking = async {
+        let answer = sender.send_request(request).await.ok()?;
+        let status = answer.status().as_u16();
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        Some((status, String::from_utf8_lossy(&body).into_owned()))
+    };
+    let driving = async {
+        let _ = connection.await;
+        std::future::pending().await
+    };
+    futures_lite::FutureExt::or(asking, driving).await
+}
+
+#[test]
+fn a_certificate_is_replaced_and_no_stream_is_dropped() {
+    let (authority, here) = (Authority::new(), folder("tls-replaced"));
+    let (old, new) = (authority.pair("old", 2100), authority.pair("new", 2100));
+    put(&here, &old);
+    let r: Running = start_with("tls-replaced", Duration::from_millis(2500), 64, 1, FILES);
+    let connector = authority.client(None);
+    async_io::block_on(async {
+        let stream = connect(&connector, r.address).await.expect("a handshake");
+        let first = shown(&stream);
+        let standing = ask(stream, &[]);
+        let replacing = async {
+            Timer::after(Duration::from_millis(300)).await;
+            // A key that others may read changes nothing.
+            write(&here, "key.pem", &new.key, 0o644);
+            write(&here, "certificate.pem", &new.certificate, 0o644);
+            Timer::after(Duration::from_millis(1300)).await;
+            assert_eq!(shown(&connect(&connector, r.address).await.expect("a handshake")), first);
+            put(&here, &new);
+            Timer::after(Duration::from_millis(200)).await;
+        };
+        let (answer, ()) = futures_lite::future::zip(standing, replacing).await;
+        assert_eq!(answer.map(|a| a.0), Some(200), "the stream that stood was answered");
+        let mut changed = false;
+        for _ in 0..40 {
+            changed = shown(&connect(&connector, r.address).await.expect("a handshake")) != first;
+            if changed {
+                break;
+            }
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        assert!(changed);
+    });
+}
+
+#[test]
+fn a_client_certificate_speaks_for_its_account_and_no_other() {
+    let (authority, here) = (Authority::new(), folder("tls-mutual"));
+    put(&here, &authority.pair("server", 2100));
+    write(&here, "clients.pem", &authority.pem, 0o644);
+    let front = format!(
+        "{FILES}clients = \"clients.pem\"\n[[account]]\nname = \"amber\"\nshare = 0.5\ncertificate_names = [\"a\"]\n\
+         [[account]]\nname = \"birch\"\nshare = 0.5\n"
+    );
+    let r = start_with("tls-mutual", Duration::from_millis(5), 64, 1, &front);
+    let by = |name: Option<&str>| {
+        let pair = name.map(|n| authority.pair(n, 2100));
+        authority.client(pair.as_ref())
+    };
+    let asked = |connector: TlsConnector, headers: &'static [(&'static str, &'static str)]| {
+        async_io::block_on(async {
+            let stream = connect(&connector, r.address).await.ok()?;
+            ask(stream, headers).await
+        })
+    };
+    assert_eq!(asked(by(Some("a")), &[]).map(|a| a.0), Some(200));
+    assert_eq!(asked(by(Some("a")), &[("cedarpulley-account", "amber")]).map(|a| a.0), Some(200));
+    let (status, text) = asked(by(Some("a")), &[("cedarpulley-account", "birch")]).expect("answered");
+    assert!(status == 400 && text.contains("certificate"), "{text}");
+    // Given to no account; none shown; from another authority.
+    assert_eq!(asked(by(Some("b")), &[]), None);
+    assert_eq!(asked(by(None), &[]), None);
+    let stranger = Authority::new().pair("a", 2100);
+    assert_eq!(asked(authority.client(Some(&stranger)), &[]), None);
+    assert_eq!(r.logged(r#""what":"received""#), 2);
+}
+
+#[test]
+fn check_names_what_is_wrong_with_a_certificate() {
+    let (authority, here) = (Authority::new(), folder("tls-check"));
+    let good = authority.pair("server", 2100);
+    let file = here.join("router.toml");
+    let text = format!(
+        "[[trigger]]\nname = \"once\"\neffect = \"idempotent\"\nlatency_objective_ms = 900\nclient_timeout_ms = 3000\n\
+         [[kserve]]\nlisten = \"127.0.0.1:9\"\n{FILES}[workers]\nlist = [{{ address = \"127.0.0.1:8\" }}]\n"
+    );
+    std::fs::write(&file, text).expect("written");
+    let check = || {
+        let out = Command::new(env!("CARGO_BIN_EXE_cedarpulley"))
+            .arg("check")
+            .arg(&file)
+            .output()
+            .expect("it runs");
+        (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
+    };
+    put(&here, &good);
+    assert_eq!(check().0, Some(0), "{}", check().1);
+    let refused = |line: &str, cause: &str| {
+        let (code, text) = check();
+        assert!(code == Some(2) && text.contains(line) && text.contains(cause), "{code:?} {text}");
+    };
+    write(&here, "key.pem", &good.key, 0o644);
+    refused("router.toml:9: kserve[0].key", "may be read by others");
+    put(&here, &Pair { key: authority.pair("x", 2100).key, ..good });
+    refused("router.toml:9: kserve[0].key", "does not belong");
+    put(&here, &authority.pair("server", 2001));
+    refused("router.toml:8: kserve[0].certificate", "expired");
+    std::fs::remove_file(here.join("certificate.pem")).expect("removed");
+    refused("router.toml:8: kserve[0].certificate", "No such file");
+}
+
+/// The broker stand-in speaks no TLS: something before it does.
+#[test]
+fn a_queue_is_consumed_over_tls() {
+    let (authority, here) = (Authority::new(), folder("tls-broker"));
+    let server = authority.pair("broker", 2100);
+    write(&here, "authorities.pem", &authority.pem, 0o644);
+    let chain = vec![CertificateDer::from_pem_slice(server.certificate.as_bytes()).expect("PEM")];
+    let key = PrivateKeyDer::from_pem_slice(server.key.as_bytes()).expect("PEM");
+    let config = ServerConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_safe_default_protocol_versions()
+        .expect("versions")
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .expect("a pair");
+    let acceptor = TlsAcceptor::from(Arc::new(config));
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let ground = Ground::new(2, Some(&here.join("broker"))).expect("a ground");
+    let broker = Broker::start(&ground, "broker", any).expect("a broker");
+    broker.declare("q");
+    let (inner, listener) = (broker.address, Async::<std::net::TcpListener>::bind(any).expect("bound"));
+    let outer = listener.get_ref().local_addr().expect("an address");
+    let executor = ground.executor.clone();
+    let relay = async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let acceptor = acceptor.clone();
+            let pass = async move {
+                let Ok(tls) = acceptor.accept(stream).await else { return };
+                let Ok(plain) = Async::<TcpStream>::connect(inner).await else { return };
+                let (reads, writes) = smol::io::split(tls);
+                let there = smol::io::copy(reads, &plain);
+                let back = smol::io::copy(&plain, writes);
+                let _ = futures_lite::future::race(there, back).await;
+            };
+            executor.spawn(pass).detach();
+        }
+    };
+    ground.executor.spawn(relay).detach();
+    let more = |name: &str| {
+        format!(
+            "[[amqp]]\nbroker = \"{outer}\"\nqueue = \"q\"\nauthorities = \"authorities.pem\"\nserver_name = \"{name}\"\n"
+        )
+    };
+    let r = start_with("tls-broker", Duration::from_millis(5), 64, 1, &more("localhost"));
+    assert!(comes(|| broker.consumers() == 1));
+    drop(r);
+    assert!(comes(|| broker.consumers() == 0));
+    // A broker that goes by another name is not spoken to.
+    let _r = start_with("tls-broker", Duration::from_millis(5), 64, 1, &more("elsewhere"));
+    std::thread::sleep(Duration::from_millis(800));
+    assert_eq!(broker.consumers(), 0);
+}
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -18,13 +18,15 @@
 use cedarpulley_router::entry::{Entry, Knock};
 use cedarpulley_router::{Answer, Delivery, FrontIx, Input, Taken};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use futures_rustls::server::TlsStream;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::HeaderMap;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use smol::channel::{Sender, bounded};
 
-use crate::net::{Bell, micros};
+use crate::net::{Bell, Stream, micros};
 use crate::serve::Gateway;
+use crate::tls::{Files, Inward};
 use crate::{grpc, rest};
 
 /// A body comes whole within this time of its head.
@@ -50,6 +52,7 @@
     pub most_connections: usize,
     /// Requests at once on one connection, where the protocol has them.
     pub most_streams: u32,
+    pub tls: Option<Files>,
 }
 
 /// One connection's part of the counts at the door.
@@ -60,6 +63,14 @@
     /// Of the last 32 that were inside, a bit for each that left without its answer; and when that was last.
     left: Cell<u32>,
     left_at: Cell<Micros>,
+    /// For which its certificate speaks.
+    account: Cell<Option<u32>>,
+}
+
+impl Line {
+    pub fn account(&self) -> Option<u32> {
+        self.account.get()
+    }
 }
 
 pub struct Calls {
@@ -79,6 +90,9 @@
     stand: RefCell<HashMap<u64, Bell>>,
     /// Connections closed at once for being beyond `most_connections`.
     pub closed: Cell<u64>,
+    /// Connections without a handshake, or with a certificate that speaks for no account.
+    pub refused: Cell<u64>,
+    tls: Option<Rc<Inward>>,
 }
 
 /// A request that is inside. Its client may vanish at any moment: then this is dropped, and the core told.
@@ -267,7 +281,7 @@
 }
 
 impl Calls {
-    pub fn new(ix: FrontIx, listen: Listen, most_body: u64) -> Self {
+    pub fn new(ix: FrontIx, listen: Listen, most_body: u64, tls: Option<Rc<Inward>>) -> Self {
         Calls {
             ix,
             listen,
@@ -282,6 +296,8 @@
             stopping: Cell::new(false),
             stand: RefCell::default(),
             closed: Cell::new(0),
+            refused: Cell::new(0),
+            tls,
         }
     }
 
@@ -363,6 +379,9 @@
     pub async fn run(self: Rc<Self>, gateway: Rc<Gateway>, listener: Async<TcpListener>) {
         gateway.feed(Input::Front { front: self.ix, state: FrontState::Up });
         tracing::info!(front = %self.listen.name, address = %self.listen.address, "listening");
+        if let Some(tls) = self.tls.clone() {
+            gateway.executor.spawn(tls.watch(gateway.clone(), self.listen.name.clone())).detach();
+        }
         let mut serial = 0;
         loop {
             let Ok((stream, _)) = listener.accept().await else {
@@ -385,17 +404,50 @@
             let executor = gateway.executor.clone();
             let served = executor.spawn(async move {
                 let _stands = stands;
-                let (stream, line) = (Paced::new(stream), Rc::new(Line::default()));
-                // However it ends, its open requests have been dropped by then.
-                match it.listen.protocol {
-                    // Each on its own: ten thousand idle ones must not take the larger one's room.
-                    Protocol::Rest => Box::pin(rest::serve(it, gateway, line, stream, stop)).await,
-                    Protocol::Grpc => Box::pin(grpc::serve(it, gateway, line, stream, stop)).await,
-                }
+                let line = Rc::new(Line::default());
+                // Each on its own: ten thousand idle ones must not take the largest one's room.
+                let Some(tls) = it.tls.clone() else {
+                    return Box::pin(it.serve(gateway, line, Paced::new(stream), stop)).await;
+                };
+                let Some(stream) = Box::pin(it.handshake(&gateway, &line, &tls, stream)).await else {
+                    return it.refused.set(it.refused.get() + 1);
+                };
+                Box::pin(it.serve(gateway, line, Paced::new(stream), stop)).await;
             });
             served.detach();
         }
     }
+
+    /// Absent if there was no handshake, or its certificate speaks for none where it has to.
+    async fn handshake(
+        &self,
+        gateway: &Gateway,
+        line: &Line,
+        tls: &Inward,
+        stream: Stream,
+    ) -> Option<TlsStream<Stream>> {
+        let stream = tls.accept(stream).await.ok()?;
+        if tls.asks_clients() && !gateway.speakers.is_empty() {
+            let (_, session) = stream.get_ref();
+            let account = gateway.speakers.account(session.peer_certificates()?.first()?)?;
+            line.account.set(Some(account));
+        }
+        Some(stream)
+    }
+
+    /// However it ends, its open requests have been dropped by then.
+    async fn serve(
+        self: Rc<Self>,
+        gateway: Rc<Gateway>,
+        line: Rc<Line>,
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        stop: Bell,
+    ) {
+        match self.listen.protocol {
+            Protocol::Rest => Box::pin(rest::serve(self, gateway, line, stream, stop)).await,
+            Protocol::Grpc => Box::pin(grpc::serve(self, gateway, line, stream, stop)).await,
+        }
+    }
 }
 
 /// A connection's place among those that stand.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -15,13 +15,17 @@
 use cedarpulley_router::admission::FrontState;
 use cedarpulley_router::backoff::Backoff;
 use cedarpulley_router::{Answer, Delivery, Fate, FrontIx, Input, Payload, Reason, Taken};
+use futures_lite::io::{ReadHalf, WriteHalf, split};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
-use crate::net::{Bell, Stream, connect};
+use crate::net::{Bell, connect};
 use crate::serve::Gateway;
 use crate::settings::Source;
+use crate::tls::Wire;
 
 const READ: usize = 64 * 1024;
+/// What is said to a broker at the end is waited for so long: one that reads nothing must not hold up what follows.
+const LAST_WORDS: std::time::Duration = std::time::Duration::from_millis(500);
 /// Connecting to a broker may take so long.
 const CONNECT_WITHIN: Micros = 2_000_000;
 /// Output that waits for a broker that reads slowly; beyond, no more is read from it either.
@@ -134,10 +138,15 @@
         while !self.closing.get() {
             let began = gateway.clock.now();
             match connect(self.source.broker, gateway.from, CONNECT_WITHIN).await {
-                Ok(stream) => {
-                    let fault = self.converse(&gateway, &stream, &mut backoff).await;
-                    tracing::warn!(front = %self.source.name, cause = %fault, "connection to the broker ended");
-                }
+                Ok(stream) => match Wire::begin(stream, self.source.tls.as_ref()).await {
+                    Ok(wire) => {
+                        let fault = self.converse(&gateway, wire, &mut backoff).await;
+                        tracing::warn!(front = %self.source.name, cause = %fault, "connection to the broker ended");
+                    }
+                    Err(e) => {
+                        tracing::warn!(front = %self.source.name, cause = %e, "no TLS with the broker");
+                    }
+                },
                 Err(e) => {
                     tracing::warn!(front = %self.source.name, cause = %e, "no connection to the broker")
                 }
@@ -160,12 +169,7 @@
         }
     }
 
-    async fn converse(
-        self: &Rc<Self>,
-        gateway: &Rc<Gateway>,
-        stream: &Stream,
-        backoff: &mut Backoff,
-    ) -> Fault {
+    async fn converse(self: &Rc<Self>, gateway: &Rc<Gateway>, wire: Wire, backoff: &mut Backoff) -> Fault {
         let login = Login {
             virtual_host: self.source.virtual_host.clone(),
             user: self.source.user.clone(),
@@ -179,7 +183,9 @@
         *self.connection.borrow_mut() = Some(Connection::new(gateway.clock.now(), role, login));
         let stood = Cell::new(gateway.clock.now());
         let backoff = RefCell::new(backoff);
-        let fault = self.read(gateway, stream, &stood, &backoff).or(self.write(gateway, stream)).await;
+        let (mut reads, mut writes) = split(wire);
+        let reading = self.read(gateway, &mut reads, &stood, &backoff);
+        let fault = reading.or(self.write(gateway, &mut writes)).await;
         // Tell the broker why, if it will hear it.
         let last = self.connection.borrow_mut().as_mut().map(|c| {
             if fault.code != 200 {
@@ -188,8 +194,15 @@
             c.output(gateway.clock.now())
         });
         if let Some(bytes) = last {
-            let mut stream = stream;
-            let _ = stream.write(&bytes).await;
+            // A broker that reads nothing is not waited for.
+            let told = async {
+                let _ = writes.write_all(&bytes).await;
+                let _ = writes.flush().await;
+            };
+            let late = async {
+                Timer::after(LAST_WORDS).await;
+            };
+            told.or(late).await;
         }
         fault
     }
@@ -197,7 +210,7 @@
     async fn read(
         self: &Rc<Self>,
         gateway: &Rc<Gateway>,
-        mut stream: &Stream,
+        stream: &mut ReadHalf<Wire>,
         stood: &Cell<Micros>,
         backoff: &RefCell<&mut Backoff>,
     ) -> Fault {
@@ -260,7 +273,7 @@
         }
     }
 
-    async fn write(self: &Rc<Self>, gateway: &Rc<Gateway>, mut stream: &Stream) -> Fault {
+    async fn write(self: &Rc<Self>, gateway: &Rc<Gateway>, stream: &mut WriteHalf<Wire>) -> Fault {
         loop {
             let now = gateway.clock.now();
             let (bytes, due) = {
@@ -277,7 +290,11 @@
                 (c.output(now), c.next_due().min(self.reopen_at.get().unwrap_or(Micros::MAX)))
             };
             if !bytes.is_empty() {
-                if let Err(e) = stream.write_all(&bytes).await {
+                let sent = async {
+                    stream.write_all(&bytes).await?;
+                    stream.flush().await
+                };
+                if let Err(e) = sent.await {
                     return Fault::new(320, e.to_string());
                 }
                 continue;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod serve;
 pub mod settings;
 pub mod sheet;
+pub mod tls;
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -62,7 +62,7 @@
 pub(crate) fn understood(
     gateway: &Gateway,
     calls: &Calls,
-    _line: &Line,
+    line: &Line,
     headers: &HeaderMap,
     function: String,
 ) -> Result<Taken, Misunderstood> {
@@ -70,9 +70,17 @@
     let unknown = |field, what: &str| Misunderstood { field, cause: format!("'{what}' is unknown") };
     let trigger = gateway.names.trigger(&w.kind);
     let trigger = trigger.ok_or_else(|| unknown("cedarpulley-trigger-type", &w.kind))?;
-    let account = gateway.names.account(w.account.as_deref());
-    let account =
-        account.ok_or_else(|| unknown("cedarpulley-account", w.account.as_deref().unwrap_or_default()))?;
+    let said = gateway.names.account(w.account.as_deref());
+    let said =
+        said.ok_or_else(|| unknown("cedarpulley-account", w.account.as_deref().unwrap_or_default()))?;
+    let account = match line.account() {
+        None => said,
+        Some(own) if w.account.is_none() || said == own => own,
+        Some(_) => {
+            let cause = "is not the one that the client's certificate speaks for".to_owned();
+            return Err(Misunderstood { field: "cedarpulley-account", cause });
+        }
+    };
     Ok(Taken {
         delivery: calls.delivery(),
         identity: None,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,6 +10,7 @@
 use async_signal::{Signal, Signals};
 use cedarpulley::Control;
 use cedarpulley::interface::{ListMode, Micros, Outcome, Report, WorkerIx};
+use cedarpulley_certificates::Speakers;
 use cedarpulley_kserve::{endings, requests};
 use cedarpulley_router::{FrontIx, Input, Output, Payload, Router};
 use futures_lite::{FutureExt, StreamExt};
@@ -22,6 +23,7 @@
 use crate::net::{Bell, Clock, listen};
 use crate::pool::{Pool, ended};
 use crate::settings::{Names, Parts, WorkerList};
+use crate::tls::Inward;
 
 /// How often connections that have been idle too long are looked for.
 const TIDY: Duration = Duration::from_secs(5);
@@ -37,6 +39,8 @@
     pub from: Option<IpAddr>,
     pub names: Names,
     pub misunderstood: Cell<u64>,
+    /// Whose certificates speak for which account.
+    pub(crate) speakers: Speakers,
     pub(crate) meddler: Meddler,
     /// Microseconds from taking to the final answer, and until that was safely out.
     pub(crate) answered: RefCell<Histogram<u64>>,
@@ -270,7 +274,7 @@
 
 /// Runs one router until a signal to end. True if all that was taken has been answered.
 pub fn run(name: &str, parts: Parts, meddle: Option<Meddle>) -> std::io::Result<bool> {
-    let Parts { birth, names, terms, sources, listens, list, links, most_body } = parts;
+    let Parts { birth, names, terms, sources, listens, list, links, most_body, speakers } = parts;
     let clock = Clock::start();
     let executor = Rc::new(LocalExecutor::new());
     // Without a seed of its own each start draws differently.
@@ -292,8 +296,16 @@
         listeners.push(listen(front.address)?);
     }
     let first = sources.len();
-    let callers = listens.into_iter().enumerate();
-    let callers = callers.map(|(n, l)| Rc::new(Calls::new((first + n) as u32, l, most_body))).collect();
+    let mut callers = Vec::new();
+    for (n, listen) in listens.into_iter().enumerate() {
+        let tls = match &listen.tls {
+            None => None,
+            Some(files) => {
+                Some(Inward::open(files.clone(), clock.wall()).map_err(|e| std::io::Error::other(e.cause))?)
+            }
+        };
+        callers.push(Rc::new(Calls::new((first + n) as u32, listen, most_body, tls)));
+    }
     let fronts = sources.into_iter().enumerate();
     let gateway = Rc::new(Gateway {
         clock,
@@ -302,6 +314,7 @@
         from: links.from,
         names,
         misunderstood: Cell::new(0),
+        speakers,
         meddler: Meddler::new(meddle),
         answered: RefCell::new(times()),
         safe: RefCell::new(times()),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,13 +2,17 @@
 //! handed its own few of them; documented in docs/operate/settings.md.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use cedarpulley::interface::*;
+use cedarpulley_certificates::{self as certificates, Speakers, Which};
 use cedarpulley_router::Terms;
 use cedarpulley_router::roster::Listed;
 
 use crate::calls::{Listen, Protocol};
 use crate::sheet::{Refused, Section, Sheet};
+use crate::tls::{self, Files, Inward, Outward};
 
 /// A day in milliseconds: no time in the file is longer.
 const DAY: u64 = 86_400_000;
@@ -49,6 +53,7 @@
     pub password: String,
     pub queue: String,
     pub heartbeat_s: u16,
+    pub tls: Option<Outward>,
 }
 
 #[derive(Clone, Debug)]
@@ -92,15 +97,18 @@
     pub list: WorkerList,
     pub links: Links,
     pub most_body: u64,
+    pub speakers: Speakers,
 }
 
+/// Reads the text, and the certificates that it names; `file` tells where those with relative paths lie.
 pub fn read(file: &str, text: &str) -> Result<Parts, Refused> {
     let (sheet, table) = Sheet::parse(file, text)?;
-    let parts = parts(&sheet, &Section::root(&sheet, &table));
+    let folder = Path::new(file).parent().unwrap_or(Path::new(""));
+    let parts = parts(&sheet, &Section::root(&sheet, &table), folder);
     sheet.whole(parts)
 }
 
-fn parts(sheet: &Sheet, root: &Section) -> Parts {
+fn parts(sheet: &Sheet, root: &Section, folder: &Path) -> Parts {
     let _ = sheet;
     let mut names = Names::default();
 
@@ -220,8 +228,16 @@
     }
 
     let mut accounts = Vec::new();
+    let mut speakers = Speakers::default();
     for a in root.sections("account") {
         names.accounts.push(a.text("name", None));
+        if a.has("certificate_names") {
+            for name in a.texts("certificate_names") {
+                if !speakers.give(name.clone(), accounts.len() as u32) {
+                    a.wrong("certificate_names", &format!("'{name}' speaks for another account"));
+                }
+            }
+        }
         accounts.push(Account {
             allowance_per_s: a.number("allowance_per_s", 0.0..MANY, Some(MANY)),
             share: a.number("share", 0.0..1.0, Some(1.0)),
@@ -244,23 +260,26 @@
             password: s.text("password", Some("guest")),
             queue: s.text("queue", None),
             heartbeat_s: s.count("heartbeat_s", 0..65_535, Some(10)) as u16,
+            tls: outward(&s, folder),
         });
         s.end();
     }
     let mut listens: Vec<Listen> = Vec::new();
     for s in root.sections("kserve") {
         weights.push(weight_of(&s, &names, &accounts));
+        let protocol = match s.text("protocol", Some("rest")).as_str() {
+            "rest" => Protocol::Rest,
+            "grpc" => Protocol::Grpc,
+            _ => {
+                s.wrong("protocol", "is none of rest, grpc");
+                Protocol::Rest
+            }
+        };
         let listen = Listen {
             name: s.text("name", Some("kserve")),
             address: s.address("listen"),
-            protocol: match s.text("protocol", Some("rest")).as_str() {
-                "rest" => Protocol::Rest,
-                "grpc" => Protocol::Grpc,
-                _ => {
-                    s.wrong("protocol", "is none of rest, grpc");
-                    Protocol::Rest
-                }
-            },
+            protocol,
+            tls: inward(&s, folder, protocol),
             most_streams: s.count("most_streams", 1..10_000, Some(100)) as u32,
             most_connections: s.count("most_connections", 1..1_000_000, Some(10_000)) as usize,
         };
@@ -306,7 +325,7 @@
         root.has(known);
     }
     let birth = Birth { seed, fleet, limits, rules, triggers, accounts, loads, prices, reports };
-    Parts { birth, names, terms, sources, listens, list, links, most_body }
+    Parts { birth, names, terms, sources, listens, list, links, most_body, speakers }
 }
 
 fn trigger(t: &Section, limits: &DispatchLimits) -> TriggerType {
@@ -352,6 +371,67 @@
     }
 }
 
+fn now() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
+}
+
+fn refused(s: &Section, why: &certificates::Refused, clients: &str) {
+    let key = match why.which {
+        Which::Certificate => "certificate",
+        Which::Key => "key",
+        Which::Clients => clients,
+    };
+    s.wrong(key, &why.cause);
+}
+
+/// A file that is named, from the settings' folder.
+fn named(s: &Section, key: &str, folder: &Path) -> Option<PathBuf> {
+    s.has(key).then(|| folder.join(s.text(key, Some(""))))
+}
+
+fn inward(s: &Section, folder: &Path, protocol: Protocol) -> Option<Files> {
+    let (certificate, key) = (named(s, "certificate", folder), named(s, "key", folder));
+    let clients = named(s, "clients", folder);
+    let (certificate, key) = match (certificate, key) {
+        (Some(certificate), Some(key)) => (certificate, key),
+        (None, None) if clients.is_none() => return None,
+        _ => {
+            s.wrong("certificate", "certificate and key belong together, and clients need both");
+            return None;
+        }
+    };
+    let alpn: &[u8] = if protocol == Protocol::Grpc { b"h2" } else { b"http/1.1" };
+    let files = Files { certificate, key, clients, alpn };
+    if let Err(why) = Inward::open(files.clone(), now()) {
+        refused(s, &why, "clients");
+    }
+    Some(files)
+}
+
+fn outward(s: &Section, folder: &Path) -> Option<Outward> {
+    let roots = named(s, "authorities", folder);
+    let (certificate, key) = (named(s, "certificate", folder), named(s, "key", folder));
+    let name = s.text("server_name", Some("localhost"));
+    let Some(roots) = roots else {
+        if certificate.is_some() || key.is_some() || s.has("server_name") {
+            s.wrong("authorities", "TLS needs the authorities that the broker's certificate is from");
+        }
+        return None;
+    };
+    if certificate.is_some() != key.is_some() {
+        s.wrong("certificate", "certificate and key belong together");
+        return None;
+    }
+    let own = certificate.as_deref().zip(key.as_deref());
+    match tls::outward(&roots, own, &name, now()) {
+        Ok(outward) => Some(outward),
+        Err(why) => {
+            refused(s, &why, "authorities");
+            None
+        }
+    }
+}
+
 /// A front's weight: its own, or the share of an account.
 fn weight_of(s: &Section, names: &Names, accounts: &[Account]) -> f64 {
     match s.text("share_of", Some("")).as_str() {
