Trace merge, cut and strip; format 2 with any number of routers in one file

Need: one file for a dozen routers, a minute cut out of it, and one that may be given away. Change: blocks name their source; merge copies packed blocks in the common time, with the offsets of clocks estimated from the worker list; cut follows invocations by function, account, worker or mark and reads only touched blocks; strip replaces names by keyed pseudonyms and looks for what is left. Kept files of both formats open.

--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -2,12 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io::BufReader;
+use std::io::{BufReader, BufWriter, Write};
 use std::path::{Path, PathBuf};
 
-use cedarpulley_trace::reader::{Ended, Found, Reader};
+use cedarpulley_trace::merge::{Offsets, merge};
+use cedarpulley_trace::reader::{Ended, Found, NoTrace, Reader};
 use cedarpulley_trace::replay::{replay, told};
+use cedarpulley_trace::rewrite::{self, Rewritten};
+use cedarpulley_trace::select::Wanted;
 use cedarpulley_trace::show::Follow;
+use cedarpulley_trace::strip::Strip;
 use cedarpulley_trace::summary::Counter;
 use cedarpulley_trace::writer::traces;
 use clap::Subcommand;
@@ -27,6 +31,45 @@
     },
     /// The life of the invocation that bears this mark (correlation id, request id).
     Show { mark: String, files: Vec<PathBuf> },
+    /// One file of many, with the offsets of their clocks estimated from the worker list.
+    Merge {
+        files: Vec<PathBuf>,
+        #[arg(long)]
+        out: PathBuf,
+        /// Takes all clocks as they are.
+        #[arg(long)]
+        as_is: bool,
+    },
+    /// A part of a file. By time alone, other blocks are not read.
+    Cut {
+        file: PathBuf,
+        #[arg(long)]
+        out: PathBuf,
+        /// Seconds since 1970, by the file's (first) wall clock.
+        #[arg(long)]
+        from: Option<f64>,
+        #[arg(long)]
+        until: Option<f64>,
+        #[arg(long)]
+        function: Option<String>,
+        #[arg(long)]
+        account: Option<String>,
+        /// Its address.
+        #[arg(long)]
+        worker: Option<String>,
+        /// The mark that its client gave it.
+        #[arg(long)]
+        invocation: Option<String>,
+    },
+    /// The same under pseudonyms, to be given away.
+    Strip {
+        file: PathBuf,
+        #[arg(long)]
+        out: PathBuf,
+        /// A file with a secret: the same secret gives the same pseudonyms.
+        #[arg(long)]
+        key: PathBuf,
+    },
     /// Drives this build's module with what was recorded; exit 1 at the first decision that differs.
     Replay {
         /// Files of whole rows, from file 0 on; several rows are replayed one after the other.
@@ -59,10 +102,82 @@
         Trace::Verify { files } => verify(&all(&files)?),
         Trace::Summary { files, json } => summary(&all(&files)?, json),
         Trace::Show { mark, files } => show(&mark, &all(&files)?),
+        Trace::Merge { files, out, as_is } => merged(&all(&files)?, &out, as_is),
+        Trace::Cut { file, out, from, until, function, account, worker, invocation } => {
+            let micros = |s: f64| (s * 1e6) as i64;
+            let (from, until) = (from.map(micros), until.map(micros));
+            let wanted = Wanted { from, until, function, account, worker, mark: invocation };
+            rewritten(&file, &out, |reader, to| rewrite::cut(reader, &wanted, to))
+        }
+        Trace::Strip { file, out, key } => {
+            let secret = std::fs::read(&key).map_err(|e| format!("{}: {e}", key.display()))?;
+            if secret.len() < LEAST_SECRET {
+                return Err(format!("{}: a secret has at least {LEAST_SECRET} bytes", key.display()));
+            }
+            let mut strip = Strip::new(&secret);
+            rewritten(&file, &out, |reader, to| rewrite::strip(reader, &mut strip, to))
+        }
         Trace::Replay { files } => replayed(&all(&files)?),
     }
 }
 
+/// Shorter ones are found by trying.
+const LEAST_SECRET: usize = 16;
+
+/// Written beside its name and put there when it is whole.
+fn make<T>(out: &Path, write: impl FnOnce(&mut BufWriter<File>) -> Plain<T>) -> Plain<T> {
+    let wrong = |e: std::io::Error| format!("{}: {e}", out.display());
+    let beside = out.with_extension("part");
+    let mut to = BufWriter::new(File::create(&beside).map_err(wrong)?);
+    let done = write(&mut to).and_then(|done| to.flush().map(|()| done).map_err(wrong));
+    match done {
+        Ok(done) => std::fs::rename(&beside, out).map(|()| done).map_err(wrong),
+        Err(why) => {
+            let _ = std::fs::remove_file(&beside);
+            Err(why)
+        }
+    }
+}
+
+fn rewritten(
+    file: &Path,
+    out: &Path,
+    how: impl FnOnce(&mut Opened, &mut BufWriter<File>) -> Result<Rewritten, NoTrace>,
+) -> Plain<bool> {
+    let mut reader = open(file)?;
+    let done = make(out, |to| how(&mut reader, to).map_err(|e| format!("{}: {e}", file.display())))?;
+    println!("{} records of {} blocks read, {} damaged", done.records, done.blocks_read, done.damaged);
+    Ok(done.damaged == 0)
+}
+
+fn merged(files: &[PathBuf], out: &Path, as_is: bool) -> Plain<bool> {
+    let mut readers = Vec::new();
+    for file in files {
+        readers.push(open(file)?);
+    }
+    let mut ahead = vec![0; readers.len()];
+    if !as_is {
+        let mut offsets = Offsets::default();
+        for (reader, file) in readers.iter_mut().zip(files) {
+            offsets.file(reader).map_err(|e| format!("{}: {e}", file.display()))?;
+        }
+        for ((file, found), ahead) in files.iter().zip(offsets.estimate()).zip(&mut ahead) {
+            match found {
+                Some((by, changes)) => {
+                    *ahead = by;
+                    println!("{}: {:.1} ms ahead, by {changes} changes", file.display(), by as f64 / 1e3);
+                }
+                None => println!("{}: offset unknown, taken as it is", file.display()),
+            }
+        }
+    }
+    let damaged = make(out, |to| merge(&mut readers, &ahead, to).map_err(|e| e.to_string()))?;
+    if damaged > 0 {
+        println!("{damaged} damaged blocks were left out");
+    }
+    Ok(damaged == 0)
+}
+
 fn verify(files: &[PathBuf]) -> Plain<bool> {
     let mut good = true;
     for file in files {
@@ -102,12 +217,13 @@
     let mut counter = Counter::default();
     for file in files {
         let mut reader = open(file)?;
-        let start = reader.start.clone();
-        counter.file(&start);
+        let sources = reader.sources.clone();
+        counter.file(&sources);
         while let Some(found) = reader.next().map_err(|e| format!("{}: {e}", file.display()))? {
             match found {
-                Found::Block { records, .. } => {
-                    records.iter().for_each(|(at, record)| counter.record(&start, *at, record));
+                Found::Block { records, place } => {
+                    let source = &sources[place.source as usize];
+                    records.iter().for_each(|(at, x)| counter.record(place.source, source, *at, x));
                 }
                 Found::Damaged { .. } => counter.damaged(),
             }
@@ -125,14 +241,15 @@
     let mut lines = Vec::new();
     for file in files {
         let mut reader = open(file)?;
-        let start = reader.start.clone();
-        let mut follow = Follow::new(mark);
+        let sources = reader.sources.clone();
+        let mut follows: Vec<Follow> = sources.iter().map(|_| Follow::new(mark)).collect();
         while let Some(found) = reader.next().map_err(|e| format!("{}: {e}", file.display()))? {
-            if let Found::Block { records, .. } = found {
-                records.iter().for_each(|(at, record)| follow.record(&start, *at, record));
+            if let Found::Block { records, place } = found {
+                let (follow, source) = (&mut follows[place.source as usize], &sources[place.source as usize]);
+                records.iter().for_each(|(at, record)| follow.record(source, *at, record));
             }
         }
-        lines.append(&mut follow.lines);
+        follows.iter_mut().for_each(|f| lines.append(&mut f.lines));
     }
     lines.sort();
     lines.iter().for_each(|l| println!("{l}"));
@@ -141,15 +258,20 @@
 
 fn replayed(files: &[PathBuf]) -> Plain<bool> {
     // One row for each life of a router.
-    let mut rows: BTreeMap<(String, i64), Vec<Opened>> = BTreeMap::new();
+    let mut rows: BTreeMap<(String, i64), Vec<(u64, Opened)>> = BTreeMap::new();
     for file in files {
-        let reader = open(file)?;
-        let key = (reader.start.router.clone(), reader.start.wall_at_zero);
-        rows.entry(key).or_default().push(reader);
+        for source in 0..open(file)?.sources.len() {
+            let mut reader = open(file)?;
+            reader.only = Some(source as u32);
+            let start = &reader.sources[source].start;
+            let key = (start.router.clone(), start.wall_at_zero);
+            rows.entry(key).or_default().push((start.file, reader));
+        }
     }
     let mut same = true;
     for ((router, _), mut row) in rows {
-        row.sort_by_key(|r| r.start.file);
+        row.sort_by_key(|(file, _)| *file);
+        let mut row: Vec<Opened> = row.into_iter().map(|(_, reader)| reader).collect();
         let result = replay(&mut row).map_err(|e| format!("{router}: {e}"))?;
         let seconds = result.span as f64 / 1e6;
         let module = if result.same_module { "the same module" } else { "another module" };
--- a/crates/cli/tests/rest.rs
+++ b/crates/cli/tests/rest.rs
@@ -57,7 +57,9 @@
 #[test]
 fn a_router_told_to_stop_answers_what_it_took_and_ends_well() {
     let mut r = start("rest-stop", Duration::from_millis(600));
-    let streams: Vec<TcpStream> = (0..5).map(|_| r.send("POST", "/v2/models/f/infer", ONCE, b"{}")).collect();
+    let marked = |n: usize| format!("{ONCE}x-request-id: call-{n}\r\n");
+    let streams: Vec<TcpStream> =
+        (0..5).map(|n| r.send("POST", "/v2/models/f/infer", &marked(n), b"{}")).collect();
     std::thread::sleep(Duration::from_millis(200));
     r.told_to_stop();
     std::thread::sleep(Duration::from_millis(50));
@@ -72,6 +74,25 @@
     }
     assert!(streams.into_iter().all(|s| read(s).0 == 200));
     assert!(r.ended_well());
+    // From its trace alone: the life of one of them, by the mark that its client gave it.
+    let trace = |args: &[&str]| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_cedarpulley"));
+        let out = command.arg("trace").args(args).arg(r.folder.join("traces")).output().expect("it runs");
+        (out.status.code(), String::from_utf8_lossy(&out.stdout).into_owned())
+    };
+    let (code, life) = trace(&["show", "call-3"]);
+    let words = [
+        "taken from kserve",
+        "once for f, gives up",
+        "dispatched to 127.0.0.1",
+        "Succeeded after",
+        "answered: Succeeded",
+    ];
+    assert!(code == Some(0) && words.iter().all(|w| life.contains(w)), "{life}");
+    assert_eq!(trace(&["show", "nobody"]).0, Some(2));
+    let (code, replayed) = trace(&["replay"]);
+    assert!(code == Some(0) && replayed.contains("none differs; the same module"), "{replayed}");
+    assert_eq!(trace(&["verify"]).0, Some(0));
 }
 
 /// As many as descriptors allow, up to ten thousand; each costs the router little.
--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -39,6 +39,8 @@
 /// With bodies up to `body_kb`, so many megabytes for all of them, and more lines for its front.
 pub fn start_with(name: &str, work: Duration, body_kb: usize, memory_mb: usize, front: &str) -> Running {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // What an earlier run left must not be read as this one's.
+    let _ = std::fs::remove_dir_all(folder.join("traces"));
     std::fs::create_dir_all(&folder).expect("a folder");
     let logs = folder.join("traffic");
     let ground = Ground::new(2, Some(&logs)).expect("a ground");
@@ -58,7 +60,7 @@
         "[router]\nseed = 1\nmemory_mb = {memory_mb}\nmost_body_kb = {body_kb}\n[[trigger]]\nname = \"once\"\neffect = \"non-idempotent\"\n\
          latency_objective_ms = 900\nclient_timeout_ms = 3000\n[[trigger]]\nname = \"again\"\n\
          effect = \"idempotent\"\nlatency_objective_ms = 900\nclient_timeout_ms = 3000\n\
-         [[kserve]]\nlisten = \"{address}\"\n{front}[workers]\nlist = [{{ address = \"{}\" }}]\n",
+         [trace]\nfolder = \"traces\"\n[[kserve]]\nlisten = \"{address}\"\n{front}[workers]\nlist = [{{ address = \"{}\" }}]\n",
         worker.address
     );
     std::fs::write(&file, settings).expect("written");
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -10,7 +10,7 @@
 use cedarpulley_kserve::{rpc, serving};
 use cedarpulley_trace::blocks::{Raw, unpack};
 use cedarpulley_trace::reader::{Found, Reader};
-use cedarpulley_trace::start::Start;
+use cedarpulley_trace::start::{Source, Start};
 use cedarpulley_trace::writer::Sheet;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use prost::Message;
@@ -123,13 +123,13 @@
 }
 
 /// A file of drawn bytes, and one whose blocks are whole but hold drawn records.
-pub fn trace_file(bytes: &[u8], head: Option<&Start>) {
+pub fn trace_file(bytes: &[u8], head: Option<&Source>) {
     let file = match head {
         None => bytes.to_vec(),
         Some(start) => {
-            let Ok(mut sheet) = Sheet::begin(Vec::new(), start) else { return };
+            let Ok(mut sheet) = Sheet::begin(Vec::new(), std::slice::from_ref(start)) else { return };
             let raw = Raw { bytes: bytes.to_vec(), records: 1 + bytes.len() as u32 / 8, first: 0, last: 9 };
-            let _ = sheet.block(&raw);
+            let _ = sheet.block(0, &raw);
             sheet.end().unwrap_or_default()
         }
     };
--- a/crates/fuzz/tests/targets.rs
+++ b/crates/fuzz/tests/targets.rs
@@ -65,7 +65,7 @@
 #[test]
 fn fuzz_trace_file() {
     let kept = std::io::Cursor::new(include_bytes!("../../trace/tests/kept/format-1.trace"));
-    let start = cedarpulley_trace::reader::Reader::open(kept).expect("a trace").start;
+    let start = cedarpulley_trace::reader::Reader::open(kept).expect("a trace").sources.swap_remove(0);
     check!().with_type::<(Vec<u8>, bool)>().with_iterations(INPUTS / 4).for_each(|(bytes, inside)| {
         trace_file(bytes, inside.then_some(&start));
     });
--- a/crates/trace/src/blocks.rs
+++ b/crates/trace/src/blocks.rs
@@ -10,7 +10,8 @@
 use crate::wire::{Bad, Get, Put};
 
 pub const MAGIC: [u8; 8] = *b"CPTRACE\0";
-pub const FORMAT: u16 = 1;
+/// 1: one source a file. 2: any number of them, each block of one.
+pub const FORMAT: u16 = 2;
 pub const BLOCK: [u8; 4] = *b"CPBL";
 pub const INDEX: [u8; 4] = *b"CPIX";
 pub const END: [u8; 8] = *b"CPTREND\0";
@@ -18,7 +19,13 @@
 pub const CLOSE_AT: usize = 128 * 1024;
 /// A reader refuses what claims more than this: one record may exceed `CLOSE_AT`, a list of workers for example.
 pub const MOST_RAW: u32 = 64 << 20;
-pub const BLOCK_HEAD: usize = 36;
+/// Of a block's head in the present format.
+pub const BLOCK_HEAD: usize = 40;
+
+/// In this format.
+pub fn head_size(format: u16) -> usize {
+    if format == 1 { 36 } else { BLOCK_HEAD }
+}
 
 /// The fixed head of a block.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +33,8 @@
     pub packed: u32,
     pub raw: u32,
     pub records: u32,
+    /// Which of the file's sources it is of.
+    pub source: u32,
     pub first: Micros,
     pub last: Micros,
     /// Of the fields before it and the packed bytes.
@@ -33,56 +42,57 @@
 }
 
 impl Head {
-    pub fn new(raw: &Raw, packed: &[u8]) -> Head {
+    pub fn new(raw: &Raw, source: u32, packed: &[u8]) -> Head {
         let mut head = Head {
             packed: packed.len() as u32,
             raw: raw.bytes.len() as u32,
             records: raw.records,
+            source,
             first: raw.first,
             last: raw.last,
             sum: 0,
         };
-        head.sum = head.sum_over(packed);
+        head.sum = head.sum_over(FORMAT, packed);
         head
     }
 
-    fn fields(&self) -> [u8; 32] {
-        let mut out = [0; 32];
-        out[..4].copy_from_slice(&BLOCK);
-        out[4..8].copy_from_slice(&self.packed.to_le_bytes());
-        out[8..12].copy_from_slice(&self.raw.to_le_bytes());
-        out[12..16].copy_from_slice(&self.records.to_le_bytes());
-        out[16..24].copy_from_slice(&self.first.to_le_bytes());
-        out[24..32].copy_from_slice(&self.last.to_le_bytes());
+    fn fields(&self, format: u16) -> Vec<u8> {
+        let mut out = BLOCK.to_vec();
+        out.extend(self.packed.to_le_bytes());
+        out.extend(self.raw.to_le_bytes());
+        out.extend(self.records.to_le_bytes());
+        if format > 1 {
+            out.extend(self.source.to_le_bytes());
+        }
+        out.extend(self.first.to_le_bytes());
+        out.extend(self.last.to_le_bytes());
         out
     }
 
-    pub fn sum_over(&self, packed: &[u8]) -> u32 {
-        crc32c::crc32c_append(crc32c::crc32c(&self.fields()), packed)
+    pub fn sum_over(&self, format: u16, packed: &[u8]) -> u32 {
+        crc32c::crc32c_append(crc32c::crc32c(&self.fields(format)), packed)
     }
 
-    pub fn put(&self) -> [u8; BLOCK_HEAD] {
-        let mut out = [0; BLOCK_HEAD];
-        out[..32].copy_from_slice(&self.fields());
-        out[32..].copy_from_slice(&self.sum.to_le_bytes());
+    /// In the present format.
+    pub fn put(&self) -> Vec<u8> {
+        let mut out = self.fields(FORMAT);
+        out.extend(self.sum.to_le_bytes());
         out
     }
 
-    /// Absent if no block begins here.
-    pub fn get(b: &[u8; BLOCK_HEAD]) -> Option<Head> {
-        let four = |at: usize| u32::from_le_bytes([b[at], b[at + 1], b[at + 2], b[at + 3]]);
-        let eight = |at: usize| {
-            let mut n = [0; 8];
-            n.copy_from_slice(&b[at..at + 8]);
-            i64::from_le_bytes(n)
-        };
+    /// Absent if no block begins here; `b` is of the size that the format has.
+    pub fn get(format: u16, b: &[u8]) -> Option<Head> {
+        let four = |at: usize| Some(u32::from_le_bytes(b.get(at..at + 4)?.try_into().ok()?));
+        let eight = |at: usize| Some(i64::from_le_bytes(b.get(at..at + 8)?.try_into().ok()?));
+        let times = if format == 1 { 16 } else { 20 };
         let head = Head {
-            packed: four(4),
-            raw: four(8),
-            records: four(12),
-            first: eight(16),
-            last: eight(24),
-            sum: four(32),
+            packed: four(4)?,
+            raw: four(8)?,
+            records: four(12)?,
+            source: if format == 1 { 0 } else { four(16)? },
+            first: eight(times)?,
+            last: eight(times + 8)?,
+            sum: four(times + 16)?,
         };
         (b[..4] == BLOCK && head.packed <= MOST_RAW && head.raw <= MOST_RAW).then_some(head)
     }
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -6,14 +6,19 @@
 //! * [`writer`], [`reader`]: files. A trace never stops a router: what cannot be written is a gap.
 //! * [`replay`]: drives the module anew and finds the first decision that differs.
 //! * [`summary`], [`show`]: what is in them.
+//! * [`select`] decides what belongs to a cut, [`strip`] what may stay of names; [`rewrite`] and [`merge`] make files.
 
 pub mod blocks;
 pub mod keeping;
+pub mod merge;
 pub mod reader;
 pub mod records;
 pub mod replay;
+pub mod rewrite;
+pub mod select;
 pub mod show;
 pub mod start;
+pub mod strip;
 pub mod summary;
 pub mod wire;
 pub mod writer;
--- a/crates/trace/src/reader.rs
+++ b/crates/trace/src/reader.rs
@@ -5,9 +5,9 @@
 
 use cedarpulley::interface::Micros;
 
-use crate::blocks::{BLOCK, BLOCK_HEAD, END, FORMAT, Head, INDEX, MAGIC, unpack};
+use crate::blocks::{BLOCK, END, FORMAT, Head, INDEX, MAGIC, head_size, unpack};
 use crate::records::Record;
-use crate::start::Start;
+use crate::start::{Source, get_sources};
 use crate::wire::Get;
 use crate::writer::Place;
 
@@ -60,13 +60,15 @@
 
 pub struct Reader<R> {
     input: R,
-    pub start: Start,
+    pub sources: Vec<Source>,
     pub format: u16,
     first_block: u64,
     /// Of the blocks, if the file ended well.
     pub index: Option<Vec<Place>>,
     at: u64,
     pub ended: Option<Ended>,
+    /// Blocks of other sources are passed over.
+    pub only: Option<u32>,
 }
 
 impl<R: Read + Seek> Reader<R> {
@@ -94,9 +96,19 @@
         if whole.to_le_bytes() != sum {
             return Err(NoTrace("its head is damaged".into()));
         }
-        let start = Start::get(body).map_err(|bad| NoTrace(format!("its head: {}", bad.cause())))?;
+        let sources =
+            get_sources(format, body).map_err(|bad| NoTrace(format!("its head: {}", bad.cause())))?;
         let first_block = 16 + u64::from(size) + 4;
-        let mut it = Reader { input, start, format, first_block, index: None, at: first_block, ended: None };
+        let mut it = Reader {
+            input,
+            sources,
+            format,
+            first_block,
+            index: None,
+            at: first_block,
+            ended: None,
+            only: None,
+        };
         it.index = it.read_index().unwrap_or(None);
         it.input.seek(SeekFrom::Start(first_block))?;
         Ok(it)
@@ -134,9 +146,44 @@
         if crc32c::crc32c_append(crc32c::crc32c(&head), body).to_le_bytes() != sum {
             return Ok(None);
         }
-        let places = Get::new(body)
-            .many(|g| Ok(Place { offset: g.u()?, first: g.i()?, last: g.i()?, records: g.u32()? }));
-        Ok(places.ok())
+        let format = self.format;
+        let places = Get::new(body).many(|g| {
+            let (offset, first, last, records) = (g.u()?, g.i()?, g.i()?, g.u32()?);
+            let source = if format == 1 { 0 } else { g.u32()? };
+            Ok(Place { offset, first, last, records, source })
+        });
+        let known = |p: &Place| (p.source as usize) < self.sources.len();
+        Ok(places.ok().filter(|places| places.iter().all(known)))
+    }
+
+    /// A whole block as it is packed, by its place; absent if it is damaged.
+    pub fn packed(&mut self, place: &Place) -> Result<Option<(Head, Vec<u8>)>, NoTrace> {
+        self.input.seek(SeekFrom::Start(place.offset))?;
+        let mut head = vec![0; head_size(self.format)];
+        if fill(&mut self.input, &mut head)? < head.len() {
+            return Ok(None);
+        }
+        let Some(head) = Head::get(self.format, &head) else { return Ok(None) };
+        let mut packed = Vec::new();
+        self.input.by_ref().take(u64::from(head.packed)).read_to_end(&mut packed)?;
+        let whole = packed.len() == head.packed as usize && head.sum_over(self.format, &packed) == head.sum;
+        Ok(whole.then_some((head, packed)))
+    }
+
+    /// Places of all whole blocks: by the index, or by reading the file.
+    pub fn places(&mut self) -> Result<Vec<Place>, NoTrace> {
+        if let Some(index) = &self.index {
+            return Ok(index.clone());
+        }
+        self.rewind();
+        let mut places = Vec::new();
+        while let Some(found) = self.any()? {
+            if let Found::Block { place, .. } = found {
+                places.push(place);
+            }
+        }
+        self.rewind();
+        Ok(places)
     }
 
     /// From the first block on again.
@@ -147,22 +194,35 @@
     /// The next block, or what is left of it; absent at the end.
     #[allow(clippy::should_implement_trait)] // An error of the disk is no block.
     pub fn next(&mut self) -> Result<Option<Found>, NoTrace> {
+        loop {
+            let found = self.any()?;
+            match (&found, self.only) {
+                (Some(Found::Block { place, .. }), Some(only)) if place.source != only => {}
+                _ => return Ok(found),
+            }
+        }
+    }
+
+    fn any(&mut self) -> Result<Option<Found>, NoTrace> {
         if self.ended.is_some() {
             return Ok(None);
         }
         let offset = self.at;
         self.input.seek(SeekFrom::Start(offset))?;
-        let mut head = [0; BLOCK_HEAD];
+        let size = head_size(self.format);
+        let mut head = vec![0; size];
         let got = fill(&mut self.input, &mut head)?;
         if got >= 4 && head[..4] == INDEX && self.index.is_some() {
             self.ended = Some(Ended::Well);
             return Ok(None);
         }
-        if got < BLOCK_HEAD {
+        if got < size {
             self.ended = Some(Ended::Cut { offset });
             return Ok(None);
         }
-        let Some(place) = Head::get(&head) else { return self.damaged(offset, "no block begins here") };
+        let Some(place) = Head::get(self.format, &head) else {
+            return self.damaged(offset, "no block begins here");
+        };
         let mut packed = vec![0; 0];
         let wanted = u64::from(place.packed);
         self.input.by_ref().take(wanted).read_to_end(&mut packed)?;
@@ -170,15 +230,19 @@
             // Cut, unless a damaged length only makes it seem so and more blocks follow.
             return self.damaged(offset, "it is cut, or its length is damaged");
         }
-        if place.sum_over(&packed) != place.sum {
+        if place.sum_over(self.format, &packed) != place.sum {
             return self.damaged(offset, "its checksum is wrong");
         }
-        self.at = offset + BLOCK_HEAD as u64 + wanted;
+        self.at = offset + size as u64 + wanted;
+        if place.source as usize >= self.sources.len() {
+            return Ok(Some(Found::Damaged { offset, cause: "it is of no source of this file".into() }));
+        }
+
         match zstd::bulk::decompress(&packed, place.raw as usize) {
             Ok(raw) => match unpack(&raw, place.first, place.records) {
                 Ok(records) => {
-                    let place =
-                        Place { offset, first: place.first, last: place.last, records: place.records };
+                    let Head { first, last, records: count, source, .. } = place;
+                    let place = Place { offset, first, last, records: count, source };
                     Ok(Some(Found::Block { place, records }))
                 }
                 Err(bad) => Ok(Some(Found::Damaged { offset, cause: bad.cause().into() })),
@@ -214,27 +278,30 @@
     /// A whole block, or the index, and not bytes that look alike.
     fn begins(&mut self, at: u64) -> Result<bool, NoTrace> {
         self.input.seek(SeekFrom::Start(at))?;
-        let mut head = [0; BLOCK_HEAD];
+        let size = head_size(self.format);
+        let mut head = vec![0; size];
         let got = fill(&mut self.input, &mut head)?;
         if got >= 4 && head[..4] == INDEX {
             return Ok(self.index.is_some());
         }
-        let Some(place) = (got == BLOCK_HEAD).then(|| Head::get(&head)).flatten() else { return Ok(false) };
+        let Some(place) = (got == size).then(|| Head::get(self.format, &head)).flatten() else {
+            return Ok(false);
+        };
         let mut packed = Vec::new();
         self.input.by_ref().take(u64::from(place.packed)).read_to_end(&mut packed)?;
-        Ok(packed.len() == place.packed as usize && place.sum_over(&packed) == place.sum)
+        Ok(packed.len() == place.packed as usize && place.sum_over(self.format, &packed) == place.sum)
     }
 
-    /// Only the blocks that touch this span; by the index if there is one.
+    /// Only the blocks that touch their source's span, in its own time; by the index if there is one.
     pub fn within(
         &mut self,
-        from: Micros,
-        until: Micros,
+        span: impl Fn(u32) -> (Micros, Micros),
         mut each: impl FnMut(Found),
     ) -> Result<u64, NoTrace> {
         let mut read = 0;
+        let touching = |p: &Place| p.last >= span(p.source).0 && p.first < span(p.source).1;
         if let Some(index) = self.index.clone() {
-            for place in index.into_iter().filter(|p| p.last >= from && p.first < until) {
+            for place in index.into_iter().filter(touching) {
                 (self.at, self.ended) = (place.offset, None);
                 if let Some(found) = self.next()? {
                     read += 1;
@@ -247,7 +314,7 @@
         while let Some(found) = self.next()? {
             read += 1;
             let touches = match &found {
-                Found::Block { place, .. } => place.last >= from && place.first < until,
+                Found::Block { place, .. } => touching(place),
                 Found::Damaged { .. } => true,
             };
             if touches {
--- a/crates/trace/src/replay.rs
+++ b/crates/trace/src/replay.rs
@@ -7,7 +7,7 @@
 use crate::blocks::uses;
 use crate::reader::{Found, NoTrace, Reader};
 use crate::records::{Happened, Record, put_action};
-use crate::start::module_digest;
+use crate::start::{Extent, module_digest};
 use crate::wire::Put;
 
 /// How many decisions before the first that differs are told with it.
@@ -43,10 +43,17 @@
     p.bytes
 }
 
-/// Files of one row, from its first on, in order.
+/// Files of one row, from its first on, in order; of a file with several sources, the one that is `only` read.
 pub fn replay<R: Read + Seek>(row: &mut [Reader<R>]) -> Result<Replayed, NoTrace> {
     let mut out = Replayed::default();
     let Some(first) = row.first() else { return Err(NoTrace("no file is given".into())) };
+    let source = |r: &Reader<R>| r.sources[r.only.unwrap_or(0) as usize].clone();
+    let first = source(first);
+    if first.extent != Extent::Whole {
+        let cause = format!("it is {:?}, and only what is whole can be replayed", first.extent);
+        out.stopped = Some(cause.to_lowercase());
+        return Ok(out);
+    }
     if first.start.file != 0 {
         let number = first.start.file;
         return Err(NoTrace(format!("is file {number} of its row: a replay begins with file 0")));
@@ -56,7 +63,7 @@
     let mut began: Option<Micros> = None;
     let mut recent: Vec<Decided> = Vec::new();
     for (n, reader) in row.iter_mut().enumerate() {
-        if reader.start.file != n as u64 {
+        if source(reader).start.file != n as u64 {
             out.stopped = Some(format!("file {n} of the row is missing"));
             return Ok(out);
         }
--- a/crates/trace/src/show.rs
+++ b/crates/trace/src/show.rs
@@ -6,7 +6,7 @@
 use cedarpulley::interface::{Action, Event, InvIx, Micros};
 
 use crate::records::{Happened, Record, Space};
-use crate::start::Start;
+use crate::start::Source;
 
 /// Follows marks through the records of one file, in order.
 pub struct Follow {
@@ -31,13 +31,13 @@
         }
     }
 
-    fn line(&mut self, start: &Start, at: Micros, text: String) {
-        let wall = start.wall_at_zero + at;
+    fn line(&mut self, source: &Source, at: Micros, text: String) {
+        let wall = source.wall(at);
         let (s, us) = (wall.div_euclid(1_000_000), wall.rem_euclid(1_000_000));
-        self.lines.push(format!("{s}.{us:06} {}: {text}", start.router));
+        self.lines.push(format!("{s}.{us:06} {}: {text}", source.start.router));
     }
 
-    pub fn record(&mut self, start: &Start, at: Micros, record: &Record) {
+    pub fn record(&mut self, source: &Source, at: Micros, record: &Record) {
         match record {
             Record::Name { space, ix, text } => {
                 let names = if *space == Space::Worker { &mut self.workers } else { &mut self.functions };
@@ -45,36 +45,36 @@
             }
             Record::Taken { inv, front, mark: Some(mark), redelivered } if *mark == self.mark => {
                 (self.inv, self.answered) = (Some(*inv), false);
-                let front = start.fronts_named.get(*front as usize).map_or("?", String::as_str);
+                let front = source.start.fronts_named.get(*front as usize).map_or("?", String::as_str);
                 let again = if *redelivered { ", delivered again" } else { "" };
-                self.line(start, at, format!("taken from {front}{again}"));
+                self.line(source, at, format!("taken from {front}{again}"));
             }
             // Its index went to another.
             Record::Taken { inv, .. } if self.inv == Some(*inv) => self.inv = None,
             Record::Answered { inv: Some(inv), fate, reason, took, .. } if self.inv == Some(*inv) => {
                 self.answered = true;
                 self.line(
-                    start,
+                    source,
                     at,
                     format!("answered: {fate:?}, {reason:?}, after {:.1} ms", *took as f64 / 1e3),
                 );
             }
-            Record::Decided { happened, actions } => self.decided(start, at, happened, actions),
+            Record::Decided { happened, actions } => self.decided(source, at, happened, actions),
             Record::Gap { records, .. } if self.inv.is_some() => {
-                self.line(start, at, format!("{records} records are missing here"));
+                self.line(source, at, format!("{records} records are missing here"));
             }
             _ => {}
         }
     }
 
-    fn decided(&mut self, start: &Start, at: Micros, happened: &Happened, actions: &[Action]) {
+    fn decided(&mut self, source: &Source, at: Micros, happened: &Happened, actions: &[Action]) {
         let Some(own) = self.inv else { return };
         let worker = |ix: &u32| self.workers.get(ix).cloned().unwrap_or_else(|| ix.to_string());
         let mut texts = Vec::new();
         match happened {
             Happened::Other(Event::Invocation(a)) if a.inv == own => {
                 let function = self.functions.get(&a.func).map_or("?", String::as_str);
-                let kind = start.triggers_named.get(a.trigger as usize).map_or("?", String::as_str);
+                let kind = source.start.triggers_named.get(a.trigger as usize).map_or("?", String::as_str);
                 texts.push(format!(
                     "{kind} for {function}, gives up in {:.0} ms",
                     a.client_gives_up_in as f64 / 1e3
@@ -112,7 +112,7 @@
             texts.push("held".into());
         }
         for text in texts {
-            self.line(start, at, text);
+            self.line(source, at, text);
         }
     }
 }
--- a/crates/trace/src/start.rs
+++ b/crates/trace/src/start.rs
@@ -30,6 +30,72 @@
     pub reports: ReportsIn,
 }
 
+/// What a file has of a router's life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Extent {
+    /// One file of its row, as it was written.
+    #[default]
+    Whole,
+    /// A part that was cut out.
+    Cut,
+    /// Names and seed are no longer its own.
+    Stripped,
+}
+
+/// One router's file within a file.
+#[derive(Clone, Debug)]
+pub struct Source {
+    pub start: Start,
+    /// By how much its wall's clock is ahead of the first source's, as estimated on merging.
+    pub ahead: Micros,
+    pub extent: Extent,
+}
+
+impl From<Start> for Source {
+    fn from(start: Start) -> Self {
+        Source { start, ahead: 0, extent: Extent::Whole }
+    }
+}
+
+impl Source {
+    /// The common wall's time of one of its own.
+    pub fn wall(&self, at: Micros) -> Micros {
+        self.start.wall_at_zero.saturating_add(at).saturating_sub(self.ahead)
+    }
+}
+
+/// The start record of a file in the present format.
+pub fn put_sources(sources: &[Source]) -> Vec<u8> {
+    let mut p = Put::default();
+    p.u(sources.len() as u64);
+    for s in sources {
+        p.i(s.ahead);
+        p.byte(s.extent as u8);
+        let body = s.start.put();
+        p.u(body.len() as u64);
+        p.bytes.extend(body);
+    }
+    p.bytes
+}
+
+pub fn get_sources(format: u16, bytes: &[u8]) -> Result<Vec<Source>, Bad> {
+    if format == 1 {
+        return Ok(vec![Start::get(bytes)?.into()]);
+    }
+    let sources = Get::new(bytes).many(|g| {
+        let ahead = g.i()?;
+        let extent = match g.byte()? {
+            0 => Extent::Whole,
+            1 => Extent::Cut,
+            2 => Extent::Stripped,
+            _ => return Err(Bad::Unknown),
+        };
+        let size = usize::try_from(g.u()?).map_err(|_| Bad::Short)?;
+        Ok(Source { start: Start::get(g.take(size)?)?, ahead, extent })
+    })?;
+    if sources.is_empty() { Err(Bad::Short) } else { Ok(sources) }
+}
+
 /// Of this build's module.
 pub fn module_digest() -> [u8; 32] {
     let mut hasher = blake3::Hasher::new();
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::records::{Happened, Record, Space};
-use crate::start::Start;
+use crate::start::Source;
 
 /// The worst span is looked for in steps of a second.
 const SPAN_S: i64 = 10;
@@ -87,7 +87,9 @@
     out: Summary,
     times: Histogram<u64>,
     lost_by_second: BTreeMap<i64, u64>,
-    workers: HashMap<u32, String>,
+    /// By source and index.
+    workers: HashMap<(u32, u32), String>,
+    source: u32,
     routers: std::collections::BTreeSet<String>,
 }
 
@@ -99,6 +101,7 @@
             times: Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("valid bounds"),
             lost_by_second: BTreeMap::new(),
             workers: HashMap::new(),
+            source: 0,
             routers: Default::default(),
         }
     }
@@ -112,9 +115,12 @@
 }
 
 impl Counter {
-    pub fn file(&mut self, start: &Start) {
-        self.out.files += 1;
-        self.routers.insert(format!("{}/{}", start.router, start.wall_at_zero));
+    /// Before its records.
+    pub fn file(&mut self, sources: &[Source]) {
+        for s in sources {
+            self.out.files += 1;
+            self.routers.insert(format!("{}/{}", s.start.router, s.start.wall_at_zero));
+        }
         self.workers.clear();
     }
 
@@ -122,8 +128,9 @@
         self.out.damaged_blocks += 1;
     }
 
-    pub fn record(&mut self, start: &Start, at: Micros, record: &Record) {
-        let wall = start.wall_at_zero + at;
+    pub fn record(&mut self, source: u32, of: &Source, at: Micros, record: &Record) {
+        let (wall, start) = (of.wall(at), &of.start);
+        self.source = source;
         let out = &mut self.out;
         if !matches!(record, Record::Name { .. }) {
             out.from_wall_us = Some(out.from_wall_us.map_or(wall, |w| w.min(wall)));
@@ -131,7 +138,7 @@
         }
         match record {
             Record::Name { space: Space::Worker, ix, text } => {
-                self.workers.insert(*ix, text.clone());
+                self.workers.insert((source, *ix), text.clone());
             }
             Record::Name { .. } | Record::Taken { .. } => {}
             Record::Gap { records, .. } => out.lost_records += records,
@@ -157,7 +164,7 @@
     }
 
     fn worker(&mut self, ix: u32) -> &mut AtWorker {
-        let name = self.workers.get(&ix).cloned().unwrap_or_else(|| ix.to_string());
+        let name = self.workers.get(&(self.source, ix)).cloned().unwrap_or_else(|| ix.to_string());
         self.out.by_worker.entry(name).or_default()
     }
 
--- a/crates/trace/src/writer.rs
+++ b/crates/trace/src/writer.rs
@@ -10,7 +10,7 @@
 
 use crate::blocks::{BLOCK_HEAD, END, FORMAT, Head, INDEX, MAGIC, Raw};
 use crate::keeping::{Bounds, Keeping, Step};
-use crate::start::Start;
+use crate::start::{Source, Start, put_sources};
 use crate::wire::Put;
 
 /// Fast: the writer must keep up with a router at its busiest; twice the effort saves a twentieth.
@@ -23,6 +23,7 @@
     pub first: Micros,
     pub last: Micros,
     pub records: u32,
+    pub source: u32,
 }
 
 /// Writes one file to anything that takes bytes.
@@ -34,8 +35,8 @@
 }
 
 impl<W: Write> Sheet<W> {
-    pub fn begin(mut out: W, start: &Start) -> io::Result<Self> {
-        let body = start.put();
+    pub fn begin(mut out: W, sources: &[Source]) -> io::Result<Self> {
+        let body = put_sources(sources);
         let mut head = MAGIC.to_vec();
         head.extend(FORMAT.to_le_bytes());
         head.extend(0u16.to_le_bytes());
@@ -47,14 +48,19 @@
     }
 
     /// In one write: a cut falls within it, or before or after.
-    pub fn block(&mut self, raw: &Raw) -> io::Result<u64> {
+    pub fn block(&mut self, source: u32, raw: &Raw) -> io::Result<u64> {
         let packed = zstd::bulk::compress(&raw.bytes, EFFORT)?;
-        let head = Head::new(raw, &packed);
+        self.packed(&Head::new(raw, source, &packed), &packed)
+    }
+
+    /// One that is packed already.
+    pub fn packed(&mut self, head: &Head, packed: &[u8]) -> io::Result<u64> {
         let mut bytes = Vec::with_capacity(BLOCK_HEAD + packed.len());
         bytes.extend(head.put());
         bytes.extend(packed);
         self.out.write_all(&bytes)?;
-        let place = Place { offset: self.offset, first: raw.first, last: raw.last, records: raw.records };
+        let Head { first, last, records, source, .. } = *head;
+        let place = Place { offset: self.offset, first, last, records, source };
         self.places.push(place);
         self.offset += bytes.len() as u64;
         Ok(bytes.len() as u64)
@@ -73,6 +79,7 @@
             p.i(place.first);
             p.i(place.last);
             p.u(place.records.into());
+            p.u(place.source.into());
         }
         let mut bytes = INDEX.to_vec();
         bytes.extend((p.bytes.len() as u32).to_le_bytes());
@@ -191,7 +198,7 @@
         for (path, _) in &earlier[..keeping.looked(&sizes)] {
             std::fs::remove_file(path)?;
         }
-        *sheet = Some(Sheet::begin(File::create_new(row.file(start.file))?, start)?);
+        *sheet = Some(Sheet::begin(File::create_new(row.file(start.file))?, &[start.clone().into()])?);
         start.file += 1;
         keeping.began(now);
     }
@@ -200,10 +207,10 @@
     if let Some((records, from, until)) = *lost {
         let mut gather = crate::blocks::Gather::default();
         gather.record(from, &crate::records::Record::Gap { records, from, until });
-        bytes += open.block(&gather.close())?;
+        bytes += open.block(0, &gather.close())?;
         *lost = None;
     }
-    bytes += open.block(raw)?;
+    bytes += open.block(0, raw)?;
     Ok(keeping.wrote(now, bytes))
 }
 
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -66,7 +66,7 @@
 fn written(blocks: usize, change: impl Fn(u64, &mut Vec<Action>)) -> Vec<u8> {
     let start = start();
     let mut control = start.control();
-    let mut sheet = Sheet::begin(Vec::new(), &start).expect("written");
+    let mut sheet = Sheet::begin(Vec::new(), &[start.clone().into()]).expect("written");
     let (mut now, mut decision) = (0, 0);
     for block in 0..blocks {
         let mut g = Gather::default();
@@ -142,7 +142,7 @@
                 told(&mut g, now, Happened::Other(Event::DispatchEnded(ending)));
             }
         }
-        sheet.block(&g.close()).expect("written");
+        sheet.block(0, &g.close()).expect("written");
     }
     sheet.end().expect("written")
 }
@@ -211,12 +211,22 @@
     let bytes = include_bytes!("kept/format-1.trace");
     assert_eq!(read(bytes), Some((4, 0, Some(Ended::Well))));
     let mut r = Reader::open(Cursor::new(bytes)).expect("a trace");
-    assert_eq!((r.format, r.start.seed, r.start.router.as_str()), (1, 9, "router-0"));
+    assert_eq!((r.format, r.sources[0].start.seed, r.sources[0].start.router.as_str()), (1, 9, "router-0"));
     let mut seen = 0;
-    let touched = r.within(20 * MS, 21 * MS, |_| seen += 1).expect("read");
+    let touched = r.within(|_| (20 * MS, 21 * MS), |_| seen += 1).expect("read");
     assert_eq!((touched, seen), (1, 1), "by its index, without the rest");
 }
 
+/// And one of format 2, with two sources.
+#[test]
+fn a_kept_file_of_format_2_opens() {
+    let bytes = include_bytes!("kept/format-2.trace");
+    assert_eq!(read(bytes), Some((6, 0, Some(Ended::Well))));
+    let r = Reader::open(Cursor::new(bytes)).expect("a trace");
+    let names: Vec<&str> = r.sources.iter().map(|s| s.start.router.as_str()).collect();
+    assert_eq!((r.format, names, r.sources[1].ahead), (2, vec!["router-0", "router-0"], 5 * MS));
+}
+
 #[test]
 fn a_replay_finds_nothing_where_nothing_was_changed_and_the_first_change_else() {
     let rerun =
@@ -365,5 +375,9 @@
 #[test]
 #[ignore = "writes a file to be kept"]
 fn keep() {
-    std::fs::write("tests/kept/new.trace", written(4, |_, _| {})).expect("written");
+    let files = [written(4, |_, _| {}), written(2, |_, _| {})];
+    let mut readers = files.map(|f| Reader::open(Cursor::new(f)).expect("a trace"));
+    let mut out = Vec::new();
+    cedarpulley_trace::merge::merge(&mut readers, &[0, 5 * MS], &mut out).expect("merged");
+    std::fs::write("tests/kept/new.trace", out).expect("written");
 }
--- a/interop/kserve_client.py
+++ b/interop/kserve_client.py
@@ -11,6 +11,7 @@
 from tritonclient.utils import InferenceServerException
 
 REST, GRPC = sys.argv[1:3]
+# The HTTP client writes into the headers that it is handed: each call gets its own.
 HEADERS = {"cedarpulley-trigger-type": "estimate", "cedarpulley-lanes": "4"}
 MODEL = "estimate:roof"
 held, broken = 0, []
@@ -46,15 +47,15 @@
         tensor = wire.InferInput("x", list(shape), {
             np.float32: "FP32", np.int64: "INT64", np.uint8: "UINT8", np.float64: "FP64"}[kind])
         tensor.set_data_from_numpy(given)
-        answer = client.infer(MODEL, [tensor], headers=HEADERS, request_id="7")
+        answer = client.infer(MODEL, [tensor], headers=dict(HEADERS), request_id="7")
         back = answer.as_numpy("x")
         # Without any byte nothing is raw, and the stand-in worker gives back raw tensors alone.
         check(f"{name} {kind.__name__} {shape}", given.size == 0 or (back == given).all())
     texts = wire.InferInput("t", [2], "BYTES")
     texts.set_data_from_numpy(np.array([b"a", b"\xff\x00"], dtype=np.object_))
-    back = client.infer(MODEL, [texts], headers=HEADERS).as_numpy("t")
+    back = client.infer(MODEL, [texts], headers=dict(HEADERS)).as_numpy("t")
     check(f"{name} bytes", list(back) == [b"a", b"\xff\x00"])
-    check(f"{name} version", client.infer(MODEL, [texts], model_version="3", headers=HEADERS) is not None)
+    check(f"{name} version", client.infer(MODEL, [texts], model_version="3", headers=dict(HEADERS)) is not None)
     index = client.get_model_repository_index()
     names = [m["name"] for m in index] if isinstance(index, list) else [m.name for m in index.models]
     check(f"{name} index", MODEL in names)
@@ -64,12 +65,12 @@
 
 typed = over_http.InferInput("x", [4], "FP32")
 typed.set_data_from_numpy(np.ones(4, dtype=np.float32), binary_data=False)
-check("rest typed", rest.infer(MODEL, [typed], headers=HEADERS).get_response()["model_name"] == MODEL)
+check("rest typed", rest.infer(MODEL, [typed], headers=dict(HEADERS)).get_response()["model_name"] == MODEL)
 # Many at once on one HTTP/2 connection.
 many, tensor = [], over_grpc.InferInput("x", [1], "FP32")
 tensor.set_data_from_numpy(np.ones(1, dtype=np.float32))
 for _ in range(200):
-    rpc.async_infer(MODEL, [tensor], lambda result, error: many.append(error), headers=HEADERS, client_timeout=5)
+    rpc.async_infer(MODEL, [tensor], lambda result, error: many.append(error), headers=dict(HEADERS), client_timeout=5)
 import time
 until = time.time() + 10
 while len(many) < 200 and time.time() < until:
