trace explain ranks what cost most; what waits for a load is not crowded out

Change: crates/trace/explain.rs gives each lost or late invocation one cause with a subject and its cost. The core no longer counts as crowded what waited for a load of its function, so that a slow store caps nobody.

--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -42,11 +42,11 @@
 
 pub fn show(verdict: &Verdict, json: bool) -> Plain<()> {
     if json {
-        println!("{}", serde_json::to_string_pretty(verdict).map_err(|e| e.to_string())?);
+        say!("{}", serde_json::to_string_pretty(verdict).map_err(|e| e.to_string())?);
     } else {
-        print!("{}", verdict.table());
+        say!("{}", verdict.table().trim_end());
     }
-    println!("{}", verdict.last_line());
+    say!("{}", verdict.last_line());
     Ok(())
 }
 
@@ -109,7 +109,7 @@
     let table = format!("{}{}\n", verdict.table(), verdict.last_line());
     std::fs::write(out.join("summary.txt"), table).map_err(io)?;
     if !json {
-        println!("{} (seed {}), left in {}\n", path.display(), day.seed, out.display());
+        say!("{} (seed {}), left in {}\n", path.display(), day.seed, out.display());
     }
     show(&verdict, json)?;
     if !stopped && verdict.broken() == 0 {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,14 @@
 //! The command line. Exit codes: 0 all well; 1 a rule broken or a comparison lost; 2 bad arguments, settings or
 //! input, with one plain line a cause on standard error.
 
+/// A line to standard output. Whoever has closed it wants no more: that is no fault, and changes no verdict.
+macro_rules! say {
+    ($($text:tt)*) => {{
+        let line = format!($($text)*);
+        let _ = std::io::Write::write_all(&mut std::io::stdout(), format!("{line}\n").as_bytes());
+    }};
+}
+
 mod client;
 mod day;
 mod dayfile;
@@ -86,6 +94,9 @@
         lanes: u32,
         #[arg(long, default_value = "target/measure")]
         folder: PathBuf,
+        /// The router keeps a trace.
+        #[arg(long)]
+        trace: bool,
     },
     /// Trace files: verify, summary, show, replay.
     Trace {
@@ -122,15 +133,15 @@
     let done = match line.command {
         Command::Serve { settings, tamper } => serve(&settings, tamper),
         Command::Check { settings } => read(&settings).map(|_| {
-            println!("{}: good", settings.display());
+            say!("{}: good", settings.display());
             true
         }),
         Command::Standin { kind } => standin::run(kind).map(|()| true),
         Command::Day { day, out, seed, tamper, router, json } => {
             named(&tamper).and_then(|_| day::play(&day, out, seed, tamper, router, json))
         }
-        Command::Measure { rate, seconds, work_ms, lanes, folder } => {
-            measure::run(rate, seconds, work_ms, lanes, &folder).map(|()| true)
+        Command::Measure { rate, seconds, work_ms, lanes, folder, trace } => {
+            measure::run(rate, seconds, work_ms, lanes, &folder, trace).map(|()| true)
         }
         Command::Trace { what } => trace::run(what),
         Command::Audit { folder, json } => audit(&folder, json),
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -90,7 +90,7 @@
 }
 
 /// At this rate for so long, with workers that take `work_ms`; prints one JSON object.
-pub fn run(rate: f64, seconds: f64, work_ms: f64, lanes: u32, folder: &Path) -> Plain<()> {
+pub fn run(rate: f64, seconds: f64, work_ms: f64, lanes: u32, folder: &Path, trace: bool) -> Plain<()> {
     let io = |e: std::io::Error| e.to_string();
     std::fs::create_dir_all(folder).map_err(io)?;
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -120,7 +120,11 @@
         callers.push((way, std::net::TcpListener::bind(any).and_then(|l| l.local_addr()).map_err(io)?));
     }
     let file = folder.join("router.toml");
-    std::fs::write(&file, settings(broker.address, &workers, &callers)).map_err(io)?;
+    let mut text = settings(broker.address, &workers, &callers);
+    if trace {
+        text.push_str("\n[trace]\nfolder = \"traces\"\n");
+    }
+    std::fs::write(&file, text).map_err(io)?;
     let log = std::fs::File::create(folder.join("router.log")).map_err(io)?;
     let program = std::env::current_exe().map_err(io)?;
     let mut command = Command::new(program);
@@ -204,7 +208,7 @@
         })
     });
     drop(router);
-    println!("{}", serde_json::to_string_pretty(&result).map_err(|e| e.to_string())?);
+    say!("{}", serde_json::to_string_pretty(&result).map_err(|e| e.to_string())?);
     Ok(())
 }
 
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -62,7 +62,7 @@
 
 /// Standing still until the process is ended.
 fn forever(what: &str, at: SocketAddr) -> ! {
-    println!("{what} at {at}");
+    say!("{what} at {at}");
     loop {
         std::thread::park();
     }
--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -5,6 +5,7 @@
 use std::io::{BufReader, BufWriter, Write};
 use std::path::{Path, PathBuf};
 
+use cedarpulley_trace::explain::Explain;
 use cedarpulley_trace::merge::{Offsets, merge};
 use cedarpulley_trace::reader::{Ended, Found, NoTrace, Reader};
 use cedarpulley_trace::replay::{replay, told};
@@ -70,6 +71,17 @@
         #[arg(long)]
         key: PathBuf,
     },
+    /// What cost most, dearest first: for each lost or late invocation the one cause.
+    Explain {
+        files: Vec<PathBuf>,
+        /// Seconds since 1970.
+        #[arg(long)]
+        from: Option<f64>,
+        #[arg(long)]
+        until: Option<f64>,
+        #[arg(long)]
+        json: bool,
+    },
     /// Drives this build's module with what was recorded; exit 1 at the first decision that differs.
     Replay {
         /// Files of whole rows, from file 0 on; several rows are replayed one after the other.
@@ -102,6 +114,11 @@
         Trace::Verify { files } => verify(&all(&files)?),
         Trace::Summary { files, json } => summary(&all(&files)?, json),
         Trace::Show { mark, files } => show(&mark, &all(&files)?),
+        Trace::Explain { files, from, until, json } => {
+            let micros = |s: f64| (s * 1e6) as i64;
+            let span = (from.map_or(i64::MIN, micros), until.map_or(i64::MAX, micros));
+            explained(&all(&files)?, span, json)
+        }
         Trace::Merge { files, out, as_is } => merged(&all(&files)?, &out, as_is),
         Trace::Cut { file, out, from, until, function, account, worker, invocation } => {
             let micros = |s: f64| (s * 1e6) as i64;
@@ -121,6 +138,34 @@
     }
 }
 
+fn explained(files: &[PathBuf], span: (i64, i64), json: bool) -> Plain<bool> {
+    let mut explain = Explain::default();
+    let mut base = 0;
+    for file in files {
+        let mut reader = open(file)?;
+        let sources = reader.sources.clone();
+        while let Some(found) = reader.next().map_err(|e| format!("{}: {e}", file.display()))? {
+            if let Found::Block { records, place } = found {
+                let source = &sources[place.source as usize];
+                records.iter().for_each(|(at, x)| explain.record(base + place.source, source, span, *at, x));
+            }
+        }
+        base += sources.len() as u32;
+    }
+    let ranked = explain.ranked();
+    if json {
+        say!("{}", serde_json::to_string_pretty(&ranked).map_err(|e| e.to_string())?);
+        return Ok(true);
+    }
+    say!("{:<52} {:>9} {:>7} {:>7}  span (wall, s)", "cause", "cost", "lost", "late");
+    for r in ranked {
+        let (from, until) = (r.from_us / 1_000_000, r.until_us / 1_000_000);
+        let cause = format!("{:?}", r.cause);
+        say!("{cause:<52} {:>9.1} {:>7} {:>7}  {from} to {until}", r.cost, r.lost, r.late);
+    }
+    Ok(true)
+}
+
 /// Shorter ones are found by trying.
 const LEAST_SECRET: usize = 16;
 
@@ -146,7 +191,7 @@
 ) -> Plain<bool> {
     let mut reader = open(file)?;
     let done = make(out, |to| how(&mut reader, to).map_err(|e| format!("{}: {e}", file.display())))?;
-    println!("{} records of {} blocks read, {} damaged", done.records, done.blocks_read, done.damaged);
+    say!("{} records of {} blocks read, {} damaged", done.records, done.blocks_read, done.damaged);
     Ok(done.damaged == 0)
 }
 
@@ -165,15 +210,15 @@
             match found {
                 Some((by, changes)) => {
                     *ahead = by;
-                    println!("{}: {:.1} ms ahead, by {changes} changes", file.display(), by as f64 / 1e3);
+                    say!("{}: {:.1} ms ahead, by {changes} changes", file.display(), by as f64 / 1e3);
                 }
-                None => println!("{}: offset unknown, taken as it is", file.display()),
+                None => say!("{}: offset unknown, taken as it is", file.display()),
             }
         }
     }
     let damaged = make(out, |to| merge(&mut readers, &ahead, to).map_err(|e| e.to_string()))?;
     if damaged > 0 {
-        println!("{damaged} damaged blocks were left out");
+        say!("{damaged} damaged blocks were left out");
     }
     Ok(damaged == 0)
 }
@@ -185,7 +230,7 @@
         let mut reader = match open(file) {
             Ok(reader) => reader,
             Err(why) => {
-                println!("{why}");
+                say!("{why}");
                 good = false;
                 continue;
             }
@@ -199,7 +244,7 @@
                 }
                 Found::Damaged { offset, cause } => {
                     lost += 1;
-                    println!("{}: damaged at byte {offset}: {cause}", file.display());
+                    say!("{}: damaged at byte {offset}: {cause}", file.display());
                 }
             }
         }
@@ -208,7 +253,7 @@
             _ => "ended well".to_owned(),
         };
         good &= lost == 0 && reader.ended == Some(Ended::Well);
-        println!("{}: {blocks} blocks, {records} records, {lost} damaged, {ended}", file.display());
+        say!("{}: {blocks} blocks, {records} records, {lost} damaged, {ended}", file.display());
     }
     Ok(good)
 }
@@ -231,8 +276,8 @@
     }
     let summary = counter.finish();
     match json {
-        true => println!("{}", serde_json::to_string_pretty(&summary).map_err(|e| e.to_string())?),
-        false => print!("{}", summary.table()),
+        true => say!("{}", serde_json::to_string_pretty(&summary).map_err(|e| e.to_string())?),
+        false => say!("{}", summary.table().trim_end()),
     }
     Ok(true)
 }
@@ -252,7 +297,7 @@
         follows.iter_mut().for_each(|f| lines.append(&mut f.lines));
     }
     lines.sort();
-    lines.iter().for_each(|l| println!("{l}"));
+    lines.iter().for_each(|l| say!("{l}"));
     if lines.is_empty() { Err(format!("'{mark}' is in none of the files")) } else { Ok(true) }
 }
 
@@ -276,21 +321,20 @@
         let seconds = result.span as f64 / 1e6;
         let module = if result.same_module { "the same module" } else { "another module" };
         match &result.difference {
-            None => println!(
-                "{router}: {} decisions over {seconds:.1} s, none differs; {module}",
-                result.decisions
-            ),
+            None => {
+                say!("{router}: {} decisions over {seconds:.1} s, none differs; {module}", result.decisions)
+            }
             Some(d) => {
                 same = false;
-                println!("{router}: decision {} at {} us differs; {module}", d.decision, d.at);
-                println!("  told:     {}", told(&d.happened));
-                println!("  recorded: {:?}", d.recorded);
-                println!("  replayed: {:?}", d.replayed);
-                d.before.iter().for_each(|b| println!("  before:   {b}"));
+                say!("{router}: decision {} at {} us differs; {module}", d.decision, d.at);
+                say!("  told:     {}", told(&d.happened));
+                say!("  recorded: {:?}", d.recorded);
+                say!("  replayed: {:?}", d.replayed);
+                d.before.iter().for_each(|b| say!("  before:   {b}"));
             }
         }
         if let Some(why) = &result.stopped {
-            println!("{}", json!({"router": router, "stopped": why}));
+            say!("{}", json!({"router": router, "stopped": why}));
         }
     }
     Ok(same)
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -189,6 +189,7 @@
     trigger: u32,
     account: u32,
     function: Arc<str>,
+    func: FnIx,
     token: Option<Arc<str>>,
     mark: Option<Arc<str>>,
     hints: (Option<Micros>, Option<Micros>),
@@ -247,6 +248,8 @@
     timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
     serial: u64,
     orders: HashMap<OrderTicket, Micros>,
+    /// Load orders that are out for a function, and when the last of them ended.
+    loading: HashMap<FnIx, (u32, Micros)>,
     stopping: bool,
     watch: Option<Box<dyn Watch>>,
     pub counts: Counts,
@@ -277,6 +280,7 @@
             timers: BinaryHeap::new(),
             serial: 0,
             orders: HashMap::new(),
+            loading: HashMap::new(),
             stopping: false,
             watch: None,
             counts: Counts::default(),
@@ -484,6 +488,7 @@
             trigger: t.trigger,
             account: t.account,
             function: t.function.clone(),
+            func,
             token: t.token,
             mark: t.mark,
             hints: (t.cost_hint, t.load_hint),
@@ -628,6 +633,14 @@
         }
         let (front, account, bytes, took) = (it.front, it.account, it.body.len(), self.now - it.taken);
         let held = it.dispatches.first().map_or(took, |d| d.at - it.taken);
+        // Symptom: a slow store makes everybody wait, and who has more out is capped for it. What waited for a load
+        // was not crowded out.
+        let loaded = self.loading.get(&it.func).is_some_and(|(out, at)| *out > 0 || *at >= it.taken);
+        let (held, pace) = match pace {
+            Pace::GivenUp if loaded => (0, Pace::Neither),
+            pace if loaded => (0, pace),
+            pace => (held, pace),
+        };
         if !it.knocked {
             self.admission.left(front, account);
         }
@@ -735,6 +748,9 @@
 
     fn order_ended(&mut self, ticket: OrderTicket, result: OrderResult, copies: u32, out: &mut Vec<Output>) {
         let Some(at) = self.orders.remove(&ticket) else { return };
+        if let Some(loading) = self.loading.get_mut(&ticket.func).filter(|l| l.0 > 0) {
+            *loading = (loading.0 - 1, self.now);
+        }
         let OrderTicket { worker, func, .. } = ticket;
         self.decide(&Event::OrderEnded { worker, func, result, took: self.now - at, copies }, out);
     }
@@ -855,6 +871,9 @@
                     self.orders.insert(ticket, self.now);
                     self.timer(self.now + within, Timer::Order(ticket));
                     self.counts.orders += u64::from(copies > 0);
+                    if copies > 0 {
+                        self.loading.entry(func).or_insert((0, Micros::MIN)).0 += 1;
+                    }
                     let function = self.names[func as usize].clone();
                     out.push(Output::Order { ticket, function, copies, within });
                 }
@@ -865,6 +884,7 @@
                 Action::Timer { token, after } => self.timer(self.now + after, Timer::Module(token)),
                 Action::AskList { .. } => out.push(Output::AskList),
                 Action::Forget { func } => {
+                    self.loading.remove(&func);
                     self.funcs.release(func);
                     self.names[func as usize] = Arc::from("");
                 }
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -6,9 +6,11 @@
 //! * [`writer`], [`reader`]: files. A trace never stops a router: what cannot be written is a gap.
 //! * [`replay`]: drives the module anew and finds the first decision that differs.
 //! * [`summary`], [`show`]: what is in them.
+//! * [`explain`]: ranks what cost most, from decisions.
 //! * [`select`] decides what belongs to a cut, [`strip`] what may stay of names; [`rewrite`] and [`merge`] make files.
 
 pub mod blocks;
+pub mod explain;
 pub mod keeping;
 pub mod merge;
 pub mod reader;
