What waits for a load is told from what waits for a lane, in a module of its own

Cause: while a store is slow everybody waits, and the first rule against it (an order is out) also silenced the caps under a flood of hot functions. Change: router/waits.rs: an order out or ended since it was taken, and no copy found standing meanwhile.

--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -16,6 +16,7 @@
 use crate::roster::Listed;
 use crate::table::Table;
 use crate::tokens::{self, Key, Seen, Tokens};
+use crate::waits::Waits;
 use crate::watch::{Given, Names, Watch};
 use crate::{Answer, Delivery, Fate, FrontIx, OrderTicket, Payload, Reason, Taken, Ticket};
 
@@ -248,8 +249,7 @@
     timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
     serial: u64,
     orders: HashMap<OrderTicket, Micros>,
-    /// Load orders that are out for a function, and when the last of them ended.
-    loading: HashMap<FnIx, (u32, Micros)>,
+    waits: Waits,
     stopping: bool,
     watch: Option<Box<dyn Watch>>,
     pub counts: Counts,
@@ -280,7 +280,7 @@
             timers: BinaryHeap::new(),
             serial: 0,
             orders: HashMap::new(),
-            loading: HashMap::new(),
+            waits: Waits::default(),
             stopping: false,
             watch: None,
             counts: Counts::default(),
@@ -635,7 +635,7 @@
         let held = it.dispatches.first().map_or(took, |d| d.at - it.taken);
         // Symptom: a slow store makes everybody wait, and who has more out is capped for it. What waited for a load
         // was not crowded out.
-        let loaded = self.loading.get(&it.func).is_some_and(|(out, at)| *out > 0 || *at >= it.taken);
+        let loaded = self.waits.for_load(it.func, it.taken);
         let (held, pace) = match pace {
             Pace::GivenUp if loaded => (0, Pace::Neither),
             pace if loaded => (0, pace),
@@ -729,6 +729,12 @@
         };
         sent.state = if outcome.never_ran() { Sent::NeverRan } else { Sent::MayHaveRun };
         let (worker, took) = (sent.worker, self.now - sent.at);
+        if outcome == Outcome::Succeeded
+            && note == CopyNote::Found
+            && let Some(it) = self.invs.get(inv)
+        {
+            self.waits.found(self.now, it.func);
+        }
         if outcome == Outcome::Succeeded {
             let answer = Answer { fate: Fate::Succeeded, reason: Reason::Worker, return_after: None, body };
             self.give(inv, answer, out);
@@ -748,9 +754,7 @@
 
     fn order_ended(&mut self, ticket: OrderTicket, result: OrderResult, copies: u32, out: &mut Vec<Output>) {
         let Some(at) = self.orders.remove(&ticket) else { return };
-        if let Some(loading) = self.loading.get_mut(&ticket.func).filter(|l| l.0 > 0) {
-            *loading = (loading.0 - 1, self.now);
-        }
+        self.waits.order_ended(self.now, ticket.func);
         let OrderTicket { worker, func, .. } = ticket;
         self.decide(&Event::OrderEnded { worker, func, result, took: self.now - at, copies }, out);
     }
@@ -872,7 +876,7 @@
                     self.timer(self.now + within, Timer::Order(ticket));
                     self.counts.orders += u64::from(copies > 0);
                     if copies > 0 {
-                        self.loading.entry(func).or_insert((0, Micros::MIN)).0 += 1;
+                        self.waits.ordered(func);
                     }
                     let function = self.names[func as usize].clone();
                     out.push(Output::Order { ticket, function, copies, within });
@@ -884,7 +888,7 @@
                 Action::Timer { token, after } => self.timer(self.now + after, Timer::Module(token)),
                 Action::AskList { .. } => out.push(Output::AskList),
                 Action::Forget { func } => {
-                    self.loading.remove(&func);
+                    self.waits.forget(func);
                     self.funcs.release(func);
                     self.names[func as usize] = Arc::from("");
                 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`claims`]: which final answer was given, until the front has it safely out.
 //! * [`roster`]: what the worker list says, though its watch breaks, repeats or goes back in time.
 //! * [`tokens`]: what a client's own retry with the same token gets.
+//! * [`waits`]: whether one waited for a load or for a lane.
 //! * [`watch`]: who listens, and never decides.
 //! * [`backoff`]: how long to wait before trying to reach something again.
 
@@ -25,6 +26,7 @@
 pub mod shares;
 mod table;
 pub mod tokens;
+pub mod waits;
 pub mod watch;
 
 pub use crate::core::{Counts, Input, Output, Router, Terms};
--- a/crates/router/tests/parts.rs
+++ b/crates/router/tests/parts.rs
@@ -8,6 +8,7 @@
 use cedarpulley_router::entry::{self, Door, Entry as Let, Fill, Knock, Short};
 use cedarpulley_router::roster::{Entry, Listed, News, Roster, Slice, Step};
 use cedarpulley_router::shares::{Felt, Shares};
+use cedarpulley_router::waits::Waits;
 use cedarpulley_router::{Answer, Delivery, Fate, Reason};
 
 mod world;
@@ -333,3 +334,23 @@
     assert!(mean(&many[90..]) > 3 * mean(&few), "{few:?} {many:?}");
     assert!(many.iter().collect::<std::collections::HashSet<_>>().len() > 50);
 }
+
+/// Symptom: a slow store makes all wait, and whoever has more out is capped for it.
+#[test]
+fn a_wait_for_a_load_is_told_from_a_wait_for_a_lane() {
+    let mut w = Waits::default();
+    assert!(!w.for_load(1, 0), "nothing was ordered");
+    w.order_ended(5, 1);
+    assert!(!w.for_load(1, 0), "the end of a question is no load");
+    w.ordered(1);
+    w.ordered(1);
+    w.order_ended(10, 1);
+    assert!(w.for_load(1, 20) && !w.for_load(2, 0), "another is still out, of this function");
+    w.order_ended(30, 1);
+    assert!(w.for_load(1, 30) && !w.for_load(1, 31));
+    // A copy stood while it waited: more copies were on order, but lanes were short.
+    w.found(25, 1);
+    assert!(w.for_load(1, 26) && !w.for_load(1, 25));
+    w.forget(1);
+    assert!(!w.for_load(1, 0));
+}
