trace rules judges rules 1, 2, 3 and 5 from the core's decisions

Change: crates/trace/rules.rs follows each invocation and dispatch through any number of sources, by marks also from router to router; it says what it cannot see (rule 4, and what became of decisions on the sockets).

--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -1,6 +1,6 @@
 //! `cedarpulley trace ...`: from files alone, what happened and what was decided.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
 use std::io::{BufReader, BufWriter, Write};
 use std::path::{Path, PathBuf};
@@ -10,6 +10,7 @@
 use cedarpulley_trace::reader::{Ended, Found, NoTrace, Reader};
 use cedarpulley_trace::replay::{replay, told};
 use cedarpulley_trace::rewrite::{self, Rewritten};
+use cedarpulley_trace::rules::Rules;
 use cedarpulley_trace::select::Wanted;
 use cedarpulley_trace::show::Follow;
 use cedarpulley_trace::strip::Strip;
@@ -82,6 +83,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Judges the rules from the core's decisions; what follows on the sockets `audit` judges. Exit 1 on a break.
+    Rules {
+        files: Vec<PathBuf>,
+        #[arg(long)]
+        json: bool,
+    },
     /// Drives this build's module with what was recorded; exit 1 at the first decision that differs.
     Replay {
         /// Files of whole rows, from file 0 on; several rows are replayed one after the other.
@@ -119,6 +126,7 @@
             let span = (from.map_or(i64::MIN, micros), until.map_or(i64::MAX, micros));
             explained(&all(&files)?, span, json)
         }
+        Trace::Rules { files, json } => judged(&all(&files)?, json),
         Trace::Merge { files, out, as_is } => merged(&all(&files)?, &out, as_is),
         Trace::Cut { file, out, from, until, function, account, worker, invocation } => {
             let micros = |s: f64| (s * 1e6) as i64;
@@ -166,6 +174,34 @@
     Ok(true)
 }
 
+fn judged(files: &[PathBuf], json: bool) -> Plain<bool> {
+    let (mut rules, mut all) = (Rules::default(), HashMap::new());
+    for file in files {
+        let mut reader = open(file)?;
+        let (base, sources) = (all.len() as u32, reader.sources.clone());
+        while let Some(found) = reader.next().map_err(|e| format!("{}: {e}", file.display()))? {
+            if let Found::Block { records, place } = found {
+                let source = &sources[place.source as usize];
+                records.iter().for_each(|(at, x)| rules.record(base + place.source, source, *at, x));
+            }
+        }
+        all.extend((base..).zip(sources));
+    }
+    let judged = rules.finish(&all);
+    let broken: u64 = judged.rules.values().sum();
+    if json {
+        say!("{}", serde_json::to_string_pretty(&judged).map_err(|e| e.to_string())?);
+    } else {
+        judged.breaks.iter().for_each(|b| say!("{b}"));
+        let (n, open) = (judged.invocations, judged.unseen);
+        say!(
+            "{n} invocations, {broken} breaks of rules 1, 2, 3 and 5; {open} still open where their trace ends"
+        );
+        say!("not seen here: rule 4, and what became of answers and dispatches on the sockets (see audit)");
+    }
+    Ok(broken == 0)
+}
+
 /// Shorter ones are found by trying.
 const LEAST_SECRET: usize = 16;
 
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`writer`], [`reader`]: files. A trace never stops a router: what cannot be written is a gap.
 //! * [`replay`]: drives the module anew and finds the first decision that differs.
 //! * [`summary`], [`show`]: what is in them.
+//! * [`rules`]: judges the five rules as far as decisions show them.
 //! * [`explain`]: ranks what cost most, from decisions.
 //! * [`select`] decides what belongs to a cut, [`strip`] what may stay of names; [`rewrite`] and [`merge`] make files.
 
@@ -17,6 +18,7 @@
 pub mod records;
 pub mod replay;
 pub mod rewrite;
+pub mod rules;
 pub mod select;
 pub mod show;
 pub mod start;
--- /dev/null
+++ b/crates/trace/tests/ruled.rs
@@ -0,0 +1,231 @@
+//! Each rule seen to break in a trace that breaks it, and to hold in one that does not.
+
+use std::collections::HashMap;
+use std::io::Cursor;
+
+use cedarpulley::interface::*;
+use cedarpulley_router::{Fate, Reason};
+use cedarpulley_trace::reader::{Found, Reader};
+use cedarpulley_trace::records::{Happened, Record};
+use cedarpulley_trace::rules::{Judged, Rules};
+use cedarpulley_trace::start::Source;
+
+const MS: Micros = 1_000;
+const KEPT: &[u8] = include_bytes!("kept/format-1.trace");
+
+fn source(effect: Effect) -> Source {
+    let mut s = Reader::open(Cursor::new(KEPT)).expect("a trace").sources.swap_remove(0);
+    s.start.triggers[0].effect = effect;
+    s.start.rules.drain_grace = 500 * MS;
+    (s.start.loads.ration_window, s.start.loads.ration_few, s.start.loads.ration_part) =
+        (1_000 * MS, 2.0, 0.5);
+    s
+}
+
+enum Told {
+    Comes(u32),
+    Sends(u32, u32),
+    Ends(u32, u32, Outcome),
+    Answers(u32, Fate),
+    Leaves(u32),
+    Drains(u32),
+    Orders,
+}
+use Told::*;
+
+fn record(told: &Told) -> Vec<Record> {
+    let decided = |event, actions| vec![Record::Decided { happened: Happened::Other(event), actions }];
+    let timer = Event::Timer { token: 1 };
+    match *told {
+        Comes(inv) => {
+            let arrival = Arrival {
+                inv,
+                trigger: 0,
+                account: 0,
+                func: 0,
+                fingerprint: 0,
+                cost_hint: None,
+                load_hint: None,
+                copy_mb: 1.0,
+                lanes: 1,
+                client_gives_up_in: 2_000 * MS,
+                waited: 0,
+                repeat: false,
+            };
+            let taken = Record::Taken { inv, front: 0, mark: Some(u64::from(inv)), redelivered: false };
+            [vec![taken], decided(Event::Invocation(arrival), vec![])].concat()
+        }
+        Sends(inv, worker) => decided(timer, vec![Action::Dispatch { inv, worker, time_out: None }]),
+        Ends(inv, dispatch, outcome) => {
+            let (took, note, report) = (MS, CopyNote::Untold, Report::default());
+            let ending = Ending {
+                inv,
+                dispatch,
+                worker: 0,
+                outcome,
+                took,
+                concluded: false,
+                note,
+                crowd: None,
+                report,
+            };
+            decided(Event::DispatchEnded(ending), vec![])
+        }
+        Answers(inv, fate) => {
+            let (reason, took) = (Reason::GivenUp, MS);
+            vec![Record::Answered { inv: Some(inv), front: 0, fate, reason, trigger: 0, account: 0, took }]
+        }
+        Leaves(inv) => decided(Event::Departed { inv }, vec![]),
+        Drains(worker) => {
+            let entry = ListEntry {
+                worker,
+                fingerprint: 1,
+                zone: worker,
+                kind: 0,
+                cell: 0,
+                standing: Standing::Draining,
+                weight: 1.0,
+                started: None,
+            };
+            let happened = Happened::List { mode: ListMode::Changes, entries: vec![entry] };
+            vec![Record::Decided { happened, actions: vec![] }]
+        }
+        Orders => decided(timer, vec![Action::Order { worker: 0, func: 0, copies: 1 }]),
+    }
+}
+
+/// Of one router, or of two that saw it one after the other.
+fn judged(effect: Effect, sides: &[&[(Micros, Told)]]) -> Judged {
+    let (of, mut rules, mut sources) = (source(effect), Rules::default(), HashMap::new());
+    for (n, told) in sides.iter().enumerate() {
+        sources.insert(n as u32, of.clone());
+        for (at, told) in *told {
+            record(told).iter().for_each(|r| rules.record(n as u32, &of, at * MS, r));
+        }
+    }
+    rules.finish(&sources)
+}
+
+fn broken(effect: Effect, told: &[(Micros, Told)]) -> Vec<u8> {
+    judged(effect, &[told]).rules.into_keys().collect()
+}
+
+const ONCE: Effect = Effect::NonIdempotent;
+const ANY: Effect = Effect::Idempotent;
+const TOKEN: Effect = Effect::Tokened { group: RepeatGroup::Zone, window: 1_000 * MS };
+
+#[test]
+fn an_answer_is_one_and_in_time() {
+    let good = (900, Answers(1, Fate::Succeeded));
+    assert_eq!(broken(ANY, &[(0, Comes(1)), good, (9_000, Orders)]), []);
+    assert_eq!(broken(ANY, &[(0, Comes(1)), (2_200, Answers(1, Fate::Succeeded))]), [1]);
+    assert_eq!(broken(ANY, &[(0, Comes(1)), (2_200, Orders)]), [1], "never answered");
+    let cut = judged(ANY, &[&[(0, Comes(1)), (1_000, Orders)]]);
+    assert_eq!((cut.rules.len(), cut.unseen), (0, 1), "its trace ends before");
+    assert_eq!(broken(ANY, &[(0, Comes(1)), (9, Leaves(1)), (5_000, Orders)]), [], "no answer is owed");
+    let after = [
+        (0, Comes(1)),
+        (9, Answers(1, Fate::Succeeded)),
+        (10, Sends(1, 0)),
+        (11, Ends(1, 0, Outcome::Broken)),
+    ];
+    assert_eq!(broken(ANY, &after), [1]);
+    let unsent = [
+        (0, Comes(1)),
+        (9, Answers(1, Fate::Succeeded)),
+        (10, Sends(1, 0)),
+        (10, Ends(1, 0, Outcome::NotSent)),
+    ];
+    assert_eq!(broken(ANY, &unsent), [], "it never left");
+}
+
+#[test]
+fn no_effect_twice() {
+    let again = |first: Outcome, effect| {
+        let told = [
+            (0, Comes(1)),
+            (1, Sends(1, 0)),
+            (20, Ends(1, 0, first)),
+            (30, Sends(1, 0)),
+            (40, Ends(1, 1, Outcome::Succeeded)),
+            (40, Answers(1, Fate::Succeeded)),
+        ];
+        broken(effect, &told)
+    };
+    assert_eq!(again(Outcome::Unreachable, ONCE), []);
+    assert_eq!(again(Outcome::TimedOut, ONCE), [2]);
+    assert_eq!(again(Outcome::TimedOut, ANY), []);
+    assert_eq!(again(Outcome::TimedOut, TOKEN), []);
+    let harmless =
+        [(0, Comes(1)), (1, Sends(1, 0)), (9, Ends(1, 0, Outcome::Broken)), (9, Answers(1, Fate::Throttled))];
+    assert_eq!((broken(ONCE, &harmless), broken(ANY, &harmless)), (vec![2], vec![]));
+    let two = [
+        (0, Comes(1)),
+        (1, Sends(1, 0)),
+        (2, Sends(1, 1)),
+        (9, Ends(1, 1, Outcome::Succeeded)),
+        (9, Answers(1, Fate::Succeeded)),
+    ];
+    assert_eq!(broken(ANY, &two), [2], "second copies are forbidden");
+    // By the mark of the message: another router may have run it.
+    let first: &[(Micros, Told)] =
+        &[(0, Comes(1)), (1, Sends(1, 0)), (20, Ends(1, 0, Outcome::Broken)), (20, Leaves(1))];
+    let second: &[(Micros, Told)] = &[
+        (50, Comes(1)),
+        (51, Sends(1, 0)),
+        (60, Ends(1, 0, Outcome::Succeeded)),
+        (60, Answers(1, Fate::Succeeded)),
+    ];
+    assert_eq!(judged(ONCE, &[first, second]).rules.into_keys().collect::<Vec<_>>(), [2]);
+    assert!(judged(ANY, &[first, second]).rules.is_empty());
+}
+
+#[test]
+fn a_tokened_repeat_keeps_to_its_group_and_window() {
+    let repeat = |worker: u32, at: Micros| {
+        let told = [
+            (0, Drains(0)),
+            (0, Drains(1)),
+            (0, Comes(1)),
+            (1, Sends(1, 0)),
+            (20, Ends(1, 0, Outcome::TimedOut)),
+            (at, Sends(1, worker)),
+            (at + 1, Ends(1, 1, Outcome::Succeeded)),
+            (at + 1, Answers(1, Fate::Succeeded)),
+        ];
+        broken(TOKEN, &told)
+    };
+    assert_eq!((repeat(0, 100), repeat(1, 100)), (vec![], vec![2]));
+    // Past the window, and past the grace of a drain too: one break, the graver is told.
+    assert_eq!(repeat(0, 1_100), [3]);
+}
+
+#[test]
+fn drains_and_rations() {
+    let sent = |at: Micros| {
+        let ends = [
+            (at, Sends(1, 0)),
+            (at + 1, Ends(1, 0, Outcome::Succeeded)),
+            (at + 1, Answers(1, Fate::Succeeded)),
+        ];
+        let told: Vec<(Micros, Told)> = [(0, Drains(0)), (0, Comes(1))].into_iter().chain(ends).collect();
+        broken(ANY, &told)
+    };
+    assert_eq!((sent(400), sent(600)), (vec![], vec![3]));
+    let orders = |n: i64, apart: Micros| {
+        let told: Vec<(Micros, Told)> = (0..n).map(|k| (k * apart, Orders)).collect();
+        broken(ANY, &told)
+    };
+    assert_eq!((orders(2, 1), orders(3, 1), orders(9, 600)), (vec![], vec![5], vec![]));
+}
+
+#[test]
+fn the_kept_file_breaks_none() {
+    let (mut r, mut rules) = (Reader::open(Cursor::new(KEPT)).expect("a trace"), Rules::default());
+    let of = r.sources[0].clone();
+    while let Some(Found::Block { records, .. }) = r.next().expect("read") {
+        records.iter().for_each(|(at, x)| rules.record(0, &of, *at, x));
+    }
+    let judged = rules.finish(&HashMap::from([(0, of)]));
+    assert_eq!((judged.invocations, judged.rules.len(), judged.unseen), (16, 0, 0));
+}
