The judge does not count a hanging-up that a cut hid as two dispatches at once

Change: stand-in workers log since when a peer's hanging-up may be unseen, and since when what a cut held back may have been sent; the judge takes the earliest time for the one and all of the span for the other. What was surely out at once is still a break.

--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -75,9 +75,25 @@
     number: String,
     worker: String,
     left: Option<(i64, String)>,
+    /// A cut held it back: it may have been sent since then.
+    held_since: Option<i64>,
+    /// Likewise its router's hanging up.
+    unseen_since: Option<i64>,
 }
 
 impl Dispatch {
+    /// It surely was out all the time between the two.
+    fn surely_out(&self, since: i64, until: i64) -> bool {
+        let unseen = self.unseen_since.unwrap_or(i64::MAX);
+        let open = self.left.as_ref().is_none_or(|(t, _)| (*t).min(unseen) > until + CLOSE_SEEN_US);
+        self.at <= since && open
+    }
+
+    /// When it was sent at the earliest.
+    fn sent_since(&self) -> i64 {
+        self.held_since.unwrap_or(self.at).min(self.at)
+    }
+
     /// The worker did not say, before any work, that it would not run it.
     fn may_have_run(&self) -> bool {
         self.left.as_ref().is_none_or(|(_, how)| how != "refused")
@@ -209,6 +225,8 @@
                     number: l.text("dispatch").to_owned(),
                     worker: l.of.clone(),
                     left: None,
+                    held_since: l.number("held_since"),
+                    unseen_since: None,
                 });
             }
             "left" => {
@@ -221,6 +239,7 @@
                 };
                 if let Some(d) = inv.dispatches.iter_mut().find(same) {
                     d.left = Some((l.t, l.text("how").to_owned()));
+                    d.unseen_since = l.number("unseen_since");
                 }
             }
             "ran" => {
@@ -360,8 +379,9 @@
             continue;
         }
         for pair in inv.dispatches.windows(2) {
-            let open = pair[0].left.as_ref().is_none_or(|(t, _)| *t > pair[1].at + CLOSE_SEEN_US);
-            if open && pair[0].from == pair[1].from {
+            // Symptom: behind a cut, a worker works on what its router has timed out and sent elsewhere.
+            let both = pair[0].surely_out(pair[1].sent_since(), pair[1].at);
+            if both && pair[0].from == pair[1].from {
                 v.breaks(2, format!("{id} had two dispatches out at once"));
             }
         }
@@ -394,7 +414,7 @@
                 }
             }
             // When it was sent is not known: a cut held it back.
-            "received" | "ordered" if l.flag("held_back") => {}
+            "received" | "ordered" if l.number("held_since").is_some() => {}
             "received" | "ordered" => {
                 let Some(worker) = address.get(l.of.as_str()) else { continue };
                 let since = told.get(&(l.text("from").to_owned(), worker.clone()));
@@ -460,7 +480,7 @@
                 routers.remove(l.text("address"));
             }
             "delivered" => routers.entry(l.text("to")).or_default().taken.push_back(l.t),
-            "ordered" if l.flag("held_back") => {}
+            "ordered" if l.number("held_since").is_some() => {}
             "ordered" => {
                 let r = routers.entry(l.text("from")).or_default();
                 r.ordered.push_back(l.t);
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -1,5 +1,6 @@
 //! A small HTTP/1.1 server over the ground's executor, whose sockets can be cut off by zone.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
@@ -21,7 +22,7 @@
 use hyper::{Request, Response, StatusCode};
 use smol_hyper::rt::FuturesIo;
 
-use crate::{Ground, lock, zone_of};
+use crate::{Ground, lock, wall_us, zone_of};
 
 pub type Body = BoxBody<Bytes, Infallible>;
 
@@ -36,7 +37,14 @@
 
 /// Zones that are cut off, a bit each: their bytes pass in neither direction.
 #[derive(Clone, Debug, Default)]
-pub struct Cut(Arc<AtomicU64>, Arc<Mutex<(u64, Option<Instant>)>>);
+pub struct Cut(Arc<AtomicU64>, Arc<Mutex<HashMap<u32, Held>>>);
+
+/// A zone's last cut: when it began, on the wall's clock, and when it ended.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    began: i64,
+    healed: Option<Instant>,
+}
 
 /// What a cut held back has come through within this time of its end.
 const COMES_THROUGH: Duration = Duration::from_millis(500);
@@ -44,14 +52,26 @@
 impl Cut {
     pub fn set(&self, zones: u64) {
         let before = self.0.swap(zones, Ordering::SeqCst);
-        *lock(&self.1) = (before & !zones, Some(Instant::now()));
+        let mut held = lock(&self.1);
+        for zone in (0..u64::BITS).filter(|z| (before ^ zones) & 1 << z != 0) {
+            let last = held.get(&zone).filter(|h| h.healed.is_none_or(|at| at.elapsed() < COMES_THROUGH));
+            // What a cut held back may not be through yet when the next one begins.
+            let began = last.map_or_else(wall_us, |h| h.began);
+            let healed = (zones & 1 << zone == 0).then(Instant::now);
+            held.insert(zone, Held { began, healed });
+        }
+    }
+
+    /// Since when what comes from there now may have been on its way: a cut has just ended.
+    pub fn held_since(&self, from: IpAddr) -> Option<i64> {
+        let held = *lock(&self.1).get(&zone_of(from)?)?;
+        held.healed.filter(|at| at.elapsed() < COMES_THROUGH).map(|_| held.began)
     }
 
-    /// Whether what comes from there now may have been sent long before: a cut has just ended.
-    pub fn held_back(&self, from: IpAddr) -> bool {
-        let (healed, at) = *lock(&self.1);
-        let just = at.is_some_and(|at| at.elapsed() < COMES_THROUGH);
-        just && zone_of(from).is_some_and(|z| healed & 1 << z.min(63) != 0)
+    /// Since when it may have hung up unseen: a cut stands, or has just ended.
+    pub fn unseen_since(&self, from: IpAddr) -> Option<i64> {
+        let held = *lock(&self.1).get(&zone_of(from)?)?;
+        held.healed.is_none_or(|at| at.elapsed() < COMES_THROUGH).then_some(held.began)
     }
 
     fn holds(&self, from: IpAddr) -> bool {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -3,7 +3,7 @@
 //! and falls over when pushed, and repeats of a token are dropped within a window.
 
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
@@ -167,9 +167,10 @@
 /// Says in the log how an invocation left, also when its connection was closed on it.
 struct Leaves {
     log: Log,
+    cut: Cut,
+    peer: IpAddr,
     id: String,
     dispatch: String,
-    from: String,
     how: &'static str,
 }
 
@@ -177,7 +178,10 @@
     fn drop(&mut self) {
         self.log.write(
             "left",
-            json!({"id": self.id, "dispatch": self.dispatch, "from": self.from, "how": self.how}),
+            json!({
+                "id": self.id, "dispatch": self.dispatch, "from": self.peer.to_string(), "how": self.how,
+                "unseen_since": self.cut.unseen_since(self.peer),
+            }),
         );
     }
 }
@@ -317,7 +321,7 @@
         }
         ["v2", "repository", "models", name, "load"] => {
             let name = model(name);
-            it.log.write("ordered", json!({"function": name, "from": from.ip().to_string(), "held_back": it.cut.held_back(from.ip())}));
+            it.log.write("ordered", json!({"function": name, "from": from.ip().to_string(), "held_since": it.cut.held_since(from.ip())}));
             order(it, name).await
         }
         ["v2", "repository", "models", name, "unload"] => {
@@ -490,18 +494,20 @@
     let (id, dispatch) = (header("cedarpulley-invocation"), header("cedarpulley-dispatch"));
     let (kind, token) = (header("cedarpulley-trigger-type"), header("idempotency-key"));
     let json_length = header(JSON_LENGTH).parse::<usize>().ok();
-    let held_back = it.cut.held_back(from.ip());
-    let from = from.ip().to_string();
+    let held_since = it.cut.held_since(from.ip());
+    let peer = from.ip();
+    let from = peer.to_string();
     let program = it.programs.get(&kind).cloned();
     let work = program.as_ref().map_or(Duration::ZERO, |p| drawn(it.seed, &id, p.work));
     it.log.write(
         "received",
         json!({
             "id": id, "dispatch": dispatch, "from": from, "type": kind, "function": function,
-            "work": work.as_micros() as u64, "held_back": held_back,
+            "work": work.as_micros() as u64, "held_since": held_since,
         }),
     );
-    let mut leaves = Leaves { log: it.log.clone(), id: id.clone(), dispatch, from, how: "closed" };
+    let (log, cut) = (it.log.clone(), it.cut.clone());
+    let mut leaves = Leaves { log, cut, peer, id: id.clone(), dispatch, how: "closed" };
     let body = Limited::new(request.into_body(), MOST_BODY).collect().await;
     let (Some(program), Ok(body)) = (program, body) else {
         leaves.how = "refused";
