--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -5,16 +5,21 @@
 use std::io::{BufReader, BufWriter, Write};
 use std::path::{Path, PathBuf};
 
+use cedarpulley_trace::chart;
+use cedarpulley_trace::compare::{Compare, Compared, Kind};
+use cedarpulley_trace::course::Course;
 use cedarpulley_trace::explain::Explain;
 use cedarpulley_trace::merge::{Offsets, merge};
 use cedarpulley_trace::reader::{Ended, Found, NoTrace, Reader};
-use cedarpulley_trace::replay::{replay, told};
+use cedarpulley_trace::records::Record;
+use cedarpulley_trace::replay::{Decisions, Step, drive, redo, replay, told};
 use cedarpulley_trace::rewrite::{self, Rewritten};
 use cedarpulley_trace::rules::Rules;
 use cedarpulley_trace::select::Wanted;
 use cedarpulley_trace::show::Follow;
+use cedarpulley_trace::start::Source;
 use cedarpulley_trace::strip::Strip;
-use cedarpulley_trace::summary::Counter;
+use cedarpulley_trace::summary::{Counter, SPAN_S};
 use cedarpulley_trace::writer::traces;
 use clap::Subcommand;
 use serde_json::json;
@@ -31,6 +36,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Fates, times and decisions over time, as an SVG.
+    Chart {
+        files: Vec<PathBuf>,
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// The life of the invocation that bears this mark (correlation id, request id).
     Show { mark: String, files: Vec<PathBuf> },
     /// One file of many, with the offsets of their clocks estimated from the worker list.
@@ -93,6 +104,20 @@
     Replay {
         /// Files of whole rows, from file 0 on; several rows are replayed one after the other.
         files: Vec<PathBuf>,
+        /// Goes through to the end and counts all that differs, by kind.
+        #[arg(long)]
+        all: bool,
+        /// Compares with what this other build's module decides, not with what was recorded.
+        #[arg(long)]
+        against: Option<PathBuf>,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Writes rows anew, a file each, with this build's decisions in place of what was decided.
+    Redo {
+        files: Vec<PathBuf>,
+        #[arg(long)]
+        out: PathBuf,
     },
 }
 
@@ -120,6 +145,7 @@
     match what {
         Trace::Verify { files } => verify(&all(&files)?),
         Trace::Summary { files, json } => summary(&all(&files)?, json),
+        Trace::Chart { files, out } => chart(&all(&files)?, &out),
         Trace::Show { mark, files } => show(&mark, &all(&files)?),
         Trace::Explain { files, from, until, json } => {
             let micros = |s: f64| (s * 1e6) as i64;
@@ -142,7 +168,9 @@
             let mut strip = Strip::new(&secret);
             rewritten(&file, &out, |reader, to| rewrite::strip(reader, &mut strip, to))
         }
-        Trace::Replay { files } => replayed(&all(&files)?),
+        Trace::Replay { files, all: false, against: None, .. } => replayed(&all(&files)?),
+        Trace::Replay { files, against, json, .. } => compared(&all(&files)?, against.as_deref(), json),
+        Trace::Redo { files, out } => redone(&all(&files)?, &out),
     }
 }
 
@@ -294,8 +322,8 @@
     Ok(good)
 }
 
-fn summary(files: &[PathBuf], json: bool) -> Plain<bool> {
-    let mut counter = Counter::default();
+/// Every record of every file, with its source.
+fn each(files: &[PathBuf], counter: &mut Counter, mut also: impl FnMut(&Source, i64, &Record)) -> Plain<()> {
     for file in files {
         let mut reader = open(file)?;
         let sources = reader.sources.clone();
@@ -304,12 +332,21 @@
             match found {
                 Found::Block { records, place } => {
                     let source = &sources[place.source as usize];
-                    records.iter().for_each(|(at, x)| counter.record(place.source, source, *at, x));
+                    for (at, record) in &records {
+                        counter.record(place.source, source, *at, record);
+                        also(source, *at, record);
+                    }
                 }
                 Found::Damaged { .. } => counter.damaged(),
             }
         }
     }
+    Ok(())
+}
+
+fn summary(files: &[PathBuf], json: bool) -> Plain<bool> {
+    let mut counter = Counter::default();
+    each(files, &mut counter, |_, _, _| {})?;
     let summary = counter.finish();
     match json {
         true => say!("{}", serde_json::to_string_pretty(&summary).map_err(|e| e.to_string())?),
@@ -318,6 +355,19 @@
     Ok(true)
 }
 
+fn chart(files: &[PathBuf], out: &Path) -> Plain<bool> {
+    let (mut counter, mut course) = (Counter::default(), Course::default());
+    each(files, &mut counter, |source, at, record| course.record(source, at, record))?;
+    let summary = counter.finish();
+    let routers = if summary.routers == 1 { "router life" } else { "router lives" };
+    let title = format!("{} invocations, {} {routers}", summary.invocations, summary.routers);
+    let worst = summary.worst.map(|(s, _)| (s * 1_000_000, (s + SPAN_S) * 1_000_000));
+    let svg = chart::svg(&course, &title, worst)?;
+    make(out, |to| to.write_all(svg.as_bytes()).map_err(|e| format!("{}: {e}", out.display())))?;
+    say!("{}", out.display());
+    Ok(true)
+}
+
 fn show(mark: &str, files: &[PathBuf]) -> Plain<bool> {
     let mut lines = Vec::new();
     for file in files {
@@ -337,22 +387,123 @@
     if lines.is_empty() { Err(format!("'{mark}' is in none of the files")) } else { Ok(true) }
 }
 
-fn replayed(files: &[PathBuf]) -> Plain<bool> {
-    // One row for each life of a router.
-    let mut rows: BTreeMap<(String, i64), Vec<(u64, Opened)>> = BTreeMap::new();
+/// A router's life, whose files are a row.
+struct Life {
+    router: String,
+    wall_at_zero: i64,
+    row: Vec<Opened>,
+}
+
+/// Of one router, name and start alike may stand in two folders: then they are two.
+fn lives(files: &[PathBuf]) -> Plain<Vec<Life>> {
+    let mut rows: BTreeMap<(PathBuf, String, i64), Vec<(u64, Opened)>> = BTreeMap::new();
     for file in files {
         for source in 0..open(file)?.sources.len() {
             let mut reader = open(file)?;
             reader.only = Some(source as u32);
             let start = &reader.sources[source].start;
-            let key = (start.router.clone(), start.wall_at_zero);
+            let folder = file.parent().map(Path::to_owned).unwrap_or_default();
+            let key = (folder, start.router.clone(), start.wall_at_zero);
             rows.entry(key).or_default().push((start.file, reader));
         }
     }
-    let mut same = true;
-    for ((router, _), mut row) in rows {
+    let life = |((_, router, wall_at_zero), mut row): (_, Vec<(u64, Opened)>)| {
         row.sort_by_key(|(file, _)| *file);
-        let mut row: Vec<Opened> = row.into_iter().map(|(_, reader)| reader).collect();
+        Life { router, wall_at_zero, row: row.into_iter().map(|(_, reader)| reader).collect() }
+    };
+    Ok(rows.into_iter().map(life).collect())
+}
+
+fn redone(files: &[PathBuf], out: &Path) -> Plain<bool> {
+    std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
+    for (n, mut life) in lives(files)?.into_iter().enumerate() {
+        let file = out.join(format!("{n:05}.trace"));
+        let done = make(&file, |to| redo(&mut life.row, to).map_err(|e| format!("{}: {e}", life.router)))?;
+        let stopped = done.stopped.map(|why| format!("; stopped: {why}")).unwrap_or_default();
+        say!("{}: {} decisions, in {}{stopped}", life.router, done.decisions, file.display());
+    }
+    Ok(true)
+}
+
+/// What another build's module decides about the same events, a file for each life.
+fn asked(other: &Path, files: &[PathBuf], into: &Path) -> Plain<()> {
+    let mut command = std::process::Command::new(other);
+    command.args(["trace", "redo", "--out"]).arg(into).args(files);
+    let done = command.output().map_err(|e| format!("{}: {e}", other.display()))?;
+    if done.status.success() {
+        return Ok(());
+    }
+    let said = String::from_utf8_lossy(&done.stderr);
+    let said = said.lines().next().unwrap_or("it said nothing");
+    Err(format!("{}: it could not redo these files: {said}", other.display()))
+}
+
+fn compared(files: &[PathBuf], against: Option<&Path>, json: bool) -> Plain<bool> {
+    let beside = std::env::temp_dir().join(format!("cedarpulley-redone-{}", std::process::id()));
+    let asked = against.map_or(Ok(()), |other| asked(other, files, &beside));
+    let compared = asked.and_then(|()| compare(files, against.map(|_| beside.as_path())));
+    if against.is_some() {
+        let _ = std::fs::remove_dir_all(&beside);
+    }
+    let c = compared?;
+    if json {
+        say!("{}", serde_json::to_string_pretty(&c).map_err(|e| e.to_string())?);
+        return Ok(c.differing == 0);
+    }
+    say!("{:<44} {:>16} {:>10}", "kind", "first in a life", "later");
+    for (kind, n) in &c.by_kind {
+        let kind = match kind {
+            Kind::Instead(was, is) => format!("{was:?} before, now {is:?}"),
+            other => format!("{other:?}"),
+        };
+        say!("{kind:<44} {:>16} {:>10}", n.first, n.later);
+    }
+    say!(
+        "{} of {} lives differ, {} of {} decisions; {} decisions are exact, up to the first difference of each life",
+        c.rows_differing,
+        c.rows,
+        c.differing,
+        c.decisions,
+        c.decisions_exact
+    );
+    Ok(c.differing == 0)
+}
+
+/// With what was recorded, or with what another build has left in this folder.
+fn compare(files: &[PathBuf], other: Option<&Path>) -> Plain<Compared> {
+    let mut compare = Compare::default();
+    for (n, mut life) in lives(files)?.into_iter().enumerate() {
+        compare.row();
+        let mut theirs = match other {
+            Some(folder) => Some(Decisions::new(open(&folder.join(format!("{n:05}.trace")))?)),
+            None => None,
+        };
+        let done = drive(&mut life.row, |step| {
+            let Step::Decided { at, happened, recorded, replayed } = step else { return Ok(true) };
+            let Some(theirs) = &mut theirs else {
+                compare.decision(&recorded, &replayed);
+                return Ok(true);
+            };
+            let Some((their_at, their_event, their_actions)) = theirs.next()? else {
+                return Err(NoTrace("the other build went less far".into()));
+            };
+            if their_at != at || told(&their_event) != told(&happened) {
+                return Err(NoTrace("the other build was not told the same".into()));
+            }
+            compare.decision(&their_actions, &replayed);
+            Ok(true)
+        });
+        let done = done.map_err(|e| format!("{}: {e}", life.router))?;
+        if let Some(why) = &done.stopped {
+            say!("{}", json!({"router": life.router, "wall_at_zero": life.wall_at_zero, "stopped": why}));
+        }
+    }
+    Ok(compare.finish())
+}
+
+fn replayed(files: &[PathBuf]) -> Plain<bool> {
+    let mut same = true;
+    for Life { router, mut row, .. } in lives(files)? {
         let result = replay(&mut row).map_err(|e| format!("{router}: {e}"))?;
         let seconds = result.span as f64 / 1e6;
         let module = if result.same_module { "the same module" } else { "another module" };
--- a/crates/gateway/src/recorder.rs
+++ b/crates/gateway/src/recorder.rs
@@ -17,7 +17,7 @@
 use cedarpulley_trace::keeping::Bounds;
 use cedarpulley_trace::records::{Record, Space};
 use cedarpulley_trace::start::Start;
-use cedarpulley_trace::writer::{Note, Row, run};
+use cedarpulley_trace::writer::{Note, Own, Row, run};
 
 /// Blocks on their way to the writer, of some 128 KB each.
 const MOST_ON_THE_WAY: usize = 32;
@@ -38,6 +38,7 @@
     gather: Gather,
     notes: SyncSender<Note>,
     writer: Option<JoinHandle<()>>,
+    _own: Own,
     /// Lost since the last block that went: records, from, until.
     lost: Option<(u64, Micros, Micros)>,
     /// In all.
@@ -54,7 +55,12 @@
         std::fs::create_dir_all(&keep.folder)?;
         let name: String =
             name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).take(64).collect();
-        let row = Row { folder: keep.folder, name, run: (start.wall_at_zero / 1000) as u64 };
+        let own = Own::take(&keep.folder, &name)?;
+        if own.name != name {
+            tracing::warn!(name, writes_as = own.name, "another router of this name writes its trace here");
+        }
+        let row =
+            Row { folder: keep.folder, name: own.name.clone(), run: (start.wall_at_zero / 1000) as u64 };
         let (notes, received) = sync_channel(MOST_ON_THE_WAY);
         let complain = |why: &str| tracing::error!(why, "trace");
         let writer = std::thread::Builder::new()
@@ -64,6 +70,7 @@
             gather: Gather::default(),
             notes,
             writer: Some(writer),
+            _own: own,
             lost: None,
             lost_records: 0,
             now: 0,
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -4,12 +4,14 @@
 //! For each two files the differences of the times at which they were told of the same change are taken; half of
 //! them are more than the median and half less, whatever single delays there were.
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
 use std::io::{Read, Seek, Write};
 
 use cedarpulley::interface::{ListEntry, Micros, Standing};
 
 use crate::blocks::{FORMAT, Head};
+use crate::places::Place;
 use crate::reader::{Found, NoTrace, Reader};
 use crate::records::{Happened, Record};
 use crate::start::Source;
@@ -89,37 +91,46 @@
 }
 
 /// One file out of many: all their sources, their blocks in the order of the common time at which they begin, copied
-/// as they are packed. Memory grows with the number of blocks, by a few bytes each, not with what is in them. Gives
-/// the number of damaged blocks that were left out.
+/// as they are packed. Of each file one block is in memory, and the index of what is written. Gives the number of
+/// damaged blocks that were left out.
 pub fn merge<R: Read + Seek, W: Write>(
     readers: &mut [Reader<R>],
     ahead: &[Micros],
     out: W,
 ) -> Result<u64, NoTrace> {
-    let (mut sources, mut places, mut damaged) = (Vec::new(), Vec::new(), 0);
+    let (mut sources, mut bases) = (Vec::new(), Vec::new());
     for (n, reader) in readers.iter_mut().enumerate() {
-        let base = sources.len() as u32;
         let more = ahead.get(n).copied().unwrap_or(0);
-        for source in &reader.sources {
-            sources.push(Source { ahead: source.ahead + more, ..source.clone() });
-        }
-        for place in reader.places()? {
-            let Some(source) = sources.get((base + place.source) as usize) else { continue };
-            places.push((source.wall(place.first), n, base + place.source, place));
-        }
+        bases.push(sources.len() as u32);
+        sources.extend(reader.sources.iter().map(|s| Source { ahead: s.ahead + more, ..s.clone() }));
+        reader.rewind();
+        reader.damaged_blocks = 0;
     }
-    // A stable order: of blocks that begin together, the earlier file's first.
-    places.sort_by_key(|(wall, n, _, place)| (*wall, *n, place.offset));
     let mut sheet = Sheet::begin(out, &sources)?;
-    for (_, n, source, place) in places {
+    let mut damaged = 0;
+    // The next of each file; of blocks that begin together, the earlier file's first.
+    let mut next = BinaryHeap::new();
+    let step = |n: usize, readers: &mut [Reader<R>]| -> Result<Option<(Micros, usize, Place)>, NoTrace> {
+        while let Some(place) = readers[n].next_place()? {
+            if let Some(source) = sources.get((bases[n] + place.source) as usize) {
+                return Ok(Some((source.wall(place.first), n, place)));
+            }
+        }
+        Ok(None)
+    };
+    for n in 0..readers.len() {
+        next.extend(step(n, readers)?.map(Reverse));
+    }
+    while let Some(Reverse((_, n, place))) = next.pop() {
         match readers[n].packed(&place)? {
             Some((head, packed)) => {
-                let head = Head { source, ..head };
+                let head = Head { source: bases[n] + place.source, ..head };
                 sheet.packed(&Head { sum: head.sum_over(FORMAT, &packed), ..head }, &packed)?;
             }
             None => damaged += 1,
         }
+        next.extend(step(n, readers)?.map(Reverse));
     }
     sheet.end()?;
-    Ok(damaged)
+    Ok(damaged + readers.iter().map(|r| r.damaged_blocks).sum::<u64>())
 }
--- a/crates/trace/src/reader.rs
+++ b/crates/trace/src/reader.rs
@@ -6,16 +6,18 @@
 use cedarpulley::interface::Micros;
 
 use crate::blocks::{BLOCK, END, FORMAT, Head, INDEX, MAGIC, head_size, unpack};
+use crate::places::{MOST_ENTRY, Place};
 use crate::records::Record;
 use crate::start::{Source, get_sources};
-use crate::wire::Get;
-use crate::writer::Place;
+use crate::wire::{Bad, Get};
 
 /// Heads beyond this size are none.
 const MOST_HEAD: u32 = 16 << 20;
 /// An index beyond this size is not read: blocks are found without it.
 const MOST_INDEX: u32 = 256 << 20;
 const FOOTER: usize = 20;
+/// So much of an index is in memory.
+const WINDOW: usize = 1 << 14;
 /// A lost beginning of a block is looked for in steps of this size.
 const SEARCH: usize = 1 << 16;
 
@@ -63,12 +65,18 @@
     pub sources: Vec<Source>,
     pub format: u16,
     first_block: u64,
-    /// Of the blocks, if the file ended well.
-    pub index: Option<Vec<Place>>,
+    /// Where the places of the blocks are, if the file ended well: a long file has a million of them.
+    index: Option<(u64, u64)>,
     at: u64,
     pub ended: Option<Ended>,
     /// Blocks of other sources are passed over.
     pub only: Option<u32>,
+    /// How much of the index has been told by [`Reader::next_place`], and what has been read of it.
+    listed: u64,
+    window: Vec<u8>,
+    window_at: usize,
+    /// Passed over by it.
+    pub damaged_blocks: u64,
 }
 
 impl<R: Read + Seek> Reader<R> {
@@ -108,6 +116,10 @@
             at: first_block,
             ended: None,
             only: None,
+            listed: 0,
+            window: Vec::new(),
+            window_at: 0,
+            damaged_blocks: 0,
         };
         it.index = it.read_index().unwrap_or(None);
         it.input.seek(SeekFrom::Start(first_block))?;
@@ -115,7 +127,7 @@
     }
 
     /// Absent if the file has none, or none that is whole.
-    fn read_index(&mut self) -> io::Result<Option<Vec<Place>>> {
+    fn read_index(&mut self) -> io::Result<Option<(u64, u64)>> {
         let end = self.input.seek(SeekFrom::End(0))?;
         if end < self.first_block + FOOTER as u64 {
             return Ok(None);
@@ -140,20 +152,36 @@
         if head[..4] != INDEX || size > MOST_INDEX || offset + 12 + u64::from(size) > end {
             return Ok(None);
         }
-        let mut body = vec![0; size as usize + 4];
-        self.input.read_exact(&mut body)?;
-        let (body, sum) = body.split_at(size as usize);
-        if crc32c::crc32c_append(crc32c::crc32c(&head), body).to_le_bytes() != sum {
-            return Ok(None);
+        let (mut left, mut sum) = (size as usize, crc32c::crc32c(&head));
+        let mut window = vec![0; WINDOW];
+        let mut begins = None;
+        while left > 0 {
+            let part = &mut window[..left.min(WINDOW)];
+            self.input.read_exact(part)?;
+            sum = crc32c::crc32c_append(sum, part);
+            if begins.is_none() {
+                let mut g = Get::new(part);
+                if g.u().is_err() {
+                    return Ok(None);
+                }
+                begins = Some((part.len() - g.left()) as u64);
+            }
+            left -= part.len();
         }
-        let format = self.format;
-        let places = Get::new(body).many(|g| {
-            let (offset, first, last, records) = (g.u()?, g.i()?, g.i()?, g.u32()?);
-            let source = if format == 1 { 0 } else { g.u32()? };
-            Ok(Place { offset, first, last, records, source })
-        });
-        let known = |p: &Place| (p.source as usize) < self.sources.len();
-        Ok(places.ok().filter(|places| places.iter().all(known)))
+        let mut told = [0; 4];
+        self.input.read_exact(&mut told)?;
+        let whole = sum.to_le_bytes() == told;
+        Ok(begins.filter(|_| whole).map(|n| (offset + 8 + n, u64::from(size) - n)))
+    }
+
+    fn entry(&self, g: &mut Get) -> Result<Place, Bad> {
+        let (offset, first, last, records) = (g.u()?, g.i()?, g.i()?, g.u32()?);
+        let source = if self.format == 1 { 0 } else { g.u32()? };
+        Ok(Place { offset, first, last, records, source })
+    }
+
+    pub fn has_index(&self) -> bool {
+        self.index.is_some()
     }
 
     /// A whole block as it is packed, by its place; absent if it is damaged.
@@ -170,25 +198,44 @@
         Ok(whole.then_some((head, packed)))
     }
 
-    /// Places of all whole blocks: by the index, or by reading the file.
-    pub fn places(&mut self) -> Result<Vec<Place>, NoTrace> {
-        if let Some(index) = &self.index {
-            return Ok(index.clone());
+    /// The place of the next whole block, from where this stands on: by the index, or by reading the file. Its blocks
+    /// may be read between.
+    pub fn next_place(&mut self) -> Result<Option<Place>, NoTrace> {
+        if let Some((from, size)) = self.index {
+            if self.window.len() - self.window_at < MOST_ENTRY {
+                self.window.drain(..self.window_at);
+                self.window_at = 0;
+                let ahead = self.window.len() as u64;
+                self.input.seek(SeekFrom::Start(from + self.listed + ahead))?;
+                let more = (size - self.listed - ahead).min(WINDOW as u64);
+                self.input.by_ref().take(more).read_to_end(&mut self.window)?;
+            }
+            let mut g = Get::new(&self.window[self.window_at..]);
+            if g.is_empty() {
+                return Ok(None);
+            }
+            let left = g.left();
+            let place = self.entry(&mut g).ok().filter(|p| (p.source as usize) < self.sources.len());
+            let Some(place) = place else { return Err(NoTrace("its index has no meaning".into())) };
+            let told = left - g.left();
+            self.listed += told as u64;
+            self.window_at += told;
+            return Ok(Some(place));
         }
-        self.rewind();
-        let mut places = Vec::new();
-        while let Some(found) = self.any()? {
-            if let Found::Block { place, .. } = found {
-                places.push(place);
+        loop {
+            match self.any()? {
+                None => return Ok(None),
+                Some(Found::Block { place, .. }) => return Ok(Some(place)),
+                Some(Found::Damaged { .. }) => self.damaged_blocks += 1,
             }
         }
-        self.rewind();
-        Ok(places)
     }
 
     /// From the first block on again.
     pub fn rewind(&mut self) {
-        (self.at, self.ended) = (self.first_block, None);
+        (self.at, self.ended, self.listed) = (self.first_block, None, 0);
+        self.window.clear();
+        self.window_at = 0;
     }
 
     /// The next block, or what is left of it; absent at the end.
@@ -300,8 +347,12 @@
     ) -> Result<u64, NoTrace> {
         let mut read = 0;
         let touching = |p: &Place| p.last >= span(p.source).0 && p.first < span(p.source).1;
-        if let Some(index) = self.index.clone() {
-            for place in index.into_iter().filter(touching) {
+        self.rewind();
+        if self.index.is_some() {
+            while let Some(place) = self.next_place()? {
+                if !touching(&place) {
+                    continue;
+                }
                 (self.at, self.ended) = (place.offset, None);
                 if let Some(found) = self.next()? {
                     read += 1;
@@ -310,7 +361,6 @@
             }
             return Ok(read);
         }
-        self.rewind();
         while let Some(found) = self.next()? {
             read += 1;
             let touches = match &found {
--- a/crates/trace/src/replay.rs
+++ b/crates/trace/src/replay.rs
@@ -1,14 +1,17 @@
-//! Drives the module anew with what was recorded, and stops at the first decision that differs.
+//! Drives the module anew with what was recorded: [`replay`] stops at the first decision that differs, [`redo`] goes
+//! through to the end and keeps what this build's module decides.
 
-use std::io::{Read, Seek};
+use std::collections::HashMap;
+use std::io::{Read, Seek, Write};
 
 use cedarpulley::interface::{Action, Micros};
 
-use crate::blocks::uses;
+use crate::blocks::{Gather, uses};
 use crate::reader::{Found, NoTrace, Reader};
 use crate::records::{Happened, Record, put_action};
-use crate::start::{Extent, module_digest};
+use crate::start::{Extent, Source, module_digest};
 use crate::wire::Put;
+use crate::writer::Sheet;
 
 /// How many decisions before the first that differs are told with it.
 const BEFORE: usize = 5;
@@ -35,21 +38,51 @@
     pub stopped: Option<String>,
 }
 
-type Decided = (Micros, Happened, Vec<Action>);
+/// When, what happened, and what was asked for.
+pub type Decided = (Micros, Happened, Vec<Action>);
 
-fn bytes(actions: &[Action]) -> Vec<u8> {
-    let mut p = Put::default();
-    actions.iter().for_each(|a| put_action(&mut p, a));
-    p.bytes
+/// By their bytes: two that are written alike are alike.
+pub fn alike(some: &[Action], others: &[Action]) -> bool {
+    let bytes = |actions: &[Action]| {
+        let mut p = Put::default();
+        actions.iter().for_each(|a| put_action(&mut p, a));
+        p.bytes
+    };
+    bytes(some) == bytes(others)
 }
 
-/// Files of one row, from its first on, in order; of a file with several sources, the one that is `only` read.
-pub fn replay<R: Read + Seek>(row: &mut [Reader<R>]) -> Result<Replayed, NoTrace> {
+/// What a row holds, in order.
+#[derive(Debug)]
+pub enum Step {
+    /// A block begins here; blocks stand alone, with the names that they use.
+    Block,
+    Decided {
+        at: Micros,
+        happened: Happened,
+        recorded: Vec<Action>,
+        /// By this build's module, from the same events all along.
+        replayed: Vec<Action>,
+    },
+    /// Neither told to the module nor decided by it.
+    Beside { at: Micros, record: Record },
+}
+
+/// The one source of a file that is read.
+fn source<R: Read + Seek>(reader: &Reader<R>) -> &Source {
+    &reader.sources[reader.only.unwrap_or(0) as usize]
+}
+
+/// Files of one row, from its first on, in order; of a file with several sources, the one that is `only` read. `each`
+/// says whether to go on. After a first difference the module goes on believing what it asked for itself, while
+/// events tell of what was done: what differs later may follow from that alone.
+pub fn drive<R: Read + Seek>(
+    row: &mut [Reader<R>],
+    mut each: impl FnMut(Step) -> Result<bool, NoTrace>,
+) -> Result<Replayed, NoTrace> {
     let mut out = Replayed::default();
     let Some(first) = row.first() else { return Err(NoTrace("no file is given".into())) };
-    let source = |r: &Reader<R>| r.sources[r.only.unwrap_or(0) as usize].clone();
-    let first = source(first);
-    if first.extent != Extent::Whole {
+    let first = source(first).clone();
+    if !matches!(first.extent, Extent::Whole | Extent::Redone) {
         let cause = format!("it is {:?}, and only what is whole can be replayed", first.extent);
         out.stopped = Some(cause.to_lowercase());
         return Ok(out);
@@ -61,7 +94,6 @@
     let mut control = first.start.control();
     out.same_module = first.start.module == module_digest();
     let mut began: Option<Micros> = None;
-    let mut recent: Vec<Decided> = Vec::new();
     for (n, reader) in row.iter_mut().enumerate() {
         if source(reader).start.file != n as u64 {
             out.stopped = Some(format!("file {n} of the row is missing"));
@@ -75,36 +107,120 @@
                     return Ok(out);
                 }
             };
+            if !each(Step::Block)? {
+                return Ok(out);
+            }
             for (at, record) in records {
-                let (happened, recorded) = match record {
-                    Record::Decided { happened, actions } => (happened, actions),
+                let step = match record {
+                    Record::Decided { happened, actions } => {
+                        let mut replayed = Vec::new();
+                        control.decide(at, &happened.event(), &mut replayed);
+                        out.decisions += 1;
+                        out.span = at - *began.get_or_insert(at);
+                        Step::Decided { at, happened, recorded: actions, replayed }
+                    }
                     Record::Gap { records, .. } => {
                         out.stopped = Some(format!("{records} records were lost at {at} us"));
                         return Ok(out);
                     }
-                    _ => continue,
+                    record => Step::Beside { at, record },
                 };
-                let mut replayed = Vec::new();
-                control.decide(at, &happened.event(), &mut replayed);
-                out.decisions += 1;
-                out.span = at - *began.get_or_insert(at);
-                // By their bytes: two that are written alike are alike.
-                if bytes(&replayed) != bytes(&recorded) {
-                    let before = related(&recent, &happened, &recorded, &replayed);
-                    let decision = out.decisions;
-                    out.difference = Some(Difference { decision, at, happened, recorded, replayed, before });
+                if !each(step)? {
                     return Ok(out);
                 }
-                if recent.len() >= 4096 {
-                    recent.drain(..2048);
+            }
+        }
+    }
+    Ok(out)
+}
+
+/// The decisions of a file, one after the other.
+pub struct Decisions<R> {
+    reader: Reader<R>,
+    records: std::vec::IntoIter<(Micros, Record)>,
+}
+
+impl<R: Read + Seek> Decisions<R> {
+    pub fn new(reader: Reader<R>) -> Self {
+        Decisions { reader, records: Vec::new().into_iter() }
+    }
+
+    #[allow(clippy::should_implement_trait)] // An error of the disk is no decision.
+    pub fn next(&mut self) -> Result<Option<Decided>, NoTrace> {
+        loop {
+            for (at, record) in self.records.by_ref() {
+                if let Record::Decided { happened, actions } = record {
+                    return Ok(Some((at, happened, actions)));
                 }
-                recent.push((at, happened, recorded));
+            }
+            match self.reader.next()? {
+                None => return Ok(None),
+                Some(Found::Block { records, .. }) => self.records = records.into_iter(),
+                Some(Found::Damaged { cause, .. }) => return Err(NoTrace(cause)),
             }
         }
     }
+}
+
+/// Stops at the first decision that differs.
+pub fn replay<R: Read + Seek>(row: &mut [Reader<R>]) -> Result<Replayed, NoTrace> {
+    let mut recent: Vec<Decided> = Vec::new();
+    let (mut difference, mut decision) = (None, 0);
+    let mut out = drive(row, |step| {
+        let Step::Decided { at, happened, recorded, replayed } = step else { return Ok(true) };
+        decision += 1;
+        if !alike(&replayed, &recorded) {
+            let before = related(&recent, &happened, &recorded, &replayed);
+            difference = Some(Difference { decision, at, happened, recorded, replayed, before });
+            return Ok(false);
+        }
+        if recent.len() >= 4096 {
+            recent.drain(..2048);
+        }
+        recent.push((at, happened, recorded));
+        Ok(true)
+    })?;
+    out.difference = difference;
     Ok(out)
 }
 
+/// The same row in one file, with what this build's module decides in place of what was decided.
+pub fn redo<R: Read + Seek, W: Write>(row: &mut [Reader<R>], out: W) -> Result<Replayed, NoTrace> {
+    let Some(first) = row.first() else { return Err(NoTrace("no file is given".into())) };
+    let mut of = source(first).clone();
+    (of.extent, of.start.module) = (Extent::Redone, module_digest());
+    let mut sheet = Sheet::begin(out, &[of])?;
+    let (mut gather, mut names) = (Gather::default(), HashMap::new());
+    let done = drive(row, |step| {
+        match step {
+            Step::Block if gather.is_empty() => {}
+            Step::Block => {
+                sheet.block(0, &gather.close())?;
+            }
+            Step::Beside { at, record } => {
+                if let Record::Name { space, ix, text } = &record {
+                    names.insert((*space, *ix), text.clone());
+                }
+                gather.record(at, &record);
+            }
+            Step::Decided { at, happened, replayed, .. } => {
+                uses(&happened, &replayed, |space, ix| {
+                    if let Some(name) = names.get(&(space, ix)) {
+                        gather.name(at, space, ix, name);
+                    }
+                });
+                gather.record(at, &Record::Decided { happened, actions: replayed });
+            }
+        }
+        Ok(true)
+    })?;
+    if !gather.is_empty() {
+        sheet.block(0, &gather.close())?;
+    }
+    sheet.end()?;
+    Ok(done)
+}
+
 fn related(recent: &[Decided], happened: &Happened, recorded: &[Action], replayed: &[Action]) -> Vec<String> {
     let mut concerned = Vec::new();
     uses(happened, recorded, |s, ix| concerned.push((s, ix)));
--- a/crates/trace/src/start.rs
+++ b/crates/trace/src/start.rs
@@ -40,6 +40,8 @@
     Cut,
     /// Names and seed are no longer its own.
     Stripped,
+    /// With another build's decisions in place of what was decided.
+    Redone,
 }
 
 /// One router's file within a file.
@@ -88,6 +90,7 @@
             0 => Extent::Whole,
             1 => Extent::Cut,
             2 => Extent::Stripped,
+            3 => Extent::Redone,
             _ => return Err(Bad::Unknown),
         };
         let size = usize::try_from(g.u()?).map_err(|_| Bad::Short)?;
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -13,7 +13,7 @@
 use crate::start::Source;
 
 /// The worst span is looked for in steps of a second.
-const SPAN_S: i64 = 10;
+pub const SPAN_S: i64 = 10;
 const SECOND: Micros = 1_000_000;
 
 #[derive(Clone, Debug, Default, Serialize, PartialEq, Eq)]
@@ -78,6 +78,9 @@
     /// Wall's seconds since 1970 at which the ten seconds begin in which most were answered without success, and
     /// how many.
     pub worst: Option<(i64, u64)>,
+    /// Routers that stood at the same place at the same time: each takes the other's part of cold workers and shares
+    /// for its own.
+    pub same_place: Vec<(String, String)>,
     pub from_wall_us: Option<Micros>,
     pub until_wall_us: Option<Micros>,
 }
@@ -90,9 +93,20 @@
     /// By source and index.
     workers: HashMap<(u32, u32), String>,
     source: u32,
-    routers: std::collections::BTreeSet<String>,
+    /// By name and start: its place among how many, and from when to when it is seen.
+    routers: BTreeMap<(String, Micros), Seen>,
 }
 
+struct Seen {
+    place: (u32, u32),
+    span: Option<(Micros, Micros)>,
+}
+
+/// Two that are seen together for less are one after the other, with clocks a little apart.
+const TOGETHER: Micros = 2 * SECOND;
+/// Pairs that are told.
+const MOST_PAIRS: usize = 20;
+
 impl Default for Counter {
     fn default() -> Self {
         Counter {
@@ -119,7 +133,9 @@
     pub fn file(&mut self, sources: &[Source]) {
         for s in sources {
             self.out.files += 1;
-            self.routers.insert(format!("{}/{}", s.start.router, s.start.wall_at_zero));
+            let place = (s.start.fleet.position, s.start.fleet.routers);
+            let key = (s.start.router.clone(), s.start.wall_at_zero);
+            self.routers.entry(key).or_insert(Seen { place, span: None });
         }
         self.workers.clear();
     }
@@ -135,6 +151,10 @@
         if !matches!(record, Record::Name { .. }) {
             out.from_wall_us = Some(out.from_wall_us.map_or(wall, |w| w.min(wall)));
             out.until_wall_us = Some(out.until_wall_us.map_or(wall, |w| w.max(wall)));
+            if let Some(seen) = self.routers.get_mut(&(start.router.clone(), start.wall_at_zero)) {
+                let (from, until) = seen.span.unwrap_or((wall, wall));
+                seen.span = Some((from.min(wall), until.max(wall)));
+            }
         }
         match record {
             Record::Name { space: Space::Worker, ix, text } => {
@@ -206,6 +226,7 @@
 
     pub fn finish(mut self) -> Summary {
         self.out.routers = self.routers.len() as u64;
+        self.out.same_place = same_place(&self.routers);
         let h = &self.times;
         let at = |q| if h.is_empty() { 0 } else { h.value_at_quantile(q) };
         self.out.succeeded_in =
@@ -217,6 +238,20 @@
     }
 }
 
+fn same_place(routers: &BTreeMap<(String, Micros), Seen>) -> Vec<(String, String)> {
+    let mut pairs = Vec::new();
+    let all: Vec<_> = routers.iter().collect();
+    for (n, (one, a)) in all.iter().enumerate() {
+        for (other, b) in all[n + 1..].iter().filter(|(_, b)| b.place == a.place) {
+            let (Some(x), Some(y)) = (a.span, b.span) else { continue };
+            if x.1.min(y.1) - x.0.max(y.0) >= TOGETHER && pairs.len() < MOST_PAIRS {
+                pairs.push((one.0.clone(), other.0.clone()));
+            }
+        }
+    }
+    pairs
+}
+
 impl Summary {
     pub fn table(&self) -> String {
         let mut t = String::new();
@@ -275,6 +310,9 @@
                 self.fates.lost()
             );
         }
+        for (one, other) in &self.same_place {
+            let _ = writeln!(t, "{one} and {other} stood at the same place at the same time");
+        }
         if self.lost_records + self.damaged_blocks > 0 {
             let _ = writeln!(
                 t,
--- a/crates/trace/src/writer.rs
+++ b/crates/trace/src/writer.rs
@@ -8,30 +8,20 @@
 
 use cedarpulley::interface::Micros;
 
-use crate::blocks::{BLOCK_HEAD, END, FORMAT, Head, INDEX, MAGIC, Raw};
+use crate::blocks::{BLOCK_HEAD, END, FORMAT, Head, MAGIC, Raw};
 use crate::keeping::{Bounds, Keeping, Step};
+use crate::places::{Place, Places};
 use crate::start::{Source, Start, put_sources};
-use crate::wire::Put;
-
-/// The fastest: the writer must keep up with a router at its busiest.
-const EFFORT: i32 = 1;
-
-/// Where a block lies in its file.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Place {
-    pub offset: u64,
-    pub first: Micros,
-    pub last: Micros,
-    pub records: u32,
-    pub source: u32,
-}
+
+/// Packs a fiftieth smaller than the fastest at a cost that was not told apart; more effort gained next to nothing.
+const EFFORT: i32 = 3;
 
 /// Writes one file to anything that takes bytes.
 #[derive(Debug)]
 pub struct Sheet<W: Write> {
     out: W,
     offset: u64,
-    places: Vec<Place>,
+    places: Places,
 }
 
 impl<W: Write> Sheet<W> {
@@ -44,7 +34,7 @@
         head.extend(&body);
         head.extend(crc32c::crc32c(&head).to_le_bytes());
         out.write_all(&head)?;
-        Ok(Sheet { out, offset: head.len() as u64, places: Vec::new() })
+        Ok(Sheet { out, offset: head.len() as u64, places: Places::default() })
     }
 
     /// In one write: a cut falls within it, or before or after.
@@ -60,8 +50,7 @@
         bytes.extend(packed);
         self.out.write_all(&bytes)?;
         let Head { first, last, records, source, .. } = *head;
-        let place = Place { offset: self.offset, first, last, records, source };
-        self.places.push(place);
+        self.places.push(Place { offset: self.offset, first, last, records, source });
         self.offset += bytes.len() as u64;
         Ok(bytes.len() as u64)
     }
@@ -72,24 +61,11 @@
 
     /// Index and footer.
     pub fn end(mut self) -> io::Result<W> {
-        let mut p = Put::default();
-        p.u(self.places.len() as u64);
-        for place in &self.places {
-            p.u(place.offset);
-            p.i(place.first);
-            p.i(place.last);
-            p.u(place.records.into());
-            p.u(place.source.into());
-        }
-        let mut bytes = INDEX.to_vec();
-        bytes.extend((p.bytes.len() as u32).to_le_bytes());
-        bytes.extend(&p.bytes);
-        bytes.extend(crc32c::crc32c(&bytes).to_le_bytes());
+        self.places.write(&mut self.out)?;
         let mut footer = self.offset.to_le_bytes().to_vec();
         footer.extend(crc32c::crc32c(&footer).to_le_bytes());
         footer.extend(END);
-        bytes.extend(footer);
-        self.out.write_all(&bytes)?;
+        self.out.write_all(&footer)?;
         self.out.flush()?;
         Ok(self.out)
     }
@@ -128,6 +104,32 @@
     }
 }
 
+/// A name that this writer has for itself in its folder, for as long as this is kept; a process that dies gives it back.
+#[derive(Debug)]
+pub struct Own {
+    pub name: String,
+    _lock: File,
+}
+
+/// Writers of one name that may stand in one folder.
+const MOST_OF_A_NAME: u32 = 16;
+
+impl Own {
+    /// Symptom: two routers have the same name and place, and each makes room by removing what the other writes.
+    pub fn take(folder: &Path, name: &str) -> io::Result<Own> {
+        for n in 1..=MOST_OF_A_NAME {
+            let own = if n == 1 { name.to_owned() } else { format!("{name}_{n}") };
+            let lock = File::options().create(true).append(true).open(folder.join(format!("{own}.lock")))?;
+            match lock.try_lock() {
+                Ok(()) => return Ok(Own { name: own, _lock: lock }),
+                Err(std::fs::TryLockError::WouldBlock) => {}
+                Err(std::fs::TryLockError::Error(e)) => return Err(e),
+            }
+        }
+        Err(io::Error::other(format!("{MOST_OF_A_NAME} routers named '{name}' write here already")))
+    }
+}
+
 /// What is told to the writer.
 #[derive(Debug)]
 pub enum Note {
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -1,151 +1,20 @@
 //! Files cut anywhere, damaged, unknown; records that round-trip; a replay that finds what was changed.
 
+mod small;
+
 use std::io::Cursor;
 
 use cedarpulley::interface::*;
-use cedarpulley_router::{Fate, Reason};
 use cedarpulley_trace::blocks::Gather;
 use cedarpulley_trace::keeping::{Bounds, Keeping, Step};
 use cedarpulley_trace::reader::{Ended, Found, Reader};
-use cedarpulley_trace::records::{self, Happened, Record, Space};
+use cedarpulley_trace::records::{self, Happened, Record};
 use cedarpulley_trace::replay::replay;
-use cedarpulley_trace::start::{Start, module_digest};
+use cedarpulley_trace::start::Start;
 use cedarpulley_trace::wire::{Get, Put};
-use cedarpulley_trace::writer::{Note, Row, Sheet, run};
+use cedarpulley_trace::writer::{Note, Own, Row, run};
 use proptest::prelude::*;
-
-const MS: Micros = 1_000;
-
-fn start() -> Start {
-    Start {
-        router: "router-0".into(),
-        module: module_digest(),
-        settings: [7; 32],
-        file: 0,
-        wall_at_zero: 1_700_000_000_000_000,
-        triggers_named: vec!["quote".into()],
-        accounts_named: vec!["amber".into()],
-        fronts_named: vec!["amqp".into()],
-        seed: 9,
-        fleet: FleetPosition { routers: 1, position: 0, zone: 0, granularity: MS },
-        limits: DispatchLimits {
-            max_dispatches: 4,
-            withdrawals: true,
-            connect_within: 250 * MS,
-            ..Default::default()
-        },
-        rules: RuleTerms {
-            cold_part: 1.0,
-            overload_multiple: 1e9,
-            overload_window: 1_000 * MS,
-            ..Default::default()
-        },
-        triggers: vec![TriggerType {
-            effect: Effect::Tokened { group: RepeatGroup::Zone, window: 8_000 * MS },
-            latency_objective: 800 * MS,
-            objective_stretch: 0.5,
-            client_timeout: 4_000 * MS,
-            billed_value: 2.5,
-            late_part: 0.1,
-            streamed: false,
-        }],
-        accounts: vec![Account { allowance_per_s: 1e9, share: 1.0 }],
-        loads: LoadTerms {
-            idle_kept: 30_000 * MS,
-            loads_when_absent: true,
-            notes: true,
-            memory_mb: vec![4096.0],
-            ..Default::default()
-        },
-        prices: Prices { over_share: 1.0, ..Default::default() },
-        reports: ReportsIn::Answers,
-    }
-}
-
-/// What a small router would have seen, as its module decided it, in so many blocks.
-fn written(blocks: usize, change: impl Fn(u64, &mut Vec<Action>)) -> Vec<u8> {
-    let start = start();
-    let mut control = start.control();
-    let mut sheet = Sheet::begin(Vec::new(), &[start.clone().into()]).expect("written");
-    let (mut now, mut decision) = (0, 0);
-    for block in 0..blocks {
-        let mut g = Gather::default();
-        let mut told = |g: &mut Gather, now: Micros, happened: Happened| {
-            let mut actions = Vec::new();
-            control.decide(now, &happened.event(), &mut actions);
-            decision += 1;
-            let asked = actions.clone();
-            change(decision, &mut actions);
-            g.record(now, &Record::Decided { happened, actions });
-            asked
-        };
-        g.name(now, Space::Function, 0, "quote:7");
-        let entries = (0..3).map(|worker| ListEntry {
-            worker,
-            fingerprint: u64::from(worker) + 99,
-            zone: 0,
-            kind: 0,
-            cell: 0,
-            standing: Standing::InService,
-            weight: 1.0,
-            started: None,
-        });
-        if block == 0 {
-            (0..3).for_each(|w| g.name(now, Space::Worker, w, &format!("127.0.0.1:{w}")));
-            told(&mut g, now, Happened::List { mode: ListMode::Complete, entries: entries.collect() });
-        }
-        for inv in 0..4 {
-            now += 3 * MS;
-            g.record(now, &Record::Taken { inv, front: 0, mark: Some(u64::from(inv)), redelivered: false });
-            let arrival = Arrival {
-                inv,
-                trigger: 0,
-                account: 0,
-                func: 0,
-                fingerprint: cedarpulley::ids::fingerprint("quote:7"),
-                cost_hint: None,
-                load_hint: Some(50 * MS),
-                copy_mb: 10.0,
-                lanes: 8,
-                client_gives_up_in: 3_000 * MS,
-                waited: 5,
-                repeat: false,
-            };
-            let asked = told(&mut g, now, Happened::Other(Event::Invocation(arrival)));
-            now += MS;
-            for action in asked {
-                let Action::Dispatch { inv, worker, .. } = action else { continue };
-                let (fate, reason) = (Fate::Succeeded, Reason::Worker);
-                g.record(
-                    now,
-                    &Record::Answered {
-                        inv: Some(inv),
-                        front: 0,
-                        fate,
-                        reason,
-                        trigger: 0,
-                        account: 0,
-                        took: MS,
-                    },
-                );
-                let ending = Ending {
-                    inv,
-                    dispatch: 0,
-                    worker,
-                    outcome: Outcome::Succeeded,
-                    took: MS,
-                    concluded: true,
-                    note: CopyNote::Found,
-                    crowd: Some(1),
-                    report: Report { busy: Some(0.25), ..Default::default() },
-                };
-                told(&mut g, now, Happened::Other(Event::DispatchEnded(ending)));
-            }
-        }
-        sheet.block(0, &g.close()).expect("written");
-    }
-    sheet.end().expect("written")
-}
+use small::{MS, places, start, written};
 
 /// Whole blocks, damaged ones, and how it ended.
 fn read(bytes: &[u8]) -> Option<(usize, usize, Option<Ended>)> {
@@ -164,7 +33,7 @@
 fn cut_at_every_byte_it_is_read_to_its_last_whole_block() {
     let bytes = written(4, |_, _| {});
     assert_eq!(read(&bytes), Some((4, 0, Some(Ended::Well))));
-    let index = Reader::open(Cursor::new(&bytes)).expect("a trace").index.expect("an index");
+    let index = places(&bytes);
     let ends: Vec<u64> = index.iter().skip(1).map(|p| p.offset).collect();
     for cut in 0..bytes.len() {
         match read(&bytes[..cut]) {
@@ -181,8 +50,7 @@
 #[test]
 fn a_flipped_bit_costs_one_block_at_most() {
     let bytes = written(4, |_, _| {});
-    let first =
-        Reader::open(Cursor::new(&bytes)).expect("a trace").index.expect("an index")[0].offset as usize;
+    let first = places(&bytes)[0].offset as usize;
     for at in 0..bytes.len() {
         let mut flipped = bytes.clone();
         flipped[at] ^= 1 << (at % 8);
@@ -293,6 +161,21 @@
     assert_eq!((told.len(), r.ended), (3, Some(Ended::Well)));
 }
 
+#[test]
+fn two_of_one_name_keep_apart() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("one-name");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let one = Own::take(&folder, "r").expect("the name");
+    let other = Own::take(&folder, "r").expect("another");
+    assert_eq!((one.name.as_str(), other.name.as_str()), ("r", "r_2"));
+    std::fs::write(folder.join("r_2-0000000000001-00000.trace"), b"theirs").expect("written");
+    let row = |own: &Own| Row { folder: folder.clone(), name: own.name.clone(), run: 5 };
+    assert!(row(&one).earlier(0).expect("read").is_empty());
+    assert_eq!(row(&other).earlier(0).expect("read").len(), 1);
+    drop(one);
+    assert_eq!(Own::take(&folder, "r").expect("free again").name, "r");
+}
+
 fn report() -> impl Strategy<Value = Report> {
     let f = || prop::option::of(any::<f64>().prop_filter("no NaN, as it equals nothing", |f| !f.is_nan()));
     (f(), f(), f(), f(), f()).prop_map(|(held, waiting, busy, loads, memory_part)| Report {
--- a/crates/trace/tests/rewriting.rs
+++ b/crates/trace/tests/rewriting.rs
@@ -1,8 +1,11 @@
 //! Cut, merged, stripped: from the kept file of format 1, as no router writes it any more.
 
+mod small;
+
 use std::io::Cursor;
 
 use cedarpulley::interface::Micros;
+use cedarpulley_trace::blocks::Gather;
 use cedarpulley_trace::merge::{Offsets, merge};
 use cedarpulley_trace::reader::{Found, Reader};
 use cedarpulley_trace::records::{Happened, Record};
@@ -32,7 +35,7 @@
         ..r.sources[0].start.clone()
     };
     let mut sheet = Sheet::begin(Vec::new(), &[start.into()]).expect("written");
-    for place in r.places().expect("read") {
+    for place in small::places(KEPT) {
         let (head, packed) = r.packed(&place).expect("read").expect("whole");
         let sum = head.sum_over(2, &packed);
         let head = cedarpulley_trace::blocks::Head { sum, ..head };
@@ -94,7 +97,7 @@
     let (part, read) = cut_of(&whole, &span);
     let counted = summary(&part);
     assert!(counted.invocations > 12 && counted.invocations < all.invocations, "{counted:?}");
-    assert!(read < open(&whole).index.expect("an index").len() as u64, "blocks outside were not read");
+    assert!(read < small::places(&whole).len() as u64, "blocks outside were not read");
     let mut out = Vec::new();
     let mut secret = Strip::new(b"a key");
     strip(&mut open(&part), &mut secret, &mut out).expect("stripped");
@@ -192,3 +195,27 @@
     let s = summary(&both);
     assert!(s.until_wall_us.zip(s.from_wall_us).is_some_and(|(b, a)| b - a < 30_000 * MS));
 }
+
+#[test]
+fn two_at_the_same_place_are_told() {
+    let start = |router: &str, position: u32| {
+        let mut start = open(KEPT).sources[0].start.clone();
+        (start.router, start.fleet.position, start.fleet.routers) = (router.into(), position, 3);
+        start
+    };
+    let file = |router: &str, position: u32, from: Micros, until: Micros| {
+        let mut sheet = Sheet::begin(Vec::new(), &[start(router, position).into()]).expect("written");
+        for at in [from, until] {
+            let mut g = Gather::default();
+            g.record(at, &Record::Gap { records: 1, from: at, until: at });
+            sheet.block(0, &g.close()).expect("written");
+        }
+        sheet.end().expect("written")
+    };
+    let (minute, told) = (60_000 * MS, |files: &[Vec<u8>]| summary(&merged(files, &[])).same_place);
+    let (one, other) = (file("r-0", 0, 0, minute), file("r-1", 0, minute / 2, minute));
+    assert_eq!(told(&[one.clone(), other]), [("r-0".to_owned(), "r-1".to_owned())]);
+    // Another place, or one after the other.
+    assert!(told(&[one.clone(), file("r-1", 1, 0, minute)]).is_empty());
+    assert!(told(&[one, file("r-1", 0, minute, 2 * minute)]).is_empty());
+}
