A flood is held to the pace of its own successes; accounts are judged front by front

Cause: with one front at ten times its share the module, which knows no fronts, gave up part of the quiet one's: what floods is given up at once, so no cap on what is out held it, and it used up the accounts' allowances. An account's flood over AMQP was also held against its calls over KServe. One that waited for two fifths of its objective has nearly suffered. Accounts are parties on each front by itself.

--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -1,8 +1,8 @@
 //! How many invocations this router may have taken, and from which front. Every one taken is a duty, so what is
 //! beyond stays where it is (at the broker), or is turned away at the door (`entry.rs`, which asks
-//! [`Admission::fill`]). Called with [`Admission::entered`], [`Admission::left`], [`Admission::kept`],
-//! [`Admission::ended`], [`Admission::front`] and [`Admission::grants`]; the latter says what each front may now
-//! have out.
+//! [`Admission::fill`]). Called with [`Admission::came`], [`Admission::entered`], [`Admission::left`],
+//! [`Admission::kept`], [`Admission::ended`], [`Admission::front`] and [`Admission::grants`]; the latter says what each
+//! front may now have out.
 //!
 //! Mechanisms:
 //! 1. The limit grows while it is used and answers come in time, and shrinks when too many come late.
@@ -37,6 +37,9 @@
 const STEP: f64 = 0.125;
 /// A late answer was crowded out if it waited here for more than this part of its time: less is its own work.
 const WAITED: f64 = 0.25;
+/// One that waited here for more than this part of its latency objective was nearly crowded out: whoever waits behind
+/// it may be late.
+const NEARLY: f64 = 0.4;
 /// What a protocol can say at most (AMQP counts in 16 bits).
 const MOST: f64 = 65_535.0;
 
@@ -74,7 +77,8 @@
     state: Vec<FrontState>,
     weight: Vec<f64>,
     fronts: Shares,
-    accounts: Shares,
+    /// Among each other on each front: what an account floods on one front is not held against it on another.
+    accounts: Vec<Shares>,
     granted: Vec<u32>,
     stopping: bool,
     /// Something came in since the grants were last worked out.
@@ -97,7 +101,7 @@
             body: 0.0,
             state: vec![FrontState::Down; n],
             fronts: Shares::new(&weights),
-            accounts: Shares::new(shares),
+            accounts: (0..n).map(|_| Shares::new(shares)).collect(),
             weight: weights,
             granted: vec![0; n],
             stopping: false,
@@ -119,17 +123,23 @@
         self.moved = true;
     }
 
+    /// One came, at the door or from a broker; whether it may enter is asked next.
+    pub fn came(&mut self, now: Micros, front: FrontIx, account: u32) {
+        self.fronts.came(now, front as usize);
+        self.accounts[front as usize].came(now, account as usize);
+    }
+
     /// One more is out: let in at the door, or taken from a broker.
-    pub fn entered(&mut self, front: FrontIx, account: u32) {
+    pub fn entered(&mut self, now: Micros, front: FrontIx, account: u32) {
         self.moved = true;
-        self.fronts.entered(front as usize);
-        self.accounts.entered(account as usize);
+        self.fronts.entered(now, front as usize);
+        self.accounts[front as usize].entered(now, account as usize);
     }
 
     pub fn left(&mut self, front: FrontIx, account: u32) {
         self.moved = true;
         self.fronts.left(front as usize);
-        self.accounts.left(account as usize);
+        self.accounts[front as usize].left(account as usize);
     }
 
     /// The body is to be kept; false if it has no room: it is answered at once and kept nowhere.
@@ -144,27 +154,33 @@
     }
 
     /// An account that floods while others suffer: what it sends beyond its cap is given back at once, as a broker
-    /// hands out first come, first served, and the others' messages stand behind it.
-    pub fn beyond(&self, account: u32) -> bool {
-        let account = account as usize;
-        f64::from(self.accounts.out(account)) >= self.accounts.cap(account, self.limit)
+    /// hands out first come, first served, and the others' messages stand behind it. So is what an account or a whole
+    /// front sends faster than it succeeds.
+    pub fn beyond(&self, now: Micros, front: FrontIx, account: u32) -> bool {
+        let (front, account) = (front as usize, account as usize);
+        let accounts = &self.accounts[front];
+        f64::from(accounts.out(account)) >= accounts.cap(account, self.limit)
+            || accounts.spent(now, account)
+            || self.fronts.spent(now, front)
     }
 
     /// How full it is for the door; `coming`: bytes of bodies on their way in.
-    pub fn fill(&self, front: FrontIx, account: u32, coming: u64) -> Fill {
+    pub fn fill(&self, now: Micros, front: FrontIx, account: u32, coming: u64) -> Fill {
         let (f, a) = (front as usize, account as usize);
         Fill {
             limit: self.limit,
             out: self.out(),
             front: (self.fronts.out(f), self.fronts.cap(f, self.limit)),
-            account: (self.accounts.out(a), self.accounts.cap(a, self.limit)),
+            account: (self.accounts[f].out(a), self.accounts[f].cap(a, self.limit)),
+            spent: (self.fronts.spent(now, f), self.accounts[f].spent(now, a)),
             free_bytes: self.memory_bytes.saturating_sub(self.bytes + coming),
             usual: self.usual as Micros,
             stopping: self.stopping,
         }
     }
 
-    /// An invocation of `bytes` is over, `took` after it was taken, of which it waited `held` for a lane.
+    /// An invocation of `bytes` is over, `took` after it was taken, of which it waited `held` for a lane; `objective`:
+    /// its latency objective.
     #[allow(clippy::too_many_arguments)] // What is known of one that ended.
     pub fn ended(
         &mut self,
@@ -174,12 +190,14 @@
         bytes: usize,
         took: Micros,
         held: Micros,
+        objective: Micros,
         pace: Pace,
     ) {
         self.moved = true;
         let used = f64::from(self.out()) >= USED * self.limit;
         self.bytes = self.bytes.saturating_sub(bytes as u64);
         let felt = match pace {
+            Pace::InTime if held as f64 > NEARLY * objective as f64 => Felt::Nearly,
             Pace::InTime => Felt::InTime,
             Pace::GivenUp => Felt::Crowded,
             Pace::Late if held as f64 > WAITED * took as f64 => Felt::Crowded,
@@ -187,7 +205,7 @@
         };
         let usual = self.usual as Micros;
         self.fronts.ended(now, front as usize, self.limit, usual, felt);
-        self.accounts.ended(now, account as usize, self.limit, usual, felt);
+        self.accounts[front as usize].ended(now, account as usize, self.limit, usual, felt);
         // What the module gives up in a burst says nothing about how much may be taken.
         if matches!(pace, Pace::GivenUp | Pace::Neither) {
             return;
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -379,12 +379,13 @@
 
     fn knock(&mut self, delivery: Delivery, knock: &Knock, out: &mut Vec<Output>) {
         let trigger = &self.triggers[knock.trigger as usize];
-        let fill = self.admission.fill(delivery.front, knock.account, self.coming);
+        self.admission.came(self.now, delivery.front, knock.account);
+        let fill = self.admission.fill(self.now, delivery.front, knock.account, self.coming);
         let worth = entry::worth(trigger, knock.waited, fill.usual);
         let entry = self.door.decide(self.now, knock, worth, &fill);
         match entry {
             Entry::Enter => {
-                self.admission.entered(delivery.front, knock.account);
+                self.admission.entered(self.now, delivery.front, knock.account);
                 self.inside.insert(delivery, (knock.account, knock.bytes));
                 self.coming += knock.bytes;
             }
@@ -464,8 +465,11 @@
         if new && self.funcs.len() >= MOST_FUNCTIONS {
             return self.answer(t.delivery, Answer::bare(Fate::Errored, Reason::Functions), None, about, out);
         }
+        if !knocked {
+            self.admission.came(self.now, t.delivery.front, t.account);
+        }
         // Symptom: one account's flood fills the queue, and all others' messages come late behind it.
-        if !knocked && !t.redelivered && self.admission.beyond(t.account) {
+        if !knocked && !t.redelivered && self.admission.beyond(self.now, t.delivery.front, t.account) {
             return self.answer(t.delivery, Answer::bare(Fate::Throttled, Reason::Share), None, about, out);
         }
         if !self.admission.kept(t.body.len()) {
@@ -473,7 +477,7 @@
             return self.answer(t.delivery, Answer::bare(fate, Reason::Size), None, about, out);
         }
         if !knocked {
-            self.admission.entered(t.delivery.front, t.account);
+            self.admission.entered(self.now, t.delivery.front, t.account);
         }
         let func = self.funcs.enter(t.function.as_ref());
         if self.names.len() <= func as usize {
@@ -634,6 +638,7 @@
         }
         let (front, account, bytes, took) = (it.front, it.account, it.body.len(), self.now - it.taken);
         let held = it.dispatches.first().map_or(took, |d| d.at - it.taken);
+        let objective = self.triggers[it.trigger as usize].latency_objective;
         // Symptom: a slow store makes everybody wait, and who has more out is capped for it. What waited for a load
         // was not crowded out.
         let loaded = self.waits.for_load(it.func, it.taken);
@@ -645,7 +650,7 @@
         if !it.knocked {
             self.admission.left(front, account);
         }
-        self.admission.ended(self.now, front, account, bytes, took, held, pace);
+        self.admission.ended(self.now, front, account, bytes, took, held, objective, pace);
         self.door.noted(self.now);
         true
     }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -75,6 +75,8 @@
     pub out: u32,
     pub front: (u32, f64),
     pub account: (u32, f64),
+    /// Front and account: it comes faster than it succeeds, and others suffer by it.
+    pub spent: (bool, bool),
     /// Free for bodies, those on their way set aside.
     pub free_bytes: u64,
     /// Usual time of an answer.
@@ -122,9 +124,9 @@
             Some(Short::Memory)
         } else if used >= fill.limit {
             Some(Short::All)
-        } else if f64::from(fill.front.0) >= fill.front.1 {
+        } else if f64::from(fill.front.0) >= fill.front.1 || fill.spent.0 {
             Some(Short::Front)
-        } else if f64::from(fill.account.0) >= fill.account.1 {
+        } else if f64::from(fill.account.0) >= fill.account.1 || fill.spent.1 {
             Some(Short::Account)
         } else if knock.unread >= UNREAD || self.crowds(knock, fill) || storms(knock) {
             Some(Short::Connection)
--- a/crates/router/tests/parts.rs
+++ b/crates/router/tests/parts.rs
@@ -144,14 +144,14 @@
 }
 
 fn take(a: &mut Admission, front: u32, bytes: usize) -> bool {
-    a.entered(front, 0);
+    a.entered(0, front, 0);
     a.kept(bytes)
 }
 
 fn answered(a: &mut Admission, now: Micros, front: u32, n: usize, pace: Pace) {
     for _ in 0..n {
         a.left(front, 0);
-        a.ended(now, front, 0, 100, 100_000, 0, pace);
+        a.ended(now, front, 0, 100, 100_000, 0, SECOND, pace);
         assert!(take(a, front, 100));
     }
 }
@@ -207,8 +207,9 @@
 fn who_floods_pays_for_who_suffers() {
     let mut s = Shares::new(&[2.0, 1.0]);
     let limit = 100.0;
-    (0..90).for_each(|_| s.entered(0));
-    (0..5).for_each(|_| s.entered(1));
+    (0..90).for_each(|_| s.entered(0, 0));
+    (0..5).for_each(|_| s.entered(0, 1));
+    (0..20 * 90).for_each(|n| s.came(n * SECOND / 90, 0));
     let caps = |s: &Shares| (s.cap(0, limit), s.cap(1, limit));
     // Its own trouble caps nobody, nor does lateness by one's own work, nor one who feels no crowding itself.
     s.ended(0, 1, limit, 1, Felt::Crowded);
@@ -232,8 +233,8 @@
 #[test]
 fn who_is_in_time_pays_nothing() {
     let mut s = Shares::new(&[1.0, 1.0]);
-    (0..50).for_each(|_| s.entered(0));
-    s.entered(1);
+    (0..50).for_each(|_| s.entered(0, 0));
+    s.entered(0, 1);
     for n in 0..200 {
         s.ended(n * SECOND, 0, 100.0, 1, Felt::InTime);
         s.ended(n * SECOND, 1, 100.0, 1, Felt::Crowded);
@@ -241,6 +242,64 @@
     assert_eq!(s.cap(0, 100.0), 100.0);
 }
 
+/// Symptom: a flood is given up at once and fills no lane, yet uses up what all are allowed.
+#[test]
+fn a_flood_is_held_to_the_pace_of_its_own_successes() {
+    let mut s = Shares::new(&[1.0, 1.0]);
+    let ms = SECOND / 1000;
+    let (mut entered, mut turned) = (0, 0);
+    for n in 0..4_000_i64 {
+        let now = n * ms;
+        // The one comes 500 times a second, of which 100 succeed; the other 20 times.
+        s.came(now, 0);
+        if s.spent(now, 0) {
+            turned += 1;
+        } else {
+            s.entered(now, 0);
+            s.left(0);
+            entered += 1;
+            let felt = if entered % 5 == 0 { Felt::InTime } else { Felt::Crowded };
+            s.ended(now, 0, 100.0, ms, felt);
+        }
+        if n % 50 == 0 {
+            s.came(now, 1);
+            assert!(!s.spent(now, 1), "who comes seldom waits for nothing");
+            s.entered(now, 1);
+            s.left(1);
+            let felt = if n < 2_000 && n % 200 == 0 { Felt::Crowded } else { Felt::InTime };
+            s.ended(now, 1, 100.0, ms, felt);
+        }
+    }
+    // With a fifth of successes, what each lets in fades to the few of each second.
+    assert!(turned > 3_000 && entered > 20, "{entered} entered, {turned} did not");
+    // Nobody has suffered for two seconds: all is free again.
+    assert!(!s.spent(4_100 * ms, 0));
+}
+
+/// What succeeds enters as it came, though somebody else suffers.
+#[test]
+fn who_succeeds_at_its_pace_is_not_held_up() {
+    let mut s = Shares::new(&[1.0, 1.0]);
+    let (ms, mut turned) = (SECOND / 1000, 0);
+    (0..8).for_each(|_| s.ended(0, 0, 100.0, ms, Felt::Crowded));
+    for n in 0..3_000_i64 {
+        let now = n * 2 * ms;
+        s.came(now, 0);
+        if s.spent(now, 0) {
+            turned += 1;
+        } else {
+            s.entered(now, 0);
+            s.left(0);
+            s.ended(now, 0, 100.0, ms, Felt::InTime);
+        }
+        if n % 100 == 0 {
+            s.came(now, 1);
+            s.ended(now, 1, 100.0, ms, Felt::Crowded);
+        }
+    }
+    assert!(turned < 300, "{turned}");
+}
+
 fn at_the_door(out: u32) -> (Knock, Fill) {
     let knock = Knock {
         trigger: 0,
@@ -257,6 +316,7 @@
     let fill = Fill {
         limit: 100.0,
         out,
+        spent: (false, false),
         front: (out, 100.0),
         account: (out, 100.0),
         free_bytes: 1000,
@@ -288,6 +348,8 @@
     assert_eq!(ask(knock, Fill { out: 100, ..fill }), Some(Short::All));
     assert_eq!(ask(knock, Fill { front: (50, 50.0), ..fill }), Some(Short::Front));
     assert_eq!(ask(knock, Fill { account: (50, 50.0), ..fill }), Some(Short::Account));
+    assert_eq!(ask(knock, Fill { spent: (true, false), ..fill }), Some(Short::Front));
+    assert_eq!(ask(knock, Fill { spent: (false, true), ..fill }), Some(Short::Account));
     // Half of all is used: of 10 connections each may have 20; one that reads nothing gets nothing.
     let many = Knock { connections: 10, here: 20, ..knock };
     assert_eq!(ask(many, fill), Some(Short::Connection));
