--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -80,7 +80,7 @@
         out.unwrap_or_else(|| std::env::temp_dir().join(format!("cedarpulley-day-{}", std::process::id())));
     let io = |e: std::io::Error| format!("{}: {e}", out.display());
     // A day that was played here before must not be judged with this one.
-    for old in ["traffic", "routers", "traces"] {
+    for old in ["traffic", "routers", "traces", "meter"] {
         if out.join(old).exists() {
             std::fs::remove_dir_all(out.join(old)).map_err(io)?;
         }
@@ -280,10 +280,10 @@
     );
     let _ = writeln!(t, "zone = {:?}\nzones = {:?}", day.zones[zone as usize], day.zones);
     let _ = writeln!(t, "from = \"{}\"\n", address_of(day, n));
-    // Each day leaves its routers' traces, those of killed ones cut as the kill left them.
+    // Each day leaves its routers' ledgers and traces, those of killed ones cut as the kill left them.
     // An earlier build may know nothing of them.
     if trace {
-        let _ = writeln!(t, "[trace]\nfolder = \"../traces\"\n");
+        let _ = writeln!(t, "[trace]\nfolder = \"../traces\"\n\n[meter]\nfolder = \"../meter\"\n");
     }
     let s = &day.settings;
     for (name, table) in
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -13,6 +13,7 @@
 mod day;
 mod dayfile;
 mod measure;
+mod meter;
 mod open_loop;
 mod rest_client;
 mod standin;
@@ -103,6 +104,11 @@
         #[command(subcommand)]
         what: trace::Trace,
     },
+    /// Memory-seconds by tenant: report, merge, reconcile.
+    Meter {
+        #[command(subcommand)]
+        what: meter::Meter,
+    },
     /// Judges a kept run again.
     Audit {
         folder: PathBuf,
@@ -144,6 +150,7 @@
             measure::run(rate, seconds, work_ms, lanes, &folder, trace).map(|()| true)
         }
         Command::Trace { what } => trace::run(what),
+        Command::Meter { what } => meter::run(what),
         Command::Audit { folder, json } => audit(&folder, json),
     };
     match done {
--- /dev/null
+++ b/crates/cli/src/meter.rs
@@ -0,0 +1,236 @@
+//! `cedarpulley meter ...`: memory-seconds from ledgers.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use cedarpulley_ledger::Ledger;
+use cedarpulley_meter::{Book, Key, Kind, Sum, Sums};
+use clap::{Subcommand, ValueEnum};
+use serde_json::{Value, json};
+
+use crate::Plain;
+
+#[derive(Subcommand)]
+pub enum Meter {
+    /// Memory-seconds (MB-s), by tenant and kind unless told otherwise.
+    Report {
+        /// Ledgers of any number of routers; a folder stands for all in it.
+        files: Vec<PathBuf>,
+        #[arg(long, value_enum, value_delimiter = ',', default_value = "tenant,kind")]
+        by: Vec<By>,
+        #[arg(long)]
+        json: bool,
+        #[arg(long)]
+        csv: bool,
+    },
+    /// One ledger of many; the same one twice, or in another order, makes no difference.
+    Merge {
+        files: Vec<PathBuf>,
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Compares a day's ledgers with what its stand-in workers say they held; exit 1 beyond one percent.
+    Reconcile {
+        folder: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum By {
+    Tenant,
+    Function,
+    Hour,
+    Kind,
+}
+
+/// What was metered and what was held may differ by so much.
+const MOST_APART: f64 = 0.01;
+/// What nobody reported, of all.
+const MOST_UNCERTAIN: f64 = 0.01;
+
+pub fn run(what: Meter) -> Plain<bool> {
+    match what {
+        Meter::Report { files, by, json, csv } => report(&all(&files)?, &by, json, csv),
+        Meter::Merge { files, out } => merge(&all(&files)?, &out),
+        Meter::Reconcile { folder, json } => reconcile(&folder, json),
+    }
+}
+
+fn all(files: &[PathBuf]) -> Plain<Vec<PathBuf>> {
+    let mut found = Vec::new();
+    for file in files {
+        if !file.is_dir() {
+            found.push(file.clone());
+            continue;
+        }
+        let entries = std::fs::read_dir(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        let ledgers = entries.flatten().map(|e| e.path());
+        let mut ledgers: Vec<_> = ledgers.filter(|p| p.extension().is_some_and(|e| e == "ledger")).collect();
+        ledgers.sort();
+        found.extend(ledgers);
+    }
+    if found.is_empty() { Err("no ledger is given".into()) } else { Ok(found) }
+}
+
+fn book(files: &[PathBuf]) -> Plain<Book> {
+    let mut book = Book::default();
+    for file in files {
+        let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
+        if !file.is_file() {
+            return Err(wrong(&"there is no such file"));
+        }
+        book.join(Ledger::open(file).and_then(|l| l.book()).map_err(|e| wrong(&e))?);
+    }
+    Ok(book)
+}
+
+fn report(files: &[PathBuf], by: &[By], json: bool, csv: bool) -> Plain<bool> {
+    let sums = book(files)?.sums();
+    let column = |by: By, key: &Key| match by {
+        By::Tenant => key.account.to_string(),
+        By::Function => key.function.to_string(),
+        By::Hour => (i64::from(key.hour) * 3600).to_string(),
+        By::Kind => key.kind.name().to_owned(),
+    };
+    let rows = sums.by(|key| by.iter().map(|b| column(*b, key)).collect::<Vec<_>>());
+    let names: Vec<&str> = by
+        .iter()
+        .map(|b| match b {
+            By::Tenant => "tenant",
+            By::Function => "function",
+            By::Hour => "hour",
+            By::Kind => "kind",
+        })
+        .collect();
+    let total = sums.total();
+    if json {
+        let rows: Vec<Value> = rows.iter().map(|(row, sum)| line(&names, row, sum)).collect();
+        let all = json!({"rows": rows, "total": line(&[], &[], &total)});
+        say!("{}", serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?);
+    } else if csv {
+        say!("{},mb_seconds,byte_microseconds,count", names.join(","));
+        for (row, sum) in &rows {
+            let row: Vec<String> = row.iter().map(|r| quoted(r)).collect();
+            say!("{},{:.6},{},{}", row.join(","), sum.mb_seconds(), sum.byte_us, sum.count);
+        }
+    } else {
+        let wide = |r: &[String]| r.iter().map(|c| format!("{c:<20}")).collect::<String>();
+        let head: Vec<String> = names.iter().map(|n| n.to_string()).collect();
+        say!("{}{:>16} {:>10}", wide(&head), "MB-s", "count");
+        rows.iter().for_each(|(r, s)| say!("{}{:>16.3} {:>10}", wide(r), s.mb_seconds(), s.count));
+        say!("{:.3} MB-s in all", total.mb_seconds());
+    }
+    Ok(true)
+}
+
+fn line(names: &[&str], row: &[String], sum: &Sum) -> Value {
+    let mut line: serde_json::Map<String, Value> =
+        names.iter().zip(row).map(|(n, v)| ((*n).to_owned(), json!(v))).collect();
+    // Beyond what a float keeps to the last digit: as text.
+    line.insert("byte_microseconds".into(), json!(sum.byte_us.to_string()));
+    line.insert("mb_seconds".into(), json!(sum.mb_seconds()));
+    line.insert("count".into(), json!(sum.count));
+    Value::Object(line)
+}
+
+/// As RFC 4180 has it.
+fn quoted(text: &str) -> String {
+    match text.contains([',', '"', '\n', '\r']) {
+        true => format!("\"{}\"", text.replace('"', "\"\"")),
+        false => text.to_owned(),
+    }
+}
+
+fn merge(files: &[PathBuf], out: &Path) -> Plain<bool> {
+    let book = book(files)?;
+    let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", out.display());
+    Ledger::open(out).and_then(|l| l.join(&book)).map_err(|e| wrong(&e))?;
+    say!("{} lives of routers in {}", book.0.len(), out.display());
+    Ok(true)
+}
+
+/// Byte-microseconds by account and kind.
+type ByTenant = BTreeMap<(String, Kind), u128>;
+
+/// As the workers' logs have it; what went out with no answer apart.
+fn held(folder: &Path) -> Plain<(ByTenant, u128)> {
+    let wrong = |e: std::io::Error| format!("{}: {e}", folder.display());
+    let (mut held, mut untold) = (ByTenant::new(), 0);
+    for entry in std::fs::read_dir(folder).map_err(wrong)? {
+        let path = entry.map_err(wrong)?.path();
+        for text in BufReader::new(File::open(&path).map_err(wrong)?).lines().map_while(Result::ok) {
+            let Ok(line) = serde_json::from_str::<Value>(&text) else { continue };
+            if line["what"] != "held" {
+                continue;
+            }
+            let bytes = u128::from(line["bytes"].as_u64().unwrap_or(0));
+            let kinds = [("running", Kind::Running), ("loading", Kind::Loading), ("idle", Kind::Idle)];
+            for (name, kind) in kinds {
+                let byte_us = bytes * u128::from(line[name].as_u64().unwrap_or(0));
+                if line["reported"] != true {
+                    untold += byte_us;
+                    continue;
+                }
+                if byte_us == 0 {
+                    continue;
+                }
+                // An order to load does not say for whom it is: loads are compared over all.
+                let account = if kind == Kind::Loading { "" } else { line["account"].as_str().unwrap_or("") };
+                *held.entry((account.to_owned(), kind)).or_default() += byte_us;
+            }
+        }
+    }
+    Ok((held, untold))
+}
+
+fn reconcile(folder: &Path, json: bool) -> Plain<bool> {
+    let sums: Sums = book(&all(&[folder.join("meter")])?)?.sums();
+    let (held, untold) = held(&folder.join("traffic"))?;
+    let metered = sums.by(|k| {
+        let account = if k.kind == Kind::Loading { "" } else { &k.account };
+        (account.to_owned(), k.kind)
+    });
+    let mut rows = Vec::new();
+    let mut good = true;
+    let keys = [Kind::Running, Kind::Loading, Kind::Idle];
+    let mut all: Vec<_> =
+        metered.keys().filter(|k| keys.contains(&k.1)).chain(held.keys()).cloned().collect();
+    all.sort();
+    all.dedup();
+    for key in all {
+        let metered = metered.get(&key).copied().unwrap_or_default().mb_seconds();
+        let held = held.get(&key).copied().unwrap_or_default() as f64 / 1e12;
+        let apart = (metered - held) / held.max(metered).max(1e-9);
+        good &= apart.abs() <= MOST_APART;
+        rows.push((key, metered, held, apart));
+    }
+    let uncertain = metered.iter().filter(|(k, _)| k.1 == Kind::Uncertain);
+    let uncertain = uncertain.fold(0.0, |all, (_, sum)| all + sum.mb_seconds());
+    let total: f64 = rows.iter().map(|r| r.2).sum();
+    let untold = untold as f64 / 1e12;
+    rows.sort_by(|a, b| b.3.abs().total_cmp(&a.3.abs()));
+    if json {
+        let rows: Vec<Value> = rows
+            .iter()
+            .map(|((tenant, kind), m, h, a)| json!({"tenant": tenant, "kind": kind, "metered": m, "held": h, "apart": a}))
+            .collect();
+        let all = json!({"rows": rows, "uncertain": uncertain, "untold": untold, "held": total});
+        say!("{}", serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?);
+        return Ok(good);
+    }
+    say!("{:<16} {:<10} {:>14} {:>14} {:>8}", "tenant", "kind", "metered MB-s", "held MB-s", "apart");
+    for ((tenant, kind), metered, held, apart) in rows {
+        let tenant = if tenant.is_empty() { "(all)" } else { &tenant };
+        say!("{tenant:<16} {:<10} {metered:>14.3} {held:>14.3} {:>7.2}%", kind.name(), apart * 100.0);
+    }
+    let much = if uncertain > MOST_UNCERTAIN * total { ", above the aim of 1%" } else { "" };
+    say!(
+        "uncertain {uncertain:.3} MB-s, {:.2}% of what was held{much}; held without an answer that arrived {untold:.3} MB-s",
+        100.0 * uncertain / total.max(1e-9)
+    );
+    Ok(good)
+}
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -138,3 +138,39 @@
         assert_eq!((o.status.code(), text(&o.stderr).lines().count()), (Some(2), 1), "{args:?}");
     }
 }
+
+#[test]
+fn ledgers_are_reported_and_merged_and_wrong_ones_refused() {
+    use cedarpulley_ledger::Ledger;
+    use cedarpulley_meter::sums::{Key, Kind, Sum, Sums};
+    let folder = PathBuf::from(out("ledgers"));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    for (source, router) in [(1, "one"), (2, "other")] {
+        let mut sums = Sums::default();
+        let (account, function) = ("amber, inc".into(), "f".into());
+        let key = Key { hour: 480_000, account, function, kind: Kind::Running };
+        sums.add(key, Sum { byte_us: 3_000_000_000_000, count: source as u64 });
+        let ledger = Ledger::open(&folder.join(format!("{router}.ledger"))).expect("it opens");
+        ledger.add(source, router, &sums).expect("written");
+    }
+    let (all, merged) = (folder.display().to_string(), folder.join("all").display().to_string());
+    let csv = |file: &str| {
+        let o = cedarpulley(&["meter", "report", file, "--by", "tenant,hour", "--csv"]);
+        assert_eq!(o.status.code(), Some(0), "{}", text(&o.stderr));
+        text(&o.stdout)
+    };
+    let line = "\"amber, inc\",1728000000,6.000000,6000000000000,3";
+    assert!(csv(&all).lines().any(|l| l == line), "{}", csv(&all));
+    // Twice into the same: nothing changes.
+    for _ in 0..2 {
+        assert_eq!(cedarpulley(&["meter", "merge", &all, "--out", &merged]).status.code(), Some(0));
+        assert_eq!(csv(&merged), csv(&all));
+    }
+    std::fs::write(folder.join("bad"), "no ledger").expect("written");
+    let bad = folder.join("bad").display().to_string();
+    for wrong in [bad.as_str(), "/none"] {
+        let o = cedarpulley(&["meter", "report", wrong]);
+        assert_eq!((o.status.code(), text(&o.stderr).lines().count()), (Some(2), 1), "{}", text(&o.stderr));
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod grpc;
 pub mod list;
 pub mod meddle;
+pub mod metering;
 pub mod net;
 pub mod pool;
 pub mod recorder;
--- /dev/null
+++ b/crates/gateway/src/metering.rs
@@ -0,0 +1,203 @@
+//! Meters a router: hands what was used to the accounting, and its sums to the ledger's thread, which alone waits for
+//! the disk. What is on its way or could not be written stays here, and nothing here waits.
+
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use cedarpulley::interface::{Action, Event, InvIx, Micros, OrderResult};
+use cedarpulley_ledger::{Failed, Ledger, Writing};
+use cedarpulley_meter::{Ended, Load, Meter, Source, Sums};
+use cedarpulley_router::FrontIx;
+use cedarpulley_router::entry::Short;
+use cedarpulley_router::watch::{By, Given, Names, Used, Watch};
+
+/// On stopping, the ledger has so long; it is looked at this often.
+const CLOSE_WITHIN: Duration = Duration::from_secs(5);
+const CLOSE_LOOK: Duration = Duration::from_millis(5);
+const UNKNOWN: &str = "(unknown)";
+
+struct Inner {
+    meter: Meter,
+    writing: Writing,
+    accounts: Vec<String>,
+    wall_at_zero: Micros,
+    /// One writing is on its way at most.
+    sums: Option<SyncSender<Sums>>,
+    out: bool,
+    done: Receiver<Result<(), (Sums, String)>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Cheap to clone; one is the core's, one is kept to close it.
+#[derive(Clone)]
+pub struct Metering(Rc<RefCell<Inner>>);
+
+/// Writes each part that comes; one that is not taken goes back.
+fn write(
+    file: PathBuf,
+    router: String,
+    source: Source,
+    parts: Receiver<Sums>,
+    done: SyncSender<Result<(), (Sums, String)>>,
+) {
+    let (mut ledger, mut aside) = (None, Writing::default());
+    for part in parts {
+        let opened = match ledger.take() {
+            Some(open) => Ok(open),
+            None => Ledger::open(&file),
+        };
+        let added = opened.and_then(|open| {
+            let added = open.add(source, &router, &part);
+            // Opened anew after a failure: what it has in memory may not be what is on the disk.
+            ledger = added.is_ok().then_some(open);
+            added
+        });
+        let told = added.map(|_| ()).map_err(|failed| {
+            if let Failed::Unreadable(_) = &failed
+                && aside.sets_aside()
+            {
+                let other = file.with_extension(format!("unreadable-{:032x}", source));
+                if std::fs::rename(&file, &other).is_ok() {
+                    tracing::error!(other = %other.display(), "a ledger that cannot be read was set aside");
+                }
+            }
+            (part, failed.to_string())
+        });
+        if done.send(told).is_err() {
+            return;
+        }
+    }
+}
+
+impl Metering {
+    /// `source`: drawn at random, this life's own.
+    pub fn begin(
+        folder: PathBuf,
+        name: &str,
+        source: Source,
+        accounts: Vec<String>,
+        wall_at_zero: Micros,
+    ) -> std::io::Result<Metering> {
+        std::fs::create_dir_all(&folder)?;
+        let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
+        let file = folder.join(format!("{}.ledger", name.chars().map(plain).take(64).collect::<String>()));
+        let (sums, parts) = sync_channel(1);
+        let (told, done) = sync_channel(1);
+        let router = name.to_owned();
+        let thread = std::thread::Builder::new()
+            .name("ledger".into())
+            .spawn(move || write(file, router, source, parts, told))?;
+        Ok(Metering(Rc::new(RefCell::new(Inner {
+            meter: Meter::default(),
+            writing: Writing::default(),
+            accounts,
+            wall_at_zero,
+            sums: Some(sums),
+            out: false,
+            done,
+            thread: Some(thread),
+        }))))
+    }
+
+    /// Hands on what there is, if it is due.
+    pub fn look(&self, now: Micros) {
+        let mut it = self.0.borrow_mut();
+        it.heard(now);
+        if it.writing.is_due(now) {
+            it.send();
+        }
+    }
+
+    /// Writes what there is; false if it was not all written in time.
+    pub fn close(&self, now: Micros) -> bool {
+        let mut it = self.0.borrow_mut();
+        let (until, failures) = (Instant::now() + CLOSE_WITHIN, it.writing.failures);
+        loop {
+            it.heard(now);
+            if !it.out && !it.send() {
+                break;
+            }
+            if Instant::now() >= until || it.writing.failures > failures {
+                return false;
+            }
+            std::thread::sleep(CLOSE_LOOK);
+        }
+        it.sums = None;
+        it.thread.take().is_none_or(|t| t.join().is_ok())
+    }
+}
+
+impl Inner {
+    fn heard(&mut self, now: Micros) {
+        let Ok(done) = self.done.try_recv() else { return };
+        self.out = false;
+        match done {
+            Ok(()) => self.writing.wrote(now),
+            Err((sums, why)) => {
+                self.meter.give_back(&sums);
+                self.writing.failed(now);
+                tracing::error!(why, failures = self.writing.failures, "the ledger was not written");
+            }
+        }
+    }
+
+    /// False if there is nothing to send.
+    fn send(&mut self) -> bool {
+        if self.out {
+            return true;
+        }
+        let part = self.meter.take();
+        let Some(sums) = self.sums.as_ref().filter(|_| !part.is_empty()) else { return false };
+        match sums.try_send(part) {
+            Ok(()) => self.out = true,
+            Err(e) => {
+                let (std::sync::mpsc::TrySendError::Full(part)
+                | std::sync::mpsc::TrySendError::Disconnected(part)) = e;
+                self.meter.give_back(&part);
+            }
+        }
+        true
+    }
+}
+
+impl Watch for Metering {
+    fn decided(&mut self, _: Micros, _: &Event, _: &[Action], _: Names) {}
+
+    fn taken(&mut self, _: Micros, _: InvIx, _: FrontIx, _: Option<&str>, _: bool) {}
+
+    fn answered(&mut self, _: Micros, _: Given) {}
+
+    fn turned_away(&mut self, _: Micros, _: FrontIx, _: u32, _: u32, _: Short) {}
+
+    fn used(&mut self, now: Micros, u: Used) {
+        let mut it = self.0.borrow_mut();
+        let wall = it.wall_at_zero + now;
+        let account = it.accounts.get(u.account as usize).cloned();
+        let account = account.as_deref().unwrap_or(UNKNOWN);
+        let Used { function, took, lanes, held, .. } = u;
+        let copy_bytes = (u.copy_mb.max(0.0) * 1e6) as u64;
+        match u.by {
+            By::Dispatch(outcome, note) => {
+                it.meter.ended(Ended {
+                    wall,
+                    account,
+                    function,
+                    outcome,
+                    note,
+                    took,
+                    copy_bytes,
+                    lanes,
+                    held,
+                });
+            }
+            By::Order(result) => {
+                let known = !matches!(result, OrderResult::Broken | OrderResult::TimedOut);
+                it.meter.loaded(Load { wall, account, function, took, copy_bytes, known, held });
+            }
+        }
+    }
+}
--- a/crates/gateway/src/recorder.rs
+++ b/crates/gateway/src/recorder.rs
@@ -12,7 +12,7 @@
 use cedarpulley::interface::{Action, Event, InvIx, Micros};
 use cedarpulley_router::FrontIx;
 use cedarpulley_router::entry::Short;
-use cedarpulley_router::watch::{Given, Names, Watch};
+use cedarpulley_router::watch::{Given, Names, Used, Watch};
 use cedarpulley_trace::blocks::{Gather, event_uses};
 use cedarpulley_trace::keeping::Bounds;
 use cedarpulley_trace::records::{Record, Space};
@@ -186,4 +186,7 @@
         it.at(now);
         it.gather.record(now, &Record::TurnedAway { front, trigger, account, why });
     }
+
+    /// Not part of the format: what a worker reports it held the module is not told.
+    fn used(&mut self, _: Micros, _: Used) {}
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,7 @@
 use cedarpulley::Control;
 use cedarpulley::interface::{ListMode, Micros, Outcome, Report, WorkerIx};
 use cedarpulley_certificates::Speakers;
-use cedarpulley_kserve::{endings, requests};
+use cedarpulley_kserve::{endings, reports, requests};
 use cedarpulley_router::{FrontIx, Input, Output, Payload, Router};
 use cedarpulley_trace::start::{Start, module_digest};
 use futures_lite::{FutureExt, StreamExt};
@@ -21,6 +21,7 @@
 use crate::front::Front;
 use crate::list;
 use crate::meddle::{Meddle, Meddler};
+use crate::metering::Metering;
 use crate::net::{Bell, Clock, listen};
 use crate::pool::{Pool, ended};
 use crate::recorder::Recorder;
@@ -29,7 +30,7 @@
 
 /// How often connections that have been idle too long are looked for.
 const TIDY: Duration = Duration::from_secs(5);
-/// A quiet router's last block is closed too, or a kill would lose what is minutes old.
+/// A quiet router's last block is closed too, or a kill would lose what is minutes old; likewise the ledger.
 const LOOK_AT_TRACE: Duration = Duration::from_secs(1);
 /// On stopping: what was taken has this long beyond the longest client timeout.
 const STOP_MARGIN: Micros = 2_000_000;
@@ -52,6 +53,7 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     router: RefCell<Router>,
     recorder: Option<Recorder>,
+    metering: Option<Metering>,
     fronts: Vec<Rc<Front>>,
     /// Their indices follow those of `fronts`.
     callers: Vec<Rc<Calls>>,
@@ -132,6 +134,7 @@
                         None => Err(crate::pool::Failed::NoConnection),
                     };
                     let read = endings::infer(&ended(&result, &function));
+                    let held = result.as_ref().ok().and_then(|r| reports::held(&r.headers));
                     let body = match result {
                         Ok(reply) if read.outcome == Outcome::Succeeded => {
                             let json = endings::json_length(&reply.headers, &reply.body);
@@ -148,6 +151,7 @@
                         note: read.note,
                         crowd: read.crowd,
                         report: read.report,
+                        held,
                         body,
                     });
                 });
@@ -164,8 +168,9 @@
                         n => requests::load(&host, &function, n),
                     };
                     let result = it.pool.order(worker, address, request, within).await;
+                    let held = result.as_ref().ok().and_then(|r| reports::held(&r.headers));
                     let (result, copies) = endings::order(&ended(&result, &function));
-                    it.feed(Input::OrderEnded { ticket, result, copies });
+                    it.feed(Input::OrderEnded { ticket, result, copies, held });
                 };
                 self.executor.spawn(order).detach();
             }
@@ -276,6 +281,10 @@
             let ended = recorder.close();
             tracing::info!(ended, lost_records = recorder.lost(), "the trace was closed");
         }
+        if let Some(metering) = &self.metering {
+            let written = metering.close(self.clock.now());
+            tracing::info!(written, "the ledger was closed");
+        }
         tracing::info!(clean, counts = ?router.counts, misunderstood = self.misunderstood.get(), "stopped");
         clean
     }
@@ -288,8 +297,20 @@
 
 /// Runs one router until a signal to end. True if all that was taken has been answered.
 pub fn run(name: &str, parts: Parts, meddle: Option<Meddle>) -> std::io::Result<bool> {
-    let Parts { birth, names, terms, sources, listens, list, links, most_body, speakers, keep, digest } =
-        parts;
+    let Parts {
+        birth,
+        names,
+        terms,
+        sources,
+        listens,
+        list,
+        links,
+        most_body,
+        speakers,
+        keep,
+        meter,
+        digest,
+    } = parts;
     let clock = Clock::start();
     let executor = Rc::new(LocalExecutor::new());
     // Without a seed of its own each start draws differently.
@@ -353,6 +374,18 @@
     if let Some(recorder) = &recorder {
         router.watched_by(Box::new(recorder.clone()));
     }
+    let metering = match meter {
+        Some(folder) => {
+            // Random beyond what any two lives share.
+            let source = uuid::Uuid::new_v4().as_u128();
+            let wall_at_zero = clock.wall() - clock.now();
+            Some(Metering::begin(folder, name, source, names.accounts.clone(), wall_at_zero)?)
+        }
+        None => None,
+    };
+    if let Some(metering) = &metering {
+        router.watched_by(Box::new(metering.clone()));
+    }
     let gateway = Rc::new(Gateway {
         clock,
         name: name.to_owned(),
@@ -367,6 +400,7 @@
         executor: executor.clone(),
         router: RefCell::new(router),
         recorder: recorder.clone(),
+        metering,
         fronts: fronts.map(|(ix, s)| Rc::new(Front::new(ix as u32, s, most_body))).collect(),
         callers,
         pool: Rc::new(Pool::new(executor.clone(), clock, links)),
@@ -405,6 +439,16 @@
             };
             executor.spawn(close_old).detach();
         }
+        if let Some(metering) = gateway.metering.clone() {
+            let clock = gateway.clock;
+            let write = async move {
+                loop {
+                    Timer::after(LOOK_AT_TRACE).await;
+                    metering.look(clock.now());
+                }
+            };
+            executor.spawn(write).detach();
+        }
         tracing::info!(router = name, "running");
         signals.next().await;
         Ok(gateway.stop(longest).await)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -103,6 +103,8 @@
     pub speakers: Speakers,
     /// Where a trace is kept, if it is.
     pub keep: Option<Keep>,
+    /// Where memory-seconds are kept, if they are.
+    pub meter: Option<PathBuf>,
     /// Of the settings' text.
     pub digest: [u8; 32],
 }
@@ -325,6 +327,9 @@
         Keep { folder: folder.join(t.text("folder", None)), bounds }
     });
     t.end();
+    let m = root.section("meter");
+    let meter = m.is_present().then(|| folder.join(m.text("folder", None)));
+    m.end();
 
     let reports = match root.text("reports", Some("answers")).as_str() {
         "answers" => ReportsIn::Answers,
@@ -343,11 +348,24 @@
         account_shares: accounts.iter().map(|a| a.share).collect(),
         order_answered_within: loads.order_answered_within,
     };
-    for known in ["router", "dispatch", "rules", "loads", "prices", "workers", "kind", "trace"] {
+    for known in ["router", "dispatch", "rules", "loads", "prices", "workers", "kind", "trace", "meter"] {
         root.has(known);
     }
     let birth = Birth { seed, fleet, limits, rules, triggers, accounts, loads, prices, reports };
-    Parts { birth, names, terms, sources, listens, list, links, most_body, speakers, keep, digest: [0; 32] }
+    Parts {
+        birth,
+        names,
+        terms,
+        sources,
+        listens,
+        list,
+        links,
+        most_body,
+        speakers,
+        keep,
+        meter,
+        digest: [0; 32],
+    }
 }
 
 fn trigger(t: &Section, limits: &DispatchLimits) -> TriggerType {
--- /dev/null
+++ b/crates/gateway/tests/metering.rs
@@ -0,0 +1,84 @@
+//! A ledger whose disk fails, or that cannot be read: nothing metered is lost, and nothing waits.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use cedarpulley::interface::{CopyNote, Micros, Outcome};
+use cedarpulley_gateway::metering::Metering;
+use cedarpulley_ledger::Ledger;
+use cedarpulley_meter::{Held, Kind, Sum};
+use cedarpulley_router::watch::{By, Used, Watch};
+
+const SECOND: Micros = 1_000_000;
+
+fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+fn begin(folder: &Path) -> Metering {
+    Metering::begin(folder.to_owned(), "r", 7, vec!["amber".into()], 0).expect("begun")
+}
+
+fn use_it(m: &Metering, times: usize) {
+    let held = Some(Held { bytes: 10, running: 3, loading: 0, idle: 0 });
+    let by = By::Dispatch(Outcome::Succeeded, CopyNote::Found);
+    let used = Used { worker: 0, function: "f", account: 0, by, took: 9, copy_mb: 1.0, lanes: 1, held };
+    (0..times).for_each(|_| m.clone().used(0, used));
+}
+
+/// With long waits between, until the thread has told how it went.
+fn looked(m: &Metering, from: Micros, until: impl Fn() -> bool) {
+    let (began, mut now) = (Instant::now(), from);
+    while !until() {
+        m.look(now);
+        now += 400 * SECOND;
+        assert!(began.elapsed() < Duration::from_secs(20), "nothing came of it");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn kept(file: &Path) -> Sum {
+    let book = Ledger::open(file).expect("it opens").book().expect("read");
+    book.sums().by(|k| k.kind).remove(&Kind::Running).unwrap_or_default()
+}
+
+#[test]
+fn what_was_metered_while_the_disk_failed_is_written_later() {
+    let folder = folder("disk-fails");
+    let file = folder.join("r.ledger");
+    // No file can be made where a folder is.
+    std::fs::create_dir(&file).expect("a folder in its place");
+    let metering = begin(&folder);
+    use_it(&metering, 3);
+    (0..5).for_each(|n| {
+        metering.look(n * 400 * SECOND);
+        std::thread::sleep(Duration::from_millis(20));
+    });
+    use_it(&metering, 2);
+    assert!(!metering.close(3_000 * SECOND), "it could not be written");
+    std::fs::remove_dir(&file).expect("gone");
+    looked(&metering, 40_000 * SECOND, || file.is_file());
+    drop(metering);
+    let began = Instant::now();
+    while Ledger::open(&file).is_err() && began.elapsed() < Duration::from_secs(20) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!(kept(&file), Sum { byte_us: 5 * 30, count: 5 });
+}
+
+#[test]
+fn a_ledger_that_cannot_be_read_is_set_aside() {
+    let folder = folder("unreadable");
+    let file = folder.join("r.ledger");
+    std::fs::write(&file, vec![7; 4096]).expect("written");
+    let metering = begin(&folder);
+    use_it(&metering, 4);
+    let aside = || std::fs::read_dir(&folder).expect("read").count() > 1;
+    looked(&metering, 0, aside);
+    looked(&metering, 40_000_000 * SECOND, || file.is_file());
+    assert!(metering.close(80_000_000 * SECOND));
+    assert_eq!(kept(&file), Sum { byte_us: 120, count: 4 });
+}
--- a/crates/kserve/src/reports.rs
+++ b/crates/kserve/src/reports.rs
@@ -1,6 +1,7 @@
 //! What an answer tells of the copy it ran on and of the worker's load.
 
-use cedarpulley::interface::{CopyNote, Report};
+use cedarpulley::interface::{CopyNote, Micros, Report};
+use cedarpulley_meter::Held;
 use http::HeaderMap;
 
 /// The copy that an invocation found: `found`, `began`, `waited`, `load-errored`, `absent`.
@@ -16,6 +17,12 @@
 /// Load reports in the text form of the Open Request Cost Aggregation standard.
 pub const LOAD_METRICS: &str = "endpoint-load-metrics";
 
+/// What an invocation or an order to load held: `bytes=1000, running=3, loading=0, idle=7`, the times in microseconds.
+pub const HELD: &str = "cedarpulley-held";
+
+/// A worker that tells more than a petabyte, or than some thirty years, tells nonsense.
+const MOST_TOLD: u64 = 1 << 50;
+
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -34,6 +41,23 @@
     }
 }
 
+/// Absent unless all four are told.
+pub fn held(headers: &HeaderMap) -> Option<Held> {
+    let (mut bytes, mut times) = (None, [None; 3]);
+    for (name, value) in text(headers, HELD)?.split(',').filter_map(|p| p.trim().split_once('=')) {
+        let value = value.trim().parse::<u64>().ok().filter(|v| *v <= MOST_TOLD);
+        match name.trim() {
+            "bytes" => bytes = value,
+            "running" => times[0] = value,
+            "loading" => times[1] = value,
+            "idle" => times[2] = value,
+            _ => {}
+        }
+    }
+    let [Some(running), Some(loading), Some(idle)] = times else { return None };
+    Some(Held { bytes: bytes?, running: running as Micros, loading: loading as Micros, idle: idle as Micros })
+}
+
 /// `TEXT cpu_utilization=0.3, mem_utilization=0.5, named_metrics.held=4`; what cannot be read is absent.
 pub fn load(headers: &HeaderMap) -> Report {
     let mut report = Report::default();
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,199 @@
+//! A file of sums that survives crashes: what [`Ledger::add`] has acknowledged is there after a kill or a power cut at any
+//! moment. It rests on redb (copy-on-write pages with checksums, two roots). Begin reading at [`Ledger`]; how often and
+//! after which failures it is written [`Writing`] decides, free of I/O.
+//!
+//! It never stops a router: what cannot be written stays in memory, bounded, and is tried again.
+
+mod writing;
+
+use std::fmt;
+use std::path::Path;
+use std::sync::Arc;
+
+use cedarpulley_meter::books::{Book, Measured, Source};
+use cedarpulley_meter::sums::{Key, Kind, Sum, Sums};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+
+pub use writing::Writing;
+
+/// A later one is refused.
+pub const FORMAT: u64 = 1;
+const ABOUT: TableDefinition<&str, u64> = TableDefinition::new("about");
+/// By source: the number of its last writing, and its name.
+const SOURCES: TableDefinition<u128, (u64, &str)> = TableDefinition::new("sources");
+type Row<'a> = (u128, u32, &'a str, &'a str, u8);
+/// By source, hour, account, function and kind: byte-microseconds and count.
+const SUMS: TableDefinition<Row, (u128, u64)> = TableDefinition::new("sums");
+
+/// Why a ledger could not be read or written; one line.
+#[derive(Debug)]
+pub enum Failed {
+    /// Of a later format, or damaged: it is left as it is.
+    Unreadable(String),
+    /// The disk did not take it; what was acknowledged before still stands.
+    Unwritten(String),
+}
+
+impl fmt::Display for Failed {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Failed::Unreadable(why) | Failed::Unwritten(why) => f.write_str(why),
+        }
+    }
+}
+
+fn unreadable(why: impl fmt::Display) -> Failed {
+    Failed::Unreadable(why.to_string())
+}
+
+/// One that another process has open, or that this one may not touch, is not damaged.
+fn unopened(why: redb::DatabaseError) -> Failed {
+    match &why {
+        redb::DatabaseError::DatabaseAlreadyOpen => unwritten(why),
+        redb::DatabaseError::Storage(redb::StorageError::Io(e))
+            if !matches!(e.kind(), std::io::ErrorKind::InvalidData | std::io::ErrorKind::UnexpectedEof) =>
+        {
+            unwritten(why)
+        }
+        _ => unreadable(why),
+    }
+}
+
+fn unwritten(why: impl fmt::Display) -> Failed {
+    Failed::Unwritten(why.to_string())
+}
+
+/// One file, open for writing by one process.
+pub struct Ledger {
+    database: Database,
+}
+
+fn kind_byte(kind: Kind) -> u8 {
+    Kind::ALL.iter().position(|k| *k == kind).unwrap_or(0) as u8
+}
+
+impl Ledger {
+    /// Begins it if there is none. A killed process's file is mended on opening; all of it is checked.
+    pub fn open(path: &Path) -> Result<Ledger, Failed> {
+        if !path.exists() {
+            // Symptom: a kill between the first bytes of a new file leaves one that is no ledger.
+            let beside = path.with_extension("new");
+            if let Err(e) = std::fs::remove_file(&beside)
+                && e.kind() != std::io::ErrorKind::NotFound
+            {
+                return Err(unwritten(e));
+            }
+            drop(Ledger::begun(Database::create(&beside).map_err(unwritten)?)?);
+            std::fs::rename(&beside, path).map_err(unwritten)?;
+            let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+            std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(unwritten)?;
+        }
+        // Symptom: a flipped bit in the middle, at which the store's own checks end in a panic.
+        let checked = std::panic::catch_unwind(|| {
+            let mut database = Database::open(path).map_err(unopened)?;
+            database.check_integrity().map_err(unreadable)?;
+            Ok(database)
+        });
+        Ledger::begun(checked.unwrap_or_else(|_| Err(unreadable("is damaged")))?)
+    }
+
+    /// Of this format, or made so if it is empty.
+    fn begun(database: Database) -> Result<Ledger, Failed> {
+        let ledger = Ledger { database };
+        let format = {
+            let reading = ledger.database.begin_read().map_err(unreadable)?;
+            match reading.open_table(ABOUT) {
+                Ok(about) => about.get("format").map_err(unreadable)?.map(|f| f.value()),
+                Err(redb::TableError::TableDoesNotExist(_)) => None,
+                Err(e) => return Err(unreadable(e)),
+            }
+        };
+        match format {
+            Some(FORMAT) => Ok(ledger),
+            Some(later) => Err(unreadable(format!(
+                "is of format {later}; this build reads up to {FORMAT}: take a newer one"
+            ))),
+            None => {
+                let writing = ledger.database.begin_write().map_err(unwritten)?;
+                {
+                    let mut about = writing.open_table(ABOUT).map_err(unwritten)?;
+                    about.insert("format", FORMAT).map_err(unwritten)?;
+                    writing.open_table(SOURCES).map_err(unwritten)?;
+                    writing.open_table(SUMS).map_err(unwritten)?;
+                }
+                writing.commit().map_err(unwritten)?;
+                Ok(ledger)
+            }
+        }
+    }
+
+    /// Adds to what this source measured; on return it is on the disk. The number of this writing.
+    pub fn add(&self, source: Source, router: &str, more: &Sums) -> Result<u64, Failed> {
+        let writing = self.database.begin_write().map_err(unwritten)?;
+        let number;
+        {
+            let mut sources = writing.open_table(SOURCES).map_err(unwritten)?;
+            number = sources.get(source).map_err(unwritten)?.map_or(0, |s| s.value().0) + 1;
+            sources.insert(source, (number, router)).map_err(unwritten)?;
+            let mut sums = writing.open_table(SUMS).map_err(unwritten)?;
+            for (key, more) in &more.0 {
+                let row =
+                    (source, key.hour, key.account.as_ref(), key.function.as_ref(), kind_byte(key.kind));
+                let mut sum = match sums.get(row).map_err(unwritten)? {
+                    Some(was) => Sum { byte_us: was.value().0, count: was.value().1 },
+                    None => Sum::default(),
+                };
+                sum.add(*more);
+                sums.insert(row, (sum.byte_us, sum.count)).map_err(unwritten)?;
+            }
+        }
+        writing.commit().map_err(unwritten)?;
+        Ok(number)
+    }
+
+    /// All that is in it, as of one moment.
+    pub fn book(&self) -> Result<Book, Failed> {
+        let reading = self.database.begin_read().map_err(unreadable)?;
+        let mut book = Book::default();
+        let sources = reading.open_table(SOURCES).map_err(unreadable)?;
+        for row in sources.iter().map_err(unreadable)? {
+            let (source, about) = row.map_err(unreadable)?;
+            let (number, router) = about.value();
+            let measured = Measured { number, router: router.to_owned(), sums: Sums::default() };
+            book.0.insert(source.value(), measured);
+        }
+        let sums = reading.open_table(SUMS).map_err(unreadable)?;
+        for row in sums.iter().map_err(unreadable)? {
+            let (row, sum) = row.map_err(unreadable)?;
+            let (source, hour, account, function, kind) = row.value();
+            let kind =
+                *Kind::ALL.get(usize::from(kind)).ok_or_else(|| unreadable("has a kind of no meaning"))?;
+            let key = Key { hour, account: Arc::from(account), function: Arc::from(function), kind };
+            let (byte_us, count) = sum.value();
+            let measured = book.0.get_mut(&source).ok_or_else(|| unreadable("has sums of no source"))?;
+            measured.sums.0.insert(key, Sum { byte_us, count });
+        }
+        Ok(book)
+    }
+
+    /// Puts in what other ledgers have: of each source the later state counts.
+    pub fn join(&self, other: &Book) -> Result<(), Failed> {
+        let mut all = self.book()?;
+        let before = all.clone();
+        all.join(other.clone());
+        let writing = self.database.begin_write().map_err(unwritten)?;
+        {
+            let mut sources = writing.open_table(SOURCES).map_err(unwritten)?;
+            let mut sums = writing.open_table(SUMS).map_err(unwritten)?;
+            for (source, m) in all.0.iter().filter(|(s, m)| before.0.get(s) != Some(m)) {
+                sources.insert(source, (m.number, m.router.as_str())).map_err(unwritten)?;
+                for (key, sum) in &m.sums.0 {
+                    let row =
+                        (*source, key.hour, key.account.as_ref(), key.function.as_ref(), kind_byte(key.kind));
+                    sums.insert(row, (sum.byte_us, sum.count)).map_err(unwritten)?;
+                }
+            }
+        }
+        writing.commit().map_err(unwritten)
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/kept.rs
@@ -0,0 +1,150 @@
+//! A ledger whose writer is killed outright 200 times; files that are damaged, later, joined.
+
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+use cedarpulley_ledger::{Failed, Ledger, Writing};
+use cedarpulley_meter::sums::{Key, Kind, Sum, Sums};
+use rand::{Rng, SeedableRng};
+
+const FILE: &str = "CEDARPULLEY_TEST_LEDGER";
+
+fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+fn one(n: u64) -> Sums {
+    let mut sums = Sums::default();
+    for kind in [Kind::Running, Kind::Idle] {
+        let function = format!("f{}", n % 50).into();
+        sums.add(Key { hour: 7, account: "a".into(), function, kind }, Sum { byte_us: 1_000, count: 1 });
+    }
+    sums
+}
+
+/// Only with its file set, as the process to be killed: says each number that was acknowledged.
+#[test]
+fn writes_until_it_is_killed() {
+    let Some(file) = std::env::var_os(FILE) else { return };
+    let ledger = Ledger::open(Path::new(&file)).expect("it opens");
+    for n in 0..100_000 {
+        let number = ledger.add(1, "r", &one(n)).expect("written");
+        println!("acknowledged {number}");
+    }
+}
+
+#[test]
+fn killed_200_times_it_has_all_that_was_acknowledged() {
+    let file = folder("killed").join("meter.ledger");
+    let me = std::env::current_exe().expect("a path");
+    let mut random = rand_pcg::Pcg64Mcg::seed_from_u64(5);
+    let mut last = 0;
+    for _ in 0..200 {
+        let mut child = Command::new(&me)
+            .args(["--exact", "writes_until_it_is_killed", "--nocapture"])
+            .env(FILE, &file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("started");
+        std::thread::sleep(Duration::from_micros(3_000 + random.next_u64() % 20_000));
+        child.kill().expect("killed");
+        let said = BufReader::new(child.stdout.take().expect("piped"));
+        let said = said.lines().map_while(Result::ok);
+        let told = said.filter_map(|l| l.split("acknowledged ").nth(1)?.parse::<u64>().ok()).last();
+        child.wait().expect("gone");
+        let book = Ledger::open(&file).expect("it opens").book().expect("read");
+        // Nothing was begun, if it was killed before the file was.
+        let Some(m) = book.0.get(&1) else { continue };
+        assert!(m.number >= told.unwrap_or(last).max(last), "{} after {told:?} and {last}", m.number);
+        // Whole writings only: both kinds alike, and as many as the number says.
+        let by = m.sums.by(|k| k.kind);
+        assert_eq!(by[&Kind::Running], Sum { byte_us: u128::from(m.number) * 1_000, count: m.number });
+        assert_eq!(by[&Kind::Running], by[&Kind::Idle]);
+        last = m.number;
+    }
+    assert!(last > 100, "{last} writings in 200 lives");
+}
+
+#[test]
+fn a_file_cut_or_flipped_is_refused_or_right_and_never_a_panic() {
+    let at = folder("damaged");
+    let file = at.join("meter.ledger");
+    let ledger = Ledger::open(&file).expect("it opens");
+    (0..20).for_each(|n| {
+        ledger.add(1, "r", &one(n)).expect("written");
+    });
+    let whole = ledger.book().expect("read");
+    drop(ledger);
+    let bytes = std::fs::read(&file).expect("read");
+    let mut random = rand_pcg::Pcg64Mcg::seed_from_u64(6);
+    let mut refused = 0;
+    for n in 0..60 {
+        let mut damaged = bytes.clone();
+        let place = random.next_u64() as usize % damaged.len();
+        if n % 2 == 0 {
+            damaged.truncate(place)
+        } else {
+            damaged[place] ^= 0x10
+        }
+        let other = at.join(format!("{n}.ledger"));
+        std::fs::write(&other, &damaged).expect("written");
+        let read = std::panic::catch_unwind(|| Ledger::open(&other).and_then(|l| l.book()));
+        match read {
+            Ok(Ok(book)) => assert!(book == whole || book.0.is_empty(), "{n}: another book"),
+            Ok(Err(_)) => refused += 1,
+            Err(_) => panic!("{n}: a panic at {place}"),
+        }
+    }
+    assert!(refused > 10, "{refused}");
+}
+
+#[test]
+fn a_dozen_ledgers_join_in_any_order() {
+    let at = folder("joined");
+    let books: Vec<_> = (0..12u128)
+        .map(|source| {
+            let ledger = Ledger::open(&at.join(format!("{source}.ledger"))).expect("it opens");
+            (0..=source as u64).for_each(|n| {
+                ledger.add(source, &format!("r{source}"), &one(n)).expect("written");
+            });
+            ledger.book().expect("read")
+        })
+        .collect();
+    let joined = |name: &str, order: &mut dyn Iterator<Item = usize>| {
+        let ledger = Ledger::open(&at.join(name)).expect("it opens");
+        order.for_each(|n| ledger.join(&books[n]).expect("joined"));
+        ledger.book().expect("read")
+    };
+    let forth = joined("forth", &mut (0..12));
+    assert_eq!(forth, joined("back", &mut (0..12).rev().chain(0..12)));
+    assert_eq!(forth.sums().total().count, 2 * (1..=12).sum::<u64>());
+}
+
+#[test]
+fn writing_waits_longer_after_each_failure_and_sets_aside_once() {
+    let mut w = Writing::default();
+    assert!(w.is_due(0));
+    w.wrote(0);
+    assert!(!w.is_due(999_999) && w.is_due(1_000_000));
+    let mut now = 1_000_000;
+    for wait in [1, 2, 4, 8] {
+        w.failed(now);
+        assert!(!w.is_due(now + wait * 1_000_000 - 1) && w.is_due(now + wait * 1_000_000));
+        now += wait * 1_000_000;
+    }
+    assert_eq!((w.failures, w.sets_aside(), w.sets_aside()), (4, true, false));
+}
+
+#[test]
+fn what_cannot_be_written_is_told() {
+    let file = folder("twice").join("meter.ledger");
+    let _one = Ledger::open(&file).expect("it opens");
+    // Another's is not damaged, and must not be set aside.
+    assert!(matches!(Ledger::open(&file), Err(Failed::Unwritten(_))));
+    assert!(matches!(Ledger::open(Path::new("/proc/none/meter.ledger")), Err(Failed::Unwritten(_))));
+}
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -8,6 +8,7 @@
 use cedarpulley::Control;
 use cedarpulley::ids::{Ids, fingerprint};
 use cedarpulley::interface::*;
+use cedarpulley_meter::Held;
 
 use crate::admission::{Admission, FrontState, Pace};
 use crate::claims::{ClaimIx, Claims};
@@ -17,7 +18,7 @@
 use crate::table::Table;
 use crate::tokens::{self, Key, Seen, Tokens};
 use crate::waits::Waits;
-use crate::watch::{Given, Names, Watch};
+use crate::watch::{By, Given, Names, Used, Watch};
 use crate::{Answer, Delivery, Fate, FrontIx, OrderTicket, Payload, Reason, Taken, Ticket};
 
 /// Functions that may be accounted for at once; each costs the module a few figures a worker.
@@ -69,12 +70,15 @@
         note: CopyNote,
         crowd: Option<u32>,
         report: Report,
+        /// What the worker says it held of it.
+        held: Option<Held>,
         body: Payload,
     },
     OrderEnded {
         ticket: OrderTicket,
         result: OrderResult,
         copies: u32,
+        held: Option<Held>,
     },
     Probed {
         worker: WorkerIx,
@@ -237,6 +241,8 @@
     invs: Table<Inv>,
     funcs: Ids<String>,
     names: Vec<Arc<str>>,
+    /// Who asked for each function last, and the size of its copies.
+    asked: Vec<(u32, f64)>,
     workers: Ids<String>,
     claims: Claims,
     tokens: Tokens,
@@ -252,7 +258,7 @@
     orders: HashMap<OrderTicket, (Micros, bool)>,
     waits: Waits,
     stopping: bool,
-    watch: Option<Box<dyn Watch>>,
+    watch: Vec<Box<dyn Watch>>,
     pub counts: Counts,
 }
 
@@ -271,6 +277,7 @@
             invs: Table::default(),
             funcs: Ids::default(),
             names: Vec::new(),
+            asked: Vec::new(),
             workers: Ids::default(),
             claims: Claims::default(),
             tokens: Tokens::default(),
@@ -283,14 +290,14 @@
             orders: HashMap::new(),
             waits: Waits::default(),
             stopping: false,
-            watch: None,
+            watch: Vec::new(),
             counts: Counts::default(),
         }
     }
 
-    /// From now on told of everything.
+    /// From now on told of everything, too.
     pub fn watched_by(&mut self, watch: Box<dyn Watch>) {
-        self.watch = Some(watch);
+        self.watch.push(watch);
     }
 
     /// What happened goes in, what is to be done comes out, in order. `now` that goes back counts as standing
@@ -310,10 +317,12 @@
                 self.departed(delivery, out);
             }
             Input::List { mode, workers } => self.list(mode, &workers, out),
-            Input::DispatchEnded { ticket, outcome, note, crowd, report, body } => {
-                self.dispatch_ended(ticket, outcome, note, crowd, report, body, out);
+            Input::DispatchEnded { ticket, outcome, note, crowd, report, held, body } => {
+                self.dispatch_ended(ticket, outcome, note, crowd, report, held, body, out);
+            }
+            Input::OrderEnded { ticket, result, copies, held } => {
+                self.order_ended(ticket, result, copies, held, out);
             }
-            Input::OrderEnded { ticket, result, copies } => self.order_ended(ticket, result, copies, out),
             Input::Probed { worker, outcome, took, report } => {
                 self.decide(&Event::Probed { worker, outcome, took, report }, out);
             }
@@ -368,11 +377,10 @@
         about: About,
         out: &mut Vec<Output>,
     ) {
-        if let Some(watch) = &mut self.watch {
-            let (front, (trigger, account, taken)) = (delivery.front, about);
-            let (fate, reason, took) = (answer.fate, answer.reason, self.now - taken);
-            watch.answered(self.now, Given { inv, front, fate, reason, trigger, account, took });
-        }
+        let (front, (trigger, account, taken)) = (delivery.front, about);
+        let (fate, reason, took) = (answer.fate, answer.reason, self.now - taken);
+        let given = Given { inv, front, fate, reason, trigger, account, took };
+        self.watch.iter_mut().for_each(|w| w.answered(self.now, given));
         *self.counts.answers.entry((answer.fate, answer.reason)).or_default() += 1;
         out.push(Output::Answer { delivery, answer });
     }
@@ -391,7 +399,7 @@
             }
             Entry::TurnedAway { why, .. } => {
                 *self.counts.turned_away.entry((delivery.front, why)).or_default() += 1;
-                if let Some(watch) = &mut self.watch {
+                for watch in &mut self.watch {
                     watch.turned_away(self.now, delivery.front, knock.trigger, knock.account, why);
                 }
             }
@@ -482,8 +490,10 @@
         let func = self.funcs.enter(t.function.as_ref());
         if self.names.len() <= func as usize {
             self.names.resize(func as usize + 1, Arc::from(""));
+            self.asked.resize(func as usize + 1, (0, 0.0));
         }
         self.names[func as usize] = t.function.clone();
+        self.asked[func as usize] = (t.account, t.copy_mb);
         let dispatch_until = dispatch_within.map(|left| self.now + left);
         let inv = self.invs.insert(Inv {
             claim: NO_CLAIM,
@@ -520,8 +530,8 @@
         if let Some(until) = dispatch_until.filter(|&u| u < gives_up_at) {
             self.timer(until, Timer::WindowEnds(inv, generation));
         }
-        if let Some(watch) = &mut self.watch {
-            let mark = self.invs.get(inv).and_then(|i| i.mark.as_deref());
+        let mark = self.invs.get(inv).and_then(|i| i.mark.as_deref());
+        for watch in &mut self.watch {
             watch.taken(self.now, inv, t.delivery.front, mark, t.redelivered);
         }
         let arrival = Arrival {
@@ -721,6 +731,7 @@
         note: CopyNote,
         crowd: Option<u32>,
         report: Report,
+        held: Option<Held>,
         body: Payload,
         out: &mut Vec<Output>,
     ) {
@@ -735,6 +746,12 @@
         };
         sent.state = if outcome.never_ran() { Sent::NeverRan } else { Sent::MayHaveRun };
         let (worker, took) = (sent.worker, self.now - sent.at);
+        if let Some(it) = self.invs.get(inv) {
+            let (function, account, by) = (&*it.function, it.account, By::Dispatch(outcome, note));
+            let (copy_mb, lanes) = (it.copy_mb, it.lanes);
+            let used = Used { worker, function, account, by, took, copy_mb, lanes, held };
+            self.watch.iter_mut().for_each(|w| w.used(self.now, used));
+        }
         if outcome == Outcome::Succeeded
             && note == CopyNote::Found
             && let Some(it) = self.invs.get(inv)
@@ -758,8 +775,21 @@
         self.release(inv);
     }
 
-    fn order_ended(&mut self, ticket: OrderTicket, result: OrderResult, copies: u32, out: &mut Vec<Output>) {
+    fn order_ended(
+        &mut self,
+        ticket: OrderTicket,
+        result: OrderResult,
+        copies: u32,
+        held: Option<Held>,
+        out: &mut Vec<Output>,
+    ) {
         let Some((at, load)) = self.orders.remove(&ticket) else { return };
+        if let (true, Some(function)) = (load, self.names.get(ticket.func as usize)) {
+            let (account, copy_mb) = self.asked.get(ticket.func as usize).copied().unwrap_or((u32::MAX, 0.0));
+            let (worker, took, by, lanes) = (ticket.worker, self.now - at, By::Order(result), 1);
+            let used = Used { worker, function, account, by, took, copy_mb, lanes, held };
+            self.watch.iter_mut().for_each(|w| w.used(self.now, used));
+        }
         if load {
             self.waits.order_ended(self.now, ticket.func);
         }
@@ -799,7 +829,7 @@
                 }
                 Timer::Order(ticket) => {
                     if self.orders.contains_key(&ticket) {
-                        self.order_ended(ticket, OrderResult::TimedOut, 0, out);
+                        self.order_ended(ticket, OrderResult::TimedOut, 0, None, out);
                     }
                 }
             }
@@ -812,7 +842,7 @@
         if stands && sent.is_some_and(|d| d.state == Sent::Out) {
             out.push(Output::Withdraw(ticket));
             let (note, report) = (CopyNote::Untold, Report::default());
-            self.dispatch_ended(ticket, Outcome::TimedOut, note, None, report, Payload::default(), out);
+            self.dispatch_ended(ticket, Outcome::TimedOut, note, None, report, None, Payload::default(), out);
         }
     }
 
@@ -844,10 +874,8 @@
     fn decide(&mut self, event: &Event, out: &mut Vec<Output>) {
         let mut actions = Vec::new();
         self.control.decide(self.now, event, &mut actions);
-        if let Some(watch) = &mut self.watch {
-            let names = Names { functions: &self.names, workers: &self.workers };
-            watch.decided(self.now, event, &actions, names);
-        }
+        let names = Names { functions: &self.names, workers: &self.workers };
+        self.watch.iter_mut().for_each(|w| w.decided(self.now, event, &actions, names));
         // Endings that follow at once are told only after all actions of this step.
         let mut unsent = Vec::new();
         for action in actions {
@@ -904,7 +932,7 @@
         }
         for (ticket, outcome) in unsent {
             let (note, report) = (CopyNote::Untold, Report::default());
-            self.dispatch_ended(ticket, outcome, note, None, report, Payload::default(), out);
+            self.dispatch_ended(ticket, outcome, note, None, report, None, Payload::default(), out);
         }
     }
 
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -1,7 +1,8 @@
 //! Who listens to what the core sees and does, and never decides: a trace, later a ledger.
 
 use cedarpulley::ids::Ids;
-use cedarpulley::interface::{Action, Event, InvIx, Micros};
+use cedarpulley::interface::{Action, CopyNote, Event, InvIx, Micros, OrderResult, Outcome};
+use cedarpulley_meter::Held;
 
 use crate::entry::Short;
 use crate::{Fate, FrontIx, Reason};
@@ -38,6 +39,27 @@
     pub took: Micros,
 }
 
+/// What one dispatch, or one order to load, used of a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Used<'a> {
+    pub worker: u32,
+    pub function: &'a str,
+    /// Whose invocation it was; of an order: of the last that asked for the function.
+    pub account: u32,
+    pub by: By,
+    pub took: Micros,
+    pub copy_mb: f64,
+    pub lanes: u32,
+    /// As the worker reports it.
+    pub held: Option<Held>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum By {
+    Dispatch(Outcome, CopyNote),
+    Order(OrderResult),
+}
+
 /// Called in the order in which things happened, on the deciding path: it must not wait for anything.
 pub trait Watch {
     /// The module was told this and asked for that.
@@ -46,4 +68,5 @@
     fn taken(&mut self, now: Micros, inv: InvIx, front: FrontIx, mark: Option<&str>, redelivered: bool);
     fn answered(&mut self, now: Micros, given: Given);
     fn turned_away(&mut self, now: Micros, front: FrontIx, trigger: u32, account: u32, why: Short);
+    fn used(&mut self, now: Micros, used: Used);
 }
--- a/crates/router/tests/world.rs
+++ b/crates/router/tests/world.rs
@@ -164,6 +164,7 @@
             note: CopyNote::Untold,
             crowd: None,
             report: Report::default(),
+            held: None,
             body: Bytes::from_static(b"done").into(),
         });
     }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -117,6 +117,96 @@
     used: Instant,
     /// None while loading; then whether it stands.
     stands: Option<bool>,
+    use_of: Use,
+}
+
+/// Who used a copy: its time at work is parted among those it works for at once.
+struct Use {
+    /// Time at work, each moment divided by how many it worked for.
+    parted: f64,
+    at_work: usize,
+    since: Instant,
+}
+
+impl Use {
+    fn pass(&mut self) -> f64 {
+        let now = Instant::now();
+        let gone = (now - self.since).as_secs_f64();
+        self.since = now;
+        if self.at_work > 0 {
+            self.parted += gone / self.at_work as f64;
+        }
+        gone
+    }
+
+    /// Where this one's part begins, and for how long nobody was there before it.
+    fn join(&mut self) -> (f64, f64) {
+        let idle = self.at_work == 0;
+        let gone = self.pass();
+        self.at_work += 1;
+        (self.parted, if idle { gone } else { 0.0 })
+    }
+
+    fn leave(&mut self, began: f64) -> f64 {
+        self.pass();
+        self.at_work = self.at_work.saturating_sub(1);
+        self.parted - began
+    }
+}
+
+/// What one invocation, or one order, held; said in the log however it ends.
+struct Holds {
+    log: Log,
+    id: String,
+    account: String,
+    function: String,
+    bytes: u64,
+    running: u64,
+    loading: u64,
+    idle: u64,
+    reported: bool,
+}
+
+impl Holds {
+    fn header(&self) -> String {
+        format!(
+            "bytes={}, running={}, loading={}, idle={}",
+            self.bytes, self.running, self.loading, self.idle
+        )
+    }
+}
+
+impl Drop for Holds {
+    fn drop(&mut self) {
+        self.log.write(
+            "held",
+            json!({
+                "id": self.id, "account": self.account, "function": self.function, "bytes": self.bytes,
+                "running": self.running, "loading": self.loading, "idle": self.idle,
+                "reported": self.reported,
+            }),
+        );
+    }
+}
+
+const HELD: &str = "cedarpulley-held";
+
+/// Works for one invocation until it is dropped.
+struct AtWork {
+    it: Arc<Inner>,
+    function: String,
+    began: f64,
+    holds: Arc<Mutex<Holds>>,
+}
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        if let Some(life) = lock(&self.it.life).as_mut()
+            && let Some(copy) = life.copies.get_mut(&self.function)
+        {
+            lock(&self.holds).running = (copy.use_of.leave(self.began) * 1e6) as u64;
+        }
+    }
 }
 
 /// What one process of the worker holds.
@@ -322,7 +412,8 @@
         ["v2", "repository", "models", name, "load"] => {
             let name = model(name);
             it.log.write("ordered", json!({"function": name, "from": from.ip().to_string(), "held_since": it.cut.held_since(from.ip())}));
-            order(it, name).await
+            let account = header(&request, "cedarpulley-account");
+            order(it, name, account).await
         }
         ["v2", "repository", "models", name, "unload"] => {
             let name = model(name);
@@ -405,14 +496,16 @@
         }
         let lanes = Arc::new(Semaphore::new(0));
         let used = Instant::now();
-        let copy = Copy { lanes: lanes.clone(), copies, mb: needed, busy: 0, used, stands: None };
+        let use_of = Use { parted: 0.0, at_work: 0, since: used };
+        let copy = Copy { lanes: lanes.clone(), copies, mb: needed, busy: 0, used, stands: None, use_of };
         life.copies.insert(function.to_owned(), copy);
         life.loads += 1;
         (Found::Copy { lanes, began: true, waited: false }, true)
     }
 
     /// Fetches from the store and starts up; wakes whoever waits.
-    async fn load(self: Arc<Self>, function: String, program: Program) {
+    async fn load(self: Arc<Self>, function: String, program: Program, holds: Arc<Mutex<Holds>>) {
+        let began = Instant::now();
         self.log.write("loading", json!({"function": function}));
         let fetched = fetch(self.store, &function, program.copy_mb).await;
         if fetched {
@@ -423,6 +516,8 @@
         life.loads = life.loads.saturating_sub(1);
         let Some(copy) = life.copies.get_mut(&function) else { return };
         copy.stands = Some(fetched);
+        copy.use_of.since = Instant::now();
+        lock(&holds).loading = began.elapsed().as_micros() as u64;
         // A failed one lets all that wait go, to be told.
         copy.lanes.add_permits(if fetched { program.lanes * copy.copies } else { self.nature.most_waiting });
         if !fetched {
@@ -431,6 +526,20 @@
         self.log.write("loaded", json!({"function": function, "stands": fetched}));
     }
 
+    fn holds(&self, id: &str, account: &str, function: &str, program: &Program) -> Arc<Mutex<Holds>> {
+        Arc::new(Mutex::new(Holds {
+            log: self.log.clone(),
+            id: id.to_owned(),
+            account: account.to_owned(),
+            function: function.to_owned(),
+            bytes: (program.copy_mb * 1e6) as u64,
+            running: 0,
+            loading: 0,
+            idle: 0,
+            reported: false,
+        }))
+    }
+
     fn stands(&self, function: &str) -> bool {
         lock(&self.life).as_ref().and_then(|l| l.copies.get(function)?.stands) == Some(true)
     }
@@ -459,7 +568,11 @@
     fetching.await.unwrap_or(false)
 }
 
-async fn order(it: Arc<Inner>, function: String) -> Response<Body> {
+fn header(request: &Request<Incoming>, name: &str) -> String {
+    request.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+async fn order(it: Arc<Inner>, function: String, account: String) -> Response<Body> {
     if lock(&it.faults).draining {
         return full(StatusCode::SERVICE_UNAVAILABLE, "");
     }
@@ -467,8 +580,9 @@
     let kind = function.split(':').next().unwrap_or("").to_owned();
     let Some(program) = it.programs.get(&kind).cloned() else { return full(StatusCode::BAD_REQUEST, "") };
     let (found, begin) = it.find(&function, &program, true, 1);
+    let holds = it.holds("", &account, &function, &program);
     if begin {
-        it.ground.executor.spawn(it.clone().load(function.clone(), program)).detach();
+        it.ground.executor.spawn(it.clone().load(function.clone(), program, holds.clone())).detach();
     }
     let Found::Copy { lanes, .. } = found else { return full(StatusCode::INSUFFICIENT_STORAGE, "") };
     // Taken and given back at once: then it stands, or its load failed.
@@ -477,6 +591,7 @@
         true => {
             let mut response = full(StatusCode::OK, "");
             response.headers_mut().insert("cedarpulley-copies", HeaderValue::from_static("1"));
+            report(&mut response, &holds);
             response
         }
         false => full(StatusCode::INTERNAL_SERVER_ERROR, ""),
@@ -489,10 +604,10 @@
     function: String,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let header =
-        |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+    let header = |name: &str| header(&request, name);
     let (id, dispatch) = (header("cedarpulley-invocation"), header("cedarpulley-dispatch"));
     let (kind, token) = (header("cedarpulley-trigger-type"), header("idempotency-key"));
+    let account = header("cedarpulley-account");
     let json_length = header(JSON_LENGTH).parse::<usize>().ok();
     let held_since = it.cut.held_since(from.ip());
     let peer = from.ip();
@@ -540,7 +655,10 @@
             Some(new) => entered = Some(new),
             None => {
                 leaves.how = "repeat";
-                return repeated(&it, &id, &token, window).await;
+                let mut response = repeated(&it, &id, &token, window).await;
+                // It held nothing of its own.
+                report(&mut response, &it.holds(&id, &account, &function, &program));
+                return response;
             }
         }
     }
@@ -556,8 +674,10 @@
     };
     let waits = Held(it.clone(), |l: &mut Life| l.waiting = l.waiting.saturating_sub(1));
     let (found, begin) = it.find(&function, &program, it.nature.loads_when_absent, 1);
+    let holds = it.holds(&id, &account, &function, &program);
     if begin {
-        it.ground.executor.spawn(it.clone().load(function.clone(), program.clone())).detach();
+        let loading = it.clone().load(function.clone(), program.clone(), holds.clone());
+        it.ground.executor.spawn(loading).detach();
         if let Some(copy) = lock(&it.life).as_mut().and_then(|l| l.copies.get_mut(&function)) {
             copy.busy += 1;
         }
@@ -606,7 +726,17 @@
         life.running += 1;
     }
     let running = Held(it.clone(), |l: &mut Life| l.running = l.running.saturating_sub(1));
+    let at_work = {
+        let mut life = lock(&it.life);
+        let copy = life.as_mut().and_then(|l| l.copies.get_mut(&function));
+        copy.map(|copy| {
+            let (began, idle) = copy.use_of.join();
+            lock(&holds).idle = (idle * 1e6) as u64;
+            AtWork { it: it.clone(), function: function.clone(), began, holds: holds.clone() }
+        })
+    };
     run(&it, work).await;
+    drop(at_work);
     drop(running);
     drop(lane);
     let answer = echoed(&function, &id, json_length, &body.to_bytes());
@@ -636,9 +766,18 @@
     if let Ok(metrics) = HeaderValue::from_str(&metrics) {
         headers.insert("endpoint-load-metrics", metrics);
     }
+    report(&mut response, &holds);
     response
 }
 
+fn report(response: &mut Response<Body>, holds: &Mutex<Holds>) {
+    let mut holds = lock(holds);
+    if let Ok(held) = HeaderValue::from_str(&holds.header()) {
+        response.headers_mut().insert(HELD, held);
+        holds.reported = true;
+    }
+}
+
 /// Raw tensors come back as they came; of others only the name is told.
 fn echoed(function: &str, id: &str, json_length: Option<usize>, body: &Bytes) -> Told {
     let mut outputs = json!([]);
