Workers tell totals of their lives: a lost answer or a killed router loses no memory-second

Change: an answer tells what the worker's life has held so far for that tenant and function; of two readings the larger counts, by hour (crates/meter, a table in the ledger). Uncertain lines are settled by the same life. Orders to load say for whom they are and are charged to who they were sent for. Tests never get a port that another was given.

--- a/crates/cli/src/meter.rs
+++ b/crates/cli/src/meter.rs
@@ -149,14 +149,14 @@
     let book = book(files)?;
     let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", out.display());
     Ledger::open(out).and_then(|l| l.join(&book)).map_err(|e| wrong(&e))?;
-    say!("{} lives of routers in {}", book.0.len(), out.display());
+    say!("{} lives of routers in {}", book.measured.len(), out.display());
     Ok(true)
 }
 
 /// Byte-microseconds by account and kind.
 type ByTenant = BTreeMap<(String, Kind), u128>;
 
-/// As the workers' logs have it; what went out with no answer apart.
+/// As the workers' logs have it; and how much of it their answers at once did not tell.
 fn held(folder: &Path) -> Plain<(ByTenant, u128)> {
     let wrong = |e: std::io::Error| format!("{}: {e}", folder.display());
     let (mut held, mut untold) = (ByTenant::new(), 0);
@@ -173,14 +173,11 @@
                 let byte_us = bytes * u128::from(line[name].as_u64().unwrap_or(0));
                 if line["reported"] != true {
                     untold += byte_us;
-                    continue;
                 }
-                if byte_us == 0 {
-                    continue;
+                if byte_us > 0 {
+                    let account = line["account"].as_str().unwrap_or("").to_owned();
+                    *held.entry((account, kind)).or_default() += byte_us;
                 }
-                // An order to load does not say for whom it is: loads are compared over all.
-                let account = if kind == Kind::Loading { "" } else { line["account"].as_str().unwrap_or("") };
-                *held.entry((account.to_owned(), kind)).or_default() += byte_us;
             }
         }
     }
@@ -190,10 +187,7 @@
 fn reconcile(folder: &Path, json: bool) -> Plain<bool> {
     let sums: Sums = book(&all(&[folder.join("meter")])?)?.sums();
     let (held, untold) = held(&folder.join("traffic"))?;
-    let metered = sums.by(|k| {
-        let account = if k.kind == Kind::Loading { "" } else { &k.account };
-        (account.to_owned(), k.kind)
-    });
+    let metered = sums.by(|k| (k.account.to_string(), k.kind));
     let mut rows = Vec::new();
     let mut good = true;
     let keys = [Kind::Running, Kind::Loading, Kind::Idle];
@@ -224,12 +218,12 @@
     }
     say!("{:<16} {:<10} {:>14} {:>14} {:>8}", "tenant", "kind", "metered MB-s", "held MB-s", "apart");
     for ((tenant, kind), metered, held, apart) in rows {
-        let tenant = if tenant.is_empty() { "(all)" } else { &tenant };
+        let tenant = if tenant.is_empty() { "(none)" } else { &tenant };
         say!("{tenant:<16} {:<10} {metered:>14.3} {held:>14.3} {:>7.2}%", kind.name(), apart * 100.0);
     }
     let much = if uncertain > MOST_UNCERTAIN * total { ", above the aim of 1%" } else { "" };
     say!(
-        "uncertain {uncertain:.3} MB-s, {:.2}% of what was held{much}; held without an answer that arrived {untold:.3} MB-s",
+        "uncertain {uncertain:.3} MB-s, {:.2}% of what was held{much}; told late or never {untold:.3} MB-s",
         100.0 * uncertain / total.max(1e-9)
     );
     Ok(good)
--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use cedarpulley_standins::Ground;
@@ -31,6 +32,23 @@
     }
 }
 
+/// Ports that tests of this process were given.
+static GIVEN: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
+/// A port that is free now and that no other test was given. Symptom: two tests got the same one, as it is free again
+/// until the router listens, and one's clients called the other's router.
+pub fn free_address() -> SocketAddr {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut given = GIVEN.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    loop {
+        let address = TcpListener::bind(any).and_then(|l| l.local_addr()).expect("a free port");
+        if !given.contains(&address.port()) {
+            given.push(address.port());
+            return address;
+        }
+    }
+}
+
 /// A router with one worker whose invocations take so long.
 pub fn start(name: &str, work: Duration) -> Running {
     start_with(name, work, MOST_BODY / 1024, 1, "")
@@ -53,8 +71,7 @@
     let (at, programs) = (store.server.address, HashMap::from(programs));
     let worker =
         Worker::start(&ground, "worker", any, 1, nature, at, programs, Memory::default()).expect("a worker");
-    // A port that is free now; nobody else asks for it in the moment between.
-    let address = TcpListener::bind(any).and_then(|l| l.local_addr()).expect("a free port");
+    let address = free_address();
     let file = folder.join("router.toml");
     let settings = format!(
         "[router]\nseed = 1\nmemory_mb = {memory_mb}\nmost_body_kb = {body_kb}\n[[trigger]]\nname = \"once\"\neffect = \"non-idempotent\"\n\
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -111,7 +111,7 @@
                     let (it, worker, function) = (gateway.clone(), ticket.worker, function.clone());
                     let order = async move {
                         let Some(address) = it.address(worker) else { return };
-                        let request = requests::load(&address.to_string(), &function, 1);
+                        let request = requests::load(&address.to_string(), &function, 1, None);
                         let _ = it.pool.order(worker, address, request, LATE).await;
                     };
                     gateway.executor.spawn(order).detach();
--- a/crates/gateway/src/metering.rs
+++ b/crates/gateway/src/metering.rs
@@ -10,7 +10,7 @@
 
 use cedarpulley::interface::{Action, Event, InvIx, Micros, OrderResult};
 use cedarpulley_ledger::{Failed, Ledger, Writing};
-use cedarpulley_meter::{Ended, Load, Meter, Source, Sums};
+use cedarpulley_meter::{Ended, Load, Meter, Part, Source};
 use cedarpulley_router::FrontIx;
 use cedarpulley_router::entry::Short;
 use cedarpulley_router::watch::{By, Given, Names, Used, Watch};
@@ -26,9 +26,9 @@
     accounts: Vec<String>,
     wall_at_zero: Micros,
     /// One writing is on its way at most.
-    sums: Option<SyncSender<Sums>>,
+    parts: Option<SyncSender<Part>>,
     out: bool,
-    done: Receiver<Result<(), (Sums, String)>>,
+    done: Receiver<Result<(), (Part, String)>>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -41,8 +41,8 @@
     file: PathBuf,
     router: String,
     source: Source,
-    parts: Receiver<Sums>,
-    done: SyncSender<Result<(), (Sums, String)>>,
+    parts: Receiver<Part>,
+    done: SyncSender<Result<(), (Part, String)>>,
 ) {
     let (mut ledger, mut aside) = (None, Writing::default());
     for part in parts {
@@ -85,18 +85,18 @@
         std::fs::create_dir_all(&folder)?;
         let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
         let file = folder.join(format!("{}.ledger", name.chars().map(plain).take(64).collect::<String>()));
-        let (sums, parts) = sync_channel(1);
+        let (parts, received) = sync_channel(1);
         let (told, done) = sync_channel(1);
         let router = name.to_owned();
         let thread = std::thread::Builder::new()
             .name("ledger".into())
-            .spawn(move || write(file, router, source, parts, told))?;
+            .spawn(move || write(file, router, source, received, told))?;
         Ok(Metering(Rc::new(RefCell::new(Inner {
             meter: Meter::default(),
             writing: Writing::default(),
             accounts,
             wall_at_zero,
-            sums: Some(sums),
+            parts: Some(parts),
             out: false,
             done,
             thread: Some(thread),
@@ -126,7 +126,7 @@
             }
             std::thread::sleep(CLOSE_LOOK);
         }
-        it.sums = None;
+        it.parts = None;
         it.thread.take().is_none_or(|t| t.join().is_ok())
     }
 }
@@ -137,8 +137,8 @@
         self.out = false;
         match done {
             Ok(()) => self.writing.wrote(now),
-            Err((sums, why)) => {
-                self.meter.give_back(&sums);
+            Err((part, why)) => {
+                self.meter.give_back(&part);
                 self.writing.failed(now);
                 tracing::error!(why, failures = self.writing.failures, "the ledger was not written");
             }
@@ -151,8 +151,8 @@
             return true;
         }
         let part = self.meter.take();
-        let Some(sums) = self.sums.as_ref().filter(|_| !part.is_empty()) else { return false };
-        match sums.try_send(part) {
+        let Some(parts) = self.parts.as_ref().filter(|_| !part.is_empty()) else { return false };
+        match parts.try_send(part) {
             Ok(()) => self.out = true,
             Err(e) => {
                 let (std::sync::mpsc::TrySendError::Full(part)
@@ -178,12 +178,13 @@
         let wall = it.wall_at_zero + now;
         let account = it.accounts.get(u.account as usize).cloned();
         let account = account.as_deref().unwrap_or(UNKNOWN);
-        let Used { function, took, lanes, held, .. } = u;
+        let Used { worker, function, took, lanes, held, .. } = u;
         let copy_bytes = (u.copy_mb.max(0.0) * 1e6) as u64;
         match u.by {
             By::Dispatch(outcome, note) => {
                 it.meter.ended(Ended {
                     wall,
+                    worker,
                     account,
                     function,
                     outcome,
@@ -196,7 +197,7 @@
             }
             By::Order(result) => {
                 let known = !matches!(result, OrderResult::Broken | OrderResult::TimedOut);
-                it.meter.loaded(Load { wall, account, function, took, copy_bytes, known, held });
+                it.meter.loaded(Load { wall, worker, account, function, took, copy_bytes, known, held });
             }
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -158,14 +158,17 @@
                 self.pool.keep(ticket, task);
             }
             Output::Withdraw(ticket) => self.pool.withdraw(ticket),
-            Output::Order { ticket, function, copies, within } => {
+            Output::Order { ticket, function, account, copies, within } => {
                 let (it, worker) = (self.clone(), ticket.worker);
                 let order = async move {
                     let Some(address) = it.address(worker) else { return };
                     let host = address.to_string();
                     let request = match copies {
                         0 => requests::ready(&host, &function),
-                        n => requests::load(&host, &function, n),
+                        n => {
+                            let account = it.names.accounts.get(account as usize).map(String::as_str);
+                            requests::load(&host, &function, n, account)
+                        }
                     };
                     let result = it.pool.order(worker, address, request, within).await;
                     let held = result.as_ref().ok().and_then(|r| reports::held(&r.headers));
--- a/crates/kserve/src/reports.rs
+++ b/crates/kserve/src/reports.rs
@@ -1,6 +1,6 @@
 //! What an answer tells of the copy it ran on and of the worker's load.
 
-use cedarpulley::interface::{CopyNote, Micros, Report};
+use cedarpulley::interface::{CopyNote, Report};
 use cedarpulley_meter::Held;
 use http::HeaderMap;
 
@@ -17,11 +17,12 @@
 /// Load reports in the text form of the Open Request Cost Aggregation standard.
 pub const LOAD_METRICS: &str = "endpoint-load-metrics";
 
-/// What an invocation or an order to load held: `bytes=1000, running=3, loading=0, idle=7`, the times in microseconds.
+/// What a worker's present life has held so far for this account and function, in byte-microseconds:
+/// `life=9, running=3, loading=0, idle=7`.
 pub const HELD: &str = "cedarpulley-held";
 
-/// A worker that tells more than a petabyte, or than some thirty years, tells nonsense.
-const MOST_TOLD: u64 = 1 << 50;
+/// A worker that tells more than a terabyte for some thirty years tells nonsense.
+const MOST_TOLD: u128 = 1 << 90;
 
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
@@ -43,19 +44,19 @@
 
 /// Absent unless all four are told.
 pub fn held(headers: &HeaderMap) -> Option<Held> {
-    let (mut bytes, mut times) = (None, [None; 3]);
+    let (mut life, mut told) = (None, [None; 3]);
     for (name, value) in text(headers, HELD)?.split(',').filter_map(|p| p.trim().split_once('=')) {
-        let value = value.trim().parse::<u64>().ok().filter(|v| *v <= MOST_TOLD);
+        let total = value.trim().parse::<u128>().ok().filter(|v| *v <= MOST_TOLD);
         match name.trim() {
-            "bytes" => bytes = value,
-            "running" => times[0] = value,
-            "loading" => times[1] = value,
-            "idle" => times[2] = value,
+            "life" => life = value.trim().parse().ok(),
+            "running" => told[0] = total,
+            "loading" => told[1] = total,
+            "idle" => told[2] = total,
             _ => {}
         }
     }
-    let [Some(running), Some(loading), Some(idle)] = times else { return None };
-    Some(Held { bytes: bytes?, running: running as Micros, loading: loading as Micros, idle: idle as Micros })
+    let [Some(running), Some(loading), Some(idle)] = told else { return None };
+    Some(Held { life: life?, running, loading, idle })
 }
 
 /// `TEXT cpu_utilization=0.3, mem_utilization=0.5, named_metrics.held=4`; what cannot be read is absent.
--- a/crates/kserve/src/requests.rs
+++ b/crates/kserve/src/requests.rs
@@ -81,11 +81,15 @@
 }
 
 /// Hold at least so many copies.
-pub fn load(host: &str, function: &str, copies: u32) -> Request<Bytes> {
+/// `account`: for whose invocation.
+pub fn load(host: &str, function: &str, copies: u32, account: Option<&str>) -> Request<Bytes> {
     let path = format!("/v2/repository/models/{}/load", model(function));
     let body = format!("{{\"parameters\":{{\"copies\":{copies}}}}}");
     let mut r = request(Method::POST, host, &path, Bytes::from(body));
     r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(account) = account.and_then(|a| HeaderValue::from_str(a).ok()) {
+        r.headers_mut().insert(ACCOUNT, account);
+    }
     r
 }
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -10,9 +10,10 @@
 use std::path::Path;
 use std::sync::Arc;
 
+use cedarpulley_meter::Part;
 use cedarpulley_meter::books::{Book, Measured, Source};
-use cedarpulley_meter::sums::{Key, Kind, Sum, Sums};
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use cedarpulley_meter::sums::{Key, Kind, Readings, Sum, Sums};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, WriteTransaction};
 
 pub use writing::Writing;
 
@@ -25,6 +26,9 @@
 /// By source, hour, account, function and kind: byte-microseconds and count.
 const SUMS: TableDefinition<Row, (u128, u64)> = TableDefinition::new("sums");
 
+/// By life of a worker, hour, account, function and kind: the largest total that was read, in byte-microseconds.
+const READINGS: TableDefinition<(u64, u32, &str, &str, u8), u128> = TableDefinition::new("readings");
+
 /// Why a ledger could not be read or written; one line.
 #[derive(Debug)]
 pub enum Failed {
@@ -120,6 +124,7 @@
                     about.insert("format", FORMAT).map_err(unwritten)?;
                     writing.open_table(SOURCES).map_err(unwritten)?;
                     writing.open_table(SUMS).map_err(unwritten)?;
+                    writing.open_table(READINGS).map_err(unwritten)?;
                 }
                 writing.commit().map_err(unwritten)?;
                 Ok(ledger)
@@ -127,8 +132,9 @@
         }
     }
 
-    /// Adds to what this source measured; on return it is on the disk. The number of this writing.
-    pub fn add(&self, source: Source, router: &str, more: &Sums) -> Result<u64, Failed> {
+    /// Adds to what this source measured, and joins what it read; on return it is on the disk. The number of this
+    /// writing.
+    pub fn add(&self, source: Source, router: &str, more: &Part) -> Result<u64, Failed> {
         let writing = self.database.begin_write().map_err(unwritten)?;
         let number;
         {
@@ -136,7 +142,7 @@
             number = sources.get(source).map_err(unwritten)?.map_or(0, |s| s.value().0) + 1;
             sources.insert(source, (number, router)).map_err(unwritten)?;
             let mut sums = writing.open_table(SUMS).map_err(unwritten)?;
-            for (key, more) in &more.0 {
+            for (key, more) in &more.sums.0 {
                 let row =
                     (source, key.hour, key.account.as_ref(), key.function.as_ref(), kind_byte(key.kind));
                 let mut sum = match sums.get(row).map_err(unwritten)? {
@@ -146,6 +152,7 @@
                 sum.add(*more);
                 sums.insert(row, (sum.byte_us, sum.count)).map_err(unwritten)?;
             }
+            read(&writing, &more.readings)?;
         }
         writing.commit().map_err(unwritten)?;
         Ok(number)
@@ -160,7 +167,7 @@
             let (source, about) = row.map_err(unreadable)?;
             let (number, router) = about.value();
             let measured = Measured { number, router: router.to_owned(), sums: Sums::default() };
-            book.0.insert(source.value(), measured);
+            book.measured.insert(source.value(), measured);
         }
         let sums = reading.open_table(SUMS).map_err(unreadable)?;
         for row in sums.iter().map_err(unreadable)? {
@@ -170,9 +177,19 @@
                 *Kind::ALL.get(usize::from(kind)).ok_or_else(|| unreadable("has a kind of no meaning"))?;
             let key = Key { hour, account: Arc::from(account), function: Arc::from(function), kind };
             let (byte_us, count) = sum.value();
-            let measured = book.0.get_mut(&source).ok_or_else(|| unreadable("has sums of no source"))?;
+            let measured =
+                book.measured.get_mut(&source).ok_or_else(|| unreadable("has sums of no source"))?;
             measured.sums.0.insert(key, Sum { byte_us, count });
         }
+        let readings = reading.open_table(READINGS).map_err(unreadable)?;
+        for row in readings.iter().map_err(unreadable)? {
+            let (row, total) = row.map_err(unreadable)?;
+            let (life, hour, account, function, kind) = row.value();
+            let kind =
+                *Kind::ALL.get(usize::from(kind)).ok_or_else(|| unreadable("has a kind of no meaning"))?;
+            let key = Key { hour, account: Arc::from(account), function: Arc::from(function), kind };
+            book.readings.0.insert((life, key), total.value());
+        }
         Ok(book)
     }
 
@@ -185,7 +202,7 @@
         {
             let mut sources = writing.open_table(SOURCES).map_err(unwritten)?;
             let mut sums = writing.open_table(SUMS).map_err(unwritten)?;
-            for (source, m) in all.0.iter().filter(|(s, m)| before.0.get(s) != Some(m)) {
+            for (source, m) in all.measured.iter().filter(|(s, m)| before.measured.get(s) != Some(m)) {
                 sources.insert(source, (m.number, m.router.as_str())).map_err(unwritten)?;
                 for (key, sum) in &m.sums.0 {
                     let row =
@@ -193,7 +210,20 @@
                     sums.insert(row, (sum.byte_us, sum.count)).map_err(unwritten)?;
                 }
             }
+            read(&writing, &other.readings)?;
         }
         writing.commit().map_err(unwritten)
     }
 }
+
+fn read(writing: &WriteTransaction, readings: &Readings) -> Result<(), Failed> {
+    let mut known = writing.open_table(READINGS).map_err(unwritten)?;
+    for ((life, key), total) in &readings.0 {
+        let row = (*life, key.hour, key.account.as_ref(), key.function.as_ref(), kind_byte(key.kind));
+        let before = known.get(row).map_err(unwritten)?.map_or(0, |t| t.value());
+        if *total > before {
+            known.insert(row, *total).map_err(unwritten)?;
+        }
+    }
+    Ok(())
+}
--- a/crates/meter/src/accounting.rs
+++ b/crates/meter/src/accounting.rs
@@ -1,33 +1,36 @@
 //! What each thing that happened costs whom. Called with [`Meter::ended`] for each dispatch and [`Meter::loaded`] for
-//! each order to load, with what the worker said it held; [`Meter::take`] gives the sums since the last time.
+//! each order to load, with what the worker said it has held; [`Meter::take`] gives what is new since the last time.
 //!
 //! Mechanisms:
-//! 1. What a worker reports counts as reported, in the hour in which it ended. A copy's memory while it ran is parted
-//!    by the worker among those it ran at once, so the parts add up to what was held.
-//! 2. A load is charged once, whole, to whoever caused it: the invocation that found no copy, or the account for which
-//!    it was ordered. Those that waited for the same load are shown as sharing it and pay nothing for it.
-//! 3. Idle memory is charged to whoever uses the copy next. Each gap is reported in one answer, to one router, so
-//!    routers that share nothing never count it twice; what is never used again nobody pays.
-//! 4. A dispatch that may have run and of which nothing was reported is uncertain: its part of a copy from its sending
-//!    until it ended here. What never ran costs nothing, and is shown so.
+//! 1. A worker tells, in each answer, what its present life has held so far for that account and function. Of two such
+//!    readings the larger holds the other, whoever read it and whenever: a lost answer or a killed router loses
+//!    nothing that a later reading has, and routers that share nothing count nothing twice.
+//! 2. A copy's memory while it ran is parted by the worker among those it ran at once. A load is charged whole to
+//!    whoever caused it; those that waited for it are shown as sharing it and pay nothing. Idle memory is charged to
+//!    whoever uses the copy next.
+//! 3. A dispatch that may have run and of which nothing was heard is uncertain: its part of a copy from its sending
+//!    until it ended here. Once the same life of that worker is heard again for that account and function, its totals
+//!    hold what there was, and the line is settled. One that was heard in another life, or never, stays.
+//! 4. What never ran costs nothing, and is shown so.
 
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use cedarpulley::interface::{CopyNote, Micros, Outcome};
+use cedarpulley::interface::{CopyNote, Micros, Outcome, WorkerIx};
 
-use crate::sums::{HOUR, Key, Kind, Sum, Sums};
+use crate::sums::{HOUR, Key, Kind, Readings, Sum, Sums};
 
-/// What a worker says that one invocation, or one order, held of it.
+/// Lines that wait to be settled; beyond, they stay uncertain.
+const MOST_WAITING: usize = 100_000;
+
+/// What a worker's life has held so far for one account and function, in byte-microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Held {
-    /// Size of the copy.
-    pub bytes: u64,
-    /// Its part of the time during which the copy ran anything.
-    pub running: Micros,
-    /// Of the load that it began.
-    pub loading: Micros,
-    /// For how long the copy had stood idle when it came.
-    pub idle: Micros,
+    /// Drawn at random when the worker's process begins.
+    pub life: u64,
+    pub running: u128,
+    pub loading: u128,
+    pub idle: u128,
 }
 
 /// A dispatch that has ended.
@@ -35,6 +38,7 @@
 pub struct Ended<'a> {
     /// Wall's clock.
     pub wall: Micros,
+    pub worker: WorkerIx,
     pub account: &'a str,
     pub function: &'a str,
     pub outcome: Outcome,
@@ -50,6 +54,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Load<'a> {
     pub wall: Micros,
+    pub worker: WorkerIx,
     /// For whose invocation it was given.
     pub account: &'a str,
     pub function: &'a str,
@@ -60,64 +65,114 @@
     pub held: Option<Held>,
 }
 
+/// What is new.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Part {
+    pub sums: Sums,
+    pub readings: Readings,
+}
+
+impl Part {
+    pub fn is_empty(&self) -> bool {
+        self.sums.is_empty() && self.readings.0.is_empty()
+    }
+}
+
+type Line = (WorkerIx, Arc<str>, Arc<str>);
+
 #[derive(Debug, Default)]
 pub struct Meter {
-    sums: Sums,
+    part: Part,
+    /// The life in which each worker was heard last.
+    lives: HashMap<WorkerIx, u64>,
+    /// What is uncertain, by the hour it was counted in, and the life its worker was then known to have.
+    waiting: HashMap<Line, (Option<u64>, BTreeMap<u32, Sum>)>,
 }
 
 fn product(bytes: u64, time: Micros) -> u128 {
     u128::from(bytes) * time.max(0) as u128
 }
 
+fn hour(wall: Micros) -> u32 {
+    u32::try_from(wall.div_euclid(HOUR)).unwrap_or(0)
+}
+
 impl Meter {
     pub fn ended(&mut self, e: Ended) {
-        let mut add = |kind, byte_us| self.add(e.wall, e.account, e.function, kind, byte_us);
+        let line = (e.worker, Arc::from(e.account), Arc::from(e.function));
         match e.held {
-            Some(h) => {
-                let parts = [(Kind::Running, h.running), (Kind::Loading, h.loading), (Kind::Idle, h.idle)];
-                let held = parts.into_iter().filter(|(_, time)| *time > 0);
-                let mut any = false;
-                held.for_each(|(kind, time)| {
-                    any = true;
-                    add(kind, product(h.bytes, time));
-                });
-                if !any {
-                    add(Kind::Nothing, 0);
-                }
+            Some(held) => {
+                self.heard(e.wall, &line, held);
+                // A repeat that the worker dropped has no copy to tell of.
+                let kind = if e.note == CopyNote::Untold { Kind::Nothing } else { Kind::Running };
+                self.add(hour(e.wall), &line, kind, 0);
                 if e.note == CopyNote::Waited {
-                    add(Kind::Shared, 0);
+                    self.add(hour(e.wall), &line, Kind::Shared, 0);
                 }
             }
-            None if e.outcome.never_ran() => add(Kind::Nothing, 0),
-            None => add(Kind::Uncertain, product(e.copy_bytes / u64::from(e.lanes.max(1)), e.took)),
+            None if e.outcome.never_ran() => self.add(hour(e.wall), &line, Kind::Nothing, 0),
+            None => {
+                let part = product(e.copy_bytes / u64::from(e.lanes.max(1)), e.took);
+                self.uncertain(e.wall, line, part);
+            }
         }
     }
 
     pub fn loaded(&mut self, l: Load) {
+        let line = (l.worker, Arc::from(l.account), Arc::from(l.function));
         match l.held {
-            // It found the copy, or a load under way that is charged to whoever began it.
-            Some(Held { loading: ..=0, .. }) => {}
-            Some(h) => self.add(l.wall, l.account, l.function, Kind::Loading, product(h.bytes, h.loading)),
+            Some(held) => self.heard(l.wall, &line, held),
             None if l.known => {}
-            None => {
-                self.add(l.wall, l.account, l.function, Kind::Uncertain, product(l.copy_bytes, l.took));
-            }
+            None => self.uncertain(l.wall, line, product(l.copy_bytes, l.took)),
         }
     }
 
     /// Since the last time.
-    pub fn take(&mut self) -> Sums {
-        std::mem::take(&mut self.sums)
+    pub fn take(&mut self) -> Part {
+        std::mem::take(&mut self.part)
     }
 
     /// What could not be handed on comes back.
-    pub fn give_back(&mut self, sums: &Sums) {
-        self.sums.add_all(sums);
+    pub fn give_back(&mut self, part: &Part) {
+        self.part.sums.add_all(&part.sums);
+        self.part.readings.join(&part.readings);
+    }
+
+    fn heard(&mut self, wall: Micros, line: &Line, held: Held) {
+        self.lives.insert(line.0, held.life);
+        let totals = [(Kind::Running, held.running), (Kind::Loading, held.loading), (Kind::Idle, held.idle)];
+        for (kind, total) in totals.into_iter().filter(|(_, total)| *total > 0) {
+            let key = Key { hour: hour(wall), account: line.1.clone(), function: line.2.clone(), kind };
+            self.part.readings.read(held.life, key, total);
+        }
+        // Symptom: a worker that was silent for a while, or whose answer was lost, is charged for twice.
+        if let Some((life, hours)) = self.waiting.remove(line)
+            && life == Some(held.life)
+        {
+            hours.into_iter().for_each(|(hour, sum)| self.put(hour, line, Kind::Settled, sum));
+        }
+    }
+
+    fn uncertain(&mut self, wall: Micros, line: Line, byte_us: u128) {
+        let (life, sum) = (self.lives.get(&line.0).copied(), Sum { byte_us, count: 1 });
+        self.put(hour(wall), &line, Kind::Uncertain, sum);
+        if self.waiting.len() >= MOST_WAITING && !self.waiting.contains_key(&line) {
+            return;
+        }
+        let waiting = self.waiting.entry(line).or_insert((life, BTreeMap::new()));
+        if waiting.0 != life {
+            // Of another life: what waited until now stays uncertain.
+            *waiting = (life, BTreeMap::new());
+        }
+        waiting.1.entry(hour(wall)).or_default().add(sum);
+    }
+
+    fn add(&mut self, hour: u32, line: &Line, kind: Kind, byte_us: u128) {
+        self.put(hour, line, kind, Sum { byte_us, count: 1 });
     }
 
-    fn add(&mut self, wall: Micros, account: &str, function: &str, kind: Kind, byte_us: u128) {
-        let hour = u32::try_from(wall.div_euclid(HOUR)).unwrap_or(0);
-        let key = Key { hour, account: Arc::from(account), function: Arc::from(function), kind };
-        self.sums.add(key, Sum { byte_us, count: 1 });
+    fn put(&mut self, hour: u32, line: &Line, kind: Kind, sum: Sum) {
+        let key = Key { hour, account: line.1.clone(), function: line.2.clone(), kind };
+        self.part.sums.add(key, sum);
     }
 }
--- a/crates/meter/src/lib.rs
+++ b/crates/meter/src/lib.rs
@@ -6,6 +6,6 @@
 pub mod books;
 pub mod sums;
 
-pub use accounting::{Ended, Held, Load, Meter};
+pub use accounting::{Ended, Held, Load, Meter, Part};
 pub use books::{Book, Source};
-pub use sums::{Key, Kind, Sum, Sums};
+pub use sums::{Key, Kind, Readings, Sum, Sums};
--- a/crates/meter/src/sums.rs
+++ b/crates/meter/src/sums.rs
@@ -29,11 +29,21 @@
     Shared,
     /// Nothing was held: a repeat that the worker dropped, or one that never ran.
     Nothing,
+    /// Was uncertain, until its worker was heard again and its totals held what there was.
+    Settled,
 }
 
 impl Kind {
-    pub const ALL: [Kind; 6] =
-        [Kind::Running, Kind::Loading, Kind::Idle, Kind::Uncertain, Kind::Shared, Kind::Nothing];
+    /// Their places are the ledger's.
+    pub const ALL: [Kind; 7] = [
+        Kind::Running,
+        Kind::Loading,
+        Kind::Idle,
+        Kind::Uncertain,
+        Kind::Shared,
+        Kind::Nothing,
+        Kind::Settled,
+    ];
 
     pub fn name(self) -> &'static str {
         match self {
@@ -43,6 +53,7 @@
             Kind::Uncertain => "uncertain",
             Kind::Shared => "shared",
             Kind::Nothing => "nothing",
+            Kind::Settled => "settled",
         }
     }
 }
@@ -101,7 +112,67 @@
         out
     }
 
+    /// What was settled is taken off what was uncertain, hour by hour.
+    pub fn settled(&self) -> Sums {
+        let mut out = Sums::default();
+        for (key, sum) in self.0.iter().filter(|(key, _)| key.kind != Kind::Settled) {
+            let mut sum = *sum;
+            if key.kind == Kind::Uncertain
+                && let Some(off) = self.0.get(&Key { kind: Kind::Settled, ..key.clone() })
+            {
+                sum.byte_us = sum.byte_us.saturating_sub(off.byte_us);
+                sum.count = sum.count.saturating_sub(off.count);
+            }
+            out.0.insert(key.clone(), sum);
+        }
+        out
+    }
+
     pub fn total(&self) -> Sum {
         self.by(|_| ()).remove(&()).unwrap_or_default()
     }
 }
+
+/// Of one life of a worker: account, function and kind.
+type Line<'a> = (u64, &'a Arc<str>, &'a Arc<str>, Kind);
+
+/// The largest total that was read of each life of a worker in each hour.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Readings(pub BTreeMap<(u64, Key), u128>);
+
+impl Readings {
+    pub fn read(&mut self, life: u64, key: Key, total: u128) {
+        if self.0.len() >= MOST_KEYS && !self.0.contains_key(&(life, key.clone())) {
+            // A later reading of the same has it again.
+            return;
+        }
+        let known = self.0.entry((life, key)).or_default();
+        *known = total.max(*known);
+    }
+
+    pub fn join(&mut self, other: &Readings) {
+        for ((life, key), total) in &other.0 {
+            let known = self.0.entry((*life, key.clone())).or_default();
+            *known = (*total).max(*known);
+        }
+    }
+
+    /// By hour: what was read beyond the hours before. Totals of one life only grow.
+    pub fn sums(&self) -> Sums {
+        let mut by_line: BTreeMap<Line, BTreeMap<u32, u128>> = BTreeMap::new();
+        for ((life, key), total) in &self.0 {
+            let line = (*life, &key.account, &key.function, key.kind);
+            by_line.entry(line).or_default().insert(key.hour, *total);
+        }
+        let mut sums = Sums::default();
+        for ((_, account, function, kind), hours) in by_line {
+            let mut before = 0;
+            for (hour, total) in hours {
+                let key = Key { hour, account: account.clone(), function: function.clone(), kind };
+                sums.add(key, Sum { byte_us: total.saturating_sub(before), count: 0 });
+                before = total.max(before);
+            }
+        }
+        sums
+    }
+}
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -116,6 +116,8 @@
     Order {
         ticket: OrderTicket,
         function: Arc<str>,
+        /// Who asked for the function last.
+        account: u32,
         copies: u32,
         within: Micros,
     },
@@ -254,8 +256,8 @@
     coming: u64,
     timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
     serial: u64,
-    /// When each left, and whether it orders a load or only asks.
-    orders: HashMap<OrderTicket, (Micros, bool)>,
+    /// When each left, whether it orders a load or only asks, for whom, and the size of a copy.
+    orders: HashMap<OrderTicket, (Micros, bool, u32, f64)>,
     waits: Waits,
     stopping: bool,
     watch: Vec<Box<dyn Watch>>,
@@ -783,9 +785,8 @@
         held: Option<Held>,
         out: &mut Vec<Output>,
     ) {
-        let Some((at, load)) = self.orders.remove(&ticket) else { return };
+        let Some((at, load, account, copy_mb)) = self.orders.remove(&ticket) else { return };
         if let (true, Some(function)) = (load, self.names.get(ticket.func as usize)) {
-            let (account, copy_mb) = self.asked.get(ticket.func as usize).copied().unwrap_or((u32::MAX, 0.0));
             let (worker, took, by, lanes) = (ticket.worker, self.now - at, By::Order(result), 1);
             let used = Used { worker, function, account, by, took, copy_mb, lanes, held };
             self.watch.iter_mut().for_each(|w| w.used(self.now, used));
@@ -908,14 +909,16 @@
                     self.serial += 1;
                     let ticket = OrderTicket { worker, func, serial: self.serial };
                     let within = self.terms.order_answered_within;
-                    self.orders.insert(ticket, (self.now, copies > 0));
+                    let (account, copy_mb) =
+                        self.asked.get(func as usize).copied().unwrap_or((u32::MAX, 0.0));
+                    self.orders.insert(ticket, (self.now, copies > 0, account, copy_mb));
                     self.timer(self.now + within, Timer::Order(ticket));
                     self.counts.orders += u64::from(copies > 0);
                     if copies > 0 {
                         self.waits.ordered(func);
                     }
                     let function = self.names[func as usize].clone();
-                    out.push(Output::Order { ticket, function, copies, within });
+                    out.push(Output::Order { ticket, function, account, copies, within });
                 }
                 Action::Unload { worker, func } => {
                     out.push(Output::Unload { worker, function: self.names[func as usize].clone() });
