On rereading: bounded readings, loads nobody reported, tests of two guards

Cause: found on rereading. Readings that came back from a failing disk were joined without a bound; an order answered without a report counted as nothing held; two guards of shares.rs had no test; a damaged ledger read as empty would have passed its test; some lines of the docs claimed more than the code does. Change: what comes back is bounded and what has no room counted and logged; only an order that surely began no load costs nothing; stand-ins report on failed loads too; one loop looks after trace and ledger; the docs say what holds.

--- a/crates/gateway/src/metering.rs
+++ b/crates/gateway/src/metering.rs
@@ -140,7 +140,8 @@
             Err((part, why)) => {
                 self.meter.give_back(&part);
                 self.writing.failed(now);
-                tracing::error!(why, failures = self.writing.failures, "the ledger was not written");
+                let (failures, left_out) = (self.writing.failures, self.meter.left_out);
+                tracing::error!(why, failures, left_out, "the ledger was not written");
             }
         }
     }
@@ -196,8 +197,17 @@
                 });
             }
             By::Order(result) => {
-                let known = !matches!(result, OrderResult::Broken | OrderResult::TimedOut);
-                it.meter.loaded(Load { wall, worker, account, function, took, copy_bytes, known, held });
+                let never_began = matches!(result, OrderResult::Unreachable | OrderResult::NoRoom);
+                it.meter.loaded(Load {
+                    wall,
+                    worker,
+                    account,
+                    function,
+                    took,
+                    copy_bytes,
+                    never_began,
+                    held,
+                });
             }
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -31,7 +31,7 @@
 /// How often connections that have been idle too long are looked for.
 const TIDY: Duration = Duration::from_secs(5);
 /// A quiet router's last block is closed too, or a kill would lose what is minutes old; likewise the ledger.
-const LOOK_AT_TRACE: Duration = Duration::from_secs(1);
+const LOOK: Duration = Duration::from_secs(1);
 /// On stopping: what was taken has this long beyond the longest client timeout.
 const STOP_MARGIN: Micros = 2_000_000;
 /// A stopping router looks this often whether all is answered.
@@ -402,7 +402,7 @@
         safe: RefCell::new(times()),
         executor: executor.clone(),
         router: RefCell::new(router),
-        recorder: recorder.clone(),
+        recorder,
         metering,
         fronts: fronts.map(|(ix, s)| Rc::new(Front::new(ix as u32, s, most_body))).collect(),
         callers,
@@ -432,26 +432,16 @@
             }
         };
         executor.spawn(tidy).detach();
-        if let Some(recorder) = recorder {
-            let clock = gateway.clock;
-            let close_old = async move {
-                loop {
-                    Timer::after(LOOK_AT_TRACE).await;
-                    recorder.look(clock.now());
-                }
-            };
-            executor.spawn(close_old).detach();
-        }
-        if let Some(metering) = gateway.metering.clone() {
-            let clock = gateway.clock;
-            let write = async move {
-                loop {
-                    Timer::after(LOOK_AT_TRACE).await;
-                    metering.look(clock.now());
-                }
-            };
-            executor.spawn(write).detach();
-        }
+        let it = gateway.clone();
+        let look = async move {
+            loop {
+                Timer::after(LOOK).await;
+                let now = it.clock.now();
+                it.recorder.iter().for_each(|r| r.look(now));
+                it.metering.iter().for_each(|m| m.look(now));
+            }
+        };
+        executor.spawn(look).detach();
         tracing::info!(router = name, "running");
         signals.next().await;
         Ok(gateway.stop(longest).await)
--- a/crates/ledger/src/writing.rs
+++ b/crates/ledger/src/writing.rs
@@ -2,8 +2,9 @@
 //!
 //! Mechanisms:
 //! 1. Sums are written once a [`PACE`]: a power cut loses at most that, and a writing of many costs as much as of few.
-//! 2. After a failure they stay in memory and are tried again after a wait that doubles; the sums are bounded by their
-//!    keys, so a disk that is full for a week costs whose function it was, and no memory-second.
+//! 2. After a failure they stay in memory and are tried again after a wait that doubles. They are bounded by their
+//!    keys: of a disk that is full for a week, sums beyond lose whose function they were, and readings beyond are left
+//!    out and counted; a later reading has them again.
 //! 3. A ledger that cannot be read is set aside under another name, once in a life, and a new one begun: better a gap
 //!    that is told than a router that meters nothing.
 
--- a/crates/ledger/tests/kept.rs
+++ b/crates/ledger/tests/kept.rs
@@ -102,7 +102,7 @@
         std::fs::write(&other, &damaged).expect("written");
         let read = std::panic::catch_unwind(|| Ledger::open(&other).and_then(|l| l.book()));
         match read {
-            Ok(Ok(book)) => assert!(book == whole || book.measured.is_empty(), "{n}: another book"),
+            Ok(Ok(book)) => assert!(book == whole, "{n}: another book"),
             Ok(Err(_)) => refused += 1,
             Err(_) => panic!("{n}: a panic at {place}"),
         }
--- a/crates/meter/src/accounting.rs
+++ b/crates/meter/src/accounting.rs
@@ -60,8 +60,8 @@
     pub function: &'a str,
     pub took: Micros,
     pub copy_bytes: u64,
-    /// The worker answered, or surely never began.
-    pub known: bool,
+    /// No load was begun for it: the worker could not be reached, or had no room.
+    pub never_began: bool,
     pub held: Option<Held>,
 }
 
@@ -82,6 +82,8 @@
 
 #[derive(Debug, Default)]
 pub struct Meter {
+    /// Readings for which there was no room.
+    pub left_out: u64,
     part: Part,
     /// The life in which each worker was heard last.
     lives: HashMap<WorkerIx, u64>,
@@ -122,7 +124,7 @@
         let line = (l.worker, Arc::from(l.account), Arc::from(l.function));
         match l.held {
             Some(held) => self.heard(l.wall, &line, held),
-            None if l.known => {}
+            None if l.never_began => {}
             None => self.uncertain(l.wall, line, product(l.copy_bytes, l.took)),
         }
     }
@@ -135,7 +137,10 @@
     /// What could not be handed on comes back.
     pub fn give_back(&mut self, part: &Part) {
         self.part.sums.add_all(&part.sums);
-        self.part.readings.join(&part.readings);
+        // Not joined whole: with a disk that fails for long, each part's lines would come on top of the others'.
+        for ((life, key), total) in &part.readings.0 {
+            self.left_out += u64::from(!self.part.readings.read(*life, key.clone(), *total));
+        }
     }
 
     fn heard(&mut self, wall: Micros, line: &Line, held: Held) {
@@ -143,7 +148,7 @@
         let totals = [(Kind::Running, held.running), (Kind::Loading, held.loading), (Kind::Idle, held.idle)];
         for (kind, total) in totals.into_iter().filter(|(_, total)| *total > 0) {
             let key = Key { hour: hour(wall), account: line.1.clone(), function: line.2.clone(), kind };
-            self.part.readings.read(held.life, key, total);
+            self.left_out += u64::from(!self.part.readings.read(held.life, key, total));
         }
         // Symptom: a worker that was silent for a while, or whose answer was lost, is charged for twice.
         if let Some((life, hours)) = self.waiting.remove(line)
--- a/crates/meter/src/sums.rs
+++ b/crates/meter/src/sums.rs
@@ -60,7 +60,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key {
-    /// Since 1970, that in which it ended.
+    /// Since 1970, that in which it ended or was read.
     pub hour: u32,
     pub account: Arc<str>,
     pub function: Arc<str>,
@@ -141,13 +141,15 @@
 pub struct Readings(pub BTreeMap<(u64, Key), u128>);
 
 impl Readings {
-    pub fn read(&mut self, life: u64, key: Key, total: u128) {
-        if self.0.len() >= MOST_KEYS && !self.0.contains_key(&(life, key.clone())) {
-            // A later reading of the same has it again.
-            return;
+    /// False if there is no room for another line: a later reading of the same has it again.
+    pub fn read(&mut self, life: u64, key: Key, total: u128) -> bool {
+        let line = (life, key);
+        if self.0.len() >= MOST_KEYS && !self.0.contains_key(&line) {
+            return false;
         }
-        let known = self.0.entry((life, key)).or_default();
+        let known = self.0.entry(line).or_default();
         *known = total.max(*known);
+        true
     }
 
     pub fn join(&mut self, other: &Readings) {
--- a/crates/meter/tests/metered.rs
+++ b/crates/meter/tests/metered.rs
@@ -53,9 +53,9 @@
 
 #[test]
 fn a_load_is_charged_once_to_who_caused_it() {
-    let load = |known, held| {
+    let load = |never_began, held| {
         let (worker, account, function) = (1, "birch", "f");
-        let load = Load { wall: 1, worker, account, function, took: 9, copy_bytes: 10, known, held };
+        let load = Load { wall: 1, worker, account, function, took: 9, copy_bytes: 10, never_began, held };
         kinds(|m| m.loaded(load))
     };
     let held = Held { life: 9, loading: 80, ..Held::default() };
@@ -150,7 +150,9 @@
                 let sums = seen.entry((source, number)).or_insert(sums).clone();
                 let router = format!("r{source}");
                 let mut readings = Readings::default();
-                sums.0.iter().for_each(|(key, sum)| readings.read(number, key.clone(), sum.byte_us));
+                for (key, sum) in &sums.0 {
+                    readings.read(number, key.clone(), sum.byte_us);
+                }
                 Book { measured: [(source, Measured { number, router, sums })].into(), readings }
             })
             .collect();
@@ -162,6 +164,26 @@
     }
 }
 
+/// Symptom: the disk fails for days, and each part that comes back is kept on top of the others.
+#[test]
+fn what_comes_back_is_bounded_and_what_has_no_room_is_counted() {
+    let (mut meter, mut tried) = (Meter::default(), 0);
+    for round in 0..3u64 {
+        let part = meter.take();
+        for n in 0..60_000u64 {
+            let name = format!("f{round}-{n}");
+            let e = ended(Outcome::Succeeded, CopyNote::Found, Some(Held { idle: 0, ..HELD }));
+            meter.ended(Ended { function: &name, ..e });
+            tried += 1;
+        }
+        meter.give_back(&part);
+    }
+    let left_out = meter.left_out;
+    let book = booked(&mut meter);
+    assert!(book.readings.0.len() <= 100_000, "{}", book.readings.0.len());
+    assert_eq!(book.readings.0.len() as u64 + left_out, tried);
+}
+
 #[test]
 fn too_many_functions_lose_their_names_and_nothing_else() {
     let mut sums = Sums::default();
--- a/crates/router/tests/parts.rs
+++ b/crates/router/tests/parts.rs
@@ -276,6 +276,36 @@
     assert!(!s.spent(4_100 * ms, 0));
 }
 
+/// Symptom: in a cold start all come alike and wait for loads, and one pays for it.
+#[test]
+fn who_comes_no_more_often_pays_only_for_much_more_out() {
+    let mut s = Shares::new(&[1.0, 1.0]);
+    (0..40).for_each(|n| s.came(n, n as usize % 2));
+    (0..9).for_each(|_| s.entered(0, 0));
+    (0..5).for_each(|_| s.entered(0, 1));
+    (0..8).for_each(|_| s.ended(40, 0, 100.0, 1, Felt::Nearly));
+    s.ended(40, 1, 100.0, 1, Felt::Nearly);
+    assert_eq!((s.cap(0, 100.0), s.spent(40, 0)), (100.0, false));
+    (0..3).for_each(|_| s.entered(0, 0));
+    s.ended(41, 1, 100.0, 1, Felt::Nearly);
+    assert_eq!(s.cap(0, 100.0), 10.0, "twelve are more than twice five");
+}
+
+/// Symptom: a flood that is held to its pace has little out, suffers, and makes the quiet one pay.
+#[test]
+fn who_is_held_to_its_pace_charges_nobody() {
+    let mut s = Shares::new(&[1.0, 1.0]);
+    (0..40).for_each(|n| s.came(n, 0));
+    (0..8).for_each(|_| s.ended(40, 0, 100.0, 1, Felt::Crowded));
+    (0..20).for_each(|_| s.entered(0, 1));
+    (0..8).for_each(|_| s.ended(40, 1, 100.0, 1, Felt::Crowded));
+    (0..20).for_each(|_| s.entered(41, 0));
+    assert!(s.spent(41, 0), "it is held");
+    (0..20).for_each(|_| s.left(0));
+    s.ended(42, 0, 100.0, 1, Felt::Crowded);
+    assert_eq!(s.cap(1, 100.0), 100.0);
+}
+
 /// What succeeds enters as it came, though somebody else suffers.
 #[test]
 fn who_succeeds_at_its_pace_is_not_held_up() {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -606,15 +606,15 @@
     let Found::Copy { lanes, .. } = found else { return full(StatusCode::INSUFFICIENT_STORAGE, "") };
     // Taken and given back at once: then it stands, or its load failed.
     drop(lanes.acquire().await);
-    match it.stands(&function) {
-        true => {
-            let mut response = full(StatusCode::OK, "");
-            response.headers_mut().insert("cedarpulley-copies", HeaderValue::from_static("1"));
-            report(&mut response, &holds);
-            response
-        }
+    let mut response = match it.stands(&function) {
+        true => full(StatusCode::OK, ""),
         false => full(StatusCode::INTERNAL_SERVER_ERROR, ""),
+    };
+    if response.status() == StatusCode::OK {
+        response.headers_mut().insert("cedarpulley-copies", HeaderValue::from_static("1"));
     }
+    report(&mut response, &holds);
+    response
 }
 
 async fn infer(
