cedarpulley node serves on the users' platform: protocol, links, channel, signals

Change: crates/platform reads and writes the platform's wire without I/O (clients' requests on httparse, workers' lines, the command channel, the configuration, one table of endings) and decides which connection carries what (berths.rs) and which clients' connections stay (doorkeeper.rs). crates/platform-node is the process around the present core, on gateway's net. The settings' reader left benchlink for crates/birth and takes both forms, pairs and nested JSON. The core has a switch under which nothing beside the module chooses, and a last look right before a dispatch's first byte (service.rs).

--- a/crates/benchlink/src/codec.rs
+++ b/crates/benchlink/src/codec.rs
@@ -5,16 +5,12 @@
 
 use anyhow::{Context, Result, bail, ensure};
 use cedarpulley::interface::*;
+use cedarpulley_birth::{ReportField, field};
 
-use crate::born::{ReportField, field};
+pub use cedarpulley_birth::micros;
 
 const NANOS_PER_MICRO: i64 = 1_000;
 
-/// Outside time in whole microseconds; what is left of a span is rounded down.
-pub fn micros(nanos: i64) -> Micros {
-    nanos.div_euclid(NANOS_PER_MICRO)
-}
-
 /// The values of one line, in order.
 pub struct Values<'a>(Split<'a, char>);
 
--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -6,8 +6,8 @@
 use cedarpulley::Control;
 use cedarpulley::ids::{Ids, fingerprint};
 use cedarpulley::interface::*;
+use cedarpulley_birth::{Birth, ReportField, Sheet};
 
-use crate::born::{self, Born, ReportField};
 use crate::codec::{self, Names, Values, micros};
 
 /// What keeps the id of an invocation alive: it is not ended, or a dispatch is still out.
@@ -158,12 +158,12 @@
         if word == "born" {
             let seed = v.value("seed")?;
             let text = v.rest();
-            let Born { control, fields, crowds, triggers } = born::read(seed, &text)?;
+            let birth = Birth::read(&Sheet::pairs(&text)?)?;
             let instance = Instance {
-                control,
-                fields,
-                crowds,
-                triggers,
+                control: birth.control(seed),
+                triggers: birth.triggers.len() as u32,
+                crowds: birth.loads.crowds,
+                fields: birth.fields,
                 invs: Ids::default(),
                 open: Vec::new(),
                 funcs: Ids::default(),
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,6 +1,5 @@
 //! Hosts cedarpulley instances on the bench's wire: news in on standard input, actions out on standard output.
 
-mod born;
 mod codec;
 mod host;
 
--- a/crates/benchlink/src/born.rs
+++ b/crates/birth/src/lib.rs
@@ -1,12 +1,23 @@
-//! Reads the settings that an instance is born with.
+//! Reads the settings that a router's module is born with, in either of the two forms in which the users give them:
+//! pairs of path and value ([`Sheet::pairs`]) or nested JSON ([`Sheet::nested`]), under the same names and in the
+//! same units. [`Birth::read`] makes of them what the module takes; whoever needs more asks the sheet.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, bail, ensure};
 use cedarpulley::Control;
 use cedarpulley::interface::*;
+use serde_json::Value;
 
-use crate::codec::micros;
+/// Settings nested deeper than this are none of ours.
+const DEEPEST: usize = 16;
+const NANOS_PER_MICRO: i64 = 1_000;
+
+/// Outside time in whole microseconds; what is left of a span is rounded down.
+pub fn micros(nanos: i64) -> Micros {
+    nanos.div_euclid(NANOS_PER_MICRO)
+}
 
 /// The names of the values in a load report, in the order of the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,23 +30,65 @@
     Other,
 }
 
-struct Pairs<'a>(HashMap<&'a str, &'a str>);
+/// Every value under its path, as in `services.0.aim`; a list of objects has its length under `.count`.
+#[derive(Debug, Default)]
+pub struct Sheet<'a>(HashMap<Cow<'a, str>, Cow<'a, str>>);
 
-impl<'a> Pairs<'a> {
-    fn read(text: &'a str) -> Result<Self> {
+impl<'a> Sheet<'a> {
+    /// `path=value`, set apart by blanks.
+    pub fn pairs(text: &'a str) -> Result<Self> {
         let mut pairs = HashMap::new();
         for part in text.split(' ').filter(|p| !p.is_empty()) {
             let (path, value) = part.split_once('=').with_context(|| format!("setting '{part}' has no ="))?;
-            pairs.insert(path, value);
+            pairs.insert(Cow::Borrowed(path), Cow::Borrowed(value));
         }
         Ok(Self(pairs))
     }
 
-    fn text(&self, path: &str) -> Option<&'a str> {
-        self.0.get(path).copied().filter(|v| *v != "-")
+    /// The same as nested JSON.
+    pub fn nested(settings: &Value) -> Result<Self> {
+        ensure!(settings.is_object(), "the settings are no object");
+        let mut sheet = Self::default();
+        sheet.flatten(String::new(), settings, 0)?;
+        Ok(sheet)
+    }
+
+    fn flatten(&mut self, path: String, value: &Value, depth: usize) -> Result<()> {
+        ensure!(depth < DEEPEST, "setting {path} lies too deep");
+        let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+        match value {
+            Value::Object(fields) => {
+                for (name, value) in fields {
+                    self.flatten(below(name), value, depth + 1)?;
+                }
+            }
+            Value::Array(items) if items.iter().any(|i| i.is_object() || i.is_array()) => {
+                self.0.insert(below("count").into(), items.len().to_string().into());
+                for (n, item) in items.iter().enumerate() {
+                    self.flatten(below(&n.to_string()), item, depth + 1)?;
+                }
+            }
+            Value::Array(items) => {
+                let items: Vec<String> = items.iter().map(plain).collect();
+                self.0.insert(path.into(), items.join(",").into());
+            }
+            value => {
+                self.0.insert(path.into(), plain(value).into());
+            }
+        }
+        Ok(())
+    }
+
+    pub fn text(&self, path: &str) -> Option<&str> {
+        self.0.get(path).map(Cow::as_ref).filter(|v| *v != "-")
     }
 
-    fn number(&self, path: &str, absent: f64) -> Result<f64> {
+    /// The values of a plain list.
+    pub fn list(&self, path: &str) -> impl Iterator<Item = &str> {
+        self.text(path).into_iter().flat_map(|v| v.split(',')).filter(|v| !v.is_empty())
+    }
+
+    pub fn number(&self, path: &str, absent: f64) -> Result<f64> {
         match self.text(path) {
             None => Ok(absent),
             Some(v) => match v.parse::<f64>() {
@@ -45,7 +98,7 @@
         }
     }
 
-    fn time(&self, path: &str, absent: Micros) -> Result<Micros> {
+    pub fn time(&self, path: &str, absent: Micros) -> Result<Micros> {
         match self.text(path) {
             None => Ok(absent),
             Some(v) => {
@@ -54,7 +107,7 @@
         }
     }
 
-    fn flag(&self, path: &str, absent: bool) -> Result<bool> {
+    pub fn flag(&self, path: &str, absent: bool) -> Result<bool> {
         match self.text(path) {
             None => Ok(absent),
             Some("true" | "1") => Ok(true),
@@ -64,7 +117,7 @@
     }
 
     /// The length of a list of objects; a length beyond the pairs given is a fault.
-    fn count(&self, list: &str) -> Result<usize> {
+    pub fn count(&self, list: &str) -> Result<usize> {
         let n = self.number(&format!("{list}.count"), 0.0)?;
         if n < 0.0 || n.fract() != 0.0 || n > self.0.len() as f64 {
             bail!("setting {list}.count={n} does not fit the settings");
@@ -76,16 +129,49 @@
 /// An unlimited time, for rules that a site leaves out.
 const NEVER: Micros = i64::MAX / 8;
 
-/// A new router and what its wire needs to know.
-pub struct Born {
-    pub control: Control,
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// What the module is born with, and the fields of load reports.
+#[derive(Clone, Debug)]
+pub struct Birth {
+    pub fleet: FleetPosition,
+    pub limits: DispatchLimits,
+    pub rules: RuleTerms,
+    pub triggers: Vec<TriggerType>,
+    pub accounts: Vec<Account>,
+    pub loads: LoadTerms,
+    pub prices: Prices,
+    pub reports: ReportsIn,
     pub fields: Vec<ReportField>,
-    pub crowds: bool,
-    pub triggers: u32,
 }
 
-pub fn read(seed: u64, text: &str) -> Result<Born> {
-    let p = Pairs::read(text)?;
+impl Birth {
+    pub fn control(&self, seed: u64) -> Control {
+        Control::new(
+            seed,
+            self.fleet,
+            self.limits,
+            self.rules,
+            self.triggers.clone(),
+            self.accounts.clone(),
+            self.loads.clone(),
+            self.prices,
+            self.reports,
+        )
+    }
+
+    pub fn read(p: &Sheet) -> Result<Self> {
+        read(p)
+    }
+}
+
+fn read(p: &Sheet) -> Result<Birth> {
     let fleet = FleetPosition {
         routers: p.number("fleetSize", 1.0)?.max(1.0) as u32,
         position: p.number("position", 0.0)?.max(0.0) as u32,
@@ -149,7 +235,7 @@
         });
     }
     let mut memory_mb = Vec::new();
-    for v in p.text("familyInfo.machineMb").into_iter().flat_map(|v| v.split(',')) {
+    for v in p.list("familyInfo.machineMb") {
         memory_mb.push(v.parse().with_context(|| format!("setting familyInfo.machineMb holds '{v}'"))?);
     }
     let loads = LoadTerms {
@@ -176,18 +262,17 @@
         late_error: p.number("tariffs.lateFail", 0.0)?,
         over_share: p.number("overShareWorth", 1.0)?,
     };
-    let reports_in = match p.text("stats.how") {
+    let reports = match p.text("stats.how") {
         Some("answers") => ReportsIn::Answers,
         Some("probe") => ReportsIn::Probes,
         Some("none") | None => ReportsIn::Nothing,
         Some(v) => bail!("setting stats.how={v} is unknown"),
     };
-    let fields = p.text("stats.fields").unwrap_or("").split(',').map(field).collect();
-    let (crowds, types) = (loads.crowds, triggers.len() as u32);
-    let control = Control::new(seed, fleet, limits, rules, triggers, accounts, loads, prices, reports_in);
-    Ok(Born { control, fields, crowds, triggers: types })
+    let fields = p.list("stats.fields").map(field).collect();
+    Ok(Birth { fleet, limits, rules, triggers, accounts, loads, prices, reports, fields })
 }
 
+/// What a load report's value of this name tells.
 pub fn field(name: &str) -> ReportField {
     match name {
         "rif" => ReportField::Held,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -57,6 +57,8 @@
         #[arg(long, hide = true)]
         tamper: Option<String>,
     },
+    /// Runs one router on the users' platform, as its environment says, until SIGTERM or SIGINT.
+    Node,
     /// Reads the settings and says all that is wrong; starts nothing.
     Check { settings: PathBuf },
     /// Runs one stand-in in the foreground.
@@ -138,6 +140,7 @@
     }
     let done = match line.command {
         Command::Serve { settings, tamper } => serve(&settings, tamper),
+        Command::Node => cedarpulley_platform_node::run().map(|()| true),
         Command::Check { settings } => read(&settings).map(|_| {
             say!("{}: good", settings.display());
             true
--- /dev/null
+++ b/crates/platform/src/berths.rs
@@ -0,0 +1,166 @@
+//! Decides which connection to a worker carries what, when one is opened, and when one is given up. Call
+//! [`Berths::place`] for each thing to be sent, and say what became of it: [`Berths::opened`], [`Berths::heard`],
+//! [`Berths::ended`], [`Berths::closed`]; [`Berths::stale`] names those to close now.
+//!
+//! Mechanisms:
+//! 1. A connection of its own for each thing out, as long as descriptors allow: what goes wrong with one answer takes
+//!    no other with it. Beyond that the one with the fewest out is shared, up to the streams allowed.
+//! 2. The idle connection used last is used next: it is the least likely to have been closed meanwhile.
+//! 3. One on which something ended without its answer takes nothing more: a late answer cannot be taken for that of a
+//!    later dispatch of the same id. Symptom besides: a worker's machine vanished, its connections stay open and swallow
+//!    whatever is sent, while a new one would not come up and so prove that nothing ran.
+
+use std::collections::BTreeMap;
+
+use cedarpulley::interface::{Micros, WorkerIx};
+
+pub type ConnIx = u64;
+
+/// An idle connection is closed from here somewhat before the worker closes it, or a request may cross that.
+const IDLE_PART: (Micros, Micros) = (4, 5);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    On(ConnIx),
+    /// On a new connection, which has this number from now on.
+    Open(ConnIx),
+    /// Neither may another be opened nor one be shared further.
+    Full,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Conn {
+    worker: WorkerIx,
+    out: usize,
+    up: bool,
+    /// When something was last sent or ended, and since when an answer has been coming that is not whole.
+    used: Micros,
+    midway: Option<Micros>,
+    /// It is only waited for until all on it has ended.
+    retired: bool,
+}
+
+#[derive(Debug)]
+pub struct Berths {
+    most: usize,
+    streams: usize,
+    idle_kept: Micros,
+    half_answer: Micros,
+    conns: BTreeMap<ConnIx, Conn>,
+    by_worker: BTreeMap<WorkerIx, Vec<ConnIx>>,
+    last: ConnIx,
+    pub full: u64,
+}
+
+impl Berths {
+    /// `most`: connections at once to all workers; `streams`: things out at once on one; `half_answer`: the rest of
+    /// an answer that has begun comes within this time.
+    pub fn new(most: usize, streams: usize, idle_kept: Micros, half_answer: Micros) -> Self {
+        Berths {
+            most,
+            streams,
+            idle_kept: idle_kept * IDLE_PART.0 / IDLE_PART.1,
+            half_answer,
+            conns: BTreeMap::new(),
+            by_worker: BTreeMap::new(),
+            last: 0,
+            full: 0,
+        }
+    }
+
+    /// Where the next thing for this worker goes; it counts as out there from now on.
+    pub fn place(&mut self, now: Micros, worker: WorkerIx) -> Place {
+        let of = self.by_worker.get(&worker).map_or(&[][..], Vec::as_slice);
+        let open = || of.iter().filter_map(|ix| Some((*ix, self.conns.get(ix)?))).filter(|(_, c)| !c.retired);
+        let idle = open().filter(|(_, c)| c.up && c.out == 0).max_by_key(|(_, c)| c.used);
+        let choice = match idle {
+            Some((ix, _)) => Some(ix),
+            None if self.conns.len() < self.most => None,
+            None => {
+                let shared = open().filter(|(_, c)| c.out < self.streams).min_by_key(|(_, c)| c.out);
+                let Some((ix, _)) = shared else {
+                    self.full += 1;
+                    return Place::Full;
+                };
+                Some(ix)
+            }
+        };
+        match choice {
+            Some(ix) => {
+                if let Some(conn) = self.conns.get_mut(&ix) {
+                    conn.out += 1;
+                    conn.used = now;
+                }
+                Place::On(ix)
+            }
+            None => {
+                self.last += 1;
+                let conn = Conn { worker, out: 1, up: false, used: now, midway: None, retired: false };
+                self.conns.insert(self.last, conn);
+                self.by_worker.entry(worker).or_default().push(self.last);
+                Place::Open(self.last)
+            }
+        }
+    }
+
+    /// The connection is up.
+    pub fn opened(&mut self, ix: ConnIx) {
+        if let Some(conn) = self.conns.get_mut(&ix) {
+            conn.up = true;
+        }
+    }
+
+    /// Bytes came; `midway`: the answer they belong to is not whole yet.
+    pub fn heard(&mut self, now: Micros, ix: ConnIx, midway: bool) {
+        if let Some(conn) = self.conns.get_mut(&ix) {
+            conn.midway = if midway { conn.midway.or(Some(now)) } else { None };
+        }
+    }
+
+    /// One thing that was out there has ended; true if the connection is to be closed now. `answered`: by an answer.
+    pub fn ended(&mut self, now: Micros, ix: ConnIx, answered: bool) -> bool {
+        let Some(conn) = self.conns.get_mut(&ix) else { return false };
+        conn.out = conn.out.saturating_sub(1);
+        conn.used = now;
+        // Its answer may still come, or never; nothing more is entrusted to this connection.
+        conn.retired |= !answered;
+        conn.retired && conn.out == 0
+    }
+
+    pub fn closed(&mut self, ix: ConnIx) {
+        if let Some(conn) = self.conns.remove(&ix)
+            && let Some(of) = self.by_worker.get_mut(&conn.worker)
+        {
+            of.retain(|c| *c != ix);
+            if of.is_empty() {
+                self.by_worker.remove(&conn.worker);
+            }
+        }
+    }
+
+    /// Nothing new goes to this worker: its connections close as they fall idle.
+    pub fn retire(&mut self, worker: WorkerIx) {
+        for ix in self.by_worker.get(&worker).map_or(&[][..], Vec::as_slice) {
+            if let Some(conn) = self.conns.get_mut(ix) {
+                conn.retired = true;
+            }
+        }
+    }
+
+    /// Connections to be closed now: idle for too long or retired, or stuck in the middle of an answer.
+    pub fn stale(&self, now: Micros) -> Vec<ConnIx> {
+        let stale = |c: &Conn| {
+            let idle = c.up && c.out == 0 && (c.retired || now - c.used > self.idle_kept);
+            idle || c.midway.is_some_and(|since| now - since > self.half_answer)
+        };
+        self.conns.iter().filter(|(_, c)| stale(c)).map(|(ix, _)| *ix).collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.conns.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/doorkeeper.rs
@@ -0,0 +1,137 @@
+//! Decides which clients' connections stay. Call [`Doorkeeper::came`] for each new one, and say what it does:
+//! [`Doorkeeper::began`], [`Doorkeeper::whole`], [`Doorkeeper::answering`], [`Doorkeeper::answered`], [`Doorkeeper::left`];
+//! [`Doorkeeper::overdue`] names those whose time is over.
+//!
+//! Mechanisms:
+//! 1. A connection must have sent a whole request soon after it came, and each later one soon after its first byte.
+//!    Symptom: hundreds connect and send nothing, or send a byte now and then.
+//! 2. With the table full, the one longest without an open request goes; those that never sent one go first.
+//! 3. One that has had its answer may stay idle for as long as clients keep theirs.
+
+use std::collections::BTreeMap;
+
+use cedarpulley::interface::Micros;
+
+pub type CallerIx = u64;
+
+/// Descriptors for what is neither a client's nor a worker's connection: listener, channel, signals, the runtime's own,
+/// and connections that are just being closed or turned away.
+const RESERVE: usize = 32;
+
+/// Descriptors for clients and for workers. Usual clients hold a third of all at most; half of all leaves them room beside
+/// silent ones.
+pub fn descriptors(limit: u64) -> (usize, usize) {
+    let limit = limit.min(1 << 20) as usize;
+    let clients = (limit / 2).max(1);
+    (clients, limit.saturating_sub(clients + RESERVE).max(1))
+}
+
+/// A client sends its request in one go; the protocol's worst client must have its refusal or close 3 s after
+/// connecting.
+const WHOLE_WITHIN: Micros = 2_000_000;
+/// Clients close what has been idle for 4 s; those that never do are closed a little later.
+const IDLE_KEPT: Micros = 5_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Has never sent a whole request.
+    Fresh,
+    /// Between requests.
+    Idle,
+    /// A later request has begun.
+    Sending,
+    /// Owed an answer.
+    Open,
+    /// Its answer is being written, or it was the last one.
+    Leaving,
+}
+
+#[derive(Debug)]
+pub struct Doorkeeper {
+    most: usize,
+    callers: BTreeMap<CallerIx, (State, Micros)>,
+    last: CallerIx,
+    pub turned_out: u64,
+}
+
+impl Doorkeeper {
+    pub fn new(most: usize) -> Self {
+        Doorkeeper { most, callers: BTreeMap::new(), last: 0, turned_out: 0 }
+    }
+
+    /// A new connection: its number, and one that has to go for it. None if all that are here are owed an answer.
+    pub fn came(&mut self, now: Micros) -> Option<(CallerIx, Option<CallerIx>)> {
+        let mut out = None;
+        if self.callers.len() >= self.most {
+            let rank = |(_, (state, since)): &(&CallerIx, &(State, Micros))| match state {
+                State::Fresh => Some((0, *since)),
+                State::Leaving => Some((1, *since)),
+                State::Idle => Some((2, *since)),
+                State::Sending => Some((3, *since)),
+                State::Open => None,
+            };
+            let first = self.callers.iter().filter(|c| rank(c).is_some()).min_by_key(rank);
+            let ix = *first?.0;
+            self.callers.remove(&ix);
+            self.turned_out += 1;
+            out = Some(ix);
+        }
+        self.last += 1;
+        self.callers.insert(self.last, (State::Fresh, now));
+        Some((self.last, out))
+    }
+
+    fn set(&mut self, ix: CallerIx, state: State, now: Micros) {
+        if let Some(caller) = self.callers.get_mut(&ix) {
+            *caller = (state, now);
+        }
+    }
+
+    /// Bytes of a request came that is not whole.
+    pub fn began(&mut self, now: Micros, ix: CallerIx) {
+        if self.callers.get(&ix).is_some_and(|c| c.0 == State::Idle) {
+            self.set(ix, State::Sending, now);
+        }
+    }
+
+    /// A whole request came.
+    pub fn whole(&mut self, now: Micros, ix: CallerIx) {
+        self.set(ix, State::Open, now);
+    }
+
+    /// Its answer is written.
+    pub fn answered(&mut self, now: Micros, ix: CallerIx) {
+        self.set(ix, State::Idle, now);
+    }
+
+    /// Its answer is being written; a client that does not read it has only so long.
+    pub fn answering(&mut self, now: Micros, ix: CallerIx) {
+        self.set(ix, State::Leaving, now);
+    }
+
+    pub fn left(&mut self, ix: CallerIx) {
+        self.callers.remove(&ix);
+    }
+
+    pub fn overdue(&self, now: Micros) -> Vec<CallerIx> {
+        let over = |&(state, since): &(State, Micros)| match state {
+            State::Fresh | State::Sending | State::Leaving => now - since > WHOLE_WITHIN,
+            State::Idle => now - since > IDLE_KEPT,
+            State::Open => false,
+        };
+        self.callers.iter().filter(|(_, c)| over(c)).map(|(ix, _)| *ix).collect()
+    }
+
+    /// Idle ones, when nothing more is taken.
+    pub fn idle(&self) -> Vec<CallerIx> {
+        self.callers.iter().filter(|(_, c)| c.0 != State::Open).map(|(ix, _)| *ix).collect()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.callers.is_empty()
+    }
+
+    pub fn len(&self) -> usize {
+        self.callers.len()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/workers.rs
@@ -0,0 +1,192 @@
+//! The lines spoken with workers: [`call`], [`withdraw`], [`load`], [`unload`] and [`probe`] write them, [`Reader`]
+//! cuts answers out of the bytes that come.
+//!
+//! A line that cannot be read, has no end in time or claims more than its bound ends its connection: nothing after
+//! it can be trusted, and nothing is allocated for what it claims.
+
+use std::io::Write;
+
+use bytes::Bytes;
+use cedarpulley::interface::{Micros, Report};
+use cedarpulley_birth::ReportField;
+
+use crate::endings::Word;
+
+/// An answer's line: an id, a word, a few figures, a length.
+const MOST_LINE: usize = 1 << 10;
+/// Bodies of answers.
+const MOST_BODY: usize = 256 << 10;
+
+/// What a worker is told of an invocation.
+pub struct Call<'a> {
+    pub id: &'a str,
+    pub trigger: &'a str,
+    pub function: &'a str,
+    pub time_left: Micros,
+    pub token: Option<&'a str>,
+    pub body: &'a [u8],
+}
+
+/// Writing to memory cannot fail.
+fn put(out: &mut Vec<u8>, text: std::fmt::Arguments) {
+    let _ = out.write_fmt(text);
+}
+
+pub fn call(out: &mut Vec<u8>, c: &Call) {
+    let ms = (c.time_left / 1_000).max(1);
+    put(out, format_args!("FN {} kind={},obj={},ms={ms}", c.id, c.trigger, c.function));
+    if let Some(token) = c.token {
+        put(out, format_args!(",token={token}"));
+    }
+    put(out, format_args!(" {}\r\n", c.body.len()));
+    out.extend_from_slice(c.body);
+    out.extend_from_slice(b"\r\n");
+}
+
+pub fn withdraw(out: &mut Vec<u8>, id: &str) {
+    put(out, format_args!("KILL {id}\r\n"));
+}
+
+pub fn load(out: &mut Vec<u8>, tag: &str, function: &str, copies: u32) {
+    put(out, format_args!("SPAWN {tag} obj={function},n={copies}\r\n"));
+}
+
+pub fn unload(out: &mut Vec<u8>, function: &str) {
+    put(out, format_args!("REAP {function}\r\n"));
+}
+
+pub fn probe(out: &mut Vec<u8>, tag: &str) {
+    put(out, format_args!("TOP {tag}\r\n"));
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub id: String,
+    pub word: Word,
+    /// Invocations of the same function that the worker held when this one came.
+    pub crowd: u32,
+    /// Loaded copies.
+    pub copies: u32,
+    pub report: Report,
+    pub body: Bytes,
+}
+
+/// What cannot be read, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Garbled {
+    Line,
+    Endless,
+    Fields,
+    Length,
+    End,
+}
+
+#[derive(Debug, Default)]
+pub struct Reader {
+    bytes: Vec<u8>,
+    /// Looked through for the end of a line.
+    searched: usize,
+}
+
+impl Reader {
+    pub fn put(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// An answer has begun and is not whole.
+    pub fn midway(&self) -> bool {
+        !self.bytes.is_empty()
+    }
+
+    pub fn next(&mut self, fields: &[ReportField]) -> Result<Option<Answer>, Garbled> {
+        let from = self.searched.min(self.bytes.len());
+        let Some(end) = self.bytes[from..].iter().position(|b| *b == b'\n').map(|n| from + n) else {
+            self.searched = self.bytes.len();
+            return if self.bytes.len() > MOST_LINE { Err(Garbled::Endless) } else { Ok(None) };
+        };
+        self.searched = end;
+        if end > MOST_LINE {
+            return Err(Garbled::Endless);
+        }
+        let line = self.bytes[..end].strip_suffix(b"\r").ok_or(Garbled::Line)?;
+        let line = std::str::from_utf8(line).map_err(|_| Garbled::Line)?;
+        let mut words = line.split(' ');
+        let (Some(id), Some(word), Some(told), Some(length), None) =
+            (words.next(), words.next(), words.next(), words.next(), words.next())
+        else {
+            return Err(Garbled::Line);
+        };
+        let word = Word::read(word.as_bytes()).ok_or(Garbled::Line)?;
+        if id.is_empty() {
+            return Err(Garbled::Line);
+        }
+        let length = whole(length).filter(|n| *n as usize <= MOST_BODY).ok_or(Garbled::Length)? as usize;
+        let mut answer = Answer {
+            id: id.to_owned(),
+            word,
+            crowd: 0,
+            copies: 0,
+            report: Report::default(),
+            body: Bytes::new(),
+        };
+        understand(&mut answer, told, fields)?;
+        let after = end + 1;
+        let Some(tail) = self.bytes.get(after + length..after + length + 2) else { return Ok(None) };
+        if tail != b"\r\n" {
+            return Err(Garbled::End);
+        }
+        answer.body = Bytes::copy_from_slice(&self.bytes[after..after + length]);
+        self.searched = 0;
+        if self.bytes.len() == after + length + 2 {
+            // Idle connections keep no buffer.
+            self.bytes = Vec::new();
+        } else {
+            self.bytes.drain(..after + length + 2);
+        }
+        Ok(Some(answer))
+    }
+}
+
+/// Digits and nothing else.
+fn whole(text: &str) -> Option<u32> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
+fn understand(answer: &mut Answer, told: &str, fields: &[ReportField]) -> Result<(), Garbled> {
+    if told == "-" {
+        return Ok(());
+    }
+    for pair in told.split(',') {
+        let (name, value) = pair.split_once('=').ok_or(Garbled::Fields)?;
+        match name {
+            "same" => answer.crowd = whole(value).ok_or(Garbled::Fields)?,
+            "n" => answer.copies = whole(value).ok_or(Garbled::Fields)?,
+            "gauges" => answer.report = report(value, fields)?,
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+/// `name:value`, set apart by `;`.
+fn report(text: &str, fields: &[ReportField]) -> Result<Report, Garbled> {
+    let mut report = Report::default();
+    for pair in text.split(';').filter(|p| !p.is_empty()) {
+        let (name, value) = pair.split_once(':').ok_or(Garbled::Fields)?;
+        let value: f64 = value.parse().ok().filter(|v: &f64| v.is_finite()).ok_or(Garbled::Fields)?;
+        let of = cedarpulley_birth::field(name);
+        if !fields.contains(&of) {
+            continue;
+        }
+        match of {
+            ReportField::Held => report.held = Some(value),
+            ReportField::Waiting => report.waiting = Some(value),
+            ReportField::Busy => report.busy = Some(value),
+            ReportField::Loads => report.loads = Some(value),
+            ReportField::MemoryPart => report.memory_part = Some(value),
+            ReportField::Other => {}
+        }
+    }
+    Ok(report)
+}
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -15,6 +15,7 @@
 use crate::entry::{self, Door, Entry, Knock, Short};
 use crate::redelivery::{self, Verdict};
 use crate::roster::Listed;
+use crate::service::Service;
 use crate::table::Table;
 use crate::tokens::{self, Key, Seen, Tokens};
 use crate::waits::Waits;
@@ -41,6 +42,10 @@
     pub account_shares: Vec<f64>,
     /// A worker that is unreachable is known to be after this time.
     pub order_answered_within: Micros,
+    /// Nothing beside the module chooses: no shares, no joining by token; only bounds refuse.
+    pub module_alone: bool,
+    /// New work may leave for a worker so long after it was told to drain or to be gone.
+    pub drain_grace: Micros,
 }
 
 #[derive(Debug)]
@@ -142,6 +147,8 @@
     pub mark: Option<Arc<str>>,
     pub token: Option<Arc<str>>,
     pub time_left: Micros,
+    /// The dispatch is waited for so long.
+    pub waited_for: Micros,
     pub cost_hint: Option<Micros>,
     pub load_hint: Option<Micros>,
     pub copy_mb: f64,
@@ -246,6 +253,7 @@
     /// Who asked for each function last, and the size of its copies.
     asked: Vec<(u32, f64)>,
     workers: Ids<String>,
+    service: Service,
     claims: Claims,
     tokens: Tokens,
     admission: Admission,
@@ -272,6 +280,7 @@
         let admission =
             Admission::new(terms.front_weights.clone(), &terms.account_shares, terms.memory_bytes);
         Router {
+            service: Service::new(terms.drain_grace),
             control,
             terms,
             triggers,
@@ -349,10 +358,22 @@
         self.invs.len().max(self.claims.held())
     }
 
+    /// Whether a dispatch may still leave: asked again right before its first byte, as connecting takes time.
+    pub fn may_leave(&self, now: Micros, ticket: Ticket) -> bool {
+        let it = self.invs.get(ticket.inv).filter(|_| self.invs.generation(ticket.inv) == ticket.generation);
+        let Some(it) = it.filter(|i| !i.concluded && now < i.gives_up_at) else { return false };
+        let out = it.dispatches.get(ticket.dispatch as usize).filter(|d| d.state == Sent::Out);
+        out.is_some_and(|d| self.service.takes_new(now, d.worker))
+    }
+
     pub fn worker_name(&self, worker: WorkerIx) -> Option<&str> {
         self.workers.id(worker).map(String::as_str)
     }
 
+    pub fn worker_ix(&self, name: &str) -> Option<WorkerIx> {
+        self.workers.find(name)
+    }
+
     /// Functions that are accounted for at present.
     pub fn functions(&self) -> impl Iterator<Item = &str> {
         self.names.iter().map(|n| n.as_ref()).filter(|n| !n.is_empty())
@@ -452,7 +473,8 @@
             (Verdict::Take { dispatch_within }, _) => dispatch_within,
             (Verdict::Join | Verdict::Repeat, None) => None,
         };
-        let key = t.token.as_deref().map(|token| tokens::key(t.account, t.trigger, &t.function, token));
+        let joining = t.token.as_deref().filter(|_| !self.terms.module_alone);
+        let key = joining.map(|token| tokens::key(t.account, t.trigger, &t.function, token));
         if let Some(key) = &key {
             match self.tokens.seen(self.now, key) {
                 Seen::Out(claim) => return self.join(claim, t.delivery, gives_up_at, out),
@@ -479,7 +501,8 @@
             self.admission.came(self.now, t.delivery.front, t.account);
         }
         // Symptom: one account's flood fills the queue, and all others' messages come late behind it.
-        if !knocked && !t.redelivered && self.admission.beyond(self.now, t.delivery.front, t.account) {
+        let capped = !knocked && !t.redelivered && !self.terms.module_alone;
+        if capped && self.admission.beyond(self.now, t.delivery.front, t.account) {
             return self.answer(t.delivery, Answer::bare(Fate::Throttled, Reason::Share), None, about, out);
         }
         if !self.admission.kept(t.body.len()) {
@@ -722,6 +745,7 @@
                 started: w.started,
             })
             .collect();
+        self.service.follow(self.now, mode, &entries);
         self.decide(&Event::List { mode, entries: &entries }, out);
     }
 
@@ -960,6 +984,7 @@
             mark: it.mark.clone(),
             token: it.token.clone(),
             time_left,
+            waited_for: time_out.map_or(time_left, |t| t.clamp(0, time_left)),
             cost_hint: it.hints.0,
             load_hint: it.hints.1,
             copy_mb: it.copy_mb,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`redelivery`]: what may be done with a message that was delivered before.
 //! * [`claims`]: which final answer was given, until the front has it safely out.
 //! * [`roster`]: what the worker list says, though its watch breaks, repeats or goes back in time.
+//! * [`service`]: until when new work may leave for a worker.
 //! * [`tokens`]: what a client's own retry with the same token gets.
 //! * [`waits`]: whether one waited for a load or for a lane.
 //! * [`watch`]: who listens, and never decides.
@@ -23,6 +24,7 @@
 pub mod entry;
 pub mod redelivery;
 pub mod roster;
+pub mod service;
 pub mod shares;
 mod table;
 pub mod tokens;
--- /dev/null
+++ b/crates/router/src/service.rs
@@ -0,0 +1,46 @@
+//! Until when new work may leave for a worker: a last look for what was decided a while ago and is only now about to
+//! leave. Call [`Service::follow`] with each list; [`Service::takes_new`] answers.
+
+use cedarpulley::interface::{ListEntry, ListMode, Micros, Standing, WorkerIx};
+
+#[derive(Debug, Default)]
+pub struct Service {
+    grace: Micros,
+    /// By worker.
+    until: Vec<Micros>,
+}
+
+impl Service {
+    pub fn new(grace: Micros) -> Self {
+        Service { grace, until: Vec::new() }
+    }
+
+    pub fn follow(&mut self, now: Micros, mode: ListMode, entries: &[ListEntry]) {
+        if mode == ListMode::Failed {
+            return;
+        }
+        let stops = now + self.grace;
+        if mode != ListMode::Changes {
+            // Whoever is not named any more is gone.
+            let named = |w: usize| entries.iter().any(|e| e.worker as usize == w);
+            (0..self.until.len())
+                .filter(|&w| !named(w))
+                .for_each(|w| self.until[w] = self.until[w].min(stops));
+        }
+        for e in entries {
+            let w = e.worker as usize;
+            if self.until.len() <= w {
+                self.until.resize(w + 1, Micros::MIN);
+            }
+            self.until[w] = match e.standing {
+                Standing::InService => Micros::MAX,
+                // What it had been told first counts.
+                Standing::Draining | Standing::Gone => self.until[w].min(stops),
+            };
+        }
+    }
+
+    pub fn takes_new(&self, now: Micros, worker: WorkerIx) -> bool {
+        self.until.get(worker as usize).is_some_and(|until| now < *until)
+    }
+}
--- a/crates/router/tests/world.rs
+++ b/crates/router/tests/world.rs
@@ -73,6 +73,8 @@
             front_weights: vec![1.0, 1.0],
             account_shares: vec![1.0],
             order_answered_within: 5 * SECOND,
+            module_alone: false,
+            drain_grace: SECOND,
         };
         let mut w = World { router: Router::new(control(), triggers(), terms), now: SECOND, out: Vec::new() };
         let workers = (0..workers).map(|n| Listed {
