A load that fails at once holds back its function, not the worker it failed on

A probe in the module listed why no place was found: all six workers "take no load now". Orders by result: 545 of 980 ended with `error` after 0 ms, the same number on each worker; functions that only rude clients name and no worker knows. Cause: control.rs `order_ended` treated LoadErrored like NoRoom and let the worker take no load for a load's usual time. Excluded: lanes and crowding (own work 1 to 3 a worker, `crowded` seldom set), judging (no worker bad but the one cut off), sockets (76 us median to the first attempt; the order's answer came at once). Change: a failed load holds back its function, for a load's usual time in all; only "no room" holds back the worker. The new test fails without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -295,6 +295,8 @@
     homes: usize,
     homes_at: Micros,
     loading: Option<WorkerIx>,
+    /// No load of it begins before.
+    load_from: Micros,
     orders: u32,
     own: Vec<u32>,
     warm_until: Vec<Micros>,
@@ -677,7 +679,7 @@
     /// find each other's copies. One load under way per function and, for its usual time, per worker.
     fn load_place(&self, ix: InvIx) -> Option<usize> {
         let (inv, f) = self.found(ix)?;
-        if f.loading.is_some() || (self.loads.orders && !self.order_left()) {
+        if f.loading.is_some() || self.now < f.load_from || (self.loads.orders && !self.order_left()) {
             return None;
         }
         let (mean, homes) = (self.mean_load(), f.homes.min(f.order.len()));
@@ -956,10 +958,14 @@
         } else if result != OrderResult::Stand || f.own[w] == 0 {
             f.cool(w);
         }
-        if matches!(result, OrderResult::NoRoom | OrderResult::LoadErrored) {
+        if result == OrderResult::NoRoom {
             // Symptom: a worker without room for a copy says so at once and is asked again at once. It takes
             // no load from here for a load's usual time.
             self.workers.loaded_by[w] = self.now + usual.mean;
+        } else if result == OrderResult::LoadErrored {
+            // Symptom: a function that nobody can load fails at once on one worker after the other, and with
+            // each of them blamed none is left for other loads. It waits itself, a load's usual time in all.
+            self.funcs[func as usize].load_from = self.now + usual.mean - took;
         } else if !answered {
             self.health.judge(w, self.triggers.len(), self.now, false);
         }
--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -312,3 +312,28 @@
     s.list(ListMode::Changes, &[new]);
     assert_eq!(sent(&s.arrive(2, 0, 1, 2 * SECOND).1), [home]);
 }
+
+/// catania-main on sockets, rude clients: a function that no worker knows fails to load at once on each in turn. With the
+/// workers blamed for it, each took no load for a while, and what had no copy anywhere was held until it was given up.
+#[test]
+fn a_function_that_cannot_be_loaded_takes_no_load_from_the_others() {
+    let site = Site { orders: true, ..PLAIN };
+    let mut s = Script::new(22, site, 3);
+    let (_, actions) = s.arrive(0, 0, 1, 2 * SECOND);
+    let mut places = ordered(&actions);
+    let mut orders = 0;
+    while let Some(worker) = places.pop() {
+        orders += 1;
+        let failed =
+            Event::OrderEnded { worker, func: 0, result: OrderResult::LoadErrored, took: MS, copies: 0 };
+        s.pass(MS);
+        places = ordered(&s.tell(&failed));
+        assert!(orders < 5, "it goes from worker to worker");
+    }
+    // Every worker takes a load of something else at once.
+    let mut taken = BTreeSet::new();
+    for func in 1..=3 {
+        taken.extend(ordered(&s.arrive(0, func, 1, 2 * SECOND).1));
+    }
+    assert_eq!(taken.len(), 3);
+}
