Who has just connected is turned out last; waiting ahead counts; a reset link blames no worker

Cause: doorkeeper.rs `came` ranked every connection without a whole request before all idle ones; some 290 a second came, silent ones ran out, and a usual client was turned out between its connecting and its request. Change: such a connection goes first only once its request is overdue by a quarter of a second, else last. Two more faults found on rereading: front.rs told the core that a request sent ahead had not waited (`waited: 0`), and an answer said `Connection: close` to a stopping client's connection while more of its requests were here; endings.rs blamed the worker for a connection that was reset before anything was written (now: it did not leave, and the next one shows whether the worker is there).

--- a/crates/platform-node/src/front.rs
+++ b/crates/platform-node/src/front.rs
@@ -1,7 +1,7 @@
 //! Clients: the listener, one task for each connection, and the answers on their way back.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
 use std::rc::Rc;
@@ -11,7 +11,7 @@
 use async_io::{Async, Timer};
 use cedarpulley::interface::Micros;
 use cedarpulley_gateway::net::{Bell, Stream};
-use cedarpulley_platform::clients::{self, Call, MOST_AHEAD, Reader, Terms, What, Wrong};
+use cedarpulley_platform::clients::{self, Call, MOST_AHEAD, Reader, Request, Terms, What, Wrong};
 use cedarpulley_platform::doorkeeper::{CallerIx, Doorkeeper};
 use cedarpulley_router::{Answer, Delivery, Fate, Input, Payload, Taken};
 use futures_lite::FutureExt;
@@ -20,6 +20,8 @@
 
 /// One piece read at a time, into a buffer that all connections share.
 const PIECE: usize = 64 << 10;
+/// Whole requests kept ahead of an answer; more stay in the kernel until there is room.
+const MOST_REQUESTS: usize = 8;
 /// When no connection can be accepted for want of descriptors, it is tried again so much later.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// What a refused client still sends is read away up to here, so that the refusal is not lost to a reset.
@@ -57,6 +59,45 @@
     refused: RefCell<BTreeMap<Wrong, u64>>,
 }
 
+/// Requests sent ahead of an answer, each with the time at which its last byte came: what it waits here counts.
+#[derive(Default)]
+struct Ahead {
+    reader: Reader,
+    whole: VecDeque<(Result<Request, Wrong>, Micros)>,
+    read_at: Micros,
+}
+
+impl Ahead {
+    fn put(&mut self, now: Micros, bytes: &[u8], terms: &Terms) {
+        self.reader.put(bytes);
+        self.read_at = now;
+        self.fill(terms);
+    }
+
+    fn fill(&mut self, terms: &Terms) {
+        while self.whole.len() < MOST_REQUESTS {
+            match self.reader.next(terms) {
+                Ok(Some(request)) => self.whole.push_back((Ok(request), self.read_at)),
+                Ok(None) => return,
+                Err(wrong) => return self.whole.push_back((Err(wrong), self.read_at)),
+            }
+        }
+    }
+
+    fn take(&mut self, terms: &Terms) -> Option<(Result<Request, Wrong>, Micros)> {
+        let first = self.whole.pop_front()?;
+        if first.0.is_ok() {
+            self.fill(terms);
+        }
+        Some(first)
+    }
+
+    /// With as much sent ahead as may be, nothing more is read.
+    fn full(&self) -> bool {
+        self.whole.len() >= MOST_REQUESTS || self.reader.len() >= MOST_AHEAD
+    }
+}
+
 enum Came {
     Bytes,
     Rung,
@@ -118,7 +159,7 @@
     }
 
     /// Takes what has come on this connection, or hears its bell.
-    async fn read(&self, caller: &Caller, reader: &mut Reader) -> Came {
+    async fn read(&self, node: &Node, caller: &Caller, ahead: &mut Ahead) -> Came {
         loop {
             let rung = async {
                 caller.bell.heard().await;
@@ -135,7 +176,7 @@
             match caller.stream.get_ref().read(&mut piece) {
                 Ok(0) => return Came::Ended,
                 Ok(n) => {
-                    reader.put(&piece[..n]);
+                    ahead.put(node.clock.now(), &piece[..n], &self.terms);
                     return Came::Bytes;
                 }
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
@@ -208,8 +249,9 @@
         &self,
         node: &Rc<Node>,
         caller: &Rc<Caller>,
-        reader: &mut Reader,
+        ahead: &mut Ahead,
         call: Call,
+        came: Micros,
         close: bool,
     ) -> bool {
         self.last_tag.set(self.last_tag.get() + 1);
@@ -229,7 +271,7 @@
             account: call.account,
             function: call.function,
             token: call.token,
-            waited: 0,
+            waited: node.clock.now() - came,
             client_timeout: call.wait,
             cost_hint: call.cost_hint,
             load_hint: call.load_hint,
@@ -242,11 +284,11 @@
                 break reply;
             }
             // With as much sent ahead as may be, only the answer is waited for.
-            let came = if reader.len() < MOST_AHEAD {
-                self.read(caller, reader).await
-            } else {
+            let came = if ahead.full() {
                 caller.bell.heard().await;
                 Came::Rung
+            } else {
+                self.read(node, caller, ahead).await
             };
             if let Came::Ended = came
                 && caller.answer.borrow().is_none()
@@ -259,7 +301,8 @@
                 return false;
             }
         };
-        let close = close || node.stopping();
+        // What was sent ahead is owed an answer, too.
+        let close = close || node.stopping() && ahead.whole.is_empty();
         self.door.borrow_mut().answering(node.clock.now(), caller.ix);
         let mut bytes = Vec::with_capacity(reply.body.len() + 128);
         clients::answer(&mut bytes, reply.status, reply.return_after, &reply.body, close);
@@ -271,40 +314,39 @@
     }
 
     async fn attend(&self, node: &Rc<Node>, caller: &Rc<Caller>) {
-        let mut reader = Reader::default();
+        let mut ahead = Ahead::default();
         loop {
-            match reader.next(&self.terms) {
-                Ok(Some(request)) => {
-                    self.door.borrow_mut().whole(node.clock.now(), caller.ix);
-                    let goes_on = match request.what {
-                        What::Health => {
-                            let mut bytes = Vec::new();
-                            let status = if node.stopping() { 503 } else { 200 };
-                            clients::answer(&mut bytes, status, None, b"", request.close);
-                            let written = self.write(caller, &bytes).await;
-                            self.door.borrow_mut().answered(node.clock.now(), caller.ix);
-                            written && !request.close
-                        }
-                        What::Call(_) if node.refuses() => {
-                            return self.last_words(node, caller, 503, None).await;
-                        }
-                        What::Call(call) => self.serve(node, caller, &mut reader, call, request.close).await,
-                    };
-                    if !goes_on {
-                        return;
-                    }
+            let Some((next, came)) = ahead.take(&self.terms) else {
+                if ahead.reader.midway() {
+                    self.door.borrow_mut().began(node.clock.now(), caller.ix);
                 }
-                Ok(None) => {
-                    if reader.midway() {
-                        self.door.borrow_mut().began(node.clock.now(), caller.ix);
-                    }
-                    match self.read(caller, &mut reader).await {
-                        Came::Ended => return,
-                        Came::Rung if caller.turned_out.get() => return,
-                        Came::Rung | Came::Bytes => {}
-                    }
+                match self.read(node, caller, &mut ahead).await {
+                    Came::Ended => return,
+                    Came::Rung if caller.turned_out.get() => return,
+                    Came::Rung | Came::Bytes => continue,
                 }
+            };
+            let request = match next {
+                Ok(request) => request,
                 Err(wrong) => return self.refuse(node, caller, wrong).await,
+            };
+            self.door.borrow_mut().whole(node.clock.now(), caller.ix);
+            let goes_on = match request.what {
+                What::Health => {
+                    let mut bytes = Vec::new();
+                    let status = if node.stopping() { 503 } else { 200 };
+                    clients::answer(&mut bytes, status, None, b"", request.close);
+                    let written = self.write(caller, &bytes).await;
+                    self.door.borrow_mut().answered(node.clock.now(), caller.ix);
+                    written && !request.close
+                }
+                What::Call(_) if node.refuses() => {
+                    return self.last_words(node, caller, 503, None).await;
+                }
+                What::Call(call) => self.serve(node, caller, &mut ahead, call, came, request.close).await,
+            };
+            if !goes_on {
+                return;
             }
         }
     }
--- a/crates/platform/src/doorkeeper.rs
+++ b/crates/platform/src/doorkeeper.rs
@@ -5,7 +5,9 @@
 //! Mechanisms:
 //! 1. A connection must have sent a whole request soon after it came, and each later one soon after its first byte.
 //!    Symptom: hundreds connect and send nothing, or send a byte now and then.
-//! 2. With the table full, the one longest without an open request goes; those that never sent one go first.
+//! 2. With the table full, the one longest without an open request goes; those that should have sent theirs by now and
+//!    have not go first, those that have only just come go last. Symptom: a crowd comes faster than silent ones can be
+//!    found, and whoever has just connected is turned out before its request is read.
 //! 3. One that has had its answer may stay idle for as long as clients keep theirs.
 
 use std::collections::BTreeMap;
@@ -29,6 +31,8 @@
 /// A client sends its request in one go; the protocol's worst client must have its refusal or close 3 s after
 /// connecting.
 const WHOLE_WITHIN: Micros = 2_000_000;
+/// A request has come by then if it was sent with the connecting: some round trips, and this process's own pauses.
+const SENT_BY: Micros = 250_000;
 /// Clients close what has been idle for 4 s; those that never do are closed a little later.
 const IDLE_KEPT: Micros = 5_000_000;
 
@@ -64,10 +68,10 @@
         let mut out = None;
         if self.callers.len() >= self.most {
             let rank = |(_, (state, since)): &(&CallerIx, &(State, Micros))| match state {
-                State::Fresh => Some((0, *since)),
+                State::Fresh if now - since > SENT_BY => Some((0, *since)),
                 State::Leaving => Some((1, *since)),
                 State::Idle => Some((2, *since)),
-                State::Sending => Some((3, *since)),
+                State::Sending | State::Fresh => Some((3, *since)),
                 State::Open => None,
             };
             let first = self.callers.iter().filter(|c| rank(c).is_some()).min_by_key(rank);
--- a/crates/platform/src/endings.rs
+++ b/crates/platform/src/endings.rs
@@ -54,9 +54,9 @@
         // No word for an invocation: it may have run.
         Ended::Answered(Word::Yes | Word::No) => Outcome::Broken,
         Ended::Unreached => Outcome::Unreachable,
-        // Nothing ran, and the worker's connection is what failed.
-        Ended::Unsent => Outcome::Unreachable,
-        Ended::HeldBack => Outcome::NotSent,
+        // Nothing ran. Symptom: a connection is reset while idle or just after it came up; that says nothing about the
+        // worker, and whether another one comes up is seen next.
+        Ended::Unsent | Ended::HeldBack => Outcome::NotSent,
         Ended::Broken => Outcome::Broken,
     }
 }
