Idle connections to workers are trusted only while they are found alive

A probe printed how long each connection had been idle: of those idle for up to 100 ms 32 of 2,764 broke, of those idle for 100 to 700 ms 346 of 1,038, and the reset came 83 us after the writing (median), every byte having been taken by the kernel. So it cannot be proven not to have run. Excluded: new connections (2 of 1,099 broke), partial writing (none), the worker's load. Cause: berths.rs `place` used any idle connection for up to four fifths of the settings' idle time. Change: after a reset at once on one that had been idle, idle ones are trusted for half that time, and longer again as answers come on such; beyond it a new connection is opened and the old one closed.

--- a/crates/platform-node/src/links.rs
+++ b/crates/platform-node/src/links.rs
@@ -337,7 +337,11 @@
 
     /// The connection is over; so is all that was on it.
     fn over(&self, node: &Rc<Node>, conn: &Rc<Conn>, unsent: Ended) {
-        self.berths.borrow_mut().closed(conn.ix);
+        if conn.closing.get() {
+            self.berths.borrow_mut().closed(conn.ix);
+        } else {
+            self.berths.borrow_mut().broke(node.clock.now(), conn.ix);
+        }
         self.conns.borrow_mut().remove(&conn.ix);
         conn.closing.set(true);
         conn.stream.replace(None);
--- a/crates/platform/src/berths.rs
+++ b/crates/platform/src/berths.rs
@@ -1,6 +1,6 @@
 //! Decides which connection to a worker carries what, when one is opened, and when one is given up. Call
 //! [`Berths::place`] for each thing to be sent, and say what became of it: [`Berths::opened`], [`Berths::heard`],
-//! [`Berths::ended`], [`Berths::closed`]; [`Berths::stale`] names those to close now.
+//! [`Berths::ended`], [`Berths::broke`], [`Berths::closed`]; [`Berths::stale`] names those to close now.
 //!
 //! Mechanisms:
 //! 1. A connection of its own for each thing out, as long as descriptors allow: what goes wrong with one answer takes
@@ -9,6 +9,8 @@
 //! 3. One on which something ended without its answer takes nothing more: a late answer cannot be taken for that of a
 //!    later dispatch of the same id. Symptom besides: a worker's machine vanished, its connections stay open and swallow
 //!    whatever is sent, while a new one would not come up and so prove that nothing ran.
+//! 4. An idle connection is trusted for only so long as idle ones were found alive. Symptom: a worker drops idle ones
+//!    early and without a word; the next request on one is reset, and may have run for all that can be proven.
 
 use std::collections::BTreeMap;
 
@@ -19,6 +21,16 @@
 /// An idle connection is closed from here somewhat before the worker closes it, or a request may cross that.
 const IDLE_PART: (Micros, Micros) = (4, 5);
 
+/// A dropped connection answers the first bytes with a reset, some round trips after the use: sooner than work is done
+/// and later than the network takes.
+const AT_ONCE: Micros = 20_000;
+/// After such a reset, connections are trusted for this part of the time that this one had been idle.
+const TRUSTED_PART: Micros = 2;
+/// Each answer on a connection that had been idle for half the trusted time or more adds one part in so many.
+const TRUST_GROWS: Micros = 32;
+/// From less, the trusted time could not grow again.
+const LEAST_TRUSTED: Micros = 1_000;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
     On(ConnIx),
@@ -35,6 +47,8 @@
     up: bool,
     /// When something was last sent or ended, and since when an answer has been coming that is not whole.
     used: Micros,
+    /// For how long it had been idle when it was last used, until something is heard on it.
+    idle_before: Option<Micros>,
     midway: Option<Micros>,
     /// It is only waited for until all on it has ended.
     retired: bool,
@@ -46,6 +60,8 @@
     streams: usize,
     idle_kept: Micros,
     half_answer: Micros,
+    /// Idle connections are used until they have been so for this long.
+    trusted: Micros,
     conns: BTreeMap<ConnIx, Conn>,
     by_worker: BTreeMap<WorkerIx, Vec<ConnIx>>,
     last: ConnIx,
@@ -56,10 +72,12 @@
     /// `most`: connections at once to all workers; `streams`: things out at once on one; `half_answer`: the rest of
     /// an answer that has begun comes within this time.
     pub fn new(most: usize, streams: usize, idle_kept: Micros, half_answer: Micros) -> Self {
+        let idle_kept = idle_kept * IDLE_PART.0 / IDLE_PART.1;
         Berths {
+            trusted: idle_kept,
             most,
             streams,
-            idle_kept: idle_kept * IDLE_PART.0 / IDLE_PART.1,
+            idle_kept,
             half_answer,
             conns: BTreeMap::new(),
             by_worker: BTreeMap::new(),
@@ -74,9 +92,9 @@
         let open = || of.iter().filter_map(|ix| Some((*ix, self.conns.get(ix)?))).filter(|(_, c)| !c.retired);
         let idle = open().filter(|(_, c)| c.up && c.out == 0).max_by_key(|(_, c)| c.used);
         let choice = match idle {
-            Some((ix, _)) => Some(ix),
-            None if self.conns.len() < self.most => None,
-            None => {
+            Some((ix, c)) if now - c.used <= self.trusted => Some(ix),
+            _ if self.conns.len() < self.most => None,
+            _ => {
                 let shared = open().filter(|(_, c)| c.out < self.streams).min_by_key(|(_, c)| c.out);
                 let Some((ix, _)) = shared else {
                     self.full += 1;
@@ -88,6 +106,7 @@
         match choice {
             Some(ix) => {
                 if let Some(conn) = self.conns.get_mut(&ix) {
+                    conn.idle_before = (conn.out == 0).then_some(now - conn.used);
                     conn.out += 1;
                     conn.used = now;
                 }
@@ -95,7 +114,15 @@
             }
             None => {
                 self.last += 1;
-                let conn = Conn { worker, out: 1, up: false, used: now, midway: None, retired: false };
+                let conn = Conn {
+                    worker,
+                    out: 1,
+                    up: false,
+                    used: now,
+                    idle_before: None,
+                    midway: None,
+                    retired: false,
+                };
                 self.conns.insert(self.last, conn);
                 self.by_worker.entry(worker).or_default().push(self.last);
                 Place::Open(self.last)
@@ -113,6 +140,10 @@
     /// Bytes came; `midway`: the answer they belong to is not whole yet.
     pub fn heard(&mut self, now: Micros, ix: ConnIx, midway: bool) {
         if let Some(conn) = self.conns.get_mut(&ix) {
+            if let Some(idle) = conn.idle_before.take().filter(|i| *i >= self.trusted / 2) {
+                self.trusted += (self.trusted / TRUST_GROWS).max(1).min(idle.max(1));
+                self.trusted = self.trusted.min(self.idle_kept);
+            }
             conn.midway = if midway { conn.midway.or(Some(now)) } else { None };
         }
     }
@@ -127,6 +158,16 @@
         conn.retired && conn.out == 0
     }
 
+    /// It ended without being closed from here.
+    pub fn broke(&mut self, now: Micros, ix: ConnIx) {
+        if let Some(conn) = self.conns.get(&ix)
+            && let Some(idle) = conn.idle_before.filter(|_| conn.out > 0 && now - conn.used <= AT_ONCE)
+        {
+            self.trusted = self.trusted.min(idle / TRUSTED_PART).max(LEAST_TRUSTED);
+        }
+        self.closed(ix);
+    }
+
     pub fn closed(&mut self, ix: ConnIx) {
         if let Some(conn) = self.conns.remove(&ix)
             && let Some(of) = self.by_worker.get_mut(&conn.worker)
@@ -150,7 +191,7 @@
     /// Connections to be closed now: idle for too long or retired, or stuck in the middle of an answer.
     pub fn stale(&self, now: Micros) -> Vec<ConnIx> {
         let stale = |c: &Conn| {
-            let idle = c.up && c.out == 0 && (c.retired || now - c.used > self.idle_kept);
+            let idle = c.up && c.out == 0 && (c.retired || now - c.used > self.trusted);
             idle || c.midway.is_some_and(|since| now - since > self.half_answer)
         };
         self.conns.iter().filter(|(_, c)| stale(c)).map(|(ix, _)| *ix).collect()
--- a/crates/platform/tests/decisions.rs
+++ b/crates/platform/tests/decisions.rs
@@ -79,6 +79,54 @@
     assert!(b.is_empty());
 }
 
+/// Symptom: a worker drops idle connections early and without a word, and the next request on one is reset.
+#[test]
+fn idle_connections_are_trusted_only_while_they_are_found_alive() {
+    let mut b = berths(10);
+    let ix = opened(&mut b, 0, 7);
+    b.heard(1, ix, false);
+    b.ended(1, ix, true);
+    // Idle for 200 ms, then reset at once.
+    assert_eq!(b.place(200 * MS, 7), Place::On(ix));
+    b.broke(200 * MS + 80, ix);
+    let mut now = SECOND;
+    let mut conn = opened(&mut b, now, 7);
+    let (mut reused, mut renewed) = (0, 0);
+    for _ in 0..400 {
+        b.heard(now, conn, false);
+        b.ended(now, conn, true);
+        // Idle for more than half of what was too long.
+        now += 101 * MS;
+        match b.place(now, 7) {
+            Place::On(ix) => {
+                assert_eq!(ix, conn);
+                reused += 1;
+            }
+            Place::Open(ix) => {
+                b.opened(ix);
+                conn = ix;
+                renewed += 1;
+            }
+            Place::Full => panic!("there is room"),
+        }
+        if renewed == 1 && reused == 0 {
+            // Shorter rests show them alive, and trust comes back.
+            for _ in 0..400 {
+                b.heard(now, conn, false);
+                b.ended(now, conn, true);
+                now += 60 * MS;
+                assert_eq!(b.place(now, 7), Place::On(conn));
+            }
+        }
+    }
+    assert_eq!((renewed, reused), (1, 399));
+    // One that breaks while the worker is at work tells nothing of idle ones.
+    b.broke(now + 50 * MS, conn);
+    let last = opened(&mut b, now + 60 * MS, 7);
+    b.ended(now + 60 * MS, last, true);
+    assert_eq!(b.place(now + 160 * MS, 7), Place::On(last));
+}
+
 #[test]
 fn a_worker_that_is_gone_gets_nothing_more_on_its_connections() {
     let mut b = berths(10);
