An answer that cannot be read tells nothing of idle connections

Cause: links.rs `listen` left on a garbled answer like on a reset, so berths.rs `broke` took it for an idle connection found dead; and a break within 20 ms of the use counted, which short work that breaks off can reach. Change: a connection closed from here is told as closed; only a reset within 8 ms counts.

--- a/crates/platform-node/src/links.rs
+++ b/crates/platform-node/src/links.rs
@@ -314,6 +314,8 @@
                     Ok(None) => break,
                     Err(garbled) => {
                         tracing::debug!(?garbled, "a worker's answer cannot be read");
+                        // Ended from here: it tells nothing of idle connections.
+                        conn.closing.set(true);
                         return;
                     }
                 }
--- a/crates/platform/src/berths.rs
+++ b/crates/platform/src/berths.rs
@@ -21,9 +21,9 @@
 /// An idle connection is closed from here somewhat before the worker closes it, or a request may cross that.
 const IDLE_PART: (Micros, Micros) = (4, 5);
 
-/// A dropped connection answers the first bytes with a reset, some round trips after the use: sooner than work is done
-/// and later than the network takes.
-const AT_ONCE: Micros = 20_000;
+/// A dropped connection answers the first bytes with a reset, one round trip after the use: sooner than most work is
+/// done, later than the network takes.
+const AT_ONCE: Micros = 8_000;
 /// After such a reset, connections are trusted for this part of the time that this one had been idle.
 const TRUSTED_PART: Micros = 2;
 /// Each answer on a connection that had been idle for half the trusted time or more adds one part in so many.
