An invocation goes no second time to a worker that was full for it

Cause: control.rs `fit` lets an invocation return to the worker that has just been full for it. Such a worker answers at once, so it has the fewest in flight and `free_lane` takes it again, until the dispatches allowed are used up and `follow_up` gives up. Change: `fit` passes over a worker that was full for this invocation; others, or a load elsewhere, take it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -109,6 +109,7 @@
     at: Micros,
     fate: Fate,
     load: bool,
+    full: bool,
 }
 
 #[derive(Default)]
@@ -638,6 +639,11 @@
         if !self.allowed(inv, w) || !self.cold_room(w) || self.too_slow(inv, w) {
             return false;
         }
+        // Symptom: a full worker answers at once, has the fewest in flight, and is sent the same invocation again
+        // until its dispatches are used up.
+        if inv.dispatches.iter().any(|d| d.full && d.worker as usize == w) {
+            return false;
+        }
         if !self.health.bad(w, inv.trigger, self.now) {
             return true;
         }
@@ -744,7 +750,7 @@
             && inv.dispatches.len() as u32 + 1 < self.limits.max_dispatches
             && left - patience > usual.mean;
         out.push(Action::Dispatch { inv: ix, worker: w as WorkerIx, time_out: again.then_some(patience) });
-        let dispatch = Dispatch { worker: w as WorkerIx, at: now, fate: Fate::Out, load };
+        let dispatch = Dispatch { worker: w as WorkerIx, at: now, fate: Fate::Out, load, full: false };
         if let Some(inv) = self.invs[ix as usize].as_mut() {
             inv.dispatches.push(dispatch);
         }
@@ -779,6 +785,7 @@
         let Some(inv) = self.invs[ix as usize].as_mut() else { return };
         let sent = inv.dispatches.get_mut(dispatch as usize).filter(|d| d.fate == Fate::Out);
         let Some(d) = sent else { return };
+        d.full = outcome == Outcome::Throttled;
         d.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (load, sent_at, func, trigger, work) = (d.load, d.at, inv.func, inv.trigger, inv.work);
         let objective_at = inv.objective_at;
--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -337,3 +337,17 @@
     }
     assert_eq!(taken.len(), 3);
 }
+
+/// catania-main on sockets, wide+reset+stale: a full worker, the fastest to answer, was sent the same invocation again until
+/// its dispatches were used up.
+#[test]
+fn an_invocation_goes_no_second_time_to_a_worker_that_was_full_for_it() {
+    let mut s = Script::new(23, PLAIN, 3);
+    let home = warm_up(&mut s, 0, 4);
+    let (inv, actions) = s.arrive(2, 0, 4, 2 * SECOND);
+    assert_eq!(sent(&actions), [home]);
+    s.pass(MS);
+    let actions = s.end(inv, 0, Outcome::Throttled, CopyNote::Untold);
+    assert!(sent(&actions).iter().all(|w| *w != home));
+    assert!(!actions.contains(&Action::Error { inv }));
+}
