--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -306,7 +306,7 @@
         let front = v.by_front.entry(inv.front.clone()).or_default();
         count(front, inv, good);
         if let Some(answer) = inv.answers.first()
-            && let Some(d) = inv.dispatches.iter().find(|d| d.at > answer.0 + APART_US)
+            && let Some(d) = inv.dispatches.iter().find(|d| d.sent_since() > answer.0 + APART_US)
         {
             v.breaks(1, format!("{id} was dispatched {} ms after its answer", (d.at - answer.0) / 1000));
         }
--- a/crates/audit/tests/judged.rs
+++ b/crates/audit/tests/judged.rs
@@ -59,3 +59,16 @@
     assert_eq!(judged("held-back", long(1_600_000), held.clone()).rules["2"], 0);
     assert_eq!(judged("out-all-along", long(1_100_000), held).rules["2"], 1);
 }
+
+/// Symptom: what left before the answer reaches its worker after it, as a cut held it back.
+#[test]
+fn a_dispatch_that_a_cut_held_back_was_sent_when_the_cut_began_at_the_earliest() {
+    let first = json!({"came": {"t": 1_100_000}, "went": {"t": 1_200_000, "how": "answered"}});
+    // The answer leaves at 4 s.
+    let late = |since: Value| json!({"came": {"t": 5_000_000, "held_since": since}, "went": {"t": 5_100_000, "how": "repeat"}});
+    for (name, since, broken) in
+        [("cut-before", json!(3_000_000), 0), ("cut-after", json!(4_900_000), 1), ("no-cut", Value::Null, 1)]
+    {
+        assert_eq!(judged(name, first.clone(), late(since)).rules["1"], broken, "{name}");
+    }
+}
--- a/crates/benchlink/src/codec.rs
+++ b/crates/benchlink/src/codec.rs
@@ -5,9 +5,7 @@
 
 use anyhow::{Context, Result, bail, ensure};
 use cedarpulley::interface::*;
-use cedarpulley_birth::{ReportField, field};
-
-pub use cedarpulley_birth::micros;
+use cedarpulley_birth::{ReportField, micros};
 
 const NANOS_PER_MICRO: i64 = 1_000;
 
@@ -135,18 +133,7 @@
     for pair in text.split(',') {
         let (name, value) = pair.split_once(':').with_context(|| format!("report '{pair}' has no :"))?;
         let value: f64 = value.parse().with_context(|| format!("report '{pair}' cannot be read"))?;
-        let of = field(name);
-        if !fields.contains(&of) {
-            continue;
-        }
-        match of {
-            ReportField::Held => report.held = Some(value),
-            ReportField::Waiting => report.waiting = Some(value),
-            ReportField::Busy => report.busy = Some(value),
-            ReportField::Loads => report.loads = Some(value),
-            ReportField::MemoryPart => report.memory_part = Some(value),
-            ReportField::Other => {}
-        }
+        ReportField::tell(&mut report, fields, name, value);
     }
     Ok(report)
 }
--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -6,9 +6,9 @@
 use cedarpulley::Control;
 use cedarpulley::ids::{Ids, fingerprint};
 use cedarpulley::interface::*;
-use cedarpulley_birth::{Birth, ReportField, Sheet};
+use cedarpulley_birth::{Birth, ReportField, Sheet, micros};
 
-use crate::codec::{self, Names, Values, micros};
+use crate::codec::{self, Names, Values};
 
 /// What keeps the id of an invocation alive: it is not ended, or a dispatch is still out.
 #[derive(Clone, Copy, Default)]
@@ -158,12 +158,13 @@
         if word == "born" {
             let seed = v.value("seed")?;
             let text = v.rest();
-            let birth = Birth::read(&Sheet::pairs(&text)?)?;
+            let sheet = Sheet::pairs(&text)?;
+            let birth = Birth::read(&sheet)?;
             let instance = Instance {
                 control: birth.control(seed),
                 triggers: birth.triggers.len() as u32,
                 crowds: birth.loads.crowds,
-                fields: birth.fields,
+                fields: ReportField::named(&sheet),
                 invs: Ids::default(),
                 open: Vec::new(),
                 funcs: Ids::default(),
--- a/crates/birth/src/lib.rs
+++ b/crates/birth/src/lib.rs
@@ -1,6 +1,7 @@
-//! Reads the settings that a router's module is born with, in either of the two forms in which the users give them:
-//! pairs of path and value ([`Sheet::pairs`]) or nested JSON ([`Sheet::nested`]), under the same names and in the
-//! same units. [`Birth::read`] makes of them what the module takes; whoever needs more asks the sheet.
+//! Reads the settings that a router's module is born with, in either of the two forms in which the users give
+//! them: pairs of path and value ([`Sheet::pairs`]) or nested JSON ([`Sheet::nested`]), under the same names
+//! and in the same units. [`Birth::read`] makes of them what the module takes; whoever needs more asks the
+//! sheet.
 
 use std::borrow::Cow;
 use std::collections::HashMap;
@@ -137,7 +138,31 @@
     }
 }
 
-/// What the module is born with, and the fields of load reports.
+/// Names on the sockets; their places in the lists are the module's indices.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub triggers: Vec<String>,
+    pub accounts: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+impl Names {
+    pub fn trigger(&self, name: &str) -> Option<u32> {
+        self.triggers.iter().position(|n| n == name).map(|i| i as u32)
+    }
+
+    /// Without accounts all belong to one.
+    pub fn account(&self, name: Option<&str>) -> Option<u32> {
+        match name {
+            None => Some(0),
+            Some(_) if self.accounts.is_empty() => Some(0),
+            Some(name) => self.accounts.iter().position(|n| n == name).map(|i| i as u32),
+        }
+    }
+}
+
+/// What the module is born with.
 #[derive(Clone, Debug)]
 pub struct Birth {
     pub fleet: FleetPosition,
@@ -148,7 +173,6 @@
     pub loads: LoadTerms,
     pub prices: Prices,
     pub reports: ReportsIn,
-    pub fields: Vec<ReportField>,
 }
 
 impl Birth {
@@ -167,119 +191,136 @@
     }
 
     pub fn read(p: &Sheet) -> Result<Self> {
-        read(p)
-    }
-}
-
-fn read(p: &Sheet) -> Result<Birth> {
-    let fleet = FleetPosition {
-        routers: p.number("fleetSize", 1.0)?.max(1.0) as u32,
-        position: p.number("position", 0.0)?.max(0.0) as u32,
-        zone: p.number("zone", 0.0)?.max(0.0) as u32,
-        granularity: p.time("granularity", 1_000)?,
-    };
-    let limits = DispatchLimits {
-        max_dispatches: p.number("permissions.sendCap", 1.0)?.max(1.0) as u32,
-        second_copies: p.flag("permissions.mayDuplicate", false)?,
-        withdrawals: p.flag("permissions.cancel", false)?,
-        probes: p.flag("permissions.probes", false)?,
-        connect_within: p.time("permissions.connectTimeout", 0)?,
-        max_advice: match p.flag("permissions.retryAfter", false)? {
-            true => p.time("permissions.maxRetryAfter", 0)?,
-            false => 0,
-        },
-    };
-    let rules = RuleTerms {
-        answer_slack: p.time("rules.answerSlack", 0)?,
-        drain_grace: p.time("rules.stopSendingWithin", 0)?,
-        ask_within: p.time("rules.askWithin", NEVER)?,
-        list_on_request: match p.text("discovery") {
-            Some("on_request") => true,
-            Some("pushed") | None => false,
-            Some(v) => bail!("setting discovery={v} is unknown"),
-        },
-        cold_part: p.number("rules.coldShare", 1.0)?,
-        cold_for: p.time("rules.cold", 0)?,
-        overload_multiple: p.number("rules.overloadFactor", f64::MAX)?,
-        overload_window: p.time("rules.fall", 0)?,
-    };
-    let mut triggers = Vec::new();
-    for i in 0..p.count("services")? {
-        let key = |k: &str| format!("services.{i}.{k}");
-        let group = match p.text(&key("keyScope")) {
-            Some("all") | None => RepeatGroup::All,
-            Some("zone") => RepeatGroup::Zone,
-            Some("cell") => RepeatGroup::Cell,
-            Some(v) => bail!("setting {}={v} is unknown", key("keyScope")),
+        let fleet = FleetPosition {
+            routers: p.number("fleetSize", 1.0)?.max(1.0) as u32,
+            position: p.number("position", 0.0)?.max(0.0) as u32,
+            zone: p.number("zone", 0.0)?.max(0.0) as u32,
+            granularity: p.time("granularity", 1_000)?,
+        };
+        let limits = DispatchLimits {
+            max_dispatches: p.number("permissions.sendCap", 1.0)?.max(1.0) as u32,
+            second_copies: p.flag("permissions.mayDuplicate", false)?,
+            withdrawals: p.flag("permissions.cancel", false)?,
+            probes: p.flag("permissions.probes", false)?,
+            connect_within: p.time("permissions.connectTimeout", 0)?,
+            max_advice: match p.flag("permissions.retryAfter", false)? {
+                true => p.time("permissions.maxRetryAfter", 0)?,
+                false => 0,
+            },
+        };
+        let rules = RuleTerms {
+            answer_slack: p.time("rules.answerSlack", 0)?,
+            drain_grace: p.time("rules.stopSendingWithin", 0)?,
+            ask_within: p.time("rules.askWithin", NEVER)?,
+            list_on_request: match p.text("discovery") {
+                Some("on_request") => true,
+                Some("pushed") | None => false,
+                Some(v) => bail!("setting discovery={v} is unknown"),
+            },
+            cold_part: p.number("rules.coldShare", 1.0)?,
+            cold_for: p.time("rules.cold", 0)?,
+            overload_multiple: p.number("rules.overloadFactor", f64::MAX)?,
+            overload_window: p.time("rules.fall", 0)?,
         };
-        triggers.push(TriggerType {
-            effect: match p.text(&key("effect")) {
-                Some("retryable") => Effect::Idempotent,
-                Some("dedup") => Effect::Tokened { group, window: p.time(&key("window"), 0)? },
-                Some("fragile") | None => Effect::NonIdempotent,
-                Some(v) => bail!("setting {}={v} is unknown", key("effect")),
+        let mut triggers = Vec::new();
+        for i in 0..p.count("services")? {
+            let key = |k: &str| format!("services.{i}.{k}");
+            let group = match p.text(&key("keyScope")) {
+                Some("all") | None => RepeatGroup::All,
+                Some("zone") => RepeatGroup::Zone,
+                Some("cell") => RepeatGroup::Cell,
+                Some(v) => bail!("setting {}={v} is unknown", key("keyScope")),
+            };
+            triggers.push(TriggerType {
+                effect: match p.text(&key("effect")) {
+                    Some("retryable") => Effect::Idempotent,
+                    Some("dedup") => Effect::Tokened { group, window: p.time(&key("window"), 0)? },
+                    Some("fragile") | None => Effect::NonIdempotent,
+                    Some(v) => bail!("setting {}={v} is unknown", key("effect")),
+                },
+                latency_objective: p.time(&key("aim"), NEVER)?,
+                objective_stretch: p.number(&key("aimStretch"), 0.0)?,
+                client_timeout: p.time(&key("hardLimit"), NEVER)?,
+                billed_value: p.number(&key("value"), 1.0)?,
+                late_part: p.number(&key("lateValue"), 0.0)?,
+                streamed: p.flag(&key("streamed"), false)?,
+            });
+        }
+        let mut accounts = Vec::new();
+        for i in 0..p.count("orgs")? {
+            accounts.push(Account {
+                allowance_per_s: p.number(&format!("orgs.{i}.allowancePerS"), f64::MAX)?,
+                share: p.number(&format!("orgs.{i}.share"), 1.0)?,
+            });
+        }
+        let mut memory_mb = Vec::new();
+        for v in p.list("familyInfo.machineMb") {
+            memory_mb.push(v.parse().with_context(|| format!("setting familyInfo.machineMb holds '{v}'"))?);
+        }
+        let loads = LoadTerms {
+            idle_kept: p.time("familyInfo.staysLoaded", 0)?,
+            orders: p.flag("familyInfo.mayLoad", false)?,
+            loads_when_absent: match p.text("familyInfo.whenAbsent") {
+                Some("load") | None => true,
+                Some("miss") => false,
+                Some(v) => bail!("setting familyInfo.whenAbsent={v} is unknown"),
             },
-            latency_objective: p.time(&key("aim"), NEVER)?,
-            objective_stretch: p.number(&key("aimStretch"), 0.0)?,
-            client_timeout: p.time(&key("hardLimit"), NEVER)?,
-            billed_value: p.number(&key("value"), 1.0)?,
-            late_part: p.number(&key("lateValue"), 0.0)?,
-            streamed: p.flag(&key("streamed"), false)?,
-        });
+            order_answered_within: p.time("familyInfo.answerWithin", 0)?,
+            ration_window: p.time("familyInfo.loadWindow", 0)?,
+            ration_few: p.number("familyInfo.freeLoads", 0.0)?,
+            ration_part: p.number("familyInfo.loadPart", 0.0)?,
+            notes: p.flag("familyInfo.warmNotes", false)?,
+            crowds: p.flag("familyInfo.tellsCrowd", false)?,
+            memory_mb,
+        };
+        let prices = Prices {
+            crossing: p.number("tariffs.crossZone", 0.0)?,
+            fetch: p.number("tariffs.origin", 0.0)?,
+            waste: p.number("tariffs.waste", 0.0)?,
+            probe: p.number("tariffs.probe", 0.0)?,
+            late_error: p.number("tariffs.lateFail", 0.0)?,
+            over_share: p.number("overShareWorth", 1.0)?,
+        };
+        let reports = match p.text("stats.how") {
+            Some("answers") => ReportsIn::Answers,
+            Some("probe") => ReportsIn::Probes,
+            Some("none") | None => ReportsIn::Nothing,
+            Some(v) => bail!("setting stats.how={v} is unknown"),
+        };
+        Ok(Birth { fleet, limits, rules, triggers, accounts, loads, prices, reports })
     }
-    let mut accounts = Vec::new();
-    for i in 0..p.count("orgs")? {
-        accounts.push(Account {
-            allowance_per_s: p.number(&format!("orgs.{i}.allowancePerS"), f64::MAX)?,
-            share: p.number(&format!("orgs.{i}.share"), 1.0)?,
-        });
+}
+
+impl ReportField {
+    /// Those that the settings name, in their order.
+    pub fn named(p: &Sheet) -> Vec<Self> {
+        p.list("stats.fields").map(Self::of).collect()
     }
-    let mut memory_mb = Vec::new();
-    for v in p.list("familyInfo.machineMb") {
-        memory_mb.push(v.parse().with_context(|| format!("setting familyInfo.machineMb holds '{v}'"))?);
+
+    fn of(name: &str) -> Self {
+        match name {
+            "rif" => ReportField::Held,
+            "q" => ReportField::Waiting,
+            "busy" => ReportField::Busy,
+            "x1" => ReportField::Loads,
+            "x0" => ReportField::MemoryPart,
+            _ => ReportField::Other,
+        }
     }
-    let loads = LoadTerms {
-        idle_kept: p.time("familyInfo.staysLoaded", 0)?,
-        orders: p.flag("familyInfo.mayLoad", false)?,
-        loads_when_absent: match p.text("familyInfo.whenAbsent") {
-            Some("load") | None => true,
-            Some("miss") => false,
-            Some(v) => bail!("setting familyInfo.whenAbsent={v} is unknown"),
-        },
-        order_answered_within: p.time("familyInfo.answerWithin", 0)?,
-        ration_window: p.time("familyInfo.loadWindow", 0)?,
-        ration_few: p.number("familyInfo.freeLoads", 0.0)?,
-        ration_part: p.number("familyInfo.loadPart", 0.0)?,
-        notes: p.flag("familyInfo.warmNotes", false)?,
-        crowds: p.flag("familyInfo.tellsCrowd", false)?,
-        memory_mb,
-    };
-    let prices = Prices {
-        crossing: p.number("tariffs.crossZone", 0.0)?,
-        fetch: p.number("tariffs.origin", 0.0)?,
-        waste: p.number("tariffs.waste", 0.0)?,
-        probe: p.number("tariffs.probe", 0.0)?,
-        late_error: p.number("tariffs.lateFail", 0.0)?,
-        over_share: p.number("overShareWorth", 1.0)?,
-    };
-    let reports = match p.text("stats.how") {
-        Some("answers") => ReportsIn::Answers,
-        Some("probe") => ReportsIn::Probes,
-        Some("none") | None => ReportsIn::Nothing,
-        Some(v) => bail!("setting stats.how={v} is unknown"),
-    };
-    let fields = p.list("stats.fields").map(field).collect();
-    Ok(Birth { fleet, limits, rules, triggers, accounts, loads, prices, reports, fields })
-}
 
-/// What a load report's value of this name tells.
-pub fn field(name: &str) -> ReportField {
-    match name {
-        "rif" => ReportField::Held,
-        "q" => ReportField::Waiting,
-        "busy" => ReportField::Busy,
-        "x1" => ReportField::Loads,
-        "x0" => ReportField::MemoryPart,
-        _ => ReportField::Other,
+    /// Puts a value into the report, if it is one of those named.
+    pub fn tell(report: &mut Report, fields: &[Self], name: &str, value: f64) {
+        let of = Self::of(name);
+        let place = match of {
+            ReportField::Held => &mut report.held,
+            ReportField::Waiting => &mut report.waiting,
+            ReportField::Busy => &mut report.busy,
+            ReportField::Loads => &mut report.loads,
+            ReportField::MemoryPart => &mut report.memory_part,
+            ReportField::Other => return,
+        };
+        if fields.contains(&of) {
+            *place = Some(value);
+        }
     }
 }
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -1,7 +1,6 @@
-//! `cedarpulley node` over real sockets, against a small scripted worker, command channel and clients: rules and
-//! counts, never times.
+//! `cedarpulley node` over real sockets, against a small scripted worker, command channel and clients: rules
+//! and counts, never times.
 
-use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -175,13 +174,18 @@
         told.lock().expect("channel").events.push(event(1, workers, "s-1", "active"));
         let known = format!(r#"{{"cursor":1,"cmds":[{}]}}"#, event(1, workers, "s-1", "active"));
         let config = format!(
-            r#"{{"name":"n0","listen":"{address}","seed":"00000000000000ff","channel":"{first_channel}","known":{known},
-            "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},"settings":{{"granularity":1000000,"fleetSize":1,
+            r#"{{"name":"n0","listen":"{address}","seed":"00000000000000ff",
+            "channel":"{first_channel}","known":{known},
+            "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},
+            "settings":{{"granularity":1000000,"fleetSize":1,
             "zones":["east"],"kinds":["std"],"orgs":[{{"name":"acme","allowancePerS":100000,"share":1}}],
-            "permissions":{{"cancel":true,"sendCap":3,"retryAfter":true,"maxRetryAfter":1000000000,"streamsPerConn":10,
+            "permissions":{{"cancel":true,"sendCap":3,"retryAfter":true,
+            "maxRetryAfter":1000000000,"streamsPerConn":10,
             "connectTimeout":250000000,"keepalive":15000000000}},
-            "rules":{{"answerSlack":5000000,"stopSendingWithin":500000000,"overloadFactor":1000,"fall":3000000000}},
-            "familyInfo":{{"mayLoad":true,"answerWithin":4000000000,"staysLoaded":5000000000,"tellsCrowd":true}},
+            "rules":{{"answerSlack":5000000,"stopSendingWithin":500000000,
+            "overloadFactor":1000,"fall":3000000000}},
+            "familyInfo":{{"mayLoad":true,"answerWithin":4000000000,
+            "staysLoaded":5000000000,"tellsCrowd":true}},
             "services":[{{"name":"plain","aim":400000000,"hardLimit":2000000000,"effect":"retryable"}},
             {{"name":"once","aim":400000000,"hardLimit":2000000000,"effect":"fragile"}}]}}}}"#
         );
@@ -190,7 +194,7 @@
         let mut world =
             World { node: start(&file, address), address, seen, channel: told, workers, file, first_channel };
         let until = Instant::now() + PATIENCE;
-        while world.ask("GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n").is_none_or(|a| a.status != 200) {
+        while world.ask("GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n").is_none_or(|a| a.0 != 200) {
             assert!(
                 Instant::now() < until && world.node.try_wait().expect("a state").is_none(),
                 "it does not serve"
@@ -206,7 +210,7 @@
         stream
     }
 
-    fn ask(&self, text: &str) -> Option<Answer> {
+    fn ask(&self, text: &str) -> Option<(u16, String, Vec<u8>)> {
         let mut stream = TcpStream::connect(self.address).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).expect("set");
         stream.write_all(text.as_bytes()).ok()?;
@@ -230,17 +234,15 @@
             thread::sleep(Duration::from_millis(10));
         }
     }
-
-    fn alive(&mut self) {
-        assert!(self.node.try_wait().expect("a state").is_none(), "the router has ended");
-    }
 }
 
 impl Drop for World {
     fn drop(&mut self) {
+        let lives = self.node.try_wait().is_ok_and(|ended| ended.is_none());
         let _ = self.node.kill();
         let _ = self.node.wait();
         let _ = std::fs::remove_file(&self.file);
+        assert!(lives || thread::panicking(), "the router has ended");
     }
 }
 
@@ -255,27 +257,16 @@
         .expect("started")
 }
 
-#[derive(Debug)]
-struct Answer {
-    status: u16,
-    fields: HashMap<String, String>,
-    body: Vec<u8>,
-}
-
-fn answer(stream: &mut BufReader<TcpStream>) -> Option<Answer> {
-    let mut line = String::new();
-    stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
-    let status = line.split(' ').nth(1)?.parse().ok()?;
-    let mut fields = HashMap::new();
-    loop {
-        line.clear();
-        stream.read_line(&mut line).ok()?;
-        let Some((name, value)) = line.trim_end().split_once(": ") else { break };
-        fields.insert(name.to_lowercase(), value.to_owned());
+/// Status, head and body.
+fn answer(stream: &mut BufReader<TcpStream>) -> Option<(u16, String, Vec<u8>)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        stream.read_line(&mut head).ok().filter(|n| *n > 0)?;
     }
-    let mut body = vec![0; fields.get("content-length")?.parse().ok()?];
+    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: "))?;
+    let mut body = vec![0; length.parse().ok()?];
     stream.read_exact(&mut body).ok()?;
-    Some(Answer { status, fields, body })
+    Some((head.split(' ').nth(1)?.parse().ok()?, head, body))
 }
 
 fn call(id: &str, class: &str, function: &str, extra: &str, body: &str) -> String {
@@ -292,7 +283,7 @@
 
 #[test]
 fn calm_traffic_is_served_once_each_also_sent_ahead() {
-    let mut w = World::new(1);
+    let w = World::new(1);
     let stream = w.connect();
     let mut answers = BufReader::new(stream.try_clone().expect("clone"));
     let mut out = stream;
@@ -300,22 +291,21 @@
     out.write_all(ahead.as_bytes()).expect("sent");
     for n in 0..8 {
         let a = answer(&mut answers).expect("an answer");
-        assert_eq!((a.status, a.body), (200, format!("body {n}").into_bytes()));
+        assert_eq!((a.0, a.2), (200, format!("body {n}").into_bytes()));
     }
     out.write_all(call(&id(9), "once", GOOD, "Connection: close\r\n", "last").as_bytes()).expect("sent");
     let a = answer(&mut answers).expect("an answer");
-    assert_eq!((a.status, a.fields.get("connection").map(String::as_str)), (200, Some("close")));
+    assert_eq!((a.0, a.1.contains("Connection: close")), (200, true));
     assert!(answer(&mut answers).is_none());
     assert!((0..8).chain([9]).all(|n| w.calls(&id(n)) == 1));
     let seen = w.seen.lock().expect("seen");
     assert!(seen.orders.iter().all(|o| o.contains(GOOD)) && !seen.orders.is_empty());
     drop(seen);
-    w.alive();
 }
 
 #[test]
 fn rude_clients_get_a_refusal_and_nothing_of_theirs_reaches_a_worker() {
-    let mut w = World::new(2);
+    let w = World::new(2);
     let rude = [
         call(&id(1), "plain", GOOD, "Transfer-Encoding: chunked\r\n", "0\r\n\r\nPOST /"),
         call(&id(2), "nobody", GOOD, "", ""),
@@ -329,7 +319,7 @@
     ];
     for text in &rude {
         let a = w.ask(text).unwrap_or_else(|| panic!("no answer to {}", &text[..text.len().min(200)]));
-        assert!((400..500).contains(&a.status) && a.status != 429, "{a:?}");
+        assert!((400..500).contains(&a.0) && a.0 != 429, "{a:?}");
     }
     // A large body is refused by its head, and the refusal is not lost while the rest is still being sent.
     let mut stream = w.connect();
@@ -337,7 +327,7 @@
     stream.write_all(head.as_bytes()).expect("sent");
     let mut sender = stream.try_clone().expect("clone");
     let sending = thread::spawn(move || sender.write_all(&vec![b'z'; 8_000_000]).is_ok());
-    assert_eq!(answer(&mut BufReader::new(stream)).expect("an answer").status, 413);
+    assert_eq!(answer(&mut BufReader::new(stream)).expect("an answer").0, 413);
     let _ = sending.join();
     // Silent and half ones are closed by the router.
     for text in ["", "POST /api/v2/00000000000000a0/call HT"] {
@@ -346,67 +336,72 @@
         assert_eq!(stream.read(&mut [0; 16]).expect("closed, not silent"), 0);
     }
     assert!(w.seen.lock().expect("seen").calls.is_empty());
-    w.alive();
 }
 
+/// Symptom: a refusal is kept for a while so that it is read, and its descriptor is not free for the next
+/// client.
 #[test]
-fn hundreds_of_silent_connections_leave_room_for_others() {
-    let mut w = World::with(3, 256);
-    let silent: Vec<TcpStream> = (0..300).filter_map(|_| TcpStream::connect(w.address).ok()).collect();
-    assert_eq!(w.ask(&call(&id(1), "plain", GOOD, "", "still")).expect("an answer").status, 200);
-    drop(silent);
-    assert_eq!(w.ask(&call(&id(2), "plain", GOOD, "", "again")).expect("an answer").status, 200);
-    w.alive();
+fn hundreds_that_are_silent_or_refused_leave_room_for_others() {
+    let w = World::with(3, 128);
+    for (n, text) in [(1, ""), (2, "GARBAGE\r\n\r\n")] {
+        let mut kept = Vec::new();
+        for _ in 0..300 {
+            let mut stream = w.connect();
+            stream.write_all(text.as_bytes()).expect("sent");
+            kept.push(stream);
+        }
+        assert_eq!(w.ask(&call(&id(n), "plain", GOOD, "", "still")).expect("an answer").0, 200);
+        let fds = std::fs::read_dir(format!("/proc/{}/fd", w.node.id())).expect("listed").count();
+        assert!(fds < 128, "{fds} descriptors");
+    }
+    assert_eq!(w.ask(&call(&id(3), "plain", GOOD, "", "again")).expect("an answer").0, 200);
 }
 
 #[test]
 fn an_open_id_is_refused_to_a_second_and_the_first_unharmed() {
-    let mut w = World::new(4);
+    let w = World::new(4);
     let mut first = w.connect();
     first.write_all(call(&id(1), "once", SLOW, "", "mine").as_bytes()).expect("sent");
     w.until("the first is out", |w| w.calls(&id(1)) == 1);
-    assert_eq!(w.ask(&call(&id(1), "once", GOOD, "", "not mine")).expect("an answer").status, 409);
+    assert_eq!(w.ask(&call(&id(1), "once", GOOD, "", "not mine")).expect("an answer").0, 409);
     let a = answer(&mut BufReader::new(first)).expect("an answer");
-    assert_eq!((a.status, a.body), (200, b"mine".to_vec()));
+    assert_eq!((a.0, a.2), (200, b"mine".to_vec()));
     assert_eq!(w.calls(&id(1)), 1);
-    w.alive();
 }
 
 #[test]
 fn spoilt_answers_harm_only_their_own() {
-    // What must not run twice and may have run is dispatched once and answered with an error. A fresh router each, as
-    // the module passes over a worker that spoilt its last answer.
+    // What must not run twice and may have run is dispatched once and answered with an error. A fresh router
+    // each, as the module passes over a worker that spoilt its last answer.
     for (n, function) in [(2, NOISE), (3, HUGE), (4, HALF)] {
-        let mut w = World::new(10 + n as u16);
+        let w = World::new(10 + n as u16);
         // Good, with more beside it that is not its own.
         let a = w.ask(&call(&id(1), "plain", TWICE, "", "one")).expect("an answer");
-        assert_eq!((a.status, a.body), (200, b"one".to_vec()));
+        assert_eq!((a.0, a.2), (200, b"one".to_vec()));
         // Out at the same time as a spoilt one, a good one comes through.
         let mut slow = w.connect();
         slow.write_all(call(&id(5), "once", SLOW, "", "kept").as_bytes()).expect("sent");
         w.until("it is out", |w| w.calls(&id(5)) == 1);
         let a = w.ask(&call(&id(n), "once", function, "", "x")).expect("an answer");
-        assert!(a.status >= 500 && a.status != 503, "{a:?}");
+        assert!(a.0 >= 500 && a.0 != 503, "{a:?}");
         assert_eq!(w.calls(&id(n)), 1);
-        assert_eq!(answer(&mut BufReader::new(slow)).expect("an answer").body, b"kept");
-        w.alive();
+        assert_eq!(answer(&mut BufReader::new(slow)).expect("an answer").2, b"kept");
     }
 }
 
 #[test]
 fn a_client_that_leaves_has_its_dispatch_called_back() {
-    let mut w = World::new(6);
+    let w = World::new(6);
     let mut stream = w.connect();
     stream.write_all(call(&id(1), "plain", SLOW, "", "x").as_bytes()).expect("sent");
     w.until("it is out", |w| w.calls(&id(1)) == 1);
     drop(stream);
     w.until("it is called back", |w| w.seen.lock().expect("seen").killed.contains(&id(1)));
-    w.alive();
 }
 
 #[test]
 fn the_channel_breaks_moves_and_goes_on_where_it_was() {
-    let mut w = World::new(7);
+    let w = World::new(7);
     let second = Shared::default();
     let address = own(7);
     worker(TcpListener::bind(address).expect("bind"), second.clone());
@@ -415,7 +410,7 @@
     w.channel.lock().expect("channel").events.push(event(2, w.workers, "s-1", "left"));
     w.channel.lock().expect("channel").events.push(event(3, address, "s-2", "active"));
     w.until("the change is told", |w| w.channel.lock().expect("channel").asked.contains(&3));
-    assert_eq!(w.ask(&call(&id(1), "plain", GOOD, "", "x")).expect("an answer").status, 200);
+    assert_eq!(w.ask(&call(&id(1), "plain", GOOD, "", "x")).expect("an answer").0, 200);
     assert_eq!((w.calls(&id(1)), second.lock().expect("seen").calls.len()), (0, 1));
     // The configuration names another channel: the numbers go on there.
     let moved = Arc::new(Mutex::new(Channel::default()));
@@ -425,7 +420,7 @@
     let text = std::fs::read_to_string(&w.file).expect("read");
     std::fs::write(&w.file, "not json").expect("written");
     w.signal(rustix::process::Signal::HUP);
-    assert_eq!(w.ask(&call(&id(2), "plain", GOOD, "", "x")).expect("an answer").status, 200);
+    assert_eq!(w.ask(&call(&id(2), "plain", GOOD, "", "x")).expect("an answer").0, 200);
     let old = format!(r#""channel":"{}""#, w.first_channel);
     std::fs::write(&w.file, text.replace(&old, &format!(r#""channel":"{to}""#))).expect("written");
     w.signal(rustix::process::Signal::HUP);
@@ -435,9 +430,8 @@
     moved.lock().expect("channel").events.push(event(5, address, "s-3", "active"));
     w.until("it is told", |_| moved.lock().expect("channel").asked.contains(&5));
     let before = second.lock().expect("seen").connections;
-    assert_eq!(w.ask(&call(&id(3), "plain", GOOD, "", "x")).expect("an answer").status, 200);
+    assert_eq!(w.ask(&call(&id(3), "plain", GOOD, "", "x")).expect("an answer").0, 200);
     assert!(second.lock().expect("seen").connections > before, "an old connection was used");
-    w.alive();
 }
 
 #[test]
@@ -449,14 +443,14 @@
     w.signal(rustix::process::Signal::TERM);
     // What crosses the order is served still, and told that the connection closes.
     let a = w.ask(&call(&id(2), "plain", GOOD, "", "crossed")).expect("an answer");
-    assert_eq!(a.status, 200);
+    assert_eq!(a.0, 200);
     let a = answer(&mut BufReader::new(stream)).expect("an answer");
-    assert_eq!((a.status, a.fields.get("connection").map(String::as_str)), (200, Some("close")));
+    assert_eq!((a.0, a.1.contains("Connection: close")), (200, true));
     assert!(w.node.wait().expect("ended").success());
     // It starts again from nothing on the same address at once.
     w.node = start(&w.file, w.address);
-    w.until("it serves again", |w| w.ask("GET /-/healthy HTTP/1.1\r\n\r\n").is_some_and(|a| a.status == 200));
-    assert_eq!(w.ask(&call(&id(3), "plain", GOOD, "", "x")).expect("an answer").status, 200);
+    w.until("it serves again", |w| w.ask("GET /-/healthy HTTP/1.1\r\n\r\n").is_some_and(|a| a.0 == 200));
+    assert_eq!(w.ask(&call(&id(3), "plain", GOOD, "", "x")).expect("an answer").0, 200);
 }
 
 #[test]
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -150,22 +150,22 @@
     let _ = unpack(bytes, 0, 1);
 }
 
-/// Of a client of the platform, in pieces: no more is kept than one request may hold, and what was refused stays so.
+/// Of a client of the platform, in pieces: nothing comes after a refusal, and no more is kept than may be
+/// sent ahead.
 pub fn platform_client(pieces: &[Vec<u8>]) {
     let names = Names { triggers: vec!["a".into()], accounts: vec!["b".into()], ..Names::default() };
     let terms = clients::Terms { names, triggers: vec![(1_000_000, false)], largest_mb: 1e3 };
-    let mut reader = clients::Reader::default();
-    let mut refused = false;
-    for piece in pieces {
-        reader.put(piece);
-        loop {
-            match reader.next(&terms) {
-                Ok(Some(_)) => assert!(!refused),
-                Ok(None) => break assert!(!refused),
-                Err(_) => break refused = true,
-            }
+    let mut ahead = clients::Ahead::default();
+    for piece in pieces.iter().take_while(|p| p.len() < 1 << 16) {
+        if !ahead.full() {
+            ahead.put(0, piece, &terms);
         }
-        assert!(reader.len() <= clients::MOST_AHEAD + piece.len());
+        assert!(ahead.kept() <= clients::MOST_AHEAD + piece.len());
+    }
+    let mut refused = false;
+    while let Some((next, _)) = ahead.take(&terms) {
+        assert!(!refused);
+        refused = next.is_err();
     }
 }
 
@@ -180,15 +180,15 @@
     assert!(size <= bytes.len());
 }
 
-/// Of the command channel, and the configuration.
+/// Of the command channel, and the configuration: what was understood is not told again.
 pub fn platform_channel(bytes: &[u8]) {
     let mut answers = Answers::default();
     answers.put(bytes);
-    let mut follower = Follower::default();
+    let (mut follower, names) = (Follower::default(), Names::default());
     while let Ok(Some(batch)) = answers.whole() {
-        let before = follower.last();
-        let _ = follower.batch(&batch, &Names::default());
-        assert!(follower.last() >= before);
+        if follower.batch(&batch, &names, 0).is_ok() {
+            assert!(follower.batch(&batch, &names, 0).is_ok_and(|again| again.is_empty()));
+        }
     }
     let _ = config::Start::read(&String::from_utf8_lossy(bytes));
 }
--- a/crates/fuzz/tests/targets.rs
+++ b/crates/fuzz/tests/targets.rs
@@ -110,7 +110,9 @@
 fn fuzz_platform_channel() {
     check!().with_type::<(Vec<u8>, u8, u8)>().with_iterations(INPUTS).for_each(|(rest, cursor, cut)| {
         platform_channel(rest);
-        let body = format!(r#"{{"cursor":{cursor},"cmds":[{{"cursor":{cut},"nodes":{{"servers":[]}}}}]}}"#);
+        let server = r#"{"id":"s","state":"leaving","addr":"127.0.0.1:1"}"#;
+        let body =
+            format!(r#"{{"cursor":{cursor},"cmds":[{{"cursor":{cut},"nodes":{{"servers":[{server}]}}}}]}}"#);
         let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         platform_channel(&[&text.as_bytes()[..text.len().min(*cut as usize)], rest].concat());
         platform_channel(&[text.as_bytes(), text.as_bytes(), rest].concat());
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -112,7 +112,7 @@
                     let order = async move {
                         let Some(address) = it.address(worker) else { return };
                         let request = requests::load(&address.to_string(), &function, 1, None);
-                        let _ = it.pool.order(worker, address, request, LATE).await;
+                        let _ = it.pool.order(address, request, LATE).await;
                     };
                     gateway.executor.spawn(order).detach();
                 }
@@ -138,7 +138,7 @@
                 };
                 let request =
                     requests::infer(&address.to_string(), &function, marks, call.body.bytes, call.body.first);
-                let _ = it.pool.exchange(worker, address, request, false).await;
+                let _ = it.pool.exchange(address, request, false).await;
             };
             gateway.executor.spawn(send).detach();
         }
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -1,5 +1,7 @@
-//! Connecting from an own address, the clocks, and a bell that one task rings for another.
+//! Connecting from an own address, the clocks, a bell that one task rings for another, and an alarm for what
+//! is due.
 
+use std::cell::Cell;
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -108,3 +110,48 @@
         let _ = self.hear.recv().await;
     }
 }
+
+/// Goes off when the next thing is due; set to an earlier time, it goes off earlier.
+#[derive(Debug)]
+pub struct Alarm {
+    due: Cell<Micros>,
+    moved: Bell,
+}
+
+impl Default for Alarm {
+    fn default() -> Self {
+        Alarm { due: Cell::new(Micros::MAX), moved: Bell::default() }
+    }
+}
+
+impl Alarm {
+    pub fn set(&self, due: Micros) {
+        if due < self.due.get() {
+            self.due.set(due);
+            self.moved.ring();
+        }
+    }
+
+    /// Waits until it goes off; it must be set again then.
+    pub async fn rings(&self, clock: &Clock) {
+        loop {
+            let due = self.due.get();
+            let wait = async {
+                match due {
+                    Micros::MAX => std::future::pending().await,
+                    due => {
+                        Timer::at(clock.instant(due)).await;
+                    }
+                }
+                true
+            };
+            let moved = async {
+                self.moved.heard().await;
+                false
+            };
+            if wait.or(moved).await {
+                return self.due.set(Micros::MAX);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,7 +12,7 @@
 
 use async_executor::{LocalExecutor, Task};
 use bytes::Bytes;
-use cedarpulley::interface::{Micros, WorkerIx};
+use cedarpulley::interface::Micros;
 use cedarpulley_kserve::Ended;
 use cedarpulley_router::Ticket;
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
@@ -106,19 +106,20 @@
     executor: Rc<LocalExecutor<'static>>,
     clock: Clock,
     links: Links,
-    workers: RefCell<HashMap<WorkerIx, Link>>,
+    /// By address: the index of a gone worker is given out again.
+    workers: RefCell<HashMap<SocketAddr, Link>>,
     out: RefCell<HashMap<Ticket, Task<()>>>,
 }
 
 /// A place at a worker, given back however the exchange ends.
 struct Place<'a> {
     pool: &'a Pool,
-    worker: WorkerIx,
+    worker: SocketAddr,
     order: bool,
 }
 
 impl<'a> Place<'a> {
-    fn take(pool: &'a Pool, worker: WorkerIx, order: bool) -> Option<Self> {
+    fn take(pool: &'a Pool, worker: SocketAddr, order: bool) -> Option<Self> {
         let mut workers = pool.workers.borrow_mut();
         let link = workers.entry(worker).or_default();
         let (count, most) = match order {
@@ -174,6 +175,8 @@
             closed.extend(link.idle.extract_if(.., |(c, since)| *since < old || c.sender.is_closed()));
         }
         drop(closed);
+        let used = |l: &Link| !l.idle.is_empty() || l.used > 0 || l.orders > 0;
+        self.workers.borrow_mut().retain(|_, link| used(link));
     }
 
     async fn open(&self, address: SocketAddr) -> Option<Connection> {
@@ -193,13 +196,12 @@
     /// One request and its whole answer.
     pub async fn exchange(
         &self,
-        worker: WorkerIx,
         address: SocketAddr,
         request: Request<Bytes>,
         order: bool,
     ) -> Result<Reply, Failed> {
-        let _place = Place::take(self, worker, order).ok_or(Failed::NoRoom)?;
-        let mut connection = match self.idle(worker) {
+        let _place = Place::take(self, address, order).ok_or(Failed::NoRoom)?;
+        let mut connection = match self.idle(address) {
             Some(connection) => connection,
             None => self.open(address).await.ok_or(Failed::NoConnection)?,
         };
@@ -233,7 +235,7 @@
         }
         let body = if whole.len() == 1 { whole.swap_remove(0) } else { Bytes::from(whole.concat()) };
         if connection.sender.ready().await.is_ok()
-            && let Some(link) = self.workers.borrow_mut().get_mut(&worker)
+            && let Some(link) = self.workers.borrow_mut().get_mut(&address)
         {
             link.idle.push((connection, self.clock.now()));
         }
@@ -241,7 +243,7 @@
     }
 
     /// The connection used last, as it is the least likely to be closed by now.
-    fn idle(&self, worker: WorkerIx) -> Option<Connection> {
+    fn idle(&self, worker: SocketAddr) -> Option<Connection> {
         let mut closed = Vec::new();
         let mut workers = self.workers.borrow_mut();
         let link = workers.get_mut(&worker)?;
@@ -259,7 +261,6 @@
     /// An order, given up after this time.
     pub async fn order(
         &self,
-        worker: WorkerIx,
         address: SocketAddr,
         request: Request<Bytes>,
         within: Micros,
@@ -268,6 +269,6 @@
             async_io::Timer::after(micros(within)).await;
             Err(Failed::Broke { left: true })
         };
-        self.exchange(worker, address, request, true).or(late).await
+        self.exchange(address, request, true).or(late).await
     }
 }
--- a/crates/gateway/src/recorder.rs
+++ b/crates/gateway/src/recorder.rs
@@ -160,11 +160,6 @@
             }
         });
         it.gather.decided(now, event, actions);
-        for action in actions {
-            if let Action::Forget { func } = action {
-                it.gather.unname(Space::Function, *func);
-            }
-        }
     }
 
     fn taken(&mut self, now: Micros, inv: InvIx, front: FrontIx, mark: Option<&str>, redelivered: bool) {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -8,13 +8,12 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
-use cedarpulley::Control;
 use cedarpulley::interface::{ListMode, Micros, Outcome, Report, WorkerIx};
 use cedarpulley_certificates::Speakers;
 use cedarpulley_kserve::{endings, reports, requests};
 use cedarpulley_router::{FrontIx, Input, Output, Payload, Router};
 use cedarpulley_trace::start::{Start, module_digest};
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::StreamExt;
 use hdrhistogram::Histogram;
 
 use crate::calls::Calls;
@@ -22,7 +21,7 @@
 use crate::list;
 use crate::meddle::{Meddle, Meddler};
 use crate::metering::Metering;
-use crate::net::{Bell, Clock, listen};
+use crate::net::{Alarm, Clock, listen};
 use crate::pool::{Pool, ended};
 use crate::recorder::Recorder;
 use crate::settings::{Names, Parts, WorkerList};
@@ -58,9 +57,7 @@
     /// Their indices follow those of `fronts`.
     callers: Vec<Rc<Calls>>,
     pub(crate) pool: Rc<Pool>,
-    due: Cell<Micros>,
-    timer: Bell,
-    addresses: RefCell<Vec<Option<SocketAddr>>>,
+    alarm: Alarm,
 }
 
 impl Gateway {
@@ -72,10 +69,7 @@
             router.handle(self.clock.now(), input, &mut outputs);
             router.next_due().unwrap_or(Micros::MAX)
         };
-        if due < self.due.get() {
-            self.due.set(due);
-            self.timer.ring();
-        }
+        self.alarm.set(due);
         for output in outputs {
             self.carry_out(output);
         }
@@ -129,7 +123,7 @@
                         Some(address) => {
                             let (host, body) = (address.to_string(), call.body);
                             let request = requests::infer(&host, &function, marks, body.bytes, body.first);
-                            it.pool.exchange(worker, address, request, false).await
+                            it.pool.exchange(address, request, false).await
                         }
                         None => Err(crate::pool::Failed::NoConnection),
                     };
@@ -170,7 +164,7 @@
                             requests::load(&host, &function, n, account)
                         }
                     };
-                    let result = it.pool.order(worker, address, request, within).await;
+                    let result = it.pool.order(address, request, within).await;
                     let held = result.as_ref().ok().and_then(|r| reports::held(&r.headers));
                     let (result, copies) = endings::order(&ended(&result, &function));
                     it.feed(Input::OrderEnded { ticket, result, copies, held });
@@ -183,7 +177,7 @@
                     let Some(address) = it.address(worker) else { return };
                     let request = requests::unload(&address.to_string(), &function);
                     // No answer is waited for by anyone; it only has to get there.
-                    let _ = it.pool.order(worker, address, request, STOP_MARGIN).await;
+                    let _ = it.pool.order(address, request, STOP_MARGIN).await;
                 };
                 self.executor.spawn(order).detach();
             }
@@ -194,7 +188,7 @@
                     let (outcome, report) = match it.address(worker) {
                         Some(address) => {
                             let request = requests::live(&address.to_string());
-                            let result = it.pool.order(worker, address, request, STOP_MARGIN).await;
+                            let result = it.pool.order(address, request, STOP_MARGIN).await;
                             endings::probe(&ended(&result, ""))
                         }
                         None => (Outcome::Unreachable, Report::default()),
@@ -223,39 +217,14 @@
     }
 
     pub(crate) fn address(&self, worker: WorkerIx) -> Option<SocketAddr> {
-        let ix = worker as usize;
-        if let Some(Some(address)) = self.addresses.borrow().get(ix) {
-            return Some(*address);
-        }
-        let address = self.router.borrow().worker_name(worker)?.parse().ok();
-        let mut addresses = self.addresses.borrow_mut();
-        if addresses.len() <= ix {
-            addresses.resize(ix + 1, None);
-        }
-        addresses[ix] = address;
-        address
+        // Not kept by index: that of a gone worker is given out again.
+        self.router.borrow().worker_name(worker)?.parse().ok()
     }
 
     async fn timers(self: Rc<Self>) {
         loop {
-            let due = self.due.get();
-            let wait = async {
-                match due {
-                    Micros::MAX => std::future::pending().await,
-                    due => {
-                        Timer::at(self.clock.instant(due)).await;
-                    }
-                }
-                true
-            };
-            let rung = async {
-                self.timer.heard().await;
-                false
-            };
-            if wait.or(rung).await {
-                self.due.set(Micros::MAX);
-                self.feed(Input::Tick);
-            }
+            self.alarm.rings(&self.clock).await;
+            self.feed(Input::Tick);
         }
     }
 
@@ -301,6 +270,7 @@
 /// Runs one router until a signal to end. True if all that was taken has been answered.
 pub fn run(name: &str, parts: Parts, meddle: Option<Meddle>) -> std::io::Result<bool> {
     let Parts {
+        seed,
         birth,
         names,
         terms,
@@ -317,7 +287,7 @@
     let clock = Clock::start();
     let executor = Rc::new(LocalExecutor::new());
     // Without a seed of its own each start draws differently.
-    let seed = birth.seed.unwrap_or_else(|| clock.wall() as u64 ^ u64::from(std::process::id()) << 40);
+    let seed = seed.unwrap_or_else(|| clock.wall() as u64 ^ u64::from(std::process::id()) << 40);
     let longest = birth.triggers.iter().map(|t| t.client_timeout).max().unwrap_or(0);
     let start = Start {
         router: name.to_owned(),
@@ -333,30 +303,13 @@
             .chain(listens.iter().map(|l| l.name.clone()))
             .collect(),
         seed,
-        fleet: birth.fleet,
-        limits: birth.limits,
-        rules: birth.rules,
-        triggers: birth.triggers.clone(),
-        accounts: birth.accounts.clone(),
-        loads: birth.loads.clone(),
-        prices: birth.prices,
-        reports: birth.reports,
+        birth: birth.clone(),
     };
     let recorder = match keep {
         Some(keep) => Some(Recorder::begin(keep, name, start)?),
         None => None,
     };
-    let control = Control::new(
-        seed,
-        birth.fleet,
-        birth.limits,
-        birth.rules,
-        birth.triggers.clone(),
-        birth.accounts,
-        birth.loads,
-        birth.prices,
-        birth.reports,
-    );
+    let control = birth.control(seed);
     let mut listeners = Vec::new();
     for front in &listens {
         listeners.push(listen(front.address)?);
@@ -407,9 +360,7 @@
         fronts: fronts.map(|(ix, s)| Rc::new(Front::new(ix as u32, s, most_body))).collect(),
         callers,
         pool: Rc::new(Pool::new(executor.clone(), clock, links)),
-        due: Cell::new(Micros::MAX),
-        timer: Bell::default(),
-        addresses: RefCell::default(),
+        alarm: Alarm::default(),
     });
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     async_io::block_on(executor.run(async {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use cedarpulley::interface::*;
+use cedarpulley_birth::Birth;
+pub use cedarpulley_birth::Names;
 use cedarpulley_certificates::{self as certificates, Speakers, Which};
 use cedarpulley_router::Terms;
 use cedarpulley_router::roster::Listed;
@@ -22,30 +24,6 @@
 const MANY: f64 = 1e12;
 const NEVER: Micros = i64::MAX / 8;
 
-/// Names that the wire speaks of, in the order of their indices.
-#[derive(Clone, Debug, Default)]
-pub struct Names {
-    pub triggers: Vec<String>,
-    pub accounts: Vec<String>,
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-}
-
-impl Names {
-    pub fn trigger(&self, name: &str) -> Option<u32> {
-        self.triggers.iter().position(|n| n == name).map(|i| i as u32)
-    }
-
-    /// Without accounts all belong to one.
-    pub fn account(&self, name: Option<&str>) -> Option<u32> {
-        match name {
-            None => Some(0),
-            Some(_) if self.accounts.is_empty() => Some(0),
-            Some(name) => self.accounts.iter().position(|n| n == name).map(|i| i as u32),
-        }
-    }
-}
-
 /// One broker's queue to consume from.
 #[derive(Clone, Debug)]
 pub struct Source {
@@ -76,22 +54,10 @@
     pub most_answer: usize,
 }
 
-/// What the module is born with.
-#[derive(Clone, Debug)]
-pub struct Birth {
-    pub seed: Option<u64>,
-    pub fleet: FleetPosition,
-    pub limits: DispatchLimits,
-    pub rules: RuleTerms,
-    pub triggers: Vec<TriggerType>,
-    pub accounts: Vec<Account>,
-    pub loads: LoadTerms,
-    pub prices: Prices,
-    pub reports: ReportsIn,
-}
-
 /// The file's parts, to be handed on one by one.
 pub struct Parts {
+    /// Without one each start draws differently.
+    pub seed: Option<u64>,
     pub birth: Birth,
     pub names: Names,
     pub terms: Terms,
@@ -353,8 +319,9 @@
     for known in ["router", "dispatch", "rules", "loads", "prices", "workers", "kind", "trace", "meter"] {
         root.has(known);
     }
-    let birth = Birth { seed, fleet, limits, rules, triggers, accounts, loads, prices, reports };
+    let birth = Birth { fleet, limits, rules, triggers, accounts, loads, prices, reports };
     Parts {
+        seed,
         birth,
         names,
         terms,
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -75,7 +75,7 @@
                 async_io::Timer::after(Duration::from_secs(5)).await;
                 panic!("no end to the exchange")
             };
-            let result = pool.exchange(0, address, infer(address), false).or(late).await;
+            let result = pool.exchange(address, infer(address), false).or(late).await;
             all.push(endings::infer(&ended(&result, "f")).outcome);
             async_io::Timer::after(Duration::from_millis(30)).await;
         }
@@ -176,11 +176,11 @@
         pool.keep(
             ticket,
             executor.spawn(async move {
-                let _ = first.exchange(0, address, infer(address), false).await;
+                let _ = first.exchange(address, infer(address), false).await;
             }),
         );
         async_io::Timer::after(Duration::from_millis(100)).await;
-        let result = pool.exchange(0, address, infer(address), false).await;
+        let result = pool.exchange(address, infer(address), false).await;
         assert_eq!(endings::infer(&ended(&result, "f")).outcome, Outcome::Throttled);
         pool.withdraw(ticket);
         async_io::Timer::after(Duration::from_millis(20)).await;
@@ -189,7 +189,7 @@
             None
         };
         // There is room again: the exchange goes out and waits for this silent worker.
-        let again = async { Some(pool.exchange(0, address, infer(address), false).await) }.or(late).await;
+        let again = async { Some(pool.exchange(address, infer(address), false).await) }.or(late).await;
         assert!(again.is_none());
     }));
 }
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -1,7 +1,8 @@
 //! [`run`]: one router until it is told to stop, all on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
+use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -10,32 +11,29 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
-use cedarpulley::interface::{Effect, ListMode, Micros, Standing, TriggerType, WorkerIx};
-use cedarpulley_birth::ReportField;
-use cedarpulley_gateway::net::{Bell, Clock, listen};
+use cedarpulley::interface::{Effect, Micros, TriggerType, WorkerIx};
+use cedarpulley_birth::{Names, ReportField};
+use cedarpulley_gateway::net::{Alarm, Bell, Clock, Stream, listen};
 use cedarpulley_platform::berths::Berths;
-use cedarpulley_platform::channel::{Follower, Named, News};
+use cedarpulley_platform::bounds::Bounds;
+use cedarpulley_platform::channel::{Batch, Follower, News};
 use cedarpulley_platform::clients;
-use cedarpulley_platform::config::{Names, Start, channel_of};
-use cedarpulley_platform::doorkeeper::{Doorkeeper, descriptors};
-use cedarpulley_router::roster::Listed;
-use cedarpulley_router::{Input, Output, Router, Terms};
-use futures_lite::{FutureExt, StreamExt};
+use cedarpulley_platform::config::{Start, channel_of};
+use cedarpulley_platform::doorkeeper::Doorkeeper;
+use cedarpulley_platform::stopping::Stopping;
+use cedarpulley_router::{Input, Output, Router, Terms, Ticket};
+use futures_lite::StreamExt;
 
 use crate::channel;
-use crate::front::Front;
+use crate::front::{self, Front};
 use crate::links::Links;
 
 /// How often connections whose time is over are looked for.
 const SWEEP: Duration = Duration::from_millis(50);
-/// Bytes of bodies held at once: a part of the memory allowed.
-const BODIES_PART: f64 = 8.0;
-/// After the order to stop, requests that crossed it are taken for so long, by the protocol.
-const STILL_TAKES: Micros = 700_000;
-/// A router that stops looks this often whether all is answered, and leaves this long after the last answer, so that
-/// it is out.
+/// A router that stops looks this often whether it may leave.
 const STOP_LOOK: Duration = Duration::from_millis(10);
-const STOP_MARGIN: Micros = 500_000;
+/// One piece read at a time: several short requests or answers, a long one in a few.
+const PIECE: usize = 16 << 10;
 
 pub struct Node {
     pub(crate) clock: Clock,
@@ -43,20 +41,25 @@
     router: RefCell<Router>,
     inputs: RefCell<VecDeque<Input>>,
     feeding: Cell<bool>,
-    due: Cell<Micros>,
-    timer: Bell,
+    alarm: Alarm,
     pub(crate) front: Front,
     pub(crate) links: Links,
     pub(crate) names: Names,
     pub(crate) fields: Vec<ReportField>,
     pub(crate) crowds: bool,
-    /// By the worker's id: a new worker may have the address of one that has gone.
-    addresses: RefCell<HashMap<String, SocketAddr>>,
     pub(crate) channel: Cell<SocketAddr>,
     pub(crate) channel_moved: Bell,
     pub(crate) follower: RefCell<Follower>,
-    /// When the order to stop came.
-    stopping: Cell<Option<Micros>>,
+    pub(crate) stopping: RefCell<Stopping>,
+    /// All connections read into it, one after the other.
+    piece: RefCell<Vec<u8>>,
+}
+
+/// What a connection had to read.
+pub(crate) enum Had<T> {
+    Bytes(T),
+    Nothing,
+    Ended,
 }
 
 impl Node {
@@ -74,10 +77,7 @@
                 router.handle(self.clock.now(), input, &mut outputs);
                 router.next_due().unwrap_or(Micros::MAX)
             };
-            if due < self.due.get() {
-                self.due.set(due);
-                self.timer.ring();
-            }
+            self.alarm.set(due);
             for output in outputs.drain(..) {
                 self.carry_out(output);
             }
@@ -87,9 +87,9 @@
 
     fn carry_out(self: &Rc<Self>, output: Output) {
         match output {
-            Output::Answer { delivery, answer } => self.front.answer(self, delivery, &answer),
+            Output::Answer { delivery, answer } => self.front.answer(self, delivery, answer),
             Output::Send { ticket, worker, function, trigger, call, .. } => {
-                self.links.call(self, ticket, worker, &function, trigger, &call);
+                self.links.call(self, ticket, worker, function, trigger, call);
             }
             Output::Withdraw(ticket) => self.links.withdraw(self, ticket),
             Output::Order { ticket, function, copies, within, .. } => {
@@ -102,89 +102,46 @@
         }
     }
 
-    pub(crate) fn may_leave(&self, ticket: cedarpulley_router::Ticket) -> bool {
+    pub(crate) fn may_leave(&self, ticket: Ticket) -> bool {
         self.router.borrow().may_leave(self.clock.now(), ticket)
     }
 
     pub(crate) fn address(&self, worker: WorkerIx) -> Option<SocketAddr> {
-        let router = self.router.borrow();
-        self.addresses.borrow().get(router.worker_name(worker)?).copied()
+        self.follower.borrow().address(self.router.borrow().worker_name(worker)?)
     }
 
-    /// News of the list, in the core's terms.
-    pub(crate) fn tell(self: &Rc<Self>, news: News) {
+    /// What the channel tells.
+    pub(crate) fn follow(self: &Rc<Self>, batch: &Batch) -> anyhow::Result<()> {
         let wall_at_zero = self.clock.wall() - self.clock.now();
-        let listed = |w: &Named| Listed {
-            address: w.id.clone(),
-            zone: w.zone,
-            kind: w.kind,
-            cell: w.cell,
-            standing: w.standing,
-            weight: w.weight,
-            started: w.started.map(|s| s - wall_at_zero),
-        };
-        // Before the core hears of them: it may send at once.
-        for worker in &news.workers {
-            let Some(address) = worker.address.filter(|_| worker.standing != Standing::Gone) else {
-                continue;
-            };
-            let before = self.addresses.borrow_mut().insert(worker.id.clone(), address);
-            if before.is_some_and(|b| b != address) {
-                self.retire(&worker.id);
-            }
-        }
-        let named = |id: &String| news.workers.iter().any(|w| w.id == *id && w.standing != Standing::Gone);
-        let gone: Vec<String> = match news.mode {
-            ListMode::Changes => {
-                let gone = news.workers.iter().filter(|w| w.standing == Standing::Gone);
-                gone.map(|w| w.id.clone()).collect()
-            }
-            _ => self.addresses.borrow().keys().filter(|id| !named(id)).cloned().collect(),
-        };
-        for id in &gone {
-            self.retire(id);
-            self.addresses.borrow_mut().remove(id);
-        }
-        let workers = news.workers.iter().map(listed).collect();
-        self.feed(Input::List { mode: news.mode, workers });
+        let news = self.follower.borrow_mut().batch(batch, &self.names, wall_at_zero)?;
+        news.into_iter().for_each(|news| self.tell(news));
+        Ok(())
     }
 
-    /// What is open to this worker takes nothing more.
-    fn retire(&self, id: &str) {
-        if let Some(worker) = self.router.borrow().worker_ix(id) {
-            self.links.retire(worker);
+    fn tell(self: &Rc<Self>, news: News) {
+        for id in &news.retired {
+            if let Some(worker) = self.router.borrow().worker_ix(id) {
+                self.links.retire(worker);
+            }
         }
+        self.feed(Input::List { mode: news.mode, workers: news.workers });
     }
 
-    /// New requests are no longer taken: they crossed the order to stop by more than the protocol allows.
-    pub(crate) fn refuses(&self) -> bool {
-        self.stopping.get().is_some_and(|since| self.clock.now() - since > STILL_TAKES)
-    }
-
-    pub(crate) fn stopping(&self) -> bool {
-        self.stopping.get().is_some()
+    /// Reads once from a connection that is ready.
+    pub(crate) fn read<T>(&self, stream: &Stream, take: impl FnOnce(&[u8]) -> T) -> Had<T> {
+        let mut piece = self.piece.borrow_mut();
+        match stream.get_ref().read(&mut piece) {
+            Ok(0) => Had::Ended,
+            Ok(n) => Had::Bytes(take(&piece[..n])),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Had::Nothing,
+            Err(_) => Had::Ended,
+        }
     }
 
     async fn timers(self: Rc<Self>) {
         loop {
-            let due = self.due.get();
-            let wait = async {
-                match due {
-                    Micros::MAX => std::future::pending().await,
-                    due => {
-                        Timer::at(self.clock.instant(due)).await;
-                    }
-                }
-                true
-            };
-            let rung = async {
-                self.timer.heard().await;
-                false
-            };
-            if wait.or(rung).await {
-                self.due.set(Micros::MAX);
-                self.feed(Input::Tick);
-            }
+            self.alarm.rings(&self.clock).await;
+            self.feed(Input::Tick);
         }
     }
 
@@ -196,20 +153,21 @@
         }
     }
 
-    /// Goes on serving for a while, then answers what was taken, and leaves.
-    async fn stop(self: &Rc<Self>, longest: Micros) {
-        let since = self.clock.now();
-        self.stopping.set(Some(since));
+    /// Until whoever stops it may let it go.
+    async fn stop(self: &Rc<Self>) {
+        self.stopping.borrow_mut().told(self.clock.now());
         tracing::info!("stopping");
-        let until = since + STILL_TAKES + longest + STOP_MARGIN;
         loop {
             Timer::after(STOP_LOOK).await;
             let open = self.router.borrow().open() > 0 || self.front.owes();
-            if self.clock.now() > until || self.refuses() && !open {
+            if self.stopping.borrow().leaves(self.clock.now(), open) {
                 break;
             }
         }
-        tracing::info!(counts = ?self.router.borrow().counts, refused = ?self.front.refused(), "stopped");
+        let (router, follower) = (self.router.borrow(), self.follower.borrow());
+        let list = (follower.repeated, follower.left_out);
+        tracing::info!(counts = ?router.counts, clients = ?self.front.counts(), "stopped");
+        tracing::info!(full_links = self.links.full(), ?list, "stopped");
     }
 }
 
@@ -220,21 +178,22 @@
 /// Runs one router until it is told to stop. An error is one line with the cause.
 pub fn run() -> Result<(), String> {
     // Before anything else: a signal that comes while the router starts must not end it.
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let mut signals = signals.map_err(|e| format!("signals: {e}"))?;
     let path = PathBuf::from(told("BALANCER_CONFIG")?);
     let at = told("BALANCER_LISTEN")?;
     let address: SocketAddr = at.parse().map_err(|_| format!("BALANCER_LISTEN '{at}' is not an address"))?;
     let read = || std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()));
     let start = Start::read(&read()?).map_err(|e| format!("{}: {e:#}", path.display()))?;
-    let Start { seed, limits, channel, known, birth, names, links, largest_mb } = start;
+    let Start { seed, limits, channel, known, birth, fields, names, links, largest_mb } = start;
     let clock = Clock::start();
     let executor = Rc::new(LocalExecutor::new());
     let longest = birth.triggers.iter().map(|t| t.client_timeout).max().unwrap_or(0);
+    let bounds = Bounds::of(limits);
     let terms = Terms {
         answer_margin: birth.fleet.granularity,
         clock_margin: 0,
-        memory_bytes: (limits.memory_mb * f64::from(1 << 20) / BODIES_PART) as u64,
+        memory_bytes: bounds.body_bytes,
         front_weights: vec![1.0],
         account_shares: birth.accounts.iter().map(|a| a.share).collect(),
         order_answered_within: birth.loads.order_answered_within,
@@ -242,64 +201,49 @@
         drain_grace: birth.rules.drain_grace,
     };
     let tokened = |t: &TriggerType| matches!(t.effect, Effect::Tokened { .. });
-    let asked = clients::Terms {
-        names: names.clone(),
-        triggers: birth
-            .triggers
-            .iter()
-            .map(|t| (t.client_timeout + birth.rules.answer_slack, tokened(t)))
-            .collect(),
-        largest_mb,
-    };
-    let (callers, conns) = descriptors(limits.sockets);
-    let berths = Berths::new(conns, links.streams, links.idle_kept, links.connect_within);
+    let asked = |t: &TriggerType| (t.client_timeout + birth.rules.answer_slack, tokened(t));
+    let asked = birth.triggers.iter().map(asked).collect();
+    let asked = clients::Terms { names: names.clone(), triggers: asked, largest_mb };
+    let berths = Berths::new(bounds.workers, links.streams, links.idle_kept, links.connect_within);
     let node = Rc::new(Node {
         clock,
         executor: executor.clone(),
         router: RefCell::new(Router::new(birth.control(seed), birth.triggers.clone(), terms)),
         inputs: RefCell::default(),
         feeding: Cell::new(false),
-        due: Cell::new(Micros::MAX),
-        timer: Bell::default(),
-        front: Front::new(asked, Doorkeeper::new(callers)),
+        alarm: Alarm::default(),
+        front: Front::new(asked, Doorkeeper::new(bounds.clients)),
         links: Links::new(berths, links.connect_within),
         names,
-        fields: birth.fields.clone(),
+        fields,
         crowds: birth.loads.crowds,
-        addresses: RefCell::default(),
         channel: Cell::new(channel),
         channel_moved: Bell::default(),
         follower: RefCell::default(),
-        stopping: Cell::new(None),
+        stopping: RefCell::new(Stopping::new(longest)),
+        piece: RefCell::new(vec![0; PIECE]),
     });
-    let news = node.follower.borrow_mut().batch(&known, &node.names);
-    for news in news.map_err(|e| format!("{}: known: {e:#}", path.display()))? {
-        node.tell(news);
-    }
+    node.follow(&known).map_err(|e| format!("{}: known: {e:#}", path.display()))?;
     let listener = listen(address).map_err(|e| format!("BALANCER_LISTEN {address}: {e}"))?;
+    let read_again = || match read().and_then(|text| channel_of(&text).map_err(|e| format!("{e:#}"))) {
+        Ok(channel) => {
+            tracing::info!(%channel, "the configuration was read again");
+            node.channel.set(channel);
+            node.channel_moved.ring();
+        }
+        // The old one stays in force.
+        Err(why) => tracing::warn!(why, "the configuration could not be read again"),
+    };
     async_io::block_on(executor.run(async {
         executor.spawn(node.clone().timers()).detach();
         executor.spawn(node.clone().sweep()).detach();
-        executor.spawn(channel::follow(node.clone())).detach();
-        executor.spawn(crate::front::accept(node.clone(), listener)).detach();
+        executor.spawn(channel::follow(node.clone(), seed)).detach();
+        executor.spawn(front::accept(node.clone(), listener)).detach();
         tracing::info!(%address, "running");
-        while let Some(signal) = signals.next().await {
-            match signal {
-                Ok(Signal::Hup) => {
-                    match read().and_then(|text| channel_of(&text).map_err(|e| format!("{e:#}"))) {
-                        Ok(channel) => {
-                            tracing::info!(%channel, "the configuration was read again");
-                            node.channel.set(channel);
-                            node.channel_moved.ring();
-                        }
-                        // The old one stays in force.
-                        Err(why) => tracing::warn!(why, "the configuration could not be read again"),
-                    }
-                }
-                _ => break,
-            }
+        while let Some(Ok(Signal::Hup)) = signals.next().await {
+            read_again();
         }
-        node.stop(longest).await;
+        node.stop().await;
     }));
     Ok(())
 }
--- a/crates/platform/src/berths.rs
+++ b/crates/platform/src/berths.rs
@@ -1,16 +1,20 @@
 //! Decides which connection to a worker carries what, when one is opened, and when one is given up. Call
-//! [`Berths::place`] for each thing to be sent, and say what became of it: [`Berths::opened`], [`Berths::heard`],
-//! [`Berths::ended`], [`Berths::broke`], [`Berths::closed`]; [`Berths::stale`] names those to close now.
+//! [`Berths::place`] for each thing to be sent, and say what became of it: [`Berths::opened`],
+//! [`Berths::heard`], [`Berths::ended`], [`Berths::broke`], [`Berths::closed`]; [`Berths::stale`] names those
+//! to close now.
 //!
 //! Mechanisms:
-//! 1. A connection of its own for each thing out, as long as descriptors allow: what goes wrong with one answer takes
-//!    no other with it. Beyond that the one with the fewest out is shared, up to the streams allowed.
+//! 1. A connection of its own for each thing out, as long as descriptors allow: what goes wrong with one
+//!    answer takes no other with it. Beyond that the one with the fewest out is shared, up to the streams
+//!    allowed.
 //! 2. The idle connection used last is used next: it is the least likely to have been closed meanwhile.
-//! 3. One on which something ended without its answer takes nothing more: a late answer cannot be taken for that of a
-//!    later dispatch of the same id. Symptom besides: a worker's machine vanished, its connections stay open and swallow
-//!    whatever is sent, while a new one would not come up and so prove that nothing ran.
-//! 4. An idle connection is trusted for only so long as idle ones were found alive. Symptom: a worker drops idle ones
-//!    early and without a word; the next request on one is reset, and may have run for all that can be proven.
+//! 3. One on which something ended without its answer takes nothing more: a late answer cannot be taken for
+//!    that of a later dispatch of the same id. Symptom besides: a worker's machine vanished, its connections
+//!    stay open and swallow whatever is sent, while a new one would not come up and so prove that nothing
+//!    ran.
+//! 4. An idle connection is trusted for only so long as idle ones were found alive. Symptom: a worker drops
+//!    idle ones early and without a word; the next request on one is reset, and may have run for all that is
+//!    proven.
 
 use std::collections::BTreeMap;
 
@@ -20,9 +24,8 @@
 
 /// An idle connection is closed from here somewhat before the worker closes it, or a request may cross that.
 const IDLE_PART: (Micros, Micros) = (4, 5);
-
-/// A dropped connection answers the first bytes with a reset, one round trip after the use: sooner than most work is
-/// done, later than the network takes.
+/// A dropped connection answers the first bytes with a reset, one round trip after the use: sooner than most
+/// work is done, later than the network takes.
 const AT_ONCE: Micros = 8_000;
 /// After such a reset, connections are trusted for this part of the time that this one had been idle.
 const TRUSTED_PART: Micros = 2;
@@ -45,10 +48,11 @@
     worker: WorkerIx,
     out: usize,
     up: bool,
-    /// When something was last sent or ended, and since when an answer has been coming that is not whole.
+    /// When something was last sent or ended.
     used: Micros,
     /// For how long it had been idle when it was last used, until something is heard on it.
     idle_before: Option<Micros>,
+    /// Since when an answer has been coming that is not whole.
     midway: Option<Micros>,
     /// It is only waited for until all on it has ended.
     retired: bool,
@@ -65,20 +69,21 @@
     conns: BTreeMap<ConnIx, Conn>,
     by_worker: BTreeMap<WorkerIx, Vec<ConnIx>>,
     last: ConnIx,
+    /// Things for which there was no place.
     pub full: u64,
 }
 
 impl Berths {
-    /// `most`: connections at once to all workers; `streams`: things out at once on one; `half_answer`: the rest of
-    /// an answer that has begun comes within this time.
+    /// `most`: connections at once to all workers; `streams`: things out at once on one; `half_answer`: the
+    /// rest of an answer that has begun comes within this time.
     pub fn new(most: usize, streams: usize, idle_kept: Micros, half_answer: Micros) -> Self {
         let idle_kept = idle_kept * IDLE_PART.0 / IDLE_PART.1;
         Berths {
-            trusted: idle_kept,
             most,
             streams,
             idle_kept,
             half_answer,
+            trusted: idle_kept,
             conns: BTreeMap::new(),
             by_worker: BTreeMap::new(),
             last: 0,
@@ -91,43 +96,34 @@
         let of = self.by_worker.get(&worker).map_or(&[][..], Vec::as_slice);
         let open = || of.iter().filter_map(|ix| Some((*ix, self.conns.get(ix)?))).filter(|(_, c)| !c.retired);
         let idle = open().filter(|(_, c)| c.up && c.out == 0).max_by_key(|(_, c)| c.used);
-        let choice = match idle {
-            Some((ix, c)) if now - c.used <= self.trusted => Some(ix),
-            _ if self.conns.len() < self.most => None,
-            _ => {
-                let shared = open().filter(|(_, c)| c.out < self.streams).min_by_key(|(_, c)| c.out);
-                let Some((ix, _)) = shared else {
-                    self.full += 1;
-                    return Place::Full;
-                };
-                Some(ix)
+        let trusted = idle.filter(|(_, c)| now - c.used <= self.trusted);
+        let shared = open().filter(|(_, c)| c.out < self.streams).min_by_key(|(_, c)| c.out);
+        let room = self.conns.len() < self.most;
+        let Some((ix, _)) = trusted.or(shared.filter(|_| !room)) else {
+            if !room {
+                self.full += 1;
+                return Place::Full;
             }
+            self.last += 1;
+            let conn = Conn {
+                worker,
+                out: 1,
+                up: false,
+                used: now,
+                idle_before: None,
+                midway: None,
+                retired: false,
+            };
+            self.conns.insert(self.last, conn);
+            self.by_worker.entry(worker).or_default().push(self.last);
+            return Place::Open(self.last);
         };
-        match choice {
-            Some(ix) => {
-                if let Some(conn) = self.conns.get_mut(&ix) {
-                    conn.idle_before = (conn.out == 0).then_some(now - conn.used);
-                    conn.out += 1;
-                    conn.used = now;
-                }
-                Place::On(ix)
-            }
-            None => {
-                self.last += 1;
-                let conn = Conn {
-                    worker,
-                    out: 1,
-                    up: false,
-                    used: now,
-                    idle_before: None,
-                    midway: None,
-                    retired: false,
-                };
-                self.conns.insert(self.last, conn);
-                self.by_worker.entry(worker).or_default().push(self.last);
-                Place::Open(self.last)
-            }
+        if let Some(conn) = self.conns.get_mut(&ix) {
+            conn.idle_before = (conn.out == 0).then_some(now - conn.used);
+            conn.out += 1;
+            conn.used = now;
         }
+        Place::On(ix)
     }
 
     /// The connection is up.
@@ -139,16 +135,15 @@
 
     /// Bytes came; `midway`: the answer they belong to is not whole yet.
     pub fn heard(&mut self, now: Micros, ix: ConnIx, midway: bool) {
-        if let Some(conn) = self.conns.get_mut(&ix) {
-            if let Some(idle) = conn.idle_before.take().filter(|i| *i >= self.trusted / 2) {
-                self.trusted += (self.trusted / TRUST_GROWS).max(1).min(idle.max(1));
-                self.trusted = self.trusted.min(self.idle_kept);
-            }
-            conn.midway = if midway { conn.midway.or(Some(now)) } else { None };
+        let Some(conn) = self.conns.get_mut(&ix) else { return };
+        conn.midway = if midway { conn.midway.or(Some(now)) } else { None };
+        if conn.idle_before.take().is_some_and(|idle| idle >= self.trusted / 2) {
+            self.trusted = (self.trusted + self.trusted / TRUST_GROWS).min(self.idle_kept);
         }
     }
 
-    /// One thing that was out there has ended; true if the connection is to be closed now. `answered`: by an answer.
+    /// One thing that was out there has ended; true if the connection is to be closed now. `answered`: by an
+    /// answer, or nothing of it had left.
     pub fn ended(&mut self, now: Micros, ix: ConnIx, answered: bool) -> bool {
         let Some(conn) = self.conns.get_mut(&ix) else { return false };
         conn.out = conn.out.saturating_sub(1);
@@ -197,11 +192,8 @@
         self.conns.iter().filter(|(_, c)| stale(c)).map(|(ix, _)| *ix).collect()
     }
 
-    pub fn len(&self) -> usize {
+    /// Connections there are.
+    pub fn count(&self) -> usize {
         self.conns.len()
     }
-
-    pub fn is_empty(&self) -> bool {
-        self.conns.is_empty()
-    }
 }
--- a/crates/platform/src/channel.rs
+++ b/crates/platform/src/channel.rs
@@ -1,20 +1,32 @@
-//! The command channel: numbered events that change the list of workers. Call [`Follower::batch`] with what the
-//! configuration knew and with each answer; it gives the lists to be told, each event once and in order.
+//! The command channel: numbered events that change the list of workers. Call [`Follower::batch`] with what
+//! the configuration knew and with each answer; it gives the news to be told, each event once and in order.
 //! [`Follower::ask`] makes the next question, [`Answers`] cuts answers out of the bytes that come.
 //!
 //! Mechanisms:
 //! 1. An event whose number is not above the last one taken changes nothing.
 //! 2. What cannot be read voids its answer: nothing of it is taken, and the same question is asked again.
+//! 3. A worker is known by its id. Symptom: a new one has the address of one that has gone, or one moves;
+//!    what is open to the old one must not be used for the new.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use anyhow::{Context, Result, bail, ensure};
+use cedarpulley::ids::fingerprint;
 use cedarpulley::interface::{ListMode, Micros, Standing};
+use cedarpulley_router::roster::Listed;
 use serde::Deserialize;
 
 use crate::config::Names;
 
-/// Asked for this wait, of the 5 s that the protocol allows: a channel that has stopped but stays open is noticed so
-/// much later.
+/// Asked for this wait, of the 5 s that the protocol allows: a channel that has stopped but stays open is
+/// noticed so much later, and this much beyond, as an answer takes its way.
 pub const ASKED_WAIT: Micros = 1_000_000;
+pub const ANSWER_LATE: Micros = 500_000;
+/// Longest pause before it is connected to again: what it tells must be known within two seconds of a break.
+pub const LONGEST_PAUSE: Micros = 320_000;
+/// Workers that are kept account of; what is named beyond is left out and counted.
+const MOST_WORKERS: usize = 20_000;
 /// An answer names some thousands of workers at most.
 const MOST_ANSWER: usize = 4 << 20;
 /// Heads of answers: a few short fields.
@@ -64,52 +76,44 @@
     1.0
 }
 
-/// One worker as an event names it, in the router's terms.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Named {
-    pub id: String,
-    pub address: Option<std::net::SocketAddr>,
-    pub zone: u32,
-    pub kind: u32,
-    pub cell: u32,
-    pub standing: Standing,
-    pub weight: f64,
-    /// On the wall's clock.
-    pub started: Option<Micros>,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 pub struct News {
     pub mode: ListMode,
-    pub workers: Vec<Named>,
+    /// By their ids.
+    pub workers: Vec<Listed>,
+    /// Gone or moved: what is open to them takes nothing more.
+    pub retired: Vec<String>,
 }
 
 #[derive(Debug, Default)]
 pub struct Follower {
     last: u64,
-    /// Events that had been taken before.
+    addresses: BTreeMap<String, SocketAddr>,
+    /// Events that had been taken before, and workers beyond the bound.
     pub repeated: u64,
+    pub left_out: u64,
 }
 
 impl Follower {
     /// The question for what came after the last event.
     pub fn ask(&self, host: &str) -> Vec<u8> {
-        format!(
-            "GET /cmd/next?resume={}&block={} HTTP/1.1\r\nHost: {host}\r\n\r\n",
-            self.last,
-            ASKED_WAIT / 1_000
-        )
-        .into_bytes()
+        let (last, wait) = (self.last, ASKED_WAIT / 1_000);
+        format!("GET /cmd/next?resume={last}&block={wait} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
     }
 
     pub fn last(&self) -> u64 {
         self.last
     }
 
-    /// The news in a batch, in order; all of it or, where it cannot be read, nothing.
-    pub fn batch(&mut self, batch: &Batch, names: &Names) -> Result<Vec<News>> {
-        let mut news = Vec::new();
-        let (mut last, mut repeated) = (self.last, 0);
+    /// Where a listed worker is.
+    pub fn address(&self, id: &str) -> Option<SocketAddr> {
+        self.addresses.get(id).copied()
+    }
+
+    /// The news in a batch, in order; all of it or, where it cannot be read, nothing. `wall_at_zero`: the
+    /// wall's time when the router's clock began.
+    pub fn batch(&mut self, batch: &Batch, names: &Names, wall_at_zero: Micros) -> Result<Vec<News>> {
+        let (mut understood, mut last, mut repeated) = (Vec::new(), self.last, 0);
         for command in &batch.cmds {
             if command.cursor <= last {
                 repeated += 1;
@@ -117,19 +121,51 @@
             }
             last = command.cursor;
             if let Some(nodes) = &command.nodes {
-                let workers = nodes.servers.iter().map(|s| named(s, names)).collect::<Result<_>>()?;
-                let mode = if nodes.full { ListMode::Complete } else { ListMode::Changes };
-                news.push(News { mode, workers });
+                let workers = nodes
+                    .servers
+                    .iter()
+                    .map(|s| named(s, names, wall_at_zero))
+                    .collect::<Result<Vec<_>>>()?;
+                understood.push((if nodes.full { ListMode::Complete } else { ListMode::Changes }, workers));
             }
         }
         self.last = last.max(batch.cursor);
         self.repeated += repeated;
-        Ok(news)
+        Ok(understood.into_iter().map(|(mode, workers)| self.follow(mode, workers)).collect())
+    }
+
+    fn follow(&mut self, mode: ListMode, named: Vec<(Listed, Option<SocketAddr>)>) -> News {
+        let mut retired = Vec::new();
+        if mode == ListMode::Complete {
+            let named = |id: &String| named.iter().any(|(w, _)| w.address == *id);
+            retired.extend(self.addresses.extract_if(.., |id, _| !named(id)).map(|(id, _)| id));
+        }
+        let mut workers = Vec::new();
+        for (worker, address) in named {
+            let before = match address.filter(|_| worker.standing != Standing::Gone) {
+                None => self.addresses.remove(&worker.address),
+                Some(_)
+                    if self.addresses.len() >= MOST_WORKERS
+                        && !self.addresses.contains_key(&worker.address) =>
+                {
+                    self.left_out += 1;
+                    continue;
+                }
+                Some(address) => {
+                    self.addresses.insert(worker.address.clone(), address).filter(|b| *b != address)
+                }
+            };
+            if before.is_some() {
+                retired.push(worker.address.clone());
+            }
+            workers.push(worker);
+        }
+        News { mode, workers, retired }
     }
 }
 
-fn named(server: &Server, names: &Names) -> Result<Named> {
-    let place = |list: &[String], name: &str| list.iter().position(|n| n == name).unwrap_or(0) as u32;
+fn named(server: &Server, names: &Names, wall_at_zero: Micros) -> Result<(Listed, Option<SocketAddr>)> {
+    let place = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|n| n as u32);
     let standing = match server.state.as_str() {
         "active" => Standing::InService,
         "leaving" => Standing::Draining,
@@ -143,16 +179,19 @@
         server.addr,
         server.id
     );
-    Ok(Named {
-        id: server.id.clone(),
-        address,
-        zone: place(&names.zones, &server.zone),
-        kind: place(&names.kinds, &server.kind),
+    // A zone that the settings do not name is like no other; a kind is one kind more.
+    let unknown = || fingerprint(&server.zone) as u32 | 1 << 31;
+    let started = Some(server.started_ms).filter(|&ms| ms > 0).map(|ms| ms.saturating_mul(1_000));
+    let worker = Listed {
+        address: server.id.clone(),
+        zone: place(&names.zones, &server.zone).unwrap_or_else(unknown),
+        kind: place(&names.kinds, &server.kind).unwrap_or(names.kinds.len() as u32),
         cell: server.cell,
         standing,
         weight: server.weight,
-        started: Some(server.started_ms).filter(|&ms| ms > 0).map(|ms| ms.saturating_mul(1_000)),
-    })
+        started: started.map(|s| s.saturating_sub(wall_at_zero)),
+    };
+    Ok((worker, address))
 }
 
 /// Cuts whole answers out of the bytes of one connection. Whatever cannot be read ends that connection.
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -1,14 +1,18 @@
-//! Clients' requests out of the bytes of one connection, and the answers to them. [`Reader::put`] takes what came,
-//! [`Reader::next`] gives one request after the other; [`answer`] writes what goes back.
+//! Clients' requests out of the bytes of one connection, and the answers to them. [`Ahead::put`] takes what
+//! came, [`Ahead::take`] gives one request after the other; [`answer`] writes what goes back, under
+//! [`status`].
 //!
-//! Whatever is not beyond doubt is refused before anything reaches a worker, and its connection closes: where one
-//! request ends and the next begins is then no longer sure. Both lengths together may hide a second request.
+//! Whatever is not beyond doubt is refused before anything reaches a worker, and its connection closes: where
+//! one request ends and the next begins is then no longer sure. Both lengths together may hide a second
+//! request.
 
+use std::collections::VecDeque;
 use std::io::Write;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
+use cedarpulley_router::Fate;
 use httparse::Status;
 
 use crate::config::Names;
@@ -20,8 +24,13 @@
 const MOST_FIELDS: usize = 48;
 /// Chunks of one byte each would cost more than they carry.
 const MOST_CHUNKED: usize = 4 * MOST_BODY;
-/// What may be sent ahead of an answer: one more request.
+/// What may be sent ahead of an answer before no more is read: the bytes of one more request, and short
+/// requests in this number.
 pub const MOST_AHEAD: usize = MOST_HEAD + MOST_BODY;
+const MOST_REQUESTS: usize = 8;
+/// What a refused client still sends is read away up to here: the largest body that is known to be tried, and
+/// more.
+pub const MOST_READ_AWAY: usize = 80 << 20;
 const MOST_TOKEN: usize = 64;
 /// Hints beyond an hour of work, and more lanes than a machine has, are no hints.
 const LONGEST_MS: f64 = 3.6e6;
@@ -114,34 +123,31 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Reader {
+struct Reader {
     bytes: Vec<u8>,
     state: State,
 }
 
 impl Reader {
-    pub fn put(&mut self, bytes: &[u8]) {
+    fn put(&mut self, bytes: &[u8]) {
         if !matches!(self.state, State::Refused(_)) {
             self.bytes.extend_from_slice(bytes);
         }
     }
 
     /// A request has begun and is not whole.
-    pub fn midway(&self) -> bool {
+    fn midway(&self) -> bool {
         !self.bytes.is_empty() || !matches!(self.state, State::Head)
     }
 
     /// Bytes kept.
-    pub fn len(&self) -> usize {
-        self.bytes.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+    fn kept(&self) -> usize {
+        let body = if let State::Chunked { body, .. } = &self.state { body.len() } else { 0 };
+        self.bytes.len() + body
     }
 
     /// The next whole request; none yet; or what is wrong, from then on for good.
-    pub fn next(&mut self, terms: &Terms) -> Result<Option<Request>, Wrong> {
+    fn next(&mut self, terms: &Terms) -> Result<Option<Request>, Wrong> {
         let found = self.step(terms);
         match &found {
             Err(wrong) => {
@@ -220,6 +226,63 @@
     }
 }
 
+/// Requests sent ahead of an answer, each with the time at which its last byte came: what it waits here
+/// counts.
+#[derive(Debug, Default)]
+pub struct Ahead {
+    reader: Reader,
+    whole: VecDeque<(Result<Request, Wrong>, Micros)>,
+    read_at: Micros,
+}
+
+impl Ahead {
+    pub fn put(&mut self, now: Micros, bytes: &[u8], terms: &Terms) {
+        self.reader.put(bytes);
+        self.read_at = now;
+        self.fill(terms);
+    }
+
+    /// Nothing is read beyond what cannot be understood.
+    fn fill(&mut self, terms: &Terms) {
+        while self.whole.len() < MOST_REQUESTS && self.whole.back().is_none_or(|last| last.0.is_ok()) {
+            let Some(next) = self.reader.next(terms).transpose() else { return };
+            self.whole.push_back((next, self.read_at));
+        }
+    }
+
+    pub fn take(&mut self, terms: &Terms) -> Option<(Result<Request, Wrong>, Micros)> {
+        let first = self.whole.pop_front()?;
+        if first.0.is_ok() {
+            self.fill(terms);
+        }
+        Some(first)
+    }
+
+    /// A whole request is here.
+    pub fn any(&self) -> bool {
+        !self.whole.is_empty()
+    }
+
+    /// A request has begun and is not whole.
+    pub fn midway(&self) -> bool {
+        self.reader.midway()
+    }
+
+    /// With as much sent ahead as may be, nothing more is read.
+    pub fn full(&self) -> bool {
+        self.whole.len() >= MOST_REQUESTS || self.kept() >= MOST_AHEAD
+    }
+
+    /// Bytes kept.
+    pub fn kept(&self) -> usize {
+        let body = |next: &(Result<Request, Wrong>, Micros)| match &next.0 {
+            Ok(Request { what: What::Call(call), .. }) => call.body.len(),
+            _ => 0,
+        };
+        self.reader.kept() + self.whole.iter().map(body).sum::<usize>()
+    }
+}
+
 /// Understands a head once it is whole: how its body comes, and the bytes that it took.
 fn head(bytes: &[u8], terms: &Terms) -> Result<Option<(State, usize)>, Wrong> {
     let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
@@ -231,7 +294,8 @@
         Err(_) => return Err(Wrong::Head),
     };
     let fields = Fields(head.headers);
-    let (sized, chunked) = (fields.once("content-length")?, fields.once("transfer-encoding")?);
+    let length = |name| fields.once(name).map_err(|_| Wrong::Length);
+    let (sized, chunked) = (length("content-length")?, length("transfer-encoding")?);
     let length = match (sized, chunked) {
         (Some(_), Some(_)) => return Err(Wrong::Length),
         (Some(size), None) => Some(digits(size).ok_or(Wrong::Length)?),
@@ -276,11 +340,7 @@
         let mut found = self.0.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
         let Some(field) = found.next() else { return Ok(None) };
         if found.next().is_some() {
-            return Err(if name.ends_with("length") || name.starts_with("transfer") {
-                Wrong::Length
-            } else {
-                Wrong::Field
-            });
+            return Err(Wrong::Field);
         }
         std::str::from_utf8(field.value).map(|v| Some(v.trim())).map_err(|_| Wrong::Field)
     }
@@ -291,11 +351,10 @@
 }
 
 fn call(function: &str, fields: &Fields, terms: &Terms) -> Result<Call, Wrong> {
-    let place = |list: &[String], name: &str| list.iter().position(|n| n == name).ok_or(Wrong::Field);
     let id = Some(fields.needed("req-id")?).filter(|id| is_id(id)).ok_or(Wrong::Field)?;
-    let trigger = place(&terms.names.triggers, fields.needed("x-class")?)?;
-    let account = place(&terms.names.accounts, fields.needed("req-owner")?)?;
-    let (longest, tokened) = terms.triggers.get(trigger).copied().ok_or(Wrong::Field)?;
+    let trigger = terms.names.trigger(fields.needed("x-class")?).ok_or(Wrong::Field)?;
+    let account = terms.names.account(Some(fields.needed("req-owner")?)).ok_or(Wrong::Field)?;
+    let (longest, tokened) = terms.triggers.get(trigger as usize).copied().ok_or(Wrong::Field)?;
     let wait = (number(fields.needed("req-wait-ms")?, LONGEST_MS)? * 1e3) as Micros;
     if wait <= 0 || wait > longest {
         return Err(Wrong::Field);
@@ -327,8 +386,8 @@
     Ok(Call {
         id: Arc::from(id),
         function: Arc::from(function),
-        trigger: trigger as u32,
-        account: account as u32,
+        trigger,
+        account,
         wait,
         token: token.map(Arc::from),
         cost_hint: cost.map(micros),
@@ -354,8 +413,25 @@
     if value.is_finite() && (0.0..=most).contains(&value) { Ok(value) } else { Err(Wrong::Field) }
 }
 
-/// What goes back. Status 200 carries the body as the worker gave it; on a refusal the client is told for how long
-/// to stay away.
+/// A refusal, which says that trying again is harmless.
+pub const REFUSED: u16 = 503;
+
+/// Of a final answer.
+pub fn status(fate: Fate) -> u16 {
+    match fate {
+        Fate::Succeeded => 200,
+        Fate::Throttled => REFUSED,
+        Fate::Errored => 500,
+    }
+}
+
+/// Of a question whether it serves.
+pub fn health(stops: bool) -> u16 {
+    if stops { 503 } else { 200 }
+}
+
+/// What goes back. Status 200 carries the body as the worker gave it; on a refusal the client is told for how
+/// long to stay away.
 pub fn answer(out: &mut Vec<u8>, status: u16, return_after: Option<Micros>, body: &[u8], close: bool) {
     let reason = match status {
         200 => "OK",
@@ -365,7 +441,6 @@
         409 => "Conflict",
         413 => "Content Too Large",
         417 => "Expectation Failed",
-        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
         _ => "Internal Server Error",
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,11 +1,12 @@
-//! What a router is told at its start, as JSON. Call [`Start::read`] with the file's text; [`channel_of`] reads from
-//! a replaced file what may change while the router runs.
+//! What a router is told at its start, as JSON. Call [`Start::read`] with the file's text; [`channel_of`]
+//! reads from a replaced file what may change while the router runs.
 
 use std::net::SocketAddr;
 
 use anyhow::{Context, Result, ensure};
 use cedarpulley::interface::Micros;
-use cedarpulley_birth::{Birth, Sheet};
+pub use cedarpulley_birth::Names;
+use cedarpulley_birth::{Birth, ReportField, Sheet};
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -26,15 +27,6 @@
     pub sockets: u64,
 }
 
-/// Names on the sockets; their places in the lists are the module's indices.
-#[derive(Clone, Debug, Default)]
-pub struct Names {
-    pub triggers: Vec<String>,
-    pub accounts: Vec<String>,
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-}
-
 /// What the settings say of connections to workers.
 #[derive(Clone, Copy, Debug)]
 pub struct Links {
@@ -50,6 +42,8 @@
     pub channel: SocketAddr,
     pub known: Batch,
     pub birth: Birth,
+    /// The values in load reports.
+    pub fields: Vec<ReportField>,
     pub names: Names,
     pub links: Links,
     /// A copy larger than the largest machine is asked of no worker.
@@ -91,6 +85,7 @@
             },
         };
         ensure!(file.limits.sockets > 0, "limits.sockets is 0");
+        ensure!(file.limits.memory_mb > 0.0, "limits.memory_mb is not above 0");
         let largest_mb = birth.loads.memory_mb.iter().copied().fold(0.0, f64::max);
         Ok(Start {
             seed: seed(&file.seed)?,
@@ -98,6 +93,7 @@
             channel,
             known: file.known,
             birth,
+            fields: ReportField::named(&sheet),
             names,
             links,
             largest_mb: if largest_mb > 0.0 { largest_mb } else { f64::MAX },
--- a/crates/platform/src/doorkeeper.rs
+++ b/crates/platform/src/doorkeeper.rs
@@ -1,13 +1,14 @@
 //! Decides which clients' connections stay. Call [`Doorkeeper::came`] for each new one, and say what it does:
-//! [`Doorkeeper::began`], [`Doorkeeper::whole`], [`Doorkeeper::answering`], [`Doorkeeper::answered`], [`Doorkeeper::left`];
-//! [`Doorkeeper::overdue`] names those whose time is over.
+//! [`Doorkeeper::began`], [`Doorkeeper::whole`], [`Doorkeeper::answering`], [`Doorkeeper::answered`],
+//! [`Doorkeeper::leaving`], [`Doorkeeper::left`]; [`Doorkeeper::overdue`] names those whose time is over.
 //!
 //! Mechanisms:
-//! 1. A connection must have sent a whole request soon after it came, and each later one soon after its first byte.
-//!    Symptom: hundreds connect and send nothing, or send a byte now and then.
-//! 2. With the table full, the one longest without an open request goes; those that should have sent theirs by now and
-//!    have not go first, those that have only just come go last. Symptom: a crowd comes faster than silent ones can be
-//!    found, and whoever has just connected is turned out before its request is read.
+//! 1. A connection must have sent a whole request soon after it came, each later one soon after its first
+//!    byte, and take its answer as soon. Symptom: hundreds connect and send nothing, or send a byte now and
+//!    then.
+//! 2. With the table full, the one longest without an open request goes; those that should have sent theirs
+//!    by now and have not go first, those that have only just come go last. Symptom: a crowd comes faster
+//!    than silent ones can be found, and whoever has just connected is turned out before its request is read.
 //! 3. One that has had its answer may stay idle for as long as clients keep theirs.
 
 use std::collections::BTreeMap;
@@ -16,22 +17,13 @@
 
 pub type CallerIx = u64;
 
-/// Descriptors for what is neither a client's nor a worker's connection: listener, channel, signals, the runtime's own,
-/// and connections that are just being closed or turned away.
-const RESERVE: usize = 32;
-
-/// Descriptors for clients and for workers. Usual clients hold a third of all at most; half of all leaves them room beside
-/// silent ones.
-pub fn descriptors(limit: u64) -> (usize, usize) {
-    let limit = limit.min(1 << 20) as usize;
-    let clients = (limit / 2).max(1);
-    (clients, limit.saturating_sub(clients + RESERVE).max(1))
-}
-
-/// A client sends its request in one go; the protocol's worst client must have its refusal or close 3 s after
-/// connecting.
+/// A client sends its request in one go, and reads as fast; the protocol's worst client must have its refusal
+/// or close 3 s after connecting.
 const WHOLE_WITHIN: Micros = 2_000_000;
-/// A request has come by then if it was sent with the connecting: some round trips, and this process's own pauses.
+/// One that has its last answer closes at once, or is still sending what nobody wants.
+const LINGERS: Micros = 1_500_000;
+/// A request has come by then if it was sent with the connecting: some round trips, and this process's own
+/// pauses.
 const SENT_BY: Micros = 250_000;
 /// Clients close what has been idle for 4 s; those that never do are closed a little later.
 const IDLE_KEPT: Micros = 5_000_000;
@@ -46,7 +38,9 @@
     Sending,
     /// Owed an answer.
     Open,
-    /// Its answer is being written, or it was the last one.
+    /// Its answer is being written.
+    Answering,
+    /// Its last answer is written; it is only read until it closes.
     Leaving,
 }
 
@@ -63,7 +57,8 @@
         Doorkeeper { most, callers: BTreeMap::new(), last: 0, turned_out: 0 }
     }
 
-    /// A new connection: its number, and one that has to go for it. None if all that are here are owed an answer.
+    /// A new connection: its number, and one that has to go for it. None if all that are here are owed an
+    /// answer.
     pub fn came(&mut self, now: Micros) -> Option<(CallerIx, Option<CallerIx>)> {
         let mut out = None;
         if self.callers.len() >= self.most {
@@ -71,7 +66,7 @@
                 State::Fresh if now - since > SENT_BY => Some((0, *since)),
                 State::Leaving => Some((1, *since)),
                 State::Idle => Some((2, *since)),
-                State::Sending | State::Fresh => Some((3, *since)),
+                State::Answering | State::Sending | State::Fresh => Some((3, *since)),
                 State::Open => None,
             };
             let first = self.callers.iter().filter(|c| rank(c).is_some()).min_by_key(rank);
@@ -108,8 +103,11 @@
         self.set(ix, State::Idle, now);
     }
 
-    /// Its answer is being written; a client that does not read it has only so long.
     pub fn answering(&mut self, now: Micros, ix: CallerIx) {
+        self.set(ix, State::Answering, now);
+    }
+
+    pub fn leaving(&mut self, now: Micros, ix: CallerIx) {
         self.set(ix, State::Leaving, now);
     }
 
@@ -119,7 +117,8 @@
 
     pub fn overdue(&self, now: Micros) -> Vec<CallerIx> {
         let over = |&(state, since): &(State, Micros)| match state {
-            State::Fresh | State::Sending | State::Leaving => now - since > WHOLE_WITHIN,
+            State::Fresh | State::Sending | State::Answering => now - since > WHOLE_WITHIN,
+            State::Leaving => now - since > LINGERS,
             State::Idle => now - since > IDLE_KEPT,
             State::Open => false,
         };
@@ -128,14 +127,17 @@
 
     /// Idle ones, when nothing more is taken.
     pub fn idle(&self) -> Vec<CallerIx> {
-        self.callers.iter().filter(|(_, c)| c.0 != State::Open).map(|(ix, _)| *ix).collect()
+        let idle = |s| matches!(s, State::Fresh | State::Idle);
+        self.callers.iter().filter(|(_, c)| idle(c.0)).map(|(ix, _)| *ix).collect()
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.callers.is_empty()
+    /// Somebody is owed an answer, or it is not out.
+    pub fn owes(&self) -> bool {
+        self.callers.values().any(|c| matches!(c.0, State::Open | State::Answering))
     }
 
-    pub fn len(&self) -> usize {
+    /// Connections there are.
+    pub fn count(&self) -> usize {
         self.callers.len()
     }
 }
--- a/crates/platform/src/endings.rs
+++ b/crates/platform/src/endings.rs
@@ -1,4 +1,5 @@
-//! What the end of an exchange with a worker proves: the one table. Never-ran is claimed only where it is proven.
+//! What the end of an exchange with a worker proves: the one table. Never-ran is claimed only where it is
+//! proven.
 
 use cedarpulley::interface::{OrderResult, Outcome};
 
@@ -37,7 +38,8 @@
     Unreached,
     /// The connection ended, or was ended, before every byte of the request was accepted by the kernel.
     Unsent,
-    /// It was held back: its time, its client or its worker's service had ended, or no connection may be opened.
+    /// It was held back: its time, its client or its worker's service had ended, or no connection may be
+    /// opened.
     HeldBack,
     /// The connection ended after the request was written whole, or said what cannot be read.
     Broken,
@@ -54,8 +56,8 @@
         // No word for an invocation: it may have run.
         Ended::Answered(Word::Yes | Word::No) => Outcome::Broken,
         Ended::Unreached => Outcome::Unreachable,
-        // Nothing ran. Symptom: a connection is reset while idle or just after it came up; that says nothing about the
-        // worker, and whether another one comes up is seen next.
+        // Nothing ran. Symptom: a connection is reset while idle or just after it came up; that says nothing
+        // about the worker, and whether another one comes up is seen next.
         Ended::Unsent | Ended::HeldBack => Outcome::NotSent,
         Ended::Broken => Outcome::Broken,
     }
--- a/crates/platform/src/workers.rs
+++ b/crates/platform/src/workers.rs
@@ -1,8 +1,8 @@
-//! The lines spoken with workers: [`call`], [`withdraw`], [`load`], [`unload`] and [`probe`] write them, [`Reader`]
-//! cuts answers out of the bytes that come.
+//! The lines spoken with workers: [`call`], [`withdraw`], [`load`], [`unload`] and [`probe`] write them,
+//! [`Reader`] cuts answers out of the bytes that come.
 //!
-//! A line that cannot be read, has no end in time or claims more than its bound ends its connection: nothing after
-//! it can be trusted, and nothing is allocated for what it claims.
+//! A line that cannot be read, has no end in time or claims more than its bound ends its connection: nothing
+//! after it can be trusted, and nothing is allocated for what it claims.
 
 use std::io::Write;
 
@@ -175,18 +175,7 @@
     for pair in text.split(';').filter(|p| !p.is_empty()) {
         let (name, value) = pair.split_once(':').ok_or(Garbled::Fields)?;
         let value: f64 = value.parse().ok().filter(|v: &f64| v.is_finite()).ok_or(Garbled::Fields)?;
-        let of = cedarpulley_birth::field(name);
-        if !fields.contains(&of) {
-            continue;
-        }
-        match of {
-            ReportField::Held => report.held = Some(value),
-            ReportField::Waiting => report.waiting = Some(value),
-            ReportField::Busy => report.busy = Some(value),
-            ReportField::Loads => report.loads = Some(value),
-            ReportField::MemoryPart => report.memory_part = Some(value),
-            ReportField::Other => {}
-        }
+        ReportField::tell(&mut report, fields, name, value);
     }
     Ok(report)
 }
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -3,6 +3,7 @@
 use cedarpulley_platform::clients::*;
 use cedarpulley_platform::config::Names;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const FUNCTION: &str = "7f3a9c21e0b4d655";
 
@@ -43,14 +44,18 @@
     lines.collect::<Vec<_>>().join("\r\n").into_bytes()
 }
 
-fn read(bytes: &[u8]) -> Result<Option<Request>, Wrong> {
-    let mut reader = Reader::default();
-    reader.put(bytes);
-    reader.next(&terms())
+fn ahead(bytes: &[u8]) -> Ahead {
+    let mut ahead = Ahead::default();
+    ahead.put(0, bytes, &terms());
+    ahead
 }
 
-fn call(found: Result<Option<Request>, Wrong>) -> Call {
-    match found.expect("good").expect("whole").what {
+fn read(bytes: &[u8]) -> Result<Request, Wrong> {
+    ahead(bytes).take(&terms()).expect("whole").0
+}
+
+fn call(found: Result<Request, Wrong>) -> Call {
+    match found.expect("good").what {
         What::Call(call) => call,
         other => panic!("{other:?}"),
     }
@@ -58,7 +63,8 @@
 
 #[test]
 fn all_fields_are_understood() {
-    let extra = "Req-Token: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nReq-Cost: 8.2\r\nX-Extras: memory_mb:512;lanes:2;load_ms:70.5\r\n";
+    let extra = "Req-Token: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nReq-Cost: 8.2\r\n\
+                 X-Extras: memory_mb:512;lanes:2;load_ms:70.5\r\n";
     let call = call(read(&request("9b1f03aa5c7e2d41", extra, b"\0body\r\n")));
     assert_eq!((&*call.id, &*call.function), ("9b1f03aa5c7e2d41", FUNCTION));
     assert_eq!((call.trigger, call.account, call.wait), (0, 0, 1_500_000));
@@ -68,16 +74,10 @@
 }
 
 #[test]
-fn health_is_asked_without_a_body() {
-    let found = read(b"GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n").expect("good").expect("whole");
+fn health_is_asked_without_a_body_and_closing_is_heard() {
+    let found = read(b"GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n").expect("good");
     assert_eq!((found.what, found.close), (What::Health, false));
-}
-
-#[test]
-fn closing_is_heard() {
-    let found =
-        read(&request("00000000000000aa", "Connection: close\r\n", b"")).expect("good").expect("whole");
-    assert!(found.close);
+    assert!(read(&request("00000000000000aa", "Connection: close\r\n", b"")).expect("good").close);
 }
 
 /// Symptom: a request with both lengths hides another one in its body.
@@ -182,19 +182,28 @@
     assert_eq!(read(many.as_bytes()), Err(Wrong::HeadTooLong));
 }
 
+/// Each counts from when its last byte came; what comes after a refusal is not read.
 #[test]
-fn after_a_refusal_nothing_more_is_read() {
-    let mut reader = Reader::default();
-    reader.put(&with("X-Class", "none"));
-    reader.put(&request("00000000000000ab", "", b""));
-    assert!(reader.next(&terms()).is_err());
-    reader.put(&request("00000000000000ac", "", b""));
-    assert!(reader.next(&terms()).is_err() && reader.is_empty());
+fn what_is_sent_ahead_waits_with_its_time_and_within_its_bounds() {
+    let (good, terms) = (request("00000000000000aa", "", b"hi"), terms());
+    let mut a = ahead(&good[..20]);
+    a.put(30, &good[20..], &terms);
+    a.put(70, &[&good[..], &with("X-Class", "none"), &good].concat(), &terms);
+    let taken: Vec<_> = std::iter::from_fn(|| a.take(&terms)).map(|(r, at)| (r.is_ok(), at)).collect();
+    assert_eq!(taken, [(true, 30), (true, 70), (false, 70)]);
+    a.put(90, &good, &terms);
+    assert!(std::iter::from_fn(|| a.take(&terms)).all(|(r, _)| r.is_err()) && a.kept() == 0);
+    // Many short ones, or few long ones, and no more is read.
+    let mut many = ahead(&good.repeat(20));
+    assert!(many.full());
+    assert_eq!(std::iter::from_fn(|| many.take(&terms)).count(), 20);
+    let long = request("00000000000000aa", "", &[7; MOST_BODY]);
+    assert!(!ahead(&long).full() && ahead(&long.repeat(2)).full());
 }
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        rng_seed: proptest::test_runner::RngSeed::Fixed(19), failure_persistence: None, cases: 200, ..ProptestConfig::default()
+        rng_seed: RngSeed::Fixed(19), failure_persistence: None, cases: 200, ..ProptestConfig::default()
     })]
 
     /// Requests sent ahead, cut anywhere, are the same requests.
@@ -206,42 +215,25 @@
         let mut bytes = Vec::new();
         for (n, (chunked, body)) in bodies.iter().enumerate() {
             let id = format!("{n:016x}");
-            match chunked {
-                false => bytes.extend(request(&id, "", body)),
-                true => {
-                    let mut chunks = Vec::new();
-                    for piece in body.chunks(7) {
-                        chunks.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
-                        chunks.extend_from_slice(piece);
-                        chunks.extend_from_slice(b"\r\n");
-                    }
-                    chunks.extend_from_slice(b"0\r\n\r\n");
-                    bytes.extend(request(&id, "Transfer-Encoding: chunked\r\n", &chunks));
-                }
+            if !chunked {
+                bytes.extend(request(&id, "", body));
+                continue;
             }
+            let chunk = |c: &[u8]| [format!("{:x}\r\n", c.len()).as_bytes(), c, b"\r\n"].concat();
+            let chunks = [body.chunks(7).flat_map(chunk).collect(), b"0\r\n\r\n".to_vec()].concat();
+            bytes.extend(request(&id, "Transfer-Encoding: chunked\r\n", &chunks));
         }
-        let mut reader = Reader::default();
-        let (mut found, mut rest, mut cuts) = (Vec::new(), &bytes[..], cuts.into_iter().cycle());
-        while !rest.is_empty() {
-            let n = cuts.next().unwrap_or(1).min(rest.len());
-            reader.put(&rest[..n]);
-            rest = &rest[n..];
-            while let Some(request) = reader.next(&terms()).expect("good") {
-                found.push(call(Ok(Some(request))).body.to_vec());
+        let (mut a, mut found, mut rest) = (Ahead::default(), Vec::new(), &bytes[..]);
+        for cut in cuts.into_iter().cycle() {
+            let (piece, after) = rest.split_at(cut.min(rest.len()));
+            a.put(0, piece, &terms());
+            found.extend(std::iter::from_fn(|| a.take(&terms())).map(|(r, _)| call(r).body.to_vec()));
+            rest = after;
+            if rest.is_empty() {
+                break;
             }
         }
-        prop_assert!(!reader.midway());
+        prop_assert!(!a.midway());
         prop_assert_eq!(found, bodies.into_iter().map(|b| b.1).collect::<Vec<_>>());
     }
-
-    /// Whatever comes, no more is kept than a request may hold, and nothing panics.
-    #[test]
-    fn any_bytes_are_borne(pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..300), 0..60)) {
-        let mut reader = Reader::default();
-        for piece in pieces {
-            reader.put(&piece);
-            while let Ok(Some(_)) = reader.next(&terms()) {}
-            prop_assert!(reader.len() <= MOST_AHEAD);
-        }
-    }
 }
--- a/crates/platform/tests/decisions.rs
+++ b/crates/platform/tests/decisions.rs
@@ -1,8 +1,12 @@
 //! Which connection carries what, and which clients' connections stay.
 
 use cedarpulley_platform::berths::{Berths, Place};
-use cedarpulley_platform::doorkeeper::{Doorkeeper, descriptors};
+use cedarpulley_platform::bounds::Bounds;
+use cedarpulley_platform::config::Limits;
+use cedarpulley_platform::doorkeeper::Doorkeeper;
+use cedarpulley_platform::stopping::Stopping;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const MS: i64 = 1_000;
 const SECOND: i64 = 1_000_000;
@@ -45,7 +49,8 @@
     assert_eq!(b.place(7, 7), Place::On(second));
 }
 
-/// Symptom: a late answer is taken for that of a later dispatch; or a vanished machine's open connection swallows all.
+/// Symptom: a late answer is taken for that of a later dispatch; or a vanished machine's open connection
+/// swallows all.
 #[test]
 fn what_ended_without_its_answer_leaves_its_connection_to_no_other() {
     let mut b = berths(10);
@@ -76,7 +81,7 @@
     assert!(b.stale(8 * SECOND).is_empty());
     assert_eq!(b.stale(9 * SECOND + 1), [ix]);
     b.closed(ix);
-    assert!(b.is_empty());
+    assert_eq!(b.count(), 0);
 }
 
 /// Symptom: a worker drops idle connections early and without a word, and the next request on one is reset.
@@ -153,7 +158,7 @@
     d.whole(302 * MS, last);
     // All are owed an answer: none goes.
     assert!(d.came(303 * MS).is_none());
-    assert_eq!((d.len(), d.turned_out), (3, 2));
+    assert_eq!((d.count(), d.turned_out), (3, 2));
     assert!(d.overdue(60 * SECOND).is_empty());
 }
 
@@ -182,8 +187,12 @@
     d.left(slow);
     let (good, _) = d.came(0).expect("room");
     d.whole(0, good);
+    // A client that does not read its answer has no longer than one that does not send.
     d.answering(0, good);
+    assert!(d.owes() && d.overdue(2 * SECOND).is_empty());
+    assert_eq!(d.overdue(2 * SECOND + 1), [good]);
     d.answered(0, good);
+    assert!(!d.owes());
     assert!(d.overdue(4 * SECOND + 500 * MS).is_empty());
     assert_eq!(d.overdue(6 * SECOND), [good]);
     d.began(4 * SECOND, good);
@@ -193,16 +202,30 @@
 
 #[test]
 fn clients_keep_more_than_their_third_and_workers_the_rest() {
-    for limit in [256, 384, 512, 1024] {
-        let (clients, workers) = descriptors(limit);
-        assert!(clients as u64 > limit / 3 && clients + workers < limit as usize && workers > 60, "{limit}");
+    for sockets in [256, 384, 512, 1024] {
+        let b = Bounds::of(Limits { sockets, memory_mb: 32.0 });
+        assert!(b.clients as u64 > sockets / 3 && b.clients + b.workers < sockets as usize && b.workers > 60);
+        assert_eq!(b.body_bytes, 4 << 20);
     }
-    assert_eq!(descriptors(0), (1, 1));
+    let none = Bounds::of(Limits { sockets: 0, memory_mb: 1.0 });
+    assert_eq!((none.clients, none.workers), (1, 1));
+}
+
+#[test]
+fn a_router_that_stops_takes_what_crossed_the_order_and_leaves_once_all_is_out() {
+    let mut s = Stopping::new(2 * SECOND);
+    assert!(!s.stops() && s.takes(90 * SECOND) && !s.leaves(90 * SECOND, false));
+    s.told(SECOND);
+    s.told(5 * SECOND);
+    assert!(s.stops() && s.takes(1_700 * MS) && !s.takes(1_701 * MS));
+    assert!(!s.leaves(1_700 * MS, false) && s.leaves(1_701 * MS, false));
+    // What it owes it waits for, but not for ever.
+    assert!(!s.leaves(4_200 * MS, true) && s.leaves(4_201 * MS, true));
 }
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        rng_seed: proptest::test_runner::RngSeed::Fixed(19), failure_persistence: None, cases: 200, ..ProptestConfig::default()
+        rng_seed: RngSeed::Fixed(19), failure_persistence: None, cases: 200, ..ProptestConfig::default()
     })]
 
     /// Whatever happens, the tables keep to their bounds and no connection carries more than its streams.
@@ -254,7 +277,7 @@
                 }
                 _ => {}
             }
-            prop_assert!(b.len() <= 6 && d.len() <= 4);
+            prop_assert!(b.count() <= 6 && d.count() <= 4);
             prop_assert!(out.iter().all(|ix| out.iter().filter(|o| *o == ix).count() <= 3));
         }
     }
--- a/crates/platform/tests/lines.rs
+++ b/crates/platform/tests/lines.rs
@@ -1,11 +1,12 @@
 //! Workers' lines, the table of endings, the command channel and the configuration.
 
-use cedarpulley::interface::{ListMode, OrderResult, Outcome, Standing};
-use cedarpulley_platform::channel::{Answers, Batch, Follower};
+use cedarpulley::interface::{ListMode, OrderResult, Outcome, Standing::Draining};
+use cedarpulley_platform::channel::{Answers, Batch, Follower, News};
 use cedarpulley_platform::config::{Names, Start, channel_of};
 use cedarpulley_platform::endings::{self, Ended, Word};
 use cedarpulley_platform::workers::{self, Garbled, Reader};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn read(bytes: &[u8]) -> Result<Vec<workers::Answer>, Garbled> {
     let mut reader = Reader::default();
@@ -34,7 +35,8 @@
     workers::unload(&mut out, call.function);
     workers::probe(&mut out, "t2");
     let text = "FN 9b1f03aa5c7e2d41 kind=call,obj=7f3a9c21e0b4d655,ms=1499,token=5c0f 4\r\na\r\nb\r\n\
-                KILL 9b1f03aa5c7e2d41\r\nSPAWN t1 obj=7f3a9c21e0b4d655,n=2\r\nREAP 7f3a9c21e0b4d655\r\nTOP t2\r\n";
+                KILL 9b1f03aa5c7e2d41\r\nSPAWN t1 obj=7f3a9c21e0b4d655,n=2\r\n\
+                REAP 7f3a9c21e0b4d655\r\nTOP t2\r\n";
     assert_eq!(String::from_utf8_lossy(&out), text);
 }
 
@@ -119,39 +121,66 @@
     serde_json::from_str(text).expect("events")
 }
 
-const SERVER: &str = r#"{"id":"s-1","addr":"127.0.0.9:5050","zone":"west","kind":"std","cell":2,"state":"active","weight":4,"started_ms":7}"#;
+fn event(cursor: u32, full: bool, servers: &[(&str, &str, &str)]) -> String {
+    let server = |(id, state, addr): &(&str, &str, &str)| {
+        format!(
+            r#"{{"id":"{id}","addr":"{addr}","zone":"west","kind":"std","cell":2,
+            "state":"{state}","started_ms":7}}"#
+        )
+    };
+    let servers = servers.iter().map(server).collect::<Vec<_>>().join(",");
+    format!(r#"{{"cursor":{cursor},"nodes":{{"full":{full},"servers":[{servers}]}}}}"#)
+}
+
+fn told(follower: &mut Follower, events: &[String]) -> Vec<News> {
+    let text = format!(r#"{{"cursor":0,"cmds":[{}]}}"#, events.join(","));
+    follower.batch(&batch(&text), &names(), 3_000).expect("good")
+}
 
 #[test]
 fn events_are_told_once_and_in_order() {
     let mut follower = Follower::default();
-    let known = batch(&format!(
-        r#"{{"cursor":2,"cmds":[{{"cursor":2,"nodes":{{"full":true,"servers":[{SERVER}]}}}}]}}"#
-    ));
-    let news = follower.batch(&known, &names()).expect("good");
+    let news = told(&mut follower, &[event(2, true, &[("s-1", "active", "127.0.0.9:5050")])]);
     let worker = &news[0].workers[0];
-    assert_eq!((news.len(), news[0].mode, &*worker.id), (1, ListMode::Complete, "s-1"));
-    assert_eq!((worker.zone, worker.kind, worker.cell, worker.started), (1, 0, 2, Some(7_000)));
-    let leaving = |n: u32| {
-        format!(
-            r#"{{"cursor":{n},"nodes":{{"full":false,"servers":[{{"id":"s-1","state":"leaving","addr":"127.0.0.9:5050"}}]}}}}"#
-        )
-    };
-    let more = batch(&format!(r#"{{"cursor":3,"cmds":[{},{}]}}"#, leaving(2), leaving(3)));
-    let news = follower.batch(&more, &names()).expect("good");
-    assert_eq!(
-        (news.len(), news[0].mode, news[0].workers[0].standing),
-        (1, ListMode::Changes, Standing::Draining)
-    );
-    assert!(follower.batch(&more, &names()).expect("good").is_empty());
+    assert_eq!((news.len(), news[0].mode, &*worker.address), (1, ListMode::Complete, "s-1"));
+    assert_eq!((worker.zone, worker.kind, worker.cell, worker.started), (1, 0, 2, Some(4_000)));
+    let leaving = |n| event(n, false, &[("s-1", "leaving", "127.0.0.9:5050")]);
+    let news = told(&mut follower, &[leaving(2), leaving(3)]);
+    assert_eq!((news.len(), news[0].mode, news[0].workers[0].standing), (1, ListMode::Changes, Draining));
+    assert!(told(&mut follower, &[leaving(2), leaving(3)]).is_empty());
     assert_eq!(follower.repeated, 3);
     assert!(String::from_utf8_lossy(&follower.ask("x")).starts_with("GET /cmd/next?resume=3&block="));
 }
 
+/// Symptom: what was open to a worker that has gone or moved is used for whoever is at its address now.
+#[test]
+fn a_worker_is_known_by_its_id_and_what_is_open_to_an_old_one_retires() {
+    let (mut f, at, to) = (Follower::default(), "127.0.0.9:5050", "127.0.0.8:5050");
+    told(&mut f, &[event(1, true, &[("s-1", "active", at), ("s-2", "active", to)])]);
+    let news = told(&mut f, &[event(2, false, &[("s-1", "left", at), ("s-3", "active", at)])]);
+    assert_eq!((&news[0].retired, f.address("s-1")), (&vec!["s-1".to_owned()], None));
+    assert_eq!(f.address("s-3"), at.parse().ok());
+    let news = told(&mut f, &[event(3, false, &[("s-3", "active", to), ("s-2", "leaving", to)])]);
+    assert_eq!((&news[0].retired, f.address("s-3")), (&vec!["s-3".to_owned()], to.parse().ok()));
+    let news = told(&mut f, &[event(4, true, &[("s-3", "active", to)])]);
+    assert_eq!((&news[0].retired, f.address("s-2")), (&vec!["s-2".to_owned()], None));
+}
+
+#[test]
+fn what_the_settings_do_not_name_passes_for_nothing_that_they_do() {
+    let mut f = Follower::default();
+    let odd =
+        |n, id| event(n, true, &[(id, "active", "127.0.0.9:1")]).replace("west", id).replace("std", "odd");
+    let news = told(&mut f, &[odd(1, "a"), odd(2, "b")]);
+    let (a, b) = (&news[0].workers[0], &news[1].workers[0]);
+    assert!(a.zone > 1 && b.zone > 1 && a.zone != b.zone && a.kind == 1);
+}
+
 #[test]
 fn a_batch_that_cannot_be_understood_changes_nothing() {
     let mut follower = Follower::default();
     let odd = batch(r#"{"cursor":5,"cmds":[{"cursor":5,"nodes":{"servers":[{"id":"s-1","state":"odd"}]}}]}"#);
-    assert!(follower.batch(&odd, &names()).is_err());
+    assert!(follower.batch(&odd, &names(), 0).is_err());
     assert_eq!(follower.last(), 0);
 }
 
@@ -187,11 +216,14 @@
     }
 }
 
-const START: &str = r#"{"name":"n0","listen":"127.0.0.1:1","seed":"6444882f5c620abb","channel":"127.0.0.1:7070",
+const START: &str = r#"{"name":"n0","listen":"127.0.0.1:1","seed":"6444882f5c620abb",
+    "channel":"127.0.0.1:7070",
     "limits":{"cores":1.0,"memory_mb":64,"sockets":256},"known":{"cursor":0,"cmds":[]},"unknown":[1],
-    "settings":{"granularity":1000000,"zones":["east"],"kinds":["std"],"orgs":[{"name":"acme","allowancePerS":5}],
+    "settings":{"granularity":1000000,"zones":["east"],"kinds":["std"],
+    "orgs":[{"name":"acme","allowancePerS":5}],
     "services":[{"name":"call","aim":400000000,"hardLimit":1000000000,"effect":"retryable","window":null}],
-    "familyInfo":{"machineMb":[100,250.5],"mayLoad":true},"permissions":{"streamsPerConn":100,"keepalive":15000000000}}}"#;
+    "familyInfo":{"machineMb":[100,250.5],"mayLoad":true},
+    "permissions":{"streamsPerConn":100,"keepalive":15000000000}}}"#;
 
 #[test]
 fn the_configuration_is_read_in_the_simulators_names_and_units() {
@@ -223,7 +255,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        rng_seed: proptest::test_runner::RngSeed::Fixed(19), failure_persistence: None, cases: 300, ..ProptestConfig::default()
+        rng_seed: RngSeed::Fixed(19), failure_persistence: None, cases: 300, ..ProptestConfig::default()
     })]
 
     #[test]
@@ -247,13 +279,4 @@
         prop_assert!(!reader.midway());
         prop_assert_eq!(found, bodies);
     }
-
-    #[test]
-    fn any_bytes_are_borne(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
-        let _ = read(&bytes);
-        let mut answers = Answers::default();
-        answers.put(&bytes);
-        let _ = answers.whole();
-        let _ = Start::read(&String::from_utf8_lossy(&bytes));
-    }
 }
--- a/crates/router/src/backoff.rs
+++ b/crates/router/src/backoff.rs
@@ -17,11 +17,17 @@
     seed: u64,
     draws: u64,
     wait: Micros,
+    longest: Micros,
 }
 
 impl Backoff {
     pub fn new(seed: u64) -> Self {
-        Backoff { seed, draws: 0, wait: FIRST }
+        Backoff::up_to(seed, LONGEST)
+    }
+
+    /// With another longest wait.
+    pub fn up_to(seed: u64, longest: Micros) -> Self {
+        Backoff { seed, draws: 0, wait: FIRST, longest }
     }
 
     /// The wait after a try that ended, having stood for so long. Drawn from the upper half of the present step.
@@ -30,7 +36,7 @@
             self.wait = FIRST;
         }
         let step = self.wait;
-        self.wait = (self.wait * 2).min(LONGEST);
+        self.wait = (self.wait * 2).min(self.longest);
         self.draws += 1;
         let draw = BuildHasherDefault::<DefaultHasher>::default().hash_one((self.seed, self.draws));
         step / 2 + (draw % (step as u64 / 2 + 1)) as Micros
@@ -48,6 +54,9 @@
         assert!(waits[0] <= FIRST && waits.iter().all(|w| (FIRST / 2..=LONGEST).contains(w)));
         assert!(waits[9] >= LONGEST / 2);
         assert!(b.after(STOOD) <= FIRST);
+        assert!(b.after(0) <= 2 * FIRST);
+        let mut short = Backoff::up_to(1, 3 * FIRST);
+        assert!((0..10).all(|_| short.after(0) <= 3 * FIRST));
         assert_ne!(Backoff::new(2).after(0), waits[0]);
     }
 }
--- a/crates/router/src/roster.rs
+++ b/crates/router/src/roster.rs
@@ -20,6 +20,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
+    /// By which it is known: where it is, or its id where the list gives one.
     pub address: String,
     pub zone: u32,
     pub kind: u32,
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -1,5 +1,5 @@
-//! Until when new work may leave for a worker: a last look for what was decided a while ago and is only now about to
-//! leave. Call [`Service::follow`] with each list; [`Service::takes_new`] answers.
+//! Until when new work may leave for a worker: a last look for what was decided a while ago and is only now
+//! about to leave. Call [`Service::follow`] with each list; [`Service::takes_new`] answers.
 
 use cedarpulley::interface::{ListEntry, ListMode, Micros, Standing, WorkerIx};
 
@@ -34,7 +34,8 @@
             }
             self.until[w] = match e.standing {
                 Standing::InService => Micros::MAX,
-                // What it had been told first counts.
+                // First heard of now, or told again: what was told first counts.
+                _ if self.until[w] == Micros::MIN => stops,
                 Standing::Draining | Standing::Gone => self.until[w].min(stops),
             };
         }
--- a/crates/router/src/tenure.rs
+++ b/crates/router/src/tenure.rs
@@ -1,6 +1,7 @@
-//! When the index of a worker that is gone may be given out again: once nothing refers to it. Symptom: over a long day
-//! new workers take the place of old ones, and whatever is kept by worker grows for ever. Call [`Tenure::follow`] with
-//! each list, [`Tenure::hold`] and [`Tenure::let_go`] for what refers to a worker; [`Tenure::ended`] names the free ones.
+//! When the index of a worker that is gone may be given out again: once nothing refers to it. Symptom: over a
+//! long day new workers take the place of old ones, and whatever is kept by worker grows for ever. Call
+//! [`Tenure::follow`] with each list, [`Tenure::hold`] and [`Tenure::let_go`] for what refers to a worker;
+//! [`Tenure::ended`] names the free ones.
 
 use cedarpulley::interface::{ListEntry, ListMode, Standing, WorkerIx};
 
--- a/crates/router/tests/alone.rs
+++ b/crates/router/tests/alone.rs
@@ -1,4 +1,5 @@
-//! The core where nothing beside the module chooses, the last look before a dispatch leaves, and workers' indices.
+//! The core where nothing beside the module chooses, the last look before a dispatch leaves, and workers'
+//! indices.
 
 use bytes::Bytes;
 use cedarpulley::interface::*;
@@ -9,16 +10,8 @@
 mod world;
 use world::*;
 
-fn listed(id: &str, standing: Standing) -> cedarpulley_router::roster::Listed {
-    cedarpulley_router::roster::Listed {
-        address: id.into(),
-        zone: 0,
-        kind: 0,
-        cell: 0,
-        standing,
-        weight: 1.0,
-        started: None,
-    }
+fn entry(worker: WorkerIx, standing: Standing) -> ListEntry {
+    ListEntry { worker, fingerprint: 1, zone: 0, kind: 0, cell: 0, standing, weight: 1.0, started: None }
 }
 
 /// Symptom: a retry with the same token is given an answer that no worker made for it.
@@ -61,10 +54,7 @@
     w.take("a", NON_IDEMPOTENT, 0, 1);
     let ticket = w.sent()[0];
     assert!(w.router.may_leave(w.now, ticket));
-    w.feed(Input::List {
-        mode: ListMode::Changes,
-        workers: vec![listed("127.0.0.1:9000", Standing::Draining)],
-    });
+    w.list(&[("127.0.0.1:9000", Standing::Draining)]);
     assert!(w.router.may_leave(w.now + 999 * MS, ticket));
     assert!(!w.router.may_leave(w.now + SECOND, ticket));
     assert!(!w.router.may_leave(w.now + TIMEOUT, ticket));
@@ -74,39 +64,30 @@
 
 #[test]
 fn what_was_told_first_counts_for_the_grace() {
-    let entry = |standing| ListEntry {
-        worker: 0,
-        fingerprint: 1,
-        zone: 0,
-        kind: 0,
-        cell: 0,
-        standing,
-        weight: 1.0,
-        started: None,
-    };
     let mut service = Service::new(500 * MS);
     assert!(!service.takes_new(0, 0));
-    service.follow(0, ListMode::Complete, &[entry(Standing::InService)]);
-    service.follow(SECOND, ListMode::Changes, &[entry(Standing::Draining)]);
+    service.follow(0, ListMode::Complete, &[entry(0, Standing::InService)]);
+    service.follow(SECOND, ListMode::Changes, &[entry(0, Standing::Draining)]);
     service.follow(SECOND + 400 * MS, ListMode::Complete, &[]);
     assert!(service.takes_new(SECOND + 499 * MS, 0) && !service.takes_new(SECOND + 500 * MS, 0));
     service.follow(3 * SECOND, ListMode::Failed, &[]);
-    service.follow(3 * SECOND, ListMode::Changes, &[entry(Standing::InService)]);
+    service.follow(3 * SECOND, ListMode::Changes, &[entry(0, Standing::InService)]);
     assert!(service.takes_new(9 * SECOND, 0));
     service.forget(0);
     assert!(!service.takes_new(9 * SECOND, 0));
+    // One first heard of as it drains was told so now.
+    service.follow(10 * SECOND, ListMode::Changes, &[entry(0, Standing::Draining)]);
+    assert!(service.takes_new(10 * SECOND + 499 * MS, 0) && !service.takes_new(11 * SECOND, 0));
 }
 
-/// Symptom: over a long day new workers take the place of old ones, and all that is kept by worker grows for ever.
+/// Symptom: over a long day new workers take the place of old ones, and all that is kept by worker grows for
+/// ever.
 #[test]
 fn the_index_of_a_gone_worker_is_given_out_again_once_nothing_refers_to_it() {
     let mut w = World::alone(1);
     w.take("a", IDEMPOTENT, 0, 1);
     let (ticket, old) = (w.sent()[0], w.router.worker_ix("127.0.0.1:9000"));
-    w.feed(Input::List {
-        mode: ListMode::Changes,
-        workers: vec![listed("127.0.0.1:9000", Standing::Gone), listed("s-1", Standing::InService)],
-    });
+    w.list(&[("127.0.0.1:9000", Standing::Gone), ("s-1", Standing::InService)]);
     // A dispatch is still out there.
     assert_eq!(w.router.worker_ix("127.0.0.1:9000"), old);
     assert_ne!(w.router.worker_ix("s-1"), old);
@@ -114,10 +95,7 @@
     assert_eq!(w.router.worker_ix("127.0.0.1:9000"), None);
     for n in 2..500 {
         let (was, is) = (format!("s-{}", n - 1), format!("s-{n}"));
-        w.feed(Input::List {
-            mode: ListMode::Changes,
-            workers: vec![listed(&is, Standing::InService), listed(&was, Standing::Gone)],
-        });
+        w.list(&[(&is, Standing::InService), (&was, Standing::Gone)]);
         assert!(w.router.worker_ix(&is).expect("listed") < 3);
         w.take(&is, IDEMPOTENT, 0, n);
         let ticket = w.sent()[0];
@@ -127,16 +105,6 @@
 
 #[test]
 fn a_whole_list_frees_whoever_it_does_not_name() {
-    let entry = |worker, standing| ListEntry {
-        worker,
-        fingerprint: 1,
-        zone: 0,
-        kind: 0,
-        cell: 0,
-        standing,
-        weight: 1.0,
-        started: None,
-    };
     let mut t = Tenure::default();
     t.follow(ListMode::Complete, &[entry(0, Standing::InService), entry(1, Standing::InService)]);
     t.hold(1);
--- a/crates/router/tests/hard.rs
+++ b/crates/router/tests/hard.rs
@@ -74,16 +74,10 @@
     w.front(FrontState::Up);
     let workers = World::new(1);
     drop(workers);
-    let listed = cedarpulley_router::roster::Listed {
-        address: "127.0.0.1:9000".into(),
-        zone: 0,
-        kind: 0,
-        cell: 0,
-        standing: Standing::InService,
-        weight: 1.0,
-        started: None,
-    };
-    w.feed(Input::List { mode: ListMode::Complete, workers: vec![listed] });
+    w.feed(Input::List {
+        mode: ListMode::Complete,
+        workers: vec![listed("127.0.0.1:9000", Standing::InService)],
+    });
     assert!(w.sent().is_empty(), "nobody holds it now");
     w.again("a", NON_IDEMPOTENT, 2, 2, SECOND);
     assert_eq!(w.sent().len(), 1);
--- a/crates/router/tests/parts.rs
+++ b/crates/router/tests/parts.rs
@@ -6,7 +6,7 @@
 use cedarpulley_router::admission::{Admission, FrontState, Pace};
 use cedarpulley_router::claims::Claims;
 use cedarpulley_router::entry::{self, Door, Entry as Let, Fill, Knock, Short};
-use cedarpulley_router::roster::{Entry, Listed, News, Roster, Slice, Step};
+use cedarpulley_router::roster::{Entry, News, Roster, Slice, Step};
 use cedarpulley_router::shares::{Felt, Shares};
 use cedarpulley_router::waits::Waits;
 use cedarpulley_router::{Answer, Delivery, Fate, Reason};
@@ -16,15 +16,7 @@
 const SECOND: Micros = 1_000_000;
 
 fn worker(port: u16, standing: Standing, mark: &str) -> Entry {
-    let worker = Listed {
-        address: format!("127.0.0.1:{port}"),
-        zone: 0,
-        kind: 0,
-        cell: 0,
-        standing,
-        weight: 1.0,
-        started: None,
-    };
+    let worker = world::listed(&format!("127.0.0.1:{port}"), standing);
     Entry { worker, start_mark: mark.into() }
 }
 
--- a/crates/router/tests/world.rs
+++ b/crates/router/tests/world.rs
@@ -63,6 +63,10 @@
     Control::new(1, fleet, limits, rules, triggers(), accounts, loads, prices, ReportsIn::Nothing)
 }
 
+pub fn listed(id: &str, standing: Standing) -> Listed {
+    Listed { address: id.into(), zone: 0, kind: 0, cell: 0, standing, weight: 1.0, started: None }
+}
+
 impl World {
     /// With so many workers in service and one front that is up.
     pub fn new(workers: u32) -> World {
@@ -86,16 +90,9 @@
             drain_grace: SECOND,
         };
         let mut w = World { router: Router::new(control(), triggers(), terms), now: SECOND, out: Vec::new() };
-        let workers = (0..workers).map(|n| Listed {
-            address: format!("127.0.0.1:{}", 9000 + n),
-            zone: 0,
-            kind: 0,
-            cell: 0,
-            standing: Standing::InService,
-            weight: 1.0,
-            started: None,
-        });
-        w.feed(Input::List { mode: ListMode::Complete, workers: workers.collect() });
+        let ids: Vec<String> = (0..workers).map(|n| format!("127.0.0.1:{}", 9000 + n)).collect();
+        let workers = ids.iter().map(|id| listed(id, Standing::InService)).collect();
+        w.feed(Input::List { mode: ListMode::Complete, workers });
         w.front(FrontState::Up);
         w
     }
@@ -105,6 +102,12 @@
         self.router.handle(self.now, input, &mut self.out);
     }
 
+    /// Changes of the list.
+    pub fn list(&mut self, workers: &[(&str, Standing)]) {
+        let workers = workers.iter().map(|(id, standing)| listed(id, *standing)).collect();
+        self.feed(Input::List { mode: ListMode::Changes, workers });
+    }
+
     pub fn front(&mut self, state: FrontState) {
         self.feed(Input::Front { front: 0, state });
     }
--- a/crates/trace/src/blocks.rs
+++ b/crates/trace/src/blocks.rs
@@ -1,7 +1,7 @@
 //! Records gathered into blocks, free of I/O: what a block holds before it is compressed, and the fixed heads around
 //! it. A block stands alone: it has the names that its records use, and times from its own first.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use cedarpulley::ids::fingerprint;
 use cedarpulley::interface::{Action, Event, Micros};
@@ -114,7 +114,7 @@
     records: u32,
     first: Micros,
     last: Micros,
-    named: HashSet<(Space, u32)>,
+    named: HashMap<(Space, u32), String>,
 }
 
 impl Gather {
@@ -131,25 +131,22 @@
 
     /// Gives the index its name in this block, unless it has it.
     pub fn name(&mut self, now: Micros, space: Space, ix: u32, text: &str) {
-        if self.named.insert((space, ix)) {
+        // An index that has gone to another is named anew.
+        if self.named.get(&(space, ix)).is_none_or(|known| known != text) {
+            self.named.insert((space, ix), text.to_owned());
             self.at(now);
             records::put(&mut self.put, &Record::Name { space, ix, text: text.to_owned() });
         }
     }
 
-    /// The index goes to another: its name counts no more.
-    pub fn unname(&mut self, space: Space, ix: u32) {
-        self.named.remove(&(space, ix));
-    }
-
     pub fn decided(&mut self, now: Micros, event: &Event, actions: &[Action]) {
         self.at(now);
         records::put_decided(&mut self.put, event, actions);
     }
 
     pub fn record(&mut self, now: Micros, record: &Record) {
-        if let Record::Name { space, ix, .. } = record {
-            self.named.insert((*space, *ix));
+        if let Record::Name { space, ix, text } = record {
+            self.named.insert((*space, *ix), text.clone());
         }
         self.at(now);
         records::put(&mut self.put, record);
--- a/crates/trace/src/start.rs
+++ b/crates/trace/src/start.rs
@@ -3,6 +3,7 @@
 
 use cedarpulley::Control;
 use cedarpulley::interface::*;
+use cedarpulley_birth::Birth;
 
 use crate::wire::{Bad, Get, Put};
 
@@ -20,14 +21,7 @@
     pub accounts_named: Vec<String>,
     pub fronts_named: Vec<String>,
     pub seed: u64,
-    pub fleet: FleetPosition,
-    pub limits: DispatchLimits,
-    pub rules: RuleTerms,
-    pub triggers: Vec<TriggerType>,
-    pub accounts: Vec<Account>,
-    pub loads: LoadTerms,
-    pub prices: Prices,
-    pub reports: ReportsIn,
+    pub birth: Birth,
 }
 
 /// What a file has of a router's life.
@@ -118,17 +112,7 @@
 impl Start {
     /// The module, born again.
     pub fn control(&self) -> Control {
-        Control::new(
-            self.seed,
-            self.fleet,
-            self.limits,
-            self.rules,
-            self.triggers.clone(),
-            self.accounts.clone(),
-            self.loads.clone(),
-            self.prices,
-            self.reports,
-        )
+        self.birth.control(self.seed)
     }
 
     pub fn put(&self) -> Vec<u8> {
@@ -144,23 +128,23 @@
             names.iter().for_each(|n| p.text(n));
         }
         p.u(self.seed);
-        let f = &self.fleet;
+        let f = &self.birth.fleet;
         [f.routers, f.position, f.zone].into_iter().for_each(|n| p.u(n.into()));
         p.i(f.granularity);
-        let l = &self.limits;
+        let l = &self.birth.limits;
         p.u(l.max_dispatches.into());
         [l.second_copies, l.withdrawals, l.probes].into_iter().for_each(|b| p.byte(b.into()));
         p.i(l.connect_within);
         p.i(l.max_advice);
-        let r = &self.rules;
+        let r = &self.birth.rules;
         [r.answer_slack, r.drain_grace, r.ask_within].into_iter().for_each(|t| p.i(t));
         p.byte(r.list_on_request.into());
         p.f(r.cold_part);
         p.i(r.cold_for);
         p.f(r.overload_multiple);
         p.i(r.overload_window);
-        p.u(self.triggers.len() as u64);
-        for t in &self.triggers {
+        p.u(self.birth.triggers.len() as u64);
+        for t in &self.birth.triggers {
             match t.effect {
                 Effect::Idempotent => p.byte(0),
                 Effect::NonIdempotent => p.byte(1),
@@ -180,12 +164,12 @@
             p.f(t.late_part);
             p.byte(t.streamed.into());
         }
-        p.u(self.accounts.len() as u64);
-        for a in &self.accounts {
+        p.u(self.birth.accounts.len() as u64);
+        for a in &self.birth.accounts {
             p.f(a.allowance_per_s);
             p.f(a.share);
         }
-        let l = &self.loads;
+        let l = &self.birth.loads;
         p.i(l.idle_kept);
         [l.orders, l.loads_when_absent, l.notes, l.crowds].into_iter().for_each(|b| p.byte(b.into()));
         p.i(l.order_answered_within);
@@ -194,9 +178,9 @@
         p.f(l.ration_part);
         p.u(l.memory_mb.len() as u64);
         l.memory_mb.iter().for_each(|m| p.f(*m));
-        let c = &self.prices;
+        let c = &self.birth.prices;
         [c.crossing, c.fetch, c.waste, c.probe, c.late_error, c.over_share].into_iter().for_each(|x| p.f(x));
-        p.byte(match self.reports {
+        p.byte(match self.birth.reports {
             ReportsIn::Answers => 0,
             ReportsIn::Probes => 1,
             ReportsIn::Nothing => 2,
@@ -290,14 +274,7 @@
             accounts_named,
             fronts_named,
             seed,
-            fleet,
-            limits,
-            rules,
-            triggers,
-            accounts,
-            loads,
-            prices,
-            reports,
+            birth: Birth { fleet, limits, rules, triggers, accounts, loads, prices, reports },
         })
     }
 }
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -74,6 +74,15 @@
 }
 
 /// Kept from the day format 1 was made: it opens for ever.
+/// Symptom: the index of a gone worker goes to another within a block, and what the new one did bears the old
+/// one's name.
+#[test]
+fn an_index_that_goes_to_another_is_named_anew() {
+    let mut g = Gather::default();
+    ["a", "a", "b", "b", "a"].iter().for_each(|name| g.name(0, records::Space::Worker, 3, name));
+    assert_eq!(g.records(), 3);
+}
+
 #[test]
 fn a_kept_file_of_format_1_opens() {
     let bytes = include_bytes!("kept/format-1.trace");
--- a/crates/trace/tests/ruled.rs
+++ b/crates/trace/tests/ruled.rs
@@ -10,14 +10,16 @@
 use cedarpulley_trace::rules::{Judged, Rules};
 use cedarpulley_trace::start::Source;
 
+/// No rule broken.
+const NONE: [u8; 0] = [];
 const MS: Micros = 1_000;
 const KEPT: &[u8] = include_bytes!("kept/format-1.trace");
 
 fn source(effect: Effect) -> Source {
     let mut s = Reader::open(Cursor::new(KEPT)).expect("a trace").sources.swap_remove(0);
-    s.start.triggers[0].effect = effect;
-    s.start.rules.drain_grace = 500 * MS;
-    (s.start.loads.ration_window, s.start.loads.ration_few, s.start.loads.ration_part) =
+    s.start.birth.triggers[0].effect = effect;
+    s.start.birth.rules.drain_grace = 500 * MS;
+    (s.start.birth.loads.ration_window, s.start.birth.loads.ration_few, s.start.birth.loads.ration_part) =
         (1_000 * MS, 2.0, 0.5);
     s
 }
@@ -117,12 +119,12 @@
 #[test]
 fn an_answer_is_one_and_in_time() {
     let good = (900, Answers(1, Fate::Succeeded));
-    assert_eq!(broken(ANY, &[(0, Comes(1)), good, (9_000, Orders)]), []);
+    assert_eq!(broken(ANY, &[(0, Comes(1)), good, (9_000, Orders)]), NONE);
     assert_eq!(broken(ANY, &[(0, Comes(1)), (2_200, Answers(1, Fate::Succeeded))]), [1]);
     assert_eq!(broken(ANY, &[(0, Comes(1)), (2_200, Orders)]), [1], "never answered");
     let cut = judged(ANY, &[&[(0, Comes(1)), (1_000, Orders)]]);
     assert_eq!((cut.rules.len(), cut.unseen), (0, 1), "its trace ends before");
-    assert_eq!(broken(ANY, &[(0, Comes(1)), (9, Leaves(1)), (5_000, Orders)]), [], "no answer is owed");
+    assert_eq!(broken(ANY, &[(0, Comes(1)), (9, Leaves(1)), (5_000, Orders)]), NONE, "no answer is owed");
     let after = [
         (0, Comes(1)),
         (9, Answers(1, Fate::Succeeded)),
@@ -136,7 +138,7 @@
         (10, Sends(1, 0)),
         (10, Ends(1, 0, Outcome::NotSent)),
     ];
-    assert_eq!(broken(ANY, &unsent), [], "it never left");
+    assert_eq!(broken(ANY, &unsent), NONE, "it never left");
 }
 
 #[test]
@@ -152,10 +154,10 @@
         ];
         broken(effect, &told)
     };
-    assert_eq!(again(Outcome::Unreachable, ONCE), []);
+    assert_eq!(again(Outcome::Unreachable, ONCE), NONE);
     assert_eq!(again(Outcome::TimedOut, ONCE), [2]);
-    assert_eq!(again(Outcome::TimedOut, ANY), []);
-    assert_eq!(again(Outcome::TimedOut, TOKEN), []);
+    assert_eq!(again(Outcome::TimedOut, ANY), NONE);
+    assert_eq!(again(Outcome::TimedOut, TOKEN), NONE);
     let harmless =
         [(0, Comes(1)), (1, Sends(1, 0)), (9, Ends(1, 0, Outcome::Broken)), (9, Answers(1, Fate::Throttled))];
     assert_eq!((broken(ONCE, &harmless), broken(ANY, &harmless)), (vec![2], vec![]));
--- a/crates/trace/tests/small/mod.rs
+++ b/crates/trace/tests/small/mod.rs
@@ -4,6 +4,7 @@
 use std::io::Cursor;
 
 use cedarpulley::interface::*;
+use cedarpulley_birth::Birth;
 use cedarpulley_router::{Fate, Reason};
 use cedarpulley_trace::blocks::Gather;
 use cedarpulley_trace::places::Place;
@@ -25,6 +26,12 @@
         accounts_named: vec!["amber".into()],
         fronts_named: vec!["amqp".into()],
         seed: 9,
+        birth: birth(),
+    }
+}
+
+fn birth() -> Birth {
+    Birth {
         fleet: FleetPosition { routers: 1, position: 0, zone: 0, granularity: MS },
         limits: DispatchLimits {
             max_dispatches: 4,
--- a/src/control.rs
+++ b/src/control.rs
@@ -101,15 +101,22 @@
 enum Fate {
     Out,
     NeverRan,
+    /// It never ran, as the worker was full.
+    WasFull,
     MayHaveRun,
 }
 
+impl Fate {
+    fn never_ran(self) -> bool {
+        matches!(self, Fate::NeverRan | Fate::WasFull)
+    }
+}
+
 struct Dispatch {
     worker: WorkerIx,
     at: Micros,
     fate: Fate,
     load: bool,
-    full: bool,
 }
 
 #[derive(Default)]
@@ -571,7 +578,7 @@
         {
             return false;
         }
-        let mut ran = inv.dispatches.iter().filter(|d| d.fate != Fate::NeverRan);
+        let mut ran = inv.dispatches.iter().filter(|d| !d.fate.never_ran());
         match self.triggers[inv.trigger].effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => ran.next().is_none(),
@@ -639,9 +646,9 @@
         if !self.allowed(inv, w) || !self.cold_room(w) || self.too_slow(inv, w) {
             return false;
         }
-        // Symptom: a full worker answers at once, has the fewest in flight, and is sent the same invocation again
-        // until its dispatches are used up.
-        if inv.dispatches.iter().any(|d| d.full && d.worker as usize == w) {
+        // Symptom: a full worker answers at once, has the fewest in flight, and is sent the same invocation
+        // again until its dispatches are used up.
+        if inv.dispatches.iter().any(|d| d.fate == Fate::WasFull && d.worker as usize == w) {
             return false;
         }
         if !self.health.bad(w, inv.trigger, self.now) {
@@ -750,7 +757,7 @@
             && inv.dispatches.len() as u32 + 1 < self.limits.max_dispatches
             && left - patience > usual.mean;
         out.push(Action::Dispatch { inv: ix, worker: w as WorkerIx, time_out: again.then_some(patience) });
-        let dispatch = Dispatch { worker: w as WorkerIx, at: now, fate: Fate::Out, load, full: false };
+        let dispatch = Dispatch { worker: w as WorkerIx, at: now, fate: Fate::Out, load };
         if let Some(inv) = self.invs[ix as usize].as_mut() {
             inv.dispatches.push(dispatch);
         }
@@ -785,8 +792,11 @@
         let Some(inv) = self.invs[ix as usize].as_mut() else { return };
         let sent = inv.dispatches.get_mut(dispatch as usize).filter(|d| d.fate == Fate::Out);
         let Some(d) = sent else { return };
-        d.full = outcome == Outcome::Throttled;
-        d.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+        d.fate = match outcome {
+            Outcome::Throttled => Fate::WasFull,
+            _ if outcome.never_ran() => Fate::NeverRan,
+            _ => Fate::MayHaveRun,
+        };
         let (load, sent_at, func, trigger, work) = (d.load, d.at, inv.func, inv.trigger, inv.work);
         let objective_at = inv.objective_at;
         let f = &mut self.funcs[func as usize];
@@ -862,7 +872,7 @@
         let Some(inv) = self.invs[ix as usize].as_ref().filter(|i| !i.ended) else { return };
         let harmless = match self.triggers[inv.trigger].effect {
             Effect::Idempotent | Effect::Tokened { group: RepeatGroup::All, .. } => true,
-            _ => inv.dispatches.iter().all(|d| d.fate == Fate::NeverRan),
+            _ => inv.dispatches.iter().all(|d| d.fate.never_ran()),
         };
         if harmless {
             let advice = self.triggers[inv.trigger].latency_objective / 4;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,8 +2,9 @@
 //!
 //! Times are whole microseconds; points in time are on a clock that only advances. Workers, functions and
 //! invocations go by small dense indices (see [`crate::ids`]). The index of an invocation is given out again
-//! once it is ended and all its dispatches have; that of a function after [`Action::Forget`]; that of a worker once it is
-//! gone and no invocation or order refers to it any more: a list entry with another fingerprint tells of the new one.
+//! once it is ended and all its dispatches have; that of a function after [`Action::Forget`]; that of a
+//! worker once it is gone and no invocation or order refers to it: a list entry with another fingerprint
+//! tells of the new one.
 
 pub type Micros = i64;
 pub type WorkerIx = u32;
--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -295,26 +295,33 @@
     assert!(sends <= 10, "{sends}");
 }
 
-/// catania-main on sockets, long days: the index of a worker that has gone is given to a new one, which must not bear the old
-/// one's record.
+/// catania-main on sockets, long days: the index of a worker that has gone is given to a new one, which must
+/// not bear the old one's record.
 #[test]
 fn a_new_worker_under_an_old_index_starts_unjudged_and_empty() {
     let mut s = Script::new(21, PLAIN, 1);
-    let home = warm_up(&mut s, 0, 1);
-    let (inv, _) = s.arrive(2, 0, 1, 2 * SECOND);
-    s.pass(50 * MS);
-    s.end(inv, 0, Outcome::Broken, CopyNote::Untold);
-    // Judged bad by now: what may run only once is held.
-    assert!(sent(&s.arrive(2, 0, 1, 2 * SECOND).1).is_empty());
+    let home = warm_up(&mut s, 0, 2);
+    // It was full with one, and broke another: it bears little, and is judged bad.
+    for (trigger, outcome) in [(0, Outcome::Throttled), (2, Outcome::Broken)] {
+        let (inv, _) = s.arrive(trigger, 0, 2, 2 * SECOND);
+        s.pass(50 * MS);
+        s.end(inv, 0, outcome, CopyNote::Untold);
+    }
+    assert!(sent(&s.arrive(2, 0, 2, 2 * SECOND).1).is_empty());
     s.list(ListMode::Changes, &[entry(home, Standing::Gone, None)]);
     s.pass(3 * SECOND);
     let new = ListEntry { fingerprint: 4711, ..entry(home, Standing::InService, None) };
     s.list(ListMode::Changes, &[new]);
-    assert_eq!(sent(&s.arrive(2, 0, 1, 2 * SECOND).1), [home]);
+    let (inv, actions) = s.arrive(2, 0, 2, 2 * SECOND);
+    assert_eq!(sent(&actions), [home]);
+    s.pass(600 * MS);
+    s.end(inv, 0, Outcome::Succeeded, CopyNote::Began);
+    assert_eq!([(); 2].map(|()| sent(&s.arrive(2, 0, 2, 2 * SECOND).1)), [[home], [home]]);
 }
 
-/// catania-main on sockets, rude clients: a function that no worker knows fails to load at once on each in turn. With the
-/// workers blamed for it, each took no load for a while, and what had no copy anywhere was held until it was given up.
+/// catania-main on sockets, rude clients: a function that no worker knows fails to load at once on each in
+/// turn. With the workers blamed for it, each took no load for a while, and what had no copy anywhere was
+/// held until it was given up.
 #[test]
 fn a_function_that_cannot_be_loaded_takes_no_load_from_the_others() {
     let site = Site { orders: true, ..PLAIN };
@@ -338,8 +345,8 @@
     assert_eq!(taken.len(), 3);
 }
 
-/// catania-main on sockets, wide+reset+stale: a full worker, the fastest to answer, was sent the same invocation again until
-/// its dispatches were used up.
+/// catania-main on sockets, wide+reset+stale: a full worker, the fastest to answer, was sent the same
+/// invocation again until its dispatches were used up.
 #[test]
 fn an_invocation_goes_no_second_time_to_a_worker_that_was_full_for_it() {
     let mut s = Script::new(23, PLAIN, 3);
