--- a/src/control.rs
+++ b/src/control.rs
@@ -646,11 +646,6 @@
         if !self.allowed(inv, w) || !self.cold_room(w) || self.too_slow(inv, w) {
             return false;
         }
-        // Symptom: a full worker answers at once, has the fewest in flight, and is sent the same invocation
-        // again until its dispatches are used up.
-        if inv.dispatches.iter().any(|d| d.fate == Fate::WasFull && d.worker as usize == w) {
-            return false;
-        }
         if !self.health.bad(w, inv.trigger, self.now) {
             return true;
         }
@@ -659,6 +654,12 @@
         safe && inv.dispatches.is_empty() && self.health.trial_at[slot] <= self.now && self.trial_due <= 0
     }
 
+    /// Symptom: a full worker answers at once, has the fewest in flight, and is sent the same invocation
+    /// again until its dispatches are used up. Its copy stands all the same.
+    fn was_full(inv: &Inv, w: usize) -> bool {
+        inv.dispatches.iter().any(|d| d.fate == Fate::WasFull && d.worker as usize == w)
+    }
+
     /// Symptom: heavy invocations, dear where value goes by work, come late from slow machines even when
     /// idle. For a while they wait for a kind on which their time suffices, if there is one.
     fn too_slow(&self, inv: &Inv, w: usize) -> bool {
@@ -675,7 +676,7 @@
         let free = |w: &usize| {
             let loading = self.loads.orders && f.loading.is_some_and(|l| l as usize == *w);
             let open = f.warm(*w, self.now) && !loading && f.own[*w] < f.lanes;
-            open && !self.crowded(*w, mean) && self.fit(inv, *w)
+            open && !self.crowded(*w, mean) && !Self::was_full(inv, *w) && self.fit(inv, *w)
         };
         let mut ties: Vec<usize> = (0..f.own.len()).filter(free).collect();
         let least = ties.iter().map(|&w| self.health.own_at(w)).min()?;
@@ -720,7 +721,10 @@
 
     fn least_busy(&self, ix: InvIx) -> Option<usize> {
         let (inv, f) = self.found(ix)?;
-        let room = |w: usize| f.warm(w, self.now) && f64::from(self.health.own_at(w)) < self.workers.bears[w];
+        let room = |w: usize| {
+            let bears = f64::from(self.health.own_at(w)) < self.workers.bears[w];
+            f.warm(w, self.now) && bears && !Self::was_full(inv, w)
+        };
         (0..f.own.len()).filter(|&w| room(w) && self.fit(inv, w)).min_by_key(|&w| f.own[w])
     }
 
--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -358,3 +358,17 @@
     assert!(sent(&actions).iter().all(|w| *w != home));
     assert!(!actions.contains(&Action::Error { inv }));
 }
+
+/// slot-service-later, deploy+flush: a worker that was full counted as not warm, so each invocation that it
+/// turned away loaded its function on one more worker at once, until the store stopped.
+#[test]
+fn an_invocation_turned_away_by_the_only_warm_worker_is_held_and_loads_nowhere_else() {
+    let mut s = Script::new(24, PLAIN, 3);
+    let home = warm_up(&mut s, 0, 4);
+    let (inv, actions) = s.arrive(0, 0, 4, 2 * SECOND);
+    assert_eq!(sent(&actions), [home]);
+    s.pass(MS);
+    let actions = s.end(inv, 0, Outcome::Throttled, CopyNote::Untold);
+    assert!(sent(&actions).is_empty() && !actions.iter().any(|a| matches!(a, Action::Throttle { .. })));
+    assert!(sent(&s.pass(40 * MS)).is_empty());
+}
