--- a/src/control.rs
+++ b/src/control.rs
@@ -548,7 +548,7 @@
             && let Some(w) = self.load_place(ix)
         {
             self.begin_load(ix, w, out);
-            if !self.loads.orders {
+            if self.found(ix).is_none_or(|(inv, _)| inv.out()) {
                 return;
             }
         }
@@ -570,8 +570,10 @@
     }
 
     /// Begins a load; where orders are allowed the invocation stays, for whichever lane is free first.
+    /// Symptom: of hundreds of routers each orders a copy that stands already, for each function it meets.
+    /// With no copy known and workers that load by themselves, the invocation goes there without an order.
     fn begin_load(&mut self, ix: InvIx, w: usize, out: &mut Vec<Action>) {
-        if !self.loads.orders {
+        if !self.loads.orders || self.loads.loads_when_absent && !self.any_warm(ix) {
             return self.dispatch(ix, w, true, out);
         }
         let Some(func) = self.found(ix).map(|(inv, _)| inv.func) else { return };
@@ -850,9 +852,11 @@
                 for slot in self.health.slots(w, trigger) {
                     self.health.due[slot] = loaded_by + HUSH * usual.stretched();
                 }
+                // One answered at once found the copy standing.
+                let at_once = took - usual.mean <= self.usual_load(&self.funcs[func as usize]).mean / GAIN;
                 let f = &mut self.funcs[func as usize];
                 f.warm_until[w] = now + self.loads.idle_kept;
-                if note == CopyNote::Found || note == CopyNote::Untold && !load {
+                if note == CopyNote::Found || note == CopyNote::Untold && (!load || at_once) {
                     f.service.learn(took);
                     self.service[trigger].learn(took);
                     if work > 0 {
@@ -868,6 +872,13 @@
             // Symptom: a full worker answers fastest of all and so looks idle.
             Outcome::Throttled => self.workers.learn_bears(w, now, own, Micros::MAX / 8, objective),
             Outcome::NotSent | Outcome::Withdrawn => {}
+            // A load that fails, as with an order; of the worker it tells something if the function has run.
+            Outcome::Errored if load => {
+                self.load_errored(func, took);
+                if self.funcs[func as usize].service.mean > 0 {
+                    self.health.judge(w, trigger, now, false);
+                }
+            }
             // A try that its client ended before an answer was due tells nothing.
             Outcome::TimedOut if took < usual.stretched() => {}
             _ => self.health.judge(w, trigger, now, false),
@@ -1007,15 +1018,20 @@
             // no load from here for a load's usual time.
             self.workers.loaded_by[w] = self.now + usual.mean;
         } else if result == OrderResult::LoadErrored {
-            // Symptom: a function that nobody can load fails at once on one worker after the other, and with
-            // each of them blamed none is left for other loads. It waits itself, a load's usual time in all.
-            self.funcs[func as usize].load_from = self.now + usual.mean - took;
+            self.load_errored(func, took);
         } else if !answered {
             self.health.judge(w, self.triggers.len(), self.now, false);
         }
         self.retry_held(Some(func), out);
     }
 
+    /// Symptom: a function that nobody can load fails at once on one worker after the other, and with each of
+    /// them blamed none is left for other loads. It waits itself, a load's usual time in all.
+    fn load_errored(&mut self, func: FnIx, took: Micros) {
+        let usual = self.usual_load(&self.funcs[func as usize]).mean;
+        self.funcs[func as usize].load_from = self.now + usual - took;
+    }
+
     fn tick(&mut self, out: &mut Vec<Action>) {
         self.next_tick = None;
         forget_before(&mut self.ordered, self.now - self.loads.ration_window);
