--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -167,6 +167,11 @@
     }
 
     fn with(part: u16, sockets: u32) -> World {
+        World::of(part, sockets, "miss")
+    }
+
+    /// `absent`: what a worker does that lacks the function.
+    fn of(part: u16, sockets: u32, absent: &str) -> World {
         let (seen, told) = (Shared::default(), Arc::new(Mutex::new(Channel::default())));
         let (workers, address, first_channel) = (own(part), own(part), own(part));
         worker(TcpListener::bind(workers).expect("bind"), seen.clone());
@@ -184,7 +189,7 @@
             "connectTimeout":250000000,"keepalive":15000000000}},
             "rules":{{"answerSlack":5000000,"stopSendingWithin":500000000,
             "overloadFactor":1000,"fall":3000000000}},
-            "familyInfo":{{"mayLoad":true,"answerWithin":4000000000,
+            "familyInfo":{{"mayLoad":true,"whenAbsent":"{absent}","answerWithin":4000000000,
             "staysLoaded":5000000000,"tellsCrowd":true}},
             "services":[{{"name":"plain","aim":400000000,"hardLimit":2000000000,"effect":"retryable"}},
             {{"name":"once","aim":400000000,"hardLimit":2000000000,"effect":"fragile"}}]}}}}"#
@@ -303,6 +308,15 @@
     drop(seen);
 }
 
+/// Fleet test: orders for copies that stood already were two in three of all that 300 routers sent.
+#[test]
+fn where_workers_load_on_a_miss_the_first_call_needs_no_order() {
+    let w = World::of(14, 256, "load");
+    let a = w.ask(&call(&id(1), "plain", GOOD, "", "first")).expect("an answer");
+    assert_eq!((a.0, a.2, w.calls(&id(1))), (200, b"first".to_vec(), 1));
+    assert!(w.seen.lock().expect("seen").orders.is_empty());
+}
+
 #[test]
 fn rude_clients_get_a_refusal_and_nothing_of_theirs_reaches_a_worker() {
     let w = World::new(2);
--- a/src/control.rs
+++ b/src/control.rs
@@ -8,8 +8,8 @@
 //! 2. Patience: what may run again is dispatched with a time-out and goes elsewhere if time is left.
 //! 3. Cold budget: a worker that has just started gets this router's part of what it can bear.
 //! 4. Homes: a busy function has several, by its part of the work and the crowds told; a router goes to one.
-//! 5. Pressure: late and full answers bound own work on a worker; when many, no draws, waits end early and
-//!    nothing beyond an account's share is begun.
+//! 5. Pressure: late and full answers bound own work on a worker; when many, no draws; what is late or beyond
+//!    an account's share is begun only while fewer answers are late than it is worth.
 //! 6. Drains: a warm worker told to drain serves on within the grace.
 
 use std::collections::VecDeque;
@@ -569,11 +569,15 @@
         self.pressed > PRESSED.min(part)
     }
 
-    /// Begins a load; where orders are allowed the invocation stays, for whichever lane is free first.
     /// Symptom: of hundreds of routers each orders a copy that stands already, for each function it meets.
     /// With no copy known and workers that load by themselves, the invocation goes there without an order.
+    fn loads_itself(&self, ix: InvIx) -> bool {
+        !self.loads.orders || self.loads.loads_when_absent && !self.any_warm(ix)
+    }
+
+    /// Begins a load; where it is ordered the invocation stays, for whichever lane is free first.
     fn begin_load(&mut self, ix: InvIx, w: usize, out: &mut Vec<Action>) {
-        if !self.loads.orders || self.loads.loads_when_absent && !self.any_warm(ix) {
+        if self.loads_itself(ix) {
             return self.dispatch(ix, w, true, out);
         }
         let Some(func) = self.found(ix).map(|(inv, _)| inv.func) else { return };
@@ -714,7 +718,7 @@
     /// find each other's copies. One load under way per function and, for its usual time, per worker.
     fn load_place(&self, ix: InvIx) -> Option<usize> {
         let (inv, f) = self.found(ix)?;
-        if f.loading.is_some() || self.now < f.load_from || (self.loads.orders && !self.order_left()) {
+        if f.loading.is_some() || self.now < f.load_from || !self.order_left() && !self.loads_itself(ix) {
             return None;
         }
         let (mean, homes) = (self.mean_load(), f.homes.min(f.order.len()));
--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -458,6 +458,19 @@
     assert!(sent(&drawn).is_empty() && !ordered(&drawn).is_empty());
 }
 
+/// The same: draws had used up the ration of orders, and what needs no order was held for it.
+#[test]
+fn a_call_that_goes_itself_does_not_wait_for_the_ration_of_orders() {
+    let mut s = Script::new(29, Site { orders: true, ration: true, ..PLAIN }, 12);
+    for func in 0..5 {
+        warm_up(&mut s, func, 1);
+    }
+    let orders: usize =
+        (0..30).map(|n| s.arrive(0, n % 5, 1, 2 * SECOND).1).map(|actions| ordered(&actions).len()).sum();
+    assert_eq!(orders, 2, "the ration is used up");
+    assert_eq!(sent(&s.arrive(0, 5, 1, 2 * SECOND).1).len(), 1);
+}
+
 /// The same through dispatches: a function that nobody can load must not have the workers blamed for it, one
 /// that has run before is no excuse for a worker that fails everything.
 #[test]
