--- a/crates/cli/tests/grpc.rs
+++ b/crates/cli/tests/grpc.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -68,10 +68,21 @@
     Some((whole.to_bytes(), said))
 }
 
+/// Waits for what must come about, while the connections go on.
+async fn until(what: &str, mut came: impl AsyncFnMut() -> bool) {
+    let begun = Instant::now();
+    while !came().await {
+        assert!(begun.elapsed() < Duration::from_secs(20), "{what}");
+        Timer::after(Duration::from_millis(20)).await;
+    }
+}
+
 fn said<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("")
 }
 
+/// For what must not end by the client's time, however long a machine takes.
+const PATIENT: [(&str, &str); 2] = [("cedarpulley-trigger-type", "patient"), ("cedarpulley-lanes", "50")];
 const ONCE: [(&str, &str); 2] = [("cedarpulley-trigger-type", "once"), ("cedarpulley-lanes", "50")];
 
 fn ask(raw: Option<&'static [u8]>) -> Bytes {
@@ -119,7 +130,7 @@
         let (body, _) = call(&mut s, request(&r, "ModelMetadata", &[], metadata)).await.unwrap();
         assert_eq!(ModelMetadataResponse::decode(unframe(body).unwrap()).unwrap().versions, ["3"]);
         // What is wrong is named, and nothing of it reaches a worker.
-        let before = r.logged(r#""what":"received""#);
+        let before = r.received();
         let long = Bytes::from([&[0, 0, 0, 0, 1], [7u8; 9].as_slice()].concat());
         let packed = Bytes::from_static(&[1, 0, 0, 0, 1, 7]);
         for (headers, body, cause) in [
@@ -138,7 +149,7 @@
         }
         let (_, h) = call(&mut s, request(&r, "ModelStream", &ONCE, ask(None))).await.unwrap();
         assert_eq!(said(&h, "grpc-status"), "12");
-        assert_eq!(r.logged(r#""what":"received""#), before);
+        assert_eq!(r.received(), before);
     });
 }
 
@@ -182,7 +193,7 @@
         let mut other = connect(&local, &r).await;
         let (_, h) = call(&mut other, request(&r, "ModelInfer", &ONCE, ask(None))).await.unwrap();
         assert_eq!(said(&h, "grpc-status"), "0", "{h:?}");
-        let received = r.logged(r#""what":"received""#);
+        let received = r.received();
         println!("{reset} resets, {received} dispatches");
         assert!(reset > 200 && received < 100, "{reset} resets, {received} dispatches");
     });
@@ -196,17 +207,18 @@
         let s = connect(&local, &r).await;
         let calls: Vec<_> = (0..20)
             .map(|_| {
-                let (mut s, request) = (s.clone(), request(&r, "ModelInfer", &ONCE, ask(None)));
+                let (mut s, request) = (s.clone(), request(&r, "ModelInfer", &PATIENT, ask(None)));
                 local.0.spawn(async move { call(&mut s, request).await })
             })
             .collect();
-        Timer::after(Duration::from_millis(200)).await;
+        until("all are taken", async || r.received() == 20).await;
         r.told_to_stop();
-        Timer::after(Duration::from_millis(100)).await;
-        // The connection has been told to go away: nothing new begins on it.
-        let mut late = s.clone();
-        let refused = call(&mut late, request(&r, "ModelInfer", &ONCE, ask(None))).await;
-        assert!(refused.is_none(), "{refused:?}");
+        // As soon as the connection has been told to go away, nothing new begins on it.
+        let late = async || {
+            let mut late = s.clone();
+            call(&mut late, request(&r, "ModelInfer", &PATIENT, ask(None))).await.is_none()
+        };
+        until("it takes nothing new", late).await;
         for answer in calls {
             let (_, h) = answer.await.expect("answered");
             assert_eq!(said(&h, "grpc-status"), "0", "{h:?}");
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -33,6 +33,8 @@
 struct Seen {
     calls: Vec<(String, String)>,
     killed: Vec<String>,
+    /// Answers of `SLOW` that are written.
+    written: Vec<String>,
     connections: usize,
     orders: Vec<String>,
 }
@@ -72,9 +74,11 @@
                     HALF => format!("{id} ok - 10\r\nhalf").into_bytes(),
                     SLOW => {
                         let mut out = out.try_clone().expect("clone");
+                        let (seen, id) = (seen.clone(), id.to_owned());
                         thread::spawn(move || {
                             thread::sleep(Duration::from_millis(600));
                             let _ = out.write_all(&good);
+                            seen.lock().expect("seen").written.push(id);
                         });
                         Vec::new()
                     }
@@ -424,7 +428,7 @@
     w.until("it is out", |w| w.calls(&id(1)) == 1);
     // The router finds both at once, the answer first.
     w.signal(rustix::process::Signal::STOP);
-    thread::sleep(Duration::from_millis(1_000));
+    w.until("its answer is written", |w| w.seen.lock().expect("seen").written.contains(&id(1)));
     stream.shutdown(std::net::Shutdown::Write).expect("shut");
     w.signal(rustix::process::Signal::CONT);
     assert_eq!(answer(&mut BufReader::new(stream)).expect("an answer").0, 200);
--- a/crates/cli/tests/rest.rs
+++ b/crates/cli/tests/rest.rs
@@ -7,6 +7,8 @@
 mod running;
 use running::{MOST_BODY, comes, read, start, start_with};
 
+/// For what must not end by the client's time, however long a machine takes.
+const PATIENT: &str = "cedarpulley-trigger-type: patient\r\ncedarpulley-lanes: 50\r\n";
 const ONCE: &str = "cedarpulley-trigger-type: once\r\ncedarpulley-lanes: 50\r\n";
 
 #[test]
@@ -30,48 +32,48 @@
     assert_eq!(r.ask("POST", "/v2/models/f/infer", ONCE, &vec![b' '; MOST_BODY + 1]).0, 413);
     assert_eq!(r.ask("POST", "/v2/models/f/infer", ONCE, &vec![b' '; MOST_BODY]).0, 200);
     // A body shorter than told: nothing is dispatched for it.
-    let before = r.logged(r#""what":"received""#);
+    let before = r.received();
     let mut stream = TcpStream::connect(r.address).expect("it listens");
     let head = format!("POST /v2/models/f/infer HTTP/1.1\r\nhost: x\r\n{ONCE}content-length: 10\r\n\r\n{{}}");
     stream.write_all(head.as_bytes()).expect("written");
     drop(stream);
     std::thread::sleep(Duration::from_millis(100));
-    assert_eq!(r.logged(r#""what":"received""#), before);
+    assert_eq!(r.received(), before);
 }
 
+/// Its work takes longer than the test waits for the end of it.
 #[test]
 fn a_client_that_vanishes_has_its_dispatch_called_back_and_nothing_sent_again() {
-    let r = start("rest-vanish", Duration::from_millis(1500));
-    let stream = r.send("POST", "/v2/models/f/infer", ONCE, b"{}");
-    std::thread::sleep(Duration::from_millis(300));
+    let r = start("rest-vanish", Duration::from_secs(30));
+    let stream = r.send("POST", "/v2/models/f/infer", PATIENT, b"{}");
+    assert!(comes(|| r.received() == 1), "the worker got it");
     drop(stream);
-    std::thread::sleep(Duration::from_millis(400));
-    assert_eq!(r.logged(r#""what":"received""#), 1);
-    assert_eq!(
-        r.logged(r#""what":"left""#),
-        1,
+    assert!(
+        comes(|| r.logged(r#""what":"left""#) == 1),
         "the worker saw its connection close before its work was done"
     );
+    assert_eq!(r.received(), 1);
 }
 
 #[test]
 fn a_router_told_to_stop_answers_what_it_took_and_ends_well() {
     let mut r = start("rest-stop", Duration::from_millis(600));
-    let marked = |n: usize| format!("{ONCE}x-request-id: call-{n}\r\n");
+    let marked = |n: usize| format!("{PATIENT}x-request-id: call-{n}\r\n");
     let streams: Vec<TcpStream> =
         (0..5).map(|n| r.send("POST", "/v2/models/f/infer", &marked(n), b"{}")).collect();
-    std::thread::sleep(Duration::from_millis(200));
+    assert!(comes(|| r.received() == 5), "all are taken");
     r.told_to_stop();
-    std::thread::sleep(Duration::from_millis(50));
-    // Nothing new is taken.
-    if let Ok(mut late) = TcpStream::connect(r.address) {
+    // As soon as it knows, nothing new is taken: it says so, or nobody listens any more.
+    let late = || {
+        let mut late = TcpStream::connect(r.address).ok()?;
+        late.set_read_timeout(Some(Duration::from_secs(5))).expect("set");
         let head = format!(
             "POST /v2/models/f/infer HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{ONCE}content-length: 2\r\n\r\n{{}}"
         );
-        late.write_all(head.as_bytes()).expect("written");
-        late.set_read_timeout(Some(Duration::from_secs(5))).expect("set");
-        assert_eq!(read(late).0, 429);
-    }
+        late.write_all(head.as_bytes()).ok()?;
+        Some(read(late).0)
+    };
+    assert!(comes(|| matches!(late(), None | Some(0 | 429))), "it still takes what is new");
     assert!(streams.into_iter().all(|s| read(s).0 == 200));
     assert!(r.ended_well());
     // From its trace alone: the life of one of them, by the mark that its client gave it.
@@ -83,7 +85,7 @@
     let (code, life) = trace(&["show", "call-3"]);
     let words = [
         "taken from kserve",
-        "once for f, gives up",
+        "patient for f, gives up",
         "dispatched to 127.0.0.1",
         "Succeeded after",
         "answered: Succeeded",
@@ -140,21 +142,21 @@
     let r = start_with("rest-large", Duration::from_millis(1), 64 * 1024, 200, "");
     let mut body = vec![b' '; 64 << 20];
     (body[0], body[(64 << 20) - 1]) = (b'{', b'}');
-    assert_eq!(r.ask("POST", "/v2/models/f/infer", ONCE, &body).0, 200);
+    assert_eq!(r.ask("POST", "/v2/models/f/infer", PATIENT, &body).0, 200);
     body.push(b' ');
-    assert_eq!(r.ask("POST", "/v2/models/f/infer", ONCE, &body).0, 413);
-    assert_eq!(r.ask("POST", "/v2/models/f/infer", ONCE, b"{}").0, 200);
+    assert_eq!(r.ask("POST", "/v2/models/f/infer", PATIENT, &body).0, 413);
+    assert_eq!(r.ask("POST", "/v2/models/f/infer", PATIENT, b"{}").0, 200);
 }
 
 /// Longer than told: what is beyond is read as the next request, and refused as one.
 #[test]
 fn half_closed_flooded_and_overlong() {
-    let r = start("rest-odd", Duration::from_millis(100));
+    let r = start("rest-odd", Duration::from_millis(500));
     // Half-closed cannot be told from gone: its dispatch is called back.
     let stream = r.send("POST", "/v2/models/f/infer", ONCE, b"{}");
     stream.shutdown(std::net::Shutdown::Write).expect("shut");
     assert_eq!(read(stream).0, 0);
-    let before = r.logged(r#""what":"received""#);
+    let before = r.received();
     let mut stream = TcpStream::connect(r.address).expect("it listens");
     stream.set_read_timeout(Some(Duration::from_secs(10))).expect("set");
     let head = format!(
@@ -163,7 +165,7 @@
     stream.write_all(head.as_bytes()).expect("written");
     let (status, text) = read(stream);
     assert!(status == 200 && text.contains("HTTP/1.1 400"), "{text}");
-    assert_eq!(r.logged(r#""what":"received""#), before + 1);
+    assert_eq!(r.received(), before + 1);
     // Headers without end.
     let mut stream = TcpStream::connect(r.address).expect("it listens");
     stream.set_read_timeout(Some(Duration::from_secs(10))).expect("set");
@@ -177,16 +179,16 @@
 /// A client's own retry while the first is out: one dispatch, the same answer to both.
 #[test]
 fn the_same_token_twice_at_once_is_one_dispatch() {
-    let r = start("rest-token", Duration::from_millis(500));
-    let headers = format!("{ONCE}idempotency-key: k1\r\n");
+    let r = start("rest-token", Duration::from_secs(1));
+    let headers = format!("{PATIENT}idempotency-key: k1\r\n");
     let first = r.send("POST", "/v2/models/f/infer", &headers, b"{}");
-    std::thread::sleep(Duration::from_millis(100));
+    assert!(comes(|| r.received() == 1), "the first is out");
     let second = r.send("POST", "/v2/models/f/infer", &headers, b"{}");
     let (first, second) = (read(first), read(second));
     assert_eq!((first.0, second.0), (200, 200));
     let body = |text: &str| text.split("\r\n\r\n").nth(1).map(str::to_owned);
     assert_eq!(body(&first.1), body(&second.1));
-    assert_eq!(r.logged(r#""what":"received""#), 1);
+    assert_eq!(r.received(), 1);
 }
 
 /// Bodies that are only promised count against the memory bound: beyond it a request is turned away unread.
@@ -201,9 +203,7 @@
         stream
     };
     let promised: Vec<TcpStream> = (0..(1 << 20) / MOST_BODY).map(|_| promise()).collect();
-    std::thread::sleep(Duration::from_millis(200));
-    assert_eq!(r.ask("POST", "/v2/models/f/infer", ONCE, b"{}").0, 429);
+    assert!(comes(|| r.ask("POST", "/v2/models/f/infer", PATIENT, b"{}").0 == 429));
     drop(promised);
-    std::thread::sleep(Duration::from_millis(200));
-    assert_eq!(r.ask("POST", "/v2/models/f/infer", ONCE, b"{}").0, 200);
+    assert!(comes(|| r.ask("POST", "/v2/models/f/infer", PATIENT, b"{}").0 == 200));
 }
--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use cedarpulley_standins::Ground;
@@ -32,18 +32,21 @@
     }
 }
 
-/// Ports that tests of this process were given.
-static GIVEN: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+/// So many ports were given to tests of this process, or were taken.
+static GIVEN: AtomicU16 = AtomicU16::new(0);
 
-/// A port that is free now and that no other test was given. Symptom: two tests got the same one, as it is free again
-/// until the router listens, and one's clients called the other's router.
+/// Ports that no system gives out by itself, neither to a listener that asks for any nor to a client.
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u16 = 20_000;
+
+/// A port that is free now and that no other test was given. Symptom: one that the system had given out is free
+/// again until the router listens, so another test's router, worker or client got it, and clients called that.
 pub fn free_address() -> SocketAddr {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let mut given = GIVEN.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let first = (std::process::id() % u32::from(PORTS)) as u16;
     loop {
-        let address = TcpListener::bind(any).and_then(|l| l.local_addr()).expect("a free port");
-        if !given.contains(&address.port()) {
-            given.push(address.port());
+        let port = FIRST_PORT + (first + GIVEN.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
             return address;
         }
     }
@@ -67,7 +70,7 @@
     let store = Store::start(&ground, "store", any, nature).expect("a store");
     let nature = Nature::roomy(100.0);
     let program = Program { work, copy_mb: 1.0, start_up: Duration::from_millis(1), lanes: 50, window: None };
-    let programs = ["once", "again"].map(|k| (k.to_owned(), program.clone()));
+    let programs = ["once", "again", "patient"].map(|k| (k.to_owned(), program.clone()));
     let (at, programs) = (store.server.address, HashMap::from(programs));
     let worker =
         Worker::start(&ground, "worker", any, 1, nature, at, programs, Memory::default()).expect("a worker");
@@ -77,6 +80,8 @@
         "[router]\nseed = 1\nmemory_mb = {memory_mb}\nmost_body_kb = {body_kb}\n[[trigger]]\nname = \"once\"\neffect = \"non-idempotent\"\n\
          latency_objective_ms = 900\nclient_timeout_ms = 3000\n[[trigger]]\nname = \"again\"\n\
          effect = \"idempotent\"\nlatency_objective_ms = 900\nclient_timeout_ms = 3000\n\
+         [[trigger]]\nname = \"patient\"\neffect = \"non-idempotent\"\nlatency_objective_ms = 900\n\
+         client_timeout_ms = 60000\n\
          [trace]\nfolder = \"traces\"\n[[kserve]]\nlisten = \"{address}\"\n{front}[workers]\nlist = [{{ address = \"{}\" }}]\n",
         worker.address
     );
@@ -96,6 +101,11 @@
 }
 
 impl Running {
+    /// So many invocations have reached the worker.
+    pub fn received(&self) -> usize {
+        self.logged(r#""what":"received""#)
+    }
+
     pub fn send(&self, method: &str, path: &str, headers: &str, body: &[u8]) -> TcpStream {
         let mut stream = TcpStream::connect(self.address).expect("it listens");
         stream.set_read_timeout(Some(Duration::from_secs(10))).expect("set");
