--- a/src/control.rs
+++ b/src/control.rs
@@ -465,7 +465,7 @@
             func: a.func,
             trigger: a.trigger as usize,
             over,
-            brief: a.waited + a.client_gives_up_in < t.latency_objective,
+            brief: a.waited + a.client_gives_up_in < t.latency_objective + stretch,
             work: a.cost_hint.unwrap_or(0),
             arrived: now,
             objective_at: (now - a.waited + t.latency_objective + stretch).min(gives_up_at),
