--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -441,22 +441,25 @@
 /// seconds ended with such a client gone.
 #[test]
 fn tries_that_are_mostly_left_give_way_while_answers_are_late() {
-    let refused = |late: Micros, answered: bool| {
+    let refused = |late: Micros, answered: bool, heavy: Micros| {
         let mut s = Script::new(29, Site { allowance_per_s: 1e6, ..PLAIN }, 2);
+        s.cost_hint = Some(heavy).filter(|&h| h > 0);
         warm_up(&mut s, 0, 64);
         for _ in 0..48 {
-            let (inv, _) = s.arrive(0, 0, 64, 700 * MS);
-            s.pass(if answered { 20 * MS } else { 690 * MS });
+            let (inv, _) = s.arrive(0, 0, 64, 700 * MS + heavy);
+            s.pass(if answered { 20 * MS } else { 690 * MS + heavy });
             let outcome = if answered { Outcome::Succeeded } else { Outcome::TimedOut };
             s.end(inv, 0, outcome, CopyNote::Untold);
             answered_after(&mut s, 64, &[20 * MS]);
         }
-        answered_after(&mut s, 64, &[20 * MS, late].repeat(20));
-        types_turned_away(&mut s, [700 * MS, 2 * SECOND], [0, 0])
+        answered_after(&mut s, 64, &[20 * MS, late + heavy].repeat(20));
+        types_turned_away(&mut s, [700 * MS + heavy, 2 * SECOND], [0, 0])
     };
-    assert_eq!(refused(900 * MS, false), [10, 0]);
-    assert_eq!(refused(900 * MS, true), [0, 0]);
-    assert_eq!(refused(20 * MS, false), [0, 0]);
+    assert_eq!(refused(900 * MS, false, 0), [10, 0]);
+    assert_eq!(refused(900 * MS, true, 0), [0, 0]);
+    assert_eq!(refused(20 * MS, false, 0), [0, 0]);
+    // Heavy ones are wanted later, and their clients leave before that.
+    assert_eq!(refused(900 * MS, false, 300 * MS), [10, 0]);
 }
 
 /// With all refused under pressure, no answer came that could have told of its end.
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -48,7 +48,7 @@
         .map(|(effect, billed_value)| TriggerType {
             effect,
             latency_objective: 800 * MS,
-            objective_stretch: 0.0,
+            objective_stretch: 1.0,
             client_timeout: 2 * SECOND,
             billed_value,
             late_part: 0.1,
@@ -122,6 +122,8 @@
 pub struct Script {
     pub control: Control,
     pub now: Micros,
+    /// Of what arrives; the objective grows by as much.
+    pub cost_hint: Option<Micros>,
     site: Site,
     ledger: Vec<Account>,
     open: BTreeSet<(Micros, InvIx)>,
@@ -146,6 +148,7 @@
         let mut script = Script {
             control: router(seed, position, site),
             now: 1_000 * SECOND,
+            cost_hint: None,
             site,
             ledger: Vec::new(),
             open: BTreeSet::new(),
@@ -200,7 +203,7 @@
             account: 0,
             func,
             fingerprint: 77 + u64::from(func),
-            cost_hint: None,
+            cost_hint: self.cost_hint,
             load_hint: Some(500 * MS),
             copy_mb: 300.0,
             lanes,
