Replica: shared records, takeovers and catching up among routers, explored and free of I/O

Change: package crates/replica. An intent to dispatch is held by a majority before it leaves; a takeover fences all older owners at a majority and so sees every intent that had one; what is out elsewhere is waited for, a known answer is given again, what never left is sent. Members that start anew do not vote before they have compared with members that every majority meets.

Joining is the same in any order (2,000 draws). Nothing is wired yet.

--- /dev/null
+++ b/crates/replica/tests/common/mod.rs
@@ -0,0 +1,182 @@
+//! A group in virtual time: replicas, a network whose messages can be held, and what came out.
+
+#![allow(dead_code)] // Each test file uses its part.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use cedarpulley_membership::{Group, Member, MemberIx};
+use cedarpulley_replica::{
+    Guard, Input, Key, Lack, Message, Need, Outcome, Output, Replica, Shared, Terms, Verdict,
+};
+
+pub const MS: i64 = 1_000;
+pub const KEPT: i64 = 6_000 * MS;
+
+pub fn terms(without: Option<Guard>, patience: i64) -> Terms {
+    Terms { without, ..Terms::usual(KEPT, patience, 1) }
+}
+
+pub fn group(n: usize, me: usize) -> Group {
+    let member = |i: usize| Member {
+        name: format!("r{i}"),
+        region: ["east", "west"][i % 2].to_owned(),
+        weight: 1,
+        witness: false,
+    };
+    Group::new("g", (0..n).map(member).collect(), &format!("r{me}")).expect("a group")
+}
+
+pub struct World {
+    pub now: i64,
+    pub without: Option<Guard>,
+    pub replicas: Vec<Option<Replica>>,
+    pub nonces: Vec<u64>,
+    /// From whom, to whom, of which process, when it was sent.
+    pub net: Vec<(MemberIx, MemberIx, u64, i64, Message)>,
+    pub verdicts: Vec<BTreeMap<Key, Vec<Verdict>>>,
+    pub leaves: Vec<BTreeMap<u64, Result<bool, Lack>>>,
+    pub decided: Vec<BTreeMap<Key, Vec<Outcome>>>,
+    pub last: u64,
+    /// How long a majority is waited for.
+    pub patience: i64,
+}
+
+impl World {
+    /// All of them remember, as after a long time.
+    pub fn new(n: usize, without: Option<Guard>) -> World {
+        World::patient(n, without, 800 * MS)
+    }
+
+    pub fn patient(n: usize, without: Option<Guard>, patience: i64) -> World {
+        let mut w = World::made(n, without, patience);
+        w.pass(2 * KEPT);
+        w.net.clear();
+        w
+    }
+
+    pub fn fresh(n: usize, without: Option<Guard>) -> World {
+        World::made(n, without, 800 * MS)
+    }
+
+    fn made(n: usize, without: Option<Guard>, patience: i64) -> World {
+        let mut w = World {
+            now: 0,
+            without,
+            replicas: (0..n).map(|_| None).collect(),
+            nonces: vec![0; n],
+            net: Vec::new(),
+            verdicts: vec![BTreeMap::new(); n],
+            leaves: vec![BTreeMap::new(); n],
+            decided: vec![BTreeMap::new(); n],
+            last: 0,
+            patience,
+        };
+        (0..n).for_each(|r| w.start(r, None));
+        w
+    }
+
+    pub fn start(&mut self, r: usize, folder: Option<Vec<(Key, Shared)>>) {
+        let n = self.replicas.len();
+        self.last += 1;
+        self.nonces[r] = self.last;
+        let (group, terms) = (group(n, r), terms(self.without, self.patience));
+        self.replicas[r] = Some(Replica::new(self.now, group, terms, self.last, folder));
+        (self.verdicts[r], self.leaves[r]) = (BTreeMap::new(), BTreeMap::new());
+        for m in 0..n {
+            self.sees(r, m, self.replicas[m].is_some());
+            self.sees(m, r, true);
+        }
+    }
+
+    pub fn crash(&mut self, r: usize) -> Vec<(Key, Shared)> {
+        let folder = self.folder(r);
+        self.replicas[r] = None;
+        folder
+    }
+
+    pub fn folder(&self, r: usize) -> Vec<(Key, Shared)> {
+        self.at(r).records().map(|(k, s)| (k.clone(), s.shared(self.now))).collect()
+    }
+
+    pub fn at(&self, r: usize) -> &Replica {
+        self.replicas[r].as_ref().expect("it runs")
+    }
+
+    pub fn sees(&mut self, r: usize, m: usize, alive: bool) {
+        let (member, nonce) = (m as MemberIx, self.nonces[m]);
+        self.feed(r, Input::Member { member, nonce, alive });
+    }
+
+    pub fn feed(&mut self, r: usize, input: Input) {
+        let Some(it) = self.replicas[r].as_mut() else { return };
+        let mut out = Vec::new();
+        it.handle(self.now, input, &mut out);
+        for output in out {
+            match output {
+                Output::Send { to, message } => {
+                    self.net.push((r as MemberIx, to, self.nonces[r], self.now, message));
+                }
+                Output::Verdict { key, verdict } => self.verdicts[r].entry(key).or_default().push(verdict),
+                Output::Leave { sending, left, .. } => {
+                    self.leaves[r].insert(sending, left);
+                }
+                Output::Decided { key, outcome } => self.decided[r].entry(key).or_default().push(outcome),
+                Output::Noticed(_) | Output::Whole => {}
+            }
+        }
+    }
+
+    /// Delivers what is on the way and fits, and what follows from it.
+    pub fn deliver(&mut self, fits: impl Fn(MemberIx, MemberIx, &Message) -> bool) {
+        while let Some(n) = self.net.iter().position(|(f, t, _, _, m)| fits(*f, *t, m)) {
+            let (from, to, nonce, sent, message) = self.net.remove(n);
+            let transit = self.now - sent;
+            self.feed(to as usize, Input::Heard { from, nonce, transit, message });
+        }
+    }
+
+    /// Time passes, in steps, and everything is delivered.
+    pub fn pass(&mut self, time: i64) {
+        self.pass_where(time, |_, _, _| true);
+    }
+
+    pub fn pass_where(&mut self, time: i64, fits: impl Fn(MemberIx, MemberIx, &Message) -> bool) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now = (self.now + 10 * MS).min(until);
+            (0..self.replicas.len()).for_each(|r| self.feed(r, Input::Tick));
+            self.deliver(&fits);
+            // What is cut off is lost.
+            self.net.clear();
+        }
+    }
+
+    pub fn take(&mut self, r: usize, key: &str, redelivered: bool) -> Option<Verdict> {
+        self.feed(r, Input::Take { key: key.into(), need: Need::Held, redelivered });
+        self.verdict(r, key)
+    }
+
+    pub fn verdict(&self, r: usize, key: &str) -> Option<Verdict> {
+        self.verdicts[r].get(key).and_then(|v| v.last()).cloned()
+    }
+
+    pub fn intend(&mut self, r: usize, key: &str) -> u64 {
+        self.last += 1;
+        let sending = self.last;
+        self.feed(r, Input::Intend { key: key.into(), sending, place: 0, alone: false });
+        sending
+    }
+
+    pub fn left(&self, r: usize, sending: u64) -> bool {
+        self.leaves[r].get(&sending).is_some_and(|l| l.is_ok())
+    }
+
+    pub fn ended(&mut self, r: usize, key: &str, sending: u64, may_have_run: bool) {
+        self.feed(r, Input::Ended { key: key.into(), sending, may_have_run });
+    }
+
+    pub fn answered(&mut self, r: usize, key: &str, answer: &'static str) {
+        self.feed(r, Input::Answered { key: key.into(), answer: Bytes::from_static(answer.as_bytes()) });
+    }
+}
--- /dev/null
+++ b/crates/replica/tests/merging.rs
@@ -0,0 +1,75 @@
+//! Copies that differ: joining them gives the same in any order and any number of times.
+
+use bytes::Bytes;
+use cedarpulley_replica::record::{Choice, Owner, Sending};
+use cedarpulley_replica::{Answered, Ballot, Effect, Note, Record, Sent};
+use proptest::prelude::*;
+
+fn ballot() -> impl Strategy<Value = Ballot> {
+    (0u32..3, 0u16..3, 1u64..3).prop_map(|(number, member, nonce)| Ballot { number, member, nonce })
+}
+
+fn value() -> impl Strategy<Value = Bytes> {
+    prop::sample::select(vec![Bytes::from_static(b"a"), Bytes::from_static(b"b"), Bytes::new()])
+}
+
+fn sent() -> impl Strategy<Value = Sent> {
+    prop::sample::select(vec![Sent::Intended, Sent::NeverRan, Sent::MayHaveRun])
+}
+
+fn effect() -> impl Strategy<Value = Record> {
+    let sending = sent().prop_map(|state| Sending { member: 0, state, place: 0 });
+    let sendings = prop::collection::btree_map((1u64..3, 0u64..3), sending, 0..4);
+    let answer = prop::option::of(prop_oneof![value().prop_map(Answered::Kept), Just(Answered::TooLarge)]);
+    let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
+    (ballot(), flags, sendings, answer).prop_map(
+        |(ballot, (let_go, taken, doubtful, closed), sendings, answer)| {
+            let owner = Owner { ballot, let_go };
+            let mut e = Effect { owner, taken, doubtful, sendings, answer, ..Effect::default() };
+            if closed {
+                e.close();
+            }
+            Record::Effect(e)
+        },
+    )
+}
+
+fn record() -> impl Strategy<Value = [Record; 3]> {
+    let choice = || {
+        (ballot(), prop::option::of((ballot(), value())))
+            .prop_map(|(promised, accepted)| Record::Choice(Choice { promised, accepted }))
+    };
+    let note =
+        || ((0u64..3, 0u64..3), value()).prop_map(|(version, value)| Record::Note(Note { version, value }));
+    prop_oneof![[effect(), effect(), effect()], [choice(), choice(), choice()], [note(), note(), note()],]
+}
+
+fn joined(a: &Record, b: &Record) -> Record {
+    let mut a = a.clone();
+    a.join(b);
+    a
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn in_any_order_and_any_number_of_times([a, b, c] in record()) {
+        prop_assert_eq!(joined(&a, &b), joined(&b, &a));
+        prop_assert_eq!(joined(&joined(&a, &b), &c), joined(&a, &joined(&b, &c)));
+        let ab = joined(&a, &b);
+        prop_assert_eq!(&joined(&ab, &b), &ab);
+        prop_assert_eq!(&joined(&ab, &ab), &ab);
+    }
+
+    /// States only advance: whatever is joined, no sending goes back, no answer is lost, no owner falls.
+    #[test]
+    fn states_only_advance([a, b, _] in record()) {
+        let ab = joined(&a, &b);
+        if let (Record::Effect(a), Record::Effect(ab)) = (&a, &ab) {
+            prop_assert!(ab.owner >= a.owner && ab.taken >= a.taken && ab.closed >= a.closed);
+            prop_assert!(ab.closed || a.answer.is_none() || ab.answer.is_some());
+            prop_assert!(ab.closed || a.sendings.iter().all(|(ix, s)| ab.sendings[ix].state >= s.state));
+        }
+    }
+}
