Connecting, clocks, bell and alarm become crates/net; the node needs no gateway

Need: the node of the users' platform built the whole gateway (AMQP, TLS, HTTP, the ledger) for one file of 157 lines. Seen: cargo tree of cedarpulley-platform-node no longer shows cedarpulley-gateway; clippy on all targets has nothing to say.

--- a/crates/cli/src/rest_client.rs
+++ b/crates/cli/src/rest_client.rs
@@ -7,7 +7,7 @@
 
 use async_executor::Executor;
 use async_io::Timer;
-use cedarpulley_gateway::net::connect;
+use cedarpulley_net::connect;
 use cedarpulley_standins::{Log, wall_us};
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full};
@@ -89,7 +89,7 @@
     async fn exchange(
         &self,
         a: &Arrival,
-        stream: cedarpulley_gateway::net::Stream,
+        stream: cedarpulley_net::Stream,
         router: SocketAddr,
     ) -> Option<(String, String)> {
         let (mut sender, connection) =
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
 use cedarpulley_kserve::serving::{self, Misunderstood};
+use cedarpulley_net::{Bell, Stream, micros};
 use cedarpulley_router::admission::FrontState;
 use cedarpulley_router::entry::{Entry, Knock, Short};
 use cedarpulley_router::{Answer, Delivery, FrontIx, Input, Payload, Taken};
@@ -26,7 +27,6 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use smol::channel::{Sender, bounded};
 
-use crate::net::{Bell, Stream, micros};
 use crate::serve::Gateway;
 use crate::tls::{Files, Inward};
 use crate::{grpc, rest};
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -12,13 +12,13 @@
 use cedarpulley_amqp::connection::Login;
 use cedarpulley_amqp::protocol::basic::AMQPProperties;
 use cedarpulley_amqp::{Connection, Event, Fault, Message, Role, meaning};
+use cedarpulley_net::{Bell, connect};
 use cedarpulley_router::admission::FrontState;
 use cedarpulley_router::backoff::Backoff;
 use cedarpulley_router::{Answer, Delivery, Fate, FrontIx, Input, Payload, Reason, Taken};
 use futures_lite::io::{ReadHalf, WriteHalf, split};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
-use crate::net::{Bell, connect};
 use crate::serve::Gateway;
 use crate::settings::Source;
 use crate::tls::Wire;
--- a/crates/gateway/src/grpc.rs
+++ b/crates/gateway/src/grpc.rs
@@ -14,6 +14,7 @@
 use cedarpulley_kserve::rpc::{self, Code, Method};
 use cedarpulley_kserve::serving::{self, function};
 use cedarpulley_kserve::tensors;
+use cedarpulley_net::{Bell, micros};
 use cedarpulley_router::entry::Entry;
 use cedarpulley_router::{Answer, Fate, Payload, Reason};
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -28,7 +29,6 @@
 
 use crate::calls::{Calls, Line, Told, Unread, Unwhole, gather, short, to_its_end, understood, within};
 use crate::front::{fate, reason};
-use crate::net::{Bell, micros};
 use crate::rest::Reply;
 use crate::serve::Gateway;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod list;
 pub mod meddle;
 pub mod metering;
-pub mod net;
 pub mod pool;
 pub mod recorder;
 pub mod rest;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -8,6 +8,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use cedarpulley::interface::{Micros, Standing};
+use cedarpulley_net::{connect, micros};
 use cedarpulley_router::Input;
 use cedarpulley_router::backoff::Backoff;
 use cedarpulley_router::roster::{Entry, Listed, News, Roster, Slice, Step};
@@ -19,7 +20,6 @@
 use serde_json::Value;
 use smol_hyper::rt::FuturesIo;
 
-use crate::net::{connect, micros};
 use crate::serve::Gateway;
 
 const PATH: &str = "/apis/discovery.k8s.io/v1/endpointslices";
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -7,11 +7,11 @@
 use async_io::Timer;
 use cedarpulley::interface::{Micros, Standing};
 use cedarpulley_kserve::requests;
+use cedarpulley_net::micros;
 use cedarpulley_router::roster::News;
 use cedarpulley_router::{Answer, Delivery, Output};
 
 use crate::front::Front;
-use crate::net::micros;
 use crate::serve::Gateway;
 
 /// It acts on one in so many.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
 use cedarpulley_kserve::Ended;
+use cedarpulley_net::{Clock, Stream, connect, micros};
 use cedarpulley_router::Ticket;
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use http_body_util::{BodyExt, Full};
@@ -22,7 +23,6 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use smol_hyper::rt::FuturesIo;
 
-use crate::net::{Clock, Stream, connect, micros};
 use crate::settings::Links;
 
 /// Heads of answers: beyond, a worker sends headers without end.
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -9,6 +9,7 @@
 use cedarpulley::interface::Micros;
 use cedarpulley_kserve::requests::JSON_LENGTH;
 use cedarpulley_kserve::serving::{self, Asked};
+use cedarpulley_net::{Bell, micros};
 use cedarpulley_router::entry::Entry;
 use cedarpulley_router::{Answer, Fate};
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -21,7 +22,6 @@
 
 use crate::calls::{Calls, Line, Told, Unread, Unwhole, gather, short, to_its_end, understood};
 use crate::front::{fate, reason};
-use crate::net::{Bell, micros};
 use crate::serve::Gateway;
 
 /// A head comes whole within this time, and so does the next one on a kept connection.
--- a/crates/gateway/src/tls.rs
+++ b/crates/gateway/src/tls.rs
@@ -15,13 +15,13 @@
 use async_io::Timer;
 use cedarpulley::interface::Micros;
 use cedarpulley_certificates::{self as certificates, Keeper, MOST_FILE, Read, Refused, Served, Step, Which};
+use cedarpulley_net::{Stream, micros};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use futures_rustls::rustls::pki_types::ServerName;
 use futures_rustls::rustls::server::WebPkiClientVerifier;
 use futures_rustls::rustls::{ClientConfig, RootCertStore, ServerConfig, crypto::ring};
 use futures_rustls::{TlsAcceptor, TlsConnector, client, server};
 
-use crate::net::{Stream, micros};
 use crate::serve::Gateway;
 
 /// A handshake comes to its end within this time, or its connection is closed.
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -8,10 +8,10 @@
 use async_executor::LocalExecutor;
 use bytes::Bytes;
 use cedarpulley::interface::Outcome;
-use cedarpulley_gateway::net::Clock;
 use cedarpulley_gateway::pool::{Pool, ended};
 use cedarpulley_gateway::settings::Links;
 use cedarpulley_kserve::{endings, requests};
+use cedarpulley_net::Clock;
 use cedarpulley_router::Ticket;
 use futures_lite::FutureExt;
 
--- a/crates/gateway/src/net.rs
+++ b/crates/net/src/lib.rs
@@ -1,5 +1,7 @@
-//! Connecting from an own address, the clocks, a bell that one task rings for another, and an alarm for what
-//! is due.
+//! What every process of this product has towards the network and the clock: connecting from an own address,
+//! listening, the clocks, a bell that one task rings for another, and an alarm for what is due. It decides nothing.
+//!
+//! Begin reading at [`connect`] and [`listen`]; then [`Clock`], [`Bell`], [`Alarm`].
 
 use std::cell::Cell;
 use std::io;
--- a/crates/platform-node/src/channel.rs
+++ b/crates/platform-node/src/channel.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Result, bail, ensure};
 use async_io::Timer;
-use cedarpulley_gateway::net::{Stream, connect, micros};
+use cedarpulley_net::{Stream, connect, micros};
 use cedarpulley_platform::channel::{ANSWER_LATE, ASKED_WAIT, Answers, Batch, LONGEST_PAUSE};
 use cedarpulley_router::backoff::Backoff;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
--- a/crates/platform-node/src/front.rs
+++ b/crates/platform-node/src/front.rs
@@ -11,7 +11,7 @@
 use async_io::{Async, Timer};
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
-use cedarpulley_gateway::net::{Bell, Stream};
+use cedarpulley_net::{Bell, Stream};
 use cedarpulley_platform::clients::{
     self, Ahead, Call, MOST_READ_AWAY, REFUSED, Request, Terms, What, Wrong,
 };
--- a/crates/platform-node/src/links.rs
+++ b/crates/platform-node/src/links.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use cedarpulley::interface::{CopyNote, Micros, Outcome, Report, WorkerIx};
-use cedarpulley_gateway::net::{Bell, Stream, connect};
+use cedarpulley_net::{Bell, Stream, connect};
 use cedarpulley_platform::berths::{Berths, ConnIx, Place};
 use cedarpulley_platform::endings::{self, Ended};
 use cedarpulley_platform::workers::{self, Answer, Reader};
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -13,7 +13,7 @@
 use async_signal::{Signal, Signals};
 use cedarpulley::interface::{Effect, Micros, TriggerType, WorkerIx};
 use cedarpulley_birth::{Names, ReportField};
-use cedarpulley_gateway::net::{Alarm, Bell, Clock, Stream, listen};
+use cedarpulley_net::{Alarm, Bell, Clock, Stream, listen};
 use cedarpulley_platform::berths::Berths;
 use cedarpulley_platform::bounds::Bounds;
 use cedarpulley_platform::channel::{Batch, Follower, News};
