Gateway: the ring of ten files is gone; each part is handed a narrow desk, serve.rs sits on top

Need: replication among routers is to hang below serve.rs, but ten files knew the whole Gateway and each other. Change: desk.rs (clock, executor, name, seed, own address, names, the way into the core) is below all; fronts, callers, list and the meddler own it and what else they need. listen.rs (accepting, TLS, which protocol) is split from calls.rs, words.rs holds the words for fates; Source, Links, Listen and Protocol lie with their users, settings.rs imports from those. Unread bytes of all fronts are one counter instead of a sum over the fronts at each knock. What is fed and the order of what is carried out are as before.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -1,64 +1,37 @@
-//! What the fronts have in common whose clients call: listening, who is at the door, who waits for which answer,
-//! and what of the answers has not been read yet. The protocols are in `rest.rs` and `grpc.rs`; whether a request
-//! may come in the core decides (`cedarpulley_router::entry`).
+//! What the fronts have in common whose clients call: who is at the door, who waits for which answer, and what of
+//! the answers has not been read yet. The protocols are in `rest.rs` and `grpc.rs`, connections come from
+//! `listen.rs`; whether a request may come in the core decides (`cedarpulley_router::entry`).
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::io;
-use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-use async_io::{Async, Timer};
+use async_io::Timer;
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
 use cedarpulley_kserve::serving::{self, Misunderstood};
-use cedarpulley_net::{Bell, Stream, micros};
-use cedarpulley_router::admission::FrontState;
-use cedarpulley_router::entry::{Entry, Knock, Short};
+use cedarpulley_net::{Bell, micros};
+use cedarpulley_router::entry::{Entry, Knock};
 use cedarpulley_router::{Answer, Delivery, FrontIx, Input, Payload, Taken};
-use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
-use futures_rustls::server::TlsStream;
+use futures_lite::FutureExt;
 use http_body_util::BodyExt;
-use hyper::HeaderMap;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::{HeaderMap, Response};
 use smol::channel::{Sender, bounded};
 
-use crate::serve::Gateway;
-use crate::tls::{Files, Inward};
-use crate::{grpc, rest};
+use crate::desk::Desk;
 
 /// A body comes whole within this time of its head.
 const BODY_WITHIN: Micros = 10_000_000;
-/// A client that reads nothing for so long while something waits for it has gone, for all that we can tell.
-const READ_WITHIN: Micros = 30_000_000;
 /// An answer is handed to the connection in pieces of this size, so that little is copied for who does not read.
 const PIECE: usize = 64 * 1024;
 /// By which logs of clients, routers and workers are held against each other.
 const REQUEST_ID: &str = "x-request-id";
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Protocol {
-    /// HTTP/1.1 with JSON, and raw tensors after it.
-    Rest,
-    Grpc,
-}
-
-/// Where to listen.
-#[derive(Clone, Debug)]
-pub struct Listen {
-    pub name: String,
-    pub address: SocketAddr,
-    pub protocol: Protocol,
-    pub most_connections: usize,
-    /// Requests at once on one connection, where the protocol has them.
-    pub most_streams: u32,
-    pub tls: Option<Files>,
-}
-
 /// One connection's part of the counts at the door.
 #[derive(Default)]
 pub struct Line {
@@ -75,32 +48,38 @@
     pub fn account(&self) -> Option<u32> {
         self.account.get()
     }
+
+    pub fn speaks_for(&self, account: u32) {
+        self.account.set(Some(account));
+    }
+}
+
+/// What all such fronts share.
+pub struct Hall {
+    /// Of answers that callers have not taken yet.
+    pub unread_bytes: Cell<u64>,
+    /// Which functions the core knows.
+    pub functions: Box<dyn Fn() -> Vec<String>>,
 }
 
 pub struct Calls {
     pub ix: FrontIx,
-    pub listen: Listen,
+    pub desk: Rc<Desk>,
+    pub hall: Rc<Hall>,
     pub most_body: u64,
+    /// Requests at once on one connection, where the protocol has them.
+    pub most_streams: u32,
     grant: Cell<u32>,
     out: Cell<u32>,
-    /// Connections with something inside, and bytes of answers that have not been read.
+    /// With something inside.
     connections: Cell<u32>,
-    unread_bytes: Cell<u64>,
     next: Cell<u64>,
     entry: Cell<Option<Entry>>,
     waiting: RefCell<HashMap<u64, Sender<Answer>>>,
-    /// Connections that stand, each with the bell that tells it of a stop.
-    stand: RefCell<HashMap<u64, Bell>>,
-    /// Connections closed at once for being beyond `most_connections`.
-    pub closed: Cell<u64>,
-    /// Connections without a handshake, or with a certificate that speaks for no account.
-    pub refused: Cell<u64>,
-    tls: Option<Rc<Inward>>,
 }
 
 /// A request that is inside. Its client may vanish at any moment: then this is dropped, and the core told.
 pub struct Open {
-    gateway: Rc<Gateway>,
     calls: Rc<Calls>,
     line: Rc<Line>,
     delivery: Delivery,
@@ -119,15 +98,15 @@
         calls.waiting.borrow_mut().remove(&self.delivery.tag);
         line.left.set(line.left.get() << 1 | u32::from(!self.answered));
         if !self.answered {
-            line.left_at.set(self.gateway.clock.now());
+            line.left_at.set(calls.desk.clock.now());
         }
         let input = match self.answered {
             true => Input::Safe(self.delivery),
             false => Input::Departed(self.delivery),
         };
         // Not from within: a drop may come while the core is at work.
-        let gateway = self.gateway.clone();
-        self.gateway.executor.spawn(async move { gateway.feed(input) }).detach();
+        let desk = calls.desk.clone();
+        calls.desk.executor.spawn(async move { desk.feed(input) }).detach();
     }
 }
 
@@ -196,32 +175,19 @@
     }
 }
 
-/// The word for why a request was not let in.
-pub(crate) fn short(why: Short) -> &'static str {
-    match why {
-        Short::Stopping => "stopping",
-        Short::Memory => "no-memory",
-        Short::All => "full",
-        Short::Front => "front-beyond-share",
-        Short::Account => "beyond-share",
-        Short::Connection => "connection-beyond-share",
-        Short::Worth => "kept-for-dearer",
-    }
-}
-
 /// What a request's head says, with all names known; the body comes later.
 pub(crate) fn understood(
-    gateway: &Gateway,
     calls: &Calls,
     line: &Line,
     headers: &HeaderMap,
     function: String,
 ) -> Result<Taken, Misunderstood> {
-    let w = serving::wanted(headers, gateway.clock.wall())?;
+    let desk = &calls.desk;
+    let w = serving::wanted(headers, desk.clock.wall())?;
     let unknown = |field, what: &str| Misunderstood { field, cause: format!("'{what}' is unknown") };
-    let trigger = gateway.names.trigger(&w.kind);
+    let trigger = desk.names.trigger(&w.kind);
     let trigger = trigger.ok_or_else(|| unknown("cedarpulley-trigger-type", &w.kind))?;
-    let said = gateway.names.account(w.account.as_deref());
+    let said = desk.names.account(w.account.as_deref());
     let said =
         said.ok_or_else(|| unknown("cedarpulley-account", w.account.as_deref().unwrap_or_default()))?;
     let account = match line.account() {
@@ -257,8 +223,8 @@
     pub async fn answer(mut self, mut taken: Taken) -> Option<(Answer, Unread)> {
         let (answers, answered) = bounded(1);
         self.calls.waiting.borrow_mut().insert(self.delivery.tag, answers);
-        taken.waited += self.gateway.clock.now() - self.began;
-        self.gateway.feed(Input::Taken(taken));
+        taken.waited += self.calls.desk.clock.now() - self.began;
+        self.calls.desk.feed(Input::Taken(taken));
         let answer = answered.recv().await.ok()?;
         self.answered = true;
         let unread = Unread::begin(&self.calls, &self.line, answer.body.len());
@@ -268,22 +234,22 @@
 
 /// An answer on its way to a client: what of it has not gone out counts against what may come in.
 pub struct Unread {
-    calls: Rc<Calls>,
+    hall: Rc<Hall>,
     line: Rc<Line>,
     bytes: u64,
 }
 
 impl Unread {
     fn begin(calls: &Rc<Calls>, line: &Rc<Line>, bytes: usize) -> Self {
-        calls.unread_bytes.set(calls.unread_bytes.get() + bytes as u64);
+        calls.hall.unread_bytes.set(calls.hall.unread_bytes.get() + bytes as u64);
         line.unread.set(line.unread.get() + 1);
-        Unread { calls: calls.clone(), line: line.clone(), bytes: bytes as u64 }
+        Unread { hall: calls.hall.clone(), line: line.clone(), bytes: bytes as u64 }
     }
 
     fn went(&mut self, bytes: usize) {
         let went = self.bytes.min(bytes as u64);
         self.bytes -= went;
-        self.calls.unread_bytes.set(self.calls.unread_bytes.get().saturating_sub(went));
+        self.hall.unread_bytes.set(self.hall.unread_bytes.get().saturating_sub(went));
     }
 }
 
@@ -294,6 +260,8 @@
     }
 }
 
+pub(crate) type Reply = Response<Told>;
+
 /// The body of an answer, in pieces; with what may follow it.
 pub struct Told {
     rest: Bytes,
@@ -336,69 +304,20 @@
     }
 }
 
-/// A connection that fails once nothing of what waits to be written has gone for too long.
-pub struct Paced<S> {
-    stream: S,
-    stuck: Option<Timer>,
-}
-
-impl<S> Paced<S> {
-    pub fn new(stream: S) -> Self {
-        Paced { stream, stuck: None }
-    }
-
-    fn watch<T>(&mut self, cx: &mut Context, polled: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        if polled.is_ready() {
-            self.stuck = None;
-            return polled;
-        }
-        let timer = self.stuck.get_or_insert_with(|| Timer::after(micros(READ_WITHIN)));
-        match Pin::new(timer).poll(cx) {
-            Poll::Ready(_) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
-            Poll::Pending => Poll::Pending,
-        }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Paced<S> {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Paced<S> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.watch(cx, polled)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        let polled = Pin::new(&mut self.stream).poll_flush(cx);
-        self.watch(cx, polled)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
-    }
-}
-
 impl Calls {
-    pub fn new(ix: FrontIx, listen: Listen, most_body: u64, tls: Option<Rc<Inward>>) -> Self {
+    pub fn new(ix: FrontIx, desk: Rc<Desk>, hall: Rc<Hall>, most_body: u64, most_streams: u32) -> Self {
         Calls {
             ix,
-            listen,
+            desk,
+            hall,
             most_body,
+            most_streams,
             grant: Cell::new(0),
             out: Cell::new(0),
             connections: Cell::new(0),
-            unread_bytes: Cell::new(0),
             next: Cell::new(0),
             entry: Cell::new(None),
             waiting: RefCell::default(),
-            stand: RefCell::default(),
-            closed: Cell::new(0),
-            refused: Cell::new(0),
-            tls,
         }
     }
 
@@ -421,18 +340,9 @@
         }
     }
 
+    /// Nothing is inside, and all answers have been read, those of the others too.
     pub fn is_drained(&self) -> bool {
-        self.out.get() == 0 && self.unread_bytes.get() == 0
-    }
-
-    /// Connections that stand are told that nothing new is taken; what they have open goes on. One that comes later is
-    /// answered so by the door: closed at once, it would not know that nothing of it ran.
-    pub fn stop(&self) {
-        self.stand.borrow().values().for_each(Bell::ring);
-    }
-
-    pub fn unread_bytes(&self) -> u64 {
-        self.unread_bytes.get()
+        self.out.get() == 0 && self.hall.unread_bytes.get() == 0
     }
 
     pub fn delivery(&self) -> Delivery {
@@ -442,13 +352,7 @@
     }
 
     /// Asks the core whether this request may come in.
-    pub fn knock(
-        self: &Rc<Self>,
-        gateway: &Rc<Gateway>,
-        line: &Rc<Line>,
-        taken: &Taken,
-        bytes: u64,
-    ) -> Result<Open, Entry> {
+    pub fn knock(self: &Rc<Self>, line: &Rc<Line>, taken: &Taken, bytes: u64) -> Result<Open, Entry> {
         let delivery = taken.delivery;
         let knock = Knock {
             trigger: taken.trigger,
@@ -458,12 +362,12 @@
             here: line.inside.get(),
             unread: line.unread.get(),
             left: line.left.get().count_ones(),
-            left_ago: gateway.clock.now() - line.left_at.get(),
+            left_ago: self.desk.clock.now() - line.left_at.get(),
             connections: self.connections.get().max(1),
-            unread_bytes: gateway.unread_bytes(),
+            unread_bytes: self.hall.unread_bytes.get(),
         };
         self.entry.set(None);
-        gateway.feed(Input::Knock { delivery, knock });
+        self.desk.feed(Input::Knock { delivery, knock });
         match self.entry.take() {
             Some(Entry::Enter) => {}
             Some(turned_away) => return Err(turned_away),
@@ -475,88 +379,8 @@
             self.connections.set(self.connections.get() + 1);
         }
         line.inside.set(line.inside.get() + 1);
-        let (gateway, calls, line) = (gateway.clone(), self.clone(), line.clone());
-        let began = gateway.clock.now();
-        Ok(Open { gateway, calls, line, delivery, began, answered: false })
-    }
-
-    /// Listens until the router ends.
-    pub async fn run(self: Rc<Self>, gateway: Rc<Gateway>, listener: Async<TcpListener>) {
-        gateway.feed(Input::Front { front: self.ix, state: FrontState::Up });
-        tracing::info!(front = %self.listen.name, address = %self.listen.address, "listening");
-        if let Some(tls) = self.tls.clone() {
-            gateway.executor.spawn(tls.watch(gateway.clone(), self.listen.name.clone())).detach();
-        }
-        let mut serial = 0;
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                // Out of descriptors, most likely: some will be given back.
-                Timer::after(micros(10_000)).await;
-                continue;
-            };
-            if self.stand.borrow().len() >= self.listen.most_connections {
-                self.closed.set(self.closed.get() + 1);
-                continue;
-            }
-            let _ = stream.get_ref().set_nodelay(true);
-            let (it, gateway, stop) = (self.clone(), gateway.clone(), Bell::default());
-            serial += 1;
-            let stands = Stands(self.clone(), serial);
-            self.stand.borrow_mut().insert(serial, stop.clone());
-            let executor = gateway.executor.clone();
-            let served = executor.spawn(async move {
-                let _stands = stands;
-                let line = Rc::new(Line::default());
-                // Each on its own: ten thousand idle ones must not take the largest one's room.
-                let Some(tls) = it.tls.clone() else {
-                    return Box::pin(it.serve(gateway, line, Paced::new(stream), stop)).await;
-                };
-                let Some(stream) = Box::pin(it.handshake(&gateway, &line, &tls, stream)).await else {
-                    return it.refused.set(it.refused.get() + 1);
-                };
-                Box::pin(it.serve(gateway, line, Paced::new(stream), stop)).await;
-            });
-            served.detach();
-        }
-    }
-
-    /// Absent if there was no handshake, or its certificate speaks for none where it has to.
-    async fn handshake(
-        &self,
-        gateway: &Gateway,
-        line: &Line,
-        tls: &Inward,
-        stream: Stream,
-    ) -> Option<TlsStream<Stream>> {
-        let stream = tls.accept(stream).await.ok()?;
-        if tls.asks_clients() && !gateway.speakers.is_empty() {
-            let (_, session) = stream.get_ref();
-            let account = gateway.speakers.account(session.peer_certificates()?.first()?)?;
-            line.account.set(Some(account));
-        }
-        Some(stream)
-    }
-
-    /// However it ends, its open requests have been dropped by then.
-    async fn serve(
-        self: Rc<Self>,
-        gateway: Rc<Gateway>,
-        line: Rc<Line>,
-        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
-        stop: Bell,
-    ) {
-        match self.listen.protocol {
-            Protocol::Rest => Box::pin(rest::serve(self, gateway, line, stream, stop)).await,
-            Protocol::Grpc => Box::pin(grpc::serve(self, gateway, line, stream, stop)).await,
-        }
-    }
-}
-
-/// A connection's place among those that stand.
-struct Stands(Rc<Calls>, u64);
-
-impl Drop for Stands {
-    fn drop(&mut self) {
-        self.0.stand.borrow_mut().remove(&self.1);
+        let (calls, line) = (self.clone(), line.clone());
+        let began = self.desk.clock.now();
+        Ok(Open { calls, line, delivery, began, answered: false })
     }
 }
--- a/crates/gateway/src/grpc.rs
+++ b/crates/gateway/src/grpc.rs
@@ -27,10 +27,8 @@
 use prost::Message;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::calls::{Calls, Line, Told, Unread, Unwhole, gather, short, to_its_end, understood, within};
-use crate::front::{fate, reason};
-use crate::rest::Reply;
-use crate::serve::Gateway;
+use crate::calls::{Calls, Line, Reply, Told, Unread, Unwhole, gather, to_its_end, understood, within};
+use crate::words::{fate, reason, short};
 
 const MOST_HEADERS: u32 = 32 * 1024;
 /// What a peer may send of one stream, and of all its streams, before it is read: so much waits here at most for
@@ -60,20 +58,19 @@
 
 pub(crate) async fn serve(
     calls: Rc<Calls>,
-    gateway: Rc<Gateway>,
     line: Rc<Line>,
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     stop: Bell,
 ) {
-    let mut builder = http2::Builder::new(Local(gateway.executor.clone()));
+    let mut builder = http2::Builder::new(Local(calls.desk.executor.clone()));
     builder.timer(SmolTimer::new());
-    builder.max_concurrent_streams(calls.listen.most_streams).max_header_list_size(MOST_HEADERS);
+    builder.max_concurrent_streams(calls.most_streams).max_header_list_size(MOST_HEADERS);
     builder.initial_stream_window_size(STREAM_WINDOW).initial_connection_window_size(CONNECTION_WINDOW);
     builder.max_send_buf_size(MOST_SEND);
     builder.max_pending_accept_reset_streams(MOST_RESETS).max_local_error_reset_streams(MOST_RESETS);
     builder.keep_alive_interval(micros(PING_EVERY)).keep_alive_timeout(micros(PING_WITHIN));
     let service = service_fn(|request| {
-        let handled = handle(calls.clone(), gateway.clone(), line.clone(), request);
+        let handled = handle(calls.clone(), line.clone(), request);
         async move { Ok::<_, Infallible>(handled.await) }
     });
     let connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
@@ -109,7 +106,7 @@
     told(Bytes::new(), trailers, None)
 }
 
-async fn handle(calls: Rc<Calls>, gateway: Rc<Gateway>, line: Rc<Line>, request: Request<Incoming>) -> Reply {
+async fn handle(calls: Rc<Calls>, line: Rc<Line>, request: Request<Incoming>) -> Reply {
     let content = request.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or_default();
     if !content.starts_with(rpc::CONTENT) || request.method() != hyper::Method::POST {
         let mut reply = Response::new(Told::new(Bytes::new(), None, None));
@@ -117,7 +114,7 @@
         return reply;
     }
     let method = match rpc::method(request.uri().path()) {
-        Some(Method::ModelInfer) => return infer(calls, gateway, line, request).await,
+        Some(Method::ModelInfer) => return infer(calls, line, request).await,
         Some(method) => method,
         None => return wrong(Code::Unimplemented, "no such method"),
     };
@@ -158,7 +155,7 @@
             Err(why) => wrong(Code::InvalidArgument, why),
         },
         Method::RepositoryIndex => {
-            let models = gateway.functions().into_iter().map(|f| {
+            let models = (calls.hall.functions)().into_iter().map(|f| {
                 let (name, version) = serving::model(&f);
                 wire::repository_index_response::ModelIndex {
                     name: name.into(),
@@ -200,13 +197,13 @@
     .await
 }
 
-async fn infer(calls: Rc<Calls>, gateway: Rc<Gateway>, line: Rc<Line>, request: Request<Incoming>) -> Reply {
+async fn infer(calls: Rc<Calls>, line: Rc<Line>, request: Request<Incoming>) -> Reply {
     let (head, mut body) = request.into_parts();
     let misunderstood = |cause: &str| {
-        gateway.misunderstood.set(gateway.misunderstood.get() + 1);
+        calls.desk.not_understood();
         wrong(Code::InvalidArgument, cause)
     };
-    let mut taken = match understood(&gateway, &calls, &line, &head.headers, String::new()) {
+    let mut taken = match understood(&calls, &line, &head.headers, String::new()) {
         Ok(taken) => taken,
         Err(e) => return misunderstood(&format!("{}: {}", e.field, e.cause)),
     };
@@ -215,7 +212,7 @@
         Ok(Some(timeout)) => taken.client_timeout = taken.client_timeout.min(timeout),
         Err(cause) => return misunderstood(&format!("{}: {cause}", rpc::TIMEOUT)),
     }
-    let began = gateway.clock.now();
+    let began = calls.desk.clock.now();
     let first = match begin(&mut body).await {
         Ok(first) => first,
         Err(why) => return unwhole(why),
@@ -225,9 +222,9 @@
     if promised > calls.most_body {
         return misunderstood(&format!("larger than {} bytes", calls.most_body));
     }
-    taken.waited += gateway.clock.now() - began;
+    taken.waited += calls.desk.clock.now() - began;
     // Turned away before it is taken: nothing is owed but this, and nothing of it has run.
-    let open = match calls.knock(&gateway, &line, &taken, promised) {
+    let open = match calls.knock(&line, &taken, promised) {
         Ok(open) => open,
         Err(Entry::TurnedAway { why, come_back }) => {
             return ended(Code::ResourceExhausted, "throttled", short(why), Some(come_back));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,12 +1,16 @@
 //! One router as a process: sockets, timers, signals and settings around the core in `cedarpulley-router`. It
 //! decides nothing of its own: what came in goes to the core, what the core puts out is carried out in order.
 //!
-//! Begin reading at [`serve`]; then [`front`] (AMQP), [`rest`] (KServe v2), [`pool`] (workers), [`list`] (the worker list).
+//! Begin reading at [`serve`], which alone knows the whole; then [`desk`] (what each part gets), [`front`] (AMQP),
+//! [`listen`] with [`rest`] and [`grpc`] (KServe v2), [`pool`] (workers), [`list`] (the worker list). No part knows
+//! another that stands above it.
 
 pub mod calls;
+pub mod desk;
 pub mod front;
 pub mod grpc;
 pub mod list;
+pub mod listen;
 pub mod meddle;
 pub mod metering;
 pub mod pool;
@@ -16,3 +20,4 @@
 pub mod settings;
 pub mod sheet;
 pub mod tls;
+pub mod words;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -20,7 +20,7 @@
 use serde_json::Value;
 use smol_hyper::rt::FuturesIo;
 
-use crate::serve::Gateway;
+use crate::desk::Desk;
 
 const PATH: &str = "/apis/discovery.k8s.io/v1/endpointslices";
 const CONNECT_WITHIN: Micros = 1_000_000;
@@ -32,31 +32,32 @@
 const MOST_LINE: usize = 1 << 20;
 const MOST_LISTING: usize = 64 << 20;
 
-pub async fn watch(gateway: Rc<Gateway>, address: SocketAddr) {
+/// `heard`: what of the news is told on; all of it, but in tests of the judge.
+pub async fn watch(desk: Rc<Desk>, address: SocketAddr, heard: impl Fn(News) -> News) {
     let mut roster = Roster::default();
-    let mut backoff = Backoff::new(gateway.seed ^ 0x11_57);
+    let mut backoff = Backoff::new(desk.seed ^ 0x11_57);
     let mut next = Step::List;
     loop {
-        let began = gateway.clock.now();
+        let began = desk.clock.now();
         let news = match &next {
-            Step::Watch(version) => follow(&gateway, address, *version, &mut roster).await,
-            _ => list(&gateway, address).await,
+            Step::Watch(version) => follow(&desk, address, *version, &mut roster, &heard).await,
+            _ => list(&desk, address).await,
         };
         let failed = matches!(news, News::Broken { .. });
-        next = carry(&gateway, &mut roster, news).unwrap_or(Step::List);
+        next = carry(&desk, &mut roster, heard(news)).unwrap_or(Step::List);
         if failed || matches!(next, Step::List) {
-            let now = gateway.clock.now();
-            Timer::at(gateway.clock.instant(now + backoff.after(now - began))).await;
+            let now = desk.clock.now();
+            Timer::at(desk.clock.instant(now + backoff.after(now - began))).await;
         }
     }
 }
 
 /// Tells the core; what is to be asked next.
-fn carry(gateway: &Rc<Gateway>, roster: &mut Roster, news: News) -> Option<Step> {
+fn carry(desk: &Desk, roster: &mut Roster, news: News) -> Option<Step> {
     let mut next = None;
-    for step in roster.news(gateway.clock.now(), gateway.meddler.news(news)) {
+    for step in roster.news(desk.clock.now(), news) {
         match step {
-            Step::Tell { mode, workers } => gateway.feed(Input::List { mode, workers }),
+            Step::Tell { mode, workers } => desk.feed(Input::List { mode, workers }),
             step => next = Some(step),
         }
     }
@@ -70,10 +71,10 @@
     _driver: Task<()>,
 }
 
-async fn open(gateway: &Gateway, address: SocketAddr, path: &str) -> Option<Reading> {
-    let stream = connect(address, gateway.from, CONNECT_WITHIN).await.ok()?;
+async fn open(desk: &Desk, address: SocketAddr, path: &str) -> Option<Reading> {
+    let stream = connect(address, desk.from, CONNECT_WITHIN).await.ok()?;
     let (mut sender, connection) = http1::handshake(FuturesIo::new(stream)).await.ok()?;
-    let _driver = gateway.executor.spawn(async move {
+    let _driver = desk.executor.spawn(async move {
         // How it ended shows in the body.
         let _ = connection.await;
     });
@@ -104,9 +105,9 @@
     }
 }
 
-async fn list(gateway: &Gateway, address: SocketAddr) -> News {
+async fn list(desk: &Desk, address: SocketAddr) -> News {
     let broken = News::Broken { too_old: false };
-    let Some(mut reading) = open(gateway, address, PATH).await.filter(|r| r.status == 200) else {
+    let Some(mut reading) = open(desk, address, PATH).await.filter(|r| r.status == 200) else {
         return broken;
     };
     let mut buffer = Vec::new();
@@ -117,16 +118,22 @@
     let items = value["items"].as_array().map(Vec::as_slice).unwrap_or_default();
     match version {
         Some(version) => {
-            News::Listing { version, slices: items.iter().filter_map(|i| slice(gateway, i)).collect() }
+            News::Listing { version, slices: items.iter().filter_map(|i| slice(desk, i)).collect() }
         }
         None => broken,
     }
 }
 
-async fn follow(gateway: &Rc<Gateway>, address: SocketAddr, from: u64, roster: &mut Roster) -> News {
+async fn follow(
+    desk: &Desk,
+    address: SocketAddr,
+    from: u64,
+    roster: &mut Roster,
+    heard: &impl Fn(News) -> News,
+) -> News {
     let broken = |too_old| News::Broken { too_old };
     let path = format!("{PATH}?watch=1&allowWatchBookmarks=true&resourceVersion={from}");
-    let Some(mut reading) = open(gateway, address, &path).await else { return broken(false) };
+    let Some(mut reading) = open(desk, address, &path).await else { return broken(false) };
     if reading.status != 200 {
         return broken(reading.status == 410);
     }
@@ -137,7 +144,7 @@
             let Ok(value) = serde_json::from_slice::<Value>(&line) else { return broken(false) };
             let object = &value["object"];
             let news = match value["type"].as_str() {
-                Some("ADDED" | "MODIFIED") => slice(gateway, object).map(News::Changed),
+                Some("ADDED" | "MODIFIED") => slice(desk, object).map(News::Changed),
                 Some("DELETED") => object["metadata"]["name"]
                     .as_str()
                     .zip(version(object))
@@ -147,7 +154,7 @@
                 _ => return broken(object["code"].as_u64() == Some(410)),
             };
             if let Some(news) = news {
-                carry(gateway, roster, news);
+                carry(desk, roster, heard(news));
             }
         }
         if buffer.len() > MOST_LINE {
@@ -162,7 +169,7 @@
 }
 
 /// One slice; endpoints that cannot be understood are left out.
-fn slice(gateway: &Gateway, object: &Value) -> Option<Slice> {
+fn slice(desk: &Desk, object: &Value) -> Option<Slice> {
     let name = object["metadata"]["name"].as_str()?.to_owned();
     let version = version(object)?;
     let port = object["ports"].as_array()?.first()?["port"].as_u64()?;
@@ -172,7 +179,7 @@
     };
     // The wall's time of a start, on the router's clock.
     let started = note("cedarpulley/started-at-us").and_then(|t| t.parse::<Micros>().ok());
-    let started = started.filter(|&s| s > 0).map(|s| gateway.clock.now() - (gateway.clock.wall() - s));
+    let started = started.filter(|&s| s > 0).map(|s| desk.clock.now() - (desk.clock.wall() - s));
     let mut entries = Vec::new();
     for endpoint in object["endpoints"].as_array().map(Vec::as_slice).unwrap_or_default() {
         let Some(ip) = endpoint["addresses"][0].as_str() else { continue };
@@ -186,8 +193,8 @@
         let draining = conditions["terminating"].as_bool().unwrap_or(false) || !ready;
         let worker = Listed {
             address: address.to_string(),
-            zone: index(&gateway.names.zones, endpoint["zone"].as_str()),
-            kind: index(&gateway.names.kinds, note("cedarpulley/kind")),
+            zone: index(&desk.names.zones, endpoint["zone"].as_str()),
+            kind: index(&desk.names.kinds, note("cedarpulley/kind")),
             cell: note("cedarpulley/cell").and_then(|c| c.parse().ok()).unwrap_or(0),
             standing: if draining { Standing::Draining } else { Standing::InService },
             weight: 1.0,
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -2,17 +2,19 @@
 //! one, everything passes as it is.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use async_io::Timer;
-use cedarpulley::interface::{Micros, Standing};
+use cedarpulley::interface::{Micros, Standing, WorkerIx};
 use cedarpulley_kserve::requests;
 use cedarpulley_net::micros;
 use cedarpulley_router::roster::News;
 use cedarpulley_router::{Answer, Delivery, Output};
 
+use crate::desk::Desk;
 use crate::front::Front;
-use crate::serve::Gateway;
+use crate::pool::Pool;
 
 /// It acts on one in so many.
 const ONE_IN: u64 = 15;
@@ -55,16 +57,21 @@
     }
 }
 
-#[derive(Default)]
+/// Where a worker is, while it is known.
+pub type Address = Rc<dyn Fn(WorkerIx) -> Option<SocketAddr>>;
+
 pub struct Meddler {
     kind: Option<Meddle>,
+    desk: Rc<Desk>,
+    pool: Rc<Pool>,
+    address: Address,
     seen: Cell<u64>,
     young: RefCell<Vec<String>>,
 }
 
 impl Meddler {
-    pub fn new(kind: Option<Meddle>) -> Self {
-        Meddler { kind, ..Meddler::default() }
+    pub fn new(kind: Option<Meddle>, desk: Rc<Desk>, pool: Rc<Pool>, address: Address) -> Self {
+        Meddler { kind, desk, pool, address, seen: Cell::new(0), young: RefCell::default() }
     }
 
     fn turn(&self) -> bool {
@@ -72,22 +79,22 @@
         self.seen.get().is_multiple_of(ONE_IN)
     }
 
-    pub fn answer(&self, gateway: &Rc<Gateway>, front: &Rc<Front>, delivery: Delivery, answer: Answer) {
+    pub fn answer(&self, front: &Rc<Front>, delivery: Delivery, answer: Answer) {
         match self.kind {
             Some(Meddle::Lost) if self.turn() => front.discard(delivery),
             Some(Meddle::Double) if self.turn() => {
-                front.answer(gateway, delivery, &answer);
-                front.answer(gateway, delivery, &answer);
+                front.answer(delivery, &answer);
+                front.answer(delivery, &answer);
             }
             Some(Meddle::Late) if self.turn() => {
-                let (it, front) = (gateway.clone(), front.clone());
+                let front = front.clone();
                 let late = async move {
                     Timer::after(micros(LATE)).await;
-                    front.answer(&it, delivery, &answer);
+                    front.answer(delivery, &answer);
                 };
-                gateway.executor.spawn(late).detach();
+                self.desk.executor.spawn(late).detach();
             }
-            _ => front.answer(gateway, delivery, &answer),
+            _ => front.answer(delivery, &answer),
         }
     }
 
@@ -97,50 +104,52 @@
     }
 
     /// Sends more than the core wants.
-    pub fn see(&self, gateway: &Rc<Gateway>, output: &Output) {
+    pub fn see(&self, output: &Output) {
         match (self.kind, output) {
-            (Some(Meddle::Repeat), Output::Send { .. }) if self.turn() => self.again(gateway, output, 1),
+            (Some(Meddle::Repeat), Output::Send { .. }) if self.turn() => self.again(output, 1),
             (Some(Meddle::Push), Output::Send { worker, .. }) => {
-                let address = gateway.address(*worker).map(|a| a.to_string());
+                let address = (self.address)(*worker).map(|a| a.to_string());
                 if address.is_some_and(|a| self.young.borrow().contains(&a)) {
-                    self.again(gateway, output, PUSHES);
+                    self.again(output, PUSHES);
                 }
             }
             (Some(Meddle::Orders), Output::Order { ticket, function, copies, .. }) if *copies > 0 => {
                 for _ in 0..ORDERS {
-                    let (it, worker, function) = (gateway.clone(), ticket.worker, function.clone());
+                    let (pool, whereabouts) = (self.pool.clone(), self.address.clone());
+                    let (worker, function) = (ticket.worker, function.clone());
                     let order = async move {
-                        let Some(address) = it.address(worker) else { return };
+                        let Some(address) = whereabouts(worker) else { return };
                         let request = requests::load(&address.to_string(), &function, 1, None);
-                        let _ = it.pool.order(address, request, LATE).await;
+                        let _ = pool.order(address, request, LATE).await;
                     };
-                    gateway.executor.spawn(order).detach();
+                    self.desk.executor.spawn(order).detach();
                 }
             }
             _ => {}
         }
     }
 
-    fn again(&self, gateway: &Rc<Gateway>, output: &Output, times: usize) {
+    fn again(&self, output: &Output, times: usize) {
         let Output::Send { worker, function, trigger, call, .. } = output else { return };
         for _ in 0..times {
-            let (it, worker, function) = (gateway.clone(), *worker, function.clone());
+            let (desk, pool, whereabouts) = (self.desk.clone(), self.pool.clone(), self.address.clone());
+            let (worker, function) = (*worker, function.clone());
             let (trigger, call) = (*trigger as usize, call.clone());
             let send = async move {
-                let Some(address) = it.address(worker) else { return };
+                let Some(address) = whereabouts(worker) else { return };
                 let marks = requests::Marks {
                     invocation: call.mark.as_deref(),
                     dispatch: 99,
                     token: None,
-                    trigger: &it.names.triggers[trigger],
+                    trigger: &desk.names.triggers[trigger],
                     account: None,
                     time_left: call.time_left,
                 };
                 let request =
                     requests::infer(&address.to_string(), &function, marks, call.body.bytes, call.body.first);
-                let _ = it.pool.exchange(address, request, false).await;
+                let _ = pool.exchange(address, request, false).await;
             };
-            gateway.executor.spawn(send).detach();
+            self.desk.executor.spawn(send).detach();
         }
     }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,7 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -23,14 +23,23 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use smol_hyper::rt::FuturesIo;
 
-use crate::settings::Links;
-
 /// Heads of answers: beyond, a worker sends headers without end.
 const MOST_HEAD: usize = 64 * 1024;
 const MOST_HEADERS: usize = 100;
 /// Orders to load and questions beside the invocations at one worker.
 const MOST_ORDERS: usize = 32;
 
+/// How connections to workers are kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Links {
+    /// Own address to connect from.
+    pub from: Option<IpAddr>,
+    pub connect_within: Micros,
+    pub most_connections: usize,
+    pub idle_kept: Micros,
+    pub most_answer: usize,
+}
+
 /// Counts what the kernel took of our bytes.
 struct Counted {
     stream: Stream,
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -20,17 +20,14 @@
 use hyper::{Request, Response, StatusCode};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::calls::{Calls, Line, Told, Unread, Unwhole, gather, short, to_its_end, understood};
-use crate::front::{fate, reason};
-use crate::serve::Gateway;
+use crate::calls::{Calls, Line, Reply, Told, Unread, Unwhole, gather, to_its_end, understood};
+use crate::words::{fate, reason, short};
 
 /// A head comes whole within this time, and so does the next one on a kept connection.
 const HEAD_WITHIN: Micros = 30_000_000;
 const MOST_HEADERS: usize = 64;
 const MOST_HEAD: usize = 32 * 1024;
 
-pub(crate) type Reply = Response<Told>;
-
 fn reply(status: StatusCode, body: impl Into<Bytes>, unread: Option<Unread>) -> Reply {
     let mut reply = Response::new(Told::new(body.into(), None, unread));
     *reply.status_mut() = status;
@@ -44,13 +41,12 @@
 
 pub(crate) async fn serve(
     calls: Rc<Calls>,
-    gateway: Rc<Gateway>,
     line: Rc<Line>,
     stream: impl AsyncRead + AsyncWrite + Unpin,
     stop: Bell,
 ) {
     let service = service_fn(|request| {
-        let handled = handle(calls.clone(), gateway.clone(), line.clone(), request);
+        let handled = handle(calls.clone(), line.clone(), request);
         async move { Ok::<_, Infallible>(handled.await) }
     });
     let mut builder = http1::Builder::new();
@@ -60,7 +56,7 @@
     to_its_end(connection, stop, |c| c.graceful_shutdown()).await;
 }
 
-async fn handle(calls: Rc<Calls>, gateway: Rc<Gateway>, line: Rc<Line>, request: Request<Incoming>) -> Reply {
+async fn handle(calls: Rc<Calls>, line: Rc<Line>, request: Request<Incoming>) -> Reply {
     match serving::asked(request.method(), request.uri().path()) {
         Asked::ServerLive => reply(StatusCode::OK, r#"{"live":true}"#, None),
         Asked::ServerReady if calls.ready() => reply(StatusCode::OK, r#"{"ready":true}"#, None),
@@ -75,25 +71,19 @@
         // Functions are loaded on demand: each may be asked for.
         Asked::ModelReady(_) => reply(StatusCode::OK, "", None),
         Asked::ModelMetadata(function) => reply(StatusCode::OK, serving::metadata(&function), None),
-        Asked::Index => reply(StatusCode::OK, serving::index(&gateway.functions()), None),
-        Asked::Infer(function) => infer(calls, gateway, line, function, request).await,
+        Asked::Index => reply(StatusCode::OK, serving::index(&(calls.hall.functions)()), None),
+        Asked::Infer(function) => infer(calls, line, function, request).await,
         Asked::Unknown => wrong(StatusCode::NOT_FOUND, "no such path"),
         Asked::WrongMethod => wrong(StatusCode::METHOD_NOT_ALLOWED, "another method is wanted"),
     }
 }
 
-async fn infer(
-    calls: Rc<Calls>,
-    gateway: Rc<Gateway>,
-    line: Rc<Line>,
-    function: String,
-    request: Request<Incoming>,
-) -> Reply {
+async fn infer(calls: Rc<Calls>, line: Rc<Line>, function: String, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
-    let mut taken = match understood(&gateway, &calls, &line, &head.headers, function) {
+    let mut taken = match understood(&calls, &line, &head.headers, function) {
         Ok(taken) => taken,
         Err(e) => {
-            gateway.misunderstood.set(gateway.misunderstood.get() + 1);
+            calls.desk.not_understood();
             return wrong(StatusCode::BAD_REQUEST, &format!("{}: {}", e.field, e.cause));
         }
     };
@@ -103,7 +93,7 @@
     // A body without a stated length may be as long as any.
     let promised = body.size_hint().exact().unwrap_or(calls.most_body);
     // Turned away before it is taken: nothing is owed but this, and nothing of it has run.
-    let open = match calls.knock(&gateway, &line, &taken, promised) {
+    let open = match calls.knock(&line, &taken, promised) {
         Ok(open) => open,
         Err(entry) => return turned_away(entry),
     };
@@ -118,7 +108,7 @@
         }
     };
     if taken.body.first.is_some_and(|json| json as usize > taken.body.len()) {
-        gateway.misunderstood.set(gateway.misunderstood.get() + 1);
+        calls.desk.not_understood();
         return wrong(StatusCode::BAD_REQUEST, &format!("{JSON_LENGTH}: is beyond the body's end"));
     }
     // Each that is taken is answered; a sender that went away unheard would be a fault of the core.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -14,7 +14,9 @@
 use cedarpulley_trace::keeping::Bounds;
 use cedarpulley_trace::start::digest;
 
-use crate::calls::{Listen, Protocol};
+use crate::front::Source;
+use crate::listen::{Listen, Protocol};
+use crate::pool::Links;
 use crate::recorder::Keep;
 use crate::sheet::{Refused, Section, Sheet};
 use crate::tls::{self, Files, Inward, Outward};
@@ -24,36 +26,12 @@
 const MANY: f64 = 1e12;
 const NEVER: Micros = i64::MAX / 8;
 
-/// One broker's queue to consume from.
-#[derive(Clone, Debug)]
-pub struct Source {
-    pub name: String,
-    pub broker: SocketAddr,
-    pub virtual_host: String,
-    pub user: String,
-    pub password: String,
-    pub queue: String,
-    pub heartbeat_s: u16,
-    pub tls: Option<Outward>,
-}
-
 #[derive(Clone, Debug)]
 pub enum WorkerList {
     Fixed(Vec<Listed>),
     Watched(SocketAddr),
 }
 
-/// How connections to workers are kept.
-#[derive(Clone, Copy, Debug)]
-pub struct Links {
-    /// Own address to connect from.
-    pub from: Option<IpAddr>,
-    pub connect_within: Micros,
-    pub most_connections: usize,
-    pub idle_kept: Micros,
-    pub most_answer: usize,
-}
-
 /// The file's parts, to be handed on one by one.
 pub struct Parts {
     /// Without one each start draws differently.
--- a/crates/gateway/src/tls.rs
+++ b/crates/gateway/src/tls.rs
@@ -15,15 +15,13 @@
 use async_io::Timer;
 use cedarpulley::interface::Micros;
 use cedarpulley_certificates::{self as certificates, Keeper, MOST_FILE, Read, Refused, Served, Step, Which};
-use cedarpulley_net::{Stream, micros};
+use cedarpulley_net::{Clock, Stream, micros};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use futures_rustls::rustls::pki_types::ServerName;
 use futures_rustls::rustls::server::WebPkiClientVerifier;
 use futures_rustls::rustls::{ClientConfig, RootCertStore, ServerConfig, crypto::ring};
 use futures_rustls::{TlsAcceptor, TlsConnector, client, server};
 
-use crate::serve::Gateway;
-
 /// A handshake comes to its end within this time, or its connection is closed.
 const HANDSHAKE_WITHIN: Micros = 10_000_000;
 /// How often files are looked at: certificates change by the week, and who changes one waits for it.
@@ -140,11 +138,11 @@
     }
 
     /// Looks at the files until the router ends. Connections that stand keep what they were made with.
-    pub async fn watch(self: Rc<Self>, gateway: Rc<Gateway>, front: String) {
+    pub async fn watch(self: Rc<Self>, clock: Clock, front: String) {
         let mut told = Micros::MIN;
         loop {
             Timer::after(LOOK).await;
-            let wall = gateway.clock.wall();
+            let wall = clock.wall();
             // A disk that hangs must not hold up the router's one thread.
             let Files { certificate, key, .. } = self.files.clone();
             let pair = smol::unblock(move || Ok::<_, io::Error>((read(&certificate)?, read(&key)?))).await;
@@ -167,8 +165,8 @@
                 }
             }
             let left = self.keeper.borrow().ends_soon(wall);
-            if let Some(left) = left.filter(|_| gateway.clock.now().saturating_sub(told) > TELL) {
-                told = gateway.clock.now();
+            if let Some(left) = left.filter(|_| clock.now().saturating_sub(told) > TELL) {
+                told = clock.now();
                 tracing::warn!(front, hours = left / 3_600_000_000, "the certificate ends soon");
             }
         }
