--- a/crates/benchlink/src/codec.rs
+++ b/crates/benchlink/src/codec.rs
@@ -3,12 +3,25 @@
 use std::io::Write;
 use std::str::{FromStr, Split};
 
-use anyhow::{Context, Result, bail, ensure};
 use cedarpulley::interface::*;
 use cedarpulley_birth::{ReportField, micros};
 
+use crate::refused::{Refused, Result};
+
 const NANOS_PER_MICRO: i64 = 1_000;
 
+fn missing(what: &'static str) -> Refused {
+    Refused::Missing { what }
+}
+
+fn misread(what: &'static str, value: &str) -> Refused {
+    Refused::Misread { what, value: value.to_owned() }
+}
+
+pub fn unknown(what: &'static str, word: &str) -> Refused {
+    Refused::Unknown { what, word: word.to_owned() }
+}
+
 /// The values of one line, in order.
 pub struct Values<'a>(Split<'a, char>);
 
@@ -17,34 +30,34 @@
         Self(line.split(' '))
     }
 
-    pub fn text(&mut self, name: &str) -> Result<&'a str> {
+    pub fn text(&mut self, name: &'static str) -> Result<&'a str> {
         match self.0.next() {
             Some(v) if !v.is_empty() => Ok(v),
-            _ => bail!("{name} is missing"),
+            _ => Err(missing(name)),
         }
     }
 
-    pub fn maybe<T: FromStr>(&mut self, name: &str) -> Result<Option<T>> {
+    pub fn maybe<T: FromStr>(&mut self, name: &'static str) -> Result<Option<T>> {
         let v = self.text(name)?;
         if v == "-" {
             return Ok(None);
         }
-        v.parse().map(Some).map_err(|_| anyhow::anyhow!("{name} '{v}' cannot be read"))
+        v.parse().map(Some).map_err(|_| misread(name, v))
     }
 
-    pub fn value<T: FromStr>(&mut self, name: &str) -> Result<T> {
-        self.maybe(name)?.with_context(|| format!("{name} is missing"))
+    pub fn value<T: FromStr>(&mut self, name: &'static str) -> Result<T> {
+        self.maybe(name)?.ok_or_else(|| missing(name))
     }
 
-    pub fn time(&mut self, name: &str) -> Result<Micros> {
+    pub fn time(&mut self, name: &'static str) -> Result<Micros> {
         self.value(name).map(micros)
     }
 
-    pub fn flag(&mut self, name: &str) -> Result<bool> {
+    pub fn flag(&mut self, name: &'static str) -> Result<bool> {
         match self.text(name)? {
             "1" => Ok(true),
             "0" => Ok(false),
-            v => bail!("{name} '{v}' is not a bool"),
+            v => Err(misread(name, v)),
         }
     }
 
@@ -59,8 +72,7 @@
     }
 
     pub fn end(mut self) -> Result<()> {
-        ensure!(self.0.next().is_none(), "more values than expected");
-        Ok(())
+        if self.0.next().is_some() { Err(Refused::TooMany) } else { Ok(()) }
     }
 }
 
@@ -75,7 +87,7 @@
         "withdrawn" => Outcome::Withdrawn,
         "void" => Outcome::NotSent,
         "absent" => Outcome::Missed,
-        _ => bail!("result '{word}' is unknown"),
+        _ => return Err(unknown("result", word)),
     })
 }
 
@@ -87,7 +99,7 @@
         "broken" => OrderResult::Broken,
         "unreachable" => OrderResult::Unreachable,
         "timed_out" => OrderResult::TimedOut,
-        _ => bail!("result '{word}' is unknown"),
+        _ => return Err(unknown("result", word)),
     })
 }
 
@@ -97,7 +109,7 @@
         "FULL" => ListMode::Complete,
         "SAVED" => ListMode::Saved,
         "FAILED" => ListMode::Failed,
-        _ => bail!("mode '{word}' is unknown"),
+        _ => return Err(unknown("mode", word)),
     })
 }
 
@@ -106,7 +118,7 @@
         "in_service" => Standing::InService,
         "terminating" => Standing::Draining,
         "terminated" => Standing::Gone,
-        _ => bail!("readiness '{word}' is unknown"),
+        _ => return Err(unknown("readiness", word)),
     })
 }
 
@@ -131,8 +143,8 @@
         return Ok(report);
     }
     for pair in text.split(',') {
-        let (name, value) = pair.split_once(':').with_context(|| format!("report '{pair}' has no :"))?;
-        let value: f64 = value.parse().with_context(|| format!("report '{pair}' cannot be read"))?;
+        let (name, value) = pair.split_once(':').ok_or_else(|| misread("report", pair))?;
+        let value: f64 = value.parse().map_err(|_| misread("report", pair))?;
         ReportField::tell(&mut report, fields, name, value);
     }
     Ok(report)
--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use anyhow::{Context, Result, bail, ensure};
 use cedarpulley::Control;
 use cedarpulley::ids::{Ids, fingerprint};
 use cedarpulley::interface::*;
 use cedarpulley_birth::{Birth, ReportField, Sheet, micros};
 
-use crate::codec::{self, Names, Values};
+use crate::codec::{self, Names, Values, unknown};
+use crate::refused::{Refused, Result};
 
 /// What keeps the id of an invocation alive: it is not ended, or a dispatch is still out.
 #[derive(Clone, Copy, Default)]
@@ -30,13 +30,13 @@
 
 impl Names for Instance {
     fn inv(&self, ix: InvIx) -> Result<&str> {
-        self.invs.id(ix).map(String::as_str).context("an action names an unknown invocation")
+        self.invs.id(ix).map(String::as_str).ok_or(Refused::Unnamed { what: "invocation" })
     }
     fn func(&self, ix: FnIx) -> Result<&str> {
-        self.funcs.id(ix).map(String::as_str).context("an action names an unknown function")
+        self.funcs.id(ix).map(String::as_str).ok_or(Refused::Unnamed { what: "function" })
     }
     fn worker(&self, ix: WorkerIx) -> Result<&str> {
-        self.workers.id(ix).map(String::as_str).context("an action names an unknown worker")
+        self.workers.id(ix).map(String::as_str).ok_or(Refused::Unnamed { what: "worker" })
     }
 }
 
@@ -87,10 +87,14 @@
     }
 
     fn known_worker(&self, id: &str) -> Result<WorkerIx> {
-        self.workers.find(id).with_context(|| format!("worker '{id}' was on no list"))
+        self.workers.find(id).ok_or_else(|| Refused::Unlisted { id: id.to_owned() })
     }
 }
 
+fn out_of_place(word: &str, place: &'static str) -> Refused {
+    Refused::OutOfPlace { word: word.to_owned(), place }
+}
+
 /// A list whose entries are still coming in.
 struct List {
     router: u32,
@@ -109,8 +113,7 @@
 impl Host {
     /// Input may end between batches only.
     pub fn at_end(&self) -> Result<()> {
-        ensure!(self.now.is_none(), "the input ends within a batch");
-        Ok(())
+        if self.now.is_some() { Err(Refused::EndsEarly) } else { Ok(()) }
     }
 
     /// Takes one line; true when it closed a batch and the reply is whole.
@@ -118,24 +121,28 @@
         let mut v = Values::of(line);
         let word = v.text("message")?;
         if self.list.is_some() {
-            ensure!(word == "m", "'{word}' where a list entry is due");
+            if word != "m" {
+                return Err(out_of_place(word, "comes where a list entry is due"));
+            }
             self.entry(v, reply)?;
             return Ok(false);
         }
         if word == "clock" {
-            ensure!(self.now.is_none(), "clock within a batch");
+            if self.now.is_some() {
+                return Err(out_of_place(word, "comes within a batch"));
+            }
             self.now = Some(v.time("clock")?);
             v.end()?;
             return Ok(false);
         }
-        let Some(now) = self.now else { bail!("'{word}' outside a batch") };
+        let Some(now) = self.now else { return Err(out_of_place(word, "comes outside a batch")) };
         if word == "commit" {
             v.end()?;
             self.now = None;
             reply.extend_from_slice(b"eor\n");
             return Ok(true);
         }
-        self.event(now, word, v, reply).with_context(|| word.to_owned())?;
+        self.event(now, word, v, reply)?;
         Ok(false)
     }
 
@@ -153,7 +160,9 @@
             "response",
             "echo",
         ];
-        ensure!(WORDS.contains(&word), "unknown event '{word}'");
+        if !WORDS.contains(&word) {
+            return Err(unknown("event", word));
+        }
         let router: u32 = v.value("routerId")?;
         if word == "born" {
             let seed = v.value("seed")?;
@@ -175,11 +184,9 @@
         }
         if word == "power_off" {
             v.end()?;
-            ensure!(self.instances.remove(&router).is_some(), "instance {router} is not alive");
-            return Ok(());
+            return self.instances.remove(&router).map(|_| ()).ok_or(Refused::NotAlive { router });
         }
-        let it =
-            self.instances.get_mut(&router).with_context(|| format!("instance {router} is not alive"))?;
+        let it = self.instances.get_mut(&router).ok_or(Refused::NotAlive { router })?;
         match word {
             "sync" => {
                 let _epoch: Option<i64> = v.maybe("epoch")?;
@@ -201,11 +208,15 @@
                 let client_gives_up_in = v.time("expiresIn")?;
                 let bits: u32 = v.maybe("bits")?.unwrap_or(0);
                 let name = v.text("fn")?;
-                let trigger = v.value("category")?;
+                let trigger: u32 = v.value("category")?;
                 let lanes: Option<f64> = v.maybe("atOnce")?;
                 v.end()?;
-                ensure!(trigger < it.triggers, "category {trigger} is unknown");
-                ensure!(it.invs.find(id).is_none(), "requestId '{id}' is in use");
+                if trigger >= it.triggers {
+                    return Err(unknown("category", &trigger.to_string()));
+                }
+                if it.invs.find(id).is_some() {
+                    return Err(Refused::InUse { id: id.to_owned() });
+                }
                 let inv = it.invs.enter(id);
                 let func = it.funcs.enter(name);
                 if it.open.len() <= inv as usize {
@@ -298,8 +309,11 @@
     }
 
     fn entry(&mut self, mut v: Values, reply: &mut Vec<u8>) -> Result<()> {
-        let (Some(list), Some(now)) = (&mut self.list, self.now) else { bail!("entry outside a list") };
-        let it = self.instances.get_mut(&list.router).context("the list's instance is not alive")?;
+        let (Some(list), Some(now)) = (&mut self.list, self.now) else {
+            return Err(out_of_place("m", "comes outside a list"));
+        };
+        let router = list.router;
+        let it = self.instances.get_mut(&router).ok_or(Refused::NotAlive { router })?;
         let id = v.text("worker")?;
         let entry = ListEntry {
             worker: it.workers.enter(id),
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -2,16 +2,22 @@
 
 mod codec;
 mod host;
+mod refused;
 
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
 
-use anyhow::Result;
+use cedarpulley_errors::Remedy;
 use host::Host;
+use refused::{Refused, Result};
 
 /// Longest buffer kept between batches.
 const KEPT_BYTES: usize = 1 << 20;
 
+fn at(line: u64, why: Refused) -> Refused {
+    Refused::At { line, why: Box::new(why) }
+}
+
 fn serve(mut input: impl BufRead, mut output: impl Write) -> Result<()> {
     let mut host = Host::default();
     let mut line = Vec::new();
@@ -21,13 +27,12 @@
         line.clear();
         number += 1;
         if input.read_until(b'\n', &mut line)? == 0 {
-            return host.at_end().map_err(|e| e.context(format!("line {number}")));
+            return host.at_end().map_err(|why| at(number, why));
         }
-        let at = |e: anyhow::Error| e.context(format!("line {number}"));
-        let text = std::str::from_utf8(&line).map_err(|e| at(e.into()))?;
+        let text = std::str::from_utf8(&line).map_err(|_| at(number, Refused::NoText))?;
         let text = text.strip_suffix('\n').unwrap_or(text);
         let text = text.strip_suffix('\r').unwrap_or(text);
-        if host.line(text, &mut reply).map_err(at)? {
+        if host.line(text, &mut reply).map_err(|why| at(number, why))? {
             output.write_all(&reply)?;
             output.flush()?;
             reply.clear();
@@ -39,8 +44,8 @@
 fn main() -> ExitCode {
     match serve(std::io::stdin().lock(), std::io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("cedarpulley-benchlink: {e:#}");
+        Err(why) => {
+            eprintln!("cedarpulley-benchlink: {}", why.line());
             ExitCode::FAILURE
         }
     }
--- a/crates/benchlink/src/tests.rs
+++ b/crates/benchlink/src/tests.rs
@@ -1,3 +1,5 @@
+use cedarpulley_errors::Remedy;
+
 use super::serve;
 
 const BORN: &str = "born 3 7 services.count=1 services.0.aim=800000000 services.0.hardLimit=2000000000 \
@@ -6,7 +8,7 @@
 
 fn run(input: &str) -> Result<String, String> {
     let mut out = Vec::new();
-    serve(input.as_bytes(), &mut out).map_err(|e| format!("{e:#}"))?;
+    serve(input.as_bytes(), &mut out).map_err(|why| why.line())?;
     Ok(String::from_utf8(out).expect("the wire is text"))
 }
 
@@ -29,10 +31,10 @@
     for (input, fault) in [
         ("query 3 r-1\n", "outside a batch"),
         ("clock soon\n", "cannot be read"),
-        ("clock 1\nshout 3\n", "unknown event 'shout'"),
+        ("clock 1\nshout 3\n", "event 'shout' is unknown"),
         ("clock 1\nbell 3 77\n", "instance 3 is not alive"),
         (&format!("{born}bell 3\n"), "token is missing"),
-        (&format!("{born}query 3 r-1 - - 0 384 1500000000 0 app:x 9 2\n"), "category 9 is unknown"),
+        (&format!("{born}query 3 r-1 - - 0 384 1500000000 0 app:x 9 2\n"), "category '9' is unknown"),
         (&format!("{born}echo 3 10.9.9.9:1 success 5 -\n"), "was on no list"),
         (&format!("{born}sync 3 1 SAVED 2\nbell 3 77\n"), "where a list entry is due"),
         ("clock 1\n", "ends within a batch"),
--- a/crates/birth/src/lib.rs
+++ b/crates/birth/src/lib.rs
@@ -6,15 +6,50 @@
 use std::borrow::Cow;
 use std::collections::HashMap;
 
-use anyhow::{Context, Result, bail, ensure};
 use cedarpulley::Control;
 use cedarpulley::interface::*;
+use cedarpulley_errors::Remedy;
 use serde_json::Value;
+use thiserror::Error;
 
 /// Settings nested deeper than this are none of ours.
 const DEEPEST: usize = 16;
 const NANOS_PER_MICRO: i64 = 1_000;
 
+/// Why nobody is born with these settings.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Refused {
+    #[error("the settings are no object")]
+    NoObject,
+    #[error("setting '{part}' has no =")]
+    NoPair { part: String },
+    #[error("setting {path} lies too deep")]
+    TooDeep { path: String },
+    #[error("setting {path}={value} is not {wanted}")]
+    Misread { path: String, value: String, wanted: &'static str },
+    #[error("setting {path}={value} is a word that has no meaning here")]
+    Unknown { path: String, value: String },
+    #[error("setting {path}={value} does not fit the settings that were given")]
+    Miscounted { path: String, value: String },
+}
+
+impl Remedy for Refused {
+    fn remedy(&self) -> &'static str {
+        match self {
+            Refused::NoObject => "give the settings as one JSON object",
+            Refused::NoPair { .. } => "give each setting as PATH=VALUE, set apart by blanks",
+            Refused::TooDeep { .. } => "take it out: no setting that counts here nests so deep",
+            Refused::Misread { .. } => {
+                "give it what the cause names; times are whole nanoseconds, flags true or false"
+            }
+            Refused::Unknown { .. } => "give one of the words that this build knows, or run a newer build",
+            Refused::Miscounted { .. } => "give as many entries as the count says",
+        }
+    }
+}
+
+type Result<T> = std::result::Result<T, Refused>;
+
 /// Outside time in whole microseconds; what is left of a span is rounded down.
 pub fn micros(nanos: i64) -> Micros {
     nanos.div_euclid(NANOS_PER_MICRO)
@@ -40,7 +75,8 @@
     pub fn pairs(text: &'a str) -> Result<Self> {
         let mut pairs = HashMap::new();
         for part in text.split(' ').filter(|p| !p.is_empty()) {
-            let (path, value) = part.split_once('=').with_context(|| format!("setting '{part}' has no ="))?;
+            let (path, value) =
+                part.split_once('=').ok_or_else(|| Refused::NoPair { part: part.to_owned() })?;
             pairs.insert(Cow::Borrowed(path), Cow::Borrowed(value));
         }
         Ok(Self(pairs))
@@ -48,14 +84,18 @@
 
     /// The same as nested JSON.
     pub fn nested(settings: &Value) -> Result<Self> {
-        ensure!(settings.is_object(), "the settings are no object");
+        if !settings.is_object() {
+            return Err(Refused::NoObject);
+        }
         let mut sheet = Self::default();
         sheet.flatten(String::new(), settings, 0)?;
         Ok(sheet)
     }
 
     fn flatten(&mut self, path: String, value: &Value, depth: usize) -> Result<()> {
-        ensure!(depth < DEEPEST, "setting {path} lies too deep");
+        if depth >= DEEPEST {
+            return Err(Refused::TooDeep { path });
+        }
         let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
         match value {
             Value::Object(fields) => {
@@ -94,7 +134,7 @@
             None => Ok(absent),
             Some(v) => match v.parse::<f64>() {
                 Ok(x) if x.is_finite() => Ok(x),
-                _ => bail!("setting {path}={v} is not a number"),
+                _ => Err(misread(path, v, "a number")),
             },
         }
     }
@@ -102,9 +142,7 @@
     pub fn time(&self, path: &str, absent: Micros) -> Result<Micros> {
         match self.text(path) {
             None => Ok(absent),
-            Some(v) => {
-                v.parse::<i64>().map(micros).with_context(|| format!("setting {path}={v} is not a time"))
-            }
+            Some(v) => v.parse::<i64>().map(micros).map_err(|_| misread(path, v, "a time")),
         }
     }
 
@@ -113,7 +151,7 @@
             None => Ok(absent),
             Some("true" | "1") => Ok(true),
             Some("false" | "0") => Ok(false),
-            Some(v) => bail!("setting {path}={v} is not a bool"),
+            Some(v) => Err(misread(path, v, "a bool")),
         }
     }
 
@@ -121,7 +159,7 @@
     pub fn count(&self, list: &str) -> Result<usize> {
         let n = self.number(&format!("{list}.count"), 0.0)?;
         if n < 0.0 || n.fract() != 0.0 || n > self.0.len() as f64 {
-            bail!("setting {list}.count={n} does not fit the settings");
+            return Err(Refused::Miscounted { path: format!("{list}.count"), value: n.to_string() });
         }
         Ok(n as usize)
     }
@@ -130,6 +168,14 @@
 /// An unlimited time, for rules that a site leaves out.
 const NEVER: Micros = i64::MAX / 8;
 
+fn misread(path: &str, value: &str, wanted: &'static str) -> Refused {
+    Refused::Misread { path: path.to_owned(), value: value.to_owned(), wanted }
+}
+
+fn unknown<T>(path: &str, value: &str) -> Result<T> {
+    Err(Refused::Unknown { path: path.to_owned(), value: value.to_owned() })
+}
+
 fn plain(value: &Value) -> String {
     match value {
         Value::Null => "-".to_owned(),
@@ -215,7 +261,7 @@
             list_on_request: match p.text("discovery") {
                 Some("on_request") => true,
                 Some("pushed") | None => false,
-                Some(v) => bail!("setting discovery={v} is unknown"),
+                Some(v) => return unknown("discovery", v),
             },
             cold_part: p.number("rules.coldShare", 1.0)?,
             cold_for: p.time("rules.cold", 0)?,
@@ -229,14 +275,14 @@
                 Some("all") | None => RepeatGroup::All,
                 Some("zone") => RepeatGroup::Zone,
                 Some("cell") => RepeatGroup::Cell,
-                Some(v) => bail!("setting {}={v} is unknown", key("keyScope")),
+                Some(v) => return unknown(&key("keyScope"), v),
             };
             triggers.push(TriggerType {
                 effect: match p.text(&key("effect")) {
                     Some("retryable") => Effect::Idempotent,
                     Some("dedup") => Effect::Tokened { group, window: p.time(&key("window"), 0)? },
                     Some("fragile") | None => Effect::NonIdempotent,
-                    Some(v) => bail!("setting {}={v} is unknown", key("effect")),
+                    Some(v) => return unknown(&key("effect"), v),
                 },
                 latency_objective: p.time(&key("aim"), NEVER)?,
                 objective_stretch: p.number(&key("aimStretch"), 0.0)?,
@@ -255,7 +301,7 @@
         }
         let mut memory_mb = Vec::new();
         for v in p.list("familyInfo.machineMb") {
-            memory_mb.push(v.parse().with_context(|| format!("setting familyInfo.machineMb holds '{v}'"))?);
+            memory_mb.push(v.parse().map_err(|_| misread("familyInfo.machineMb", v, "a list of numbers"))?);
         }
         let loads = LoadTerms {
             idle_kept: p.time("familyInfo.staysLoaded", 0)?,
@@ -263,7 +309,7 @@
             loads_when_absent: match p.text("familyInfo.whenAbsent") {
                 Some("load") | None => true,
                 Some("miss") => false,
-                Some(v) => bail!("setting familyInfo.whenAbsent={v} is unknown"),
+                Some(v) => return unknown("familyInfo.whenAbsent", v),
             },
             order_answered_within: p.time("familyInfo.answerWithin", 0)?,
             ration_window: p.time("familyInfo.loadWindow", 0)?,
@@ -285,7 +331,7 @@
             Some("answers") => ReportsIn::Answers,
             Some("probe") => ReportsIn::Probes,
             Some("none") | None => ReportsIn::Nothing,
-            Some(v) => bail!("setting stats.how={v} is unknown"),
+            Some(v) => return unknown("stats.how", v),
         };
         Ok(Birth { fleet, limits, rules, triggers, accounts, loads, prices, reports })
     }
