Certificates and the judge have errors of their own, each with what can be done

Certificates: an enum (Unfit) knows which file is at fault; what gateway is told stays file and text, now with the remedy behind it.

--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::log::{Line, read};
-use crate::{Effect, Terms};
+use crate::{Effect, Terms, Unjudged};
 
 /// A delivery with less time left than this cannot be answered in time by any router.
 const ANSWERABLE_US: i64 = 150_000;
@@ -171,11 +171,13 @@
     }
 }
 
-/// Reads `traffic/` and `terms.json` in the folder. An error is one line.
-pub fn judge(folder: &Path) -> Result<Verdict, String> {
-    let file = folder.join("terms.json");
-    let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
-    let terms: Terms = serde_json::from_str(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+/// Reads `traffic/` and `terms.json` in the folder.
+pub fn judge(folder: &Path) -> Result<Verdict, Unjudged> {
+    let path = folder.join("terms.json");
+    let file = || path.display().to_string();
+    let text = std::fs::read_to_string(&path).map_err(|source| Unjudged::Unread { file: file(), source })?;
+    let terms: Terms =
+        serde_json::from_str(&text).map_err(|source| Unjudged::NoTerms { file: file(), source })?;
     let lines = read(&folder.join("traffic"))?;
     let mut v = Verdict::default();
     for rule in 1..=5 {
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -6,9 +6,44 @@
 
 pub use judge::{Verdict, judge};
 
+use cedarpulley_errors::Remedy;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// Why there is no verdict.
+#[derive(Debug, thiserror::Error)]
+pub enum Unjudged {
+    #[error("{file} cannot be read")]
+    Unread { file: String, source: std::io::Error },
+    #[error("{file} does not hold the figures of the rules")]
+    NoTerms { file: String, source: serde_json::Error },
+    #[error("{file}:{line} is not a line of a log")]
+    NoLine { file: String, line: usize, source: serde_json::Error },
+    #[error("{file}:{line} has no time")]
+    NoTime { file: String, line: usize },
+    #[error("{folder} has no traffic to judge")]
+    NoTraffic { folder: String },
+}
+
+impl Remedy for Unjudged {
+    fn remedy(&self) -> &'static str {
+        match self {
+            Unjudged::Unread { .. } => "name the folder that a day was told to leave (--out)",
+            Unjudged::NoTerms { .. } | Unjudged::NoLine { .. } | Unjudged::NoTime { .. } => {
+                "judge a folder as its day left it; play the day again if it was changed"
+            }
+            Unjudged::NoTraffic { .. } => "play the day again: its stand-ins wrote nothing",
+        }
+    }
+}
+
+/// Until a day's own errors are a type.
+impl From<Unjudged> for String {
+    fn from(why: Unjudged) -> Self {
+        why.line()
+    }
+}
+
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "kebab-case")]
 pub enum Effect {
--- a/crates/certificates/src/lib.rs
+++ b/crates/certificates/src/lib.rs
@@ -13,8 +13,10 @@
 use std::collections::HashMap;
 
 use cedarpulley::interface::Micros;
+use cedarpulley_errors::Remedy;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use thiserror::Error;
 use x509_parser::prelude::{FromDer, X509Certificate};
 
 /// Bits of a file's mode by which others than its owner may read or write it.
@@ -40,6 +42,62 @@
     Clients,
 }
 
+/// Why files may not serve. A number is a certificate's place in its file, from 1.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Unfit {
+    #[error("cannot be read, nor can its key")]
+    Unread,
+    #[error("is not PEM")]
+    NoPem(Which),
+    #[error("holds no certificate")]
+    Empty(Which),
+    #[error("number {number} cannot be read")]
+    Garbled { number: usize },
+    #[error("number {number} has expired")]
+    Expired { number: usize },
+    #[error("number {number} is not valid yet")]
+    NotYet { number: usize },
+    #[error("may be read by others (mode {mode:03o})")]
+    Open { mode: u32 },
+    #[error("holds no key")]
+    NoKey,
+    #[error("is of no kind that can sign")]
+    SignsNothing,
+    #[error("does not belong to the certificate")]
+    Stranger,
+}
+
+impl Unfit {
+    /// The file that is at fault.
+    pub fn which(&self) -> Which {
+        match self {
+            Unfit::NoPem(which) | Unfit::Empty(which) => *which,
+            Unfit::Unread | Unfit::Garbled { .. } | Unfit::Expired { .. } | Unfit::NotYet { .. } => {
+                Which::Certificate
+            }
+            Unfit::Open { .. } | Unfit::NoKey | Unfit::SignsNothing | Unfit::Stranger => Which::Key,
+        }
+    }
+}
+
+impl Remedy for Unfit {
+    fn remedy(&self) -> &'static str {
+        match self {
+            Unfit::Unread => "put both files back where the settings name them, readable for the router",
+            Unfit::NoPem(_) | Unfit::Empty(_) => {
+                "write certificates into it as PEM, of a chain the own one first"
+            }
+            Unfit::Garbled { .. } => "have that certificate made anew",
+            Unfit::Expired { .. } => "have a new certificate made and put it in its place",
+            Unfit::NotYet { .. } => "wait for its first day, or mend this machine's clock",
+            Unfit::Open { .. } => "give it mode 600",
+            Unfit::NoKey => "write the private key as PEM",
+            Unfit::SignsNothing => "make a key of kind RSA, ECDSA or Ed25519",
+            Unfit::Stranger => "put the key beside the certificate that was made for it",
+        }
+    }
+}
+
 /// What is wrong, and with which of the files.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refused {
@@ -47,8 +105,10 @@
     pub cause: String,
 }
 
-fn refused(which: Which, cause: impl Into<String>) -> Refused {
-    Refused { which, cause: cause.into() }
+impl From<Unfit> for Refused {
+    fn from(why: Unfit) -> Self {
+        Refused { which: why.which(), cause: why.line() }
+    }
 }
 
 /// A chain and its key that may serve.
@@ -60,47 +120,42 @@
     pub ends: Micros,
 }
 
-pub fn chain(which: Which, bytes: &[u8]) -> Result<Vec<CertificateDer<'static>>, Refused> {
+pub fn chain(which: Which, bytes: &[u8]) -> Result<Vec<CertificateDer<'static>>, Unfit> {
     let chain: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(bytes).collect();
     match chain {
         Ok(chain) if !chain.is_empty() => Ok(chain),
-        Ok(_) => Err(refused(which, "holds no certificate")),
-        Err(_) => Err(refused(which, "is not PEM")),
+        Ok(_) => Err(Unfit::Empty(which)),
+        Err(_) => Err(Unfit::NoPem(which)),
     }
 }
 
 /// Whether this pair may serve at `wall`, in microseconds since 1970.
-pub fn judge(certificate: &Read, key: &Read, wall: Micros) -> Result<Served, Refused> {
+pub fn judge(certificate: &Read, key: &Read, wall: Micros) -> Result<Served, Unfit> {
     let chain = chain(Which::Certificate, &certificate.bytes)?;
     if key.mode & OTHERS != 0 {
-        let cause = format!("may be read by others (mode {:03o}); give it 600", key.mode & 0o777);
-        return Err(refused(Which::Key, cause));
+        return Err(Unfit::Open { mode: key.mode & 0o777 });
     }
-    let key = PrivateKeyDer::from_pem_slice(&key.bytes).map_err(|_| refused(Which::Key, "holds no key"))?;
+    let key = PrivateKeyDer::from_pem_slice(&key.bytes).map_err(|_| Unfit::NoKey)?;
     let mut ends = Micros::MAX;
-    for (n, one) in chain.iter().enumerate() {
-        let (_, it) = X509Certificate::from_der(one)
-            .map_err(|_| refused(Which::Certificate, format!("number {} cannot be read", n + 1)))?;
+    for (number, one) in (1..).zip(&chain) {
+        let (_, it) = X509Certificate::from_der(one).map_err(|_| Unfit::Garbled { number })?;
         let seconds = |s: i64| s.saturating_mul(1_000_000);
         let (from, until) =
             (seconds(it.validity().not_before.timestamp()), seconds(it.validity().not_after.timestamp()));
         if wall > until {
-            return Err(refused(Which::Certificate, format!("number {} has expired", n + 1)));
+            return Err(Unfit::Expired { number });
         }
         if wall < from {
-            return Err(refused(Which::Certificate, format!("number {} is not valid yet", n + 1)));
+            return Err(Unfit::NotYet { number });
         }
         ends = ends.min(until);
     }
     let provider = rustls::crypto::ring::default_provider();
-    let signs = provider
-        .key_provider
-        .load_private_key(key.clone_key())
-        .map_err(|_| refused(Which::Key, "is of no kind that can sign"))?;
+    let signs = provider.key_provider.load_private_key(key.clone_key()).map_err(|_| Unfit::SignsNothing)?;
     match rustls::sign::CertifiedKey::new(chain.clone(), signs).keys_match() {
         // Kinds of keys that do not tell their public half are taken at their word.
         Ok(()) | Err(rustls::Error::InconsistentKeys(rustls::InconsistentKeys::Unknown)) => {}
-        Err(_) => return Err(refused(Which::Key, "does not belong to the certificate")),
+        Err(_) => return Err(Unfit::Stranger),
     }
     Ok(Served { chain, key, ends })
 }
@@ -137,7 +192,7 @@
             self.looks += 1;
             return match self.looks {
                 1..LOOKS => Step::LookAgain,
-                LOOKS => Step::Refuse(refused(Which::Certificate, "cannot be read, nor can its key")),
+                LOOKS => Step::Refuse(Unfit::Unread.into()),
                 _ => Step::Keep,
             };
         };
@@ -159,7 +214,7 @@
                 match self.looks {
                     1..LOOKS => Step::LookAgain,
                     // Told once, not at every look.
-                    LOOKS => Step::Refuse(why),
+                    LOOKS => Step::Refuse(why.into()),
                     _ => Step::Keep,
                 }
             }
--- a/crates/certificates/tests/judged.rs
+++ b/crates/certificates/tests/judged.rs
@@ -25,14 +25,14 @@
     assert_eq!(served.ends, WALL + 365 * DAY);
     let wrong = |c: &Read, k: &Read, wall| judge(c, k, wall).map(|_| ()).expect_err("refused");
     let open = Read { mode: 0o100_640, ..key.clone() };
-    assert_eq!(wrong(&certificate, &open, WALL).which, Which::Key);
-    assert!(wrong(&certificate, &open, WALL).cause.contains("640"));
-    assert!(wrong(&certificate, &key, WALL + 366 * DAY).cause.contains("expired"));
-    assert!(wrong(&certificate, &key, WALL - 366 * DAY).cause.contains("not valid yet"));
+    assert_eq!(wrong(&certificate, &open, WALL).which(), Which::Key);
+    assert!(wrong(&certificate, &open, WALL).to_string().contains("640"));
+    assert!(wrong(&certificate, &key, WALL + 366 * DAY).to_string().contains("expired"));
+    assert!(wrong(&certificate, &key, WALL - 366 * DAY).to_string().contains("not valid yet"));
     let (_, other) = pair((2025, 2027), "b");
-    assert!(wrong(&certificate, &other, WALL).cause.contains("does not belong"));
-    assert_eq!(wrong(&key, &key, WALL).which, Which::Certificate);
-    assert_eq!(wrong(&certificate, &Read { bytes: b"x".to_vec(), mode: 0o600 }, WALL).which, Which::Key);
+    assert!(wrong(&certificate, &other, WALL).to_string().contains("does not belong"));
+    assert_eq!(wrong(&key, &key, WALL).which(), Which::Certificate);
+    assert_eq!(wrong(&certificate, &Read { bytes: b"x".to_vec(), mode: 0o600 }, WALL).which(), Which::Key);
 }
 
 #[test]
