The ledger and KServe v2 have errors of their own, each with what can be done

Need: a ledger's failures were two kinds of text, and what has no form between gRPC and REST one. Ledger: a later format, damage, another process that has it open and a disk that does not take it are told apart; what may be set aside stays the same. KServe: an enum (NoForm) for tensors and answers, a case for a time-out that cannot be read; a request's is handed on as text until its caller takes the type.

--- a/crates/kserve/src/rpc.rs
+++ b/crates/kserve/src/rpc.rs
@@ -5,8 +5,10 @@
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use bytes::{BufMut, Bytes, BytesMut};
 use cedarpulley::interface::Micros;
+use cedarpulley_errors::Remedy;
 use http::HeaderMap;
 use prost::Message;
+use thiserror::Error;
 
 /// Made from `proto/`.
 #[allow(missing_docs, clippy::all)]
@@ -68,13 +70,15 @@
     }
 }
 
-/// Why a body is not one message; for the client to read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Why a call is not one message with a time-out that counts; for the client to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{}", self.cause())]
 pub enum Misframed {
     Short,
     Compressed,
     /// Beyond the message's told length.
     Long,
+    Timeout,
 }
 
 impl Misframed {
@@ -83,6 +87,18 @@
             Misframed::Short => "the message broke off",
             Misframed::Compressed => "compressed messages are not taken",
             Misframed::Long => "more than one message came",
+            Misframed::Timeout => "not up to eight digits and one of H, M, S, m, u, n",
+        }
+    }
+}
+
+impl Remedy for Misframed {
+    fn remedy(&self) -> &'static str {
+        match self {
+            Misframed::Short => "see whether its client gave up, or lost its connection",
+            Misframed::Compressed => "have its client send without compression",
+            Misframed::Long => "have its client send one message a call",
+            Misframed::Timeout => "have its client write the time-out as gRPC does",
         }
     }
 }
@@ -114,17 +130,16 @@
     out.freeze()
 }
 
-/// `grpc-timeout`: up to eight digits and a unit; absent if there is none, or an error's cause.
-pub fn timeout(headers: &HeaderMap) -> Result<Option<Micros>, String> {
+/// `grpc-timeout`: up to eight digits and a unit; absent if there is none.
+pub fn timeout(headers: &HeaderMap) -> Result<Option<Micros>, Misframed> {
     let Some(value) = headers.get(TIMEOUT) else { return Ok(None) };
-    let wrong = || "not up to eight digits and one of H, M, S, m, u, n".to_owned();
-    let text = value.to_str().map_err(|_| wrong())?;
-    let Some(unit) = text.chars().last() else { return Err(wrong()) };
+    let text = value.to_str().map_err(|_| Misframed::Timeout)?;
+    let Some(unit) = text.chars().last() else { return Err(Misframed::Timeout) };
     let digits = &text[..text.len() - unit.len_utf8()];
     if digits.is_empty() || digits.len() > 8 || !digits.bytes().all(|b| b.is_ascii_digit()) {
-        return Err(wrong());
+        return Err(Misframed::Timeout);
     }
-    let n: Micros = digits.parse().map_err(|_| wrong())?;
+    let n: Micros = digits.parse().map_err(|_| Misframed::Timeout)?;
     let micros = match unit {
         'H' => n * 3_600_000_000,
         'M' => n * 60_000_000,
@@ -133,7 +148,7 @@
         'u' => n,
         // Rounded down: never later than the client's own.
         'n' => n / 1_000,
-        _ => return Err(wrong()),
+        _ => return Err(Misframed::Timeout),
     };
     Ok(Some(micros))
 }
--- a/crates/kserve/src/serving.rs
+++ b/crates/kserve/src/serving.rs
@@ -2,6 +2,7 @@
 //! One table, written out for operators in docs/operate/kserve-requests.md.
 
 use cedarpulley::interface::Micros;
+use cedarpulley_errors::Remedy;
 use http::{HeaderMap, Method, StatusCode};
 use percent_encoding::percent_decode_str;
 use serde_json::json;
@@ -106,12 +107,20 @@
     pub json: Option<u32>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// What is wrong with which header; for the client to read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{field}: {cause}")]
 pub struct Misunderstood {
     pub field: &'static str,
     pub cause: String,
 }
 
+impl Remedy for Misunderstood {
+    fn remedy(&self) -> &'static str {
+        "have its client send that header as docs/operate/kserve-requests.md says"
+    }
+}
+
 /// `wall`: microseconds since 1970 by this router's clock.
 pub fn wanted(headers: &HeaderMap, wall: Micros) -> Result<Wanted, Misunderstood> {
     let own = |name: &'static str| match headers.get(name) {
--- a/crates/kserve/src/tensors.rs
+++ b/crates/kserve/src/tensors.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeMap;
 
 use bytes::{BufMut, Bytes, BytesMut};
+use cedarpulley_errors::Remedy;
 use serde_json::{Map, Value, json};
+use thiserror::Error;
 
 use crate::rpc::inference::infer_parameter::ParameterChoice;
 use crate::rpc::inference::model_infer_response::InferOutputTensor;
@@ -22,7 +24,58 @@
     pub json: Option<u32>,
 }
 
-fn parameter(p: &InferParameter) -> Result<Value, String> {
+/// Why one form has no other: up to `TooLarge` a client's doing, from there on a worker's. Either is told to the client.
+#[derive(Debug, Error)]
+pub enum NoForm {
+    #[error("inputs '{name}': {why}")]
+    Input { name: String, why: Box<NoForm> },
+    #[error("{number} has no form in JSON")]
+    NoNumber { number: f64 },
+    #[error("bytes that are no text have to come raw")]
+    NoText,
+    #[error("tensors of type '{datatype}' have to come raw")]
+    RawOnly { datatype: String },
+    #[error("raw_input_contents: not one for each input")]
+    RawCount,
+    #[error("both typed and raw contents")]
+    Both,
+    #[error("too large")]
+    TooLarge,
+    #[error("the JSON is told to be longer than the answer")]
+    JsonLength,
+    #[error("its head is no JSON: {0}")]
+    NoJson(#[from] serde_json::Error),
+    #[error("an element that is no {datatype}")]
+    Element { datatype: String },
+    #[error("a shape that is no number")]
+    Shape,
+    #[error("a binary_data_size that is no size")]
+    RawSize,
+    #[error("a raw tensor goes beyond the answer's end")]
+    RawBeyond,
+    #[error("raw bytes are left over")]
+    RawLeft,
+}
+
+impl Remedy for NoForm {
+    fn remedy(&self) -> &'static str {
+        match self {
+            NoForm::Input { why, .. } => why.remedy(),
+            NoForm::NoNumber { .. } | NoForm::NoText | NoForm::RawOnly { .. } => "have it sent raw",
+            NoForm::RawCount | NoForm::Both => "have its client send all tensors typed or all raw",
+            NoForm::TooLarge => "have its client send less at once",
+            NoForm::JsonLength
+            | NoForm::NoJson(_)
+            | NoForm::Element { .. }
+            | NoForm::Shape
+            | NoForm::RawSize
+            | NoForm::RawBeyond
+            | NoForm::RawLeft => "see what runs on the worker: its answer is no KServe v2",
+        }
+    }
+}
+
+fn parameter(p: &InferParameter) -> Result<Value, NoForm> {
     Ok(match &p.parameter_choice {
         None => Value::Null,
         Some(ParameterChoice::BoolParam(b)) => json!(b),
@@ -33,19 +86,19 @@
     })
 }
 
-fn finite(d: f64) -> Result<Value, String> {
-    serde_json::Number::from_f64(d).map(Value::Number).ok_or_else(|| format!("{d} has no form in JSON"))
+fn finite(d: f64) -> Result<Value, NoForm> {
+    serde_json::Number::from_f64(d).map(Value::Number).ok_or(NoForm::NoNumber { number: d })
 }
 
-fn parameters(from: &BTreeMap<String, InferParameter>) -> Result<Map<String, Value>, String> {
+fn parameters(from: &BTreeMap<String, InferParameter>) -> Result<Map<String, Value>, NoForm> {
     from.iter().map(|(name, p)| Ok((name.clone(), parameter(p)?))).collect()
 }
 
 /// The typed contents that the type calls for.
-fn data(datatype: &str, c: &InferTensorContents) -> Result<Value, String> {
+fn data(datatype: &str, c: &InferTensorContents) -> Result<Value, NoForm> {
     let texts = |b: &Bytes| match std::str::from_utf8(b) {
         Ok(text) => Ok(json!(text)),
-        Err(_) => Err("bytes that are no text have to come raw".to_owned()),
+        Err(_) => Err(NoForm::NoText),
     };
     Ok(match datatype {
         "BOOL" => json!(c.bool_contents),
@@ -58,19 +111,23 @@
         }
         "FP64" => c.fp64_contents.iter().map(|f| finite(*f)).collect::<Result<Vec<_>, _>>()?.into(),
         "BYTES" => c.bytes_contents.iter().map(texts).collect::<Result<Vec<_>, _>>()?.into(),
-        other => return Err(format!("tensors of type '{other}' have to come raw")),
+        other => return Err(NoForm::RawOnly { datatype: other.to_owned() }),
     })
 }
 
 /// What a worker is sent for a gRPC request; or what is wrong with it.
 pub fn request(r: &ModelInferRequest) -> Result<Rest, String> {
+    formed(r).map_err(|why| why.to_string())
+}
+
+fn formed(r: &ModelInferRequest) -> Result<Rest, NoForm> {
     let raw = !r.raw_input_contents.is_empty();
     if raw && r.raw_input_contents.len() != r.inputs.len() {
-        return Err("raw_input_contents: not one for each input".to_owned());
+        return Err(NoForm::RawCount);
     }
     let mut inputs = Vec::with_capacity(r.inputs.len());
     for (n, input) in r.inputs.iter().enumerate() {
-        let of = |cause: String| format!("inputs '{}': {cause}", input.name);
+        let of = |why| NoForm::Input { name: input.name.clone(), why: Box::new(why) };
         let mut tensor = Map::new();
         tensor.insert("name".into(), json!(input.name));
         tensor.insert("datatype".into(), json!(input.datatype));
@@ -78,7 +135,7 @@
         let mut given = parameters(&input.parameters).map_err(of)?;
         if raw {
             if input.contents.is_some() {
-                return Err(of("both typed and raw contents".to_owned()));
+                return Err(of(NoForm::Both));
             }
             given.insert(BINARY_SIZE.into(), json!(r.raw_input_contents[n].len()));
         } else {
@@ -113,13 +170,13 @@
             }
             Ok(Value::Object(output))
         });
-        whole.insert("outputs".into(), Value::Array(outputs.collect::<Result<_, String>>()?));
+        whole.insert("outputs".into(), Value::Array(outputs.collect::<Result<_, NoForm>>()?));
     }
     let head = Value::Object(whole).to_string();
     if !raw {
         return Ok(Rest { bytes: head.into(), json: None });
     }
-    let json = u32::try_from(head.len()).map_err(|_| "too large".to_owned())?;
+    let json = u32::try_from(head.len()).map_err(|_| NoForm::TooLarge)?;
     let size = head.len() + r.raw_input_contents.iter().map(Bytes::len).sum::<usize>();
     let mut bytes = BytesMut::with_capacity(size);
     bytes.put_slice(head.as_bytes());
@@ -156,10 +213,10 @@
     }
 }
 
-fn contents(datatype: &str, data: &Value) -> Result<InferTensorContents, String> {
+fn contents(datatype: &str, data: &Value) -> Result<InferTensorContents, NoForm> {
     let mut all = Vec::new();
     flat(data, &mut all);
-    let wrong = || format!("an element that is no {datatype}");
+    let wrong = || NoForm::Element { datatype: datatype.to_owned() };
     let whole = |v: &Value, least: i64, most: i64| {
         v.as_i64().filter(|n| (least..=most).contains(n)).ok_or_else(wrong)
     };
@@ -178,7 +235,7 @@
             "FP32" => c.fp32_contents.push(v.as_f64().ok_or_else(wrong)? as f32),
             "FP64" => c.fp64_contents.push(v.as_f64().ok_or_else(wrong)?),
             "BYTES" => c.bytes_contents.push(v.as_str().ok_or_else(wrong)?.to_owned().into()),
-            other => return Err(format!("type '{other}' has no typed form")),
+            other => return Err(NoForm::RawOnly { datatype: other.to_owned() }),
         }
     }
     Ok(c)
@@ -210,28 +267,28 @@
 }
 
 /// The gRPC message for a worker's answer; or why it cannot be read. Where any output is raw, all are.
-pub fn response(rest: &Rest) -> Result<ModelInferResponse, String> {
+pub fn response(rest: &Rest) -> Result<ModelInferResponse, NoForm> {
     let json = rest.json.map_or(rest.bytes.len(), |n| n as usize);
     if json > rest.bytes.len() {
-        return Err("the JSON is told to be longer than the answer".to_owned());
+        return Err(NoForm::JsonLength);
     }
-    let head: Value = serde_json::from_slice(&rest.bytes[..json]).map_err(|e| e.to_string())?;
+    let head: Value = serde_json::from_slice(&rest.bytes[..json])?;
     let text = |of: &Value, name: &str| of.get(name).and_then(Value::as_str).unwrap_or_default().to_owned();
     let (mut outputs, mut raws, mut at) = (Vec::new(), Vec::new(), json);
     for o in head.get("outputs").and_then(Value::as_array).into_iter().flatten() {
         let datatype = text(o, "datatype");
         let shape = o.get("shape").and_then(Value::as_array).into_iter().flatten();
-        let shape = shape.map(|n| n.as_i64().ok_or_else(|| "a shape that is no number".to_owned()));
+        let shape = shape.map(|n| n.as_i64().ok_or(NoForm::Shape));
         let mut given = choices(o);
         let size = match given.remove(BINARY_SIZE).and_then(|p| p.parameter_choice) {
-            Some(ParameterChoice::Int64Param(n)) => Some(usize::try_from(n).map_err(|e| e.to_string())?),
-            Some(_) => return Err(format!("{BINARY_SIZE} is no number")),
+            Some(ParameterChoice::Int64Param(n)) => Some(usize::try_from(n).map_err(|_| NoForm::RawSize)?),
+            Some(_) => return Err(NoForm::RawSize),
             None => None,
         };
         let (typed, raw) = match size {
             Some(size) => {
                 let end = at.checked_add(size).filter(|end| *end <= rest.bytes.len());
-                let end = end.ok_or("a raw tensor goes beyond the answer's end")?;
+                let end = end.ok_or(NoForm::RawBeyond)?;
                 let raw = rest.bytes.slice(at..end);
                 at = end;
                 (None, Some(raw))
@@ -248,7 +305,7 @@
         });
     }
     if at != rest.bytes.len() {
-        return Err("raw bytes are left over".to_owned());
+        return Err(NoForm::RawLeft);
     }
     let mut raw_output_contents = Vec::new();
     if raws.iter().any(Option::is_some) {
--- a/crates/kserve/tests/codec.rs
+++ b/crates/kserve/tests/codec.rs
@@ -140,11 +140,11 @@
         |text: &'static str, json| response(&Rest { bytes: Bytes::from_static(text.as_bytes()), json });
     let raw =
         r#"{"outputs":[{"name":"y","datatype":"INT8","shape":[2],"parameters":{"binary_data_size":2}}]}"#;
-    assert!(rest(raw, None).expect_err("nothing raw is there").contains("beyond"));
-    assert!(rest("{}xx", Some(2)).expect_err("two bytes over").contains("left over"));
-    assert!(rest("{}", Some(9)).expect_err("nine of two").contains("longer"));
+    assert!(rest(raw, None).expect_err("nothing raw is there").to_string().contains("beyond"));
+    assert!(rest("{}xx", Some(2)).expect_err("two bytes over").to_string().contains("left over"));
+    assert!(rest("{}", Some(9)).expect_err("nine of two").to_string().contains("longer"));
     let large = r#"{"outputs":[{"name":"y","datatype":"INT8","shape":[1],"data":[300]}]}"#;
-    assert!(rest(large, None).expect_err("300 is no INT8").contains("INT8"));
+    assert!(rest(large, None).expect_err("300 is no INT8").to_string().contains("INT8"));
     // Where one output is raw, the typed ones become raw too.
     let mixed = r#"{"outputs":[{"datatype":"INT16","shape":[1],"data":[-2]},{"datatype":"UINT8","shape":[1],"parameters":{"binary_data_size":1}}]}"#;
     let bytes = Bytes::from([mixed.as_bytes(), &[7]].concat());
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -6,14 +6,15 @@
 
 mod writing;
 
-use std::fmt;
 use std::path::Path;
 use std::sync::Arc;
 
+use cedarpulley_errors::Remedy;
 use cedarpulley_meter::Part;
 use cedarpulley_meter::books::{Book, Measured, Source};
 use cedarpulley_meter::sums::{Key, Kind, Readings, Sum, Sums};
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, WriteTransaction};
+use thiserror::Error;
 
 pub use writing::Writing;
 
@@ -29,31 +30,54 @@
 /// By life of a worker, hour, account, function and kind: the largest total that was read, in byte-microseconds.
 const READINGS: TableDefinition<(u64, u32, &str, &str, u8), u128> = TableDefinition::new("readings");
 
-/// Why a ledger could not be read or written; one line.
-#[derive(Debug)]
+/// Why a ledger could not be read or written.
+#[derive(Debug, Error)]
 pub enum Failed {
-    /// Of a later format, or damaged: it is left as it is.
-    Unreadable(String),
-    /// The disk did not take it; what was acknowledged before still stands.
-    Unwritten(String),
+    /// It is left as it is.
+    #[error("the ledger cannot be read: {0}")]
+    Unreadable(Unreadable),
+    #[error("another process has the ledger open")]
+    InUse,
+    /// What was acknowledged before still stands.
+    #[error("the disk did not take it: {0}")]
+    Unwritten(redb::Error),
 }
 
-impl fmt::Display for Failed {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+#[derive(Debug, Error)]
+pub enum Unreadable {
+    #[error("it is of format {format}; this build reads up to {most}", most = FORMAT)]
+    Later { format: u64 },
+    #[error("it is damaged")]
+    Damaged,
+    #[error("it has a kind of no meaning")]
+    NoKind,
+    #[error("it has sums of no source")]
+    NoSource,
+    #[error("{0}")]
+    Store(redb::Error),
+}
+
+impl Remedy for Failed {
+    fn remedy(&self) -> &'static str {
         match self {
-            Failed::Unreadable(why) | Failed::Unwritten(why) => f.write_str(why),
+            Failed::Unreadable(Unreadable::Later { .. }) => "take a newer build",
+            Failed::Unreadable(_) => {
+                "put a copy in its place; a router sets it aside by itself and begins a new one"
+            }
+            Failed::InUse => "stop the other, or read a copy of the file",
+            Failed::Unwritten(_) => "make room, and see that the folder is there and may be written to",
         }
     }
 }
 
-fn unreadable(why: impl fmt::Display) -> Failed {
-    Failed::Unreadable(why.to_string())
+fn unreadable(why: impl Into<redb::Error>) -> Failed {
+    Failed::Unreadable(Unreadable::Store(why.into()))
 }
 
 /// One that another process has open, or that this one may not touch, is not damaged.
 fn unopened(why: redb::DatabaseError) -> Failed {
     match &why {
-        redb::DatabaseError::DatabaseAlreadyOpen => unwritten(why),
+        redb::DatabaseError::DatabaseAlreadyOpen => Failed::InUse,
         redb::DatabaseError::Storage(redb::StorageError::Io(e))
             if !matches!(e.kind(), std::io::ErrorKind::InvalidData | std::io::ErrorKind::UnexpectedEof) =>
         {
@@ -63,8 +87,12 @@
     }
 }
 
-fn unwritten(why: impl fmt::Display) -> Failed {
-    Failed::Unwritten(why.to_string())
+fn unwritten(why: impl Into<redb::Error>) -> Failed {
+    Failed::Unwritten(why.into())
+}
+
+fn untouched(why: std::io::Error) -> Failed {
+    Failed::Unwritten(redb::Error::Io(why))
 }
 
 /// One file, open for writing by one process.
@@ -85,12 +113,12 @@
             if let Err(e) = std::fs::remove_file(&beside)
                 && e.kind() != std::io::ErrorKind::NotFound
             {
-                return Err(unwritten(e));
+                return Err(untouched(e));
             }
             drop(Ledger::begun(Database::create(&beside).map_err(unwritten)?)?);
-            std::fs::rename(&beside, path).map_err(unwritten)?;
+            std::fs::rename(&beside, path).map_err(untouched)?;
             let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-            std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(unwritten)?;
+            std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(untouched)?;
         }
         // Symptom: a flipped bit in the middle, at which the store's own checks end in a panic.
         let checked = std::panic::catch_unwind(|| {
@@ -98,7 +126,7 @@
             database.check_integrity().map_err(unreadable)?;
             Ok(database)
         });
-        Ledger::begun(checked.unwrap_or_else(|_| Err(unreadable("is damaged")))?)
+        Ledger::begun(checked.unwrap_or_else(|_| Err(Failed::Unreadable(Unreadable::Damaged)))?)
     }
 
     /// Of this format, or made so if it is empty.
@@ -114,9 +142,7 @@
         };
         match format {
             Some(FORMAT) => Ok(ledger),
-            Some(later) => Err(unreadable(format!(
-                "is of format {later}; this build reads up to {FORMAT}: take a newer one"
-            ))),
+            Some(format) => Err(Failed::Unreadable(Unreadable::Later { format })),
             None => {
                 let writing = ledger.database.begin_write().map_err(unwritten)?;
                 {
@@ -174,11 +200,11 @@
             let (row, sum) = row.map_err(unreadable)?;
             let (source, hour, account, function, kind) = row.value();
             let kind =
-                *Kind::ALL.get(usize::from(kind)).ok_or_else(|| unreadable("has a kind of no meaning"))?;
+                *Kind::ALL.get(usize::from(kind)).ok_or_else(|| Failed::Unreadable(Unreadable::NoKind))?;
             let key = Key { hour, account: Arc::from(account), function: Arc::from(function), kind };
             let (byte_us, count) = sum.value();
             let measured =
-                book.measured.get_mut(&source).ok_or_else(|| unreadable("has sums of no source"))?;
+                book.measured.get_mut(&source).ok_or_else(|| Failed::Unreadable(Unreadable::NoSource))?;
             measured.sums.0.insert(key, Sum { byte_us, count });
         }
         let readings = reading.open_table(READINGS).map_err(unreadable)?;
@@ -186,7 +212,7 @@
             let (row, total) = row.map_err(unreadable)?;
             let (life, hour, account, function, kind) = row.value();
             let kind =
-                *Kind::ALL.get(usize::from(kind)).ok_or_else(|| unreadable("has a kind of no meaning"))?;
+                *Kind::ALL.get(usize::from(kind)).ok_or_else(|| Failed::Unreadable(Unreadable::NoKind))?;
             let key = Key { hour, account: Arc::from(account), function: Arc::from(function), kind };
             book.readings.0.insert((life, key), total.value());
         }
--- a/crates/ledger/tests/kept.rs
+++ b/crates/ledger/tests/kept.rs
@@ -152,6 +152,6 @@
     let file = folder("twice").join("meter.ledger");
     let _one = Ledger::open(&file).expect("it opens");
     // Another's is not damaged, and must not be set aside.
-    assert!(matches!(Ledger::open(&file), Err(Failed::Unwritten(_))));
+    assert!(matches!(Ledger::open(&file), Err(Failed::InUse)));
     assert!(matches!(Ledger::open(Path::new("/proc/none/meter.ledger")), Err(Failed::Unwritten(_))));
 }
