AMQP: what a broker may not do is an enum, with its reply code and what can be done

Need: faults were a code and free text, put together where they were found. Change: ten cases (Broken) know their reply code; what ends a connection stays code and text, since the broker's own words come so, and says by the code what can be done. Texts for a frame out of turn begin alike now.

--- a/crates/amqp/src/connection.rs
+++ b/crates/amqp/src/connection.rs
@@ -10,7 +10,10 @@
 use amq_protocol::protocol::basic::{self, AMQPProperties};
 use amq_protocol::protocol::{AMQPClass, channel, connection, queue, tx};
 use amq_protocol::types::{AMQPValue, FieldTable, LongString, ShortString};
+use cedarpulley_errors::Remedy;
+use thiserror::Error;
 
+use crate::Broken;
 use crate::frames::{LEAST_FRAME, Reader, write, write_message, write_method};
 
 pub type Micros = i64;
@@ -18,9 +21,8 @@
 const CHANNEL: u16 = 1;
 /// The largest frame asked for; larger messages come in several.
 const FRAME_MAX: u32 = 128 * 1024;
-/// Reply codes of the specification.
+/// A reply code of the specification.
 const REPLY_SUCCESS: u16 = 200;
-const UNEXPECTED_FRAME: u16 = 505;
 /// Dead after so many heartbeat times without a byte, as the specification has it.
 const DEAD_AFTER: Micros = 2;
 /// From the first byte to consuming; a broker that only trickles is left.
@@ -28,8 +30,9 @@
 /// A reply to close or commit is waited for no longer.
 const REPLY_WITHIN: Micros = 5_000_000;
 
-/// The connection cannot go on; `code` as in the specification's reply codes.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// The connection cannot go on, by this side's word or the broker's; `code` as in the specification's reply codes.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{text} ({code})")]
 pub struct Fault {
     pub code: u16,
     pub text: String,
@@ -41,9 +44,17 @@
     }
 }
 
-impl std::fmt::Display for Fault {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        write!(f, "{} ({})", self.text, self.code)
+impl Remedy for Fault {
+    fn remedy(&self) -> &'static str {
+        match self.code {
+            REPLY_SUCCESS => "nothing: it ended in good order",
+            403 => "let user, password and the user's rights at the broker fit the settings",
+            404 => "declare the queue at the broker, or mend its name in the settings",
+            402 | 530 => "declare the virtual host at the broker, or mend its name in the settings",
+            405 | 406 => "let the queue be as the settings say; another may have it for itself",
+            501..=505 => "see what stands between router and broker, and report it: a peer errs",
+            _ => "see the broker's log; it is tried again by itself",
+        }
     }
 }
 
@@ -154,6 +165,10 @@
     waiting_since: Option<Micros>,
 }
 
+fn out_of_turn(what: impl Into<String>) -> Broken {
+    Broken::OutOfTurn { what: what.into() }
+}
+
 fn short(text: &str) -> ShortString {
     // Values come from settings that were checked, or from short strings that arrived.
     ShortString::try_new(text).unwrap_or_default()
@@ -227,14 +242,14 @@
     /// Heartbeats, and peers that fell silent.
     pub fn tick(&mut self, now: Micros) -> Result<(), Fault> {
         if !matches!(self.stage, Stage::Ready | Stage::NoChannel) && now - self.began >= HANDSHAKE {
-            return Err(Fault::new(320, "no progress in opening or closing"));
+            return Err(Broken::Stuck.into());
         }
         if self.waiting_since.is_some_and(|t| now - t >= REPLY_WITHIN) && !self.blocked {
-            return Err(Fault::new(320, "no reply to a commit"));
+            return Err(Broken::NoReply.into());
         }
         if self.heartbeat > 0 {
             if now - self.heard >= DEAD_AFTER * self.heartbeat {
-                return Err(Fault::new(320, "nothing heard for two heartbeats"));
+                return Err(Broken::Silent.into());
             }
             if now - self.spoke >= self.heartbeat / 2 {
                 write(&mut self.out, &AMQPFrame::Heartbeat);
@@ -396,7 +411,7 @@
         self.cancelling = false;
     }
 
-    fn frame(&mut self, now: Micros, frame: AMQPFrame, events: &mut Vec<Event>) -> Result<(), Fault> {
+    fn frame(&mut self, now: Micros, frame: AMQPFrame, events: &mut Vec<Event>) -> Result<(), Broken> {
         match frame {
             AMQPFrame::Heartbeat => Ok(()),
             AMQPFrame::Method(0, AMQPClass::Connection(method)) => {
@@ -411,9 +426,7 @@
             | AMQPFrame::Header(..)
             | AMQPFrame::Body(..)
             | AMQPFrame::InvalidHeartbeat(_)
-            | AMQPFrame::ProtocolHeader(_) => {
-                Err(Fault::new(UNEXPECTED_FRAME, "a frame on a channel that was not opened"))
-            }
+            | AMQPFrame::ProtocolHeader(_) => Err(out_of_turn("a frame on a channel that was not opened")),
         }
     }
 
@@ -422,14 +435,14 @@
         now: Micros,
         method: connection::AMQPMethod,
         events: &mut Vec<Event>,
-    ) -> Result<(), Fault> {
+    ) -> Result<(), Broken> {
         use connection::AMQPMethod as M;
         let reply = |m: M| AMQPClass::Connection(m);
         match (self.stage, method) {
             (Stage::AwaitStart, M::Start(start)) => {
                 let mechanisms = String::from_utf8_lossy(start.mechanisms.as_bytes()).into_owned();
                 if !mechanisms.split(' ').any(|m| m == "PLAIN") {
-                    return Err(Fault::new(530, "the broker does not take PLAIN logins"));
+                    return Err(Broken::NoPlain);
                 }
                 let mut properties = FieldTable::default();
                 let text = |s: &str| AMQPValue::LongString(LongString::from(s));
@@ -494,7 +507,7 @@
                 self.commit(now);
             }
             (stage, _) => {
-                return Err(Fault::new(UNEXPECTED_FRAME, format!("an unexpected method while {stage:?}")));
+                return Err(out_of_turn(format!("a method while {stage:?}")));
             }
         }
         Ok(())
@@ -505,7 +518,7 @@
         now: Micros,
         method: AMQPClass,
         events: &mut Vec<Event>,
-    ) -> Result<(), Fault> {
+    ) -> Result<(), Broken> {
         use basic::AMQPMethod as B;
         match (self.stage, method) {
             (_, AMQPClass::Channel(channel::AMQPMethod::Close(close))) => {
@@ -563,7 +576,7 @@
             (Stage::Ready, AMQPClass::Basic(B::CancelOk(_))) => self.cancelling = false,
             (Stage::Ready | Stage::AwaitConsume, AMQPClass::Basic(B::Deliver(d))) => {
                 if self.incoming.is_some() {
-                    return Err(Fault::new(UNEXPECTED_FRAME, "a delivery within another"));
+                    return Err(out_of_turn("a delivery within another"));
                 }
                 self.incoming = Some(Incoming {
                     tag: d.delivery_tag,
@@ -585,8 +598,7 @@
             }
             (stage, method) => {
                 let (class, id) = (method.get_amqp_class_id(), method.get_amqp_method_id());
-                let text = format!("unexpected method {class}.{id} while {stage:?}");
-                return Err(Fault::new(UNEXPECTED_FRAME, text));
+                return Err(out_of_turn(format!("method {class}.{id} while {stage:?}")));
             }
         }
         Ok(())
@@ -597,24 +609,24 @@
         size: u64,
         properties: AMQPProperties,
         events: &mut Vec<Event>,
-    ) -> Result<(), Fault> {
+    ) -> Result<(), Broken> {
         let Some(incoming) = self.incoming.as_mut().filter(|i| i.header.is_none()) else {
-            return Err(Fault::new(UNEXPECTED_FRAME, "a content header without its method"));
+            return Err(out_of_turn("a content header without its method"));
         };
         incoming.header = Some((size, properties));
         self.delivered(events);
         Ok(())
     }
 
-    fn body(&mut self, part: &[u8], events: &mut Vec<Event>) -> Result<(), Fault> {
+    fn body(&mut self, part: &[u8], events: &mut Vec<Event>) -> Result<(), Broken> {
         let most = self.login.most_body;
         let Some((size, incoming)) = self.incoming.as_mut().and_then(|i| Some((i.header.as_ref()?.0, i)))
         else {
-            return Err(Fault::new(UNEXPECTED_FRAME, "a body without its header"));
+            return Err(out_of_turn("a body without its header"));
         };
         incoming.got += part.len() as u64;
         if incoming.got > size {
-            return Err(Fault::new(501, "a body longer than its header says"));
+            return Err(Broken::TooLong);
         }
         if size <= most {
             incoming.body.extend_from_slice(part);
--- a/crates/amqp/src/frames.rs
+++ b/crates/amqp/src/frames.rs
@@ -5,7 +5,7 @@
 use amq_protocol::protocol::basic::AMQPProperties;
 use amq_protocol::protocol::{AMQPClass, basic};
 
-use crate::Fault;
+use crate::Broken;
 
 /// Type, channel and size before a frame's payload; the end mark after it.
 pub const HEAD: usize = 7;
@@ -43,34 +43,32 @@
     }
 
     /// The next whole frame. A frame beyond the negotiated size is refused by its head, before its body is read.
-    pub fn next_frame(&mut self) -> Result<Option<AMQPFrame>, Fault> {
+    pub fn next_frame(&mut self) -> Result<Option<AMQPFrame>, Broken> {
         let rest = &self.buffer[self.at..];
         if rest.len() < HEAD {
             return Ok(None);
         }
         if !matches!(rest[0], 1..=3 | 8) {
             // A broker that does not speak 0-9-1 answers with its own protocol header.
-            return Err(Fault::new(501, format!("frame type {} is unknown", rest[0])));
+            return Err(Broken::NoFrame { kind: rest[0] });
         }
         let size = u32::from_be_bytes([rest[3], rest[4], rest[5], rest[6]]) as usize;
         if size + HEAD + 1 > self.most {
-            return Err(Fault::new(501, format!("a frame of {size} bytes where {} are agreed", self.most)));
+            return Err(Broken::TooLarge { size, most: self.most });
         }
         let whole = HEAD + size + 1;
         if rest.len() < whole {
             return Ok(None);
         }
         if rest[whole - 1] != END {
-            return Err(Fault::new(501, "a frame without its end mark"));
+            return Err(Broken::NoEnd);
         }
         let channel = u16::from_be_bytes([rest[1], rest[2]]);
         let frame = match rest[0] {
             3 => AMQPFrame::Body(channel, rest[HEAD..whole - 1].to_vec()),
             _ => match parse_frame(&rest[..whole]) {
                 Ok((_, frame)) => frame,
-                Err(_) => {
-                    return Err(Fault::new(503, "a frame that cannot be read or a method unknown here"));
-                }
+                Err(_) => return Err(Broken::Unreadable),
             },
         };
         self.at += whole;
--- a/crates/amqp/src/meaning.rs
+++ b/crates/amqp/src/meaning.rs
@@ -3,6 +3,7 @@
 
 use amq_protocol::protocol::basic::AMQPProperties;
 use amq_protocol::types::{AMQPValue, FieldTable, LongString, ShortString};
+use cedarpulley_errors::Remedy;
 
 use crate::Message;
 
@@ -45,12 +46,20 @@
     pub first_part: Option<u32>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// What is wrong with which property or header; for the client to read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{field}: {cause}")]
 pub struct Misunderstood {
     pub field: &'static str,
     pub cause: String,
 }
 
+impl Remedy for Misunderstood {
+    fn remedy(&self) -> &'static str {
+        "have its client send that field as docs/operate/amqp-messages.md says"
+    }
+}
+
 fn wrong(field: &'static str, cause: impl Into<String>) -> Misunderstood {
     Misunderstood { field, cause: cause.into() }
 }
