Traces and the command line have errors of their own; the binary prints cause and remedy

Need: what the command line said on standard error was put together as text where it happened, without what to do. Traces: an enum in place of one text; too short (its writer was ended as it began) is told from no trace at all, and an error that passed through a writer comes out as itself. Command line: an enum (Wrong) wraps the packages' errors with the file they are of and has what can be wrong with arguments; one line a cause, "; " and the remedy. Exit codes stay.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -18,15 +18,18 @@
 mod rest_client;
 mod standin;
 mod trace;
+mod wrong;
 
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use cedarpulley_errors::Remedy;
 use cedarpulley_gateway::meddle::Meddle;
 use cedarpulley_gateway::settings::{self, Parts};
 use clap::{Parser, Subcommand, ValueEnum};
 use tracing_subscriber::EnvFilter;
+use wrong::Wrong;
 
 /// Runs calls on workers that load functions or models on demand.
 #[derive(Parser)]
@@ -119,7 +122,7 @@
     },
 }
 
-/// What goes wrong before anything is judged; ends with exit code 2.
+/// For days, whose errors are lines yet.
 pub type Plain<T> = Result<T, String>;
 
 fn main() -> ExitCode {
@@ -130,7 +133,7 @@
         None => !std::io::stderr().is_terminal(),
     };
     let Ok(filter) = EnvFilter::try_new(&line.level) else {
-        return fail(&format!("--level {}: not a log filter", line.level));
+        return fail(&Wrong::Level { level: line.level });
     };
     let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     if json {
@@ -140,14 +143,15 @@
     }
     let done = match line.command {
         Command::Serve { settings, tamper } => serve(&settings, tamper),
-        Command::Node => cedarpulley_platform_node::run().map(|()| true),
+        Command::Node => cedarpulley_platform_node::run().map(|()| true).map_err(Wrong::Told),
         Command::Check { settings } => read(&settings).map(|_| {
             say!("{}: good", settings.display());
             true
         }),
         Command::Standin { kind } => standin::run(kind).map(|()| true),
         Command::Day { day, out, seed, tamper, router, json } => {
-            named(&tamper).and_then(|_| day::play(&day, out, seed, tamper, router, json))
+            let known = named(&tamper);
+            known.and_then(|_| day::play(&day, out, seed, tamper, router, json).map_err(Wrong::Told))
         }
         Command::Measure { rate, seconds, work_ms, lanes, folder, trace } => {
             measure::run(rate, seconds, work_ms, lanes, &folder, trace).map(|()| true)
@@ -163,33 +167,36 @@
     }
 }
 
-fn fail(why: &str) -> ExitCode {
-    eprintln!("{why}");
+fn fail(why: &Wrong) -> ExitCode {
+    match why {
+        // Whole lines already.
+        Wrong::Settings(_) | Wrong::Told(_) => eprintln!("{why}"),
+        _ => eprintln!("{}", why.line()),
+    }
     ExitCode::from(2)
 }
 
-fn read(path: &Path) -> Plain<Parts> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    settings::read(&path.display().to_string(), &text).map_err(|refused| refused.to_string())
+fn read(path: &Path) -> Result<Parts, Wrong> {
+    let text = std::fs::read_to_string(path).map_err(Wrong::file(path))?;
+    settings::read(&path.display().to_string(), &text).map_err(Wrong::Settings)
 }
 
-fn named(tamper: &Option<String>) -> Plain<Option<Meddle>> {
+fn named(tamper: &Option<String>) -> Result<Option<Meddle>, Wrong> {
     match tamper {
         None => Ok(None),
-        Some(name) => {
-            Meddle::named(name).map(Some).ok_or_else(|| format!("--tamper {name}: there is no such kind"))
-        }
+        Some(name) => Meddle::named(name).map(Some).ok_or_else(|| Wrong::Tamper { name: name.clone() }),
     }
 }
 
-fn serve(path: &Path, tamper: Option<String>) -> Plain<bool> {
+fn serve(path: &Path, tamper: Option<String>) -> Result<bool, Wrong> {
     let (parts, meddle) = (read(path)?, named(&tamper)?);
     let name = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
-    cedarpulley_gateway::serve::run(&name, parts, meddle).map_err(|e| format!("{}: {e}", path.display()))
+    let wrong = |source| Wrong::Serve { file: path.display().to_string(), source };
+    cedarpulley_gateway::serve::run(&name, parts, meddle).map_err(wrong)
 }
 
-fn audit(folder: &Path, json: bool) -> Plain<bool> {
+fn audit(folder: &Path, json: bool) -> Result<bool, Wrong> {
     let verdict = cedarpulley_audit::judge(folder)?;
-    day::show(&verdict, json)?;
+    day::show(&verdict, json).map_err(Wrong::Told)?;
     Ok(verdict.broken() == 0)
 }
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -21,9 +21,9 @@
 use serde_json::{Value, json};
 use smol_hyper::rt::FuturesIo;
 
-use crate::Plain;
 use crate::client::{Arrival, Client, Times};
 use crate::open_loop::Callers;
+use crate::wrong::Wrong;
 
 const WORKERS: usize = 4;
 const CLIENTS: usize = 2;
@@ -90,15 +90,21 @@
 }
 
 /// At this rate for so long, with workers that take `work_ms`; prints one JSON object.
-pub fn run(rate: f64, seconds: f64, work_ms: f64, lanes: u32, folder: &Path, trace: bool) -> Plain<()> {
-    let io = |e: std::io::Error| e.to_string();
-    std::fs::create_dir_all(folder).map_err(io)?;
+pub fn run(
+    rate: f64,
+    seconds: f64,
+    work_ms: f64,
+    lanes: u32,
+    folder: &Path,
+    trace: bool,
+) -> Result<(), Wrong> {
+    std::fs::create_dir_all(folder).map_err(Wrong::file(folder))?;
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let ground = Ground::new(THREADS, None).map_err(io)?;
-    let broker = Broker::start(&ground, "broker", any).map_err(io)?;
+    let ground = Ground::new(THREADS, None).map_err(Wrong::Standin)?;
+    let broker = Broker::start(&ground, "broker", any).map_err(Wrong::Standin)?;
     broker.declare("triggers");
     let nature = store::Nature { mb_per_s: 1e6, abreast: 100, most: 1000 };
-    let store = Store::start(&ground, "store", any, nature).map_err(io)?;
+    let store = Store::start(&ground, "store", any, nature).map_err(Wrong::Standin)?;
     let mut workers = Vec::new();
     for n in 0..WORKERS {
         let nature = Nature::roomy(1e6);
@@ -112,24 +118,26 @@
         let programs = HashMap::from([("warm".to_owned(), program)]);
         let (name, memory) = (format!("worker-{n}"), Memory::default());
         let worker = Worker::start(&ground, &name, any, 1, nature, store.server.address, programs, memory);
-        workers.push(worker.map_err(io)?);
+        workers.push(worker.map_err(Wrong::Standin)?);
     }
     // Ports that are free now.
     let mut callers = Vec::new();
     for way in [Protocol::Rest, Protocol::Grpc] {
-        callers.push((way, std::net::TcpListener::bind(any).and_then(|l| l.local_addr()).map_err(io)?));
+        let free = std::net::TcpListener::bind(any).and_then(|l| l.local_addr());
+        callers.push((way, free.map_err(Wrong::Router)?));
     }
     let file = folder.join("router.toml");
     let mut text = settings(broker.address, &workers, &callers);
     if trace {
         text.push_str("\n[trace]\nfolder = \"traces\"\n");
     }
-    std::fs::write(&file, text).map_err(io)?;
-    let log = std::fs::File::create(folder.join("router.log")).map_err(io)?;
-    let program = std::env::current_exe().map_err(io)?;
+    std::fs::write(&file, text).map_err(Wrong::file(&file))?;
+    let log = folder.join("router.log");
+    let log = std::fs::File::create(&log).map_err(Wrong::file(&log))?;
+    let program = std::env::current_exe().map_err(Wrong::Router)?;
     let mut command = Command::new(program);
     command.arg("serve").arg(&file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-    let router = Ended(command.spawn().map_err(io)?);
+    let router = Ended(command.spawn().map_err(Wrong::Router)?);
     let pid = router.0.id();
     let result = async_io::block_on(async {
         while broker.consumers() == 0 {
@@ -208,7 +216,7 @@
         })
     });
     drop(router);
-    say!("{}", serde_json::to_string_pretty(&result).map_err(|e| e.to_string())?);
+    say!("{}", serde_json::to_string_pretty(&result)?);
     Ok(())
 }
 
--- a/crates/cli/src/meter.rs
+++ b/crates/cli/src/meter.rs
@@ -5,12 +5,12 @@
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 
-use cedarpulley_ledger::Ledger;
+use cedarpulley_ledger::{Failed, Ledger};
 use cedarpulley_meter::{Book, Key, Kind, Sum, Sums};
 use clap::{Subcommand, ValueEnum};
 use serde_json::{Value, json};
 
-use crate::Plain;
+use crate::wrong::Wrong;
 
 #[derive(Subcommand)]
 pub enum Meter {
@@ -52,7 +52,7 @@
 /// What nobody reported, of all.
 const MOST_UNCERTAIN: f64 = 0.01;
 
-pub fn run(what: Meter) -> Plain<bool> {
+pub fn run(what: Meter) -> Result<bool, Wrong> {
     match what {
         Meter::Report { files, by, json, csv } => report(&all(&files)?, &by, json, csv),
         Meter::Merge { files, out } => merge(&all(&files)?, &out),
@@ -60,35 +60,39 @@
     }
 }
 
-fn all(files: &[PathBuf]) -> Plain<Vec<PathBuf>> {
+fn all(files: &[PathBuf]) -> Result<Vec<PathBuf>, Wrong> {
     let mut found = Vec::new();
     for file in files {
         if !file.is_dir() {
             found.push(file.clone());
             continue;
         }
-        let entries = std::fs::read_dir(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        let entries = std::fs::read_dir(file).map_err(Wrong::file(file))?;
         let ledgers = entries.flatten().map(|e| e.path());
         let mut ledgers: Vec<_> = ledgers.filter(|p| p.extension().is_some_and(|e| e == "ledger")).collect();
         ledgers.sort();
         found.extend(ledgers);
     }
-    if found.is_empty() { Err("no ledger is given".into()) } else { Ok(found) }
+    if found.is_empty() { Err(Wrong::NoFile { what: "ledger" }) } else { Ok(found) }
 }
 
-fn book(files: &[PathBuf]) -> Plain<Book> {
+fn ledger(file: &Path) -> impl FnOnce(Failed) -> Wrong {
+    move |source| Wrong::Ledger { file: file.display().to_string(), source }
+}
+
+fn book(files: &[PathBuf]) -> Result<Book, Wrong> {
     let mut book = Book::default();
     for file in files {
-        let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
+        // A ledger that is not there would be begun.
         if !file.is_file() {
-            return Err(wrong(&"there is no such file"));
+            return Err(Wrong::Absent { file: file.display().to_string() });
         }
-        book.join(Ledger::open(file).and_then(|l| l.book()).map_err(|e| wrong(&e))?);
+        book.join(Ledger::open(file).and_then(|l| l.book()).map_err(ledger(file))?);
     }
     Ok(book)
 }
 
-fn report(files: &[PathBuf], by: &[By], json: bool, csv: bool) -> Plain<bool> {
+fn report(files: &[PathBuf], by: &[By], json: bool, csv: bool) -> Result<bool, Wrong> {
     let sums = book(files)?.sums();
     let column = |by: By, key: &Key| match by {
         By::Tenant => key.account.to_string(),
@@ -110,7 +114,7 @@
     if json {
         let rows: Vec<Value> = rows.iter().map(|(row, sum)| line(&names, row, sum)).collect();
         let all = json!({"rows": rows, "total": line(&[], &[], &total)});
-        say!("{}", serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?);
+        say!("{}", serde_json::to_string_pretty(&all)?);
     } else if csv {
         say!("{},mb_seconds,byte_microseconds,count", names.join(","));
         for (row, sum) in &rows {
@@ -145,10 +149,9 @@
     }
 }
 
-fn merge(files: &[PathBuf], out: &Path) -> Plain<bool> {
+fn merge(files: &[PathBuf], out: &Path) -> Result<bool, Wrong> {
     let book = book(files)?;
-    let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", out.display());
-    Ledger::open(out).and_then(|l| l.join(&book)).map_err(|e| wrong(&e))?;
+    Ledger::open(out).and_then(|l| l.join(&book)).map_err(ledger(out))?;
     say!("{} lives of routers in {}", book.measured.len(), out.display());
     Ok(true)
 }
@@ -157,12 +160,12 @@
 type ByTenant = BTreeMap<(String, Kind), u128>;
 
 /// As the workers' logs have it; and how much of it their answers at once did not tell.
-fn held(folder: &Path) -> Plain<(ByTenant, u128)> {
-    let wrong = |e: std::io::Error| format!("{}: {e}", folder.display());
+fn held(folder: &Path) -> Result<(ByTenant, u128), Wrong> {
     let (mut held, mut untold) = (ByTenant::new(), 0);
-    for entry in std::fs::read_dir(folder).map_err(wrong)? {
-        let path = entry.map_err(wrong)?.path();
-        for text in BufReader::new(File::open(&path).map_err(wrong)?).lines().map_while(Result::ok) {
+    for entry in std::fs::read_dir(folder).map_err(Wrong::file(folder))? {
+        let path = entry.map_err(Wrong::file(folder))?.path();
+        let file = File::open(&path).map_err(Wrong::file(&path))?;
+        for text in BufReader::new(file).lines().map_while(Result::ok) {
             let Ok(line) = serde_json::from_str::<Value>(&text) else { continue };
             if line["what"] != "held" {
                 continue;
@@ -184,7 +187,7 @@
     Ok((held, untold))
 }
 
-fn reconcile(folder: &Path, json: bool) -> Plain<bool> {
+fn reconcile(folder: &Path, json: bool) -> Result<bool, Wrong> {
     let sums: Sums = book(&all(&[folder.join("meter")])?)?.sums();
     let (held, untold) = held(&folder.join("traffic"))?;
     let metered = sums.by(|k| (k.account.to_string(), k.kind));
@@ -213,7 +216,7 @@
             .map(|((tenant, kind), m, h, a)| json!({"tenant": tenant, "kind": kind, "metered": m, "held": h, "apart": a}))
             .collect();
         let all = json!({"rows": rows, "uncertain": uncertain, "untold": untold, "held": total});
-        say!("{}", serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?);
+        say!("{}", serde_json::to_string_pretty(&all)?);
         return Ok(good);
     }
     say!("{:<16} {:<10} {:>14} {:>14} {:>8}", "tenant", "kind", "metered MB-s", "held MB-s", "apart");
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -12,7 +12,7 @@
 use cedarpulley_standins::worker::{Memory, Nature, Program, Worker};
 use clap::Subcommand;
 
-use crate::Plain;
+use crate::wrong::Wrong;
 
 #[derive(Subcommand)]
 pub enum Kind {
@@ -68,16 +68,16 @@
     }
 }
 
-pub fn loopback(address: SocketAddr) -> Plain<SocketAddr> {
-    if address.ip().is_loopback() { Ok(address) } else { Err(format!("{address} is not on loopback")) }
+pub fn loopback(address: SocketAddr) -> Result<SocketAddr, Wrong> {
+    if address.ip().is_loopback() { Ok(address) } else { Err(Wrong::Outside { address }) }
 }
 
-pub fn run(kind: Kind) -> Plain<()> {
-    let wrong = |e: std::io::Error| e.to_string();
-    let ground = |logs: Option<PathBuf>| Ground::new(2, logs.as_deref()).map_err(wrong);
+pub fn run(kind: Kind) -> Result<(), Wrong> {
+    let ground = |logs: Option<PathBuf>| Ground::new(2, logs.as_deref()).map_err(Wrong::Standin);
     match kind {
         Kind::Broker { listen, queue, logs } => {
-            let broker = Broker::start(&ground(logs)?, "broker", loopback(listen)?).map_err(wrong)?;
+            let broker =
+                Broker::start(&ground(logs)?, "broker", loopback(listen)?).map_err(Wrong::Standin)?;
             queue.iter().for_each(|q| broker.declare(q));
             forever("broker", broker.address)
         }
@@ -94,15 +94,16 @@
             let (listen, store, ground) = (loopback(listen)?, loopback(store)?, ground(logs)?);
             let worker =
                 Worker::start(&ground, "worker", listen, 1, nature, store, programs, Memory::default());
-            forever("worker", worker.map_err(wrong)?.address)
+            forever("worker", worker.map_err(Wrong::Standin)?.address)
         }
         Kind::Store { listen, logs } => {
             let nature = store::Nature { mb_per_s: 1000.0, abreast: 8, most: 1000 };
-            let store = Store::start(&ground(logs)?, "store", loopback(listen)?, nature).map_err(wrong)?;
+            let store =
+                Store::start(&ground(logs)?, "store", loopback(listen)?, nature).map_err(Wrong::Standin)?;
             forever("store", store.server.address)
         }
         Kind::List { listen, worker, logs } => {
-            let list = List::start(&ground(logs)?, "list", loopback(listen)?).map_err(wrong)?;
+            let list = List::start(&ground(logs)?, "list", loopback(listen)?).map_err(Wrong::Standin)?;
             for (n, address) in worker.into_iter().enumerate() {
                 list.put(
                     &format!("worker-{n}"),
--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -5,12 +5,12 @@
 use std::io::{BufReader, BufWriter, Write};
 use std::path::{Path, PathBuf};
 
-use cedarpulley_trace::chart;
+use cedarpulley_errors::Remedy;
 use cedarpulley_trace::compare::{Compare, Compared, Kind};
 use cedarpulley_trace::course::Course;
 use cedarpulley_trace::explain::Explain;
 use cedarpulley_trace::merge::{Offsets, merge};
-use cedarpulley_trace::reader::{Ended, Found, NoTrace, Reader};
+use cedarpulley_trace::reader::{Ended, Found, Reader};
 use cedarpulley_trace::records::Record;
 use cedarpulley_trace::replay::{Decisions, Step, drive, redo, replay, told};
 use cedarpulley_trace::rewrite::{self, Rewritten};
@@ -21,10 +21,11 @@
 use cedarpulley_trace::strip::Strip;
 use cedarpulley_trace::summary::{Counter, SPAN_S};
 use cedarpulley_trace::writer::traces;
+use cedarpulley_trace::{Error, chart};
 use clap::Subcommand;
 use serde_json::json;
 
-use crate::Plain;
+use crate::wrong::Wrong;
 
 #[derive(Subcommand)]
 pub enum Trace {
@@ -124,24 +125,23 @@
 type Opened = Reader<BufReader<File>>;
 
 /// Files as given; a folder stands for all traces in it.
-fn all(files: &[PathBuf]) -> Plain<Vec<PathBuf>> {
+fn all(files: &[PathBuf]) -> Result<Vec<PathBuf>, Wrong> {
     let mut found = Vec::new();
     for file in files {
         match file.is_dir() {
-            true => found.extend(traces(file).map_err(|e| format!("{}: {e}", file.display()))?),
+            true => found.extend(traces(file).map_err(Wrong::file(file))?),
             false => found.push(file.clone()),
         }
     }
-    if found.is_empty() { Err("no trace file is given".into()) } else { Ok(found) }
+    if found.is_empty() { Err(Wrong::NoFile { what: "trace file" }) } else { Ok(found) }
 }
 
-fn open(file: &Path) -> Plain<Opened> {
-    let wrong = |why: &dyn std::fmt::Display| format!("{}: {why}", file.display());
-    let input = File::open(file).map_err(|e| wrong(&e))?;
-    Reader::open(BufReader::new(input)).map_err(|e| wrong(&e))
+fn open(file: &Path) -> Result<Opened, Wrong> {
+    let input = File::open(file).map_err(Wrong::file(file))?;
+    Reader::open(BufReader::new(input)).map_err(Wrong::trace(file.display()))
 }
 
-pub fn run(what: Trace) -> Plain<bool> {
+pub fn run(what: Trace) -> Result<bool, Wrong> {
     match what {
         Trace::Verify { files } => verify(&all(&files)?),
         Trace::Summary { files, json } => summary(&all(&files)?, json),
@@ -161,9 +161,10 @@
             rewritten(&file, &out, |reader, to| rewrite::cut(reader, &wanted, to))
         }
         Trace::Strip { file, out, key } => {
-            let secret = std::fs::read(&key).map_err(|e| format!("{}: {e}", key.display()))?;
+            let secret = std::fs::read(&key).map_err(Wrong::file(&key))?;
             if secret.len() < LEAST_SECRET {
-                return Err(format!("{}: a secret has at least {LEAST_SECRET} bytes", key.display()));
+                let (file, size) = (key.display().to_string(), secret.len());
+                return Err(Wrong::ShortSecret { file, size, least: LEAST_SECRET });
             }
             let mut strip = Strip::new(&secret);
             rewritten(&file, &out, |reader, to| rewrite::strip(reader, &mut strip, to))
@@ -174,13 +175,13 @@
     }
 }
 
-fn explained(files: &[PathBuf], span: (i64, i64), json: bool) -> Plain<bool> {
+fn explained(files: &[PathBuf], span: (i64, i64), json: bool) -> Result<bool, Wrong> {
     let mut explain = Explain::default();
     let mut base = 0;
     for file in files {
         let mut reader = open(file)?;
         let sources = reader.sources.clone();
-        while let Some(found) = reader.next().map_err(|e| format!("{}: {e}", file.display()))? {
+        while let Some(found) = reader.next().map_err(Wrong::trace(file.display()))? {
             if let Found::Block { records, place } = found {
                 let source = &sources[place.source as usize];
                 records.iter().for_each(|(at, x)| explain.record(base + place.source, source, span, *at, x));
@@ -190,7 +191,7 @@
     }
     let ranked = explain.ranked();
     if json {
-        say!("{}", serde_json::to_string_pretty(&ranked).map_err(|e| e.to_string())?);
+        say!("{}", serde_json::to_string_pretty(&ranked)?);
         return Ok(true);
     }
     say!("{:<52} {:>9} {:>7} {:>7}  span (wall, s)", "cause", "cost", "lost", "late");
@@ -202,12 +203,12 @@
     Ok(true)
 }
 
-fn judged(files: &[PathBuf], json: bool) -> Plain<bool> {
+fn judged(files: &[PathBuf], json: bool) -> Result<bool, Wrong> {
     let (mut rules, mut all) = (Rules::default(), HashMap::new());
     for file in files {
         let mut reader = open(file)?;
         let (base, sources) = (all.len() as u32, reader.sources.clone());
-        while let Some(found) = reader.next().map_err(|e| format!("{}: {e}", file.display()))? {
+        while let Some(found) = reader.next().map_err(Wrong::trace(file.display()))? {
             if let Found::Block { records, place } = found {
                 let source = &sources[place.source as usize];
                 records.iter().for_each(|(at, x)| rules.record(base + place.source, source, *at, x));
@@ -218,7 +219,7 @@
     let judged = rules.finish(&all);
     let broken: u64 = judged.rules.values().sum();
     if json {
-        say!("{}", serde_json::to_string_pretty(&judged).map_err(|e| e.to_string())?);
+        say!("{}", serde_json::to_string_pretty(&judged)?);
     } else {
         judged.breaks.iter().for_each(|b| say!("{b}"));
         let (n, open) = (judged.invocations, judged.unseen);
@@ -234,13 +235,12 @@
 const LEAST_SECRET: usize = 16;
 
 /// Written beside its name and put there when it is whole.
-fn make<T>(out: &Path, write: impl FnOnce(&mut BufWriter<File>) -> Plain<T>) -> Plain<T> {
-    let wrong = |e: std::io::Error| format!("{}: {e}", out.display());
+fn make<T>(out: &Path, write: impl FnOnce(&mut BufWriter<File>) -> Result<T, Wrong>) -> Result<T, Wrong> {
     let beside = out.with_extension("part");
-    let mut to = BufWriter::new(File::create(&beside).map_err(wrong)?);
-    let done = write(&mut to).and_then(|done| to.flush().map(|()| done).map_err(wrong));
+    let mut to = BufWriter::new(File::create(&beside).map_err(Wrong::file(out))?);
+    let done = write(&mut to).and_then(|done| to.flush().map(|()| done).map_err(Wrong::file(out)));
     match done {
-        Ok(done) => std::fs::rename(&beside, out).map(|()| done).map_err(wrong),
+        Ok(done) => std::fs::rename(&beside, out).map(|()| done).map_err(Wrong::file(out)),
         Err(why) => {
             let _ = std::fs::remove_file(&beside);
             Err(why)
@@ -251,15 +251,15 @@
 fn rewritten(
     file: &Path,
     out: &Path,
-    how: impl FnOnce(&mut Opened, &mut BufWriter<File>) -> Result<Rewritten, NoTrace>,
-) -> Plain<bool> {
+    how: impl FnOnce(&mut Opened, &mut BufWriter<File>) -> Result<Rewritten, Error>,
+) -> Result<bool, Wrong> {
     let mut reader = open(file)?;
-    let done = make(out, |to| how(&mut reader, to).map_err(|e| format!("{}: {e}", file.display())))?;
+    let done = make(out, |to| how(&mut reader, to).map_err(Wrong::trace(file.display())))?;
     say!("{} records of {} blocks read, {} damaged", done.records, done.blocks_read, done.damaged);
     Ok(done.damaged == 0)
 }
 
-fn merged(files: &[PathBuf], out: &Path, as_is: bool) -> Plain<bool> {
+fn merged(files: &[PathBuf], out: &Path, as_is: bool) -> Result<bool, Wrong> {
     let mut readers = Vec::new();
     for file in files {
         readers.push(open(file)?);
@@ -268,7 +268,7 @@
     if !as_is {
         let mut offsets = Offsets::default();
         for (reader, file) in readers.iter_mut().zip(files) {
-            offsets.file(reader).map_err(|e| format!("{}: {e}", file.display()))?;
+            offsets.file(reader).map_err(Wrong::trace(file.display()))?;
         }
         for ((file, found), ahead) in files.iter().zip(offsets.estimate()).zip(&mut ahead) {
             match found {
@@ -280,27 +280,26 @@
             }
         }
     }
-    let damaged = make(out, |to| merge(&mut readers, &ahead, to).map_err(|e| e.to_string()))?;
+    let damaged = make(out, |to| merge(&mut readers, &ahead, to).map_err(Wrong::trace(out.display())))?;
     if damaged > 0 {
         say!("{damaged} damaged blocks were left out");
     }
     Ok(damaged == 0)
 }
 
-fn verify(files: &[PathBuf]) -> Plain<bool> {
+fn verify(files: &[PathBuf]) -> Result<bool, Wrong> {
     let mut good = true;
     for file in files {
-        let wrong = |why: &dyn std::fmt::Display| format!("{}: {why}", file.display());
         let mut reader = match open(file) {
             Ok(reader) => reader,
             Err(why) => {
-                say!("{why}");
+                say!("{}", why.causes());
                 good = false;
                 continue;
             }
         };
         let (mut blocks, mut records, mut lost) = (0, 0, 0);
-        while let Some(found) = reader.next().map_err(|e| wrong(&e))? {
+        while let Some(found) = reader.next().map_err(Wrong::trace(file.display()))? {
             match found {
                 Found::Block { records: all, .. } => {
                     blocks += 1;
@@ -323,12 +322,16 @@
 }
 
 /// Every record of every file, with its source.
-fn each(files: &[PathBuf], counter: &mut Counter, mut also: impl FnMut(&Source, i64, &Record)) -> Plain<()> {
+fn each(
+    files: &[PathBuf],
+    counter: &mut Counter,
+    mut also: impl FnMut(&Source, i64, &Record),
+) -> Result<(), Wrong> {
     for file in files {
         let mut reader = open(file)?;
         let sources = reader.sources.clone();
         counter.file(&sources);
-        while let Some(found) = reader.next().map_err(|e| format!("{}: {e}", file.display()))? {
+        while let Some(found) = reader.next().map_err(Wrong::trace(file.display()))? {
             match found {
                 Found::Block { records, place } => {
                     let source = &sources[place.source as usize];
@@ -344,37 +347,37 @@
     Ok(())
 }
 
-fn summary(files: &[PathBuf], json: bool) -> Plain<bool> {
+fn summary(files: &[PathBuf], json: bool) -> Result<bool, Wrong> {
     let mut counter = Counter::default();
     each(files, &mut counter, |_, _, _| {})?;
     let summary = counter.finish();
     match json {
-        true => say!("{}", serde_json::to_string_pretty(&summary).map_err(|e| e.to_string())?),
+        true => say!("{}", serde_json::to_string_pretty(&summary)?),
         false => say!("{}", summary.table().trim_end()),
     }
     Ok(true)
 }
 
-fn chart(files: &[PathBuf], out: &Path) -> Plain<bool> {
+fn chart(files: &[PathBuf], out: &Path) -> Result<bool, Wrong> {
     let (mut counter, mut course) = (Counter::default(), Course::default());
     each(files, &mut counter, |source, at, record| course.record(source, at, record))?;
     let summary = counter.finish();
     let routers = if summary.routers == 1 { "router life" } else { "router lives" };
     let title = format!("{} invocations, {} {routers}", summary.invocations, summary.routers);
     let worst = summary.worst.map(|(s, _)| (s * 1_000_000, (s + SPAN_S) * 1_000_000));
-    let svg = chart::svg(&course, &title, worst)?;
-    make(out, |to| to.write_all(svg.as_bytes()).map_err(|e| format!("{}: {e}", out.display())))?;
+    let svg = chart::svg(&course, &title, worst).map_err(Wrong::trace(out.display()))?;
+    make(out, |to| to.write_all(svg.as_bytes()).map_err(Wrong::file(out)))?;
     say!("{}", out.display());
     Ok(true)
 }
 
-fn show(mark: &str, files: &[PathBuf]) -> Plain<bool> {
+fn show(mark: &str, files: &[PathBuf]) -> Result<bool, Wrong> {
     let mut lines = Vec::new();
     for file in files {
         let mut reader = open(file)?;
         let sources = reader.sources.clone();
         let mut follows: Vec<Follow> = sources.iter().map(|_| Follow::new(mark)).collect();
-        while let Some(found) = reader.next().map_err(|e| format!("{}: {e}", file.display()))? {
+        while let Some(found) = reader.next().map_err(Wrong::trace(file.display()))? {
             if let Found::Block { records, place } = found {
                 let (follow, source) = (&mut follows[place.source as usize], &sources[place.source as usize]);
                 records.iter().for_each(|(at, record)| follow.record(source, *at, record));
@@ -384,7 +387,7 @@
     }
     lines.sort();
     lines.iter().for_each(|l| say!("{l}"));
-    if lines.is_empty() { Err(format!("'{mark}' is in none of the files")) } else { Ok(true) }
+    if lines.is_empty() { Err(Wrong::NoMark { mark: mark.to_owned() }) } else { Ok(true) }
 }
 
 /// A router's life, whose files are a row.
@@ -395,7 +398,7 @@
 }
 
 /// Of one router, name and start alike may stand in two folders: then they are two.
-fn lives(files: &[PathBuf]) -> Plain<Vec<Life>> {
+fn lives(files: &[PathBuf]) -> Result<Vec<Life>, Wrong> {
     let mut rows: BTreeMap<(PathBuf, String, i64), Vec<(u64, Opened)>> = BTreeMap::new();
     for file in files {
         for source in 0..open(file)?.sources.len() {
@@ -414,11 +417,11 @@
     Ok(rows.into_iter().map(life).collect())
 }
 
-fn redone(files: &[PathBuf], out: &Path) -> Plain<bool> {
-    std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
+fn redone(files: &[PathBuf], out: &Path) -> Result<bool, Wrong> {
+    std::fs::create_dir_all(out).map_err(Wrong::file(out))?;
     for (n, mut life) in lives(files)?.into_iter().enumerate() {
         let file = out.join(format!("{n:05}.trace"));
-        let done = make(&file, |to| redo(&mut life.row, to).map_err(|e| format!("{}: {e}", life.router)))?;
+        let done = make(&file, |to| redo(&mut life.row, to).map_err(Wrong::trace(&life.router)))?;
         let stopped = done.stopped.map(|why| format!("; stopped: {why}")).unwrap_or_default();
         say!("{}: {} decisions, in {}{stopped}", life.router, done.decisions, file.display());
     }
@@ -426,19 +429,19 @@
 }
 
 /// What another build's module decides about the same events, a file for each life.
-fn asked(other: &Path, files: &[PathBuf], into: &Path) -> Plain<()> {
+fn asked(other: &Path, files: &[PathBuf], into: &Path) -> Result<(), Wrong> {
     let mut command = std::process::Command::new(other);
     command.args(["trace", "redo", "--out"]).arg(into).args(files);
-    let done = command.output().map_err(|e| format!("{}: {e}", other.display()))?;
+    let done = command.output().map_err(Wrong::file(other))?;
     if done.status.success() {
         return Ok(());
     }
     let said = String::from_utf8_lossy(&done.stderr);
-    let said = said.lines().next().unwrap_or("it said nothing");
-    Err(format!("{}: it could not redo these files: {said}", other.display()))
+    let said = said.lines().next().unwrap_or("it said nothing").to_owned();
+    Err(Wrong::NotRedone { program: other.display().to_string(), said })
 }
 
-fn compared(files: &[PathBuf], against: Option<&Path>, json: bool) -> Plain<bool> {
+fn compared(files: &[PathBuf], against: Option<&Path>, json: bool) -> Result<bool, Wrong> {
     let beside = std::env::temp_dir().join(format!("cedarpulley-redone-{}", std::process::id()));
     let asked = against.map_or(Ok(()), |other| asked(other, files, &beside));
     let compared = asked.and_then(|()| compare(files, against.map(|_| beside.as_path())));
@@ -447,7 +450,7 @@
     }
     let c = compared?;
     if json {
-        say!("{}", serde_json::to_string_pretty(&c).map_err(|e| e.to_string())?);
+        say!("{}", serde_json::to_string_pretty(&c)?);
         return Ok(c.differing == 0);
     }
     say!("{:<44} {:>16} {:>10}", "kind", "first in a life", "later");
@@ -470,7 +473,7 @@
 }
 
 /// With what was recorded, or with what another build has left in this folder.
-fn compare(files: &[PathBuf], other: Option<&Path>) -> Plain<Compared> {
+fn compare(files: &[PathBuf], other: Option<&Path>) -> Result<Compared, Wrong> {
     let mut compare = Compare::default();
     for (n, mut life) in lives(files)?.into_iter().enumerate() {
         compare.row();
@@ -485,15 +488,15 @@
                 return Ok(true);
             };
             let Some((their_at, their_event, their_actions)) = theirs.next()? else {
-                return Err(NoTrace("the other build went less far".into()));
+                return Err(Error::Other { how: "went less far" });
             };
             if their_at != at || told(&their_event) != told(&happened) {
-                return Err(NoTrace("the other build was not told the same".into()));
+                return Err(Error::Other { how: "was not told the same" });
             }
             compare.decision(&their_actions, &replayed);
             Ok(true)
         });
-        let done = done.map_err(|e| format!("{}: {e}", life.router))?;
+        let done = done.map_err(Wrong::trace(&life.router))?;
         if let Some(why) = &done.stopped {
             say!("{}", json!({"router": life.router, "wall_at_zero": life.wall_at_zero, "stopped": why}));
         }
@@ -501,10 +504,10 @@
     Ok(compare.finish())
 }
 
-fn replayed(files: &[PathBuf]) -> Plain<bool> {
+fn replayed(files: &[PathBuf]) -> Result<bool, Wrong> {
     let mut same = true;
     for Life { router, mut row, .. } in lives(files)? {
-        let result = replay(&mut row).map_err(|e| format!("{router}: {e}"))?;
+        let result = replay(&mut row).map_err(Wrong::trace(&router))?;
         let seconds = result.span as f64 / 1e6;
         let module = if result.same_module { "the same module" } else { "another module" };
         match &result.difference {
--- a/crates/trace/src/chart.rs
+++ b/crates/trace/src/chart.rs
@@ -5,6 +5,7 @@
 use plotters::coord::Shift;
 use plotters::prelude::*;
 
+use crate::Error;
 use crate::course::{Bin, Course};
 
 const SIZE: (u32, u32) = (1100, 900);
@@ -84,7 +85,7 @@
 }
 
 /// `worst`: wall's microseconds. An empty course is an empty chart.
-pub fn svg(course: &Course, title: &str, worst: Option<(Micros, Micros)>) -> Result<String, String> {
+pub fn svg(course: &Course, title: &str, worst: Option<(Micros, Micros)>) -> Result<String, Error> {
     let (bins, width) = (course.bins(), course.width());
     let first = bins.first().map_or(0, |b| b.0);
     let length = bins.len() as f64 * width as f64 / 1e6;
@@ -141,6 +142,6 @@
         }
         whole.present()
     };
-    draw().map_err(|e| e.to_string())?;
+    draw().map_err(Error::Chart)?;
     Ok(text)
 }
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod chart;
 pub mod compare;
 pub mod course;
+mod error;
 pub mod explain;
 pub mod keeping;
 pub mod merge;
@@ -30,3 +31,5 @@
 pub mod summary;
 pub mod wire;
 pub mod writer;
+
+pub use error::Error;
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -10,9 +10,10 @@
 
 use cedarpulley::interface::{ListEntry, Micros, Standing};
 
+use crate::Error;
 use crate::blocks::{FORMAT, Head};
 use crate::places::Place;
-use crate::reader::{Found, NoTrace, Reader};
+use crate::reader::{Found, Reader};
 use crate::records::{Happened, Record};
 use crate::start::Source;
 use crate::writer::Sheet;
@@ -54,7 +55,7 @@
 
 impl Offsets {
     /// Reads one file whole for its changes.
-    pub fn file<R: Read + Seek>(&mut self, reader: &mut Reader<R>) -> Result<(), NoTrace> {
+    pub fn file<R: Read + Seek>(&mut self, reader: &mut Reader<R>) -> Result<(), Error> {
         let (mut known, mut seen) = (Known::default(), HashMap::new());
         reader.rewind();
         while let Some(found) = reader.next()? {
@@ -97,7 +98,7 @@
     readers: &mut [Reader<R>],
     ahead: &[Micros],
     out: W,
-) -> Result<u64, NoTrace> {
+) -> Result<u64, Error> {
     let (mut sources, mut bases) = (Vec::new(), Vec::new());
     for (n, reader) in readers.iter_mut().enumerate() {
         let more = ahead.get(n).copied().unwrap_or(0);
@@ -110,7 +111,7 @@
     let mut damaged = 0;
     // The next of each file; of blocks that begin together, the earlier file's first.
     let mut next = BinaryHeap::new();
-    let step = |n: usize, readers: &mut [Reader<R>]| -> Result<Option<(Micros, usize, Place)>, NoTrace> {
+    let step = |n: usize, readers: &mut [Reader<R>]| -> Result<Option<(Micros, usize, Place)>, Error> {
         while let Some(place) = readers[n].next_place()? {
             if let Some(source) = sources.get((bases[n] + place.source) as usize) {
                 return Ok(Some((source.wall(place.first), n, place)));
--- a/crates/trace/src/places.rs
+++ b/crates/trace/src/places.rs
@@ -5,6 +5,7 @@
 
 use cedarpulley::interface::Micros;
 
+use crate::Error;
 use crate::blocks::INDEX;
 use crate::wire::{Get, Put};
 
@@ -68,7 +69,7 @@
         let mut count = Put::default();
         count.u(self.count);
         let size = u32::try_from(count.bytes.len() as u64 + self.bytes);
-        let size = size.map_err(|_| io::Error::other("more blocks than an index can name"))?;
+        let size = size.map_err(|_| Error::TooManyBlocks)?;
         let mut bytes = INDEX.to_vec();
         bytes.extend(size.to_le_bytes());
         bytes.append(&mut count.bytes);
@@ -84,7 +85,7 @@
                     Ok(Place { offset, first, last, records: g.u32()?, source: g.u32()? })
                 };
                 // Written above, by this very code.
-                before = { step }().map_err(|bad| io::Error::other(bad.cause()))?;
+                before = { step }().map_err(io::Error::other)?;
                 before.put(&mut whole);
             }
             sum = crc32c::crc32c_append(sum, &whole.bytes);
--- a/crates/trace/src/reader.rs
+++ b/crates/trace/src/reader.rs
@@ -5,6 +5,7 @@
 
 use cedarpulley::interface::Micros;
 
+use crate::Error;
 use crate::blocks::{BLOCK, END, FORMAT, Head, INDEX, MAGIC, head_size, unpack};
 use crate::places::{MOST_ENTRY, Place};
 use crate::records::Record;
@@ -21,22 +22,6 @@
 /// A lost beginning of a block is looked for in steps of this size.
 const SEARCH: usize = 1 << 16;
 
-/// Why a file is no trace that can be read here; one line.
-#[derive(Debug)]
-pub struct NoTrace(pub String);
-
-impl std::fmt::Display for NoTrace {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl From<io::Error> for NoTrace {
-    fn from(e: io::Error) -> Self {
-        NoTrace(e.to_string())
-    }
-}
-
 /// What was found of one block.
 #[derive(Debug)]
 pub enum Found {
@@ -80,32 +65,30 @@
 }
 
 impl<R: Read + Seek> Reader<R> {
-    pub fn open(mut input: R) -> Result<Self, NoTrace> {
+    pub fn open(mut input: R) -> Result<Self, Error> {
         let mut fixed = [0; 16];
-        input.read_exact(&mut fixed).map_err(|_| NoTrace("is no trace: too short".into()))?;
+        input.read_exact(&mut fixed).map_err(|_| Error::TooShort)?;
         if fixed[..8] != MAGIC {
-            return Err(NoTrace("is no trace".into()));
+            return Err(Error::NoTrace);
         }
         let format = u16::from_le_bytes([fixed[8], fixed[9]]);
         if format == 0 || format > FORMAT {
-            let cause = format!("is of format {format}; this build reads up to {FORMAT}: take a newer one");
-            return Err(NoTrace(cause));
+            return Err(Error::Later { format });
         }
         let size = u32::from_le_bytes([fixed[12], fixed[13], fixed[14], fixed[15]]);
         if size > MOST_HEAD {
-            return Err(NoTrace("its head is damaged".into()));
+            return Err(Error::Head { cause: Bad::Unknown });
         }
         let mut body = Vec::new();
         input.by_ref().take(u64::from(size) + 4).read_to_end(&mut body)?;
         let Some((body, sum)) = body.split_at_checked(size as usize).filter(|(_, sum)| sum.len() == 4) else {
-            return Err(NoTrace("is cut within its head".into()));
+            return Err(Error::Head { cause: Bad::Short });
         };
         let whole = crc32c::crc32c_append(crc32c::crc32c(&fixed), body);
         if whole.to_le_bytes() != sum {
-            return Err(NoTrace("its head is damaged".into()));
+            return Err(Error::Head { cause: Bad::Sum });
         }
-        let sources =
-            get_sources(format, body).map_err(|bad| NoTrace(format!("its head: {}", bad.cause())))?;
+        let sources = get_sources(format, body).map_err(|cause| Error::Head { cause })?;
         let first_block = 16 + u64::from(size) + 4;
         let mut it = Reader {
             input,
@@ -185,7 +168,7 @@
     }
 
     /// A whole block as it is packed, by its place; absent if it is damaged.
-    pub fn packed(&mut self, place: &Place) -> Result<Option<(Head, Vec<u8>)>, NoTrace> {
+    pub fn packed(&mut self, place: &Place) -> Result<Option<(Head, Vec<u8>)>, Error> {
         self.input.seek(SeekFrom::Start(place.offset))?;
         let mut head = vec![0; head_size(self.format)];
         if fill(&mut self.input, &mut head)? < head.len() {
@@ -200,7 +183,7 @@
 
     /// The place of the next whole block, from where this stands on: by the index, or by reading the file. Its blocks
     /// may be read between.
-    pub fn next_place(&mut self) -> Result<Option<Place>, NoTrace> {
+    pub fn next_place(&mut self) -> Result<Option<Place>, Error> {
         if let Some((from, size)) = self.index {
             if self.window.len() - self.window_at < MOST_ENTRY {
                 self.window.drain(..self.window_at);
@@ -216,7 +199,7 @@
             }
             let left = g.left();
             let place = self.entry(&mut g).ok().filter(|p| (p.source as usize) < self.sources.len());
-            let Some(place) = place else { return Err(NoTrace("its index has no meaning".into())) };
+            let Some(place) = place else { return Err(Error::Index) };
             let told = left - g.left();
             self.listed += told as u64;
             self.window_at += told;
@@ -240,7 +223,7 @@
 
     /// The next block, or what is left of it; absent at the end.
     #[allow(clippy::should_implement_trait)] // An error of the disk is no block.
-    pub fn next(&mut self) -> Result<Option<Found>, NoTrace> {
+    pub fn next(&mut self) -> Result<Option<Found>, Error> {
         loop {
             let found = self.any()?;
             match (&found, self.only) {
@@ -250,7 +233,7 @@
         }
     }
 
-    fn any(&mut self) -> Result<Option<Found>, NoTrace> {
+    fn any(&mut self) -> Result<Option<Found>, Error> {
         if self.ended.is_some() {
             return Ok(None);
         }
@@ -278,7 +261,7 @@
             return self.damaged(offset, "it is cut, or its length is damaged");
         }
         if place.sum_over(self.format, &packed) != place.sum {
-            return self.damaged(offset, "its checksum is wrong");
+            return self.damaged(offset, &Bad::Sum.to_string());
         }
         self.at = offset + size as u64 + wanted;
         if place.source as usize >= self.sources.len() {
@@ -292,14 +275,14 @@
                     let place = Place { offset, first, last, records: count, source };
                     Ok(Some(Found::Block { place, records }))
                 }
-                Err(bad) => Ok(Some(Found::Damaged { offset, cause: bad.cause().into() })),
+                Err(bad) => Ok(Some(Found::Damaged { offset, cause: bad.to_string() })),
             },
             Err(e) => Ok(Some(Found::Damaged { offset, cause: e.to_string() })),
         }
     }
 
     /// Goes on at the next thing that looks like a block, or at the index.
-    fn damaged(&mut self, offset: u64, cause: &str) -> Result<Option<Found>, NoTrace> {
+    fn damaged(&mut self, offset: u64, cause: &str) -> Result<Option<Found>, Error> {
         let mut at = offset + 1;
         let mut window = vec![0; SEARCH];
         loop {
@@ -323,7 +306,7 @@
     }
 
     /// A whole block, or the index, and not bytes that look alike.
-    fn begins(&mut self, at: u64) -> Result<bool, NoTrace> {
+    fn begins(&mut self, at: u64) -> Result<bool, Error> {
         self.input.seek(SeekFrom::Start(at))?;
         let size = head_size(self.format);
         let mut head = vec![0; size];
@@ -344,7 +327,7 @@
         &mut self,
         span: impl Fn(u32) -> (Micros, Micros),
         mut each: impl FnMut(Found),
-    ) -> Result<u64, NoTrace> {
+    ) -> Result<u64, Error> {
         let mut read = 0;
         let touching = |p: &Place| p.last >= span(p.source).0 && p.first < span(p.source).1;
         self.rewind();
--- a/crates/trace/src/replay.rs
+++ b/crates/trace/src/replay.rs
@@ -6,8 +6,9 @@
 
 use cedarpulley::interface::{Action, Micros};
 
+use crate::Error;
 use crate::blocks::{Gather, uses};
-use crate::reader::{Found, NoTrace, Reader};
+use crate::reader::{Found, Reader};
 use crate::records::{Happened, Record, put_action};
 use crate::start::{Extent, Source, module_digest};
 use crate::wire::Put;
@@ -77,10 +78,10 @@
 /// events tell of what was done: what differs later may follow from that alone.
 pub fn drive<R: Read + Seek>(
     row: &mut [Reader<R>],
-    mut each: impl FnMut(Step) -> Result<bool, NoTrace>,
-) -> Result<Replayed, NoTrace> {
+    mut each: impl FnMut(Step) -> Result<bool, Error>,
+) -> Result<Replayed, Error> {
     let mut out = Replayed::default();
-    let Some(first) = row.first() else { return Err(NoTrace("no file is given".into())) };
+    let Some(first) = row.first() else { return Err(Error::NoFile) };
     let first = source(first).clone();
     if !matches!(first.extent, Extent::Whole | Extent::Redone) {
         let cause = format!("it is {:?}, and only what is whole can be replayed", first.extent);
@@ -88,8 +89,7 @@
         return Ok(out);
     }
     if first.start.file != 0 {
-        let number = first.start.file;
-        return Err(NoTrace(format!("is file {number} of its row: a replay begins with file 0")));
+        return Err(Error::NotFirst { file: first.start.file });
     }
     let mut control = first.start.control();
     out.same_module = first.start.module == module_digest();
@@ -146,7 +146,7 @@
     }
 
     #[allow(clippy::should_implement_trait)] // An error of the disk is no decision.
-    pub fn next(&mut self) -> Result<Option<Decided>, NoTrace> {
+    pub fn next(&mut self) -> Result<Option<Decided>, Error> {
         loop {
             for (at, record) in self.records.by_ref() {
                 if let Record::Decided { happened, actions } = record {
@@ -156,14 +156,14 @@
             match self.reader.next()? {
                 None => return Ok(None),
                 Some(Found::Block { records, .. }) => self.records = records.into_iter(),
-                Some(Found::Damaged { cause, .. }) => return Err(NoTrace(cause)),
+                Some(Found::Damaged { offset, cause }) => return Err(Error::Damaged { offset, cause }),
             }
         }
     }
 }
 
 /// Stops at the first decision that differs.
-pub fn replay<R: Read + Seek>(row: &mut [Reader<R>]) -> Result<Replayed, NoTrace> {
+pub fn replay<R: Read + Seek>(row: &mut [Reader<R>]) -> Result<Replayed, Error> {
     let mut recent: Vec<Decided> = Vec::new();
     let (mut difference, mut decision) = (None, 0);
     let mut out = drive(row, |step| {
@@ -185,8 +185,8 @@
 }
 
 /// The same row in one file, with what this build's module decides in place of what was decided.
-pub fn redo<R: Read + Seek, W: Write>(row: &mut [Reader<R>], out: W) -> Result<Replayed, NoTrace> {
-    let Some(first) = row.first() else { return Err(NoTrace("no file is given".into())) };
+pub fn redo<R: Read + Seek, W: Write>(row: &mut [Reader<R>], out: W) -> Result<Replayed, Error> {
+    let Some(first) = row.first() else { return Err(Error::NoFile) };
     let mut of = source(first).clone();
     (of.extent, of.start.module) = (Extent::Redone, module_digest());
     let mut sheet = Sheet::begin(out, &[of])?;
--- a/crates/trace/src/rewrite.rs
+++ b/crates/trace/src/rewrite.rs
@@ -2,8 +2,9 @@
 
 use std::io::{Read, Seek, Write};
 
+use crate::Error;
 use crate::blocks::{Gather, uses};
-use crate::reader::{Found, NoTrace, Reader};
+use crate::reader::{Found, Reader};
 use crate::records::Record;
 use crate::select::{Select, Wanted};
 use crate::start::{Extent, Source};
@@ -23,7 +24,7 @@
     reader: &mut Reader<R>,
     wanted: &Wanted,
     out: W,
-) -> Result<Rewritten, NoTrace> {
+) -> Result<Rewritten, Error> {
     let sources: Vec<Source> =
         reader.sources.iter().map(|s| Source { extent: Extent::Cut, ..s.clone() }).collect();
     let mut sheet = Sheet::begin(out, &sources)?;
@@ -82,7 +83,7 @@
     reader: &mut Reader<R>,
     strip: &mut Strip,
     out: W,
-) -> Result<Rewritten, NoTrace> {
+) -> Result<Rewritten, Error> {
     let sources: Vec<Source> = reader.sources.iter().map(|s| strip.source(s)).collect();
     let mut sheet = Sheet::begin(out, &sources)?;
     let mut done = Rewritten::default();
@@ -100,7 +101,7 @@
         }
         let raw = gather.close();
         if let Some(original) = strip.left_in(&raw.bytes) {
-            return Err(NoTrace(format!("'{original}' would be left in it; nothing more was written")));
+            return Err(Error::Left { original: original.to_owned() });
         }
         sheet.block(place.source, &raw)?;
     }
--- a/crates/trace/src/wire.rs
+++ b/crates/trace/src/wire.rs
@@ -2,24 +2,19 @@
 //! wrong instead of guessing.
 
 use integer_encoding::VarInt;
+use thiserror::Error;
 
 /// Why bytes are no record; told with the place of their block.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Bad {
+    #[error("it breaks off")]
     Short,
-    /// A number or tag that has no meaning here.
+    #[error("it has a number or tag of no meaning")]
     Unknown,
+    #[error("a text is not UTF-8")]
     NoText,
-}
-
-impl Bad {
-    pub fn cause(self) -> &'static str {
-        match self {
-            Bad::Short => "it breaks off",
-            Bad::Unknown => "it has a tag of no meaning",
-            Bad::NoText => "a text is no UTF-8",
-        }
-    }
+    #[error("its checksum is wrong")]
+    Sum,
 }
 
 #[derive(Debug, Default)]
--- a/crates/trace/src/writer.rs
+++ b/crates/trace/src/writer.rs
@@ -8,6 +8,7 @@
 
 use cedarpulley::interface::Micros;
 
+use crate::Error;
 use crate::blocks::{BLOCK_HEAD, END, FORMAT, Head, MAGIC, Raw};
 use crate::keeping::{Bounds, Keeping, Step};
 use crate::places::{Place, Places};
@@ -116,17 +117,17 @@
 
 impl Own {
     /// Symptom: two routers have the same name and place, and each makes room by removing what the other writes.
-    pub fn take(folder: &Path, name: &str) -> io::Result<Own> {
+    pub fn take(folder: &Path, name: &str) -> Result<Own, Error> {
         for n in 1..=MOST_OF_A_NAME {
             let own = if n == 1 { name.to_owned() } else { format!("{name}_{n}") };
             let lock = File::options().create(true).append(true).open(folder.join(format!("{own}.lock")))?;
             match lock.try_lock() {
                 Ok(()) => return Ok(Own { name: own, _lock: lock }),
                 Err(std::fs::TryLockError::WouldBlock) => {}
-                Err(std::fs::TryLockError::Error(e)) => return Err(e),
+                Err(std::fs::TryLockError::Error(e)) => return Err(e.into()),
             }
         }
-        Err(io::Error::other(format!("{MOST_OF_A_NAME} routers named '{name}' write here already")))
+        Err(Error::Taken { name: name.to_owned(), most: MOST_OF_A_NAME })
     }
 }
 
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -69,7 +69,7 @@
     let why = |bytes: &[u8]| Reader::open(Cursor::new(bytes)).err().expect("refused").to_string();
     bytes[8] = 200;
     assert!(why(&bytes).contains("format 200"));
-    assert_eq!(why(b"PNG, perhaps, and long enough"), "is no trace");
+    assert_eq!(why(b"PNG, perhaps, and long enough"), "it is no trace");
     assert!(why(b"").contains("too short"));
 }
 
