A page for operators with every error, held to the code by a test

Need: nobody had one place with what the packages' errors say, mean, and what can be done. Change: docs/operate/errors.md, a row for each text; the test reads the packages' sources and wants each text and each remedy in the page, and no text there that no package says.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -122,20 +122,20 @@
         let word = v.text("message")?;
         if self.list.is_some() {
             if word != "m" {
-                return Err(out_of_place(word, "comes where a list entry is due"));
+                return Err(out_of_place(word, "where a list entry is due"));
             }
             self.entry(v, reply)?;
             return Ok(false);
         }
         if word == "clock" {
             if self.now.is_some() {
-                return Err(out_of_place(word, "comes within a batch"));
+                return Err(out_of_place(word, "within a batch"));
             }
             self.now = Some(v.time("clock")?);
             v.end()?;
             return Ok(false);
         }
-        let Some(now) = self.now else { return Err(out_of_place(word, "comes outside a batch")) };
+        let Some(now) = self.now else { return Err(out_of_place(word, "outside a batch")) };
         if word == "commit" {
             v.end()?;
             self.now = None;
@@ -310,7 +310,7 @@
 
     fn entry(&mut self, mut v: Values, reply: &mut Vec<u8>) -> Result<()> {
         let (Some(list), Some(now)) = (&mut self.list, self.now) else {
-            return Err(out_of_place("m", "comes outside a list"));
+            return Err(out_of_place("m", "outside a list"));
         };
         let router = list.router;
         let it = self.instances.get_mut(&router).ok_or(Refused::NotAlive { router })?;
--- a/crates/benchlink/src/refused.rs
+++ b/crates/benchlink/src/refused.rs
@@ -19,7 +19,7 @@
     Unknown { what: &'static str, word: String },
     #[error("more values than expected")]
     TooMany,
-    #[error("'{word}' {place}")]
+    #[error("'{word}' comes {place}")]
     OutOfPlace { word: String, place: &'static str },
     #[error("the input ends within a batch")]
     EndsEarly,
--- /dev/null
+++ b/crates/cli/tests/errors.rs
@@ -0,0 +1,91 @@
+//! The operators' page of errors has every error of the packages, and none that is gone.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Every source file of every package without its tests, with its package's name.
+fn sources() -> Vec<(String, String)> {
+    let mut found = Vec::new();
+    for package in std::fs::read_dir(root().join("crates")).expect("packages").flatten() {
+        let name = package.file_name().to_string_lossy().into_owned();
+        for file in std::fs::read_dir(package.path().join("src")).into_iter().flatten().flatten() {
+            if file.path().extension().is_some_and(|e| e == "rs") {
+                let source = std::fs::read_to_string(file.path()).expect("a source");
+                let before_tests = source.split("#[cfg(test)]").next().unwrap_or_default();
+                found.push((name.clone(), before_tests.to_owned()));
+            }
+        }
+    }
+    found
+}
+
+/// The literal that begins the text, without its quotes.
+fn literal(text: &str) -> Option<String> {
+    let inner = text.trim_start().strip_prefix('"')?;
+    let mut escaped = false;
+    let end = inner.find(|c| {
+        let ends = c == '"' && !escaped;
+        escaped = c == '\\' && !escaped;
+        ends
+    })?;
+    Some(inner[..end].replace("\\\"", "\""))
+}
+
+/// It says something beside what it was about.
+fn speaks(text: &str) -> bool {
+    let said = text.split('{').flat_map(|part| part.split_once('}').map_or([part, ""], |(_, s)| [s, ""]));
+    said.flat_map(str::chars).any(char::is_alphabetic)
+}
+
+/// By package: what its errors say, and what they say can be done.
+fn in_code() -> (BTreeSet<(String, String)>, BTreeSet<String>) {
+    let (mut texts, mut remedies) = (BTreeSet::new(), BTreeSet::new());
+    for (package, source) in sources() {
+        let said = source.split("#[error(").skip(1).filter_map(literal).filter(|t| speaks(t));
+        texts.extend(said.map(|text| (package.clone(), text)));
+        for body in source.split("fn remedy(&self) -> &'static str {").skip(1) {
+            let body = body.split("\n    }\n").next().unwrap_or_default();
+            let starts = body.match_indices('"').map(|(at, _)| at).step_by(2);
+            remedies.extend(starts.filter_map(|at| literal(&body[at..])));
+        }
+    }
+    (texts, remedies)
+}
+
+fn page() -> String {
+    std::fs::read_to_string(root().join("docs/operate/errors.md")).expect("the page")
+}
+
+/// Rows of four cells: package and what it says.
+fn in_page() -> BTreeSet<(String, String)> {
+    let rows = page();
+    let rows = rows.lines().map(|l| l.trim_matches('|').split(" | ").map(str::trim).collect::<Vec<_>>());
+    let rows = rows.filter(|cells| cells.len() == 4 && cells[1].starts_with('`'));
+    rows.map(|cells| (cells[0].to_owned(), cells[1].trim_matches('`').to_owned())).collect()
+}
+
+#[test]
+fn the_page_has_what_the_packages_say_and_nothing_else() {
+    let (code, page) = (in_code().0, in_page());
+    assert!(code.len() > 80, "{} errors were found", code.len());
+    let missing: Vec<_> = code.difference(&page).collect();
+    assert!(missing.is_empty(), "not in the page: {missing:#?}");
+    let gone: Vec<_> = page.difference(&code).collect();
+    assert!(gone.is_empty(), "in the page, and no package says it: {gone:#?}");
+}
+
+#[test]
+fn the_page_has_what_can_be_done() {
+    let (remedies, page) = (in_code().1, page());
+    // A sentence outside a table may be broken into lines.
+    let page = page.split_whitespace().collect::<Vec<_>>().join(" ");
+    assert!(remedies.len() > 50, "{} remedies were found", remedies.len());
+    // A cell of its own, or the end of a sentence.
+    let has = |r: &&String| page.contains(&format!("| {r} |")) || page.contains(&format!(": {r}."));
+    let missing: Vec<_> = remedies.iter().filter(|r| !has(r)).collect();
+    assert!(missing.is_empty(), "not in the page: {missing:#?}");
+}
