--- a/crates/replica/tests/explore.rs
+++ b/crates/replica/tests/explore.rs
@@ -95,12 +95,15 @@
     h.finish()
 }
 
+/// What a crashed one leaves.
+type Folder = Arc<Vec<(Key, Shared)>>;
+
 #[derive(Clone)]
 struct World {
     replicas: [Option<Arc<Replica>>; N],
     /// Of each replica.
     marks: [[u64; 2]; N],
-    folders: [Option<Arc<Vec<(Key, Shared)>>>; N],
+    folders: [Option<Folder>; N],
     routers: [Router; N],
     nonces: [u64; N],
     /// What each knows of each other.
