Core: what must not run twice is shared with a group, and leaves with its leave only

Need: the group's state machines (crates/replica) need an owner's side that asks before a dispatch can hurt and waits for what is out elsewhere, without knowing how the group agrees.

Change: router/group.rs says what of an invocation a group must know (idempotent ones: nothing; tokened ones whose repeats all fall into the workers' window: told, not asked; the rest: held by a majority first). The core asks on taking and before each dispatch, and carries out verdicts: go, wait for another router, answer alike, may have run, no majority (refused, or alone where the operator says so: reasons no-majority and worker-alone). Leave grows old, so that a process that was stopped does not send with it. Off without Terms::sharing: the outputs are as before.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -292,6 +292,7 @@
         account_shares: accounts.iter().map(|a| a.share).collect(),
         order_answered_within: loads.order_answered_within,
         module_alone: false,
+        sharing: None,
         drain_grace: rules.drain_grace,
     };
     for known in ["router", "dispatch", "rules", "loads", "prices", "workers", "kind", "trace", "meter"] {
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/words.rs
@@ -21,6 +21,8 @@
         Reason::Functions => "too-many-functions",
         Reason::Size => "no-memory",
         Reason::Share => "beyond-share",
+        Reason::NoMajority => "no-majority",
+        Reason::Alone => "worker-alone",
     }
 }
 
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -200,6 +200,7 @@
         account_shares: birth.accounts.iter().map(|a| a.share).collect(),
         order_answered_within: birth.loads.order_answered_within,
         module_alone: true,
+        sharing: None,
         drain_grace: birth.rules.drain_grace,
     };
     let tokened = |t: &TriggerType| matches!(t.effect, Effect::Tokened { .. });
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -43,6 +43,8 @@
 #[derive(Debug)]
 struct Claim {
     identity: Option<Arc<str>>,
+    /// Under which a group knows it.
+    shared: Option<Arc<str>>,
     holders: Vec<Holder>,
     state: State,
     until: Micros,
@@ -119,7 +121,8 @@
             self.forget(ix);
         }
         let holders = vec![Holder { delivery: holder, joined: false }];
-        let claim = Claim { identity: identity.clone(), holders, state: State::Open(inv), until };
+        let claim =
+            Claim { identity: identity.clone(), shared: None, holders, state: State::Open(inv), until };
         let ix = self.free.pop().unwrap_or(self.claims.len() as ClaimIx);
         if ix as usize == self.claims.len() {
             self.claims.push(None);
@@ -202,17 +205,22 @@
         }
     }
 
-    /// The front has the answer safely out: no delivery of it can come again.
-    pub fn safe(&mut self, delivery: Delivery) -> bool {
-        match self.let_go(delivery) {
-            Some((ix, last)) => {
-                if last {
-                    self.forget(ix);
-                }
-                true
-            }
-            None => false,
+    /// A group knows it under this key.
+    pub fn share(&mut self, ix: ClaimIx, key: Arc<str>) {
+        if let Some(Some(claim)) = self.claims.get_mut(ix as usize) {
+            claim.shared = Some(key);
+        }
+    }
+
+    /// The front has the answer safely out: no delivery of it can come again. Under which key a group knows it, if it
+    /// was the last that waited.
+    pub fn safe(&mut self, delivery: Delivery) -> Option<Arc<str>> {
+        let (ix, last) = self.let_go(delivery)?;
+        let shared = self.claims.get_mut(ix as usize).and_then(Option::as_mut).and_then(|c| c.shared.take());
+        if last {
+            self.forget(ix);
         }
+        shared.filter(|_| last)
     }
 
     /// A front lost its channel: its claims are without holder until the message comes again. Lists the
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -13,7 +13,8 @@
 use crate::admission::{Admission, FrontState, Pace};
 use crate::claims::{ClaimIx, Claims};
 use crate::entry::{self, Door, Entry, Knock, Short};
-use crate::redelivery::{self, Verdict};
+use crate::group::{self, Ask, Keys, Leave, Need, Part, Refusal, Sendings, Sharing, Stage, Told};
+use crate::redelivery::{self, Record, Verdict};
 use crate::roster::Listed;
 use crate::service::Service;
 use crate::table::Table;
@@ -47,6 +48,8 @@
     pub module_alone: bool,
     /// New work may leave for a worker so long after it was told to drain or to be gone.
     pub drain_grace: Micros,
+    /// It is one of a group that shares what it takes.
+    pub sharing: Option<Sharing>,
 }
 
 #[derive(Debug)]
@@ -92,6 +95,8 @@
         took: Micros,
         report: Report,
     },
+    /// What the group says.
+    Group(Told),
     Tick,
     /// Take nothing new; answer what was taken.
     Stop,
@@ -135,6 +140,8 @@
         worker: WorkerIx,
     },
     AskList,
+    /// For the group.
+    Group(Ask),
     /// So many may this front have out; 0: nothing new.
     Grant {
         front: FrontIx,
@@ -176,6 +183,12 @@
     pub orphaned: u64,
     /// Endings that came after the invocation had been answered, or for no one.
     pub too_late: u64,
+    /// Waited for at another router, and answered as another one had answered.
+    pub joined_elsewhere: u64,
+    pub answered_elsewhere: u64,
+    /// Leave that was asked for and not given, and that had grown old before it was used.
+    pub leave_refused: u64,
+    pub leave_too_old: u64,
     pub answers: BTreeMap<(Fate, Reason), u64>,
     /// At the door, by front and cause; none of them was taken.
     pub turned_away: BTreeMap<(FrontIx, Short), u64>,
@@ -192,6 +205,10 @@
     worker: WorkerIx,
     at: Micros,
     state: Sent,
+    time_out: Option<Micros>,
+    /// By which the group knows it.
+    sending: u64,
+    leave: Leave,
 }
 
 struct Inv {
@@ -219,6 +236,15 @@
     concluded: bool,
     /// Its front is lost and the message has not come again.
     orphan: bool,
+    /// For how long its client had waited when it was taken.
+    waited: Micros,
+    redelivered: bool,
+    /// Its client says that this is a repeat.
+    repeat: bool,
+    /// The module knows of it.
+    known: bool,
+    /// What the group has to do with it.
+    part: Option<Part>,
     dispatches: Vec<Dispatch>,
 }
 
@@ -227,8 +253,17 @@
         self.dispatches.iter().any(|d| d.state == Sent::Out)
     }
 
+    /// One is out that may be on its way.
+    fn left(&self) -> bool {
+        self.dispatches.iter().any(|d| d.state == Sent::Out && d.leave != Leave::Asked)
+    }
+
     fn may_have_run(&self) -> bool {
-        self.dispatches.iter().any(|d| d.state != Sent::NeverRan)
+        self.dispatches.iter().any(|d| d.state != Sent::NeverRan && d.leave != Leave::Asked)
+    }
+
+    fn stage(&self) -> Option<Stage> {
+        self.part.as_ref().map(|p| p.stage)
     }
 }
 
@@ -269,6 +304,11 @@
     /// When each left, whether it orders a load or only asks, for whom, and the size of a copy.
     orders: HashMap<OrderTicket, (Micros, bool, u32, f64)>,
     waits: Waits,
+    /// By worker: zone and cell.
+    places: Vec<(u32, u32)>,
+    /// Dispatches that wait for leave, and what the group was asked about.
+    leaving: Sendings,
+    keys: Keys,
     stopping: bool,
     watch: Vec<Box<dyn Watch>>,
     pub counts: Counts,
@@ -303,6 +343,9 @@
             serial: 0,
             orders: HashMap::new(),
             waits: Waits::default(),
+            places: Vec::new(),
+            leaving: Sendings::new(),
+            keys: Keys::new(),
             stopping: false,
             watch: Vec::new(),
             counts: Counts::default(),
@@ -324,7 +367,9 @@
             Input::Taken(taken) => self.taken(taken, out),
             Input::Safe(delivery) => {
                 self.gone(delivery);
-                self.claims.safe(delivery);
+                if let Some(key) = self.claims.safe(delivery) {
+                    out.push(Output::Group(Ask::Closed { key }));
+                }
             }
             Input::Departed(delivery) => {
                 self.gone(delivery);
@@ -340,6 +385,7 @@
             Input::Probed { worker, outcome, took, report } => {
                 self.decide(&Event::Probed { worker, outcome, took, report }, out);
             }
+            Input::Group(told) => self.group(told, out),
             Input::Tick => {}
             Input::Stop => {
                 self.stopping = true;
@@ -370,7 +416,16 @@
         let it = self.invs.get(ticket.inv).filter(|_| self.invs.generation(ticket.inv) == ticket.generation);
         let Some(it) = it.filter(|i| !i.concluded && now < i.gives_up_at) else { return false };
         let out = it.dispatches.get(ticket.dispatch as usize).filter(|d| d.state == Sent::Out);
-        out.is_some_and(|d| self.service.takes_new(now, d.worker))
+        out.is_some_and(|d| self.service.takes_new(now, d.worker) && self.has_leave(now, d.leave))
+    }
+
+    /// Symptom: a process is stopped with leave in its hands and wakes when others have long answered.
+    fn has_leave(&self, now: Micros, leave: Leave) -> bool {
+        match leave {
+            Leave::NotNeeded => true,
+            Leave::Asked => false,
+            Leave::Given(at) => self.terms.sharing.as_ref().is_some_and(|s| now - at <= s.leave_kept),
+        }
     }
 
     pub fn worker_name(&self, worker: WorkerIx) -> Option<&str> {
@@ -461,8 +516,13 @@
         let gives_up_at =
             self.now + t.client_timeout.min(trigger.client_timeout) - waited - self.terms.answer_margin;
         let (record, claim) = self.claims.known(t.identity.as_deref());
-        let verdict =
-            redelivery::decide(record, t.redelivered, trigger.effect, waited, self.terms.clock_margin);
+        let margin = self.terms.clock_margin;
+        let part = self.terms.sharing.as_ref().and_then(|_| group::need(&t, &trigger, margin));
+        let verdict = match record {
+            // What is known here is not all that is known.
+            Record::Nothing | Record::NeverRan if part.is_some() => Verdict::Take { dispatch_within: None },
+            _ => redelivery::decide(record, t.redelivered, trigger.effect, waited, margin),
+        };
         let dispatch_within = match (verdict, claim) {
             (Verdict::Join | Verdict::Repeat, Some(claim)) => {
                 return self.comes_again(claim, t.delivery, out);
@@ -527,6 +587,7 @@
         self.names[func as usize] = t.function.clone();
         self.asked[func as usize] = (t.account, t.copy_mb);
         let dispatch_until = dispatch_within.map(|left| self.now + left);
+        let asked = part.map(|(key, need)| Part { key, need, stage: Stage::Asked, answered: false });
         let inv = self.invs.insert(Inv {
             claim: NO_CLAIM,
             key: None,
@@ -547,6 +608,11 @@
             dispatch_until,
             concluded: false,
             orphan: false,
+            waited,
+            redelivered: t.redelivered,
+            repeat: t.repeat,
+            known: false,
+            part: asked.clone(),
             dispatches: Vec::new(),
         });
         let claim = self.claims.open(t.identity, t.delivery, inv, gives_up_at + self.terms.answer_margin);
@@ -562,28 +628,39 @@
         if let Some(until) = dispatch_until.filter(|&u| u < gives_up_at) {
             self.timer(until, Timer::WindowEnds(inv, generation));
         }
-        let mark = self.invs.get(inv).and_then(|i| i.mark.as_deref());
+        let Some(Part { key, need, .. }) = asked else { return self.admit(inv, out) };
+        let redelivered = t.redelivered;
+        self.claims.share(claim, key.clone());
+        self.keys.insert(key.clone(), (inv, generation));
+        out.push(Output::Group(Ask::Take { key, need, redelivered }));
+    }
+
+    /// The module hears of it.
+    fn admit(&mut self, inv: InvIx, out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some(it) = self.invs.get_mut(inv) else { return };
+        it.known = true;
         for watch in &mut self.watch {
-            watch.taken(self.now, inv, t.delivery.front, mark, t.redelivered);
+            watch.taken(now, inv, it.front, it.mark.as_deref(), it.redelivered);
         }
         let arrival = Arrival {
             inv,
-            trigger: t.trigger,
-            account: t.account,
-            func,
-            fingerprint: fingerprint(&t.function),
-            cost_hint: t.cost_hint,
-            load_hint: t.load_hint,
-            copy_mb: t.copy_mb,
-            lanes: t.lanes.max(1),
-            client_gives_up_in: gives_up_at - self.now,
-            waited,
-            repeat: t.repeat,
+            trigger: it.trigger,
+            account: it.account,
+            func: it.func,
+            fingerprint: fingerprint(&it.function),
+            cost_hint: it.hints.0,
+            load_hint: it.hints.1,
+            copy_mb: it.copy_mb,
+            lanes: it.lanes,
+            client_gives_up_in: it.gives_up_at - now,
+            waited: it.waited + now - it.taken,
+            repeat: it.repeat,
         };
         self.decide(&Event::Invocation(arrival), out);
         let waits = self.invs.get(inv).is_some_and(|i| !i.concluded && i.dispatches.is_empty());
         self.counts.held += u64::from(waits);
-        self.release(inv);
+        self.release(inv, out);
     }
 
     /// A message that this router had before and lost with its channel.
@@ -625,7 +702,7 @@
             let Some(it) = self.invs.get_mut(inv) else { continue };
             it.orphan = true;
             self.counts.orphaned += 1;
-            if !it.out() {
+            if !it.left() {
                 self.conclude_orphan(inv, out);
             }
         }
@@ -666,9 +743,149 @@
 
     fn leave(&mut self, inv: InvIx, out: &mut Vec<Output>) {
         if self.conclude(inv, Pace::Neither) {
-            self.decide(&Event::Departed { inv }, out);
+            self.out_of_hands(inv, out);
+        }
+        self.release(inv, out);
+    }
+
+    /// The module has nothing more to do with it. What waits for the group's leave never left.
+    fn out_of_hands(&mut self, inv: InvIx, out: &mut Vec<Output>) {
+        if !self.invs.get_mut(inv).is_some_and(|i| std::mem::take(&mut i.known)) {
+            return;
+        }
+        self.decide(&Event::Departed { inv }, out);
+        let asked = |it: &Inv| {
+            let waits = |d: &Dispatch| d.state == Sent::Out && d.leave == Leave::Asked;
+            (0..it.dispatches.len()).filter(|n| waits(&it.dispatches[*n])).collect::<Vec<_>>()
+        };
+        let generation = self.invs.generation(inv);
+        for dispatch in self.invs.get(inv).map(asked).unwrap_or_default() {
+            self.not_sent(Ticket { inv, dispatch: dispatch as u32, generation }, out);
+        }
+    }
+
+    fn not_sent(&mut self, ticket: Ticket, out: &mut Vec<Output>) {
+        let (note, report, outcome) = (CopyNote::Untold, Report::default(), Outcome::NotSent);
+        self.dispatch_ended(ticket, outcome, note, None, report, None, Payload::default(), out);
+    }
+
+    /// What the group says. It may speak of one that is over here by now.
+    fn group(&mut self, told: Told, out: &mut Vec<Output>) {
+        match told {
+            Told::Leave { sending, left } => self.left(sending, left, out),
+            Told::Verdict { key, verdict } => {
+                let Some(&(inv, generation)) = self.keys.get(&key) else { return };
+                let open = |i: &Inv| !i.concluded && matches!(i.stage(), Some(Stage::Asked | Stage::Waits));
+                if self.invs.generation(inv) == generation && self.invs.get(inv).is_some_and(open) {
+                    self.verdict(inv, verdict, out);
+                }
+            }
+        }
+    }
+
+    fn stage(&mut self, inv: InvIx, stage: Stage) {
+        if let Some(part) = self.invs.get_mut(inv).and_then(|i| i.part.as_mut()) {
+            part.stage = stage;
+        }
+    }
+
+    fn verdict(&mut self, inv: InvIx, verdict: group::Verdict, out: &mut Vec<Output>) {
+        let Some(it) = self.invs.get(inv) else { return };
+        let (trigger, redelivered, now) = (it.trigger as usize, it.redelivered, self.now);
+        match verdict {
+            group::Verdict::Go { first_ago } => {
+                let (effect, margin) = (self.triggers[trigger].effect, self.terms.clock_margin);
+                let within = match effect {
+                    // Its first sending is known by the group's own clocks; without, only by its client's.
+                    Effect::Tokened { window, .. } => match first_ago {
+                        Some(ago) => Some(window - ago),
+                        None if redelivered && it.part.as_ref().is_some_and(|p| p.need == Need::Known) => {
+                            Some(window - it.waited - margin)
+                        }
+                        None => None,
+                    },
+                    _ => None,
+                };
+                if within.is_some_and(|left| left <= 0) {
+                    self.counts.refused_redelivered += 1;
+                    return self.final_answer(inv, Fate::Errored, Reason::MayHaveRun, out);
+                }
+                self.stage(inv, Stage::Goes);
+                if let Some(until) = within.map(|left| now + left)
+                    && let Some(it) = self.invs.get_mut(inv)
+                {
+                    it.dispatch_until = Some(until);
+                    let generation = self.invs.generation(inv);
+                    self.timer(until, Timer::WindowEnds(inv, generation));
+                }
+                self.admit(inv, out);
+            }
+            group::Verdict::Waits => {
+                self.counts.joined_elsewhere += 1;
+                self.stage(inv, Stage::Waits);
+            }
+            group::Verdict::Answer(answer) => {
+                self.counts.answered_elsewhere += 1;
+                if let Some(part) = self.invs.get_mut(inv).and_then(|i| i.part.as_mut()) {
+                    part.answered = true;
+                }
+                self.give(inv, answer, out);
+                self.release(inv, out);
+            }
+            group::Verdict::MayHaveRun => {
+                self.counts.refused_redelivered += 1;
+                self.final_answer(inv, Fate::Errored, Reason::MayHaveRun, out);
+            }
+            group::Verdict::NoMajority => self.no_majority(inv, out),
+        }
+    }
+
+    /// Alone, where its operator accepts that and nobody else can have had it; otherwise not at all.
+    fn no_majority(&mut self, inv: InvIx, out: &mut Vec<Output>) {
+        let Some(it) = self.invs.get(inv) else { return };
+        let alone = self.terms.sharing.as_ref().and_then(|s| s.alone.get(it.trigger as usize)).copied();
+        if alone == Some(true) && !it.redelivered && it.stage() == Some(Stage::Asked) {
+            self.stage(inv, Stage::Alone);
+            return self.admit(inv, out);
+        }
+        let fate = if it.redelivered || it.may_have_run() { Fate::Errored } else { Fate::Throttled };
+        self.final_answer(inv, fate, Reason::NoMajority, out);
+    }
+
+    fn final_answer(&mut self, inv: InvIx, fate: Fate, reason: Reason, out: &mut Vec<Output>) {
+        self.give(inv, Answer::bare(fate, reason), out);
+        self.out_of_hands(inv, out);
+        self.release(inv, out);
+    }
+
+    /// A dispatch has leave, or has none.
+    fn left(&mut self, sending: u64, left: Result<bool, Refusal>, out: &mut Vec<Output>) {
+        let Some(ticket) = self.leaving.remove(&sending) else { return };
+        let Ticket { inv, dispatch, generation } = ticket;
+        let now = self.now;
+        let stands = self.invs.generation(inv) == generation;
+        let Some(it) = self.invs.get_mut(inv).filter(|_| stands) else { return };
+        let Some(d) = it.dispatches.get_mut(dispatch as usize).filter(|d| d.state == Sent::Out) else {
+            return;
+        };
+        match left {
+            Ok(alone) => {
+                d.leave = Leave::Given(now);
+                if alone && it.stage() == Some(Stage::Goes) {
+                    self.stage(inv, Stage::Alone);
+                }
+                self.send(ticket, out);
+            }
+            Err(refusal) => {
+                self.counts.leave_refused += 1;
+                if refusal == Refusal::Elsewhere {
+                    self.stage(inv, Stage::Waits);
+                    return self.out_of_hands(inv, out);
+                }
+                self.out_of_hands(inv, out);
+                self.no_majority(inv, out);
+            }
         }
-        self.release(inv);
     }
 
     /// Marks it as over; true the first time.
@@ -718,6 +935,15 @@
         {
             self.tokens.ended(self.now, &key, Some((answer.clone(), self.now + window)));
         }
+        let alone = it.stage() == Some(Stage::Alone) && answer.reason == Reason::Worker;
+        let answer = if alone { Answer { reason: Reason::Alone, ..answer } } else { answer };
+        // Others may be given the same message: they answer alike.
+        if answer.fate == Fate::Succeeded
+            && let Some(part) = self.invs.get_mut(inv).and_then(|i| i.part.as_mut()).filter(|p| !p.answered)
+        {
+            part.answered = true;
+            out.push(Output::Group(Ask::Answered { key: part.key.clone(), answer: answer.clone() }));
+        }
         self.conclude(inv, pace);
         let holders = self.claims.give(claim, &answer);
         // Without a front a success is kept for when the message comes again. Nobody may be promised that it did
@@ -726,17 +952,29 @@
             let ran = self.invs.get(inv).is_some_and(Inv::may_have_run);
             self.claims.end(claim, ran);
         }
+        // One that the module does not know, or no more, counts as answered at once.
+        let known = self.invs.get(inv).is_some_and(|i| i.known).then_some(inv);
         for delivery in holders {
-            self.answer(delivery, answer.clone(), Some(inv), about, out);
+            self.answer(delivery, answer.clone(), known, about, out);
         }
     }
 
     /// An index may go to another invocation once it is over and all its dispatches have ended.
-    fn release(&mut self, inv: InvIx) {
+    fn release(&mut self, inv: InvIx, out: &mut Vec<Output>) {
         if self.invs.get(inv).is_some_and(|i| i.concluded && !i.out())
             && let Some(it) = self.invs.remove(inv)
         {
             it.dispatches.iter().for_each(|d| self.tenure.let_go(d.worker));
+            if let Some(part) = it.part {
+                // A later one may bear its key by now.
+                let last = self.keys.get(&part.key).is_some_and(|(of, _)| *of == inv);
+                if last {
+                    self.keys.remove(&part.key);
+                }
+                if last && !part.answered {
+                    out.push(Output::Group(Ask::Dropped { key: part.key }));
+                }
+            }
         }
     }
 
@@ -754,6 +992,12 @@
                 started: w.started,
             })
             .collect();
+        for e in &entries {
+            if self.places.len() <= e.worker as usize {
+                self.places.resize(e.worker as usize + 1, (0, 0));
+            }
+            self.places[e.worker as usize] = (e.zone, e.cell);
+        }
         self.service.follow(self.now, mode, &entries);
         self.tenure.follow(mode, &entries);
         self.decide(&Event::List { mode, entries: &entries }, out);
@@ -781,7 +1025,14 @@
             return;
         };
         sent.state = if outcome.never_ran() { Sent::NeverRan } else { Sent::MayHaveRun };
-        let (worker, took) = (sent.worker, self.now - sent.at);
+        let (worker, took, sending) = (sent.worker, self.now - sent.at, sent.sending);
+        let may_have_run = sent.state == Sent::MayHaveRun;
+        // Nothing of it is in the group's hands any more.
+        sent.leave = Leave::NotNeeded;
+        self.leaving.remove(&sending);
+        if let Some(part) = self.invs.get(inv).and_then(|i| i.part.as_ref()) {
+            out.push(Output::Group(Ask::Ended { key: part.key.clone(), sending, may_have_run }));
+        }
         if let Some(it) = self.invs.get(inv) {
             let (function, account, by) = (&*it.function, it.account, By::Dispatch(outcome, note));
             let (copy_mb, lanes) = (it.copy_mb, it.lanes);
@@ -808,7 +1059,7 @@
         let concluded = self.invs.get(inv).is_none_or(|i| i.concluded);
         let ending = Ending { inv, dispatch, worker, outcome, took, concluded, note, crowd, report };
         self.decide(&Event::DispatchEnded(ending), out);
-        self.release(inv);
+        self.release(inv, out);
     }
 
     fn order_ended(
@@ -847,9 +1098,7 @@
                 Timer::WindowEnds(inv, generation) if self.invs.generation(inv) == generation => {
                     // Symptom: a redelivered one still held as the workers' memory of it runs out.
                     if self.invs.get(inv).is_some_and(|i| !i.concluded && !i.out()) {
-                        self.give(inv, Answer::bare(Fate::Errored, Reason::MayHaveRun), out);
-                        self.decide(&Event::Departed { inv }, out);
-                        self.release(inv);
+                        self.final_answer(inv, Fate::Errored, Reason::MayHaveRun, out);
                     }
                 }
                 Timer::Overdue(..) | Timer::WindowEnds(..) => {}
@@ -876,6 +1125,10 @@
         let stands = self.invs.generation(ticket.inv) == ticket.generation;
         let sent = self.invs.get(ticket.inv).and_then(|i| i.dispatches.get(ticket.dispatch as usize));
         if stands && sent.is_some_and(|d| d.state == Sent::Out) {
+            if sent.is_some_and(|d| d.leave == Leave::Asked) {
+                // It waited for leave all the time: nothing is out, and nothing can have run.
+                return self.not_sent(ticket, out);
+            }
             out.push(Output::Withdraw(ticket));
             let (note, report) = (CopyNote::Untold, Report::default());
             self.dispatch_ended(ticket, Outcome::TimedOut, note, None, report, None, Payload::default(), out);
@@ -898,11 +1151,13 @@
         let ran = self.invs.get(inv).is_some_and(Inv::may_have_run);
         let idempotent = self.invs.get(inv).map(|i| self.triggers[i.trigger as usize].effect);
         let harmless = !ran || idempotent == Some(Effect::Idempotent);
-        let redelivered = self.invs.get(inv).is_some_and(|i| i.dispatch_until.is_some());
-        let fate = if harmless && !redelivered { Fate::Throttled } else { Fate::Errored };
-        self.give(inv, Answer::bare(fate, Reason::Overdue), out);
-        self.decide(&Event::Departed { inv }, out);
-        self.release(inv);
+        let elsewhere = self.invs.get(inv).is_some_and(|i| {
+            i.dispatch_until.is_some()
+                || i.stage() == Some(Stage::Waits)
+                || i.stage() == Some(Stage::Asked) && i.redelivered
+        });
+        let fate = if harmless && !elsewhere { Fate::Throttled } else { Fate::Errored };
+        self.final_answer(inv, fate, Reason::Overdue, out);
     }
 
     /// Calls the module and carries out what it asks for, in order; what it asks for that cannot be sent comes
@@ -922,8 +1177,11 @@
                 Action::Withdraw { inv, dispatch } => {
                     let ticket = Ticket { inv, dispatch, generation: self.invs.generation(inv) };
                     let sent = self.invs.get(inv).and_then(|i| i.dispatches.get(dispatch as usize));
-                    if sent.is_some_and(|d| d.state == Sent::Out) {
-                        self.counts.withdrawn += 1;
+                    let Some(d) = sent.filter(|d| d.state == Sent::Out) else { continue };
+                    self.counts.withdrawn += 1;
+                    if d.leave == Leave::Asked {
+                        unsent.push((ticket, Outcome::NotSent));
+                    } else {
                         out.push(Output::Withdraw(ticket));
                         unsent.push((ticket, Outcome::Withdrawn));
                     }
@@ -934,11 +1192,11 @@
                     let fate = if elsewhere { Fate::Errored } else { Fate::Throttled };
                     let answer = Answer { return_after, ..Answer::bare(fate, Reason::GivenUp) };
                     self.give(inv, answer, out);
-                    self.release(inv);
+                    self.release(inv, out);
                 }
                 Action::Error { inv } => {
                     self.give(inv, Answer::bare(Fate::Errored, Reason::GivenUp), out);
-                    self.release(inv);
+                    self.release(inv, out);
                 }
                 Action::Order { worker, func, copies } => {
                     self.serial += 1;
@@ -986,18 +1244,57 @@
         let (now, generation) = (self.now, self.invs.generation(inv));
         let Some(it) = self.invs.get_mut(inv) else { return };
         let ticket = Ticket { inv, dispatch: it.dispatches.len() as u32, generation };
-        it.dispatches.push(Dispatch { worker, at: now, state: Sent::Out });
+        self.serial += 1;
+        let sending = self.serial;
+        let asks = it.part.as_ref().is_some_and(|p| p.need == Need::Held && p.stage == Stage::Goes);
+        let leave = if asks { Leave::Asked } else { Leave::NotNeeded };
+        it.dispatches.push(Dispatch { worker, at: now, state: Sent::Out, time_out, sending, leave });
         self.tenure.hold(worker);
         // An answer is out, or the workers no longer know its repeats: the module is told that it did not leave.
         if it.concluded || it.dispatch_until.is_some_and(|u| now >= u) {
             return unsent.push((ticket, Outcome::NotSent));
         }
+        // Without a time-out of its own it ends when the client gives up.
         let time_left = it.gives_up_at - now;
+        let (key, trigger) = (it.part.as_ref().map(|p| p.key.clone()), it.trigger as usize);
+        if let Some(time_out) = time_out.filter(|&t| t < time_left) {
+            self.timer(now + time_out, Timer::TimeOut(ticket));
+        }
+        let place = self.place(trigger, worker);
+        match key {
+            Some(key) if asks => {
+                let alone = self.terms.sharing.as_ref().and_then(|s| s.alone.get(trigger)).copied();
+                let alone = alone.unwrap_or(false);
+                self.leaving.insert(sending, ticket);
+                return out.push(Output::Group(Ask::Leave { key, sending, place, alone }));
+            }
+            Some(key) => out.push(Output::Group(Ask::Left { key, sending, place })),
+            None => {}
+        }
+        self.send(ticket, out);
+    }
+
+    /// Which workers drop repeats of what goes to this one.
+    fn place(&self, trigger: usize, worker: WorkerIx) -> u32 {
+        let (zone, cell) = self.places.get(worker as usize).copied().unwrap_or_default();
+        match self.triggers[trigger].effect {
+            Effect::Tokened { group: RepeatGroup::Zone, .. } => zone,
+            Effect::Tokened { group: RepeatGroup::Cell, .. } => cell,
+            _ => 0,
+        }
+    }
+
+    /// It leaves now.
+    fn send(&mut self, ticket: Ticket, out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some(it) = self.invs.get(ticket.inv) else { return };
+        let Some(d) = it.dispatches.get(ticket.dispatch as usize) else { return };
+        let (time_left, waited) = (it.gives_up_at - now, now - d.at);
         let call = Call {
             mark: it.mark.clone(),
             token: it.token.clone(),
             time_left,
-            waited_for: time_out.map_or(time_left, |t| t.clamp(0, time_left)),
+            waited_for: d.time_out.map_or(time_left, |t| (t - waited).clamp(0, time_left.max(0))),
             cost_hint: it.hints.0,
             load_hint: it.hints.1,
             copy_mb: it.copy_mb,
@@ -1005,11 +1302,7 @@
             body: it.body.clone(),
         };
         let (function, trigger, account) = (it.function.clone(), it.trigger, it.account);
-        out.push(Output::Send { ticket, worker, function, trigger, account, call });
+        out.push(Output::Send { ticket, worker: d.worker, function, trigger, account, call });
         self.counts.dispatches += 1;
-        // Without a time-out of its own it ends when the client gives up.
-        if let Some(time_out) = time_out.filter(|&t| t < time_left) {
-            self.timer(now + time_out, Timer::TimeOut(ticket));
-        }
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 //! small decision modules, each alone in its file:
 //!
 //! * [`admission`]: how many invocations may be taken, from whom.
+//! * [`group`]: what the other routers of a group are asked and told.
 //! * [`entry`]: whether a request at the door may come in.
 //! * [`shares`]: what part of all each front and account may use when one floods.
 //! * [`redelivery`]: what may be done with a message that was delivered before.
@@ -23,6 +24,7 @@
 pub mod claims;
 pub mod core;
 pub mod entry;
+pub mod group;
 pub mod redelivery;
 pub mod roster;
 pub mod service;
@@ -96,6 +98,10 @@
     Size,
     /// Its account floods, and others suffer by it.
     Share,
+    /// It needs a majority of the group, and there was none.
+    NoMajority,
+    /// A worker answered; it went without a majority of the group, as its operator accepts.
+    Alone,
 }
 
 /// What is carried to a worker or back. Nothing is decided by it but by its length.
--- a/crates/router/tests/parts.rs
+++ b/crates/router/tests/parts.rs
@@ -113,7 +113,7 @@
     assert_eq!(c.give(claim, &first), [delivery(0, 1)]);
     assert!(c.give(claim, &Answer::bare(Fate::Errored, Reason::Overdue)).is_empty());
     assert_eq!(c.answer(claim), Some(&first));
-    assert!(c.safe(delivery(0, 1)) && c.is_empty());
+    assert!(c.safe(delivery(0, 1)).is_none() && c.is_empty());
 }
 
 #[test]
--- a/crates/router/tests/world.rs
+++ b/crates/router/tests/world.rs
@@ -7,6 +7,7 @@
 use cedarpulley::Control;
 use cedarpulley::interface::*;
 use cedarpulley_router::admission::FrontState;
+use cedarpulley_router::group::{Ask, Told};
 use cedarpulley_router::roster::Listed;
 use cedarpulley_router::*;
 
@@ -70,15 +71,21 @@
 impl World {
     /// With so many workers in service and one front that is up.
     pub fn new(workers: u32) -> World {
-        World::with(workers, false)
+        World::with(workers, false, None)
+    }
+
+    /// One of a group; types that go alone are named.
+    pub fn shared(workers: u32, alone: [bool; 3]) -> World {
+        let sharing = group::Sharing { alone: alone.to_vec(), leave_kept: SECOND };
+        World::with(workers, false, Some(sharing))
     }
 
     /// Where nothing beside the module chooses.
     pub fn alone(workers: u32) -> World {
-        World::with(workers, true)
+        World::with(workers, true, None)
     }
 
-    fn with(workers: u32, module_alone: bool) -> World {
+    fn with(workers: u32, module_alone: bool, sharing: Option<group::Sharing>) -> World {
         let terms = Terms {
             answer_margin: MARGIN,
             clock_margin: 50 * MS,
@@ -88,6 +95,7 @@
             order_answered_within: 5 * SECOND,
             module_alone,
             drain_grace: SECOND,
+            sharing,
         };
         let mut w = World { router: Router::new(control(), triggers(), terms), now: SECOND, out: Vec::new() };
         let ids: Vec<String> = (0..workers).map(|n| format!("127.0.0.1:{}", 9000 + n)).collect();
@@ -171,6 +179,17 @@
         self.out.iter().filter_map(answer).collect()
     }
 
+    pub fn asked(&self) -> Vec<Ask> {
+        self.out
+            .iter()
+            .filter_map(|o| if let Output::Group(a) = o { Some(a.clone()) } else { None })
+            .collect()
+    }
+
+    pub fn told(&mut self, told: Told) {
+        self.feed(Input::Group(told));
+    }
+
     pub fn end(&mut self, ticket: Ticket, outcome: Outcome) {
         self.feed(Input::DispatchEnded {
             ticket,
