Rig: relays with faults by direction, router processes, and a wall clock that tests may set off

Everything between routers is to be proved with several processes and faults between them; so far faults lay in the stand-ins only, and a router could only be killed. crates/rig: a shared table of faults by (from, to); relays for bytes and for whole HTTP/1.1 messages (held, lost, late, throttled, reset, half-open, refused; messages dropped, sent twice, sent after later ones); a router's process (kill, pause, state kept, removed or older, a full disk by RLIMIT_FSIZE). Seen to fail: a test that resets new connections failed until the relay no longer carried those onwards.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -56,6 +56,9 @@
         /// Breaks a rule on purpose, for tests of the judge.
         #[arg(long, hide = true)]
         tamper: Option<String>,
+        /// Takes what a rig of tests writes into the settings.
+        #[arg(long, hide = true)]
+        rig: bool,
     },
     /// Runs one router on the users' platform, as its environment says, until SIGTERM or SIGINT.
     Node,
@@ -139,9 +142,9 @@
         log.init()
     }
     let done = match line.command {
-        Command::Serve { settings, tamper } => serve(&settings, tamper),
+        Command::Serve { settings, tamper, rig } => serve(&settings, tamper, rig),
         Command::Node => cedarpulley_platform_node::run().map(|()| true),
-        Command::Check { settings } => read(&settings).map(|_| {
+        Command::Check { settings } => read(&settings, false).map(|_| {
             say!("{}: good", settings.display());
             true
         }),
@@ -168,9 +171,9 @@
     ExitCode::from(2)
 }
 
-fn read(path: &Path) -> Plain<Parts> {
+fn read(path: &Path, rig: bool) -> Plain<Parts> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    settings::read(&path.display().to_string(), &text).map_err(|refused| refused.to_string())
+    settings::read(&path.display().to_string(), &text, rig).map_err(|refused| refused.to_string())
 }
 
 fn named(tamper: &Option<String>) -> Plain<Option<Meddle>> {
@@ -182,8 +185,8 @@
     }
 }
 
-fn serve(path: &Path, tamper: Option<String>) -> Plain<bool> {
-    let (parts, meddle) = (read(path)?, named(&tamper)?);
+fn serve(path: &Path, tamper: Option<String>, rig: bool) -> Plain<bool> {
+    let (parts, meddle) = (read(path, rig)?, named(&tamper)?);
     let name = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
     cedarpulley_gateway::serve::run(&name, parts, meddle).map_err(|e| format!("{}: {e}", path.display()))
 }
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -24,11 +24,17 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     zero: Instant,
+    /// So far the wall's clock is off, in tests only.
+    offset: Micros,
 }
 
 impl Clock {
     pub fn start() -> Self {
-        Clock { zero: Instant::now() }
+        Clock::off_by(0)
+    }
+
+    pub fn off_by(offset: Micros) -> Self {
+        Clock { zero: Instant::now(), offset }
     }
 
     pub fn now(&self) -> Micros {
@@ -40,7 +46,7 @@
     }
 
     pub fn wall(&self) -> Micros {
-        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros) + self.offset
     }
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -283,8 +283,9 @@
         keep,
         meter,
         digest,
+        clock_offset,
     } = parts;
-    let clock = Clock::start();
+    let clock = Clock::off_by(clock_offset);
     let executor = Rc::new(LocalExecutor::new());
     // Without a seed of its own each start draws differently.
     let seed = seed.unwrap_or_else(|| clock.wall() as u64 ^ u64::from(std::process::id()) << 40);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -73,13 +73,24 @@
     pub meter: Option<PathBuf>,
     /// Of the settings' text.
     pub digest: [u8; 32],
+    /// By which the wall's clock is off; only where `[rig]` is allowed.
+    pub clock_offset: Micros,
 }
 
-/// Reads the text, and the certificates that it names; `file` tells where those with relative paths lie.
-pub fn read(file: &str, text: &str) -> Result<Parts, Refused> {
+/// Reads the text, and the certificates that it names; `file` tells where those with relative paths lie. `rig`: of a
+/// router under test, which may have `[rig]`.
+pub fn read(file: &str, text: &str, rig: bool) -> Result<Parts, Refused> {
     let (sheet, table) = Sheet::parse(file, text)?;
     let folder = Path::new(file).parent().unwrap_or(Path::new(""));
-    let mut parts = parts(&sheet, &Section::root(&sheet, &table), folder);
+    let root = Section::root(&sheet, &table);
+    let mut parts = parts(&sheet, &root, folder);
+    let r = root.section("rig");
+    if r.is_present() && !rig {
+        root.wrong("rig", "is for tests only; take it out, or start with --rig");
+    }
+    let day = DAY as f64;
+    parts.clock_offset = (r.number("clock_offset_ms", -day..day, Some(0.0)) * 1000.0) as Micros;
+    r.end();
     parts.digest = digest(text.as_bytes());
     sheet.whole(parts)
 }
@@ -316,7 +327,9 @@
         module_alone: false,
         drain_grace: rules.drain_grace,
     };
-    for known in ["router", "dispatch", "rules", "loads", "prices", "workers", "kind", "trace", "meter"] {
+    for known in
+        ["router", "dispatch", "rules", "loads", "prices", "workers", "kind", "trace", "meter", "rig"]
+    {
         root.has(known);
     }
     let birth = Birth { fleet, limits, rules, triggers, accounts, loads, prices, reports };
@@ -334,6 +347,7 @@
         keep,
         meter,
         digest: [0; 32],
+        clock_offset: 0,
     }
 }
 
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,30 @@
+//! The rig: routers as processes of their own before stand-ins in this one, in regions, with a relay on every link
+//! between them. For tests and scripted days; never part of a router. It only brings faults about; what they broke
+//! is judged by `cedarpulley-audit` from the stand-ins' logs.
+//!
+//! Begin reading at [`fleet`]; then [`links`] (the faults), [`relay`] (bytes), [`messages`] (whole requests),
+//! [`process`] (one router).
+
+pub mod links;
+pub mod messages;
+pub mod process;
+pub mod relay;
+
+use std::time::{Duration, Instant};
+
+/// How often [`until`] looks.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Waits for it to have come about; false if it does not in this time.
+pub fn until(patience: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + patience;
+    loop {
+        if holds() {
+            return true;
+        }
+        if Instant::now() > end {
+            return false;
+        }
+        std::thread::sleep(LOOK);
+    }
+}
