--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,13 +9,10 @@
     }};
 }
 
-mod client;
 mod day;
-mod dayfile;
 mod measure;
 mod meter;
 mod open_loop;
-mod rest_client;
 mod standin;
 mod trace;
 
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -22,8 +22,8 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::Plain;
-use crate::client::{Arrival, Client, Times};
 use crate::open_loop::Callers;
+use cedarpulley_rig::client::{Arrival, Client, Times};
 
 const WORKERS: usize = 4;
 const CLIENTS: usize = 2;
@@ -161,6 +161,7 @@
                 began,
                 arrivals: arrivals.collect(),
                 times: Some(times.clone()),
+                answers: None,
             };
             clients.push(ground.executor.spawn(client.run()));
         }
--- a/crates/cli/src/client.rs
+++ b/crates/rig/src/client.rs
@@ -42,6 +42,9 @@
 /// Times from publishing to the answer, in microseconds, of those published after a moment.
 pub type Times = Arc<Mutex<(hdrhistogram::Histogram<u64>, Instant)>>;
 
+/// What each invocation was answered, in the order of coming.
+pub type Answers = Arc<Mutex<HashMap<String, Vec<String>>>>;
+
 pub struct Client {
     pub broker: SocketAddr,
     pub from: IpAddr,
@@ -50,6 +53,7 @@
     /// In the order of their times.
     pub arrivals: Vec<Arrival>,
     pub times: Option<Times>,
+    pub answers: Option<Answers>,
 }
 
 fn short(s: &str) -> ShortString {
@@ -164,6 +168,11 @@
                         let Some(id) = p.correlation_id().as_ref().map(|i| i.as_str().to_owned()) else {
                             continue;
                         };
+                        let fate = p.headers().as_ref().and_then(|h| h.inner().get(meaning::FATE));
+                        let fate = fate.and_then(meaning::text).unwrap_or_default();
+                        if let Some(answers) = &self.answers {
+                            lock(answers).entry(id.clone()).or_default().push(fate.to_owned());
+                        }
                         let Some(mut a) = open.remove(&id) else { continue };
                         if let Some(times) = &self.times {
                             let mut times = lock(times);
@@ -173,8 +182,7 @@
                                 times.0.saturating_record(due.elapsed().as_micros() as u64);
                             }
                         }
-                        let fate = p.headers().as_ref().and_then(|h| h.inner().get(meaning::FATE));
-                        if fate.and_then(meaning::text) != Some("succeeded") && a.retries > 0 {
+                        if fate != "succeeded" && a.retries > 0 {
                             a.retries -= 1;
                             a.id = format!("{}+", a.id);
                             again.push(a);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,13 +5,23 @@
 //! Begin reading at [`fleet`]; then [`links`] (the faults), [`relay`] (bytes), [`messages`] (whole requests),
 //! [`process`] (one router).
 
+pub mod client;
+pub mod fleet;
 pub mod links;
 pub mod messages;
+pub mod plan;
 pub mod process;
 pub mod relay;
+pub mod rest_client;
+pub mod script;
+pub mod traffic;
+pub mod verdict;
 
 use std::time::{Duration, Instant};
 
+/// What goes wrong outside of what is tried, in one plain line.
+pub type Plain<T> = Result<T, String>;
+
 /// How often [`until`] looks.
 const LOOK: Duration = Duration::from_millis(10);
 
--- a/crates/rig/src/links.rs
+++ b/crates/rig/src/links.rs
@@ -34,7 +34,8 @@
     Throttled {
         bytes_per_s: u64,
     },
-    /// Every connection of the link is reset on both sides, new ones as they come.
+    /// Every connection of the link is reset on both sides, new ones as they come. Healed at once, those that stood
+    /// are reset all the same.
     Reset,
     /// Its connections are dead towards the direction's end, which sees them reset; its beginning hears of it when
     /// healed.
@@ -69,6 +70,8 @@
 #[derive(Default)]
 struct Table {
     faults: HashMap<Pair, Fault>,
+    /// How often each was set to be reset.
+    resets: HashMap<Pair, u64>,
     ports: HashMap<Pair, Vec<Weak<Port>>>,
 }
 
@@ -99,6 +102,9 @@
             for port in table.ports.get(&pair).into_iter().flatten().filter_map(Weak::upgrade) {
                 port.open(fault != Fault::Refused);
             }
+            if fault == Fault::Reset {
+                *table.resets.entry(pair.clone()).or_default() += 1;
+            }
             table.faults.insert(pair, fault).unwrap_or_default()
         };
         self.changed.notify(usize::MAX);
@@ -153,6 +159,10 @@
         lock(&self.links.table).faults.get(&self.pair).copied().unwrap_or_default()
     }
 
+    pub fn resets(&self) -> u64 {
+        lock(&self.links.table).resets.get(&self.pair).copied().unwrap_or_default()
+    }
+
     /// To be taken before the fault is looked at, so that no change is missed.
     pub fn change(&self) -> EventListener {
         self.links.changed.listen()
--- a/crates/rig/src/messages.rs
+++ b/crates/rig/src/messages.rs
@@ -84,9 +84,10 @@
     }
 
     async fn breaks(&self) {
+        let born = self.resets();
         loop {
             let change = self.out.change();
-            if self.is_broken() {
+            if self.is_broken() || self.resets() != born {
                 return;
             }
             change.await;
@@ -144,6 +145,7 @@
 }
 
 pub(crate) async fn connection(near: Async<TcpStream>, link: Arc<Link>) {
+    let born = link.resets();
     let Ok(handle) = near.get_ref().try_clone() else { return };
     let (onward, lost) = (Onward::default(), Lost::default());
     let service = service_fn(|request| carry(link.clone(), onward.clone(), lost.clone(), request));
@@ -157,7 +159,8 @@
             let change = link.out.change();
             let faults = [link.out.fault(), link.back.fault()];
             let gap = |n: usize| lost[n].load(Ordering::SeqCst) && !faults[n].loses();
-            if faults.contains(&Fault::Reset) || faults[1] == Fault::HalfOpen || gap(0) || gap(1) {
+            let reset = faults.contains(&Fault::Reset) || link.resets() != born;
+            if reset || faults[1] == Fault::HalfOpen || gap(0) || gap(1) {
                 return true;
             }
             if faults[0] == Fault::HalfOpen {
--- a/crates/cli/src/dayfile.rs
+++ b/crates/rig/src/plan.rs
@@ -18,6 +18,16 @@
     pub kserve_part: f64,
     pub routers: u32,
     pub zones: Vec<String>,
+    /// Routers are dealt to them in turn; a zone belongs to the region of its name, or whose name and a dash it
+    /// begins with. With regions, relays stand on all links of the routers.
+    #[serde(default)]
+    pub regions: Vec<String>,
+    /// The routers are told of each other.
+    #[serde(default)]
+    pub peers: bool,
+    /// By router: how far its wall's clock is off.
+    #[serde(default)]
+    pub clock_offsets_ms: Vec<i64>,
     pub store: Store,
     pub nature: Nature,
     #[serde(rename = "worker")]
@@ -35,6 +45,8 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settled {
+    #[serde(default)]
+    pub router: toml::Table,
     pub rules: toml::Table,
     pub dispatch: toml::Table,
     pub loads: toml::Table,
@@ -119,6 +131,14 @@
     BrokerRestart,
     BrokerBlock,
     RouterKill,
+    /// Stands still, and goes on.
+    RouterPause,
+    /// Killed, and started again with an older copy of its state.
+    StaleState,
+    /// Between the routers named; one way, from the first to the others.
+    PeerCut,
+    /// All that crosses its border.
+    RegionCut,
     ListLate,
     RetryAbuse,
     /// One front gets so many times its share.
@@ -144,6 +164,13 @@
     #[serde(default)]
     pub zone: Option<String>,
     #[serde(default)]
+    pub region: Option<String>,
+    #[serde(default)]
+    pub one_way: bool,
+    /// What a cut keeps back is lost with its connection, instead of coming through when healed.
+    #[serde(default)]
+    pub lost: bool,
+    #[serde(default)]
     pub trigger: Option<String>,
     #[serde(default)]
     pub front: Option<Way>,
@@ -163,7 +190,12 @@
 pub fn read(path: &Path) -> Plain<Day> {
     let file = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
-    let day: Day = toml::from_str(&text).map_err(|e| {
+    parse(&file.to_string(), &text)
+}
+
+/// The file's name is for what is said of it.
+pub fn parse(file: &str, text: &str) -> Plain<Day> {
+    let day: Day = toml::from_str(text).map_err(|e| {
         let line = e.span().map_or(1, |s| text[..s.start].matches('\n').count() + 1);
         format!("{file}:{line}: {}", e.message().replace('\n', ", "))
     })?;
@@ -181,15 +213,32 @@
     if day.zones.len() > 60 || day.workers.iter().any(|w| !day.zones.contains(&w.zone)) {
         return wrong("a worker stands in a zone that is not named");
     }
+    let orphan = day.zones.iter().any(|z| day.regions.iter().all(|r| !belongs(z, r)));
+    let bare = day.regions.iter().any(|r| day.zones.iter().all(|z| !belongs(z, r)));
+    if !day.regions.is_empty() && (orphan || bare) {
+        return wrong("regions: each needs a zone of its name, and each zone a region");
+    }
+    if day.peers && day.regions.is_empty() {
+        return wrong("peers need regions: their links are relayed");
+    }
     let count: u32 = day.workers.iter().map(|w| w.count).sum();
     for t in &day.troubles {
-        let most = if t.what == What::RouterKill { day.routers } else { count } as usize;
+        let routers = [What::RouterKill, What::RouterPause, What::StaleState, What::PeerCut];
+        let most = if routers.contains(&t.what) { day.routers } else { count } as usize;
         if t.which.iter().any(|w| *w >= most) || !(0.0..=1.0).contains(&t.part) {
             return Err(format!("{file}: trouble {:?} at {} s names what is not there", t.what, t.at_s));
         }
         if t.what == What::Flood && (t.front.is_none() || !within(t.size, 1000.0)) {
             return wrong("a flood needs a front and a size");
         }
+        if t.region.as_ref().is_some_and(|r| !day.regions.contains(r))
+            || t.what == What::RegionCut && t.region.is_none()
+        {
+            return wrong("a trouble names no region, or an unknown one");
+        }
+        if t.what == What::PeerCut && (!day.peers || t.which.len() < 2) {
+            return wrong("a peer-cut needs peers and two routers");
+        }
         if t.account.as_ref().is_some_and(|a| day.accounts.iter().all(|d| d.name != *a)) {
             return wrong("a trouble names an unknown account");
         }
@@ -199,3 +248,26 @@
     }
     Ok(day)
 }
+
+fn belongs(zone: &str, region: &str) -> bool {
+    zone.strip_prefix(region).is_some_and(|rest| rest.is_empty() || rest.starts_with('-'))
+}
+
+impl Day {
+    /// A router's zone, by number: dealt in turn to the regions, and in each to its zones.
+    pub fn zone_of(&self, router: u32) -> u32 {
+        if self.regions.is_empty() {
+            return router % self.zones.len() as u32;
+        }
+        let count = self.regions.len();
+        let region = &self.regions[router as usize % count];
+        let own: Vec<u32> =
+            (0..).zip(&self.zones).filter(|(_, z)| belongs(z, region)).map(|(n, _)| n).collect();
+        own[router as usize / count % own.len()]
+    }
+
+    /// The region of a zone; empty where there are none.
+    pub fn region_of(&self, zone: &str) -> &str {
+        self.regions.iter().find(|r| belongs(zone, r)).map_or("", String::as_str)
+    }
+}
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -138,6 +138,11 @@
         lock(&self.random).random()
     }
 
+    /// Whatever stood when this was less has been reset.
+    pub fn resets(&self) -> u64 {
+        self.out.resets() + self.back.resets()
+    }
+
     /// How much later something arrives that leaves now.
     pub fn late(&self, way: &Way) -> Duration {
         match way.fault() {
@@ -313,6 +318,7 @@
 }
 
 async fn connection(near: Async<TcpStream>, link: &Link) {
+    let born = link.resets();
     let Some(far) = onwards(link).await else { return reset(near.get_ref()) };
     let line = |way, from, to| Line { link, way, from, to, lost: AtomicBool::new(false) };
     let end = {
@@ -331,7 +337,8 @@
                 let change = link.out.change();
                 let faults = [link.out.fault(), link.back.fault()];
                 let gap = |l: &Line, now: Fault| l.lost.load(Ordering::SeqCst) && !now.loses();
-                if faults.contains(&Fault::Reset) || gap(&out, faults[0]) || gap(&back, faults[1]) {
+                let reset = faults.contains(&Fault::Reset) || link.resets() != born;
+                if reset || gap(&out, faults[0]) || gap(&back, faults[1]) {
                     return End::Reset;
                 }
                 if faults.contains(&Fault::HalfOpen) {
--- a/crates/cli/src/rest_client.rs
+++ b/crates/rig/src/rest_client.rs
@@ -8,7 +8,7 @@
 use async_executor::Executor;
 use async_io::Timer;
 use cedarpulley_gateway::net::connect;
-use cedarpulley_standins::{Log, wall_us};
+use cedarpulley_standins::{Log, lock, wall_us};
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
@@ -16,7 +16,7 @@
 use serde_json::json;
 use smol_hyper::rt::FuturesIo;
 
-use crate::client::Arrival;
+use crate::client::{Answers, Arrival};
 
 const CONNECT_WITHIN: i64 = 300_000;
 /// An answer is listened for so long after the client has given up, to see that none comes.
@@ -27,6 +27,7 @@
     pub from: IpAddr,
     pub log: Log,
     pub began: Instant,
+    pub answers: Option<Answers>,
 }
 
 impl Callers {
@@ -75,6 +76,9 @@
                     let answer =
                         json!({"queue": "answers", "id": a.id, "from": to, "fate": fate, "reason": reason});
                     self.log.write("published", answer);
+                    if let Some(answers) = &self.answers {
+                        lock(answers).entry(a.id.clone()).or_default().push(fate.clone());
+                    }
                     return Some(fate);
                 }
                 None => {
--- a/crates/rig/tests/relays.rs
+++ b/crates/rig/tests/relays.rs
@@ -213,6 +213,11 @@
     assert!(is_reset(&mut stream) && is_reset(&mut s.connect()));
     assert!(until(PATIENCE, || s.ended(0) == Some(ErrorKind::ConnectionReset)));
     s.links.heal();
+    // Healed before anyone can have looked.
+    let mut stream = s.through();
+    s.links.set("far", "near", Fault::Reset);
+    s.links.heal();
+    assert!(is_reset(&mut stream));
     s.through();
 }
 
@@ -265,7 +270,7 @@
     }
     assert_eq!(s.ends.lock().expect("ends").len(), 1, "one connection is kept");
     s.links.set("near", "far", Fault::Held);
-    let gone = format!("POST /x HTTP/1.1\r\nhost: far\r\ncontent-length: 4\r\n\r\nheld");
+    let gone = "POST /x HTTP/1.1\r\nhost: far\r\ncontent-length: 4\r\n\r\nheld";
     stream.write_all(gone.as_bytes()).expect("written");
     assert!(silent(&mut stream));
     drop(stream);
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -42,8 +42,12 @@
     /// Version, when it happened, and the line that tells it.
     changes: Vec<(u64, std::time::Instant, &'static str, Value)>,
     late: Duration,
+    seen_as: Option<SeenAs>,
 }
 
+/// The address by which a watcher is told of a worker.
+type SeenAs = Arc<dyn Fn(IpAddr, SocketAddr) -> SocketAddr + Send + Sync>;
+
 pub struct List {
     pub server: Server,
     log: Log,
@@ -74,7 +78,8 @@
     pub fn start(ground: &Ground, name: &str, address: SocketAddr) -> std::io::Result<List> {
         let log = ground.log(name)?;
         let late = Duration::ZERO;
-        let state = State { version: FIRST_VERSION, rows: BTreeMap::new(), changes: Vec::new(), late };
+        let state =
+            State { version: FIRST_VERSION, rows: BTreeMap::new(), changes: Vec::new(), late, seen_as: None };
         let state = Arc::new(Mutex::new(state));
         let (its_state, its_log) = (state.clone(), log.clone());
         let handle = move |from: SocketAddr, request: Request<Incoming>| {
@@ -108,6 +113,11 @@
         lock(&self.state).late = late;
     }
 
+    /// Watchers are told of other addresses than the workers' own, which the log keeps naming.
+    pub fn seen_as(&self, address: impl Fn(IpAddr, SocketAddr) -> SocketAddr + Send + Sync + 'static) {
+        lock(&self.state).seen_as = Some(Arc::new(address));
+    }
+
     pub fn flush(&self) {
         self.log.flush();
     }
@@ -134,6 +144,20 @@
     );
 }
 
+impl State {
+    fn seen(&self, to: IpAddr, mut object: Value) -> Value {
+        let Some(seen_as) = &self.seen_as else { return object };
+        let ip = object["endpoints"][0]["addresses"][0].as_str().and_then(|ip| ip.parse().ok());
+        let port = object["ports"][0]["port"].as_u64();
+        if let (Some(ip), Some(port)) = (ip, port) {
+            let address = seen_as(to, SocketAddr::new(ip, port as u16));
+            object["endpoints"][0]["addresses"][0] = address.ip().to_string().into();
+            object["ports"][0]["port"] = address.port().into();
+        }
+        object
+    }
+}
+
 fn answer(state: Arc<Mutex<State>>, log: Log, to: IpAddr, request: Request<Incoming>) -> Response<Body> {
     let query = request.uri().query().unwrap_or("").to_owned();
     let seen = query.split('&').find_map(|p| p.strip_prefix("resourceVersion=")?.parse::<u64>().ok());
@@ -143,6 +167,7 @@
         items.iter().for_each(|i| tell(&log, to, "ADDED", i));
         let all: Vec<String> = locked.rows.values().map(|(_, r)| r.address.to_string()).collect();
         log.write("listed", json!({"to": to.to_string(), "workers": all}));
+        let items: Vec<Value> = items.into_iter().map(|i| locked.seen(to, i)).collect();
         let version = locked.version.to_string();
         let list =
             json!({"kind": "EndpointSliceList", "metadata": {"resourceVersion": version}, "items": items});
@@ -172,7 +197,7 @@
             let due = state.changes.iter().find(|c| c.0 > at && c.1.elapsed() >= state.late);
             if let Some((version, _, what, object)) = due {
                 tell(log, to, what, object);
-                return (*version, json!({"type": what, "object": object}));
+                return (*version, json!({"type": what, "object": state.seen(to, object.clone())}));
             }
             if quiet.elapsed() >= BOOKMARK {
                 let object = json!({"metadata": {"resourceVersion": at.to_string()}});
