--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -39,4 +39,7 @@
     pub ration_few: f64,
     pub ration_part: f64,
     pub second_copies: bool,
+    /// What a crowded machine may add to any time that is judged; for tests, whose verdicts are counts.
+    #[serde(default)]
+    pub leeway_us: i64,
 }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -116,6 +116,7 @@
         ration_part: figure(loads, "ration_part", 0.0),
         second_copies: day.settings.dispatch.get("second_copies").and_then(toml::Value::as_bool)
             == Some(true),
+        leeway_us: day.leeway_ms as i64 * 1000,
     })
 }
 
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -25,6 +25,9 @@
     /// The routers are told of each other.
     #[serde(default)]
     pub peers: bool,
+    /// What a crowded machine may add to any time that is judged.
+    #[serde(default)]
+    pub leeway_ms: u64,
     /// By router: how far its wall's clock is off.
     #[serde(default)]
     pub clock_offsets_ms: Vec<i64>,
--- a/crates/rig/src/rest_client.rs
+++ b/crates/rig/src/rest_client.rs
@@ -19,13 +19,13 @@
 use crate::client::{Answers, Arrival};
 
 const CONNECT_WITHIN: i64 = 300_000;
-/// An answer is listened for so long after the client has given up, to see that none comes.
-const LISTENS_ON: Duration = Duration::from_secs(1);
 
 pub struct Callers {
     pub routers: Vec<SocketAddr>,
     pub from: IpAddr,
     pub log: Log,
+    /// Beyond the time at which the client gives up.
+    pub listens_on: Duration,
     pub began: Instant,
     pub answers: Option<Answers>,
 }
@@ -60,7 +60,7 @@
                 "account": a.account, "function": a.function, "timeout": timeout,
             }),
         );
-        let patience = Duration::from_micros(timeout) + LISTENS_ON;
+        let patience = Duration::from_micros(timeout) + self.listens_on;
         let until = Instant::now() + patience;
         for k in 0..self.routers.len() {
             let router = self.routers[(n + k) % self.routers.len()];
--- a/crates/rig/src/traffic.rs
+++ b/crates/rig/src/traffic.rs
@@ -16,6 +16,8 @@
 use crate::until;
 
 const CLIENTS: u32 = 3;
+/// An answer is listened for so long after its caller has given up, to see that none comes.
+const LISTENS_ON: Duration = Duration::from_secs(1);
 /// Tells the draw of the front apart from the others of the same seed.
 const CALLS: u64 = 0xca11;
 const FLOODS: u64 = 0xf100d << 8;
@@ -43,6 +45,7 @@
             routers: fleet.listens(),
             from: [127, 0, 2, 200].into(),
             log: fleet.log.clone(),
+            listens_on: LISTENS_ON + Duration::from_millis(day.leeway_ms),
             began,
             answers: Some(answers.clone()),
         };
