--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -11,7 +11,7 @@
 
 use std::io;
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -126,6 +126,8 @@
     random: Mutex<Pcg64Mcg>,
     /// Rung for each whole message that has got there.
     pub passed: Event,
+    /// Whole messages that have come and have not been answered or lost.
+    pub on_the_way: AtomicUsize,
 }
 
 impl Link {
@@ -155,6 +157,7 @@
 /// Takes connections until dropped; then all of them are gone.
 pub struct Relay {
     pub address: SocketAddr,
+    link: Arc<Link>,
     _accepting: Task<()>,
     _served: Arc<Mutex<Vec<Task<()>>>>,
 }
@@ -178,8 +181,17 @@
         links.register(near, far, &port);
         let (out, back) = (links.way(near, far), links.way(far, near));
         let random = Mutex::new(Pcg64Mcg::seed_from_u64(seed));
-        let link =
-            Arc::new(Link { ground: ground.clone(), out, back, to, from, random, passed: Event::new() });
+        let link = Arc::new(Link {
+            ground: ground.clone(),
+            out,
+            back,
+            to,
+            from,
+            random,
+            passed: Event::new(),
+            on_the_way: AtomicUsize::new(0),
+        });
+        let its_link = link.clone();
         let served: Arc<Mutex<Vec<Task<()>>>> = Arc::default();
         let (executor, tasks) = (ground.executor.clone(), served.clone());
         let accepting = async move {
@@ -202,7 +214,14 @@
                 tasks.push(task);
             }
         };
-        Ok(Relay { address, _accepting: ground.executor.spawn(accepting), _served: served })
+        Ok(Relay { address, link: its_link, _accepting: ground.executor.spawn(accepting), _served: served })
+    }
+}
+
+impl Relay {
+    /// Whole messages that have come and have not been answered or lost.
+    pub fn on_the_way(&self) -> usize {
+        self.link.on_the_way.load(Ordering::SeqCst)
     }
 }
 
