--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -149,8 +149,9 @@
     }
 }
 
-fn other(v: &Verdict, reasons: &[&str]) -> bool {
-    reasons.iter().any(|r| v.by_reason.get(*r).is_some_and(|n| *n > 0))
+/// Mostly of what must not run twice.
+fn once(day: &mut Day) {
+    day.triggers.iter_mut().for_each(|t| t.part = if t.name == "reserve" { 0.9 } else { 0.05 });
 }
 
 /// What shows that a fault came about.
@@ -158,7 +159,8 @@
 
 const HELD: Shown = |p| p.verdict.held_by_rig > 0;
 const REQUEUED: Shown = |p| p.logged(BROKER, "requeued") > 0;
-const UNSURE: Shown = |p| other(&p.verdict, &["may-have-run", "given-up"]);
+/// Something may have run: nobody could tell.
+const UNSURE: Shown = |p| p.verdict.answers["errored"] > 0;
 /// Its effect is shown by the relays' own tests.
 const ELSEWHERE: Shown = |_| true;
 
@@ -180,16 +182,11 @@
 fn rules_hold_under(#[case] on: On, #[case] out: Fault, #[case] back: Fault, #[case] shown: Shown) {
     let script =
         Script::new(1).at(1000, |f| set(f, on, out, back)).at(1000 + LONG_MS, |f| set(f, on, PASS, PASS));
-    let played = play(&day(|_| {}), None, script, PATIENCE);
+    let played = play(&day(once), None, script, PATIENCE);
     played.holds();
     assert!(shown(&played), "it came about: {}", played.verdict.table());
 }
 
-/// Mostly of what must not run twice.
-fn once(day: &mut Day) {
-    day.triggers.iter_mut().for_each(|t| t.part = if t.name == "reserve" { 0.9 } else { 0.05 });
-}
-
 /// Handed out in turn: each router has some, which have run and are not answered.
 fn hold_unanswered(f: &Fleet) {
     f.workers.iter().for_each(|w| w.hang(true));
@@ -312,7 +309,7 @@
     let off = day(|d| (d.clock_offsets_ms, d.seconds) = (vec![0, 3_600_000], 2.0));
     let played = play(&off, None, Script::new(1), PATIENCE);
     played.holds();
-    assert!(other(&played.verdict, &["expired"]), "{}", played.verdict.table());
+    assert!(played.verdict.by_reason.contains_key("expired"), "{}", played.verdict.table());
     let file = played.fleet.folder().join("routers/router-1.toml");
     for command in ["serve", "check"] {
         let said = Command::new(PROGRAM).arg(command).arg(&file).output().expect("it runs");
@@ -334,7 +331,12 @@
         .at(1000, |f| f.pause_router(2, true).expect("paused"))
         .at(2000, |f| f.pause_router(2, false).expect("goes on"))
         .at(2500, |f| f.cut_region("west", PASS));
-    let played = play(&day(|_| {}), Some(kind), script, Duration::from_secs(5));
+    // It meddles with one in fifteen: some of them must be of those that show it.
+    let more = day(|d| {
+        once(d);
+        d.rate_per_s = 60.0;
+    });
+    let played = play(&more, Some(kind), script, Duration::from_secs(5));
     assert!(played.verdict.rules[rule] > 0, "{}", played.verdict.table());
 }
 
@@ -388,17 +390,16 @@
     assert_eq!(asked(0, 2).0, "r2");
 }
 
-/// A clean fleet is judged clean, with all its links relayed.
+/// A clean fleet is judged clean, with all its links relayed, and nobody is left unsure.
 #[test]
-fn an_undisturbed_fleet_succeeds_at_all() {
-    let patient = |d: &mut Day| d.triggers.iter_mut().for_each(|t| t.client_timeout_ms = 20_000);
+fn an_undisturbed_fleet_is_unsure_of_nothing() {
     let mixed = day(|d| {
-        patient(d);
+        d.triggers.iter_mut().for_each(|t| t.client_timeout_ms = 20_000);
         d.kserve_part = 0.3;
-        d.settings.dispatch.insert("connect_within_ms".into(), 20_000.into());
     });
     let played = play(&mixed, None, Script::new(1), PATIENCE);
     played.holds();
-    let succeeded = played.verdict.answers["succeeded"];
-    assert_eq!(succeeded, played.verdict.invocations, "{}", played.verdict.table());
+    let (v, table) = (&played.verdict, played.verdict.table());
+    assert!(v.answers["succeeded"] > 0 && v.answers["errored"] == 0 && !REQUEUED(&played), "{table}");
+    assert_eq!(v.held_by_rig, 0, "{table}");
 }
--- a/crates/rig/tests/relays.rs
+++ b/crates/rig/tests/relays.rs
@@ -2,7 +2,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{Receiver, channel};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -32,7 +32,7 @@
     _ground: Ground,
 }
 
-/// An echo, or an HTTP server that hands out the bodies that it gets and gives them back.
+/// An echo or an HTTP server, which hands out what it gets and gives it back.
 fn setting(form: Form) -> Setting {
     let (ends, (tell, bodies)) = (Ends::default(), channel());
     let ground = Ground::new(2, None).expect("a ground");
@@ -42,7 +42,7 @@
         Form::Bytes => {
             let listener = TcpListener::bind(any).expect("a listener");
             let to = listener.local_addr().expect("an address");
-            std::thread::spawn(move || echoes(&listener, &seen));
+            std::thread::spawn(move || echoes(&listener, &seen, &tell));
             (to, None)
         }
         Form::Messages => {
@@ -65,25 +65,28 @@
     Setting { links, relay, ends, bodies, _server: server, _ground: ground }
 }
 
-fn echoes(listener: &TcpListener, seen: &Ends) {
+fn echoes(listener: &TcpListener, seen: &Ends, tell: &Sender<String>) {
     for (n, stream) in listener.incoming().flatten().enumerate() {
         let from = stream.peer_addr().expect("a peer");
         seen.lock().expect("ends").push((from, None));
-        let seen = seen.clone();
+        let (seen, tell) = (seen.clone(), tell.clone());
         std::thread::spawn(move || {
             // A close is told from a reset.
-            let end = echo(stream).map_or_else(|e| e.kind(), |()| ErrorKind::Other);
+            let end = echo(stream, &tell).map_or_else(|e| e.kind(), |()| ErrorKind::Other);
             seen.lock().expect("ends")[n].1 = Some(end);
         });
     }
 }
 
-fn echo(mut stream: TcpStream) -> std::io::Result<()> {
+fn echo(mut stream: TcpStream, tell: &Sender<String>) -> std::io::Result<()> {
     let mut buffer = vec![0; 4096];
     loop {
         match stream.read(&mut buffer)? {
             0 => return Ok(()),
-            n => stream.write_all(&buffer[..n])?,
+            n => {
+                let _ = tell.send(String::from_utf8_lossy(&buffer[..n]).into_owned());
+                stream.write_all(&buffer[..n])?;
+            }
         }
     }
 }
@@ -176,11 +179,13 @@
     s.links.heal();
     assert_eq!(said(&mut late, 4), Ok("late".into()));
     s.links.set("near", "far", Fault::Held);
+    late.write_all(b"last words").expect("written");
     drop(late);
     std::thread::sleep(QUIET);
     assert_eq!(s.ended(count), None, "its end is held too");
     s.links.heal();
     assert!(until(PATIENCE, || s.ended(count).is_some()));
+    assert_eq!(s.bodies.try_iter().last(), Some("last words".into()), "they came before it");
 }
 
 #[test]
