--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -66,7 +66,16 @@
     answers: HashMap<String, Vec<String>>,
     sent: usize,
     stopped: bool,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
+}
+
+impl Drop for Played {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.folder.disable_cleanup(true);
+            eprintln!("left in {}", self.folder.path().display());
+        }
+    }
 }
 
 fn play(day: &Day, tamper: Option<&str>, script: Script, patience: Duration) -> Played {
@@ -82,7 +91,7 @@
     let stopped = fleet.stop(PATIENCE);
     let verdict = fleet.verdict().expect("a verdict");
     let answers = lock(&traffic.answers).clone();
-    Played { fleet, verdict, answers, sent: traffic.sent.len(), stopped, _folder: folder }
+    Played { fleet, verdict, answers, sent: traffic.sent.len(), stopped, folder }
 }
 
 impl Played {
