Node: an answer that lies unread as its client sends no more is heard first, and written

Seen: the test of it failed in 4 of 20 plays of the binary beside busy loops on all six cores (no answer was read). A probe in the router and one in the test, 30 plays, 3 failures: each time the system's table showed the worker's 33 bytes in the router's socket before the client's end was sent, and the router, as it told the leaving, had them still unread ("33 unread: ok same=0 1"). So the router was at fault, not the test: `Front::serve` told `Input::Departed` by what one socket says, the core called the dispatch back, and the answer was dropped. Excluded: bytes that the kernel delivers late (they were there), and the order of readiness alone (a link that was being served as the process stood still is armed again only after it, so its bytes are told after the client's end, though they came first). Change: before a leaving is told, what lies unread where that invocation is out is read (`Links::hear_of`, at most one answer's length). The test halts the router, and has the answer and the client's end lie in its sockets, in either order, before it goes on: without the look it fails on each play, as the end comes first; with it there is no order in which it could fail. The reader of a connection's answers is kept with the connection for this.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -2,7 +2,7 @@
 //! and counts, never times.
 
 use std::io::{BufReader, Read, Write};
-use std::net::TcpListener;
+use std::net::{Shutdown, TcpListener};
 use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -148,6 +148,35 @@
     }
 }
 
+/// Symptom: a client says that it sends nothing more while its answer lies unread at the router, which finds the
+/// client's end first and calls the dispatch back.
+#[test]
+fn an_answer_that_lies_unread_is_written_to_a_client_that_sends_no_more() {
+    for answered_first in [false, true] {
+        let w = World::new(15);
+        let mut stream = w.connect();
+        let client = stream.local_addr().expect("an address");
+        stream.write_all(call(&id(1), "once", KEPT, "", "x").as_bytes()).expect("sent");
+        w.until("it is out", |w| w.calls(&id(1)) == 1);
+        w.turns();
+        w.halt();
+        let answers = |w: &World| {
+            w.free(&id(1));
+            w.until("it lies there", |w| rows(None, Some(w.workers)).iter().any(|r| r.2 > 0));
+        };
+        if answered_first {
+            answers(&w);
+        }
+        stream.shutdown(Shutdown::Write).expect("shut");
+        w.until("its end is there", |w| rows(Some(w.address), Some(client)).iter().any(|r| r.0 == 8));
+        if !answered_first {
+            answers(&w);
+        }
+        w.goes_on();
+        assert_eq!(answer(&mut BufReader::new(stream)).expect("an answer").0, 200);
+    }
+}
+
 /// Its client's time runs from its last byte, also while it waits behind another.
 #[test]
 fn what_waits_behind_another_counts_its_time() {
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -1,7 +1,7 @@
 //! A running `cedarpulley node` over real sockets, between a small scripted worker, a command channel and clients.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -303,6 +303,26 @@
         .expect("started")
 }
 
+/// The rows of the system's table of TCP connections between these two, from the first one's side; none names
+/// any. State (1 up, 8 the other side sends no more, 10 listens), bytes not taken by the other side yet, and bytes
+/// not read.
+pub fn rows(from: Option<SocketAddr>, to: Option<SocketAddr>) -> Vec<(u64, u64, u64)> {
+    let named = |at: SocketAddr| match at.ip() {
+        IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from_ne_bytes(ip.octets()), at.port()),
+        IpAddr::V6(_) => panic!("{at}"),
+    };
+    let (from, to) = (from.map(named), to.map(named));
+    let hex = |text: &str| u64::from_str_radix(text, 16).expect("a number");
+    let text = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+    let row = |line: &str| {
+        let parts: Vec<&str> = line.split_whitespace().collect();
+        let fits = |at: &Option<String>, part: &str| at.as_ref().is_none_or(|at| at == part);
+        let (sent, read) = parts[4].split_once(':').expect("two queues");
+        (fits(&from, parts[1]) && fits(&to, parts[2])).then(|| (hex(parts[3]), hex(sent), hex(read)))
+    };
+    text.lines().skip(1).filter_map(row).collect()
+}
+
 /// Status, head and body.
 pub fn answer(stream: &mut BufReader<TcpStream>) -> Option<(u16, String, Vec<u8>)> {
     let mut head = String::new();
--- a/crates/platform-node/src/front.rs
+++ b/crates/platform-node/src/front.rs
@@ -217,8 +217,9 @@
     ) -> Option<Answer> {
         self.last_tag.set(self.last_tag.get() + 1);
         let delivery = Delivery { front: 0, life: 0, tag: self.last_tag.get() };
-        self.ids.borrow_mut().insert(call.id.clone());
-        self.owed.borrow_mut().insert(delivery.tag, Owed { caller: caller.clone(), id: call.id.clone() });
+        let id = call.id.clone();
+        self.ids.borrow_mut().insert(id.clone());
+        self.owed.borrow_mut().insert(delivery.tag, Owed { caller: caller.clone(), id: id.clone() });
         node.feed(Input::Taken(Taken {
             delivery,
             identity: None,
@@ -244,6 +245,9 @@
             if self.more(node, caller, ahead).await {
                 continue;
             }
+            // Symptom: a client says that it sends nothing more, and of the same wake-up its answer lies unread on
+            // another connection; told of the leaving first, the core calls the dispatch back, answered as it is.
+            node.links.hear_of(node, &id);
             // Symptom: others are answered while this one's leaving is told, with the books still held open.
             if self.settled(delivery).is_some() {
                 node.feed(Input::Departed(delivery));
--- a/crates/platform-node/src/links.rs
+++ b/crates/platform-node/src/links.rs
@@ -11,12 +11,16 @@
 use cedarpulley_gateway::net::{Bell, Stream, connect};
 use cedarpulley_platform::berths::{Berths, ConnIx, Place};
 use cedarpulley_platform::endings::{self, Ended};
-use cedarpulley_platform::workers::{self, Answer, Reader};
+use cedarpulley_platform::workers::{self, Answer, LONGEST_ANSWER, Reader};
 use cedarpulley_router::core::Call;
 use cedarpulley_router::{Input, OrderTicket, Payload, Ticket};
 use futures_lite::FutureExt;
 
-use crate::node::{Had, Node};
+use crate::node::{Had, Node, PIECE};
+
+/// Of what lies unread no more is read at once than the longest answer takes, so that a worker that never stops
+/// sending holds nobody up.
+const MOST_PIECES: usize = LONGEST_ANSWER.div_ceil(PIECE);
 
 #[derive(Clone, Copy)]
 enum Kind {
@@ -48,6 +52,7 @@
     rest: RefCell<Vec<u8>>,
     written: Cell<u64>,
     out: RefCell<HashMap<String, Exchange>>,
+    reader: RefCell<Reader>,
     /// Rung when there is something to write or the connection is to end.
     bell: Bell,
     ends: Cell<bool>,
@@ -198,6 +203,7 @@
             rest: RefCell::default(),
             written: Cell::new(0),
             out: RefCell::default(),
+            reader: RefCell::default(),
             bell: Bell::default(),
             ends: Cell::new(false),
             ours: Cell::new(false),
@@ -278,7 +284,6 @@
 
     /// Reads answers until the connection ends.
     async fn listen(&self, node: &Rc<Node>, conn: &Rc<Conn>) {
-        let mut reader = Reader::default();
         let Some(stream) = conn.stream.borrow().clone() else { return };
         while !conn.ends.get() {
             conn.stirs(&stream).await;
@@ -286,18 +291,42 @@
             if conn.ends.get() {
                 return;
             }
-            match node.read(&stream, |bytes| reader.put(bytes)) {
-                Had::Bytes(()) => self.hear(node, conn, &mut reader),
-                Had::Nothing => {}
-                Had::Ended => return,
+            if let Had::Ended = self.read(node, conn, &stream) {
+                return;
+            }
+        }
+    }
+
+    /// Reads one piece, if there is one.
+    fn read(&self, node: &Rc<Node>, conn: &Rc<Conn>, stream: &Stream) -> Had<()> {
+        let had = node.read(stream, |bytes| conn.reader.borrow_mut().put(bytes));
+        if let Had::Bytes(()) = had {
+            self.hear(node, conn);
+        }
+        had
+    }
+
+    /// Reads what lies unread where this invocation is out. That a connection has ended is left to its own
+    /// task to find again.
+    pub fn hear_of(&self, node: &Rc<Node>, id: &str) {
+        let carries = |c: &&Rc<Conn>| c.out.borrow().contains_key(id);
+        let on: Vec<Rc<Conn>> = self.conns.borrow().values().filter(carries).cloned().collect();
+        for conn in on {
+            let Some(stream) = conn.stream.borrow().clone() else { continue };
+            for _ in 0..MOST_PIECES {
+                let waits = !conn.ends.get() && conn.out.borrow().contains_key(id);
+                if !waits || !matches!(self.read(node, &conn, &stream), Had::Bytes(())) {
+                    break;
+                }
             }
         }
     }
 
     /// What has come so far.
-    fn hear(&self, node: &Rc<Node>, conn: &Rc<Conn>, reader: &mut Reader) {
+    fn hear(&self, node: &Rc<Node>, conn: &Rc<Conn>) {
         loop {
-            match reader.next(&node.fields) {
+            let next = conn.reader.borrow_mut().next(&node.fields);
+            match next {
                 Ok(Some(answer)) => {
                     // Nobody can have answered what has not left whole.
                     if conn.out.borrow().get(&answer.id).is_some_and(|e| !conn.whole(e)) {
@@ -309,7 +338,8 @@
                 }
                 Ok(None) => {
                     let now = node.clock.now();
-                    return self.berths.borrow_mut().heard(now, conn.ix, reader.midway());
+                    let midway = conn.reader.borrow().midway();
+                    return self.berths.borrow_mut().heard(now, conn.ix, midway);
                 }
                 Err(garbled) => {
                     tracing::debug!(?garbled, "a worker's answer cannot be read");
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -33,7 +33,7 @@
 /// A router that stops looks this often whether it may leave.
 const STOP_LOOK: Duration = Duration::from_millis(10);
 /// One piece read at a time: several short requests or answers, a long one in a few.
-const PIECE: usize = 16 << 10;
+pub(crate) const PIECE: usize = 16 << 10;
 
 pub struct Node {
     pub(crate) clock: Clock,
--- a/crates/platform/src/workers.rs
+++ b/crates/platform/src/workers.rs
@@ -16,6 +16,8 @@
 const MOST_LINE: usize = 1 << 10;
 /// Bodies of answers.
 const MOST_BODY: usize = 256 << 10;
+/// Line, body, and what ends each.
+pub const LONGEST_ANSWER: usize = MOST_LINE + MOST_BODY + 4;
 
 /// What a worker is told of an invocation.
 pub struct Call<'a> {
