Node: an order to load has the same last look before its first byte as a dispatch

Rule: half a second (the settings' grace) after a worker was told to drain or be gone nothing new leaves for it, orders to load included, and a send's time is that of its first byte. Found on reading: `Links::begin` looked once more at dispatches only; an order that waited for its connection left whenever that came up. The module orders from workers in service alone, so with a connection given up after 250 ms none was late; with longer connect times in the settings it would have been. Excluded: dispatches, which were held back (`may_leave`). Change: `Router::order_may_leave`, asked in `begin` by what the letter's exchange is. An order held back ends as unreachable, as one without a connection does.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -204,6 +204,41 @@
     w.until("it is called back", |w| w.seen.lock().expect("seen").killed.contains(&id(1)));
 }
 
+/// Symptom: connecting takes longer than the grace of a worker that drains meanwhile, and what waits for the
+/// connection leaves for it all the same.
+#[test]
+fn nothing_leaves_for_a_worker_past_its_grace_however_late_the_connection() {
+    for absent in ["\"load\"", "\"miss\""] {
+        let patient = |c: String| c.replace("\"miss\"", absent).replace("250000000", "30000000000");
+        let (w, at, seen) = (World::with(18, patient), own(18), Shared::default());
+        // It has room for one connection, and takes none: the next one comes up once that is taken.
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.bind(&at.into()).expect("bind");
+        socket.listen(0).expect("listens");
+        let listener = TcpListener::from(socket);
+        let _first = TcpStream::connect(at).expect("room for one");
+        w.until("no room is left", |_| rows(Some(at), None).iter().any(|r| (r.0, r.2) == (10, 1)));
+        let tell = |n: u64, id: &str, at, state: &str| {
+            w.channel.lock().expect("channel").events.push(event(n, at, id, state));
+            w.until("it is told", |w| w.channel.lock().expect("channel").asked.contains(&n));
+        };
+        tell(2, "s-2", at, "active");
+        tell(3, "s-1", w.workers, "left");
+        let mut stream = w.connect();
+        let text = call(&id(1), "plain", GOOD, "", "x").replace("Wait-Ms: 60000", "Wait-Ms: 12000");
+        stream.write_all(text.as_bytes()).expect("sent");
+        w.until("it connects", |_| rows(None, Some(at)).iter().any(|r| r.0 == 2));
+        tell(4, "s-2", at, "leaving");
+        thread::sleep(Duration::from_millis(600));
+        worker(listener, seen.clone());
+        w.until("it is connected", |_| seen.lock().expect("seen").connections == 2);
+        assert_eq!(answer(&mut BufReader::new(stream)).expect("an answer").0, 503);
+        let seen = seen.lock().expect("seen");
+        assert_eq!((seen.calls.len(), seen.orders.len()), (0, 0), "{absent}");
+    }
+}
+
 /// Symptom: the channel stops and stays open.
 #[test]
 fn a_channel_that_falls_silent_is_asked_anew() {
--- a/crates/platform-node/src/links.rs
+++ b/crates/platform-node/src/links.rs
@@ -39,7 +39,7 @@
 
 /// Something to be written, made when its first byte is due.
 enum Letter {
-    Call { ticket: Ticket, trigger: u32, function: Arc<str>, waited_until: Micros, call: Call },
+    Call { trigger: u32, function: Arc<str>, waited_until: Micros, call: Call },
     Bytes(Vec<u8>),
 }
 
@@ -139,7 +139,7 @@
     ) {
         let id = call.mark.as_deref().unwrap_or("").to_owned();
         let waited_until = node.clock.now() + call.waited_for;
-        let letter = Letter::Call { ticket, trigger, function, waited_until, call };
+        let letter = Letter::Call { trigger, function, waited_until, call };
         self.post(node, worker, id, Kind::Dispatch(ticket), Micros::MAX, letter);
     }
 
@@ -259,14 +259,24 @@
 
     /// Makes the bytes of a letter whose turn has come; false if it is held back.
     fn begin(&self, node: &Rc<Node>, conn: &Rc<Conn>, id: &str, letter: Letter) -> bool {
+        let kind = conn.out.borrow().get(id).map(|e| e.kind);
+        let time_left = match &letter {
+            Letter::Call { waited_until, .. } => waited_until - node.clock.now(),
+            Letter::Bytes(_) => Micros::MAX,
+        };
+        let may_leave = match kind {
+            Some(Kind::Dispatch(ticket)) => time_left > 0 && node.may_leave(ticket),
+            Some(Kind::Order(ticket)) => node.order_may_leave(ticket),
+            // Something is taken back, unloaded or asked.
+            Some(Kind::Probe(..)) | None => true,
+        };
+        if !may_leave {
+            self.ended(node, conn, id, Ended::HeldBack, None);
+            return false;
+        }
         let bytes = match letter {
             Letter::Bytes(bytes) => bytes,
-            Letter::Call { ticket, trigger, function, waited_until, call } => {
-                let time_left = waited_until - node.clock.now();
-                if time_left <= 0 || !node.may_leave(ticket) {
-                    self.ended(node, conn, id, Ended::HeldBack, None);
-                    return false;
-                }
+            Letter::Call { trigger, function, call, .. } => {
                 let trigger = node.names.triggers.get(trigger as usize).map_or("", String::as_str);
                 let (token, body) = (call.token.as_deref(), &call.body.bytes);
                 let mut bytes = Vec::new();
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -21,7 +21,7 @@
 use cedarpulley_platform::config::{Start, channel_of};
 use cedarpulley_platform::doorkeeper::Doorkeeper;
 use cedarpulley_platform::stopping::Stopping;
-use cedarpulley_router::{Input, Output, Router, Terms, Ticket};
+use cedarpulley_router::{Input, OrderTicket, Output, Router, Terms, Ticket};
 use futures_lite::StreamExt;
 
 use crate::channel;
@@ -108,6 +108,10 @@
         self.router.borrow().may_leave(self.clock.now(), ticket)
     }
 
+    pub(crate) fn order_may_leave(&self, ticket: OrderTicket) -> bool {
+        self.router.borrow().order_may_leave(self.clock.now(), ticket)
+    }
+
     pub(crate) fn address(&self, worker: WorkerIx) -> Option<SocketAddr> {
         self.follower.borrow().address(self.router.borrow().worker_name(worker)?)
     }
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -373,6 +373,11 @@
         out.is_some_and(|d| self.service.takes_new(now, d.worker))
     }
 
+    /// The same for an order to load.
+    pub fn order_may_leave(&self, now: Micros, ticket: OrderTicket) -> bool {
+        self.orders.contains_key(&ticket) && self.service.takes_new(now, ticket.worker)
+    }
+
     pub fn worker_name(&self, worker: WorkerIx) -> Option<&str> {
         self.workers.id(worker).map(String::as_str)
     }
