--- a/crates/platform-node/src/front.rs
+++ b/crates/platform-node/src/front.rs
@@ -131,7 +131,12 @@
         let now = node.clock.now();
         let mut over = self.door.borrow().overdue(now);
         if !node.stopping.borrow().takes(now) {
-            over.extend(self.door.borrow().idle());
+            // What has come and is not read yet is taken all the same.
+            let silent = |ix: &CallerIx| {
+                let callers = self.callers.borrow();
+                callers.get(ix).is_some_and(|c| !c.stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0))
+            };
+            over.extend(self.door.borrow().idle().into_iter().filter(silent));
         }
         over.into_iter().for_each(|ix| self.turn_out(ix));
     }
@@ -217,8 +222,9 @@
     ) -> Option<Answer> {
         self.last_tag.set(self.last_tag.get() + 1);
         let delivery = Delivery { front: 0, life: 0, tag: self.last_tag.get() };
-        self.ids.borrow_mut().insert(call.id.clone());
-        self.owed.borrow_mut().insert(delivery.tag, Owed { caller: caller.clone(), id: call.id.clone() });
+        let id = call.id.clone();
+        self.ids.borrow_mut().insert(id.clone());
+        self.owed.borrow_mut().insert(delivery.tag, Owed { caller: caller.clone(), id: id.clone() });
         node.feed(Input::Taken(Taken {
             delivery,
             identity: None,
@@ -244,6 +250,9 @@
             if self.more(node, caller, ahead).await {
                 continue;
             }
+            // Symptom: a client says that it sends nothing more, and of the same wake-up its answer lies unread on
+            // another connection; told of the leaving first, the core calls the dispatch back, answered as it is.
+            node.links.hear_of(node, &id);
             // Symptom: others are answered while this one's leaving is told, with the books still held open.
             if self.settled(delivery).is_some() {
                 node.feed(Input::Departed(delivery));
--- a/crates/platform-node/src/links.rs
+++ b/crates/platform-node/src/links.rs
@@ -11,12 +11,16 @@
 use cedarpulley_net::{Bell, Stream, connect};
 use cedarpulley_platform::berths::{Berths, ConnIx, Place};
 use cedarpulley_platform::endings::{self, Ended};
-use cedarpulley_platform::workers::{self, Answer, Reader};
+use cedarpulley_platform::workers::{self, Answer, LONGEST_ANSWER, Reader};
 use cedarpulley_router::core::Call;
 use cedarpulley_router::{Input, OrderTicket, Payload, Ticket};
 use futures_lite::FutureExt;
 
-use crate::node::{Had, Node};
+use crate::node::{Had, Node, PIECE};
+
+/// Of what lies unread no more is read at once than the longest answer takes, so that a worker that never stops
+/// sending holds nobody up.
+const MOST_PIECES: usize = LONGEST_ANSWER.div_ceil(PIECE);
 
 #[derive(Clone, Copy)]
 enum Kind {
@@ -35,7 +39,7 @@
 
 /// Something to be written, made when its first byte is due.
 enum Letter {
-    Call { ticket: Ticket, trigger: u32, function: Arc<str>, waited_until: Micros, call: Call },
+    Call { trigger: u32, function: Arc<str>, waited_until: Micros, call: Call },
     Bytes(Vec<u8>),
 }
 
@@ -48,6 +52,7 @@
     rest: RefCell<Vec<u8>>,
     written: Cell<u64>,
     out: RefCell<HashMap<String, Exchange>>,
+    reader: RefCell<Reader>,
     /// Rung when there is something to write or the connection is to end.
     bell: Bell,
     ends: Cell<bool>,
@@ -134,7 +139,7 @@
     ) {
         let id = call.mark.as_deref().unwrap_or("").to_owned();
         let waited_until = node.clock.now() + call.waited_for;
-        let letter = Letter::Call { ticket, trigger, function, waited_until, call };
+        let letter = Letter::Call { trigger, function, waited_until, call };
         self.post(node, worker, id, Kind::Dispatch(ticket), Micros::MAX, letter);
     }
 
@@ -198,6 +203,7 @@
             rest: RefCell::default(),
             written: Cell::new(0),
             out: RefCell::default(),
+            reader: RefCell::default(),
             bell: Bell::default(),
             ends: Cell::new(false),
             ours: Cell::new(false),
@@ -253,14 +259,24 @@
 
     /// Makes the bytes of a letter whose turn has come; false if it is held back.
     fn begin(&self, node: &Rc<Node>, conn: &Rc<Conn>, id: &str, letter: Letter) -> bool {
+        let kind = conn.out.borrow().get(id).map(|e| e.kind);
+        let time_left = match &letter {
+            Letter::Call { waited_until, .. } => waited_until - node.clock.now(),
+            Letter::Bytes(_) => Micros::MAX,
+        };
+        let may_leave = match kind {
+            Some(Kind::Dispatch(ticket)) => time_left > 0 && node.may_leave(ticket),
+            Some(Kind::Order(ticket)) => node.order_may_leave(ticket),
+            // Something is taken back, unloaded or asked.
+            Some(Kind::Probe(..)) | None => true,
+        };
+        if !may_leave {
+            self.ended(node, conn, id, Ended::HeldBack, None);
+            return false;
+        }
         let bytes = match letter {
             Letter::Bytes(bytes) => bytes,
-            Letter::Call { ticket, trigger, function, waited_until, call } => {
-                let time_left = waited_until - node.clock.now();
-                if time_left <= 0 || !node.may_leave(ticket) {
-                    self.ended(node, conn, id, Ended::HeldBack, None);
-                    return false;
-                }
+            Letter::Call { trigger, function, call, .. } => {
                 let trigger = node.names.triggers.get(trigger as usize).map_or("", String::as_str);
                 let (token, body) = (call.token.as_deref(), &call.body.bytes);
                 let mut bytes = Vec::new();
@@ -278,7 +294,6 @@
 
     /// Reads answers until the connection ends.
     async fn listen(&self, node: &Rc<Node>, conn: &Rc<Conn>) {
-        let mut reader = Reader::default();
         let Some(stream) = conn.stream.borrow().clone() else { return };
         while !conn.ends.get() {
             conn.stirs(&stream).await;
@@ -286,18 +301,42 @@
             if conn.ends.get() {
                 return;
             }
-            match node.read(&stream, |bytes| reader.put(bytes)) {
-                Had::Bytes(()) => self.hear(node, conn, &mut reader),
-                Had::Nothing => {}
-                Had::Ended => return,
+            if let Had::Ended = self.read(node, conn, &stream) {
+                return;
+            }
+        }
+    }
+
+    /// Reads one piece, if there is one.
+    fn read(&self, node: &Rc<Node>, conn: &Rc<Conn>, stream: &Stream) -> Had<()> {
+        let had = node.read(stream, |bytes| conn.reader.borrow_mut().put(bytes));
+        if let Had::Bytes(()) = had {
+            self.hear(node, conn);
+        }
+        had
+    }
+
+    /// Reads what lies unread where this invocation is out. That a connection has ended is left to its own
+    /// task to find again.
+    pub fn hear_of(&self, node: &Rc<Node>, id: &str) {
+        let carries = |c: &&Rc<Conn>| c.out.borrow().contains_key(id);
+        let on: Vec<Rc<Conn>> = self.conns.borrow().values().filter(carries).cloned().collect();
+        for conn in on {
+            let Some(stream) = conn.stream.borrow().clone() else { continue };
+            for _ in 0..MOST_PIECES {
+                let waits = !conn.ends.get() && conn.out.borrow().contains_key(id);
+                if !waits || !matches!(self.read(node, &conn, &stream), Had::Bytes(())) {
+                    break;
+                }
             }
         }
     }
 
     /// What has come so far.
-    fn hear(&self, node: &Rc<Node>, conn: &Rc<Conn>, reader: &mut Reader) {
+    fn hear(&self, node: &Rc<Node>, conn: &Rc<Conn>) {
         loop {
-            match reader.next(&node.fields) {
+            let next = conn.reader.borrow_mut().next(&node.fields);
+            match next {
                 Ok(Some(answer)) => {
                     // Nobody can have answered what has not left whole.
                     if conn.out.borrow().get(&answer.id).is_some_and(|e| !conn.whole(e)) {
@@ -309,7 +348,8 @@
                 }
                 Ok(None) => {
                     let now = node.clock.now();
-                    return self.berths.borrow_mut().heard(now, conn.ix, reader.midway());
+                    let midway = conn.reader.borrow().midway();
+                    return self.berths.borrow_mut().heard(now, conn.ix, midway);
                 }
                 Err(garbled) => {
                     tracing::debug!(?garbled, "a worker's answer cannot be read");
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -21,7 +21,7 @@
 use cedarpulley_platform::config::{Start, channel_of};
 use cedarpulley_platform::doorkeeper::Doorkeeper;
 use cedarpulley_platform::stopping::Stopping;
-use cedarpulley_router::{Input, Output, Router, Terms, Ticket};
+use cedarpulley_router::{Input, OrderTicket, Output, Router, Terms, Ticket};
 use futures_lite::StreamExt;
 
 use crate::channel;
@@ -33,7 +33,7 @@
 /// A router that stops looks this often whether it may leave.
 const STOP_LOOK: Duration = Duration::from_millis(10);
 /// One piece read at a time: several short requests or answers, a long one in a few.
-const PIECE: usize = 16 << 10;
+pub(crate) const PIECE: usize = 16 << 10;
 
 pub struct Node {
     pub(crate) clock: Clock,
@@ -113,6 +113,10 @@
         self.router.borrow().may_leave(self.clock.now(), ticket)
     }
 
+    pub(crate) fn order_may_leave(&self, ticket: OrderTicket) -> bool {
+        self.router.borrow().order_may_leave(self.clock.now(), ticket)
+    }
+
     pub(crate) fn address(&self, worker: WorkerIx) -> Option<SocketAddr> {
         self.follower.borrow().address(self.router.borrow().worker_name(worker)?)
     }
@@ -167,7 +171,7 @@
         loop {
             Timer::after(STOP_LOOK).await;
             let open = self.router.borrow().open() > 0 || self.front.owes();
-            if self.stopping.borrow().leaves(self.clock.now(), open) {
+            if self.stopping.borrow_mut().leaves(self.clock.now(), open) {
                 break;
             }
         }
