Gateway: routers of a group share records over HTTP, with /state, /metrics and a folder

Need: the group's state machines and the core's questions to them had no sockets between them.

Change: [peers] in the settings; circle, fellows (membership, replica and core joined), post (POST /peer with postcard letters, two lanes a member, bounded by bytes; GET /state and /metrics), folder (redb, written behind, set aside when damaged, foreign or later), shown. A witness needs no front. The last look before a dispatch's first byte is in the pool now, as connecting takes time.

--- a/crates/cli/src/wrong.rs
+++ b/crates/cli/src/wrong.rs
@@ -25,7 +25,7 @@
     #[error("{0}")]
     Settings(cedarpulley_gateway::sheet::Refused),
     #[error("{file}: the router cannot run")]
-    Serve { file: String, source: io::Error },
+    Serve { file: String, source: cedarpulley_gateway::serve::Unstarted },
     /// Of parts whose errors are no type yet: a line that is whole.
     #[error("{0}")]
     Told(String),
@@ -70,7 +70,7 @@
             Wrong::Absent { .. } => "name a file that is there, or a folder that holds some",
             Wrong::File { .. } => "see that its path is right, may be read or written, and has room",
             Wrong::Settings(_) => "mend each of these lines; docs/operate/settings.md has all settings",
-            Wrong::Serve { .. } => "see that its addresses are free and its folders may be written to",
+            Wrong::Serve { source, .. } => source.remedy(),
             Wrong::Told(_) => "mend what it names",
             Wrong::Standin(_) => {
                 "give it an address that is free and a folder for logs that may be written to"
--- /dev/null
+++ b/crates/gateway/src/folder.rs
@@ -0,0 +1,247 @@
+//! What a router keeps of its group's state over a restart: a file on redb, written behind. It makes a return cheap and
+//! proves nothing: a member votes only after it has compared with others, however good its folder.
+//!
+//! Mechanisms:
+//! 1. Changes are gathered and written together, on a thread of their own; a disk that is slow or full costs nothing but
+//!    the folder's age. What does not fit on its way is written later, as it stands then.
+//! 2. A file that is damaged, of a later format, or of another member or group is told apart and set aside under another
+//!    name; the router begins without, and the others have what it lacks.
+//! 3. Times are kept by the wall's clock; what is over by it, or reaches beyond what is ever kept, is left out.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::Duration;
+
+use cedarpulley::interface::Micros;
+use cedarpulley_errors::Remedy;
+use cedarpulley_replica::{Key, Shared};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use thiserror::Error;
+
+use crate::fellows::Kept;
+
+const FILE: &str = "group.redb";
+/// A later one is refused.
+const FORMAT: u64 = 1;
+const ABOUT: TableDefinition<&str, u64> = TableDefinition::new("about");
+/// By key: until when it is kept, on the wall's clock, and the record.
+const RECORDS: TableDefinition<&str, (i64, &[u8])> = TableDefinition::new("records");
+/// Writings that wait for the disk.
+const MOST_WAITING: usize = 4;
+/// Files set aside of one kind, before the last of them is written over.
+const MOST_ASIDE: u32 = 8;
+
+#[derive(Debug, Error)]
+pub enum Failed {
+    #[error("the group's folder {folder}: {source}")]
+    Folder { folder: String, source: std::io::Error },
+    #[error("the group's file {file} is open in another process")]
+    InUse { file: String },
+    #[error("the group's file {file} cannot be begun: {source}")]
+    Unbegun { file: String, source: Box<redb::Error> },
+}
+
+impl Remedy for Failed {
+    fn remedy(&self) -> &'static str {
+        match self {
+            Failed::Folder { .. } => "see that the folder named by peers.state can be made and written to",
+            Failed::InUse { .. } => "give each router a folder of its own, or end the other process",
+            Failed::Unbegun { .. } => "make room on the disk, or take peers.state out of the settings",
+        }
+    }
+}
+
+/// Why a file was set aside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Aside {
+    Damaged,
+    LaterFormat,
+    /// Of another member, or of a group with other members.
+    Foreign,
+}
+
+impl Aside {
+    fn word(self) -> &'static str {
+        match self {
+            Aside::Damaged => "damaged",
+            Aside::LaterFormat => "later-format",
+            Aside::Foreign => "foreign",
+        }
+    }
+}
+
+/// Records as they are now, or that they are gone.
+type Changes = BTreeMap<Key, Option<Shared>>;
+
+/// One writing: this process's turn, and when it is by the wall's clock.
+struct Writing {
+    turn: u64,
+    wall: Micros,
+    records: Changes,
+}
+
+pub struct Folder {
+    writings: SyncSender<Writing>,
+    /// What there was no room for on its way; as many as there are records at most.
+    waiting: RefCell<Changes>,
+}
+
+fn tables(database: &Database, mark: u64) -> Result<(), redb::Error> {
+    let write = database.begin_write()?;
+    write.open_table(RECORDS)?;
+    {
+        let mut about = write.open_table(ABOUT)?;
+        about.insert("format", FORMAT)?;
+        about.insert("group", mark)?;
+    }
+    write.commit()?;
+    Ok(())
+}
+
+/// What the file holds, or why it is of no use here.
+fn read(database: &Database, mark: u64, wall: Micros, kept: Micros) -> Result<Kept, Aside> {
+    let damaged = |_: redb::Error| Aside::Damaged;
+    let begun = database.begin_read().map_err(|e| damaged(e.into()))?;
+    let about = begun.open_table(ABOUT).map_err(|e| damaged(e.into()))?;
+    let figure = |name: &str| Ok(about.get(name).map_err(|e| damaged(e.into()))?.map(|v| v.value()));
+    match figure("format")? {
+        None => return Err(Aside::Damaged),
+        Some(format) if format > FORMAT => return Err(Aside::LaterFormat),
+        Some(_) => {}
+    }
+    if figure("group")? != Some(mark) {
+        return Err(Aside::Foreign);
+    }
+    let turn = figure("turn")?.unwrap_or(0);
+    let mut records = Vec::new();
+    let table = begun.open_table(RECORDS).map_err(|e| damaged(e.into()))?;
+    for row in table.iter().map_err(|e| damaged(e.into()))? {
+        let (key, value) = row.map_err(|e| damaged(e.into()))?;
+        let (until, bytes) = value.value();
+        let mut shared: Shared = postcard::from_bytes(bytes).map_err(|_| Aside::Damaged)?;
+        let left = until - wall;
+        if left > 0 && left <= kept {
+            shared.left = left;
+            records.push((Key::from(key.value()), shared));
+        }
+    }
+    Ok(Kept { turn, records })
+}
+
+fn aside(file: &Path, why: Aside) -> std::io::Result<PathBuf> {
+    let name = |n| file.with_extension(format!("{}-{n}", why.word()));
+    let to = (1..MOST_ASIDE).map(name).find(|p| !p.exists()).unwrap_or_else(|| name(MOST_ASIDE));
+    std::fs::rename(file, &to)?;
+    Ok(to)
+}
+
+impl Folder {
+    /// Opens it, or begins one. `mark`: of this member and its group; `kept`: nothing is kept for longer.
+    pub fn open(
+        folder: &Path,
+        mark: u64,
+        wall: Micros,
+        kept: Micros,
+    ) -> Result<(Folder, Option<Kept>), Failed> {
+        let told = |source| Failed::Folder { folder: folder.display().to_string(), source };
+        std::fs::create_dir_all(folder).map_err(told)?;
+        let file = folder.join(FILE);
+        let named = || file.display().to_string();
+        let unbegun = |e: redb::Error| Failed::Unbegun { file: named(), source: Box::new(e) };
+        let opened = match file.exists() {
+            false => None,
+            true => match Database::open(&file) {
+                Ok(database) => match read(&database, mark, wall, kept) {
+                    Ok(held) => Some((database, held)),
+                    Err(why) => {
+                        drop(database);
+                        let to = aside(&file, why).map_err(told)?;
+                        tracing::warn!(why = why.word(), to = %to.display(), "the group's file was set aside");
+                        None
+                    }
+                },
+                Err(redb::DatabaseError::DatabaseAlreadyOpen) => return Err(Failed::InUse { file: named() }),
+                Err(e) => {
+                    let to = aside(&file, Aside::Damaged).map_err(told)?;
+                    tracing::warn!(cause = %e, to = %to.display(), "the group's file was set aside as damaged");
+                    None
+                }
+            },
+        };
+        let (database, held) = match opened {
+            Some((database, held)) => (database, Some(held)),
+            None => {
+                // Symptom: a kill in the middle leaves a file that is none.
+                let beside = file.with_extension("new");
+                let _ = std::fs::remove_file(&beside);
+                let database = Database::create(&beside).map_err(|e| unbegun(e.into()))?;
+                tables(&database, mark).map_err(unbegun)?;
+                drop(database);
+                std::fs::rename(&beside, &file).map_err(told)?;
+                (Database::open(&file).map_err(|e| unbegun(e.into()))?, None)
+            }
+        };
+        let (writings, waiting) = sync_channel(MOST_WAITING);
+        let run = move || write(&database, &waiting);
+        std::thread::Builder::new().name("group".into()).spawn(run).map_err(told)?;
+        Ok((Folder { writings, waiting: RefCell::default() }, held))
+    }
+
+    /// Writes what has changed, with what waited before.
+    pub fn put(&self, turn: u64, wall: Micros, changes: impl IntoIterator<Item = (Key, Option<Shared>)>) {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.extend(changes);
+        if waiting.is_empty() {
+            return;
+        }
+        let writing = Writing { turn, wall, records: std::mem::take(&mut *waiting) };
+        if let Err(TrySendError::Full(w) | TrySendError::Disconnected(w)) = self.writings.try_send(writing) {
+            *waiting = w.records;
+        }
+    }
+}
+
+/// After a failed writing, so long until the next.
+const PAUSE: Duration = Duration::from_millis(500);
+
+fn write(database: &Database, waiting: &Receiver<Writing>) {
+    let (mut unwritten, mut failing) = (Changes::new(), false);
+    while let Ok(mut writing) = waiting.recv() {
+        let newer = std::mem::replace(&mut writing.records, std::mem::take(&mut unwritten));
+        writing.records.extend(newer);
+        match one(database, &writing) {
+            Ok(()) => failing = false,
+            Err(e) => {
+                // Symptom: the disk is full. The router goes on, its folder grows old, and all of it is tried again.
+                if !std::mem::replace(&mut failing, true) {
+                    tracing::warn!(cause = %e, "the group's file cannot be written");
+                }
+                unwritten = writing.records;
+                std::thread::sleep(PAUSE);
+            }
+        }
+    }
+}
+
+fn one(database: &Database, writing: &Writing) -> Result<(), redb::Error> {
+    let write = database.begin_write()?;
+    {
+        write.open_table(ABOUT)?.insert("turn", writing.turn)?;
+        let mut records = write.open_table(RECORDS)?;
+        for (key, shared) in &writing.records {
+            match shared {
+                None => {
+                    records.remove(&**key)?;
+                }
+                Some(shared) => {
+                    let Ok(bytes) = postcard::to_stdvec(shared) else { continue };
+                    records.insert(&**key, (writing.wall.saturating_add(shared.left), bytes.as_slice()))?;
+                }
+            }
+        }
+    }
+    write.commit()?;
+    Ok(())
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,11 +2,15 @@
 //! decides nothing of its own: what came in goes to the core, what the core puts out is carried out in order.
 //!
 //! Begin reading at [`serve`], which alone knows the whole; then [`desk`] (what each part gets), [`front`] (AMQP),
-//! [`listen`] with [`rest`] and [`grpc`] (KServe v2), [`pool`] (workers), [`list`] (the worker list). No part knows
+//! [`listen`] with [`rest`] and [`grpc`] (KServe v2), [`pool`] (workers), [`list`] (the worker list), [`circle`] with
+//! [`fellows`], [`post`] and [`folder`] (the group that shares what was taken). No part knows
 //! another that stands above it.
 
 pub mod calls;
+pub mod circle;
 pub mod desk;
+pub mod fellows;
+pub mod folder;
 pub mod front;
 pub mod grpc;
 pub mod list;
@@ -14,10 +18,12 @@
 pub mod meddle;
 pub mod metering;
 pub mod pool;
+pub mod post;
 pub mod recorder;
 pub mod rest;
 pub mod serve;
 pub mod settings;
 pub mod sheet;
+pub mod shown;
 pub mod tls;
 pub mod words;
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -9,6 +9,7 @@
 use cedarpulley::interface::{Micros, Standing, WorkerIx};
 use cedarpulley_kserve::requests;
 use cedarpulley_net::micros;
+use cedarpulley_replica::Guard;
 use cedarpulley_router::roster::News;
 use cedarpulley_router::{Answer, Delivery, Output};
 
@@ -40,9 +41,37 @@
     Push,
     /// Rule 5: many orders for one.
     Orders,
+    /// Rule 2, in a group: sends before a majority holds the intent.
+    Unheld,
+    /// Takes messages over by what it knows itself.
+    Unfenced,
+    /// Holds what it has promised not to hold any more.
+    Promise,
+    /// Votes though it remembers nothing.
+    Amnesia,
+    /// Takes silence for proof that nothing was sent.
+    Absent,
+    /// Takes an owner that is gone for one that sent nothing.
+    Gone,
+    /// After all have started anew, trusts what none of them has.
+    Undoubting,
 }
 
 impl Meddle {
+    /// The guard of the group's shared state that it takes out.
+    pub fn guard(self) -> Option<Guard> {
+        Some(match self {
+            Meddle::Unheld => Guard::Majority,
+            Meddle::Unfenced => Guard::Fence,
+            Meddle::Promise => Guard::Promise,
+            Meddle::Amnesia => Guard::Abstaining,
+            Meddle::Absent => Guard::Presence,
+            Meddle::Gone => Guard::Gone,
+            Meddle::Undoubting => Guard::Doubt,
+            _ => return None,
+        })
+    }
+
     pub fn named(name: &str) -> Option<Self> {
         Some(match name {
             "late" => Meddle::Late,
@@ -52,6 +81,13 @@
             "deaf" => Meddle::Deaf,
             "push" => Meddle::Push,
             "orders" => Meddle::Orders,
+            "unheld" => Meddle::Unheld,
+            "unfenced" => Meddle::Unfenced,
+            "promise" => Meddle::Promise,
+            "amnesia" => Meddle::Amnesia,
+            "absent" => Meddle::Absent,
+            "gone" => Meddle::Gone,
+            "undoubting" => Meddle::Undoubting,
             _ => return None,
         })
     }
@@ -147,7 +183,7 @@
                 };
                 let request =
                     requests::infer(&address.to_string(), &function, marks, call.body.bytes, call.body.first);
-                let _ = pool.exchange(address, request, false).await;
+                let _ = pool.exchange(address, request, false, || true).await;
             };
             self.desk.executor.spawn(send).detach();
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -94,7 +94,11 @@
 pub enum Failed {
     NoConnection,
     NoRoom,
-    Broke { left: bool },
+    /// At the last look before its first byte it could not leave any more.
+    HeldBack,
+    Broke {
+        left: bool,
+    },
     Garbled,
     TooLarge,
 }
@@ -105,6 +109,7 @@
         Ok(r) => Ended::Answered { status: r.status, headers: &r.headers, body: &r.body, function },
         Err(Failed::NoConnection) => Ended::NoConnection,
         Err(Failed::NoRoom) => Ended::NoRoom,
+        Err(Failed::HeldBack) => Ended::Broke { left: false },
         Err(Failed::Broke { left }) => Ended::Broke { left: *left },
         Err(Failed::Garbled) => Ended::Garbled,
         Err(Failed::TooLarge) => Ended::TooLarge,
@@ -202,18 +207,23 @@
         Some(Connection { sender, _driver, written })
     }
 
-    /// One request and its whole answer.
+    /// One request and its whole answer. `leaves` is asked last, right before its first byte: connecting takes time, and a
+    /// process may have been stopped meanwhile.
     pub async fn exchange(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
         order: bool,
+        leaves: impl Fn() -> bool,
     ) -> Result<Reply, Failed> {
         let _place = Place::take(self, address, order).ok_or(Failed::NoRoom)?;
         let mut connection = match self.idle(address) {
             Some(connection) => connection,
             None => self.open(address).await.ok_or(Failed::NoConnection)?,
         };
+        if !leaves() {
+            return Err(Failed::HeldBack);
+        }
         let before = connection.written.get();
         let answer = connection.sender.send_request(request.map(Full::new)).await;
         let answer = answer.map_err(|e| {
@@ -278,6 +288,6 @@
             async_io::Timer::after(micros(within)).await;
             Err(Failed::Broke { left: true })
         };
-        self.exchange(address, request, true).or(late).await
+        self.exchange(address, request, true, || true).or(late).await
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,13 +9,16 @@
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use cedarpulley::interface::{ListMode, Micros, Outcome, Report, WorkerIx};
+use cedarpulley_errors::Remedy;
 use cedarpulley_kserve::{endings, reports, requests};
 use cedarpulley_net::{Alarm, Clock, listen};
 use cedarpulley_router::{FrontIx, Input, Output, Payload, Router};
 use cedarpulley_trace::start::{Start, module_digest};
 use futures_lite::StreamExt;
+use thiserror::Error;
 
 use crate::calls::{Calls, Hall};
+use crate::circle::{self, Circle, Ground};
 use crate::desk::Desk;
 use crate::front::{Front, Times};
 use crate::list;
@@ -47,6 +50,7 @@
     /// Their indices follow those of `fronts`.
     listenings: Vec<Rc<Listening>>,
     pool: Rc<Pool>,
+    circle: Option<Circle>,
     alarm: Alarm,
 }
 
@@ -118,7 +122,9 @@
                         Some(address) => {
                             let (host, body) = (address.to_string(), call.body);
                             let request = requests::infer(&host, &function, marks, body.bytes, body.first);
-                            it.pool.exchange(address, request, false).await
+                            let now = || it.desk.clock.now();
+                            let leaves = || it.router.borrow().may_leave(now(), ticket);
+                            it.pool.exchange(address, request, false, leaves).await
                         }
                         None => Err(Failed::NoConnection),
                     };
@@ -195,7 +201,11 @@
             }
             // The watch asks again by itself, with spread-out waits.
             Output::AskList => {}
-            Output::Group(_) => {}
+            Output::Group(ask) => {
+                if let Some(circle) = &self.circle {
+                    circle.ask(ask);
+                }
+            }
         }
     }
 
@@ -249,8 +259,26 @@
     }
 }
 
+/// Why a router does not start.
+#[derive(Debug, Error)]
+pub enum Unstarted {
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    #[error(transparent)]
+    Group(#[from] circle::Failed),
+}
+
+impl Remedy for Unstarted {
+    fn remedy(&self) -> &'static str {
+        match self {
+            Unstarted::System(_) => "see that its addresses are free and its folders can be written to",
+            Unstarted::Group(failed) => failed.remedy(),
+        }
+    }
+}
+
 /// Runs one router until a signal to end. True if all that was taken has been answered.
-pub fn run(name: &str, parts: Parts, meddle: Option<Meddle>) -> std::io::Result<bool> {
+pub fn run(name: &str, parts: Parts, meddle: Option<Meddle>) -> Result<bool, Unstarted> {
     let Parts {
         seed,
         birth,
@@ -266,6 +294,7 @@
         meter,
         digest,
         clock_offset,
+        peers,
     } = parts;
     let clock = Clock::off_by(clock_offset);
     let executor = Rc::new(LocalExecutor::new());
@@ -292,6 +321,11 @@
         Some(keep) => Some(Recorder::begin(keep, name, start)?),
         None => None,
     };
+    let without = meddle.and_then(Meddle::guard);
+    let ground = match peers {
+        Some(peers) => Some(Ground::take(peers, &clock, without)?),
+        None => None,
+    };
     let control = birth.control(seed);
     let mut listeners = Vec::new();
     for front in &listens {
@@ -367,6 +401,7 @@
             fronts: fronts.collect(),
             listenings: doors.into_iter().enumerate().map(listening).collect(),
             pool,
+            circle: ground.map(|ground| Circle::new(&desk, ground)),
             alarm: Alarm::default(),
             desk: desk.clone(),
         }
@@ -396,6 +431,7 @@
             }
         };
         executor.spawn(tidy).detach();
+        gateway.circle.iter().for_each(|circle| circle.run(&gateway.desk));
         let it = gateway.clone();
         let look = async move {
             loop {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of one router, read from TOML and refused whole if anything is wrong. Each part of the program is
 //! handed its own few of them; documented in docs/operate/settings.md.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -9,11 +10,15 @@
 use cedarpulley_birth::Birth;
 pub use cedarpulley_birth::Names;
 use cedarpulley_certificates::{self as certificates, Speakers, Which};
+use cedarpulley_membership::group::MOST_WEIGHT;
+use cedarpulley_membership::{Group, Member};
 use cedarpulley_router::Terms;
+use cedarpulley_router::group::Sharing;
 use cedarpulley_router::roster::Listed;
 use cedarpulley_trace::keeping::Bounds;
 use cedarpulley_trace::start::digest;
 
+use crate::fellows::Peers;
 use crate::front::Source;
 use crate::listen::{Listen, Protocol};
 use crate::pool::Links;
@@ -25,6 +30,9 @@
 const DAY: u64 = 86_400_000;
 const MANY: f64 = 1e12;
 const NEVER: Micros = i64::MAX / 8;
+/// What a group remembers is kept for so long beyond the longest client timeout, where nothing else is said: a lost
+/// channel is noticed and its messages are delivered again well within it.
+const KEPT_BEYOND_MS: u64 = 4_000;
 
 #[derive(Clone, Debug)]
 pub enum WorkerList {
@@ -53,6 +61,8 @@
     pub digest: [u8; 32],
     /// By which the wall's clock is off; only where `[rig]` is allowed.
     pub clock_offset: Micros,
+    /// The group that it shares what it takes with, if there is one.
+    pub peers: Option<Peers>,
 }
 
 /// Reads the text, and the certificates that it names; `file` tells where those with relative paths lie. `rig`: of a
@@ -174,7 +184,7 @@
     };
     p.end();
 
-    let mut triggers = Vec::new();
+    let (mut triggers, mut alone) = (Vec::new(), Vec::new());
     for t in root.sections("trigger") {
         let name = t.text("name", None);
         if names.triggers.contains(&name) {
@@ -182,6 +192,7 @@
         }
         names.triggers.push(name);
         triggers.push(trigger(&t, &limits));
+        alone.push(goes_alone(&t));
         t.end();
     }
     if triggers.is_empty() {
@@ -254,9 +265,17 @@
         listens.push(listen);
         s.end();
     }
-    if sources.is_empty() && listens.is_empty() {
-        root.wrong("amqp", "neither a broker's queue nor an address to listen on is given");
+    let longest = triggers.iter().map(|t| t.client_timeout).max().unwrap_or(0);
+    let peers = peers(&root.section("peers"), folder, longest);
+    let witness = peers.as_ref().is_some_and(|p| p.group.members[p.group.me as usize].witness);
+    match (sources.is_empty() && listens.is_empty(), witness) {
+        (true, false) => root.wrong("amqp", "neither a broker's queue nor an address to listen on is given"),
+        (false, true) => {
+            root.wrong("peers", "a witness takes no invocations; it needs no amqp and no kserve")
+        }
+        _ => {}
     }
+    let sharing = peers.as_ref().map(|p| Sharing { alone: alone.clone(), leave_kept: p.leave_kept() });
 
     let w = root.section("workers");
     let list = match (w.has("watch"), w.has("list")) {
@@ -303,7 +322,7 @@
         account_shares: accounts.iter().map(|a| a.share).collect(),
         order_answered_within: loads.order_answered_within,
         module_alone: false,
-        sharing: None,
+        sharing,
         drain_grace: rules.drain_grace,
     };
     for known in
@@ -327,6 +346,7 @@
         meter,
         digest: [0; 32],
         clock_offset: 0,
+        peers,
     }
 }
 
@@ -373,6 +393,79 @@
     }
 }
 
+/// What a trigger type does where its group has no majority.
+fn goes_alone(t: &Section) -> bool {
+    match t.text("without_majority", Some("refuse")).as_str() {
+        "refuse" => false,
+        "alone" => true,
+        _ => {
+            t.wrong("without_majority", "is none of refuse, alone");
+            false
+        }
+    }
+}
+
+/// The group, where there is one. `longest`: that any client waits.
+fn peers(p: &Section, folder: &Path, longest: Micros) -> Option<Peers> {
+    if !p.is_present() {
+        return None;
+    }
+    let (name, me) = (p.text("group", None), p.text("name", None));
+    let listen = p.address("listen");
+    let state = named(p, "state", folder);
+    let kept = p.millis("kept_ms", 1..DAY, Some(((longest / 1_000) as u64 + KEPT_BEYOND_MS).min(DAY)));
+    if kept < longest {
+        p.wrong(
+            "kept_ms",
+            "is below the longest client timeout: what may still be waited for would be forgotten",
+        );
+    }
+    let probe_every = p.millis("probe_ms", 10..DAY, Some(250));
+    let answer_within = p.millis("answer_ms", 5..DAY, Some(100));
+    let suspected_for = p.millis("suspected_ms", 100..DAY, Some(1_500));
+    let believed_after = p.millis("believed_ms", 100..DAY, Some(3_000));
+    let copied_within = p.millis("copied_within_ms", 10..DAY, Some(500));
+    let catch_up_bytes_per_s = p.count("catch_up_kb_per_s", 64..1 << 20, Some(16 << 10)) << 10;
+    let most_records = p.count("most_records", 1_000..10_000_000, Some(200_000)) as usize;
+    let (mut members, mut addresses) = (Vec::new(), BTreeMap::new());
+    for m in p.sections("member") {
+        let member = Member {
+            name: m.text("name", None),
+            region: m.text("region", Some("")),
+            weight: m.count("weight", 0..u64::from(MOST_WEIGHT), Some(1)) as u32,
+            witness: m.flag("witness", Some(false)),
+        };
+        addresses.insert(member.name.clone(), m.address("address"));
+        members.push(member);
+        m.end();
+    }
+    p.end_here();
+    match Group::new(&name, members, &me) {
+        Ok(group) => {
+            let addresses =
+                group.members.iter().map(|m| addresses.get(&m.name).copied().unwrap_or(listen)).collect();
+            Some(Peers {
+                listen,
+                group,
+                addresses,
+                folder: state,
+                probe_every,
+                answer_within,
+                suspected_for,
+                believed_after,
+                kept,
+                copied_within,
+                catch_up_bytes_per_s,
+                most_records,
+            })
+        }
+        Err(unfit) => {
+            p.wrong("member", &format!("{unfit}; {}", unfit.remedy()));
+            None
+        }
+    }
+}
+
 fn now() -> Micros {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
 }
--- a/crates/gateway/src/sheet.rs
+++ b/crates/gateway/src/sheet.rs
@@ -246,6 +246,11 @@
 
     /// Nothing more is asked of this section: what is left in it is unknown.
     pub fn end(self) {
+        self.end_here();
+    }
+
+    /// The same, where something may still be found wrong with it.
+    pub fn end_here(&self) {
         let asked = self.asked.borrow();
         for (key, _) in self.table.into_iter().flatten() {
             if !asked.contains(key.get_ref().as_ref()) {
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -74,7 +74,7 @@
                 async_io::Timer::after(Duration::from_secs(5)).await;
                 panic!("no end to the exchange")
             };
-            let result = pool.exchange(address, infer(address), false).or(late).await;
+            let result = pool.exchange(address, infer(address), false, || true).or(late).await;
             all.push(endings::infer(&ended(&result, "f")).outcome);
             async_io::Timer::after(Duration::from_millis(30)).await;
         }
@@ -97,6 +97,18 @@
     assert_eq!(outcomes(address, 4, 3), [Outcome::Succeeded; 3]);
 }
 
+/// Its connection came up, and meanwhile it could not leave any more: no byte of it does.
+#[test]
+fn what_is_held_back_at_the_last_look_never_ran() {
+    let address = worker(|mut s, _| {
+        assert_eq!(s.read(&mut [0; 1]).unwrap_or(0), 0, "a byte has left");
+    });
+    let executor = Rc::new(LocalExecutor::new());
+    let pool = Pool::new(executor.clone(), Clock::start(), links(1));
+    let result = async_io::block_on(executor.run(pool.exchange(address, infer(address), false, || false)));
+    assert_eq!(endings::infer(&ended(&result, "f")).outcome, Outcome::NotSent);
+}
+
 #[test]
 fn a_refused_connection_never_ran() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -175,11 +187,11 @@
         pool.keep(
             ticket,
             executor.spawn(async move {
-                let _ = first.exchange(address, infer(address), false).await;
+                let _ = first.exchange(address, infer(address), false, || true).await;
             }),
         );
         async_io::Timer::after(Duration::from_millis(100)).await;
-        let result = pool.exchange(address, infer(address), false).await;
+        let result = pool.exchange(address, infer(address), false, || true).await;
         assert_eq!(endings::infer(&ended(&result, "f")).outcome, Outcome::Throttled);
         pool.withdraw(ticket);
         async_io::Timer::after(Duration::from_millis(20)).await;
@@ -188,7 +200,8 @@
             None
         };
         // There is room again: the exchange goes out and waits for this silent worker.
-        let again = async { Some(pool.exchange(address, infer(address), false).await) }.or(late).await;
+        let again =
+            async { Some(pool.exchange(address, infer(address), false, || true).await) }.or(late).await;
         assert!(again.is_none());
     }));
 }
--- a/crates/membership/src/alive.rs
+++ b/crates/membership/src/alive.rs
@@ -128,7 +128,7 @@
     pub heard: Option<Micros>,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
     pub probes: u64,
     pub asked_for: u64,
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
 use cedarpulley_membership::{Group, MemberIx};
+use serde::Serialize;
 
 use crate::catchup::CatchUp;
 use crate::choosing::{Outcome, Proposal};
@@ -208,7 +209,7 @@
 }
 
 /// All that was done, counted.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
     pub taken: u64,
     pub intents: u64,
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -26,6 +26,7 @@
 use crate::plan::Day;
 use crate::process::{Process, State};
 use crate::relay::{Form, Relay, Reserved};
+use crate::verdict::state;
 use crate::{Plain, until};
 
 const THREADS: usize = 3;
@@ -367,11 +368,26 @@
             self.start_router(n, State::Kept)?;
         }
         match until(READY_WITHIN, || self.broker.consumers() >= self.consumers) {
-            true => Ok(()),
+            true if until(READY_WITHIN, || self.all_remember()) => Ok(()),
+            true => Err("the routers' group does not remember enough to vote".into()),
             false => Err("the routers did not come up; see their logs under routers/".into()),
         }
     }
 
+    /// Each that has a group votes in it.
+    pub fn all_remember(&self) -> bool {
+        (0..self.peers.len()).all(|n| self.remembers(n))
+    }
+
+    pub fn remembers(&self, n: usize) -> bool {
+        self.state(n).is_some_and(|s| s["memory"] == "whole")
+    }
+
+    /// What a router says of its group, if it answers.
+    pub fn state(&self, n: usize) -> Option<serde_json::Value> {
+        state(self.peer(n)?).ok()
+    }
+
     /// As the table of links and the logs call them.
     pub fn router(&self, n: usize) -> String {
         self.addresses[n].to_string()
