Module: a session's worker goes first; wanted copies and workers' own word are events

Need: upgrades that keep sessions warm and an index held against what workers say must load, renew and correct belief through the module, so that ration, bounds and crowding stay in one place.

Without these events nothing changes; trace format 3 holds them.

Taken out: the preference, the ration of wanted copies and the guard of loads under way are each found by a test.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -236,6 +236,7 @@
                     client_gives_up_in,
                     waited: 0,
                     repeat: bits & 2 != 0,
+                    prefers: None,
                 };
                 it.tell(now, router, &Event::Invocation(arrival), reply)?;
             }
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -661,6 +661,7 @@
             client_gives_up_in: it.gives_up_at - now,
             waited: it.waited + now - it.taken,
             repeat: it.repeat,
+            prefers: None,
         };
         self.decide(&Event::Invocation(arrival), out);
         let waits = self.invs.get(inv).is_some_and(|i| !i.concluded && i.dispatches.is_empty());
--- a/crates/trace/src/blocks.rs
+++ b/crates/trace/src/blocks.rs
@@ -11,7 +11,7 @@
 
 pub const MAGIC: [u8; 8] = *b"CPTRACE\0";
 /// 1: one source a file. 2: any number of them, each block of one.
-pub const FORMAT: u16 = 2;
+pub const FORMAT: u16 = 3;
 pub const BLOCK: [u8; 4] = *b"CPBL";
 pub const INDEX: [u8; 4] = *b"CPIX";
 pub const END: [u8; 8] = *b"CPTREND\0";
@@ -183,10 +183,17 @@
 pub fn event_uses(event: &Event, actions: &[Action], each: &mut dyn FnMut(Space, u32)) {
     match event {
         Event::List { entries, .. } => entries.iter().for_each(|e| each(Space::Worker, e.worker)),
-        Event::Invocation(a) => each(Space::Function, a.func),
+        Event::Invocation(a) => {
+            each(Space::Function, a.func);
+            a.prefers.into_iter().for_each(|w| each(Space::Worker, w));
+        }
+        Event::Wanted { worker, asked } => {
+            each(Space::Worker, *worker);
+            each(Space::Function, asked.func);
+        }
         Event::Answering { worker, .. } | Event::Probed { worker, .. } => each(Space::Worker, *worker),
         Event::DispatchEnded(e) => each(Space::Worker, e.worker),
-        Event::OrderEnded { worker, func, .. } => {
+        Event::OrderEnded { worker, func, .. } | Event::Held { worker, func, .. } => {
             each(Space::Worker, *worker);
             each(Space::Function, *func);
         }
--- a/crates/trace/src/records.rs
+++ b/crates/trace/src/records.rs
@@ -38,6 +38,8 @@
                 Happened::Other(Event::Probed { worker, outcome, took, report })
             }
             Event::Timer { token } => Happened::Other(Event::Timer { token }),
+            Event::Wanted { worker, asked } => Happened::Other(Event::Wanted { worker, asked }),
+            Event::Held { worker, func, copies } => Happened::Other(Event::Held { worker, func, copies }),
         }
     }
 
@@ -136,7 +138,8 @@
             }
         }
         Event::Invocation(a) => {
-            p.byte(1);
+            // As it has always been, where no worker is preferred.
+            p.byte(if a.prefers.is_some() { 8 } else { 1 });
             p.u(a.inv.into());
             p.u(a.trigger.into());
             p.u(a.account.into());
@@ -148,6 +151,7 @@
             p.i(a.client_gives_up_in);
             p.i(a.waited);
             p.byte(u8::from(a.repeat));
+            a.prefers.into_iter().for_each(|w| p.u(w.into()));
         }
         Event::Departed { inv } => {
             p.byte(2);
@@ -186,9 +190,36 @@
             p.byte(7);
             p.u(*token);
         }
+        Event::Wanted { worker, asked } => {
+            p.byte(9);
+            [*worker, asked.func, asked.trigger, asked.lanes].into_iter().for_each(|n| p.u(n.into()));
+        }
+        Event::Held { worker, func, copies } => {
+            p.byte(10);
+            [*worker, *func, *copies].into_iter().for_each(|n| p.u(n.into()));
+        }
     }
 }
 
+fn get_arrival(g: &mut Get, fingerprint: &dyn Fn(u32) -> u64) -> Result<Arrival, Bad> {
+    let (inv, trigger, account, func) = (g.u32()?, g.u32()?, g.u32()?, g.u32()?);
+    Ok(Arrival {
+        inv,
+        trigger,
+        account,
+        func,
+        fingerprint: fingerprint(func),
+        cost_hint: g.maybe(Get::i)?,
+        load_hint: g.maybe(Get::i)?,
+        copy_mb: g.f()?,
+        lanes: g.u32()?,
+        client_gives_up_in: g.i()?,
+        waited: g.i()?,
+        repeat: g.flag()?,
+        prefers: None,
+    })
+}
+
 /// `fingerprint` of an arrival's function comes from its name, as every router makes it.
 fn get_event(g: &mut Get, fingerprint: &dyn Fn(u32) -> u64) -> Result<Happened, Bad> {
     Ok(match g.byte()? {
@@ -208,23 +239,18 @@
             })?;
             Happened::List { mode, entries }
         }
-        1 => {
-            let (inv, trigger, account, func) = (g.u32()?, g.u32()?, g.u32()?, g.u32()?);
-            Happened::Other(Event::Invocation(Arrival {
-                inv,
-                trigger,
-                account,
-                func,
-                fingerprint: fingerprint(func),
-                cost_hint: g.maybe(Get::i)?,
-                load_hint: g.maybe(Get::i)?,
-                copy_mb: g.f()?,
-                lanes: g.u32()?,
-                client_gives_up_in: g.i()?,
-                waited: g.i()?,
-                repeat: g.flag()?,
-            }))
+        1 => Happened::Other(Event::Invocation(get_arrival(g, fingerprint)?)),
+        8 => {
+            let arrival = get_arrival(g, fingerprint)?;
+            let prefers = Some(g.u32()?);
+            Happened::Other(Event::Invocation(Arrival { prefers, ..arrival }))
+        }
+        9 => {
+            let (worker, func, trigger, lanes) = (g.u32()?, g.u32()?, g.u32()?, g.u32()?);
+            let asked = Asked { func, fingerprint: fingerprint(func), trigger, lanes };
+            Happened::Other(Event::Wanted { worker, asked })
         }
+        10 => Happened::Other(Event::Held { worker: g.u32()?, func: g.u32()?, copies: g.u32()? }),
         2 => Happened::Other(Event::Departed { inv: g.u32()? }),
         3 => Happened::Other(Event::Answering { inv: g.u32()?, dispatch: g.u32()?, worker: g.u32()? }),
         4 => Happened::Other(Event::DispatchEnded(Ending {
--- a/crates/trace/src/select.rs
+++ b/crates/trace/src/select.rs
@@ -123,7 +123,12 @@
                     self.belongs.insert(a.inv);
                 }
             }
-            Happened::Other(Event::Probed { worker, .. } | Event::OrderEnded { worker, .. }) => {
+            Happened::Other(
+                Event::Probed { worker, .. }
+                | Event::OrderEnded { worker, .. }
+                | Event::Wanted { worker, .. }
+                | Event::Held { worker, .. },
+            ) => {
                 any |= self.is_worker(*worker);
             }
             Happened::Other(Event::DispatchEnded(e)) => {
--- a/crates/trace/tests/explained.rs
+++ b/crates/trace/tests/explained.rs
@@ -53,6 +53,7 @@
             client_gives_up_in: 4_000 * MS,
             waited: 0,
             repeat: false,
+            prefers: None,
         };
         self.decided(Event::Invocation(arrival), actions(inv));
         inv
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -215,6 +215,7 @@
                     client_gives_up_in,
                     waited,
                     repeat,
+                    prefers: (inv % 3 == 0).then_some(lanes),
                 })
             }
         ),
--- a/crates/trace/tests/ruled.rs
+++ b/crates/trace/tests/ruled.rs
@@ -53,6 +53,7 @@
                 client_gives_up_in: 2_000 * MS,
                 waited: 0,
                 repeat: false,
+                prefers: None,
             };
             let taken = Record::Taken { inv, front: 0, mark: Some(u64::from(inv)), redelivered: false };
             [vec![taken], decided(Event::Invocation(arrival), vec![])].concat()
--- a/crates/trace/tests/small/mod.rs
+++ b/crates/trace/tests/small/mod.rs
@@ -115,6 +115,7 @@
                 client_gives_up_in: 3_000 * MS,
                 waited: 5,
                 repeat: false,
+                prefers: None,
             };
             let asked = told(&mut g, now, Happened::Other(Event::Invocation(arrival)));
             now += MS;
--- a/src/control.rs
+++ b/src/control.rs
@@ -128,6 +128,7 @@
     over: bool,   // Beyond its account's share.
     brief: bool,  // Its client leaves before the objective.
     work: Micros, // By the hint; 0 where there is none.
+    prefers: Option<WorkerIx>,
     arrived: Micros,
     objective_at: Micros,
     gives_up_at: Micros,
@@ -426,6 +427,8 @@
             Event::DispatchEnded(ending) => self.settle(&ending, out),
             Event::OrderEnded { .. } => self.order_ended(event, out),
             Event::Timer { token } if self.next_tick == Some(token as Micros) => self.tick(out),
+            Event::Wanted { worker, asked } => self.wanted(worker as usize, &asked, out),
+            Event::Held { worker, func, copies } => self.held_there(worker as usize, func, copies, out),
             Event::Timer { .. } | Event::Probed { .. } => {}
         }
         let pace = if self.held > 0 { RETRY_PACE } else { self.loads.idle_kept / UPKEEP_STEPS };
@@ -467,6 +470,7 @@
             over,
             brief: a.waited + a.client_gives_up_in < t.latency_objective + stretch,
             work: a.cost_hint.unwrap_or(0),
+            prefers: a.prefers,
             arrived: now,
             objective_at: (now - a.waited + t.latency_objective + stretch).min(gives_up_at),
             gives_up_at,
@@ -474,22 +478,58 @@
         });
         self.value += (t.billed_value - self.value) / if self.value > 0.0 { PRESSED_OVER } else { 1.0 };
         self.taken.push_back(now);
+        self.meet(&Asked { func: a.func, fingerprint: a.fingerprint, trigger: a.trigger, lanes: a.lanes });
+        let f = &mut self.funcs[a.func as usize];
+        f.open += 1;
+        if let Some(hint) = a.load_hint.filter(|_| f.load.mean == 0) {
+            f.load = Usual { mean: hint.max(1), stray: hint / 4 };
+        }
+        self.spread(a.func);
+    }
+
+    fn meet(&mut self, a: &Asked) {
         if self.funcs.len() <= a.func as usize {
             self.funcs.resize_with(a.func as usize + 1, Function::default);
         }
         let f = &mut self.funcs[a.func as usize];
         let new = !std::mem::replace(&mut f.known, true);
         (f.fingerprint, f.trigger) = (a.fingerprint, a.trigger as usize);
-        (f.lanes, f.used) = (a.lanes.max(1), now);
-        f.open += 1;
-        if let Some(hint) = a.load_hint.filter(|_| f.load.mean == 0) {
-            f.load = Usual { mean: hint.max(1), stray: hint / 4 };
-        }
+        (f.lanes, f.used) = (a.lanes.max(1), self.now);
         if new {
             f.grow(self.workers.zone.len());
             self.rank(a.func);
         }
-        self.spread(a.func);
+    }
+
+    /// Symptom: an upgrade's plan loads beside the invocations, beyond the ration, onto crowded workers. What
+    /// it wants is ordered as any other load, or not at all; one that stands there is renewed.
+    fn wanted(&mut self, w: usize, a: &Asked, out: &mut Vec<Action>) {
+        if !self.loads.orders || w >= self.workers.zone.len() || !self.takes_new(w) {
+            return;
+        }
+        self.meet(a);
+        let (now, mean) = (self.now, self.mean_load());
+        let f = &self.funcs[a.func as usize];
+        let stands = f.warm(w, now);
+        let free = f.loading.is_none() && now >= f.load_from && self.workers.loaded_by[w] < now;
+        if (stands || free && !self.crowded(w, mean)) && self.order_left() {
+            self.order(w, a.func, !stands, out);
+        }
+    }
+
+    /// Symptom: a copy was evicted, or another router loaded one; nothing here tells of either. What waits
+    /// leaves for a copy that is there, and loads one anew where none is.
+    fn held_there(&mut self, w: usize, func: FnIx, copies: u32, out: &mut Vec<Action>) {
+        let f = self.funcs.get_mut(func as usize).filter(|f| f.known && w < f.own.len());
+        let Some(f) = f else { return };
+        if f.loading.is_some_and(|l| l as usize == w) {
+            return;
+        }
+        match copies {
+            0 => f.cool(w),
+            _ => f.warm_until[w] = f.warm_until[w].max(self.now + self.loads.idle_kept),
+        }
+        self.retry_held(Some(func), out);
     }
 
     /// Symptom: many routers bring a busy function to the same first workers. It gets homes by its part of
@@ -598,9 +638,15 @@
             return self.dispatch(ix, w, true, out);
         }
         let Some(func) = self.found(ix).map(|(inv, _)| inv.func) else { return };
+        self.order(w, func, true, out);
+    }
+
+    fn order(&mut self, w: usize, func: FnIx, load: bool, out: &mut Vec<Action>) {
         self.ordered.push_back(self.now);
         out.push(Action::Order { worker: w as WorkerIx, func, copies: 1 });
-        self.load_begins(func, w);
+        if load {
+            self.load_begins(func, w);
+        }
         let f = &mut self.funcs[func as usize];
         f.orders += 1;
         f.warm_until[w] = self.now + self.loads.idle_kept;
@@ -721,6 +767,10 @@
             open && !self.crowded(*w, mean) && !Self::was_full(inv, *w) && self.fit(inv, *w)
         };
         let mut ties: Vec<usize> = (0..f.own.len()).filter(free).collect();
+        // Symptom: a session's next invocation goes elsewhere, and what came before is built up again.
+        if let Some(w) = inv.prefers.map(|w| w as usize).filter(|w| ties.contains(w)) {
+            return Some(w);
+        }
         let least = ties.iter().map(|&w| self.health.own_at(w)).min()?;
         ties.retain(|&w| self.health.own_at(w) == least);
         Some(ties[(draw % ties.len() as u64) as usize])
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -219,6 +219,17 @@
     /// For how long the client had waited when this came; its latency objective runs from its sending.
     pub waited: Micros,
     pub repeat: bool,
+    /// Where what came before in its session is warm.
+    pub prefers: Option<WorkerIx>,
+}
+
+/// What the module has to know of a function that nobody may have asked for yet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Asked {
+    pub func: FnIx,
+    pub fingerprint: u64,
+    pub trigger: u32,
+    pub lanes: u32,
 }
 
 /// How a dispatch ended; each has exactly one.
@@ -271,6 +282,18 @@
     Timer {
         token: u64,
     },
+    /// A copy is wanted there beside what invocations ask for, or its idle time renewed: by an upgrade's plan, or as one
+    /// that was believed there is gone.
+    Wanted {
+        worker: WorkerIx,
+        asked: Asked,
+    },
+    /// What a worker itself says that it holds of a function; 0: nothing.
+    Held {
+        worker: WorkerIx,
+        func: FnIx,
+        copies: u32,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/tests/decisions/cases.rs
+++ b/tests/decisions/cases.rs
@@ -549,3 +549,77 @@
     };
     assert_eq!((failed(false).len(), failed(true).len()), (1, 0));
 }
+
+#[test]
+fn a_session_goes_where_it_is_warm_if_a_lane_there_is_free() {
+    let mut s = Script::new(1, PLAIN, 4);
+    let home = warm_up(&mut s, 0, 2);
+    // Another one that holds a copy, too.
+    let other = (0..4).find(|w| *w != home).expect("one of four");
+    s.tell(&Event::Held { worker: other, func: 0, copies: 1 });
+    for at in [home, other, home, other] {
+        s.prefers = Some(at);
+        let (inv, actions) = s.arrive(0, 0, 2, 2 * SECOND);
+        assert_eq!(sent(&actions), [at]);
+        answer(&mut s, inv, 50 * MS);
+    }
+    // With its lanes taken it goes to the other, and with neither warm as any other.
+    s.prefers = Some(home);
+    let to: Vec<_> = (0..4).flat_map(|_| sent(&s.arrive(0, 0, 2, 2 * SECOND).1)).collect();
+    assert_eq!((to[0], to.contains(&other)), (home, true), "{to:?}");
+    let stranger = (0..4).find(|w| *w != home && *w != other).expect("one of four");
+    let mut s = Script::new(1, PLAIN, 4);
+    let home = warm_up(&mut s, 0, 2);
+    s.prefers = Some(if home == stranger { other } else { stranger });
+    assert_eq!(sent(&s.arrive(0, 0, 2, 2 * SECOND).1), [home]);
+}
+
+#[test]
+fn a_wanted_copy_is_ordered_within_the_bounds_of_all_loads() {
+    let mut s = Script::new(1, Site { ration: true, ..ORDERED }, 4);
+    // Nobody has asked for it yet.
+    assert_eq!(ordered(&s.want(2, 5)), [2]);
+    // One under way for the function; the ration of the script is two in five seconds.
+    assert!(ordered(&s.want(3, 5)).is_empty());
+    assert_eq!(ordered(&s.want(3, 6)), [3]);
+    assert!(ordered(&s.want(1, 7)).is_empty());
+    s.pass(6 * SECOND);
+    let ended = |s: &mut Script, worker, func| {
+        let (result, took) = (OrderResult::Stand, 400 * MS);
+        s.tell(&Event::OrderEnded { worker, func, result, took, copies: 1 });
+    };
+    ended(&mut s, 2, 5);
+    // One that stands is renewed, though it needs no load; one that drains takes none.
+    assert_eq!(ordered(&s.want(2, 5)), [2]);
+    s.list(ListMode::Changes, &[entry(0, Standing::Draining, None)]);
+    s.pass(SECOND);
+    assert!(ordered(&s.want(0, 8)).is_empty());
+    let mut s = Script::new(1, PLAIN, 4);
+    assert!(ordered(&s.want(2, 5)).is_empty(), "orders are not allowed there");
+}
+
+#[test]
+fn while_a_load_is_under_way_its_worker_s_word_is_not_believed() {
+    let mut s = Script::new(1, PLAIN, 4);
+    let home = sent(&s.arrive(0, 0, 2, 4 * SECOND).1)[0];
+    s.tell(&Event::Held { worker: home, func: 0, copies: 0 });
+    // The second lane of what is being loaded.
+    assert_eq!(sent(&s.arrive(0, 0, 2, 4 * SECOND).1), [home]);
+}
+
+#[test]
+fn what_a_worker_says_of_its_copies_is_believed() {
+    let mut s = Script::new(1, ORDERED, 4);
+    let (_, actions) = s.arrive(0, 0, 1, 4 * SECOND);
+    let home = ordered(&actions)[0];
+    // Another router has loaded it elsewhere: what waits leaves at once.
+    let other = (0..4).find(|w| *w != home).expect("one of four");
+    assert_eq!(sent(&s.tell(&Event::Held { worker: other, func: 0, copies: 1 })), [other]);
+    let (result, took) = (OrderResult::Stand, 400 * MS);
+    s.tell(&Event::OrderEnded { worker: home, func: 0, result, took, copies: 1 });
+    // Gone without a word: the next one loads anew, somewhere.
+    s.tell(&Event::Held { worker: home, func: 0, copies: 0 });
+    s.tell(&Event::Held { worker: other, func: 0, copies: 0 });
+    let (_, actions) = s.arrive(0, 0, 1, 2 * SECOND);
+    assert!(sent(&actions).is_empty() && ordered(&actions).len() == 1, "{actions:?}");
+}
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -18,6 +18,8 @@
     Drain { worker: WorkerIx },
     Restart { worker: WorkerIx },
     Mood { worker: WorkerIx, mood: u32 },
+    Want { worker: WorkerIx, func: FnIx },
+    Hold { worker: WorkerIx, func: FnIx, copies: u32 },
 }
 
 fn steps() -> impl Strategy<Value = Vec<(Micros, Step)>> {
@@ -28,6 +30,9 @@
         1 => (0..WORKERS).prop_map(|worker| Step::Drain { worker }),
         2 => (0..WORKERS).prop_map(|worker| Step::Restart { worker }),
         2 => (0..WORKERS, 0..6u32).prop_map(|(worker, mood)| Step::Mood { worker, mood }),
+        3 => (0..WORKERS, 0..FUNCTIONS).prop_map(|(worker, func)| Step::Want { worker, func }),
+        3 => (0..WORKERS, 0..FUNCTIONS, 0..2u32)
+            .prop_map(|(worker, func, copies)| Step::Hold { worker, func, copies }),
     ];
     proptest::collection::vec((0..40 * MS, step), 100..500)
 }
@@ -163,6 +168,11 @@
                 world.moods[worker as usize] = mood;
                 Vec::new()
             }
+            // Of trigger type 0, as the script asks for it.
+            Some(&Step::Want { worker, func }) => s.want(worker, func * 3),
+            Some(&Step::Hold { worker, func, copies }) => {
+                s.tell(&Event::Held { worker, func: func * 3, copies })
+            }
             None => Vec::new(),
         };
         world.take(&s, &funcs, &mut counts, &actions);
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -124,6 +124,8 @@
     pub now: Micros,
     /// Of what arrives; the objective grows by as much.
     pub cost_hint: Option<Micros>,
+    /// Where the session of what arrives is warm.
+    pub prefers: Option<WorkerIx>,
     site: Site,
     ledger: Vec<Account>,
     open: BTreeSet<(Micros, InvIx)>,
@@ -149,6 +151,7 @@
             control: router(seed, position, site),
             now: 1_000 * SECOND,
             cost_hint: None,
+            prefers: None,
             site,
             ledger: Vec::new(),
             open: BTreeSet::new(),
@@ -210,10 +213,17 @@
             client_gives_up_in: gives_up_in,
             waited: 0,
             repeat: false,
+            prefers: self.prefers,
         };
         (inv, self.tell(&Event::Invocation(arrival)))
     }
 
+    /// A copy is wanted there.
+    pub fn want(&mut self, worker: WorkerIx, func: FnIx) -> Vec<Action> {
+        let asked = Asked { func, fingerprint: 77 + u64::from(func), trigger: 0, lanes: 1 };
+        self.tell(&Event::Wanted { worker, asked })
+    }
+
     /// Whether the router still owes an answer.
     pub fn owes(&self, inv: InvIx) -> bool {
         !self.ledger[inv as usize].answered
