Sessions of invocations, wanted and held copies, and who orders reach core and wires

Need: rolling upgrades and a reconciled index (docs/design/upgrade.md, reconcile.md) need sessions on both fronts, orders that say which router and which term of a plan they are from, and a way into the module for wanted and held copies. Change: crates/kserve/sequences.rs reads the sequence extension; AMQP headers of the same names; Taken has a session and a preferred worker; Input::Wanted, Unwanted, Held; loads and unloads carry cedarpulley-router and cedarpulley-term where there is a group. Off: Desk.sessions is false, nobody sends the new inputs, so outputs are as before. Nothing uses it yet; no measurement.

--- a/crates/amqp/src/meaning.rs
+++ b/crates/amqp/src/meaning.rs
@@ -17,6 +17,10 @@
 pub const REPEAT: &str = "repeat";
 /// Of a body with two parts: the length of the first.
 pub const FIRST_PART: &str = "first-part";
+/// Of a session, as KServe v2's sequence extension names them.
+pub const SEQUENCE_ID: &str = "sequence_id";
+pub const SEQUENCE_START: &str = "sequence_start";
+pub const SEQUENCE_END: &str = "sequence_end";
 /// Headers of an answer.
 pub const FATE: &str = "fate";
 pub const REASON: &str = "reason";
@@ -44,6 +48,8 @@
     pub lanes: u32,
     pub repeat: bool,
     pub first_part: Option<u32>,
+    /// The session that it belongs to, and whether it is its first or its last.
+    pub session: Option<(String, bool, bool)>,
 }
 
 /// What is wrong with which property or header; for the client to read.
@@ -93,6 +99,25 @@
         self.0?.inner().get(name).filter(|v| !matches!(v, AMQPValue::Void))
     }
 
+    fn flag(&self, name: &str) -> bool {
+        matches!(self.get(name), Some(AMQPValue::Boolean(true)))
+    }
+
+    /// An empty id, or 0, means none.
+    fn session(&self) -> Result<Option<(String, bool, bool)>, Misunderstood> {
+        let Some(value) = self.get(SEQUENCE_ID) else { return Ok(None) };
+        let id = match (text(value), whole_number(value)) {
+            (Some(text), _) => text.to_owned(),
+            (None, Some(0)) => String::new(),
+            (None, Some(n)) if n > 0 => n.to_string(),
+            _ => return Err(wrong(SEQUENCE_ID, "not a text or a whole number")),
+        };
+        if id.len() > 255 || id.chars().any(char::is_control) {
+            return Err(wrong(SEQUENCE_ID, "not a text of at most 255 bytes"));
+        }
+        Ok((!id.is_empty()).then(|| (id, self.flag(SEQUENCE_START), self.flag(SEQUENCE_END))))
+    }
+
     fn number(&self, name: &'static str, most: i64) -> Result<Option<i64>, Misunderstood> {
         let Some(value) = self.get(name) else { return Ok(None) };
         match whole_number(value) {
@@ -147,7 +172,8 @@
         copy_mb,
         lanes: headers.number(LANES, MOST_LANES)?.unwrap_or(1).max(1) as u32,
         first_part: headers.number(FIRST_PART, message.body.len() as i64)?.map(|n| n as u32),
-        repeat: matches!(headers.get(REPEAT), Some(AMQPValue::Boolean(true))),
+        repeat: headers.flag(REPEAT),
+        session: headers.session()?,
     })
 }
 
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -13,10 +13,11 @@
 use async_io::Timer;
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
+use cedarpulley_kserve::sequences;
 use cedarpulley_kserve::serving::{self, Misunderstood};
 use cedarpulley_net::{Bell, micros};
 use cedarpulley_router::entry::{Entry, Knock};
-use cedarpulley_router::{Answer, Delivery, FrontIx, Input, Payload, Taken};
+use cedarpulley_router::{Answer, Delivery, FrontIx, Input, Payload, Session, Taken};
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -214,10 +215,23 @@
         load_hint: w.load_hint,
         copy_mb: w.copy_mb,
         lanes: w.lanes,
+        session: None,
+        prefers: None,
+        refused: None,
         body: Payload { bytes: Bytes::new(), first: w.json },
     })
 }
 
+/// The session that a request's body says, where sessions are told apart.
+pub(crate) fn session(calls: &Calls, body: &Payload) -> Result<Option<Session>, sequences::NoSequence> {
+    if !calls.desk.sessions {
+        return Ok(None);
+    }
+    let json = body.first.map_or(&body.bytes[..], |n| body.bytes.get(..n as usize).unwrap_or_default());
+    let of = |s: sequences::Sequence| Session { id: Arc::from(s.id), start: s.start, end: s.end };
+    Ok(sequences::of(json)?.map(of))
+}
+
 impl Open {
     /// Hands it to the core and waits for its one answer; absent only by a fault of the core.
     pub async fn answer(mut self, mut taken: Taken) -> Option<(Answer, Unread)> {
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -19,6 +19,8 @@
     /// Own address to connect from.
     pub from: Option<IpAddr>,
     pub names: Names,
+    /// Sessions are told apart: models are upgraded here, or the index is reconciled.
+    pub sessions: bool,
     /// Messages and requests that could not be understood, on all fronts.
     pub misunderstood: Cell<u64>,
     /// The way into the core, for `feed`.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -16,7 +16,7 @@
 use cedarpulley_net::{Bell, connect};
 use cedarpulley_router::admission::FrontState;
 use cedarpulley_router::backoff::Backoff;
-use cedarpulley_router::{Answer, Delivery, FrontIx, Input, Payload, Taken};
+use cedarpulley_router::{Answer, Delivery, FrontIx, Input, Payload, Session, Taken};
 use futures_lite::io::{ReadHalf, WriteHalf, split};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use hdrhistogram::Histogram;
@@ -388,6 +388,9 @@
             load_hint: t.load_hint_us,
             copy_mb: t.copy_mb,
             lanes: t.lanes,
+            session: t.session.map(|(id, start, end)| Session { id: Arc::from(id), start, end }),
+            prefers: None,
+            refused: None,
             body: Payload { bytes: Bytes::new(), first: t.first_part },
         })
     }
--- a/crates/gateway/src/grpc.rs
+++ b/crates/gateway/src/grpc.rs
@@ -27,7 +27,9 @@
 use prost::Message;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::calls::{Calls, Line, Reply, Told, Unread, Unwhole, gather, to_its_end, understood, within};
+use crate::calls::{
+    Calls, Line, Reply, Told, Unread, Unwhole, gather, session, to_its_end, understood, within,
+};
 use crate::words::{fate, reason, short};
 
 const MOST_HEADERS: u32 = 32 * 1024;
@@ -251,6 +253,10 @@
     };
     taken.function = Arc::from(function);
     taken.body = Payload { bytes: rest.bytes, first: rest.json };
+    taken.session = match session(&calls, &taken.body) {
+        Ok(session) => session,
+        Err(why) => return misunderstood(&why.to_string()),
+    };
     match open.answer(taken).await {
         Some((answer, unread)) => answer_of(answer, unread),
         None => wrong(Code::Internal, "no answer was found"),
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -155,7 +155,13 @@
                     let (worker, function) = (ticket.worker, function.clone());
                     let order = async move {
                         let Some(address) = whereabouts(worker) else { return };
-                        let request = requests::load(&address.to_string(), &function, 1, None);
+                        let request = requests::load(
+                            &address.to_string(),
+                            &function,
+                            1,
+                            None,
+                            requests::Orderer::default(),
+                        );
                         let _ = pool.order(address, request, LATE).await;
                     };
                     self.desk.executor.spawn(order).detach();
@@ -180,6 +186,7 @@
                     trigger: &desk.names.triggers[trigger],
                     account: None,
                     time_left: call.time_left,
+                    session: None,
                 };
                 let request =
                     requests::infer(&address.to_string(), &function, marks, call.body.bytes, call.body.first);
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -20,7 +20,7 @@
 use hyper::{Request, Response, StatusCode};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::calls::{Calls, Line, Reply, Told, Unread, Unwhole, gather, to_its_end, understood};
+use crate::calls::{Calls, Line, Reply, Told, Unread, Unwhole, gather, session, to_its_end, understood};
 use crate::words::{fate, reason, short};
 
 /// A head comes whole within this time, and so does the next one on a kept connection.
@@ -111,6 +111,13 @@
         calls.desk.not_understood();
         return wrong(StatusCode::BAD_REQUEST, &format!("{JSON_LENGTH}: is beyond the body's end"));
     }
+    taken.session = match session(&calls, &taken.body) {
+        Ok(session) => session,
+        Err(why) => {
+            calls.desk.not_understood();
+            return wrong(StatusCode::BAD_REQUEST, &why.to_string());
+        }
+    };
     // Each that is taken is answered; a sender that went away unheard would be a fault of the core.
     match open.answer(taken).await {
         Some((answer, unread)) => answer_of(answer, unread),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -117,6 +117,7 @@
                         trigger: names.triggers.get(trigger as usize).map_or("", String::as_str),
                         account: names.accounts.get(account as usize).map(String::as_str),
                         time_left: call.time_left,
+                        session: call.session.as_ref().map(|s| (&*s.id, s.start, s.end)),
                     };
                     let result = match it.address(worker) {
                         Some(address) => {
@@ -153,7 +154,7 @@
                 self.pool.keep(ticket, task);
             }
             Output::Withdraw(ticket) => self.pool.withdraw(ticket),
-            Output::Order { ticket, function, account, copies, within } => {
+            Output::Order { ticket, function, account, copies, within, term } => {
                 let (it, worker) = (self.clone(), ticket.worker);
                 let order = async move {
                     let Some(address) = it.address(worker) else { return };
@@ -162,7 +163,8 @@
                         0 => requests::ready(&host, &function),
                         n => {
                             let account = it.desk.names.accounts.get(account as usize).map(String::as_str);
-                            requests::load(&host, &function, n, account)
+                            let by = it.orderer(term.as_deref());
+                            requests::load(&host, &function, n, account, by)
                         }
                     };
                     let result = it.pool.order(address, request, within).await;
@@ -172,11 +174,12 @@
                 };
                 self.desk.executor.spawn(order).detach();
             }
-            Output::Unload { worker, function } => {
+            Output::Unload { worker, function, term } => {
                 let it = self.clone();
                 let order = async move {
                     let Some(address) = it.address(worker) else { return };
-                    let request = requests::unload(&address.to_string(), &function);
+                    let by = it.orderer(term.as_deref());
+                    let request = requests::unload(&address.to_string(), &function, by);
                     // No answer is waited for by anyone; it only has to get there.
                     let _ = it.pool.order(address, request, STOP_MARGIN).await;
                 };
@@ -209,6 +212,11 @@
         }
     }
 
+    /// As workers are told, where they are to tell routers apart.
+    fn orderer<'a>(&'a self, term: Option<&'a str>) -> requests::Orderer<'a> {
+        requests::Orderer { router: self.circle.as_ref().map(|_| self.desk.name.as_str()), term }
+    }
+
     fn calls(&self, front: FrontIx) -> Option<&Rc<Calls>> {
         Some(&self.listenings.get((front as usize).checked_sub(self.fronts.len())?)?.calls)
     }
@@ -369,6 +377,7 @@
             seed,
             from: links.from,
             names,
+            sessions: false,
             misunderstood: Cell::new(0),
             // Found for as long as anything runs: it is held until the executor has ended.
             core: Box::new(move |input| {
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/words.rs
@@ -22,6 +22,7 @@
         Reason::Size => "no-memory",
         Reason::Share => "beyond-share",
         Reason::NoMajority => "no-majority",
+        Reason::SessionOver => "session-over",
         Reason::Alone => "worker-alone",
     }
 }
--- a/crates/gateway/tests/metering.rs
+++ b/crates/gateway/tests/metering.rs
@@ -27,7 +27,18 @@
     let by = By::Dispatch(Outcome::Succeeded, CopyNote::Found);
     for n in times {
         let held = Some(Held { life: 9, running: 30 * (n + 1), loading: 0, idle: 0 });
-        let used = Used { worker: 0, function: "f", account: 0, by, took: 9, copy_mb: 1.0, lanes: 1, held };
+        let used = Used {
+            worker: 0,
+            worker_name: "w",
+            function: "f",
+            session: None,
+            account: 0,
+            by,
+            took: 9,
+            copy_mb: 1.0,
+            lanes: 1,
+            held,
+        };
         m.clone().used(0, used);
     }
 }
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -59,6 +59,7 @@
         trigger: "t",
         account: None,
         time_left: 1_000_000,
+        session: None,
     };
     requests::infer(&address.to_string(), "f", marks, Bytes::from_static(b"{}"), None)
 }
--- a/crates/kserve/src/lib.rs
+++ b/crates/kserve/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`requests`]: infer, load, unload, ready and live, as HTTP requests.
 //! * [`endings`]: every way in which a request can end, and whether it may have run; begin reading here.
 //! * [`reports`]: what answers tell of the worker.
+//! * [`sequences`]: which session a request belongs to.
 //! * [`serving`]: the other side: what a client of the front asks, and how it is answered.
 //! * [`rpc`]: the same over gRPC; its messages are made from `proto/`.
 //! * [`tensors`]: between a gRPC message and what workers speak.
@@ -11,6 +12,7 @@
 pub mod reports;
 pub mod requests;
 pub mod rpc;
+pub mod sequences;
 pub mod serving;
 pub mod tensors;
 
--- a/crates/kserve/src/requests.rs
+++ b/crates/kserve/src/requests.rs
@@ -7,6 +7,8 @@
 use http::{Method, Request};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 
+use crate::sequences::{SEQUENCE_END, SEQUENCE_ID, SEQUENCE_START};
+
 pub const INVOCATION: &str = "cedarpulley-invocation";
 pub const DISPATCH: &str = "cedarpulley-dispatch";
 pub const TRIGGER_TYPE: &str = "cedarpulley-trigger-type";
@@ -16,6 +18,9 @@
 pub const JSON_LENGTH: &str = "inference-header-content-length";
 /// Parts the version from the name in a function's name, as it does in paths.
 pub const VERSIONS: &str = "/versions/";
+/// By whom an order to load or unload is, where routers share one index, and in which term of an upgrade's plan.
+pub const ROUTER: &str = "cedarpulley-router";
+pub const TERM: &str = "cedarpulley-term";
 /// As in the IETF draft on the idempotency key: by it a worker knows a repeat.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
@@ -31,6 +36,8 @@
     pub trigger: &'a str,
     pub account: Option<&'a str>,
     pub time_left: Micros,
+    /// Its session, and whether it begins or ends with this.
+    pub session: Option<(&'a str, bool, bool)>,
 }
 
 fn request(method: Method, host: &str, path: &str, body: Bytes) -> Request<Bytes> {
@@ -77,12 +84,35 @@
             put(&mut r, name, &value.replace('\n', "|"));
         }
     }
+    if let Some((id, start, end)) = marks.session {
+        put(&mut r, SEQUENCE_ID, id);
+        for (name, on) in [(SEQUENCE_START, start), (SEQUENCE_END, end)] {
+            if on {
+                put(&mut r, name, "true");
+            }
+        }
+    }
     r
 }
 
+/// Who orders, where routers are told apart, and in which term of a plan.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Orderer<'a> {
+    pub router: Option<&'a str>,
+    pub term: Option<&'a str>,
+}
+
+fn ordered_by(r: &mut Request<Bytes>, by: Orderer) {
+    for (name, value) in [(ROUTER, by.router), (TERM, by.term)] {
+        if let Some(value) = value {
+            put(r, name, value);
+        }
+    }
+}
+
 /// Hold at least so many copies.
 /// `account`: for whose invocation.
-pub fn load(host: &str, function: &str, copies: u32, account: Option<&str>) -> Request<Bytes> {
+pub fn load(host: &str, function: &str, copies: u32, account: Option<&str>, by: Orderer) -> Request<Bytes> {
     let path = format!("/v2/repository/models/{}/load", model(function));
     let body = format!("{{\"parameters\":{{\"copies\":{copies}}}}}");
     let mut r = request(Method::POST, host, &path, Bytes::from(body));
@@ -90,11 +120,22 @@
     if let Some(account) = account.and_then(|a| HeaderValue::from_str(a).ok()) {
         r.headers_mut().insert(ACCOUNT, account);
     }
+    ordered_by(&mut r, by);
     r
 }
 
-pub fn unload(host: &str, function: &str) -> Request<Bytes> {
-    request(Method::POST, host, &format!("/v2/repository/models/{}/unload", model(function)), Bytes::new())
+pub fn unload(host: &str, function: &str, by: Orderer) -> Request<Bytes> {
+    let path = format!("/v2/repository/models/{}/unload", model(function));
+    let mut r = request(Method::POST, host, &path, Bytes::new());
+    ordered_by(&mut r, by);
+    r
+}
+
+/// What is loaded there.
+pub fn index(host: &str) -> Request<Bytes> {
+    let mut r = request(Method::POST, host, "/v2/repository/index", Bytes::from_static(b"{}"));
+    r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    r
 }
 
 /// Whether copies stand, and how many.
--- a/crates/platform-node/src/front.rs
+++ b/crates/platform-node/src/front.rs
@@ -241,6 +241,9 @@
             load_hint: call.load_hint,
             copy_mb: call.copy_mb,
             lanes: call.lanes,
+            session: None,
+            prefers: None,
+            refused: None,
             body: Payload::from(call.body),
         }));
         loop {
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -97,7 +97,7 @@
             Output::Order { ticket, function, copies, within, .. } => {
                 self.links.order(self, ticket, &function, copies, within);
             }
-            Output::Unload { worker, function } => self.links.unload(self, worker, &function),
+            Output::Unload { worker, function, .. } => self.links.unload(self, worker, &function),
             Output::Probe { worker } => self.links.probe(self, worker),
             // The channel is followed all the time; nothing here knocks, no front is granted anything, and routers of
             // the platform share nothing.
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -22,7 +22,7 @@
 use crate::tokens::{self, Key, Seen, Tokens};
 use crate::waits::Waits;
 use crate::watch::{By, Given, Names, Used, Watch};
-use crate::{Answer, Delivery, Fate, FrontIx, OrderTicket, Payload, Reason, Taken, Ticket};
+use crate::{Answer, Delivery, Fate, FrontIx, OrderTicket, Payload, Reason, Session, Taken, Ticket};
 
 /// Functions that may be accounted for at once; each costs the module a few figures a worker.
 const MOST_FUNCTIONS: usize = 20_000;
@@ -97,6 +97,26 @@
     },
     /// What the group says.
     Group(Told),
+    /// A copy is wanted at a worker beside what invocations ask for, of a function that is like another one in what its
+    /// invocations are. `term`: of the plan that wants it. The module may order it or not.
+    Wanted {
+        worker: Arc<str>,
+        function: Arc<str>,
+        like: Arc<str>,
+        term: Option<Arc<str>>,
+    },
+    /// Idle copies of a function are to go from a worker.
+    Unwanted {
+        worker: Arc<str>,
+        function: Arc<str>,
+        term: Option<Arc<str>>,
+    },
+    /// What a worker itself says that it holds.
+    Held {
+        worker: Arc<str>,
+        function: Arc<str>,
+        copies: u32,
+    },
     Tick,
     /// Take nothing new; answer what was taken.
     Stop,
@@ -131,10 +151,13 @@
         account: u32,
         copies: u32,
         within: Micros,
+        /// Of the plan that wants it.
+        term: Option<Arc<str>>,
     },
     Unload {
         worker: WorkerIx,
         function: Arc<str>,
+        term: Option<Arc<str>>,
     },
     Probe {
         worker: WorkerIx,
@@ -161,6 +184,7 @@
     pub load_hint: Option<Micros>,
     pub copy_mb: f64,
     pub lanes: u32,
+    pub session: Option<Session>,
     pub body: Payload,
 }
 
@@ -227,6 +251,8 @@
     hints: (Option<Micros>, Option<Micros>),
     copy_mb: f64,
     lanes: u32,
+    session: Option<Session>,
+    prefers: Option<Arc<str>>,
     body: Payload,
     taken: Micros,
     gives_up_at: Micros,
@@ -286,8 +312,10 @@
     invs: Table<Inv>,
     funcs: Ids<String>,
     names: Vec<Arc<str>>,
-    /// Who asked for each function last, and the size of its copies.
-    asked: Vec<(u32, f64)>,
+    /// Who asked for each function last, the size of its copies, their lanes, and of which trigger type it is.
+    asked: Vec<(u32, f64, u32, u32)>,
+    /// Of the plan for which something is being ordered now.
+    term: Option<Arc<str>>,
     workers: Ids<String>,
     service: Service,
     tenure: Tenure,
@@ -331,6 +359,7 @@
             funcs: Ids::default(),
             names: Vec::new(),
             asked: Vec::new(),
+            term: None,
             workers: Ids::default(),
             tenure: Tenure::default(),
             claims: Claims::default(),
@@ -386,6 +415,20 @@
                 self.decide(&Event::Probed { worker, outcome, took, report }, out);
             }
             Input::Group(told) => self.group(told, out),
+            Input::Wanted { worker, function, like, term } => {
+                self.wanted(&worker, function, &like, term, out)
+            }
+            Input::Unwanted { worker, function, term } => {
+                if let Some(worker) = self.workers.find(&*worker) {
+                    out.push(Output::Unload { worker, function, term });
+                }
+            }
+            Input::Held { worker, function, copies } => {
+                if let (Some(worker), Some(func)) = (self.workers.find(&*worker), self.funcs.find(&*function))
+                {
+                    self.decide(&Event::Held { worker, func, copies }, out);
+                }
+            }
             Input::Tick => {}
             Input::Stop => {
                 self.stopping = true;
@@ -517,6 +560,9 @@
         };
         let trigger = self.triggers[t.trigger as usize];
         let about = (t.trigger, t.account, self.now);
+        if let Some((fate, reason)) = t.refused {
+            return self.answer(t.delivery, Answer::bare(fate, reason), None, about, out);
+        }
         let waited = t.waited.max(0);
         let gives_up_at =
             self.now + t.client_timeout.min(trigger.client_timeout) - waited - self.terms.answer_margin;
@@ -584,13 +630,7 @@
         if !knocked {
             self.admission.entered(self.now, t.delivery.front, t.account);
         }
-        let func = self.funcs.enter(t.function.as_ref());
-        if self.names.len() <= func as usize {
-            self.names.resize(func as usize + 1, Arc::from(""));
-            self.asked.resize(func as usize + 1, (0, 0.0));
-        }
-        self.names[func as usize] = t.function.clone();
-        self.asked[func as usize] = (t.account, t.copy_mb);
+        let func = self.meet(&t.function, (t.account, t.copy_mb, t.lanes.max(1), t.trigger));
         let dispatch_until = dispatch_within.map(|left| self.now + left);
         let asked = part.map(|(key, need)| Part { key, need, stage: Stage::Asked, answered: false });
         let inv = self.invs.insert(Inv {
@@ -607,6 +647,8 @@
             hints: (t.cost_hint, t.load_hint),
             copy_mb: t.copy_mb,
             lanes: t.lanes.max(1),
+            session: t.session,
+            prefers: t.prefers,
             body: t.body,
             taken: self.now,
             gives_up_at,
@@ -640,6 +682,42 @@
         out.push(Output::Group(Ask::Take { key, need, redelivered }));
     }
 
+    fn meet(&mut self, function: &Arc<str>, asked: (u32, f64, u32, u32)) -> FnIx {
+        let func = self.funcs.enter(function.as_ref());
+        if self.names.len() <= func as usize {
+            self.names.resize(func as usize + 1, Arc::from(""));
+            self.asked.resize(func as usize + 1, (0, 0.0, 1, 0));
+        }
+        self.names[func as usize] = function.clone();
+        self.asked[func as usize] = asked;
+        func
+    }
+
+    /// The module decides whether it is ordered; of a function that nobody here knows anything like, nothing is.
+    fn wanted(
+        &mut self,
+        worker: &str,
+        function: Arc<str>,
+        like: &str,
+        term: Option<Arc<str>>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(worker) = self.workers.find(worker) else { return };
+        let known = self.funcs.find(function.as_ref());
+        let Some(asked) = known.or_else(|| self.funcs.find(like)).map(|f| self.asked[f as usize]) else {
+            return;
+        };
+        if known.is_none() && self.funcs.len() >= MOST_FUNCTIONS {
+            return;
+        }
+        let func = self.meet(&function, asked);
+        let (_, _, lanes, trigger) = asked;
+        let asked = Asked { func, fingerprint: fingerprint(&function), trigger, lanes };
+        self.term = term;
+        self.decide(&Event::Wanted { worker, asked }, out);
+        self.term = None;
+    }
+
     /// The module hears of it.
     fn admit(&mut self, inv: InvIx, out: &mut Vec<Output>) {
         let now = self.now;
@@ -661,7 +739,7 @@
             client_gives_up_in: it.gives_up_at - now,
             waited: it.waited + now - it.taken,
             repeat: it.repeat,
-            prefers: None,
+            prefers: it.prefers.as_deref().and_then(|name| self.workers.find(name)),
         };
         self.decide(&Event::Invocation(arrival), out);
         let waits = self.invs.get(inv).is_some_and(|i| !i.concluded && i.dispatches.is_empty());
@@ -1042,7 +1120,10 @@
         if let Some(it) = self.invs.get(inv) {
             let (function, account, by) = (&*it.function, it.account, By::Dispatch(outcome, note));
             let (copy_mb, lanes) = (it.copy_mb, it.lanes);
-            let used = Used { worker, function, account, by, took, copy_mb, lanes, held };
+            let worker_name = self.workers.id(worker).map_or("", String::as_str);
+            let session = it.session.as_ref().map(|s| &*s.id);
+            let used =
+                Used { worker, worker_name, function, session, account, by, took, copy_mb, lanes, held };
             self.watch.iter_mut().for_each(|w| w.used(self.now, used));
         }
         if outcome == Outcome::Succeeded
@@ -1080,7 +1161,10 @@
         self.tenure.let_go(ticket.worker);
         if let (true, Some(function)) = (load, self.names.get(ticket.func as usize)) {
             let (worker, took, by, lanes) = (ticket.worker, self.now - at, By::Order(result), 1);
-            let used = Used { worker, function, account, by, took, copy_mb, lanes, held };
+            let worker_name = self.workers.id(worker).map_or("", String::as_str);
+            let session = None;
+            let used =
+                Used { worker, worker_name, function, session, account, by, took, copy_mb, lanes, held };
             self.watch.iter_mut().for_each(|w| w.used(self.now, used));
         }
         if load {
@@ -1208,8 +1292,8 @@
                     self.serial += 1;
                     let ticket = OrderTicket { worker, func, serial: self.serial };
                     let within = self.terms.order_answered_within;
-                    let (account, copy_mb) =
-                        self.asked.get(func as usize).copied().unwrap_or((u32::MAX, 0.0));
+                    let (account, copy_mb, ..) =
+                        self.asked.get(func as usize).copied().unwrap_or((u32::MAX, 0.0, 1, 0));
                     self.tenure.hold(worker);
                     self.orders.insert(ticket, (self.now, copies > 0, account, copy_mb));
                     self.timer(self.now + within, Timer::Order(ticket));
@@ -1218,10 +1302,12 @@
                         self.waits.ordered(func);
                     }
                     let function = self.names[func as usize].clone();
-                    out.push(Output::Order { ticket, function, account, copies, within });
+                    let term = self.term.clone();
+                    out.push(Output::Order { ticket, function, account, copies, within, term });
                 }
                 Action::Unload { worker, func } => {
-                    out.push(Output::Unload { worker, function: self.names[func as usize].clone() });
+                    let function = self.names[func as usize].clone();
+                    out.push(Output::Unload { worker, function, term: self.term.clone() });
                 }
                 Action::Probe { worker } => out.push(Output::Probe { worker }),
                 Action::Timer { token, after } => self.timer(self.now + after, Timer::Module(token)),
@@ -1305,6 +1391,7 @@
             load_hint: it.hints.1,
             copy_mb: it.copy_mb,
             lanes: it.lanes,
+            session: it.session.clone(),
             body: it.body.clone(),
         };
         let (function, trigger, account) = (it.function.clone(), it.trigger, it.account);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -100,6 +100,8 @@
     Share,
     /// It needs a majority of the group, and there was none.
     NoMajority,
+    /// Its session's version is out of service.
+    SessionOver,
     /// A worker answered; it went without a majority of the group, as its operator accepts.
     Alone,
 }
@@ -128,6 +130,14 @@
     }
 }
 
+/// The session that an invocation belongs to, and whether it is the first or the last of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Session {
+    pub id: Arc<str>,
+    pub start: bool,
+    pub end: bool,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
     pub fate: Fate,
@@ -167,5 +177,10 @@
     pub load_hint: Option<Micros>,
     pub copy_mb: f64,
     pub lanes: u32,
+    pub session: Option<Session>,
+    /// The worker, by its name in the list, where what came before in its session is warm.
+    pub prefers: Option<Arc<str>>,
+    /// It has its final answer already: it is taken only to be answered and counted.
+    pub refused: Option<(Fate, Reason)>,
     pub body: Payload,
 }
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -43,7 +43,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Used<'a> {
     pub worker: u32,
+    /// In the list.
+    pub worker_name: &'a str,
     pub function: &'a str,
+    pub session: Option<&'a str>,
     /// Whose invocation it was; of an order: of the last that asked for the function.
     pub account: u32,
     pub by: By,
--- a/crates/router/tests/world.rs
+++ b/crates/router/tests/world.rs
@@ -150,6 +150,9 @@
             load_hint: Some(50 * MS),
             copy_mb: 1.0,
             lanes: 100_000,
+            session: None,
+            prefers: None,
+            refused: None,
             body: Bytes::from_static(b"{}").into(),
         }
     }
--- a/crates/trace/src/records.rs
+++ b/crates/trace/src/records.rs
@@ -90,7 +90,7 @@
     };
 }
 
-table!(REASONS, reasons, Reason: Worker, GivenUp, Expired, MayHaveRun, Overdue, Functions, Size, Share, NoMajority, Alone);
+table!(REASONS, reasons, Reason: Worker, GivenUp, Expired, MayHaveRun, Overdue, Functions, Size, Share, NoMajority, SessionOver, Alone);
 table!(FATES, fates, Fate: Succeeded, Throttled, Errored);
 table!(SHORTS, shorts, Short: Stopping, Memory, All, Front, Account, Connection, Worth);
 table!(OUTCOMES, outcomes, Outcome: Succeeded, Errored, Throttled, TimedOut, Unreachable, Broken, Withdrawn, NotSent, Missed);
