--- a/crates/gateway/src/folder.rs
+++ b/crates/gateway/src/folder.rs
@@ -123,7 +123,12 @@
         let mut shared: Shared = postcard::from_bytes(bytes).map_err(|_| Aside::Damaged)?;
         let left = until - wall;
         if left > 0 && left <= kept {
+            // Symptom: a token's first sending seemed as young as it was when this router ended, and its retry was sent
+            // to workers that had forgotten it.
+            let since = shared.left.saturating_sub(left).max(0);
             shared.left = left;
+            shared.first_ago = shared.first_ago.map(|ago| ago.saturating_add(since));
+            shared.proves_left = shared.proves_left.map(|left| left.saturating_sub(since));
             records.push((Key::from(key.value()), shared));
         }
     }
@@ -245,3 +250,36 @@
     write.commit()?;
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use cedarpulley_replica::{Effect, Record};
+
+    use super::*;
+
+    #[test]
+    fn what_was_kept_has_grown_older_by_the_time_that_nobody_ran() {
+        const S: Micros = 1_000_000;
+        let folder = tempfile::tempdir().expect("a folder");
+        let record = Record::Effect(Effect { taken: true, ..Effect::default() });
+        let shared = Shared {
+            record,
+            origin: Default::default(),
+            left: 50 * S,
+            first_ago: Some(S),
+            proves_left: Some(30 * S),
+        };
+        let (kept, _) = Folder::open(folder.path(), 1, 0, 60 * S).expect("opened");
+        kept.put(1, 1_000 * S, [(Key::from("t"), Some(shared))]);
+        // The thread that writes holds the file until all is written.
+        drop(kept);
+        let held = loop {
+            match Folder::open(folder.path(), 1, 1_020 * S, 60 * S) {
+                Err(Failed::InUse { .. }) => std::thread::yield_now(),
+                opened => break opened.expect("opened").1.expect("it was kept"),
+            }
+        };
+        let [(_, at)] = &held.records[..] else { panic!("one record") };
+        assert_eq!((at.left, at.first_ago, at.proves_left), (30 * S, Some(21 * S), Some(10 * S)));
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,6 +12,7 @@
 use cedarpulley_certificates::{self as certificates, Speakers, Which};
 use cedarpulley_membership::group::MOST_WEIGHT;
 use cedarpulley_membership::{Group, Member};
+use cedarpulley_replica::kept_for;
 use cedarpulley_router::Terms;
 use cedarpulley_router::group::Sharing;
 use cedarpulley_router::roster::Listed;
@@ -32,7 +33,7 @@
 const NEVER: Micros = i64::MAX / 8;
 /// What a group remembers is kept for so long beyond the longest client timeout, where nothing else is said: a lost
 /// channel is noticed and its messages are delivered again well within it.
-const KEPT_BEYOND_MS: u64 = 4_000;
+const KEPT_BEYOND: Micros = 4_000_000;
 
 #[derive(Clone, Debug)]
 pub enum WorkerList {
@@ -413,7 +414,8 @@
     let (name, me) = (p.text("group", None), p.text("name", None));
     let listen = p.address("listen");
     let state = named(p, "state", folder);
-    let kept = p.millis("kept_ms", 1..DAY, Some(((longest / 1_000) as u64 + KEPT_BEYOND_MS).min(DAY)));
+    let usual = kept_for(longest + KEPT_BEYOND);
+    let kept = p.millis("kept_ms", 1..DAY, Some((usual as u64 / 1_000).min(DAY)));
     if kept < longest {
         p.wrong(
             "kept_ms",
--- a/crates/replica/src/catchup.rs
+++ b/crates/replica/src/catchup.rs
@@ -15,7 +15,7 @@
 
 use crate::record::{Answered, Record};
 use crate::replica::{Output, Replica, hashed};
-use crate::store::{GROUPS, IN_GROUP, Key, LEAVES, Leaf, Shared, Slot, Store};
+use crate::store::{GROUPS, IN_GROUP, Joined, Key, LEAVES, Leaf, Shared, Slot, Store};
 use crate::wire::{Memory, Message, short};
 
 /// One piece of records; small against what a link carries in a round trip.
@@ -41,6 +41,8 @@
     memory: Option<(Memory, bool)>,
     leaves: VecDeque<Leaf>,
     snapshot: bool,
+    /// Something of it could not be taken in: it was compared for nothing.
+    lacks: bool,
     /// Asked for at present.
     asked: Vec<Leaf>,
     after: Option<(Leaf, Key)>,
@@ -173,6 +175,7 @@
             memory: None,
             leaves: VecDeque::new(),
             snapshot: false,
+            lacks: false,
             asked: Vec::new(),
             after: None,
             at: None,
@@ -239,12 +242,16 @@
         if s.asked.is_empty() {
             // On to the next, as long as there is one to be learned from.
             if let Some((memory, true)) = s.memory
+                && !s.lacks
                 && self.compared_with(now, s.with, memory, out)
             {
                 self.catch_up.next = now;
             }
             return;
         }
+        // Symptom: a piece that comes twice is taken for the next one, which is never asked for again.
+        self.catch_up.serial += 1;
+        s.serial = self.catch_up.serial;
         let list = |l: &Leaf| (*l, (!s.snapshot).then(|| self.store.entries(*l)));
         let leaves = s.asked.iter().map(list).collect();
         let message = Message::Want { serial: s.serial, leaves, after: s.after.clone() };
@@ -319,11 +326,11 @@
         out: &mut Vec<Output>,
     ) {
         let current = self.catch_up.session.as_ref().is_some_and(|s| s.with == from && s.serial == serial);
-        let mut bytes = 0;
+        let (mut bytes, mut lacks) = (0, self.comes_late(transit));
         self.counts.records_fetched += records.len() as u64;
         for (key, shared) in records {
             bytes += size(&key, &shared.record);
-            self.learn(now, key, &shared, transit, out);
+            lacks |= self.learn(now, key, &shared, transit, out) == Joined::Full;
         }
         if !current {
             return;
@@ -335,6 +342,7 @@
                 s.asked.clear();
             }
             s.after = more;
+            s.lacks |= lacks;
             (s.at, s.due) = (Some(at), at.saturating_add(within));
         }
         if at <= now {
--- a/crates/replica/src/choosing.rs
+++ b/crates/replica/src/choosing.rs
@@ -156,7 +156,7 @@
         }
         p.votes.put(self.group.me, short(self.nonce), self.views());
         self.proposals.insert(key.clone(), p);
-        self.ask_choice(key, out);
+        self.ask_choice(key, &self.everybody_else(), out);
         self.weigh(now, key, out);
     }
 
@@ -169,13 +169,13 @@
         (p.stage, p.votes) = (Stage::Accepting, Votes::default());
         p.votes.put(self.group.me, short(self.nonce), self.views());
         self.proposals.insert(key.clone(), p);
-        self.ask_choice(key, out);
+        self.ask_choice(key, &self.everybody_else(), out);
         self.weigh(now, key, out);
     }
 
-    fn ask_choice(&mut self, key: &Key, out: &mut Vec<Output>) {
+    fn ask_choice(&mut self, key: &Key, whom: &[MemberIx], out: &mut Vec<Output>) {
         let Some(p) = self.proposals.get(key) else { return };
-        for to in self.group.others().filter(|m| !p.votes.has(*m)) {
+        for to in whom.iter().copied().filter(|m| !p.votes.has(*m)) {
             let (key, ballot, left) = (key.clone(), p.ballot, p.kept);
             let message = match (&p.stage, &p.value) {
                 (Stage::Preparing, _) => Message::Prepare { key, ballot, left },
@@ -224,7 +224,8 @@
             return false;
         }
         let (origin, until) = (self.origin(), now.saturating_add(left));
-        let absent = || Slot { record: Record::Choice(Choice::default()), origin, until, first: None };
+        let absent =
+            || Slot { record: Record::Choice(Choice::default()), origin, until, first: None, proves: None };
         self.store.change(key, absent, |slot| {
             if let Record::Choice(c) = &mut slot.record {
                 c.promised = c.promised.max(ballot);
@@ -250,7 +251,7 @@
         )
     }
 
-    fn overtakes(&self, key: &Key, ballot: Ballot, why: Refusal) -> Message {
+    pub(crate) fn overtakes(&self, key: &Key, ballot: Ballot, why: Refusal) -> Message {
         let choice = self.store.get(key).and_then(|s| choice(&s.record));
         Message::Overtaken { key: key.clone(), ballot, choice, why }
     }
@@ -341,9 +342,11 @@
         self.weigh(now, key, out);
     }
 
+    #[allow(clippy::too_many_arguments)] // The parts of one message.
     pub(crate) fn overtaken(
         &mut self,
         now: Micros,
+        from: MemberIx,
         key: &Key,
         ballot: Ballot,
         choice: Option<Choice>,
@@ -351,6 +354,9 @@
         out: &mut Vec<Output>,
     ) {
         let Some(p) = self.proposals.get(key).filter(|p| p.ballot == ballot) else { return };
+        if why == Refusal::Late {
+            return self.ask_choice(key, &[from], out);
+        }
         if why != Refusal::Owned {
             return;
         }
@@ -389,7 +395,7 @@
                 self.begin_preparing(now, &key, out);
             } else {
                 p.resend = resend;
-                self.ask_choice(&key, out);
+                self.ask_choice(&key, &self.everybody_else(), out);
             }
         }
     }
--- a/crates/replica/src/holding.rs
+++ b/crates/replica/src/holding.rs
@@ -24,10 +24,7 @@
         out: &mut Vec<Output>,
     ) {
         let refuse = |it: &mut Self, why, out: &mut Vec<Output>| {
-            it.counts.refusals_given += 1;
-            let shared = it.store.shared(now, &key);
-            let message = Message::Refused { key: key.clone(), ballot, sending: Some(sending), why, shared };
-            out.push(Output::Send { to: from, message });
+            it.refuses(now, from, key.clone(), ballot, Some(sending), why, out);
         };
         let stands = match self.store.effect(&key) {
             None => true,
@@ -67,6 +64,22 @@
         }
     }
 
+    #[allow(clippy::too_many_arguments)] // The parts of one message.
+    pub(crate) fn refuses(
+        &mut self,
+        now: Micros,
+        to: MemberIx,
+        key: Key,
+        ballot: Ballot,
+        sending: Option<u64>,
+        why: Refusal,
+        out: &mut Vec<Output>,
+    ) {
+        self.counts.refusals_given += 1;
+        let shared = self.store.shared(now, &key);
+        out.push(Output::Send { to, message: Message::Refused { key, ballot, sending, why, shared } });
+    }
+
     #[allow(clippy::too_many_arguments)] // The parts of one message.
     pub(crate) fn asked_to_fence(
         &mut self,
@@ -92,10 +105,7 @@
             None
         };
         if let Some(why) = why {
-            self.counts.refusals_given += 1;
-            let shared = self.store.shared(now, &key);
-            let message = Message::Refused { key, ballot, sending: None, why, shared };
-            return out.push(Output::Send { to: from, message });
+            return self.refuses(now, from, key, ballot, None, why, out);
         }
         // What waits here for a majority under an older ballot never left, and the one that asks is told so at once.
         self.loses(now, &key, out);
@@ -119,7 +129,7 @@
         let record = Record::Effect(Effect { owner, ..Effect::default() });
         self.store.change(
             key,
-            || Slot { record, origin, until, first: None },
+            || Slot { record, origin, until, first: None, proves: None },
             |slot| {
                 if let Record::Effect(e) = &mut slot.record
                     && ballot > e.owner.ballot
--- a/crates/replica/src/owning.rs
+++ b/crates/replica/src/owning.rs
@@ -17,7 +17,7 @@
 
 use crate::record::{Answered, Ballot, Effect, FIRST, Owner, Record, Sending, SendingIx, Sent};
 use crate::replica::{Guard, Output, Replica};
-use crate::store::{Key, Shared};
+use crate::store::{Joined, Key, Shared};
 use crate::wire::{Message, Refusal, Views, Votes, short};
 
 /// What must be known of others before it may leave.
@@ -233,11 +233,20 @@
         fencing.votes.put(self.group.me, short(self.nonce), self.views());
         claim.stage = Stage::Fencing(fencing);
         self.claims.insert(key.clone(), claim);
-        for to in self.group.others() {
-            let message = Message::Fence { key: key.clone(), ballot, origin, left };
+        let others = self.everybody_else();
+        self.ask_fence(now, key, &others, out);
+        self.settle(now, key, false, out);
+    }
+
+    fn ask_fence(&self, now: Micros, key: &Key, whom: &[MemberIx], out: &mut Vec<Output>) {
+        let Some(Claim { ballot, stage: Stage::Fencing(f), .. }) = self.claims.get(key) else { return };
+        let Some(slot) = self.store.get(key) else { return };
+        // As long as it is kept here, and no longer.
+        let (origin, left) = (slot.origin, slot.until.saturating_sub(now));
+        for to in whom.iter().copied().filter(|m| !f.votes.has(*m)) {
+            let message = Message::Fence { key: key.clone(), ballot: *ballot, origin, left };
             out.push(Output::Send { to, message });
         }
-        self.settle(now, key, false, out);
     }
 
     fn fencing(&self, now: Micros, give_up: Micros, own: Option<&Effect>) -> Fencing {
@@ -262,8 +271,13 @@
         transit: Micros,
         out: &mut Vec<Output>,
     ) {
-        if let Some(shared) = &shared {
-            self.store.join(now, key, shared, transit);
+        if let Some(shared) = &shared
+            && self.store.join(now, key, shared, transit) == Joined::Forgotten
+        {
+            // Symptom: a pause ends the time of what is told on its way. A promise is no vote without what was held
+            // beside it; asked again, that member tells it with the time of the promise.
+            self.counts.forgotten_offers += 1;
+            return;
         }
         let Some(claim) = self.claims.get_mut(key).filter(|c| c.ballot == ballot) else { return };
         let fencing = match &mut claim.stage {
@@ -343,7 +357,7 @@
         if e.doubtful {
             return self.conclude(now, key, Verdict::MayHaveRun(Because::Doubtful), out);
         }
-        if !e.taken && !self.without(Guard::Presence) {
+        if !(e.taken && self.proves(now, key)) && !self.without(Guard::Presence) {
             return self.conclude(now, key, Verdict::MayHaveRun(Because::Unknown), out);
         }
         self.counts.proven_unsent += 1;
@@ -401,6 +415,11 @@
             out.push(Output::Leave { key: key.clone(), sending, left });
             return self.look_again(now, &key, out);
         };
+        if !alone && !self.proves(now, &key) {
+            // Others may have forgotten who took it: it is too late to begin.
+            self.counts.lacking_majority += 1;
+            return out.push(Output::Leave { key, sending, left: Err(Lack::Late) });
+        }
         let ix = (self.nonce, sending);
         let (member, slot) = (self.group.me, self.fresh(now, true));
         self.store.change(
@@ -422,17 +441,18 @@
         if let Some(claim) = self.claims.get_mut(&key) {
             claim.asking.insert(sending, asking);
         }
-        self.ask(now, &key, sending, out);
+        let others = self.everybody_else();
+        self.ask(now, &key, sending, &others, out);
         self.look_at_votes(now, &key, sending, out);
     }
 
-    /// Asks all that have not voted yet.
-    fn ask(&mut self, now: Micros, key: &Key, sending: u64, out: &mut Vec<Output>) {
+    /// Asks those of them that have not voted yet.
+    fn ask(&mut self, now: Micros, key: &Key, sending: u64, whom: &[MemberIx], out: &mut Vec<Output>) {
         let Some(claim) = self.claims.get(key) else { return };
         let (Some(asking), Some(shared)) = (claim.asking.get(&sending), self.store.shared(now, key)) else {
             return;
         };
-        for to in self.group.others().filter(|m| !asking.votes.has(*m)) {
+        for to in whom.iter().copied().filter(|m| !asking.votes.has(*m)) {
             let (key, ballot, blind) = (key.clone(), claim.ballot, asking.blind);
             let message = Message::Intend { key, ballot, sending, blind, shared: shared.clone() };
             out.push(Output::Send { to, message });
@@ -479,7 +499,7 @@
     pub(crate) fn refused(
         &mut self,
         now: Micros,
-        _from: MemberIx,
+        from: MemberIx,
         key: &Key,
         ballot: Ballot,
         sending: Option<u64>,
@@ -493,10 +513,15 @@
         }
         let Some(claim) = self.claims.get(key).filter(|c| c.ballot == ballot) else { return };
         // The others' reasons may pass; it is asked again until its time is over.
-        if why != Refusal::Owned {
+        if why != Refusal::Owned && why != Refusal::Late {
             return;
         }
         match (sending, &claim.stage) {
+            // Symptom: the two had not heard of each other for a while, so that nobody knew how long it was under way.
+            // Now it is known.
+            (Some(sending), _) if why == Refusal::Late => self.ask(now, key, sending, &[from], out),
+            (None, Stage::Fencing(_)) if why == Refusal::Late => self.ask_fence(now, key, &[from], out),
+            (None, _) if why == Refusal::Late => {}
             (None, Stage::Fencing(f)) => {
                 let (tries, give_up) = (claim.tries, f.give_up);
                 let again = now.saturating_add(self.step_back(tries));
@@ -671,13 +696,8 @@
             }
             Stage::Fencing(f) if now >= f.resend => {
                 f.resend = resend;
-                let (ballot, left) = (claim.ballot, self.terms.kept);
-                let lack: Vec<MemberIx> = self.group.others().filter(|m| !f.votes.has(*m)).collect();
-                let origin = self.store.get(key).map(|s| s.origin).unwrap_or_default();
-                for to in lack {
-                    let message = Message::Fence { key: key.clone(), ballot, origin, left };
-                    out.push(Output::Send { to, message });
-                }
+                let others = self.everybody_else();
+                self.ask_fence(now, key, &others, out);
             }
             Stage::StepsBack { give_up, .. } if now >= *give_up => {
                 return self.conclude(now, key, Verdict::NoMajority(Lack::Late), out);
@@ -698,8 +718,9 @@
                 again.push(*sending);
             }
         }
+        let others = self.everybody_else();
         for sending in again {
-            self.ask(now, key, sending, out);
+            self.ask(now, key, sending, &others, out);
         }
         for (sending, alone) in late {
             if let Some(claim) = self.claims.get_mut(key) {
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -16,7 +16,7 @@
 use crate::record::{Ballot, Effect, FIRST, Note, Record};
 use crate::returning::Returning;
 use crate::store::{Joined, Key, Origin, Shared, Slot, Store};
-use crate::wire::{Memory, Message, Views, short};
+use crate::wire::{Memory, Message, Refusal, Views, short};
 
 /// What is asked again, as its answer did not come: some round trips of a slow link.
 const RESEND_EVERY: Micros = 100_000;
@@ -30,9 +30,16 @@
 const STEP_BACK: Micros = 20_000;
 /// Part of the time that records are kept by which clocks may go wrong between two members.
 pub(crate) const DRIFT_PART: Micros = 8;
+/// A vote is not asked for later than this part of that time: half of what clocks may go wrong by is left for them.
+const LATE_PART: Micros = 2 * DRIFT_PART;
 /// Answers beyond this size are not kept.
 const MOST_ANSWER: usize = 64 << 10;
 
+/// How long things are to be kept, so that for so long new dispatches may leave and silence is a proof.
+pub fn kept_for(wanted: Micros) -> Micros {
+    wanted.saturating_add(wanted / (DRIFT_PART - 1)).saturating_add(1_000)
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
     /// What was taken, or taken over, is remembered for so long: longer than any client waits.
@@ -100,6 +107,8 @@
     Gone,
     /// What was decided is kept by whoever decides next.
     Adopted,
+    /// Who hears late does not vote, and a record's last part is neither proof nor leave.
+    Age,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -308,7 +317,7 @@
                 let note = Record::Note(Note { version, value });
                 let origin = self.origin();
                 let until = now.saturating_add(kept);
-                let slot = Slot { record: note.clone(), origin, until, first: None };
+                let slot = Slot { record: note.clone(), origin, until, first: None, proves: None };
                 let changed = |slot: &mut Slot| {
                     slot.record.join(&note);
                     (slot.origin, slot.until) = (origin, until.max(slot.until));
@@ -339,6 +348,23 @@
         out: &mut Vec<Output>,
     ) {
         let process = short(nonce);
+        if self.comes_late(transit) {
+            // Symptom: one that was stopped reads what others asked it long ago, or what comes back to it shows only now
+            // that it is heard. A promise kept from then on would end before what it is for.
+            match message {
+                Message::Intend { key, ballot, sending, .. } => {
+                    return self.refuses(now, from, key, ballot, Some(sending), Refusal::Late, out);
+                }
+                Message::Fence { key, ballot, .. } => {
+                    return self.refuses(now, from, key, ballot, None, Refusal::Late, out);
+                }
+                Message::Prepare { key, ballot, .. } | Message::Accept { key, ballot, .. } => {
+                    let message = self.overtakes(&key, ballot, Refusal::Late);
+                    return out.push(Output::Send { to: from, message });
+                }
+                _ => {}
+            }
+        }
         match message {
             Message::Intend { key, ballot, sending, blind, shared } => {
                 self.asked_to_hold(now, from, key, ballot, sending, blind, shared, transit, out);
@@ -368,9 +394,11 @@
                 self.accepted(now, from, process, &key, ballot, views, out);
             }
             Message::Overtaken { key, ballot, choice, why } => {
-                self.overtaken(now, &key, ballot, choice, why, out);
+                self.overtaken(now, from, &key, ballot, choice, why, out);
+            }
+            Message::Tell { key, shared } => {
+                self.learn(now, key, &shared, transit, out);
             }
-            Message::Tell { key, shared } => self.learn(now, key, &shared, transit, out),
             Message::Compare { serial, groups } => self.asked_to_compare(from, serial, &groups, out),
             Message::Differ { serial, memory, you, groups } => {
                 self.differ(now, from, serial, memory, you, &groups, out);
@@ -390,13 +418,15 @@
         shared: &Shared,
         transit: Micros,
         out: &mut Vec<Output>,
-    ) {
-        match self.store.join(now, &key, shared, transit) {
+    ) -> Joined {
+        let joined = self.store.join(now, &key, shared, transit);
+        match joined {
             Joined::Changed => self.noticed(now, &key, out),
             Joined::Forgotten => self.counts.forgotten_offers += 1,
             Joined::Full => self.counts.full += 1,
             Joined::Nothing => {}
         }
+        joined
     }
 
     pub(crate) fn noticed(&mut self, now: Micros, key: &Key, out: &mut Vec<Output>) {
@@ -487,7 +517,23 @@
         let owner = crate::record::Owner { ballot: self.ballot(FIRST), let_go: false };
         let record = Record::Effect(Effect { owner, taken, ..Effect::default() });
         let until = now.saturating_add(self.terms.kept);
-        Slot { record, origin: self.origin(), until, first: None }
+        let proves = taken.then(|| until.saturating_sub(self.terms.kept / DRIFT_PART));
+        Slot { record, origin: self.origin(), until, first: None, proves }
+    }
+
+    pub(crate) fn everybody_else(&self) -> Vec<MemberIx> {
+        self.group.others().collect()
+    }
+
+    /// It was so long under way that what is held for it here would be over too soon.
+    pub(crate) fn comes_late(&self, transit: Micros) -> bool {
+        transit > self.terms.kept / LATE_PART && !self.without(Guard::Age)
+    }
+
+    /// Whether nothing of this record at a member still says that there never was anything.
+    pub(crate) fn proves(&self, now: Micros, key: &str) -> bool {
+        let until = self.store.get(key).and_then(|s| s.proves);
+        until.is_some_and(|until| now < until) || self.without(Guard::Age)
     }
 
     pub(crate) fn views(&self) -> Views {
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -3,7 +3,7 @@
 //!
 //! Mechanisms:
 //! 1. Keys fall into leaves by their hash, leaves into groups; each has a digest that is kept up with every change.
-//! 2. What is forgotten of a process is remembered as one number: its records are forgotten in the order in which they
+//! 2. What is forgotten of a process's invocations is remembered as one number: its records are forgotten in the order in which they
 //!    were made, and none of them comes back from a member that was away.
 //! 3. A record that is told is kept for no longer than at the one that tells: what it was under way counts.
 
@@ -43,6 +43,9 @@
     pub until: Micros,
     /// When the first dispatch left, where that counts.
     pub first: Option<Micros>,
+    /// Until then somebody who has nothing of it had never anything, and new dispatches may leave. However often it is
+    /// taken over, this is not put off.
+    pub proves: Option<Micros>,
 }
 
 /// A record on its way between members, its times as times from now.
@@ -52,6 +55,7 @@
     pub origin: Origin,
     pub left: Micros,
     pub first_ago: Option<Micros>,
+    pub proves_left: Option<Micros>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -143,7 +147,11 @@
     pub fn join(&mut self, now: Micros, key: &Key, theirs: &Shared, transit: Micros) -> Joined {
         let until = now.saturating_add(theirs.left.saturating_sub(transit));
         let first = theirs.first_ago.map(|ago| now.saturating_sub(ago.saturating_add(transit)));
-        if until <= now || self.was_forgotten(theirs.origin) {
+        let proves = theirs.proves_left.map(|left| now.saturating_add(left.saturating_sub(transit)));
+        // Symptom: what is kept for long was refused for ever by whoever had forgotten a later invocation of the same
+        // process.
+        let short_lived = matches!(theirs.record, Record::Effect(_));
+        if until <= now || short_lived && self.was_forgotten(theirs.origin) {
             return Joined::Forgotten;
         }
         let at = (leaf(key), key.clone());
@@ -151,17 +159,14 @@
             if self.is_full() {
                 return Joined::Full;
             }
-            let slot = Slot { record: theirs.record.clone(), origin: theirs.origin, until, first };
+            let slot = Slot { record: theirs.record.clone(), origin: theirs.origin, until, first, proves };
             self.put(at, slot);
             return Joined::Changed;
         };
         let (before, owner, ended) = (digest(key, &slot.record), slot.record.owner(), slot.until);
         let had_fault = fault(&slot.record);
         let changed = slot.record.join(&theirs.record);
-        slot.first = match (slot.first, first) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        };
+        (slot.first, slot.proves) = (earlier(slot.first, first), earlier(slot.proves, proves));
         if slot.record.owner() != owner {
             (slot.origin, slot.until) = (theirs.origin, until);
         } else if theirs.record.owner() == owner {
@@ -285,6 +290,10 @@
     }
 }
 
+fn earlier(a: Option<Micros>, b: Option<Micros>) -> Option<Micros> {
+    a.zip(b).map(|(a, b)| a.min(b)).or(a).or(b)
+}
+
 fn fault(record: &Record) -> bool {
     matches!(record, Record::Effect(Effect { fault: true, .. }))
 }
@@ -296,6 +305,7 @@
             origin: self.origin,
             left: self.until.saturating_sub(now),
             first_ago: self.first.map(|first| now.saturating_sub(first)),
+            proves_left: self.proves.map(|until| until.saturating_sub(now)),
         }
     }
 }
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -11,7 +11,7 @@
 use crate::store::{Key, Leaf, Origin, Shared};
 
 /// Raised with every change of a message: members of different versions refuse each other.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 
 /// How much a member remembers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -41,6 +41,8 @@
     Returning,
     /// Its time is over here.
     Forgotten,
+    /// The question came too late to be answered.
+    Late,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/replica/tests/cases.rs
+++ b/crates/replica/tests/cases.rs
@@ -152,13 +152,14 @@
         let (net, old) = (std::mem::take(&mut w.net), w.nonces[2]);
         w.start(2, None);
         w.sees(1, 2, true);
+        w.sees(2, 1, false);
         // It compares with those that have not heard of the fence, and remembers enough.
-        w.net.clear();
-        w.pass_where(3_000 * MS, |from, to, m| match m {
+        w.pass_where(350 * MS, |from, to, m| match m {
             Message::Compare { .. } | Message::Want { .. } => from == 2 && to != 1,
             Message::Differ { .. } | Message::Have { .. } => to == 2 && from != 1,
             _ => false,
         });
+        w.sees(2, 1, true);
         assert_eq!(w.at(2).memory(), Memory::Whole);
         assert_ne!(old, w.nonces[2]);
         w.net = net;
--- a/crates/replica/tests/common/mod.rs
+++ b/crates/replica/tests/common/mod.rs
@@ -40,6 +40,9 @@
     pub last: u64,
     /// How long a majority is waited for.
     pub patience: i64,
+    /// By how many thousandths each one's clock is fast, and since when.
+    pub rates: Vec<i64>,
+    pub since: i64,
 }
 
 impl World {
@@ -71,6 +74,8 @@
             decided: vec![BTreeMap::new(); n],
             last: 0,
             patience,
+            rates: vec![0; n],
+            since: 0,
         };
         (0..n).for_each(|r| w.start(r, None));
         w
@@ -99,6 +104,15 @@
         self.at(r).records().map(|(k, s)| (k.clone(), s.shared(self.now))).collect()
     }
 
+    /// What a member's own clock says.
+    pub fn clock(&self, r: usize) -> i64 {
+        self.clock_at(r, self.now)
+    }
+
+    pub fn clock_at(&self, r: usize, now: i64) -> i64 {
+        now + (now - self.since) * self.rates[r] / 1_000
+    }
+
     pub fn at(&self, r: usize) -> &Replica {
         self.replicas[r].as_ref().expect("it runs")
     }
@@ -109,9 +123,10 @@
     }
 
     pub fn feed(&mut self, r: usize, input: Input) {
+        let now = self.clock(r);
         let Some(it) = self.replicas[r].as_mut() else { return };
         let mut out = Vec::new();
-        it.handle(self.now, input, &mut out);
+        it.handle(now, input, &mut out);
         for output in out {
             match output {
                 Output::Send { to, message } => {
