--- a/crates/upgrade/src/lib.rs
+++ b/crates/upgrade/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`plan`]: the steps of one upgrade as a majority agrees on them, and where what begins goes by each.
 //! * [`seen`]: workers and their copies, as far as they are known here, and what is under way there.
 //! * [`health`]: the new version against the old one, paired by trigger type.
+//! * [`sessions`]: which version a session is of, and where it is warm.
 //! * [`planner`]: who leads, when a step is taken, what is loaded and unloaded.
 //!
 //! What it must never do: act on a step that no majority holds, take warm lanes of a region below its floor, or have a
@@ -16,6 +17,7 @@
 pub mod plan;
 pub mod planner;
 pub mod seen;
+pub mod sessions;
 
 use std::sync::Arc;
 
