Gateway: parts below have a narrow handle on the group: notes, choices, who is believed alive

Need: upgrades and the reconciled index rest on what the group shares and must not know its sockets. Change: shared.rs, and listeners by key prefix in fellows.rs; what is decided or noticed is told after what happened, in one row with what the core is told, so that a listener may ask again. Nobody listens yet: nothing is kept for nobody.

--- a/crates/gateway/src/circle.rs
+++ b/crates/gateway/src/circle.rs
@@ -18,6 +18,7 @@
 use crate::fellows::{Fellows, Kept, Peers};
 use crate::folder::{self, Folder};
 use crate::post::{self, Office, Slot};
+use crate::shared::Shared;
 
 /// What a group shares is written to its folder this often.
 const WRITE_BEHIND: Duration = Duration::from_millis(50);
@@ -89,6 +90,11 @@
         self.fellows.ask(ask);
     }
 
+    /// For other parts of this router.
+    pub fn shared(&self) -> Shared {
+        Shared::new(self.fellows.clone())
+    }
+
     /// Begins its tasks, once.
     pub fn run(&self, desk: &Rc<Desk>) {
         let Some(listener) = self.listener.borrow_mut().take() else { return };
--- a/crates/gateway/src/fellows.rs
+++ b/crates/gateway/src/fellows.rs
@@ -118,6 +118,24 @@
     stale_folder: bool,
 }
 
+/// What other parts of this router hear of the group.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// What was proposed here came to this.
+    Decided(replica::Key, replica::Outcome),
+    /// Another member made a note or a choice known.
+    Noticed(replica::Key),
+    /// Who is believed alive has changed.
+    Alive,
+}
+
+pub type Listener = Rc<dyn Fn(News)>;
+
+enum Tell {
+    Core(Told),
+    Listeners(News),
+}
+
 pub struct Fellows {
     desk: Rc<Desk>,
     nonce: u64,
@@ -125,8 +143,10 @@
     me: MemberIx,
     state: RefCell<State>,
     post: Box<dyn Post>,
-    /// For the core, one after the other.
-    told: RefCell<VecDeque<Told>>,
+    /// For the core and for listeners, one after the other.
+    told: RefCell<VecDeque<Tell>>,
+    /// Which keys each hears of.
+    listeners: RefCell<Vec<(&'static str, Listener)>>,
     telling: std::cell::Cell<bool>,
     alarm: Alarm,
 }
@@ -183,6 +203,7 @@
             state: RefCell::new(state),
             post,
             told: RefCell::default(),
+            listeners: RefCell::default(),
             telling: std::cell::Cell::new(false),
             alarm: Alarm::default(),
         }
@@ -329,10 +350,18 @@
     }
 
     fn believe(&self, now: Micros) {
-        let mut state = self.state.borrow_mut();
-        let State { membership, believed, .. } = &mut *state;
-        if believed.see(now, |m| membership.lives(m)) {
-            tracing::info!(alive = ?believed.alive(), version = believed.version(), "group: believed alive");
+        let changed = {
+            let mut state = self.state.borrow_mut();
+            let State { membership, believed, .. } = &mut *state;
+            let changed = believed.see(now, |m| membership.lives(m));
+            if changed {
+                tracing::info!(alive = ?believed.alive(), version = believed.version(), "group: believed alive");
+            }
+            changed
+        };
+        if changed {
+            self.news(News::Alive);
+            self.tell();
         }
     }
 
@@ -356,17 +385,18 @@
                 }
                 replica::Output::Verdict { key, verdict } => {
                     let verdict = self.verdict(verdict);
-                    self.told.borrow_mut().push_back(Told::Verdict { key, verdict });
+                    self.told.borrow_mut().push_back(Tell::Core(Told::Verdict { key, verdict }));
                 }
                 replica::Output::Leave { sending, left, .. } => {
                     let left = left.map_err(|lack| match lack {
                         replica::Lack::Elsewhere => Refusal::Elsewhere,
                         _ => Refusal::NoMajority,
                     });
-                    self.told.borrow_mut().push_back(Told::Leave { sending, left });
+                    self.told.borrow_mut().push_back(Tell::Core(Told::Leave { sending, left }));
                 }
                 replica::Output::Whole => tracing::info!("group: this router remembers enough to vote"),
-                replica::Output::Decided { .. } | replica::Output::Noticed(_) => {}
+                replica::Output::Decided { key, outcome } => self.news(News::Decided(key, outcome)),
+                replica::Output::Noticed(key) => self.news(News::Noticed(key)),
             }
         }
         let due = {
@@ -375,17 +405,43 @@
             members.min(state.replica.next_due())
         };
         self.alarm.set(due);
-        // What the core does then may ask again; that is told after this.
+        self.tell();
+    }
+
+    /// Nobody who listens for it: it is not kept.
+    fn news(&self, news: News) {
+        if !self.listeners.borrow().is_empty() {
+            self.told.borrow_mut().push_back(Tell::Listeners(news));
+        }
+    }
+
+    /// What the core and listeners do then may ask again; that is told after this.
+    fn tell(&self) {
         if self.telling.replace(true) {
             return;
         }
         loop {
-            let Some(told) = self.told.borrow_mut().pop_front() else { break };
-            self.desk.feed(Input::Group(told));
+            let Some(next) = self.told.borrow_mut().pop_front() else { break };
+            match next {
+                Tell::Core(told) => self.desk.feed(Input::Group(told)),
+                Tell::Listeners(news) => {
+                    let hears = |prefix: &str| match &news {
+                        News::Decided(key, _) | News::Noticed(key) => key.starts_with(prefix),
+                        News::Alive => true,
+                    };
+                    let listeners = self.listeners.borrow().clone();
+                    listeners.iter().filter(|(p, _)| hears(p)).for_each(|(_, hear)| hear(news.clone()));
+                }
+            }
         }
         self.telling.set(false);
     }
 
+    /// From now on it hears of keys that begin so, and of who is believed alive.
+    pub fn listen(&self, prefix: &'static str, hear: Listener) {
+        self.listeners.borrow_mut().push((prefix, hear));
+    }
+
     fn verdict(&self, verdict: replica::Verdict) -> group::Verdict {
         match verdict {
             replica::Verdict::Go { first_ago } => group::Verdict::Go { first_ago },
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Begin reading at [`serve`], which alone knows the whole; then [`desk`] (what each part gets), [`front`] (AMQP),
 //! [`listen`] with [`rest`] and [`grpc`] (KServe v2), [`pool`] (workers), [`list`] (the worker list), [`circle`] with
-//! [`fellows`], [`post`] and [`folder`] (the group that shares what was taken). No part knows
+//! [`fellows`], [`post`] and [`folder`] (the group that shares what was taken), and [`shared`], what other parts have of it. No part knows
 //! another that stands above it.
 
 pub mod calls;
@@ -23,6 +23,7 @@
 pub mod rest;
 pub mod serve;
 pub mod settings;
+pub mod shared;
 pub mod sheet;
 pub mod shown;
 pub mod tls;
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -540,6 +540,10 @@
         self.store.shared(now, key)
     }
 
+    pub fn record(&self, key: &str) -> Option<&Record> {
+        self.store.get(key).map(|slot| &slot.record)
+    }
+
     pub fn records(&self) -> impl Iterator<Item = (&Key, &Slot)> {
         self.store.all()
     }
