Upgrade: members say by whose step they go, not only by which number

Need: two leaders may give one number to different steps; an old copy may only go when the routers beside it go by this one. Change: Counted carries ballot and step (GoesBy), the planner says its own. No decision uses it yet.

--- a/crates/upgrade/src/lib.rs
+++ b/crates/upgrade/src/lib.rs
@@ -24,6 +24,6 @@
 
 pub use health::Count;
 pub use orders::{Asked, Order, Unfit};
-pub use plan::{Ballot, Phase, Plan, Region, Stage, function, key, model_of};
+pub use plan::{Ballot, GoesBy, Phase, Plan, Region, Stage, function, key, model_of};
 pub use planner::{Claim, Input, Outcome, Output, Planner, Shown, ShownRegion, Terms, Way};
 pub use seen::{Held, WorkerSeen};
--- a/crates/upgrade/src/plan.rs
+++ b/crates/upgrade/src/plan.rs
@@ -47,6 +47,13 @@
     }
 }
 
+/// A step and whose it is: two leaders may have given the same number to different steps.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct GoesBy {
+    pub ballot: Ballot,
+    pub step: u64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     /// Taken, nothing done yet.
--- a/crates/upgrade/src/planner.rs
+++ b/crates/upgrade/src/planner.rs
@@ -12,7 +12,7 @@
 use crate::Name;
 use crate::health::Count;
 use crate::orders::Order;
-use crate::plan::{Ballot, Phase, Plan, Stage, function};
+use crate::plan::{Ballot, GoesBy, Phase, Plan, Stage, function};
 use crate::seen::WorkerSeen;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -50,12 +50,12 @@
     },
     /// All workers that are known; whenever something of them changes, and once a second at least.
     Workers(Vec<WorkerSeen>),
-    /// What a member, this one too, has seen of the versions of a model, and the step that it goes by
-    /// ([`Planner::step`]). Shared among all.
+    /// What a member, this one too, has seen of the versions of a model, and what it goes by
+    /// ([`Planner::goes_by`]). Shared among all; told anew whenever one of them changes.
     Counted {
         member: MemberIx,
         model: Name,
-        step: u64,
+        goes_by: GoesBy,
         counts: Vec<Count>,
     },
     /// The answer to [`Output::Lead`] or [`Output::Write`].
@@ -203,9 +203,10 @@
         self.models.iter().filter(|(_, m)| m.plan.is_some()).map(|(name, _)| name)
     }
 
-    /// The step that this router goes by; 0: none.
-    pub fn step(&self, model: &str) -> u64 {
-        self.plan(model).map_or(0, |p| p.step)
+    /// What this router goes by, for [`Input::Counted`].
+    pub fn goes_by(&self, model: &str) -> GoesBy {
+        let of = |m: &Model| Some(GoesBy { ballot: m.ballot, step: m.plan.as_ref()?.step });
+        self.models.get(model).and_then(of).unwrap_or_default()
     }
 
     /// Where something goes that begins and names no version. Absent: there is no plan, it goes as it came. `draw`:
