Router: a retry is known by what its client calls the function; choices outlive effects

Where versions are chosen a retry may go by another name than the first try, and would not be joined by its token: Taken.named keeps the client's word. Used says trigger type and whether a session ended. A member that was cut off never heard of a choice older than a forgotten effect; only effects are forgotten in order, and a test fails without.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -216,6 +216,7 @@
         copy_mb: w.copy_mb,
         lanes: w.lanes,
         session: None,
+        named: None,
         prefers: None,
         refused: None,
         body: Payload { bytes: Bytes::new(), first: w.json },
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -389,6 +389,7 @@
             copy_mb: t.copy_mb,
             lanes: t.lanes,
             session: t.session.map(|(id, start, end)| Session { id: Arc::from(id), start, end }),
+            named: None,
             prefers: None,
             refused: None,
             body: Payload { bytes: Bytes::new(), first: t.first_part },
--- a/crates/gateway/tests/metering.rs
+++ b/crates/gateway/tests/metering.rs
@@ -32,6 +32,8 @@
             worker_name: "w",
             function: "f",
             session: None,
+            ends: false,
+            trigger: 0,
             account: 0,
             by,
             took: 9,
--- a/crates/platform-node/src/front.rs
+++ b/crates/platform-node/src/front.rs
@@ -242,6 +242,7 @@
             copy_mb: call.copy_mb,
             lanes: call.lanes,
             session: None,
+            named: None,
             prefers: None,
             refused: None,
             body: Payload::from(call.body),
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -143,7 +143,10 @@
     pub fn join(&mut self, now: Micros, key: &Key, theirs: &Shared, transit: Micros) -> Joined {
         let until = now.saturating_add(theirs.left.saturating_sub(transit));
         let first = theirs.first_ago.map(|ago| now.saturating_sub(ago.saturating_add(transit)));
-        if until <= now || self.was_forgotten(theirs.origin) {
+        // Symptom: a member that was cut off never hears of a plan that began long ago, as what was taken after that
+        // is over. Only effects are forgotten in the order in which they were made.
+        let over = matches!(theirs.record, Record::Effect(_)) && self.was_forgotten(theirs.origin);
+        if until <= now || over {
             return Joined::Forgotten;
         }
         let at = (leaf(key), key.clone());
--- a/crates/replica/tests/merging.rs
+++ b/crates/replica/tests/merging.rs
@@ -73,3 +73,21 @@
         }
     }
 }
+
+/// A choice is kept for longer than effects: that later effects of the same process are over says nothing about it.
+#[test]
+fn what_is_kept_longer_is_heard_though_later_effects_are_over() {
+    use cedarpulley_replica::Shared;
+    use cedarpulley_replica::store::{Joined, Origin, Store};
+    let shared = |record: Record, serial, left| {
+        let origin = Origin { nonce: 7, serial };
+        Shared { record, origin, left, first_ago: None }
+    };
+    let mut store = Store::new(10, false);
+    let effect = || Record::Effect(Effect::default());
+    assert_eq!(store.join(0, &"i".into(), &shared(effect(), 5, 10), 0), Joined::Changed);
+    store.expire(20);
+    assert_eq!(store.join(20, &"j".into(), &shared(effect(), 4, 10), 0), Joined::Forgotten);
+    let choice = Record::Choice(Choice::default());
+    assert_eq!(store.join(20, &"u".into(), &shared(choice, 3, 10), 0), Joined::Changed);
+}
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -592,7 +592,7 @@
             (Verdict::Join | Verdict::Repeat, None) => None,
         };
         let joining = t.token.as_deref().filter(|_| !self.terms.module_alone);
-        let key = joining.map(|token| tokens::key(t.account, t.trigger, &t.function, token));
+        let key = joining.map(|token| tokens::key(t.account, t.trigger, t.called(), token));
         if let Some(key) = &key {
             match self.tokens.seen(self.now, key) {
                 Seen::Out(claim) => return self.join(claim, t.delivery, gives_up_at, out),
@@ -1121,9 +1121,22 @@
             let (function, account, by) = (&*it.function, it.account, By::Dispatch(outcome, note));
             let (copy_mb, lanes) = (it.copy_mb, it.lanes);
             let worker_name = self.workers.id(worker).map_or("", String::as_str);
-            let session = it.session.as_ref().map(|s| &*s.id);
-            let used =
-                Used { worker, worker_name, function, session, account, by, took, copy_mb, lanes, held };
+            let (session, ends) =
+                (it.session.as_ref().map(|s| &*s.id), it.session.as_ref().is_some_and(|s| s.end));
+            let used = Used {
+                worker,
+                worker_name,
+                function,
+                session,
+                ends,
+                trigger: it.trigger,
+                account,
+                by,
+                took,
+                copy_mb,
+                lanes,
+                held,
+            };
             self.watch.iter_mut().for_each(|w| w.used(self.now, used));
         }
         if outcome == Outcome::Succeeded
@@ -1162,9 +1175,22 @@
         if let (true, Some(function)) = (load, self.names.get(ticket.func as usize)) {
             let (worker, took, by, lanes) = (ticket.worker, self.now - at, By::Order(result), 1);
             let worker_name = self.workers.id(worker).map_or("", String::as_str);
-            let session = None;
-            let used =
-                Used { worker, worker_name, function, session, account, by, took, copy_mb, lanes, held };
+            let trigger = self.asked.get(ticket.func as usize).map_or(0, |a| a.3);
+            let (session, ends) = (None, false);
+            let used = Used {
+                worker,
+                worker_name,
+                function,
+                session,
+                ends,
+                trigger,
+                account,
+                by,
+                took,
+                copy_mb,
+                lanes,
+                held,
+            };
             self.watch.iter_mut().for_each(|w| w.used(self.now, used));
         }
         if load {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -152,6 +152,13 @@
     }
 }
 
+impl Taken {
+    /// The function as its client calls it.
+    pub fn called(&self) -> &str {
+        self.named.as_deref().unwrap_or(&self.function)
+    }
+}
+
 /// What a front understood of a message.
 #[derive(Clone, Debug)]
 pub struct Taken {
@@ -178,6 +185,8 @@
     pub copy_mb: f64,
     pub lanes: u32,
     pub session: Option<Session>,
+    /// What its client calls the function, where it goes by another name: a retry may go by yet another.
+    pub named: Option<Arc<str>>,
     /// The worker, by its name in the list, where what came before in its session is warm.
     pub prefers: Option<Arc<str>>,
     /// It has its final answer already: it is taken only to be answered and counted.
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -47,6 +47,9 @@
     pub worker_name: &'a str,
     pub function: &'a str,
     pub session: Option<&'a str>,
+    /// It was the session's last one.
+    pub ends: bool,
+    pub trigger: u32,
     /// Whose invocation it was; of an order: of the last that asked for the function.
     pub account: u32,
     pub by: By,
--- a/crates/router/tests/world.rs
+++ b/crates/router/tests/world.rs
@@ -151,6 +151,7 @@
             copy_mb: 1.0,
             lanes: 100_000,
             session: None,
+            named: None,
             prefers: None,
             refused: None,
             body: Bytes::from_static(b"{}").into(),
