Upgrade: planner leads by terms, steps through regions, keeps floors, goes back

Change: health by paired counts (Cochran-Mantel-Haenszel), pace of loads, steps and orders of a leader, lease with a wait for the one before; a plan begins and is settled only when all routers have heard of it, so that no session meets a router without it. Builds; no test has been played yet.

--- a/crates/upgrade/src/lib.rs
+++ b/crates/upgrade/src/lib.rs
@@ -6,12 +6,16 @@
 //! * [`plan`]: the steps of one upgrade as a majority agrees on them, and where what begins goes by each.
 //! * [`seen`]: workers and their copies, as far as they are known here, and what is under way there.
 //! * [`health`]: the new version against the old one, paired by trigger type.
-//! * [`planner`]: who leads, when a step is taken, what is loaded and unloaded.
+//! * `loads`: what was ordered and is not yet seen, and how much is loaded at once.
+//! * `acting`: the next step, and what is loaded and unloaded by the last one.
+//! * [`planner`]: who leads, how long it may act, what routers and operators ask.
 //!
 //! What it must never do: act on a step that no majority holds, take warm lanes of a region below its floor, or have a
 //! copy unloaded that sessions use before the operator's limit.
 
+mod acting;
 pub mod health;
+mod loads;
 pub mod orders;
 pub mod plan;
 pub mod planner;
--- a/crates/upgrade/src/plan.rs
+++ b/crates/upgrade/src/plan.rs
@@ -113,6 +113,8 @@
     /// Orders for the same model that come after it.
     pub queued: Vec<Order>,
     pub reason: String,
+    /// It is over and all routers know: sessions that begin need no binding any more.
+    pub settled: bool,
 }
 
 impl Plan {
@@ -148,6 +150,31 @@
         if self.back() { (&o.to, &o.from) } else { (&o.from, &o.to) }
     }
 
+    /// What comes after this step, for an operator.
+    pub fn then(&self) -> String {
+        let after = |r: &Region| self.regions.iter().find(|o| o.stage == Stage::Before && o.name != r.name);
+        let region = self.regions.iter().find(|r| !matches!(r.stage, Stage::Before | Stage::Done));
+        match (self.phase, region) {
+            (Phase::Waiting, _) => "loads canaries".into(),
+            (Phase::Canary, _) => "the first region, or back".into(),
+            (Phase::Paused, _) => "goes on, or back".into(),
+            (Phase::Rolling | Phase::Back, Some(r)) if r.stage == Stage::Loading => {
+                format!("sends what begins in {} to the copies that have come", r.name)
+            }
+            (Phase::Rolling, Some(r)) => match after(r) {
+                Some(next) => format!("lets old copies in {} go, then loads in {}", r.name, next.name),
+                None => format!("lets old copies in {} go, then is done", r.name),
+            },
+            (Phase::Back, Some(r)) => format!("lets new copies in {} go", r.name),
+            (Phase::Rolling, None) => "the next region, or the end".into(),
+            (Phase::Back, None) => "the end".into(),
+            (Phase::Done | Phase::RolledBack | Phase::Ended, _) => match self.queued.first() {
+                Some(q) => format!("order {}", q.serial),
+                None => String::new(),
+            },
+        }
+    }
+
     /// The version that something goes to that begins now. `draw`: chance, or of what has to stay together.
     pub fn version(&self, region: &str, draw: u64, session: bool) -> &Name {
         let o = &self.order;
