--- a/crates/upgrade/src/sessions.rs
+++ b/crates/upgrade/src/sessions.rs
@@ -24,8 +24,6 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Terms {
-    /// Sessions are bound to versions; else only their workers are preferred.
-    pub binds: bool,
     /// A session that nothing comes of for so long is over.
     pub kept: Micros,
     /// Invocations wait for a majority for so long.
@@ -39,12 +37,13 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
     /// An invocation of a session, before it goes on. `ticket`: unlike any other that waits. `proposes`: the version
-    /// that the session is to have if a majority knows of none. `placed`: what other routers made known last.
+    /// that the session is to have if a majority knows of none; absent where sessions are not bound. `placed`: what
+    /// other routers made known last.
     Arrives {
         ticket: u64,
         model: Name,
         session: Name,
-        proposes: Name,
+        proposes: Option<Name>,
         placed: Option<Placed>,
     },
     /// It is not waited for any more.
@@ -234,7 +233,7 @@
         now: Micros,
         ticket: u64,
         key: Name,
-        proposes: Name,
+        proposes: Option<Name>,
         placed: Option<Placed>,
         out: &mut Vec<Output>,
     ) {
@@ -245,9 +244,9 @@
             s.place = placed;
         }
         let prefers = Some(&s.place.worker).filter(|w| !w.is_empty()).cloned();
-        if !terms.binds {
+        let Some(proposes) = proposes else {
             return out.push(Output::Goes { ticket, version: None, prefers });
-        }
+        };
         let stands = s.bound.clone().filter(|(_, until)| now < *until);
         if stands.is_none() && full {
             self.counts.sessions_refused_full += 1;
--- a/crates/upgrade/tests/sessions.rs
+++ b/crates/upgrade/tests/sessions.rs
@@ -17,7 +17,7 @@
 const KEPT: i64 = 16_000 * MS;
 
 fn terms() -> Terms {
-    Terms { binds: true, kept: KEPT, patience: 1_000 * MS, most_known: 8, most_waiting: 64 }
+    Terms { kept: KEPT, patience: 1_000 * MS, most_known: 8, most_waiting: 64 }
 }
 
 struct Routers {
@@ -86,7 +86,7 @@
         self.tickets += 1;
         let (ticket, session) = (self.tickets, Name::from(session));
         self.of.insert(ticket, session.clone());
-        let proposes = Name::from(proposes);
+        let proposes = Some(Name::from(proposes));
         self.feed(r, Input::Arrives { ticket, model: "m".into(), session, proposes, placed: None })
     }
 
@@ -253,7 +253,8 @@
     let arrives = |s: &mut Sessions, ticket| {
         let mut out = Vec::new();
         let session = Name::from(format!("s{ticket}"));
-        let input = Input::Arrives { ticket, model: "m".into(), session, proposes: "1".into(), placed: None };
+        let input =
+            Input::Arrives { ticket, model: "m".into(), session, proposes: Some("1".into()), placed: None };
         s.handle(0, input, &mut out);
         out
     };
@@ -283,7 +284,7 @@
     let prefers = |s: &mut Sessions, placed| {
         let mut out = Vec::new();
         let (model, session) = ("m".into(), "s".into());
-        s.handle(9, Input::Arrives { ticket: 1, model, session, proposes: "".into(), placed }, &mut out);
+        s.handle(9, Input::Arrives { ticket: 1, model, session, proposes: None, placed }, &mut out);
         match out.as_slice() {
             [Output::Goes { prefers, .. }] => prefers.clone(),
             other => panic!("{other:?}"),
@@ -295,7 +296,7 @@
         s.handle(9, Input::Answered { model, session, worker: worker.into(), ends }, &mut out);
         out.len()
     };
-    let mut s = Sessions::new(Terms { binds: false, ..terms() });
+    let mut s = Sessions::new(terms());
     assert_eq!(prefers(&mut s, None), None);
     // Others hear of it only when it changes.
     assert_eq!((answered(&mut s, "a", false), answered(&mut s, "a", false)), (1, 0));
