Stand-in workers tell their index, keep versions and warm prefixes, and drift on command

Upgrades that keep sessions warm and a reconciled index need workers whose truth can be asked and can part from what routers believe. A worker now answers the repository index (with its life, memory, who ordered a copy and in which term), loads and unloads versions side by side, keeps sequences' prefixes by copy and charges for lost ones, and on command evicts unseen, loses orders, lies in its index, and has versions err or be slow. The logs name functions, routers, terms and sessions. Nothing changes for functions without versions and requests without sequences.

--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -115,6 +115,7 @@
             start_up: Duration::from_millis(1),
             lanes: lanes as usize,
             window: None,
+            prefix: Duration::ZERO,
         };
         let programs = HashMap::from([("warm".to_owned(), program)]);
         let (name, memory) = (format!("worker-{n}"), Memory::default());
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -89,6 +89,7 @@
                 start_up: Duration::from_millis(10),
                 lanes,
                 window: None,
+                prefix: Duration::ZERO,
             };
             let programs = HashMap::from([(trigger, program)]);
             let (listen, store, ground) = (loopback(listen)?, loopback(store)?, ground(logs)?);
--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -66,7 +66,8 @@
     let nature = store::Nature { mb_per_s: 1e6, abreast: 8, most: 100 };
     let store = Store::start(&ground, "store", any, nature).expect("a store");
     let nature = Nature::roomy(100.0);
-    let program = Program { work, copy_mb: 1.0, start_up: Duration::from_millis(1), lanes: 50, window: None };
+    let (start_up, prefix) = (Duration::from_millis(1), Duration::ZERO);
+    let program = Program { work, copy_mb: 1.0, start_up, lanes: 50, window: None, prefix };
     let programs = ["once", "again", "patient"].map(|k| (k.to_owned(), program.clone()));
     let (at, programs) = (store.server.address, HashMap::from(programs));
     let worker =
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -147,6 +147,7 @@
                 start_up: Duration::from_millis(t.start_up_ms),
                 lanes: t.lanes as usize,
                 window: (t.window_ms > 0).then(|| Duration::from_millis(t.window_ms)),
+                prefix: Duration::ZERO,
             };
             (t.name.clone(), program)
         })
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -1,6 +1,19 @@
 //! A worker: KServe v2 with the model repository extension over HTTP. Cores are shared among what runs, functions
 //! are loaded through the store into bounded memory, each copy has lanes, a young worker does only part of its work
 //! and falls over when pushed, and repeats of a token are dropped within a window.
+//!
+//! Mechanisms:
+//! 1. Versions of a model are functions side by side (`m/versions/2`); who ordered a copy last is kept with it.
+//! 2. What earlier invocations of a sequence built up in a copy makes the next one there cheap (`sequences`).
+//! 3. What is held is told by the repository index (`index`), and can be made to drift from belief (`drift`).
+
+mod drift;
+mod held;
+mod index;
+mod sequences;
+
+pub use drift::Lies;
+pub use index::{Held, Orderer};
 
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -20,6 +33,10 @@
 use smol::lock::Semaphore;
 use smol_hyper::rt::FuturesIo;
 
+use self::drift::Drift;
+use self::held::{AtWork, Holds, Use, report};
+use self::index::VERSIONS;
+use self::sequences::Prefixes;
 use crate::http::{Body, Cut, Server, full};
 use crate::{Ground, Log, lock, wall_us};
 
@@ -42,6 +59,8 @@
     pub lanes: usize,
     /// Set for tokened ones: repeats are dropped for so long.
     pub window: Option<Duration>,
+    /// Work beside its own for one that does not find its sequence's prefix.
+    pub prefix: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -118,101 +137,9 @@
     /// None while loading; then whether it stands.
     stands: Option<bool>,
     use_of: Use,
-}
-
-/// Who used a copy: its time at work is parted among those it works for at once.
-struct Use {
-    /// Time at work, each moment divided by how many it worked for.
-    parted: f64,
-    at_work: usize,
-    since: Instant,
-}
-
-impl Use {
-    fn pass(&mut self) -> f64 {
-        let now = Instant::now();
-        let gone = (now - self.since).as_secs_f64();
-        self.since = now;
-        if self.at_work > 0 {
-            self.parted += gone / self.at_work as f64;
-        }
-        gone
-    }
-
-    /// Where this one's part begins, and for how long nobody was there before it.
-    fn join(&mut self) -> (f64, f64) {
-        let idle = self.at_work == 0;
-        let gone = self.pass();
-        self.at_work += 1;
-        (self.parted, if idle { gone } else { 0.0 })
-    }
-
-    fn leave(&mut self, began: f64) -> f64 {
-        self.pass();
-        self.at_work = self.at_work.saturating_sub(1);
-        self.parted - began
-    }
-}
-
-/// What one invocation, or one order, held; said in the log however it ends.
-struct Holds {
-    it: Arc<Inner>,
-    log: Log,
-    id: String,
-    account: String,
-    function: String,
-    bytes: u64,
-    running: u64,
-    loading: u64,
-    idle: u64,
-    reported: bool,
-}
-
-impl Holds {
-    /// Into the totals of this process's life for its account and function.
-    fn add(&mut self, life: &mut Life, running: f64, loading: f64, idle: f64) {
-        let totals = life.totals.entry((self.account.clone(), self.function.clone())).or_default();
-        let parts = [(running, &mut self.running), (loading, &mut self.loading), (idle, &mut self.idle)];
-        for ((seconds, own), total) in parts.into_iter().zip(totals) {
-            let time = (seconds * 1e6) as u64;
-            *own += time;
-            *total += u128::from(self.bytes) * u128::from(time);
-        }
-    }
-}
-
-impl Drop for Holds {
-    fn drop(&mut self) {
-        self.log.write(
-            "held",
-            json!({
-                "id": self.id, "account": self.account, "function": self.function, "bytes": self.bytes,
-                "running": self.running, "loading": self.loading, "idle": self.idle,
-                "reported": self.reported,
-            }),
-        );
-    }
-}
-
-const HELD: &str = "cedarpulley-held";
-
-/// Works for one invocation until it is dropped.
-struct AtWork {
-    it: Arc<Inner>,
-    function: String,
-    began: f64,
-    holds: Arc<Mutex<Holds>>,
-}
-
-impl Drop for AtWork {
-    fn drop(&mut self) {
-        if let Some(life) = lock(&self.it.life).as_mut()
-            && let Some(copy) = life.copies.get_mut(&self.function)
-        {
-            let running = copy.use_of.leave(self.began);
-            lock(&self.holds).add(life, running, 0.0, 0.0);
-        }
-    }
+    /// The last order's.
+    by: Orderer,
+    prefixes: Prefixes,
 }
 
 /// What one process of the worker holds.
@@ -242,6 +169,7 @@
     memory: Memory,
     cut: Cut,
     faults: Mutex<Faults>,
+    drift: Mutex<Drift>,
     life: Mutex<Option<Life>>,
     server: Mutex<Option<Server>>,
     starts: Mutex<u32>,
@@ -254,9 +182,9 @@
 }
 
 /// A task's part in a count, given back however the task ends.
-struct Held<F: FnMut(&mut Life)>(Arc<Inner>, F);
+struct Part<F: FnMut(&mut Life)>(Arc<Inner>, F);
 
-impl<F: FnMut(&mut Life)> Drop for Held<F> {
+impl<F: FnMut(&mut Life)> Drop for Part<F> {
     fn drop(&mut self) {
         if let Some(life) = lock(&self.0.life).as_mut() {
             (self.1)(life);
@@ -309,6 +237,7 @@
             memory,
             cut: Cut::default(),
             faults: Mutex::new(Faults { slow: 1.0, ..Faults::default() }),
+            drift: Mutex::default(),
             life: Mutex::new(None),
             server: Mutex::new(None),
             starts: Mutex::new(0),
@@ -394,9 +323,7 @@
 
     /// Idle copies are gone.
     pub fn flush_copies(&self) {
-        if let Some(life) = lock(&self.inner.life).as_mut() {
-            life.copies.retain(|_, c| c.busy > 0 || c.stands.is_none());
-        }
+        self.inner.remove("evicted", |_| true, json!({"why": "flush"}));
     }
 
     pub fn flush(&self) {
@@ -409,30 +336,28 @@
     let path = request.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     let model = |name: &str| percent_decode_str(name).decode_utf8_lossy().into_owned();
+    let versioned = |name: &str, version: &str| format!("{}{VERSIONS}{}", model(name), model(version));
     match parts.as_slice() {
         ["v2", "health", "live" | "ready"] => full(StatusCode::OK, ""),
         ["v2", "models", name, "ready"] => {
-            let name = model(name);
-            let stands = lock(&it.life).as_ref().and_then(|l| l.copies.get(&name)?.stands) == Some(true);
+            full(if it.stands(&model(name)) { StatusCode::OK } else { StatusCode::NOT_FOUND }, "")
+        }
+        ["v2", "models", name, "versions", version, "ready"] => {
+            let stands = it.stands(&versioned(name, version));
             full(if stands { StatusCode::OK } else { StatusCode::NOT_FOUND }, "")
         }
         ["v2", "models", name, "infer"] => infer(it, from, model(name), request).await,
         ["v2", "models", name, "versions", version, "infer"] => {
-            let function = format!("{}/versions/{}", model(name), model(version));
-            infer(it, from, function, request).await
+            infer(it, from, versioned(name, version), request).await
         }
-        ["v2", "repository", "models", name, "load"] => {
-            let name = model(name);
-            it.log.write("ordered", json!({"function": name, "from": from.ip().to_string(), "held_since": it.cut.held_since(from.ip())}));
-            let account = header(&request, "cedarpulley-account");
-            order(it, name, account).await
+        ["v2", "repository", "index"] => index::answer(it, from.ip().to_string(), request).await,
+        ["v2", "repository", "models", name, "load"] => load(it, from.ip(), model(name), request).await,
+        ["v2", "repository", "models", name, "versions", version, "load"] => {
+            load(it, from.ip(), versioned(name, version), request).await
         }
-        ["v2", "repository", "models", name, "unload"] => {
-            let name = model(name);
-            if let Some(life) = lock(&it.life).as_mut() {
-                life.copies.retain(|n, c| *n != name || c.busy > 0 || c.stands.is_none());
-            }
-            full(StatusCode::OK, "")
+        ["v2", "repository", "models", name, "unload"] => unload(&it, from.ip(), &model(name), &request),
+        ["v2", "repository", "models", name, "versions", version, "unload"] => {
+            unload(&it, from.ip(), &versioned(name, version), &request)
         }
         _ => full(StatusCode::NOT_FOUND, ""),
     }
@@ -505,11 +430,22 @@
                 return (Found::NoRoom, false);
             };
             used -= life.copies.remove(&oldest).map_or(0.0, |c| c.mb);
+            self.log.write("evicted", json!({"function": oldest, "why": "room"}));
         }
         let lanes = Arc::new(Semaphore::new(0));
         let used = Instant::now();
         let use_of = Use { parted: 0.0, at_work: 0, since: used };
-        let copy = Copy { lanes: lanes.clone(), copies, mb: needed, busy: 0, used, stands: None, use_of };
+        let copy = Copy {
+            lanes: lanes.clone(),
+            copies,
+            mb: needed,
+            busy: 0,
+            used,
+            stands: None,
+            use_of,
+            by: Orderer::default(),
+            prefixes: Prefixes::default(),
+        };
         life.copies.insert(function.to_owned(), copy);
         life.loads += 1;
         (Found::Copy { lanes, began: true, waited: false }, true)
@@ -531,11 +467,18 @@
         copy.stands = Some(fetched);
         copy.use_of.since = Instant::now();
         // A failed one lets all that wait go, to be told.
-        copy.lanes.add_permits(if fetched { program.lanes * copy.copies } else { self.nature.most_waiting });
+        let lanes = program.lanes * copy.copies;
+        copy.lanes.add_permits(if fetched { lanes } else { self.nature.most_waiting });
+        let by = copy.by.clone();
         if !fetched {
             life.copies.remove(&function);
         }
-        self.log.write("loaded", json!({"function": function, "stands": fetched}));
+        self.log.write(
+            "loaded",
+            json!({
+                "function": function, "stands": fetched, "lanes": lanes, "router": by.router, "term": by.term,
+            }),
+        );
     }
 
     fn holds(
@@ -562,6 +505,38 @@
     fn stands(&self, function: &str) -> bool {
         lock(&self.life).as_ref().and_then(|l| l.copies.get(function)?.stands) == Some(true)
     }
+
+    /// Idle copies of these functions go, each with such a line in the log; how many went.
+    fn remove(&self, what: &str, which: impl Fn(&str) -> bool, fields: serde_json::Value) -> usize {
+        let mut life = lock(&self.life);
+        let Some(life) = life.as_mut() else { return 0 };
+        let mut gone: Vec<String> = Vec::new();
+        life.copies.retain(|name, c| {
+            let stays = !which(name) || c.busy > 0 || c.stands.is_none();
+            if !stays {
+                gone.push(name.clone());
+            }
+            stays
+        });
+        gone.sort();
+        for name in &gone {
+            let mut fields = fields.clone();
+            fields["function"] = name.as_str().into();
+            self.log.write(what, fields);
+        }
+        gone.len()
+    }
+
+    /// Until its process goes on, if it stands still; for ever, if it answers nothing.
+    async fn while_still(&self) {
+        loop {
+            let faults = lock(&self.faults).clone();
+            if !faults.hang && !faults.pause {
+                return;
+            }
+            Timer::after(STEP).await;
+        }
+    }
 }
 
 async fn fetch(store: SocketAddr, function: &str, mb: f64) -> bool {
@@ -591,14 +566,52 @@
     request.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
 }
 
-async fn order(it: Arc<Inner>, function: String, account: String) -> Response<Body> {
+/// Functions begin with their trigger type.
+fn kind_of(function: &str) -> &str {
+    let name = function.split_once(VERSIONS).map_or(function, |(name, _)| name);
+    name.split(':').next().unwrap_or("")
+}
+
+fn loaded() -> Response<Body> {
+    let mut response = full(StatusCode::OK, "");
+    response.headers_mut().insert("cedarpulley-copies", HeaderValue::from_static("1"));
+    response
+}
+
+fn unload(it: &Arc<Inner>, from: IpAddr, function: &str, request: &Request<Incoming>) -> Response<Body> {
+    let by = Orderer::of(request);
+    let fields = json!({"from": from.to_string(), "router": by.router, "term": by.term});
+    if !it.loses(function, false) {
+        it.remove("unloaded", |name| name == function, fields);
+    }
+    full(StatusCode::OK, "")
+}
+
+async fn load(it: Arc<Inner>, from: IpAddr, function: String, request: Request<Incoming>) -> Response<Body> {
+    let (by, account) = (Orderer::of(&request), header(&request, "cedarpulley-account"));
+    it.log.write(
+        "ordered",
+        json!({
+            "function": function, "from": from.to_string(), "held_since": it.cut.held_since(from),
+            "router": by.router, "term": by.term,
+        }),
+    );
     if lock(&it.faults).draining {
         return full(StatusCode::SERVICE_UNAVAILABLE, "");
     }
-    // An order does not say of which trigger type the function is; its name begins with it.
-    let kind = function.split(':').next().unwrap_or("").to_owned();
-    let Some(program) = it.programs.get(&kind).cloned() else { return full(StatusCode::BAD_REQUEST, "") };
+    // An order does not say of which trigger type the function is; its name does.
+    let Some(program) = it.programs.get(kind_of(&function)).cloned() else {
+        return full(StatusCode::BAD_REQUEST, "");
+    };
+    if it.loses(&function, true) {
+        return loaded();
+    }
     let (found, begin) = it.find(&function, &program, true, 1);
+    if by != Orderer::default()
+        && let Some(copy) = lock(&it.life).as_mut().and_then(|l| l.copies.get_mut(&function))
+    {
+        copy.by = by;
+    }
     let holds = it.holds("", &account, &function, &program);
     if begin {
         it.ground.executor.spawn(it.clone().load(function.clone(), program, holds.clone())).detach();
@@ -607,12 +620,9 @@
     // Taken and given back at once: then it stands, or its load failed.
     drop(lanes.acquire().await);
     let mut response = match it.stands(&function) {
-        true => full(StatusCode::OK, ""),
+        true => loaded(),
         false => full(StatusCode::INTERNAL_SERVER_ERROR, ""),
     };
-    if response.status() == StatusCode::OK {
-        response.headers_mut().insert("cedarpulley-copies", HeaderValue::from_static("1"));
-    }
     report(&mut response, &holds);
     response
 }
@@ -642,11 +652,15 @@
     );
     let (log, cut) = (it.log.clone(), it.cut.clone());
     let mut leaves = Leaves { log, cut, peer, id: id.clone(), dispatch, how: "closed" };
-    let body = Limited::new(request.into_body(), MOST_BODY).collect().await;
+    let (parts, body) = request.into_parts();
+    let body = Limited::new(body, MOST_BODY).collect().await;
     let (Some(program), Ok(body)) = (program, body) else {
         leaves.how = "refused";
         return refuse(StatusCode::BAD_REQUEST);
     };
+    let body = body.to_bytes();
+    let json = json_length.and_then(|n| body.get(..n)).unwrap_or(&body);
+    let sequence = sequences::of(&parts.headers, json);
     if it.pushed(work) {
         it.log.write("fell", json!({}));
         let falls = it.clone();
@@ -691,7 +705,7 @@
         }
         crowd
     };
-    let waits = Held(it.clone(), |l: &mut Life| l.waiting = l.waiting.saturating_sub(1));
+    let waits = Part(it.clone(), |l: &mut Life| l.waiting = l.waiting.saturating_sub(1));
     let (found, begin) = it.find(&function, &program, it.nature.loads_when_absent, 1);
     let holds = it.holds(&id, &account, &function, &program);
     if begin {
@@ -702,7 +716,7 @@
         }
     }
     let name = function.clone();
-    let _busy = Held(it.clone(), move |l: &mut Life| {
+    let _busy = Part(it.clone(), move |l: &mut Life| {
         if let Some(copy) = l.copies.get_mut(&name) {
             copy.busy = copy.busy.saturating_sub(1);
             copy.used = Instant::now();
@@ -736,15 +750,28 @@
         return response;
     }
     drop(waits);
-    it.log.write("ran", json!({"id": id, "type": kind, "token": token}));
+    let session = sequence.as_ref().map(|s| s.id.as_str());
+    it.log.write(
+        "ran",
+        json!({"id": id, "type": kind, "token": token, "function": function, "session": session}),
+    );
     leaves.how = "ran";
+    // As it is when this one's work begins.
+    let met = sequence.as_ref().and_then(|s| {
+        let how = lock(&it.life).as_ref()?.copies.get(&function).map_or("rebuilt", |c| c.prefixes.meet(s));
+        let fields = json!({"id": id, "session": s.id, "function": function, "how": how, "end": s.end});
+        it.log.write("prefix", fields);
+        Some(how)
+    });
+    let again = if met == Some("rebuilt") { program.prefix } else { Duration::ZERO };
+    let (errs, times) = it.ails(&function, &id);
     if let Some(entered) = entered.as_mut() {
         entered.ran = true;
     }
     if let Some(life) = lock(&it.life).as_mut() {
         life.running += 1;
     }
-    let running = Held(it.clone(), |l: &mut Life| l.running = l.running.saturating_sub(1));
+    let running = Part(it.clone(), |l: &mut Life| l.running = l.running.saturating_sub(1));
     let at_work = {
         let mut life = lock(&it.life);
         let joined = life.as_mut().and_then(|life| {
@@ -754,12 +781,19 @@
         });
         joined.map(|began| AtWork { it: it.clone(), function: function.clone(), began, holds: holds.clone() })
     };
-    run(&it, work).await;
+    run(&it, (work + again).mul_f64(times)).await;
     drop(at_work);
+    if let Some(sequence) = &sequence
+        && let Some(copy) = lock(&it.life).as_mut().and_then(|l| l.copies.get_mut(&function))
+    {
+        copy.prefixes.ran(sequence);
+    }
     drop(running);
     drop(lane);
-    let answer = echoed(&function, &id, json_length, &body.to_bytes());
+    let answer = echoed(&function, &id, json_length, &body);
+    // What failed is not remembered as done.
     if window.is_some()
+        && !errs
         && let Some(known) = lock(&it.memory.0).get_mut(&token)
     {
         known.1 = Some(answer.clone());
@@ -777,7 +811,13 @@
         (life.map_or(0.0, |l| (l.running as f64 / it.nature.cores).min(1.0)), held)
     };
     let metrics = format!("TEXT cpu_utilization={busy:.2}, named_metrics.held={held}");
-    let mut response = told(answer);
+    let mut response = match errs {
+        true => full(StatusCode::INTERNAL_SERVER_ERROR, r#"{"error":"this version errs"}"#),
+        false => told(answer),
+    };
+    if let Some(how) = met {
+        response.headers_mut().insert("cedarpulley-prefix", HeaderValue::from_static(how));
+    }
     let headers = response.headers_mut();
     headers.insert("content-type", HeaderValue::from_static("application/json"));
     headers.insert("cedarpulley-copy", HeaderValue::from_static(note));
@@ -789,23 +829,6 @@
     response
 }
 
-/// Tells what was held so far for its account and function. Locks one after the other: who ends its work holds the
-/// process's while it takes this one's.
-fn report(response: &mut Response<Body>, holds: &Mutex<Holds>) {
-    let (it, key) = {
-        let holds = lock(holds);
-        (holds.it.clone(), (holds.account.clone(), holds.function.clone()))
-    };
-    let told = lock(&it.life).as_ref().map(|life| {
-        let [running, loading, idle] = life.totals.get(&key).copied().unwrap_or_default();
-        format!("life={}, running={running}, loading={loading}, idle={idle}", life.number)
-    });
-    if let Some(held) = told.and_then(|h| HeaderValue::from_str(&h).ok()) {
-        response.headers_mut().insert(HELD, held);
-        lock(holds).reported = true;
-    }
-}
-
 /// Raw tensors come back as they came; of others only the name is told.
 fn echoed(function: &str, id: &str, json_length: Option<usize>, body: &Bytes) -> Told {
     let mut outputs = json!([]);
--- /dev/null
+++ b/crates/standins/tests/worker.rs
@@ -0,0 +1,204 @@
+//! What a worker holds, tells of it, and loses on command, asked over its socket.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use cedarpulley_standins::Ground;
+use cedarpulley_standins::store::{self, Store};
+use cedarpulley_standins::worker::{Lies, Memory, Nature, Program, Worker};
+use serde_json::{Value, json};
+
+/// The store stands as long as this does.
+struct Standing {
+    worker: Worker,
+    _store: Store,
+}
+
+fn standing(copies: f64) -> Standing {
+    let ground = Ground::new(2, None).expect("threads");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let nature = store::Nature { mb_per_s: 1e6, abreast: 8, most: 64 };
+    let store = Store::start(&ground, "store", any, nature).expect("a store");
+    let program = Program {
+        work: Duration::from_millis(1),
+        copy_mb: 10.0,
+        start_up: Duration::ZERO,
+        lanes: 2,
+        window: None,
+        prefix: Duration::from_millis(1),
+    };
+    let nature = Nature { memory_mb: copies * 10.0, ..Nature::roomy(4.0) };
+    let programs = HashMap::from([("chat".to_owned(), program)]);
+    let at = store.server.address;
+    let worker = Worker::start(&ground, "worker", any, 1, nature, at, programs, Memory::default());
+    Standing { worker: worker.expect("a worker"), _store: store }
+}
+
+struct Answer {
+    status: u16,
+    head: String,
+    body: Value,
+}
+
+impl Answer {
+    fn header(&self, name: &str) -> &str {
+        let line = self.head.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(": "));
+        line.unwrap_or_default()
+    }
+}
+
+fn post(worker: &Worker, path: &str, headers: &[(&str, &str)], body: &Value) -> Answer {
+    let mut stream = TcpStream::connect(worker.address).expect("a worker");
+    let body = body.to_string();
+    let mut request = format!("POST {path} HTTP/1.1\r\nhost: w\r\nconnection: close\r\n");
+    headers.iter().for_each(|(name, value)| request += &format!("{name}: {value}\r\n"));
+    request += &format!("content-length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(request.as_bytes()).expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    let (head, body) = answer.split_once("\r\n\r\n").expect("a whole answer");
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+    Answer { status, head: head.to_owned(), body: serde_json::from_str(body).unwrap_or_default() }
+}
+
+fn order(worker: &Worker, function: &str, what: &str, headers: &[(&str, &str)]) -> u16 {
+    post(worker, &format!("/v2/repository/models/{function}/{what}"), headers, &json!({})).status
+}
+
+fn index(worker: &Worker) -> Answer {
+    post(worker, "/v2/repository/index", &[], &json!({}))
+}
+
+/// An invocation's prefix as the answer says it.
+fn infer(worker: &Worker, function: &str, headers: &[(&str, &str)], parameters: &Value) -> (u16, String) {
+    let mut all = vec![("cedarpulley-trigger-type", "chat"), ("cedarpulley-invocation", "i1")];
+    all.extend(headers);
+    let body = json!({"inputs": [], "parameters": parameters});
+    let answer = post(worker, &format!("/v2/models/{function}/infer"), &all, &body);
+    (answer.status, answer.header("cedarpulley-prefix").to_owned())
+}
+
+fn functions(worker: &Worker) -> Vec<String> {
+    worker.held().into_iter().map(|h| h.function).collect()
+}
+
+#[test]
+fn versions_stand_side_by_side_and_the_index_tells_who_ordered_them() {
+    let at = standing(4.0);
+    let worker = &at.worker;
+    let by = [("cedarpulley-router", "r1"), ("cedarpulley-term", "7.0")];
+    assert_eq!(order(worker, "chat%3A3/versions/1", "load", &[]), 200);
+    assert_eq!(order(worker, "chat%3A3/versions/2", "load", &by), 200);
+    assert_eq!(order(worker, "chat%3A4", "load", &by[..1]), 200);
+    let told = index(worker);
+    assert_eq!(told.header("cedarpulley-life"), worker.life().to_string());
+    assert_eq!(
+        (told.header("cedarpulley-memory-mb"), told.header("cedarpulley-memory-used-mb")),
+        ("40", "30")
+    );
+    let entries = told.body.as_array().expect("entries");
+    let said = |n: usize, keys: [&str; 3]| keys.map(|k| entries[n][k].as_str().map(str::to_owned));
+    let is = |name: &str, version: Option<&str>| {
+        [Some(name), version, Some("READY")].map(|t| t.map(str::to_owned))
+    };
+    let keys = ["name", "version", "state"];
+    assert_eq!(said(0, keys), is("chat:3", Some("1")));
+    assert_eq!(said(1, keys), is("chat:3", Some("2")));
+    assert_eq!(said(2, keys), is("chat:4", None));
+    let of = &entries[1]["parameters"];
+    assert_eq!((&of["copies"], &of["busy"]), (&json!(1), &json!(0)));
+    assert_eq!((&of["ordered_by"], &of["term"]), (&json!("r1"), &json!("7.0")));
+    assert_eq!(entries[0]["parameters"].get("ordered_by"), None);
+
+    // A later order's name and term are kept instead.
+    let other = [("cedarpulley-router", "r2"), ("cedarpulley-term", "8.0")];
+    assert_eq!(order(worker, "chat%3A3/versions/2", "load", &other), 200);
+    assert_eq!(worker.held()[1].by.term.as_deref(), Some("8.0"));
+    assert_eq!(order(worker, "chat%3A3/versions/1", "unload", &other), 200);
+    assert_eq!(functions(worker), ["chat:3/versions/2", "chat:4"]);
+
+    // A fresh process at the same address holds nothing.
+    let life = worker.life();
+    worker.crash();
+    worker.start_again().expect("up");
+    assert!(functions(worker).is_empty() && worker.life() != life);
+    assert_eq!(index(worker).body, json!([]));
+}
+
+#[test]
+fn a_sequence_finds_its_prefix_where_it_was_and_nowhere_else() {
+    let at = standing(4.0);
+    let worker = &at.worker;
+    let (old, new) = ("chat%3A1/versions/1", "chat%3A1/versions/2");
+    let on = json!({"sequence_id": "s1"});
+    let none = json!({});
+    assert_eq!(infer(worker, old, &[], &json!({"sequence_id": "s1", "sequence_start": true})).1, "begun");
+    assert_eq!(infer(worker, old, &[], &on).1, "found");
+    // Headers say it as well.
+    let headers = [("cedarpulley-sequence-id", "s1")];
+    assert_eq!(infer(worker, old, &headers, &none).1, "found");
+    // Another copy has nothing of it; nor has another sequence.
+    assert_eq!(infer(worker, new, &[], &on).1, "rebuilt");
+    assert_eq!(infer(worker, old, &[], &json!({"sequence_id": 7})).1, "rebuilt");
+    assert_eq!(infer(worker, old, &[], &none).1, "");
+    assert_eq!(worker.held()[0].sequences, ["s1", "7"]);
+    // An end frees it, an eviction loses all.
+    assert_eq!(infer(worker, old, &[], &json!({"sequence_id": 7, "sequence_end": true})).1, "found");
+    assert_eq!(worker.held()[0].sequences, ["s1"]);
+    assert!(worker.evict("chat:1/versions/1"));
+    assert_eq!(infer(worker, old, &[], &on).1, "rebuilt");
+    assert_eq!(infer(worker, old, &[], &on).1, "found");
+}
+
+#[test]
+fn what_is_held_drifts_on_command() {
+    let at = standing(4.0);
+    let worker = &at.worker;
+    let load = |function: &str| order(worker, function, "load", &[]);
+    worker.lose_orders(1, 1);
+    assert_eq!((load("chat%3A1"), functions(worker).len()), (200, 0));
+    assert_eq!((load("chat%3A1"), functions(worker).len()), (200, 1));
+    assert_eq!((order(worker, "chat%3A1", "unload", &[]), functions(worker).len()), (200, 1));
+    assert_eq!((order(worker, "chat%3A1", "unload", &[]), functions(worker).len()), (200, 0));
+    let _ = ["chat%3A1", "chat%3A2", "chat%3A3", "chat%3A4"].map(load);
+    let drawn = worker.evict_idle(3, 2);
+    assert_eq!((drawn.len(), functions(worker).len()), (2, 2));
+    assert!(drawn.iter().all(|d| !functions(worker).contains(d)) && !worker.evict(&drawn[0]));
+    // A fifth one takes the place of an idle one.
+    let _ = ["chat%3A5", "chat%3A6", "chat%3A7"].map(load);
+    assert_eq!(functions(worker).len(), 4);
+
+    let told = |lies: Lies| {
+        worker.lies(Some(lies));
+        index(worker).body.as_array().expect("entries").clone()
+    };
+    assert!(told(Lies { dropped: 1.0, ..Lies::default() }).is_empty());
+    assert_eq!(told(Lies { added: 1.0, ..Lies::default() }).len(), 8);
+    assert_eq!(told(Lies { contradicted: 1.0, ..Lies::default() })[1]["state"], "UNAVAILABLE");
+    assert_eq!(told(Lies { miscounted: 1.0, ..Lies::default() })[0]["parameters"]["copies"], 2);
+    worker.lies(None);
+    assert_eq!(index(worker).body.as_array().map(Vec::len), Some(4));
+}
+
+#[test]
+fn a_version_errs_for_its_part_and_the_other_does_not() {
+    let at = standing(4.0);
+    let worker = &at.worker;
+    worker.ail("/versions/2", 0.5, 1.0);
+    let errs = |version: u32| {
+        let ids = (0..40).map(|n| format!("i{n}"));
+        let path = format!("/v2/models/chat%3A1/versions/{version}/infer");
+        let of = |id: String| {
+            let headers = [("cedarpulley-trigger-type", "chat"), ("cedarpulley-invocation", id.as_str())];
+            post(worker, &path, &headers, &json!({})).status == 500
+        };
+        ids.filter(|id| of(id.clone())).count()
+    };
+    let erred = errs(2);
+    assert!((10..30).contains(&erred), "{erred} of 40");
+    assert_eq!((errs(2), errs(1)), (erred, 0));
+    worker.ail("/versions/2", 0.0, 1.0);
+    assert_eq!(errs(2), 0);
+}
