Gateway: invocations learn their version and preferred worker between fronts and core

Where models are upgraded, what a front understood must wait for a majority's word on its session before the core has it, and what begins must go by the plan. gate.rs holds such invocations, bounded; upgrading.rs carries orders (read at start and on SIGHUP, refused whole with a line a cause), plans, versions' health and wishes for copies between the planner, the group and the core; GET /state shows it. Without [upgrade] nothing passes a gate.

--- a/crates/gateway/src/fellows.rs
+++ b/crates/gateway/src/fellows.rs
@@ -148,9 +148,13 @@
     /// Which keys each hears of.
     listeners: RefCell<Vec<(&'static str, Listener)>>,
     telling: std::cell::Cell<bool>,
+    /// What other parts show beside the group, under their names.
+    shows: RefCell<Vec<(&'static str, Show)>>,
     alarm: Alarm,
 }
 
+type Show = Box<dyn Fn() -> serde_json::Value>;
+
 /// What a kept folder held.
 #[derive(Default)]
 pub struct Kept {
@@ -205,6 +209,7 @@
             told: RefCell::default(),
             listeners: RefCell::default(),
             telling: std::cell::Cell::new(false),
+            shows: RefCell::default(),
             alarm: Alarm::default(),
         }
     }
@@ -442,6 +447,15 @@
         self.listeners.borrow_mut().push((prefix, hear));
     }
 
+    pub fn show(&self, name: &'static str, shown: Show) {
+        self.shows.borrow_mut().push((name, shown));
+    }
+
+    /// What other parts show.
+    pub fn shown(&self) -> Vec<(&'static str, serde_json::Value)> {
+        self.shows.borrow().iter().map(|(name, shown)| (*name, shown())).collect()
+    }
+
     fn verdict(&self, verdict: replica::Verdict) -> group::Verdict {
         match verdict {
             replica::Verdict::Go { first_ago } => group::Verdict::Go { first_ago },
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,6 +21,7 @@
 use crate::circle::{self, Circle, Ground};
 use crate::desk::Desk;
 use crate::front::{Front, Times};
+use crate::gate::Gate;
 use crate::list;
 use crate::listen::{Listen, Listening};
 use crate::meddle::{Meddle, Meddler};
@@ -29,6 +30,7 @@
 use crate::recorder::Recorder;
 use crate::settings::{Parts, WorkerList};
 use crate::tls::Inward;
+use crate::upgrading::Upgrading;
 
 /// How often connections that have been idle too long are looked for.
 const TIDY: Duration = Duration::from_secs(5);
@@ -51,6 +53,8 @@
     listenings: Vec<Rc<Listening>>,
     pool: Rc<Pool>,
     circle: Option<Circle>,
+    upgrading: Option<Rc<Upgrading>>,
+    gate: Option<Rc<Gate>>,
     alarm: Alarm,
 }
 
@@ -62,6 +66,17 @@
 impl Gateway {
     /// Hands the core what happened and carries out what it wants.
     fn feed(self: &Rc<Self>, input: Input) {
+        let input = match &self.gate {
+            None => input,
+            Some(gate) => match gate.passes(input) {
+                Some(input) => input,
+                None => return,
+            },
+        };
+        self.past_the_gate(input);
+    }
+
+    fn past_the_gate(self: &Rc<Self>, input: Input) {
         let mut outputs = Vec::new();
         let due = {
             let mut router = self.router.borrow_mut();
@@ -72,6 +87,9 @@
         for output in outputs {
             self.carry_out(output);
         }
+        if let Some(gate) = &self.gate {
+            gate.settle();
+        }
     }
 
     fn carry_out(self: &Rc<Self>, output: Output) {
@@ -241,7 +259,8 @@
         let fronts = || {
             self.fronts.iter().all(|f| f.is_drained()) && self.listenings.iter().all(|l| l.calls.is_drained())
         };
-        let empty = || self.router.borrow().open() == 0 && fronts();
+        let gate = || self.gate.as_ref().is_none_or(|g| g.is_empty());
+        let empty = || self.router.borrow().open() == 0 && gate() && fronts();
         while !empty() && self.desk.clock.now() < until {
             Timer::after(STOP_LOOK).await;
         }
@@ -303,6 +322,8 @@
         digest,
         clock_offset,
         peers,
+        upgrade,
+        sessions,
     } = parts;
     let clock = Clock::off_by(clock_offset);
     let executor = Rc::new(LocalExecutor::new());
@@ -369,7 +390,7 @@
     let pool = Rc::new(Pool::new(executor.clone(), clock, links));
     let (times, speakers) = (Rc::new(Times::default()), Rc::new(speakers));
     let gateway = Rc::new_cyclic(|gateway: &Weak<Gateway>| {
-        let gateway = gateway.clone();
+        let (gateway, past) = (gateway.clone(), gateway.clone());
         let desk = Rc::new(Desk {
             clock,
             executor: executor.clone(),
@@ -377,7 +398,7 @@
             seed,
             from: links.from,
             names,
-            sessions: false,
+            sessions: sessions.is_some(),
             misunderstood: Cell::new(0),
             // Found for as long as anything runs: it is held until the executor has ended.
             core: Box::new(move |input| {
@@ -401,6 +422,27 @@
             let calls = Calls::new(ix, desk.clone(), hall.clone(), most_body, listen.most_streams);
             Rc::new(Listening::new(Rc::new(calls), listen, tls, speakers.clone()))
         };
+        let circle = ground.map(|ground| Circle::new(&desk, ground));
+        let shared = circle.as_ref().map(Circle::shared);
+        let upgrading = shared
+            .clone()
+            .zip(upgrade)
+            .map(|(shared, ordered)| Upgrading::new(desk.clone(), shared, ordered, Box::new(Vec::new)));
+        let gate = sessions.map(|terms| {
+            let core = Box::new(move |input| {
+                if let Some(gateway) = past.upgrade() {
+                    gateway.past_the_gate(input);
+                }
+            });
+            Gate::new(desk.clone(), terms, shared.clone(), upgrading.clone(), core)
+        });
+        if let Some(gate) = &gate {
+            router.borrow_mut().watched_by(gate.watch());
+        }
+        if let (Some(shared), Some(upgrading), Some(gate)) = (&shared, &upgrading, &gate) {
+            let (upgrading, gate) = (upgrading.clone(), gate.clone());
+            shared.show("upgrade", move || upgrading.shown(gate.shown()));
+        }
         Gateway {
             router,
             meddler: Rc::new(Meddler::new(meddle, desk.clone(), pool.clone(), places)),
@@ -410,7 +452,9 @@
             fronts: fronts.collect(),
             listenings: doors.into_iter().enumerate().map(listening).collect(),
             pool,
-            circle: ground.map(|ground| Circle::new(&desk, ground)),
+            circle,
+            upgrading,
+            gate,
             alarm: Alarm::default(),
             desk: desk.clone(),
         }
@@ -441,6 +485,11 @@
         };
         executor.spawn(tidy).detach();
         gateway.circle.iter().for_each(|circle| circle.run(&gateway.desk));
+        gateway.gate.iter().for_each(|gate| executor.spawn(gate.clone().run()).detach());
+        if let Some(upgrading) = &gateway.upgrading {
+            executor.spawn(upgrading.clone().run()).detach();
+            executor.spawn(upgrading.clone().rereads()).detach();
+        }
         let it = gateway.clone();
         let look = async move {
             loop {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -17,6 +17,7 @@
 use cedarpulley_router::roster::Listed;
 use cedarpulley_trace::keeping::Bounds;
 use cedarpulley_trace::start::digest;
+use cedarpulley_upgrade::sessions;
 
 use crate::fellows::Peers;
 use crate::front::Source;
@@ -25,6 +26,7 @@
 use crate::recorder::Keep;
 use crate::sheet::{Refused, Section, Sheet};
 use crate::tls::{self, Files, Inward, Outward};
+use crate::upgrading::{self, Ordered};
 
 /// A day in milliseconds: no time in the file is longer.
 const DAY: u64 = 86_400_000;
@@ -34,6 +36,9 @@
 /// channel is noticed and its messages are delivered again well within it.
 const KEPT_BEYOND_MS: u64 = 4_000;
 
+/// What is known of a session is trusted for somewhat less than a majority keeps it; waiting must not eat that up.
+const WAITS_IN_KEPT: Micros = 10;
+
 #[derive(Clone, Debug)]
 pub enum WorkerList {
     Fixed(Vec<Listed>),
@@ -63,6 +68,10 @@
     pub clock_offset: Micros,
     /// The group that it shares what it takes with, if there is one.
     pub peers: Option<Peers>,
+    /// Models are upgraded in it.
+    pub upgrade: Option<Ordered>,
+    /// Sessions are told apart, and kept so.
+    pub sessions: Option<sessions::Terms>,
 }
 
 /// Reads the text, and the certificates that it names; `file` tells where those with relative paths lie. `rig`: of a
@@ -275,6 +284,12 @@
         }
         _ => {}
     }
+    let (upgrade, sessions) = upgrade(&root.section("upgrade"), folder, peers.as_ref());
+    let upgrade = upgrade.map(|ordered| Ordered {
+        objectives: triggers.iter().map(|t| t.latency_objective).collect(),
+        memory_mb: loads.memory_mb.clone(),
+        ..ordered
+    });
     let sharing = peers.as_ref().map(|p| Sharing { alone: alone.clone(), leave_kept: p.leave_kept() });
 
     let w = root.section("workers");
@@ -347,6 +362,8 @@
         digest: [0; 32],
         clock_offset: 0,
         peers,
+        upgrade,
+        sessions,
     }
 }
 
@@ -466,6 +483,48 @@
     }
 }
 
+/// Upgrades of models, where there are any, and what is kept of sessions.
+fn upgrade(u: &Section, folder: &Path, peers: Option<&Peers>) -> (Option<Ordered>, Option<sessions::Terms>) {
+    if !u.is_present() {
+        return (None, None);
+    }
+    let copied_within = peers.map_or(0, |p| p.copied_within);
+    if peers.is_none() {
+        u.wrong("order", "upgrades need a group that agrees on them; give [peers]");
+    }
+    let file = folder.join(u.text("order", None));
+    let orders = upgrading::read(&file).unwrap_or_else(|refused| {
+        refused.0.iter().for_each(|line| u.wrong("order", line));
+        Vec::new()
+    });
+    let terms = cedarpulley_upgrade::Terms {
+        lease: u.millis("lease_ms", 500..DAY, Some(5_000)),
+        loads_at_once: u.count("loads_at_once", 1..1_000, Some(2)) as u32,
+        ..cedarpulley_upgrade::Terms::default()
+    };
+    let patience = u.millis("session_wait_ms", 10..DAY, Some((2 * copied_within / 1_000).max(1_000) as u64));
+    let kept = u.millis("session_kept_ms", 1_000..DAY, Some(600_000));
+    if kept < WAITS_IN_KEPT * patience.max(copied_within) {
+        u.wrong("session_kept_ms", "is below ten times what an invocation waits for a majority");
+    }
+    let most_known = u.count("most_sessions", 100..10_000_000, Some(100_000)) as usize;
+    let most_waiting = u.count("most_waiting", 1..1_000_000, Some(1_000)) as usize;
+    let mut regions = BTreeMap::new();
+    for r in u.sections("region") {
+        let name = r.text("name", None);
+        for zone in r.texts("zones") {
+            if regions.insert(zone.clone(), name.clone()).is_some() {
+                r.wrong("zones", &format!("'{zone}' is in two regions"));
+            }
+        }
+        r.end();
+    }
+    u.end_here();
+    let (objectives, memory_mb) = (Vec::new(), Vec::new());
+    let ordered = Ordered { file, orders, terms, regions, objectives, memory_mb };
+    (Some(ordered), Some(sessions::Terms { kept, patience, most_known, most_waiting }))
+}
+
 fn now() -> Micros {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -67,6 +67,25 @@
         })
     }
 
+    /// All that this member knows to have been accepted last under keys that begin so.
+    pub fn all_accepted(&self, prefix: &str) -> Vec<(Key, Ballot, Bytes)> {
+        self.0.look(|_, _, _, replica, _, _| {
+            let ours = replica.records().filter(|(key, _)| key.starts_with(prefix));
+            let accepted = ours.filter_map(|(key, slot)| match &slot.record {
+                Record::Choice(choice) => {
+                    choice.accepted.clone().map(|(ballot, value)| (key.clone(), ballot, value))
+                }
+                _ => None,
+            });
+            accepted.collect()
+        })
+    }
+
+    /// An operator reads it under this name in `GET /state`.
+    pub fn show(&self, name: &'static str, shown: impl Fn() -> serde_json::Value + 'static) {
+        self.0.show(name, Box::new(shown));
+    }
+
     /// All notes under keys that begin so.
     pub fn notes(&self, prefix: &str) -> Vec<(Key, Note)> {
         self.0.look(|_, _, _, replica, _, _| {
--- a/crates/gateway/src/shown.rs
+++ b/crates/gateway/src/shown.rs
@@ -58,6 +58,14 @@
 }
 
 pub fn state(fellows: &Fellows, sent: Sent) -> Value {
+    let mut state = group(fellows, sent);
+    if let Value::Object(state) = &mut state {
+        state.extend(fellows.shown().into_iter().map(|(name, shown)| (name.to_owned(), shown)));
+    }
+    state
+}
+
+fn group(fellows: &Fellows, sent: Sent) -> Value {
     fellows.look(|now, membership, believed, replica, counts, stale_folder| {
         let group = membership.group();
         let member = |m: MemberIx| {
--- a/crates/upgrade/src/sessions.rs
+++ b/crates/upgrade/src/sessions.rs
@@ -18,8 +18,9 @@
 
 /// Part of the time that records are kept by which clocks may go wrong between two members.
 const DRIFT_PART: Micros = 8;
-/// Before the model and the session in the record of a binding, and of a place.
-const BOUND: &str = "s\n";
+/// Before the model and the session in the record of a binding.
+pub const BOUND: &str = "s\n";
+/// The same, of a place.
 const PLACED: &str = "p\n";
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -164,11 +165,6 @@
     Name::from([PLACED, model, "\n", session].concat())
 }
 
-/// Whether a majority's record is one of a session's.
-pub fn is_key(key: &str) -> bool {
-    key.starts_with(BOUND)
-}
-
 impl Sessions {
     pub fn new(terms: Terms) -> Sessions {
         Sessions {
