Node, its wire and tensors have errors of their own; anyhow is gone from the packages

Need: an operator reads on one line what happened, to what, and what to do; a dozen places gave texts alone. Change: platform::channel::Unread, platform::config::Unfit, platform-node's Unstarted and Broken; kserve's request gives NoForm. What is refused is as before.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -145,7 +145,7 @@
     }
     let done = match line.command {
         Command::Serve { settings, tamper, rig } => serve(&settings, tamper, rig),
-        Command::Node => cedarpulley_platform_node::run().map(|()| true).map_err(Wrong::Told),
+        Command::Node => cedarpulley_platform_node::run().map(|()| true).map_err(Wrong::Node),
         Command::Check { settings } => read(&settings, false).map(|_| {
             say!("{}: good", settings.display());
             true
--- a/crates/cli/src/wrong.rs
+++ b/crates/cli/src/wrong.rs
@@ -26,6 +26,8 @@
     Settings(cedarpulley_gateway::sheet::Refused),
     #[error("{file}: the router cannot run")]
     Serve { file: String, source: cedarpulley_gateway::serve::Unstarted },
+    #[error(transparent)]
+    Node(#[from] cedarpulley_platform_node::Unstarted),
     /// Of parts whose errors are no type yet: a line that is whole.
     #[error("{0}")]
     Told(String),
@@ -71,6 +73,7 @@
             Wrong::File { .. } => "see that its path is right, may be read or written, and has room",
             Wrong::Settings(_) => "mend each of these lines; docs/operate/settings.md has all settings",
             Wrong::Serve { source, .. } => source.remedy(),
+            Wrong::Node(why) => why.remedy(),
             Wrong::Told(_) => "mend what it names",
             Wrong::Standin(_) => {
                 "give it an address that is free and a folder for logs that may be written to"
--- a/crates/gateway/src/grpc.rs
+++ b/crates/gateway/src/grpc.rs
@@ -249,7 +249,7 @@
     };
     let rest = match tensors::request(&message) {
         Ok(rest) => rest,
-        Err(cause) => return misunderstood(&cause),
+        Err(cause) => return misunderstood(&cause.to_string()),
     };
     taken.function = Arc::from(function);
     taken.body = Payload { bytes: rest.bytes, first: rest.json };
--- a/crates/kserve/src/tensors.rs
+++ b/crates/kserve/src/tensors.rs
@@ -116,11 +116,7 @@
 }
 
 /// What a worker is sent for a gRPC request; or what is wrong with it.
-pub fn request(r: &ModelInferRequest) -> Result<Rest, String> {
-    formed(r).map_err(|why| why.to_string())
-}
-
-fn formed(r: &ModelInferRequest) -> Result<Rest, NoForm> {
+pub fn request(r: &ModelInferRequest) -> Result<Rest, NoForm> {
     let raw = !r.raw_input_contents.is_empty();
     if raw && r.raw_input_contents.len() != r.inputs.len() {
         return Err(NoForm::RawCount);
--- a/crates/kserve/tests/codec.rs
+++ b/crates/kserve/tests/codec.rs
@@ -127,7 +127,8 @@
             contents: Some(c),
             ..Default::default()
         };
-        request(&ModelInferRequest { inputs: vec![input], ..Default::default() }).expect_err("not sayable")
+        let message = ModelInferRequest { inputs: vec![input], ..Default::default() };
+        request(&message).expect_err("not sayable").to_string()
     };
     let c = InferTensorContents::default;
     assert!(one("FP32", InferTensorContents { fp32_contents: vec![f32::NAN], ..c() }).contains("inputs 'x'"));
--- a/crates/platform-node/src/lib.rs
+++ b/crates/platform-node/src/lib.rs
@@ -10,4 +10,4 @@
 mod links;
 pub mod node;
 
-pub use node::run;
+pub use node::{Unstarted, run};
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io::{ErrorKind, Read};
+use std::io::{self, ErrorKind, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -13,16 +13,18 @@
 use async_signal::{Signal, Signals};
 use cedarpulley::interface::{Effect, Micros, TriggerType, WorkerIx};
 use cedarpulley_birth::{Names, ReportField};
+use cedarpulley_errors::Remedy;
 use cedarpulley_net::{Alarm, Bell, Clock, Stream, listen};
 use cedarpulley_platform::berths::Berths;
 use cedarpulley_platform::bounds::Bounds;
-use cedarpulley_platform::channel::{Batch, Follower, News};
+use cedarpulley_platform::channel::{Batch, Follower, News, Unread};
 use cedarpulley_platform::clients;
-use cedarpulley_platform::config::{Start, channel_of};
+use cedarpulley_platform::config::{Start, Unfit, channel_of};
 use cedarpulley_platform::doorkeeper::Doorkeeper;
 use cedarpulley_platform::stopping::Stopping;
 use cedarpulley_router::{Input, OrderTicket, Output, Router, Terms, Ticket};
 use futures_lite::StreamExt;
+use thiserror::Error;
 
 use crate::channel;
 use crate::front::{self, Front};
@@ -122,7 +124,7 @@
     }
 
     /// What the channel tells.
-    pub(crate) fn follow(self: &Rc<Self>, batch: &Batch) -> anyhow::Result<()> {
+    pub(crate) fn follow(self: &Rc<Self>, batch: &Batch) -> Result<(), Unread> {
         let wall_at_zero = self.clock.wall() - self.clock.now();
         let news = self.follower.borrow_mut().batch(batch, &self.names, wall_at_zero)?;
         news.into_iter().for_each(|news| self.tell(news));
@@ -182,20 +184,59 @@
     }
 }
 
-fn told(name: &str) -> Result<String, String> {
-    std::env::var(name).map_err(|_| format!("{name} is not set"))
+/// Why no router runs.
+#[derive(Debug, Error)]
+pub enum Unstarted {
+    #[error("signals cannot be heard")]
+    Signals(#[source] io::Error),
+    #[error("{name} is not set")]
+    Untold { name: &'static str },
+    #[error("BALANCER_LISTEN '{at}' is not an address")]
+    Address { at: String },
+    #[error("BALANCER_LISTEN {address}: it cannot be listened at")]
+    Listen { address: SocketAddr, source: io::Error },
+    #[error("{path}: it cannot be read")]
+    File { path: String, source: io::Error },
+    #[error("{path}")]
+    Config { path: String, source: Unfit },
+    #[error("{path}: known")]
+    Known { path: String, source: Unread },
 }
 
-/// Runs one router until it is told to stop. An error is one line with the cause.
-pub fn run() -> Result<(), String> {
+impl Remedy for Unstarted {
+    fn remedy(&self) -> &'static str {
+        match self {
+            Unstarted::Signals(_) => "see that the system has descriptors left",
+            Unstarted::Untold { .. } => {
+                "set BALANCER_CONFIG to the configuration's file, BALANCER_LISTEN to IP:PORT"
+            }
+            Unstarted::Address { .. } => "set BALANCER_LISTEN to an IP address and a port",
+            Unstarted::Listen { .. } => {
+                "set BALANCER_LISTEN to an address of this machine that nobody else has"
+            }
+            Unstarted::File { .. } => "see that BALANCER_CONFIG names a file that may be read",
+            Unstarted::Config { source, .. } => source.remedy(),
+            Unstarted::Known { source, .. } => source.remedy(),
+        }
+    }
+}
+
+fn told(name: &'static str) -> Result<String, Unstarted> {
+    std::env::var(name).map_err(|_| Unstarted::Untold { name })
+}
+
+/// Runs one router until it is told to stop.
+pub fn run() -> Result<(), Unstarted> {
     // Before anything else: a signal that comes while the router starts must not end it.
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
-    let mut signals = signals.map_err(|e| format!("signals: {e}"))?;
+    let mut signals = signals.map_err(Unstarted::Signals)?;
     let path = PathBuf::from(told("BALANCER_CONFIG")?);
     let at = told("BALANCER_LISTEN")?;
-    let address: SocketAddr = at.parse().map_err(|_| format!("BALANCER_LISTEN '{at}' is not an address"))?;
-    let read = || std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()));
-    let start = Start::read(&read()?).map_err(|e| format!("{}: {e:#}", path.display()))?;
+    let address: SocketAddr = at.parse().map_err(|_| Unstarted::Address { at })?;
+    let named = || path.display().to_string();
+    let read = || std::fs::read_to_string(&path).map_err(|source| Unstarted::File { path: named(), source });
+    let unfit = |source| Unstarted::Config { path: named(), source };
+    let start = Start::read(&read()?).map_err(unfit)?;
     let Start { seed, limits, channel, known, birth, fields, names, links, largest_mb } = start;
     let clock = Clock::start();
     let executor = Rc::new(LocalExecutor::new());
@@ -235,16 +276,16 @@
         stopping: RefCell::new(Stopping::new(longest)),
         piece: RefCell::new(vec![0; PIECE]),
     });
-    node.follow(&known).map_err(|e| format!("{}: known: {e:#}", path.display()))?;
-    let listener = listen(address).map_err(|e| format!("BALANCER_LISTEN {address}: {e}"))?;
-    let read_again = || match read().and_then(|text| channel_of(&text).map_err(|e| format!("{e:#}"))) {
+    node.follow(&known).map_err(|source| Unstarted::Known { path: named(), source })?;
+    let listener = listen(address).map_err(|source| Unstarted::Listen { address, source })?;
+    let read_again = || match read().and_then(|text| channel_of(&text).map_err(unfit)) {
         Ok(channel) => {
             tracing::info!(%channel, "the configuration was read again");
             node.channel.set(channel);
             node.channel_moved.ring();
         }
         // The old one stays in force.
-        Err(why) => tracing::warn!(why, "the configuration could not be read again"),
+        Err(why) => tracing::warn!(why = why.line(), "the configuration could not be read again"),
     };
     async_io::block_on(executor.run(async {
         executor.spawn(node.clone().timers()).detach();
--- a/crates/platform/src/channel.rs
+++ b/crates/platform/src/channel.rs
@@ -11,11 +11,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use anyhow::{Context, Result, bail, ensure};
 use cedarpulley::ids::fingerprint;
 use cedarpulley::interface::{ListMode, Micros, Standing};
+use cedarpulley_errors::Remedy;
 use cedarpulley_router::roster::Listed;
 use serde::Deserialize;
+use thiserror::Error;
 
 use crate::config::Names;
 
@@ -33,6 +34,47 @@
 const MOST_HEAD: usize = 8 << 10;
 const MOST_HEADERS: usize = 32;
 
+/// Why nothing is taken of an answer, or of what the configuration knew.
+#[derive(Debug, Error)]
+pub enum Unread {
+    #[error("state '{state}' of worker '{id}' is unknown")]
+    State { id: String, state: String },
+    #[error("address '{address}' of worker '{id}' cannot be read")]
+    Address { id: String, address: String },
+    #[error("the head of an answer cannot be read")]
+    Head(#[source] httparse::Error),
+    #[error("the head of an answer has no end")]
+    EndlessHead,
+    #[error("an answer of status {status}")]
+    Status { status: u16 },
+    #[error("the content-length of an answer cannot be read")]
+    Length,
+    #[error("an answer without a length")]
+    NoLength,
+    #[error("an answer of {size} bytes, more than {MOST_ANSWER}")]
+    Large { size: usize },
+    #[error("an answer in chunks goes beyond {MOST_ANSWER} bytes")]
+    Endless,
+    #[error("a chunk of an answer cannot be read")]
+    Chunk,
+    #[error("the events of an answer cannot be read")]
+    Events(#[source] serde_json::Error),
+}
+
+impl Remedy for Unread {
+    fn remedy(&self) -> &'static str {
+        match self {
+            Unread::State { .. } | Unread::Address { .. } => {
+                "have the list of workers say it as the platform has it"
+            }
+            Unread::Large { .. } | Unread::Endless => "have the channel tell fewer workers at once",
+            _ => "see what listens at the channel's address",
+        }
+    }
+}
+
+type Result<T> = std::result::Result<T, Unread>;
+
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Batch {
     pub cursor: u64,
@@ -170,15 +212,12 @@
         "active" => Standing::InService,
         "leaving" => Standing::Draining,
         "left" => Standing::Gone,
-        other => bail!("state '{other}' of worker '{}' is unknown", server.id),
+        other => return Err(Unread::State { id: server.id.clone(), state: other.to_owned() }),
     };
     let address = server.addr.parse().ok();
-    ensure!(
-        address.is_some() || standing == Standing::Gone,
-        "address '{}' of worker '{}' cannot be read",
-        server.addr,
-        server.id
-    );
+    if address.is_none() && standing != Standing::Gone {
+        return Err(Unread::Address { id: server.id.clone(), address: server.addr.clone() });
+    }
     // A zone that the settings do not name is like no other; a kind is one kind more.
     let unknown = || fingerprint(&server.zone) as u32 | 1 << 31;
     let started = Some(server.started_ms).filter(|&ms| ms > 0).map(|ms| ms.saturating_mul(1_000));
@@ -208,38 +247,38 @@
     pub fn whole(&mut self) -> Result<Option<Batch>> {
         let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
         let mut head = httparse::Response::new(&mut headers);
-        let length = match head.parse(&self.bytes).context("the head of an answer")? {
-            httparse::Status::Partial => {
-                ensure!(self.bytes.len() <= MOST_HEAD, "the head of an answer has no end");
-                return Ok(None);
-            }
+        let length = match head.parse(&self.bytes).map_err(Unread::Head)? {
+            httparse::Status::Partial if self.bytes.len() > MOST_HEAD => return Err(Unread::EndlessHead),
+            httparse::Status::Partial => return Ok(None),
             httparse::Status::Complete(n) => n,
         };
-        ensure!(head.code == Some(200), "answer {}", head.code.unwrap_or(0));
+        if head.code != Some(200) {
+            return Err(Unread::Status { status: head.code.unwrap_or(0) });
+        }
         let field = |name: &str| head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
         let body = match (field("content-length"), field("transfer-encoding")) {
             (Some(size), None) => {
-                let size: usize =
-                    std::str::from_utf8(size.value)?.trim().parse().context("content-length")?;
-                ensure!(size <= MOST_ANSWER, "an answer of {size} bytes");
+                let size = std::str::from_utf8(size.value).ok().and_then(|text| text.trim().parse().ok());
+                let size: usize = size.ok_or(Unread::Length)?;
+                if size > MOST_ANSWER {
+                    return Err(Unread::Large { size });
+                }
                 match self.bytes.get(length..length + size) {
                     None => return Ok(None),
                     Some(body) => (body.to_vec(), length + size),
                 }
             }
             (None, Some(_)) => match unchunked(&self.bytes[length..])? {
-                None => {
-                    ensure!(self.bytes.len() <= MOST_ANSWER, "an answer without end");
-                    return Ok(None);
-                }
+                None if self.bytes.len() > MOST_ANSWER => return Err(Unread::Endless),
+                None => return Ok(None),
                 Some((body, used)) => (body, length + used),
             },
-            _ => bail!("an answer without a length"),
+            _ => return Err(Unread::NoLength),
         };
         let (body, used) = body;
         self.bytes.drain(..used);
         self.bytes.shrink_to(MOST_HEAD);
-        Ok(Some(serde_json::from_slice(&body).context("the events of an answer")?))
+        Ok(Some(serde_json::from_slice(&body).map_err(Unread::Events)?))
     }
 }
 
@@ -247,13 +286,16 @@
 fn unchunked(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>> {
     let (mut body, mut at) = (Vec::new(), 0);
     loop {
-        let parsed =
-            httparse::parse_chunk_size(&bytes[at..]).map_err(|_| anyhow::anyhow!("a chunk's size"))?;
+        let parsed = httparse::parse_chunk_size(&bytes[at..]).map_err(|_| Unread::Chunk)?;
         let httparse::Status::Complete((head, size)) = parsed else { return Ok(None) };
-        ensure!(size <= (MOST_ANSWER - body.len()) as u64, "an answer of too many chunks");
+        if size > (MOST_ANSWER - body.len()) as u64 {
+            return Err(Unread::Endless);
+        }
         let (from, size) = (at + head, size as usize);
         let Some(end) = bytes.get(from + size..from + size + 2) else { return Ok(None) };
-        ensure!(end == b"\r\n", "a chunk without end");
+        if end != b"\r\n" {
+            return Err(Unread::Chunk);
+        }
         body.extend_from_slice(&bytes[from..from + size]);
         at = from + size + 2;
         if size == 0 {
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -3,15 +3,52 @@
 
 use std::net::SocketAddr;
 
-use anyhow::{Context, Result, ensure};
 use cedarpulley::interface::Micros;
 pub use cedarpulley_birth::Names;
-use cedarpulley_birth::{Birth, ReportField, Sheet};
+use cedarpulley_birth::{Birth, Refused, ReportField, Sheet};
+use cedarpulley_errors::Remedy;
 use serde::Deserialize;
 use serde_json::Value;
+use thiserror::Error;
 
 use crate::channel::Batch;
 
+/// Why no router starts with a configuration, or a replaced one is not taken.
+#[derive(Debug, Error)]
+pub enum Unfit {
+    #[error("the configuration is not as the platform has it")]
+    Form(#[from] serde_json::Error),
+    #[error(transparent)]
+    Settings(#[from] Refused),
+    #[error("channel '{channel}' is no address")]
+    Channel { channel: String },
+    #[error("the settings name no services")]
+    NoServices,
+    #[error("setting {path} is missing")]
+    Missing { path: String },
+    #[error("limits.{which} is not above 0")]
+    NoRoom { which: &'static str },
+    #[error("seed {seed} is neither hex digits nor a whole number")]
+    Seed { seed: Value },
+}
+
+impl Remedy for Unfit {
+    fn remedy(&self) -> &'static str {
+        match self {
+            Unfit::Form(_) => {
+                "give seed, limits, channel, known and settings as docs/operate/platform.md has them"
+            }
+            Unfit::Settings(refused) => refused.remedy(),
+            Unfit::Channel { .. } => "give the channel as an IP address and a port",
+            Unfit::NoServices | Unfit::Missing { .. } => "give each service and org its name in the settings",
+            Unfit::NoRoom { .. } => "give the router some memory and some sockets",
+            Unfit::Seed { .. } => "give the seed as up to 16 hex digits in quotes, or as a whole number",
+        }
+    }
+}
+
+type Result<T> = std::result::Result<T, Unfit>;
+
 #[derive(Debug, Deserialize)]
 struct File {
     seed: Value,
@@ -57,16 +94,18 @@
 
 impl Start {
     pub fn read(text: &str) -> Result<Self> {
-        let file: File = serde_json::from_str(text).context("the configuration")?;
-        let channel = file.channel.parse().with_context(|| format!("channel '{}'", file.channel))?;
+        let file: File = serde_json::from_str(text)?;
+        let channel = address(file.channel)?;
         let sheet = Sheet::nested(&file.settings)?;
         let birth = Birth::read(&sheet)?;
-        ensure!(!birth.triggers.is_empty(), "the settings name no services");
+        if birth.triggers.is_empty() {
+            return Err(Unfit::NoServices);
+        }
         let named = |list: &str, n: usize| -> Result<Vec<String>> {
             (0..n)
                 .map(|i| {
                     let path = format!("{list}.{i}.name");
-                    sheet.text(&path).map(str::to_owned).with_context(|| format!("setting {path} is missing"))
+                    sheet.text(&path).map(str::to_owned).ok_or(Unfit::Missing { path })
                 })
                 .collect()
         };
@@ -84,8 +123,10 @@
                 within => within,
             },
         };
-        ensure!(file.limits.sockets > 0, "limits.sockets is 0");
-        ensure!(file.limits.memory_mb > 0.0, "limits.memory_mb is not above 0");
+        let limits = [("sockets", file.limits.sockets as f64), ("memory_mb", file.limits.memory_mb)];
+        if let Some((which, _)) = limits.into_iter().find(|(_, n)| n.is_nan() || *n <= 0.0) {
+            return Err(Unfit::NoRoom { which });
+        }
         let largest_mb = birth.loads.memory_mb.iter().copied().fold(0.0, f64::max);
         Ok(Start {
             seed: seed(&file.seed)?,
@@ -107,17 +148,20 @@
     struct Replaced {
         channel: String,
     }
-    let file: Replaced = serde_json::from_str(text).context("the configuration")?;
-    file.channel.parse().with_context(|| format!("channel '{}'", file.channel))
+    let file: Replaced = serde_json::from_str(text)?;
+    address(file.channel)
+}
+
+fn address(channel: String) -> Result<SocketAddr> {
+    channel.parse().map_err(|_| Unfit::Channel { channel })
 }
 
 /// Hex digits, or a plain number.
 fn seed(value: &Value) -> Result<u64> {
-    match value {
-        Value::String(text) => {
-            u64::from_str_radix(text, 16).with_context(|| format!("seed '{text}' is not 16 hex digits"))
-        }
-        Value::Number(n) => n.as_u64().with_context(|| format!("seed {n} is not a whole number")),
-        _ => anyhow::bail!("the seed is neither text nor a number"),
-    }
+    let seed = match value {
+        Value::String(text) => u64::from_str_radix(text, 16).ok(),
+        Value::Number(n) => n.as_u64(),
+        _ => None,
+    };
+    seed.ok_or_else(|| Unfit::Seed { seed: value.clone() })
 }
--- a/crates/platform/tests/lines.rs
+++ b/crates/platform/tests/lines.rs
@@ -1,6 +1,7 @@
 //! Workers' lines, the table of endings, the command channel and the configuration.
 
 use cedarpulley::interface::{ListMode, OrderResult, Outcome, Standing::Draining};
+use cedarpulley_errors::Remedy;
 use cedarpulley_platform::channel::{Answers, Batch, Follower, News};
 use cedarpulley_platform::config::{Names, Start, channel_of};
 use cedarpulley_platform::endings::{self, Ended, Word};
@@ -248,8 +249,8 @@
         ("\"sockets\":256", "\"sockets\":0"),
         ("}}}", ""),
     ] {
-        let why = format!("{:#}", Start::read(&START.replace(from, to)).expect_err(to));
-        assert!(!why.is_empty() && !why.contains('\n'), "{why}");
+        let why = Start::read(&START.replace(from, to)).expect_err(to).line();
+        assert!(!why.starts_with(';') && why.contains("; ") && !why.contains('\n'), "{why}");
     }
 }
 
