--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -497,10 +497,19 @@
         refused.0.iter().for_each(|line| u.wrong("order", line));
         Vec::new()
     });
+    let usual = cedarpulley_upgrade::Terms::default();
+    let time = |key, usual: Micros| u.millis(key, 0..DAY, Some((usual / 1_000) as u64));
     let terms = cedarpulley_upgrade::Terms {
-        lease: u.millis("lease_ms", 500..DAY, Some(5_000)),
-        loads_at_once: u.count("loads_at_once", 1..1_000, Some(2)) as u32,
-        ..cedarpulley_upgrade::Terms::default()
+        lease: u.millis("lease_ms", 500..DAY, Some((usual.lease / 1_000) as u64)),
+        loads_at_once: u.count("loads_at_once", 1..1_000, Some(u64::from(usual.loads_at_once))) as u32,
+        load_within: time("load_within_ms", usual.load_within),
+        hold_back: time("hold_back_ms", usual.hold_back),
+        shown_for: time("shown_ms", usual.shown_for),
+        canary_least: time("canary_ms", usual.canary_least),
+        canary_most: time("canary_most_ms", usual.canary_most),
+        paused_most: time("paused_most_ms", usual.paused_most),
+        gone_after: time("gone_after_ms", usual.gone_after),
+        ..usual
     };
     let patience = u.millis("session_wait_ms", 10..DAY, Some((2 * copied_within / 1_000).max(1_000) as u64));
     let kept = u.millis("session_kept_ms", 1_000..DAY, Some(600_000));
--- a/crates/gateway/src/upgrading.rs
+++ b/crates/gateway/src/upgrading.rs
@@ -3,7 +3,7 @@
 //! the group, its wishes for copies to the core.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,6 +38,8 @@
 /// What a member has seen is told again before it is forgotten.
 const SEEN_KEPT: Micros = 600_000_000;
 const SEEN_AGAIN: Micros = 300_000_000;
+/// Models whose copies' sizes are known at once, as many as a router keeps account of; others count as without size.
+const MOST_SIZES: usize = 20_000;
 /// Workers and counts are looked at this often.
 const LOOK: Duration = Duration::from_millis(500);
 /// Numbers in the file reach so far.
@@ -120,7 +122,7 @@
     /// By model, version and trigger type.
     counts: RefCell<BTreeMap<(Name, Name, u32), Count>>,
     /// By model: lanes and size of a copy, as its last invocation said.
-    sizes: RefCell<BTreeMap<Name, (u32, f64)>>,
+    sizes: RefCell<HashMap<Name, (u32, f64)>>,
     told: RefCell<BTreeMap<Name, Told>>,
     /// When this process began, by the wall: its word goes before that of an earlier one.
     began: u64,
@@ -215,9 +217,7 @@
         let mut sizes = self.sizes.borrow_mut();
         if let Some(known) = sizes.get_mut(model) {
             *known = (lanes.max(1), copy_mb);
-        } else if self.orders.borrow().iter().any(|o| *o.model == *model)
-            || self.planner.borrow().models().any(|m| **m == *model)
-        {
+        } else if sizes.len() < MOST_SIZES {
             sizes.insert(Name::from(model), (lanes.max(1), copy_mb));
         }
     }
@@ -453,6 +453,7 @@
                 if let Some((lanes, mb)) = sizes.get(serving::model(&h.function).0) {
                     (h.lanes, h.copy_mb) = (h.copies * lanes, *mb as u32);
                 }
+                w.used_mb = w.used_mb.saturating_add(h.copy_mb.saturating_mul(h.copies));
             }
             Some(w)
         };
