--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -163,6 +163,7 @@
                 body: BODY.into(),
                 retries: 0,
                 calls: false,
+                turn: None,
             });
             let client = Client {
                 broker: broker.address,
--- a/crates/rig/src/client.rs
+++ b/crates/rig/src/client.rs
@@ -37,6 +37,15 @@
     pub body: Arc<str>,
     /// How often its client comes back.
     pub retries: u32,
+    pub turn: Option<Turn>,
+}
+
+/// One invocation of a session.
+#[derive(Clone, Debug)]
+pub struct Turn {
+    pub session: String,
+    pub start: bool,
+    pub end: bool,
 }
 
 /// Times from publishing to the answer, in microseconds, of those published after a moment.
@@ -67,6 +76,11 @@
     headers.insert(short(meaning::SENT_AT_US), AMQPValue::LongLongInt(wall_us()));
     headers.insert(short(meaning::COPY_MB), AMQPValue::LongLongInt(a.copy_mb as i64));
     headers.insert(short(meaning::LANES), AMQPValue::LongLongInt(i64::from(a.lanes)));
+    if let Some(turn) = &a.turn {
+        headers.insert(short(meaning::SEQUENCE_ID), text(&turn.session));
+        headers.insert(short(meaning::SEQUENCE_START), AMQPValue::Boolean(turn.start));
+        headers.insert(short(meaning::SEQUENCE_END), AMQPValue::Boolean(turn.end));
+    }
     AMQPProperties::default()
         .with_content_type(short("application/json"))
         .with_headers(headers)
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -37,6 +37,8 @@
 /// As the logs call them.
 pub const BROKER: &str = "broker";
 pub const LIST: &str = "list";
+/// Beside the routers' settings.
+const UPGRADE: &str = "upgrade.toml";
 
 /// How a fleet's routers are run.
 pub struct Launch {
@@ -147,7 +149,7 @@
                 start_up: Duration::from_millis(t.start_up_ms),
                 lanes: t.lanes as usize,
                 window: (t.window_ms > 0).then(|| Duration::from_millis(t.window_ms)),
-                prefix: Duration::ZERO,
+                prefix: Duration::from_millis(t.prefix_ms),
             };
             (t.name.clone(), program)
         })
@@ -253,12 +255,18 @@
     let _ = writeln!(t, "[workers]\nwatch = \"{list}\"");
     if let Some(own) = members.get(n as usize) {
         let _ = writeln!(t, "\n[peers]\nlisten = \"{}\"\ngroup = \"{GROUP}\"", own.address);
-        let _ = writeln!(t, "name = {:?}\nstate = \"state-{n}\"", own.name);
+        let _ = writeln!(t, "name = {:?}\nstate = \"state-{n}\"\n{}", own.name, s.peers);
         for m in members {
             let _ = writeln!(t, "\n[[peers.member]]\nname = {:?}\naddress = \"{}\"", m.name, m.address);
             let _ = writeln!(t, "region = {:?}\nweight = 1\nwitness = false", m.region);
         }
     }
+    for (name, table) in [("upgrade", &s.upgrade), ("reconcile", &s.reconcile)] {
+        if !table.is_empty() {
+            let named = toml::Table::from_iter([(name.to_owned(), table.clone().into())]);
+            let _ = writeln!(t, "\n{named}");
+        }
+    }
     t
 }
 
@@ -443,6 +451,34 @@
         Ok(())
     }
 
+    /// Where an order to upgrade is written; the routers' settings name it `upgrade.toml`.
+    pub fn upgrade_file(&self) -> PathBuf {
+        self.out.join("routers").join(UPGRADE)
+    }
+
+    /// A new order, whole at once, in the place of what was there. Routers read it at their start, or when told.
+    pub fn write_upgrade(&self, text: &str) -> Plain<()> {
+        let (file, new) = (self.upgrade_file(), self.upgrade_file().with_extension("new"));
+        let written = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &file));
+        written.map_err(|e| format!("{}: {e}", file.display()))
+    }
+
+    /// Told to read its orders again, if it runs.
+    pub fn hang_up(&self, n: usize) -> Plain<()> {
+        let router = lock(&self.routers[n]);
+        match router.is_up() {
+            true => router.hang_up().map_err(|e| format!("router {n}: {e}")),
+            false => Ok(()),
+        }
+    }
+
+    /// Written, and all routers told. For the judge, what stands of these models now is what their floors are of.
+    pub fn order_upgrade(&self, models: &[&str], text: &str) -> Plain<()> {
+        self.write_upgrade(text)?;
+        self.log.write("upgrade", json!({"models": models}));
+        (0..self.routers.len()).try_for_each(|n| self.hang_up(n))
+    }
+
     /// Both ways between all routers that are named, or one way from the first to the others.
     pub fn cut_peers(&self, which: &[usize], one_way: bool, fault: Fault) {
         for (i, a) in which.iter().enumerate() {
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -55,6 +55,13 @@
     pub loads: toml::Table,
     #[serde(default)]
     pub prices: toml::Table,
+    /// Beside what a fleet's `[peers]` says by itself.
+    #[serde(default)]
+    pub peers: toml::Table,
+    #[serde(default)]
+    pub upgrade: toml::Table,
+    #[serde(default)]
+    pub reconcile: toml::Table,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -102,6 +109,19 @@
     pub copy_mb: f64,
     pub start_up_ms: u64,
     pub lanes: u32,
+    /// Of its arrivals, so many are turns of sessions.
+    #[serde(default)]
+    pub sessions: f64,
+    /// Of a session, in the mean; from one to nearly twice as many.
+    #[serde(default)]
+    pub turns: u32,
+    /// Between one turn and the next, in the mean; from half to one and a half times as long. Clients send a turn at
+    /// its time whether or not the one before is answered.
+    #[serde(default)]
+    pub pause_ms: u64,
+    /// Work beside its own for a turn that does not find what earlier ones built up in its copy.
+    #[serde(default)]
+    pub prefix_ms: u64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -210,6 +230,10 @@
     if !within(day.seconds, 3600.0) || !within(day.rate_per_s, 1e5) || !(1..=100).contains(&day.routers) {
         return wrong("seconds, rate_per_s or routers is out of its range");
     }
+    let misfit = |t: &Trigger| !(0.0..=1.0).contains(&t.sessions) || t.sessions > 0.0 && t.turns == 0;
+    if day.triggers.iter().any(misfit) {
+        return wrong("sessions is not within 0 to 1, or has no turns");
+    }
     if !(0.0..=1.0).contains(&day.kserve_part) {
         return wrong("kserve_part is not within 0 to 1");
     }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -102,6 +102,11 @@
         self.signal(Signal::TERM)
     }
 
+    /// Told to read its orders again.
+    pub fn hang_up(&self) -> io::Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Stands still when this returns.
     pub fn pause(&mut self) -> io::Result<()> {
         self.signal(Signal::STOP)?;
--- a/crates/rig/src/rest_client.rs
+++ b/crates/rig/src/rest_client.rs
@@ -20,6 +20,17 @@
 
 const CONNECT_WITHIN: i64 = 300_000;
 
+/// With its session, as the protocol's sequence extension has it.
+fn body(a: &Arrival) -> Bytes {
+    let plain = Bytes::copy_from_slice(a.body.as_bytes());
+    let Some(turn) = &a.turn else { return plain };
+    let Ok(mut body) = serde_json::from_slice::<serde_json::Value>(&plain) else { return plain };
+    body["parameters"] = json!({
+        "sequence_id": turn.session, "sequence_start": turn.start, "sequence_end": turn.end,
+    });
+    Bytes::from(body.to_string())
+}
+
 pub struct Callers {
     pub routers: Vec<SocketAddr>,
     pub from: IpAddr,
@@ -109,7 +120,7 @@
             .header("cedarpulley-lanes", a.lanes)
             .header("idempotency-key", &a.id)
             .header("x-request-id", &a.id)
-            .body(Full::new(Bytes::copy_from_slice(a.body.as_bytes())))
+            .body(Full::new(body(a)))
             .ok()?;
         let to = router.ip().to_string();
         self.log.write("delivered", json!({"queue": "calls", "id": a.id, "to": to, "redelivered": false}));
--- a/crates/rig/src/traffic.rs
+++ b/crates/rig/src/traffic.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use smol::Task;
 
-use crate::client::{Answers, Arrival, Client};
+use crate::client::{Answers, Arrival, Client, Turn};
 use crate::fleet::{Fleet, queue};
 use crate::plan::{Day, Way, What};
 use crate::rest_client::Callers;
@@ -21,6 +21,7 @@
 /// Tells the draw of the front apart from the others of the same seed.
 const CALLS: u64 = 0xca11;
 const FLOODS: u64 = 0xf100d << 8;
+const SESSIONS: u64 = 0x5e55_1011;
 
 /// The day's clients at work, until dropped.
 pub struct Traffic {
@@ -127,8 +128,12 @@
             lanes: t.lanes,
             body: body.clone(),
             retries,
+            turn: None,
         });
     }
+    if day.triggers.iter().any(|t| t.sessions > 0.0) {
+        all = with_sessions(day, all);
+    }
     // Floods have draws of their own: taken away, the rest of the day stays as it is.
     let usual = all.clone();
     for (n, flood) in day.troubles.iter().enumerate().filter(|(_, t)| t.what == What::Flood) {
@@ -152,6 +157,7 @@
                 queue: queue(&account),
                 account,
                 calls,
+                turn: None,
                 ..like
             });
         }
@@ -159,3 +165,35 @@
     all.sort_by_key(|a| a.at);
     all
 }
+
+/// Of the arrivals that belong to sessions, one in so many as a session has turns begins one; the others make room
+/// for the turns that follow, so that the rate stays what it was. Days without sessions draw nothing here.
+fn with_sessions(day: &Day, usual: Vec<Arrival>) -> Vec<Arrival> {
+    let mut random = Pcg64Mcg::seed_from_u64(day.seed ^ SESSIONS);
+    let (mut all, mut begun) = (Vec::new(), 0);
+    for first in usual {
+        let kind = day.triggers.iter().find(|t| t.name == first.kind);
+        let Some(t) = kind.filter(|t| random.random::<f64>() < t.sessions) else {
+            all.push(first);
+            continue;
+        };
+        if random.random_range(0..t.turns) > 0 {
+            continue;
+        }
+        begun += 1;
+        let (session, turns) = (format!("s{begun:05}"), random.random_range(1..2 * t.turns));
+        let mut at = first.at;
+        for turn in 0..turns {
+            // The day may end before the session does.
+            if at.as_secs_f64() >= day.seconds {
+                break;
+            }
+            let turn = Turn { session: session.clone(), start: turn == 0, end: turn + 1 == turns };
+            all.push(Arrival { at, turn: Some(turn), ..first.clone() });
+            at += Duration::from_millis(t.pause_ms).mul_f64(random.random_range(0.5..1.5));
+        }
+    }
+    all.sort_by_key(|a| a.at);
+    (0..).zip(&mut all).for_each(|(n, a)| a.id = format!("i{n:06}"));
+    all
+}
