Judge: sessions on one version, floors of warm lanes, one planner in a term, prefixes by cause

What an upgrade promises has to be judged from the workers' lines, not from a router's word. Rebuilt prefixes are told apart by what became of their worker; what faults take from a floor is counted apart. Logs without such lines are judged as before.

--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -8,6 +8,7 @@
 
 use crate::kept::Kept;
 use crate::log::{Line, read};
+use crate::warm::{self, Prefixes, Stood};
 use crate::{Effect, Terms, Unjudged};
 
 /// A delivery with less time left than this cannot be answered in time by any router.
@@ -43,6 +44,15 @@
     pub by_front: BTreeMap<String, Tally>,
     pub by_reason: BTreeMap<String, u64>,
     pub breaks: Vec<String>,
+    /// Breaks of what is promised beyond the rules: `sessions`, `floor` and `terms`.
+    pub promises: BTreeMap<String, u64>,
+    /// Sessions that ran.
+    pub sessions: u64,
+    pub prefixes: Prefixes,
+    /// How often warm lanes fell below a floor by a fault, not by an order.
+    pub floor_lost: u64,
+    /// By model and region, where a floor held.
+    pub floors: BTreeMap<String, Stood>,
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
@@ -119,13 +129,22 @@
 
 impl Verdict {
     pub fn broken(&self) -> u64 {
-        self.rules.values().sum()
+        self.rules.values().chain(self.promises.values()).sum()
     }
 
     fn breaks(&mut self, rule: u8, why: String) {
         *self.rules.entry(rule.to_string()).or_default() += 1;
+        self.tells(format!("rule {rule}: {why}"));
+    }
+
+    pub(crate) fn fails(&mut self, promise: &str, why: String) {
+        *self.promises.entry(promise.to_owned()).or_default() += 1;
+        self.tells(format!("{promise}: {why}"));
+    }
+
+    fn tells(&mut self, what: String) {
         if self.breaks.len() < TOLD {
-            self.breaks.push(format!("rule {rule}: {why}"));
+            self.breaks.push(what);
         }
     }
 
@@ -166,6 +185,16 @@
             "unanswered {}, answered twice {}, late as the broker took nothing {}, as a router was held {}",
             self.unanswered, self.double_answers, self.held_by_broker, self.held_by_rig
         );
+        if self.sessions > 0 || !self.floors.is_empty() {
+            let p = &self.prefixes;
+            let _ = writeln!(
+                t,
+                "sessions {}, prefixes begun {}, found {}, rebuilt {} (died {}, cut off {}), floors lost {}",
+                self.sessions, p.begun, p.found, p.rebuilt, p.rebuilt_died, p.rebuilt_cut, self.floor_lost
+            );
+            let promises: Vec<String> = self.promises.iter().map(|(p, n)| format!("{p}: {n}")).collect();
+            let _ = writeln!(t, "promises broken: {}", promises.join(", "));
+        }
         let rules: Vec<String> = self.rules.iter().map(|(r, n)| format!("rule {r}: {n}")).collect();
         let _ = writeln!(t, "breaks: {}", rules.join(", "));
         for why in &self.breaks {
@@ -187,6 +216,9 @@
     for rule in 1..=5 {
         v.rules.insert(rule.to_string(), 0);
     }
+    for promise in [warm::SESSIONS, warm::FLOOR, warm::TERMS] {
+        v.promises.insert(promise.into(), 0);
+    }
     for fate in ["succeeded", "throttled", "errored"] {
         v.answers.insert(fate.into(), 0);
     }
@@ -197,6 +229,10 @@
     drains(&lines, &kept, &terms, &mut v);
     cold(&lines, &terms, &mut v);
     ration(&lines, &kept, &terms, &mut v);
+    warm::sessions(&lines, &mut v);
+    warm::one_planner(&lines, &mut v);
+    warm::prefixes(&lines, &kept, &mut v);
+    warm::floors(&lines, &terms, &mut v);
     Ok(v)
 }
 
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -4,8 +4,10 @@
 mod judge;
 mod kept;
 mod log;
+mod warm;
 
 pub use judge::{Verdict, judge};
+pub use warm::{Prefixes, Stood};
 
 use cedarpulley_errors::Remedy;
 use serde::{Deserialize, Serialize};
@@ -77,4 +79,24 @@
     /// What a crowded machine may add to any time that is judged; for tests, whose verdicts are counts.
     #[serde(default)]
     pub leeway_us: i64,
+    /// Of the workers, by the names of their logs; all in one, if none is named.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
+    /// Of the lanes that stand when a model's upgrade begins, this part must stand in each region until it is over.
+    #[serde(default)]
+    pub floor_part: f64,
+    /// What a fault took away may be unknown to routers for so long.
+    #[serde(default)]
+    pub floor_known_us: i64,
+    /// They hold from when they are first reached.
+    #[serde(default)]
+    pub floors: Vec<Floor>,
+}
+
+/// So many warm lanes of a model's versions together, in one region.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Floor {
+    pub region: String,
+    pub model: String,
+    pub lanes: u32,
 }
--- /dev/null
+++ b/crates/audit/tests/warm.rs
@@ -0,0 +1,174 @@
+//! The judge on hand-written logs of upgrades: each promise kept, and its broken twin.
+
+use std::path::Path;
+
+use cedarpulley_audit::{Verdict, judge};
+use serde_json::{Value, json};
+
+/// Each log's lines by its name; their times are their order, a second apart, unless they say so.
+fn judged(name: &str, floors: Value, lines: &[(&str, Value)]) -> Verdict {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let traffic = folder.join("traffic");
+    if traffic.exists() {
+        std::fs::remove_dir_all(&traffic).expect("gone");
+    }
+    std::fs::create_dir_all(&traffic).expect("a folder");
+    let mut terms = json!({
+        "kinds": {}, "answer_slack_us": 0, "drain_grace_us": 0, "cold_part": 1.0, "cold_for_us": 0,
+        "overload_multiple": 1e9, "overload_window_us": 1, "ration_window_us": 0,
+        "ration_few": 1.0, "ration_part": 0.0, "second_copies": false,
+        "regions": {"w0": "east", "w1": "east", "w2": "west"},
+    });
+    for (key, value) in floors.as_object().into_iter().flatten() {
+        terms[key] = value.clone();
+    }
+    std::fs::write(folder.join("terms.json"), terms.to_string()).expect("written");
+    let mut logs: std::collections::BTreeMap<&str, String> = Default::default();
+    for (n, (of, line)) in lines.iter().enumerate() {
+        let mut line = line.clone();
+        line["t"] = ((n as i64 + 1) * 1_000_000).into();
+        *logs.entry(of).or_default() += &format!("{line}\n");
+    }
+    for (of, text) in logs {
+        std::fs::write(traffic.join(format!("{of}.ndjson")), text).expect("written");
+    }
+    judge(&folder).expect("a verdict")
+}
+
+fn ran(session: &str, function: &str) -> Value {
+    json!({"what": "ran", "id": "i", "session": session, "function": function})
+}
+
+#[test]
+fn a_session_on_two_versions_of_a_model_is_seen() {
+    let broken = |name: &str, second: (&str, &str)| {
+        let lines = [("w0", ran("s1", "m:1/versions/1")), ("w1", ran(second.0, second.1))];
+        let v = judged(name, json!({}), &lines);
+        assert_eq!(v.broken(), v.promises["sessions"]);
+        (v.promises["sessions"], v.sessions)
+    };
+    assert_eq!(broken("two-versions", ("s1", "m:1/versions/2")), (1, 1));
+    assert_eq!(broken("one-without", ("s1", "m:1")), (1, 1));
+    assert_eq!(broken("one-version", ("s1", "m:1/versions/1")), (0, 1));
+    assert_eq!(broken("two-sessions", ("s2", "m:1/versions/2")), (0, 2));
+    assert_eq!(broken("two-models", ("s1", "m:2/versions/2")), (0, 2));
+}
+
+#[test]
+fn two_planners_in_one_term_are_seen() {
+    let order = |what: &str, function: &str, router: Option<&str>, term: Option<&str>| json!({"what": what, "function": function, "router": router, "term": term, "from": "127.0.10.1"});
+    let broken = |name: &str, second: Value| {
+        let first = order("ordered", "m:1/versions/2", Some("r0"), Some("7"));
+        judged(name, json!({}), &[("w0", first), ("w1", second)]).promises["terms"]
+    };
+    let one = |function, router, term| order("ordered", function, router, term);
+    assert_eq!(broken("two-planners", one("m:1/versions/2", Some("r1"), Some("7"))), 1);
+    let unloads = order("unloaded", "m:1/versions/1", Some("r1"), Some("7"));
+    assert_eq!(broken("an-unload", unloads), 1);
+    assert_eq!(broken("next-term", one("m:1/versions/2", Some("r1"), Some("8"))), 0);
+    assert_eq!(broken("same-planner", one("m:1/versions/2", Some("r0"), Some("7"))), 0);
+    assert_eq!(broken("other-model", one("m:2/versions/2", Some("r1"), Some("7"))), 0);
+    assert_eq!(broken("no-plan", one("m:1/versions/2", Some("r1"), None)), 0);
+}
+
+fn prefix(how: &str) -> Value {
+    json!({"what": "prefix", "session": "s1", "function": "m:1", "how": how, "from": "127.0.10.1"})
+}
+
+#[test]
+fn a_prefix_that_a_fault_took_is_told_from_one_given_up() {
+    let of = |name: &str, between: &[(&str, Value)]| {
+        let mut lines = vec![("w0", prefix("begun")), ("w0", prefix("found"))];
+        lines.extend_from_slice(between);
+        lines.push(("w1", prefix("rebuilt")));
+        let p = judged(name, json!({}), &lines).prefixes;
+        assert_eq!((p.begun, p.found, p.rebuilt), (1, 1, 1));
+        (p.rebuilt_died, p.rebuilt_cut)
+    };
+    let evicted = |function: &str, why: &str| json!({"what": "evicted", "function": function, "why": why});
+    let held =
+        json!({"what": "link", "from": "127.0.10.1", "to": "w0", "why": "held", "on": true, "most_us": null});
+    assert_eq!(of("gave-up", &[]), (0, 0));
+    assert_eq!(of("died", &[("w0", json!({"what": "down"}))]), (1, 0));
+    assert_eq!(of("another-died", &[("w2", json!({"what": "down"}))]), (0, 0));
+    assert_eq!(of("was-evicted", &[("w0", evicted("m:1", "unseen"))]), (1, 0));
+    assert_eq!(of("another-evicted", &[("w0", evicted("m:2", "unseen"))]), (0, 0));
+    assert_eq!(of("for-room", &[("w0", evicted("m:1", "room"))]), (0, 0));
+    assert_eq!(of("unloaded", &[("w0", json!({"what": "unloaded", "function": "m:1"}))]), (0, 0));
+    assert_eq!(of("cut-off", &[("day", held.clone())]), (0, 1));
+    assert_eq!(of("cut-off-and-died", &[("day", held), ("w0", json!({"what": "down"}))]), (1, 0));
+}
+
+fn loaded(function: &str) -> Value {
+    json!({"what": "loaded", "function": function, "stands": true, "lanes": 2})
+}
+
+fn gone(what: &str, function: &str, why: &str) -> Value {
+    json!({"what": what, "function": function, "why": why})
+}
+
+const OLD: &str = "m:1/versions/1";
+const NEW: &str = "m:1/versions/2";
+
+/// Four lanes of the old version in the east, two in the west; then the upgrade is ordered.
+fn upgraded(name: &str, terms: Value, then: &[(&str, Value)]) -> Verdict {
+    let mut lines: Vec<_> = ["w0", "w1", "w2"].map(|w| (w, loaded(OLD))).into();
+    lines.push(("day", json!({"what": "upgrade", "models": ["m:1"]})));
+    lines.extend_from_slice(then);
+    judged(name, terms, &lines)
+}
+
+#[test]
+fn lanes_that_an_order_takes_below_the_floor_are_seen() {
+    let half = json!({"floor_part": 0.75});
+    let of = |name: &str, then: &[(&str, Value)]| {
+        let v = upgraded(name, half.clone(), then);
+        (v.promises["floor"], v.floor_lost, v.floors["m:1 east"].lowest)
+    };
+    let unloads = |w: &'static str| (w, gone("unloaded", OLD, ""));
+    assert_eq!(of("none", &[]), (0, 0, 4));
+    assert_eq!(of("too-early", &[unloads("w0")]), (1, 0, 2));
+    assert_eq!(
+        of("in-turn", &[("w0", loaded(NEW)), unloads("w0"), ("w1", loaded(NEW)), unloads("w1")]),
+        (0, 0, 4)
+    );
+    // What is loaded elsewhere, or of another model, is no help.
+    assert_eq!(of("elsewhere", &[("w2", loaded(NEW)), unloads("w0")]), (1, 0, 2));
+    assert_eq!(of("another", &[("w0", loaded("m:2")), unloads("w0")]), (1, 0, 2));
+    assert_eq!(
+        of("failed", &[("w0", json!({"what": "loaded", "function": NEW, "stands": false})), unloads("w0")]),
+        (1, 0, 2)
+    );
+    assert_eq!(of("for-want-of-room", &[("w0", gone("evicted", OLD, "room"))]), (1, 0, 2));
+    // A fault's doing is no break, but what is taken after it is.
+    assert_eq!(of("unseen", &[("w0", gone("evicted", OLD, "unseen"))]), (0, 1, 2));
+    assert_eq!(of("dead", &[("w0", json!({"what": "down"}))]), (0, 1, 2));
+    assert_eq!(of("dead-and-more", &[("w0", json!({"what": "down"})), unloads("w1")]), (1, 1, 0));
+    let over = ("day", json!({"what": "upgrade-over", "models": ["m:1"]}));
+    assert_eq!(of("over", &[over, unloads("w0")]), (0, 0, 4));
+    let second = ("day", json!({"what": "upgrade", "models": ["m:1"]}));
+    assert_eq!(of("second-order", &[("w0", loaded(NEW)), second, unloads("w0"), unloads("w1")]), (1, 0, 2));
+}
+
+#[test]
+fn a_loss_that_nobody_can_know_of_yet_is_no_break_of_the_one_that_orders() {
+    let evicted = ("w0", gone("evicted", NEW, "unseen"));
+    let then = [("w0", loaded(NEW)), evicted, ("w1", gone("unloaded", OLD, ""))];
+    let of = |name: &str, known_us: i64| {
+        let v = upgraded(name, json!({"floor_part": 1.0, "floor_known_us": known_us}), &then);
+        (v.promises["floor"], v.floor_lost)
+    };
+    assert_eq!(of("known-at-once", 0), (1, 0));
+    assert_eq!(of("unknown", 1_500_000), (0, 1));
+    assert_eq!(of("known", 900_000), (1, 0));
+}
+
+#[test]
+fn a_floor_in_lanes_holds_from_when_it_is_reached() {
+    let floor = |lanes: u32| json!({"floors": [{"region": "east", "model": "m:1", "lanes": lanes}]});
+    let of = |name: &str, lanes: u32| {
+        let then = [("w0", gone("unloaded", OLD, "")), ("w1", gone("unloaded", OLD, ""))];
+        upgraded(name, floor(lanes), &then).promises["floor"]
+    };
+    assert_eq!((of("lanes-6", 6), of("lanes-4", 4), of("lanes-2", 2)), (0, 2, 1));
+}
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -106,6 +106,8 @@
         let objective_us = t.latency_objective_ms as i64 * 1000;
         kinds.insert(t.name.clone(), Kind { effect, window_us: t.window_ms as i64 * 1000, objective_us });
     }
+    let each = day.workers.iter().flat_map(|w| (0..w.count).map(|_| day.region_of(&w.zone)));
+    let region_of = each.enumerate().map(|(n, region)| (name_of_worker(n), region.to_owned()));
     Ok(Terms {
         kinds,
         answer_slack_us: us(rules, "answer_slack_ms", 0.0),
@@ -120,6 +122,10 @@
         second_copies: day.settings.dispatch.get("second_copies").and_then(toml::Value::as_bool)
             == Some(true),
         leeway_us: day.leeway_ms as i64 * 1000,
+        regions: region_of.collect(),
+        floor_part: day.floor,
+        floor_known_us: day.floor_known_ms as i64 * 1000,
+        floors: Vec::new(),
     })
 }
 
@@ -479,6 +485,11 @@
         (0..self.routers.len()).try_for_each(|n| self.hang_up(n))
     }
 
+    /// For the judge: their floors hold no longer.
+    pub fn upgrade_over(&self, models: &[&str]) {
+        self.log.write("upgrade-over", json!({"models": models}));
+    }
+
     /// Both ways between all routers that are named, or one way from the first to the others.
     pub fn cut_peers(&self, which: &[usize], one_way: bool, fault: Fault) {
         for (i, a) in which.iter().enumerate() {
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -28,6 +28,12 @@
     /// What a crowded machine may add to any time that is judged.
     #[serde(default)]
     pub leeway_ms: u64,
+    /// Of the lanes that stand when an upgrade is ordered, this part must stand in each region until it is over.
+    #[serde(default)]
+    pub floor: f64,
+    /// What a fault took away may be unknown to routers for so long.
+    #[serde(default)]
+    pub floor_known_ms: u64,
     /// By router: how far its wall's clock is off.
     #[serde(default)]
     pub clock_offsets_ms: Vec<i64>,
@@ -230,6 +236,9 @@
     if !within(day.seconds, 3600.0) || !within(day.rate_per_s, 1e5) || !(1..=100).contains(&day.routers) {
         return wrong("seconds, rate_per_s or routers is out of its range");
     }
+    if !(0.0..=1.0).contains(&day.floor) {
+        return wrong("floor is not within 0 to 1");
+    }
     let misfit = |t: &Trigger| !(0.0..=1.0).contains(&t.sessions) || t.sessions > 0.0 && t.turns == 0;
     if day.triggers.iter().any(misfit) {
         return wrong("sessions is not within 0 to 1, or has no turns");
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -759,8 +759,13 @@
     // As it is when this one's work begins.
     let met = sequence.as_ref().and_then(|s| {
         let how = lock(&it.life).as_ref()?.copies.get(&function).map_or("rebuilt", |c| c.prefixes.meet(s));
-        let fields = json!({"id": id, "session": s.id, "function": function, "how": how, "end": s.end});
-        it.log.write("prefix", fields);
+        it.log.write(
+            "prefix",
+            json!({
+                "id": id, "session": s.id, "function": function, "how": how, "end": s.end,
+                "from": peer.to_string(),
+            }),
+        );
         Some(how)
     });
     let again = if met == Some("rebuilt") { program.prefix } else { Duration::ZERO };
