Gateway: belief in what is loaded follows the core, workers are asked, answers are shared

The state machine of the reconcile package needed the process around it: reconciling.rs asks workers for their index through the pool, follows the core as a watch, hands corrections to it, and shares answers as notes. Settings [reconcile], off without it; GET /state shows workers, drift and counts. Orders are signed with the member's name, so that copies of a router that is gone are told apart.

--- a/crates/gateway/src/circle.rs
+++ b/crates/gateway/src/circle.rs
@@ -71,6 +71,7 @@
     folder: Option<Rc<Folder>>,
     listener: RefCell<Option<Async<TcpListener>>>,
     me: MemberIx,
+    name: String,
 }
 
 impl Circle {
@@ -82,7 +83,8 @@
         let post = Box::new(Slot(office.clone()));
         let fellows = Rc::new(Fellows::new(desk.clone(), &peers, nonce, kept, without, post));
         let (folder, listener) = (folder.map(Rc::new), RefCell::new(Some(listener)));
-        Circle { fellows, office, folder, listener, me: peers.group.me }
+        let name = peers.group.members[peers.group.me as usize].name.clone();
+        Circle { fellows, office, folder, listener, me: peers.group.me, name }
     }
 
     /// What the core wants of its group.
@@ -90,6 +92,11 @@
         self.fellows.ask(ask);
     }
 
+    /// This router, as its group knows it.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// For other parts of this router.
     pub fn shared(&self) -> Shared {
         Shared::new(self.fellows.clone())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metering;
 pub mod pool;
 pub mod post;
+pub mod reconciling;
 pub mod recorder;
 pub mod rest;
 pub mod serve;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
@@ -10,8 +11,9 @@
 use async_signal::{Signal, Signals};
 use cedarpulley::interface::{ListMode, Micros, Outcome, Report, WorkerIx};
 use cedarpulley_errors::Remedy;
-use cedarpulley_kserve::{endings, reports, requests};
+use cedarpulley_kserve::{endings, reports, requests, serving};
 use cedarpulley_net::{Alarm, Clock, listen};
+use cedarpulley_reconcile::Claims;
 use cedarpulley_router::{FrontIx, Input, Output, Payload, Router};
 use cedarpulley_trace::start::{Start, module_digest};
 use futures_lite::StreamExt;
@@ -27,6 +29,7 @@
 use crate::meddle::{Meddle, Meddler};
 use crate::metering::Metering;
 use crate::pool::{Failed, Pool, ended};
+use crate::reconciling::Reconciling;
 use crate::recorder::Recorder;
 use crate::settings::{Parts, WorkerList};
 use crate::tls::Inward;
@@ -55,9 +58,24 @@
     circle: Option<Circle>,
     upgrading: Option<Rc<Upgrading>>,
     gate: Option<Rc<Gate>>,
+    reconciling: Option<Rc<Reconciling>>,
     alarm: Alarm,
 }
 
+/// What plans answer for, and which of these functions are of a version that a plan has taken out of service.
+fn claims(upgrading: &Upgrading, functions: &[Arc<str>]) -> Claims {
+    let over = |f: &&Arc<str>| {
+        let (model, version) = serving::model(f);
+        !version.is_empty() && upgrading.over(model, version)
+    };
+    let claims = upgrading.claims();
+    Claims {
+        terms: claims.iter().filter_map(|c| c.term.clone()).collect(),
+        retired: functions.iter().filter(over).cloned().collect(),
+        functions: claims.into_iter().map(|c| c.function).collect(),
+    }
+}
+
 fn address(router: &RefCell<Router>, worker: WorkerIx) -> Option<SocketAddr> {
     // Not kept by index: that of a gone worker is given out again.
     router.borrow().worker_name(worker)?.parse().ok()
@@ -78,6 +96,10 @@
 
     fn past_the_gate(self: &Rc<Self>, input: Input) {
         let mut outputs = Vec::new();
+        let listed = match (&self.reconciling, &input) {
+            (Some(_), Input::List { mode, workers }) => Some((*mode, workers.clone())),
+            _ => None,
+        };
         let due = {
             let mut router = self.router.borrow_mut();
             router.handle(self.desk.clock.now(), input, &mut outputs);
@@ -90,6 +112,9 @@
         if let Some(gate) = &self.gate {
             gate.settle();
         }
+        if let (Some(reconciling), Some((mode, workers))) = (&self.reconciling, listed) {
+            reconciling.listed(mode, &workers);
+        }
     }
 
     fn carry_out(self: &Rc<Self>, output: Output) {
@@ -232,7 +257,7 @@
 
     /// As workers are told, where they are to tell routers apart.
     fn orderer<'a>(&'a self, term: Option<&'a str>) -> requests::Orderer<'a> {
-        requests::Orderer { router: self.circle.as_ref().map(|_| self.desk.name.as_str()), term }
+        requests::Orderer { router: self.circle.as_ref().map(Circle::name), term }
     }
 
     fn calls(&self, front: FrontIx) -> Option<&Rc<Calls>> {
@@ -281,6 +306,7 @@
             let written = metering.close(self.desk.clock.now());
             tracing::info!(written, "the ledger was closed");
         }
+        self.reconciling.iter().for_each(|r| r.close());
         tracing::info!(clean, counts = ?router.counts, misunderstood = self.desk.misunderstood.get(), "stopped");
         clean
     }
@@ -323,6 +349,7 @@
         clock_offset,
         peers,
         upgrade,
+        reconcile,
         sessions,
     } = parts;
     let clock = Clock::off_by(clock_offset);
@@ -356,6 +383,7 @@
         None => None,
     };
     let control = birth.control(seed);
+    let (idle_kept, kinds_mb) = (birth.loads.idle_kept, birth.loads.memory_mb.clone());
     let mut listeners = Vec::new();
     for front in &listens {
         listeners.push(listen(front.address)?);
@@ -398,7 +426,7 @@
             seed,
             from: links.from,
             names,
-            sessions: sessions.is_some(),
+            sessions: sessions.is_some() || reconcile.is_some(),
             misunderstood: Cell::new(0),
             // Found for as long as anything runs: it is held until the executor has ended.
             core: Box::new(move |input| {
@@ -439,6 +467,25 @@
         if let Some(gate) = &gate {
             router.borrow_mut().watched_by(gate.watch());
         }
+        let reconciling = reconcile.map(|terms| {
+            let (desk, pool) = (desk.clone(), pool.clone());
+            Reconciling::new(desk, pool, shared.clone(), terms, idle_kept, kinds_mb)
+        });
+        if let Some(reconciling) = &reconciling {
+            router.borrow_mut().watched_by(reconciling.watch());
+            if let Some(shared) = &shared {
+                let shown = reconciling.clone();
+                shared.show("reconcile", move || shown.shown());
+            }
+            if let Some(upgrading) = &upgrading {
+                let upgrading = upgrading.clone();
+                reconciling.claimed_by(Box::new(move |functions| claims(&upgrading, functions)));
+            }
+            if let Some(gate) = &gate {
+                let gate = gate.clone();
+                reconciling.lets_go(Box::new(move |worker, of, ids| gate.prefix_lost(worker, of, ids)));
+            }
+        }
         if let (Some(shared), Some(upgrading), Some(gate)) = (&shared, &upgrading, &gate) {
             let (upgrading, gate) = (upgrading.clone(), gate.clone());
             shared.show("upgrade", move || upgrading.shown(gate.shown()));
@@ -455,6 +502,7 @@
             circle,
             upgrading,
             gate,
+            reconciling,
             alarm: Alarm::default(),
             desk: desk.clone(),
         }
@@ -466,7 +514,12 @@
             WorkerList::Fixed(workers) => gateway.feed(Input::List { mode: ListMode::Complete, workers }),
             WorkerList::Watched(address) => {
                 let meddler = gateway.meddler.clone();
-                let heard = move |news| meddler.news(news);
+                let reconciling = gateway.reconciling.clone();
+                let heard = move |news| {
+                    let news = meddler.news(news);
+                    reconciling.iter().for_each(|r| r.heard(&news));
+                    news
+                };
                 executor.spawn(list::watch(gateway.desk.clone(), address, heard)).detach();
             }
         }
@@ -490,6 +543,7 @@
             executor.spawn(upgrading.clone().run()).detach();
             executor.spawn(upgrading.clone().rereads()).detach();
         }
+        gateway.reconciling.iter().for_each(|r| r.run());
         let it = gateway.clone();
         let look = async move {
             loop {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -23,6 +23,7 @@
 use crate::front::Source;
 use crate::listen::{Listen, Protocol};
 use crate::pool::Links;
+use crate::reconciling::Reconcile;
 use crate::recorder::Keep;
 use crate::sheet::{Refused, Section, Sheet};
 use crate::tls::{self, Files, Inward, Outward};
@@ -70,6 +71,8 @@
     pub peers: Option<Peers>,
     /// Models are upgraded in it.
     pub upgrade: Option<Ordered>,
+    /// The warm index is held against what workers say.
+    pub reconcile: Option<Reconcile>,
     /// Sessions are told apart, and kept so.
     pub sessions: Option<sessions::Terms>,
 }
@@ -290,6 +293,7 @@
         memory_mb: loads.memory_mb.clone(),
         ..ordered
     });
+    let reconcile = reconcile(&root.section("reconcile"));
     let sharing = peers.as_ref().map(|p| Sharing { alone: alone.clone(), leave_kept: p.leave_kept() });
 
     let w = root.section("workers");
@@ -363,6 +367,7 @@
         clock_offset: 0,
         peers,
         upgrade,
+        reconcile,
         sessions,
     }
 }
@@ -483,6 +488,18 @@
     }
 }
 
+/// Whether and how belief in what is loaded is held against what workers say.
+fn reconcile(r: &Section) -> Option<Reconcile> {
+    let terms = r.is_present().then(|| Reconcile {
+        every: r.millis("every_ms", 50..DAY, Some(2_000)),
+        grace: r.millis("grace_ms", 0..DAY, Some(10_000)),
+        asks_per_s: r.number("asks_per_s", 0.1..10_000.0, Some(50.0)),
+        repairs_per_s: r.number("repairs_per_s", 0.1..10_000.0, Some(5.0)),
+    });
+    r.end_here();
+    terms
+}
+
 /// Upgrades of models, where there are any, and what is kept of sessions.
 fn upgrade(u: &Section, folder: &Path, peers: Option<&Peers>) -> (Option<Ordered>, Option<sessions::Terms>) {
     if !u.is_present() {
--- a/crates/reconcile/src/reconcile.rs
+++ b/crates/reconcile/src/reconcile.rs
@@ -254,6 +254,8 @@
     answers: u64,
     beliefs: BTreeMap<Arc<str>, Belief>,
     unclaimed: BTreeMap<Arc<str>, (Micros, Why)>,
+    /// The last that was heard of this process.
+    observed: Option<Observation>,
     found: [u64; KINDS.len()],
 }
 
@@ -277,6 +279,7 @@
             answers: 0,
             beliefs: BTreeMap::new(),
             unclaimed: BTreeMap::new(),
+            observed: None,
             found: [0; KINDS.len()],
         }
     }
@@ -376,6 +379,11 @@
         })
     }
 
+    /// What each worker said last, and when that began to be true.
+    pub fn observed(&self) -> impl Iterator<Item = (&Arc<str>, Micros, &Observation)> {
+        self.places.iter().filter_map(|(w, p)| Some((w, p.last_began, p.observed.as_ref()?)))
+    }
+
     pub fn repairs_waiting(&self) -> usize {
         self.repairs.len()
     }
@@ -635,6 +643,8 @@
         let mb = |f: &str| place.beliefs.get(f).map_or(0.0, |b| b.copy_mb);
         let sound = observation.sound(mb, place.memory_mb);
         self.counts.contradictions += sound.contradictions;
+        let entries = sound.entries.values().map(|e| (*e).clone()).collect();
+        place.observed = Some(Observation { entries, ..observation.clone() });
         if sound.contradictions > 0 {
             place.suspect(CONTRADICTED);
         }
