Gateway: plans are told what workers hold, and places of sessions go by names all members know

Routers may reach a worker at different addresses; what they share of a session's place names the worker as the list tells its process, and is translated at each router. The planner gets the reconciler's last word of each worker.

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -43,9 +43,13 @@
     /// Of what the core was told.
     ended: RefCell<VecDeque<sessions::Input>>,
     seats: Rc<RefCell<BTreeMap<Name, Listed>>>,
+    /// A worker by what all members know it by, and back, where routers do not reach it at the same address.
+    ids: RefCell<Option<(Named, Named)>>,
     alarm: Alarm,
 }
 
+pub type Named = Box<dyn Fn(&str) -> Option<Name>>;
+
 fn hashed(of: impl std::hash::Hash) -> u64 {
     BuildHasherDefault::<DefaultHasher>::default().hash_one(of)
 }
@@ -75,6 +79,7 @@
             draws: Cell::new(0),
             ended: RefCell::default(),
             seats: Rc::default(),
+            ids: RefCell::default(),
             alarm: Alarm::default(),
         });
         if let Some(shared) = &gate.shared {
@@ -91,6 +96,23 @@
         gate
     }
 
+    /// Workers have ids that all members know: from a worker's name here, and to it.
+    pub fn names_workers(&self, id: Named, worker: Named) {
+        *self.ids.borrow_mut() = Some((id, worker));
+    }
+
+    fn id(&self, worker: &str) -> Name {
+        let id = self.ids.borrow().as_ref().and_then(|(id, _)| id(worker));
+        id.unwrap_or_else(|| Name::from(worker))
+    }
+
+    fn worker(&self, id: Name) -> Option<Name> {
+        match &*self.ids.borrow() {
+            Some((_, worker)) => worker(&id),
+            None => Some(id),
+        }
+    }
+
     /// What goes on to the core at once.
     pub fn passes(&self, input: Input) -> Option<Input> {
         match &input {
@@ -131,7 +153,7 @@
     pub fn prefix_lost(&self, worker: &str, of: &str, sessions: &[Arc<str>]) {
         let model = Name::from(serving::model(of).0);
         for session in sessions {
-            let (model, worker, session) = (model.clone(), Name::from(worker), session.clone());
+            let (model, worker, session) = (model.clone(), self.id(worker), session.clone());
             self.sessions(sessions::Input::Lost { model, session, worker });
         }
     }
@@ -244,7 +266,7 @@
             }
             t.named = Some(std::mem::replace(&mut t.function, function(&model, &version)));
         }
-        t.prefers = prefers;
+        t.prefers = prefers.and_then(|id| self.worker(id));
         (self.core)(Input::Taken(t));
     }
 
@@ -293,7 +315,10 @@
                 }
             }
         }
-        gone.into_iter().for_each(|worker| self.sessions(sessions::Input::Gone { worker }));
+        for worker in gone {
+            let worker = self.id(&worker);
+            self.sessions(sessions::Input::Gone { worker });
+        }
     }
 }
 
@@ -317,7 +342,7 @@
             gate.ended.borrow_mut().push_back(sessions::Input::Answered {
                 model: Name::from(serving::model(used.function).0),
                 session: Name::from(session),
-                worker: Name::from(used.worker_name),
+                worker: gate.id(used.worker_name),
                 ends: used.ends,
             });
         }
--- a/crates/gateway/src/reconciling.rs
+++ b/crates/gateway/src/reconciling.rs
@@ -192,6 +192,15 @@
         seen.collect()
     }
 
+    /// As all members know a worker, and back; nothing of one that is not on the list.
+    pub fn id_of(&self, worker: &str) -> Option<Arc<str>> {
+        self.state.borrow().it.id_of(worker).cloned()
+    }
+
+    pub fn worker_of(&self, id: &str) -> Option<Arc<str>> {
+        self.state.borrow().it.worker_of(id).cloned()
+    }
+
     /// What came of the list, before the core hears of it.
     pub fn heard(&self, news: &ListNews) {
         let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,9 +13,10 @@
 use cedarpulley_errors::Remedy;
 use cedarpulley_kserve::{endings, reports, requests, serving};
 use cedarpulley_net::{Alarm, Clock, listen};
-use cedarpulley_reconcile::Claims;
+use cedarpulley_reconcile::{Claims, Entry, Observation};
 use cedarpulley_router::{FrontIx, Input, Output, Payload, Router};
 use cedarpulley_trace::start::{Start, module_digest};
+use cedarpulley_upgrade::{Held, WorkerSeen};
 use futures_lite::StreamExt;
 use thiserror::Error;
 
@@ -76,6 +77,28 @@
     }
 }
 
+/// What a worker said last, for whoever plans; where it stands and what its copies are like is not known here.
+fn holds(worker: &Arc<str>, seen_at: Micros, memory_mb: f64, said: &Observation) -> WorkerSeen {
+    let held = |e: &Entry| Held {
+        function: e.function.clone(),
+        copies: e.copies,
+        lanes: e.copies,
+        busy: e.busy.unwrap_or(0),
+        loading: e.loading,
+        sessions: e.sequences.as_ref().map_or(0, |ids| ids.len() as u32),
+        copy_mb: 0,
+    };
+    WorkerSeen {
+        name: worker.clone(),
+        region: Arc::from(""),
+        takes_new: false,
+        seen_at,
+        memory_mb: memory_mb as u32,
+        used_mb: 0,
+        holds: said.entries.iter().map(held).collect(),
+    }
+}
+
 fn address(router: &RefCell<Router>, worker: WorkerIx) -> Option<SocketAddr> {
     // Not kept by index: that of a gone worker is given out again.
     router.borrow().worker_name(worker)?.parse().ok()
@@ -455,7 +478,7 @@
         let upgrading = shared
             .clone()
             .zip(upgrade)
-            .map(|(shared, ordered)| Upgrading::new(desk.clone(), shared, ordered, Box::new(Vec::new)));
+            .map(|(shared, ordered)| Upgrading::new(desk.clone(), shared, ordered));
         let gate = sessions.map(|terms| {
             let core = Box::new(move |input| {
                 if let Some(gateway) = past.upgrade() {
@@ -478,10 +501,13 @@
                 shared.show("reconcile", move || shown.shown());
             }
             if let Some(upgrading) = &upgrading {
-                let upgrading = upgrading.clone();
-                reconciling.claimed_by(Box::new(move |functions| claims(&upgrading, functions)));
+                let (seen, it) = (reconciling.clone(), upgrading.clone());
+                upgrading.held(Box::new(move || seen.observed(holds)));
+                reconciling.claimed_by(Box::new(move |functions| claims(&it, functions)));
             }
             if let Some(gate) = &gate {
+                let (id, worker) = (reconciling.clone(), reconciling.clone());
+                gate.names_workers(Box::new(move |w| id.id_of(w)), Box::new(move |id| worker.worker_of(id)));
                 let gate = gate.clone();
                 reconciling.lets_go(Box::new(move |worker, of, ids| gate.prefix_lost(worker, of, ids)));
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,11 @@
 /// What is known of a session is trusted for somewhat less than a majority keeps it; waiting must not eat that up.
 const WAITS_IN_KEPT: Micros = 10;
 
+/// What is kept of sessions where nothing is said of it. Three pauses of a person who reads; more at once than a router
+/// has invocations in a minute; as many waiting as a majority answers in some tens of milliseconds.
+const SESSIONS: sessions::Terms =
+    sessions::Terms { kept: 600_000_000, patience: 1_000_000, most_known: 100_000, most_waiting: 1_000 };
+
 #[derive(Clone, Debug)]
 pub enum WorkerList {
     Fixed(Vec<Listed>),
@@ -287,13 +292,16 @@
         }
         _ => {}
     }
-    let (upgrade, sessions) = upgrade(&root.section("upgrade"), folder, peers.as_ref());
+    let (upgrade, sessions) =
+        upgrade(&root.section("upgrade"), folder, peers.as_ref(), root.has("reconcile"));
     let upgrade = upgrade.map(|ordered| Ordered {
         objectives: triggers.iter().map(|t| t.latency_objective).collect(),
         memory_mb: loads.memory_mb.clone(),
         ..ordered
     });
     let reconcile = reconcile(&root.section("reconcile"));
+    // Without upgrades a session is told apart for its worker alone.
+    let sessions = sessions.or(reconcile.map(|_| SESSIONS));
     let sharing = peers.as_ref().map(|p| Sharing { alone: alone.clone(), leave_kept: p.leave_kept() });
 
     let w = root.section("workers");
@@ -501,11 +509,19 @@
 }
 
 /// Upgrades of models, where there are any, and what is kept of sessions.
-fn upgrade(u: &Section, folder: &Path, peers: Option<&Peers>) -> (Option<Ordered>, Option<sessions::Terms>) {
+fn upgrade(
+    u: &Section,
+    folder: &Path,
+    peers: Option<&Peers>,
+    reconciles: bool,
+) -> (Option<Ordered>, Option<sessions::Terms>) {
     if !u.is_present() {
         return (None, None);
     }
     let copied_within = peers.map_or(0, |p| p.copied_within);
+    if !reconciles {
+        u.wrong("order", "upgrades need to know what workers hold; give [reconcile]");
+    }
     if peers.is_none() {
         u.wrong("order", "upgrades need a group that agrees on them; give [peers]");
     }
@@ -528,13 +544,14 @@
         gone_after: time("gone_after_ms", usual.gone_after),
         ..usual
     };
-    let patience = u.millis("session_wait_ms", 10..DAY, Some((2 * copied_within / 1_000).max(1_000) as u64));
-    let kept = u.millis("session_kept_ms", 1_000..DAY, Some(600_000));
+    let patience =
+        u.millis("session_wait_ms", 10..DAY, Some((2 * copied_within).max(SESSIONS.patience) as u64 / 1_000));
+    let kept = u.millis("session_kept_ms", 1_000..DAY, Some(SESSIONS.kept as u64 / 1_000));
     if kept < WAITS_IN_KEPT * patience.max(copied_within) {
         u.wrong("session_kept_ms", "is below ten times what an invocation waits for a majority");
     }
-    let most_known = u.count("most_sessions", 100..10_000_000, Some(100_000)) as usize;
-    let most_waiting = u.count("most_waiting", 1..1_000_000, Some(1_000)) as usize;
+    let most_known = u.count("most_sessions", 100..10_000_000, Some(SESSIONS.most_known as u64)) as usize;
+    let most_waiting = u.count("most_waiting", 1..1_000_000, Some(SESSIONS.most_waiting as u64)) as usize;
     let mut regions = BTreeMap::new();
     for r in u.sections("region") {
         let name = r.text("name", None);
--- a/crates/gateway/src/upgrading.rs
+++ b/crates/gateway/src/upgrading.rs
@@ -131,10 +131,13 @@
     ended: RefCell<VecDeque<upgrade::Input>>,
     seats: RefCell<Option<Seats>>,
     /// What workers are known to hold; where they stand is added here.
-    holds: Box<dyn Fn() -> Vec<WorkerSeen>>,
+    holds: RefCell<Option<Holds>>,
     alarm: Alarm,
 }
 
+/// What workers are known to hold.
+pub type Holds = Box<dyn Fn() -> Vec<WorkerSeen>>;
+/// Workers of the list.
 pub type Seats = Rc<RefCell<BTreeMap<Name, Listed>>>;
 
 fn ours(b: replica::Ballot) -> Ballot {
@@ -146,12 +149,7 @@
 }
 
 impl Upgrading {
-    pub fn new(
-        desk: Rc<Desk>,
-        shared: Shared,
-        ordered: Ordered,
-        holds: Box<dyn Fn() -> Vec<WorkerSeen>>,
-    ) -> Rc<Upgrading> {
+    pub fn new(desk: Rc<Desk>, shared: Shared, ordered: Ordered) -> Rc<Upgrading> {
         let me = shared.me();
         let region = shared.fellows().get(me as usize).map(|f| f.region.clone()).unwrap_or_default();
         let planner = RefCell::new(Planner::new(ordered.terms.clone()));
@@ -171,7 +169,7 @@
             serial: Cell::new(0),
             ended: RefCell::default(),
             seats: RefCell::default(),
-            holds,
+            holds: RefCell::default(),
             alarm: Alarm::default(),
         });
         let weak = Rc::downgrade(&it);
@@ -191,6 +189,11 @@
         *self.seats.borrow_mut() = Some(seats);
     }
 
+    /// What workers hold, by their own word.
+    pub fn held(&self, holds: Holds) {
+        *self.holds.borrow_mut() = Some(holds);
+    }
+
     /// Where something of no session goes; absent: as it came.
     pub fn goes_to(&self, model: &str, draw: impl FnOnce() -> u64) -> Option<Name> {
         let planner = self.planner.borrow();
@@ -438,8 +441,8 @@
     fn workers(&self) -> Vec<WorkerSeen> {
         let seats = self.seats.borrow().clone().unwrap_or_default();
         let (seats, sizes) = (seats.borrow(), self.sizes.borrow());
-        let mut held: BTreeMap<Name, WorkerSeen> =
-            (self.holds)().into_iter().map(|w| (w.name.clone(), w)).collect();
+        let held = self.holds.borrow().as_ref().map(|holds| holds()).unwrap_or_default();
+        let mut held: BTreeMap<Name, WorkerSeen> = held.into_iter().map(|w| (w.name.clone(), w)).collect();
         let seen = |(name, seat): (&Name, &Listed)| {
             let zone = self.desk.names.zones.get(seat.zone as usize).map_or("", String::as_str);
             let region = self.ordered.regions.get(zone).map_or(zone, String::as_str);
--- a/crates/gateway/tests/upgrading.rs
+++ b/crates/gateway/tests/upgrading.rs
@@ -70,7 +70,7 @@
 fn upgrades_need_a_group_and_readable_orders_and_are_off_by_themselves() {
     let folder = tempfile::tempdir().expect("a folder");
     let at = folder.path();
-    let section = "[upgrade]\norder = \"orders.toml\"\n";
+    let section = "[reconcile]\n[upgrade]\norder = \"orders.toml\"\n";
     let plain = read(at, PEERS).unwrap_or_else(|e| panic!("{e:?}"));
     assert!(plain.upgrade.is_none() && plain.sessions.is_none());
     let no_file = read(at, &format!("{PEERS}{section}")).err().expect("no file");
--- a/crates/reconcile/src/reconcile.rs
+++ b/crates/reconcile/src/reconcile.rs
@@ -384,6 +384,15 @@
         self.places.iter().filter_map(|(w, p)| Some((w, p.last_began, p.observed.as_ref()?)))
     }
 
+    /// As all members know a worker, and back.
+    pub fn id_of(&self, worker: &str) -> Option<&Arc<str>> {
+        self.places.get(worker).map(|p| &p.id)
+    }
+
+    pub fn worker_of(&self, id: &str) -> Option<&Arc<str>> {
+        self.by_id.get(id)
+    }
+
     pub fn repairs_waiting(&self) -> usize {
         self.repairs.len()
     }
