--- /dev/null
+++ b/crates/cli/tests/fleets/mod.rs
@@ -0,0 +1,167 @@
+//! Fleets of routers before stand-ins, played with a script of faults, and what each of them must hold.
+#![allow(dead_code)] // Each test file uses its part.
+
+use std::collections::HashMap;
+use std::path::Path;
+use std::time::Duration;
+
+use cedarpulley_audit::Verdict;
+use cedarpulley_rig::fleet::{BROKER, Fleet, LIST, Launch};
+use cedarpulley_rig::links::Fault;
+use cedarpulley_rig::plan::{self, Day};
+use cedarpulley_rig::script::Script;
+use cedarpulley_rig::traffic::Traffic;
+use cedarpulley_rig::until;
+use cedarpulley_standins::lock;
+use smol::lock::Semaphore;
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_cedarpulley");
+/// Only a failing test waits so long.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// So many fleets at a time, so that none is late for want of a core.
+pub static TURNS: Semaphore = Semaphore::new(3);
+
+/// Clients of all types give up after this.
+pub const GIVES_UP_MS: u64 = 2_500;
+/// Longer than any client waits.
+pub const LONG_MS: u64 = 4_200;
+
+/// A small one of the day with two regions, without its troubles.
+pub fn day(change: impl FnOnce(&mut Day)) -> Day {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/regions.toml");
+    let mut day = plan::read(&file).expect("a day");
+    (day.seed, day.seconds, day.rate_per_s, day.routers) = (5, 6.0, 25.0, 3);
+    day.troubles.clear();
+    day.peers = false;
+    day.workers.iter_mut().for_each(|w| (w.count, w.cores) = (2, 8.0));
+    for t in &mut day.triggers {
+        (t.latency_objective_ms, t.client_timeout_ms, t.work_ms, t.functions) = (1000, GIVES_UP_MS, 40.0, 3);
+        (t.lanes, t.copy_mb) = (8, 50.0);
+        // Longer than any cut keeps a dispatch.
+        t.window_ms = if t.window_ms > 0 { 30_000 } else { 0 };
+    }
+    // Nothing is turned away for want of room.
+    (day.nature.most_waiting, day.nature.most_loads) = (1000, 100);
+    day.settings.loads.insert("order_answered_within_ms".into(), 20_000.into());
+    // Counts are judged, whatever a busy machine adds to the times.
+    day.leeway_ms = 10_000;
+    day.settings.router.insert("answer_margin_ms".into(), 500.into());
+    change(&mut day);
+    day
+}
+
+pub struct Played {
+    pub fleet: Fleet,
+    pub verdict: Verdict,
+    pub answers: HashMap<String, Vec<String>>,
+    pub sent: usize,
+    pub stopped: bool,
+    /// What each router said of its group at the end.
+    pub states: Vec<Option<serde_json::Value>>,
+    folder: tempfile::TempDir,
+}
+
+impl Drop for Played {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.folder.disable_cleanup(true);
+            eprintln!("left in {}", self.folder.path().display());
+        }
+    }
+}
+
+pub fn play(day: &Day, tamper: Option<&str>, script: Script, patience: Duration) -> Played {
+    let _turn = TURNS.acquire_blocking();
+    let folder = tempfile::tempdir().expect("a folder");
+    let (out, tamper) = (folder.path().to_owned(), tamper.map(str::to_owned));
+    let launch = Launch { out, program: PROGRAM.into(), tamper, trace: true };
+    let fleet = Fleet::prepare(day, launch).expect("a fleet");
+    fleet.start_routers().expect("they come up");
+    let traffic = Traffic::begin(day, &fleet);
+    script.play(&fleet, traffic.began);
+    traffic.is_answered(patience);
+    let states = (0..fleet.routers.len()).map(|n| fleet.state(n)).collect();
+    let stopped = fleet.stop(PATIENCE);
+    let verdict = fleet.verdict().expect("a verdict");
+    let answers = lock(&traffic.answers).clone();
+    Played { fleet, verdict, answers, sent: traffic.sent.len(), stopped, states, folder }
+}
+
+impl Played {
+    /// What ran at the workers, by identity, of one type.
+    pub fn effects(&self, kind: &str) -> HashMap<String, usize> {
+        let mut ran = HashMap::new();
+        for w in 0..self.fleet.workers.len() {
+            let file = self.fleet.folder().join(format!("traffic/{}.ndjson", self.fleet.worker(w)));
+            for line in std::fs::read_to_string(file).expect("a log").lines() {
+                let line: serde_json::Value = serde_json::from_str(line).expect("JSON");
+                if line["what"] == "ran" && line["type"] == kind {
+                    *ran.entry(line["id"].as_str().expect("an id").to_owned()).or_default() += 1;
+                }
+            }
+        }
+        ran
+    }
+
+    /// So often in the log of a stand-in.
+    pub fn logged(&self, of: &str, what: &str) -> usize {
+        let file = self.fleet.folder().join(format!("traffic/{of}.ndjson"));
+        let what = format!(r#""what":"{what}""#);
+        std::fs::read_to_string(file).expect("a log").matches(&what).count()
+    }
+
+    pub fn holds(&self) {
+        let table = self.verdict.table();
+        assert_eq!(self.verdict.broken(), 0, "{table}");
+        // Of what was sent, some may have expired at the broker before or between routers.
+        let most = self.answers.len() + self.logged(BROKER, "expired");
+        assert!(!self.answers.is_empty() && most >= self.sent, "{most} of {}: {table}", self.sent);
+        let twice: Vec<_> = self.answers.iter().filter(|(_, a)| a.len() != 1).collect();
+        assert!(twice.is_empty(), "{twice:?}");
+        let reserved = self.effects("reserve");
+        assert!(!reserved.is_empty() && reserved.values().all(|n| *n == 1), "{reserved:?}");
+        assert!(self.stopped, "the routers end in good order");
+    }
+}
+
+pub const PASS: Fault = Fault::Pass;
+pub const LATE: Fault = Fault::Late { by: Duration::from_millis(50), spread: Duration::from_millis(100) };
+pub const SLOW: Fault = Fault::Throttled { bytes_per_s: 3000 };
+
+/// Of router 1's links, but for a region's.
+#[derive(Clone, Copy)]
+pub enum On {
+    Broker,
+    List,
+    Workers,
+    Region(&'static str),
+}
+
+/// What is set on the way there, and on the way back.
+pub fn set(fleet: &Fleet, on: On, out: Fault, back: Fault) {
+    let far = match on {
+        On::Region(name) => return fleet.cut_region(name, out),
+        On::Broker => vec![BROKER.to_owned()],
+        On::List => vec![LIST.to_owned()],
+        On::Workers => (0..fleet.workers.len()).map(|w| fleet.worker(w)).collect(),
+    };
+    for far in far {
+        fleet.links.set(&fleet.router(1), &far, out);
+        fleet.links.set(&far, &fleet.router(1), back);
+    }
+}
+
+/// Mostly of what must not run twice.
+pub fn once(day: &mut Day) {
+    day.triggers.iter_mut().for_each(|t| t.part = if t.name == "reserve" { 0.9 } else { 0.05 });
+}
+
+/// Handed out in turn: each router has some, which have run and are not answered.
+pub fn hold_unanswered(f: &Fleet) {
+    f.workers.iter().for_each(|w| w.hang(true));
+    assert!(until(PATIENCE, || f.broker.unacked() >= 12), "they have work");
+}
+
+pub fn answer_again(f: &Fleet) {
+    f.workers.iter().for_each(|w| w.hang(false));
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -243,6 +243,9 @@
         };
         let empty = || self.router.borrow().open() == 0 && fronts();
         while !empty() && self.desk.clock.now() < until {
+            // Symptom: told to stop while a connection to the broker came up, it consumed all the same and never left
+            // in good order.
+            self.fronts.iter().for_each(|f| f.grant(0));
             Timer::after(STOP_LOOK).await;
         }
         let clean = empty();
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -25,6 +25,9 @@
     /// The routers are told of each other.
     #[serde(default)]
     pub peers: bool,
+    /// The last of them is a witness: it takes nothing.
+    #[serde(default)]
+    pub witness: bool,
     /// What a crowded machine may add to any time that is judged.
     #[serde(default)]
     pub leeway_ms: u64,
@@ -55,6 +58,9 @@
     pub loads: toml::Table,
     #[serde(default)]
     pub prices: toml::Table,
+    /// Beside what the routers are told of each other.
+    #[serde(default)]
+    pub peers: toml::Table,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -90,6 +96,9 @@
     pub effect: String,
     #[serde(default)]
     pub window_ms: u64,
+    /// What its group does without a majority; absent, the routers' own default.
+    #[serde(default)]
+    pub without_majority: Option<String>,
     pub latency_objective_ms: u64,
     pub client_timeout_ms: u64,
     pub billed_value: f64,
@@ -224,6 +233,9 @@
     if day.peers && day.regions.is_empty() {
         return wrong("peers need regions: their links are relayed");
     }
+    if day.witness && (!day.peers || day.routers < 2) {
+        return wrong("a witness needs peers, and another router");
+    }
     let count: u32 = day.workers.iter().map(|w| w.count).sum();
     for t in &day.troubles {
         let routers = [What::RouterKill, What::RouterPause, What::StaleState, What::PeerCut];
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -31,6 +31,9 @@
     pub fetches: Arc<AtomicU64>,
 }
 
+/// A change of its pace is heard within this time.
+const STEP: Duration = Duration::from_millis(50);
+
 impl Store {
     pub fn start(ground: &Ground, name: &str, address: SocketAddr, nature: Nature) -> std::io::Result<Store> {
         let log = ground.log(name)?;
@@ -48,8 +51,15 @@
                 log.write("fetch", json!({"path": path, "from": from.ip().to_string(), "away": turned_away}));
                 if !turned_away {
                     count.fetch_add(1, Ordering::SeqCst);
-                    let share = (crowd as f64 / nature.abreast as f64).max(1.0) * *lock(&slow);
-                    Timer::after(Duration::from_secs_f64(mb / nature.mb_per_s * share)).await;
+                    let share = (crowd as f64 / nature.abreast as f64).max(1.0);
+                    let mut left = mb / nature.mb_per_s * share;
+                    // What is under way becomes slow, and quick again, with the rest.
+                    while left > 0.0 {
+                        let times = *lock(&slow);
+                        let step = (left * times).min(STEP.as_secs_f64());
+                        Timer::after(Duration::from_secs_f64(step)).await;
+                        left -= step / times;
+                    }
                 }
                 now.fetch_sub(1, Ordering::SeqCst);
                 match turned_away {
