--- a/crates/cli/tests/fleets/mod.rs
+++ b/crates/cli/tests/fleets/mod.rs
@@ -71,11 +71,23 @@
 }
 
 pub fn play(day: &Day, tamper: Option<&str>, script: Script, patience: Duration) -> Played {
+    play_from(day, tamper, |_| {}, script, patience)
+}
+
+/// `before`: the routers start.
+pub fn play_from(
+    day: &Day,
+    tamper: Option<&str>,
+    before: impl FnOnce(&Fleet),
+    script: Script,
+    patience: Duration,
+) -> Played {
     let _turn = TURNS.acquire_blocking();
     let folder = tempfile::tempdir().expect("a folder");
     let (out, tamper) = (folder.path().to_owned(), tamper.map(str::to_owned));
     let launch = Launch { out, program: PROGRAM.into(), tamper, trace: true };
     let fleet = Fleet::prepare(day, launch).expect("a fleet");
+    before(&fleet);
     fleet.start_routers().expect("they come up");
     let traffic = Traffic::begin(day, &fleet);
     script.play(&fleet, traffic.began);
