--- a/crates/upgrade/src/acting.rs
+++ b/crates/upgrade/src/acting.rs
@@ -12,6 +12,7 @@
 //! 5. A region whose routers are all away is left as it is.
 
 use std::collections::BTreeMap;
+use std::mem;
 
 use cedarpulley::interface::Micros;
 use cedarpulley_membership::MemberIx;
@@ -85,6 +86,10 @@
     /// Since when each region is as it is, and the phase, by this router's clock.
     pub since: BTreeMap<Name, Micros>,
     pub phase_since: Micros,
+    /// Since when this member leads and may act.
+    pub acts_since: Micros,
+    /// When sessions were last seen on copies that go, by region.
+    pub used: BTreeMap<Name, Micros>,
     pub waits: String,
 }
 
@@ -378,6 +383,13 @@
         }
         let region = new.regions.first_mut()?;
         let stand = side.came.copies >= plan.order.canary;
+        if r.part == 0 && !stand && self.past_limit(s, plan, &side) {
+            region.over = true;
+            return Some(format!(
+                "region {}: the limit is past, an old copy with sessions gives way",
+                r.name
+            ));
+        }
         if r.part == 0 && !stand {
             self.wait(format!("{} of {} canaries stand", side.came.copies, plan.order.canary));
             return None;
@@ -467,11 +479,10 @@
                         "region {name}: what begins goes to both, {part} in 1000 to new copies"
                     ));
                 }
-                let blocked = side.came.lanes > 0 && self.blocked_by_sessions(s, plan, &side);
-                if blocked && !was.over && self.since(s, was) >= plan.order.drain_limit {
-                    (r.over, r.changed) = (true, step);
+                if self.past_limit(s, plan, &side) {
+                    r.over = true;
                     return Some(format!(
-                        "region {name}: the limit is past, sessions of old copies are over"
+                        "region {name}: the limit is past, old copies with sessions give way"
                     ));
                 }
                 self.wait(format!("region {name}: {} of {} lanes stand", side.came.lanes, side.need));
@@ -519,6 +530,8 @@
             return;
         }
         self.renewed.retain(|_, at| s.now - *at < s.terms.renew);
+        // What it comes from goes before what it leads to.
+        let waits = mem::take(&mut self.waits);
         for region in plan.regions.iter().filter(|r| !s.is_cut(&r.name)) {
             let side = self.side(s, plan, region);
             self.renew(s, ballot, plan, &side, out);
@@ -527,6 +540,7 @@
             let side = self.side(s, plan, region);
             self.load(s, ballot, plan, &side, out);
         }
+        self.wait(waits);
     }
 
     /// Copies in use are not let go for idleness: lanes up to those of the beginning, and all with sessions.
@@ -549,7 +563,8 @@
                 .collect();
             copies.sort_by_key(|(_, h)| std::cmp::Reverse(h.sessions));
             for (w, h) in copies {
-                let uses = h.sessions > 0 && !(r.over && *f == side.goes);
+                let ends = r.over && r.stage == Stage::Draining && *f == side.goes;
+                let uses = h.sessions > 0 && !ends;
                 if wanted == 0 && !uses || self.unloads.is_under_way(w, f, s.terms) {
                     continue;
                 }
@@ -568,7 +583,12 @@
         let r = side.region;
         match r.stage {
             Stage::Draining if self.heard(s, ballot, r) => {
-                if !r.over && (side.went.sessions > 0 || !s.all_seen(&r.name)) {
+                // Symptom: a worker dies, and its sessions come to a copy that was just seen without any.
+                if side.went.sessions > 0 {
+                    self.used.insert(r.name.clone(), s.now);
+                }
+                let quiet = self.used.get(&r.name).is_none_or(|at| s.now - at >= s.terms.quiet);
+                if !r.over && !(quiet && s.all_seen(&r.name)) {
                     return;
                 }
                 for w in s.of(&r.name).filter(|w| s.fresh(w)) {
@@ -581,7 +601,7 @@
                 }
             }
             Stage::Loading if plan.phase != Phase::Paused => self.give_way(s, ballot, plan, side, out),
-            Stage::Before if plan.phase == Phase::Canary && *r.name == *plan.regions[0].name => {
+            Stage::Before if self.lacking(s, plan, side) > 0 && side.part == 0 => {
                 self.give_way(s, ballot, plan, side, out);
             }
             _ => {}
@@ -603,34 +623,40 @@
         !on_its_way && !open.any(|w| !s.fresh(w) || w.has_room(mb))
     }
 
-    /// The smallest copy in the way of one that comes. `used`: in the way because of sessions.
+    /// The copy to give way to one that comes: with no sessions, or past the limit with the fewest.
     fn in_the_way<'a>(
         &self,
         s: &'a Scene,
         plan: &Plan,
         side: &Side,
-        used: bool,
+        past: bool,
     ) -> Option<(&'a WorkerSeen, u32)> {
         let mb = Self::copy_mb(s, plan, &side.comes, &side.goes);
-        let copies = s.workers.iter().filter(|w| *w.region == *side.region.name && s.fresh(w) && w.takes_new);
+        let name = &side.region.name;
+        let copies = s.workers.iter().filter(|w| w.region == *name && s.fresh(w) && w.takes_new);
         let fits = copies.filter_map(|w| {
-            let h = w.stands(&side.goes).filter(|h| h.busy == 0 || used)?;
-            let freed = w.used_mb.saturating_sub(h.copies * h.copy_mb);
-            let fits = w.memory_mb.saturating_sub(freed) >= mb && w.held(&side.comes).is_none();
-            (fits && (h.sessions > 0 && !side.region.over) == used && self.loads.may(s.now, &w.name))
-                .then_some((w, h.lanes))
+            let h = w.stands(&side.goes).filter(|h| h.busy == 0 && (past || h.sessions == 0))?;
+            let kept = w.used_mb.saturating_sub(h.copies * h.copy_mb);
+            let fits = w.memory_mb.saturating_sub(kept) >= mb && w.held(&side.comes).is_none();
+            (fits && self.loads.may(s.now, &w.name)).then_some((w, h))
         });
-        fits.min_by(|a, b| (a.1, &a.0.name).cmp(&(b.1, &b.0.name)))
+        let least = fits.min_by_key(|(w, h)| (h.sessions, h.lanes, w.name.clone()));
+        least.map(|(w, h)| (w, h.lanes))
     }
 
     fn must_mix(&self, s: &Scene, plan: &Plan, side: &Side) -> bool {
         self.is_full(s, plan, side)
             && side.came.lanes > 0
-            && self.in_the_way(s, plan, side, false).is_some_and(|(_, l)| side.went.lanes < side.need + l)
+            && self
+                .in_the_way(s, plan, side, side.region.over)
+                .is_some_and(|(_, l)| side.went.lanes < side.need + l)
     }
 
-    fn blocked_by_sessions(&self, s: &Scene, plan: &Plan, side: &Side) -> bool {
-        self.is_full(s, plan, side)
+    /// Nothing but sessions is in the way, and the operator's limit does not wait for them any longer.
+    fn past_limit(&self, s: &Scene, plan: &Plan, side: &Side) -> bool {
+        !side.region.over
+            && self.since(s, side.region) >= plan.order.drain_limit
+            && self.is_full(s, plan, side)
             && self.in_the_way(s, plan, side, false).is_none()
             && self.in_the_way(s, plan, side, true).is_some()
     }
@@ -640,10 +666,10 @@
             return;
         }
         let name = &side.region.name;
-        let Some((w, lanes)) = self.in_the_way(s, plan, side, false) else {
+        let Some((w, lanes)) = self.in_the_way(s, plan, side, side.region.over) else {
             return self.wait(match self.in_the_way(s, plan, side, true) {
                 Some(_) => format!("region {name}: no memory, and no old copy without sessions"),
-                None => format!("region {name}: no worker is left for a new copy"),
+                None => format!("region {name}: no memory, and no old copy that can be let go"),
             });
         };
         if side.usable() < side.need + lanes {
@@ -654,6 +680,12 @@
         if !self.heard(s, ballot, side.region) {
             return;
         }
+        // Symptom: the plan was without a leader for a while, and copies that are counted on go for idleness. What was seen
+        // after this leader's first renewals has been renewed.
+        let renewed = self.acts_since.saturating_add(s.terms.order_within);
+        if s.of(name).any(|w| w.takes_new && w.seen_at <= renewed) {
+            return self.wait(format!("region {name}: copies are renewed first"));
+        }
         self.unloads.begin(s.now, &w.name, &side.goes);
         out.push(unwant(&w.name, &side.goes, ballot));
     }
@@ -666,7 +698,8 @@
             s.of(&r.name).filter(|w| self.loads.is_under_way(&w.name, &side.comes)).count() as u32;
         let goal = match (plan.phase, r.stage) {
             (Phase::Canary, _) if *r.name == *plan.regions[0].name => plan.order.canary * one,
-            (Phase::Rolling | Phase::Back, Stage::Loading | Stage::Draining) => r.base,
+            (Phase::Rolling, Stage::Loading | Stage::Draining | Stage::Done) => r.base,
+            (Phase::Back, Stage::Loading | Stage::Draining) => r.base,
             (_, _) if side.part == WHOLE => side.need,
             _ => 0,
         };
--- a/crates/upgrade/src/plan.rs
+++ b/crates/upgrade/src/plan.rs
@@ -96,7 +96,8 @@
     /// Of what begins, the part that goes to the new version, in thousandths.
     pub part: u16,
     pub stage: Stage,
-    /// The drain limit is past: sessions of the version that goes are answered that they are over.
+    /// The drain limit is past. While draining, sessions of the version that goes are answered that they are over; before,
+    /// copies with sessions may give way, too, where both versions do not fit.
     pub over: bool,
     /// The last step that changed where something goes here: a router that goes by an earlier one may still use what
     /// goes.
@@ -190,13 +191,13 @@
 
 impl Region {
     /// Symptom: where memory is too small for both versions, sessions go on beginning on old copies, and none of them
-    /// ever gives way. They go to the copies that stay twice as often; past the limit always, if there are any.
+    /// ever gives way. They go to the copies that stay twice as often.
     fn part_of(&self, session: bool, back: bool) -> u16 {
         if !session || self.stage != Stage::Loading || self.part == 0 || self.part == WHOLE {
             return self.part;
         }
         let stays = if back { WHOLE - self.part } else { self.part };
-        let stays = if self.over { WHOLE } else { stays.saturating_mul(2).min(WHOLE) };
+        let stays = stays.saturating_mul(2).min(WHOLE);
         if back { WHOLE - stays } else { stays }
     }
 }
--- a/crates/upgrade/src/planner.rs
+++ b/crates/upgrade/src/planner.rs
@@ -43,6 +43,8 @@
     pub order_within: Micros,
     /// What a worker was seen to hold counts for so long.
     pub fresh: Micros,
+    /// A session whose worker is gone is seen at another one within this, if it goes on; not below `fresh`.
+    pub quiet: Micros,
     /// Of one plan, over all regions.
     pub loads_at_once: u32,
     /// A load that takes longer has failed.
@@ -73,6 +75,7 @@
             answer_within: 10_000_000,
             order_within: 3_000_000,
             fresh: 10_000_000,
+            quiet: 15_000_000,
             // One more than the one that is under way while another one is waited for.
             loads_at_once: 2,
             load_within: 300_000_000,
@@ -355,13 +358,12 @@
 
     fn pass(&mut self, name: &Name, s: &Scene, me: MemberIx, out: &mut Vec<Output>) {
         let (now, terms) = (s.now, s.terms);
-        self.doing.waits.clear();
         let lowest = s.alive.iter().position(|a| *a);
         if lowest != Some(me as usize) {
             if !matches!(self.lead, Lead::Not { .. }) {
                 self.stops_leading(now);
             }
-            return;
+            return self.doing.waits.clear();
         }
         if let Lead::Leads(term) = &self.lead
             && self.ballot > term.ballot
@@ -380,9 +382,13 @@
         {
             self.stops_leading(now);
         }
-        let Lead::Leads(mut term) = mem::replace(&mut self.lead, Lead::Not { again: now }) else { return };
-        self.leads(name, s, &mut term, out);
-        self.lead = Lead::Leads(term);
+        match mem::replace(&mut self.lead, Lead::Not { again: now }) {
+            Lead::Leads(mut term) => {
+                self.leads(name, s, &mut term, out);
+                self.lead = Lead::Leads(term);
+            }
+            other => self.lead = other,
+        }
     }
 
     fn leads(&mut self, name: &Name, s: &Scene, term: &mut Term, out: &mut Vec<Output>) {
@@ -403,6 +409,7 @@
         if left <= 0 && !plan.settled && (!plan.phase.is_over() || term.confirmed.is_none()) {
             return write(name, now, term, Plan { step: plan.step + 1, ..plan }, String::new(), out);
         }
+        self.doing.waits.clear();
         if now < term.from {
             self.doing.waits = "whoever led before may still act".into();
         } else if let Some((next, log)) = self.doing.next(s, term.ballot, &plan) {
@@ -584,7 +591,8 @@
             return false;
         }
         let here = self.regions.get(self.me as usize).and_then(|r| plan.region(r));
-        matches!(plan.phase, Phase::Done | Phase::RolledBack) || here.is_some_and(|r| r.over)
+        matches!(plan.phase, Phase::Done | Phase::RolledBack)
+            || here.is_some_and(|r| r.over && r.stage == Stage::Draining)
     }
 
     /// What nobody is to unload as forgotten.
