Plans alone look after copies while they are under way; places heard anew are believed

Seen over processes: the reconciler took what a plan had unloaded for lost and loaded it again, over and over, and would have unloaded old copies elsewhere once one region was over. The plan's limit ends it in each region.

--- a/crates/cli/tests/upgraded.rs
+++ b/crates/cli/tests/upgraded.rs
@@ -35,6 +35,8 @@
              canary_most_ms = 4000\npaused_most_ms = 2000\nhold_back_ms = 1000\ngone_after_ms = 6000\n\
              load_within_ms = 10000\nsession_kept_ms = 60000\n",
         );
+        // Each region's routers keep to its workers while they can.
+        day.settings.prices = table("crossing = 0.2\n");
         day.settings.reconcile = table("every_ms = 400\ngrace_ms = 3000\nasks_per_s = 100\n");
         change(day);
     })
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -225,7 +225,9 @@
                         shared.choose(key, Bytes::copy_from_slice(version.as_bytes()), kept);
                     }
                 }
-                sessions::Output::Goes { ticket, version, prefers } => self.goes(ticket, version, prefers),
+                sessions::Output::Goes { ticket, version, prefers, anew } => {
+                    self.goes(ticket, version, prefers, anew);
+                }
                 sessions::Output::Refused { ticket, why } => {
                     let reason = match why {
                         Refused::NoMajority => Reason::NoMajority,
@@ -257,7 +259,7 @@
         Some(t)
     }
 
-    fn goes(&self, ticket: u64, version: Option<Name>, prefers: Option<Name>) {
+    fn goes(&self, ticket: u64, version: Option<Name>, prefers: Option<Name>, anew: bool) {
         let Some(mut t) = self.release(ticket) else { return };
         if let Some(version) = version {
             let model = t.function.clone();
@@ -267,6 +269,10 @@
             t.named = Some(std::mem::replace(&mut t.function, function(&model, &version)));
         }
         t.prefers = prefers.and_then(|id| self.worker(id));
+        // Symptom: a session comes to another router, which has not heard yet of the copy that answered it before.
+        if let Some(worker) = t.prefers.clone().filter(|_| anew) {
+            (self.core)(Input::Held { worker, function: t.function.clone(), copies: 1 });
+        }
         (self.core)(Input::Taken(t));
     }
 
--- a/crates/gateway/src/reconciling.rs
+++ b/crates/gateway/src/reconciling.rs
@@ -97,6 +97,8 @@
 pub type Listing = Rc<RefCell<BTreeMap<Arc<str>, Listed>>>;
 /// What plans lay claim to, of functions that a worker has just named.
 pub type Claimed = Box<dyn Fn(&[Arc<str>]) -> Claims>;
+/// Whether a plan under way looks after a function's copies.
+pub type Tended = Box<dyn Fn(&str) -> bool>;
 /// Told of sessions whose prefix is lost: worker, function, sessions.
 pub type LetGo = Box<dyn Fn(&str, &str, &[Arc<str>])>;
 
@@ -111,6 +113,7 @@
     listing: Listing,
     claimed: RefCell<Option<Claimed>>,
     let_go: RefCell<Option<LetGo>>,
+    tended: RefCell<Option<Tended>>,
     state: RefCell<State>,
     alarm: Alarm,
 }
@@ -151,6 +154,7 @@
             listing: Listing::default(),
             claimed: RefCell::default(),
             let_go: RefCell::default(),
+            tended: RefCell::default(),
             state: RefCell::new(state),
             alarm: Alarm::default(),
         });
@@ -179,6 +183,10 @@
         *self.claimed.borrow_mut() = Some(claimed);
     }
 
+    pub fn tended_by(&self, tended: Tended) {
+        *self.tended.borrow_mut() = Some(tended);
+    }
+
     pub fn lets_go(&self, let_go: LetGo) {
         *self.let_go.borrow_mut() = Some(let_go);
     }
@@ -314,6 +322,8 @@
             Out::Held { worker, function, copies } => {
                 self.desk.feed(Input::Held { worker, function, copies });
             }
+            // Symptom: what a plan has unloaded is taken for lost and loaded again, over and over.
+            Out::Want { function, .. } if self.tended.borrow().as_ref().is_some_and(|t| t(&function)) => {}
             Out::Want { worker, function } => {
                 let like = function.clone();
                 self.desk.feed(Input::Wanted { worker, function, like, term: None });
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -63,11 +63,12 @@
     alarm: Alarm,
 }
 
-/// What plans answer for, and which of these functions are of a version that a plan has taken out of service.
+/// What plans answer for, and which of these functions are of a version that a plan has taken out of service. While one
+/// is under way it alone decides: where it is over here, copies elsewhere may still be what its floor rests on.
 fn claims(upgrading: &Upgrading, functions: &[Arc<str>]) -> Claims {
     let over = |f: &&Arc<str>| {
         let (model, version) = serving::model(f);
-        !version.is_empty() && upgrading.over(model, version)
+        upgrading.over(model, version) && !upgrading.tends(f)
     };
     let claims = upgrading.claims();
     Claims {
@@ -507,6 +508,8 @@
                 let (seen, it) = (reconciling.clone(), upgrading.clone());
                 upgrading.held(Box::new(move || seen.observed(holds)));
                 reconciling.claimed_by(Box::new(move |functions| claims(&it, functions)));
+                let it = upgrading.clone();
+                reconciling.tended_by(Box::new(move |function| it.tends(function)));
             }
             if let Some(gate) = &gate {
                 let (id, worker) = (reconciling.clone(), reconciling.clone());
--- a/crates/gateway/src/upgrading.rs
+++ b/crates/gateway/src/upgrading.rs
@@ -215,6 +215,14 @@
         self.planner.borrow().over(model, version)
     }
 
+    /// A plan under way looks after this function's copies, old or new.
+    pub fn tends(&self, function: &str) -> bool {
+        let (model, claims) = (serving::model(function).0, self.claims());
+        // Once it is over it answers for one of its versions only.
+        let of_model = claims.iter().filter(|c| serving::model(&c.function).0 == model).count();
+        of_model > 1 && claims.iter().any(|c| *c.function == *function)
+    }
+
     /// An invocation of a model says what its copies are like.
     pub fn came(&self, model: &str, lanes: u32, copy_mb: f64) {
         let mut sizes = self.sizes.borrow_mut();
--- a/crates/upgrade/src/sessions.rs
+++ b/crates/upgrade/src/sessions.rs
@@ -99,11 +99,12 @@
         version: Name,
         kept: Micros,
     },
-    /// `version` is absent where sessions are not bound.
+    /// `version` is absent where sessions are not bound. `anew`: another router has told of the worker since the last.
     Goes {
         ticket: u64,
         version: Option<Name>,
         prefers: Option<Name>,
+        anew: bool,
     },
     Refused {
         ticket: u64,
@@ -141,6 +142,8 @@
     /// Who waits, each since when.
     waiting: Vec<(u64, Micros)>,
     place: Placed,
+    /// The place is another router's word, and nothing has gone there from here since.
+    anew: bool,
     used: Micros,
 }
 
@@ -237,11 +240,12 @@
         let full = self.waits.len() >= terms.most_waiting;
         let s = self.used(now, &key);
         if let Some(placed) = placed.filter(|p| p.number > s.place.number) {
-            s.place = placed;
+            (s.place, s.anew) = (placed, true);
         }
         let prefers = Some(&s.place.worker).filter(|w| !w.is_empty()).cloned();
         let Some(proposes) = proposes else {
-            return out.push(Output::Goes { ticket, version: None, prefers });
+            let anew = std::mem::take(&mut s.anew);
+            return out.push(Output::Goes { ticket, version: None, prefers, anew });
         };
         let stands = s.bound.clone().filter(|(_, until)| now < *until);
         if stands.is_none() && full {
@@ -257,7 +261,10 @@
             out.push(Output::Choose { key: key.clone(), version, kept: terms.kept });
         }
         match stands {
-            Some((version, _)) => out.push(Output::Goes { ticket, version: Some(version), prefers }),
+            Some((version, _)) => {
+                let anew = std::mem::take(&mut s.anew);
+                out.push(Output::Goes { ticket, version: Some(version), prefers, anew });
+            }
             None => {
                 let until = now.saturating_add(terms.patience);
                 s.waiting.push((ticket, until));
@@ -289,7 +296,13 @@
         // Kept by a majority for so long since it was asked, at the least, by any clock.
         s.bound = Some((version.clone(), asked.saturating_add(terms.kept - terms.kept / DRIFT_PART)));
         let prefers = Some(&s.place.worker).filter(|w| !w.is_empty()).cloned();
-        let goes = |ticket| Output::Goes { ticket, version: Some(version.clone()), prefers: prefers.clone() };
+        let anew = std::mem::take(&mut s.anew);
+        let goes = |ticket| Output::Goes {
+            ticket,
+            version: Some(version.clone()),
+            prefers: prefers.clone(),
+            anew,
+        };
         out.extend(waiting.into_iter().map(|(ticket, _)| goes(ticket)));
     }
 
