CSV of the meter and /proc are read by libraries; the plumbing table says so

Need: plumbing comes from well-kept libraries where they do the same (docs/design/plumbing.md, rows that were open). Change: csv writes the meter's report, procfs reads times, memory, states and the table of connections in measure and in the tests of node; the hand-written readers are gone. None of it is in node.

--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -64,14 +64,9 @@
 
 /// Processor time in microseconds and resident kilobytes of a process.
 fn used(pid: u32) -> Option<(u64, u64)> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-    // Fields 14 and 15 of the line, in hundredths of a second.
-    let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let rss =
-        status.lines().find_map(|l| l.strip_prefix("VmRSS:")?.split_whitespace().next()?.parse().ok())?;
-    Some((ticks * 10_000, rss))
+    let stat = procfs::process::Process::new(pid as i32).and_then(|p| p.stat()).ok()?;
+    let ticks = (stat.utime + stat.stime) * 1_000_000 / procfs::ticks_per_second();
+    Some((ticks, stat.rss * procfs::page_size() / 1024))
 }
 
 fn settings(broker: SocketAddr, workers: &[Worker], callers: &[(Protocol, SocketAddr)]) -> String {
--- a/crates/cli/src/meter.rs
+++ b/crates/cli/src/meter.rs
@@ -116,11 +116,14 @@
         let all = json!({"rows": rows, "total": line(&[], &[], &total)});
         say!("{}", serde_json::to_string_pretty(&all)?);
     } else if csv {
-        say!("{},mb_seconds,byte_microseconds,count", names.join(","));
+        let mut table = csv::Writer::from_writer(Vec::new());
+        table.write_record(names.iter().chain(&["mb_seconds", "byte_microseconds", "count"]))?;
         for (row, sum) in &rows {
-            let row: Vec<String> = row.iter().map(|r| quoted(r)).collect();
-            say!("{},{:.6},{},{}", row.join(","), sum.mb_seconds(), sum.byte_us, sum.count);
+            let figures =
+                [format!("{:.6}", sum.mb_seconds()), sum.byte_us.to_string(), sum.count.to_string()];
+            table.write_record(row.iter().chain(&figures))?;
         }
+        say!("{}", String::from_utf8_lossy(&table.into_inner().unwrap_or_default()).trim_end());
     } else {
         let wide = |r: &[String]| r.iter().map(|c| format!("{c:<20}")).collect::<String>();
         let head: Vec<String> = names.iter().map(|n| n.to_string()).collect();
@@ -141,14 +144,6 @@
     Value::Object(line)
 }
 
-/// As RFC 4180 has it.
-fn quoted(text: &str) -> String {
-    match text.contains([',', '"', '\n', '\r']) {
-        true => format!("\"{}\"", text.replace('"', "\"\"")),
-        false => text.to_owned(),
-    }
-}
-
 fn merge(files: &[PathBuf], out: &Path) -> Result<bool, Wrong> {
     let book = book(files)?;
     Ledger::open(out).and_then(|l| l.join(&book)).map_err(ledger(out))?;
--- a/crates/cli/src/wrong.rs
+++ b/crates/cli/src/wrong.rs
@@ -49,6 +49,8 @@
     NotRedone { program: String, said: String },
     #[error("the result has no form in JSON")]
     Json(#[from] serde_json::Error),
+    #[error("the result has no form in CSV")]
+    Csv(#[from] csv::Error),
 }
 
 impl Wrong {
@@ -86,6 +88,7 @@
             Wrong::NoMark { .. } => "give the mark as its client gave it, and the files of that time",
             Wrong::NotRedone { .. } => "see that it is a build of cedarpulley that knows `trace redo`",
             Wrong::Json(_) => "ask without --json, and report it",
+            Wrong::Csv(_) => "ask without --csv, and report it",
         }
     }
 }
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use procfs::net::TcpState::{CloseWait, Listen, SynSent};
 use rustix::process::Signal;
 
 mod platform;
@@ -162,13 +163,15 @@
         w.halt();
         let answers = |w: &World| {
             w.free(&id(1));
-            w.until("it lies there", |w| rows(None, Some(w.workers)).iter().any(|r| r.2 > 0));
+            w.until("it lies there", |w| rows(None, Some(w.workers)).iter().any(|r| r.rx_queue > 0));
         };
         if answered_first {
             answers(&w);
         }
         stream.shutdown(Shutdown::Write).expect("shut");
-        w.until("its end is there", |w| rows(Some(w.address), Some(client)).iter().any(|r| r.0 == 8));
+        w.until("its end is there", |w| {
+            rows(Some(w.address), Some(client)).iter().any(|r| r.state == CloseWait)
+        });
         if !answered_first {
             answers(&w);
         }
@@ -218,7 +221,9 @@
         socket.listen(0).expect("listens");
         let listener = TcpListener::from(socket);
         let _first = TcpStream::connect(at).expect("room for one");
-        w.until("no room is left", |_| rows(Some(at), None).iter().any(|r| (r.0, r.2) == (10, 1)));
+        w.until("no room is left", |_| {
+            rows(Some(at), None).iter().any(|r| r.state == Listen && r.rx_queue == 1)
+        });
         let tell = |n: u64, id: &str, at, state: &str| {
             w.channel.lock().expect("channel").events.push(event(n, at, id, state));
             w.until("it is told", |w| w.channel.lock().expect("channel").asked.contains(&n));
@@ -228,7 +233,7 @@
         let mut stream = w.connect();
         let text = call(&id(1), "plain", GOOD, "", "x").replace("Wait-Ms: 60000", "Wait-Ms: 12000");
         stream.write_all(text.as_bytes()).expect("sent");
-        w.until("it connects", |_| rows(None, Some(at)).iter().any(|r| r.0 == 2));
+        w.until("it connects", |_| rows(None, Some(at)).iter().any(|r| r.state == SynSent));
         tell(4, "s-2", at, "leaving");
         thread::sleep(Duration::from_millis(600));
         worker(listener, seen.clone());
@@ -420,10 +425,10 @@
     assert!(run(None, "127.0.0.1:1").contains("BALANCER_CONFIG"));
     assert!(run(Some("/nowhere/at/all"), "127.0.0.1:1").contains("/nowhere/at/all"));
     assert!(run(Some("/nowhere"), "here").contains("BALANCER_LISTEN"));
-    let odd = std::env::temp_dir().join(format!("cedarpulley-node-odd-{}", std::process::id()));
+    let folder = tempfile::tempdir().expect("a folder");
+    let odd = folder.path().join("odd.json");
     std::fs::write(&odd, "{").expect("written");
     run(odd.to_str(), "127.0.0.1:1");
-    let _ = std::fs::remove_file(&odd);
     let w = World::new(9);
     assert!(run(w.file.to_str(), &w.address.to_string()).contains("BALANCER_LISTEN"));
 }
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -1,7 +1,7 @@
 //! A running `cedarpulley node` over real sockets, between a small scripted worker, a command channel and clients.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -9,6 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use procfs::net::TcpNetEntry;
 use rustix::process::Signal;
 
 /// Long enough for anything here on a loaded machine; only a failing test waits so long.
@@ -208,8 +209,8 @@
             {{"name":"once","aim":8000000000,"hardLimit":60000000000,"effect":"fragile"}}]}}}}"#
         );
         let name = format!("cedarpulley-node-{}-{}", std::process::id(), address.port());
-        let (file, folder) =
-            (std::env::temp_dir().join(format!("{name}.json")), std::env::temp_dir().join(name));
+        let folder = std::env::temp_dir();
+        let (file, folder) = (folder.join(format!("{name}.json")), folder.join(name));
         std::fs::create_dir_all(&folder).expect("a folder");
         std::fs::write(&file, edit(config)).expect("written");
         let node = start(&file, &folder, address);
@@ -250,8 +251,8 @@
     /// The router stands still until it is told to go on, and does nothing any more when this returns.
     pub fn halt(&self) {
         self.signal(Signal::STOP);
-        let stat = format!("/proc/{}/stat", self.node.id());
-        self.until("it stands", |_| std::fs::read_to_string(&stat).expect("a state").contains(") T "));
+        let process = procfs::process::Process::new(self.node.id() as i32).expect("it runs");
+        self.until("it stands", |_| process.stat().expect("a state").state == 'T');
     }
 
     pub fn goes_on(&self) {
@@ -304,23 +305,11 @@
 }
 
 /// The rows of the system's table of TCP connections between these two, from the first one's side; none names
-/// any. State (1 up, 8 the other side sends no more, 10 listens), bytes not taken by the other side yet, and bytes
-/// not read.
-pub fn rows(from: Option<SocketAddr>, to: Option<SocketAddr>) -> Vec<(u64, u64, u64)> {
-    let named = |at: SocketAddr| match at.ip() {
-        IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from_ne_bytes(ip.octets()), at.port()),
-        IpAddr::V6(_) => panic!("{at}"),
-    };
-    let (from, to) = (from.map(named), to.map(named));
-    let hex = |text: &str| u64::from_str_radix(text, 16).expect("a number");
-    let text = std::fs::read_to_string("/proc/net/tcp").expect("a table");
-    let row = |line: &str| {
-        let parts: Vec<&str> = line.split_whitespace().collect();
-        let fits = |at: &Option<String>, part: &str| at.as_ref().is_none_or(|at| at == part);
-        let (sent, read) = parts[4].split_once(':').expect("two queues");
-        (fits(&from, parts[1]) && fits(&to, parts[2])).then(|| (hex(parts[3]), hex(sent), hex(read)))
-    };
-    text.lines().skip(1).filter_map(row).collect()
+/// any.
+pub fn rows(from: Option<SocketAddr>, to: Option<SocketAddr>) -> Vec<TcpNetEntry> {
+    let mut table = procfs::net::tcp().expect("a table");
+    table.retain(|r| from.is_none_or(|f| f == r.local_address) && to.is_none_or(|t| t == r.remote_address));
+    table
 }
 
 /// Status, head and body.
