--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
@@ -10,10 +11,12 @@
 use async_signal::{Signal, Signals};
 use cedarpulley::interface::{ListMode, Micros, Outcome, Report, WorkerIx};
 use cedarpulley_errors::Remedy;
-use cedarpulley_kserve::{endings, reports, requests};
+use cedarpulley_kserve::{endings, reports, requests, serving};
 use cedarpulley_net::{Alarm, Clock, listen};
+use cedarpulley_reconcile::{Claims, Entry, Observation};
 use cedarpulley_router::{FrontIx, Input, Output, Payload, Router};
 use cedarpulley_trace::start::{Start, module_digest};
+use cedarpulley_upgrade::{Held, WorkerSeen};
 use futures_lite::StreamExt;
 use thiserror::Error;
 
@@ -21,14 +24,17 @@
 use crate::circle::{self, Circle, Ground};
 use crate::desk::Desk;
 use crate::front::{Front, Times};
+use crate::gate::Gate;
 use crate::list;
 use crate::listen::{Listen, Listening};
 use crate::meddle::{Meddle, Meddler};
 use crate::metering::Metering;
 use crate::pool::{Failed, Pool, ended};
+use crate::reconciling::Reconciling;
 use crate::recorder::Recorder;
 use crate::settings::{Parts, WorkerList};
 use crate::tls::Inward;
+use crate::upgrading::Upgrading;
 
 /// How often connections that have been idle too long are looked for.
 const TIDY: Duration = Duration::from_secs(5);
@@ -51,9 +57,48 @@
     listenings: Vec<Rc<Listening>>,
     pool: Rc<Pool>,
     circle: Option<Circle>,
+    upgrading: Option<Rc<Upgrading>>,
+    gate: Option<Rc<Gate>>,
+    reconciling: Option<Rc<Reconciling>>,
     alarm: Alarm,
 }
 
+/// What plans answer for, and which of these functions are of a version that a plan has taken out of service.
+fn claims(upgrading: &Upgrading, functions: &[Arc<str>]) -> Claims {
+    let over = |f: &&Arc<str>| {
+        let (model, version) = serving::model(f);
+        !version.is_empty() && upgrading.over(model, version)
+    };
+    let claims = upgrading.claims();
+    Claims {
+        terms: claims.iter().filter_map(|c| c.term.clone()).collect(),
+        retired: functions.iter().filter(over).cloned().collect(),
+        functions: claims.into_iter().map(|c| c.function).collect(),
+    }
+}
+
+/// What a worker said last, for whoever plans; where it stands and what its copies are like is not known here.
+fn holds(worker: &Arc<str>, seen_at: Micros, memory_mb: f64, said: &Observation) -> WorkerSeen {
+    let held = |e: &Entry| Held {
+        function: e.function.clone(),
+        copies: e.copies,
+        lanes: e.copies,
+        busy: e.busy.unwrap_or(0),
+        loading: e.loading,
+        sessions: e.sequences.as_ref().map_or(0, |ids| ids.len() as u32),
+        copy_mb: 0,
+    };
+    WorkerSeen {
+        name: worker.clone(),
+        region: Arc::from(""),
+        takes_new: false,
+        seen_at,
+        memory_mb: memory_mb as u32,
+        used_mb: 0,
+        holds: said.entries.iter().map(held).collect(),
+    }
+}
+
 fn address(router: &RefCell<Router>, worker: WorkerIx) -> Option<SocketAddr> {
     // Not kept by index: that of a gone worker is given out again.
     router.borrow().worker_name(worker)?.parse().ok()
@@ -62,7 +107,22 @@
 impl Gateway {
     /// Hands the core what happened and carries out what it wants.
     fn feed(self: &Rc<Self>, input: Input) {
+        let input = match &self.gate {
+            None => input,
+            Some(gate) => match gate.passes(input) {
+                Some(input) => input,
+                None => return,
+            },
+        };
+        self.past_the_gate(input);
+    }
+
+    fn past_the_gate(self: &Rc<Self>, input: Input) {
         let mut outputs = Vec::new();
+        let listed = match (&self.reconciling, &input) {
+            (Some(_), Input::List { mode, workers }) => Some((*mode, workers.clone())),
+            _ => None,
+        };
         let due = {
             let mut router = self.router.borrow_mut();
             router.handle(self.desk.clock.now(), input, &mut outputs);
@@ -72,6 +132,12 @@
         for output in outputs {
             self.carry_out(output);
         }
+        if let Some(gate) = &self.gate {
+            gate.settle();
+        }
+        if let (Some(reconciling), Some((mode, workers))) = (&self.reconciling, listed) {
+            reconciling.listed(mode, &workers);
+        }
     }
 
     fn carry_out(self: &Rc<Self>, output: Output) {
@@ -214,7 +280,7 @@
 
     /// As workers are told, where they are to tell routers apart.
     fn orderer<'a>(&'a self, term: Option<&'a str>) -> requests::Orderer<'a> {
-        requests::Orderer { router: self.circle.as_ref().map(|_| self.desk.name.as_str()), term }
+        requests::Orderer { router: self.circle.as_ref().map(Circle::name), term }
     }
 
     fn calls(&self, front: FrontIx) -> Option<&Rc<Calls>> {
@@ -241,8 +307,12 @@
         let fronts = || {
             self.fronts.iter().all(|f| f.is_drained()) && self.listenings.iter().all(|l| l.calls.is_drained())
         };
-        let empty = || self.router.borrow().open() == 0 && fronts();
+        let gate = || self.gate.as_ref().is_none_or(|g| g.is_empty());
+        let empty = || self.router.borrow().open() == 0 && gate() && fronts();
         while !empty() && self.desk.clock.now() < until {
+            // Symptom: told to stop while a connection to the broker came up, it consumed all the same and never left
+            // in good order.
+            self.fronts.iter().for_each(|f| f.grant(0));
             Timer::after(STOP_LOOK).await;
         }
         let clean = empty();
@@ -262,6 +332,7 @@
             let written = metering.close(self.desk.clock.now());
             tracing::info!(written, "the ledger was closed");
         }
+        self.reconciling.iter().for_each(|r| r.close());
         tracing::info!(clean, counts = ?router.counts, misunderstood = self.desk.misunderstood.get(), "stopped");
         clean
     }
@@ -303,6 +374,9 @@
         digest,
         clock_offset,
         peers,
+        upgrade,
+        reconcile,
+        sessions,
     } = parts;
     let clock = Clock::off_by(clock_offset);
     let executor = Rc::new(LocalExecutor::new());
@@ -335,6 +409,7 @@
         None => None,
     };
     let control = birth.control(seed);
+    let (idle_kept, kinds_mb) = (birth.loads.idle_kept, birth.loads.memory_mb.clone());
     let mut listeners = Vec::new();
     for front in &listens {
         listeners.push(listen(front.address)?);
@@ -369,7 +444,7 @@
     let pool = Rc::new(Pool::new(executor.clone(), clock, links));
     let (times, speakers) = (Rc::new(Times::default()), Rc::new(speakers));
     let gateway = Rc::new_cyclic(|gateway: &Weak<Gateway>| {
-        let gateway = gateway.clone();
+        let (gateway, past) = (gateway.clone(), gateway.clone());
         let desk = Rc::new(Desk {
             clock,
             executor: executor.clone(),
@@ -377,7 +452,7 @@
             seed,
             from: links.from,
             names,
-            sessions: false,
+            sessions: sessions.is_some() || reconcile.is_some(),
             misunderstood: Cell::new(0),
             // Found for as long as anything runs: it is held until the executor has ended.
             core: Box::new(move |input| {
@@ -401,6 +476,49 @@
             let calls = Calls::new(ix, desk.clone(), hall.clone(), most_body, listen.most_streams);
             Rc::new(Listening::new(Rc::new(calls), listen, tls, speakers.clone()))
         };
+        let circle = ground.map(|ground| Circle::new(&desk, ground));
+        let shared = circle.as_ref().map(Circle::shared);
+        let upgrading = shared
+            .clone()
+            .zip(upgrade)
+            .map(|(shared, ordered)| Upgrading::new(desk.clone(), shared, ordered));
+        let gate = sessions.map(|terms| {
+            let core = Box::new(move |input| {
+                if let Some(gateway) = past.upgrade() {
+                    gateway.past_the_gate(input);
+                }
+            });
+            Gate::new(desk.clone(), terms, shared.clone(), upgrading.clone(), core)
+        });
+        if let Some(gate) = &gate {
+            router.borrow_mut().watched_by(gate.watch());
+        }
+        let reconciling = reconcile.map(|terms| {
+            let (desk, pool) = (desk.clone(), pool.clone());
+            Reconciling::new(desk, pool, shared.clone(), terms, idle_kept, kinds_mb)
+        });
+        if let Some(reconciling) = &reconciling {
+            router.borrow_mut().watched_by(reconciling.watch());
+            if let Some(shared) = &shared {
+                let shown = reconciling.clone();
+                shared.show("reconcile", move || shown.shown());
+            }
+            if let Some(upgrading) = &upgrading {
+                let (seen, it) = (reconciling.clone(), upgrading.clone());
+                upgrading.held(Box::new(move || seen.observed(holds)));
+                reconciling.claimed_by(Box::new(move |functions| claims(&it, functions)));
+            }
+            if let Some(gate) = &gate {
+                let (id, worker) = (reconciling.clone(), reconciling.clone());
+                gate.names_workers(Box::new(move |w| id.id_of(w)), Box::new(move |id| worker.worker_of(id)));
+                let gate = gate.clone();
+                reconciling.lets_go(Box::new(move |worker, of, ids| gate.prefix_lost(worker, of, ids)));
+            }
+        }
+        if let (Some(shared), Some(upgrading), Some(gate)) = (&shared, &upgrading, &gate) {
+            let (upgrading, gate) = (upgrading.clone(), gate.clone());
+            shared.show("upgrade", move || upgrading.shown(gate.shown()));
+        }
         Gateway {
             router,
             meddler: Rc::new(Meddler::new(meddle, desk.clone(), pool.clone(), places)),
@@ -410,7 +528,10 @@
             fronts: fronts.collect(),
             listenings: doors.into_iter().enumerate().map(listening).collect(),
             pool,
-            circle: ground.map(|ground| Circle::new(&desk, ground)),
+            circle,
+            upgrading,
+            gate,
+            reconciling,
             alarm: Alarm::default(),
             desk: desk.clone(),
         }
@@ -422,7 +543,12 @@
             WorkerList::Fixed(workers) => gateway.feed(Input::List { mode: ListMode::Complete, workers }),
             WorkerList::Watched(address) => {
                 let meddler = gateway.meddler.clone();
-                let heard = move |news| meddler.news(news);
+                let reconciling = gateway.reconciling.clone();
+                let heard = move |news| {
+                    let news = meddler.news(news);
+                    reconciling.iter().for_each(|r| r.heard(&news));
+                    news
+                };
                 executor.spawn(list::watch(gateway.desk.clone(), address, heard)).detach();
             }
         }
@@ -441,6 +567,12 @@
         };
         executor.spawn(tidy).detach();
         gateway.circle.iter().for_each(|circle| circle.run(&gateway.desk));
+        gateway.gate.iter().for_each(|gate| executor.spawn(gate.clone().run()).detach());
+        if let Some(upgrading) = &gateway.upgrading {
+            executor.spawn(upgrading.clone().run()).detach();
+            executor.spawn(upgrading.clone().rereads()).detach();
+        }
+        gateway.reconciling.iter().for_each(|r| r.run());
         let it = gateway.clone();
         let look = async move {
             loop {
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -34,9 +34,14 @@
 const READY_WITHIN: Duration = Duration::from_secs(20);
 /// Of all routers of a fleet.
 const GROUP: &str = "fleet";
+/// Kinds of tampering that break a rule only where all routers have them: many push a worker over, a record is
+/// doubted as long as one other doubts it, and votes against a promise count from a majority on.
+const TOGETHER: [&str; 3] = ["push", "undoubting", "promise"];
 /// As the logs call them.
 pub const BROKER: &str = "broker";
 pub const LIST: &str = "list";
+/// Beside the routers' settings.
+const UPGRADE: &str = "upgrade.toml";
 
 /// How a fleet's routers are run.
 pub struct Launch {
@@ -104,6 +109,8 @@
         let objective_us = t.latency_objective_ms as i64 * 1000;
         kinds.insert(t.name.clone(), Kind { effect, window_us: t.window_ms as i64 * 1000, objective_us });
     }
+    let each = day.workers.iter().flat_map(|w| (0..w.count).map(|_| day.region_of(&w.zone)));
+    let region_of = each.enumerate().map(|(n, region)| (name_of_worker(n), region.to_owned()));
     Ok(Terms {
         kinds,
         answer_slack_us: us(rules, "answer_slack_ms", 0.0),
@@ -118,6 +125,10 @@
         second_copies: day.settings.dispatch.get("second_copies").and_then(toml::Value::as_bool)
             == Some(true),
         leeway_us: day.leeway_ms as i64 * 1000,
+        regions: region_of.collect(),
+        floor_part: day.floor,
+        floor_known_us: day.floor_known_ms as i64 * 1000,
+        floors: Vec::new(),
     })
 }
 
@@ -147,6 +158,7 @@
                 start_up: Duration::from_millis(t.start_up_ms),
                 lanes: t.lanes as usize,
                 window: (t.window_ms > 0).then(|| Duration::from_millis(t.window_ms)),
+                prefix: Duration::from_millis(t.prefix_ms),
             };
             (t.name.clone(), program)
         })
@@ -234,6 +246,9 @@
         if g.window_ms > 0 {
             let _ = writeln!(t, "window_ms = {}", g.window_ms);
         }
+        if let Some(how) = &g.without_majority {
+            let _ = writeln!(t, "without_majority = {how:?}");
+        }
         let _ = writeln!(t, "latency_objective_ms = {}", g.latency_objective_ms);
         let _ = writeln!(t, "client_timeout_ms = {}", g.client_timeout_ms);
         let _ = writeln!(t, "billed_value = {:?}\n", g.billed_value);
@@ -242,20 +257,28 @@
         let _ = writeln!(t, "[[account]]\nname = {:?}\nshare = {:?}", a.name, a.share);
         let _ = writeln!(t, "allowance_per_s = {:?}\n", a.allowance_per_s);
     }
-    for a in &day.accounts {
+    let witness = day.witness && n + 1 == day.routers;
+    for a in day.accounts.iter().filter(|_| !witness) {
         let _ = writeln!(t, "[[amqp]]\nname = {:?}\nbroker = \"{broker}\"", a.name);
         let _ = writeln!(t, "queue = {:?}\nshare_of = {:?}\n", queue(&a.name), a.name);
     }
-    if day.kserve_part > 0.0 {
+    if day.kserve_part > 0.0 && !witness {
         let _ = writeln!(t, "[[kserve]]\nlisten = \"{listen}\"\n");
     }
     let _ = writeln!(t, "[workers]\nwatch = \"{list}\"");
     if let Some(own) = members.get(n as usize) {
         let _ = writeln!(t, "\n[peers]\nlisten = \"{}\"\ngroup = \"{GROUP}\"", own.address);
-        let _ = writeln!(t, "name = {:?}\nstate = \"state-{n}\"", own.name);
-        for m in members {
+        let _ = writeln!(t, "name = {:?}\nstate = \"state-{n}\"\n{}", own.name, s.peers);
+        for (k, m) in members.iter().enumerate() {
+            let witness = day.witness && k + 1 == members.len();
             let _ = writeln!(t, "\n[[peers.member]]\nname = {:?}\naddress = \"{}\"", m.name, m.address);
-            let _ = writeln!(t, "region = {:?}\nweight = 1\nwitness = false", m.region);
+            let _ = writeln!(t, "region = {:?}\nweight = 1\nwitness = {witness}", m.region);
+        }
+    }
+    for (name, table) in [("upgrade", &s.upgrade), ("reconcile", &s.reconcile)] {
+        if !table.is_empty() {
+            let named = toml::Table::from_iter([(name.to_owned(), table.clone().into())]);
+            let _ = writeln!(t, "\n{named}");
         }
     }
     t
@@ -328,7 +351,7 @@
             std::fs::write(&file, text)?;
             let mut args = vec!["--log".to_owned(), "json".to_owned()];
             // One meddler is enough to be caught, except where all of them together break the rule.
-            if let Some(kind) = tamper.as_ref().filter(|k| n == 0 || *k == "push") {
+            if let Some(kind) = tamper.as_ref().filter(|k| n == 0 || TOGETHER.contains(&k.as_str())) {
                 args.extend(["--tamper".to_owned(), kind.clone()]);
             }
             if n < day.clock_offsets_ms.len() {
@@ -358,7 +381,7 @@
             peers,
             _relays: relays,
             out,
-            consumers: day.routers as usize * day.accounts.len(),
+            consumers: (day.routers as usize - usize::from(day.witness)) * day.accounts.len(),
         })
     }
 
@@ -442,6 +465,39 @@
         Ok(())
     }
 
+    /// Where an order to upgrade is written; the routers' settings name it `upgrade.toml`.
+    pub fn upgrade_file(&self) -> PathBuf {
+        self.out.join("routers").join(UPGRADE)
+    }
+
+    /// A new order, whole at once, in the place of what was there. Routers read it at their start, or when told.
+    pub fn write_upgrade(&self, text: &str) -> Plain<()> {
+        let (file, new) = (self.upgrade_file(), self.upgrade_file().with_extension("new"));
+        let written = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &file));
+        written.map_err(|e| format!("{}: {e}", file.display()))
+    }
+
+    /// Told to read its orders again, if it runs.
+    pub fn hang_up(&self, n: usize) -> Plain<()> {
+        let router = lock(&self.routers[n]);
+        match router.is_up() {
+            true => router.hang_up().map_err(|e| format!("router {n}: {e}")),
+            false => Ok(()),
+        }
+    }
+
+    /// Written, and all routers told. For the judge, what stands of these models now is what their floors are of.
+    pub fn order_upgrade(&self, models: &[&str], text: &str) -> Plain<()> {
+        self.write_upgrade(text)?;
+        self.log.write("upgrade", json!({"models": models}));
+        (0..self.routers.len()).try_for_each(|n| self.hang_up(n))
+    }
+
+    /// For the judge: their floors hold no longer.
+    pub fn upgrade_over(&self, models: &[&str]) {
+        self.log.write("upgrade-over", json!({"models": models}));
+    }
+
     /// Both ways between all routers that are named, or one way from the first to the others.
     pub fn cut_peers(&self, which: &[usize], one_way: bool, fault: Fault) {
         for (i, a) in which.iter().enumerate() {
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -25,9 +25,18 @@
     /// The routers are told of each other.
     #[serde(default)]
     pub peers: bool,
+    /// The last of them is a witness: it takes nothing.
+    #[serde(default)]
+    pub witness: bool,
     /// What a crowded machine may add to any time that is judged.
     #[serde(default)]
     pub leeway_ms: u64,
+    /// Of the lanes that stand when an upgrade is ordered, this part must stand in each region until it is over.
+    #[serde(default)]
+    pub floor: f64,
+    /// What a fault took away may be unknown to routers for so long.
+    #[serde(default)]
+    pub floor_known_ms: u64,
     /// By router: how far its wall's clock is off.
     #[serde(default)]
     pub clock_offsets_ms: Vec<i64>,
@@ -55,6 +64,13 @@
     pub loads: toml::Table,
     #[serde(default)]
     pub prices: toml::Table,
+    /// Beside what a fleet's `[peers]` says by itself.
+    #[serde(default)]
+    pub peers: toml::Table,
+    #[serde(default)]
+    pub upgrade: toml::Table,
+    #[serde(default)]
+    pub reconcile: toml::Table,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -90,6 +106,9 @@
     pub effect: String,
     #[serde(default)]
     pub window_ms: u64,
+    /// What its group does without a majority; absent, the routers' own default.
+    #[serde(default)]
+    pub without_majority: Option<String>,
     pub latency_objective_ms: u64,
     pub client_timeout_ms: u64,
     pub billed_value: f64,
@@ -102,6 +121,19 @@
     pub copy_mb: f64,
     pub start_up_ms: u64,
     pub lanes: u32,
+    /// Of its arrivals, so many are turns of sessions.
+    #[serde(default)]
+    pub sessions: f64,
+    /// Of a session, in the mean; from one to nearly twice as many.
+    #[serde(default)]
+    pub turns: u32,
+    /// Between one turn and the next, in the mean; from half to one and a half times as long. Clients send a turn at
+    /// its time whether or not the one before is answered.
+    #[serde(default)]
+    pub pause_ms: u64,
+    /// Work beside its own for a turn that does not find what earlier ones built up in its copy.
+    #[serde(default)]
+    pub prefix_ms: u64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -210,6 +242,13 @@
     if !within(day.seconds, 3600.0) || !within(day.rate_per_s, 1e5) || !(1..=100).contains(&day.routers) {
         return wrong("seconds, rate_per_s or routers is out of its range");
     }
+    if !(0.0..=1.0).contains(&day.floor) {
+        return wrong("floor is not within 0 to 1");
+    }
+    let misfit = |t: &Trigger| !(0.0..=1.0).contains(&t.sessions) || t.sessions > 0.0 && t.turns == 0;
+    if day.triggers.iter().any(misfit) {
+        return wrong("sessions is not within 0 to 1, or has no turns");
+    }
     if !(0.0..=1.0).contains(&day.kserve_part) {
         return wrong("kserve_part is not within 0 to 1");
     }
@@ -224,6 +263,9 @@
     if day.peers && day.regions.is_empty() {
         return wrong("peers need regions: their links are relayed");
     }
+    if day.witness && (!day.peers || day.routers < 2) {
+        return wrong("a witness needs peers, and another router");
+    }
     let count: u32 = day.workers.iter().map(|w| w.count).sum();
     for t in &day.troubles {
         let routers = [What::RouterKill, What::RouterPause, What::StaleState, What::PeerCut];
