Process tests of a group: cuts, stops, lost memory, stale folders, and each guard taken out

Need: the proof over processes of shared records, and that the judge sees each guard's absence.

A router that had refuted a suspicion was shown as one with an older folder: only another process of itself counts now.

--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -275,3 +275,448 @@
     let played = owner_dies(after, owner, Some(kind), |d| d.seconds = 4.0);
     breaks_rule_2(&played);
 }
+
+const CUT_MS: u64 = 1000 + LONG_MS;
+/// Without a majority some are told so.
+const LACKING: Shown = |p| p.verdict.by_reason.contains_key("no-majority");
+const POSTS_LOST: Shown = |p| p.counted("posts_failed") > 0 && p.counted("letters_dropped") > 0;
+
+fn both_ways(f: &Fleet, fault: Fault) {
+    let all = others(f, OWNER);
+    towards(f, OWNER, &all, fault);
+    all.iter().for_each(|m| towards(f, *m, &[OWNER], fault));
+}
+
+fn all_unruly(f: &Fleet) {
+    let fault = Fault::Unruly { drop: 0.2, twice: 0.2, after: 0.2 };
+    (0..f.routers.len()).for_each(|n| towards(f, n, &others(f, n), fault));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    OneWayOut,
+    OneWayIn,
+    BothWays(Fault),
+    West(Fault),
+    AllUnruly,
+}
+
+fn cut(f: &Fleet, cut: Cut) {
+    match cut {
+        Cut::OneWayOut => towards(f, OWNER, &others(f, OWNER), Fault::Held),
+        Cut::OneWayIn => others(f, OWNER).iter().for_each(|m| towards(f, *m, &[OWNER], Fault::Held)),
+        Cut::BothWays(fault) => both_ways(f, fault),
+        Cut::West(fault) => f.cut_region("west", fault),
+        Cut::AllUnruly => all_unruly(f),
+    }
+}
+
+#[rstest]
+#[case::one_way_out(3, Cut::OneWayOut, LACKING)]
+#[case::one_way_in(3, Cut::OneWayIn, LACKING)]
+#[case::both_ways(3, Cut::BothWays(Fault::Held), LACKING)]
+#[case::both_ways_lost(3, Cut::BothWays(Fault::Lost), LACKING)]
+#[case::minority_with_the_owner(3, Cut::West(Fault::Held), LACKING)]
+#[case::equal_regions(4, Cut::West(Fault::Lost), LACKING)]
+#[case::unruly(3, Cut::AllUnruly, POSTS_LOST)]
+fn rules_hold_while_routers_are_cut_apart(#[case] routers: u32, #[case] how: Cut, #[case] shown: Shown) {
+    let script = Script::new(1).at(1000, |f| cut(f, how)).at(CUT_MS, |f| f.links.heal());
+    let played = play(&shared(routers, nothing), None, script, PATIENCE);
+    played.holds();
+    assert!(shown(&played), "it came about: {}\n{:?}", played.verdict.table(), played.states);
+}
+
+/// Two equal regions and a witness in one of them: that one goes on, the other one is told that it has no majority.
+#[test]
+fn a_witness_gives_its_region_the_majority_in_a_cut() {
+    let day = shared(5, |d| d.witness = true);
+    let held = |f: &Fleet| count(f, 0, "held") + count(f, 2, "held");
+    let script = Script::new(1)
+        .at(1000, |f| f.cut_region("west", Fault::Lost))
+        // By then the others are held for dead.
+        .at(3500, |f| {
+            let before = held(f);
+            comes("intents are held", || held(f) > before + SOME);
+        })
+        .at(CUT_MS, |f| f.links.heal());
+    let played = play(&day, None, script, PATIENCE);
+    played.holds();
+    assert!(LACKING(&played), "{}", played.verdict.table());
+    let witness = played.states[4].as_ref().expect("a state");
+    assert!(witness["counts"]["taken"] == 0 && witness["members"][4]["witness"] == true, "{witness}");
+}
+
+#[test]
+fn a_flapping_link_breaks_no_rule() {
+    let cut = Cell::new(false);
+    let script = Script::new(2)
+        .often(500..5000, 150.0, |f, _| {
+            cut.set(!cut.get());
+            both_ways(f, if cut.get() { Fault::Lost } else { Fault::Pass });
+        })
+        .at(5000, |f| f.links.heal());
+    let played = play(&shared(3, nothing), None, script, PATIENCE);
+    played.holds();
+    assert!(POSTS_LOST(&played), "{:?}", played.states);
+}
+
+fn of_others(f: &Fleet, name: &str) -> u64 {
+    others(f, OWNER).iter().map(|n| count(f, *n, name)).sum()
+}
+
+/// What it sent lies on its way as others take over; it wakes when they are done with it.
+#[test]
+fn an_owner_stopped_over_a_takeover_with_dispatches_in_its_buffers_runs_nothing_twice() {
+    let workers = |f: &Fleet, fault| {
+        (0..f.workers.len()).for_each(|w| f.links.set(&f.router(OWNER), &f.worker(w), fault));
+    };
+    let script = Script::new(1)
+        .at(1000, |f| {
+            workers(f, Fault::Held);
+            let before = count(f, OWNER, "held");
+            comes("leave is given", || count(f, OWNER, "held") >= before + SOME);
+            f.pause_router(OWNER, true).expect("it stands still");
+            f.broker.drop_connections(|from| from == f.router(OWNER));
+            comes("others take over", || of_others(f, "takeovers") > 0);
+            comes("its owner is gone", || of_others(f, "may_have_run") > 0);
+            workers(f, Fault::Pass);
+        })
+        .at(1000, |f| f.pause_router(OWNER, false).expect("it goes on"));
+    let played = play(&shared(3, nothing), None, script, PATIENCE);
+    played.holds();
+    assert!(played.counted("woken") > 0, "{:?}", played.states);
+}
+
+/// Its intents reach nobody, and others run what it has.
+fn overtaken(f: &Fleet, out: Fault) {
+    taken(f, OWNER);
+    both_ways(f, Fault::Lost);
+    towards(f, OWNER, &others(f, OWNER), out);
+    f.store.slow(1.0);
+    comes("intents", || count(f, OWNER, "intents") >= SOME);
+}
+
+/// The broker sees it gone, and it does not see that.
+fn unheard(f: &Fleet) {
+    f.links.set(&f.router(OWNER), BROKER, Fault::HalfOpen);
+    comes("others run what never left", || of_others(f, "proven_unsent") >= SOME);
+}
+
+#[test]
+fn an_owner_that_wakes_with_late_intents_is_refused() {
+    let script = Script::new(1).at(0, |f| f.store.slow(STILL)).at(1000, |f| {
+        overtaken(f, Fault::Lost);
+        f.pause_router(OWNER, true).expect("it stands still");
+        unheard(f);
+        both_ways(f, Fault::Pass);
+        f.pause_router(OWNER, false).expect("it goes on");
+        comes("it is refused", || count(f, OWNER, "lost_to_others") > 0);
+        f.links.heal();
+    });
+    play(&shared(3, stalled), None, script, PATIENCE).holds();
+}
+
+/// Intents come through after others have promised not to hold them.
+fn late_intents(tamper: Option<&str>) -> Played {
+    let script = Script::new(1).at(0, |f| f.store.slow(STILL)).at(1000, |f| {
+        overtaken(f, Fault::Held);
+        unheard(f);
+        // They say nothing more of it by themselves.
+        let idle =
+            |n: &usize| f.state(*n).is_some_and(|s| s["claims"].as_object().is_some_and(|c| c.is_empty()));
+        comes("others are done", || others(f, OWNER).iter().all(idle));
+        others(f, OWNER).iter().for_each(|m| towards(f, *m, &[OWNER], Fault::Pass));
+        towards(f, OWNER, &others(f, OWNER), Fault::Pass);
+        comes("it hears of it", || count(f, OWNER, "lost_to_others") + count(f, OWNER, "held") > 0);
+        f.links.heal();
+    });
+    let patience = if tamper.is_some() { Duration::from_secs(6) } else { PATIENCE };
+    let day = shared(3, |d| {
+        stalled(d);
+        (d.seconds, d.rate_per_s) = (1.0, 40.0);
+    });
+    play(&day, tamper, script, patience)
+}
+
+#[test]
+fn intents_that_come_late_are_refused() {
+    let played = late_intents(None);
+    played.holds();
+    assert!(played.counted("lost_to_others") > 0, "{:?}", played.states);
+}
+
+/// Members hold what they have promised not to hold any more.
+#[test]
+fn a_promise_that_is_not_kept_is_seen() {
+    breaks_rule_2(&late_intents(Some("promise")));
+}
+
+/// The broker hands out again what a router that lives still works on.
+#[test]
+fn two_routers_given_one_message_answer_it_once() {
+    let slow = |d: &mut Day| d.triggers.iter_mut().for_each(|t| t.work_ms = 500.0);
+    let script = Script::new(4).often(500..5500, 200.0, |f, random| {
+        let router = f.router(random.random_range(0..3));
+        f.broker.drop_channels(|from| from == router);
+    });
+    let played = play(&shared(3, slow), None, script, PATIENCE);
+    played.holds();
+    assert!(played.counted("joined") > 0 && KNOWN(&played), "{:?}", played.states);
+}
+
+/// Of an owner and one other that hold the intents, the other starts anew with nothing, and then the owner dies.
+fn both_holders_die(tamper: Option<&str>) -> Played {
+    let process = |f: &Fleet, n: usize, of: usize| f.state(n).map(|s| s["members"][of]["process"].clone());
+    let script = Script::new(1)
+        .at(0, |f| f.store.slow(STILL))
+        .at(1000, |f| {
+            taken(f, OWNER);
+            hang(f, true);
+            towards(f, OWNER, &[2], Fault::Lost);
+            f.store.slow(1.0);
+            comes("dispatches run", || ran_of(f, OWNER) as u64 >= SOME);
+            towards(f, OWNER, &[0], Fault::Lost);
+            towards(f, 0, &[OWNER], Fault::Lost);
+            f.kill_router(0);
+            back(f, 0, State::Removed);
+            let met = |n, of| process(f, of, of).is_some_and(|p| process(f, n, of) == Some(p));
+            comes("the other two know each other", || met(0, 2) && met(2, 0));
+            f.kill_router(OWNER);
+            hang(f, false);
+            f.links.heal();
+        })
+        .at(6000, |f| back(f, OWNER, State::Removed));
+    let patience = if tamper.is_some() { Duration::from_secs(6) } else { PATIENCE };
+    play(&shared(3, stalled), tamper, script, patience)
+}
+
+#[test]
+fn a_record_whose_holders_both_die_is_not_run_again() {
+    let played = both_holders_die(None);
+    played.holds();
+    assert!(LACKING(&played) || UNSURE(&played), "{}", played.verdict.table());
+}
+
+/// One that remembers nothing votes.
+#[test]
+fn a_vote_without_memory_is_seen() {
+    breaks_rule_2(&both_holders_die(Some("amnesia")));
+}
+
+/// What each finds when all have died at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Found {
+    Kept,
+    Lost,
+    /// Kept, lost, older.
+    Mixed,
+    /// From before the intents.
+    Older,
+}
+
+/// A folder is written behind by some tenths of a second.
+const WRITTEN_MS: u64 = 1000;
+
+fn all_die(found: Found, tamper: Option<&str>) -> Played {
+    let older = |f: &Fleet, n: usize| f.folder().join(format!("older-{n}"));
+    let start = |f: &Fleet, n: usize| match (found, n) {
+        (Found::Kept, _) | (Found::Mixed, 0) => back(f, n, State::Kept),
+        (Found::Lost, _) | (Found::Mixed, 1) => back(f, n, State::Removed),
+        _ => back(f, n, State::Older(&older(f, n))),
+    };
+    let script = Script::new(1).at(0, |f| f.store.slow(STILL)).at(700, |f| taken(f, OWNER)).at(
+        700 + WRITTEN_MS,
+        |f| {
+            (0..3).for_each(|n| lock(&f.routers[n]).copy_state(&older(f, n)).expect("copied"));
+            hang(f, true);
+            f.store.slow(1.0);
+            comes("dispatches run", || ran_of(f, OWNER) as u64 >= SOME);
+            (0..3).for_each(|n| f.kill_router(n));
+            hang(f, false);
+            // What remembers something may vote before it is given what was requeued.
+            let waits = matches!(found, Found::Kept | Found::Older);
+            if waits {
+                (0..3).for_each(|n| f.links.set(&f.router(n), BROKER, Fault::Held));
+            }
+            (0..3).for_each(|n| start(f, n));
+            if waits {
+                comes("they may vote", || f.all_remember());
+                f.links.heal();
+            }
+        },
+    );
+    let patience = if tamper.is_some() { Duration::from_secs(6) } else { PATIENCE };
+    let day = shared(3, |d| {
+        stalled(d);
+        d.seconds = 4.0;
+    });
+    play(&day, tamper, script, patience)
+}
+
+#[rstest]
+#[case(Found::Kept)]
+#[case(Found::Lost)]
+#[case(Found::Mixed)]
+#[case(Found::Older)]
+fn all_that_restart_at_once_run_nothing_twice(#[case] found: Found) {
+    let played = all_die(found, None);
+    played.holds();
+    assert!(played.logged(BROKER, "requeued") > 0 && played.verdict.answers["errored"] > 0);
+}
+
+/// All have older folders, and nobody doubts what these do not say.
+#[test]
+fn trust_in_older_folders_is_seen() {
+    breaks_rule_2(&all_die(Found::Older, Some("undoubting")));
+}
+
+/// A copy from before an earlier restart is put back.
+#[test]
+fn a_stale_folder_put_back_is_told_apart_and_made_up_for() {
+    let copy = |f: &Fleet| f.folder().join("older");
+    let script = Script::new(1)
+        .at(1500, |f| {
+            lock(&f.routers[OWNER]).copy_state(&copy(f)).expect("copied");
+            f.kill_router(OWNER);
+            back(f, OWNER, State::Kept);
+            comes("it remembers", || f.remembers(OWNER));
+        })
+        .at(3000, |f| {
+            f.kill_router(OWNER);
+            back(f, OWNER, State::Older(&copy(f)));
+            comes("it remembers", || f.remembers(OWNER));
+        });
+    let played = play(&shared(3, nothing), None, script, PATIENCE);
+    played.holds();
+    let older: Vec<bool> = played.states.iter().flatten().map(|s| s["folder_was_older"] == true).collect();
+    assert_eq!(older, [false, true, false]);
+}
+
+/// A file that is none, and another member's: both are put aside, and the member catches up with the others.
+#[test]
+fn damaged_and_foreign_folders_are_set_aside() {
+    let file = |f: &Fleet, n: usize, name: &str| f.folder().join(format!("routers/state-{n}/{name}"));
+    let script = Script::new(1)
+        .at(1500, |f| {
+            f.kill_router(OWNER);
+            std::fs::write(file(f, OWNER, "group.redb"), "no file of a group").expect("written");
+            back(f, OWNER, State::Kept);
+            assert!(file(f, OWNER, "group.damaged-1").exists());
+            comes("it remembers", || f.remembers(OWNER));
+        })
+        .at(3000, |f| {
+            f.kill_router(OWNER);
+            f.kill_router(0);
+            std::fs::copy(file(f, 0, "group.redb"), file(f, OWNER, "group.redb")).expect("copied");
+            back(f, 0, State::Kept);
+            back(f, OWNER, State::Kept);
+            assert!(file(f, OWNER, "group.foreign-1").exists());
+            comes("they remember", || f.all_remember());
+        });
+    let played = play(&shared(3, nothing), None, script, PATIENCE);
+    played.holds();
+    let log = lock(&played.fleet.routers[OWNER]).log();
+    assert!(log.contains("set aside as damaged") && log.contains(r#""why":"foreign""#), "{log}");
+}
+
+#[test]
+fn clocks_apart_by_minutes_break_no_rule() {
+    let apart = |d: &mut Day| d.clock_offsets_ms = vec![0, 180_000, -180_000];
+    let script = Script::new(1)
+        .at(1500, |f| f.kill_router(2))
+        .at(1500, |f| back(f, 2, State::Kept))
+        .at(3000, |f| f.kill_router(0))
+        .at(3000, |f| back(f, 0, State::Kept));
+    let played = play(&shared(3, apart), None, script, PATIENCE);
+    played.holds();
+    let requeued = played.logged(BROKER, "requeued") > 0;
+    assert!(requeued && played.verdict.by_reason.contains_key("expired"), "{}", played.verdict.table());
+}
+
+/// Cut off, a router does by type what its operator wants, and says so in answers, counts and log.
+#[rstest]
+#[case("refuse", "no-majority", "lacking_majority")]
+#[case("alone", "worker-alone", "left_alone")]
+fn without_a_majority_each_type_goes_as_its_operator_wants(
+    #[case] how: &str,
+    #[case] reason: &str,
+    #[case] counted: &str,
+) {
+    let chosen = |d: &mut Day| {
+        d.triggers.iter_mut().for_each(|t| t.without_majority = Some(how.into()));
+        d.settings.peers.insert("copied_within_ms".into(), 300.into());
+    };
+    let script =
+        Script::new(1).at(1000, |f| both_ways(f, Fault::Lost)).at(CUT_MS, |f| both_ways(f, Fault::Pass));
+    let played = play(&shared(3, chosen), None, script, PATIENCE);
+    played.holds();
+    assert!(played.verdict.by_reason.contains_key(reason), "{}", played.verdict.table());
+    assert!(played.counted(counted) > 0, "{:?}", played.states);
+    assert!(lock(&played.fleet.routers[OWNER]).log().contains("group: no majority"));
+}
+
+/// One that sent alone dies, and nobody else had heard of it.
+fn alone_and_gone(tamper: Option<&str>) -> Played {
+    let alone = |d: &mut Day| {
+        d.triggers.iter_mut().for_each(|t| t.without_majority = Some("alone".into()));
+        d.settings.peers.insert("copied_within_ms".into(), 300.into());
+        d.seconds = 4.0;
+    };
+    let script = Script::new(1)
+        .at(0, |f| both_ways(f, Fault::Lost))
+        .at(1000, |f| {
+            hang(f, true);
+            let before = ran_of(f, OWNER) as u64;
+            comes("dispatches run", || ran_of(f, OWNER) as u64 >= before + SOME);
+            f.kill_router(OWNER);
+            hang(f, false);
+            f.links.heal();
+        })
+        .at(5000, |f| back(f, OWNER, State::Kept));
+    let patience = if tamper.is_some() { Duration::from_secs(6) } else { PATIENCE };
+    play(&shared(3, alone), tamper, script, patience)
+}
+
+#[test]
+fn what_nobody_says_to_have_taken_is_not_run_again() {
+    let played = alone_and_gone(None);
+    played.holds();
+    assert!(TOLD_AS_ENDED(&played), "{:?}", played.states);
+}
+
+/// Silence is taken for proof that nothing was sent.
+#[test]
+fn silence_taken_for_proof_is_seen() {
+    breaks_rule_2(&alone_and_gone(Some("absent")));
+}
+
+/// Cuts, stops and deaths of any router, at once.
+#[rstest]
+#[case(5, 11)]
+#[case(5, 12)]
+#[case(9, 13)]
+fn rules_hold_in_larger_groups_under_all_faults_at_once(#[case] routers: u32, #[case] seed: u64) {
+    let n = routers as usize;
+    let script = Script::new(seed)
+        .often(800..5500, 250.0, move |f, random| {
+            let (a, b) = (random.random_range(0..n), random.random_range(0..n));
+            match random.random_range(0..7) {
+                0 => f.kill_router(a),
+                1 => f.start_router(a, State::Kept).expect("it starts"),
+                2 => f.start_router(a, State::Removed).expect("it starts"),
+                3 => f.pause_router(a, true).expect("it stands still"),
+                4 => (0..n).for_each(|n| f.pause_router(n, false).expect("it goes on")),
+                5 if a != b => f.cut_peers(&[a, b], random.random(), Fault::Lost),
+                _ => f.links.heal(),
+            }
+        })
+        .at(6000, move |f| {
+            f.links.heal();
+            (0..n).for_each(|n| f.pause_router(n, false).expect("it goes on"));
+            (0..n).for_each(|n| back(f, n, State::Kept));
+        });
+    let more = shared(routers, |d| d.rate_per_s = 40.0);
+    let played = play(&more, None, script, PATIENCE);
+    played.holds();
+    assert!(played.counted("takeovers") > 0 && played.logged(BROKER, "requeued") > 0, "{:?}", played.states);
+}
--- a/crates/gateway/src/fellows.rs
+++ b/crates/gateway/src/fellows.rs
@@ -114,7 +114,8 @@
     counts: Counts,
     /// For whoever is being answered now.
     replies: Option<(MemberIx, Vec<Bytes>)>,
-    /// Its folder was older than what others know of it.
+    /// It began from a folder, and that was older than what others know of it.
+    had_folder: bool,
     stale_folder: bool,
 }
 
@@ -156,7 +157,7 @@
             suspected_for: peers.suspected_for,
             seed: desk.seed,
         };
-        let turn = kept.as_ref().map_or(0, |k| k.turn);
+        let (turn, had_folder) = (kept.as_ref().map_or(0, |k| k.turn), kept.is_some());
         let membership = Membership::new(now, group.clone(), terms, nonce, turn);
         let terms = replica::Terms {
             most_records: peers.most_records,
@@ -173,6 +174,7 @@
             clocks: vec![(0, 0); n],
             counts: Counts::default(),
             replies: None,
+            had_folder,
             stale_folder: false,
         };
         Fellows {
@@ -313,10 +315,10 @@
         let (known, alive, name) = {
             let mut state = self.state.borrow_mut();
             let known = state.membership.known(member);
-            if member == self.me && known.process.turn > 1 && state.membership.counts.refuted == 1 {
-                // Others knew a later process of this member than its folder did.
-                state.stale_folder = true;
-            }
+            // Others knew a later process of this member than its folder did. Symptom: one that was suspected for a
+            // while, and refuted that, was shown as one with an older folder.
+            let outdated = state.membership.counts.outdated > 0;
+            state.stale_folder |= member == self.me && state.had_folder && outdated;
             (
                 known,
                 state.membership.lives(member),
--- a/crates/membership/src/alive.rs
+++ b/crates/membership/src/alive.rs
@@ -134,6 +134,8 @@
     pub asked_for: u64,
     pub suspected: u64,
     pub refuted: u64,
+    /// Of these, so often as another process of this member, later than this one began: its folder is an older one.
+    pub outdated: u64,
     pub deaths: u64,
     /// This process noticed that it had been stopped.
     pub woken: u64,
@@ -399,6 +401,7 @@
             let wrong = row.standing != Standing::Alive || row.process.nonce != k.process.nonce;
             if row.process.turn >= k.process.turn && wrong {
                 self.counts.refuted += 1;
+                self.counts.outdated += u64::from(row.process.nonce != k.process.nonce);
                 let process = Process { turn: row.process.turn + 1, nonce: k.process.nonce };
                 self.becomes(now, row.member, process, Standing::Alive, Why::Itself, out);
             }
