--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -404,6 +404,27 @@
     w.node = start(&w.file, &w.folder, w.address);
 }
 
+/// What routers of a group share is not built into the platform's.
+#[test]
+fn it_rests_on_no_package_of_a_group() {
+    let tree = |of: &str| {
+        let args =
+            ["tree", "--package", of, "--edges", "normal", "--prefix", "none", "--locked", "--offline"];
+        let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+        let out = Command::new(env!("CARGO")).args(args).current_dir(folder).output().expect("run");
+        String::from_utf8(out.stdout).expect("text")
+    };
+    let has = |tree: &str, package: &str| tree.lines().any(|l| l.starts_with(&format!("{package} v")));
+    let shared =
+        ["cedarpulley-membership", "cedarpulley-replica", "cedarpulley-gateway", "redb", "postcard", "hyper"];
+    for of in ["cedarpulley-platform", "cedarpulley-platform-node"] {
+        let tree = tree(of);
+        assert!(has(&tree, "cedarpulley-router"), "{tree}");
+        assert!(shared.iter().all(|package| !has(&tree, package)), "{tree}");
+    }
+    assert!(shared.iter().all(|package| has(&tree("cedarpulley-gateway"), package)));
+}
+
 #[test]
 fn a_bad_start_is_one_line_with_the_cause() {
     let run = |config: Option<&str>, listen: &str| {
