Stand-in workers restart at their address at once, and old loads do not reach the new process

Tests restart a worker at the same address under a router that is not told. Just after a crash the executor had yet to drop the old listener, so the start failed with the address in use; it now tries again for up to ten seconds. A load that was under way in a process that crashed could make the next process's copy of the same function stand too early, with twice the lanes; it now ends with its process.

--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -47,6 +47,8 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Spread of the work about its mean, in units of its logarithm.
 const SPREAD: f64 = 0.35;
+/// The listener of a process that ended is closed within this time, however busy the machine.
+const LISTENER_GONE: Duration = Duration::from_secs(10);
 /// A repeat waits so long for the first one's answer.
 const REPEAT_WAITS: Duration = Duration::from_secs(2);
 
@@ -259,10 +261,11 @@
             number: rand::random::<u64>() >> 1,
             totals: HashMap::new(),
         };
-        *lock(&self.inner.life) = Some(life);
         let weak = Arc::downgrade(&self.inner);
         let handle = move |from: SocketAddr, request| serve(weak.clone(), from, request);
-        let server = Server::start(&self.inner.ground, self.address, self.inner.cut.clone(), handle)?;
+        *lock(&self.inner.life) = Some(life);
+        let server = Server::start(&self.inner.ground, self.address, self.inner.cut.clone(), handle)
+            .inspect_err(|_| *lock(&self.inner.life) = None)?;
         let address = server.address;
         *lock(&self.inner.server) = Some(server);
         *lock(&self.inner.starts) += 1;
@@ -281,9 +284,18 @@
         *lock(&self.inner.life) = None;
     }
 
-    /// A fresh process, cold and empty.
+    /// A fresh process, cold and empty, at the same address.
     pub fn start_again(&self) -> std::io::Result<()> {
-        self.up(false).map(|_| lock(&self.inner.faults).draining = false)
+        let until = Instant::now() + LISTENER_GONE;
+        // Symptom: `AddrInUse` just after a crash, as the executor has yet to drop the listener.
+        loop {
+            match self.up(false) {
+                Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && Instant::now() < until => {
+                    std::thread::sleep(STEP);
+                }
+                up => return up.map(|_| lock(&self.inner.faults).draining = false),
+            }
+        }
     }
 
     /// How often it has been started.
@@ -405,29 +417,29 @@
         sent > n.overload_multiple * n.cores * self.grown(life) * n.overload_window.as_secs_f64()
     }
 
-    /// The copy to run on, and whether its load is to be begun now.
-    fn find(&self, function: &str, program: &Program, may_load: bool, copies: usize) -> (Found, bool) {
+    /// The copy to run on, and, where its load is to be begun now, the number of the process to load it into.
+    fn find(&self, function: &str, program: &Program, may_load: bool, copies: usize) -> (Found, Option<u64>) {
         let mut life = lock(&self.life);
-        let Some(life) = life.as_mut() else { return (Found::NoRoom, false) };
+        let Some(life) = life.as_mut() else { return (Found::NoRoom, None) };
         if let Some(copy) = life.copies.get_mut(function) {
             copy.used = Instant::now();
             let waited = copy.stands.is_none();
             if copy.stands != Some(false) {
-                return (Found::Copy { lanes: copy.lanes.clone(), began: false, waited }, false);
+                return (Found::Copy { lanes: copy.lanes.clone(), began: false, waited }, None);
             }
         }
         if !may_load {
-            return (Found::Absent, false);
+            return (Found::Absent, None);
         }
         let needed = program.copy_mb * copies as f64;
         let mut used: f64 = life.copies.values().map(|c| c.mb).sum();
         if life.loads >= self.nature.most_loads {
-            return (Found::NoRoom, false);
+            return (Found::NoRoom, None);
         }
         while used + needed > self.nature.memory_mb {
             let idle = life.copies.iter().filter(|(_, c)| c.busy == 0 && c.stands.is_some());
             let Some(oldest) = idle.min_by_key(|(_, c)| c.used).map(|(n, _)| n.clone()) else {
-                return (Found::NoRoom, false);
+                return (Found::NoRoom, None);
             };
             used -= life.copies.remove(&oldest).map_or(0.0, |c| c.mb);
             self.log.write("evicted", json!({"function": oldest, "why": "room"}));
@@ -448,11 +460,11 @@
         };
         life.copies.insert(function.to_owned(), copy);
         life.loads += 1;
-        (Found::Copy { lanes, began: true, waited: false }, true)
+        (Found::Copy { lanes, began: true, waited: false }, Some(life.number))
     }
 
     /// Fetches from the store and starts up; wakes whoever waits.
-    async fn load(self: Arc<Self>, function: String, program: Program, holds: Arc<Mutex<Holds>>) {
+    async fn load(self: Arc<Self>, into: u64, function: String, program: Program, holds: Arc<Mutex<Holds>>) {
         let began = Instant::now();
         self.log.write("loading", json!({"function": function}));
         let fetched = fetch(self.store, &function, program.copy_mb).await;
@@ -460,7 +472,8 @@
             Timer::after(program.start_up).await;
         }
         let mut life = lock(&self.life);
-        let Some(life) = life.as_mut() else { return };
+        // Symptom: a load of a process that crashed made the next one's copy stand before it was there.
+        let Some(life) = life.as_mut().filter(|l| l.number == into) else { return };
         life.loads = life.loads.saturating_sub(1);
         lock(&holds).add(life, 0.0, began.elapsed().as_secs_f64(), 0.0);
         let Some(copy) = life.copies.get_mut(&function) else { return };
@@ -613,8 +626,8 @@
         copy.by = by;
     }
     let holds = it.holds("", &account, &function, &program);
-    if begin {
-        it.ground.executor.spawn(it.clone().load(function.clone(), program, holds.clone())).detach();
+    if let Some(into) = begin {
+        it.ground.executor.spawn(it.clone().load(into, function.clone(), program, holds.clone())).detach();
     }
     let Found::Copy { lanes, .. } = found else { return full(StatusCode::INSUFFICIENT_STORAGE, "") };
     // Taken and given back at once: then it stands, or its load failed.
@@ -708,8 +721,8 @@
     let waits = Part(it.clone(), |l: &mut Life| l.waiting = l.waiting.saturating_sub(1));
     let (found, begin) = it.find(&function, &program, it.nature.loads_when_absent, 1);
     let holds = it.holds(&id, &account, &function, &program);
-    if begin {
-        let loading = it.clone().load(function.clone(), program.clone(), holds.clone());
+    if let Some(into) = begin {
+        let loading = it.clone().load(into, function.clone(), program.clone(), holds.clone());
         it.ground.executor.spawn(loading).detach();
         if let Some(copy) = lock(&it.life).as_mut().and_then(|l| l.copies.get_mut(&function)) {
             copy.busy += 1;
