--- a/crates/cli/tests/reconciled.rs
+++ b/crates/cli/tests/reconciled.rs
@@ -31,6 +31,11 @@
     })
 }
 
+/// All copies are ordered, and so have somebody's name.
+fn ordered(day: &mut Day) {
+    day.settings.loads.insert("loads_when_absent".into(), false.into());
+}
+
 /// Played to the end of its traffic; what happens next is up to the test.
 struct After {
     fleet: Fleet,
@@ -154,7 +159,7 @@
             if n % 3 == 0 { w.flush_copies() } else { drop(w.evict_idle(n, 1)) }
         }
     };
-    let it = after(&reconciled(KEPT_MS, |_| {}), lose, meanwhile);
+    let it = after(&reconciled(KEPT_MS, ordered), lose, meanwhile);
     let all = it.all();
     let lost: usize = all.iter().map(|w| it.logged(*w, "order-lost")).sum();
     assert!(lost > 0, "orders were lost");
@@ -165,8 +170,6 @@
 #[test]
 fn what_a_dead_router_ordered_is_unloaded_by_another_though_orders_get_lost() {
     let _turn = TURNS.acquire_blocking();
-    // All copies are ordered, and so have somebody's name.
-    let ordered = |d: &mut Day| drop(d.settings.loads.insert("loads_when_absent".into(), false.into()));
     let it = after(&reconciled(SHORT_KEPT_MS, ordered), |_| {}, |_| {});
     let by = |name: &str| {
         let held = it.fleet.workers.iter().flat_map(|w| w.held());
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -7,7 +7,7 @@
 use cedarpulley_amqp::{Connection, Role};
 use cedarpulley_kserve::rpc::inference::{ModelInferRequest, ModelInferResponse};
 use cedarpulley_kserve::tensors::{Rest, request, response};
-use cedarpulley_kserve::{rpc, serving};
+use cedarpulley_kserve::{index, rpc, serving};
 use cedarpulley_platform::channel::{Answers, Follower};
 use cedarpulley_platform::config::{self, Names};
 use cedarpulley_platform::{clients, workers};
@@ -30,6 +30,17 @@
     }
 }
 
+/// Of a worker that is asked what it holds: whatever it says, no more is kept than came.
+pub fn worker_index(bytes: &[u8]) {
+    if let Ok(index) = index::of(200, &HeaderMap::new(), bytes) {
+        let kept = index
+            .models
+            .iter()
+            .map(|m| m.function.len() + m.sequences.iter().flatten().map(String::len).sum::<usize>());
+        assert!(kept.sum::<usize>() <= 2 * bytes.len(), "more than it said");
+    }
+}
+
 /// Any body of a call; what can be read of it has a form for workers that reads back as JSON.
 pub fn grpc_body(bytes: &[u8]) {
     let Ok(message) = rpc::unframe(Bytes::copy_from_slice(bytes)) else { return };
--- a/crates/fuzz/tests/targets.rs
+++ b/crates/fuzz/tests/targets.rs
@@ -15,6 +15,20 @@
         .for_each(|(b, s)| rest_body(b, *s));
 }
 
+#[test]
+fn fuzz_worker_index() {
+    check!().with_type::<(Vec<u8>, u8, i64, u8)>().with_iterations(INPUTS).for_each(|(raw, kind, n, cut)| {
+        worker_index(raw);
+        let states = ["READY", "LOADING", "UNAVAILABLE", "no"];
+        let state = states[*kind as usize % states.len()];
+        let body = format!(
+            r#"[{{"name":"a","version":"{kind}","state":"{state}","parameters":{{"copies":{n},"idle_us":{n},"sequences":["{n}"]}}}},
+            {{"name":"b","parameters":{{"busy":"{n}","sequences":{n}}}}}]"#
+        );
+        worker_index(&body.as_bytes()[..body.len() - *cut as usize % body.len()]);
+    });
+}
+
 /// Bytes drawn freely seldom are JSON: shapes of answers with drawn numbers and ends.
 #[test]
 fn fuzz_binary_extension() {
