--- a/crates/gateway/src/upgrading.rs
+++ b/crates/gateway/src/upgrading.rs
@@ -3,7 +3,7 @@
 //! the group, its wishes for copies to the core.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,6 +38,8 @@
 /// What a member has seen is told again before it is forgotten.
 const SEEN_KEPT: Micros = 600_000_000;
 const SEEN_AGAIN: Micros = 300_000_000;
+/// Models whose copies' sizes are known at once, as many as a router keeps account of; others count as without size.
+const MOST_SIZES: usize = 20_000;
 /// Workers and counts are looked at this often.
 const LOOK: Duration = Duration::from_millis(500);
 /// Numbers in the file reach so far.
@@ -120,7 +122,7 @@
     /// By model, version and trigger type.
     counts: RefCell<BTreeMap<(Name, Name, u32), Count>>,
     /// By model: lanes and size of a copy, as its last invocation said.
-    sizes: RefCell<BTreeMap<Name, (u32, f64)>>,
+    sizes: RefCell<HashMap<Name, (u32, f64)>>,
     told: RefCell<BTreeMap<Name, Told>>,
     /// When this process began, by the wall: its word goes before that of an earlier one.
     began: u64,
@@ -129,10 +131,13 @@
     ended: RefCell<VecDeque<upgrade::Input>>,
     seats: RefCell<Option<Seats>>,
     /// What workers are known to hold; where they stand is added here.
-    holds: Box<dyn Fn() -> Vec<WorkerSeen>>,
+    holds: RefCell<Option<Holds>>,
     alarm: Alarm,
 }
 
+/// What workers are known to hold.
+pub type Holds = Box<dyn Fn() -> Vec<WorkerSeen>>;
+/// Workers of the list.
 pub type Seats = Rc<RefCell<BTreeMap<Name, Listed>>>;
 
 fn ours(b: replica::Ballot) -> Ballot {
@@ -144,12 +149,7 @@
 }
 
 impl Upgrading {
-    pub fn new(
-        desk: Rc<Desk>,
-        shared: Shared,
-        ordered: Ordered,
-        holds: Box<dyn Fn() -> Vec<WorkerSeen>>,
-    ) -> Rc<Upgrading> {
+    pub fn new(desk: Rc<Desk>, shared: Shared, ordered: Ordered) -> Rc<Upgrading> {
         let me = shared.me();
         let region = shared.fellows().get(me as usize).map(|f| f.region.clone()).unwrap_or_default();
         let planner = RefCell::new(Planner::new(ordered.terms.clone()));
@@ -169,7 +169,7 @@
             serial: Cell::new(0),
             ended: RefCell::default(),
             seats: RefCell::default(),
-            holds,
+            holds: RefCell::default(),
             alarm: Alarm::default(),
         });
         let weak = Rc::downgrade(&it);
@@ -189,6 +189,11 @@
         *self.seats.borrow_mut() = Some(seats);
     }
 
+    /// What workers hold, by their own word.
+    pub fn held(&self, holds: Holds) {
+        *self.holds.borrow_mut() = Some(holds);
+    }
+
     /// Where something of no session goes; absent: as it came.
     pub fn goes_to(&self, model: &str, draw: impl FnOnce() -> u64) -> Option<Name> {
         let planner = self.planner.borrow();
@@ -215,9 +220,7 @@
         let mut sizes = self.sizes.borrow_mut();
         if let Some(known) = sizes.get_mut(model) {
             *known = (lanes.max(1), copy_mb);
-        } else if self.orders.borrow().iter().any(|o| *o.model == *model)
-            || self.planner.borrow().models().any(|m| **m == *model)
-        {
+        } else if sizes.len() < MOST_SIZES {
             sizes.insert(Name::from(model), (lanes.max(1), copy_mb));
         }
     }
@@ -438,8 +441,8 @@
     fn workers(&self) -> Vec<WorkerSeen> {
         let seats = self.seats.borrow().clone().unwrap_or_default();
         let (seats, sizes) = (seats.borrow(), self.sizes.borrow());
-        let mut held: BTreeMap<Name, WorkerSeen> =
-            (self.holds)().into_iter().map(|w| (w.name.clone(), w)).collect();
+        let held = self.holds.borrow().as_ref().map(|holds| holds()).unwrap_or_default();
+        let mut held: BTreeMap<Name, WorkerSeen> = held.into_iter().map(|w| (w.name.clone(), w)).collect();
         let seen = |(name, seat): (&Name, &Listed)| {
             let zone = self.desk.names.zones.get(seat.zone as usize).map_or("", String::as_str);
             let region = self.ordered.regions.get(zone).map_or(zone, String::as_str);
@@ -453,6 +456,7 @@
                 if let Some((lanes, mb)) = sizes.get(serving::model(&h.function).0) {
                     (h.lanes, h.copy_mb) = (h.copies * lanes, *mb as u32);
                 }
+                w.used_mb = w.used_mb.saturating_add(h.copy_mb.saturating_mul(h.copies));
             }
             Some(w)
         };
