--- a/crates/reconcile/src/reconcile.rs
+++ b/crates/reconcile/src/reconcile.rs
@@ -34,6 +34,8 @@
 const MOST_NOTE: usize = 256 << 10;
 /// Functions that a note which was too long still names.
 const FEW_ENTRIES: usize = 512;
+/// Functions that are shown of a worker.
+const MOST_SHOWN: usize = 100;
 /// Doubt that one contradiction adds, that one refutation adds, and at most: so many sound answers lift it.
 const CONTRADICTED: u8 = 2;
 const REFUTED: u8 = 1;
@@ -44,7 +46,7 @@
 /// word may have come when it had been idle for almost that long.
 const BELIEVED_FOR: Micros = 2;
 /// A function is under load while its uses, halved with each time that copies are kept, are above this.
-const UNDER_LOAD: f64 = 0.25;
+const UNDER_LOAD: f64 = 1.0;
 
 /// What a reconciler goes by.
 #[derive(Clone, Debug)]
@@ -210,7 +212,8 @@
     pub life: Option<u64>,
     pub doubt: u8,
     pub heard_us_ago: Micros,
-    pub believed: usize,
+    /// The first of them by name.
+    pub believes: Vec<&'a str>,
     pub found: BTreeMap<Kind, u64>,
 }
 
@@ -374,7 +377,13 @@
             life: p.life,
             doubt: p.doubt,
             heard_us_ago: self.now - p.heard,
-            believed: p.beliefs.values().filter(|b| b.believed(self.now)).count(),
+            believes: p
+                .beliefs
+                .iter()
+                .filter(|(_, b)| b.believed(self.now))
+                .map(|(f, _)| &**f)
+                .take(MOST_SHOWN)
+                .collect(),
             found: KINDS.iter().map(|k| (*k, p.found[k.ix()])).filter(|f| f.1 > 0).collect(),
         })
     }
