Upgrade: copies go only after a quiet time since all routers knew; three ways compared

Change: sessions count as seen when all routers first know. The simulated world plays two baselines, all at once and a worker at a time, beside the planner (ignored test, prints). Seen: tests of the package pass.

--- a/crates/upgrade/src/acting.rs
+++ b/crates/upgrade/src/acting.rs
@@ -88,8 +88,9 @@
     pub phase_since: Micros,
     /// Since when this member leads and may act.
     pub acts_since: Micros,
-    /// When sessions were last seen on copies that go, by region.
-    pub used: BTreeMap<Name, Micros>,
+    /// When sessions were last seen on copies that go, or all routers first knew that nothing goes there any more; by
+    /// region, with the step that said so.
+    pub used: BTreeMap<Name, (u64, Micros)>,
     pub waits: String,
 }
 
@@ -600,12 +601,15 @@
         let r = side.region;
         match r.stage {
             Stage::Draining if self.heard(s, ballot, r) => {
-                // Symptom: a worker dies, and its sessions come to a copy that was just seen without any.
-                if side.went.sessions > 0 {
-                    self.used.insert(r.name.clone(), s.now);
+                // Symptom: a worker dies, and its sessions come to a copy that was just seen without any; or one began there
+                // since it was seen, by a router that did not yet know better.
+                let used = self.used.entry(r.name.clone()).or_insert((r.changed, s.now));
+                if side.went.sessions > 0 || used.0 != r.changed {
+                    *used = (r.changed, s.now);
                 }
-                let quiet = self.used.get(&r.name).is_none_or(|at| s.now - at >= s.terms.quiet);
-                if !r.over && !(quiet && s.all_seen(&r.name)) {
+                let quiet = s.now - used.1 >= s.terms.quiet;
+                let unused = quiet && s.all_seen(&r.name);
+                if !r.over && !unused {
                     return;
                 }
                 for w in s.of(&r.name).filter(|w| s.fresh(w)) {
--- a/crates/upgrade/src/planner.rs
+++ b/crates/upgrade/src/planner.rs
@@ -306,7 +306,7 @@
         }
         for r in &plan.regions {
             let was = same.and_then(|p| p.region(&r.name));
-            if !was.is_some_and(|w| (w.stage, w.part > 0) == (r.stage, r.part > 0)) {
+            if was.is_none_or(|w| (w.stage, w.part > 0) != (r.stage, r.part > 0)) {
                 self.doing.since.insert(r.name.clone(), now);
             }
         }
--- a/crates/upgrade/tests/world/mod.rs
+++ b/crates/upgrade/tests/world/mod.rs
@@ -177,7 +177,9 @@
 pub struct Sums {
     pub invocations: u64,
     pub in_objective: u64,
+    /// Prefixes built again; of these, where the copy that had them was gone, and not only busy.
     pub rebuilt: u64,
+    pub lost: u64,
     pub loads: u64,
     pub failed: u64,
     pub refused: u64,
@@ -869,7 +871,7 @@
                 inv.session.and_then(|id| self.sessions.get(&id)?.worker).filter(|w| free.contains(w));
             let Some(w) = prefers.or_else(|| free.get(self.draw(free.len().max(1) as u64) as usize).copied())
             else {
-                let loads = near.iter().any(|w| self.workers[*w].copies.get(&inv.function).is_some());
+                let loads = near.iter().any(|w| self.workers[*w].copies.contains_key(&inv.function));
                 // A miss: a load where there is room, and nobody else's.
                 if !loads && let Some(w) = near.iter().copied().find(|w| self.fits(*w)) {
                     self.load(w, &inv.function.clone(), m);
@@ -880,6 +882,10 @@
             let now = self.now;
             let errs = self.errs > now && inv.function == new() && self.draw(4) == 0;
             let slow = self.slow > now && inv.function == new();
+            let kept = inv.session.is_some_and(|id| {
+                let before = self.sessions.get(&id).and_then(|s| s.worker);
+                before.is_some_and(|b| self.workers[b].copies.values().any(|c| c.prefixes.contains_key(&id)))
+            });
             let copy = self.workers[w].copies.get_mut(&inv.function).expect("stands");
             let mut took = SERVICE + if slow { OBJECTIVE } else { 0 };
             if let Some(id) = inv.session {
@@ -889,6 +895,7 @@
                 if let Some(s) = self.sessions.get_mut(&id) {
                     if moved && s.worker.is_some() {
                         self.sums.rebuilt += 1;
+                        self.sums.lost += u64::from(!kept);
                         took += REBUILD;
                     }
                     s.worker = Some(w);
@@ -934,16 +941,17 @@
                 }
             }
         }
-        let old_left = self.workers.iter().any(|w| w.copies.contains_key(&old()));
         let stand = self.workers.iter().all(|w| w.copies.get(&new()).is_some_and(|c| c.ready_at <= self.now));
-        if !old_left && stand && self.sums.done_at.is_none() {
+        let done = if self.policy == Policy::OneByOne { self.one_by_one == all } else { stand };
+        if done && self.sums.done_at.is_none() {
             self.sums.done_at = Some(began);
         }
         // Nothing lets new copies go for idleness meanwhile.
         for c in self.workers.iter_mut().filter_map(|w| w.copies.get_mut(&new())) {
             c.used = c.used.max(self.now);
         }
-        for c in self.workers.iter_mut().filter_map(|w| w.copies.get_mut(&old())) {
+        let left = self.sums.done_at.is_none();
+        for c in self.workers.iter_mut().filter_map(|w| w.copies.get_mut(&old())).filter(|_| left) {
             c.used = c.used.max(self.now);
         }
     }
