--- a/crates/upgrade/src/lib.rs
+++ b/crates/upgrade/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`plan`]: the steps of one upgrade as a majority agrees on them, and where what begins goes by each.
 //! * [`seen`]: workers and their copies, as far as they are known here, and what is under way there.
 //! * [`health`]: the new version against the old one, paired by trigger type.
+//! * [`sessions`]: which version a session is of, and where it is warm.
 //! * `loads`: what was ordered and is not yet seen, and how much is loaded at once.
 //! * `acting`: the next step, and what is loaded and unloaded by the last one.
 //! * [`planner`]: who leads, how long it may act, what routers and operators ask.
@@ -20,6 +21,7 @@
 pub mod plan;
 pub mod planner;
 pub mod seen;
+pub mod sessions;
 
 use std::sync::Arc;
 
