AMQP: what is answered as a lost channel's news is heard no longer goes out on the next channel

Cause: with the close of a channel came messages or a commit in the same read. These were heard first, had the core answer something, and the answer was gathered after the channel's own had been thrown away.

Change: an answer or a rejection is taken only while the channel stands.

The test of a lost channel fails without the change (2 left for 0).

--- a/crates/amqp/src/connection.rs
+++ b/crates/amqp/src/connection.rs
@@ -296,8 +296,13 @@
         }
     }
 
-    /// Takes a trigger out of the way together with its answer, if it gets one: both or neither.
+    /// Takes a trigger out of the way together with its answer, if it gets one: both or neither. Void where the channel
+    /// does not stand. Symptom: with the news of a lost channel came a message or a commit, which was heard first and
+    /// had something answered; that went out on the next channel, while another consumer had the message again.
     pub fn answer(&mut self, tag: u64, answer: Option<(&str, AMQPProperties, &[u8])>) {
+        if self.stage != Stage::Ready {
+            return;
+        }
         if let Some((reply_to, properties, body)) = answer {
             let publish = basic::AMQPMethod::Publish(basic::Publish {
                 exchange: short(""),
@@ -314,6 +319,9 @@
 
     /// To the dead-letter path, never back into the queue.
     pub fn reject(&mut self, tag: u64) {
+        if self.stage != Stage::Ready {
+            return;
+        }
         let reject = basic::AMQPMethod::Reject(basic::Reject { delivery_tag: tag, requeue: false });
         write_method(&mut self.batch, CHANNEL, AMQPClass::Basic(reject));
         self.batch_tags.push(tag);
--- a/crates/amqp/tests/hostile.rs
+++ b/crates/amqp/tests/hostile.rs
@@ -129,6 +129,9 @@
     bytes.extend(delivery(3, b"late"));
     c.receive(0, &bytes, &mut events).expect("a good broker");
     assert_eq!(events, [Event::ChannelLost { code: 541, text: "no".into() }]);
+    // Whoever hears of it only now may still answer what came before.
+    c.answer(1, Some(("r", AMQPProperties::default(), b"x")));
+    c.reject(2);
     assert_eq!(c.unsafe_answers(), 0);
     c.output(0);
     c.commit(0);
