--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -108,12 +108,25 @@
     f.workers.iter().for_each(|w| w.hang(on));
 }
 
-/// No copy is loaded yet, and no worker loads by itself: all that is taken waits.
+const STILL: f64 = 1e6;
+
+/// No copy is loaded yet, and no worker loads by itself: all that is taken waits until the store goes on.
 fn stalled(d: &mut Day) {
     d.settings.loads.insert("loads_when_absent".into(), false.into());
+    d.store.mb_per_s /= STILL;
 }
 
-const STILL: f64 = 1e6;
+fn store_goes_on(f: &Fleet) {
+    f.store.slow(1.0 / STILL);
+}
+
+/// Longer than a crowded machine takes for any step, where the fault must come about.
+fn patient(d: &mut Day) {
+    let wait = 2 * WAITS_MS;
+    d.triggers.iter_mut().for_each(|t| t.client_timeout_ms = wait);
+    d.settings.peers.insert("kept_ms".into(), (wait as i64).into());
+    d.settings.peers.insert("copied_within_ms".into(), (wait as i64 - 1000).into());
+}
 
 /// So many are taken by the one, and nothing of it is asked for yet; the others have heard of them.
 fn taken(f: &Fleet, owner: usize) {
@@ -163,13 +176,13 @@
         After::Intended => {
             taken(f, owner);
             towards(f, owner, &all, Fault::Lost);
-            f.store.slow(1.0);
+            store_goes_on(f);
             comes("intents", || count(f, owner, "intents") >= SOME);
         }
         After::Copied => {
             taken(f, owner);
             all.iter().for_each(|m| towards(f, *m, &[owner], Fault::Lost));
-            f.store.slow(1.0);
+            store_goes_on(f);
             comes("intents are held", || records(f, all[0], "intended") >= SOME);
             unasked();
         }
@@ -177,7 +190,7 @@
             taken(f, owner);
             hangs();
             towards(f, owner, if after == After::SentUnheld { &all } else { &all[..1] }, Fault::Lost);
-            f.store.slow(1.0);
+            store_goes_on(f);
             sent();
         }
         After::Dispatched => {
@@ -219,11 +232,10 @@
         change(d);
     });
     let script = Script::new(1)
-        .at(0, |f| f.store.slow(if waits_for_loads(after) { STILL } else { 1.0 }))
         .at(if after == After::TakenUntold { 0 } else { 1000 }, |f| bring(f, after, owner))
         .at(1000, |f| f.kill_router(owner))
         .at(1000, |f| {
-            f.store.slow(1.0);
+            store_goes_on(f);
             hang(f, false);
             f.links.heal();
         })
@@ -272,7 +284,10 @@
     #[case] after: After,
     #[case] owner: usize,
 ) {
-    let played = owner_dies(after, owner, Some(kind), |d| d.seconds = 4.0);
+    let played = owner_dies(after, owner, Some(kind), |d| {
+        patient(d);
+        d.seconds = 4.0;
+    });
     breaks_rule_2(&played);
 }
 
@@ -378,7 +393,9 @@
             f.pause_router(OWNER, true).expect("it stands still");
             f.broker.drop_connections(|from| from == f.router(OWNER));
             comes("others take over", || of_others(f, "takeovers") > 0);
-            comes("its owner is gone", || of_others(f, "may_have_run") > 0);
+            let dead = |n: &usize| f.state(*n).is_some_and(|s| s["members"][OWNER]["standing"] == "dead");
+            comes("its owner is gone", || others(f, OWNER).iter().all(dead));
+            comes("what it had leave for may have run", || of_others(f, "may_have_run") > 0);
             workers(f, Fault::Pass);
         })
         .at(1000, |f| f.pause_router(OWNER, false).expect("it goes on"));
@@ -392,7 +409,7 @@
     taken(f, OWNER);
     both_ways(f, Fault::Lost);
     towards(f, OWNER, &others(f, OWNER), out);
-    f.store.slow(1.0);
+    store_goes_on(f);
     comes("intents", || count(f, OWNER, "intents") >= SOME);
 }
 
@@ -404,7 +421,7 @@
 
 #[test]
 fn an_owner_that_wakes_with_late_intents_is_refused() {
-    let script = Script::new(1).at(0, |f| f.store.slow(STILL)).at(1000, |f| {
+    let script = Script::new(1).at(1000, |f| {
         overtaken(f, Fault::Lost);
         f.pause_router(OWNER, true).expect("it stands still");
         unheard(f);
@@ -418,7 +435,7 @@
 
 /// Intents come through after others have promised not to hold them.
 fn late_intents(tamper: Option<&str>) -> Played {
-    let script = Script::new(1).at(0, |f| f.store.slow(STILL)).at(1000, |f| {
+    let script = Script::new(1).at(1000, |f| {
         overtaken(f, Fault::Held);
         unheard(f);
         // They say nothing more of it by themselves.
@@ -433,6 +450,7 @@
     let patience = if tamper.is_some() { Duration::from_secs(6) } else { PATIENCE };
     let day = shared(3, |d| {
         stalled(d);
+        patient(d);
         (d.seconds, d.rate_per_s) = (1.0, 40.0);
     });
     play(&day, tamper, script, patience)
@@ -468,12 +486,11 @@
 fn both_holders_die(tamper: Option<&str>) -> Played {
     let process = |f: &Fleet, n: usize, of: usize| f.state(n).map(|s| s["members"][of]["process"].clone());
     let script = Script::new(1)
-        .at(0, |f| f.store.slow(STILL))
         .at(1000, |f| {
             taken(f, OWNER);
             hang(f, true);
             towards(f, OWNER, &[2], Fault::Lost);
-            f.store.slow(1.0);
+            store_goes_on(f);
             comes("dispatches run", || ran_of(f, OWNER) as u64 >= SOME);
             towards(f, OWNER, &[0], Fault::Lost);
             towards(f, 0, &[OWNER], Fault::Lost);
@@ -487,7 +504,13 @@
         })
         .at(6000, |f| back(f, OWNER, State::Removed));
     let patience = if tamper.is_some() { Duration::from_secs(6) } else { PATIENCE };
-    play(&shared(3, stalled), tamper, script, patience)
+    let day = shared(3, |d| {
+        stalled(d);
+        if tamper.is_some() {
+            patient(d);
+        }
+    });
+    play(&day, tamper, script, patience)
 }
 
 #[test]
@@ -524,30 +547,30 @@
         (Found::Lost, _) | (Found::Mixed, 1) => back(f, n, State::Removed),
         _ => back(f, n, State::Older(&older(f, n))),
     };
-    let script = Script::new(1).at(0, |f| f.store.slow(STILL)).at(700, |f| taken(f, OWNER)).at(
-        700 + WRITTEN_MS,
-        |f| {
-            (0..3).for_each(|n| lock(&f.routers[n]).copy_state(&older(f, n)).expect("copied"));
-            hang(f, true);
-            f.store.slow(1.0);
-            comes("dispatches run", || ran_of(f, OWNER) as u64 >= SOME);
-            (0..3).for_each(|n| f.kill_router(n));
-            hang(f, false);
-            // What remembers something may vote before it is given what was requeued.
-            let waits = matches!(found, Found::Kept | Found::Older);
-            if waits {
-                (0..3).for_each(|n| f.links.set(&f.router(n), BROKER, Fault::Held));
-            }
-            (0..3).for_each(|n| start(f, n));
-            if waits {
-                comes("they may vote", || f.all_remember());
-                f.links.heal();
-            }
-        },
-    );
+    let script = Script::new(1).at(700, |f| taken(f, OWNER)).at(700 + WRITTEN_MS, |f| {
+        (0..3).for_each(|n| lock(&f.routers[n]).copy_state(&older(f, n)).expect("copied"));
+        hang(f, true);
+        store_goes_on(f);
+        comes("dispatches run", || ran_of(f, OWNER) as u64 >= SOME);
+        (0..3).for_each(|n| f.kill_router(n));
+        hang(f, false);
+        // What remembers something may vote before it is given what was requeued.
+        let waits = matches!(found, Found::Kept | Found::Older);
+        if waits {
+            (0..3).for_each(|n| f.links.set(&f.router(n), BROKER, Fault::Held));
+        }
+        (0..3).for_each(|n| start(f, n));
+        if waits {
+            comes("they may vote", || f.all_remember());
+            f.links.heal();
+        }
+    });
     let patience = if tamper.is_some() { Duration::from_secs(6) } else { PATIENCE };
     let day = shared(3, |d| {
         stalled(d);
+        if tamper.is_some() {
+            patient(d);
+        }
         d.seconds = 4.0;
     });
     play(&day, tamper, script, patience)
@@ -658,6 +681,9 @@
 /// One that sent alone dies, and nobody else had heard of it.
 fn alone_and_gone(tamper: Option<&str>) -> Played {
     let alone = |d: &mut Day| {
+        if tamper.is_some() {
+            patient(d);
+        }
         d.triggers.iter_mut().for_each(|t| t.without_majority = Some("alone".into()));
         d.settings.peers.insert("copied_within_ms".into(), 300.into());
         d.seconds = 4.0;
