--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -103,6 +103,12 @@
         /// The router keeps a trace.
         #[arg(long)]
         trace: bool,
+        /// Of its invocations: idempotent, non-idempotent.
+        #[arg(long, default_value = "idempotent")]
+        effect: String,
+        /// Members of its group, the others as witnesses; 0: it has none.
+        #[arg(long, default_value_t = 0)]
+        peers: usize,
     },
     /// Trace files: verify, summary, show, replay.
     Trace {
@@ -155,8 +161,9 @@
             let known = named(&tamper);
             known.and_then(|_| day::play(&day, out, seed, tamper, router, json).map_err(Wrong::Told))
         }
-        Command::Measure { rate, seconds, work_ms, lanes, folder, trace } => {
-            measure::run(rate, seconds, work_ms, lanes, &folder, trace).map(|()| true)
+        Command::Measure { rate, seconds, work_ms, lanes, folder, trace, effect, peers } => {
+            let what = measure::What { work_ms, lanes, trace, effect: &effect, peers };
+            measure::run(rate, seconds, &what, &folder).map(|()| true)
         }
         Command::Trace { what } => trace::run(what),
         Command::Meter { what } => meter::run(what),
