Node: a worker that reads nothing is waited for, and no longer halts the router

Cause: `Links::write` rang the connection's bell when the kernel took no more, so that the connection's task would wait for room; called by that task itself, the bell was heard at once, before any waiting, and the task never gave way. It takes full buffers, so connections that are shared as descriptors run out, or segments smaller than loopback's. Change: the bell is rung by whoever writes from outside (`push`); the task itself waits for room (`stirs`).

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -254,6 +254,47 @@
     w.until("the change is told", |w| w.channel.lock().expect("channel").asked.contains(&2));
 }
 
+/// Symptom: a worker reads nothing, what is sent to it finds no room, and the router went round and round at that
+/// connection for as long as it was so, with all else at a standstill.
+#[test]
+fn a_worker_that_reads_nothing_holds_up_nobody() {
+    // One connection for all that is out; small segments, so that its buffers are small.
+    let shared = |c: String| c.replace("\"sockets\":256", "\"sockets\":66").replace("\"miss\"", "\"load\"");
+    let (w, at) = (World::with(23, shared), own(23));
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_tcp_mss(88).expect("set");
+    socket.set_recv_buffer_size(2 << 10).expect("set");
+    socket.bind(&at.into()).expect("bind");
+    socket.listen(8).expect("listens");
+    let listener = TcpListener::from(socket);
+    for (n, id, at, state) in [(2, "s-2", at, "active"), (3, "s-1", w.workers, "left")] {
+        w.channel.lock().expect("channel").events.push(event(n, at, id, state));
+    }
+    w.until("it is told", |w| w.channel.lock().expect("channel").asked.contains(&3));
+    let send = |n, body: &str| {
+        let mut stream = w.connect();
+        let text = call(&id(n), "once", GOOD, "X-Extras: lanes:16\r\n", body);
+        stream.write_all(text.as_bytes()).expect("sent");
+        stream
+    };
+    // It answers one, and reads nothing more.
+    let first = send(1, "");
+    let (mut to, _) = listener.accept().expect("it comes");
+    let mut line = [0; 256];
+    assert!(to.read(&mut line).expect("read") > 0);
+    to.write_all(format!("{} ok - 0\r\n\r\n", id(1)).as_bytes()).expect("written");
+    assert_eq!(answer(&mut BufReader::new(first)).expect("an answer").0, 200);
+    let body = "x".repeat(16 << 10);
+    let _kept: Vec<TcpStream> = (2..12).map(|n| send(n, &body)).collect();
+    let mut waits = (0, 0);
+    w.until("no more finds room", |_| {
+        let most = rows(None, Some(at)).iter().map(|r| r.tx_queue).max().unwrap_or(0);
+        waits = (most, if most > 16 << 10 && most == waits.0 { waits.1 + 1 } else { 0 });
+        waits.1 == 20
+    });
+    w.turns();
+}
+
 #[test]
 fn the_channel_breaks_moves_and_goes_on_where_it_was() {
     let w = World::new(7);
--- a/crates/platform-node/src/links.rs
+++ b/crates/platform-node/src/links.rs
@@ -163,7 +163,7 @@
         workers::unload(&mut bytes, function);
         if let Ok(conn) = self.conn(node, worker) {
             conn.letters.borrow_mut().push_back((String::new(), Letter::Bytes(bytes)));
-            self.write(node, &conn);
+            self.push(node, &conn);
             self.berths.borrow_mut().ended(node.clock.now(), conn.ix, true);
         }
     }
@@ -178,7 +178,7 @@
         }
         conn.out.borrow_mut().insert(id.clone(), Exchange { kind, whole_at: None, until });
         conn.letters.borrow_mut().push_back((id, letter));
-        self.write(node, &conn);
+        self.push(node, &conn);
     }
 
     /// The connection for one more thing, which counts as out there; or what became of it without one.
@@ -231,7 +231,16 @@
         Some(conn)
     }
 
-    /// Writes what waits, as far as the kernel takes it.
+    /// Writes what waits, as far as the kernel takes it; the connection's task goes on with the rest.
+    fn push(&self, node: &Rc<Node>, conn: &Rc<Conn>) {
+        self.write(node, conn);
+        if !conn.rest.borrow().is_empty() {
+            conn.bell.ring();
+        }
+    }
+
+    /// The same of the connection's own task, which then waits for room. Symptom: it rang its own bell, heard that
+    /// at once, and went round for as long as a worker read nothing, with all else at a standstill.
     fn write(&self, node: &Rc<Node>, conn: &Rc<Conn>) {
         let Some(stream) = conn.stream.borrow().clone() else { return };
         while !conn.ends.get() {
@@ -250,8 +259,7 @@
                     conn.written.set(conn.written.get() + n as u64);
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                // The connection's task waits until it can go on.
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return conn.bell.ring(),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(_) => return conn.end(),
             }
         }
@@ -404,7 +412,7 @@
             let mut bytes = Vec::new();
             workers::withdraw(&mut bytes, &id);
             conn.letters.borrow_mut().push_back((String::new(), Letter::Bytes(bytes)));
-            self.write(node, &conn);
+            self.push(node, &conn);
         } else {
             conn.letters.borrow_mut().retain(|(of, _)| *of != id);
         }
