Node: a drain heard first after a gap in the channel has no grace left

Rule: an event counts as told once it is in the channel, whether or not a router is connected; the grace of a worker that drains runs from then. Found on reading: it ran from when the router heard it, also on a connection that had just come up, so up to a third of a second (break, or a move) or 1.8 s (silence) too late; half a second is the whole grace. Seen: a worker told to drain while the channel was silent got the next request after it was heard. Change: what the first answer of a connection tells of drains (and the configuration's first events) is taken as gone: nothing new goes there, what is out is waited for. Drains heard on a connection that stood keep their grace.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -254,6 +254,33 @@
     w.until("the change is told", |w| w.channel.lock().expect("channel").asked.contains(&2));
 }
 
+/// Symptom: a worker drains while the channel is away; that was told then, not when it is heard at last.
+#[test]
+fn a_drain_heard_late_has_no_grace_left() {
+    let patient = |c: String| {
+        c.replace("\"stopSendingWithin\":500000000", "\"stopSendingWithin\":600000000000")
+            .replace("\"staysLoaded\":5000000000", "\"staysLoaded\":600000000000")
+    };
+    for late in [false, true] {
+        let (w, other, seen) = (World::with(22, patient), own(22), Shared::default());
+        worker(TcpListener::bind(other).expect("bind"), seen.clone());
+        assert_eq!(w.ask(&call(&id(1), "plain", GOOD, "", "x")).expect("an answer").0, 200);
+        let tell = |n: u64, id: &str, at, state: &str| {
+            w.channel.lock().expect("channel").events.push(event(n, at, id, state));
+            w.until("it is told", |w| w.channel.lock().expect("channel").asked.contains(&n));
+        };
+        tell(2, "s-2", other, "active");
+        if late {
+            w.channel.lock().expect("channel").silent = true;
+            w.until("it is silent", |w| !w.channel.lock().expect("channel").silent);
+        }
+        tell(3, "s-1", w.workers, "leaving");
+        assert_eq!(w.ask(&call(&id(2), "plain", GOOD, "", "x")).expect("an answer").0, 200);
+        let other = seen.lock().expect("seen").calls.len();
+        assert_eq!((w.calls(&id(2)), other), if late { (0, 1) } else { (1, 0) });
+    }
+}
+
 /// Symptom: a worker reads nothing, what is sent to it finds no room, and the router went round and round at that
 /// connection for as long as it was so, with all else at a standstill.
 #[test]
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -197,8 +197,8 @@
     answers.put(bytes);
     let (mut follower, names) = (Follower::default(), Names::default());
     while let Ok(Some(batch)) = answers.whole() {
-        if follower.batch(&batch, &names, 0).is_ok() {
-            assert!(follower.batch(&batch, &names, 0).is_ok_and(|again| again.is_empty()));
+        if follower.batch(&batch, &names, 0, false).is_ok() {
+            assert!(follower.batch(&batch, &names, 0, false).is_ok_and(|again| again.is_empty()));
         }
     }
     let _ = config::Start::read(&String::from_utf8_lossy(bytes));
--- a/crates/platform-node/src/channel.rs
+++ b/crates/platform-node/src/channel.rs
@@ -59,6 +59,8 @@
     let address = node.channel.get();
     let mut stream = connect(address, None, ASKED_WAIT).await?;
     let mut answers = Answers::default();
+    // What the first answer tells may have come while nobody was connected; later ones are waited for.
+    let mut heard_late = true;
     loop {
         let question = node.follower.borrow().ask(&address.to_string());
         stream.write_all(&question).await?;
@@ -67,7 +69,8 @@
             Err(Broken::Late)
         };
         let batch = answer(&mut stream, &mut answers).or(late).await?;
-        node.follow(&batch)?;
+        node.follow(&batch, heard_late)?;
+        heard_late = false;
     }
 }
 
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -123,10 +123,10 @@
         self.follower.borrow().address(self.router.borrow().worker_name(worker)?)
     }
 
-    /// What the channel tells.
-    pub(crate) fn follow(self: &Rc<Self>, batch: &Batch) -> Result<(), Unread> {
+    /// What the channel tells. `late`: it was not heard right before.
+    pub(crate) fn follow(self: &Rc<Self>, batch: &Batch, late: bool) -> Result<(), Unread> {
         let wall_at_zero = self.clock.wall() - self.clock.now();
-        let news = self.follower.borrow_mut().batch(batch, &self.names, wall_at_zero)?;
+        let news = self.follower.borrow_mut().batch(batch, &self.names, wall_at_zero, late)?;
         news.into_iter().for_each(|news| self.tell(news));
         Ok(())
     }
@@ -276,7 +276,7 @@
         stopping: RefCell::new(Stopping::new(longest)),
         piece: RefCell::new(vec![0; PIECE]),
     });
-    node.follow(&known).map_err(|source| Unstarted::Known { path: named(), source })?;
+    node.follow(&known, true).map_err(|source| Unstarted::Known { path: named(), source })?;
     let listener = listen(address).map_err(|source| Unstarted::Listen { address, source })?;
     let read_again = || match read().and_then(|text| channel_of(&text).map_err(unfit)) {
         Ok(channel) => {
--- a/crates/platform/src/channel.rs
+++ b/crates/platform/src/channel.rs
@@ -7,6 +7,8 @@
 //! 2. What cannot be read voids its answer: nothing of it is taken, and the same question is asked again.
 //! 3. A worker is known by its id. Symptom: a new one has the address of one that has gone, or one moves;
 //!    what is open to the old one must not be used for the new.
+//! 4. What may have been told a while ago, as the channel was not heard meanwhile, has no grace left. Symptom: a
+//!    worker drains while the channel is away, and its grace is counted from when that is heard at last.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -153,8 +155,15 @@
     }
 
     /// The news in a batch, in order; all of it or, where it cannot be read, nothing. `wall_at_zero`: the
-    /// wall's time when the router's clock began.
-    pub fn batch(&mut self, batch: &Batch, names: &Names, wall_at_zero: Micros) -> Result<Vec<News>> {
+    /// wall's time when the router's clock began. `late`: the channel was not heard right before, so what it tells
+    /// may have stood there for a while.
+    pub fn batch(
+        &mut self,
+        batch: &Batch,
+        names: &Names,
+        wall_at_zero: Micros,
+        late: bool,
+    ) -> Result<Vec<News>> {
         let (mut understood, mut last, mut repeated) = (Vec::new(), self.last, 0);
         for command in &batch.cmds {
             if command.cursor <= last {
@@ -166,7 +175,7 @@
                 let workers = nodes
                     .servers
                     .iter()
-                    .map(|s| named(s, names, wall_at_zero))
+                    .map(|s| named(s, names, wall_at_zero, late))
                     .collect::<Result<Vec<_>>>()?;
                 understood.push((if nodes.full { ListMode::Complete } else { ListMode::Changes }, workers));
             }
@@ -206,12 +215,17 @@
     }
 }
 
-fn named(server: &Server, names: &Names, wall_at_zero: Micros) -> Result<(Listed, Option<SocketAddr>)> {
+fn named(
+    server: &Server,
+    names: &Names,
+    wall_at_zero: Micros,
+    late: bool,
+) -> Result<(Listed, Option<SocketAddr>)> {
     let place = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|n| n as u32);
     let standing = match server.state.as_str() {
         "active" => Standing::InService,
-        "leaving" => Standing::Draining,
-        "left" => Standing::Gone,
+        "leaving" if !late => Standing::Draining,
+        "leaving" | "left" => Standing::Gone,
         other => return Err(Unread::State { id: server.id.clone(), state: other.to_owned() }),
     };
     let address = server.addr.parse().ok();
--- a/crates/platform/tests/lines.rs
+++ b/crates/platform/tests/lines.rs
@@ -1,6 +1,6 @@
 //! Workers' lines, the table of endings, the command channel and the configuration.
 
-use cedarpulley::interface::{ListMode, OrderResult, Outcome, Standing::Draining};
+use cedarpulley::interface::{ListMode, OrderResult, Outcome, Standing::Draining, Standing::Gone};
 use cedarpulley_errors::Remedy;
 use cedarpulley_platform::channel::{Answers, Batch, Follower, News};
 use cedarpulley_platform::config::{Names, Start, channel_of};
@@ -135,7 +135,7 @@
 
 fn told(follower: &mut Follower, events: &[String]) -> Vec<News> {
     let text = format!(r#"{{"cursor":0,"cmds":[{}]}}"#, events.join(","));
-    follower.batch(&batch(&text), &names(), 3_000).expect("good")
+    follower.batch(&batch(&text), &names(), 3_000, false).expect("good")
 }
 
 #[test]
@@ -167,6 +167,18 @@
     assert_eq!((&news[0].retired, f.address("s-2")), (&vec!["s-2".to_owned()], None));
 }
 
+/// Symptom: a worker drained while the channel was away, and its grace began when that was heard.
+#[test]
+fn a_drain_that_may_have_been_told_a_while_ago_has_no_grace_left() {
+    let (mut f, at) = (Follower::default(), "127.0.0.9:5050");
+    told(&mut f, &[event(1, true, &[("s-1", "active", at), ("s-2", "active", at)])]);
+    let text = format!(r#"{{"cursor":2,"cmds":[{}]}}"#, event(2, false, &[("s-1", "leaving", at)]));
+    let news = f.batch(&batch(&text), &names(), 0, true).expect("good");
+    assert_eq!((news[0].workers[0].standing, &*news[0].retired[0], f.address("s-1")), (Gone, "s-1", None));
+    let news = told(&mut f, &[event(3, false, &[("s-2", "leaving", at)])]);
+    assert_eq!((news[0].workers[0].standing, f.address("s-2")), (Draining, at.parse().ok()));
+}
+
 #[test]
 fn what_the_settings_do_not_name_passes_for_nothing_that_they_do() {
     let mut f = Follower::default();
@@ -181,7 +193,7 @@
 fn a_batch_that_cannot_be_understood_changes_nothing() {
     let mut follower = Follower::default();
     let odd = batch(r#"{"cursor":5,"cmds":[{"cursor":5,"nodes":{"servers":[{"id":"s-1","state":"odd"}]}}]}"#);
-    assert!(follower.batch(&odd, &names(), 0).is_err());
+    assert!(follower.batch(&odd, &names(), 0, false).is_err());
     assert_eq!(follower.last(), 0);
 }
 
