--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -322,6 +322,24 @@
     w.turns();
 }
 
+/// Symptom: a connection that is closed without a word counts as a refusal at best, and beyond one in 200 as lost.
+#[test]
+fn whoever_comes_while_all_are_owed_an_answer_is_refused_in_words() {
+    let w = World::with(24, |c| c.replace("\"sockets\":256", "\"sockets\":4"));
+    let open = [1, 2].map(|n| {
+        let mut stream = w.connect();
+        let text = call(&id(n), "once", KEPT, "X-Extras: lanes:8\r\n", "x");
+        stream.write_all(text.as_bytes()).expect("sent");
+        w.until("it is out", |w| w.calls(&id(n)) == 1);
+        stream
+    });
+    assert_eq!(w.ask(&call(&id(3), "plain", GOOD, "", "x")).expect("an answer").0, 503);
+    for (n, stream) in [1, 2].into_iter().zip(open) {
+        w.free(&id(n));
+        assert_eq!(answer(&mut BufReader::new(stream)).expect("an answer").0, 200);
+    }
+}
+
 #[test]
 fn the_channel_breaks_moves_and_goes_on_where_it_was() {
     let w = World::new(7);
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -2,6 +2,7 @@
 
 use cedarpulley_platform::clients::*;
 use cedarpulley_platform::config::Names;
+use cedarpulley_router::Fate;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -81,6 +82,20 @@
 }
 
 /// Symptom: a request with both lengths hides another one in its body.
+/// A client must be able to tell a whole answer, and on a refusal how long to stay away.
+#[test]
+fn answers_are_written_as_the_protocol_has_them() {
+    assert_eq!([Fate::Succeeded, Fate::Throttled, Fate::Errored].map(status), [200, REFUSED, 500]);
+    let text = |status, wait, body: &[u8], close| {
+        let mut out = Vec::new();
+        answer(&mut out, status, wait, body, close);
+        String::from_utf8(out).expect("text")
+    };
+    let refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nSrv-Wait-Ms: 3\r\n";
+    assert_eq!(text(REFUSED, Some(2_001), b"", true), format!("{refusal}Connection: close\r\n\r\n"));
+    assert_eq!(text(200, None, b"it", false), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nit");
+}
+
 #[test]
 fn both_lengths_are_refused_in_any_order_and_case() {
     for extra in [
--- a/crates/router/tests/alone.rs
+++ b/crates/router/tests/alone.rs
@@ -68,6 +68,7 @@
     assert!(!service.takes_new(0, 0));
     service.follow(0, ListMode::Complete, &[entry(0, Standing::InService)]);
     service.follow(SECOND, ListMode::Changes, &[entry(0, Standing::Draining)]);
+    service.follow(SECOND + 300 * MS, ListMode::Changes, &[entry(0, Standing::Draining)]);
     service.follow(SECOND + 400 * MS, ListMode::Complete, &[]);
     assert!(service.takes_new(SECOND + 499 * MS, 0) && !service.takes_new(SECOND + 500 * MS, 0));
     service.follow(3 * SECOND, ListMode::Failed, &[]);
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -15,6 +15,8 @@
 pub const MULTIPLE: f64 = 1.0;
 /// What an invocation takes on average in the random runs.
 pub const MEAN_WORK: Micros = 95 * MS;
+/// Under a quarter of the objective, which would be told otherwise.
+pub const MAX_ADVICE: Micros = 100 * MS;
 pub const KEPT: Micros = 10 * SECOND;
 
 /// The plain ways in which a site may differ.
@@ -67,7 +69,7 @@
             withdrawals: true,
             probes: true,
             connect_within: 250 * MS,
-            max_advice: SECOND,
+            max_advice: MAX_ADVICE,
         },
         RuleTerms {
             answer_slack: SLACK,
@@ -336,7 +338,9 @@
                 let most = 2.0 + 0.02 * within(&self.arrivals);
                 assert!(!self.site.ration || within(&self.orders) <= most, "rule 5: too many orders");
             }
-            Action::Throttle { inv, .. } => {
+            Action::Throttle { inv, return_after, .. } => {
+                let told = return_after.is_none_or(|t| (1..=MAX_ADVICE).contains(&t));
+                assert!(told, "{inv} is told to stay away for longer than the settings allow");
                 let account = &mut self.ledger[inv as usize];
                 assert!(!account.answered, "rule 1: {inv} is answered twice");
                 let ran = account.sent.iter().any(|s| s.out || !s.never_ran);
