Router: what waits for a connection to a worker that is gone leaves no more

Need: that a worker is gone may be heard long after it was told (the channel away), and the last look before a first byte still gave half a second from when it was heard; drains heard late are taken as gone and had it, too. Change: `Service::follow` ends the time of one told as gone at once; drains heard in time keep their grace. Its own test fails without it.

--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -34,9 +34,12 @@
             }
             self.until[w] = match e.standing {
                 Standing::InService => Micros::MAX,
+                // Symptom: it was told so while the list was out of reach, and what waited for a connection leaves within
+                // a grace that is long over. Nothing is lost by holding it back: nobody is there to serve it.
+                Standing::Gone => self.until[w].min(now),
                 // First heard of now, or told again: what was told first counts.
-                _ if self.until[w] == Micros::MIN => stops,
-                Standing::Draining | Standing::Gone => self.until[w].min(stops),
+                Standing::Draining if self.until[w] == Micros::MIN => stops,
+                Standing::Draining => self.until[w].min(stops),
             };
         }
     }
--- a/crates/router/tests/alone.rs
+++ b/crates/router/tests/alone.rs
@@ -81,6 +81,15 @@
     assert!(service.takes_new(10 * SECOND + 499 * MS, 0) && !service.takes_new(11 * SECOND, 0));
 }
 
+#[test]
+fn what_waits_for_a_worker_that_is_gone_does_not_leave() {
+    let mut service = Service::new(500 * MS);
+    service.follow(0, ListMode::Complete, &[entry(0, Standing::InService), entry(1, Standing::Draining)]);
+    assert!(service.takes_new(MS, 0) && service.takes_new(MS, 1));
+    service.follow(MS, ListMode::Changes, &[entry(0, Standing::Gone), entry(1, Standing::Gone)]);
+    assert!(!service.takes_new(MS, 0) && !service.takes_new(MS, 1));
+}
+
 /// Symptom: over a long day new workers take the place of old ones, and all that is kept by worker grows for
 /// ever.
 #[test]
