Upgrade: the lease has a test of its own; a load that fails stands at no moment in the world

Need: without the lease nothing failed, as what a woken leader has seen is too old to act upon anyway; and a failing load was seen as standing for a moment, which a random play took for a broken floor. Change: a test of the lease alone; the world's copies. Seen: tests of the package pass.

--- a/crates/upgrade/tests/parts.rs
+++ b/crates/upgrade/tests/parts.rs
@@ -2,6 +2,7 @@
 
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
+use cedarpulley::interface::Micros;
 use cedarpulley_upgrade::health::{Health, Verdict};
 use cedarpulley_upgrade::orders::all;
 use cedarpulley_upgrade::*;
@@ -90,6 +91,63 @@
     assert_eq!(&**p.version("elsewhere", 999, false), "2");
 }
 
+/// One router that leads alone, as far as its first canary; the time.
+fn leads(planner: &mut Planner) -> Micros {
+    let (mut now, mut inputs) = (0, Vec::new());
+    inputs.push(Input::Members { me: 0, alive: vec![true], regions: vec!["a".into()] });
+    inputs.push(Input::Orders(vec![Order::try_from(asked()).expect("fit")]));
+    loop {
+        now += 200_000;
+        inputs.push(Input::Workers(vec![worker(now)]));
+        let goes_by = planner.goes_by("m");
+        inputs.push(Input::Counted { member: 0, model: "m".into(), goes_by, counts: Vec::new() });
+        let mut out = Vec::new();
+        inputs.drain(..).for_each(|i| planner.handle(now, i, &mut out));
+        for output in out {
+            let ballot = Ballot { number: 1, ..Ballot::default() };
+            match output {
+                Output::Lead { key } => {
+                    inputs.push(Input::Decided { key, outcome: Outcome::Leads { ballot, last: None } });
+                }
+                Output::Write { key, .. } => {
+                    inputs.push(Input::Decided { key, outcome: Outcome::Written { ballot } });
+                }
+                Output::Want { .. } => return now,
+                _ => {}
+            }
+        }
+        assert!(now < 60_000_000, "{:?}", planner.shown());
+    }
+}
+
+fn worker(now: Micros) -> WorkerSeen {
+    let held = Held {
+        function: function("m", "1"),
+        copies: 1,
+        lanes: 2,
+        busy: 0,
+        loading: false,
+        sessions: 0,
+        copy_mb: 10,
+    };
+    let (name, region) = ("w".into(), "a".into());
+    WorkerSeen { name, region, takes_new: true, seen_at: now, memory_mb: 100, used_mb: 10, holds: vec![held] }
+}
+
+#[test]
+fn a_leader_past_its_lease_orders_nothing_before_a_step_is_agreed_anew() {
+    let orders =
+        |out: &[Output]| out.iter().any(|o| matches!(o, Output::Want { .. } | Output::Unwant { .. }));
+    let mut planner = Planner::new(Terms::default());
+    let now = leads(&mut planner) + Terms::default().lease;
+    let mut out = Vec::new();
+    planner.handle(now, Input::Workers(vec![worker(now)]), &mut out);
+    assert!(!orders(&out) && matches!(out[..], [Output::Write { .. }]), "{out:?}");
+    let (key, ballot) = (key("m"), Ballot { number: 1, ..Ballot::default() });
+    planner.handle(now, Input::Decided { key, outcome: Outcome::Written { ballot } }, &mut out);
+    assert!(orders(&out), "{out:?}");
+}
+
 proptest! {
     #[test]
     fn no_bytes_are_taken_for_a_plan_with_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
--- a/crates/upgrade/tests/world/mod.rs
+++ b/crates/upgrade/tests/world/mod.rs
@@ -113,6 +113,12 @@
     prefixes: BTreeMap<u64, (Micros, Micros)>,
 }
 
+impl Copy {
+    fn stands(&self, now: Micros) -> bool {
+        self.ready_at <= now && !self.fails
+    }
+}
+
 struct Worker {
     name: Name,
     region: Name,
@@ -423,7 +429,8 @@
                         continue;
                     }
                     if self.members[m].stopped > self.now {
-                        let when = self.members[m].stopped;
+                        // Its own timers go first when it wakes.
+                        let when = self.members[m].stopped + 2 * DT;
                         self.at(when, Ev::In { m, nonce, input });
                     } else {
                         self.members[m].heard |= matches!(input, Input::PlanHeard { .. });
@@ -524,7 +531,7 @@
                     continue;
                 }
                 let holds = it.copies.iter().map(|(f, c)| {
-                    let ready = c.ready_at <= self.now;
+                    let ready = c.stands(self.now);
                     let sessions =
                         c.prefixes.values().filter(|p| self.now - p.1 < SESSION_IDLE).count() as u32;
                     Held {
@@ -688,7 +695,7 @@
             let stands = |w: &&Worker| {
                 w.region == *region
                     && w.dead_until <= self.now
-                    && w.copies.get(f).is_some_and(|c| c.ready_at <= self.now)
+                    && w.copies.get(f).is_some_and(|c| c.stands(self.now))
             };
             self.workers.iter().filter(stands).count() as u32 * LANES
         };
@@ -864,7 +871,7 @@
                 .copied()
                 .filter(|w| {
                     let copy = self.workers[*w].copies.get(&inv.function);
-                    copy.is_some_and(|c| c.ready_at <= self.now && c.busy.len() < LANES as usize)
+                    copy.is_some_and(|c| c.stands(self.now) && c.busy.len() < LANES as usize)
                 })
                 .collect();
             let prefers =
@@ -941,7 +948,7 @@
                 }
             }
         }
-        let stand = self.workers.iter().all(|w| w.copies.get(&new()).is_some_and(|c| c.ready_at <= self.now));
+        let stand = self.workers.iter().all(|w| w.copies.get(&new()).is_some_and(|c| c.stands(self.now)));
         let done = if self.policy == Policy::OneByOne { self.one_by_one == all } else { stand };
         if done && self.sums.done_at.is_none() {
             self.sums.done_at = Some(began);
