Core: what was away from a router is not promised there not to have run

Cause: a router took a message and throttled it in the same read that told of its lost channel, so nobody heard that. One that was out as its front was lost, came back and then found no worker was throttled likewise, whatever another router had done meanwhile.

Change: a shared message that was throttled and that nobody holds is asked about anew; one that was away while it was out is errored where it would be throttled. Nothing changes without a group.

Both new tests fail without the change.

--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -16,7 +16,7 @@
 use cedarpulley::interface::{InvIx, Micros};
 
 use crate::redelivery::Record;
-use crate::{Answer, Delivery, FrontIx};
+use crate::{Answer, Delivery, Fate, FrontIx};
 
 /// Claims without holder at most; each is a few hundred bytes. What is forgotten is only taken more strictly.
 const MOST_ORPHANS: usize = 10_000;
@@ -186,6 +186,14 @@
         }
     }
 
+    /// It was told not to have run, and nobody heard that: it may have been taken elsewhere since.
+    pub fn withdrawn(&self, ix: ClaimIx) -> bool {
+        let claim = self.claims.get(ix as usize).and_then(Option::as_ref);
+        claim.is_some_and(|c| {
+            c.holders.is_empty() && matches!(&c.state, State::Given(a) if a.fate == Fate::Throttled)
+        })
+    }
+
     /// The final answer; the first one counts, and its holders are to be sent it. A claim that has one already
     /// gives nothing.
     pub fn give(&mut self, ix: ClaimIx, answer: &Answer) -> Vec<Delivery> {
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -262,6 +262,8 @@
     concluded: bool,
     /// Its front is lost and the message has not come again.
     orphan: bool,
+    /// Its front lost it for a while, and the group may have given it to another router.
+    was_away: bool,
     /// For how long its client had waited when it was taken.
     waited: Micros,
     redelivered: bool,
@@ -572,6 +574,10 @@
         let verdict = match record {
             // What is known here is not all that is known.
             Record::Nothing | Record::NeverRan if part.is_some() => Verdict::Take { dispatch_within: None },
+            // Symptom: it was throttled here as its channel was lost, ran at another router, and came here again.
+            Record::Answered if part.is_some() && claim.is_some_and(|c| self.claims.withdrawn(c)) => {
+                Verdict::Take { dispatch_within: None }
+            }
             _ => redelivery::decide(record, t.redelivered, trigger.effect, waited, margin),
         };
         let dispatch_within = match (verdict, claim) {
@@ -655,6 +661,7 @@
             dispatch_until,
             concluded: false,
             orphan: false,
+            was_away: false,
             waited,
             redelivered: t.redelivered,
             repeat: t.repeat,
@@ -763,6 +770,7 @@
             && let Some(it) = self.invs.get_mut(inv)
         {
             it.orphan = false;
+            it.was_away = it.part.is_some();
         }
     }
 
@@ -1019,6 +1027,11 @@
         {
             self.tokens.ended(self.now, &key, Some((answer.clone(), self.now + window)));
         }
+        // While it was away from here another router may have had it: that it did not run is nobody's to promise.
+        let answer = match answer.fate {
+            Fate::Throttled if it.was_away => Answer::bare(Fate::Errored, Reason::MayHaveRun),
+            _ => answer,
+        };
         let alone = it.stage() == Some(Stage::Alone) && answer.reason == Reason::Worker;
         let answer = if alone { Answer { reason: Reason::Alone, ..answer } } else { answer };
         // Others may be given the same message: they answer alike.
--- a/crates/router/tests/group.rs
+++ b/crates/router/tests/group.rs
@@ -148,6 +148,40 @@
     assert_eq!(w.router.open(), 0);
 }
 
+/// Away from here, another router may have run it: that it did not is the group's to say.
+#[test]
+fn what_was_throttled_and_comes_again_is_asked_about_anew() {
+    let mut w = World::shared(2, REFUSING);
+    let (_, sending) = goes(&mut w, "a", 1);
+    w.told(Told::Leave { sending, left: Err(Refusal::NoMajority) });
+    assert_eq!(w.answers(), [(1, Fate::Throttled, Reason::NoMajority)]);
+    w.front(FrontState::Down);
+    w.front(FrontState::Up);
+    w.again("a", NON_IDEMPOTENT, 2, 1, 100 * MS);
+    assert!(w.answers().is_empty(), "{:?}", w.out);
+    let asked = w.asked();
+    assert!(matches!(&asked[..], [Ask::Take { need: Need::Held, redelivered: true, .. }]), "{asked:?}");
+    w.told(Told::Verdict { key: key(&asked[0]), verdict: Verdict::MayHaveRun });
+    assert_eq!(w.answers(), [(1, Fate::Errored, Reason::MayHaveRun)]);
+}
+
+#[test]
+fn one_that_was_away_while_it_was_out_is_not_throttled() {
+    let mut w = World::shared(2, REFUSING);
+    let (_, sending) = goes(&mut w, "a", 1);
+    w.told(Told::Leave { sending, left: Ok(false) });
+    let ticket = w.sent()[0];
+    w.front(FrontState::Down);
+    w.front(FrontState::Up);
+    w.again("a", NON_IDEMPOTENT, 2, 1, 100 * MS);
+    assert!(w.answers().is_empty() && w.asked().is_empty());
+    // Its dispatch never ran, and another router may have been told so.
+    w.end(ticket, Outcome::NotSent);
+    w.pass(TIMEOUT);
+    let answers = w.answers();
+    assert_eq!(answers, [(1, Fate::Errored, Reason::MayHaveRun)]);
+}
+
 #[test]
 fn a_time_out_while_leave_is_asked_is_no_effect_and_the_client_is_told_so() {
     let mut w = World::shared(2, REFUSING);
