--- a/crates/upgrade/tests/world/mod.rs
+++ b/crates/upgrade/tests/world/mod.rs
@@ -2,9 +2,7 @@
 //! begin and end, and a toy that grants terms as the shared state does. Steps of a tenth of a second, everything by a
 //! seed. What must never be is gathered in [`World::wrong`].
 
-#![allow(dead_code)] // Not every test uses all of it.
-
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
 use cedarpulley::interface::Micros;
@@ -330,11 +328,6 @@
         self.members[m].offset + self.now / 1000 * self.members[m].pace
     }
 
-    /// When that was by the world's clock.
-    fn when(&self, m: usize, clock: Micros) -> Micros {
-        (clock - self.members[m].offset) / self.members[m].pace * 1000
-    }
-
     fn runs(&self, m: usize) -> bool {
         self.members[m].up && self.members[m].stopped <= self.now
     }
@@ -1002,10 +995,6 @@
         self.workers.iter().filter(|w| w.copies.contains_key(f)).count()
     }
 
-    pub fn held_at_once(&self, f: &Name) -> BTreeSet<Name> {
-        self.workers.iter().filter(|w| w.copies.contains_key(f)).map(|w| w.name.clone()).collect()
-    }
-
     pub fn loading(&self, f: &Name) -> usize {
         self.workers.iter().filter_map(|w| w.copies.get(f)).filter(|c| c.ready_at > self.now).count()
     }
