--- a/crates/upgrade/tests/world/mod.rs
+++ b/crates/upgrade/tests/world/mod.rs
@@ -2,9 +2,7 @@
 //! begin and end, and a toy that grants terms as the shared state does. Steps of a tenth of a second, everything by a
 //! seed. What must never be is gathered in [`World::wrong`].
 
-#![allow(dead_code)] // Not every test uses all of it.
-
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
 use cedarpulley::interface::Micros;
@@ -113,6 +111,12 @@
     prefixes: BTreeMap<u64, (Micros, Micros)>,
 }
 
+impl Copy {
+    fn stands(&self, now: Micros) -> bool {
+        self.ready_at <= now && !self.fails
+    }
+}
+
 struct Worker {
     name: Name,
     region: Name,
@@ -324,11 +328,6 @@
         self.members[m].offset + self.now / 1000 * self.members[m].pace
     }
 
-    /// When that was by the world's clock.
-    fn when(&self, m: usize, clock: Micros) -> Micros {
-        (clock - self.members[m].offset) / self.members[m].pace * 1000
-    }
-
     fn runs(&self, m: usize) -> bool {
         self.members[m].up && self.members[m].stopped <= self.now
     }
@@ -423,7 +422,8 @@
                         continue;
                     }
                     if self.members[m].stopped > self.now {
-                        let when = self.members[m].stopped;
+                        // Its own timers go first when it wakes.
+                        let when = self.members[m].stopped + 2 * DT;
                         self.at(when, Ev::In { m, nonce, input });
                     } else {
                         self.members[m].heard |= matches!(input, Input::PlanHeard { .. });
@@ -524,7 +524,7 @@
                     continue;
                 }
                 let holds = it.copies.iter().map(|(f, c)| {
-                    let ready = c.ready_at <= self.now;
+                    let ready = c.stands(self.now);
                     let sessions =
                         c.prefixes.values().filter(|p| self.now - p.1 < SESSION_IDLE).count() as u32;
                     Held {
@@ -688,7 +688,7 @@
             let stands = |w: &&Worker| {
                 w.region == *region
                     && w.dead_until <= self.now
-                    && w.copies.get(f).is_some_and(|c| c.ready_at <= self.now)
+                    && w.copies.get(f).is_some_and(|c| c.stands(self.now))
             };
             self.workers.iter().filter(stands).count() as u32 * LANES
         };
@@ -864,7 +864,7 @@
                 .copied()
                 .filter(|w| {
                     let copy = self.workers[*w].copies.get(&inv.function);
-                    copy.is_some_and(|c| c.ready_at <= self.now && c.busy.len() < LANES as usize)
+                    copy.is_some_and(|c| c.stands(self.now) && c.busy.len() < LANES as usize)
                 })
                 .collect();
             let prefers =
@@ -941,7 +941,7 @@
                 }
             }
         }
-        let stand = self.workers.iter().all(|w| w.copies.get(&new()).is_some_and(|c| c.ready_at <= self.now));
+        let stand = self.workers.iter().all(|w| w.copies.get(&new()).is_some_and(|c| c.stands(self.now)));
         let done = if self.policy == Policy::OneByOne { self.one_by_one == all } else { stand };
         if done && self.sums.done_at.is_none() {
             self.sums.done_at = Some(began);
@@ -995,10 +995,6 @@
         self.workers.iter().filter(|w| w.copies.contains_key(f)).count()
     }
 
-    pub fn held_at_once(&self, f: &Name) -> BTreeSet<Name> {
-        self.workers.iter().filter(|w| w.copies.contains_key(f)).map(|w| w.name.clone()).collect()
-    }
-
     pub fn loading(&self, f: &Name) -> usize {
         self.workers.iter().filter_map(|w| w.copies.get(f)).filter(|c| c.ready_at > self.now).count()
     }
