--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -509,7 +509,12 @@
                 upgrading.held(Box::new(move || seen.observed(holds)));
                 reconciling.claimed_by(Box::new(move |functions| claims(&it, functions)));
                 let it = upgrading.clone();
-                reconciling.tended_by(Box::new(move |function| it.tends(function)));
+                // Nor is what a plan took out of service brought back.
+                let over = move |f: &str| {
+                    let (model, version) = serving::model(f);
+                    it.tends(f) || it.over(model, version)
+                };
+                reconciling.tended_by(Box::new(over));
             }
             if let Some(gate) = &gate {
                 let (id, worker) = (reconciling.clone(), reconciling.clone());
