--- a/crates/gateway/src/reconciling.rs
+++ b/crates/gateway/src/reconciling.rs
@@ -51,6 +51,8 @@
 const FOR_EVER: Micros = Micros::MAX / 4;
 /// Members whose clocks are told and remembered; groups are far smaller.
 const MOST_CLOCKS: usize = 1_000;
+/// Names of workers that have left are kept up to this, as the list may name them before it says that they are there.
+const MOST_MARKS: usize = 1_000;
 /// Counts go to the log this often, where they have changed.
 const LOG_EVERY: Duration = Duration::from_secs(60);
 
@@ -97,6 +99,8 @@
 pub type Listing = Rc<RefCell<BTreeMap<Arc<str>, Listed>>>;
 /// What plans lay claim to, of functions that a worker has just named.
 pub type Claimed = Box<dyn Fn(&[Arc<str>]) -> Claims>;
+/// Whether a plan under way looks after a function's copies.
+pub type Tended = Box<dyn Fn(&str) -> bool>;
 /// Told of sessions whose prefix is lost: worker, function, sessions.
 pub type LetGo = Box<dyn Fn(&str, &str, &[Arc<str>])>;
 
@@ -111,6 +115,7 @@
     listing: Listing,
     claimed: RefCell<Option<Claimed>>,
     let_go: RefCell<Option<LetGo>>,
+    tended: RefCell<Option<Tended>>,
     state: RefCell<State>,
     alarm: Alarm,
 }
@@ -151,6 +156,7 @@
             listing: Listing::default(),
             claimed: RefCell::default(),
             let_go: RefCell::default(),
+            tended: RefCell::default(),
             state: RefCell::new(state),
             alarm: Alarm::default(),
         });
@@ -179,6 +185,10 @@
         *self.claimed.borrow_mut() = Some(claimed);
     }
 
+    pub fn tended_by(&self, tended: Tended) {
+        *self.tended.borrow_mut() = Some(tended);
+    }
+
     pub fn lets_go(&self, let_go: LetGo) {
         *self.let_go.borrow_mut() = Some(let_go);
     }
@@ -235,12 +245,22 @@
                 }
             }
         }
+        self.tidy();
         self.tell(In::Workers(self.seats()));
         // What others have noted of them before they were on the list here.
         let notes = self.shared.as_ref().map(|s| s.notes(PREFIX)).unwrap_or_default();
         notes.iter().for_each(|(key, note)| self.noted(key, note.version, &note.value));
     }
 
+    /// Symptom: a list whose workers come and go for weeks leaves the names of all of them here.
+    fn tidy(&self) {
+        let (listing, mut state) = (self.listing.borrow(), self.state.borrow_mut());
+        state.memory_mb.retain(|address, _| listing.contains_key(&**address));
+        if state.marks.len() > 2 * listing.len().max(MOST_MARKS) {
+            state.marks.retain(|address, _| listing.contains_key(&**address));
+        }
+    }
+
     fn seats(&self) -> Vec<Seat> {
         let state = self.state.borrow();
         let seat = |(address, worker): (&Arc<str>, &Listed)| {
@@ -314,6 +334,8 @@
             Out::Held { worker, function, copies } => {
                 self.desk.feed(Input::Held { worker, function, copies });
             }
+            // Symptom: what a plan has unloaded is taken for lost and loaded again, over and over.
+            Out::Want { function, .. } if self.tended.borrow().as_ref().is_some_and(|t| t(&function)) => {}
             Out::Want { worker, function } => {
                 let like = function.clone();
                 self.desk.feed(Input::Wanted { worker, function, like, term: None });
--- a/crates/upgrade/tests/world/mod.rs
+++ b/crates/upgrade/tests/world/mod.rs
@@ -2,9 +2,7 @@
 //! begin and end, and a toy that grants terms as the shared state does. Steps of a tenth of a second, everything by a
 //! seed. What must never be is gathered in [`World::wrong`].
 
-#![allow(dead_code)] // Not every test uses all of it.
-
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
 use cedarpulley::interface::Micros;
@@ -113,6 +111,12 @@
     prefixes: BTreeMap<u64, (Micros, Micros)>,
 }
 
+impl Copy {
+    fn stands(&self, now: Micros) -> bool {
+        self.ready_at <= now && !self.fails
+    }
+}
+
 struct Worker {
     name: Name,
     region: Name,
@@ -177,7 +181,9 @@
 pub struct Sums {
     pub invocations: u64,
     pub in_objective: u64,
+    /// Prefixes built again; of these, where the copy that had them was gone, and not only busy.
     pub rebuilt: u64,
+    pub lost: u64,
     pub loads: u64,
     pub failed: u64,
     pub refused: u64,
@@ -322,11 +328,6 @@
         self.members[m].offset + self.now / 1000 * self.members[m].pace
     }
 
-    /// When that was by the world's clock.
-    fn when(&self, m: usize, clock: Micros) -> Micros {
-        (clock - self.members[m].offset) / self.members[m].pace * 1000
-    }
-
     fn runs(&self, m: usize) -> bool {
         self.members[m].up && self.members[m].stopped <= self.now
     }
@@ -421,7 +422,8 @@
                         continue;
                     }
                     if self.members[m].stopped > self.now {
-                        let when = self.members[m].stopped;
+                        // Its own timers go first when it wakes.
+                        let when = self.members[m].stopped + 2 * DT;
                         self.at(when, Ev::In { m, nonce, input });
                     } else {
                         self.members[m].heard |= matches!(input, Input::PlanHeard { .. });
@@ -522,7 +524,7 @@
                     continue;
                 }
                 let holds = it.copies.iter().map(|(f, c)| {
-                    let ready = c.ready_at <= self.now;
+                    let ready = c.stands(self.now);
                     let sessions =
                         c.prefixes.values().filter(|p| self.now - p.1 < SESSION_IDLE).count() as u32;
                     Held {
@@ -686,7 +688,7 @@
             let stands = |w: &&Worker| {
                 w.region == *region
                     && w.dead_until <= self.now
-                    && w.copies.get(f).is_some_and(|c| c.ready_at <= self.now)
+                    && w.copies.get(f).is_some_and(|c| c.stands(self.now))
             };
             self.workers.iter().filter(stands).count() as u32 * LANES
         };
@@ -862,14 +864,14 @@
                 .copied()
                 .filter(|w| {
                     let copy = self.workers[*w].copies.get(&inv.function);
-                    copy.is_some_and(|c| c.ready_at <= self.now && c.busy.len() < LANES as usize)
+                    copy.is_some_and(|c| c.stands(self.now) && c.busy.len() < LANES as usize)
                 })
                 .collect();
             let prefers =
                 inv.session.and_then(|id| self.sessions.get(&id)?.worker).filter(|w| free.contains(w));
             let Some(w) = prefers.or_else(|| free.get(self.draw(free.len().max(1) as u64) as usize).copied())
             else {
-                let loads = near.iter().any(|w| self.workers[*w].copies.get(&inv.function).is_some());
+                let loads = near.iter().any(|w| self.workers[*w].copies.contains_key(&inv.function));
                 // A miss: a load where there is room, and nobody else's.
                 if !loads && let Some(w) = near.iter().copied().find(|w| self.fits(*w)) {
                     self.load(w, &inv.function.clone(), m);
@@ -880,6 +882,10 @@
             let now = self.now;
             let errs = self.errs > now && inv.function == new() && self.draw(4) == 0;
             let slow = self.slow > now && inv.function == new();
+            let kept = inv.session.is_some_and(|id| {
+                let before = self.sessions.get(&id).and_then(|s| s.worker);
+                before.is_some_and(|b| self.workers[b].copies.values().any(|c| c.prefixes.contains_key(&id)))
+            });
             let copy = self.workers[w].copies.get_mut(&inv.function).expect("stands");
             let mut took = SERVICE + if slow { OBJECTIVE } else { 0 };
             if let Some(id) = inv.session {
@@ -889,6 +895,7 @@
                 if let Some(s) = self.sessions.get_mut(&id) {
                     if moved && s.worker.is_some() {
                         self.sums.rebuilt += 1;
+                        self.sums.lost += u64::from(!kept);
                         took += REBUILD;
                     }
                     s.worker = Some(w);
@@ -934,16 +941,17 @@
                 }
             }
         }
-        let old_left = self.workers.iter().any(|w| w.copies.contains_key(&old()));
-        let stand = self.workers.iter().all(|w| w.copies.get(&new()).is_some_and(|c| c.ready_at <= self.now));
-        if !old_left && stand && self.sums.done_at.is_none() {
+        let stand = self.workers.iter().all(|w| w.copies.get(&new()).is_some_and(|c| c.stands(self.now)));
+        let done = if self.policy == Policy::OneByOne { self.one_by_one == all } else { stand };
+        if done && self.sums.done_at.is_none() {
             self.sums.done_at = Some(began);
         }
         // Nothing lets new copies go for idleness meanwhile.
         for c in self.workers.iter_mut().filter_map(|w| w.copies.get_mut(&new())) {
             c.used = c.used.max(self.now);
         }
-        for c in self.workers.iter_mut().filter_map(|w| w.copies.get_mut(&old())) {
+        let left = self.sums.done_at.is_none();
+        for c in self.workers.iter_mut().filter_map(|w| w.copies.get_mut(&old())).filter(|_| left) {
             c.used = c.used.max(self.now);
         }
     }
@@ -987,10 +995,6 @@
         self.workers.iter().filter(|w| w.copies.contains_key(f)).count()
     }
 
-    pub fn held_at_once(&self, f: &Name) -> BTreeSet<Name> {
-        self.workers.iter().filter(|w| w.copies.contains_key(f)).map(|w| w.name.clone()).collect()
-    }
-
     pub fn loading(&self, f: &Name) -> usize {
         self.workers.iter().filter_map(|w| w.copies.get(f)).filter(|c| c.ready_at > self.now).count()
     }
