Upgrade: what was seen counts for as long as the reconciler's slowest pace, renewals within idle time

Need: with a slow every_ms under [reconcile] no worker would ever count as seen, and every plan would wait. Change: Terms::beside sets fresh, quiet and renew by the slowest asking and idle_kept; the settings call it. Seen: its test; gateway builds.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,6 +12,7 @@
 use cedarpulley_certificates::{self as certificates, Speakers, Which};
 use cedarpulley_membership::group::MOST_WEIGHT;
 use cedarpulley_membership::{Group, Member};
+use cedarpulley_reconcile::asking::slowest;
 use cedarpulley_replica::kept_for;
 use cedarpulley_router::Terms;
 use cedarpulley_router::group::Sharing;
@@ -295,12 +296,14 @@
     }
     let (upgrade, sessions) =
         upgrade(&root.section("upgrade"), folder, peers.as_ref(), root.has("reconcile"));
+    let reconcile = reconcile(&root.section("reconcile"));
+    let asked_within = reconcile.map_or(0, |r| slowest(r.every));
     let upgrade = upgrade.map(|ordered| Ordered {
         objectives: triggers.iter().map(|t| t.latency_objective).collect(),
         memory_mb: loads.memory_mb.clone(),
+        terms: ordered.terms.beside(asked_within, loads.idle_kept),
         ..ordered
     });
-    let reconcile = reconcile(&root.section("reconcile"));
     // Without upgrades a session is told apart for its worker alone.
     let sessions = sessions.or(reconcile.map(|_| SESSIONS));
     let sharing = peers.as_ref().map(|p| Sharing { alone: alone.clone(), leave_kept: p.leave_kept() });
--- a/crates/upgrade/src/planner.rs
+++ b/crates/upgrade/src/planner.rs
@@ -91,6 +91,20 @@
     }
 }
 
+/// What was seen has to outlast the slowest pace of asking by half: an ask is put off by chance, and its answer takes time.
+const HALF: Micros = 2;
+/// Renewals within the time after which an idle copy goes: some may be declined.
+const RENEWALS: Micros = 4;
+
+impl Terms {
+    /// As they have to be where workers are asked that seldom at the slowest, and idle copies go after that time.
+    pub fn beside(self, asked_within: Micros, idle_kept: Micros) -> Terms {
+        let fresh = self.fresh.max(asked_within.saturating_add(asked_within / HALF));
+        let quiet = self.quiet.max(fresh.saturating_add(fresh / HALF));
+        Terms { fresh, quiet, renew: self.renew.min(idle_kept / RENEWALS).max(self.pace), ..self }
+    }
+}
+
 /// What a majority said of what was asked under a key.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
--- a/crates/upgrade/src/sessions.rs
+++ b/crates/upgrade/src/sessions.rs
@@ -297,12 +297,8 @@
         s.bound = Some((version.clone(), asked.saturating_add(terms.kept - terms.kept / DRIFT_PART)));
         let prefers = Some(&s.place.worker).filter(|w| !w.is_empty()).cloned();
         let anew = std::mem::take(&mut s.anew);
-        let goes = |ticket| Output::Goes {
-            ticket,
-            version: Some(version.clone()),
-            prefers: prefers.clone(),
-            anew,
-        };
+        let goes =
+            |ticket| Output::Goes { ticket, version: Some(version.clone()), prefers: prefers.clone(), anew };
         out.extend(waiting.into_iter().map(|(ticket, _)| goes(ticket)));
     }
 
--- a/crates/upgrade/tests/parts.rs
+++ b/crates/upgrade/tests/parts.rs
@@ -222,3 +222,11 @@
     health.hear(0, vec![count("1", 50, 0), count("2", 50, 0)], "1", "2");
     assert_eq!((health.says(), health.compared()), (Verdict::Alike, 50));
 }
+
+#[test]
+fn what_was_seen_counts_for_longer_where_workers_are_asked_seldom() {
+    let usual = Terms::default();
+    assert_eq!(usual.clone().beside(2_000_000, 60_000_000), usual);
+    let seldom = usual.clone().beside(40_000_000, 8_000_000);
+    assert_eq!((seldom.fresh, seldom.quiet, seldom.renew), (60_000_000, 90_000_000, 2_000_000));
+}
