--- a/crates/cli/tests/upgraded.rs
+++ b/crates/cli/tests/upgraded.rs
@@ -233,6 +233,29 @@
     );
 }
 
+/// Orders that cannot be read are refused whole, with a line a cause, and those before stay.
+#[test]
+fn a_wrong_file_changes_nothing() {
+    let write = |f: &Fleet, text: &str| {
+        f.write_upgrade(text).expect("written");
+        f.hang_up(0).expect("told");
+    };
+    let order = |model: &str, to: &str| {
+        format!("[[order]]\nmodel = {model:?}\nto = {to:?}\nserial = 1\ndrain_limit_ms = 1\n")
+    };
+    let known = |f: &Fleet| f.state(0).unwrap_or_default()["upgrade"]["orders"].clone();
+    let log =
+        |f: &Fleet| std::fs::read_to_string(f.folder().join("routers/router-0.log")).unwrap_or_default();
+    let script = Script::new(1)
+        .at(100, |f| write(f, &order("unasked", "2")))
+        .at(101, |f| assert!(until(PLANNED, || known(f)[0]["model"] == "unasked"), "{}", known(f)))
+        .at(102, |f| write(f, &format!("{}{}", order("other", "2"), order("wrong", "2/3"))))
+        .at(103, |f| assert!(until(PLANNED, || log(f).contains("orders refused")), "it is told"))
+        .at(104, |f| assert!(known(f)[0]["model"] == "unasked" && known(f)[1].is_null(), "{}", known(f)));
+    let day = upgrading(|day| day.seconds = 3.0);
+    play_from(&day, None, orders_nothing, script, PATIENCE).holds();
+}
+
 /// A version that errs goes back by itself, under the same floors.
 #[test]
 fn a_bad_version_goes_back() {
