--- a/crates/cli/tests/reconciled.rs
+++ b/crates/cli/tests/reconciled.rs
@@ -5,6 +5,8 @@
 mod fleets;
 
 use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 
 use cedarpulley_rig::fleet::{Fleet, Launch};
 use cedarpulley_rig::links::Fault;
@@ -102,6 +104,14 @@
         states.filter_map(|s| s["reconcile"]["counts"][name].as_u64()).sum()
     }
 
+    fn metrics(&self, router: usize) -> String {
+        let mut stream = TcpStream::connect(self.fleet.peer(router).expect("a member")).expect("it listens");
+        stream.write_all(b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
     /// Several routers believe in something there before it is taken away: else a test shows nothing.
     fn is_believed_in(&self, workers: &[usize]) {
         let in_any = |w: &usize| {
@@ -148,6 +158,8 @@
     it.comes_true(&ROUTERS, &all);
     assert!(it.count("phantom") > before.0 && it.count("other_incarnation") > before.1);
     assert!(it.count("prefix_lost") > 0 && it.count("sessions_let_go") > 0);
+    let metrics = it.metrics(0);
+    assert!(metrics.contains("cedarpulley_reconcile_answers_total"), "{metrics}");
     // Most of it by one that asked, the rest by its notes.
     assert!(it.count("notes") > 0 && it.count("corrected") > 0);
     it.holds();
--- a/crates/gateway/src/reconciling.rs
+++ b/crates/gateway/src/reconciling.rs
@@ -246,10 +246,16 @@
             }
         }
         self.tidy();
-        self.tell(In::Workers(self.seats()));
+        let seats = self.seats();
+        let ids = seats.iter().map(|s| &s.id);
+        let new: Vec<Arc<str>> = ids.filter(|id| self.worker_of(id).is_none()).cloned().collect();
+        self.tell(In::Workers(seats));
         // What others have noted of them before they were on the list here.
-        let notes = self.shared.as_ref().map(|s| s.notes(PREFIX)).unwrap_or_default();
-        notes.iter().for_each(|(key, note)| self.noted(key, note.version, &note.value));
+        for key in new.iter().map(|id| format!("{PREFIX}{id}")) {
+            if let Some(note) = self.shared.as_ref().and_then(|s| s.noted(&key)) {
+                self.noted(&key, note.version, &note.value);
+            }
+        }
     }
 
     /// Symptom: a list whose workers come and go for weeks leaves the names of all of them here.
--- a/crates/gateway/src/shown.rs
+++ b/crates/gateway/src/shown.rs
@@ -112,6 +112,10 @@
             let name = format!("cedarpulley_group_{name}_total");
             metrics::counter!(name).absolute(value.as_u64().unwrap_or(0));
         }
+        for (name, value) in state["reconcile"]["counts"].as_object().into_iter().flatten() {
+            let name = format!("cedarpulley_reconcile_{name}_total");
+            metrics::counter!(name).absolute(value.as_u64().unwrap_or(0));
+        }
         for (kind, value) in state["records"].as_object().into_iter().flatten() {
             metrics::gauge!("cedarpulley_group_records", "state" => kind.clone())
                 .set(value.as_f64().unwrap_or(0.0));
