--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,6 +12,8 @@
 use cedarpulley_certificates::{self as certificates, Speakers, Which};
 use cedarpulley_membership::group::MOST_WEIGHT;
 use cedarpulley_membership::{Group, Member};
+use cedarpulley_reconcile::asking::slowest;
+use cedarpulley_replica::kept_for;
 use cedarpulley_router::Terms;
 use cedarpulley_router::group::Sharing;
 use cedarpulley_router::roster::Listed;
@@ -35,7 +37,7 @@
 const NEVER: Micros = i64::MAX / 8;
 /// What a group remembers is kept for so long beyond the longest client timeout, where nothing else is said: a lost
 /// channel is noticed and its messages are delivered again well within it.
-const KEPT_BEYOND_MS: u64 = 4_000;
+const KEPT_BEYOND: Micros = 4_000_000;
 
 /// What is known of a session is trusted for somewhat less than a majority keeps it; waiting must not eat that up.
 const WAITS_IN_KEPT: Micros = 10;
@@ -294,12 +296,14 @@
     }
     let (upgrade, sessions) =
         upgrade(&root.section("upgrade"), folder, peers.as_ref(), root.has("reconcile"));
+    let reconcile = reconcile(&root.section("reconcile"));
+    let asked_within = reconcile.map_or(0, |r| slowest(r.every));
     let upgrade = upgrade.map(|ordered| Ordered {
         objectives: triggers.iter().map(|t| t.latency_objective).collect(),
         memory_mb: loads.memory_mb.clone(),
+        terms: ordered.terms.beside(asked_within, loads.idle_kept),
         ..ordered
     });
-    let reconcile = reconcile(&root.section("reconcile"));
     // Without upgrades a session is told apart for its worker alone.
     let sessions = sessions.or(reconcile.map(|_| SESSIONS));
     let sharing = peers.as_ref().map(|p| Sharing { alone: alone.clone(), leave_kept: p.leave_kept() });
@@ -443,7 +447,8 @@
     let (name, me) = (p.text("group", None), p.text("name", None));
     let listen = p.address("listen");
     let state = named(p, "state", folder);
-    let kept = p.millis("kept_ms", 1..DAY, Some(((longest / 1_000) as u64 + KEPT_BEYOND_MS).min(DAY)));
+    let usual = kept_for(longest + KEPT_BEYOND);
+    let kept = p.millis("kept_ms", 1..DAY, Some((usual as u64 / 1_000).min(DAY)));
     if kept < longest {
         p.wrong(
             "kept_ms",
