--- a/crates/upgrade/tests/simulated.rs
+++ b/crates/upgrade/tests/simulated.rs
@@ -30,7 +30,8 @@
     prop_oneof![
         (member.clone(), short()).prop_map(|(m, d)| Fault::Crash(m, d)),
         (member.clone(), short()).prop_map(|(m, d)| Fault::Stop(m, d)),
-        (member, short()).prop_map(|(m, d)| Fault::Alone(m, d)),
+        (member.clone(), short()).prop_map(|(m, d)| Fault::Alone(m, d)),
+        (member, short()).prop_map(|(m, d)| Fault::Deaf(m, d)),
         short().prop_map(Fault::Cut),
         (worker.clone(), short()).prop_map(|(w, d)| Fault::WorkerDies(w, d)),
         (worker, short()).prop_map(|(w, d)| Fault::LoadsFail(w, d * 3)),
@@ -262,3 +263,32 @@
         }
     }
 }
+
+#[test]
+fn a_router_that_has_not_heard_holds_up_what_would_harm_it() {
+    // From before the order, and from before its region is shifted.
+    for (from, waits) in [(0, "has not heard of it"), (1, "goes by an earlier step")] {
+        let mut w = match from {
+            0 => World::new(17, Policy::Planner, 4, 3),
+            _ => at(17, 3, Phase::Rolling, Some(Stage::Loading)),
+        };
+        if from == 0 {
+            w.orders(5 * S, vec![order(1, "", "2")]);
+        }
+        w.fault(w.now, Fault::Deaf(2, 60 * S));
+        let w = ends(w, Phase::Done);
+        assert!(w.log.iter().any(|l| l.contains(waits)), "{:#?}", w.log);
+    }
+}
+
+#[test]
+fn sessions_of_a_worker_that_dies_while_copies_drain_find_copies_that_stay() {
+    for seed in 20..36 {
+        let mut w = at(seed, 3, Phase::Rolling, Some(Stage::Draining));
+        for (n, worker) in [0, 2, 4].into_iter().enumerate() {
+            w.fault(w.now + (2 + 4 * n as i64) * S, Fault::WorkerDies(worker, S));
+        }
+        w.run(w.now + 60 * S, |_| false);
+        assert!(w.wrong.is_empty(), "{:#?} {:#?}", w.wrong, w.log);
+    }
+}
--- a/crates/upgrade/tests/world/mod.rs
+++ b/crates/upgrade/tests/world/mod.rs
@@ -74,6 +74,8 @@
     /// Goes on later with all that it had in mind.
     Stop(usize, Micros),
     Alone(usize, Micros),
+    /// Hears of no plan, and serves on by what it knows.
+    Deaf(usize, Micros),
     Cut(Micros),
     WorkerDies(usize, Micros),
     LoadsFail(usize, Micros),
@@ -89,6 +91,7 @@
     up: bool,
     stopped: Micros,
     alone: Micros,
+    deaf: Micros,
     nonce: u64,
     believed: Vec<(bool, Micros)>,
     told: Vec<bool>,
@@ -278,6 +281,7 @@
                 up: true,
                 stopped: 0,
                 alone: 0,
+                deaf: 0,
                 nonce: 1,
                 believed: vec![(true, 0); 5],
                 told: Vec::new(),
@@ -443,7 +447,8 @@
     }
 
     fn hear(&mut self, m: usize) {
-        if let Some((ballot, bytes)) = self.register.1.clone() {
+        let hears = self.members[m].deaf <= self.now;
+        if let Some((ballot, bytes)) = self.register.1.clone().filter(|_| hears) {
             self.tell(m, Input::PlanHeard { model: MODEL.into(), ballot, bytes: bytes.into() });
         }
     }
@@ -461,6 +466,7 @@
             Fault::Stop(m, d) if self.members[m].up => self.members[m].stopped = until(d),
             Fault::Stop(..) => {}
             Fault::Alone(m, d) => self.members[m].alone = until(d),
+            Fault::Deaf(m, d) => self.members[m].deaf = until(d),
             Fault::Cut(d) => self.cut_until = until(d),
             Fault::WorkerDies(w, d) => {
                 self.workers[w].dead_until = until(d);
