Upgrade: a new leader's wait, the quiet time and the settling have tests of their own

Need: random plays did not fail with each of them taken out, as other guards stand behind them. Change: a planner that takes up another one's plan, played by hand.

--- a/crates/upgrade/tests/parts.rs
+++ b/crates/upgrade/tests/parts.rs
@@ -230,3 +230,103 @@
     let seldom = usual.clone().beside(40_000_000, 8_000_000);
     assert_eq!((seldom.fresh, seldom.quiet, seldom.renew), (60_000_000, 90_000_000, 2_000_000));
 }
+
+/// Takes up a plan of somebody else at 0; `heard`: members that go by whatever it goes by.
+struct Resumes {
+    planner: Planner,
+    heard: u16,
+    old: Held,
+}
+
+impl Resumes {
+    fn new(phase: Phase, stage: Stage, part: u16) -> Resumes {
+        let mut plan = plan(9);
+        (plan.phase, plan.regions[0].stage, plan.regions[0].part) = (phase, stage, part);
+        plan.order.drain_limit = 600_000_000;
+        plan.regions.truncate(1);
+        let old = worker(0).holds.remove(0);
+        let mut it = Resumes { planner: Planner::new(Terms::default()), heard: 2, old };
+        let members = Input::Members { me: 0, alive: vec![true; 2], regions: vec!["a".into(); 2] };
+        it.planner.handle(0, members, &mut Vec::new());
+        let heard = Input::PlanHeard { model: "m".into(), ballot: Ballot::default(), bytes: plan.bytes() };
+        it.planner.handle(0, heard, &mut Vec::new());
+        it.look(0);
+        let (ballot, last) = (Ballot { number: 2, ..Ballot::default() }, Some(plan.bytes()));
+        let outcome = Outcome::Leads { ballot, last };
+        it.planner.handle(0, Input::Decided { key: key("m"), outcome }, &mut Vec::new());
+        it.planner.handle(0, it.written(), &mut Vec::new());
+        it
+    }
+
+    fn written(&self) -> Input {
+        let outcome = Outcome::Written { ballot: Ballot { number: 2, ..Ballot::default() } };
+        Input::Decided { key: key("m"), outcome }
+    }
+
+    /// One look at everything; what was ordered, and the last step written.
+    fn look(&mut self, now: Micros) -> (usize, Option<Plan>) {
+        let (mut out, goes_by) = (Vec::new(), self.planner.goes_by("m"));
+        let w = WorkerSeen { holds: vec![self.old.clone()], ..worker(now) };
+        self.planner.handle(now, Input::Workers(vec![w]), &mut out);
+        for member in 0..self.heard {
+            let counted = Input::Counted { member, model: "m".into(), goes_by, counts: Vec::new() };
+            self.planner.handle(now, counted, &mut out);
+        }
+        let (mut orders, mut step) = (0, None);
+        for o in &out {
+            match o {
+                Output::Want { .. } | Output::Unwant { .. } => orders += 1,
+                Output::Write { value, .. } => {
+                    step = Plan::read(value);
+                    self.planner.handle(now, self.written(), &mut Vec::new());
+                }
+                _ => {}
+            }
+        }
+        (orders, step)
+    }
+}
+
+#[test]
+fn a_new_leader_waits_for_the_lease_and_the_orders_of_the_one_before() {
+    let mut it = Resumes::new(Phase::Rolling, Stage::Loading, 0);
+    let t = Terms::default();
+    let acts = t.lease + t.lease / 10 + t.order_within;
+    for now in (0..acts).step_by(200_000) {
+        assert_eq!(it.look(now).0, 0, "at {now}");
+    }
+    assert!((acts..acts + 3_000_000).step_by(200_000).any(|now| it.look(now).0 > 0));
+}
+
+#[test]
+fn copies_that_drain_go_after_a_quiet_time_only() {
+    let mut it = Resumes::new(Phase::Rolling, Stage::Draining, 1000);
+    it.old.sessions = 1;
+    let unloads = |it: &Resumes| it.planner.shown()[0].regions[0].old_lanes == 0;
+    let (mut now, quiet) = (0, Terms::default().quiet);
+    while now < 12_000_000 {
+        now += 200_000;
+        it.look(now);
+    }
+    it.old.sessions = 0;
+    let since = now;
+    while now < since + 60_000_000 && !unloads(&it) {
+        now += 200_000;
+        it.look(now);
+        assert!(!unloads(&it) || now - since >= quiet, "at {now}");
+    }
+    assert!(unloads(&it));
+}
+
+#[test]
+fn a_plan_is_settled_only_when_every_router_knows_that_it_is_over() {
+    let mut it = Resumes::new(Phase::Done, Stage::Done, 1000);
+    it.heard = 1;
+    for now in (0..30_000_000).step_by(200_000) {
+        assert!(it.look(now).1.is_none_or(|p| !p.settled));
+    }
+    assert!(it.planner.wants_binding("m", true), "sessions that begin are bound meanwhile");
+    it.heard = 2;
+    (30_000_000..32_000_000).step_by(200_000).for_each(|now| drop(it.look(now)));
+    assert!(!it.planner.wants_binding("m", true) && it.planner.wants_binding("m", false));
+}
