--- a/crates/replica/tests/random.rs
+++ b/crates/replica/tests/random.rs
@@ -170,7 +170,7 @@
 }
 
 /// When it was written, and what.
-type Folder = (i64, Vec<(Key, Shared)>);
+type Written = (i64, Vec<(Key, Shared)>);
 
 struct Run {
     w: World,
@@ -180,7 +180,7 @@
     views: Vec<Vec<u64>>,
     stopped: Vec<bool>,
     /// What each has written to its folder, and when.
-    folders: Vec<Vec<Folder>>,
+    folders: Vec<Vec<Written>>,
     /// The broker has it to give, and whether it was given before.
     ready: [Option<bool>; KEYS],
     held: Vec<BTreeMap<usize, Held>>,
