--- a/crates/gateway/src/reconciling.rs
+++ b/crates/gateway/src/reconciling.rs
@@ -51,6 +51,8 @@
 const FOR_EVER: Micros = Micros::MAX / 4;
 /// Members whose clocks are told and remembered; groups are far smaller.
 const MOST_CLOCKS: usize = 1_000;
+/// Names of workers that have left are kept up to this, as the list may name them before it says that they are there.
+const MOST_MARKS: usize = 1_000;
 /// Counts go to the log this often, where they have changed.
 const LOG_EVERY: Duration = Duration::from_secs(60);
 
@@ -243,10 +245,26 @@
                 }
             }
         }
-        self.tell(In::Workers(self.seats()));
+        self.tidy();
+        let seats = self.seats();
+        let ids = seats.iter().map(|s| &s.id);
+        let new: Vec<Arc<str>> = ids.filter(|id| self.worker_of(id).is_none()).cloned().collect();
+        self.tell(In::Workers(seats));
         // What others have noted of them before they were on the list here.
-        let notes = self.shared.as_ref().map(|s| s.notes(PREFIX)).unwrap_or_default();
-        notes.iter().for_each(|(key, note)| self.noted(key, note.version, &note.value));
+        for key in new.iter().map(|id| format!("{PREFIX}{id}")) {
+            if let Some(note) = self.shared.as_ref().and_then(|s| s.noted(&key)) {
+                self.noted(&key, note.version, &note.value);
+            }
+        }
+    }
+
+    /// Symptom: a list whose workers come and go for weeks leaves the names of all of them here.
+    fn tidy(&self) {
+        let (listing, mut state) = (self.listing.borrow(), self.state.borrow_mut());
+        state.memory_mb.retain(|address, _| listing.contains_key(&**address));
+        if state.marks.len() > 2 * listing.len().max(MOST_MARKS) {
+            state.marks.retain(|address, _| listing.contains_key(&**address));
+        }
     }
 
     fn seats(&self) -> Vec<Seat> {
--- a/crates/upgrade/tests/parts.rs
+++ b/crates/upgrade/tests/parts.rs
@@ -2,6 +2,7 @@
 
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
+use cedarpulley::interface::Micros;
 use cedarpulley_upgrade::health::{Health, Verdict};
 use cedarpulley_upgrade::orders::all;
 use cedarpulley_upgrade::*;
@@ -90,6 +91,63 @@
     assert_eq!(&**p.version("elsewhere", 999, false), "2");
 }
 
+/// One router that leads alone, as far as its first canary; the time.
+fn leads(planner: &mut Planner) -> Micros {
+    let (mut now, mut inputs) = (0, Vec::new());
+    inputs.push(Input::Members { me: 0, alive: vec![true], regions: vec!["a".into()] });
+    inputs.push(Input::Orders(vec![Order::try_from(asked()).expect("fit")]));
+    loop {
+        now += 200_000;
+        inputs.push(Input::Workers(vec![worker(now)]));
+        let goes_by = planner.goes_by("m");
+        inputs.push(Input::Counted { member: 0, model: "m".into(), goes_by, counts: Vec::new() });
+        let mut out = Vec::new();
+        inputs.drain(..).for_each(|i| planner.handle(now, i, &mut out));
+        for output in out {
+            let ballot = Ballot { number: 1, ..Ballot::default() };
+            match output {
+                Output::Lead { key } => {
+                    inputs.push(Input::Decided { key, outcome: Outcome::Leads { ballot, last: None } });
+                }
+                Output::Write { key, .. } => {
+                    inputs.push(Input::Decided { key, outcome: Outcome::Written { ballot } });
+                }
+                Output::Want { .. } => return now,
+                _ => {}
+            }
+        }
+        assert!(now < 60_000_000, "{:?}", planner.shown());
+    }
+}
+
+fn worker(now: Micros) -> WorkerSeen {
+    let held = Held {
+        function: function("m", "1"),
+        copies: 1,
+        lanes: 2,
+        busy: 0,
+        loading: false,
+        sessions: 0,
+        copy_mb: 10,
+    };
+    let (name, region) = ("w".into(), "a".into());
+    WorkerSeen { name, region, takes_new: true, seen_at: now, memory_mb: 100, used_mb: 10, holds: vec![held] }
+}
+
+#[test]
+fn a_leader_past_its_lease_orders_nothing_before_a_step_is_agreed_anew() {
+    let orders =
+        |out: &[Output]| out.iter().any(|o| matches!(o, Output::Want { .. } | Output::Unwant { .. }));
+    let mut planner = Planner::new(Terms::default());
+    let now = leads(&mut planner) + Terms::default().lease;
+    let mut out = Vec::new();
+    planner.handle(now, Input::Workers(vec![worker(now)]), &mut out);
+    assert!(!orders(&out) && matches!(out[..], [Output::Write { .. }]), "{out:?}");
+    let (key, ballot) = (key("m"), Ballot { number: 1, ..Ballot::default() });
+    planner.handle(now, Input::Decided { key, outcome: Outcome::Written { ballot } }, &mut out);
+    assert!(orders(&out), "{out:?}");
+}
+
 proptest! {
     #[test]
     fn no_bytes_are_taken_for_a_plan_with_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
@@ -164,3 +222,111 @@
     health.hear(0, vec![count("1", 50, 0), count("2", 50, 0)], "1", "2");
     assert_eq!((health.says(), health.compared()), (Verdict::Alike, 50));
 }
+
+#[test]
+fn what_was_seen_counts_for_longer_where_workers_are_asked_seldom() {
+    let usual = Terms::default();
+    assert_eq!(usual.clone().beside(2_000_000, 60_000_000), usual);
+    let seldom = usual.clone().beside(40_000_000, 8_000_000);
+    assert_eq!((seldom.fresh, seldom.quiet, seldom.renew), (60_000_000, 90_000_000, 2_000_000));
+}
+
+/// Takes up a plan of somebody else at 0; `heard`: members that go by whatever it goes by.
+struct Resumes {
+    planner: Planner,
+    heard: u16,
+    old: Held,
+}
+
+impl Resumes {
+    fn new(phase: Phase, stage: Stage, part: u16) -> Resumes {
+        let mut plan = plan(9);
+        (plan.phase, plan.regions[0].stage, plan.regions[0].part) = (phase, stage, part);
+        plan.order.drain_limit = 600_000_000;
+        plan.regions.truncate(1);
+        let old = worker(0).holds.remove(0);
+        let mut it = Resumes { planner: Planner::new(Terms::default()), heard: 2, old };
+        let members = Input::Members { me: 0, alive: vec![true; 2], regions: vec!["a".into(); 2] };
+        it.planner.handle(0, members, &mut Vec::new());
+        let heard = Input::PlanHeard { model: "m".into(), ballot: Ballot::default(), bytes: plan.bytes() };
+        it.planner.handle(0, heard, &mut Vec::new());
+        it.look(0);
+        let (ballot, last) = (Ballot { number: 2, ..Ballot::default() }, Some(plan.bytes()));
+        let outcome = Outcome::Leads { ballot, last };
+        it.planner.handle(0, Input::Decided { key: key("m"), outcome }, &mut Vec::new());
+        it.planner.handle(0, it.written(), &mut Vec::new());
+        it
+    }
+
+    fn written(&self) -> Input {
+        let outcome = Outcome::Written { ballot: Ballot { number: 2, ..Ballot::default() } };
+        Input::Decided { key: key("m"), outcome }
+    }
+
+    /// One look at everything; what was ordered, and the last step written.
+    fn look(&mut self, now: Micros) -> (usize, Option<Plan>) {
+        let (mut out, goes_by) = (Vec::new(), self.planner.goes_by("m"));
+        let w = WorkerSeen { holds: vec![self.old.clone()], ..worker(now) };
+        self.planner.handle(now, Input::Workers(vec![w]), &mut out);
+        for member in 0..self.heard {
+            let counted = Input::Counted { member, model: "m".into(), goes_by, counts: Vec::new() };
+            self.planner.handle(now, counted, &mut out);
+        }
+        let (mut orders, mut step) = (0, None);
+        for o in &out {
+            match o {
+                Output::Want { .. } | Output::Unwant { .. } => orders += 1,
+                Output::Write { value, .. } => {
+                    step = Plan::read(value);
+                    self.planner.handle(now, self.written(), &mut Vec::new());
+                }
+                _ => {}
+            }
+        }
+        (orders, step)
+    }
+}
+
+#[test]
+fn a_new_leader_waits_for_the_lease_and_the_orders_of_the_one_before() {
+    let mut it = Resumes::new(Phase::Rolling, Stage::Loading, 0);
+    let t = Terms::default();
+    let acts = t.lease + t.lease / 10 + t.order_within;
+    for now in (0..acts).step_by(200_000) {
+        assert_eq!(it.look(now).0, 0, "at {now}");
+    }
+    assert!((acts..acts + 3_000_000).step_by(200_000).any(|now| it.look(now).0 > 0));
+}
+
+#[test]
+fn copies_that_drain_go_after_a_quiet_time_only() {
+    let mut it = Resumes::new(Phase::Rolling, Stage::Draining, 1000);
+    it.old.sessions = 1;
+    let unloads = |it: &Resumes| it.planner.shown()[0].regions[0].old_lanes == 0;
+    let (mut now, quiet) = (0, Terms::default().quiet);
+    while now < 12_000_000 {
+        now += 200_000;
+        it.look(now);
+    }
+    it.old.sessions = 0;
+    let since = now;
+    while now < since + 60_000_000 && !unloads(&it) {
+        now += 200_000;
+        it.look(now);
+        assert!(!unloads(&it) || now - since >= quiet, "at {now}");
+    }
+    assert!(unloads(&it));
+}
+
+#[test]
+fn a_plan_is_settled_only_when_every_router_knows_that_it_is_over() {
+    let mut it = Resumes::new(Phase::Done, Stage::Done, 1000);
+    it.heard = 1;
+    for now in (0..30_000_000).step_by(200_000) {
+        assert!(it.look(now).1.is_none_or(|p| !p.settled));
+    }
+    assert!(it.planner.wants_binding("m", true), "sessions that begin are bound meanwhile");
+    it.heard = 2;
+    (30_000_000..32_000_000).step_by(200_000).for_each(|now| drop(it.look(now)));
+    assert!(!it.planner.wants_binding("m", true) && it.planner.wants_binding("m", false));
+}
