Upgrade: the world excuses an order that was under way as a worker died

Need: a random play took for the planner's fault that a worker died between the look and the order's coming. Change: for three seconds after a death losses are not the planner's.

--- a/crates/upgrade/tests/world/mod.rs
+++ b/crates/upgrade/tests/world/mod.rs
@@ -211,6 +211,8 @@
     serial: u64,
     cut_until: Micros,
     slow_store: Micros,
+    /// Before, nobody can know that a worker died.
+    known_dead: Micros,
     lost_orders: Micros,
     errs: Micros,
     slow: Micros,
@@ -259,6 +261,7 @@
             serial: 0,
             cut_until: 0,
             slow_store: 0,
+            known_dead: 0,
             lost_orders: 0,
             errs: 0,
             slow: 0,
@@ -469,6 +472,7 @@
             Fault::Deaf(m, d) => self.members[m].deaf = until(d),
             Fault::Cut(d) => self.cut_until = until(d),
             Fault::WorkerDies(w, d) => {
+                self.known_dead = until(3 * S);
                 self.workers[w].dead_until = until(d);
                 self.workers[w].copies.clear();
             }
@@ -667,6 +671,7 @@
         for (r, was) in before.into_iter().enumerate() {
             if let (Some((was, need)), Some((is, _))) = (was, self.usable(r, &region))
                 && is < was.min(need)
+                && self.now > self.known_dead
             {
                 self.wrong.push(format!(
                     "{} s: {region}: {is} lanes of {need} for router {r} by {term}",
