Tests of a group: three fleets at a time; the step between copied and heard of is left to the explorer

Cause of the first: GET /state showed 1,010 refusals at the others. Whoever hears nothing of the others is late for them after a sixteenth of what is kept (replica, late votes), here 0.7 s, and the case cuts exactly that direction. So the case is out; the explorer walks that step, and the case of one copy stays. The second now pauses workers until its link is cut. Three fleets at a time in place of five: on six cores routers in debug builds had no core each.

--- a/crates/cli/tests/fleets/mod.rs
+++ b/crates/cli/tests/fleets/mod.rs
@@ -19,7 +19,7 @@
 /// Only a failing test waits so long.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 /// So many fleets at a time, so that none is late for want of a core.
-pub static TURNS: Semaphore = Semaphore::new(5);
+pub static TURNS: Semaphore = Semaphore::new(3);
 
 /// Clients of all types give up after this.
 pub const GIVES_UP_MS: u64 = 2_500;
--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -162,8 +162,6 @@
     TakenUntold,
     Taken,
     Intended,
-    /// Others hold the intent; the owner does not know it.
-    Copied,
     /// Sent without: only where a guard is out.
     SentUnheld,
     /// Copied to one of the two others, and sent.
@@ -185,7 +183,6 @@
         before.set(ran_of(f, owner) as u64);
     };
     let sent = || comes("dispatches run", || ran_of(f, owner) as u64 >= before.get() + SOME);
-    let unasked = || assert_eq!(count(f, owner, "held"), 0, "no leave was given");
     match after {
         After::TakenUntold => {
             towards(f, owner, &all, Fault::Lost);
@@ -198,15 +195,6 @@
             store_goes_on(f);
             comes("intents", || count(f, owner, "intents") >= SOME);
         }
-        After::Copied => {
-            taken(f, owner);
-            all.iter().for_each(|m| towards(f, *m, &[owner], Fault::Lost));
-            store_goes_on(f);
-            // No other's are left.
-            let held = || all.iter().all(|n| idle(f, *n)) && records(f, all[0], "intended") >= SOME;
-            comes("intents are held", held);
-            unasked();
-        }
         After::SentUnheld | After::CopiedToOne => {
             taken(f, owner);
             hangs();
@@ -233,7 +221,11 @@
             comes("answers are told", || records(f, all[0], "answered") >= SOME);
         }
         After::Acknowledged => {
+            // Something is out as the link goes, however fast the machine is.
+            f.workers.iter().for_each(|w| w.pause(true));
+            comes("messages are taken", || claims(f, owner, "mine") >= SOME);
             f.links.set(BROKER, &f.router(owner), Fault::Lost);
+            f.workers.iter().for_each(|w| w.pause(false));
             comes("answers", || claims(f, owner, "answered") >= 1);
         }
     }
@@ -241,7 +233,7 @@
 
 fn waits_for_loads(after: After) -> bool {
     use After::*;
-    matches!(after, TakenUntold | Taken | Intended | Copied | SentUnheld | CopiedToOne)
+    matches!(after, TakenUntold | Taken | Intended | SentUnheld | CopiedToOne)
 }
 
 /// The owner dies there, for good until nothing is to be judged by it any more.
@@ -250,9 +242,6 @@
         if waits_for_loads(after) {
             stalled(d);
         }
-        if after == After::Copied {
-            all_at_once(d);
-        }
         change(d);
     });
     let script = Script::new(1)
@@ -280,7 +269,6 @@
 #[case(After::TakenUntold, UNSURE)]
 #[case(After::Taken, UNSENT)]
 #[case(After::Intended, UNSENT)]
-#[case(After::Copied, UNSURE)]
 #[case(After::CopiedToOne, UNSURE)]
 #[case(After::Dispatched, UNSURE)]
 #[case(After::Ended, UNSURE)]
