--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -40,13 +40,6 @@
     }
 }
 
-/// Until a day's own errors are a type.
-impl From<Unjudged> for String {
-    fn from(why: Unjudged) -> Self {
-        why.line()
-    }
-}
-
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "kebab-case")]
 pub enum Effect {
--- a/crates/benchlink/src/tests.rs
+++ b/crates/benchlink/src/tests.rs
@@ -1,14 +1,15 @@
 use cedarpulley_errors::Remedy;
 
 use super::serve;
+use crate::refused::Refused;
 
 const BORN: &str = "born 3 7 services.count=1 services.0.aim=800000000 services.0.hardLimit=2000000000 \
     services.0.effect=retryable familyInfo.staysLoaded=10000000000 fleetSize=1 granularity=4000000 \
     permissions.sendCap=3 made.up=1";
 
-fn run(input: &str) -> Result<String, String> {
+fn run(input: &str) -> Result<String, Refused> {
     let mut out = Vec::new();
-    serve(input.as_bytes(), &mut out).map_err(|why| why.line())?;
+    serve(input.as_bytes(), &mut out)?;
     Ok(String::from_utf8(out).expect("the wire is text"))
 }
 
@@ -39,7 +40,7 @@
         (&format!("{born}sync 3 1 SAVED 2\nbell 3 77\n"), "where a list entry is due"),
         ("clock 1\n", "ends within a batch"),
     ] {
-        let e = run(input).expect_err(input);
+        let e = run(input).expect_err(input).line();
         assert!(e.starts_with("line ") && e.contains(fault), "{e}");
     }
 }
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -7,17 +7,19 @@
 
 use async_io::Timer;
 use cedarpulley_audit::Verdict;
+use cedarpulley_errors::Remedy;
 use cedarpulley_rig::fleet::{Fleet, Launch};
 use cedarpulley_rig::links::Fault;
 use cedarpulley_rig::plan::{self, Day, Trouble, What};
 use cedarpulley_rig::process::State;
 use cedarpulley_rig::traffic::Traffic;
+use cedarpulley_rig::wrong::Wrong as Failed;
 use cedarpulley_standins::lock;
 use cedarpulley_standins::worker::Worker;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::Plain;
+use crate::wrong::Wrong;
 
 /// Beyond the longest client timeout, until a router that was told to stop is gone.
 const STOP_WITHIN: Duration = Duration::from_secs(6);
@@ -26,9 +28,9 @@
 /// A drained worker stays up this long after it was told of.
 const DRAIN_LASTS: Duration = Duration::from_secs(2);
 
-pub fn show(verdict: &Verdict, json: bool) -> Plain<()> {
+pub fn show(verdict: &Verdict, json: bool) -> Result<(), Wrong> {
     if json {
-        say!("{}", serde_json::to_string_pretty(verdict).map_err(|e| e.to_string())?);
+        say!("{}", serde_json::to_string_pretty(verdict)?);
     } else {
         say!("{}", verdict.table().trim_end());
     }
@@ -43,32 +45,34 @@
     tamper: Option<String>,
     program: Option<PathBuf>,
     json: bool,
-) -> Plain<bool> {
+) -> Result<bool, Wrong> {
     let mut day = plan::read(path)?;
     day.seed = seed.unwrap_or(day.seed);
     let out =
         out.unwrap_or_else(|| std::env::temp_dir().join(format!("cedarpulley-day-{}", std::process::id())));
-    let io = |e: std::io::Error| format!("{}: {e}", out.display());
     let trace = program.is_none();
-    let program = program.map_or_else(std::env::current_exe, Ok).map_err(io)?;
+    let program = program.map_or_else(std::env::current_exe, Ok).map_err(Wrong::Router)?;
     let fleet = Arc::new(Fleet::prepare(&day, Launch { out: out.clone(), program, tamper, trace })?);
     let stopped = async_io::block_on(run(&day, &fleet))?;
     let verdict = fleet.verdict()?;
-    let text = serde_json::to_string_pretty(&verdict).map_err(|e| e.to_string())?;
-    std::fs::write(out.join("audit.json"), text).map_err(io)?;
-    let table = format!("{}{}\n", verdict.table(), verdict.last_line());
-    std::fs::write(out.join("summary.txt"), table).map_err(io)?;
+    let text = serde_json::to_string_pretty(&verdict)?;
+    let write = |name: &str, text: String| {
+        let file = out.join(name);
+        std::fs::write(&file, text).map_err(Wrong::file(&file))
+    };
+    write("audit.json", text)?;
+    write("summary.txt", format!("{}{}\n", verdict.table(), verdict.last_line()))?;
     if !json {
         say!("{} (seed {}), left in {}\n", path.display(), day.seed, out.display());
     }
     show(&verdict, json)?;
     if !stopped && verdict.broken() == 0 {
-        return Err("a router did not end in good order; see its log under routers/".into());
+        return Err(Wrong::Unended);
     }
     Ok(verdict.broken() == 0)
 }
 
-async fn run(day: &Day, fleet: &Arc<Fleet>) -> Plain<bool> {
+async fn run(day: &Day, fleet: &Arc<Fleet>) -> Result<bool, Wrong> {
     fleet.start_routers()?;
     let traffic = Traffic::begin(day, fleet);
     let began = traffic.began;
@@ -207,7 +211,8 @@
             // Copied as the trouble begins, killed half of its time later.
             let copy = |r: usize| fleet.folder().join(format!("routers/older-state-{r}"));
             for r in &t.which {
-                well(lock(&fleet.routers[*r]).copy_state(&copy(*r)).map_err(|e| e.to_string()));
+                let copied = lock(&fleet.routers[*r]).copy_state(&copy(*r));
+                well(copied.map_err(|source| Failed::Router { number: *r, source }));
             }
             Timer::after(lasts / 2).await;
             t.which.iter().for_each(|r| fleet.kill_router(*r));
@@ -238,8 +243,8 @@
 }
 
 /// A trouble that could not be brought shows in the log; the day goes on and is judged.
-fn well(done: Plain<()>) {
-    if let Err(cause) = done {
-        tracing::error!(%cause, "a trouble failed");
+fn well(done: Result<(), Failed>) {
+    if let Err(why) = done {
+        tracing::error!(cause = why.line(), "a trouble failed");
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -128,9 +128,6 @@
     },
 }
 
-/// For days, whose errors are lines yet.
-pub type Plain<T> = Result<T, String>;
-
 fn main() -> ExitCode {
     let line = Line::parse();
     let json = match line.log {
@@ -159,7 +156,7 @@
         Command::Standin { kind } => standin::run(kind).map(|()| true),
         Command::Day { day, out, seed, tamper, router, json } => {
             let known = named(&tamper);
-            known.and_then(|_| day::play(&day, out, seed, tamper, router, json).map_err(Wrong::Told))
+            known.and_then(|_| day::play(&day, out, seed, tamper, router, json))
         }
         Command::Measure { rate, seconds, work_ms, lanes, folder, trace, effect, peers } => {
             let what = measure::What { work_ms, lanes, trace, effect: &effect, peers };
@@ -179,7 +176,7 @@
 fn fail(why: &Wrong) -> ExitCode {
     match why {
         // Whole lines already.
-        Wrong::Settings(_) | Wrong::Told(_) => eprintln!("{why}"),
+        Wrong::Settings(_) => eprintln!("{why}"),
         _ => eprintln!("{}", why.line()),
     }
     ExitCode::from(2)
@@ -206,6 +203,6 @@
 
 fn audit(folder: &Path, json: bool) -> Result<bool, Wrong> {
     let verdict = cedarpulley_audit::judge(folder)?;
-    day::show(&verdict, json).map_err(Wrong::Told)?;
+    day::show(&verdict, json)?;
     Ok(verdict.broken() == 0)
 }
--- a/crates/cli/src/wrong.rs
+++ b/crates/cli/src/wrong.rs
@@ -28,9 +28,10 @@
     Serve { file: String, source: cedarpulley_gateway::serve::Unstarted },
     #[error(transparent)]
     Node(#[from] cedarpulley_platform_node::Unstarted),
-    /// Of parts whose errors are no type yet: a line that is whole.
-    #[error("{0}")]
-    Told(String),
+    #[error(transparent)]
+    Day(#[from] cedarpulley_rig::wrong::Wrong),
+    #[error("a router did not end in good order")]
+    Unended,
     #[error("a stand-in cannot start")]
     Standin(#[source] io::Error),
     #[error("the router cannot start")]
@@ -76,7 +77,8 @@
             Wrong::Settings(_) => "mend each of these lines; docs/operate/settings.md has all settings",
             Wrong::Serve { source, .. } => source.remedy(),
             Wrong::Node(why) => why.remedy(),
-            Wrong::Told(_) => "mend what it names",
+            Wrong::Day(why) => why.remedy(),
+            Wrong::Unended => "see the routers' logs under routers/",
             Wrong::Standin(_) => {
                 "give it an address that is free and a folder for logs that may be written to"
             }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use cedarpulley_audit::{Effect, Kind, Terms, Verdict};
+use cedarpulley_errors::Remedy;
 use cedarpulley_standins::broker::Broker;
 use cedarpulley_standins::list::{List, Row};
 use cedarpulley_standins::store::{self, Store};
@@ -26,8 +27,9 @@
 use crate::plan::Day;
 use crate::process::{Process, State};
 use crate::relay::{Form, Relay, Reserved};
+use crate::until;
 use crate::verdict::state;
-use crate::{Plain, until};
+use crate::wrong::Wrong;
 
 const THREADS: usize = 3;
 /// Routers consume within this time of their start, or nothing is played.
@@ -95,23 +97,17 @@
     }
 }
 
-pub fn terms(day: &Day) -> Plain<Terms> {
+pub fn terms(day: &Day) -> Terms {
     let (rules, loads) = (&day.settings.rules, &day.settings.loads);
     let us = |table: &toml::Table, key: &str, absent: f64| (figure(table, key, absent) * 1e3) as i64;
     let mut kinds = BTreeMap::new();
     for t in &day.triggers {
-        let effect = match t.effect.as_str() {
-            "idempotent" => Effect::Idempotent,
-            "tokened" => Effect::Tokened,
-            "non-idempotent" => Effect::NonIdempotent,
-            other => return Err(format!("trigger type {}: no effect is called '{other}'", t.name)),
-        };
-        let objective_us = t.latency_objective_ms as i64 * 1000;
-        kinds.insert(t.name.clone(), Kind { effect, window_us: t.window_ms as i64 * 1000, objective_us });
+        let (window_us, objective_us) = (t.window_ms as i64 * 1000, t.latency_objective_ms as i64 * 1000);
+        kinds.insert(t.name.clone(), Kind { effect: t.effect, window_us, objective_us });
     }
     let each = day.workers.iter().flat_map(|w| (0..w.count).map(|_| day.region_of(&w.zone)));
     let region_of = each.enumerate().map(|(n, region)| (name_of_worker(n), region.to_owned()));
-    Ok(Terms {
+    Terms {
         kinds,
         answer_slack_us: us(rules, "answer_slack_ms", 0.0),
         drain_grace_us: us(rules, "drain_grace_ms", 500.0),
@@ -129,13 +125,22 @@
         floor_part: day.floor,
         floor_known_us: day.floor_known_ms as i64 * 1000,
         floors: Vec::new(),
-    })
+    }
 }
 
 pub(crate) fn queue(account: &str) -> String {
     format!("triggers-{account}")
 }
 
+/// As the routers' settings have it.
+fn word(effect: Effect) -> &'static str {
+    match effect {
+        Effect::Idempotent => "idempotent",
+        Effect::Tokened => "tokened",
+        Effect::NonIdempotent => "non-idempotent",
+    }
+}
+
 fn address_of(day: &Day, n: u32) -> IpAddr {
     router_address(day.zone_of(n), n)
 }
@@ -242,7 +247,7 @@
         let _ = writeln!(t, "[[kind]]\nname = {name:?}\nmemory_mb = {mb:?}\n");
     }
     for g in &day.triggers {
-        let _ = writeln!(t, "[[trigger]]\nname = {:?}\neffect = {:?}", g.name, g.effect);
+        let _ = writeln!(t, "[[trigger]]\nname = {:?}\neffect = {:?}", g.name, word(g.effect));
         if g.window_ms > 0 {
             let _ = writeln!(t, "window_ms = {}", g.window_ms);
         }
@@ -286,10 +291,10 @@
 
 impl Fleet {
     /// All is up but the routers. What an earlier run left in the folder is removed.
-    pub fn prepare(day: &Day, launch: Launch) -> Plain<Fleet> {
+    pub fn prepare(day: &Day, launch: Launch) -> Result<Fleet, Wrong> {
         let out = launch.out.clone();
-        let terms = terms(day)?;
-        Self::set_up(day, &terms, launch).map_err(|e| format!("{}: {e}", out.display()))
+        let wrong = |source| Wrong::NoFleet { folder: out.display().to_string(), source };
+        Self::set_up(day, &terms(day), launch).map_err(wrong)
     }
 
     fn set_up(day: &Day, terms: &Terms, launch: Launch) -> std::io::Result<Fleet> {
@@ -386,14 +391,14 @@
     }
 
     /// All of them, and until they consume.
-    pub fn start_routers(&self) -> Plain<()> {
+    pub fn start_routers(&self) -> Result<(), Wrong> {
         for n in 0..self.routers.len() {
             self.start_router(n, State::Kept)?;
         }
         match until(READY_WITHIN, || self.broker.consumers() >= self.consumers) {
             true if until(READY_WITHIN, || self.all_remember()) => Ok(()),
-            true => Err("the routers' group does not remember enough to vote".into()),
-            false => Err("the routers did not come up; see their logs under routers/".into()),
+            true => Err(Wrong::NotWhole),
+            false => Err(Wrong::NotUp),
         }
     }
 
@@ -430,14 +435,14 @@
         self.peers.get(n).map(|r| r.address)
     }
 
-    pub fn start_router(&self, n: usize, state: State) -> Plain<()> {
+    pub fn start_router(&self, n: usize, state: State) -> Result<(), Wrong> {
         let mut router = lock(&self.routers[n]);
         // Two troubles may have killed it; it comes back once.
         if router.is_up() {
             return Ok(());
         }
         self.log.write("router-up", json!({"address": self.router(n)}));
-        router.start(state).map_err(|e| format!("router {n}: {e}"))
+        router.start(state).map_err(|source| Wrong::Router { number: n, source })
     }
 
     pub fn kill_router(&self, n: usize) {
@@ -449,13 +454,13 @@
     }
 
     /// Stands still, or goes on.
-    pub fn pause_router(&self, n: usize, on: bool) -> Plain<()> {
+    pub fn pause_router(&self, n: usize, on: bool) -> Result<(), Wrong> {
         let mut router = lock(&self.routers[n]);
         if !router.is_up() || router.is_paused() == on {
             return Ok(());
         }
         let tell = || self.log.write("router-paused", json!({"address": self.router(n), "on": on}));
-        let wrong = |e: std::io::Error| format!("router {n}: {e}");
+        let wrong = |source| Wrong::Router { number: n, source };
         if on {
             tell();
             return router.pause().map_err(wrong);
@@ -471,23 +476,23 @@
     }
 
     /// A new order, whole at once, in the place of what was there. Routers read it at their start, or when told.
-    pub fn write_upgrade(&self, text: &str) -> Plain<()> {
+    pub fn write_upgrade(&self, text: &str) -> Result<(), Wrong> {
         let (file, new) = (self.upgrade_file(), self.upgrade_file().with_extension("new"));
         let written = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &file));
-        written.map_err(|e| format!("{}: {e}", file.display()))
+        written.map_err(Wrong::file(&file))
     }
 
     /// Told to read its orders again, if it runs.
-    pub fn hang_up(&self, n: usize) -> Plain<()> {
+    pub fn hang_up(&self, n: usize) -> Result<(), Wrong> {
         let router = lock(&self.routers[n]);
         match router.is_up() {
-            true => router.hang_up().map_err(|e| format!("router {n}: {e}")),
+            true => router.hang_up().map_err(|source| Wrong::Router { number: n, source }),
             false => Ok(()),
         }
     }
 
     /// Written, and all routers told. For the judge, what stands of these models now is what their floors are of.
-    pub fn order_upgrade(&self, models: &[&str], text: &str) -> Plain<()> {
+    pub fn order_upgrade(&self, models: &[&str], text: &str) -> Result<(), Wrong> {
         self.write_upgrade(text)?;
         self.log.write("upgrade", json!({"models": models}));
         (0..self.routers.len()).try_for_each(|n| self.hang_up(n))
@@ -552,7 +557,7 @@
         self.links.heal();
         for n in 0..self.routers.len() {
             if let Err(e) = self.pause_router(n, false) {
-                tracing::error!(cause = %e, "a router does not go on");
+                tracing::error!("{}", e.line());
             }
         }
         for router in &self.routers {
@@ -573,7 +578,7 @@
     }
 
     /// Of what has crossed the sockets so far.
-    pub fn verdict(&self) -> Plain<Verdict> {
+    pub fn verdict(&self) -> Result<Verdict, Wrong> {
         self.log.flush();
         self.broker.flush();
         self.store.flush();
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,7 +3,8 @@
 //! is judged by `cedarpulley-audit` from the stand-ins' logs.
 //!
 //! Begin reading at [`fleet`]; then [`links`] (the faults), [`relay`] (bytes), [`messages`] (whole requests),
-//! [`process`] (one router).
+//! [`process`] (one router),
+//! [`wrong`] (what goes wrong outside of what is tried).
 
 pub mod client;
 pub mod fleet;
@@ -16,12 +17,10 @@
 pub mod script;
 pub mod traffic;
 pub mod verdict;
+pub mod wrong;
 
 use std::time::{Duration, Instant};
 
-/// What goes wrong outside of what is tried, in one plain line.
-pub type Plain<T> = Result<T, String>;
-
 /// How often [`until`] looks.
 const LOOK: Duration = Duration::from_millis(10);
 
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -1,10 +1,12 @@
 //! A scripted day, read from TOML. Everything random in it comes from its seed.
 
+use std::ops::RangeInclusive;
 use std::path::Path;
 
+use cedarpulley_audit::Effect;
 use serde::Deserialize;
 
-use crate::Plain;
+use crate::wrong::Wrong;
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -103,7 +105,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Trigger {
     pub name: String,
-    pub effect: String,
+    pub effect: Effect,
     #[serde(default)]
     pub window_ms: u64,
     /// What its group does without a majority; absent, the routers' own default.
@@ -222,76 +224,131 @@
     Kserve,
 }
 
-pub fn read(path: &Path) -> Plain<Day> {
-    let file = path.display();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
-    parse(&file.to_string(), &text)
+pub fn read(path: &Path) -> Result<Day, Wrong> {
+    let text = std::fs::read_to_string(path).map_err(Wrong::file(path))?;
+    parse(&path.display().to_string(), &text)
 }
 
 /// The file's name is for what is said of it.
-pub fn parse(file: &str, text: &str) -> Plain<Day> {
-    let day: Day = toml::from_str(text).map_err(|e| {
-        let line = e.span().map_or(1, |s| text[..s.start].matches('\n').count() + 1);
-        format!("{file}:{line}: {}", e.message().replace('\n', ", "))
+pub fn parse(file: &str, text: &str) -> Result<Day, Wrong> {
+    let day: Day = toml::from_str(text).map_err(|e| Wrong::NoDay {
+        file: file.to_owned(),
+        line: e.span().map_or(1, |s| text[..s.start].matches('\n').count() + 1),
+        said: e.message().replace('\n', ", "),
     })?;
-    let wrong = |why: &str| Err(format!("{file}: {why}"));
-    let within = |x: f64, most: f64| x.is_finite() && x > 0.0 && x <= most;
-    if day.triggers.is_empty() || day.accounts.is_empty() || day.workers.is_empty() || day.zones.is_empty() {
-        return wrong("trigger, account, worker and zones must each have one at least");
-    }
-    if !within(day.seconds, 3600.0) || !within(day.rate_per_s, 1e5) || !(1..=100).contains(&day.routers) {
-        return wrong("seconds, rate_per_s or routers is out of its range");
-    }
-    if !(0.0..=1.0).contains(&day.floor) {
-        return wrong("floor is not within 0 to 1");
-    }
-    let misfit = |t: &Trigger| !(0.0..=1.0).contains(&t.sessions) || t.sessions > 0.0 && t.turns == 0;
-    if day.triggers.iter().any(misfit) {
-        return wrong("sessions is not within 0 to 1, or has no turns");
-    }
-    if !(0.0..=1.0).contains(&day.kserve_part) {
-        return wrong("kserve_part is not within 0 to 1");
-    }
-    if day.zones.len() > 60 || day.workers.iter().any(|w| !day.zones.contains(&w.zone)) {
-        return wrong("a worker stands in a zone that is not named");
-    }
-    let orphan = day.zones.iter().any(|z| day.regions.iter().all(|r| !belongs(z, r)));
-    let bare = day.regions.iter().any(|r| day.zones.iter().all(|z| !belongs(z, r)));
-    if !day.regions.is_empty() && (orphan || bare) {
-        return wrong("regions: each needs a zone of its name, and each zone a region");
-    }
-    if day.peers && day.regions.is_empty() {
-        return wrong("peers need regions: their links are relayed");
+    Check { file, day: &day }.all()?;
+    Ok(day)
+}
+
+const PART: (RangeInclusive<f64>, &str) = (0.0..=1.0, "0 to 1");
+const RATE: (RangeInclusive<f64>, &str) = (f64::MIN_POSITIVE..=1e5, "more than 0 and at most 100000");
+const SECONDS: (RangeInclusive<f64>, &str) = (f64::MIN_POSITIVE..=3600.0, "more than 0 and at most 3600");
+const ROUTERS: (RangeInclusive<f64>, &str) = (1.0..=100.0, "1 to 100");
+const TIMES: (RangeInclusive<f64>, &str) = (f64::MIN_POSITIVE..=1000.0, "more than 0 and at most 1000");
+/// A zone cut tells them by bits.
+const MOST_ZONES: f64 = 60.0;
+
+/// What serde cannot know: ranges, and what one key says of another. The first that does not hold is told.
+struct Check<'a> {
+    file: &'a str,
+    day: &'a Day,
+}
+
+impl Check<'_> {
+    /// What is no number is within no range.
+    fn within(
+        &self,
+        key: impl ToString,
+        value: f64,
+        (range, within): (RangeInclusive<f64>, &'static str),
+    ) -> Result<(), Wrong> {
+        match range.contains(&value) {
+            true => Ok(()),
+            false => Err(Wrong::OutOfRange { file: self.file.into(), key: key.to_string(), value, within }),
+        }
     }
-    if day.witness && (!day.peers || day.routers < 2) {
-        return wrong("a witness needs peers, and another router");
+
+    fn needs(&self, key: impl ToString, holds: bool, what: &'static str) -> Result<(), Wrong> {
+        match holds {
+            true => Ok(()),
+            false => Err(Wrong::Needs { file: self.file.into(), key: key.to_string(), what }),
+        }
     }
-    let count: u32 = day.workers.iter().map(|w| w.count).sum();
-    for t in &day.troubles {
-        let routers = [What::RouterKill, What::RouterPause, What::StaleState, What::PeerCut];
-        let most = if routers.contains(&t.what) { day.routers } else { count } as usize;
-        if t.which.iter().any(|w| *w >= most) || !(0.0..=1.0).contains(&t.part) {
-            return Err(format!("{file}: trouble {:?} at {} s names what is not there", t.what, t.at_s));
+
+    /// `name`, where one is given, is among those that the day has.
+    fn has<T: ToString>(
+        &self,
+        key: impl ToString,
+        name: Option<T>,
+        has: impl Fn(&T) -> bool,
+    ) -> Result<(), Wrong> {
+        match name.filter(|name| !has(name)) {
+            None => Ok(()),
+            Some(name) => {
+                let (key, name) = (key.to_string(), name.to_string());
+                Err(Wrong::Absent { file: self.file.into(), key, name })
+            }
         }
-        if t.what == What::Flood && (t.front.is_none() || !within(t.size, 1000.0)) {
-            return wrong("a flood needs a front and a size");
+    }
+
+    fn all(&self) -> Result<(), Wrong> {
+        let day = self.day;
+        let counts = [
+            ("trigger", day.triggers.len()),
+            ("account", day.accounts.len()),
+            ("worker", day.workers.len()),
+            ("zones", day.zones.len()),
+        ];
+        if let Some((key, _)) = counts.into_iter().find(|c| c.1 == 0) {
+            return Err(Wrong::Empty { file: self.file.into(), key });
         }
-        if t.region.as_ref().is_some_and(|r| !day.regions.contains(r))
-            || t.what == What::RegionCut && t.region.is_none()
-        {
-            return wrong("a trouble names no region, or an unknown one");
+        self.within("seconds", day.seconds, SECONDS)?;
+        self.within("rate_per_s", day.rate_per_s, RATE)?;
+        self.within("routers", day.routers.into(), ROUTERS)?;
+        self.within("floor", day.floor, PART)?;
+        self.within("kserve_part", day.kserve_part, PART)?;
+        self.within("zones: their number", day.zones.len() as f64, (1.0..=MOST_ZONES, "1 to 60"))?;
+        for (n, t) in day.triggers.iter().enumerate() {
+            let key = format!("trigger[{n}].sessions");
+            self.within(&key, t.sessions, PART)?;
+            self.needs(key, t.sessions == 0.0 || t.turns > 0, "turns above 0")?;
         }
-        if t.what == What::PeerCut && (!day.peers || t.which.len() < 2) {
-            return wrong("a peer-cut needs peers and two routers");
+        for (n, w) in day.workers.iter().enumerate() {
+            self.has(format!("worker[{n}].zone"), Some(&w.zone), |z| day.zones.contains(z))?;
         }
-        if t.account.as_ref().is_some_and(|a| day.accounts.iter().all(|d| d.name != *a)) {
-            return wrong("a trouble names an unknown account");
+        if !day.regions.is_empty() {
+            let inside = |z: &String| day.regions.iter().any(|r| belongs(z, r));
+            let stray = day.zones.iter().position(|z| !inside(z)).unwrap_or(0);
+            self.needs(format!("zones[{stray}]"), inside(&day.zones[stray]), "a region of its name")?;
+            for (n, r) in day.regions.iter().enumerate() {
+                let held = day.zones.iter().any(|z| belongs(z, r));
+                self.needs(format!("regions[{n}]"), held, "a zone of its name")?;
+            }
         }
-        if t.zone.as_ref().is_some_and(|z| !day.zones.contains(z)) {
-            return wrong("a trouble names an unknown zone");
+        self.needs("peers", !day.peers || !day.regions.is_empty(), "regions: peers' links are relayed")?;
+        self.needs("witness", !day.witness || day.peers && day.routers > 1, "peers, and another router")?;
+        day.troubles.iter().enumerate().try_for_each(|(n, t)| self.trouble(n, t))
+    }
+
+    fn trouble(&self, n: usize, t: &Trouble) -> Result<(), Wrong> {
+        let day = self.day;
+        let key = |part: &str| format!("trouble[{n}].{part}");
+        let count: u32 = day.workers.iter().map(|w| w.count).sum();
+        let routers = [What::RouterKill, What::RouterPause, What::StaleState, What::PeerCut];
+        let most = if routers.contains(&t.what) { day.routers } else { count } as usize;
+        self.has(key("which"), t.which.iter().max(), |w| **w < most)?;
+        self.within(key("part"), t.part, PART)?;
+        if t.what == What::Flood {
+            self.needs(key("what"), t.front.is_some(), "a front: amqp or kserve")?;
+            self.within(key("size"), t.size, TIMES)?;
         }
+        self.has(key("region"), t.region.as_ref(), |r| day.regions.contains(r))?;
+        self.needs(key("what"), t.what != What::RegionCut || t.region.is_some(), "a region")?;
+        let two = day.peers && t.which.len() > 1;
+        self.needs(key("what"), t.what != What::PeerCut || two, "peers, and two routers in which")?;
+        self.has(key("account"), t.account.as_ref(), |a| day.accounts.iter().any(|d| d.name == **a))?;
+        self.has(key("zone"), t.zone.as_ref(), |z| day.zones.contains(z))
     }
-    Ok(day)
 }
 
 fn belongs(zone: &str, region: &str) -> bool {
--- a/crates/rig/tests/sessions.rs
+++ b/crates/rig/tests/sessions.rs
@@ -48,7 +48,7 @@
 fn sessions_without_turns_are_refused() {
     let text = include_str!("../../../days/regions.toml");
     let bad = text.replacen("work_ms = 60\n", "work_ms = 60\nsessions = 0.5\n", 1);
-    assert!(plan::parse("bad", &bad).expect_err("refused").contains("turns"));
+    assert!(plan::parse("bad", &bad).expect_err("refused").to_string().ends_with("turns above 0"));
     let good = text.replacen("work_ms = 60\n", "work_ms = 60\nsessions = 0.5\nturns = 4\n", 1);
     assert!(plan::parse("good", &good).is_ok());
 }
