Group: a refused member is named once with a remedy, and shown; how to go from build to build

Members of two wire versions refused each other as they should, and no operator could see which: `heard` counted each envelope and said nothing, `/state` had no line for it, and an envelope of another form was answered "it cannot be read" without being counted at all (gateway/post.rs, before `heard`). group.md said nothing of a changed version.

- gateway/strangers.rs, free of I/O: by member, and in one place all others.
Each process and cause is said once in the log, with name, version, address and remedy; two processes under one name at most each 10 s.
Shown in `GET /state` as `refused` of a member until it is taken again, or as `strangers`; counted as before, now with whole envelopes too.
- The version is read before the rest, so that a build whose envelopes have another form is told as another version.
- The folder's FORMAT stayed 1 when version 2 of the wire gave records one more time, so a file of the build before was called damaged, and the build before could read a new one as what it was not (postcard leaves what is behind).
It is 2 now; an earlier file is set aside as `earlier-format`, once, also one that this version wrote.
A test holds the bytes of a record to the format.

Seen to fail: saying each refusal, reading an earlier format, and telling no earlier version, each taken out, fail their tests. No fleet was played.

--- a/crates/gateway/src/fellows.rs
+++ b/crates/gateway/src/fellows.rs
@@ -7,12 +7,13 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
+use cedarpulley_errors::Remedy;
 use cedarpulley_membership::{self as membership, Believed, Group, MemberIx, Membership, Process};
 use cedarpulley_net::Alarm;
 use cedarpulley_replica::{self as replica, Guard, Need, Replica};
@@ -21,6 +22,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::desk::Desk;
+use crate::strangers::{Refused, Strange, Strangers};
 
 /// A first message of a member may have been under way for ever, for all that is known.
 const UNKNOWN_TRANSIT: Micros = Micros::MAX / 4;
@@ -81,19 +83,6 @@
     fn put(&self, to: MemberIx, letter: Bytes, bulk: bool, made_up_for: bool);
 }
 
-/// Why an envelope was not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Strange {
-    #[error("a member speaks another version")]
-    Version,
-    #[error("a member of another group, or with other members listed")]
-    Group,
-    #[error("it is for another member, or from none")]
-    Member,
-    #[error("it cannot be read")]
-    Unreadable,
-}
-
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
     pub envelopes: u64,
@@ -112,6 +101,7 @@
     /// Of each member: its clock as it was last heard, and the process.
     clocks: Vec<(Micros, u64)>,
     counts: Counts,
+    strangers: Strangers,
     /// For whoever is being answered now.
     replies: Option<(MemberIx, Vec<Bytes>)>,
     /// It began from a folder, and that was older than what others know of it.
@@ -142,6 +132,7 @@
     nonce: u64,
     mark: u64,
     me: MemberIx,
+    members: usize,
     state: RefCell<State>,
     post: Box<dyn Post>,
     /// For the core and for listeners, one after the other.
@@ -197,6 +188,7 @@
             replica,
             clocks: vec![(0, 0); n],
             counts: Counts::default(),
+            strangers: Strangers::new(n),
             replies: None,
             had_folder,
             stale_folder: false,
@@ -206,6 +198,7 @@
             nonce,
             mark,
             me,
+            members: n,
             state: RefCell::new(state),
             post,
             told: RefCell::default(),
@@ -258,25 +251,19 @@
         self.alarm.rings(&self.desk.clock).await;
     }
 
-    /// What came from a member; what is to go back at once.
-    pub fn heard(&self, envelope: Envelope) -> Result<Envelope, Strange> {
+    /// What came from a member, as its bytes; what is to go back at once.
+    pub fn heard(&self, address: Option<IpAddr>, bytes: &[u8]) -> Result<Envelope, Strange> {
         let now = self.desk.clock.now();
+        let envelope = self.known(bytes).map_err(|refused| {
+            let refused = Refused { address, ..refused };
+            self.refuse(now, refused);
+            refused.why
+        })?;
         let (from, process) = (envelope.from, envelope.process);
         let transit = {
             let mut state = self.state.borrow_mut();
             state.counts.envelopes += 1;
-            if envelope.version != replica::VERSION {
-                state.counts.other_version += 1;
-                return Err(Strange::Version);
-            }
-            if envelope.group != self.mark {
-                state.counts.other_group += 1;
-                return Err(Strange::Group);
-            }
-            if envelope.to != self.me || from == self.me || from as usize >= state.clocks.len() {
-                state.counts.other_member += 1;
-                return Err(Strange::Member);
-            }
+            state.strangers.taken(from);
             state.clocks[from as usize] = (envelope.clock, process.nonce);
             state.replies = Some((from, Vec::new()));
             match envelope.echo_of == self.nonce {
@@ -308,6 +295,42 @@
         Ok(self.envelope(from, messages))
     }
 
+    /// It, if it is of this group and for this member.
+    fn known(&self, bytes: &[u8]) -> Result<Envelope, Refused> {
+        let nobody = Refused { why: Strange::Unreadable, version: None, from: None, address: None };
+        // The version is in front in all versions, whatever comes after it.
+        let Ok((version, _)) = postcard::take_from_bytes::<u16>(bytes) else { return Err(nobody) };
+        let read = postcard::from_bytes::<Envelope>(bytes).ok();
+        let of_group = read.as_ref().filter(|e| e.group == self.mark);
+        let from = of_group.filter(|e| e.from != self.me && (e.from as usize) < self.members);
+        let from = from.map(|e| (e.from, e.process.nonce));
+        let why = match &read {
+            _ if version != replica::VERSION => Strange::Version,
+            None => Strange::Unreadable,
+            Some(e) if e.group != self.mark => Strange::Group,
+            Some(e) if e.to != self.me || from.is_none() => Strange::Member,
+            Some(_) => return read.ok_or(nobody),
+        };
+        Err(Refused { why, version: Some(version), from, address: None })
+    }
+
+    fn refuse(&self, now: Micros, refused: Refused) {
+        let mut state = self.state.borrow_mut();
+        state.counts.envelopes += 1;
+        *match refused.why {
+            Strange::Version => &mut state.counts.other_version,
+            Strange::Group => &mut state.counts.other_group,
+            Strange::Member => &mut state.counts.other_member,
+            Strange::Unreadable => &mut state.counts.unreadable,
+        } += 1;
+        if state.strangers.refused(now, refused) {
+            let members = &state.membership.group().members;
+            let member = refused.from.map(|(m, _)| members[m as usize].name.as_str());
+            let (version, address) = (refused.version, refused.address.map(|a| a.to_string()));
+            tracing::warn!(member, version, address, "group: refused: {}", refused.why.line());
+        }
+    }
+
     pub fn envelope(&self, to: MemberIx, messages: Vec<Bytes>) -> Envelope {
         let state = self.state.borrow();
         let (echo, echo_of) = state.clocks.get(to as usize).copied().unwrap_or_default();
@@ -486,7 +509,12 @@
         (state.membership.me().turn, state.replica.changes(self.desk.clock.now()))
     }
 
-    /// All that can be shown.
+    /// Who of this member's name was refused, or with none of nobody's.
+    pub fn strangers(&self, member: Option<MemberIx>) -> serde_json::Value {
+        self.state.borrow().strangers.shown(self.desk.clock.now(), member)
+    }
+
+    /// All else that can be shown.
     pub fn look<R>(
         &self,
         look: impl FnOnce(Micros, &Membership, &Believed, &Replica, &Counts, bool) -> R,
--- a/crates/gateway/src/folder.rs
+++ b/crates/gateway/src/folder.rs
@@ -4,7 +4,7 @@
 //! Mechanisms:
 //! 1. Changes are gathered and written together, on a thread of their own; a disk that is slow or full costs nothing but
 //!    the folder's age. What does not fit on its way is written later, as it stands then.
-//! 2. A file that is damaged, of a later format, or of another member or group is told apart and set aside under another
+//! 2. A file that is damaged, of another format, or of another member or group is told apart and set aside under another
 //!    name; the router begins without, and the others have what it lacks.
 //! 3. Times are kept by the wall's clock; what is over by it, or reaches beyond what is ever kept, is left out.
 
@@ -23,8 +23,10 @@
 use crate::fellows::Kept;
 
 const FILE: &str = "group.redb";
-/// A later one is refused.
-const FORMAT: u64 = 1;
+/// Raised with every change of a record's bytes, which a test below holds; files of another one are set aside.
+/// Symptom: it stayed at 1 when records got one more time with version 2 of the wire, and a file of the build before
+/// was called damaged, or read by the earlier build as what it was not.
+const FORMAT: u64 = 2;
 const ABOUT: TableDefinition<&str, u64> = TableDefinition::new("about");
 /// By key: until when it is kept, on the wall's clock, and the record.
 const RECORDS: TableDefinition<&str, (i64, &[u8])> = TableDefinition::new("records");
@@ -57,6 +59,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Aside {
     Damaged,
+    EarlierFormat,
     LaterFormat,
     /// Of another member, or of a group with other members.
     Foreign,
@@ -66,6 +69,7 @@
     fn word(self) -> &'static str {
         match self {
             Aside::Damaged => "damaged",
+            Aside::EarlierFormat => "earlier-format",
             Aside::LaterFormat => "later-format",
             Aside::Foreign => "foreign",
         }
@@ -108,6 +112,7 @@
     let figure = |name: &str| Ok(about.get(name).map_err(|e| damaged(e.into()))?.map(|v| v.value()));
     match figure("format")? {
         None => return Err(Aside::Damaged),
+        Some(format) if format < FORMAT => return Err(Aside::EarlierFormat),
         Some(format) if format > FORMAT => return Err(Aside::LaterFormat),
         Some(_) => {}
     }
@@ -253,10 +258,45 @@
 
 #[cfg(test)]
 mod tests {
-    use cedarpulley_replica::{Effect, Record};
+    use bytes::Bytes;
+    use cedarpulley_replica::{Answered, Effect, Record, Sending, Sent};
 
     use super::*;
 
+    const RECORD: [u8; 26] = [0, 0, 0, 0, 0, 1, 1, 1, 5, 6, 7, 2, 8, 1, 0, 1, 57, 0, 0, 0, 0, 2, 1, 4, 1, 6];
+
+    /// Fails when a record's bytes change: raise [`FORMAT`], then write down the new ones.
+    #[test]
+    fn a_records_bytes_are_those_of_the_format() {
+        let mut effect = Effect { taken: true, doubtful: true, ..Effect::default() };
+        effect.sendings.insert((5, 6), Sending { member: 7, state: Sent::MayHaveRun, place: 8 });
+        effect.answer = Some(Answered::Kept(Bytes::from_static(b"9")));
+        let shared = Shared {
+            record: Record::Effect(effect),
+            origin: Default::default(),
+            left: 1,
+            first_ago: Some(2),
+            proves_left: Some(3),
+        };
+        let bytes = postcard::to_stdvec(&shared).expect("encoded");
+        assert_eq!((FORMAT, &bytes[..]), (2, &RECORD[..]));
+    }
+
+    #[test]
+    fn a_file_of_another_format_is_set_aside_by_its_name() {
+        for (format, name) in [(FORMAT - 1, "group.earlier-format-1"), (FORMAT + 1, "group.later-format-1")] {
+            let folder = tempfile::tempdir().expect("a folder");
+            let database = Database::create(folder.path().join(FILE)).expect("begun");
+            tables(&database, 1).expect("written");
+            let write = database.begin_write().expect("begun");
+            write.open_table(ABOUT).expect("opened").insert("format", format).expect("written");
+            write.commit().expect("written");
+            drop(database);
+            let (_, kept) = Folder::open(folder.path(), 1, 0, 1).expect("opened");
+            assert!(kept.is_none() && folder.path().join(name).exists(), "{name}");
+        }
+    }
+
     #[test]
     fn what_was_kept_has_grown_older_by_the_time_that_nobody_ran() {
         const S: Micros = 1_000_000;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod shared;
 pub mod sheet;
 pub mod shown;
+pub mod strangers;
 pub mod tls;
 pub mod upgrading;
 pub mod words;
--- a/crates/gateway/src/post.rs
+++ b/crates/gateway/src/post.rs
@@ -30,8 +30,9 @@
 use serde::Serialize;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::fellows::{Envelope, Fellows, Post};
+use crate::fellows::{Fellows, Post};
 use crate::shown;
+use crate::strangers::Strange;
 
 /// What waits for one member on one lane.
 const MOST_WAITING: usize = 4 << 20;
@@ -184,9 +185,10 @@
                 }
             };
             match answered {
-                Some(envelope) => {
-                    // Strangers are counted there.
-                    let _ = fellows.heard(envelope).map(|replies| {
+                Some(answer) => {
+                    // Strangers are counted and named there.
+                    let from = Some(self.addresses[to as usize].ip());
+                    let _ = fellows.heard(from, &answer).map(|replies| {
                         replies.messages.into_iter().for_each(|letter| it.put(letter, false));
                     });
                 }
@@ -212,14 +214,14 @@
     }
 }
 
-async fn exchange(sender: &mut SendRequest<Full<Bytes>>, to: SocketAddr, body: Bytes) -> Option<Envelope> {
+async fn exchange(sender: &mut SendRequest<Full<Bytes>>, to: SocketAddr, body: Bytes) -> Option<Bytes> {
     let request = Request::post(PATH).header("host", to.to_string()).body(Full::new(body)).ok()?;
     let exchanged = async {
         let answer = sender.send_request(request).await.ok()?;
         let ok = answer.status() == StatusCode::OK;
         let body = Limited::new(answer.into_body(), MOST_READ).collect().await.ok()?.to_bytes();
         sender.ready().await.ok()?;
-        postcard::from_bytes(&body).ok().filter(|_| ok)
+        ok.then_some(body)
     };
     let late = async {
         Timer::after(micros(ANSWERED_WITHIN)).await;
@@ -237,19 +239,24 @@
     reply
 }
 
-async fn handle(fellows: &Fellows, office: &Office, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn handle(
+    fellows: &Fellows,
+    office: &Office,
+    from: Option<IpAddr>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     match (request.method(), request.uri().path()) {
         (&Method::POST, PATH) => {
             let body = Limited::new(request.into_body(), MOST_READ).collect().await;
             let Ok(body) = body.map(|b| b.to_bytes()) else {
                 return reply(StatusCode::PAYLOAD_TOO_LARGE, "text/plain", "larger than members say at once");
             };
-            let Ok(envelope) = postcard::from_bytes::<Envelope>(&body) else {
-                return reply(StatusCode::BAD_REQUEST, "text/plain", "it cannot be read");
-            };
-            match fellows.heard(envelope).map(|answer| postcard::to_stdvec(&answer)) {
+            match fellows.heard(from, &body).map(|answer| postcard::to_stdvec(&answer)) {
                 Ok(Ok(answer)) => reply(StatusCode::OK, "application/octet-stream", answer),
                 Ok(Err(_)) => reply(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", ""),
+                Err(Strange::Unreadable) => {
+                    reply(StatusCode::BAD_REQUEST, "text/plain", Strange::Unreadable.to_string())
+                }
                 Err(strange) => reply(StatusCode::FORBIDDEN, "text/plain", strange.to_string()),
             }
         }
@@ -289,9 +296,10 @@
 }
 
 async fn serve(stream: Stream, fellows: Rc<Fellows>, office: Rc<Office>) {
+    let from = stream.get_ref().peer_addr().ok().map(|a| a.ip());
     let service = service_fn(|request| {
         let (fellows, office) = (fellows.clone(), office.clone());
-        async move { Ok::<_, Infallible>(handle(&fellows, &office, request).await) }
+        async move { Ok::<_, Infallible>(handle(&fellows, &office, from, request).await) }
     });
     let mut builder = http1::Builder::new();
     builder.timer(SmolTimer::new()).header_read_timeout(micros(HEAD_WITHIN));
--- a/crates/gateway/src/shown.rs
+++ b/crates/gateway/src/shown.rs
@@ -75,6 +75,7 @@
                 "standing": standing(known.standing), "why": known.why, "for_us": now - known.since,
                 "turn": known.process.turn, "process": format!("{:016x}", known.process.nonce),
                 "heard_us_ago": known.heard.map(|at| now - at), "believed_alive": believed.is_alive(m),
+                "refused": fellows.strangers(Some(m)),
             })
         };
         let mut records: BTreeMap<&str, u64> = BTreeMap::new();
@@ -92,6 +93,7 @@
             "folder_was_older": stale_folder,
             "view": {"version": membership.version(), "believed": believed.version()},
             "members": (0..group.len() as MemberIx).map(member).collect::<Vec<_>>(),
+            "strangers": fellows.strangers(None),
             "majority_alive": group.is_majority((0..group.len() as MemberIx).filter(|m| membership.lives(*m))),
             "records": records,
             "claims": claims,
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use choosing::Outcome;
 pub use owning::{Because, Lack, Need, Verdict};
-pub use record::{Answered, Ballot, Effect, Note, Record, Sent};
+pub use record::{Answered, Ballot, Effect, Note, Record, Sending, Sent};
 pub use replica::{Counts, Guard, Input, Output, Replica, Terms, kept_for};
 pub use store::{Key, Shared};
 pub use wire::{Memory, Message, VERSION};
