Reconcile: a running router's beliefs spoilt by a tamper, each found in one round

Need: the issue wants drift found within a stated number of rounds, index entries of a router spoilt at random, an old version left behind found over processes, and nothing repaired under its load. Over processes it was seen only that belief comes true some time, and the number of rounds was stated as time.

`GET /state` says how many answers of a worker were taken in and by which one each kind was found last. The simulated world compares each own answer with belief right after it is taken in. Stand-in: unloads as they are asked for and refused orders have lines in the log; `use_unseen` keeps a copy busy.

After an upgrade an old version that was loaded straight at two workers went by one router, asked for twice where its first order was lost; the one in use was asked for by nobody until it was idle. By the workers' logs no router ordered where its own load was under way, and nobody an unload of what loads, in the plays of reconciled.rs.

First bounds that did not hold: a copy of a killed router is rightly not taken up, which the world's rule now knows; and answers counted before a flush miss those that come in while they are counted, so they are counted after it.

Conclusion: rounds are counted exactly for spoilt beliefs and in the simulated world, coarsely (two words may be of before) for flushes. For a cut region, lost loads and what a dead router left, tests over processes see only that belief comes true.

--- a/crates/cli/tests/reconciled.rs
+++ b/crates/cli/tests/reconciled.rs
@@ -4,9 +4,10 @@
 
 mod fleets;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::path::Path;
 
 use cedarpulley_rig::fleet::{Fleet, Launch};
 use cedarpulley_rig::links::Fault;
@@ -45,9 +46,18 @@
 }
 
 fn after(day: &Day, before: impl FnOnce(&Fleet), meanwhile: impl FnOnce(&Fleet)) -> After {
+    after_tampered(day, None, before, meanwhile)
+}
+
+fn after_tampered(
+    day: &Day,
+    tamper: Option<&str>,
+    before: impl FnOnce(&Fleet),
+    meanwhile: impl FnOnce(&Fleet),
+) -> After {
     let folder = tempfile::tempdir().expect("a folder");
-    let launch =
-        Launch { out: folder.path().to_owned(), program: PROGRAM.into(), tamper: None, trace: false };
+    let (out, tamper) = (folder.path().to_owned(), tamper.map(str::to_owned));
+    let launch = Launch { out, program: PROGRAM.into(), tamper, trace: false };
     let fleet = Fleet::prepare(day, launch).expect("a fleet");
     before(&fleet);
     fleet.start_routers().expect("they come up");
@@ -121,15 +131,28 @@
         assert!(until(PATIENCE, || workers.iter().all(in_any)), "there is something to be wrong about");
     }
 
-    fn logged(&self, worker: usize, what: &str) -> usize {
+    fn log(&self, worker: usize) -> Vec<Value> {
         self.fleet.workers[worker].flush();
-        let file = self.fleet.folder().join(format!("traffic/{}.ndjson", self.fleet.worker(worker)));
-        let what = format!(r#""what":"{what}""#);
-        std::fs::read_to_string(file).expect("a log").matches(&what).count()
+        lines(&self.fleet.folder().join(format!("traffic/{}.ndjson", self.fleet.worker(worker))))
+    }
+
+    fn logged(&self, worker: usize, what: &str) -> usize {
+        self.log(worker).iter().filter(|l| l["what"] == what).count()
+    }
+
+    /// Answers of each worker that each router had taken in, where it knows it.
+    fn answers(&self) -> BTreeMap<(usize, usize), u64> {
+        let all = ROUTERS.iter().flat_map(|r| self.all().into_iter().map(move |w| (*r, w)));
+        all.filter_map(|(r, w)| Some(((r, w), self.of_worker(r, w)?["answers"].as_u64()?))).collect()
+    }
+
+    fn untimely(&self) -> Vec<String> {
+        self.all().iter().flat_map(|w| untimely(&self.log(*w))).collect()
     }
 
     fn holds(self) {
         assert!(self.fleet.stop(PATIENCE), "the routers end in good order");
+        assert_eq!(self.untimely(), Vec::<String>::new());
         let verdict = self.fleet.verdict().expect("a verdict");
         assert_eq!(verdict.broken(), 0, "{}", verdict.table());
     }
@@ -137,6 +160,140 @@
 
 const ROUTERS: [usize; 3] = [0, 1, 2];
 
+fn lines(file: &Path) -> Vec<Value> {
+    let text = std::fs::read_to_string(file).expect("a log");
+    // The last line may be half written.
+    text.lines().filter_map(|l| serde_json::from_str(l).ok()).collect()
+}
+
+/// By a worker's log: a router that has a load of its own under way there orders no second one, and nobody orders an
+/// unload of what loads.
+fn untimely(log: &[Value]) -> Vec<String> {
+    let (mut stands, mut loads) = (BTreeSet::new(), BTreeSet::new());
+    let (mut ordered, mut wrong) = (BTreeMap::<&str, Vec<&str>>::new(), Vec::new());
+    for l in log {
+        let text = |key: &str| l[key].as_str().unwrap_or_default();
+        let (what, function, from) = (text("what"), text("function"), text("from"));
+        match what {
+            "ordered" if !stands.contains(function) => {
+                let by = ordered.entry(function).or_default();
+                if by.contains(&from) {
+                    wrong.push(format!("{from} orders {function} again while its load is under way: {l}"));
+                }
+                by.push(from);
+            }
+            "order-refused" | "order-lost" if l["load"] != false => {
+                let by = ordered.entry(function).or_default();
+                let last = by.iter().rposition(|f| from.is_empty() || *f == from);
+                last.map(|n| by.remove(n));
+            }
+            "loading" => drop(loads.insert(function)),
+            "unload" if loads.contains(function) => {
+                wrong.push(format!("{from} has {function} unloaded while it loads: {l}"));
+            }
+            "loaded" => {
+                loads.remove(function);
+                ordered.remove(function);
+                if l["stands"] == true {
+                    stands.insert(function);
+                }
+            }
+            "evicted" | "unloaded" => drop(stands.remove(function)),
+            "down" => {
+                (stands, loads) = Default::default();
+                ordered.clear();
+            }
+            _ => {}
+        }
+    }
+    wrong
+}
+
+/// An answer that began after a drift, and after belief last changed, finds it, where no load is under way and the worker
+/// is not doubted.
+const ROUNDS: u64 = 1;
+/// An answer that began before, and a note of the one before it.
+const UNDER_WAY: u64 = 2;
+
+/// What came of a router's spoilt beliefs, by its log.
+#[derive(Debug, Default)]
+struct Spoilt {
+    /// By kind.
+    found: BTreeMap<String, u64>,
+    /// Of what was said otherwise and not found.
+    late: Vec<String>,
+    most_rounds: u64,
+    over: bool,
+}
+
+fn spoilt(log: &[Value]) -> Spoilt {
+    let mut it = Spoilt::default();
+    // By worker and function: how many are believed wrongly, since when, and rounds in which it was said otherwise.
+    let mut open = BTreeMap::<(String, String), (u64, i64, u64)>::new();
+    for l in log.iter().map(|l| &l["fields"]) {
+        let text = |key: &str| l[key].as_str().unwrap_or_default().to_owned();
+        let (message, key, at) = (text("message"), (text("worker"), text("function")), l["at"].as_i64());
+        match message.as_str() {
+            "meddled: spoilt" => {
+                let copies = l["copies"].as_u64().expect("a number");
+                open.insert(key, (copies, at.expect("a time"), 0));
+            }
+            "meddled: changed" => drop(open.remove(&key)),
+            "meddled: no more is spoilt" => it.over = true,
+            "meddled: heard" => {
+                let said: Vec<(String, u64, bool)> =
+                    serde_json::from_str(&text("said")).expect("what it said");
+                let of_worker =
+                    open.iter_mut().filter(|((w, _), o)| *w == key.0 && o.1 < at.expect("a time"));
+                for ((w, f), o) in of_worker {
+                    let said = said.iter().find(|s| s.0 == *f);
+                    if said.map_or(0, |s| s.1) != o.0 && said.is_none_or(|s| !s.2) {
+                        o.2 += 1;
+                        if o.2 > ROUNDS {
+                            it.late.push(format!("{f} at {w}: {} are believed, {said:?}: {l}", o.0));
+                        }
+                    }
+                }
+                let true_now = |f: &str| said.iter().find(|s| s.0 == f).map_or(0, |s| s.1);
+                open.retain(|(w, f), o| *w != key.0 || o.1 >= at.unwrap_or(0) || true_now(f) != o.0);
+            }
+            "reconcile: drift" => {
+                if let Some((.., rounds)) = open.remove(&key) {
+                    *it.found.entry(text("kind")).or_default() += 1;
+                    it.most_rounds = it.most_rounds.max(rounds);
+                }
+            }
+            _ => {}
+        }
+    }
+    it
+}
+
+#[test]
+fn spoilt_beliefs_of_a_running_router_are_each_found_in_one_round() {
+    let _turn = TURNS.acquire_blocking();
+    let it = after_tampered(&reconciled(KEPT_MS, |_| {}), Some("spoilt"), |_| {}, |_| {});
+    let file = it.fleet.folder().join("routers/router-0.log");
+    assert!(until(PATIENCE, || spoilt(&lines(&file)).over), "it is spoilt to the end");
+    it.comes_true(&ROUTERS, &it.all());
+    let found = spoilt(&lines(&file));
+    eprintln!("{found:?}");
+    assert_eq!((found.late, found.most_rounds), (Vec::new(), ROUNDS));
+    // Copies believed that are not there, of a version nobody has too, copies forgotten, and wrong numbers.
+    for kind in ["Phantom", "Unseen", "Miscounted"] {
+        assert!(found.found.get(kind).is_some_and(|n| *n >= 5), "{:?}", found.found);
+    }
+    it.holds();
+}
+
+#[test]
+fn repairs_under_a_load_are_seen_in_the_logs() {
+    let _turn = TURNS.acquire_blocking();
+    let it = after_tampered(&reconciled(KEPT_MS, ordered), Some("orders"), |_| {}, |_| {});
+    assert!(!it.untimely().is_empty(), "many orders for one are noticed");
+    assert!(it.fleet.stop(PATIENCE));
+}
+
 #[test]
 fn flushes_evictions_and_restarts_at_the_same_address_are_found() {
     let _turn = TURNS.acquire_blocking();
@@ -152,11 +309,18 @@
     let before = (it.count("phantom"), it.count("other_incarnation"));
     it.fleet.workers[0].flush_copies();
     let evicted: usize = (1..3).map(|w| it.fleet.workers[w].evict_idle(7, 2).len()).sum();
+    let answers = it.answers();
     it.fleet.workers[3].crash();
     it.fleet.workers[3].start_again().expect("it starts");
     assert!(evicted > 0);
     it.comes_true(&ROUTERS, &all);
     assert!(it.count("phantom") > before.0 && it.count("other_incarnation") > before.1);
+    // By the answers that were taken in since; what was found before they were counted is not looked at.
+    for ((r, w), before) in answers.into_iter().filter(|a| a.0.1 < 3) {
+        let said = it.of_worker(r, w).expect("it knows it");
+        let by = said["found_by"]["phantom"].as_u64().unwrap_or(0);
+        assert!(by <= before + ROUNDS + UNDER_WAY, "router {r}, worker {w}: after {before}: {said}");
+    }
     assert!(it.count("prefix_lost") > 0 && it.count("sessions_let_go") > 0);
     let metrics = it.metrics(0);
     assert!(metrics.contains("cedarpulley_reconcile_answers_total"), "{metrics}");
--- a/crates/cli/tests/upgraded.rs
+++ b/crates/cli/tests/upgraded.rs
@@ -2,6 +2,8 @@
 //! session is on two versions, no order takes warm lanes below the floor, no term has two planners, nothing that must
 //! not runs twice, and the plan ends or says why not. Rules and counts, never times.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use cedarpulley_rig::fleet::{BROKER, Fleet};
@@ -233,6 +235,72 @@
     );
 }
 
+/// Ordered straight at a worker; whether it stands then.
+fn load_straight(f: &Fleet, worker: usize, model: &str) -> bool {
+    let mut stream = TcpStream::connect(f.workers[worker].address).expect("it listens");
+    let head = format!("POST /v2/repository/models/{model}/load HTTP/1.1\r\nhost: x\r\n");
+    let sent = format!("{head}content-length: 0\r\nconnection: close\r\n\r\n");
+    stream.write_all(sent.as_bytes()).expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer.starts_with("HTTP/1.1 200")
+}
+
+/// Who had this function unloaded at a worker since it was ordered straight there, once for each order.
+fn unload_orders(f: &Fleet, worker: usize, function: &str) -> Vec<String> {
+    f.workers[worker].flush();
+    let file = f.folder().join(format!("traffic/{}.ndjson", f.worker(worker)));
+    let text = std::fs::read_to_string(file).expect("a log");
+    // The last line may be half written.
+    let lines: Vec<Value> = text.lines().filter_map(|l| serde_json::from_str(l).ok()).collect();
+    let of = |l: &&Value| l["function"] == function;
+    let straight = |l: &Value| l["what"] == "ordered" && l["router"].is_null() && l["function"] == function;
+    let since = lines.iter().rposition(straight).expect("it was ordered");
+    let unloads = lines[since..].iter().filter(of).filter(|l| l["what"] == "unload");
+    unloads.map(|l| l["router"].as_str().expect("a name").to_owned()).collect()
+}
+
+/// A version that its plan has taken out of service stands again: what is idle goes, by one router, though the first
+/// order gets lost; what is used stays until it is not.
+#[test]
+fn an_old_version_that_no_plan_wants_is_unloaded_when_it_is_idle() {
+    const OLD: &str = MODELS[0];
+    let held = |f: &Fleet, w: usize| f.workers[w].held().iter().any(|h| h.function == OLD);
+    let left = |f: &Fleet| {
+        assert!(all(f, 0, |phase| phase == "Done"), "{:?}", f.state(0));
+        assert!((0..2).all(|w| load_straight(f, w, OLD)), "it stands");
+        assert!(f.workers[1].use_unseen(OLD, true));
+        f.workers[0].lose_orders(0, 1);
+        let unloaded = until(PLANNED, || !held(f, 0));
+        let (idle, used) = (unload_orders(f, 0, OLD), unload_orders(f, 1, OLD));
+        assert!(unloaded && idle.len() == 2 && idle[0] == idle[1], "{idle:?}");
+        assert!(used.is_empty() && held(f, 1), "in use: {used:?}");
+        assert!(f.workers[1].use_unseen(OLD, false));
+        assert!(until(PLANNED, || !held(f, 1)), "idle by now");
+        let used = unload_orders(f, 1, OLD);
+        assert!(used.len() == 1, "{used:?}");
+    };
+    let day = upgrading(|day| {
+        (day.seconds, day.rate_per_s) = (20.0, 15.0);
+        day.settings.loads.insert("idle_kept_ms".into(), 4_000.into());
+    });
+    let script =
+        Script::new(1).at(ORDERED_MS, |f| order(f, DRAIN_LIMIT_MS)).at(LATER, ends).at(LATER + 1, left);
+    let played = played(&day, script);
+    let found = |s: &Value| s["reconcile"]["counts"]["older_version"].as_u64();
+    let found: u64 = played.states.iter().flatten().filter_map(found).sum();
+    assert!(found >= 3, "each time it was seen idle: {found}");
+    // Nobody touched what is in service.
+    for w in 0..played.fleet.workers.len() {
+        let held = played.fleet.workers[w].held();
+        eprintln!("{w}: {held:?}");
+        let file = played.fleet.folder().join(format!("traffic/{}.ndjson", played.fleet.worker(w)));
+        let text = std::fs::read_to_string(file).expect("a log");
+        let unload = |l: &&str| l.contains(r#""what":"unload""#) && l.contains("/versions/2");
+        assert_eq!(text.lines().filter(unload).count(), 0);
+    }
+}
+
 /// Orders that cannot be read are refused whole, with a line a cause, and those before stay.
 #[test]
 fn a_wrong_file_changes_nothing() {
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -2,20 +2,23 @@
 //! one, everything passes as it is.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use async_io::Timer;
 use cedarpulley::interface::{Micros, Standing, WorkerIx};
-use cedarpulley_kserve::requests;
+use cedarpulley_kserve::{requests, serving};
 use cedarpulley_net::micros;
+use cedarpulley_reconcile::asking::Chance;
 use cedarpulley_replica::Guard;
 use cedarpulley_router::roster::News;
-use cedarpulley_router::{Answer, Delivery, Output};
+use cedarpulley_router::{Answer, Delivery, Input, Output};
 
 use crate::desk::Desk;
 use crate::front::Front;
 use crate::pool::Pool;
+use crate::reconciling::Reconciling;
 
 /// It acts on one in so many.
 const ONE_IN: u64 = 15;
@@ -24,6 +27,14 @@
 /// As often again as it is sent.
 const PUSHES: usize = 60;
 const ORDERS: usize = 12;
+/// Several in each round of a test, and an end, after which belief can come to be true.
+const SPOILS_EVERY: Micros = 40_000;
+const MOST_SPOILT: u64 = 150;
+/// Its draws are its own.
+const SPOILT: u64 = 0x5b01;
+const MOST_SENT: usize = 1_000;
+/// No plan of a test makes this version.
+const NOBODYS: &str = "977";
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Meddle {
@@ -55,6 +66,8 @@
     Gone,
     /// After all have started anew, trusts what none of them has.
     Undoubting,
+    /// Takes out nothing: what it believes to stand at workers is made wrong, again and again.
+    Spoilt,
 }
 
 impl Meddle {
@@ -88,6 +101,7 @@
             "absent" => Meddle::Absent,
             "gone" => Meddle::Gone,
             "undoubting" => Meddle::Undoubting,
+            "spoilt" => Meddle::Spoilt,
             _ => return None,
         })
     }
@@ -103,11 +117,54 @@
     address: Address,
     seen: Cell<u64>,
     young: RefCell<Vec<String>>,
+    /// Where this router sent what, by address and function: what there is to be wrong about.
+    sent: RefCell<BTreeSet<(String, String)>>,
 }
 
 impl Meddler {
     pub fn new(kind: Option<Meddle>, desk: Rc<Desk>, pool: Rc<Pool>, address: Address) -> Self {
-        Meddler { kind, desk, pool, address, seen: Cell::new(0), young: RefCell::default() }
+        Meddler {
+            kind,
+            desk,
+            pool,
+            address,
+            seen: Cell::new(0),
+            young: RefCell::default(),
+            sent: RefCell::default(),
+        }
+    }
+
+    /// Spoils beliefs, if it is of that kind: the module's, and what follows it where that is to correct it.
+    pub async fn spoils(self: Rc<Self>, follows: Option<Rc<Reconciling>>) {
+        if self.kind != Some(Meddle::Spoilt) {
+            return;
+        }
+        let mut chance = Chance::new(self.desk.seed ^ SPOILT);
+        let mut spoilt = 0;
+        while spoilt < MOST_SPOILT {
+            Timer::after(micros(SPOILS_EVERY)).await;
+            let Some((worker, function, copies)) = self.wrong(&mut chance) else { continue };
+            if follows.as_ref().is_some_and(|f| !f.spoil(&worker, &function, copies)) {
+                continue;
+            }
+            spoilt += 1;
+            self.desk.feed(Input::Held { worker: worker.into(), function: function.into(), copies });
+        }
+        tracing::info!(spoilt, "meddled: no more is spoilt");
+    }
+
+    /// A belief to be had instead of the true one: a copy forgotten, one that may not be there, copies too many, or a
+    /// version that nobody has.
+    fn wrong(&self, chance: &mut Chance) -> Option<(String, String, u32)> {
+        let sent = self.sent.borrow();
+        let mut one = || sent.iter().nth((chance.draw() * sent.len() as f64) as usize).cloned();
+        let ((worker, function), (_, another)) = (one()?, one()?);
+        Some(match (chance.draw() * 4.0) as u32 {
+            0 => (worker, function, 0),
+            1 => (worker, another, 1),
+            2 => (worker, function, 2 + (chance.draw() * 3.0) as u32),
+            _ => (worker, serving::function(&function, NOBODYS)?, 1),
+        })
     }
 
     fn turn(&self) -> bool {
@@ -142,6 +199,12 @@
     /// Sends more than the core wants.
     pub fn see(&self, output: &Output) {
         match (self.kind, output) {
+            (Some(Meddle::Spoilt), Output::Send { worker, function, .. }) => {
+                let mut sent = self.sent.borrow_mut();
+                if let Some(address) = (self.address)(*worker).filter(|_| sent.len() < MOST_SENT) {
+                    sent.insert((address.to_string(), function.to_string()));
+                }
+            }
             (Some(Meddle::Repeat), Output::Send { .. }) if self.turn() => self.again(output, 1),
             (Some(Meddle::Push), Output::Send { worker, .. }) => {
                 let address = (self.address)(*worker).map(|a| a.to_string());
--- a/crates/gateway/src/reconciling.rs
+++ b/crates/gateway/src/reconciling.rs
@@ -93,6 +93,23 @@
     clocks: BTreeMap<String, Clock>,
     /// When something was last told to the group.
     told: Micros,
+    /// Once belief is spoilt, since when each worker's last word holds: all that matters is told then.
+    heard: Option<BTreeMap<Arc<str>, Micros>>,
+}
+
+impl State {
+    /// For tests that count rounds: words that were taken in just now.
+    fn tell_heard(&mut self) {
+        let Some(heard) = &mut self.heard else { return };
+        for (worker, began, said) in self.it.observed() {
+            if heard.insert(worker.clone(), began) == Some(began) {
+                continue;
+            }
+            let said = said.entries.iter().map(|e| (&*e.function, e.copies, e.loading));
+            let said = Value::from_iter(said.map(|(f, n, loading)| json!([f, n, loading])));
+            tracing::info!(worker = &**worker, at = began, said = %said, "meddled: heard");
+        }
+    }
 }
 
 /// The list's workers, by address.
@@ -144,6 +161,7 @@
             memory_mb: HashMap::new(),
             clocks: BTreeMap::new(),
             told: Micros::MIN,
+            heard: None,
         };
         let it = Rc::new(Reconciling {
             process: uuid::Uuid::new_v4().as_u64_pair().0,
@@ -202,6 +220,20 @@
         seen.collect()
     }
 
+    /// A meddler's, in tests: so many copies are believed from now on, whatever is true. False if a load is under way
+    /// there, as far as this router knows.
+    pub fn spoil(&self, worker: &str, function: &str, copies: u32) -> bool {
+        let (now, mut state) = (self.desk.clock.now(), self.state.borrow_mut());
+        state.heard.get_or_insert_default();
+        if state.it.under_way(worker, function) {
+            return false;
+        }
+        let input = In::Believes { worker, function, change: Change::Spoilt { copies } };
+        state.it.handle(now, input, &mut Vec::new());
+        tracing::info!(worker, function, copies, at = now, "meddled: spoilt");
+        true
+    }
+
     /// As all members know a worker, and back; nothing of one that is not on the list.
     pub fn id_of(&self, worker: &str) -> Option<Arc<str>> {
         self.state.borrow().it.id_of(worker).cloned()
@@ -322,6 +354,7 @@
         let due = {
             let mut state = self.state.borrow_mut();
             state.it.handle(self.desk.clock.now(), input, &mut out);
+            state.tell_heard();
             let clock =
                 if self.shared.is_some() { state.told.saturating_add(self.every) } else { Micros::MAX };
             state.it.next_due().min(clock)
@@ -364,7 +397,9 @@
                 let (worker, function) = (&*drift.worker, drift.function.as_deref());
                 let (kind, cause) = (drift.kind, drift.cause);
                 match (kind, cause) {
-                    (Kind::Unseen, Cause::LoadedElsewhere | Cause::LoadedOnMiss) => {
+                    (Kind::Unseen, Cause::LoadedElsewhere | Cause::LoadedOnMiss)
+                        if self.state.borrow().heard.is_none() =>
+                    {
                         tracing::debug!(worker, function, ?kind, ?cause, "reconcile: drift");
                     }
                     _ => tracing::info!(worker, function, ?kind, ?cause, "reconcile: drift"),
@@ -501,8 +536,12 @@
     fn change(&self, now: Micros, worker: Option<&str>, function: Option<&str>, change: Change) {
         if let (Some(worker), Some(function)) = (worker, function) {
             let input = In::Believes { worker, function, change };
+            let mut state = self.it.state.borrow_mut();
+            if state.heard.is_some() {
+                tracing::info!(worker, function, "meddled: changed");
+            }
             // It asks for nothing; what it leads to comes with the next answer.
-            self.it.state.borrow_mut().it.handle(now, input, &mut Vec::new());
+            state.it.handle(now, input, &mut Vec::new());
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -581,6 +581,7 @@
             executor.spawn(upgrading.clone().rereads()).detach();
         }
         gateway.reconciling.iter().for_each(|r| r.run());
+        executor.spawn(gateway.meddler.clone().spoils(gateway.reconciling.clone())).detach();
         let it = gateway.clone();
         let look = async move {
             loop {
--- a/crates/reconcile/src/belief.rs
+++ b/crates/reconcile/src/belief.rs
@@ -31,6 +31,8 @@
     Session { id: Arc<str>, over: bool },
     /// This router had it unloaded.
     Unloaded,
+    /// A meddler's, in tests: so many are believed from now on, whatever is true.
+    Spoilt { copies: u32 },
 }
 
 #[derive(Clone, Debug)]
@@ -122,6 +124,9 @@
                 }
             }
             Change::Unloaded => self.say(now, kept, Some(false), None),
+            Change::Spoilt { copies } => {
+                self.say(now, kept, Some(copies > 0), (copies > 0).then_some(copies));
+            }
         }
         refuted
     }
--- a/crates/reconcile/src/reconcile.rs
+++ b/crates/reconcile/src/reconcile.rs
@@ -214,7 +214,11 @@
     pub heard_us_ago: Micros,
     /// The first of them by name.
     pub believes: Vec<&'a str>,
+    /// Its answers that were taken in, its own or as others noted them.
+    pub answers: u64,
     pub found: BTreeMap<Kind, u64>,
+    /// By which answer each kind was found last.
+    pub found_by: BTreeMap<Kind, u64>,
 }
 
 /// What goes from one member to the others.
@@ -260,6 +264,7 @@
     /// The last that was heard of this process.
     observed: Option<Observation>,
     found: [u64; KINDS.len()],
+    found_by: [u64; KINDS.len()],
 }
 
 impl Place {
@@ -284,6 +289,7 @@
             unclaimed: BTreeMap::new(),
             observed: None,
             found: [0; KINDS.len()],
+            found_by: [0; KINDS.len()],
         }
     }
 
@@ -384,7 +390,9 @@
                 .map(|(f, _)| &**f)
                 .take(MOST_SHOWN)
                 .collect(),
+            answers: p.answers,
             found: KINDS.iter().map(|k| (*k, p.found[k.ix()])).filter(|f| f.1 > 0).collect(),
+            found_by: KINDS.iter().map(|k| (*k, p.found_by[k.ix()])).filter(|f| f.1 > 0).collect(),
         })
     }
 
@@ -411,6 +419,11 @@
         self.belief(worker, function).is_some_and(|b| b.believed(self.now))
     }
 
+    /// Whether a load is under way there, as far as this router knows by itself.
+    pub fn under_way(&self, worker: &str, function: &str) -> bool {
+        self.belief(worker, function).is_some_and(|b| b.under_way(self.now))
+    }
+
     fn belief(&self, worker: &str, function: &str) -> Option<&Belief> {
         self.places.get(worker)?.beliefs.get(function)
     }
@@ -952,6 +965,7 @@
         out: &mut Vec<Output>,
     ) {
         place.found[kind.ix()] += 1;
+        place.found_by[kind.ix()] = place.answers;
         self.counts.found(kind);
         out.push(Output::Found(Drift { kind, cause, worker: worker.clone(), function: function.cloned() }));
     }
--- a/crates/reconcile/tests/simulated.rs
+++ b/crates/reconcile/tests/simulated.rs
@@ -10,10 +10,11 @@
 
 /// A worker is asked at least this often, with chance, message times and one other ask before it.
 const ROUND: i64 = EVERY * 4 + EVERY;
-/// Rounds until a drift is found: one, and one more by notes or for what was loading.
-const ROUNDS: i64 = 2;
+/// In time, until all routers know: one round, and one more by notes or for what was loading. By words of the worker the
+/// world itself counts (`world::ROUNDS`).
+const PASSES: i64 = 2;
 /// A doubted worker's word must be said twice, and doubt lasts for at most so many answers.
-const ROUNDS_DOUBTED: i64 = 10;
+const PASSES_DOUBTED: i64 = 10;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -83,9 +84,9 @@
         for w in &mut world.workers {
             (w.silent, w.spoilt) = (false, None);
         }
-        let rounds = if lied || world.routers.iter().any(|r| r.counts.refuted > 0) { ROUNDS_DOUBTED } else { ROUNDS };
+        let passes = if lied || world.routers.iter().any(|r| r.counts.refuted > 0) { PASSES_DOUBTED } else { PASSES };
         // The last answer of a silent worker may be one slow pace away.
-        world.pass(ROUND + rounds * ROUND);
+        world.pass(ROUND + passes * ROUND);
         prop_assert!(world.wrongs.is_empty(), "{:?}", world.wrongs);
         let differs = world.differs();
         prop_assert!(differs.is_empty(), "{differs:?}");
--- a/crates/reconcile/tests/world/mod.rs
+++ b/crates/reconcile/tests/world/mod.rs
@@ -2,7 +2,7 @@
 //! and all that really happened kept, so that each correction can be held against it.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 
 use cedarpulley::interface::Micros;
@@ -13,6 +13,10 @@
 pub const EVERY: Micros = 2 * S;
 pub const KEPT: Micros = 30 * S;
 pub const GRACE: Micros = 5 * S;
+/// A drift is found by so many words of its worker that began after it, and after belief last changed, while no load is
+/// under way; by so many in a row of one that is doubted.
+pub const ROUNDS: u64 = 1;
+pub const DOUBTED_ROUNDS: u64 = 2;
 /// Loads take this long, messages up to a tenth of it.
 const LOAD: Micros = 400_000;
 
@@ -128,6 +132,9 @@
     pub wants: u64,
     pub unloads: BTreeMap<(usize, String), u64>,
     pub wrongs: Vec<String>,
+    /// Rounds in a row in which a worker's word and a router's belief stayed apart, by router, worker and function, and
+    /// what was believed.
+    apart: BTreeMap<(usize, usize, String), (u64, bool)>,
 }
 
 impl World {
@@ -164,6 +171,7 @@
             wants: 0,
             unloads: BTreeMap::new(),
             wrongs: Vec::new(),
+            apart: BTreeMap::new(),
         }
     }
 
@@ -316,6 +324,63 @@
         }
     }
 
+    /// A word was taken in: what it says otherwise than is believed, and may say, is found by this round; of a doubted
+    /// worker by the second one in a row that says so.
+    fn rounds(
+        &mut self,
+        r: usize,
+        w: usize,
+        began: Micros,
+        said: &Observation,
+        take: impl FnOnce(&mut World),
+    ) {
+        let shown = |it: &World| {
+            let name = worker(w);
+            it.routers[r].shown().find(|s| s.worker == name).map(|s| (s.doubt, s.life)).expect("it knows it")
+        };
+        let began_of = |it: &World| {
+            it.routers[r].observed().find(|o| **o.0 == *worker(w)).map(|o| o.1).unwrap_or(Micros::MIN)
+        };
+        let (before, doubted) = (began_of(self), shown(self).0 > 0);
+        take(self);
+        if !self.cores[r].alive || began_of(self) <= before {
+            return;
+        }
+        let life = shown(self).1;
+        if life != said.life {
+            return;
+        }
+        let believed = self.cores[r].believes.keys().filter(|k| k.0 == w).map(|k| k.1.clone());
+        let all: BTreeSet<String> =
+            believed.chain(said.entries.iter().map(|e| e.function.to_string())).collect();
+        for f in all {
+            let key = (w, f.clone());
+            let entry = said.entries.iter().find(|e| *e.function == *f);
+            let stands = entry.is_some_and(|e| e.copies > 0);
+            let core = &self.cores[r];
+            let free = !core.under_way.contains_key(&key)
+                && entry.is_none_or(|e| !e.loading)
+                && core.evidence.get(&key).is_none_or(|at| *at < began);
+            // It may leave before it is asked about again, or is not for use.
+            let member = |by: &str| (0..self.cores.len()).any(|r| self.cores[r].alive && router(r) == by);
+            let left_alone = entry.is_some_and(|e| {
+                e.ordered_by.as_deref().is_some_and(|by| !member(by))
+                    || e.idle.is_some_and(|idle| idle > KEPT / 2)
+            });
+            let believes = core.believes.get(&key).is_some_and(|until| self.now < *until);
+            let at = (r, w, f.clone());
+            let before = self.apart.remove(&at).filter(|a| a.1 == believes).map_or(0, |a| a.0);
+            if !free || left_alone || believes == stands {
+                continue;
+            }
+            let (rounds, most) = (before + 1, if doubted { DOUBTED_ROUNDS } else { ROUNDS });
+            if rounds >= most {
+                self.wrongs.push(format!("{f} at {w}: {r} has not found it in {rounds} rounds"));
+            }
+            self.apart.insert(at, (rounds, believes));
+        }
+    }
+
     fn look(&mut self, w: usize) -> Observation {
         let now = self.now;
         let spoilt = self.workers[w].spoilt;
@@ -349,7 +414,10 @@
             }
             Due::Said { router, worker: w, began, observation } => {
                 self.began = began;
-                self.handle(router, Input::Said { worker: &worker(w), began, observation });
+                self.rounds(router, w, began, &observation, |it| {
+                    let observation = observation.clone();
+                    it.handle(router, Input::Said { worker: &worker(w), began, observation });
+                });
             }
             Due::Silent { router, worker: w } => self.handle(router, Input::Silent { worker: &worker(w) }),
             Due::Noted { router, id, version, left, began, value } => {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -594,6 +594,7 @@
 fn unload(it: &Arc<Inner>, from: IpAddr, function: &str, request: &Request<Incoming>) -> Response<Body> {
     let by = Orderer::of(request);
     let fields = json!({"from": from.to_string(), "router": by.router, "term": by.term});
+    it.log.write("unload", json!({"function": function, "from": from.to_string(), "router": by.router}));
     if !it.loses(function, false) {
         it.remove("unloaded", |name| name == function, fields);
     }
@@ -609,12 +610,16 @@
             "router": by.router, "term": by.term,
         }),
     );
+    let refused = |status| {
+        it.log.write("order-refused", json!({"function": function, "from": from.to_string()}));
+        full(status, "")
+    };
     if lock(&it.faults).draining {
-        return full(StatusCode::SERVICE_UNAVAILABLE, "");
+        return refused(StatusCode::SERVICE_UNAVAILABLE);
     }
     // An order does not say of which trigger type the function is; its name does.
     let Some(program) = it.programs.get(kind_of(&function)).cloned() else {
-        return full(StatusCode::BAD_REQUEST, "");
+        return refused(StatusCode::BAD_REQUEST);
     };
     if it.loses(&function, true) {
         return loaded();
@@ -629,7 +634,7 @@
     if let Some(into) = begin {
         it.ground.executor.spawn(it.clone().load(into, function.clone(), program, holds.clone())).detach();
     }
-    let Found::Copy { lanes, .. } = found else { return full(StatusCode::INSUFFICIENT_STORAGE, "") };
+    let Found::Copy { lanes, .. } = found else { return refused(StatusCode::INSUFFICIENT_STORAGE) };
     // Taken and given back at once: then it stands, or its load failed.
     drop(lanes.acquire().await);
     let mut response = match it.stands(&function) {
--- a/crates/standins/src/worker/drift.rs
+++ b/crates/standins/src/worker/drift.rs
@@ -2,6 +2,7 @@
 //! lost, an index that lies, and versions that err or are slow. Each that comes about is told in the log.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -56,6 +57,16 @@
         drawn.filter(|function| self.evict(function)).cloned().collect()
     }
 
+    /// Somebody whom no router knows uses it, or no more. False if it does not stand there.
+    pub fn use_unseen(&self, function: &str, on: bool) -> bool {
+        let mut life = lock(&self.inner.life);
+        let copy = life.as_mut().and_then(|l| l.copies.get_mut(function)).filter(|c| c.stands == Some(true));
+        let Some(copy) = copy else { return false };
+        copy.busy = if on { copy.busy + 1 } else { copy.busy.saturating_sub(1) };
+        copy.used = Instant::now();
+        true
+    }
+
     /// Of the next orders so many are answered as if they were carried out, and are not.
     pub fn lose_orders(&self, loads: u32, unloads: u32) {
         let mut drift = lock(&self.inner.drift);
