Reconcile: what else was seen to fail of the checks over processes; lines wrapped

Seen since: with an unload sent for whatever an answer calls loading, the test of lost loads fails ("has resize:3 unloaded while it loads", r2 and r0). With no version retired, the old one that was left at a worker is taken up as unseen by all three routers and asked to be unloaded by r2, r0 and r1, one each: the test fails by its "one router" rule.

--- a/crates/cli/tests/reconciled.rs
+++ b/crates/cli/tests/reconciled.rs
@@ -209,8 +209,8 @@
     wrong
 }
 
-/// An answer that began after a drift, and after belief last changed, finds it, where no load is under way and the worker
-/// is not doubted.
+/// An answer that began after a drift, and after belief last changed, finds it, where no load is under way and the
+/// worker is not doubted.
 const ROUNDS: u64 = 1;
 /// An answer that began before, and a note of the one before it.
 const UNDER_WAY: u64 = 2;
--- a/crates/reconcile/tests/simulated.rs
+++ b/crates/reconcile/tests/simulated.rs
@@ -10,8 +10,8 @@
 
 /// A worker is asked at least this often, with chance, message times and one other ask before it.
 const ROUND: i64 = EVERY * 4 + EVERY;
-/// In time, until all routers know: one round, and one more by notes or for what was loading. By words of the worker the
-/// world itself counts (`world::ROUNDS`).
+/// In time, until all routers know: one round, and one more by notes or for what was loading. By words of the
+/// worker the world itself counts (`world::ROUNDS`).
 const PASSES: i64 = 2;
 /// A doubted worker's word must be said twice, and doubt lasts for at most so many answers.
 const PASSES_DOUBTED: i64 = 10;
