Three ways to upgrade compared over processes: a measuring test beside upgraded.rs

The planner was compared with `all-at-once` and `one worker at a time without regard to sessions` only in a simulated world, without sockets and without the module.

--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -220,6 +220,7 @@
                 arrivals: arrivals.collect(),
                 times: Some(times.clone()),
                 answers: None,
+                asks: None,
             };
             clients.push(ground.executor.spawn(client.run()));
         }
--- a/crates/cli/tests/fleets/mod.rs
+++ b/crates/cli/tests/fleets/mod.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cedarpulley_audit::Verdict;
+use cedarpulley_rig::client::Asks;
 use cedarpulley_rig::fleet::{BROKER, Fleet, LIST, Launch};
 use cedarpulley_rig::links::Fault;
 use cedarpulley_rig::plan::{self, Day};
@@ -81,6 +82,18 @@
     before: impl FnOnce(&Fleet),
     script: Script,
     patience: Duration,
+) -> Played {
+    play_asking(day, tamper, before, |_| None, script, patience)
+}
+
+/// `asks`: what the clients ask for, where it is not what the day says.
+pub fn play_asking(
+    day: &Day,
+    tamper: Option<&str>,
+    before: impl FnOnce(&Fleet),
+    asks: impl FnOnce(&Fleet) -> Option<Asks>,
+    script: Script,
+    patience: Duration,
 ) -> Played {
     let _turn = TURNS.acquire_blocking();
     let folder = tempfile::tempdir().expect("a folder");
@@ -89,7 +102,7 @@
     let fleet = Fleet::prepare(day, launch).expect("a fleet");
     before(&fleet);
     fleet.start_routers().expect("they come up");
-    let traffic = Traffic::begin(day, &fleet);
+    let traffic = Traffic::begin_asking(day, &fleet, asks(&fleet));
     script.play(&fleet, traffic.began);
     traffic.is_answered(patience);
     let states = (0..fleet.routers.len()).map(|n| fleet.state(n)).collect();
--- a/crates/cli/tests/upgraded.rs
+++ b/crates/cli/tests/upgraded.rs
@@ -14,6 +14,8 @@
 use serde_json::Value;
 use smol::lock::Semaphore;
 
+#[path = "upgraded/compared.rs"]
+mod compared;
 mod fleets;
 use fleets::*;
 
@@ -22,6 +24,8 @@
 /// Only a failing test waits so long for a plan.
 const PLANNED: Duration = Duration::from_secs(60);
 const ORDERED_MS: u64 = 2_000;
+/// Of the lanes that stand when an upgrade is ordered.
+const FLOOR: f64 = 0.8;
 /// Several of the times in which each worker is asked what it holds.
 const SETTLED: Duration = Duration::from_secs(3);
 /// Fleets at a time: each of these is busy for most of a minute.
@@ -30,7 +34,7 @@
 fn upgrading(change: impl FnOnce(&mut Day)) -> Day {
     day(|day| {
         (day.seconds, day.rate_per_s, day.peers) = (32.0, 30.0, true);
-        (day.floor, day.floor_known_ms) = (0.8, 5_000);
+        (day.floor, day.floor_known_ms) = (FLOOR, 5_000);
         day.workers.iter_mut().for_each(|w| w.count = 3);
         day.triggers.retain(|t| t.name != "quote");
         for t in &mut day.triggers {
@@ -57,8 +61,8 @@
     f.workers.iter().flat_map(|w| w.held()).map(|h| h.copies).sum()
 }
 
-/// To the second version, of both models. The floor is of what stands then: routers have to have heard of it.
-fn order(f: &Fleet, drain_limit_ms: u64) {
+/// What stands then the floor is of: nothing is loaded any more, and routers have heard of all.
+fn settles(f: &Fleet) {
     let (mut stood, mut since) = (0, Instant::now());
     let settled = until(PLANNED, || {
         let stands = copies(f);
@@ -68,9 +72,14 @@
         stands > 0 && since.elapsed() > SETTLED
     });
     assert!(settled, "{stood} copies, and more are loaded");
+}
+
+/// To the second version, of both models.
+fn order(f: &Fleet, drain_limit_ms: u64) {
+    settles(f);
     let one = |model: &&str| {
         format!(
-            "[[order]]\nmodel = {model:?}\nto = \"2\"\nserial = 1\ncanary_part = 0.3\nfloor = 0.8\n\
+            "[[order]]\nmodel = {model:?}\nto = \"2\"\nserial = 1\ncanary_part = 0.3\nfloor = {FLOOR}\n\
              drain_limit_ms = {drain_limit_ms}\n"
         )
     };
--- a/crates/rig/src/client.rs
+++ b/crates/rig/src/client.rs
@@ -48,6 +48,10 @@
     pub end: bool,
 }
 
+/// Which function a client asks for just as it sends, where that is not the arrival's own: an operator's clients may
+/// name a version by what stands.
+pub type Asks = Arc<dyn Fn(&Arrival) -> String + Send + Sync>;
+
 /// Times from publishing to the answer, in microseconds, of those published after a moment.
 pub type Times = Arc<Mutex<(hdrhistogram::Histogram<u64>, Instant)>>;
 
@@ -63,16 +67,18 @@
     pub arrivals: Vec<Arrival>,
     pub times: Option<Times>,
     pub answers: Option<Answers>,
+    pub asks: Option<Asks>,
 }
 
 fn short(s: &str) -> ShortString {
     ShortString::try_new(s).unwrap_or_default()
 }
 
-fn properties(a: &Arrival, replies: &str) -> AMQPProperties {
+fn properties(a: &Arrival, asks: Option<&Asks>, replies: &str) -> AMQPProperties {
     let mut headers = FieldTable::default();
     let text = |s: &str| AMQPValue::LongString(LongString::from(s));
-    headers.insert(short(meaning::FUNCTION), text(&a.function));
+    let function = asks.map_or_else(|| a.function.clone(), |asks| asks(a));
+    headers.insert(short(meaning::FUNCTION), text(&function));
     headers.insert(short(meaning::SENT_AT_US), AMQPValue::LongLongInt(wall_us()));
     headers.insert(short(meaning::COPY_MB), AMQPValue::LongLongInt(a.copy_mb as i64));
     headers.insert(short(meaning::LANES), AMQPValue::LongLongInt(i64::from(a.lanes)));
@@ -137,13 +143,15 @@
         loop {
             if connection.is_ready() {
                 for a in again.drain(..) {
-                    connection.publish(&a.queue, properties(&a, &self.replies), a.body.as_bytes());
+                    let properties = properties(&a, self.asks.as_ref(), &self.replies);
+                    connection.publish(&a.queue, properties, a.body.as_bytes());
                     open.insert(a.id.clone(), a);
                 }
                 let passed = self.began.elapsed();
                 while let Some(a) = self.arrivals.get(*next).filter(|a| a.at <= passed) {
                     if connection.waiting() < MOST_WAITING {
-                        connection.publish(&a.queue, properties(a, &self.replies), a.body.as_bytes());
+                        let properties = properties(a, self.asks.as_ref(), &self.replies);
+                        connection.publish(&a.queue, properties, a.body.as_bytes());
                         if a.retries > 0 || self.times.is_some() {
                             open.insert(a.id.clone(), a.clone());
                         }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod links;
 pub mod messages;
+pub mod operator;
 pub mod plan;
 pub mod process;
 pub mod relay;
--- a/crates/rig/src/rest_client.rs
+++ b/crates/rig/src/rest_client.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 use smol_hyper::rt::FuturesIo;
 
-use crate::client::{Answers, Arrival};
+use crate::client::{Answers, Arrival, Asks};
 
 const CONNECT_WITHIN: i64 = 300_000;
 
@@ -39,6 +39,7 @@
     pub listens_on: Duration,
     pub began: Instant,
     pub answers: Option<Answers>,
+    pub asks: Option<Asks>,
 }
 
 impl Callers {
@@ -52,7 +53,8 @@
 
     async fn call(self: Arc<Self>, mut a: Arrival, n: usize) {
         loop {
-            let fate = self.once(&a, n).await;
+            let function = self.asks.as_ref().map_or_else(|| a.function.clone(), |asks| asks(&a));
+            let fate = self.once(&Arrival { function, ..a.clone() }, n).await;
             if fate.as_deref() == Some("succeeded") || a.retries == 0 {
                 return;
             }
--- a/crates/rig/src/traffic.rs
+++ b/crates/rig/src/traffic.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use smol::Task;
 
-use crate::client::{Answers, Arrival, Client, Turn};
+use crate::client::{Answers, Arrival, Asks, Client, Turn};
 use crate::fleet::{Fleet, queue};
 use crate::plan::{Day, Way, What};
 use crate::rest_client::Callers;
@@ -33,6 +33,11 @@
 
 impl Traffic {
     pub fn begin(day: &Day, fleet: &Fleet) -> Traffic {
+        Self::begin_asking(day, fleet, None)
+    }
+
+    /// All clients alike ask for what `asks` says, where it is given.
+    pub fn begin_asking(day: &Day, fleet: &Fleet, asks: Option<Asks>) -> Traffic {
         let (began, sent, answers) = (Instant::now(), arrivals(day), Answers::default());
         let mut clients: Vec<Vec<Arrival>> = (0..CLIENTS).map(|_| Vec::new()).collect();
         let mut calls = Vec::new();
@@ -49,6 +54,7 @@
             listens_on: LISTENS_ON + Duration::from_millis(day.leeway_ms),
             began,
             answers: Some(answers.clone()),
+            asks: asks.clone(),
         };
         let executor = &fleet.ground.executor;
         let mut tasks = vec![executor.spawn(Arc::new(callers).run(executor.clone(), calls))];
@@ -61,6 +67,7 @@
                 arrivals,
                 times: None,
                 answers: Some(answers.clone()),
+                asks: asks.clone(),
             };
             tasks.push(executor.spawn(client.run()));
         }
--- a/crates/upgrade/tests/simulated.rs
+++ b/crates/upgrade/tests/simulated.rs
@@ -1,8 +1,10 @@
 //! Upgrades in a simulated world.
 
+mod interval;
 mod world;
 
 use cedarpulley_upgrade::*;
+use interval::interval;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use world::*;
@@ -224,15 +226,6 @@
     assert_eq!(most, 1, "{:#?}", w.log);
 }
 
-/// Mean, and half of the interval within which it lies in 95 of 100.
-fn interval(of: &[f64]) -> (f64, f64) {
-    let n = of.len() as f64;
-    let mean = of.iter().sum::<f64>() / n;
-    let variance = of.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / (n - 1.0);
-    // Student's t for ten.
-    (mean, 2.262 * (variance / n).sqrt())
-}
-
 /// For docs/measurements.md: `cargo test -p cedarpulley-upgrade --test simulated -- --ignored --nocapture`.
 #[test]
 #[ignore = "prints what is compared; it judges nothing"]
