--- a/crates/cli/tests/upgraded/compared.rs
+++ b/crates/cli/tests/upgraded/compared.rs
@@ -6,8 +6,8 @@
 //! Mechanisms:
 //! 1. Alike in all: seeds, arrivals, workers, both models loaded on each worker before the routers start, the moment of
 //!    the order, and every setting but `[upgrade]`. The ways of a seed are played side by side, under the same load.
-//! 2. The other two ways are an operator's, by the repository extension straight at the workers. A worker's old copies go
-//!    as soon as they are not at work, then its new ones are loaded.
+//! 2. The other two ways are an operator's, by the repository extension straight at the workers. A worker's old copies
+//!    go as soon as they are not at work, then its new ones are loaded.
 //! 3. Their clients name the version: what begins goes by the parts of the copies that stand, known to them at once; a
 //!    session stays with its version while that stands anywhere.
 //! 4. What is told comes from the judge and the workers' logs, by the same rules for all.
@@ -46,7 +46,7 @@
 
 const WAYS: [Way; 3] = [Way::Planner, Way::AllAtOnce, Way::OneByOne];
 
-const FIGURES: [&str; 11] = [
+const FIGURES: [&str; 12] = [
     "in objective, %",
     "prefixes found",
     "prefixes rebuilt",
@@ -57,6 +57,7 @@
     "lowest lanes, % of what stood",
     "loads since the order",
     "of these, of the old version",
+    "orders of routers for the old version",
     "took, s",
 ];
 
@@ -186,12 +187,13 @@
     at.expect("it was ordered")
 }
 
-/// Loads since the order, of these the old version's, and until the old copies were gone for good and so many new ones
-/// stood as the floor asks of what stood before; no time if it did not come to that.
-fn copies_went(played: &Played) -> [f64; 3] {
+/// Loads since the order, of these the old version's, what routers ordered of it (the rest are misses), and until the
+/// old copies were gone for good and so many new ones stood as the floor asks of what stood before; no time if it did
+/// not come to that.
+fn copies_went(played: &Played) -> [f64; 4] {
     let ordered = ordered_at(played);
     let mut stand: HashSet<(String, String)> = HashSet::new();
-    let (mut stood, mut loads, mut of_old) = (0, 0, 0);
+    let (mut stood, mut loads, mut of_old, mut orders) = (0, 0, 0, 0);
     let mut reached = None;
     for (t, worker, what, function) in copies_told(played) {
         if t < ordered {
@@ -202,6 +204,7 @@
                 loads += 1;
                 of_old += u64::from(!function.ends_with(NEW));
             }
+            "ordered" if t >= ordered => orders += u64::from(!function.ends_with(NEW)),
             "loaded" => drop(stand.insert((worker, function))),
             "unloaded" | "evicted" => drop(stand.remove(&(worker, function))),
             _ => continue,
@@ -211,7 +214,7 @@
         reached = if there { reached.or(Some(t)) } else { None };
     }
     let took = reached.map_or(f64::NAN, |t| (t - ordered) as f64 / 1e6);
-    [f64::from(loads), of_old as f64, took]
+    [f64::from(loads), of_old as f64, orders as f64, took]
 }
 
 fn figures(seed: u64, way: Way) -> [f64; FIGURES.len()] {
@@ -236,7 +239,7 @@
     let lowest =
         v.floors.values().map(|s| 100.0 * FLOOR * s.lowest as f64 / s.floor).fold(f64::NAN, f64::min);
     let p = &v.prefixes;
-    let [loads, of_old, took] = copies_went(&played);
+    let [loads, of_old, orders, took] = copies_went(&played);
     let row = [
         100.0 * v.within_objective as f64 / played.sent as f64,
         p.found as f64,
@@ -248,6 +251,7 @@
         lowest,
         loads,
         of_old,
+        orders,
         took,
     ];
     eprintln!(
