--- a/crates/rig/src/verdict.rs
+++ b/crates/rig/src/verdict.rs
@@ -6,7 +6,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
@@ -20,13 +20,22 @@
 
 /// `GET /state` of a router's listener for its peers.
 pub fn state(address: SocketAddr) -> Result<Value, Wrong> {
-    let wrong = |source: io::Error| Wrong::State { address, source };
+    let request = Request::get("/state").header("host", address.to_string()).body(Full::default());
+    let body = asked(address, request)?;
+    serde_json::from_slice(&body).map_err(|e| Wrong::Asked { address, source: e.into() })
+}
+
+/// One request on a connection of its own; the body of a good answer.
+pub(crate) fn asked(
+    address: SocketAddr,
+    request: hyper::http::Result<Request<Full<Bytes>>>,
+) -> Result<Bytes, Wrong> {
+    let wrong = |source: io::Error| Wrong::Asked { address, source };
     let other = |e: hyper::Error| wrong(io::Error::other(e));
     let asking = async {
+        let request = request.map_err(|e| wrong(io::Error::other(e)))?;
         let stream = Async::<TcpStream>::connect(address).await.map_err(wrong)?;
         let (mut sender, connection) = http1::handshake(FuturesIo::new(stream)).await.map_err(other)?;
-        let request = Request::get("/state").header("host", address.to_string());
-        let request = request.body(Empty::<Bytes>::new()).map_err(|e| wrong(io::Error::other(e)))?;
         let asked = async {
             let answer = sender.send_request(request).await.map_err(other)?;
             let status = answer.status();
@@ -35,7 +44,7 @@
             if !status.is_success() {
                 return Err(Wrong::Status { address, status: status.as_u16() });
             }
-            serde_json::from_slice(&body.to_bytes()).map_err(|e| wrong(e.into()))
+            Ok(body.to_bytes())
         };
         let driving = async {
             let _ = connection.await;
--- a/crates/rig/src/wrong.rs
+++ b/crates/rig/src/wrong.rs
@@ -30,9 +30,9 @@
     NotUp,
     #[error("the routers' group does not remember enough to vote")]
     NotWhole,
-    #[error("the state of {address} cannot be read")]
-    State { address: SocketAddr, source: io::Error },
-    #[error("the state of {address}: status {status}")]
+    #[error("{address} cannot be asked, or its answer not be read")]
+    Asked { address: SocketAddr, source: io::Error },
+    #[error("{address} answers with status {status}")]
     Status { address: SocketAddr, status: u16 },
     #[error(transparent)]
     Audit(#[from] cedarpulley_audit::Unjudged),
@@ -57,8 +57,8 @@
                 "give --out a folder that may be written to, and see that loopback is free"
             }
             Wrong::Router { .. } | Wrong::NotUp | Wrong::NotWhole => "see the routers' logs under routers/",
-            Wrong::State { .. } | Wrong::Status { .. } => {
-                "see that this router runs, and that the address is its peers.listen"
+            Wrong::Asked { .. } | Wrong::Status { .. } => {
+                "see that the router or worker runs, and that the address is a router's peers.listen or a worker's"
             }
             Wrong::Audit(why) => why.remedy(),
         }
