Upgrade: a session is over by the region in which it is warm, not by its router's

Routers of both regions take from one queue. A session that began in the region that still served the old version met a router of the region whose limit was past, and `Planner::over` asked for this router's region alone; its copy stood warm, and was kept, in the other one. Now the worker where the session is warm decides; without a known one the router's own region, as before.

The package's test fails where the region asked for is the router's.

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -261,14 +261,15 @@
 
     fn goes(&self, ticket: u64, version: Option<Name>, prefers: Option<Name>, anew: bool) {
         let Some(mut t) = self.release(ticket) else { return };
+        t.prefers = prefers.and_then(|id| self.worker(id));
         if let Some(version) = version {
             let model = t.function.clone();
-            if self.upgrading.as_ref().is_some_and(|u| u.over(&model, &version)) {
+            if self.upgrading.as_ref().is_some_and(|u| u.session_over(&model, &version, t.prefers.as_deref()))
+            {
                 t.refused = Some((Fate::Errored, Reason::SessionOver));
             }
             t.named = Some(std::mem::replace(&mut t.function, function(&model, &version)));
         }
-        t.prefers = prefers.and_then(|id| self.worker(id));
         // Symptom: a session comes to another router, which has not heard yet of the copy that answered it before.
         if let Some(worker) = t.prefers.clone().filter(|_| anew) {
             (self.core)(Input::Held { worker, function: t.function.clone(), copies: 1 });
--- a/crates/upgrade/src/planner.rs
+++ b/crates/upgrade/src/planner.rs
@@ -608,16 +608,17 @@
         Some(version.clone())
     }
 
-    /// Sessions of this version are answered that they are over.
+    /// Copies of this version are let go in this member's region, whoever uses them.
     pub fn over(&self, model: &str, version: &str) -> bool {
-        let Some(plan) = self.plan(model) else { return false };
-        let (goes, _) = plan.versions();
-        if *version != **goes {
-            return false;
-        }
-        let here = self.regions.get(self.me as usize).and_then(|r| plan.region(r));
+        self.regions.get(self.me as usize).is_some_and(|here| self.over_in(model, version, here))
+    }
+
+    /// Likewise in a region. Symptom: routers take from one queue, and a session that was warm in a region that keeps
+    /// its copies was over as one of its turns came to a router of another region.
+    pub fn over_in(&self, model: &str, version: &str, region: &str) -> bool {
+        let Some(plan) = self.plan(model).filter(|p| **p.versions().0 == *version) else { return false };
         matches!(plan.phase, Phase::Done | Phase::RolledBack)
-            || here.is_some_and(|r| r.over && r.stage == Stage::Draining)
+            || plan.region(region).is_some_and(|r| r.over && r.stage == Stage::Draining)
     }
 
     /// What nobody is to unload as forgotten.
--- a/crates/upgrade/tests/parts.rs
+++ b/crates/upgrade/tests/parts.rs
@@ -330,3 +330,16 @@
     (30_000_000..32_000_000).step_by(200_000).for_each(|now| drop(it.look(now)));
     assert!(!it.planner.wants_binding("m", true) && it.planner.wants_binding("m", false));
 }
+
+#[test]
+fn a_session_is_over_by_the_region_in_which_it_is_warm() {
+    let mut planner = Planner::new(Terms::default());
+    let mut handle = |input| planner.handle(0, input, &mut Vec::new());
+    let regions = vec![Name::from("a"), Name::from("b")];
+    handle(Input::Members { me: 0, alive: vec![true; 2], regions });
+    let mut plan = plan(3);
+    (plan.regions[0].stage, plan.regions[0].over) = (Stage::Draining, true);
+    handle(Input::PlanHeard { model: "m".into(), ballot: plan.by, bytes: plan.bytes() });
+    assert!(planner.over("m", "1") && planner.over_in("m", "1", "a") && !planner.over_in("m", "1", "b"));
+    assert!(!planner.over_in("m", "2", "a") && !planner.over_in("other", "1", "a"));
+}
