Router: a session keeps its worker at a router that has not met its function yet

Symptom: a new version is out, a session begins at one router, and its second turn comes to another one that has not met the function: it goes to that router's home for it, loads a copy there and builds the prefix again.

The line at fault: `Input::Held` is dropped where `funcs` does not know the function (core.rs), and where it does the module drops it until its first invocation (`held_there`, `f.known`).

Change: of an invocation with a preferred worker whose function the module has not met it is first told that the function is wanted there (`Event::Wanted` makes it known). The order that it may give for that does not leave: another router has just told that the copy stands, so it is answered as standing at once; nothing waits for it, and a worker that hangs holds nothing up. The module is not changed. Where orders are off `Wanted` returns before the function is met, and the first turn still goes astray: that takes a line in the module.

The test fails with the call taken out (worker 5 in place of 0).

--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -2,7 +2,7 @@
 //! [`Router::handle`] with each thing that happened, and again with [`Input::Tick`] at [`Router::next_due`].
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 
 use cedarpulley::Control;
@@ -316,6 +316,8 @@
     names: Vec<Arc<str>>,
     /// Who asked for each function last, the size of its copies, their lanes, and of which trigger type it is.
     asked: Vec<(u32, f64, u32, u32)>,
+    /// Functions that the module has met in an invocation and not forgotten.
+    met: HashSet<FnIx>,
     /// Of the plan for which something is being ordered now.
     term: Option<Arc<str>>,
     workers: Ids<String>,
@@ -361,6 +363,7 @@
             funcs: Ids::default(),
             names: Vec::new(),
             asked: Vec::new(),
+            met: HashSet::new(),
             term: None,
             workers: Ids::default(),
             tenure: Tenure::default(),
@@ -748,12 +751,37 @@
             repeat: it.repeat,
             prefers: it.prefers.as_deref().and_then(|name| self.workers.find(name)),
         };
+        if self.met.insert(arrival.func)
+            && let Some(worker) = arrival.prefers
+        {
+            self.meets_warm(worker, &arrival, out);
+        }
         self.decide(&Event::Invocation(arrival), out);
         let waits = self.invs.get(inv).is_some_and(|i| !i.concluded && i.dispatches.is_empty());
         self.counts.held += u64::from(waits);
         self.release(inv, out);
     }
 
+    /// Symptom: the first of a function here is of a session that is warm somewhere. The module takes no word of the
+    /// copies of a function that it has not met, and sends it to another worker. It meets what is wanted somewhere; the
+    /// order that it gives for it does not leave, as another router has just told that the copy stands.
+    fn meets_warm(&mut self, worker: WorkerIx, a: &Arrival, out: &mut Vec<Output>) {
+        let asked = Asked { func: a.func, fingerprint: a.fingerprint, trigger: a.trigger, lanes: a.lanes };
+        let mut wanted = Vec::new();
+        self.decide(&Event::Wanted { worker, asked }, &mut wanted);
+        for output in wanted {
+            match output {
+                Output::Order { ticket, .. } => {
+                    self.counts.orders = self.counts.orders.saturating_sub(1);
+                    self.order_ended(ticket, OrderResult::Stand, 1, None, out);
+                }
+                other => out.push(other),
+            }
+        }
+        // Where it gave none.
+        self.decide(&Event::Held { worker, func: a.func, copies: 1 }, out);
+    }
+
     /// A message that this router had before and lost with its channel.
     fn comes_again(&mut self, claim: ClaimIx, delivery: Delivery, out: &mut Vec<Output>) {
         if !self.claims.rejoin(claim, delivery) {
@@ -1353,6 +1381,7 @@
                 Action::AskList { .. } => out.push(Output::AskList),
                 Action::Forget { func } => {
                     self.waits.forget(func);
+                    self.met.remove(&func);
                     self.funcs.release(func);
                     self.names[func as usize] = Arc::from("");
                 }
--- a/crates/router/tests/hard.rs
+++ b/crates/router/tests/hard.rs
@@ -417,3 +417,25 @@
     w.end(ticket, Outcome::Succeeded);
     assert_eq!(w.answers().len(), 2);
 }
+
+/// Symptom: the first of a function here is of a session that is warm at a worker, and goes to another one.
+#[test]
+fn a_session_stays_at_its_worker_where_its_function_was_not_met_before() {
+    for warm in 0..6 {
+        let mut w = World::ordering(6);
+        let prefers = Some(format!("127.0.0.1:{}", 9000 + warm).into());
+        let first = Taken { prefers, ..w.message("a", IDEMPOTENT, 0, 1) };
+        w.feed(Input::Taken(first.clone()));
+        let went = |w: &World| {
+            let send = |o: &Output| if let Output::Send { worker, .. } = o { Some(*worker) } else { None };
+            w.out.iter().filter_map(send).collect::<Vec<_>>()
+        };
+        assert_eq!(went(&w), [warm], "{:?}", w.out);
+        // Nothing is ordered for it, and nothing is thought to be under way.
+        assert!(!w.out.iter().any(|o| matches!(o, Output::Order { .. })), "{:?}", w.out);
+        assert_eq!(w.router.counts.orders, 0);
+        // What is of no session goes there, too, rather than load one more.
+        w.take("b", IDEMPOTENT, 0, 2);
+        assert_eq!(went(&w), [warm]);
+    }
+}
--- a/crates/router/tests/world.rs
+++ b/crates/router/tests/world.rs
@@ -41,7 +41,7 @@
     effects.map(kind).to_vec()
 }
 
-fn control() -> Control {
+fn control(orders: bool) -> Control {
     let limits = DispatchLimits {
         max_dispatches: 4,
         second_copies: false,
@@ -57,7 +57,7 @@
         overload_window: SECOND,
         ..RuleTerms::default()
     };
-    let loads = LoadTerms { idle_kept: 30 * SECOND, loads_when_absent: true, ..LoadTerms::default() };
+    let loads = LoadTerms { idle_kept: 30 * SECOND, loads_when_absent: true, orders, ..LoadTerms::default() };
     let fleet = FleetPosition { routers: 1, position: 0, zone: 0, granularity: MS };
     let accounts = vec![Account { allowance_per_s: 1e9, share: 1.0 }];
     let prices = Prices::default();
@@ -71,21 +71,26 @@
 impl World {
     /// With so many workers in service and one front that is up.
     pub fn new(workers: u32) -> World {
-        World::with(workers, false, None)
+        World::with(workers, [false; 2], None)
     }
 
     /// One of a group; types that go alone are named.
     pub fn shared(workers: u32, alone: [bool; 3]) -> World {
         let sharing = group::Sharing { alone: alone.to_vec(), leave_kept: SECOND };
-        World::with(workers, false, Some(sharing))
+        World::with(workers, [false; 2], Some(sharing))
     }
 
     /// Where nothing beside the module chooses.
     pub fn alone(workers: u32) -> World {
-        World::with(workers, true, None)
+        World::with(workers, [true, false], None)
     }
 
-    fn with(workers: u32, module_alone: bool, sharing: Option<group::Sharing>) -> World {
+    /// Where loads are ordered.
+    pub fn ordering(workers: u32) -> World {
+        World::with(workers, [false, true], None)
+    }
+
+    fn with(workers: u32, [module_alone, orders]: [bool; 2], sharing: Option<group::Sharing>) -> World {
         let terms = Terms {
             answer_margin: MARGIN,
             clock_margin: 50 * MS,
@@ -97,7 +102,8 @@
             drain_grace: SECOND,
             sharing,
         };
-        let mut w = World { router: Router::new(control(), triggers(), terms), now: SECOND, out: Vec::new() };
+        let mut w =
+            World { router: Router::new(control(orders), triggers(), terms), now: SECOND, out: Vec::new() };
         let ids: Vec<String> = (0..workers).map(|n| format!("127.0.0.1:{}", 9000 + n)).collect();
         let workers = ids.iter().map(|id| listed(id, Standing::InService)).collect();
         w.feed(Input::List { mode: ListMode::Complete, workers });
