Sessions: a copy that this router used lately is told to the module before each turn

The gate told of a copy only when another router's word of it was new (`anew`), and reconciling tells nothing, as it still believes: later turns of all sessions of that function went astray, too (0.08 to 0.3 s apart).

Change: the gate tells of the preferred copy before each turn while this router's own last use of it would still be believed (`Reconciler::used_lately`), so that no router believes in a copy for longer than `BELIEVED_FOR` allows. A missed dispatch is followed as the module follows it: the copy is gone. Else a worker that lacks it would be told of and missed again until it is next asked.

What stays: the one turn whose own arrival moves the homes; the module lets go and chooses in one step. That takes a change of the module, which was not made.

The gate's test fails without `used`; `used_lately` is told from what is only believed by a worker's word.

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -45,9 +45,13 @@
     seats: Rc<RefCell<BTreeMap<Name, Listed>>>,
     /// A worker by what all members know it by, and back, where routers do not reach it at the same address.
     ids: RefCell<Option<(Named, Named)>>,
+    /// Whether this router has used copies of a function at a worker lately, which stand as far as is known.
+    used: RefCell<Option<UsedThere>>,
     alarm: Alarm,
 }
 
+/// Asked with a worker's name here and a function's.
+pub type UsedThere = Box<dyn Fn(&str, &str) -> bool>;
 pub type Named = Box<dyn Fn(&str) -> Option<Name>>;
 
 fn hashed(of: impl std::hash::Hash) -> u64 {
@@ -80,6 +84,7 @@
             ended: RefCell::default(),
             seats: Rc::default(),
             ids: RefCell::default(),
+            used: RefCell::default(),
             alarm: Alarm::default(),
         });
         if let Some(shared) = &gate.shared {
@@ -101,6 +106,10 @@
         *self.ids.borrow_mut() = Some((id, worker));
     }
 
+    pub fn knows_uses(&self, used: UsedThere) {
+        *self.used.borrow_mut() = Some(used);
+    }
+
     fn id(&self, worker: &str) -> Name {
         let id = self.ids.borrow().as_ref().and_then(|(id, _)| id(worker));
         id.unwrap_or_else(|| Name::from(worker))
@@ -269,8 +278,10 @@
             t.named = Some(std::mem::replace(&mut t.function, function(&model, &version)));
         }
         t.prefers = prefers.and_then(|id| self.worker(id));
-        // Symptom: a session comes to another router, which has not heard yet of the copy that answered it before.
-        if let Some(worker) = t.prefers.clone().filter(|_| anew) {
+        // Symptom: a session comes to another router, which has not heard yet of the copy that answered it before; or the
+        // module has let go of all that it believed of a function, as its homes moved, and sends it to one of the new ones.
+        let used = |worker: &Name| self.used.borrow().as_ref().is_some_and(|used| used(worker, &t.function));
+        if let Some(worker) = t.prefers.clone().filter(|w| anew || used(w)) {
             (self.core)(Input::Held { worker, function: t.function.clone(), copies: 1 });
         }
         (self.core)(Input::Taken(t));
--- a/crates/gateway/src/reconciling.rs
+++ b/crates/gateway/src/reconciling.rs
@@ -211,6 +211,11 @@
         self.state.borrow().it.worker_of(id).cloned()
     }
 
+    /// This router has used copies there lately, and nothing has been heard since that they are gone.
+    pub fn used_lately(&self, worker: &str, function: &str) -> bool {
+        self.state.borrow().it.used_lately(self.desk.clock.now(), worker, function)
+    }
+
     /// What came of the list, before the core hears of it.
     pub fn heard(&self, news: &ListNews) {
         let mut state = self.state.borrow_mut();
@@ -514,7 +519,7 @@
 /// What an ending shows of the copy: whether it stands now, and whether it stood before.
 fn shows(outcome: Outcome, note: CopyNote) -> (Option<bool>, bool) {
     match (outcome, note) {
-        (_, CopyNote::LoadErrored) => (Some(false), false),
+        (_, CopyNote::LoadErrored) | (Outcome::Missed, _) => (Some(false), false),
         (Outcome::Succeeded, note) => (Some(true), note == CopyNote::Found),
         (_, CopyNote::Found) => (Some(true), true),
         _ => (None, false),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -519,6 +519,8 @@
             if let Some(gate) = &gate {
                 let (id, worker) = (reconciling.clone(), reconciling.clone());
                 gate.names_workers(Box::new(move |w| id.id_of(w)), Box::new(move |id| worker.worker_of(id)));
+                let used = reconciling.clone();
+                gate.knows_uses(Box::new(move |worker, function| used.used_lately(worker, function)));
                 let gate = gate.clone();
                 reconciling.lets_go(Box::new(move |worker, of, ids| gate.prefix_lost(worker, of, ids)));
             }
--- /dev/null
+++ b/crates/gateway/tests/gate.rs
@@ -0,0 +1,98 @@
+//! What the gate tells the core of a session's worker before it lets an invocation of the session pass.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use cedarpulley::interface::{CopyNote, Micros, Outcome};
+use cedarpulley_birth::Names;
+use cedarpulley_gateway::desk::Desk;
+use cedarpulley_gateway::gate::Gate;
+use cedarpulley_net::Clock;
+use cedarpulley_router::watch::{By, Used};
+use cedarpulley_router::{Delivery, Input, Session, Taken};
+use cedarpulley_upgrade::sessions::Terms;
+
+const WORKER: &str = "127.0.0.1:9000";
+
+fn turn(tag: u64) -> Taken {
+    Taken {
+        delivery: Delivery { front: 0, life: 0, tag },
+        identity: None,
+        mark: None,
+        redelivered: false,
+        repeat: false,
+        trigger: 0,
+        account: 0,
+        function: "f".into(),
+        token: None,
+        waited: 0,
+        client_timeout: 1_000_000,
+        cost_hint: None,
+        load_hint: None,
+        copy_mb: 1.0,
+        lanes: 1,
+        session: Some(Session { id: "s".into(), start: false, end: false }),
+        named: None,
+        prefers: None,
+        refused: None,
+        body: Default::default(),
+    }
+}
+
+/// Symptom: a function's homes move, the module lets go of all that it believed of it, and each session that this router
+/// knew to be warm goes to a new home.
+#[test]
+fn a_copy_that_was_used_lately_is_told_again_before_each_turn() {
+    let passed: Rc<RefCell<Vec<Input>>> = Rc::default();
+    let desk = Rc::new(Desk {
+        clock: Clock::start(),
+        executor: Rc::default(),
+        name: "r0".into(),
+        seed: 1,
+        from: None,
+        names: Names { triggers: vec!["t".into()], accounts: vec![], zones: vec![], kinds: vec![] },
+        sessions: true,
+        misunderstood: Cell::new(0),
+        core: Box::new(|_| {}),
+    });
+    let minute: Micros = 60_000_000;
+    let terms = Terms { kept: 10 * minute, patience: minute, most_known: 10, most_waiting: 10 };
+    let core = passed.clone();
+    let gate = Gate::new(desk, terms, None, None, Box::new(move |input| core.borrow_mut().push(input)));
+    let stands = Rc::new(Cell::new(true));
+    let used = stands.clone();
+    gate.knows_uses(Box::new(move |worker, function| used.get() && worker == WORKER && function == "f"));
+    // Whether it is told of the copy, and where the turn is to go.
+    let told = |tag| {
+        assert!(gate.passes(Input::Taken(turn(tag))).is_none());
+        let passed = std::mem::take(&mut *passed.borrow_mut());
+        let held =
+            passed.iter().any(|i| matches!(i, Input::Held { worker, copies: 1, .. } if **worker == *WORKER));
+        let Some(Input::Taken(taken)) = passed.into_iter().last() else { panic!("it goes on") };
+        (held, taken.prefers)
+    };
+    assert_eq!(told(1), (false, None));
+    let by = By::Dispatch(Outcome::Succeeded, CopyNote::Found);
+    gate.watch().used(
+        0,
+        Used {
+            worker: 0,
+            worker_name: WORKER,
+            function: "f",
+            session: Some("s"),
+            ends: false,
+            trigger: 0,
+            account: 0,
+            by,
+            took: 1,
+            copy_mb: 1.0,
+            lanes: 1,
+            held: None,
+        },
+    );
+    gate.settle();
+    assert_eq!((told(2), told(3)), ((true, Some(WORKER.into())), (true, Some(WORKER.into()))));
+    // Another copy, or none that is known: nothing is told.
+    stands.set(false);
+    assert_eq!(told(4), (false, Some(WORKER.into())));
+}
--- a/crates/reconcile/src/reconcile.rs
+++ b/crates/reconcile/src/reconcile.rs
@@ -411,6 +411,13 @@
         self.belief(worker, function).is_some_and(|b| b.believed(self.now))
     }
 
+    /// Whether copies are believed there that this router itself has used so lately that the module would still believe
+    /// in them by that use alone: told so again, it believes in them no longer than [`BELIEVED_FOR`] allows.
+    pub fn used_lately(&self, now: Micros, worker: &str, function: &str) -> bool {
+        let lately = |b: &Belief| b.used.is_some_and(|at| now - at < self.terms.kept);
+        self.belief(worker, function).is_some_and(|b| b.believed(now) && lately(b))
+    }
+
     fn belief(&self, worker: &str, function: &str) -> Option<&Belief> {
         self.places.get(worker)?.beliefs.get(function)
     }
--- a/crates/reconcile/tests/kinds.rs
+++ b/crates/reconcile/tests/kinds.rs
@@ -119,6 +119,26 @@
     assert_eq!(d.says(&[]), []);
 }
 
+#[test]
+fn what_this_router_used_lately_is_known_as_long_as_the_use_alone_is_believed() {
+    let mut d = Desk::new();
+    let lately = |d: &Desk, f: &str| d.it.used_lately(d.now, "w", f);
+    d.used("a");
+    d.loaded("b");
+    d.says(&[one("a"), one("b"), one("c")]);
+    // Of the others only words are known.
+    assert_eq!(["a", "b", "c"].map(|f| lately(&d, f)), [true, false, false]);
+    assert!(d.it.believes_in("w", "b") && d.it.believes_in("w", "c"));
+    d.used("b");
+    d.says(&[one("a")]);
+    assert_eq!(["a", "b"].map(|f| lately(&d, f)), [true, false]);
+    // A worker's word renews the belief, not the use.
+    d.pass(KEPT - 8 * S);
+    d.says(&[one("a")]);
+    d.pass(8 * S);
+    assert!(d.it.believes_in("w", "a") && !lately(&d, "a"));
+}
+
 #[test]
 fn what_stands_and_is_not_believed_is_taken_up_and_kept() {
     let mut d = Desk::new();
