--- a/crates/cli/tests/upgraded/compared.rs
+++ b/crates/cli/tests/upgraded/compared.rs
@@ -18,6 +18,7 @@
 use std::thread;
 use std::time::Instant;
 
+use cedarpulley_audit::Why;
 use cedarpulley_rig::client::{Arrival, Asks};
 use cedarpulley_rig::operator;
 use cedarpulley_standins::lock;
@@ -244,7 +245,7 @@
         100.0 * v.within_objective as f64 / played.sent as f64,
         p.found as f64,
         p.rebuilt as f64,
-        (p.rebuilt - p.rebuilt_died) as f64,
+        (p.rebuilt - p.why(Why::Died)) as f64,
         promise("sessions"),
         reason("session-over"),
         promise("floor"),
