Votes on choices wait for the member's folder; sessions and plans survive in it

A majority that died at once could decide once more, and differently: promises and acceptances of choices left a member up to 50 ms before its folder had them. Found by reading beside it: folder::read left out every record that outlasts peers.kept_ms, that is all sessions and plans, at each start; redb refuses all writes after one failure until the file is opened again, so a disk that was full once was never written again; an acceptance did not name its value, so a late one of one step was counted for the next of the same term.

keeping.rs withholds a vote (the proposer's own too) until the taking of changes that has its record is on disk (Input::Kept). The folder is written at once when a vote waits, one writing at a time, so votes go together. Accepted carries a hash of its value (wire version 3). Without a folder: as before. Records of invocations do not wait.

Not seen: the same over processes, the added time of binding a session, and the folder's own unit test, whose build did not end on a crowded machine.

--- a/crates/gateway/src/circle.rs
+++ b/crates/gateway/src/circle.rs
@@ -10,8 +10,9 @@
 use cedarpulley_errors::Remedy;
 use cedarpulley_membership::MemberIx;
 use cedarpulley_net::{Clock, listen};
-use cedarpulley_replica::Guard;
+use cedarpulley_replica::{self as replica, Guard};
 use cedarpulley_router::group::Ask;
+use futures_lite::{FutureExt, StreamExt};
 use thiserror::Error;
 
 use crate::desk::Desk;
@@ -20,7 +21,7 @@
 use crate::post::{self, Office, Slot};
 use crate::shared::Shared;
 
-/// What a group shares is written to its folder this often.
+/// What a group shares is written to its folder this often; at once where a vote waits for it.
 const WRITE_BEHIND: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Error)]
@@ -119,10 +120,23 @@
         if let Some(folder) = self.folder.clone() {
             let (fellows, clock) = (self.fellows.clone(), desk.clock);
             let writes = async move {
+                let (mut behind, mut known) = (Timer::interval(WRITE_BEHIND), 0);
                 loop {
-                    Timer::after(WRITE_BEHIND).await;
-                    let (turn, changes) = fellows.changes();
-                    folder.put(turn, clock.wall(), changes);
+                    let due = async { behind.next().await.is_some() };
+                    let urged = async {
+                        fellows.is_urged().or(folder.has_written()).await;
+                        false
+                    };
+                    let due = due.or(urged).await;
+                    let serial = folder.kept();
+                    if std::mem::replace(&mut known, serial) != serial {
+                        fellows.replica(replica::Input::Kept { serial });
+                    }
+                    // One at a time: what is wanted meanwhile goes together with the next.
+                    if folder.is_idle() && (due || fellows.awaits_folder()) {
+                        let (turn, serial, changes) = fellows.changes();
+                        folder.put(turn, serial, clock.wall(), changes);
+                    }
                 }
             };
             executor.spawn(writes).detach();
--- a/crates/gateway/src/fellows.rs
+++ b/crates/gateway/src/fellows.rs
@@ -19,6 +19,7 @@
 use cedarpulley_router::group::{self, Ask, Refusal, Told};
 use cedarpulley_router::{Answer, Fate, Input, Payload, Reason};
 use serde::{Deserialize, Serialize};
+use smol::channel::{Receiver, Sender};
 
 use crate::desk::Desk;
 
@@ -152,6 +153,8 @@
     /// What other parts show beside the group, under their names.
     shows: RefCell<Vec<(&'static str, Show)>>,
     alarm: Alarm,
+    /// A vote waits for the folder.
+    urge: (Sender<()>, Receiver<()>),
 }
 
 type Show = Box<dyn Fn() -> serde_json::Value>;
@@ -213,6 +216,7 @@
             telling: std::cell::Cell::new(false),
             shows: RefCell::default(),
             alarm: Alarm::default(),
+            urge: smol::channel::bounded(1),
         }
     }
 
@@ -406,12 +410,16 @@
                 replica::Output::Noticed(key) => self.news(News::Noticed(key)),
             }
         }
-        let due = {
+        let (due, urgent) = {
             let state = self.state.borrow();
             let members = state.membership.next_due().min(state.believed.next_due());
-            members.min(state.replica.next_due())
+            (members.min(state.replica.next_due()), state.replica.awaits_folder())
         };
         self.alarm.set(due);
+        if urgent {
+            // One that is full says so already.
+            let _ = self.urge.0.try_send(());
+        }
         self.tell();
     }
 
@@ -480,10 +488,22 @@
         }
     }
 
-    /// What has changed since it was last asked, for the folder; and the turn of this process.
-    pub fn changes(&self) -> (u64, Vec<(replica::Key, Option<replica::Shared>)>) {
+    /// What has changed since it was last asked, for the folder; the turn of this process, and the changes' serial.
+    pub fn changes(&self) -> (u64, u64, Vec<(replica::Key, Option<replica::Shared>)>) {
         let mut state = self.state.borrow_mut();
-        (state.membership.me().turn, state.replica.changes(self.desk.clock.now()))
+        let (serial, changes) = state.replica.changes(self.desk.clock.now());
+        (state.membership.me().turn, serial, changes)
+    }
+
+    /// A vote waits for changes that were not asked for yet.
+    pub fn awaits_folder(&self) -> bool {
+        self.state.borrow().replica.awaits_folder()
+    }
+
+    /// Until one does, since this was last waited for.
+    pub async fn is_urged(&self) {
+        // Its other end is its own, so it never closes.
+        let _ = self.urge.1.recv().await;
     }
 
     /// All that can be shown.
--- a/crates/gateway/src/folder.rs
+++ b/crates/gateway/src/folder.rs
@@ -1,22 +1,25 @@
-//! What a router keeps of its group's state over a restart: a file on redb, written behind. It makes a return cheap and
-//! proves nothing: a member votes only after it has compared with others, however good its folder.
+//! What a router keeps of its group's state over a restart: a file on redb, written behind. Of invocations it makes a
+//! return cheap and proves nothing. Votes on choices rest on it: they wait until what they stand for is on disk.
 //!
 //! Mechanisms:
-//! 1. Changes are gathered and written together, on a thread of their own; a disk that is slow or full costs nothing but
-//!    the folder's age. What does not fit on its way is written later, as it stands then.
+//! 1. Changes are gathered and written together, one writing at a time on a thread of their own, which says up to which
+//!    serial all is on disk. On a disk that is slow or full a writing is tried until it succeeds; the folder grows old
+//!    and votes on choices wait, and nothing else does.
 //! 2. A file that is damaged, of a later format, or of another member or group is told apart and set aside under another
 //!    name; the router begins without, and the others have what it lacks.
-//! 3. Times are kept by the wall's clock; what is over by it, or reaches beyond what is ever kept, is left out.
+//! 3. Times are kept by the wall's clock; what is over by it is left out, and an invocation that reaches beyond what is
+//!    ever kept of these.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::cell::Cell;
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
 use std::time::Duration;
 
 use cedarpulley::interface::Micros;
 use cedarpulley_errors::Remedy;
-use cedarpulley_replica::{Key, Shared};
+use cedarpulley_replica::{Key, Record, Shared};
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use thiserror::Error;
 
@@ -28,8 +31,6 @@
 const ABOUT: TableDefinition<&str, u64> = TableDefinition::new("about");
 /// By key: until when it is kept, on the wall's clock, and the record.
 const RECORDS: TableDefinition<&str, (i64, &[u8])> = TableDefinition::new("records");
-/// Writings that wait for the disk.
-const MOST_WAITING: usize = 4;
 /// Files set aside of one kind, before the last of them is written over.
 const MOST_ASIDE: u32 = 8;
 
@@ -73,19 +74,22 @@
 }
 
 /// Records as they are now, or that they are gone.
-type Changes = BTreeMap<Key, Option<Shared>>;
+type Changes = Vec<(Key, Option<Shared>)>;
 
 /// One writing: this process's turn, and when it is by the wall's clock.
 struct Writing {
     turn: u64,
+    serial: u64,
     wall: Micros,
     records: Changes,
 }
 
 pub struct Folder {
     writings: SyncSender<Writing>,
-    /// What there was no room for on its way; as many as there are records at most.
-    waiting: RefCell<Changes>,
+    /// Serials of the last writing, and of the last on disk.
+    sent: Cell<u64>,
+    kept: Arc<AtomicU64>,
+    written: smol::channel::Receiver<()>,
 }
 
 fn tables(database: &Database, mark: u64) -> Result<(), redb::Error> {
@@ -122,7 +126,9 @@
         let (until, bytes) = value.value();
         let mut shared: Shared = postcard::from_bytes(bytes).map_err(|_| Aside::Damaged)?;
         let left = until - wall;
-        if left > 0 && left <= kept {
+        // Symptom: sessions and plans, kept for longer than any invocation, were left out at each start.
+        let lasts = !matches!(shared.record, Record::Effect(_));
+        if left > 0 && (left <= kept || lasts) {
             // Symptom: a token's first sending seemed as young as it was when this router ended, and its retry was sent
             // to workers that had forgotten it.
             let since = shared.left.saturating_sub(left).max(0);
@@ -143,7 +149,7 @@
 }
 
 impl Folder {
-    /// Opens it, or begins one. `mark`: of this member and its group; `kept`: nothing is kept for longer.
+    /// Opens it, or begins one. `mark`: of this member and its group; `kept`: no invocation is kept for longer.
     pub fn open(
         folder: &Path,
         mark: u64,
@@ -188,22 +194,44 @@
                 (Database::open(&file).map_err(|e| unbegun(e.into()))?, None)
             }
         };
-        let (writings, waiting) = sync_channel(MOST_WAITING);
-        let run = move || write(&database, &waiting);
+        let (writings, waiting) = sync_channel(1);
+        let (tells, written) = smol::channel::bounded(1);
+        let kept = Arc::new(AtomicU64::new(0));
+        let on_disk = kept.clone();
+        let run = move || {
+            write(&file, database, &waiting, |serial| {
+                on_disk.store(serial, Ordering::Release);
+                // One that is full says so already.
+                let _ = tells.try_send(());
+            })
+        };
         std::thread::Builder::new().name("group".into()).spawn(run).map_err(told)?;
-        Ok((Folder { writings, waiting: RefCell::default() }, held))
+        Ok((Folder { writings, sent: Cell::new(0), kept, written }, held))
+    }
+
+    /// All up to this serial is on disk.
+    pub fn kept(&self) -> u64 {
+        self.kept.load(Ordering::Acquire)
+    }
+
+    /// Nothing is on its way to the disk.
+    pub fn is_idle(&self) -> bool {
+        self.kept() == self.sent.get()
     }
 
-    /// Writes what has changed, with what waited before.
-    pub fn put(&self, turn: u64, wall: Micros, changes: impl IntoIterator<Item = (Key, Option<Shared>)>) {
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.extend(changes);
-        if waiting.is_empty() {
-            return;
+    /// Until one writing more is on disk, since this was last waited for; for ever if nothing is written any more.
+    pub async fn has_written(&self) {
+        if self.written.recv().await.is_err() {
+            std::future::pending().await
         }
-        let writing = Writing { turn, wall, records: std::mem::take(&mut *waiting) };
-        if let Err(TrySendError::Full(w) | TrySendError::Disconnected(w)) = self.writings.try_send(writing) {
-            *waiting = w.records;
+    }
+
+    /// Writes what has changed, if it is idle. `serial`: of these changes, above that of all before.
+    pub fn put(&self, turn: u64, serial: u64, wall: Micros, records: Changes) {
+        if !records.is_empty() {
+            // If its thread is gone, it never becomes idle again, and says of nothing more that it is kept.
+            let _ = self.writings.try_send(Writing { turn, serial, wall, records });
+            self.sent.set(serial);
         }
     }
 }
@@ -211,22 +239,29 @@
 /// After a failed writing, so long until the next.
 const PAUSE: Duration = Duration::from_millis(500);
 
-fn write(database: &Database, waiting: &Receiver<Writing>) {
-    let (mut unwritten, mut failing) = (Changes::new(), false);
-    while let Ok(mut writing) = waiting.recv() {
-        let newer = std::mem::replace(&mut writing.records, std::mem::take(&mut unwritten));
-        writing.records.extend(newer);
-        match one(database, &writing) {
-            Ok(()) => failing = false,
-            Err(e) => {
-                // Symptom: the disk is full. The router goes on, its folder grows old, and all of it is tried again.
-                if !std::mem::replace(&mut failing, true) {
-                    tracing::warn!(cause = %e, "the group's file cannot be written");
-                }
-                unwritten = writing.records;
-                std::thread::sleep(PAUSE);
+fn write(file: &Path, database: Database, waiting: &Receiver<Writing>, tells: impl Fn(u64)) {
+    let mut open = Some(database);
+    while let Ok(writing) = waiting.recv() {
+        let mut failing = false;
+        // Symptom: the disk was full for a moment, and nothing was written any more: after one failure redb refuses
+        // everything until the file is opened again.
+        let mut tried = || -> Result<(), redb::Error> {
+            let database = open.take().map_or_else(|| Database::open(file), Ok)?;
+            one(&database, &writing)?;
+            open = Some(database);
+            Ok(())
+        };
+        while let Err(e) = tried() {
+            // The router goes on, its folder grows old, and it is tried again.
+            if !std::mem::replace(&mut failing, true) {
+                tracing::warn!(cause = %e, "the group's file cannot be written");
+            }
+            // Nothing comes while this one is on its way: it waits, or hears that the router ends.
+            if let Err(RecvTimeoutError::Disconnected) = waiting.recv_timeout(PAUSE) {
+                return;
             }
         }
+        tells(writing.serial);
     }
 }
 
@@ -253,7 +288,8 @@
 
 #[cfg(test)]
 mod tests {
-    use cedarpulley_replica::{Effect, Record};
+    use cedarpulley_replica::Effect;
+    use cedarpulley_replica::record::Choice;
 
     use super::*;
 
@@ -269,8 +305,13 @@
             first_ago: Some(S),
             proves_left: Some(30 * S),
         };
+        // Choices are kept for longer than any invocation.
+        let record = Record::Choice(Choice::default());
+        let choice = Shared { record, left: 600 * S, first_ago: None, proves_left: None, ..shared.clone() };
         let (kept, _) = Folder::open(folder.path(), 1, 0, 60 * S).expect("opened");
-        kept.put(1, 1_000 * S, [(Key::from("t"), Some(shared))]);
+        kept.put(1, 1, 1_000 * S, vec![(Key::from("t"), Some(shared)), (Key::from("c"), Some(choice))]);
+        smol::block_on(kept.has_written());
+        assert!(kept.is_idle() && kept.kept() == 1);
         // The thread that writes holds the file until all is written.
         drop(kept);
         let held = loop {
@@ -279,7 +320,8 @@
                 opened => break opened.expect("opened").1.expect("it was kept"),
             }
         };
-        let [(_, at)] = &held.records[..] else { panic!("one record") };
+        let [(_, choice), (_, at)] = &held.records[..] else { panic!("both records") };
+        assert_eq!(choice.left, 600 * S - 20 * S);
         assert_eq!((at.left, at.first_ago, at.proves_left), (30 * S, Some(21 * S), Some(10 * S)));
     }
 }
--- a/crates/replica/src/choosing.rs
+++ b/crates/replica/src/choosing.rs
@@ -11,9 +11,10 @@
 use cedarpulley::interface::Micros;
 use cedarpulley_membership::MemberIx;
 
+use crate::keeping::Vote;
 use crate::owning::Lack;
 use crate::record::{Ballot, Choice, FIRST, Record};
-use crate::replica::{Guard, Output, Replica};
+use crate::replica::{Guard, Output, Replica, hashed};
 use crate::store::{Key, Slot};
 use crate::wire::{Message, Refusal, Views, Votes, choice, short};
 
@@ -65,6 +66,15 @@
 }
 
 impl Proposal {
+    /// `accepts`: the value's hash; absent: a promise.
+    fn waits_for(&self, ballot: Ballot, accepts: Option<u64>) -> bool {
+        let this = match accepts {
+            None => self.stage == Stage::Preparing,
+            Some(of) => self.stage == Stage::Accepting && self.value.as_ref().map(hashed) == Some(of),
+        };
+        self.ballot == ballot && this
+    }
+
     fn due(&self) -> Micros {
         match self.stage {
             Stage::StepsBack { again } => again.min(self.give_up),
@@ -154,10 +164,9 @@
             let outcome = Outcome::NoMajority(Lack::Full);
             return out.push(Output::Decided { key: key.clone(), outcome });
         }
-        p.votes.put(self.group.me, short(self.nonce), self.views());
         self.proposals.insert(key.clone(), p);
         self.ask_choice(key, &self.everybody_else(), out);
-        self.weigh(now, key, out);
+        self.votes_on(now, key, Vote::Own { ballot, accepts: None }, out);
     }
 
     fn begin_accepting(&mut self, now: Micros, key: &Key, out: &mut Vec<Output>) {
@@ -167,9 +176,24 @@
             return out.push(Output::Decided { key: key.clone(), outcome: Outcome::Overtaken });
         }
         (p.stage, p.votes) = (Stage::Accepting, Votes::default());
-        p.votes.put(self.group.me, short(self.nonce), self.views());
+        let (ballot, accepts) = (p.ballot, p.value.as_ref().map(hashed));
         self.proposals.insert(key.clone(), p);
         self.ask_choice(key, &self.everybody_else(), out);
+        self.votes_on(now, key, Vote::Own { ballot, accepts }, out);
+    }
+
+    /// Its own vote counts now, if others are still asked for theirs.
+    pub(crate) fn votes_itself(
+        &mut self,
+        now: Micros,
+        key: &Key,
+        ballot: Ballot,
+        accepts: Option<u64>,
+        out: &mut Vec<Output>,
+    ) {
+        let (me, process, views) = (self.group.me, short(self.nonce), self.views());
+        let Some(p) = self.proposals.get_mut(key).filter(|p| p.waits_for(ballot, accepts)) else { return };
+        p.votes.put(me, process, views);
         self.weigh(now, key, out);
     }
 
@@ -265,19 +289,22 @@
         left: Micros,
         out: &mut Vec<Output>,
     ) {
-        let message = if !self.votes() {
-            self.overtakes(&key, ballot, Refusal::Returning)
+        let refused = if !self.votes() {
+            Some(Refusal::Returning)
+        } else if self.known_choice(&key).promised > ballot && !self.without(Guard::Promise) {
+            Some(Refusal::Owned)
+        } else if left <= 0 || !self.promises_choice(now, &key, ballot, left) {
+            Some(Refusal::Full)
         } else {
-            let choice = self.known_choice(&key);
-            if choice.promised > ballot && !self.without(Guard::Promise) {
-                self.overtakes(&key, ballot, Refusal::Owned)
-            } else if left <= 0 || !self.promises_choice(now, &key, ballot, left) {
-                self.overtakes(&key, ballot, Refusal::Full)
-            } else {
-                Message::Prepared { key, ballot, choice, views: self.views() }
-            }
+            None
         };
-        out.push(Output::Send { to: from, message });
+        if let Some(why) = refused {
+            let message = self.overtakes(&key, ballot, why);
+            return out.push(Output::Send { to: from, message });
+        }
+        let choice = self.known_choice(&key);
+        let message = Message::Prepared { key: key.clone(), ballot, choice, views: self.views() };
+        self.votes_on(now, &key, Vote::Given { to: from, message }, out);
     }
 
     #[allow(clippy::too_many_arguments)] // The parts of one message.
@@ -291,15 +318,21 @@
         left: Micros,
         out: &mut Vec<Output>,
     ) {
-        let message = if !self.votes() {
-            self.overtakes(&key, ballot, Refusal::Returning)
+        let of = hashed(&value);
+        let refused = if !self.votes() {
+            Some(Refusal::Returning)
         } else if left <= 0 || !self.accepts_choice(now, &key, ballot, value, left) {
-            self.overtakes(&key, ballot, Refusal::Owned)
+            Some(Refusal::Owned)
         } else {
-            out.push(Output::Noticed(key.clone()));
-            Message::Accepted { key, ballot, views: self.views() }
+            None
         };
-        out.push(Output::Send { to: from, message });
+        if let Some(why) = refused {
+            let message = self.overtakes(&key, ballot, why);
+            return out.push(Output::Send { to: from, message });
+        }
+        out.push(Output::Noticed(key.clone()));
+        let message = Message::Accepted { key: key.clone(), ballot, of, views: self.views() };
+        self.votes_on(now, &key, Vote::Given { to: from, message }, out);
     }
 
     #[allow(clippy::too_many_arguments)] // The parts of one message.
@@ -314,10 +347,7 @@
         views: Views,
         out: &mut Vec<Output>,
     ) {
-        let Some(p) = self.proposals.get_mut(key) else { return };
-        if p.ballot != ballot || p.stage != Stage::Preparing {
-            return;
-        }
+        let Some(p) = self.proposals.get_mut(key).filter(|p| p.waits_for(ballot, None)) else { return };
         p.votes.put(from, process, views);
         p.best = p.best.take().max(choice.accepted);
         self.weigh(now, key, out);
@@ -331,13 +361,11 @@
         process: u32,
         key: &Key,
         ballot: Ballot,
+        of: u64,
         views: Views,
         out: &mut Vec<Output>,
     ) {
-        let Some(p) = self.proposals.get_mut(key) else { return };
-        if p.ballot != ballot || p.stage != Stage::Accepting {
-            return;
-        }
+        let Some(p) = self.proposals.get_mut(key).filter(|p| p.waits_for(ballot, Some(of))) else { return };
         p.votes.put(from, process, views);
         self.weigh(now, key, out);
     }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`holding`]: what a member promises and holds for others.
 //! * [`owning`]: what a member takes: intents held by a majority before they leave, and takeovers.
 //! * [`choosing`]: what a majority decides, once or term after term.
+//! * [`keeping`]: votes on these, which wait until the member's folder has what they stand for.
 //! * [`returning`]: what a member that started anew may do, and when it remembers enough to vote.
 //! * [`catchup`]: finding and fetching what is lacking, at a bounded pace.
 //!
@@ -18,6 +19,7 @@
 pub mod catchup;
 pub mod choosing;
 pub mod holding;
+pub mod keeping;
 pub mod owning;
 pub mod record;
 pub mod replica;
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -12,6 +12,7 @@
 
 use crate::catchup::CatchUp;
 use crate::choosing::{Outcome, Proposal};
+use crate::keeping::Keeping;
 use crate::owning::{Claim, Lack, Need, Verdict};
 use crate::record::{Ballot, Effect, FIRST, Note, Record};
 use crate::returning::Returning;
@@ -55,7 +56,7 @@
     pub most_answer: usize,
     /// Catching up takes no more than so many bytes a second, here and for others.
     pub catch_up_bytes_per_s: u64,
-    /// Changes are gathered to be written to a folder.
+    /// Changes are gathered to be written to a folder, and votes on choices wait for it.
     pub written: bool,
     pub seed: u64,
     /// For tests of the explorer and the judge alone: one guard is out.
@@ -109,6 +110,8 @@
     Adopted,
     /// Who hears late does not vote, and a record's last part is neither proof nor leave.
     Age,
+    /// A vote on a choice waits until this member's folder has what it stands for.
+    Kept,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -188,6 +191,10 @@
         nonce: u64,
         alive: bool,
     },
+    /// On disk are all changes up to those taken under this serial.
+    Kept {
+        serial: u64,
+    },
     Tick,
 }
 
@@ -241,6 +248,9 @@
     pub snapshots: u64,
     pub wants_dropped: u64,
     pub misfits: u64,
+    /// Votes on choices that waited for the folder; of these, gone for want of room.
+    pub votes_withheld: u64,
+    pub votes_dropped: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -255,6 +265,7 @@
     pub(crate) alive: Vec<bool>,
     pub(crate) claims: BTreeMap<Key, Claim>,
     pub(crate) proposals: BTreeMap<Key, Proposal>,
+    pub(crate) keeping: Keeping,
     pub(crate) catch_up: CatchUp,
     tells: BTreeSet<Key>,
     tell_at: Micros,
@@ -291,6 +302,7 @@
             alive,
             claims: BTreeMap::new(),
             proposals: BTreeMap::new(),
+            keeping: Keeping::default(),
             tells: BTreeSet::new(),
             tell_at: Micros::MAX,
             serial: 0,
@@ -333,6 +345,7 @@
                 }
             }
             Input::Member { member, nonce, alive } => self.member(now, member, nonce, alive, out),
+            Input::Kept { serial } => self.kept(now, serial, out),
             Input::Tick => {}
         }
         self.pass(now, out);
@@ -390,8 +403,8 @@
             Message::Prepared { key, ballot, choice, views } => {
                 self.prepared(now, from, process, &key, ballot, choice, views, out);
             }
-            Message::Accepted { key, ballot, views } => {
-                self.accepted(now, from, process, &key, ballot, views, out);
+            Message::Accepted { key, ballot, of, views } => {
+                self.accepted(now, from, process, &key, ballot, of, views, out);
             }
             Message::Overtaken { key, ballot, choice, why } => {
                 self.overtaken(now, from, &key, ballot, choice, why, out);
@@ -594,12 +607,6 @@
         self.store.all()
     }
 
-    /// What has changed since it was last asked: for a folder, the record or that it is gone.
-    pub fn changes(&mut self, now: Micros) -> Vec<(Key, Option<Shared>)> {
-        let dirty = self.store.take_dirty();
-        dirty.into_iter().map(|key| (key.clone(), self.store.shared(now, &key))).collect()
-    }
-
     /// Two different answers to the same.
     pub fn faults(&self) -> u64 {
         self.store.faults
@@ -611,7 +618,7 @@
             (key, &slot.record).hash(into);
         }
         (&self.returning, &self.nonces, &self.alive).hash(into);
-        (&self.claims, &self.proposals, &self.catch_up).hash(into);
+        (&self.claims, &self.proposals, &self.keeping, &self.catch_up).hash(into);
     }
 }
 
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -234,6 +234,11 @@
         self.dirty.as_mut().map(std::mem::take).unwrap_or_default()
     }
 
+    /// It has changed since then.
+    pub fn is_dirty(&self, key: &str) -> bool {
+        self.dirty.as_ref().is_some_and(|dirty| dirty.contains(key))
+    }
+
     pub fn group_digests(&self) -> Vec<u64> {
         let mut groups = vec![0; GROUPS as usize];
         for (leaf, digest) in &self.digests {
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -11,7 +11,7 @@
 use crate::store::{Key, Leaf, Origin, Shared};
 
 /// Raised with every change of a message: members of different versions refuse each other.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 
 /// How much a member remembers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -100,9 +100,11 @@
         value: Bytes,
         left: i64,
     },
+    /// `of`: of the value. Symptom: a late acceptance of one value was counted for the next of the same term.
     Accepted {
         key: Key,
         ballot: Ballot,
+        of: u64,
         views: Views,
     },
     Overtaken {
--- a/crates/replica/tests/common/mod.rs
+++ b/crates/replica/tests/common/mod.rs
@@ -43,8 +43,14 @@
     /// By how many thousandths each one's clock is fast, and since when.
     pub rates: Vec<i64>,
     pub since: i64,
+    /// Each has a folder: what is on its way there, and what is there. Choices alone are kept there for long enough.
+    pub written: bool,
+    pub takings: Vec<Option<Taking>>,
+    pub disks: Vec<BTreeMap<Key, Shared>>,
 }
 
+pub type Taking = (u64, Vec<(Key, Option<Shared>)>);
+
 impl World {
     /// All of them remember, as after a long time.
     pub fn new(n: usize, without: Option<Guard>) -> World {
@@ -52,17 +58,25 @@
     }
 
     pub fn patient(n: usize, without: Option<Guard>, patience: i64) -> World {
-        let mut w = World::made(n, without, patience);
+        let mut w = World::made(n, without, patience, false);
         w.pass(2 * KEPT);
         w.net.clear();
         w
     }
 
     pub fn fresh(n: usize, without: Option<Guard>) -> World {
-        World::made(n, without, 800 * MS)
+        World::made(n, without, 800 * MS, false)
     }
 
-    fn made(n: usize, without: Option<Guard>, patience: i64) -> World {
+    /// All of them remember, and have folders.
+    pub fn written(n: usize, without: Option<Guard>) -> World {
+        let mut w = World::made(n, without, 800 * MS, true);
+        w.pass(2 * KEPT);
+        w.net.clear();
+        w
+    }
+
+    fn made(n: usize, without: Option<Guard>, patience: i64, written: bool) -> World {
         let mut w = World {
             now: 0,
             without,
@@ -76,6 +90,9 @@
             patience,
             rates: vec![0; n],
             since: 0,
+            written,
+            takings: vec![None; n],
+            disks: vec![BTreeMap::new(); n],
         };
         (0..n).for_each(|r| w.start(r, None));
         w
@@ -85,7 +102,8 @@
         let n = self.replicas.len();
         self.last += 1;
         self.nonces[r] = self.last;
-        let (group, terms) = (group(n, r), terms(self.without, self.patience));
+        let terms = Terms { written: self.written, ..terms(self.without, self.patience) };
+        let group = group(n, r);
         self.replicas[r] = Some(Replica::new(self.now, group, terms, self.last, folder));
         (self.verdicts[r], self.leaves[r]) = (BTreeMap::new(), BTreeMap::new());
         for m in 0..n {
@@ -100,6 +118,31 @@
         folder
     }
 
+    /// What has changed is on its way to the disk, if nothing is.
+    pub fn takes(&mut self, r: usize) {
+        let now = self.clock(r);
+        let Some(it) = self.replicas[r].as_mut().filter(|_| self.takings[r].is_none()) else { return };
+        self.takings[r] = Some(it.changes(now));
+    }
+
+    pub fn commits(&mut self, r: usize) {
+        let Some((serial, changes)) = self.takings[r].take() else { return };
+        for (key, shared) in changes {
+            match shared {
+                Some(shared) => self.disks[r].insert(key, shared),
+                None => self.disks[r].remove(&key),
+            };
+        }
+        self.feed(r, Input::Kept { serial });
+    }
+
+    /// It dies and starts from what is on its disk.
+    pub fn loses_power(&mut self, r: usize) {
+        (self.replicas[r], self.takings[r]) = (None, None);
+        let folder = self.disks[r].iter().map(|(key, shared)| (key.clone(), shared.clone())).collect();
+        self.start(r, Some(folder));
+    }
+
     pub fn folder(&self, r: usize) -> Vec<(Key, Shared)> {
         self.at(r).records().map(|(k, s)| (k.clone(), s.shared(self.now))).collect()
     }
