--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`store`]: all records, how long they are kept, digests.
 //! * [`wire`]: what members say to each other, and which votes count together.
 //! * [`holding`]: what a member promises and holds for others.
+//! * `claims`: what is open here, in the order in which it is due.
 //! * [`owning`]: what a member takes: intents held by a majority before they leave, and takeovers.
 //! * [`choosing`]: what a majority decides, once or term after term.
 //! * [`keeping`]: votes on these, which wait until the member's folder has what they stand for.
@@ -18,6 +19,7 @@
 
 pub mod catchup;
 pub mod choosing;
+mod claims;
 pub mod holding;
 pub mod keeping;
 pub mod owning;
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -12,8 +12,9 @@
 
 use crate::catchup::CatchUp;
 use crate::choosing::{Outcome, Proposal};
+use crate::claims::Claims;
 use crate::keeping::Keeping;
-use crate::owning::{Claim, Lack, Need, Verdict};
+use crate::owning::{Lack, Need, Verdict};
 use crate::record::{Ballot, Effect, FIRST, Note, Record};
 use crate::returning::Returning;
 use crate::store::{Joined, Key, Origin, Shared, Slot, Store};
@@ -263,7 +264,7 @@
     /// Processes as they are known, by member; 0 where nothing was heard.
     pub(crate) nonces: Vec<u64>,
     pub(crate) alive: Vec<bool>,
-    pub(crate) claims: BTreeMap<Key, Claim>,
+    pub(crate) claims: Claims,
     pub(crate) proposals: BTreeMap<Key, Proposal>,
     pub(crate) keeping: Keeping,
     pub(crate) catch_up: CatchUp,
@@ -300,7 +301,7 @@
             store,
             nonces,
             alive,
-            claims: BTreeMap::new(),
+            claims: Claims::default(),
             proposals: BTreeMap::new(),
             keeping: Keeping::default(),
             tells: BTreeSet::new(),
@@ -486,7 +487,7 @@
         let due = [
             self.tell_at,
             self.store.next_end(),
-            self.claims_due(),
+            self.claims.next_due(),
             self.proposals_due(),
             self.catch_up.next_due(),
             self.returning.next_due(self.terms.kept),
