--- a/crates/rig/src/wrong.rs
+++ b/crates/rig/src/wrong.rs
@@ -14,7 +14,7 @@
     File { file: String, source: io::Error },
     #[error("{file}:{line}: it is not written as a day is: {said}")]
     NoDay { file: String, line: usize, said: String },
-    #[error("{file}: {key}: {value} is not within {within}")]
+    #[error("{file}: {key}: {value} is out of its range, {within}")]
     OutOfRange { file: String, key: String, value: f64, within: &'static str },
     #[error("{file}: {key}: there must be one at least")]
     Empty { file: String, key: &'static str },
