Reconcile: reconciler split into modules by what each decides; like passages folded

Need: reconcile.rs had 1,046 lines, of which one part could not be read without the others; no behaviour was at fault.

Change: reconcile.rs (235 lines) keeps the inputs, the outputs and the entry point. Below it stand turns (who is asked when), heard (answers, silence, notes), place (one worker: process, doubt, bound of beliefs), judging (an answer held against belief), claims (who lays claim to a copy), repairing (repairs and their last look) and shown (counts and what is shown); the longest has 275 lines. The modules are private children, so the fields of Reconciler stay private; those of Place are seen by its siblings at most. All public names stay where they were. Folded: what makes an answer void, written for answers and for notes (Reconciler::taken), and the bound of beliefs, written for own changes and for answers (Place::follow). What looks alike still: two lists of parameters in judging, a pair of tests; neither is logic. Between this package and router/src/core.rs no like passage was found.

Seen: the package's 23 tests green before and after. Outputs, counts, next times and, at every 50th input, what is shown were hashed over the 344 worlds of the simulated tests, before and after: all equal. With two answers counted for one, all 344 differ; with the counts of an earlier process not inherited, none does: these worlds restart workers without a new place in the list, so that inheriting (three lines, moved into Place) is shown equal by reading alone. The hashing was for the comparison and is not kept.

--- a/crates/reconcile/src/lib.rs
+++ b/crates/reconcile/src/lib.rs
@@ -1,5 +1,6 @@
 //! What a router believes to be loaded at its workers, held against what the workers say, and repaired where the two
-//! differ; free of I/O. Begin reading at [`Reconciler::handle`] in `reconcile.rs`.
+//! differ; free of I/O. Begin reading at [`Reconciler::handle`] in `reconcile.rs`, whose parts stand in
+//! `reconcile/`.
 //!
 //! * [`observation`]: what a worker said at one moment, and whether it contradicts itself.
 //! * [`belief`]: what this router believes of each worker and function, when that last changed, and what is loading.
