--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -377,6 +377,50 @@
     assert!(shown(&played), "it came about: {}\n{:?}", played.verdict.table(), played.states);
 }
 
+/// Links of one carry a few messages a second; the other two are a majority and go on.
+#[test]
+fn a_member_that_reads_slowly_stalls_nobody() {
+    let held = |f: &Fleet| count(f, 0, "held") + count(f, 2, "held");
+    let script = Script::new(1)
+        .at(1000, |f| both_ways(f, SLOW))
+        .at(2500, |f| {
+            let before = held(f);
+            comes("intents are held", || held(f) > before + 2 * SOME);
+        })
+        .at(CUT_MS, |f| f.links.heal());
+    let played = play(&shared(3, nothing), None, script, PATIENCE);
+    played.holds();
+    assert!(POSTS_LOST(&played) || LACKING(&played), "its links were slow: {:?}", played.states);
+}
+
+/// Its folder grows old while its disk is full, and is written again once there is room.
+#[test]
+fn a_full_disk_of_its_folder_stops_no_member() {
+    let file = |f: &Fleet| f.folder().join(format!("routers/state-{OWNER}/group.redb"));
+    let script = Script::new(1)
+        .at(500, |f| lock(&f.routers[OWNER]).limit_files(Some(0)).expect("set"))
+        .at(1500, |f| {
+            let before = count(f, OWNER, "held");
+            comes("intents are held", || count(f, OWNER, "held") > before + SOME);
+            let full = || lock(&f.routers[OWNER]).log().contains("the group's file cannot be written");
+            comes("it was full", full);
+        })
+        .at(2500, |f| {
+            let lifted = std::time::SystemTime::now();
+            lock(&f.routers[OWNER]).limit_files(None).expect("lifted");
+            let written =
+                || std::fs::metadata(file(f)).and_then(|m| m.modified()).is_ok_and(|at| at > lifted);
+            comes("it is written again", written);
+        })
+        .at(3500, |f| {
+            f.kill_router(OWNER);
+            back(f, OWNER, State::Kept);
+            comes("it remembers", || f.remembers(OWNER));
+        });
+    let played = play(&shared(3, nothing), None, script, PATIENCE);
+    played.holds();
+}
+
 /// Two equal regions and a witness in one of them: that one goes on, the other one is told that it has no majority.
 #[test]
 fn a_witness_gives_its_region_the_majority_in_a_cut() {
--- a/crates/cli/tests/upgraded.rs
+++ b/crates/cli/tests/upgraded.rs
@@ -230,6 +230,39 @@
     played(&upgrading(|_| {}), script).ended_as("Done");
 }
 
+/// So often, each time as sessions are being bound: the folder's last moments are what counts.
+const DEATHS: u64 = 4;
+
+/// All routers are killed at once while bindings are made, and start again from what they kept.
+#[test]
+fn sessions_stay_when_all_routers_die_at_once() {
+    let all_die = |f: &Fleet| {
+        std::thread::sleep(Duration::from_millis(1_500));
+        (0..3).for_each(|n| f.kill_router(n));
+        (0..3).for_each(|n| f.start_router(n, State::Kept).expect("it starts again"));
+        assert!(until(PLANNED, || f.all_remember()), "they remember");
+    };
+    let begins =
+        Script::new(1).at(ORDERED_MS, |f| order(f, DRAIN_LIMIT_MS)).at(LATER, |f| reaches(f, "Canary"));
+    let script = (0..DEATHS).fold(begins, |script, _| script.at(LATER, all_die));
+    let day = upgrading(|day| {
+        day.rate_per_s = 100.0;
+        for t in &mut day.triggers {
+            (t.sessions, t.turns, t.pause_ms) = (0.9, 3, 1_000);
+        }
+        // The canaries stay, so that what is proposed differs from session to session.
+        for limit in ["canary_ms", "canary_most_ms"] {
+            day.settings.upgrade.insert(limit.into(), 120_000.into());
+        }
+    });
+    let _busy = BUSY.acquire_blocking();
+    let played = play_from(&day, None, orders_nothing, script, PATIENCE);
+    let (v, table) = (&played.verdict, played.verdict.table());
+    eprintln!("{table}");
+    assert_eq!((v.broken(), v.promises.get("sessions")), (0, None), "{table}");
+    assert!(v.sessions > 100 && played.logged(BROKER, "requeued") > 0, "{table}");
+}
+
 /// Sessions wait at a router for a majority that does not come, and its front is lost: what waited comes again, and is
 /// not taken twice.
 #[test]
