--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -66,6 +66,8 @@
     Gone,
     /// After all have started anew, trusts what none of them has.
     Undoubting,
+    /// Votes on choices before its folder has them.
+    Unkept,
     /// Takes out nothing: what it believes to stand at workers is made wrong, again and again.
     Spoilt,
 }
@@ -81,6 +83,7 @@
             Meddle::Absent => Guard::Presence,
             Meddle::Gone => Guard::Gone,
             Meddle::Undoubting => Guard::Doubt,
+            Meddle::Unkept => Guard::Kept,
             _ => return None,
         })
     }
@@ -101,6 +104,7 @@
             "absent" => Meddle::Absent,
             "gone" => Meddle::Gone,
             "undoubting" => Meddle::Undoubting,
+            "unkept" => Meddle::Unkept,
             "spoilt" => Meddle::Spoilt,
             _ => return None,
         })
