Tests of upgrades: a plan is waited for as long as a crowded machine may need

Seen: three of nine cases failed beside the fleet test in full (28% of the processor taken away by the host): plans not ended 60 s after the order, steps 8 to 16 s apart. Alone the same case ends 41 s after it, 55 s in all. Each step is on three disks before it counts; where that took longer than the lease of 2 s, the next leader waited for the lease and the orders of the one before. No rule or promise was broken. Excluded: nobody led at the end by fault: polled in a play alone, its router led again 8 s after its death and kept the lead.

--- a/crates/cli/tests/upgraded.rs
+++ b/crates/cli/tests/upgraded.rs
@@ -25,8 +25,9 @@
 
 /// Both models that are upgraded.
 const MODELS: [&str; 2] = ["resize:1", "reserve:1"];
-/// Only a failing test waits so long for a plan.
-const PLANNED: Duration = Duration::from_secs(60);
+/// Only a failing test waits so long for a plan. Alone it ends within 45 s; where a step waits for a crowded disk for longer
+/// than the lease, another begins only after that and the time in which orders arrive, 12 s a step.
+const PLANNED: Duration = Duration::from_secs(180);
 const ORDERED_MS: u64 = 2_000;
 /// Of the lanes that stand when an upgrade is ordered.
 const FLOOR: f64 = 0.8;
