Upgrade: sessions are over once no region keeps copies for them

Where a session happens to be warm is therefore no better a judge than where its router stands.

Now a session ends by an answer only when every region has let its copies go; one that is warm in a region past its limit builds its prefix once more where copies are kept. The package's test fails with either earlier rule.

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -273,8 +273,7 @@
         t.prefers = prefers.and_then(|id| self.worker(id));
         if let Some(version) = version {
             let model = t.function.clone();
-            if self.upgrading.as_ref().is_some_and(|u| u.session_over(&model, &version, t.prefers.as_deref()))
-            {
+            if self.upgrading.as_ref().is_some_and(|u| u.sessions_over(&model, &version)) {
                 t.refused = Some((Fate::Errored, Reason::SessionOver));
             }
             t.named = Some(std::mem::replace(&mut t.function, function(&model, &version)));
--- a/crates/gateway/src/upgrading.rs
+++ b/crates/gateway/src/upgrading.rs
@@ -215,16 +215,8 @@
         self.planner.borrow().over(model, version)
     }
 
-    /// A session of this version is over: where it is warm, or here if that is not known.
-    pub fn session_over(&self, model: &str, version: &str, worker: Option<&str>) -> bool {
-        let seats = self.seats.borrow();
-        let seat = worker.and_then(|w| seats.as_ref()?.borrow().get(w).map(|seat| self.region_of(seat)));
-        self.planner.borrow().over_in(model, version, seat.as_deref().unwrap_or(&self.region))
-    }
-
-    fn region_of(&self, seat: &Listed) -> String {
-        let zone = self.desk.names.zones.get(seat.zone as usize).map_or("", String::as_str);
-        self.ordered.regions.get(zone).map_or(zone, String::as_str).to_owned()
+    pub fn sessions_over(&self, model: &str, version: &str) -> bool {
+        self.planner.borrow().sessions_over(model, version)
     }
 
     /// A plan under way looks after this function's copies, old or new.
@@ -464,8 +456,10 @@
         let held = self.holds.borrow().as_ref().map(|holds| holds()).unwrap_or_default();
         let mut held: BTreeMap<Name, WorkerSeen> = held.into_iter().map(|w| (w.name.clone(), w)).collect();
         let seen = |(name, seat): (&Name, &Listed)| {
+            let zone = self.desk.names.zones.get(seat.zone as usize).map_or("", String::as_str);
+            let region = self.ordered.regions.get(zone).map_or(zone, String::as_str);
             let mut w = held.remove(name)?;
-            w.region = Name::from(self.region_of(seat));
+            w.region = Name::from(region);
             w.takes_new = seat.standing == Standing::InService;
             if w.memory_mb == 0 {
                 w.memory_mb = self.ordered.memory_mb.get(seat.kind as usize).map_or(0, |mb| *mb as u32);
--- a/crates/upgrade/src/planner.rs
+++ b/crates/upgrade/src/planner.rs
@@ -19,7 +19,7 @@
 use crate::acting::{Doing, Scene, need};
 use crate::health::{Count, Health};
 use crate::orders::Order;
-use crate::plan::{Ballot, GoesBy, Phase, Plan, Stage, function, key, model_of};
+use crate::plan::{Ballot, GoesBy, Phase, Plan, Region, Stage, function, key, model_of};
 use crate::seen::WorkerSeen;
 
 /// A clock may run faster or slower than another by so much of a lease: far more than any does.
@@ -455,6 +455,10 @@
     term.writing = Some(Writing { since: now, plan, log });
 }
 
+fn is_let_go(region: &Region) -> bool {
+    region.over && region.stage == Stage::Draining
+}
+
 impl Planner {
     pub fn new(terms: Terms) -> Planner {
         Planner {
@@ -610,15 +614,23 @@
 
     /// Copies of this version are let go in this member's region, whoever uses them.
     pub fn over(&self, model: &str, version: &str) -> bool {
-        self.regions.get(self.me as usize).is_some_and(|here| self.over_in(model, version, here))
+        let here = |plan: &Plan| {
+            self.regions.get(self.me as usize).and_then(|r| plan.region(r)).is_some_and(is_let_go)
+        };
+        self.is_out(model, version, here)
+    }
+
+    /// Sessions of this version are answered that they are over, as no region keeps copies for them any more. Symptom:
+    /// routers take from one queue, and dispatch to all regions; sessions that had begun a moment ago where the version
+    /// still served were over, as a turn came to a router of a region past its limit, or went to a worker there.
+    pub fn sessions_over(&self, model: &str, version: &str) -> bool {
+        let all = |plan: &Plan| plan.regions.iter().all(|r| r.stage == Stage::Done || is_let_go(r));
+        self.is_out(model, version, all)
     }
 
-    /// Likewise in a region. Symptom: routers take from one queue, and a session that was warm in a region that keeps
-    /// its copies was over as one of its turns came to a router of another region.
-    pub fn over_in(&self, model: &str, version: &str, region: &str) -> bool {
+    fn is_out(&self, model: &str, version: &str, regions: impl Fn(&Plan) -> bool) -> bool {
         let Some(plan) = self.plan(model).filter(|p| **p.versions().0 == *version) else { return false };
-        matches!(plan.phase, Phase::Done | Phase::RolledBack)
-            || plan.region(region).is_some_and(|r| r.over && r.stage == Stage::Draining)
+        matches!(plan.phase, Phase::Done | Phase::RolledBack) || regions(plan)
     }
 
     /// What nobody is to unload as forgotten.
--- a/crates/upgrade/tests/parts.rs
+++ b/crates/upgrade/tests/parts.rs
@@ -332,7 +332,7 @@
 }
 
 #[test]
-fn a_session_is_over_by_the_region_in_which_it_is_warm() {
+fn sessions_are_over_once_no_region_keeps_copies_for_them() {
     let mut planner = Planner::new(Terms::default());
     let mut handle = |input| planner.handle(0, input, &mut Vec::new());
     let regions = vec![Name::from("a"), Name::from("b")];
@@ -340,6 +340,15 @@
     let mut plan = plan(3);
     (plan.regions[0].stage, plan.regions[0].over) = (Stage::Draining, true);
     handle(Input::PlanHeard { model: "m".into(), ballot: plan.by, bytes: plan.bytes() });
-    assert!(planner.over("m", "1") && planner.over_in("m", "1", "a") && !planner.over_in("m", "1", "b"));
-    assert!(!planner.over_in("m", "2", "a") && !planner.over_in("other", "1", "a"));
+    let mut later = plan.clone();
+    (later.step, later.regions[0].stage) = (4, Stage::Done);
+    (later.regions[1].stage, later.regions[1].over) = (Stage::Draining, true);
+    assert!(planner.over("m", "1") && !planner.sessions_over("m", "1"), "region b keeps its copies");
+    planner.handle(
+        0,
+        Input::PlanHeard { model: "m".into(), ballot: later.by, bytes: later.bytes() },
+        &mut Vec::new(),
+    );
+    assert!(planner.sessions_over("m", "1"));
+    assert!(!planner.sessions_over("m", "2") && !planner.sessions_over("other", "1"));
 }
