Router: a repeat leaves only within its window; a worker missing from a whole list is gone

Seen by reading: rule 2 was kept when an attempt was decided, not when its first byte left. A connection may take connect_within to come up, so with a short window a repeat that may have run before could leave after it. may_leave now looks at the window again (within_repeat_window). A whole list that no longer names a worker let what waited for a connection leave for the whole grace counted from the hearing, while one told as gone got none; the list may have been sent long after the leaving. Both now end at once. The test of the first-told grace had the second behaviour written in one line (a whole list without the worker kept the grace); that line now names the worker as draining, and the missing one has a test of its own.

--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -464,7 +464,21 @@
         let it = self.invs.get(ticket.inv).filter(|_| self.invs.generation(ticket.inv) == ticket.generation);
         let Some(it) = it.filter(|i| !i.concluded && now < i.gives_up_at) else { return false };
         let out = it.dispatches.get(ticket.dispatch as usize).filter(|d| d.state == Sent::Out);
-        out.is_some_and(|d| self.service.takes_new(now, d.worker) && self.has_leave(now, d.leave))
+        out.is_some_and(|d| {
+            self.service.takes_new(now, d.worker)
+                && self.has_leave(now, d.leave)
+                && self.within_repeat_window(now, it)
+        })
+    }
+
+    /// Rule 2 at the moment of sending: workers drop repeats of a tokened invocation only within their window, counted from
+    /// each attempt that may have run. Connecting may take longer than what was left of it when the attempt was decided.
+    fn within_repeat_window(&self, now: Micros, invocation: &Inv) -> bool {
+        let Effect::Tokened { window, .. } = self.triggers[invocation.trigger as usize].effect else {
+            return true;
+        };
+        let mut may_have_run = invocation.dispatches.iter().filter(|d| d.state == Sent::MayHaveRun);
+        may_have_run.all(|d| now - d.at < window)
     }
 
     /// Symptom: a process is stopped with leave in its hands and wakes when others have long answered.
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -21,11 +21,9 @@
         }
         let stops = now + self.grace;
         if mode != ListMode::Changes {
-            // Whoever is not named any more is gone.
+            // Whoever is not named any more is gone, like one that is told to be gone.
             let named = |w: usize| entries.iter().any(|e| e.worker as usize == w);
-            (0..self.until.len())
-                .filter(|&w| !named(w))
-                .for_each(|w| self.until[w] = self.until[w].min(stops));
+            (0..self.until.len()).filter(|&w| !named(w)).for_each(|w| self.until[w] = self.until[w].min(now));
         }
         for e in entries {
             let w = e.worker as usize;
--- a/crates/router/tests/alone.rs
+++ b/crates/router/tests/alone.rs
@@ -69,7 +69,7 @@
     service.follow(0, ListMode::Complete, &[entry(0, Standing::InService)]);
     service.follow(SECOND, ListMode::Changes, &[entry(0, Standing::Draining)]);
     service.follow(SECOND + 300 * MS, ListMode::Changes, &[entry(0, Standing::Draining)]);
-    service.follow(SECOND + 400 * MS, ListMode::Complete, &[]);
+    service.follow(SECOND + 400 * MS, ListMode::Complete, &[entry(0, Standing::Draining)]);
     assert!(service.takes_new(SECOND + 499 * MS, 0) && !service.takes_new(SECOND + 500 * MS, 0));
     service.follow(3 * SECOND, ListMode::Failed, &[]);
     service.follow(3 * SECOND, ListMode::Changes, &[entry(0, Standing::InService)]);
@@ -90,6 +90,38 @@
     assert!(!service.takes_new(MS, 0) && !service.takes_new(MS, 1));
 }
 
+/// A whole list is sent again after a gap, and a worker is missing: it may have gone long ago, and what still waits for a
+/// connection to it must not leave within a grace that counts from the hearing.
+#[test]
+fn nothing_leaves_for_a_worker_that_a_whole_list_does_not_name() {
+    let mut service = Service::new(500 * MS);
+    service.follow(0, ListMode::Complete, &[entry(0, Standing::InService), entry(1, Standing::Draining)]);
+    assert!(service.takes_new(MS, 0) && service.takes_new(MS, 1));
+    service.follow(MS, ListMode::Complete, &[entry(2, Standing::InService)]);
+    assert!(!service.takes_new(MS, 0) && !service.takes_new(MS, 1) && service.takes_new(MS, 2));
+}
+
+/// Workers drop repeats only within a window from the first sending. The last look before the first byte sees that it is
+/// over, however long the connection took.
+#[test]
+fn a_repeat_does_not_leave_once_its_window_is_over() {
+    for (trigger, outcome, still_leaves) in [
+        (TOKENED, Outcome::Broken, false),
+        (TOKENED, Outcome::Unreachable, true),
+        (IDEMPOTENT, Outcome::Broken, true),
+    ] {
+        let mut w = World::alone(2);
+        w.take("a", trigger, 0, 1);
+        let first = w.sent()[0];
+        let began = w.now;
+        w.pass(MS);
+        w.end(first, outcome);
+        let again = w.sent()[0];
+        assert!(w.router.may_leave(w.now, again) && w.router.may_leave(began + WINDOW - 1, again));
+        assert_eq!(w.router.may_leave(began + WINDOW, again), still_leaves, "{outcome:?}");
+    }
+}
+
 /// Symptom: over a long day new workers take the place of old ones, and all that is kept by worker grows for
 /// ever.
 #[test]
