--- a/crates/benchlink/src/codec.rs
+++ b/crates/benchlink/src/codec.rs
@@ -4,7 +4,7 @@
 use std::str::{FromStr, Split};
 
 use cedarpulley::interface::*;
-use cedarpulley_birth::{ReportField, micros};
+use cedarpulley_startup::{ReportField, micros};
 
 use crate::refused::{Refused, Result};
 
--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -5,7 +5,7 @@
 use cedarpulley::Control;
 use cedarpulley::ids::{Ids, fingerprint};
 use cedarpulley::interface::*;
-use cedarpulley_birth::{Birth, ReportField, Sheet, micros};
+use cedarpulley_startup::{RawSettings, ReportField, StartupSettings, micros};
 
 use crate::codec::{self, Names, Values, unknown};
 use crate::refused::{Refused, Result};
@@ -167,13 +167,13 @@
         if word == "born" {
             let seed = v.value("seed")?;
             let text = v.rest();
-            let sheet = Sheet::pairs(&text)?;
-            let birth = Birth::read(&sheet)?;
+            let raw = RawSettings::pairs(&text)?;
+            let settings = StartupSettings::read(&raw)?;
             let instance = Instance {
-                control: birth.control(seed),
-                triggers: birth.triggers.len() as u32,
-                crowds: birth.loads.crowds,
-                fields: ReportField::named(&sheet),
+                control: settings.control(seed),
+                triggers: settings.triggers.len() as u32,
+                crowds: settings.loads.crowds,
+                fields: ReportField::named(&raw),
                 invs: Ids::default(),
                 open: Vec::new(),
                 funcs: Ids::default(),
--- a/crates/benchlink/src/refused.rs
+++ b/crates/benchlink/src/refused.rs
@@ -34,7 +34,7 @@
     #[error("the line is not UTF-8")]
     NoText,
     #[error("nobody is born with these settings")]
-    Unborn(#[from] cedarpulley_birth::Refused),
+    Unborn(#[from] cedarpulley_startup::SettingsError),
     #[error("standard input or output failed")]
     Wire(#[from] std::io::Error),
 }
--- a/crates/cli/src/wrong.rs
+++ b/crates/cli/src/wrong.rs
@@ -27,7 +27,7 @@
     #[error("{file}: the router cannot run")]
     Serve { file: String, source: cedarpulley_gateway::serve::Unstarted },
     #[error(transparent)]
-    Node(#[from] cedarpulley_platform_node::Unstarted),
+    Node(#[from] cedarpulley_platform_node::StartError),
     #[error(transparent)]
     Day(#[from] cedarpulley_rig::wrong::Wrong),
     #[error("a router did not end in good order")]
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -71,11 +71,16 @@
     let sending = thread::spawn(move || sender.write_all(&vec![b'z'; 8_000_000]).is_ok());
     assert_eq!(answer(&mut BufReader::new(stream)).expect("an answer").0, 413);
     let _ = sending.join();
-    // Silent and half ones are closed by the router.
-    for text in ["", "POST /api/v2/00000000000000a0/call HT"] {
+    // Silent ones are closed by the router; half a request is refused first, as its rest may be on its way.
+    for (text, refusals) in [("", 0), ("POST /api/v2/00000000000000a0/call HT", 1)] {
         let mut stream = w.connect();
         stream.write_all(text.as_bytes()).expect("sent");
-        assert_eq!(stream.read(&mut [0; 16]).expect("closed, not silent"), 0);
+        let mut answers = BufReader::new(stream.try_clone().expect("clone"));
+        for _ in 0..refusals {
+            let (status, head, _) = answer(&mut answers).expect("a refusal");
+            assert!(status == 503 && head.contains("Connection: close"), "{head}");
+        }
+        assert_eq!(answers.read(&mut [0; 16]).expect("closed, not silent"), 0);
     }
     assert!(w.seen.lock().expect("seen").calls.is_empty());
 }
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -8,9 +8,10 @@
 use cedarpulley_kserve::rpc::inference::{ModelInferRequest, ModelInferResponse};
 use cedarpulley_kserve::tensors::{Rest, request, response};
 use cedarpulley_kserve::{index, rpc, serving};
-use cedarpulley_platform::channel::{Answers, Follower};
+use cedarpulley_platform::client_protocol::{MOST_BODY, RequestQueue, RequestRules, TriggerRules};
 use cedarpulley_platform::config::{self, Names};
-use cedarpulley_platform::{clients, workers};
+use cedarpulley_platform::discovery::{Answers, WorkerListFollower};
+use cedarpulley_platform::worker_protocol::AnswerReader;
 use cedarpulley_trace::blocks::{Raw, unpack};
 use cedarpulley_trace::reader::{Found, Reader};
 use cedarpulley_trace::start::{Source, Start};
@@ -161,28 +162,28 @@
     let _ = unpack(bytes, 0, 1);
 }
 
-/// Of a client of the platform, in pieces: nothing comes after a refusal, and no more is kept than may be
-/// sent ahead.
+/// Of a client of the platform, in pieces: nothing comes after a request that cannot be read, and what is kept is bounded
+/// however much is sent ahead.
 pub fn platform_client(pieces: &[Vec<u8>]) {
     let names = Names { triggers: vec!["a".into()], accounts: vec!["b".into()], ..Names::default() };
-    let terms = clients::Terms { names, triggers: vec![(1_000_000, false)], largest_mb: 1e3 };
-    let mut ahead = clients::Ahead::default();
+    let triggers = vec![TriggerRules { longest_wait: 1_000_000, needs_token: false }];
+    let rules = RequestRules { names, triggers, largest_mb: 1e3 };
+    let mut queue = RequestQueue::default();
     for piece in pieces.iter().take_while(|p| p.len() < 1 << 16) {
-        if !ahead.full() {
-            ahead.put(0, piece, &terms);
-        }
-        assert!(ahead.kept() <= clients::MOST_AHEAD + piece.len());
+        queue.put(0, piece, &rules);
+        // Those kept, one that is being received, and its chunks or its head.
+        assert!(queue.bytes() <= 4 * MOST_BODY + piece.len());
     }
-    let mut refused = false;
-    while let Some((next, _)) = ahead.take(&terms) {
-        assert!(!refused);
-        refused = next.is_err();
+    let mut ended = false;
+    while let Some(next) = queue.take() {
+        assert!(!ended);
+        ended = next.request.is_err_and(|error| !error.leaves_stream_readable());
     }
 }
 
 /// Of a worker of the platform: what is read is no longer than what came.
 pub fn platform_worker(bytes: &[u8]) {
-    let mut reader = workers::Reader::default();
+    let mut reader = AnswerReader::default();
     reader.put(bytes);
     let mut size = 0;
     while let Ok(Some(answer)) = reader.next(&[]) {
@@ -195,10 +196,10 @@
 pub fn platform_channel(bytes: &[u8]) {
     let mut answers = Answers::default();
     answers.put(bytes);
-    let (mut follower, names) = (Follower::default(), Names::default());
+    let (mut follower, names) = (WorkerListFollower::default(), Names::default());
     while let Ok(Some(batch)) = answers.whole() {
-        if follower.batch(&batch, &names, 0, false).is_ok() {
-            assert!(follower.batch(&batch, &names, 0, false).is_ok_and(|again| again.is_empty()));
+        if follower.batch(&batch, &names, 0, 0).is_ok() {
+            assert!(follower.batch(&batch, &names, 0, 0).is_ok_and(|again| again.is_empty()));
         }
     }
     let _ = config::Start::read(&String::from_utf8_lossy(bytes));
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -7,9 +7,9 @@
 use std::rc::Rc;
 
 use async_executor::LocalExecutor;
-use cedarpulley_birth::Names;
 use cedarpulley_net::Clock;
 use cedarpulley_router::Input;
+use cedarpulley_startup::Names;
 
 pub struct Desk {
     pub clock: Clock,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -361,7 +361,7 @@
 pub fn run(name: &str, parts: Parts, meddle: Option<Meddle>) -> Result<bool, Unstarted> {
     let Parts {
         seed,
-        birth,
+        settings,
         names,
         terms,
         sources,
@@ -383,7 +383,7 @@
     let executor = Rc::new(LocalExecutor::new());
     // Without a seed of its own each start draws differently.
     let seed = seed.unwrap_or_else(|| clock.wall() as u64 ^ u64::from(std::process::id()) << 40);
-    let longest = birth.triggers.iter().map(|t| t.client_timeout).max().unwrap_or(0);
+    let longest = settings.triggers.iter().map(|t| t.client_timeout).max().unwrap_or(0);
     let start = Start {
         router: name.to_owned(),
         module: module_digest(),
@@ -398,7 +398,7 @@
             .chain(listens.iter().map(|l| l.name.clone()))
             .collect(),
         seed,
-        birth: birth.clone(),
+        startup: settings.clone(),
     };
     let recorder = match keep {
         Some(keep) => Some(Recorder::begin(keep, name, start)?),
@@ -409,8 +409,8 @@
         Some(peers) => Some(Ground::take(peers, &clock, without)?),
         None => None,
     };
-    let control = birth.control(seed);
-    let (idle_kept, kinds_mb) = (birth.loads.idle_kept, birth.loads.memory_mb.clone());
+    let control = settings.control(seed);
+    let (idle_kept, kinds_mb) = (settings.loads.idle_kept, settings.loads.memory_mb.clone());
     let mut listeners = Vec::new();
     for front in &listens {
         listeners.push(listen(front.address)?);
@@ -425,7 +425,7 @@
         };
         doors.push((listen, tls));
     }
-    let mut router = Router::new(control, birth.triggers, terms);
+    let mut router = Router::new(control, settings.triggers, terms);
     if let Some(recorder) = &recorder {
         router.watched_by(Box::new(recorder.clone()));
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,8 +7,6 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use cedarpulley::interface::*;
-use cedarpulley_birth::Birth;
-pub use cedarpulley_birth::Names;
 use cedarpulley_certificates::{self as certificates, Speakers, Which};
 use cedarpulley_membership::group::MOST_WEIGHT;
 use cedarpulley_membership::{Group, Member};
@@ -17,6 +15,8 @@
 use cedarpulley_router::Terms;
 use cedarpulley_router::group::Sharing;
 use cedarpulley_router::roster::Listed;
+pub use cedarpulley_startup::Names;
+use cedarpulley_startup::StartupSettings;
 use cedarpulley_trace::keeping::Bounds;
 use cedarpulley_trace::start::digest;
 use cedarpulley_upgrade::sessions;
@@ -57,7 +57,7 @@
 pub struct Parts {
     /// Without one each start draws differently.
     pub seed: Option<u64>,
-    pub birth: Birth,
+    pub settings: StartupSettings,
     pub names: Names,
     pub terms: Terms,
     pub sources: Vec<Source>,
@@ -361,10 +361,10 @@
     {
         root.has(known);
     }
-    let birth = Birth { fleet, limits, rules, triggers, accounts, loads, prices, reports };
+    let settings = StartupSettings { fleet, limits, rules, triggers, accounts, loads, prices, reports };
     Parts {
         seed,
-        birth,
+        settings,
         names,
         terms,
         sources,
--- a/crates/gateway/tests/gate.rs
+++ b/crates/gateway/tests/gate.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 
 use cedarpulley::interface::{CopyNote, Micros, Outcome};
-use cedarpulley_birth::Names;
 use cedarpulley_gateway::desk::Desk;
 use cedarpulley_gateway::gate::Gate;
 use cedarpulley_net::Clock;
 use cedarpulley_router::watch::{By, Used};
 use cedarpulley_router::{Delivery, Input, Session, Taken};
+use cedarpulley_startup::Names;
 use cedarpulley_upgrade::sessions::Terms;
 
 const WORKER: &str = "127.0.0.1:9000";
--- a/crates/platform-node/src/client_connections/mod.rs
+++ b/crates/platform-node/src/client_connections/mod.rs
@@ -1,345 +1,402 @@
-//! Clients: the listener, one task for each connection, and the answers on their way back.
+//! Connections of clients: one task for each reads requests, hands them to the core and writes the answers.
+
+mod accept;
+mod connection;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
-use std::io::{ErrorKind, Write};
-use std::net::{Shutdown, TcpListener};
+use std::collections::{BTreeMap, HashMap};
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
-use async_io::{Async, Timer};
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
-use cedarpulley_net::{Bell, Stream};
-use cedarpulley_platform::clients::{
-    self, Ahead, Call, MOST_READ_AWAY, REFUSED, Request, Terms, What, Wrong,
+use cedarpulley_net::Stream;
+use cedarpulley_platform::client_protocol::{
+    self, Call, REFUSED, Request, RequestError, RequestKind, RequestRules,
 };
-use cedarpulley_platform::doorkeeper::{CallerIx, Doorkeeper};
+use cedarpulley_platform::connection_limiter::{ClientId, ConnectionLimiter};
 use cedarpulley_router::{Answer, Delivery, Input, Payload, Taken};
-use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
 
-use crate::node::{Had, Node};
+pub use accept::{accept_backlog, accept_clients};
+use connection::{ClientConnection, CloseReason};
+
+use crate::node::{Node, ReadResult};
 
-/// When no connection can be accepted for want of descriptors, it is tried again so much later.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// What a refused client still sends is read away up to here: the largest body that the protocol's clients try, and
+/// more.
+const MOST_READ_AWAY: usize = 80 << 20;
 
-struct Caller {
-    ix: CallerIx,
-    stream: Stream,
-    /// Rung when an answer has come or the connection is to go.
-    bell: Bell,
-    answer: RefCell<Option<Answer>>,
-    turned_out: Cell<bool>,
+/// A request that was handed to the core and has no answer yet.
+struct PendingRequest {
+    connection: Rc<ClientConnection>,
+    id: Arc<str>,
 }
 
-impl Caller {
-    /// Until there is something to read, or its bell is rung.
-    async fn stirs(&self) {
-        let readable = async {
-            let _ = self.stream.readable().await;
-        };
-        self.bell.heard().or(readable).await;
-    }
+/// What goes back to a client.
+struct Response {
+    status: u16,
+    retry_after: Option<Micros>,
+    body: Bytes,
+    /// The connection closes after it.
+    close: bool,
+    /// Until when the client waits for it, if it has told so.
+    deadline: Option<Micros>,
+}
 
-    /// Writes all of it; false if the client is gone or was turned out meanwhile.
-    async fn write(&self, mut bytes: &[u8]) -> bool {
-        while !bytes.is_empty() {
-            match self.stream.get_ref().write(bytes) {
-                Ok(0) => return false,
-                Ok(n) => bytes = &bytes[n..],
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock && !self.turned_out.get() => {
-                    let writable = async {
-                        let _ = self.stream.writable().await;
-                    };
-                    self.bell.heard().or(writable).await;
-                }
-                Err(_) => return false,
-            }
-        }
-        true
+impl Response {
+    fn bare(status: u16, close: bool) -> Self {
+        Response { status, retry_after: None, body: Bytes::new(), close, deadline: None }
     }
 }
 
-struct Owed {
-    caller: Rc<Caller>,
-    id: Arc<str>,
+/// What has happened to clients so far.
+#[derive(Clone, Debug)]
+pub struct ClientCounts {
+    /// Connections that are open now.
+    pub open: usize,
+    /// Connections that were closed to make room for others.
+    pub evicted: u64,
+    /// Connections that found no room.
+    pub refused_connections: u64,
+    /// Requests that did not reach the core, by cause.
+    pub refused_requests: BTreeMap<RequestError, u64>,
 }
 
-/// What goes back: a status, when to come again, a body.
-type Reply = (u16, Option<Micros>, Bytes);
-
-pub struct Front {
-    terms: Terms,
-    door: RefCell<Doorkeeper>,
-    callers: RefCell<HashMap<CallerIx, Rc<Caller>>>,
-    owed: RefCell<HashMap<u64, Owed>>,
-    ids: RefCell<HashSet<Arc<str>>>,
+/// All connections of clients and the requests that are pending on them.
+pub struct ClientConnections {
+    rules: RequestRules,
+    limiter: RefCell<ConnectionLimiter>,
+    connections: RefCell<HashMap<ClientId, Rc<ClientConnection>>>,
+    /// By the tag of the core's delivery.
+    pending: RefCell<HashMap<u64, PendingRequest>>,
+    /// The delivery's tag of each pending request, by the request's id.
+    tags: RefCell<HashMap<Arc<str>, u64>>,
     last_tag: Cell<u64>,
-    refused: RefCell<BTreeMap<Wrong, u64>>,
+    refused_requests: RefCell<BTreeMap<RequestError, u64>>,
 }
 
-impl Front {
-    pub fn new(terms: Terms, door: Doorkeeper) -> Self {
-        Front {
-            terms,
-            door: RefCell::new(door),
-            callers: RefCell::default(),
-            owed: RefCell::default(),
-            ids: RefCell::default(),
+impl ClientConnections {
+    pub fn new(rules: RequestRules, limiter: ConnectionLimiter) -> Self {
+        ClientConnections {
+            rules,
+            limiter: RefCell::new(limiter),
+            connections: RefCell::default(),
+            pending: RefCell::default(),
+            tags: RefCell::default(),
             last_tag: Cell::new(0),
-            refused: RefCell::default(),
+            refused_requests: RefCell::default(),
         }
     }
 
-    /// Nobody is reading or writing its books.
-    pub fn is_shut(&self) -> bool {
-        let books = (self.owed.try_borrow_mut(), self.ids.try_borrow_mut(), self.door.try_borrow_mut());
-        books.0.is_ok() && books.1.is_ok() && books.2.is_ok()
+    pub fn rules(&self) -> &RequestRules {
+        &self.rules
+    }
+
+    /// Nobody is reading or writing its tables.
+    pub fn is_unborrowed(&self) -> bool {
+        let tables =
+            (self.pending.try_borrow_mut(), self.tags.try_borrow_mut(), self.limiter.try_borrow_mut());
+        tables.0.is_ok() && tables.1.is_ok() && tables.2.is_ok()
     }
 
-    pub fn owes(&self) -> bool {
-        self.door.borrow().owes()
+    pub fn counts(&self) -> ClientCounts {
+        let limiter = self.limiter.borrow();
+        ClientCounts {
+            open: limiter.count(),
+            evicted: limiter.evicted(),
+            refused_connections: limiter.refused(),
+            refused_requests: self.refused_requests.borrow().clone(),
+        }
     }
 
-    /// Connections there are and that were turned out, and requests refused before the core, by cause.
-    pub fn counts(&self) -> (usize, u64, BTreeMap<Wrong, u64>) {
-        let door = self.door.borrow();
-        (door.count(), door.turned_out, self.refused.borrow().clone())
+    /// A request is unanswered or partly received, or bytes of one lie unread in the kernel.
+    pub fn has_unfinished(&self) -> bool {
+        let unread = || self.connections.borrow().values().any(|connection| connection.has_unread());
+        self.limiter.borrow().has_unfinished() || unread()
     }
 
-    /// The core's answer, for whoever waits.
-    pub fn answer(&self, node: &Rc<Node>, delivery: Delivery, answer: Answer) {
-        if let Some(caller) = self.settled(delivery) {
-            caller.answer.replace(Some(answer));
-            caller.bell.ring();
-        }
-        node.feed(Input::Safe(delivery));
+    /// Takes a new connection; true if another one has to close for it.
+    pub fn admit(&self, node: &Rc<Node>, stream: Stream) -> bool {
+        let _ = stream.get_ref().set_nodelay(true);
+        let has_unread = |id| self.has_unread(id);
+        let admission = self.limiter.borrow_mut().connected(node.clock.now(), has_unread);
+        let connection = Rc::new(ClientConnection::new(admission.id, stream));
+        self.connections.borrow_mut().insert(admission.id, connection.clone());
+        let (owner, refused) = (node.clone(), admission.refused);
+        let attended = async move {
+            let (node, clients) = (&owner, &owner.clients);
+            if refused {
+                clients.respond(node, &connection, Response::bare(REFUSED, true)).await;
+            } else {
+                clients.attend(node, &connection).await;
+            }
+            clients.limiter.borrow_mut().closed(connection.id);
+            clients.connections.borrow_mut().remove(&connection.id);
+        };
+        node.executor.spawn(attended).detach();
+        let Some(evicted) = admission.evicts else { return false };
+        self.end(evicted, CloseReason::Evicted);
+        true
     }
 
-    /// Nothing is owed for it any more; whoever waits for it.
-    fn settled(&self, delivery: Delivery) -> Option<Rc<Caller>> {
-        let owed = self.owed.borrow_mut().remove(&delivery.tag)?;
-        self.ids.borrow_mut().remove(&owed.id);
-        Some(owed.caller)
+    fn has_unread(&self, id: ClientId) -> bool {
+        self.connections.borrow().get(&id).is_some_and(|connection| connection.has_unread())
     }
 
-    /// Closes connections whose time is over.
+    fn end(&self, id: ClientId, reason: CloseReason) {
+        if let Some(connection) = self.connections.borrow().get(&id) {
+            connection.end(reason);
+        }
+    }
+
+    /// Closes connections whose time is over. What has arrived and is not read yet is served all the same.
     pub fn sweep(&self, node: &Node) {
         let now = node.clock.now();
-        let mut over = self.door.borrow().overdue(now);
-        if !node.stopping.borrow().takes(now) {
-            // What has come and is not read yet is taken all the same.
-            let silent = |ix: &CallerIx| {
-                let callers = self.callers.borrow();
-                callers.get(ix).is_some_and(|c| !c.stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0))
-            };
-            over.extend(self.door.borrow().idle().into_iter().filter(silent));
+        let has_unread = |id| self.has_unread(id);
+        let mut ending = self.limiter.borrow().overdue(now, has_unread);
+        if !node.shutdown.borrow().accepts(now) {
+            ending.extend(self.limiter.borrow().without_request(has_unread));
         }
-        over.into_iter().for_each(|ix| self.turn_out(ix));
+        ending.into_iter().for_each(|id| self.end(id, CloseReason::TimedOut));
     }
 
-    fn turn_out(&self, ix: CallerIx) {
-        if let Some(caller) = self.callers.borrow().get(&ix) {
-            caller.turned_out.set(true);
-            caller.bell.ring();
+    /// The core's answer, for whoever waits for it.
+    pub fn answer(&self, node: &Rc<Node>, delivery: Delivery, answer: Answer) {
+        if let Some(connection) = self.settle(delivery.tag) {
+            connection.answer.replace(Some(answer));
+            connection.wake.ring();
         }
+        node.feed(Input::Safe(delivery));
     }
 
-    /// Waits for what comes on this connection, or for its bell; false once the client is gone.
-    async fn more(&self, node: &Node, caller: &Caller, ahead: &mut Ahead) -> bool {
-        // With as much sent ahead as may be, only the bell is waited for.
-        if ahead.full() {
-            caller.bell.heard().await;
+    /// The request is pending no longer; whoever waits for its answer.
+    fn settle(&self, tag: u64) -> Option<Rc<ClientConnection>> {
+        let pending = self.pending.borrow_mut().remove(&tag)?;
+        self.tags.borrow_mut().remove(&pending.id);
+        Some(pending.connection)
+    }
+
+    /// Whether the client of this pending request has closed its connection, asked right before an attempt begins: its
+    /// closing may have arrived since this process last looked. If so, the core is told.
+    pub fn has_left(&self, node: &Rc<Node>, request_id: &str) -> bool {
+        let Some(tag) = self.tags.borrow().get(request_id).copied() else { return true };
+        let Some(connection) = self.pending.borrow().get(&tag).map(|p| p.connection.clone()) else {
             return true;
+        };
+        connection.read_available(node);
+        if !connection.client_left.get() {
+            return false;
         }
-        caller.stirs().await;
-        let read = |bytes: &[u8]| ahead.put(node.clock.now(), bytes, &self.terms);
-        !matches!(node.read(&caller.stream, read), Had::Ended)
+        connection.wake.ring();
+        self.depart(node, tag);
+        true
     }
 
-    /// The next request and when its last byte came; none once the client is gone or turned out.
-    async fn next(
-        &self,
-        node: &Node,
-        caller: &Caller,
-        ahead: &mut Ahead,
-    ) -> Option<(Result<Request, Wrong>, Micros)> {
+    fn depart(&self, node: &Rc<Node>, tag: u64) {
+        if self.settle(tag).is_some() {
+            node.feed(Input::Departed(delivery(tag)));
+        }
+    }
+
+    /// Serves the requests of one connection until it ends.
+    async fn attend(&self, node: &Rc<Node>, connection: &Rc<ClientConnection>) {
         loop {
-            if caller.turned_out.get() {
-                return None;
+            if let Some(reason) = connection.close.get() {
+                connection.read_available(node);
+                if reason == CloseReason::Evicted || !connection.has_request() {
+                    return self.refuse_rest(node, connection, reason).await;
+                }
+                // A request came just as its time was over: it is served.
+                connection.close.set(None);
             }
-            if let Some(next) = ahead.take(&self.terms) {
-                return Some(next);
+            if let Some(queued) = connection.take_request() {
+                self.limiter.borrow_mut().pending(node.clock.now(), connection.id);
+                let Some(response) = self.process(node, connection, queued.request, queued.arrived).await
+                else {
+                    return;
+                };
+                if !self.respond(node, connection, response).await {
+                    return;
+                }
+                continue;
             }
-            if ahead.midway() {
-                self.door.borrow_mut().began(node.clock.now(), caller.ix);
+            if connection.client_left.get() {
+                return;
             }
-            if !self.more(node, caller, ahead).await {
-                return None;
+            if connection.is_receiving() {
+                self.limiter.borrow_mut().receiving(node.clock.now(), connection.id);
             }
+            connection.wait().await;
+            connection.read_available(node);
         }
     }
 
-    /// Writes an answer; after the last one, what the client still sends is read away for a while, so that
-    /// the answer is not lost to a reset. True if the connection goes on.
-    async fn reply(&self, node: &Node, caller: &Caller, (status, wait, body): Reply, close: bool) -> bool {
-        self.door.borrow_mut().answering(node.clock.now(), caller.ix);
-        let mut bytes = Vec::new();
-        clients::answer(&mut bytes, status, wait, &body, close);
-        if !caller.write(&bytes).await {
-            return false;
-        }
-        if !close {
-            self.door.borrow_mut().answered(node.clock.now(), caller.ix);
-            return true;
+    /// The connection has to end. A request that has arrived meanwhile, or a part of one, gets a refusal.
+    async fn refuse_rest(&self, node: &Rc<Node>, connection: &ClientConnection, reason: CloseReason) {
+        let owed = connection.has_request() || connection.is_receiving();
+        if connection.client_left.get() || !owed {
+            return;
         }
-        self.door.borrow_mut().leaving(node.clock.now(), caller.ix);
-        let mut left = caller.stream.get_ref().shutdown(Shutdown::Write).map_or(0, |()| MOST_READ_AWAY);
-        while left > 0 && !caller.turned_out.get() {
-            caller.stirs().await;
-            left = match node.read(&caller.stream, <[u8]>::len) {
-                Had::Bytes(n) => left.saturating_sub(n),
-                Had::Nothing => left,
-                Had::Ended => 0,
-            };
-            // Others come between two pieces of a flood.
-            yield_now().await;
+        self.count_refusal(RequestError::TooSlow);
+        let response = Response::bare(RequestError::TooSlow.status(), true);
+        match reason {
+            // Its descriptor is needed at once: the refusal fits into any socket's buffer, and nothing is waited for.
+            CloseReason::Evicted => {
+                connection.write(&encode(&response)).await;
+            }
+            CloseReason::TimedOut => {
+                connection.close.set(None);
+                self.respond(node, connection, response).await;
+            }
         }
-        false
     }
 
-    /// One request to the core; its answer, or none once the client is gone.
+    fn count_refusal(&self, error: RequestError) {
+        *self.refused_requests.borrow_mut().entry(error).or_default() += 1;
+    }
+
+    /// What a request gets; nothing once its client is gone.
+    async fn process(
+        &self,
+        node: &Rc<Node>,
+        connection: &Rc<ClientConnection>,
+        request: Result<Request, RequestError>,
+        arrived: Micros,
+    ) -> Option<Response> {
+        let request = match request {
+            Ok(Request { kind: RequestKind::Call(call), .. })
+                if self.tags.borrow().contains_key(&call.id) =>
+            {
+                Err(RequestError::IdInUse)
+            }
+            other => other,
+        };
+        let response = match request {
+            Err(error) => {
+                self.count_refusal(error);
+                let more = error.leaves_stream_readable() && connection.has_request();
+                return Some(Response::bare(error.status(), !more));
+            }
+            Ok(Request { kind: RequestKind::Health, close }) => {
+                Response::bare(client_protocol::health_status(node.shutdown.borrow().begun()), close)
+            }
+            // Its client is gone: nothing is begun for it.
+            Ok(_) if connection.client_left.get() => return None,
+            Ok(Request { kind: RequestKind::Call(_), close }) if !node.shutdown.borrow().accepts(arrived) => {
+                Response::bare(REFUSED, close)
+            }
+            Ok(Request { kind: RequestKind::Call(call), close }) => {
+                let deadline = Some(arrived + call.wait);
+                let answer = self.serve(node, connection, call, arrived).await?;
+                Response {
+                    status: client_protocol::status_of(answer.fate),
+                    retry_after: answer.return_after,
+                    body: answer.body.bytes,
+                    close,
+                    deadline,
+                }
+            }
+        };
+        // What was sent ahead is owed an answer, too.
+        let shuts_down = node.shutdown.borrow().begun() && !connection.has_request();
+        Some(Response { close: response.close || shuts_down, ..response })
+    }
+
+    /// Hands one request to the core; its answer, or none once the client is gone.
     async fn serve(
         &self,
         node: &Rc<Node>,
-        caller: &Rc<Caller>,
-        ahead: &mut Ahead,
+        connection: &Rc<ClientConnection>,
         call: Call,
-        came: Micros,
+        arrived: Micros,
     ) -> Option<Answer> {
-        self.last_tag.set(self.last_tag.get() + 1);
-        let delivery = Delivery { front: 0, life: 0, tag: self.last_tag.get() };
+        let tag = self.last_tag.get() + 1;
+        self.last_tag.set(tag);
         let id = call.id.clone();
-        self.ids.borrow_mut().insert(id.clone());
-        self.owed.borrow_mut().insert(delivery.tag, Owed { caller: caller.clone(), id: id.clone() });
-        node.feed(Input::Taken(Taken {
-            delivery,
-            identity: None,
-            mark: Some(call.id),
-            redelivered: false,
-            repeat: false,
-            trigger: call.trigger,
-            account: call.account,
-            function: call.function,
-            token: call.token,
-            waited: node.clock.now() - came,
-            client_timeout: call.wait,
-            cost_hint: call.cost_hint,
-            load_hint: call.load_hint,
-            copy_mb: call.copy_mb,
-            lanes: call.lanes,
-            session: None,
-            named: None,
-            prefers: None,
-            refused: None,
-            body: Payload::from(call.body),
-        }));
+        self.tags.borrow_mut().insert(id.clone(), tag);
+        let pending = PendingRequest { connection: connection.clone(), id: id.clone() };
+        self.pending.borrow_mut().insert(tag, pending);
+        node.feed(Input::Taken(taken(delivery(tag), call, node.clock.now() - arrived)));
         loop {
-            if let Some(answer) = caller.answer.take() {
+            if let Some(answer) = connection.answer.take() {
                 return Some(answer);
             }
-            if self.more(node, caller, ahead).await {
-                continue;
-            }
-            // Symptom: a client says that it sends nothing more, and of the same wake-up its answer lies unread on
-            // another connection; told of the leaving first, the core calls the dispatch back, answered as it is.
-            node.links.hear_of(node, &id);
-            // Symptom: others are answered while this one's leaving is told, with the books still held open.
-            if self.settled(delivery).is_some() {
-                node.feed(Input::Departed(delivery));
+            if connection.client_left.get() {
+                // A client may say that it sends nothing more while its answer lies unread on a worker's connection, and
+                // both are found in one wake-up. The answer is read first: told of the leaving first, the core would
+                // call the attempt back.
+                node.workers.read_answers_to(node, &id);
+                self.depart(node, tag);
+                return connection.answer.take();
             }
-            // Answered while its client was closing: what has come is still written.
-            return caller.answer.take();
+            connection.wait().await;
+            connection.read_available(node);
         }
     }
 
-    async fn attend(&self, node: &Rc<Node>, caller: &Rc<Caller>) {
-        let mut ahead = Ahead::default();
-        while let Some((next, came)) = self.next(node, caller, &mut ahead).await {
-            self.door.borrow_mut().whole(node.clock.now(), caller.ix);
-            let in_use = |c: &Call| self.ids.borrow().contains(&c.id);
-            let request = match next {
-                Ok(Request { what: What::Call(call), .. }) if in_use(&call) => Err(Wrong::InUse),
-                next => next,
-            };
-            let stops = node.stopping.borrow().stops();
-            let (reply, asked) = match request {
-                Err(wrong) => {
-                    *self.refused.borrow_mut().entry(wrong).or_default() += 1;
-                    self.reply(node, caller, (wrong.status(), None, Bytes::new()), true).await;
-                    return;
-                }
-                Ok(Request { what: What::Health, close }) => {
-                    ((clients::health(stops), None, Bytes::new()), close)
-                }
-                Ok(Request { what: What::Call(_), close }) if !node.stopping.borrow().takes(came) => {
-                    ((REFUSED, None, Bytes::new()), close)
-                }
-                Ok(Request { what: What::Call(call), close }) => {
-                    let Some(a) = self.serve(node, caller, &mut ahead, call, came).await else { return };
-                    ((clients::status(a.fate), a.return_after, a.body.bytes), close)
-                }
+    /// Writes a response; true if the connection goes on. After the last one, what the client still sends is read away
+    /// for a while: closing with bytes unread would reset the connection, and the response might be lost.
+    async fn respond(&self, node: &Node, connection: &ClientConnection, response: Response) -> bool {
+        let (id, close) = (connection.id, response.close);
+        self.limiter.borrow_mut().responding(node.clock.now(), id, response.deadline);
+        if !connection.write(&encode(&response)).await {
+            return false;
+        }
+        if !close {
+            self.limiter.borrow_mut().idle(node.clock.now(), id);
+            return true;
+        }
+        self.limiter.borrow_mut().closing(node.clock.now(), id);
+        let shut = connection.stream.get_ref().shutdown(Shutdown::Write).is_ok();
+        let mut left = if shut { MOST_READ_AWAY } else { 0 };
+        while left > 0 && connection.close.get().is_none() && !connection.client_left.get() {
+            connection.wait().await;
+            left = match node.read(&connection.stream, <[u8]>::len) {
+                ReadResult::Bytes(n) => left.saturating_sub(n),
+                ReadResult::Nothing => left,
+                ReadResult::Ended => 0,
             };
-            // What was sent ahead is owed an answer, too.
-            let close = asked || node.stopping.borrow().stops() && !ahead.any();
-            if !self.reply(node, caller, reply, close).await {
-                return;
-            }
+            // Others come between two pieces of a flood.
+            yield_now().await;
         }
+        false
     }
 }
 
-pub async fn accept(node: Rc<Node>, listener: Async<TcpListener>) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                tracing::warn!("no connection accepted: {e}");
-                Timer::after(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let _ = stream.get_ref().set_nodelay(true);
-        let came = node.front.door.borrow_mut().came(node.clock.now());
-        let Some((ix, out)) = came else {
-            // All that are here are owed an answer. The refusal is short enough for any socket's buffer.
-            let mut bytes = Vec::new();
-            clients::answer(&mut bytes, REFUSED, None, b"", true);
-            let _ = stream.get_ref().write(&bytes);
-            continue;
-        };
-        let caller = Rc::new(Caller {
-            ix,
-            stream,
-            bell: Bell::default(),
-            answer: RefCell::new(None),
-            turned_out: Cell::new(false),
-        });
-        node.front.callers.borrow_mut().insert(ix, caller.clone());
-        let it = node.clone();
-        let attended = async move {
-            it.front.attend(&it, &caller).await;
-            it.front.door.borrow_mut().left(ix);
-            it.front.callers.borrow_mut().remove(&ix);
-        };
-        node.executor.spawn(attended).detach();
-        if let Some(out) = out {
-            node.front.turn_out(out);
-            // Its descriptor is free again before the next one is accepted.
-            yield_now().await;
-        }
+fn delivery(tag: u64) -> Delivery {
+    Delivery { front: 0, life: 0, tag }
+}
+
+fn encode(response: &Response) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let Response { status, retry_after, body, close, .. } = response;
+    client_protocol::write_response(&mut bytes, *status, *retry_after, body, *close);
+    bytes
+}
+
+fn taken(delivery: Delivery, call: Call, waited: Micros) -> Taken {
+    Taken {
+        delivery,
+        identity: None,
+        mark: Some(call.id),
+        redelivered: false,
+        repeat: false,
+        trigger: call.trigger,
+        account: call.account,
+        function: call.function,
+        token: call.token,
+        waited,
+        client_timeout: call.wait,
+        cost_hint: call.cost_hint,
+        load_hint: call.load_hint,
+        copy_mb: call.copy_mb,
+        lanes: call.lanes,
+        session: None,
+        named: None,
+        prefers: None,
+        refused: None,
+        body: Payload::from(call.body),
     }
 }
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -1,133 +1,78 @@
-//! Connections to workers: one task for each reads; what is sent is written at once, as far as the kernel
-//! takes it. The proof that something never left is the count of bytes that the kernel took.
+//! Connections to workers: one task for each reads; what is sent is written at once, as far as the kernel takes it. The
+//! proof that something was never sent is the count of bytes that the kernel took.
+
+mod connection;
+mod sending;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
-use std::io::{ErrorKind, Write};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use cedarpulley::interface::{CopyNote, Micros, Outcome, Report, WorkerIx};
-use cedarpulley_net::{Bell, Stream, connect};
-use cedarpulley_platform::berths::{Berths, ConnIx, Place};
-use cedarpulley_platform::endings::{self, Ended};
-use cedarpulley_platform::workers::{self, Answer, LONGEST_ANSWER, Reader};
+use cedarpulley_net::{Stream, connect};
+use cedarpulley_platform::attempt_outcome::{self, AttemptEnd};
+use cedarpulley_platform::connection_pool::{ConnectionId, ConnectionPool, Placement};
+use cedarpulley_platform::worker_protocol::{self, Answer, LONGEST_ANSWER};
 use cedarpulley_router::core::Call;
 use cedarpulley_router::{Input, OrderTicket, Payload, Ticket};
 use futures_lite::FutureExt;
 
-use crate::node::{Had, Node, PIECE};
+use crate::node::{Node, PIECE, ReadResult};
+use connection::{Exchange, Message, OutgoingCall, Purpose, QueuedMessage, WorkerConnection};
 
 /// Of what lies unread no more is read at once than the longest answer takes, so that a worker that never stops
 /// sending holds nobody up.
 const MOST_PIECES: usize = LONGEST_ANSWER.div_ceil(PIECE);
 
-#[derive(Clone, Copy)]
-enum Kind {
-    Dispatch(Ticket),
-    Order(OrderTicket),
-    Probe(WorkerIx, Micros),
-}
-
-struct Exchange {
-    kind: Kind,
-    /// Whole once the kernel has taken so many bytes of this connection; not begun yet: none.
-    whole_at: Option<u64>,
-    /// Its answer is of no use after this time; a dispatch is withdrawn by the core.
-    until: Micros,
+/// Where an attempt is out.
+struct AttemptPlace {
+    connection: ConnectionId,
+    request_id: String,
 }
 
-/// Something to be written, made when its first byte is due.
-enum Letter {
-    Call { trigger: u32, function: Arc<str>, waited_until: Micros, call: Call },
-    Bytes(Vec<u8>),
-}
-
-struct Conn {
-    ix: ConnIx,
-    stream: RefCell<Option<Rc<Stream>>>,
-    /// Not begun yet, each under the id of its exchange if it has one.
-    letters: RefCell<VecDeque<(String, Letter)>>,
-    /// Begun: what the kernel has not taken of it.
-    rest: RefCell<Vec<u8>>,
-    written: Cell<u64>,
-    out: RefCell<HashMap<String, Exchange>>,
-    reader: RefCell<Reader>,
-    /// Rung when there is something to write or the connection is to end.
-    bell: Bell,
-    ends: Cell<bool>,
-    /// It ends from here.
-    ours: Cell<bool>,
-}
-
-impl Conn {
-    fn close(&self) {
-        self.ours.set(true);
-        self.end();
-    }
-
-    fn end(&self) {
-        self.ends.set(true);
-        self.bell.ring();
-    }
-
-    fn whole(&self, exchange: &Exchange) -> bool {
-        exchange.whole_at.is_some_and(|at| at <= self.written.get())
-    }
-
-    /// Until there is something to read or room to write, or its bell is rung.
-    async fn stirs(&self, stream: &Stream) {
-        let readable = async {
-            let _ = stream.readable().await;
-        };
-        let stirs = self.bell.heard().or(readable);
-        if self.rest.borrow().is_empty() {
-            return stirs.await;
-        }
-        let writable = async {
-            let _ = stream.writable().await;
-        };
-        stirs.or(writable).await;
-    }
-}
-
-pub struct Links {
-    berths: RefCell<Berths>,
+/// All connections to workers and what is open on them.
+pub struct WorkerConnections {
+    pool: RefCell<ConnectionPool>,
     connect_within: Micros,
-    conns: RefCell<HashMap<ConnIx, Rc<Conn>>>,
-    /// Where each dispatch is out, and under which id.
-    dispatches: RefCell<HashMap<Ticket, (ConnIx, String)>>,
+    connections: RefCell<HashMap<ConnectionId, Rc<WorkerConnection>>>,
+    attempts: RefCell<HashMap<Ticket, AttemptPlace>>,
     last_tag: Cell<u64>,
 }
 
-impl Links {
-    pub fn new(berths: Berths, connect_within: Micros) -> Self {
-        Links {
-            berths: RefCell::new(berths),
+impl WorkerConnections {
+    pub fn new(pool: ConnectionPool, connect_within: Micros) -> Self {
+        WorkerConnections {
+            pool: RefCell::new(pool),
             connect_within,
-            conns: RefCell::default(),
-            dispatches: RefCell::default(),
+            connections: RefCell::default(),
+            attempts: RefCell::default(),
             last_tag: Cell::new(0),
         }
     }
 
-    /// Things for which no connection was left.
-    pub fn full(&self) -> u64 {
-        self.berths.borrow().full
+    /// Exchanges for which no connection was left so far.
+    pub fn without_connection(&self) -> u64 {
+        self.pool.borrow().full
     }
 
-    /// Nobody is reading or writing its books.
-    pub fn is_shut(&self) -> bool {
-        let books =
-            (self.berths.try_borrow_mut(), self.conns.try_borrow_mut(), self.dispatches.try_borrow_mut());
-        books.0.is_ok() && books.1.is_ok() && books.2.is_ok()
+    /// Nobody is reading or writing its tables.
+    pub fn is_unborrowed(&self) -> bool {
+        let tables =
+            (self.pool.try_borrow_mut(), self.connections.try_borrow_mut(), self.attempts.try_borrow_mut());
+        tables.0.is_ok() && tables.1.is_ok() && tables.2.is_ok()
     }
 
-    fn tag(&self) -> String {
+    fn new_tag(&self) -> String {
         self.last_tag.set(self.last_tag.get() + 1);
         format!("t{}", self.last_tag.get())
     }
 
+    fn connection(&self, id: ConnectionId) -> Option<Rc<WorkerConnection>> {
+        self.connections.borrow().get(&id).cloned()
+    }
+
+    /// Sends a request to a worker.
     pub fn call(
         &self,
         node: &Rc<Node>,
@@ -139,326 +84,266 @@
     ) {
         let id = call.mark.as_deref().unwrap_or("").to_owned();
         let waited_until = node.clock.now() + call.waited_for;
-        let letter = Letter::Call { trigger, function, waited_until, call };
-        self.post(node, worker, id, Kind::Dispatch(ticket), Micros::MAX, letter);
+        let message = Message::Call(OutgoingCall { trigger, function, waited_until, call });
+        let exchange = Exchange { purpose: Purpose::Attempt(ticket), whole_at: None, until: Micros::MAX };
+        self.post(node, worker, exchange, QueuedMessage { id, message });
     }
 
+    /// Orders a worker to load copies.
     pub fn order(&self, node: &Rc<Node>, ticket: OrderTicket, function: &str, copies: u32, within: Micros) {
-        let (tag, mut bytes) = (self.tag(), Vec::new());
-        workers::load(&mut bytes, &tag, function, copies);
+        let (id, mut bytes) = (self.new_tag(), Vec::new());
+        worker_protocol::load(&mut bytes, &id, function, copies);
         let until = node.clock.now() + within;
-        self.post(node, ticket.worker, tag, Kind::Order(ticket), until, Letter::Bytes(bytes));
+        let exchange = Exchange { purpose: Purpose::Order(ticket), whole_at: None, until };
+        self.post(node, ticket.worker, exchange, QueuedMessage { id, message: Message::Bytes(bytes) });
     }
 
+    /// Asks a worker how it does.
     pub fn probe(&self, node: &Rc<Node>, worker: WorkerIx) {
-        let (tag, mut bytes, now) = (self.tag(), Vec::new(), node.clock.now());
-        workers::probe(&mut bytes, &tag);
-        let (kind, until) = (Kind::Probe(worker, now), now + self.connect_within);
-        self.post(node, worker, tag, kind, until, Letter::Bytes(bytes));
+        let (id, mut bytes, asked_at) = (self.new_tag(), Vec::new(), node.clock.now());
+        worker_protocol::probe(&mut bytes, &id);
+        let until = asked_at + self.connect_within;
+        let exchange = Exchange { purpose: Purpose::Probe { worker, asked_at }, whole_at: None, until };
+        self.post(node, worker, exchange, QueuedMessage { id, message: Message::Bytes(bytes) });
     }
 
-    /// No answer comes, and nobody waits for one.
+    /// Has a worker unload idle copies. No answer comes, and nobody waits for one.
     pub fn unload(&self, node: &Rc<Node>, worker: WorkerIx, function: &str) {
         let mut bytes = Vec::new();
-        workers::unload(&mut bytes, function);
-        if let Ok(conn) = self.conn(node, worker) {
-            conn.letters.borrow_mut().push_back((String::new(), Letter::Bytes(bytes)));
-            self.push(node, &conn);
-            self.berths.borrow_mut().ended(node.clock.now(), conn.ix, true);
+        worker_protocol::unload(&mut bytes, function);
+        if let Ok(connection) = self.place(node, worker) {
+            let message = QueuedMessage { id: String::new(), message: Message::Bytes(bytes) };
+            connection.queue.borrow_mut().push_back(message);
+            self.push(node, &connection);
+            self.pool.borrow_mut().ended(node.clock.now(), connection.id, true);
         }
     }
 
-    fn post(&self, node: &Rc<Node>, worker: WorkerIx, id: String, kind: Kind, until: Micros, letter: Letter) {
-        let conn = match self.conn(node, worker) {
-            Ok(conn) => conn,
-            Err(ended) => return tell(node, kind, ended, None),
+    fn post(&self, node: &Rc<Node>, worker: WorkerIx, exchange: Exchange, message: QueuedMessage) {
+        let connection = match self.place(node, worker) {
+            Ok(connection) => connection,
+            Err(end) => return tell(node, exchange.purpose, end, None),
         };
-        if let Kind::Dispatch(ticket) = kind {
-            self.dispatches.borrow_mut().insert(ticket, (conn.ix, id.clone()));
+        if let Purpose::Attempt(ticket) = exchange.purpose {
+            let place = AttemptPlace { connection: connection.id, request_id: message.id.clone() };
+            self.attempts.borrow_mut().insert(ticket, place);
         }
-        conn.out.borrow_mut().insert(id.clone(), Exchange { kind, whole_at: None, until });
-        conn.letters.borrow_mut().push_back((id, letter));
-        self.push(node, &conn);
+        connection.exchanges.borrow_mut().insert(message.id.clone(), exchange);
+        connection.queue.borrow_mut().push_back(message);
+        self.push(node, &connection);
     }
 
-    /// The connection for one more thing, which counts as out there; or what became of it without one.
-    fn conn(&self, node: &Rc<Node>, worker: WorkerIx) -> Result<Rc<Conn>, Ended> {
-        let place = self.berths.borrow_mut().place(node.clock.now(), worker);
-        match place {
-            Place::On(ix) => self.conns.borrow().get(&ix).cloned().ok_or(Ended::Unsent),
-            Place::Open(ix) => self.open(node, ix, worker).ok_or(Ended::Unreached),
-            Place::Full => Err(Ended::HeldBack),
+    /// The connection for one more exchange, which counts as open there; or what becomes of it without one.
+    fn place(&self, node: &Rc<Node>, worker: WorkerIx) -> Result<Rc<WorkerConnection>, AttemptEnd> {
+        let placement = self.pool.borrow_mut().place(node.clock.now(), worker);
+        match placement {
+            Placement::Existing(id) => self.connection(id).ok_or(AttemptEnd::Unsent),
+            Placement::New(id) => self.open(node, id, worker).ok_or(AttemptEnd::Unreached),
+            Placement::Full => Err(AttemptEnd::HeldBack),
         }
     }
 
-    fn open(&self, node: &Rc<Node>, ix: ConnIx, worker: WorkerIx) -> Option<Rc<Conn>> {
+    fn open(&self, node: &Rc<Node>, id: ConnectionId, worker: WorkerIx) -> Option<Rc<WorkerConnection>> {
         let Some(address) = node.address(worker) else {
-            self.berths.borrow_mut().closed(ix);
+            self.pool.borrow_mut().closed(id);
             return None;
         };
-        let conn = Rc::new(Conn {
-            ix,
-            stream: RefCell::new(None),
-            letters: RefCell::default(),
-            rest: RefCell::default(),
-            written: Cell::new(0),
-            out: RefCell::default(),
-            reader: RefCell::default(),
-            bell: Bell::default(),
-            ends: Cell::new(false),
-            ours: Cell::new(false),
-        });
-        self.conns.borrow_mut().insert(ix, conn.clone());
-        let (it, kept) = (node.clone(), conn.clone());
-        let held = async move {
-            let up = async { connect(address, None, it.links.connect_within).await.ok() };
+        let connection = Rc::new(WorkerConnection::new(id));
+        self.connections.borrow_mut().insert(id, connection.clone());
+        let (owner, kept) = (node.clone(), connection.clone());
+        let running = async move {
+            let workers = &owner.workers;
+            let connected = async { connect(address, None, workers.connect_within).await.ok() };
             let called_off = async {
-                while !kept.ends.get() {
-                    kept.bell.heard().await;
+                while !kept.ending.get() {
+                    kept.wake.heard().await;
                 }
                 None
             };
-            let Some(stream) = up.or(called_off).await else {
-                return it.links.over(&it, &kept, Ended::Unreached);
+            let Some(stream) = connected.or(called_off).await else {
+                return workers.over(&owner, &kept, AttemptEnd::Unreached);
             };
             kept.stream.replace(Some(Rc::new(stream)));
-            it.links.berths.borrow_mut().opened(ix);
-            it.links.write(&it, &kept);
-            it.links.listen(&it, &kept).await;
-            it.links.over(&it, &kept, Ended::Unsent);
+            workers.pool.borrow_mut().opened(id);
+            workers.write(&owner, &kept);
+            workers.listen(&owner, &kept).await;
+            workers.over(&owner, &kept, AttemptEnd::Unsent);
         };
-        node.executor.spawn(held).detach();
-        Some(conn)
-    }
-
-    /// Writes what waits, as far as the kernel takes it; the connection's task goes on with the rest.
-    fn push(&self, node: &Rc<Node>, conn: &Rc<Conn>) {
-        self.write(node, conn);
-        if !conn.rest.borrow().is_empty() {
-            conn.bell.ring();
-        }
-    }
-
-    /// The same of the connection's own task, which then waits for room. Symptom: it rang its own bell, heard that
-    /// at once, and went round for as long as a worker read nothing, with all else at a standstill.
-    fn write(&self, node: &Rc<Node>, conn: &Rc<Conn>) {
-        let Some(stream) = conn.stream.borrow().clone() else { return };
-        while !conn.ends.get() {
-            if conn.rest.borrow().is_empty() {
-                let letter = conn.letters.borrow_mut().pop_front();
-                let Some((id, letter)) = letter else { return };
-                if !self.begin(node, conn, &id, letter) {
-                    continue;
-                }
-            }
-            let taken = stream.get_ref().write(&conn.rest.borrow());
-            match taken {
-                Ok(0) => return conn.end(),
-                Ok(n) => {
-                    conn.rest.borrow_mut().drain(..n);
-                    conn.written.set(conn.written.get() + n as u64);
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(_) => return conn.end(),
-            }
-        }
-    }
-
-    /// Makes the bytes of a letter whose turn has come; false if it is held back.
-    fn begin(&self, node: &Rc<Node>, conn: &Rc<Conn>, id: &str, letter: Letter) -> bool {
-        let kind = conn.out.borrow().get(id).map(|e| e.kind);
-        let time_left = match &letter {
-            Letter::Call { waited_until, .. } => waited_until - node.clock.now(),
-            Letter::Bytes(_) => Micros::MAX,
-        };
-        let may_leave = match kind {
-            Some(Kind::Dispatch(ticket)) => time_left > 0 && node.may_leave(ticket),
-            Some(Kind::Order(ticket)) => node.order_may_leave(ticket),
-            // Something is taken back, unloaded or asked.
-            Some(Kind::Probe(..)) | None => true,
-        };
-        if !may_leave {
-            self.ended(node, conn, id, Ended::HeldBack, None);
-            return false;
-        }
-        let bytes = match letter {
-            Letter::Bytes(bytes) => bytes,
-            Letter::Call { trigger, function, call, .. } => {
-                let trigger = node.names.triggers.get(trigger as usize).map_or("", String::as_str);
-                let (token, body) = (call.token.as_deref(), &call.body.bytes);
-                let mut bytes = Vec::new();
-                let line = workers::Call { id, trigger, function: &function, time_left, token, body };
-                workers::call(&mut bytes, &line);
-                bytes
-            }
-        };
-        if let Some(exchange) = conn.out.borrow_mut().get_mut(id) {
-            exchange.whole_at = Some(conn.written.get() + bytes.len() as u64);
-        }
-        conn.rest.replace(bytes);
-        true
+        node.executor.spawn(running).detach();
+        Some(connection)
     }
 
     /// Reads answers until the connection ends.
-    async fn listen(&self, node: &Rc<Node>, conn: &Rc<Conn>) {
-        let Some(stream) = conn.stream.borrow().clone() else { return };
-        while !conn.ends.get() {
-            conn.stirs(&stream).await;
-            self.write(node, conn);
-            if conn.ends.get() {
+    async fn listen(&self, node: &Rc<Node>, connection: &Rc<WorkerConnection>) {
+        let Some(stream) = connection.stream.borrow().clone() else { return };
+        while !connection.ending.get() {
+            connection.wait(&stream).await;
+            self.write(node, connection);
+            if connection.ending.get() {
                 return;
             }
-            if let Had::Ended = self.read(node, conn, &stream) {
+            if let ReadResult::Ended = self.read(node, connection, &stream) {
                 return;
             }
         }
     }
 
     /// Reads one piece, if there is one.
-    fn read(&self, node: &Rc<Node>, conn: &Rc<Conn>, stream: &Stream) -> Had<()> {
-        let had = node.read(stream, |bytes| conn.reader.borrow_mut().put(bytes));
-        if let Had::Bytes(()) = had {
-            self.hear(node, conn);
+    fn read(&self, node: &Rc<Node>, connection: &Rc<WorkerConnection>, stream: &Stream) -> ReadResult<()> {
+        let result = node.read(stream, |bytes| connection.answers.borrow_mut().put(bytes));
+        if let ReadResult::Bytes(()) = result {
+            self.process_answers(node, connection);
         }
-        had
+        result
     }
 
-    /// Reads what lies unread where this invocation is out. That a connection has ended is left to its own
-    /// task to find again.
-    pub fn hear_of(&self, node: &Rc<Node>, id: &str) {
-        let carries = |c: &&Rc<Conn>| c.out.borrow().contains_key(id);
-        let on: Vec<Rc<Conn>> = self.conns.borrow().values().filter(carries).cloned().collect();
-        for conn in on {
-            let Some(stream) = conn.stream.borrow().clone() else { continue };
+    /// Reads what lies unread on the connections where this request is out. That a connection has ended is left to its
+    /// own task to find again.
+    pub fn read_answers_to(&self, node: &Rc<Node>, request_id: &str) {
+        let carries = |c: &&Rc<WorkerConnection>| c.carries(request_id);
+        let carrying: Vec<_> = self.connections.borrow().values().filter(carries).cloned().collect();
+        for connection in carrying {
+            let Some(stream) = connection.stream.borrow().clone() else { continue };
             for _ in 0..MOST_PIECES {
-                let waits = !conn.ends.get() && conn.out.borrow().contains_key(id);
-                if !waits || !matches!(self.read(node, &conn, &stream), Had::Bytes(())) {
+                let waits = !connection.ending.get() && connection.carries(request_id);
+                if !waits || !matches!(self.read(node, &connection, &stream), ReadResult::Bytes(())) {
                     break;
                 }
             }
         }
     }
 
-    /// What has come so far.
-    fn hear(&self, node: &Rc<Node>, conn: &Rc<Conn>) {
+    /// Tells the core of the answers that have come whole.
+    fn process_answers(&self, node: &Rc<Node>, connection: &Rc<WorkerConnection>) {
         loop {
-            let next = conn.reader.borrow_mut().next(&node.fields);
+            let next = connection.answers.borrow_mut().next(&node.fields);
             match next {
                 Ok(Some(answer)) => {
-                    // Nobody can have answered what has not left whole.
-                    if conn.out.borrow().get(&answer.id).is_some_and(|e| !conn.whole(e)) {
-                        return conn.close();
+                    let exchanges = connection.exchanges.borrow();
+                    // Nobody can have answered what was not sent whole.
+                    if exchanges.get(&answer.id).is_some_and(|e| !connection.sent_whole(e)) {
+                        return connection.close();
                     }
-                    // Under an unknown id: late, a second copy or ahead of its time. It is read past.
+                    drop(exchanges);
+                    // Under an unknown id it is late, a second copy or ahead of its time, and is ignored.
                     let id = answer.id.clone();
-                    self.ended(node, conn, &id, Ended::Answered(answer.word), Some(answer));
+                    self.ended(node, connection, &id, AttemptEnd::Answered(answer.word), Some(answer));
                 }
                 Ok(None) => {
                     let now = node.clock.now();
-                    let midway = conn.reader.borrow().midway();
-                    return self.berths.borrow_mut().heard(now, conn.ix, midway);
+                    let midway = connection.answers.borrow().is_midway();
+                    return self.pool.borrow_mut().heard(now, connection.id, midway);
                 }
-                Err(garbled) => {
-                    tracing::debug!(?garbled, "a worker's answer cannot be read");
-                    return conn.close();
+                Err(error) => {
+                    tracing::debug!(?error, "a worker's answer cannot be read");
+                    return connection.close();
                 }
             }
         }
     }
 
-    /// One thing on a connection has ended.
-    fn ended(&self, node: &Rc<Node>, conn: &Conn, id: &str, ended: Ended, answer: Option<Answer>) {
-        let Some(exchange) = conn.out.borrow_mut().remove(id) else { return };
-        if let Kind::Dispatch(ticket) = exchange.kind {
-            self.dispatches.borrow_mut().remove(&ticket);
+    /// One exchange on a connection has ended.
+    fn ended(
+        &self,
+        node: &Rc<Node>,
+        connection: &WorkerConnection,
+        id: &str,
+        end: AttemptEnd,
+        answer: Option<Answer>,
+    ) {
+        let Some(exchange) = connection.exchanges.borrow_mut().remove(id) else { return };
+        if let Purpose::Attempt(ticket) = exchange.purpose {
+            self.attempts.borrow_mut().remove(&ticket);
         }
-        let kept = answer.is_some() || ended == Ended::HeldBack;
-        if self.berths.borrow_mut().ended(node.clock.now(), conn.ix, kept) {
-            conn.close();
+        let kept = answer.is_some() || end == AttemptEnd::HeldBack;
+        if self.pool.borrow_mut().ended(node.clock.now(), connection.id, kept) {
+            connection.close();
         }
-        tell(node, exchange.kind, ended, answer);
+        tell(node, exchange.purpose, end, answer);
     }
 
-    /// The connection is over; so is all that was on it.
-    fn over(&self, node: &Rc<Node>, conn: &Conn, unsent: Ended) {
-        match conn.ours.get() {
-            true => self.berths.borrow_mut().closed(conn.ix),
-            false => self.berths.borrow_mut().broke(node.clock.now(), conn.ix),
+    /// The connection is over; so is all that was open on it. `unsent`: what that means for messages not sent whole.
+    fn over(&self, node: &Rc<Node>, connection: &WorkerConnection, unsent: AttemptEnd) {
+        match connection.closed_here.get() {
+            true => self.pool.borrow_mut().closed(connection.id),
+            false => self.pool.borrow_mut().broke(node.clock.now(), connection.id),
         }
-        self.conns.borrow_mut().remove(&conn.ix);
-        conn.ends.set(true);
-        conn.stream.replace(None);
-        let out: Vec<Exchange> = conn.out.borrow_mut().drain().map(|(_, exchange)| exchange).collect();
-        for exchange in out {
-            if let Kind::Dispatch(ticket) = exchange.kind {
-                self.dispatches.borrow_mut().remove(&ticket);
+        self.connections.borrow_mut().remove(&connection.id);
+        connection.ending.set(true);
+        connection.stream.replace(None);
+        let open: Vec<Exchange> = connection.exchanges.borrow_mut().drain().map(|(_, e)| e).collect();
+        for exchange in open {
+            if let Purpose::Attempt(ticket) = exchange.purpose {
+                self.attempts.borrow_mut().remove(&ticket);
             }
-            tell(node, exchange.kind, if conn.whole(&exchange) { Ended::Broken } else { unsent }, None);
+            let end = if connection.sent_whole(&exchange) { AttemptEnd::Broken } else { unsent };
+            tell(node, exchange.purpose, end, None);
         }
     }
 
-    /// The core has given this dispatch up.
+    /// The core has given this attempt up.
     pub fn withdraw(&self, node: &Rc<Node>, ticket: Ticket) {
-        let Some((ix, id)) = self.dispatches.borrow_mut().remove(&ticket) else { return };
-        let Some(conn) = self.conns.borrow().get(&ix).cloned() else { return };
-        let Some(exchange) = conn.out.borrow_mut().remove(&id) else { return };
-        let began = exchange.whole_at.is_some();
-        if began && !conn.whole(&exchange) {
-            // A part of it has left: it must never become whole.
-            return conn.close();
+        let Some(place) = self.attempts.borrow_mut().remove(&ticket) else { return };
+        let Some(connection) = self.connection(place.connection) else { return };
+        let Some(exchange) = connection.exchanges.borrow_mut().remove(&place.request_id) else { return };
+        let begun = exchange.whole_at.is_some();
+        if begun && !connection.sent_whole(&exchange) {
+            // A part of it was sent: it must never become whole.
+            return connection.close();
         }
-        if began {
+        if begun {
             let mut bytes = Vec::new();
-            workers::withdraw(&mut bytes, &id);
-            conn.letters.borrow_mut().push_back((String::new(), Letter::Bytes(bytes)));
-            self.push(node, &conn);
+            worker_protocol::withdraw(&mut bytes, &place.request_id);
+            let message = QueuedMessage { id: String::new(), message: Message::Bytes(bytes) };
+            connection.queue.borrow_mut().push_back(message);
+            self.push(node, &connection);
         } else {
-            conn.letters.borrow_mut().retain(|(of, _)| *of != id);
+            connection.queue.borrow_mut().retain(|message| message.id != place.request_id);
         }
-        if self.berths.borrow_mut().ended(node.clock.now(), ix, !began) {
-            conn.close();
+        if self.pool.borrow_mut().ended(node.clock.now(), place.connection, !begun) {
+            connection.close();
         }
     }
 
     /// Nothing more goes to this worker's connections of now.
     pub fn retire(&self, worker: WorkerIx) {
-        self.berths.borrow_mut().retire(worker);
+        let connecting = self.pool.borrow_mut().retire(worker);
+        connecting.into_iter().filter_map(|id| self.connection(id)).for_each(|connection| connection.close());
     }
 
-    /// Closes connections whose time is over, and ends what is no longer waited for.
+    /// Closes connections whose time is over, and ends exchanges that are no longer waited for.
     pub fn sweep(&self, node: &Rc<Node>) {
         let now = node.clock.now();
-        let conns: Vec<Rc<Conn>> = self.conns.borrow().values().cloned().collect();
-        for conn in conns {
+        let connections: Vec<Rc<WorkerConnection>> = self.connections.borrow().values().cloned().collect();
+        for connection in connections {
             let late = |(id, e): (&String, &Exchange)| (now > e.until).then(|| id.clone());
-            let over: Vec<String> = conn.out.borrow().iter().filter_map(late).collect();
-            over.iter().for_each(|id| self.ended(node, &conn, id, Ended::Broken, None));
+            let over: Vec<String> = connection.exchanges.borrow().iter().filter_map(late).collect();
+            over.iter().for_each(|id| self.ended(node, &connection, id, AttemptEnd::Broken, None));
         }
-        let stale = self.berths.borrow().stale(now);
-        stale.iter().filter_map(|ix| self.conns.borrow().get(ix).cloned()).for_each(|conn| conn.close());
+        let stale = self.pool.borrow().stale(now);
+        stale.into_iter().filter_map(|id| self.connection(id)).for_each(|connection| connection.close());
     }
 }
 
-/// Tells the core how something ended.
-fn tell(node: &Rc<Node>, kind: Kind, ended: Ended, answer: Option<Answer>) {
+/// Tells the core how an exchange ended.
+fn tell(node: &Rc<Node>, purpose: Purpose, end: AttemptEnd, answer: Option<Answer>) {
     let report = answer.as_ref().map_or(Report::default(), |a| a.report);
-    match kind {
-        Kind::Dispatch(ticket) => {
-            let outcome = endings::dispatch(ended);
+    match purpose {
+        Purpose::Attempt(ticket) => {
+            let outcome = attempt_outcome::dispatch(end);
             let told = node.crowds && matches!(outcome, Outcome::Succeeded | Outcome::Throttled);
             let crowd = answer.as_ref().filter(|_| told).map(|a| a.crowd);
             let body = answer.filter(|_| outcome == Outcome::Succeeded).map(|a| Payload::from(a.body));
             let (note, held, body) = (CopyNote::Untold, None, body.unwrap_or_default());
             node.feed(Input::DispatchEnded { ticket, outcome, note, crowd, report, held, body });
         }
-        Kind::Order(ticket) => {
-            let (result, copies) = (endings::order(ended), answer.map_or(0, |a| a.copies));
+        Purpose::Order(ticket) => {
+            let (result, copies) = (attempt_outcome::order(end), answer.map_or(0, |a| a.copies));
             node.feed(Input::OrderEnded { ticket, result, copies, held: None });
         }
-        Kind::Probe(worker, began) => {
-            let took = node.clock.now() - began;
-            node.feed(Input::Probed { worker, outcome: endings::probe(ended), took, report });
+        Purpose::Probe { worker, asked_at } => {
+            let took = node.clock.now() - asked_at;
+            node.feed(Input::Probed { worker, outcome: attempt_outcome::probe(end), took, report });
         }
     }
 }
--- a/crates/platform/src/attempt_outcome.rs
+++ b/crates/platform/src/attempt_outcome.rs
@@ -3,9 +3,9 @@
 
 use cedarpulley::interface::{OrderResult, Outcome};
 
-/// The words of a worker's answer.
+/// The words of a worker's answer; on the wire they are in lower case.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
+pub enum AnswerWord {
     Ok,
     Nothing,
     Refused,
@@ -15,16 +15,17 @@
     No,
 }
 
-impl Word {
+impl AnswerWord {
+    /// The word as it stands on the wire.
     pub fn read(word: &[u8]) -> Option<Self> {
         Some(match word {
-            b"ok" => Word::Ok,
-            b"nothing" => Word::Nothing,
-            b"refused" => Word::Refused,
-            b"error" => Word::Error,
-            b"stale" => Word::Stale,
-            b"yes" => Word::Yes,
-            b"no" => Word::No,
+            b"ok" => AnswerWord::Ok,
+            b"nothing" => AnswerWord::Nothing,
+            b"refused" => AnswerWord::Refused,
+            b"error" => AnswerWord::Error,
+            b"stale" => AnswerWord::Stale,
+            b"yes" => AnswerWord::Yes,
+            b"no" => AnswerWord::No,
             _ => return None,
         })
     }
@@ -32,52 +33,55 @@
 
 /// How an exchange ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    Answered(Word),
+pub enum AttemptEnd {
+    Answered(AnswerWord),
     /// No connection came up.
     Unreached,
     /// The connection ended, or was ended, before every byte of the request was accepted by the kernel.
     Unsent,
-    /// It was held back: its time, its client or its worker's service had ended, or no connection may be
-    /// opened.
+    /// It was held back before its first byte: its deadline, its client or its worker's service had ended, or no
+    /// connection may be opened.
     HeldBack,
     /// The connection ended after the request was written whole, or said what cannot be read.
     Broken,
 }
 
-pub fn dispatch(ended: Ended) -> Outcome {
-    match ended {
-        Ended::Answered(Word::Ok) => Outcome::Succeeded,
-        Ended::Answered(Word::Nothing) => Outcome::Missed,
-        Ended::Answered(Word::Refused) => Outcome::Throttled,
-        Ended::Answered(Word::Error) => Outcome::Errored,
+/// What the end of an attempt proves of its request.
+pub fn dispatch(end: AttemptEnd) -> Outcome {
+    match end {
+        AttemptEnd::Answered(AnswerWord::Ok) => Outcome::Succeeded,
+        AttemptEnd::Answered(AnswerWord::Nothing) => Outcome::Missed,
+        AttemptEnd::Answered(AnswerWord::Refused) => Outcome::Throttled,
+        AttemptEnd::Answered(AnswerWord::Error) => Outcome::Errored,
         // Over before it began there.
-        Ended::Answered(Word::Stale) => Outcome::NotSent,
+        AttemptEnd::Answered(AnswerWord::Stale) => Outcome::NotSent,
         // No word for an invocation: it may have run.
-        Ended::Answered(Word::Yes | Word::No) => Outcome::Broken,
-        Ended::Unreached => Outcome::Unreachable,
-        // Nothing ran. Symptom: a connection is reset while idle or just after it came up; that says nothing
-        // about the worker, and whether another one comes up is seen next.
-        Ended::Unsent | Ended::HeldBack => Outcome::NotSent,
-        Ended::Broken => Outcome::Broken,
+        AttemptEnd::Answered(AnswerWord::Yes | AnswerWord::No) => Outcome::Broken,
+        AttemptEnd::Unreached => Outcome::Unreachable,
+        // Nothing ran. A connection that is reset while idle or just after it came up says nothing about the worker;
+        // whether another one comes up is seen next.
+        AttemptEnd::Unsent | AttemptEnd::HeldBack => Outcome::NotSent,
+        AttemptEnd::Broken => Outcome::Broken,
     }
 }
 
-pub fn order(ended: Ended) -> OrderResult {
-    match ended {
-        Ended::Answered(Word::Ok) => OrderResult::Stand,
-        Ended::Answered(Word::Refused) => OrderResult::NoRoom,
-        Ended::Answered(Word::Error) => OrderResult::LoadErrored,
-        Ended::Unreached | Ended::Unsent | Ended::HeldBack => OrderResult::Unreachable,
-        Ended::Answered(_) | Ended::Broken => OrderResult::Broken,
+/// What the end of an order to load proves.
+pub fn order(end: AttemptEnd) -> OrderResult {
+    match end {
+        AttemptEnd::Answered(AnswerWord::Ok) => OrderResult::Stand,
+        AttemptEnd::Answered(AnswerWord::Refused) => OrderResult::NoRoom,
+        AttemptEnd::Answered(AnswerWord::Error) => OrderResult::LoadErrored,
+        AttemptEnd::Unreached | AttemptEnd::Unsent | AttemptEnd::HeldBack => OrderResult::Unreachable,
+        AttemptEnd::Answered(_) | AttemptEnd::Broken => OrderResult::Broken,
     }
 }
 
-pub fn probe(ended: Ended) -> Outcome {
-    match ended {
-        Ended::Answered(Word::Yes) => Outcome::Succeeded,
-        Ended::Answered(Word::No) => Outcome::Throttled,
-        Ended::Unreached | Ended::Unsent | Ended::HeldBack => Outcome::Unreachable,
-        Ended::Answered(_) | Ended::Broken => Outcome::Broken,
+/// What the end of a probe tells of its worker.
+pub fn probe(end: AttemptEnd) -> Outcome {
+    match end {
+        AttemptEnd::Answered(AnswerWord::Yes) => Outcome::Succeeded,
+        AttemptEnd::Answered(AnswerWord::No) => Outcome::Throttled,
+        AttemptEnd::Unreached | AttemptEnd::Unsent | AttemptEnd::HeldBack => Outcome::Unreachable,
+        AttemptEnd::Answered(_) | AttemptEnd::Broken => Outcome::Broken,
     }
 }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,25 +1,25 @@
-//! What a router is told at its start, as JSON. Call [`Start::read`] with the file's text; [`channel_of`]
+//! What a router is told at its start, as JSON. Call [`Start::read`] with the file's text; [`discovery_address_of`]
 //! reads from a replaced file what may change while the router runs.
 
 use std::net::SocketAddr;
 
 use cedarpulley::interface::Micros;
-pub use cedarpulley_birth::Names;
-use cedarpulley_birth::{Birth, Refused, ReportField, Sheet};
 use cedarpulley_errors::Remedy;
+pub use cedarpulley_startup::Names;
+use cedarpulley_startup::{RawSettings, ReportField, SettingsError, StartupSettings};
 use serde::Deserialize;
 use serde_json::Value;
 use thiserror::Error;
 
-use crate::channel::Batch;
+use crate::discovery::EventBatch;
 
 /// Why no router starts with a configuration, or a replaced one is not taken.
 #[derive(Debug, Error)]
-pub enum Unfit {
+pub enum ConfigError {
     #[error("the configuration is not as the platform has it")]
     Form(#[from] serde_json::Error),
     #[error(transparent)]
-    Settings(#[from] Refused),
+    Settings(#[from] SettingsError),
     #[error("channel '{channel}' is no address")]
     Channel { channel: String },
     #[error("the settings name no services")]
@@ -32,29 +32,33 @@
     Seed { seed: Value },
 }
 
-impl Remedy for Unfit {
+impl Remedy for ConfigError {
     fn remedy(&self) -> &'static str {
         match self {
-            Unfit::Form(_) => {
+            ConfigError::Form(_) => {
                 "give seed, limits, channel, known and settings as docs/operate/platform.md has them"
             }
-            Unfit::Settings(refused) => refused.remedy(),
-            Unfit::Channel { .. } => "give the channel as an IP address and a port",
-            Unfit::NoServices | Unfit::Missing { .. } => "give each service and org its name in the settings",
-            Unfit::NoRoom { .. } => "give the router some memory and some sockets",
-            Unfit::Seed { .. } => "give the seed as up to 16 hex digits in quotes, or as a whole number",
+            ConfigError::Settings(error) => error.remedy(),
+            ConfigError::Channel { .. } => "give the channel as an IP address and a port",
+            ConfigError::NoServices | ConfigError::Missing { .. } => {
+                "give each service and org its name in the settings"
+            }
+            ConfigError::NoRoom { .. } => "give the router some memory and some sockets",
+            ConfigError::Seed { .. } => {
+                "give the seed as up to 16 hex digits in quotes, or as a whole number"
+            }
         }
     }
 }
 
-type Result<T> = std::result::Result<T, Unfit>;
+type Result<T> = std::result::Result<T, ConfigError>;
 
 #[derive(Debug, Deserialize)]
 struct File {
     seed: Value,
     limits: Limits,
     channel: String,
-    known: Batch,
+    known: EventBatch,
     settings: Value,
 }
 
@@ -77,8 +81,8 @@
     pub seed: u64,
     pub limits: Limits,
     pub channel: SocketAddr,
-    pub known: Batch,
-    pub birth: Birth,
+    pub known: EventBatch,
+    pub settings: StartupSettings,
     /// The values in load reports.
     pub fields: Vec<ReportField>,
     pub names: Names,
@@ -93,48 +97,38 @@
 const CONNECT_WITHIN: Micros = 250_000;
 
 impl Start {
+    /// Reads the configuration's text.
     pub fn read(text: &str) -> Result<Self> {
         let file: File = serde_json::from_str(text)?;
         let channel = address(file.channel)?;
-        let sheet = Sheet::nested(&file.settings)?;
-        let birth = Birth::read(&sheet)?;
-        if birth.triggers.is_empty() {
-            return Err(Unfit::NoServices);
+        let raw = RawSettings::nested(&file.settings)?;
+        let settings = StartupSettings::read(&raw)?;
+        if settings.triggers.is_empty() {
+            return Err(ConfigError::NoServices);
         }
-        let named = |list: &str, n: usize| -> Result<Vec<String>> {
-            (0..n)
-                .map(|i| {
-                    let path = format!("{list}.{i}.name");
-                    sheet.text(&path).map(str::to_owned).ok_or(Unfit::Missing { path })
-                })
-                .collect()
-        };
+        check_room(&file.limits)?;
         let names = Names {
-            triggers: named("services", birth.triggers.len())?,
-            accounts: named("orgs", birth.accounts.len())?,
-            zones: sheet.list("zones").map(str::to_owned).collect(),
-            kinds: sheet.list("kinds").map(str::to_owned).collect(),
+            triggers: names(&raw, "services", settings.triggers.len())?,
+            accounts: names(&raw, "orgs", settings.accounts.len())?,
+            zones: raw.list("zones").map(str::to_owned).collect(),
+            kinds: raw.list("kinds").map(str::to_owned).collect(),
         };
         let links = Links {
-            streams: sheet.number("permissions.streamsPerConn", STREAMS)?.max(1.0) as usize,
-            idle_kept: sheet.time("permissions.keepalive", IDLE_KEPT)?,
-            connect_within: match birth.limits.connect_within {
+            streams: raw.number("permissions.streamsPerConn", STREAMS)?.max(1.0) as usize,
+            idle_kept: raw.time("permissions.keepalive", IDLE_KEPT)?,
+            connect_within: match settings.limits.connect_within {
                 0 => CONNECT_WITHIN,
                 within => within,
             },
         };
-        let limits = [("sockets", file.limits.sockets as f64), ("memory_mb", file.limits.memory_mb)];
-        if let Some((which, _)) = limits.into_iter().find(|(_, n)| n.is_nan() || *n <= 0.0) {
-            return Err(Unfit::NoRoom { which });
-        }
-        let largest_mb = birth.loads.memory_mb.iter().copied().fold(0.0, f64::max);
+        let largest_mb = settings.loads.memory_mb.iter().copied().fold(0.0, f64::max);
         Ok(Start {
             seed: seed(&file.seed)?,
             limits: file.limits,
             channel,
             known: file.known,
-            birth,
-            fields: ReportField::named(&sheet),
+            settings,
+            fields: ReportField::named(&raw),
             names,
             links,
             largest_mb: if largest_mb > 0.0 { largest_mb } else { f64::MAX },
@@ -142,8 +136,25 @@
     }
 }
 
-/// The command channel's address in a file that has replaced the first one.
-pub fn channel_of(text: &str) -> Result<SocketAddr> {
+/// The names in a list of objects.
+fn names(raw: &RawSettings, list: &str, count: usize) -> Result<Vec<String>> {
+    let name = |i: usize| {
+        let path = format!("{list}.{i}.name");
+        raw.text(&path).map(str::to_owned).ok_or(ConfigError::Missing { path })
+    };
+    (0..count).map(name).collect()
+}
+
+fn check_room(limits: &Limits) -> Result<()> {
+    let given = [("sockets", limits.sockets as f64), ("memory_mb", limits.memory_mb)];
+    match given.into_iter().find(|(_, n)| n.is_nan() || *n <= 0.0) {
+        Some((which, _)) => Err(ConfigError::NoRoom { which }),
+        None => Ok(()),
+    }
+}
+
+/// The discovery channel's address in a file that has replaced the first one.
+pub fn discovery_address_of(text: &str) -> Result<SocketAddr> {
     #[derive(Deserialize)]
     struct Replaced {
         channel: String,
@@ -153,7 +164,7 @@
 }
 
 fn address(channel: String) -> Result<SocketAddr> {
-    channel.parse().map_err(|_| Unfit::Channel { channel })
+    channel.parse().map_err(|_| ConfigError::Channel { channel })
 }
 
 /// Hex digits, or a plain number.
@@ -163,5 +174,5 @@
         Value::Number(n) => n.as_u64(),
         _ => None,
     };
-    seed.ok_or_else(|| Unfit::Seed { seed: value.clone() })
+    seed.ok_or_else(|| ConfigError::Seed { seed: value.clone() })
 }
--- a/crates/platform/src/connection_pool.rs
+++ b/crates/platform/src/connection_pool.rs
@@ -1,26 +1,23 @@
 //! Decides which connection to a worker carries what, when one is opened, and when one is given up. Call
-//! [`Berths::place`] for each thing to be sent, and say what became of it: [`Berths::opened`],
-//! [`Berths::heard`], [`Berths::ended`], [`Berths::broke`], [`Berths::closed`]; [`Berths::stale`] names those
-//! to close now.
+//! [`ConnectionPool::place`] for each exchange, and report what became of it: [`ConnectionPool::opened`],
+//! [`ConnectionPool::heard`], [`ConnectionPool::ended`], [`ConnectionPool::broke`], [`ConnectionPool::closed`];
+//! [`ConnectionPool::stale`] names those to close now.
 //!
-//! Mechanisms:
-//! 1. A connection of its own for each thing out, as long as descriptors allow: what goes wrong with one
-//!    answer takes no other with it. Beyond that the one with the fewest out is shared, up to the streams
-//!    allowed.
+//! 1. Each exchange has a connection of its own, as long as descriptors allow: what goes wrong with one answer takes no
+//!    other with it. Beyond that the one with the fewest exchanges is shared, up to the streams allowed.
 //! 2. The idle connection used last is used next: it is the least likely to have been closed meanwhile.
-//! 3. One on which something ended without its answer takes nothing more: a late answer cannot be taken for
-//!    that of a later dispatch of the same id. Symptom besides: a worker's machine vanished, its connections
-//!    stay open and swallow whatever is sent, while a new one would not come up and so prove that nothing
-//!    ran.
-//! 4. An idle connection is trusted for only so long as idle ones were found alive. Symptom: a worker drops
-//!    idle ones early and without a word; the next request on one is reset, and may have run for all that is
-//!    proven.
+//! 3. A connection on which an exchange ended without its answer takes nothing more: a late answer cannot be taken for
+//!    that of a later attempt with the same id. Besides, when a worker's machine vanishes, its connections stay open and
+//!    swallow whatever is sent, while a new one does not come up and so proves that nothing ran.
+//! 4. An idle connection is trusted only for as long as idle ones were found alive. Otherwise, where a worker drops idle
+//!    ones early and without a word, the next request on one is reset, and may have run for all that is proven.
 
 use std::collections::BTreeMap;
 
 use cedarpulley::interface::{Micros, WorkerIx};
 
-pub type ConnIx = u64;
+/// Identifies a connection to a worker; never used again.
+pub type ConnectionId = u64;
 
 /// An idle connection is closed from here somewhat before the worker closes it, or a request may cross that.
 const IDLE_PART: (Micros, Micros) = (4, 5);
@@ -34,11 +31,13 @@
 /// From less, the trusted time could not grow again.
 const LEAST_TRUSTED: Micros = 1_000;
 
+/// Where an exchange goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Place {
-    On(ConnIx),
+pub enum Placement {
+    /// On a connection that there is.
+    Existing(ConnectionId),
     /// On a new connection, which has this number from now on.
-    Open(ConnIx),
+    New(ConnectionId),
     /// Neither may another be opened nor one be shared further.
     Full,
 }
@@ -58,27 +57,28 @@
     retired: bool,
 }
 
+/// The table of all connections to workers; times are microseconds of the router's clock.
 #[derive(Debug)]
-pub struct Berths {
+pub struct ConnectionPool {
     most: usize,
     streams: usize,
     idle_kept: Micros,
     half_answer: Micros,
     /// Idle connections are used until they have been so for this long.
     trusted: Micros,
-    conns: BTreeMap<ConnIx, Conn>,
-    by_worker: BTreeMap<WorkerIx, Vec<ConnIx>>,
-    last: ConnIx,
-    /// Things for which there was no place.
+    conns: BTreeMap<ConnectionId, Conn>,
+    by_worker: BTreeMap<WorkerIx, Vec<ConnectionId>>,
+    last: ConnectionId,
+    /// Exchanges for which there was no place.
     pub full: u64,
 }
 
-impl Berths {
-    /// `most`: connections at once to all workers; `streams`: things out at once on one; `half_answer`: the
-    /// rest of an answer that has begun comes within this time.
+impl ConnectionPool {
+    /// `most`: connections at once to all workers; `streams`: exchanges at once on one; `idle_kept`: for how long workers
+    /// keep idle connections; `half_answer`: the rest of an answer that has begun comes within this time.
     pub fn new(most: usize, streams: usize, idle_kept: Micros, half_answer: Micros) -> Self {
         let idle_kept = idle_kept * IDLE_PART.0 / IDLE_PART.1;
-        Berths {
+        ConnectionPool {
             most,
             streams,
             idle_kept,
@@ -91,8 +91,8 @@
         }
     }
 
-    /// Where the next thing for this worker goes; it counts as out there from now on.
-    pub fn place(&mut self, now: Micros, worker: WorkerIx) -> Place {
+    /// Where the next exchange with this worker goes; it counts as open there from now on.
+    pub fn place(&mut self, now: Micros, worker: WorkerIx) -> Placement {
         let of = self.by_worker.get(&worker).map_or(&[][..], Vec::as_slice);
         let open = || of.iter().filter_map(|ix| Some((*ix, self.conns.get(ix)?))).filter(|(_, c)| !c.retired);
         let idle = open().filter(|(_, c)| c.up && c.out == 0).max_by_key(|(_, c)| c.used);
@@ -102,7 +102,7 @@
         let Some((ix, _)) = trusted.or(shared.filter(|_| !room)) else {
             if !room {
                 self.full += 1;
-                return Place::Full;
+                return Placement::Full;
             }
             self.last += 1;
             let conn = Conn {
@@ -116,25 +116,25 @@
             };
             self.conns.insert(self.last, conn);
             self.by_worker.entry(worker).or_default().push(self.last);
-            return Place::Open(self.last);
+            return Placement::New(self.last);
         };
         if let Some(conn) = self.conns.get_mut(&ix) {
             conn.idle_before = (conn.out == 0).then_some(now - conn.used);
             conn.out += 1;
             conn.used = now;
         }
-        Place::On(ix)
+        Placement::Existing(ix)
     }
 
     /// The connection is up.
-    pub fn opened(&mut self, ix: ConnIx) {
+    pub fn opened(&mut self, ix: ConnectionId) {
         if let Some(conn) = self.conns.get_mut(&ix) {
             conn.up = true;
         }
     }
 
     /// Bytes came; `midway`: the answer they belong to is not whole yet.
-    pub fn heard(&mut self, now: Micros, ix: ConnIx, midway: bool) {
+    pub fn heard(&mut self, now: Micros, ix: ConnectionId, midway: bool) {
         let Some(conn) = self.conns.get_mut(&ix) else { return };
         conn.midway = if midway { conn.midway.or(Some(now)) } else { None };
         if conn.idle_before.take().is_some_and(|idle| idle >= self.trusted / 2) {
@@ -142,9 +142,9 @@
         }
     }
 
-    /// One thing that was out there has ended; true if the connection is to be closed now. `answered`: by an
-    /// answer, or nothing of it had left.
-    pub fn ended(&mut self, now: Micros, ix: ConnIx, answered: bool) -> bool {
+    /// One exchange has ended; true if the connection is to be closed now. `answered`: by an answer, or nothing of it had
+    /// been sent.
+    pub fn ended(&mut self, now: Micros, ix: ConnectionId, answered: bool) -> bool {
         let Some(conn) = self.conns.get_mut(&ix) else { return false };
         conn.out = conn.out.saturating_sub(1);
         conn.used = now;
@@ -154,7 +154,7 @@
     }
 
     /// It ended without being closed from here.
-    pub fn broke(&mut self, now: Micros, ix: ConnIx) {
+    pub fn broke(&mut self, now: Micros, ix: ConnectionId) {
         if let Some(conn) = self.conns.get(&ix)
             && let Some(idle) = conn.idle_before.filter(|_| conn.out > 0 && now - conn.used <= AT_ONCE)
         {
@@ -163,7 +163,8 @@
         self.closed(ix);
     }
 
-    pub fn closed(&mut self, ix: ConnIx) {
+    /// It is closed, and no longer counts.
+    pub fn closed(&mut self, ix: ConnectionId) {
         if let Some(conn) = self.conns.remove(&ix)
             && let Some(of) = self.by_worker.get_mut(&conn.worker)
         {
@@ -174,17 +175,26 @@
         }
     }
 
-    /// Nothing new goes to this worker: its connections close as they fall idle.
-    pub fn retire(&mut self, worker: WorkerIx) {
+    /// Nothing new goes to this worker at its present address: its connections close as they fall idle. Those that have
+    /// not come up yet are returned, to be closed at once: the address may belong to another worker by then.
+    pub fn retire(&mut self, worker: WorkerIx) -> Vec<ConnectionId> {
+        let mut connecting = Vec::new();
         for ix in self.by_worker.get(&worker).map_or(&[][..], Vec::as_slice) {
             if let Some(conn) = self.conns.get_mut(ix) {
                 conn.retired = true;
+                connecting.extend((!conn.up).then_some(*ix));
             }
         }
+        connecting
+    }
+
+    /// Nothing more may be sent on this connection.
+    pub fn is_retired(&self, ix: ConnectionId) -> bool {
+        self.conns.get(&ix).is_none_or(|conn| conn.retired)
     }
 
     /// Connections to be closed now: idle for too long or retired, or stuck in the middle of an answer.
-    pub fn stale(&self, now: Micros) -> Vec<ConnIx> {
+    pub fn stale(&self, now: Micros) -> Vec<ConnectionId> {
         let stale = |c: &Conn| {
             let idle = c.up && c.out == 0 && (c.retired || now - c.used > self.trusted);
             idle || c.midway.is_some_and(|since| now - since > self.half_answer)
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -1,14 +1,15 @@
-//! The command channel: numbered events that change the list of workers. Call [`Follower::batch`] with what
-//! the configuration knew and with each answer; it gives the news to be told, each event once and in order.
-//! [`Follower::ask`] makes the next question, [`Answers`] cuts answers out of the bytes that come.
+//! The discovery channel: numbered events that change the list of workers. Call [`WorkerListFollower::batch`] with what
+//! the configuration knew and with each answer; it gives the updates to be told, each event once and in order.
+//! [`WorkerListFollower::ask`] makes the next question, [`Answers`] cuts answers out of the bytes that come.
 //!
-//! Mechanisms:
 //! 1. An event whose number is not above the last one taken changes nothing.
 //! 2. What cannot be read voids its answer: nothing of it is taken, and the same question is asked again.
-//! 3. A worker is known by its id. Symptom: a new one has the address of one that has gone, or one moves;
-//!    what is open to the old one must not be used for the new.
-//! 4. What may have been told a while ago, as the channel was not heard meanwhile, has no grace left. Symptom: a
-//!    worker drains while the channel is away, and its grace is counted from when that is heard at last.
+//! 3. A worker is known by its id. A new one may have the address of one that has gone, or one may move: what is open to
+//!    the old one must not be used for the new.
+//! 4. A drain that may have been told a while ago, because the channel was not heard meanwhile or this process was not
+//!    running, has no grace left: the grace counts from the telling, not from the hearing.
+
+mod answers;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,23 +23,24 @@
 
 use crate::config::Names;
 
+pub use answers::Answers;
+use answers::MOST_ANSWER;
+
 /// Asked for this wait, of the 5 s that the protocol allows: a channel that has stopped but stays open is
 /// noticed so much later, and this much beyond, as an answer takes its way.
 pub const ASKED_WAIT: Micros = 1_000_000;
 pub const ANSWER_LATE: Micros = 500_000;
 /// Longest pause before it is connected to again: what it tells must be known within two seconds of a break.
 pub const LONGEST_PAUSE: Micros = 320_000;
+/// A drain heard this part of its grace late has none left: the policy module and the last look before sending use up
+/// all but this part.
+const LATE_PART: Micros = 4;
 /// Workers that are kept account of; what is named beyond is left out and counted.
 const MOST_WORKERS: usize = 20_000;
-/// An answer names some thousands of workers at most.
-const MOST_ANSWER: usize = 4 << 20;
-/// Heads of answers: a few short fields.
-const MOST_HEAD: usize = 8 << 10;
-const MOST_HEADERS: usize = 32;
 
 /// Why nothing is taken of an answer, or of what the configuration knew.
 #[derive(Debug, Error)]
-pub enum Unread {
+pub enum DiscoveryError {
     #[error("state '{state}' of worker '{id}' is unknown")]
     State { id: String, state: String },
     #[error("address '{address}' of worker '{id}' cannot be read")]
@@ -63,22 +65,24 @@
     Events(#[source] serde_json::Error),
 }
 
-impl Remedy for Unread {
+impl Remedy for DiscoveryError {
     fn remedy(&self) -> &'static str {
         match self {
-            Unread::State { .. } | Unread::Address { .. } => {
+            DiscoveryError::State { .. } | DiscoveryError::Address { .. } => {
                 "have the list of workers say it as the platform has it"
             }
-            Unread::Large { .. } | Unread::Endless => "have the channel tell fewer workers at once",
+            DiscoveryError::Large { .. } | DiscoveryError::Endless => {
+                "have the channel tell fewer workers at once"
+            }
             _ => "see what listens at the channel's address",
         }
     }
 }
 
-type Result<T> = std::result::Result<T, Unread>;
+type Result<T> = std::result::Result<T, DiscoveryError>;
 
 #[derive(Clone, Debug, Default, Deserialize)]
-pub struct Batch {
+pub struct EventBatch {
     pub cursor: u64,
     #[serde(default)]
     pub cmds: Vec<Command>,
@@ -121,7 +125,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct News {
+pub struct ListUpdate {
     pub mode: ListMode,
     /// By their ids.
     pub workers: Vec<Listed>,
@@ -130,15 +134,22 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Follower {
+pub struct WorkerListFollower {
     last: u64,
     addresses: BTreeMap<String, SocketAddr>,
-    /// Events that had been taken before, and workers beyond the bound.
+    drain_grace: Micros,
+    /// Events that had been taken before.
     pub repeated: u64,
+    /// Workers beyond the bound.
     pub left_out: u64,
 }
 
-impl Follower {
+impl WorkerListFollower {
+    /// `drain_grace`: for how long after the telling a draining worker may get new requests, in microseconds.
+    pub fn new(drain_grace: Micros) -> Self {
+        WorkerListFollower { drain_grace, ..WorkerListFollower::default() }
+    }
+
     /// The question for what came after the last event.
     pub fn ask(&self, host: &str) -> Vec<u8> {
         let (last, wait) = (self.last, ASKED_WAIT / 1_000);
@@ -154,16 +165,17 @@
         self.addresses.get(id).copied()
     }
 
-    /// The news in a batch, in order; all of it or, where it cannot be read, nothing. `wall_at_zero`: the
-    /// wall's time when the router's clock began. `late`: the channel was not heard right before, so what it tells
-    /// may have stood there for a while.
+    /// The updates in a batch, in order; all of them or, where it cannot be read, nothing. `wall_at_zero`: the Unix
+    /// time at which the router's clock began, in microseconds. `unheard_for`: what the batch tells may have been in the
+    /// channel for this long before it was read.
     pub fn batch(
         &mut self,
-        batch: &Batch,
+        batch: &EventBatch,
         names: &Names,
         wall_at_zero: Micros,
-        late: bool,
-    ) -> Result<Vec<News>> {
+        unheard_for: Micros,
+    ) -> Result<Vec<ListUpdate>> {
+        let late = unheard_for > self.drain_grace / LATE_PART;
         let (mut understood, mut last, mut repeated) = (Vec::new(), self.last, 0);
         for command in &batch.cmds {
             if command.cursor <= last {
@@ -185,7 +197,7 @@
         Ok(understood.into_iter().map(|(mode, workers)| self.follow(mode, workers)).collect())
     }
 
-    fn follow(&mut self, mode: ListMode, named: Vec<(Listed, Option<SocketAddr>)>) -> News {
+    fn follow(&mut self, mode: ListMode, named: Vec<(Listed, Option<SocketAddr>)>) -> ListUpdate {
         let mut retired = Vec::new();
         if mode == ListMode::Complete {
             let named = |id: &String| named.iter().any(|(w, _)| w.address == *id);
@@ -211,7 +223,7 @@
             }
             workers.push(worker);
         }
-        News { mode, workers, retired }
+        ListUpdate { mode, workers, retired }
     }
 }
 
@@ -226,11 +238,11 @@
         "active" => Standing::InService,
         "leaving" if !late => Standing::Draining,
         "leaving" | "left" => Standing::Gone,
-        other => return Err(Unread::State { id: server.id.clone(), state: other.to_owned() }),
+        other => return Err(DiscoveryError::State { id: server.id.clone(), state: other.to_owned() }),
     };
     let address = server.addr.parse().ok();
     if address.is_none() && standing != Standing::Gone {
-        return Err(Unread::Address { id: server.id.clone(), address: server.addr.clone() });
+        return Err(DiscoveryError::Address { id: server.id.clone(), address: server.addr.clone() });
     }
     // A zone that the settings do not name is like no other; a kind is one kind more.
     let unknown = || fingerprint(&server.zone) as u32 | 1 << 31;
@@ -246,74 +258,3 @@
     };
     Ok((worker, address))
 }
-
-/// Cuts whole answers out of the bytes of one connection. Whatever cannot be read ends that connection.
-#[derive(Debug, Default)]
-pub struct Answers {
-    bytes: Vec<u8>,
-}
-
-impl Answers {
-    pub fn put(&mut self, bytes: &[u8]) {
-        self.bytes.extend_from_slice(bytes);
-    }
-
-    pub fn whole(&mut self) -> Result<Option<Batch>> {
-        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
-        let mut head = httparse::Response::new(&mut headers);
-        let length = match head.parse(&self.bytes).map_err(Unread::Head)? {
-            httparse::Status::Partial if self.bytes.len() > MOST_HEAD => return Err(Unread::EndlessHead),
-            httparse::Status::Partial => return Ok(None),
-            httparse::Status::Complete(n) => n,
-        };
-        if head.code != Some(200) {
-            return Err(Unread::Status { status: head.code.unwrap_or(0) });
-        }
-        let field = |name: &str| head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
-        let body = match (field("content-length"), field("transfer-encoding")) {
-            (Some(size), None) => {
-                let size = std::str::from_utf8(size.value).ok().and_then(|text| text.trim().parse().ok());
-                let size: usize = size.ok_or(Unread::Length)?;
-                if size > MOST_ANSWER {
-                    return Err(Unread::Large { size });
-                }
-                match self.bytes.get(length..length + size) {
-                    None => return Ok(None),
-                    Some(body) => (body.to_vec(), length + size),
-                }
-            }
-            (None, Some(_)) => match unchunked(&self.bytes[length..])? {
-                None if self.bytes.len() > MOST_ANSWER => return Err(Unread::Endless),
-                None => return Ok(None),
-                Some((body, used)) => (body, length + used),
-            },
-            _ => return Err(Unread::NoLength),
-        };
-        let (body, used) = body;
-        self.bytes.drain(..used);
-        self.bytes.shrink_to(MOST_HEAD);
-        Ok(Some(serde_json::from_slice(&body).map_err(Unread::Events)?))
-    }
-}
-
-/// A whole chunked body and the bytes it took.
-fn unchunked(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>> {
-    let (mut body, mut at) = (Vec::new(), 0);
-    loop {
-        let parsed = httparse::parse_chunk_size(&bytes[at..]).map_err(|_| Unread::Chunk)?;
-        let httparse::Status::Complete((head, size)) = parsed else { return Ok(None) };
-        if size > (MOST_ANSWER - body.len()) as u64 {
-            return Err(Unread::Endless);
-        }
-        let (from, size) = (at + head, size as usize);
-        let Some(end) = bytes.get(from + size..from + size + 2) else { return Ok(None) };
-        if end != b"\r\n" {
-            return Err(Unread::Chunk);
-        }
-        body.extend_from_slice(&bytes[from..from + size]);
-        at = from + size + 2;
-        if size == 0 {
-            return Ok(Some((body, at)));
-        }
-    }
-}
--- a/crates/platform/src/graceful_shutdown.rs
+++ b/crates/platform/src/graceful_shutdown.rs
@@ -1,48 +1,48 @@
-//! Decides what a router that was told to stop still takes, and when it leaves. Call [`Stopping::told`] with
-//! the order; [`Stopping::takes`] answers, and [`Stopping::leaves`] at each look.
+//! Decides what a router that was told to stop still accepts, and when it may exit. Call
+//! [`GracefulShutdown::begin`] with the order to stop; [`GracefulShutdown::accepts`] judges each request, and
+//! [`GracefulShutdown::may_exit`] is asked again and again until it agrees.
 
 use cedarpulley::interface::Micros;
 
-/// Requests that crossed the order are taken for so long, by the protocol.
-const STILL_TAKES: Micros = 700_000;
-/// What was taken last has its whole time, and its answer this long to get out.
-const MARGIN: Micros = 500_000;
-/// It leaves after so many looks in a row that found nothing open. Symptom: the process is held up; a client has
-/// connected and sent a request meanwhile, which is taken though nobody has read it. Each look is made before what
-/// the same wake-up brings is handled: one for the connection, one for its request, one for a wake-up that a signal
-/// cut short, one that sees the request open, and one to spare.
-const QUIET_LOOKS: u32 = 5;
+/// Requests that crossed the order to stop are accepted for this long, by the protocol.
+const STILL_ACCEPTS: Micros = 700_000;
+/// The last accepted request has its whole deadline, and its answer this long to reach the client.
+const EXIT_MARGIN: Micros = 500_000;
 
+/// The state of a graceful shutdown; times are microseconds of the router's clock.
 #[derive(Debug)]
-pub struct Stopping {
-    longest: Micros,
-    since: Option<Micros>,
-    quiet: u32,
+pub struct GracefulShutdown {
+    longest_deadline: Micros,
+    begun_at: Option<Micros>,
 }
 
-impl Stopping {
-    /// `longest`: that any client waits.
-    pub fn new(longest: Micros) -> Self {
-        Stopping { longest, since: None, quiet: 0 }
+impl GracefulShutdown {
+    /// `longest_deadline`: the longest that any client may wait for its answer.
+    pub fn new(longest_deadline: Micros) -> Self {
+        GracefulShutdown { longest_deadline, begun_at: None }
     }
 
-    pub fn told(&mut self, now: Micros) {
-        self.since.get_or_insert(now);
+    /// The order to stop came; a repeated order changes nothing.
+    pub fn begin(&mut self, now: Micros) {
+        self.begun_at.get_or_insert(now);
     }
 
-    pub fn stops(&self) -> bool {
-        self.since.is_some()
+    /// Whether the order to stop has come.
+    pub fn begun(&self) -> bool {
+        self.begun_at.is_some()
     }
 
-    /// Whether a request that came then is taken.
-    pub fn takes(&self, came: Micros) -> bool {
-        self.since.is_none_or(|since| came - since <= STILL_TAKES)
+    /// Whether a request whose last byte arrived at `arrived` is still accepted.
+    pub fn accepts(&self, arrived: Micros) -> bool {
+        self.begun_at.is_none_or(|begun| arrived - begun <= STILL_ACCEPTS)
     }
 
-    /// A look whether it leaves. `open`: something taken is not answered, or its answer not out.
-    pub fn leaves(&mut self, now: Micros, open: bool) -> bool {
-        let late = |since| now - since > STILL_TAKES + self.longest + MARGIN;
-        self.quiet = if open || self.takes(now) { 0 } else { self.quiet + 1 };
-        self.since.is_some_and(late) || self.quiet >= QUIET_LOOKS
+    /// Whether the process may exit now. `unfinished`: a request is unanswered, partly received, or may lie in one of the
+    /// kernel's buffers. The caller must have looked into those buffers in this very moment: a request that lies there is
+    /// accepted although nobody has read it. The time limit holds for clients that never finish.
+    pub fn may_exit(&self, now: Micros, unfinished: bool) -> bool {
+        let Some(begun) = self.begun_at else { return false };
+        let overdue = now - begun > STILL_ACCEPTS + self.longest_deadline + EXIT_MARGIN;
+        overdue || !unfinished && !self.accepts(now)
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,22 +1,24 @@
 //! The users' platform on the wire, free of I/O: bytes and times in, typed events and bytes out. No sockets,
-//! clocks or threads; no choice of where an invocation goes (that is the module's).
+//! clocks or threads; where a request goes is decided by the policy module.
 //!
 //! * [`config`]: what a router is told at its start.
-//! * [`channel`]: the command channel's events, each once and in order.
-//! * [`clients`]: requests of clients and the answers to them.
-//! * [`workers`]: the lines spoken with workers.
-//! * [`endings`]: what the end of an exchange proves; the one table from a worker's word to an `Outcome`.
-//! * [`berths`]: decides which connection to a worker carries what, and when one is given up.
-//! * [`bounds`]: decides how what the platform allows is parted.
-//! * [`doorkeeper`]: decides which clients' connections stay.
-//! * [`stopping`]: decides what a router that was told to stop still takes, and when it leaves.
+//! * [`discovery`]: the events of the worker list, each once and in order.
+//! * [`client_protocol`]: requests of clients and the answers to them.
+//! * [`worker_protocol`]: the lines spoken with workers.
+//! * [`attempt_outcome`]: what the end of an exchange with a worker proves.
+//! * [`connection_pool`]: decides which connection to a worker carries what, and when one is given up.
+//! * [`connection_limiter`]: decides which client connections are kept.
+//! * [`resource_limits`]: decides how what the platform allows is divided.
+//! * [`event_loop_lag`]: estimates how late the process reads what has arrived.
+//! * [`graceful_shutdown`]: decides what a router that was told to stop still accepts, and when it exits.
 
-pub mod berths;
-pub mod bounds;
-pub mod channel;
-pub mod clients;
+pub mod attempt_outcome;
+pub mod client_protocol;
 pub mod config;
-pub mod doorkeeper;
-pub mod endings;
-pub mod stopping;
-pub mod workers;
+pub mod connection_limiter;
+pub mod connection_pool;
+pub mod discovery;
+pub mod event_loop_lag;
+pub mod graceful_shutdown;
+pub mod resource_limits;
+pub mod worker_protocol;
--- a/crates/platform/src/worker_protocol.rs
+++ b/crates/platform/src/worker_protocol.rs
@@ -1,5 +1,5 @@
 //! The lines spoken with workers: [`call`], [`withdraw`], [`load`], [`unload`] and [`probe`] write them,
-//! [`Reader`] cuts answers out of the bytes that come.
+//! [`AnswerReader`] cuts answers out of the bytes that come.
 //!
 //! A line that cannot be read, has no end in time or claims more than its bound ends its connection: nothing
 //! after it can be trusted, and nothing is allocated for what it claims.
@@ -8,9 +8,9 @@
 
 use bytes::Bytes;
 use cedarpulley::interface::{Micros, Report};
-use cedarpulley_birth::ReportField;
+use cedarpulley_startup::ReportField;
 
-use crate::endings::Word;
+use crate::attempt_outcome::AnswerWord;
 
 /// An answer's line: an id, a word, a few figures, a length.
 const MOST_LINE: usize = 1 << 10;
@@ -65,7 +65,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
     pub id: String,
-    pub word: Word,
+    pub word: AnswerWord,
     /// Invocations of the same function that the worker held when this one came.
     pub crowd: u32,
     /// Loaded copies.
@@ -76,7 +76,7 @@
 
 /// What cannot be read, and why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Garbled {
+pub enum AnswerError {
     Line,
     Endless,
     Fields,
@@ -85,45 +85,45 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Reader {
+pub struct AnswerReader {
     bytes: Vec<u8>,
     /// Looked through for the end of a line.
     searched: usize,
 }
 
-impl Reader {
+impl AnswerReader {
     pub fn put(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
     }
 
     /// An answer has begun and is not whole.
-    pub fn midway(&self) -> bool {
+    pub fn is_midway(&self) -> bool {
         !self.bytes.is_empty()
     }
 
-    pub fn next(&mut self, fields: &[ReportField]) -> Result<Option<Answer>, Garbled> {
+    pub fn next(&mut self, fields: &[ReportField]) -> Result<Option<Answer>, AnswerError> {
         let from = self.searched.min(self.bytes.len());
         let Some(end) = self.bytes[from..].iter().position(|b| *b == b'\n').map(|n| from + n) else {
             self.searched = self.bytes.len();
-            return if self.bytes.len() > MOST_LINE { Err(Garbled::Endless) } else { Ok(None) };
+            return if self.bytes.len() > MOST_LINE { Err(AnswerError::Endless) } else { Ok(None) };
         };
         self.searched = end;
         if end > MOST_LINE {
-            return Err(Garbled::Endless);
+            return Err(AnswerError::Endless);
         }
-        let line = self.bytes[..end].strip_suffix(b"\r").ok_or(Garbled::Line)?;
-        let line = std::str::from_utf8(line).map_err(|_| Garbled::Line)?;
+        let line = self.bytes[..end].strip_suffix(b"\r").ok_or(AnswerError::Line)?;
+        let line = std::str::from_utf8(line).map_err(|_| AnswerError::Line)?;
         let mut words = line.split(' ');
         let (Some(id), Some(word), Some(told), Some(length), None) =
             (words.next(), words.next(), words.next(), words.next(), words.next())
         else {
-            return Err(Garbled::Line);
+            return Err(AnswerError::Line);
         };
-        let word = Word::read(word.as_bytes()).ok_or(Garbled::Line)?;
+        let word = AnswerWord::read(word.as_bytes()).ok_or(AnswerError::Line)?;
         if id.is_empty() {
-            return Err(Garbled::Line);
+            return Err(AnswerError::Line);
         }
-        let length = whole(length).filter(|n| *n as usize <= MOST_BODY).ok_or(Garbled::Length)? as usize;
+        let length = whole(length).filter(|n| *n as usize <= MOST_BODY).ok_or(AnswerError::Length)? as usize;
         let mut answer = Answer {
             id: id.to_owned(),
             word,
@@ -136,7 +136,7 @@
         let after = end + 1;
         let Some(tail) = self.bytes.get(after + length..after + length + 2) else { return Ok(None) };
         if tail != b"\r\n" {
-            return Err(Garbled::End);
+            return Err(AnswerError::End);
         }
         answer.body = Bytes::copy_from_slice(&self.bytes[after..after + length]);
         self.searched = 0;
@@ -155,15 +155,15 @@
     text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok())?
 }
 
-fn understand(answer: &mut Answer, told: &str, fields: &[ReportField]) -> Result<(), Garbled> {
+fn understand(answer: &mut Answer, told: &str, fields: &[ReportField]) -> Result<(), AnswerError> {
     if told == "-" {
         return Ok(());
     }
     for pair in told.split(',') {
-        let (name, value) = pair.split_once('=').ok_or(Garbled::Fields)?;
+        let (name, value) = pair.split_once('=').ok_or(AnswerError::Fields)?;
         match name {
-            "same" => answer.crowd = whole(value).ok_or(Garbled::Fields)?,
-            "n" => answer.copies = whole(value).ok_or(Garbled::Fields)?,
+            "same" => answer.crowd = whole(value).ok_or(AnswerError::Fields)?,
+            "n" => answer.copies = whole(value).ok_or(AnswerError::Fields)?,
             "gauges" => answer.report = report(value, fields)?,
             _ => {}
         }
@@ -172,11 +172,11 @@
 }
 
 /// `name:value`, set apart by `;`.
-fn report(text: &str, fields: &[ReportField]) -> Result<Report, Garbled> {
+fn report(text: &str, fields: &[ReportField]) -> Result<Report, AnswerError> {
     let mut report = Report::default();
     for pair in text.split(';').filter(|p| !p.is_empty()) {
-        let (name, value) = pair.split_once(':').ok_or(Garbled::Fields)?;
-        let value: f64 = value.parse().ok().filter(|v: &f64| v.is_finite()).ok_or(Garbled::Fields)?;
+        let (name, value) = pair.split_once(':').ok_or(AnswerError::Fields)?;
+        let value: f64 = value.parse().ok().filter(|v: &f64| v.is_finite()).ok_or(AnswerError::Fields)?;
         ReportField::tell(&mut report, fields, name, value);
     }
     Ok(report)
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -1,6 +1,6 @@
 //! Requests of clients: the good ones in any pieces, and one case for each thing that must not get through.
 
-use cedarpulley_platform::clients::*;
+use cedarpulley_platform::client_protocol::*;
 use cedarpulley_platform::config::Names;
 use cedarpulley_router::Fate;
 use proptest::prelude::*;
@@ -8,15 +8,18 @@
 
 const FUNCTION: &str = "7f3a9c21e0b4d655";
 
-fn terms() -> Terms {
+fn rules() -> RequestRules {
     let names = |n: &[&str]| n.iter().map(|n| (*n).to_owned()).collect();
-    Terms {
+    RequestRules {
         names: Names {
             triggers: names(&["plain", "keyed"]),
             accounts: names(&["acme", "other"]),
             ..Names::default()
         },
-        triggers: vec![(2_000_000, false), (4_000_000, true)],
+        triggers: vec![
+            TriggerRules { longest_wait: 2_000_000, needs_token: false },
+            TriggerRules { longest_wait: 4_000_000, needs_token: true },
+        ],
         largest_mb: 8_000.0,
     }
 }
@@ -45,19 +48,19 @@
     lines.collect::<Vec<_>>().join("\r\n").into_bytes()
 }
 
-fn ahead(bytes: &[u8]) -> Ahead {
-    let mut ahead = Ahead::default();
-    ahead.put(0, bytes, &terms());
-    ahead
+fn queue(bytes: &[u8]) -> RequestQueue {
+    let mut queue = RequestQueue::default();
+    queue.put(0, bytes, &rules());
+    queue
 }
 
-fn read(bytes: &[u8]) -> Result<Request, Wrong> {
-    ahead(bytes).take(&terms()).expect("whole").0
+fn read(bytes: &[u8]) -> Result<Request, RequestError> {
+    queue(bytes).take().expect("whole").request
 }
 
-fn call(found: Result<Request, Wrong>) -> Call {
-    match found.expect("good").what {
-        What::Call(call) => call,
+fn call(found: Result<Request, RequestError>) -> Call {
+    match found.expect("good").kind {
+        RequestKind::Call(call) => call,
         other => panic!("{other:?}"),
     }
 }
@@ -77,7 +80,7 @@
 #[test]
 fn health_is_asked_without_a_body_and_closing_is_heard() {
     let found = read(b"GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n").expect("good");
-    assert_eq!((found.what, found.close), (What::Health, false));
+    assert_eq!((found.kind, found.close), (RequestKind::Health, false));
     assert!(read(&request("00000000000000aa", "Connection: close\r\n", b"")).expect("good").close);
 }
 
@@ -85,10 +88,10 @@
 /// A client must be able to tell a whole answer, and on a refusal how long to stay away.
 #[test]
 fn answers_are_written_as_the_protocol_has_them() {
-    assert_eq!([Fate::Succeeded, Fate::Throttled, Fate::Errored].map(status), [200, REFUSED, 500]);
+    assert_eq!([Fate::Succeeded, Fate::Throttled, Fate::Errored].map(status_of), [200, REFUSED, 500]);
     let text = |status, wait, body: &[u8], close| {
         let mut out = Vec::new();
-        answer(&mut out, status, wait, body, close);
+        write_response(&mut out, status, wait, body, close);
         String::from_utf8(out).expect("text")
     };
     let refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nSrv-Wait-Ms: 3\r\n";
@@ -104,7 +107,11 @@
         "content-length: 5\r\nTRANSFER-ENCODING: Chunked\r\n",
         "Transfer-Encoding: identity\r\nContent-Length: 5\r\n",
     ] {
-        assert_eq!(read(&request("00000000000000aa", extra, b"0\r\n\r\n")), Err(Wrong::Length), "{extra}");
+        assert_eq!(
+            read(&request("00000000000000aa", extra, b"0\r\n\r\n")),
+            Err(RequestError::Length),
+            "{extra}"
+        );
     }
 }
 
@@ -112,19 +119,23 @@
 fn lengths_that_cannot_be_read_are_refused() {
     for length in ["-1", "+5", "0x10", "5, 5", "5 5", "", "99999999999999999999999", "1e3", "nan"] {
         let extra = format!("Content-Length: {length}\r\n");
-        assert_eq!(read(&request("00000000000000aa", &extra, b"hello")), Err(Wrong::Length), "{length}");
+        assert_eq!(
+            read(&request("00000000000000aa", &extra, b"hello")),
+            Err(RequestError::Length),
+            "{length}"
+        );
     }
     let twice = "Content-Length: 5\r\nContent-Length: 5\r\n";
-    assert_eq!(read(&request("00000000000000aa", twice, b"hello")), Err(Wrong::Length));
+    assert_eq!(read(&request("00000000000000aa", twice, b"hello")), Err(RequestError::Length));
     let coding = "Transfer-Encoding: gzip, chunked\r\n";
-    assert_eq!(read(&request("00000000000000aa", coding, b"0\r\n\r\n")), Err(Wrong::Length));
+    assert_eq!(read(&request("00000000000000aa", coding, b"0\r\n\r\n")), Err(RequestError::Length));
 }
 
 #[test]
 fn a_body_beyond_the_bound_is_refused_by_its_head() {
     for length in [MOST_BODY + 1, 60 << 20, usize::MAX] {
         let extra = format!("Content-Length: {length}\r\n");
-        assert_eq!(read(&request("00000000000000aa", &extra, b"")), Err(Wrong::BodyTooLong));
+        assert_eq!(read(&request("00000000000000aa", &extra, b"")), Err(RequestError::BodyTooLong));
     }
     assert_eq!(call(read(&request("00000000000000aa", "", &[7; MOST_BODY]))).body.len(), MOST_BODY);
 }
@@ -135,12 +146,12 @@
     let body =
         call(read(&request("00000000000000aa", extra, b"3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\n\r\n"))).body;
     assert_eq!(&body[..], b"abc0123456789");
-    assert_eq!(read(&request("00000000000000aa", extra, b"zz\r\nabc\r\n")), Err(Wrong::Chunks));
-    assert_eq!(read(&request("00000000000000aa", extra, b"3\r\nabcd\r\n")), Err(Wrong::Chunks));
-    assert_eq!(read(&request("00000000000000aa", extra, b"ffffffff\r\n")), Err(Wrong::BodyTooLong));
+    assert_eq!(read(&request("00000000000000aa", extra, b"zz\r\nabc\r\n")), Err(RequestError::Chunks));
+    assert_eq!(read(&request("00000000000000aa", extra, b"3\r\nabcd\r\n")), Err(RequestError::Chunks));
+    assert_eq!(read(&request("00000000000000aa", extra, b"ffffffff\r\n")), Err(RequestError::BodyTooLong));
     // One byte a chunk: far more on the wire than in the body.
     let endless = b"1\r\nx\r\n".repeat(20_000);
-    assert_eq!(read(&request("00000000000000aa", extra, &endless)), Err(Wrong::BodyTooLong));
+    assert_eq!(read(&request("00000000000000aa", extra, &endless)), Err(RequestError::BodyTooLong));
 }
 
 #[test]
@@ -155,7 +166,7 @@
         ("Req-Owner", &["", "ACME", "nobody"]),
     ] {
         for value in values {
-            assert_eq!(read(&with(field, value)), Err(Wrong::Field), "{field}: {value}");
+            assert_eq!(read(&with(field, value)), Err(RequestError::Field), "{field}: {value}");
         }
     }
     for extra in [
@@ -175,45 +186,82 @@
         "Req-Id: 00000000000000ab\r\n",
         "X-Class: plain\r\n",
     ] {
-        assert_eq!(read(&request("00000000000000aa", extra, b"")), Err(Wrong::Field), "{extra}");
+        assert_eq!(read(&request("00000000000000aa", extra, b"")), Err(RequestError::Field), "{extra}");
     }
     // Where repeats are known by a token, it must be there.
-    assert_eq!(read(&with("X-Class", "keyed")), Err(Wrong::Field));
+    assert_eq!(read(&with("X-Class", "keyed")), Err(RequestError::Field));
 }
 
 #[test]
 fn other_methods_paths_and_endless_heads_are_refused() {
     let start = |line: &str| read(format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes());
-    assert_eq!(start("PUT /api/v2/7f3a9c21e0b4d655/call"), Err(Wrong::Method));
-    assert_eq!(start("DELETE /-/healthy"), Err(Wrong::Method));
+    assert_eq!(start("PUT /api/v2/7f3a9c21e0b4d655/call"), Err(RequestError::Method));
+    assert_eq!(start("DELETE /-/healthy"), Err(RequestError::Method));
     for path in ["/", "/api/v2/7f3a9c21e0b4d65/call", "/api/v2/../call", "/api/v2/7f3a9c21e0b4d655/cal", "*"]
     {
-        assert_eq!(start(&format!("POST {path}")), Err(Wrong::Path), "{path}");
+        assert_eq!(start(&format!("POST {path}")), Err(RequestError::Path), "{path}");
     }
-    assert_eq!(read(b"\x16\x03\x01 hello\r\n\r\n"), Err(Wrong::Head));
+    assert_eq!(read(b"\x16\x03\x01 hello\r\n\r\n"), Err(RequestError::Head));
     let endless = [&b"POST /api/v2/7f3a9c21e0b4d655/call HTTP/1.1\r\nX: "[..], &[b'a'; 20_000]].concat();
-    assert_eq!(read(&endless), Err(Wrong::HeadTooLong));
+    assert_eq!(read(&endless), Err(RequestError::HeadTooLong));
     let many = format!("GET /-/healthy HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(200));
-    assert_eq!(read(many.as_bytes()), Err(Wrong::HeadTooLong));
+    assert_eq!(read(many.as_bytes()), Err(RequestError::HeadTooLong));
+}
+
+/// Where the settings know no accounts, clients need not name one.
+#[test]
+fn without_accounts_a_request_needs_no_owner() {
+    let mut rules = rules();
+    rules.names.accounts.clear();
+    let bare = String::from_utf8(request("00000000000000aa", "", b"")).expect("text");
+    for text in [bare.replace("Req-Owner: acme\r\n", ""), bare] {
+        let mut queue = RequestQueue::default();
+        queue.put(0, text.as_bytes(), &rules);
+        assert_eq!(call(queue.take().expect("whole").request).account, 0);
+    }
 }
 
 /// Each counts from when its last byte came; what comes after a refusal is not read.
 #[test]
-fn what_is_sent_ahead_waits_with_its_time_and_within_its_bounds() {
-    let (good, terms) = (request("00000000000000aa", "", b"hi"), terms());
-    let mut a = ahead(&good[..20]);
-    a.put(30, &good[20..], &terms);
-    a.put(70, &[&good[..], &with("X-Class", "none"), &good].concat(), &terms);
-    let taken: Vec<_> = std::iter::from_fn(|| a.take(&terms)).map(|(r, at)| (r.is_ok(), at)).collect();
-    assert_eq!(taken, [(true, 30), (true, 70), (false, 70)]);
-    a.put(90, &good, &terms);
-    assert!(std::iter::from_fn(|| a.take(&terms)).all(|(r, _)| r.is_err()) && a.kept() == 0);
-    // Many short ones, or few long ones, and no more is read.
-    let mut many = ahead(&good.repeat(20));
-    assert!(many.full());
-    assert_eq!(std::iter::from_fn(|| many.take(&terms)).count(), 20);
-    let long = request("00000000000000aa", "", &[7; MOST_BODY]);
-    assert!(!ahead(&long).full() && ahead(&long.repeat(2)).full());
+fn what_is_sent_ahead_waits_with_its_time() {
+    let (good, rules) = (request("00000000000000aa", "", b"hi"), rules());
+    let mut a = queue(&good[..20]);
+    assert!(a.is_receiving() && !a.has_request());
+    a.put(30, &good[20..], &rules);
+    a.put(70, &[&good[..], &with("X-Class", "none"), &good].concat(), &rules);
+    let next = |a: &mut RequestQueue| a.take().map(|q| (q.request.is_ok(), q.arrived));
+    assert_eq!([(); 3].map(|()| next(&mut a)), [Some((true, 30)), Some((true, 70)), Some((false, 70))]);
+    a.put(90, &good, &rules);
+    assert!(next(&mut a).is_none() && a.bytes() == 0 && !a.is_receiving());
+}
+
+/// A client that sends far ahead is read all the same, so that its closing is noticed; of what is beyond the bounds only
+/// the number is kept, and each gets its refusal in its turn.
+#[test]
+fn requests_beyond_the_bounds_are_refused_one_by_one_and_not_kept() {
+    let (short, long) =
+        (request("00000000000000aa", "", b"hi"), request("00000000000000aa", "", &[7; MOST_BODY]));
+    for (text, kept) in [(&short, 8), (&long, 2)] {
+        let mut a = RequestQueue::default();
+        for _ in 0..20 {
+            a.put(0, text, &rules());
+        }
+        a.put(0, &text[..10], &rules());
+        assert!(a.bytes() < 2 * MOST_BODY + 1_024, "{}", a.bytes());
+        for n in 0..20 {
+            let request = a.take().expect("one more").request;
+            assert_eq!(request.is_ok(), n < kept, "{n}");
+            assert!(n < kept || request == Err(RequestError::TooManyAhead));
+        }
+        assert!(a.take().is_none() && a.is_receiving());
+        // Then there is room again.
+        a.put(1, &text[10..], &rules());
+        assert!(a.take().expect("the next").request.is_ok());
+    }
+    assert_eq!(RequestError::TooManyAhead.status(), REFUSED);
+    assert!(
+        RequestError::TooManyAhead.leaves_stream_readable() && !RequestError::Length.leaves_stream_readable()
+    );
 }
 
 proptest! {
@@ -238,17 +286,17 @@
             let chunks = [body.chunks(7).flat_map(chunk).collect(), b"0\r\n\r\n".to_vec()].concat();
             bytes.extend(request(&id, "Transfer-Encoding: chunked\r\n", &chunks));
         }
-        let (mut a, mut found, mut rest) = (Ahead::default(), Vec::new(), &bytes[..]);
+        let (mut a, mut found, mut rest) = (RequestQueue::default(), Vec::new(), &bytes[..]);
         for cut in cuts.into_iter().cycle() {
             let (piece, after) = rest.split_at(cut.min(rest.len()));
-            a.put(0, piece, &terms());
-            found.extend(std::iter::from_fn(|| a.take(&terms())).map(|(r, _)| call(r).body.to_vec()));
+            a.put(0, piece, &rules());
+            found.extend(std::iter::from_fn(|| a.take()).map(|q| call(q.request).body.to_vec()));
             rest = after;
             if rest.is_empty() {
                 break;
             }
         }
-        prop_assert!(!a.midway());
+        prop_assert!(!a.is_receiving());
         prop_assert_eq!(found, bodies.into_iter().map(|b| b.1).collect::<Vec<_>>());
     }
 }
--- a/crates/platform/tests/lines.rs
+++ b/crates/platform/tests/lines.rs
@@ -2,15 +2,15 @@
 
 use cedarpulley::interface::{ListMode, OrderResult, Outcome, Standing::Draining, Standing::Gone};
 use cedarpulley_errors::Remedy;
-use cedarpulley_platform::channel::{Answers, Batch, Follower, News};
-use cedarpulley_platform::config::{Names, Start, channel_of};
-use cedarpulley_platform::endings::{self, Ended, Word};
-use cedarpulley_platform::workers::{self, Garbled, Reader};
+use cedarpulley_platform::attempt_outcome::{self, AnswerWord, AttemptEnd};
+use cedarpulley_platform::config::{Names, Start, discovery_address_of};
+use cedarpulley_platform::discovery::{Answers, EventBatch, ListUpdate, WorkerListFollower};
+use cedarpulley_platform::worker_protocol::{self, AnswerError, AnswerReader};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-fn read(bytes: &[u8]) -> Result<Vec<workers::Answer>, Garbled> {
-    let mut reader = Reader::default();
+fn read(bytes: &[u8]) -> Result<Vec<worker_protocol::Answer>, AnswerError> {
+    let mut reader = AnswerReader::default();
     reader.put(bytes);
     let mut found = Vec::new();
     while let Some(answer) = reader.next(&[])? {
@@ -22,7 +22,7 @@
 #[test]
 fn lines_are_written_as_the_protocol_has_them() {
     let mut out = Vec::new();
-    let call = workers::Call {
+    let call = worker_protocol::Call {
         id: "9b1f03aa5c7e2d41",
         trigger: "call",
         function: "7f3a9c21e0b4d655",
@@ -30,11 +30,11 @@
         token: Some("5c0f"),
         body: b"a\r\nb",
     };
-    workers::call(&mut out, &call);
-    workers::withdraw(&mut out, call.id);
-    workers::load(&mut out, "t1", call.function, 2);
-    workers::unload(&mut out, call.function);
-    workers::probe(&mut out, "t2");
+    worker_protocol::call(&mut out, &call);
+    worker_protocol::withdraw(&mut out, call.id);
+    worker_protocol::load(&mut out, "t1", call.function, 2);
+    worker_protocol::unload(&mut out, call.function);
+    worker_protocol::probe(&mut out, "t2");
     let text = "FN 9b1f03aa5c7e2d41 kind=call,obj=7f3a9c21e0b4d655,ms=1499,token=5c0f 4\r\na\r\nb\r\n\
                 KILL 9b1f03aa5c7e2d41\r\nSPAWN t1 obj=7f3a9c21e0b4d655,n=2\r\n\
                 REAP 7f3a9c21e0b4d655\r\nTOP t2\r\n";
@@ -48,7 +48,7 @@
             .expect("good");
     assert_eq!(
         found.iter().map(|a| (&*a.id, a.word)).collect::<Vec<_>>(),
-        [("b", Word::Ok), ("a", Word::Refused), ("t", Word::Ok)]
+        [("b", AnswerWord::Ok), ("a", AnswerWord::Refused), ("t", AnswerWord::Ok)]
     );
     assert_eq!((found[0].crowd, &found[0].body[..], found[2].copies), (3, &b"\r\n"[..], 2));
 }
@@ -56,61 +56,61 @@
 #[test]
 fn what_cannot_be_read_ends_the_connection() {
     for (bytes, why) in [
-        (&b"a ok - 0\n\r\n"[..], Garbled::Line),
-        (b"a ok -\r\n", Garbled::Line),
-        (b"a ok - 0 0\r\n", Garbled::Line),
-        (b"a what - 0\r\n", Garbled::Line),
-        (b" ok - 0\r\n", Garbled::Line),
-        (b"\xff\xfe\xfd \r\n", Garbled::Line),
-        (b"a ok - -1\r\n", Garbled::Length),
-        (b"a ok - 3221225472\r\n", Garbled::Length),
-        (b"a ok - \r\n", Garbled::Length),
-        (b"a ok same 0\r\n", Garbled::Fields),
-        (b"a ok same=-1 0\r\n", Garbled::Fields),
-        (b"a ok gauges=x:nan 0\r\n", Garbled::Fields),
-        (b"a ok - 2\r\nabcd", Garbled::End),
-        (b"a ok - 0\r\nb ok - 0\r\n", Garbled::End),
+        (&b"a ok - 0\n\r\n"[..], AnswerError::Line),
+        (b"a ok -\r\n", AnswerError::Line),
+        (b"a ok - 0 0\r\n", AnswerError::Line),
+        (b"a what - 0\r\n", AnswerError::Line),
+        (b" ok - 0\r\n", AnswerError::Line),
+        (b"\xff\xfe\xfd \r\n", AnswerError::Line),
+        (b"a ok - -1\r\n", AnswerError::Length),
+        (b"a ok - 3221225472\r\n", AnswerError::Length),
+        (b"a ok - \r\n", AnswerError::Length),
+        (b"a ok same 0\r\n", AnswerError::Fields),
+        (b"a ok same=-1 0\r\n", AnswerError::Fields),
+        (b"a ok gauges=x:nan 0\r\n", AnswerError::Fields),
+        (b"a ok - 2\r\nabcd", AnswerError::End),
+        (b"a ok - 0\r\nb ok - 0\r\n", AnswerError::End),
     ] {
         assert_eq!(read(bytes), Err(why), "{}", String::from_utf8_lossy(bytes));
     }
-    assert_eq!(read(&[b'x'; 5_000]), Err(Garbled::Endless));
-    assert_eq!(read(&[&[b'x'; 5_000][..], b"\r\n"].concat()), Err(Garbled::Endless));
+    assert_eq!(read(&[b'x'; 5_000]), Err(AnswerError::Endless));
+    assert_eq!(read(&[&[b'x'; 5_000][..], b"\r\n"].concat()), Err(AnswerError::Endless));
 }
 
 #[test]
 fn each_ending_proves_what_the_table_says() {
-    use Ended::*;
+    use AttemptEnd::*;
     for (ended, outcome, never_ran) in [
-        (Answered(Word::Ok), Outcome::Succeeded, false),
-        (Answered(Word::Nothing), Outcome::Missed, true),
-        (Answered(Word::Refused), Outcome::Throttled, true),
-        (Answered(Word::Error), Outcome::Errored, false),
-        (Answered(Word::Stale), Outcome::NotSent, true),
-        (Answered(Word::Yes), Outcome::Broken, false),
-        (Answered(Word::No), Outcome::Broken, false),
+        (Answered(AnswerWord::Ok), Outcome::Succeeded, false),
+        (Answered(AnswerWord::Nothing), Outcome::Missed, true),
+        (Answered(AnswerWord::Refused), Outcome::Throttled, true),
+        (Answered(AnswerWord::Error), Outcome::Errored, false),
+        (Answered(AnswerWord::Stale), Outcome::NotSent, true),
+        (Answered(AnswerWord::Yes), Outcome::Broken, false),
+        (Answered(AnswerWord::No), Outcome::Broken, false),
         (Unreached, Outcome::Unreachable, true),
         (Unsent, Outcome::NotSent, true),
         (HeldBack, Outcome::NotSent, true),
         (Broken, Outcome::Broken, false),
     ] {
         assert_eq!(
-            (endings::dispatch(ended), endings::dispatch(ended).never_ran()),
+            (attempt_outcome::dispatch(ended), attempt_outcome::dispatch(ended).never_ran()),
             (outcome, never_ran),
             "{ended:?}"
         );
     }
     for (ended, result) in [
-        (Answered(Word::Ok), OrderResult::Stand),
-        (Answered(Word::Refused), OrderResult::NoRoom),
-        (Answered(Word::Error), OrderResult::LoadErrored),
-        (Answered(Word::Stale), OrderResult::Broken),
+        (Answered(AnswerWord::Ok), OrderResult::Stand),
+        (Answered(AnswerWord::Refused), OrderResult::NoRoom),
+        (Answered(AnswerWord::Error), OrderResult::LoadErrored),
+        (Answered(AnswerWord::Stale), OrderResult::Broken),
         (Unreached, OrderResult::Unreachable),
         (Broken, OrderResult::Broken),
     ] {
-        assert_eq!(endings::order(ended), result, "{ended:?}");
+        assert_eq!(attempt_outcome::order(ended), result, "{ended:?}");
     }
-    assert_eq!(endings::probe(Answered(Word::Yes)), Outcome::Succeeded);
-    assert_eq!(endings::probe(Broken), Outcome::Broken);
+    assert_eq!(attempt_outcome::probe(Answered(AnswerWord::Yes)), Outcome::Succeeded);
+    assert_eq!(attempt_outcome::probe(Broken), Outcome::Broken);
 }
 
 fn names() -> Names {
@@ -118,7 +118,7 @@
     Names { zones: list(&["east", "west"]), kinds: list(&["std"]), ..Names::default() }
 }
 
-fn batch(text: &str) -> Batch {
+fn batch(text: &str) -> EventBatch {
     serde_json::from_str(text).expect("events")
 }
 
@@ -133,14 +133,14 @@
     format!(r#"{{"cursor":{cursor},"nodes":{{"full":{full},"servers":[{servers}]}}}}"#)
 }
 
-fn told(follower: &mut Follower, events: &[String]) -> Vec<News> {
+fn told(follower: &mut WorkerListFollower, events: &[String]) -> Vec<ListUpdate> {
     let text = format!(r#"{{"cursor":0,"cmds":[{}]}}"#, events.join(","));
-    follower.batch(&batch(&text), &names(), 3_000, false).expect("good")
+    follower.batch(&batch(&text), &names(), 3_000, 0).expect("good")
 }
 
 #[test]
 fn events_are_told_once_and_in_order() {
-    let mut follower = Follower::default();
+    let mut follower = WorkerListFollower::default();
     let news = told(&mut follower, &[event(2, true, &[("s-1", "active", "127.0.0.9:5050")])]);
     let worker = &news[0].workers[0];
     assert_eq!((news.len(), news[0].mode, &*worker.address), (1, ListMode::Complete, "s-1"));
@@ -156,7 +156,7 @@
 /// Symptom: what was open to a worker that has gone or moved is used for whoever is at its address now.
 #[test]
 fn a_worker_is_known_by_its_id_and_what_is_open_to_an_old_one_retires() {
-    let (mut f, at, to) = (Follower::default(), "127.0.0.9:5050", "127.0.0.8:5050");
+    let (mut f, at, to) = (WorkerListFollower::default(), "127.0.0.9:5050", "127.0.0.8:5050");
     told(&mut f, &[event(1, true, &[("s-1", "active", at), ("s-2", "active", to)])]);
     let news = told(&mut f, &[event(2, false, &[("s-1", "left", at), ("s-3", "active", at)])]);
     assert_eq!((&news[0].retired, f.address("s-1")), (&vec!["s-1".to_owned()], None));
@@ -170,10 +170,10 @@
 /// Symptom: a worker drained while the channel was away, and its grace began when that was heard.
 #[test]
 fn a_drain_that_may_have_been_told_a_while_ago_has_no_grace_left() {
-    let (mut f, at) = (Follower::default(), "127.0.0.9:5050");
+    let (mut f, at) = (WorkerListFollower::default(), "127.0.0.9:5050");
     told(&mut f, &[event(1, true, &[("s-1", "active", at), ("s-2", "active", at)])]);
     let text = format!(r#"{{"cursor":2,"cmds":[{}]}}"#, event(2, false, &[("s-1", "leaving", at)]));
-    let news = f.batch(&batch(&text), &names(), 0, true).expect("good");
+    let news = f.batch(&batch(&text), &names(), 0, i64::MAX).expect("good");
     assert_eq!((news[0].workers[0].standing, &*news[0].retired[0], f.address("s-1")), (Gone, "s-1", None));
     let news = told(&mut f, &[event(3, false, &[("s-2", "leaving", at)])]);
     assert_eq!((news[0].workers[0].standing, f.address("s-2")), (Draining, at.parse().ok()));
@@ -181,7 +181,7 @@
 
 #[test]
 fn what_the_settings_do_not_name_passes_for_nothing_that_they_do() {
-    let mut f = Follower::default();
+    let mut f = WorkerListFollower::default();
     let odd =
         |n, id| event(n, true, &[(id, "active", "127.0.0.9:1")]).replace("west", id).replace("std", "odd");
     let news = told(&mut f, &[odd(1, "a"), odd(2, "b")]);
@@ -191,9 +191,9 @@
 
 #[test]
 fn a_batch_that_cannot_be_understood_changes_nothing() {
-    let mut follower = Follower::default();
+    let mut follower = WorkerListFollower::default();
     let odd = batch(r#"{"cursor":5,"cmds":[{"cursor":5,"nodes":{"servers":[{"id":"s-1","state":"odd"}]}}]}"#);
-    assert!(follower.batch(&odd, &names(), 0, false).is_err());
+    assert!(follower.batch(&odd, &names(), 0, 0).is_err());
     assert_eq!(follower.last(), 0);
 }
 
@@ -243,11 +243,11 @@
     let start = Start::read(START).expect("good");
     assert_eq!((start.seed, start.limits.sockets, start.largest_mb), (0x6444_882f_5c62_0abb, 256, 250.5));
     assert_eq!((start.links.streams, start.links.idle_kept), (100, 15_000_000));
-    let trigger = &start.birth.triggers[0];
+    let trigger = &start.settings.triggers[0];
     assert_eq!((trigger.latency_objective, trigger.client_timeout), (400_000, 1_000_000));
-    assert!(start.birth.loads.orders && start.birth.loads.memory_mb == [100.0, 250.5]);
+    assert!(start.settings.loads.orders && start.settings.loads.memory_mb == [100.0, 250.5]);
     assert_eq!(start.names.accounts, ["acme"]);
-    assert_eq!(channel_of(r#"{"channel":"127.0.0.2:9"}"#).expect("good").port(), 9);
+    assert_eq!(discovery_address_of(r#"{"channel":"127.0.0.2:9"}"#).expect("good").port(), 9);
 }
 
 #[test]
@@ -282,14 +282,14 @@
             bytes.extend_from_slice(body);
             bytes.extend_from_slice(b"\r\n");
         }
-        let (mut reader, mut found) = (Reader::default(), Vec::new());
+        let (mut reader, mut found) = (AnswerReader::default(), Vec::new());
         for piece in bytes.chunks(cut) {
             reader.put(piece);
             while let Some(answer) = reader.next(&[]).expect("good") {
                 found.push(answer.body.to_vec());
             }
         }
-        prop_assert!(!reader.midway());
+        prop_assert!(!reader.is_midway());
         prop_assert_eq!(found, bodies);
     }
 }
--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -1,6 +1,6 @@
 //! Reads the settings that a router's module is born with, in either of the two forms in which the users give
-//! them: pairs of path and value ([`Sheet::pairs`]) or nested JSON ([`Sheet::nested`]), under the same names
-//! and in the same units. [`Birth::read`] makes of them what the module takes; whoever needs more asks the
+//! them: pairs of path and value ([`RawSettings::pairs`]) or nested JSON ([`RawSettings::nested`]), under the same names
+//! and in the same units. [`StartupSettings::read`] makes of them what the module takes; whoever needs more asks the
 //! sheet.
 
 use std::borrow::Cow;
@@ -18,7 +18,7 @@
 
 /// Why nobody is born with these settings.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum Refused {
+pub enum SettingsError {
     #[error("the settings are no object")]
     NoObject,
     #[error("setting '{part}' has no =")]
@@ -33,22 +33,24 @@
     Miscounted { path: String, value: String },
 }
 
-impl Remedy for Refused {
+impl Remedy for SettingsError {
     fn remedy(&self) -> &'static str {
         match self {
-            Refused::NoObject => "give the settings as one JSON object",
-            Refused::NoPair { .. } => "give each setting as PATH=VALUE, set apart by blanks",
-            Refused::TooDeep { .. } => "take it out: no setting that counts here nests so deep",
-            Refused::Misread { .. } => {
+            SettingsError::NoObject => "give the settings as one JSON object",
+            SettingsError::NoPair { .. } => "give each setting as PATH=VALUE, set apart by blanks",
+            SettingsError::TooDeep { .. } => "take it out: no setting that counts here nests so deep",
+            SettingsError::Misread { .. } => {
                 "give it what the cause names; times are whole nanoseconds, flags true or false"
             }
-            Refused::Unknown { .. } => "give one of the words that this build knows, or run a newer build",
-            Refused::Miscounted { .. } => "give as many entries as the count says",
+            SettingsError::Unknown { .. } => {
+                "give one of the words that this build knows, or run a newer build"
+            }
+            SettingsError::Miscounted { .. } => "give as many entries as the count says",
         }
     }
 }
 
-type Result<T> = std::result::Result<T, Refused>;
+type Result<T> = std::result::Result<T, SettingsError>;
 
 /// Outside time in whole microseconds; what is left of a span is rounded down.
 pub fn micros(nanos: i64) -> Micros {
@@ -68,15 +70,15 @@
 
 /// Every value under its path, as in `services.0.aim`; a list of objects has its length under `.count`.
 #[derive(Debug, Default)]
-pub struct Sheet<'a>(HashMap<Cow<'a, str>, Cow<'a, str>>);
+pub struct RawSettings<'a>(HashMap<Cow<'a, str>, Cow<'a, str>>);
 
-impl<'a> Sheet<'a> {
+impl<'a> RawSettings<'a> {
     /// `path=value`, set apart by blanks.
     pub fn pairs(text: &'a str) -> Result<Self> {
         let mut pairs = HashMap::new();
         for part in text.split(' ').filter(|p| !p.is_empty()) {
             let (path, value) =
-                part.split_once('=').ok_or_else(|| Refused::NoPair { part: part.to_owned() })?;
+                part.split_once('=').ok_or_else(|| SettingsError::NoPair { part: part.to_owned() })?;
             pairs.insert(Cow::Borrowed(path), Cow::Borrowed(value));
         }
         Ok(Self(pairs))
@@ -85,7 +87,7 @@
     /// The same as nested JSON.
     pub fn nested(settings: &Value) -> Result<Self> {
         if !settings.is_object() {
-            return Err(Refused::NoObject);
+            return Err(SettingsError::NoObject);
         }
         let mut sheet = Self::default();
         sheet.flatten(String::new(), settings, 0)?;
@@ -94,7 +96,7 @@
 
     fn flatten(&mut self, path: String, value: &Value, depth: usize) -> Result<()> {
         if depth >= DEEPEST {
-            return Err(Refused::TooDeep { path });
+            return Err(SettingsError::TooDeep { path });
         }
         let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
         match value {
@@ -159,7 +161,7 @@
     pub fn count(&self, list: &str) -> Result<usize> {
         let n = self.number(&format!("{list}.count"), 0.0)?;
         if n < 0.0 || n.fract() != 0.0 || n > self.0.len() as f64 {
-            return Err(Refused::Miscounted { path: format!("{list}.count"), value: n.to_string() });
+            return Err(SettingsError::Miscounted { path: format!("{list}.count"), value: n.to_string() });
         }
         Ok(n as usize)
     }
@@ -168,12 +170,12 @@
 /// An unlimited time, for rules that a site leaves out.
 const NEVER: Micros = i64::MAX / 8;
 
-fn misread(path: &str, value: &str, wanted: &'static str) -> Refused {
-    Refused::Misread { path: path.to_owned(), value: value.to_owned(), wanted }
+fn misread(path: &str, value: &str, wanted: &'static str) -> SettingsError {
+    SettingsError::Misread { path: path.to_owned(), value: value.to_owned(), wanted }
 }
 
 fn unknown<T>(path: &str, value: &str) -> Result<T> {
-    Err(Refused::Unknown { path: path.to_owned(), value: value.to_owned() })
+    Err(SettingsError::Unknown { path: path.to_owned(), value: value.to_owned() })
 }
 
 fn plain(value: &Value) -> String {
@@ -210,7 +212,7 @@
 
 /// What the module is born with.
 #[derive(Clone, Debug)]
-pub struct Birth {
+pub struct StartupSettings {
     pub fleet: FleetPosition,
     pub limits: DispatchLimits,
     pub rules: RuleTerms,
@@ -221,7 +223,7 @@
     pub reports: ReportsIn,
 }
 
-impl Birth {
+impl StartupSettings {
     pub fn control(&self, seed: u64) -> Control {
         Control::new(
             seed,
@@ -236,7 +238,7 @@
         )
     }
 
-    pub fn read(p: &Sheet) -> Result<Self> {
+    pub fn read(p: &RawSettings) -> Result<Self> {
         let fleet = FleetPosition {
             routers: p.number("fleetSize", 1.0)?.max(1.0) as u32,
             position: p.number("position", 0.0)?.max(0.0) as u32,
@@ -333,13 +335,13 @@
             Some("none") | None => ReportsIn::Nothing,
             Some(v) => return unknown("stats.how", v),
         };
-        Ok(Birth { fleet, limits, rules, triggers, accounts, loads, prices, reports })
+        Ok(StartupSettings { fleet, limits, rules, triggers, accounts, loads, prices, reports })
     }
 }
 
 impl ReportField {
     /// Those that the settings name, in their order.
-    pub fn named(p: &Sheet) -> Vec<Self> {
+    pub fn named(p: &RawSettings) -> Vec<Self> {
         p.list("stats.fields").map(Self::of).collect()
     }
 
--- a/crates/trace/src/explain.rs
+++ b/crates/trace/src/explain.rs
@@ -204,7 +204,7 @@
         let side = self.sides.entry(source).or_default();
         match happened {
             Happened::Other(Event::Invocation(a)) => {
-                let objective = of.start.birth.triggers.get(a.trigger as usize).map_or(Micros::MAX, |t| {
+                let objective = of.start.startup.triggers.get(a.trigger as usize).map_or(Micros::MAX, |t| {
                     let stretch = a.cost_hint.unwrap_or(0) as f64 * t.objective_stretch;
                     t.latency_objective.saturating_add(stretch as Micros)
                 });
@@ -282,7 +282,7 @@
 
     fn count(&mut self, of: &Source, trigger: u32, wall: Micros, cause: Cause, lost: bool) {
         // Of a trigger type that is not known any more: counted, at no cost.
-        let value = of.start.birth.triggers.get(trigger as usize);
+        let value = of.start.startup.triggers.get(trigger as usize);
         let cost =
             value.map_or(0.0, |t| if lost { t.billed_value } else { t.billed_value * (1.0 - t.late_part) });
         let new = Ranked { cause: cause.clone(), cost: 0.0, lost: 0, late: 0, from_us: wall, until_us: wall };
--- a/crates/trace/src/rules.rs
+++ b/crates/trace/src/rules.rs
@@ -104,8 +104,8 @@
                 if std::mem::replace(&mut open.answered, true) {
                     return;
                 }
-                let late = at - open.gives_up - ANSWER_MARGIN - of.start.birth.rules.answer_slack;
-                let effect = of.start.birth.triggers.get(open.trigger as usize).map(|t| t.effect);
+                let late = at - open.gives_up - ANSWER_MARGIN - of.start.startup.rules.answer_slack;
+                let effect = of.start.startup.triggers.get(open.trigger as usize).map(|t| t.effect);
                 let ran = open.sent.iter().any(|s| s.outcome.is_none_or(|o| !o.never_ran()));
                 if late > 0 {
                     self.breaks(1, told(format!("answered {} ms after its client gave up", late / 1000)));
@@ -139,7 +139,7 @@
             }
             Happened::Other(Event::Invocation(a)) => {
                 self.out.invocations += 1;
-                let window = of.start.birth.loads.ration_window;
+                let window = of.start.startup.loads.ration_window;
                 if window > 0 {
                     side.taken.push_back(at);
                     forget(&mut side.taken, at - window);
@@ -164,7 +164,7 @@
                 let Some(sent) = open.sent.get_mut(e.dispatch as usize) else { return };
                 sent.outcome = Some(e.outcome);
                 let suspect = sent.suspect.take().filter(|_| e.outcome != Outcome::NotSent);
-                let once = of.start.birth.triggers.get(trigger as usize).map(|t| t.effect)
+                let once = of.start.startup.triggers.get(trigger as usize).map(|t| t.effect)
                     == Some(Effect::NonIdempotent);
                 if let Some(mark) = mark.filter(|_| once && !e.outcome.never_ran()) {
                     if self.ran.len() < MOST_MARKS {
@@ -189,7 +189,7 @@
                 let Some(open) = side.open.get_mut(&inv) else { return };
                 let place = side.workers.get(&worker).copied();
                 let ran = |s: &Sent| s.outcome.is_none_or(|o| !o.never_ran());
-                let trigger = of.start.birth.triggers.get(open.trigger as usize);
+                let trigger = of.start.startup.triggers.get(open.trigger as usize);
                 let elsewhere = open.mark.and_then(|m| self.ran.get(&m)).is_some_and(|who| *who != source);
                 let mut suspect = None;
                 match trigger.map(|t| t.effect) {
@@ -211,11 +211,11 @@
                     }
                     _ => {}
                 }
-                if !of.start.birth.limits.second_copies && open.sent.iter().any(|s| s.outcome.is_none()) {
+                if !of.start.startup.limits.second_copies && open.sent.iter().any(|s| s.outcome.is_none()) {
                     suspect = Some((2, told("a second copy where none is allowed")));
                 }
                 if let Some((_, _, Some(since))) = place
-                    && at - since > of.start.birth.rules.drain_grace
+                    && at - since > of.start.startup.rules.drain_grace
                 {
                     suspect = Some((3, told("sent to one that is draining or gone, past the grace")));
                 }
@@ -225,15 +225,15 @@
                 open.sent.push(Sent { worker, at, outcome: None, suspect });
             }
             Action::Order { copies, .. } if copies > 0 => {
-                let window = of.start.birth.loads.ration_window;
+                let window = of.start.startup.loads.ration_window;
                 if window <= 0 {
                     return;
                 }
                 side.orders.push_back(at);
                 forget(&mut side.orders, at - window);
                 forget(&mut side.taken, at - window);
-                let allowed = of.start.birth.loads.ration_few
-                    + of.start.birth.loads.ration_part * side.taken.len() as f64;
+                let allowed = of.start.startup.loads.ration_few
+                    + of.start.startup.loads.ration_part * side.taken.len() as f64;
                 if side.orders.len() as f64 > allowed + 1e-9 {
                     let why = format!("{} orders, and {allowed:.1} were allowed", side.orders.len());
                     self.breaks(5, told(&why));
--- a/crates/trace/src/start.rs
+++ b/crates/trace/src/start.rs
@@ -3,7 +3,7 @@
 
 use cedarpulley::Control;
 use cedarpulley::interface::*;
-use cedarpulley_birth::Birth;
+use cedarpulley_startup::StartupSettings;
 
 use crate::wire::{Bad, Get, Put};
 
@@ -21,7 +21,7 @@
     pub accounts_named: Vec<String>,
     pub fronts_named: Vec<String>,
     pub seed: u64,
-    pub birth: Birth,
+    pub startup: StartupSettings,
 }
 
 /// What a file has of a router's life.
@@ -112,7 +112,7 @@
 impl Start {
     /// The module, born again.
     pub fn control(&self) -> Control {
-        self.birth.control(self.seed)
+        self.startup.control(self.seed)
     }
 
     pub fn put(&self) -> Vec<u8> {
@@ -128,23 +128,23 @@
             names.iter().for_each(|n| p.text(n));
         }
         p.u(self.seed);
-        let f = &self.birth.fleet;
+        let f = &self.startup.fleet;
         [f.routers, f.position, f.zone].into_iter().for_each(|n| p.u(n.into()));
         p.i(f.granularity);
-        let l = &self.birth.limits;
+        let l = &self.startup.limits;
         p.u(l.max_dispatches.into());
         [l.second_copies, l.withdrawals, l.probes].into_iter().for_each(|b| p.byte(b.into()));
         p.i(l.connect_within);
         p.i(l.max_advice);
-        let r = &self.birth.rules;
+        let r = &self.startup.rules;
         [r.answer_slack, r.drain_grace, r.ask_within].into_iter().for_each(|t| p.i(t));
         p.byte(r.list_on_request.into());
         p.f(r.cold_part);
         p.i(r.cold_for);
         p.f(r.overload_multiple);
         p.i(r.overload_window);
-        p.u(self.birth.triggers.len() as u64);
-        for t in &self.birth.triggers {
+        p.u(self.startup.triggers.len() as u64);
+        for t in &self.startup.triggers {
             match t.effect {
                 Effect::Idempotent => p.byte(0),
                 Effect::NonIdempotent => p.byte(1),
@@ -164,12 +164,12 @@
             p.f(t.late_part);
             p.byte(t.streamed.into());
         }
-        p.u(self.birth.accounts.len() as u64);
-        for a in &self.birth.accounts {
+        p.u(self.startup.accounts.len() as u64);
+        for a in &self.startup.accounts {
             p.f(a.allowance_per_s);
             p.f(a.share);
         }
-        let l = &self.birth.loads;
+        let l = &self.startup.loads;
         p.i(l.idle_kept);
         [l.orders, l.loads_when_absent, l.notes, l.crowds].into_iter().for_each(|b| p.byte(b.into()));
         p.i(l.order_answered_within);
@@ -178,9 +178,9 @@
         p.f(l.ration_part);
         p.u(l.memory_mb.len() as u64);
         l.memory_mb.iter().for_each(|m| p.f(*m));
-        let c = &self.birth.prices;
+        let c = &self.startup.prices;
         [c.crossing, c.fetch, c.waste, c.probe, c.late_error, c.over_share].into_iter().for_each(|x| p.f(x));
-        p.byte(match self.birth.reports {
+        p.byte(match self.startup.reports {
             ReportsIn::Answers => 0,
             ReportsIn::Probes => 1,
             ReportsIn::Nothing => 2,
@@ -274,7 +274,7 @@
             accounts_named,
             fronts_named,
             seed,
-            birth: Birth { fleet, limits, rules, triggers, accounts, loads, prices, reports },
+            startup: StartupSettings { fleet, limits, rules, triggers, accounts, loads, prices, reports },
         })
     }
 }
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -133,7 +133,7 @@
     pub fn file(&mut self, sources: &[Source]) {
         for s in sources {
             self.out.files += 1;
-            let place = (s.start.birth.fleet.position, s.start.birth.fleet.routers);
+            let place = (s.start.startup.fleet.position, s.start.startup.fleet.routers);
             let key = (s.start.router.clone(), s.start.wall_at_zero);
             self.routers.entry(key).or_insert(Seen { place, span: None });
         }
--- a/crates/trace/tests/rewriting.rs
+++ b/crates/trace/tests/rewriting.rs
@@ -200,7 +200,8 @@
 fn two_at_the_same_place_are_told() {
     let start = |router: &str, position: u32| {
         let mut start = open(KEPT).sources[0].start.clone();
-        (start.router, start.birth.fleet.position, start.birth.fleet.routers) = (router.into(), position, 3);
+        (start.router, start.startup.fleet.position, start.startup.fleet.routers) =
+            (router.into(), position, 3);
         start
     };
     let file = |router: &str, position: u32, from: Micros, until: Micros| {
--- a/crates/trace/tests/ruled.rs
+++ b/crates/trace/tests/ruled.rs
@@ -17,10 +17,13 @@
 
 fn source(effect: Effect) -> Source {
     let mut s = Reader::open(Cursor::new(KEPT)).expect("a trace").sources.swap_remove(0);
-    s.start.birth.triggers[0].effect = effect;
-    s.start.birth.rules.drain_grace = 500 * MS;
-    (s.start.birth.loads.ration_window, s.start.birth.loads.ration_few, s.start.birth.loads.ration_part) =
-        (1_000 * MS, 2.0, 0.5);
+    s.start.startup.triggers[0].effect = effect;
+    s.start.startup.rules.drain_grace = 500 * MS;
+    (
+        s.start.startup.loads.ration_window,
+        s.start.startup.loads.ration_few,
+        s.start.startup.loads.ration_part,
+    ) = (1_000 * MS, 2.0, 0.5);
     s
 }
 
--- a/crates/trace/tests/small/mod.rs
+++ b/crates/trace/tests/small/mod.rs
@@ -4,8 +4,8 @@
 use std::io::Cursor;
 
 use cedarpulley::interface::*;
-use cedarpulley_birth::Birth;
 use cedarpulley_router::{Fate, Reason};
+use cedarpulley_startup::StartupSettings;
 use cedarpulley_trace::blocks::Gather;
 use cedarpulley_trace::places::Place;
 use cedarpulley_trace::reader::Reader;
@@ -26,12 +26,12 @@
         accounts_named: vec!["amber".into()],
         fronts_named: vec!["amqp".into()],
         seed: 9,
-        birth: birth(),
+        startup: startup(),
     }
 }
 
-fn birth() -> Birth {
-    Birth {
+fn startup() -> StartupSettings {
+    StartupSettings {
         fleet: FleetPosition { routers: 1, position: 0, zone: 0, granularity: MS },
         limits: DispatchLimits {
             max_dispatches: 4,
