Tests of the node: what is owed as a client's connection, a worker's or the router ends

A connection that is called off from here while it comes up ends as 'held back': seen with the first form of the test of a moved worker, it counted as unreachable, and the worker was judged by it.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use procfs::net::TcpState::{CloseWait, Listen, SynSent};
+use procfs::net::TcpState::{CloseWait, SynSent};
 use rustix::process::Signal;
 
 mod platform;
@@ -220,26 +220,14 @@
         let patient = |c: String| c.replace("\"miss\"", absent).replace("250000000", "30000000000");
         let (w, at, seen) = (World::with(18, patient), own(18), Shared::default());
         // It has room for one connection, and takes none: the next one comes up once that is taken.
-        let socket =
-            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-        socket.bind(&at.into()).expect("bind");
-        socket.listen(0).expect("listens");
-        let listener = TcpListener::from(socket);
-        let _first = TcpStream::connect(at).expect("room for one");
-        w.until("no room is left", |_| {
-            rows(Some(at), None).iter().any(|r| r.state == Listen && r.rx_queue == 1)
-        });
-        let tell = |n: u64, id: &str, at, state: &str| {
-            w.channel.lock().expect("channel").events.push(event(n, at, id, state));
-            w.until("it is told", |w| w.channel.lock().expect("channel").asked.contains(&n));
-        };
-        tell(2, "s-2", at, "active");
-        tell(3, "s-1", w.workers, "left");
+        let (listener, _first) = full_listener(at);
+        w.tell(2, "s-2", at, "active");
+        w.tell(3, "s-1", w.workers, "left");
         let mut stream = w.connect();
         let text = call(&id(1), "plain", GOOD, "", "x").replace("Wait-Ms: 60000", "Wait-Ms: 12000");
         stream.write_all(text.as_bytes()).expect("sent");
         w.until("it connects", |_| rows(None, Some(at)).iter().any(|r| r.state == SynSent));
-        tell(4, "s-2", at, "leaving");
+        w.tell(4, "s-2", at, "leaving");
         thread::sleep(Duration::from_millis(600));
         worker(listener, seen.clone());
         w.until("it is connected", |_| seen.lock().expect("seen").connections == 2);
@@ -270,16 +258,12 @@
         let (w, other, seen) = (World::with(22, patient), own(22), Shared::default());
         worker(TcpListener::bind(other).expect("bind"), seen.clone());
         assert_eq!(w.ask(&call(&id(1), "plain", GOOD, "", "x")).expect("an answer").0, 200);
-        let tell = |n: u64, id: &str, at, state: &str| {
-            w.channel.lock().expect("channel").events.push(event(n, at, id, state));
-            w.until("it is told", |w| w.channel.lock().expect("channel").asked.contains(&n));
-        };
-        tell(2, "s-2", other, "active");
+        w.tell(2, "s-2", other, "active");
         if late {
             w.channel.lock().expect("channel").silent = true;
             w.until("it is silent", |w| !w.channel.lock().expect("channel").silent);
         }
-        tell(3, "s-1", w.workers, "leaving");
+        w.tell(3, "s-1", w.workers, "leaving");
         assert_eq!(w.ask(&call(&id(2), "plain", GOOD, "", "x")).expect("an answer").0, 200);
         let other = seen.lock().expect("seen").calls.len();
         assert_eq!((w.calls(&id(2)), other), if late { (0, 1) } else { (1, 0) });
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -1,5 +1,7 @@
 //! A running `cedarpulley node` over real sockets, between a small scripted worker, a command channel and clients.
+#![allow(dead_code)] // Each test file uses its part.
 
+use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -9,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use procfs::net::TcpNetEntry;
+use procfs::net::{TcpNetEntry, TcpState};
 use rustix::process::Signal;
 
 /// Long enough for anything here on a loaded machine; only a failing test waits so long.
@@ -36,6 +38,8 @@
 #[derive(Default)]
 pub struct Seen {
     pub calls: Vec<(String, String)>,
+    /// The milliseconds that the worker was given, by the id of the call.
+    pub deadlines: HashMap<String, u64>,
     pub killed: Vec<String>,
     /// Of `KEPT`, what may be answered.
     freed: Vec<String>,
@@ -66,8 +70,10 @@
                 let mut body = vec![0; length.parse::<usize>().expect("a length") + 2];
                 lines.read_exact(&mut body).expect("the body");
                 body.truncate(body.len() - 2);
-                let function = fields.split(',').find_map(|f| f.strip_prefix("obj=")).expect("a function");
+                let field = |name| fields.split(',').find_map(|f| f.strip_prefix(name)).expect("a field");
+                let (function, deadline) = (field("obj="), field("ms=").parse().expect("a number"));
                 seen.lock().expect("seen").calls.push((id.to_owned(), function.to_owned()));
+                seen.lock().expect("seen").deadlines.insert(id.to_owned(), deadline);
                 let mut good = format!("{id} ok same=0 {}\r\n", body.len()).into_bytes();
                 good.extend_from_slice(&body);
                 good.extend_from_slice(b"\r\n");
@@ -239,6 +245,29 @@
         answer(&mut BufReader::new(stream))
     }
 
+    /// Waits until the router has accepted the connection from this address.
+    pub fn accepted(&self, client: SocketAddr) {
+        self.until("it is accepted", |w| rows(Some(w.address), Some(client)).iter().any(|r| r.inode != 0));
+    }
+
+    /// Waits until the client's closing has arrived on the router's side, read or not.
+    pub fn closing_arrived(&self, client: SocketAddr) {
+        let arrived =
+            |w: &World| rows(Some(w.address), Some(client)).iter().any(|r| r.state == TcpState::CloseWait);
+        self.until("its closing has arrived", arrived);
+    }
+
+    /// Waits until bytes from this address lie unread on the router's side.
+    pub fn lies_unread(&self, from: SocketAddr) {
+        self.until("it lies unread", |_| rows(None, Some(from)).iter().any(|r| r.rx_queue > 0));
+    }
+
+    /// The channel tells of a worker, and the router has heard it.
+    pub fn tell(&self, number: u64, id: &str, at: SocketAddr, state: &str) {
+        self.channel.lock().expect("channel").events.push(event(number, at, id, state));
+        self.until("it is told", |w| w.channel.lock().expect("channel").asked.contains(&number));
+    }
+
     pub fn calls(&self, id: &str) -> usize {
         self.seen.lock().expect("seen").calls.iter().filter(|c| c.0 == id).count()
     }
@@ -304,6 +333,20 @@
         .expect("started")
 }
 
+/// A listener whose backlog is full: whoever connects waits until the returned connection is accepted.
+pub fn full_listener(at: SocketAddr) -> (TcpListener, TcpStream) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&at.into()).expect("bind");
+    socket.listen(0).expect("listens");
+    let first = TcpStream::connect(at).expect("room for one");
+    let until = Instant::now() + PATIENCE;
+    while !rows(Some(at), None).iter().any(|r| r.state == TcpState::Listen && r.rx_queue == 1) {
+        assert!(Instant::now() < until, "no room is left");
+        thread::sleep(Duration::from_millis(10));
+    }
+    (TcpListener::from(socket), first)
+}
+
 /// The rows of the system's table of TCP connections between these two, from the first one's side; none names
 /// any.
 pub fn rows(from: Option<SocketAddr>, to: Option<SocketAddr>) -> Vec<TcpNetEntry> {
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -161,7 +161,10 @@
                 None
             };
             let Some(stream) = connected.or(called_off).await else {
-                return workers.over(&owner, &kept, AttemptEnd::Unreached);
+                // Called off from here, it tells nothing of the worker.
+                let called_off = kept.closed_here.get();
+                let end = if called_off { AttemptEnd::HeldBack } else { AttemptEnd::Unreached };
+                return workers.over(&owner, &kept, end);
             };
             kept.stream.replace(Some(Rc::new(stream)));
             workers.pool.borrow_mut().opened(id);
