--- a/crates/router/src/core.rs
+++ b/crates/router/src/core/mod.rs
@@ -1,8 +1,12 @@
 //! [`Router`]: owns the invocations and dispatches, one timer queue, and calls the module for every event. Call
 //! [`Router::handle`] with each thing that happened, and again with [`Input::Tick`] at [`Router::next_due`].
 
+mod messages;
+
+pub use messages::{Call, Counts, Input, Output, Terms};
+
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 
 use cedarpulley::Control;
@@ -12,8 +16,8 @@
 
 use crate::admission::{Admission, FrontState, Pace};
 use crate::claims::{ClaimIx, Claims};
-use crate::entry::{self, Door, Entry, Knock, Short};
-use crate::group::{self, Ask, Keys, Leave, Need, Part, Refusal, Sendings, Sharing, Stage, Told};
+use crate::entry::{self, Door, Entry, Knock};
+use crate::group::{self, Ask, Keys, Leave, Need, Part, Refusal, Sendings, Stage, Told};
 use crate::redelivery::{self, Record, Verdict};
 use crate::roster::Listed;
 use crate::service::Service;
@@ -29,195 +33,6 @@
 /// Of an invocation whose claim was forgotten.
 const NO_CLAIM: ClaimIx = ClaimIx::MAX;
 
-/// What the core needs to know beside what the module is born with.
-#[derive(Clone, Debug)]
-pub struct Terms {
-    /// The final answer is due this long before the client gives up: the front takes so long to get it out.
-    pub answer_margin: Micros,
-    /// How far a client's clock and ours may differ.
-    pub clock_margin: Micros,
-    /// Bodies of all that is taken, in bytes.
-    pub memory_bytes: u64,
-    /// Weights of the fronts among each other.
-    pub front_weights: Vec<f64>,
-    /// Shares of the accounts; none if all belong to one.
-    pub account_shares: Vec<f64>,
-    /// A worker that is unreachable is known to be after this time.
-    pub order_answered_within: Micros,
-    /// Nothing beside the module chooses: no shares, no joining by token; only bounds refuse.
-    pub module_alone: bool,
-    /// New work may leave for a worker so long after it was told to drain or to be gone.
-    pub drain_grace: Micros,
-    /// It is one of a group that shares what it takes.
-    pub sharing: Option<Sharing>,
-}
-
-#[derive(Debug)]
-pub enum Input {
-    Front {
-        front: FrontIx,
-        state: FrontState,
-    },
-    /// A request is at the door of a front that can turn it away. What is let in is taken with this delivery, or
-    /// departs.
-    Knock {
-        delivery: Delivery,
-        knock: Knock,
-    },
-    Taken(Taken),
-    /// The answer to this delivery is out for good.
-    Safe(Delivery),
-    /// The client has left; no answer is owed.
-    Departed(Delivery),
-    List {
-        mode: ListMode,
-        workers: Vec<Listed>,
-    },
-    DispatchEnded {
-        ticket: Ticket,
-        outcome: Outcome,
-        note: CopyNote,
-        crowd: Option<u32>,
-        report: Report,
-        /// What the worker says it held of it.
-        held: Option<Held>,
-        body: Payload,
-    },
-    OrderEnded {
-        ticket: OrderTicket,
-        result: OrderResult,
-        copies: u32,
-        held: Option<Held>,
-    },
-    Probed {
-        worker: WorkerIx,
-        outcome: Outcome,
-        took: Micros,
-        report: Report,
-    },
-    /// What the group says.
-    Group(Told),
-    /// A copy is wanted at a worker beside what invocations ask for, of a function that is like another one in what its
-    /// invocations are. `term`: of the plan that wants it. The module may order it or not.
-    Wanted {
-        worker: Arc<str>,
-        function: Arc<str>,
-        like: Arc<str>,
-        term: Option<Arc<str>>,
-    },
-    /// Idle copies of a function are to go from a worker.
-    Unwanted {
-        worker: Arc<str>,
-        function: Arc<str>,
-        term: Option<Arc<str>>,
-    },
-    /// What a worker itself says that it holds.
-    Held {
-        worker: Arc<str>,
-        function: Arc<str>,
-        copies: u32,
-    },
-    Tick,
-    /// Take nothing new; answer what was taken.
-    Stop,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub enum Output {
-    Answer {
-        delivery: Delivery,
-        answer: Answer,
-    },
-    /// What is to become of the one at the door.
-    Entry {
-        delivery: Delivery,
-        entry: Entry,
-    },
-    /// The same message came twice at once: it is out of the way without an answer of its own.
-    Discard(Delivery),
-    Send {
-        ticket: Ticket,
-        worker: WorkerIx,
-        function: Arc<str>,
-        trigger: u32,
-        account: u32,
-        call: Call,
-    },
-    Withdraw(Ticket),
-    Order {
-        ticket: OrderTicket,
-        function: Arc<str>,
-        /// Who asked for the function last.
-        account: u32,
-        copies: u32,
-        within: Micros,
-        /// Of the plan that wants it.
-        term: Option<Arc<str>>,
-    },
-    Unload {
-        worker: WorkerIx,
-        function: Arc<str>,
-        term: Option<Arc<str>>,
-    },
-    Probe {
-        worker: WorkerIx,
-    },
-    AskList,
-    /// For the group.
-    Group(Ask),
-    /// So many may this front have out; 0: nothing new.
-    Grant {
-        front: FrontIx,
-        most: u32,
-    },
-}
-
-/// What a dispatch carries.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Call {
-    pub mark: Option<Arc<str>>,
-    pub token: Option<Arc<str>>,
-    pub time_left: Micros,
-    /// The dispatch is waited for so long.
-    pub waited_for: Micros,
-    pub cost_hint: Option<Micros>,
-    pub load_hint: Option<Micros>,
-    pub copy_mb: f64,
-    pub lanes: u32,
-    pub session: Option<Session>,
-    pub body: Payload,
-}
-
-/// All that was decided, counted; nothing here is read back by a decision.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    pub taken: u64,
-    /// Neither dispatched nor answered at once.
-    pub held: u64,
-    pub dispatches: u64,
-    pub orders: u64,
-    pub withdrawn: u64,
-    pub joined: u64,
-    /// By their token, to one that was out; and answered as one before was.
-    pub joined_by_token: u64,
-    pub remembered: u64,
-    pub repeated: u64,
-    pub refused_redelivered: u64,
-    pub discarded: u64,
-    pub orphaned: u64,
-    /// Endings that came after the invocation had been answered, or for no one.
-    pub too_late: u64,
-    /// Waited for at another router, and answered as another one had answered.
-    pub joined_elsewhere: u64,
-    pub answered_elsewhere: u64,
-    /// Leave that was asked for and not given, and that had grown old before it was used.
-    pub leave_refused: u64,
-    pub leave_too_old: u64,
-    pub answers: BTreeMap<(Fate, Reason), u64>,
-    /// At the door, by front and cause; none of them was taken.
-    pub turned_away: BTreeMap<(FrontIx, Short), u64>,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Sent {
     Out,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,5 +1,5 @@
 //! The router core: takes invocations from any front, asks the decision module about every event, and says what
-//! is to be sent where. Begin reading at [`Router::handle`] in `core.rs`.
+//! is to be sent where. Begin reading at [`Router::handle`] in `core/mod.rs`.
 //!
 //! It never touches a socket, a clock or a thread: time and events go in, outputs come out, and the same events
 //! give the same outputs. Where an invocation goes, the module (`cedarpulley::Control`) decides. Beside it stand
