Router core: small modules by job, named types instead of tuples

Need: one file held all of the core, with functions up to some 130 lines, bare tuples for meaningful records and wording of its own. Change: core/ has a module for each job (entering, intake, holders, decisions, dispatching, orders, peer_group, finishing, timers, worker_list) and for its state (invocation, functions); none has over 350 lines, no function over 45. Inv becomes Invocation; the records of functions, orders, entered requests, worker places, timers, answers' subjects and references to invocations are structs. Comments name the fault that a line guards against in ordinary English. No decision and no public path changes; Router::may_leave and Service::follow are as they were. A field that nobody read (stopping) goes.

--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -8,9 +8,9 @@
 
 use std::sync::Arc;
 
-use cedarpulley::interface::{Effect, InvIx, Micros, RepeatGroup, TriggerType};
+use cedarpulley::interface::{Effect, Micros, RepeatGroup, TriggerType};
 
-use crate::{Answer, Taken, Ticket, tokens};
+use crate::{Answer, Taken, tokens};
 
 /// By which a group knows an invocation: the same at all its routers.
 pub type Key = Arc<str>;
@@ -155,7 +155,3 @@
     Asked,
     Given(Micros),
 }
-
-/// Which dispatch a sending is, and which invocation a key.
-pub(crate) type Sendings = std::collections::HashMap<u64, Ticket>;
-pub(crate) type Keys = std::collections::HashMap<Key, (InvIx, u32)>;
