--- a/crates/cli/tests/node_endings.rs
+++ b/crates/cli/tests/node_endings.rs
@@ -120,25 +120,34 @@
     }
 }
 
-/// A request waits for a lane. Its client leaves, and the lane becomes free, before the router looks at either.
+/// A request waits for a lane. Its client leaves, and the lane becomes free, before the router looks at either; it looks
+/// first at what has come first.
 #[test]
 fn a_waiting_request_whose_client_has_left_is_not_begun() {
-    let w = World::new(33);
-    let first = send(&w, &call(&id(1), "once", KEPT, "", "x"));
-    w.until("it is out", |w| w.calls(&id(1)) == 1);
-    let second = send(&w, &call(&id(2), "once", KEPT, "", "x"));
-    w.turns();
-    assert_eq!(w.calls(&id(2)), 0);
-    w.halt();
-    let client = address(&second);
-    drop(second);
-    w.closing_arrived(client);
-    w.free(&id(1));
-    w.lies_unread(w.workers);
-    w.goes_on();
-    assert_eq!(status(first), 200);
-    w.turns();
-    assert_eq!(w.calls(&id(2)), 0);
+    for leaves_first in [false, true] {
+        let w = World::new(33);
+        let first = send(&w, &call(&id(1), "once", KEPT, "", "x"));
+        w.until("it is out", |w| w.calls(&id(1)) == 1);
+        let second = send(&w, &call(&id(2), "once", KEPT, "", "x"));
+        w.turns();
+        assert_eq!(w.calls(&id(2)), 0);
+        w.halt();
+        let (client, mut second) = (address(&second), Some(second));
+        let mut leave = || {
+            drop(second.take());
+            w.closing_arrived(client);
+        };
+        if leaves_first {
+            leave();
+        }
+        w.free(&id(1));
+        w.lies_unread(w.workers);
+        leave();
+        w.goes_on();
+        assert_eq!(status(first), 200);
+        w.turns();
+        assert_eq!(w.calls(&id(2)), 0);
+    }
 }
 
 /// The refusal was followed by a close with the request unread, and so by a reset.
@@ -168,23 +177,30 @@
 /// The connection that looked idle for longest was closed for a new one, with its request unread.
 #[test]
 fn a_connection_with_an_unread_request_makes_no_room_for_others() {
-    let w = World::with(35, |c| c.replace("\"sockets\":256", "\"sockets\":8"));
-    let mut silent: Vec<TcpStream> = (0..4)
-        .map(|_| {
-            let stream = w.connect();
-            w.accepted(address(&stream));
+    for new_comes_first in [false, true] {
+        let w = World::with(35, |c| c.replace("\"sockets\":256", "\"sockets\":8"));
+        let mut silent: Vec<TcpStream> = (0..4)
+            .map(|_| {
+                let stream = w.connect();
+                w.accepted(address(&stream));
+                stream
+            })
+            .collect();
+        // Past the time in which a request that was sent with the connection has come.
+        thread::sleep(Duration::from_millis(300));
+        w.halt();
+        let come = || {
+            let stream = send(&w, &call(&id(2), "plain", GOOD, "", "x"));
+            w.lies_unread(address(&stream));
             stream
-        })
-        .collect();
-    // Past the time in which a request that was sent with the connection has come.
-    thread::sleep(Duration::from_millis(300));
-    w.halt();
-    silent[0].write_all(call(&id(1), "plain", GOOD, "", "x").as_bytes()).expect("sent");
-    w.lies_unread(address(&silent[0]));
-    let new = send(&w, &call(&id(2), "plain", GOOD, "", "x"));
-    w.lies_unread(address(&new));
-    w.goes_on();
-    assert_eq!((status(silent.remove(0)), status(new)), (200, 200));
+        };
+        let first = new_comes_first.then(come);
+        silent[0].write_all(call(&id(1), "plain", GOOD, "", "x").as_bytes()).expect("sent");
+        w.lies_unread(address(&silent[0]));
+        let new = first.unwrap_or_else(come);
+        w.goes_on();
+        assert_eq!((status(silent.remove(0)), status(new)), (200, 200), "{new_comes_first}");
+    }
 }
 
 /// Half a request was dropped without a word when its connection had to make room.
