Tests of groups: a cut is seen to part the group before it is healed

Cause: what is waited for after a cut heals would also be there had the cut never been felt by the group's membership; a play showed `believed_alive` true throughout a cut of 4.2 s (so its figure says nothing), while `standing` goes to dead and back. Change: before the links heal, each router that is cut off must hold another one for dead.

--- a/crates/cli/tests/sharing/mod.rs
+++ b/crates/cli/tests/sharing/mod.rs
@@ -82,6 +82,11 @@
 
 pub fn heals(f: &Fleet, cut_off: &[usize]) -> Healed {
     let all = f.routers.len();
+    let holds_one_for_dead = |n: &usize| {
+        let state = f.state(*n).unwrap_or_default();
+        state["members"].as_array().is_some_and(|members| members.iter().any(|m| m["standing"] == "dead"))
+    };
+    assert!(until(PATIENCE, || cut_off.iter().all(holds_one_for_dead)), "the cut came about");
     let before: Vec<u64> = cut_off.iter().map(|n| count(f, *n, "held")).collect();
     let began = Instant::now();
     f.links.heal();
