Node: who makes room is judged by whole requests, not by unread bytes; storms of bad input

Seen by the new test of storms: with 150 connections of half a request each, an honest client was refused (503). The accept loop takes a burst before any of its tasks has read, so at that moment bytes lie unread on every connection, and none could be evicted: the look for unread bytes of was too wide. A connection's bytes are read before that is judged (client_connections has_request), and only a whole request keeps it; after its last answer nothing does. Storms of 14 kinds of bad requests, 150 connections each, of four kinds of broken answers and of nine unreadable lists leave no descriptor, 16 MB at most, and nothing that holds up the exit; clients that stay idle beyond the room there is, with discovery away, leave room for discovery, a new worker and others.

--- /dev/null
+++ b/crates/cli/tests/node_bad_input.rs
@@ -0,0 +1,206 @@
+//! Storms of bad input: each is answered as decided, harms nobody else, and leaves no descriptor, no buffer and no owed
+//! answer behind.
+
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+
+use rustix::process::Signal;
+
+mod platform;
+use platform::*;
+
+/// Connections of one kind in a storm: more than the router has room for at once.
+const STORM: usize = 150;
+const SOCKETS: &str = "\"sockets\":128";
+
+fn world(part: u16) -> World {
+    World::with(part, |c| c.replace("\"sockets\":256", SOCKETS))
+}
+
+fn descriptors(w: &World) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", w.node.id())).expect("listed").count()
+}
+
+fn memory_kb(w: &World) -> u64 {
+    let process = procfs::process::Process::new(w.node.id() as i32).expect("it runs");
+    process.status().expect("a status").vmrss.expect("a size")
+}
+
+fn is_served(w: &World, n: u32) {
+    assert_eq!(w.ask(&call(&id(n), "plain", GOOD, "", "good")).expect("an answer").0, 200, "{n}");
+}
+
+/// A router that owes nothing exits by itself, well before it gives up on what it owes.
+fn exits_owing_nothing(w: &mut World) {
+    w.signal(Signal::TERM);
+    assert!(w.node.wait().expect("ended").success());
+    w.node = start(&w.file, &w.folder, w.address);
+}
+
+/// What a client of this kind sends, and whether it gets something else than a close.
+struct Rude {
+    name: &'static str,
+    text: String,
+    answered: bool,
+}
+
+fn rude() -> Vec<Rude> {
+    let good = call(&id(1), "plain", GOOD, "", "body");
+    let with = |from: &str, to: &str| good.replace(from, to);
+    let chunked = with("Content-Length: 4", "Transfer-Encoding: chunked");
+    let kind = |name, text: String, answered| Rude { name, text, answered };
+    vec![
+        kind("nothing", String::new(), false),
+        kind("half a head", good[..40].to_owned(), true),
+        kind("half a body", good[..good.len() - 2].to_owned(), true),
+        kind("no request", "\u{16}\u{3}\u{1} hello\r\n\r\n".to_owned(), true),
+        kind("an endless head", format!("GET / HTTP/1.1\r\nX: {}", "y".repeat(20_000)), true),
+        kind("a huge length", with("Content-Length: 4", "Content-Length: 60000000"), true),
+        kind("a negative length", with("Content-Length: 4", "Content-Length: -4"), true),
+        kind(
+            "both lengths",
+            with("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked"),
+            true,
+        ),
+        kind("odd chunks", chunked.replace("body", "zz\r\nbody\r\n0\r\n\r\n"), true),
+        kind("an unknown class", with("plain", "strange"), true),
+        kind("an unknown tenant", with("acme", "nobody"), true),
+        kind("no id", with("Req-Id", "Req-No"), true),
+        kind("a wait beyond all bounds", with("60000", "1e99"), true),
+        kind("far more ahead than is kept", call(&id(2), "strange", GOOD, "", "").repeat(200), true),
+    ]
+}
+
+#[test]
+fn storms_of_bad_requests_leave_nothing_behind() {
+    let mut w = world(30);
+    is_served(&w, 1_000);
+    let (before, memory) = (descriptors(&w), memory_kb(&w));
+    for (n, rude) in rude().into_iter().enumerate() {
+        let mut kept = Vec::new();
+        for m in 0..STORM {
+            let mut stream = w.connect();
+            // The router may have closed by then.
+            let _ = stream.write_all(rude.text.as_bytes());
+            match m % 3 {
+                0 => drop(stream),
+                1 => {
+                    let _ = stream.shutdown(Shutdown::Write);
+                    kept.push(stream);
+                }
+                _ => kept.push(stream),
+            }
+        }
+        is_served(&w, 2_000 + n as u32);
+        let last = kept.pop().expect("one");
+        let mut answers = BufReader::new(last);
+        let answered = answer(&mut answers);
+        assert_eq!(answered.is_some(), rude.answered, "{}: {answered:?}", rude.name);
+        assert!(answered.is_none_or(|a| (400..=503).contains(&a.0)), "{}", rude.name);
+        assert_eq!(answers.read(&mut [0]).unwrap_or(0), 0, "{}: it closes", rude.name);
+    }
+    // Those that still linger go by themselves.
+    w.until("all descriptors are free", |w| descriptors(w) <= before);
+    assert!(memory_kb(&w) < memory + (16 << 10), "{} kB before, {} after", memory, memory_kb(&w));
+    assert!(w.seen.lock().expect("seen").calls.iter().all(|c| c.0 >= id(1_000)));
+    exits_owing_nothing(&mut w);
+}
+
+/// Clients wait briefly: a worker whose answers are broken is passed over, and what is held for it is given up in its time.
+#[test]
+fn storms_of_broken_answers_leave_nothing_behind() {
+    let brief = |c: String| c.replace(":2000000000,", ":1000000,").replace(":8000000000,", ":200000000,");
+    let mut w = World::with(31, |c| brief(c.replace("\"sockets\":256", SOCKETS)));
+    is_served(&w, 1_000);
+    let before = descriptors(&w);
+    let mut broken = 0;
+    for (n, function) in [TWICE, NOISE, HALF, HUGE].into_iter().enumerate() {
+        for m in 0..8 {
+            let number = (n * 100 + m) as u32;
+            let text =
+                call(&id(number), "plain", function, "", "x").replace("Wait-Ms: 60000", "Wait-Ms: 300");
+            let a = w.ask(&text).expect("an answer");
+            assert!(a.0 == 503 || a.0 == 200 && function == TWICE, "{a:?}");
+            broken += if function == TWICE { 0 } else { w.calls(&id(number)) };
+        }
+    }
+    assert!(broken >= 3, "{broken} of them came to the worker");
+    w.until("all descriptors are free", |w| descriptors(w) <= before);
+    exits_owing_nothing(&mut w);
+}
+
+/// What the channel answers before it tells what it should.
+#[test]
+fn unreadable_lists_are_passed_over_and_leave_nothing_behind() {
+    let mut w = world(32);
+    is_served(&w, 1_000);
+    let before = descriptors(&w);
+    let ok = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let odd_state =
+        r#"{"cursor":2,"cmds":[{"cursor":2,"nodes":{"servers":[{"id":"s-1","addr":"x","state":"odd"}]}}]}"#;
+    let answers = [
+        "garbage\r\n\r\n".to_owned(),
+        "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+        ok("{not json"),
+        ok(r#"{"cursor":-1,"cmds":[]}"#),
+        ok(odd_state),
+        ok(&odd_state.replace("odd", "active")),
+    ];
+    let odd = own(32);
+    let listener = TcpListener::bind(odd).expect("bind");
+    let text = std::fs::read_to_string(&w.file).expect("read");
+    let at = |address| {
+        text.replace(&format!(r#""channel":"{}""#, w.first_channel), &format!(r#""channel":"{address}""#))
+    };
+    std::fs::write(&w.file, at(odd)).expect("written");
+    w.signal(Signal::HUP);
+    for answer in answers {
+        let (mut stream, _) = listener.accept().expect("it asks again");
+        assert!(stream.read(&mut [0; 512]).expect("a question") > 0);
+        stream.write_all(answer.as_bytes()).expect("sent");
+        // It is closed by the router, or no answer is worth waiting for.
+        while stream.read(&mut [0; 512]).is_ok_and(|n| n > 0) {}
+    }
+    is_served(&w, 1_001);
+    std::fs::write(&w.file, &text).expect("written");
+    w.signal(Signal::HUP);
+    let other = own(32);
+    worker(TcpListener::bind(other).expect("bind"), w.seen.clone());
+    w.tell(2, "s-2", other, "active");
+    w.until("all descriptors are free", |w| descriptors(w) <= before);
+    exits_owing_nothing(&mut w);
+}
+
+/// Clients that have had an answer keep their connections, more than there is room for, while discovery cannot be reached.
+#[test]
+fn idle_clients_leave_room_for_discovery_workers_and_others() {
+    let w = World::with(33, |c| c.replace("\"sockets\":256", SOCKETS));
+    let moved = own(33);
+    let text = std::fs::read_to_string(&w.file).expect("read");
+    let old = format!(r#""channel":"{}""#, w.first_channel);
+    std::fs::write(&w.file, text.replace(&old, &format!(r#""channel":"{moved}""#))).expect("written");
+    // Nobody listens there yet.
+    w.signal(Signal::HUP);
+    let idle: Vec<TcpStream> = (0..STORM)
+        .map(|_| {
+            let mut stream = w.connect();
+            stream.write_all(b"GET /-/healthy HTTP/1.1\r\n\r\n").expect("sent");
+            assert_eq!(answer(&mut BufReader::new(stream.try_clone().expect("clone"))).expect("one").0, 200);
+            stream
+        })
+        .collect();
+    assert!(descriptors(&w) < 128);
+    is_served(&w, 1);
+    let told = w.channel.clone();
+    channel(TcpListener::bind(moved).expect("bind"), told);
+    let (other, seen) = (own(33), Shared::default());
+    worker(TcpListener::bind(other).expect("bind"), seen.clone());
+    w.tell(2, "s-2", other, "active");
+    w.tell(3, "s-1", w.workers, "left");
+    is_served(&w, 2);
+    assert_eq!(seen.lock().expect("seen").calls.len(), 1);
+    drop(idle);
+}
--- a/crates/platform-node/src/client_connections/mod.rs
+++ b/crates/platform-node/src/client_connections/mod.rs
@@ -120,8 +120,8 @@
     /// Takes a new connection; true if another one has to close for it.
     pub fn admit(&self, node: &Rc<Node>, stream: Stream) -> bool {
         let _ = stream.get_ref().set_nodelay(true);
-        let has_unread = |id| self.has_unread(id);
-        let admission = self.limiter.borrow_mut().connected(node.clock.now(), has_unread);
+        let has_request = |id| self.has_request(node, id);
+        let admission = self.limiter.borrow_mut().connected(node.clock.now(), has_request);
         let connection = Rc::new(ClientConnection::new(admission.id, stream));
         self.connections.borrow_mut().insert(admission.id, connection.clone());
         let (owner, refused) = (node.clone(), admission.refused);
@@ -141,8 +141,15 @@
         true
     }
 
-    fn has_unread(&self, id: ClientId) -> bool {
-        self.connections.borrow().get(&id).is_some_and(|connection| connection.has_unread())
+    /// Whether a whole request of this client has arrived, read so far or not.
+    fn has_request(&self, node: &Node, id: ClientId) -> bool {
+        let Some(connection) = self.connections.borrow().get(&id).cloned() else { return false };
+        connection.read_available(node);
+        if connection.has_request() || connection.client_left.get() {
+            // Its own task waits for bytes that are read already.
+            connection.wake.ring();
+        }
+        connection.has_request()
     }
 
     fn end(&self, id: ClientId, reason: CloseReason) {
@@ -154,10 +161,10 @@
     /// Closes connections whose time is over. What has arrived and is not read yet is served all the same.
     pub fn sweep(&self, node: &Node) {
         let now = node.clock.now();
-        let has_unread = |id| self.has_unread(id);
-        let mut ending = self.limiter.borrow().overdue(now, has_unread);
+        let has_request = |id| self.has_request(node, id);
+        let mut ending = self.limiter.borrow().overdue(now, has_request);
         if !node.shutdown.borrow().accepts(now) {
-            ending.extend(self.limiter.borrow().without_request(has_unread));
+            ending.extend(self.limiter.borrow().without_request(has_request));
         }
         ending.into_iter().for_each(|id| self.end(id, CloseReason::TimedOut));
     }
--- a/crates/platform/src/connection_limiter.rs
+++ b/crates/platform/src/connection_limiter.rs
@@ -7,7 +7,7 @@
 //!   Otherwise hundreds that connect and send nothing, or a byte now and then, would use up all descriptors.
 //! * With the table full one is evicted: those that should have sent their request by now and have not, then those that
 //!   have had their last answer for a while, then the one idle for longest, then whoever is still sending. A
-//!   connection on which bytes lie unread, or which is owed an answer, is never evicted.
+//!   connection that is owed an answer, or of which a whole request has arrived, read or not, is never evicted.
 //! * When nobody can be evicted the new one is refused. A few refused ones are kept open until the client has read the
 //!   refusal: closing with its request unread would reset the connection and destroy the answer.
 //! * A connection that has had its answer may stay idle for as long as clients keep theirs.
@@ -90,10 +90,10 @@
         ConnectionLimiter { most, clients: BTreeMap::new(), last_id: 0, evicted: 0, refused: 0 }
     }
 
-    /// A new connection. `has_unread`: whether bytes of this client lie unread in the kernel.
-    pub fn connected(&mut self, now: Micros, has_unread: impl Fn(ClientId) -> bool) -> Admission {
+    /// A new connection. `has_request`: whether a whole request of this client has arrived, read so far or not.
+    pub fn connected(&mut self, now: Micros, has_request: impl Fn(ClientId) -> bool) -> Admission {
         let full = self.count() >= self.most;
-        let evicts = if full { self.eviction(now, has_unread) } else { None };
+        let evicts = if full { self.eviction(now, has_request) } else { None };
         let refused = full && evicts.is_none();
         let evicts = if refused { self.oldest_refused() } else { evicts };
         if let Some(id) = evicts {
@@ -107,7 +107,7 @@
         Admission { id: self.last_id, refused, evicts }
     }
 
-    fn eviction(&self, now: Micros, has_unread: impl Fn(ClientId) -> bool) -> Option<ClientId> {
+    fn eviction(&self, now: Micros, has_request: impl Fn(ClientId) -> bool) -> Option<ClientId> {
         let rank = |client: &Client| match client.state {
             State::New if now - client.since > EXPECTED_BY => Some(0),
             State::Closing if now - client.since > EXPECTED_BY => Some(1),
@@ -118,7 +118,10 @@
         let ranked = self.clients.iter().filter_map(|(id, c)| Some((rank(c)?, c.since, *id)));
         let mut candidates: Vec<(u8, Micros, ClientId)> = ranked.collect();
         candidates.sort_unstable();
-        candidates.into_iter().map(|(_, _, id)| id).find(|id| !has_unread(*id))
+        // What one sends that has had its last answer is wanted no more.
+        let may_ask = |id: &ClientId| self.clients.get(id).is_some_and(|c| c.state != State::Closing);
+        let is_owed = |id: &ClientId| may_ask(id) && has_request(*id);
+        candidates.into_iter().map(|(_, _, id)| id).find(|id| !is_owed(id))
     }
 
     fn oldest_refused(&self) -> Option<ClientId> {
@@ -170,12 +173,12 @@
         self.clients.remove(&id);
     }
 
-    /// Connections that are to be closed now. One that waits for a request is not, while bytes of it lie unread: they may
-    /// be the request, which this process was too slow to read.
-    pub fn overdue(&self, now: Micros, has_unread: impl Fn(ClientId) -> bool) -> Vec<ClientId> {
+    /// Connections that are to be closed now. One of which a whole request has arrived is not: this process was too slow to
+    /// read it.
+    pub fn overdue(&self, now: Micros, has_request: impl Fn(ClientId) -> bool) -> Vec<ClientId> {
         let over = |id: ClientId, client: &Client| match client.state {
-            State::New | State::Receiving => now - client.since > REQUEST_WITHIN && !has_unread(id),
-            State::Idle => now - client.since > IDLE_KEPT && !has_unread(id),
+            State::New | State::Receiving => now - client.since > REQUEST_WITHIN && !has_request(id),
+            State::Idle => now - client.since > IDLE_KEPT && !has_request(id),
             State::Responding { until } => now > until,
             State::Closing | State::Refused => now - client.since > LINGERS,
             State::Pending => false,
@@ -184,10 +187,10 @@
     }
 
     /// Connections on which nothing is in progress: closed when no further requests are accepted.
-    pub fn without_request(&self, has_unread: impl Fn(ClientId) -> bool) -> Vec<ClientId> {
+    pub fn without_request(&self, has_request: impl Fn(ClientId) -> bool) -> Vec<ClientId> {
         let free = |client: &Client| matches!(client.state, State::New | State::Idle);
         let ids = self.clients.iter().filter(|(_, client)| free(client)).map(|(id, _)| *id);
-        ids.filter(|id| !has_unread(*id)).collect()
+        ids.filter(|id| !has_request(*id)).collect()
     }
 
     /// A request is partly received, unanswered, or its answer not completely written.
--- a/crates/platform/tests/decisions.rs
+++ b/crates/platform/tests/decisions.rs
@@ -145,11 +145,11 @@
     assert!(!b.is_retired(next) && b.ended(2, ix, true));
 }
 
-/// Nothing of any client lies unread.
-const READ: fn(ClientId) -> bool = |_| false;
+/// No client has sent a whole request.
+const NONE: fn(ClientId) -> bool = |_| false;
 
 fn connected(limiter: &mut ConnectionLimiter, now: i64) -> Admission {
-    limiter.connected(now, READ)
+    limiter.connected(now, NONE)
 }
 
 fn admitted(limiter: &mut ConnectionLimiter, now: i64) -> ClientId {
@@ -178,7 +178,7 @@
     assert_eq!((refused.refused, refused.evicts), (true, None));
     assert_eq!((d.count(), d.count_refused(), d.evicted(), d.refused()), (3, 1, 2, 1));
     d.closed(refused.id);
-    assert!(d.overdue(60 * SECOND, READ).is_empty());
+    assert!(d.overdue(60 * SECOND, NONE).is_empty());
 }
 
 /// Otherwise an answer that is being written breaks off, and its request is lost.
@@ -193,15 +193,22 @@
 
 /// A request lies unread on a connection that looks idle: closing it would lose the request.
 #[test]
-fn a_connection_with_unread_bytes_is_neither_evicted_nor_overdue() {
+fn a_connection_with_an_unread_request_is_neither_evicted_nor_overdue() {
     let mut d = ConnectionLimiter::new(2);
     let (first, second) = (admitted(&mut d, 0), admitted(&mut d, 1));
-    let unread = |id| id == first;
-    assert_eq!(d.connected(300 * MS, unread).evicts, Some(second));
-    assert!(
-        !d.overdue(10 * SECOND, unread).contains(&first) && d.overdue(10 * SECOND, READ).contains(&first)
-    );
-    assert!(!d.without_request(unread).contains(&first) && d.without_request(READ).contains(&first));
+    let asks = |id| id == first;
+    assert_eq!(d.connected(300 * MS, asks).evicts, Some(second));
+    assert!(!d.overdue(10 * SECOND, asks).contains(&first) && d.overdue(10 * SECOND, NONE).contains(&first));
+    assert!(!d.without_request(asks).contains(&first) && d.without_request(NONE).contains(&first));
+}
+
+/// A flood that goes on after its refusal would otherwise keep everybody else out.
+#[test]
+fn requests_after_the_last_answer_keep_nobody_out() {
+    let mut d = ConnectionLimiter::new(1);
+    let flooding = admitted(&mut d, 0);
+    d.closing(MS, flooding);
+    assert_eq!(d.connected(2 * MS, |_| true).evicts, Some(flooding));
 }
 
 /// A refusal that is destroyed by a reset is a request that got no answer; but refused ones must not use up the reserve.
@@ -220,7 +227,7 @@
     d.pending(30 * MS, last);
     d.receiving(30 * MS, last);
     assert_eq!((d.count(), d.count_refused()), (1, MOST_REFUSED));
-    assert!(d.overdue(SECOND, READ).is_empty() && d.overdue(2 * SECOND, READ).contains(&last));
+    assert!(d.overdue(SECOND, NONE).is_empty() && d.overdue(2 * SECOND, NONE).contains(&last));
 }
 
 /// A crowd fills the table, and a usual client is evicted between its connecting and its request.
@@ -258,25 +265,25 @@
     let mut d = ConnectionLimiter::new(10);
     let slow = admitted(&mut d, 0);
     d.receiving(SECOND, slow);
-    assert!(d.has_unfinished() && d.overdue(2 * SECOND, READ).is_empty());
+    assert!(d.has_unfinished() && d.overdue(2 * SECOND, NONE).is_empty());
     // A bad client is to be rid of within three seconds of its coming.
-    assert_eq!(d.overdue(2 * SECOND + 1, READ), [slow]);
+    assert_eq!(d.overdue(2 * SECOND + 1, NONE), [slow]);
     d.closed(slow);
     let good = admitted(&mut d, 0);
     d.pending(0, good);
     // A client that does not read its answer has no longer than one that does not send, or than it waits itself.
     d.responding(0, good, None);
-    assert!(d.has_unfinished() && d.overdue(2 * SECOND, READ).is_empty());
-    assert_eq!(d.overdue(2 * SECOND + 1, READ), [good]);
+    assert!(d.has_unfinished() && d.overdue(2 * SECOND, NONE).is_empty());
+    assert_eq!(d.overdue(2 * SECOND + 1, NONE), [good]);
     d.responding(0, good, Some(3 * SECOND));
-    assert!(d.overdue(3 * SECOND, READ).is_empty() && d.overdue(3 * SECOND + 1, READ) == [good]);
+    assert!(d.overdue(3 * SECOND, NONE).is_empty() && d.overdue(3 * SECOND + 1, NONE) == [good]);
     d.idle(0, good);
     assert!(!d.has_unfinished());
-    assert!(d.overdue(4 * SECOND + 500 * MS, READ).is_empty());
-    assert_eq!(d.overdue(6 * SECOND, READ), [good]);
+    assert!(d.overdue(4 * SECOND + 500 * MS, NONE).is_empty());
+    assert_eq!(d.overdue(6 * SECOND, NONE), [good]);
     d.receiving(4 * SECOND, good);
-    assert!(d.overdue(6 * SECOND, READ).is_empty());
-    assert_eq!(d.overdue(6 * SECOND + 1, READ), [good]);
+    assert!(d.overdue(6 * SECOND, NONE).is_empty());
+    assert_eq!(d.overdue(6 * SECOND + 1, NONE), [good]);
 }
 
 #[test]
