Settings: a name with a comma in a plain list stays one name

Cause: of nested settings, `RawSettings::flatten` joined a plain list with commas and `RawSettings::list` split it again (crates/startup/src/lib.rs, the branch `Value::Array(items)` and `list`). A zone or kind with a comma in its name became two, and an empty one none, so that every later name had the wrong place in `Names::zones` and `Names::kinds`. The router's own zone, which the settings give by its place, was then another one than that of its workers. Change: plain lists of the nested form are kept as lists. Pairs are split as before: their values hold no commas.

--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -70,18 +70,23 @@
 
 /// Every value under its path, as in `services.0.aim`; a list of objects has its length under `.count`.
 #[derive(Debug, Default)]
-pub struct RawSettings<'a>(HashMap<Cow<'a, str>, Cow<'a, str>>);
+pub struct RawSettings<'a> {
+    values: HashMap<Cow<'a, str>, Cow<'a, str>>,
+    /// Plain lists of the nested form. Their values may hold commas: joined like those of pairs, they could not be told
+    /// apart again.
+    lists: HashMap<String, Vec<String>>,
+}
 
 impl<'a> RawSettings<'a> {
     /// `path=value`, set apart by blanks.
     pub fn pairs(text: &'a str) -> Result<Self> {
-        let mut pairs = HashMap::new();
+        let mut values = HashMap::new();
         for part in text.split(' ').filter(|p| !p.is_empty()) {
             let (path, value) =
                 part.split_once('=').ok_or_else(|| SettingsError::NoPair { part: part.to_owned() })?;
-            pairs.insert(Cow::Borrowed(path), Cow::Borrowed(value));
+            values.insert(Cow::Borrowed(path), Cow::Borrowed(value));
         }
-        Ok(Self(pairs))
+        Ok(Self { values, lists: HashMap::new() })
     }
 
     /// The same as nested JSON.
@@ -106,29 +111,30 @@
                 }
             }
             Value::Array(items) if items.iter().any(|i| i.is_object() || i.is_array()) => {
-                self.0.insert(below("count").into(), items.len().to_string().into());
+                self.values.insert(below("count").into(), items.len().to_string().into());
                 for (n, item) in items.iter().enumerate() {
                     self.flatten(below(&n.to_string()), item, depth + 1)?;
                 }
             }
             Value::Array(items) => {
-                let items: Vec<String> = items.iter().map(plain).collect();
-                self.0.insert(path.into(), items.join(",").into());
+                self.lists.insert(path, items.iter().map(plain).collect());
             }
             value => {
-                self.0.insert(path.into(), plain(value).into());
+                self.values.insert(path.into(), plain(value).into());
             }
         }
         Ok(())
     }
 
     pub fn text(&self, path: &str) -> Option<&str> {
-        self.0.get(path).map(Cow::as_ref).filter(|v| *v != "-")
+        self.values.get(path).map(Cow::as_ref).filter(|v| *v != "-")
     }
 
     /// The values of a plain list.
     pub fn list(&self, path: &str) -> impl Iterator<Item = &str> {
-        self.text(path).into_iter().flat_map(|v| v.split(',')).filter(|v| !v.is_empty())
+        let nested = self.lists.get(path).into_iter().flatten().map(String::as_str);
+        let joined = self.text(path).into_iter().flat_map(|v| v.split(','));
+        nested.chain(joined.filter(|v| !v.is_empty()))
     }
 
     pub fn number(&self, path: &str, absent: f64) -> Result<f64> {
@@ -160,7 +166,7 @@
     /// The length of a list of objects; a length beyond the pairs given is a fault.
     pub fn count(&self, list: &str) -> Result<usize> {
         let n = self.number(&format!("{list}.count"), 0.0)?;
-        if n < 0.0 || n.fract() != 0.0 || n > self.0.len() as f64 {
+        if n < 0.0 || n.fract() != 0.0 || n > self.values.len() as f64 {
             return Err(SettingsError::Miscounted { path: format!("{list}.count"), value: n.to_string() });
         }
         Ok(n as usize)
