Settings: a class without an aim is served until its client gives up

Cause: an absent `aim` was read as an endless one (crates/startup/src/lib.rs, `latency_objective: p.time(.., NEVER)`). The module takes an eighth of the aim for the work of a class of which it has seen nothing yet, and gives up what cannot be done in the time left: the first request of such a class was refused, and so was each one after it. Change: without an aim the latency objective is the time for which clients wait (`hardLimit`). Evidence: crates/startup/tests/settings.rs, `a_class_without_an_aim_is_served`, fails on the code before (the module answers with a refusal and dispatches nothing) and passes now.

--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -285,6 +285,7 @@
                 Some("cell") => RepeatGroup::Cell,
                 Some(v) => return unknown(&key("keyScope"), v),
             };
+            let client_timeout = p.time(&key("hardLimit"), NEVER)?;
             triggers.push(TriggerType {
                 effect: match p.text(&key("effect")) {
                     Some("retryable") => Effect::Idempotent,
@@ -292,9 +293,11 @@
                     Some("fragile") | None => Effect::NonIdempotent,
                     Some(v) => return unknown(&key("effect"), v),
                 },
-                latency_objective: p.time(&key("aim"), NEVER)?,
+                // Without an aim an answer is in time until the client gives up. It must not be endless: the module
+                // takes the work for a part of it until it has seen some, and gives up what cannot be in time.
+                latency_objective: p.time(&key("aim"), client_timeout)?,
                 objective_stretch: p.number(&key("aimStretch"), 0.0)?,
-                client_timeout: p.time(&key("hardLimit"), NEVER)?,
+                client_timeout,
                 billed_value: p.number(&key("value"), 1.0)?,
                 late_part: p.number(&key("lateValue"), 0.0)?,
                 streamed: p.flag(&key("streamed"), false)?,
--- a/crates/startup/tests/settings.rs
+++ b/crates/startup/tests/settings.rs
@@ -1,7 +1,49 @@
 //! Settings of customers whose names and choices are unlike those of any other.
 
-use cedarpulley_startup::RawSettings;
-use serde_json::json;
+use cedarpulley::interface::{Action, Arrival, Event, ListEntry, ListMode, Micros, Standing};
+use cedarpulley_startup::{RawSettings, StartupSettings};
+use serde_json::{Value, json};
+
+const SECOND: Micros = 1_000_000;
+
+fn read(settings: &Value) -> StartupSettings {
+    let raw = RawSettings::nested(settings).expect("an object");
+    StartupSettings::read(&raw).expect("good settings")
+}
+
+/// One worker in service and one request of the first class, whose client waits for so long: what the module does.
+fn first_actions(settings: &StartupSettings, client_gives_up_in: Micros) -> Vec<Action> {
+    let mut control = settings.control(1);
+    let worker = ListEntry {
+        worker: 0,
+        fingerprint: 7,
+        zone: 0,
+        kind: 0,
+        cell: 0,
+        standing: Standing::InService,
+        weight: 1.0,
+        started: None,
+    };
+    let arrival = Arrival {
+        inv: 0,
+        trigger: 0,
+        account: 0,
+        func: 0,
+        fingerprint: 9,
+        cost_hint: None,
+        load_hint: None,
+        copy_mb: 0.0,
+        lanes: 1,
+        client_gives_up_in,
+        waited: 0,
+        repeat: false,
+        prefers: None,
+    };
+    let mut actions = Vec::new();
+    control.decide(0, &Event::List { mode: ListMode::Complete, entries: &[worker] }, &mut actions);
+    control.decide(1, &Event::Invocation(arrival), &mut actions);
+    actions
+}
 
 /// Symptom: a zone named `hall a, north` counts as two, and every zone after it has the wrong place in the list.
 #[test]
@@ -19,3 +61,14 @@
     assert_eq!(raw.list("zones").collect::<Vec<_>>(), ["a", "b_c"]);
     assert_eq!(raw.list("kinds").count(), 0);
 }
+
+/// Symptom: without an aim the module takes the work of a class to be endless and gives up each of its requests at once.
+#[test]
+fn a_class_without_an_aim_is_served() {
+    let service = json!({"name": "run", "hardLimit": 2_000_000_000, "effect": "retryable", "aim": null});
+    let settings = read(&json!({"services": [service], "familyInfo": {"staysLoaded": 10_000_000_000i64}}));
+    let actions = first_actions(&settings, 2 * SECOND);
+    let sent = |a: &Action| matches!(a, Action::Dispatch { inv: 0, worker: 0, .. });
+    assert!(actions.iter().any(sent), "{actions:?}");
+    assert_eq!(settings.triggers[0].latency_objective, 2 * SECOND);
+}
