Settings: an order to load without a time of its own is waited for

Cause: an absent `familyInfo.answerWithin` was read as 0 (crates/startup/src/lib.rs), and the core sets the time-out of an order at `now + order_answered_within` (crates/router/src/core/orders.rs, `order`): it is due in the same step. The order ends as timed out before it was sent, and the module judges the worker by it. Change: without it, an order is waited for as long as the class with the longest deadline. Evidence: crates/startup/tests/settings.rs, `an_order_without_a_time_of_its_own_is_waited_for`, fails on the code before (0 for 2 s) and passes now.

--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -192,6 +192,11 @@
     }
 }
 
+/// The longest that any client waits.
+fn longest_wait(triggers: &[TriggerType]) -> Micros {
+    triggers.iter().map(|trigger| trigger.client_timeout).max().unwrap_or(NEVER)
+}
+
 /// Names on the sockets; their places in the lists are the module's indices.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
@@ -322,7 +327,9 @@
                 Some("miss") => false,
                 Some(v) => return unknown("familyInfo.whenAbsent", v),
             },
-            order_answered_within: p.time("familyInfo.answerWithin", 0)?,
+            // Without a time of its own, an order is waited for as long as any client waits. At 0 it would be over as
+            // soon as it is given, and the worker blamed for it.
+            order_answered_within: p.time("familyInfo.answerWithin", longest_wait(&triggers))?,
             ration_window: p.time("familyInfo.loadWindow", 0)?,
             ration_few: p.number("familyInfo.freeLoads", 0.0)?,
             ration_part: p.number("familyInfo.loadPart", 0.0)?,
--- a/crates/startup/tests/settings.rs
+++ b/crates/startup/tests/settings.rs
@@ -72,3 +72,15 @@
     assert!(actions.iter().any(sent), "{actions:?}");
     assert_eq!(settings.triggers[0].latency_objective, 2 * SECOND);
 }
+
+/// Symptom: without a time of its own each order to load times out in the moment it is given.
+#[test]
+fn an_order_without_a_time_of_its_own_is_waited_for() {
+    let service = |limit: i64| json!({"name": "run", "hardLimit": limit, "aim": 300_000_000});
+    let services = [service(600_000_000), service(2_000_000_000)];
+    let settings = json!({"services": services, "familyInfo": {"mayLoad": true}});
+    assert_eq!(read(&settings).loads.order_answered_within, 2 * SECOND);
+    let named =
+        json!({"services": services, "familyInfo": {"mayLoad": true, "answerWithin": 7_000_000_000i64}});
+    assert_eq!(read(&named).loads.order_answered_within, 7 * SECOND);
+}
