Clients' fields: only blanks and tabs around a value are taken off

Cause: `Fields::once` (crates/platform/src/client_protocol/parser.rs) trimmed every white space of Unicode, though around a field's value HTTP allows blanks and tabs alone. An account or class whose name ends in another script's space was then unknown, and each of its requests was answered with 400. Change: blanks and tabs are taken off, nothing else. Evidence: crates/platform/tests/clients.rs, `accounts_may_have_any_name_that_a_field_can_carry`, fails on the code before (at the name that ends in U+3000; the names before it in the list pass there) and passes now; the package's tests pass, 45 of 45.

--- a/crates/platform/src/client_protocol/parser.rs
+++ b/crates/platform/src/client_protocol/parser.rs
@@ -196,14 +196,15 @@
 struct Fields<'a, 'b>(&'a [httparse::Header<'b>]);
 
 impl<'b> Fields<'_, 'b> {
-    /// A field of meaning comes once and is plain text.
+    /// A field of meaning comes once and is text. Around it HTTP allows blanks and tabs; any other space is its own.
     fn once(&self, name: &str) -> Result<Option<&'b str>, RequestError> {
         let mut found = self.0.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
         let Some(field) = found.next() else { return Ok(None) };
         if found.next().is_some() {
             return Err(RequestError::Field);
         }
-        std::str::from_utf8(field.value).map(|v| Some(v.trim())).map_err(|_| RequestError::Field)
+        let text = std::str::from_utf8(field.value).map_err(|_| RequestError::Field)?;
+        Ok(Some(text.trim_matches([' ', '\t'])))
     }
 
     fn needed(&self, name: &str) -> Result<&'b str, RequestError> {
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -58,6 +58,22 @@
     queue(bytes).take().expect("whole").request
 }
 
+/// Symptom: a name that ends in a space of another script is taken for another one, and all its requests fail.
+#[test]
+fn accounts_may_have_any_name_that_a_field_can_carry() {
+    for name in
+        ["Nord & Söhne", "a/b:c;d", "o'brien (west) #2", "~50%=half,half|", "-", "東京\u{3000}", "acme\u{a0}"]
+    {
+        let names = Names { accounts: vec!["other".to_owned(), name.to_owned()], ..rules().names };
+        let rules = RequestRules { names, ..rules() };
+        let mut queue = RequestQueue::default();
+        queue.put(0, &with("Req-Owner", name), &rules);
+        let request = queue.take().expect("whole").request.expect(name);
+        let RequestKind::Call(call) = request.kind else { panic!("a call") };
+        assert_eq!(call.account, 1, "{name}");
+    }
+}
+
 fn call(found: Result<Request, RequestError>) -> Call {
     match found.expect("good").kind {
         RequestKind::Call(call) => call,
