Settings: a tenant whose name is a lone hyphen no longer keeps the router from starting

Cause: `RawSettings` had one way to say that a value is absent, the `-` of pairs (crates/startup/src/lib.rs, `plain` and `text`). Nested settings say it by null, which became `-`, and a name `-` counted as absent. The configuration's reader then missed the name: "setting orgs.0.name is missing", exit code 2. Change: an absent value is kept as such. In pairs it is `-`, in nested settings null; a text of nested settings is only a text.

--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -71,7 +71,8 @@
 /// Every value under its path, as in `services.0.aim`; a list of objects has its length under `.count`.
 #[derive(Debug, Default)]
 pub struct RawSettings<'a> {
-    values: HashMap<Cow<'a, str>, Cow<'a, str>>,
+    /// None: given as absent, which pairs write as `-` and JSON as null.
+    values: HashMap<Cow<'a, str>, Option<Cow<'a, str>>>,
     /// Plain lists of the nested form. Their values may hold commas: joined like those of pairs, they could not be told
     /// apart again.
     lists: HashMap<String, Vec<String>>,
@@ -84,7 +85,8 @@
         for part in text.split(' ').filter(|p| !p.is_empty()) {
             let (path, value) =
                 part.split_once('=').ok_or_else(|| SettingsError::NoPair { part: part.to_owned() })?;
-            values.insert(Cow::Borrowed(path), Cow::Borrowed(value));
+            let value = Some(Cow::Borrowed(value)).filter(|value| value != "-");
+            values.insert(Cow::Borrowed(path), value);
         }
         Ok(Self { values, lists: HashMap::new() })
     }
@@ -111,7 +113,7 @@
                 }
             }
             Value::Array(items) if items.iter().any(|i| i.is_object() || i.is_array()) => {
-                self.values.insert(below("count").into(), items.len().to_string().into());
+                self.values.insert(below("count").into(), Some(items.len().to_string().into()));
                 for (n, item) in items.iter().enumerate() {
                     self.flatten(below(&n.to_string()), item, depth + 1)?;
                 }
@@ -120,14 +122,15 @@
                 self.lists.insert(path, items.iter().map(plain).collect());
             }
             value => {
-                self.values.insert(path.into(), plain(value).into());
+                let value = Some(value).filter(|value| !value.is_null());
+                self.values.insert(path.into(), value.map(|value| plain(value).into()));
             }
         }
         Ok(())
     }
 
     pub fn text(&self, path: &str) -> Option<&str> {
-        self.values.get(path).map(Cow::as_ref).filter(|v| *v != "-")
+        self.values.get(path)?.as_deref()
     }
 
     /// The values of a plain list.
--- a/crates/startup/tests/settings.rs
+++ b/crates/startup/tests/settings.rs
@@ -84,3 +84,14 @@
         json!({"services": services, "familyInfo": {"mayLoad": true, "answerWithin": 7_000_000_000i64}});
     assert_eq!(read(&named).loads.order_answered_within, 7 * SECOND);
 }
+
+/// Symptom: a tenant is called `-`, and the router does not start, as its name is missing.
+#[test]
+fn a_name_may_be_a_lone_hyphen() {
+    let settings = json!({"orgs": [{"name": "-", "share": null}]});
+    let raw = RawSettings::nested(&settings).expect("an object");
+    assert_eq!(raw.text("orgs.0.name"), Some("-"));
+    assert_eq!((raw.text("orgs.0.share"), raw.text("orgs.1.name")), (None, None));
+    // In pairs it stands for what is absent.
+    assert_eq!(RawSettings::pairs("orgs.0.name=-").expect("pairs").text("orgs.0.name"), None);
+}
