--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -119,7 +119,10 @@
                 }
             }
             Value::Array(items) => {
-                self.lists.insert(path, items.iter().map(plain).collect());
+                let items: Vec<String> = items.iter().map(plain).collect();
+                // Where one value belongs a list is found, and refused.
+                self.values.insert(path.clone().into(), Some(items.join(",").into()));
+                self.lists.insert(path, items);
             }
             value => {
                 let value = Some(value).filter(|value| !value.is_null());
@@ -135,9 +138,10 @@
 
     /// The values of a plain list.
     pub fn list(&self, path: &str) -> impl Iterator<Item = &str> {
-        let nested = self.lists.get(path).into_iter().flatten().map(String::as_str);
-        let joined = self.text(path).into_iter().flat_map(|v| v.split(','));
-        nested.chain(joined.filter(|v| !v.is_empty()))
+        let nested = self.lists.get(path);
+        let joined = self.text(path).filter(|_| nested.is_none());
+        let joined = joined.into_iter().flat_map(|v| v.split(',')).filter(|v| !v.is_empty());
+        nested.into_iter().flatten().map(String::as_str).chain(joined)
     }
 
     pub fn number(&self, path: &str, absent: f64) -> Result<f64> {
--- a/crates/startup/tests/settings.rs
+++ b/crates/startup/tests/settings.rs
@@ -95,3 +95,14 @@
     // In pairs it stands for what is absent.
     assert_eq!(RawSettings::pairs("orgs.0.name=-").expect("pairs").text("orgs.0.name"), None);
 }
+
+/// Symptom: a list where one value belongs is passed over as if nothing were given.
+#[test]
+fn a_list_where_one_value_belongs_is_refused() {
+    for aim in [json!([1, 2]), json!([])] {
+        let raw = json!({"services": [{"name": "run", "aim": aim}]});
+        let raw = RawSettings::nested(&raw).expect("an object");
+        let error = StartupSettings::read(&raw).expect_err("no time");
+        assert!(error.to_string().contains("services.0.aim"), "{error}");
+    }
+}
