--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -70,18 +70,25 @@
 
 /// Every value under its path, as in `services.0.aim`; a list of objects has its length under `.count`.
 #[derive(Debug, Default)]
-pub struct RawSettings<'a>(HashMap<Cow<'a, str>, Cow<'a, str>>);
+pub struct RawSettings<'a> {
+    /// None: given as absent, which pairs write as `-` and JSON as null.
+    values: HashMap<Cow<'a, str>, Option<Cow<'a, str>>>,
+    /// Plain lists of the nested form. Their values may hold commas: joined like those of pairs, they could not be told
+    /// apart again.
+    lists: HashMap<String, Vec<String>>,
+}
 
 impl<'a> RawSettings<'a> {
     /// `path=value`, set apart by blanks.
     pub fn pairs(text: &'a str) -> Result<Self> {
-        let mut pairs = HashMap::new();
+        let mut values = HashMap::new();
         for part in text.split(' ').filter(|p| !p.is_empty()) {
             let (path, value) =
                 part.split_once('=').ok_or_else(|| SettingsError::NoPair { part: part.to_owned() })?;
-            pairs.insert(Cow::Borrowed(path), Cow::Borrowed(value));
+            let value = Some(Cow::Borrowed(value)).filter(|value| value != "-");
+            values.insert(Cow::Borrowed(path), value);
         }
-        Ok(Self(pairs))
+        Ok(Self { values, lists: HashMap::new() })
     }
 
     /// The same as nested JSON.
@@ -106,29 +113,35 @@
                 }
             }
             Value::Array(items) if items.iter().any(|i| i.is_object() || i.is_array()) => {
-                self.0.insert(below("count").into(), items.len().to_string().into());
+                self.values.insert(below("count").into(), Some(items.len().to_string().into()));
                 for (n, item) in items.iter().enumerate() {
                     self.flatten(below(&n.to_string()), item, depth + 1)?;
                 }
             }
             Value::Array(items) => {
                 let items: Vec<String> = items.iter().map(plain).collect();
-                self.0.insert(path.into(), items.join(",").into());
+                // Where one value belongs a list is found, and refused.
+                self.values.insert(path.clone().into(), Some(items.join(",").into()));
+                self.lists.insert(path, items);
             }
             value => {
-                self.0.insert(path.into(), plain(value).into());
+                let value = Some(value).filter(|value| !value.is_null());
+                self.values.insert(path.into(), value.map(|value| plain(value).into()));
             }
         }
         Ok(())
     }
 
     pub fn text(&self, path: &str) -> Option<&str> {
-        self.0.get(path).map(Cow::as_ref).filter(|v| *v != "-")
+        self.values.get(path)?.as_deref()
     }
 
     /// The values of a plain list.
     pub fn list(&self, path: &str) -> impl Iterator<Item = &str> {
-        self.text(path).into_iter().flat_map(|v| v.split(',')).filter(|v| !v.is_empty())
+        let nested = self.lists.get(path);
+        let joined = self.text(path).filter(|_| nested.is_none());
+        let joined = joined.into_iter().flat_map(|v| v.split(',')).filter(|v| !v.is_empty());
+        nested.into_iter().flatten().map(String::as_str).chain(joined)
     }
 
     pub fn number(&self, path: &str, absent: f64) -> Result<f64> {
@@ -160,7 +173,7 @@
     /// The length of a list of objects; a length beyond the pairs given is a fault.
     pub fn count(&self, list: &str) -> Result<usize> {
         let n = self.number(&format!("{list}.count"), 0.0)?;
-        if n < 0.0 || n.fract() != 0.0 || n > self.0.len() as f64 {
+        if n < 0.0 || n.fract() != 0.0 || n > self.values.len() as f64 {
             return Err(SettingsError::Miscounted { path: format!("{list}.count"), value: n.to_string() });
         }
         Ok(n as usize)
@@ -186,6 +199,11 @@
     }
 }
 
+/// The longest that any client waits.
+fn longest_wait(triggers: &[TriggerType]) -> Micros {
+    triggers.iter().map(|trigger| trigger.client_timeout).max().unwrap_or(NEVER)
+}
+
 /// Names on the sockets; their places in the lists are the module's indices.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
@@ -279,6 +297,7 @@
                 Some("cell") => RepeatGroup::Cell,
                 Some(v) => return unknown(&key("keyScope"), v),
             };
+            let client_timeout = p.time(&key("hardLimit"), NEVER)?;
             triggers.push(TriggerType {
                 effect: match p.text(&key("effect")) {
                     Some("retryable") => Effect::Idempotent,
@@ -286,9 +305,11 @@
                     Some("fragile") | None => Effect::NonIdempotent,
                     Some(v) => return unknown(&key("effect"), v),
                 },
-                latency_objective: p.time(&key("aim"), NEVER)?,
+                // Without an aim an answer is in time until the client gives up. It must not be endless: the module
+                // takes the work for a part of it until it has seen some, and gives up what cannot be in time.
+                latency_objective: p.time(&key("aim"), client_timeout)?,
                 objective_stretch: p.number(&key("aimStretch"), 0.0)?,
-                client_timeout: p.time(&key("hardLimit"), NEVER)?,
+                client_timeout,
                 billed_value: p.number(&key("value"), 1.0)?,
                 late_part: p.number(&key("lateValue"), 0.0)?,
                 streamed: p.flag(&key("streamed"), false)?,
@@ -313,7 +334,9 @@
                 Some("miss") => false,
                 Some(v) => return unknown("familyInfo.whenAbsent", v),
             },
-            order_answered_within: p.time("familyInfo.answerWithin", 0)?,
+            // Without a time of its own, an order is waited for as long as any client waits. At 0 it would be over as
+            // soon as it is given, and the worker blamed for it.
+            order_answered_within: p.time("familyInfo.answerWithin", longest_wait(&triggers))?,
             ration_window: p.time("familyInfo.loadWindow", 0)?,
             ration_few: p.number("familyInfo.freeLoads", 0.0)?,
             ration_part: p.number("familyInfo.loadPart", 0.0)?,
