--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -24,7 +24,7 @@
 use hyper::{HeaderMap, Response};
 use smol::channel::{Sender, bounded};
 
-use crate::desk::Desk;
+use crate::context::GatewayContext;
 
 /// A body comes whole within this time of its head.
 const BODY_WITHIN: Micros = 10_000_000;
@@ -65,7 +65,7 @@
 
 pub struct Calls {
     pub ix: FrontIx,
-    pub desk: Rc<Desk>,
+    pub context: Rc<GatewayContext>,
     pub hall: Rc<Hall>,
     pub most_body: u64,
     /// Requests at once on one connection, where the protocol has them.
@@ -99,15 +99,15 @@
         calls.waiting.borrow_mut().remove(&self.delivery.tag);
         line.left.set(line.left.get() << 1 | u32::from(!self.answered));
         if !self.answered {
-            line.left_at.set(calls.desk.clock.now());
+            line.left_at.set(calls.context.clock.now());
         }
         let input = match self.answered {
             true => Input::Safe(self.delivery),
             false => Input::Departed(self.delivery),
         };
         // Not from within: a drop may come while the core is at work.
-        let desk = calls.desk.clone();
-        calls.desk.executor.spawn(async move { desk.feed(input) }).detach();
+        let context = calls.context.clone();
+        calls.context.executor.spawn(async move { context.feed(input) }).detach();
     }
 }
 
@@ -183,12 +183,12 @@
     headers: &HeaderMap,
     function: String,
 ) -> Result<Taken, Misunderstood> {
-    let desk = &calls.desk;
-    let w = serving::wanted(headers, desk.clock.wall())?;
+    let context = &calls.context;
+    let w = serving::wanted(headers, context.clock.wall())?;
     let unknown = |field, what: &str| Misunderstood { field, cause: format!("'{what}' is unknown") };
-    let trigger = desk.names.trigger(&w.kind);
+    let trigger = context.names.trigger(&w.kind);
     let trigger = trigger.ok_or_else(|| unknown("cedarpulley-trigger-type", &w.kind))?;
-    let said = desk.names.account(w.account.as_deref());
+    let said = context.names.account(w.account.as_deref());
     let said =
         said.ok_or_else(|| unknown("cedarpulley-account", w.account.as_deref().unwrap_or_default()))?;
     let account = match line.account() {
@@ -225,7 +225,7 @@
 
 /// The session that a request's body says, where sessions are told apart.
 pub(crate) fn session(calls: &Calls, body: &Payload) -> Result<Option<Session>, sequences::NoSequence> {
-    if !calls.desk.sessions {
+    if !calls.context.tracks_sessions {
         return Ok(None);
     }
     let json = body.first.map_or(&body.bytes[..], |n| body.bytes.get(..n as usize).unwrap_or_default());
@@ -238,8 +238,8 @@
     pub async fn answer(mut self, mut taken: Taken) -> Option<(Answer, Unread)> {
         let (answers, answered) = bounded(1);
         self.calls.waiting.borrow_mut().insert(self.delivery.tag, answers);
-        taken.waited += self.calls.desk.clock.now() - self.began;
-        self.calls.desk.feed(Input::Taken(taken));
+        taken.waited += self.calls.context.clock.now() - self.began;
+        self.calls.context.feed(Input::Taken(taken));
         let answer = answered.recv().await.ok()?;
         self.answered = true;
         let unread = Unread::begin(&self.calls, &self.line, answer.body.len());
@@ -320,10 +320,16 @@
 }
 
 impl Calls {
-    pub fn new(ix: FrontIx, desk: Rc<Desk>, hall: Rc<Hall>, most_body: u64, most_streams: u32) -> Self {
+    pub fn new(
+        ix: FrontIx,
+        context: Rc<GatewayContext>,
+        hall: Rc<Hall>,
+        most_body: u64,
+        most_streams: u32,
+    ) -> Self {
         Calls {
             ix,
-            desk,
+            context,
             hall,
             most_body,
             most_streams,
@@ -377,12 +383,12 @@
             here: line.inside.get(),
             unread: line.unread.get(),
             left: line.left.get().count_ones(),
-            left_ago: self.desk.clock.now() - line.left_at.get(),
+            left_ago: self.context.clock.now() - line.left_at.get(),
             connections: self.connections.get().max(1),
             unread_bytes: self.hall.unread_bytes.get(),
         };
         self.entry.set(None);
-        self.desk.feed(Input::Knock { delivery, knock });
+        self.context.feed(Input::Knock { delivery, knock });
         match self.entry.take() {
             Some(Entry::Enter) => {}
             Some(turned_away) => return Err(turned_away),
@@ -395,7 +401,7 @@
         }
         line.inside.set(line.inside.get() + 1);
         let (calls, line) = (self.clone(), line.clone());
-        let began = self.desk.clock.now();
+        let began = self.context.clock.now();
         Ok(Open { calls, line, delivery, began, answered: false })
     }
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -21,7 +21,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use hdrhistogram::Histogram;
 
-use crate::desk::Desk;
+use crate::context::GatewayContext;
 use crate::tls::{Outward, Wire};
 use crate::words::{fate, reason};
 
@@ -64,7 +64,7 @@
     pub ix: FrontIx,
     source: Source,
     most_body: u64,
-    desk: Rc<Desk>,
+    context: Rc<GatewayContext>,
     times: Rc<Times>,
     connection: RefCell<Option<Connection>>,
     life: Cell<u32>,
@@ -78,12 +78,18 @@
 }
 
 impl Front {
-    pub fn new(ix: FrontIx, source: Source, most_body: u64, desk: Rc<Desk>, times: Rc<Times>) -> Self {
+    pub fn new(
+        ix: FrontIx,
+        source: Source,
+        most_body: u64,
+        context: Rc<GatewayContext>,
+        times: Rc<Times>,
+    ) -> Self {
         Front {
             ix,
             source,
             most_body,
-            desk,
+            context,
             times,
             connection: RefCell::default(),
             life: Cell::new(0),
@@ -110,7 +116,7 @@
         }
         let owed = self.owed.borrow();
         let Some((to, taken)) = owed.get(&delivery.tag) else { return };
-        self.times.answered.borrow_mut().saturating_record((self.desk.clock.now() - taken).max(0) as u64);
+        self.times.answered.borrow_mut().saturating_record((self.context.clock.now() - taken).max(0) as u64);
         if let Some(c) = self.connection.borrow_mut().as_mut() {
             let (f, r) = (fate(answer.fate), reason(answer.reason));
             let properties = meaning::answer(to, f, r, None, answer.return_after, answer.body.first);
@@ -146,10 +152,10 @@
 
     /// Connects, consumes, and connects again, for as long as the router runs.
     pub async fn run(self: Rc<Self>) {
-        let mut backoff = Backoff::new(self.desk.seed ^ u64::from(self.ix) << 32);
+        let mut backoff = Backoff::new(self.context.seed ^ u64::from(self.ix) << 32);
         while !self.closing.get() {
-            let began = self.desk.clock.now();
-            match connect(self.source.broker, self.desk.from, CONNECT_WITHIN).await {
+            let began = self.context.clock.now();
+            match connect(self.source.broker, self.context.local_address, CONNECT_WITHIN).await {
                 Ok(stream) => match Wire::begin(stream, self.source.tls.as_ref()).await {
                     Ok(wire) => {
                         let fault = self.converse(wire, &mut backoff).await;
@@ -168,8 +174,8 @@
             if self.closing.get() {
                 return;
             }
-            let now = self.desk.clock.now();
-            Timer::at(self.desk.clock.instant(now + backoff.after(now - began))).await;
+            let now = self.context.clock.now();
+            Timer::at(self.context.clock.instant(now + backoff.after(now - began))).await;
         }
     }
 
@@ -177,7 +183,7 @@
         self.owed.borrow_mut().clear();
         self.reopen_at.set(None);
         if self.up.replace(false) {
-            self.desk.feed(Input::Front { front: self.ix, state: FrontState::Down });
+            self.context.feed(Input::Front { front: self.ix, state: FrontState::Down });
         }
     }
 
@@ -187,13 +193,13 @@
             user: self.source.user.clone(),
             password: self.source.password.clone(),
             heartbeat_s: self.source.heartbeat_s,
-            name: self.desk.name.clone(),
+            name: self.context.name.clone(),
             most_body: self.most_body,
         };
         let prefetch = self.grant.get().clamp(1, u32::from(u16::MAX)) as u16;
         let role = Role::Answers { queue: self.source.queue.clone(), prefetch };
-        *self.connection.borrow_mut() = Some(Connection::new(self.desk.clock.now(), role, login));
-        let stood = Cell::new(self.desk.clock.now());
+        *self.connection.borrow_mut() = Some(Connection::new(self.context.clock.now(), role, login));
+        let stood = Cell::new(self.context.clock.now());
         let backoff = RefCell::new(backoff);
         let (mut reads, mut writes) = split(wire);
         let reading = self.read(&mut reads, &stood, &backoff);
@@ -201,9 +207,9 @@
         // Tell the broker why, if it will hear it.
         let last = self.connection.borrow_mut().as_mut().map(|c| {
             if fault.code != 200 {
-                c.fail(self.desk.clock.now(), &fault);
+                c.fail(self.context.clock.now(), &fault);
             }
-            c.output(self.desk.clock.now())
+            c.output(self.context.clock.now())
         });
         if let Some(bytes) = last {
             // A broker that reads nothing is not waited for.
@@ -233,7 +239,7 @@
                 Ok(n) => n,
                 Err(e) => return Fault::new(320, e.to_string()),
             };
-            let now = self.desk.clock.now();
+            let now = self.context.clock.now();
             let received = match self.connection.borrow_mut().as_mut() {
                 Some(c) => c.receive(now, &buffer[..n], &mut events),
                 None => return Fault::new(320, "closed"),
@@ -245,7 +251,7 @@
                         self.up.set(true);
                         stood.set(now);
                         tracing::info!(front = %self.source.name, queue = %self.source.queue, "consuming");
-                        self.desk.feed(Input::Front { front: self.ix, state: FrontState::Up });
+                        self.context.feed(Input::Front { front: self.ix, state: FrontState::Up });
                     }
                     Event::Delivered(message) => self.delivered(*message),
                     Event::Committed(tags) => {
@@ -254,14 +260,14 @@
                             if let Some((_, taken)) = owed {
                                 self.times.safe.borrow_mut().saturating_record((now - taken).max(0) as u64);
                                 let delivery = Delivery { front: self.ix, life: self.life.get(), tag };
-                                self.desk.feed(Input::Safe(delivery));
+                                self.context.feed(Input::Safe(delivery));
                             }
                         }
                     }
                     Event::Blocked(blocked) => {
                         tracing::warn!(front = %self.source.name, blocked, "the broker takes no publishes");
                         let state = if blocked { FrontState::Blocked } else { FrontState::Up };
-                        self.desk.feed(Input::Front { front: self.ix, state });
+                        self.context.feed(Input::Front { front: self.ix, state });
                     }
                     Event::ChannelLost { code, text } => {
                         tracing::warn!(front = %self.source.name, code, text, "the broker closed the channel");
@@ -286,7 +292,7 @@
 
     async fn write(self: &Rc<Self>, stream: &mut WriteHalf<Wire>) -> Fault {
         loop {
-            let now = self.desk.clock.now();
+            let now = self.context.clock.now();
             let (bytes, due) = {
                 let mut connection = self.connection.borrow_mut();
                 let Some(c) = connection.as_mut() else { return Fault::new(320, "closed") };
@@ -314,7 +320,7 @@
                 match due {
                     Micros::MAX => std::future::pending().await,
                     due => {
-                        Timer::at(self.desk.clock.instant(due)).await;
+                        Timer::at(self.context.clock.instant(due)).await;
                     }
                 }
             };
@@ -328,18 +334,18 @@
             let cause = format!("larger than {} bytes", self.most_body);
             Err(meaning::Misunderstood { field: "body", cause })
         } else {
-            meaning::read(&message, self.desk.clock.wall()).and_then(|t| self.taken(&message, t, delivery))
+            meaning::read(&message, self.context.clock.wall()).and_then(|t| self.taken(&message, t, delivery))
         };
         match understood {
             Ok(mut taken) => {
                 taken.body = Payload { bytes: Bytes::from(message.body), first: taken.body.first };
-                self.owed.borrow_mut().insert(message.tag, (message.properties, self.desk.clock.now()));
-                self.desk.feed(Input::Taken(taken));
+                self.owed.borrow_mut().insert(message.tag, (message.properties, self.context.clock.now()));
+                self.context.feed(Input::Taken(taken));
             }
             Err(wrong) => {
                 // Never back into the queue: it would come again for ever.
                 tracing::debug!(front = %self.source.name, field = wrong.field, cause = %wrong.cause, "not understood");
-                self.desk.not_understood();
+                self.context.count_malformed();
                 if let Some(c) = self.connection.borrow_mut().as_mut() {
                     match message.properties.reply_to().as_ref().map(|r| r.as_str()).filter(|r| !r.is_empty())
                     {
@@ -365,9 +371,9 @@
     ) -> Result<Taken, meaning::Misunderstood> {
         let unknown =
             |field, name: &str| meaning::Misunderstood { field, cause: format!("'{name}' is unknown") };
-        let trigger = self.desk.names.trigger(&t.kind).ok_or_else(|| unknown("type", &t.kind))?;
+        let trigger = self.context.names.trigger(&t.kind).ok_or_else(|| unknown("type", &t.kind))?;
         let account = self
-            .desk
+            .context
             .names
             .account(t.account.as_deref())
             .ok_or_else(|| unknown("app-id", t.account.as_deref().unwrap_or("")))?;
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -24,14 +24,14 @@
 use cedarpulley_upgrade::{Name, function};
 use serde_json::{Value, json};
 
-use crate::desk::Desk;
-use crate::fellows::News;
-use crate::shared::Shared;
+use crate::context::GatewayContext;
+use crate::peers::PeerEvent;
+use crate::shared_state::SharedState;
 use crate::upgrading::Upgrading;
 
 pub struct Gate {
-    desk: Rc<Desk>,
-    shared: Option<Shared>,
+    context: Rc<GatewayContext>,
+    shared: Option<SharedState>,
     upgrading: Option<Rc<Upgrading>>,
     /// Past the gate.
     core: Box<dyn Fn(Input)>,
@@ -66,14 +66,14 @@
 impl Gate {
     /// `shared`: absent for a router without a group, which has nobody to tell.
     pub fn new(
-        desk: Rc<Desk>,
+        context: Rc<GatewayContext>,
         terms: sessions::Terms,
-        shared: Option<Shared>,
+        shared: Option<SharedState>,
         upgrading: Option<Rc<Upgrading>>,
         core: Box<dyn Fn(Input)>,
     ) -> Rc<Gate> {
         let gate = Rc::new(Gate {
-            desk,
+            context,
             shared,
             upgrading,
             core,
@@ -89,8 +89,8 @@
         });
         if let Some(shared) = &gate.shared {
             let it = Rc::downgrade(&gate);
-            shared.listen(sessions::BOUND, move |news| {
-                if let (Some(it), News::Decided(key, outcome)) = (it.upgrade(), news) {
+            shared.subscribe(sessions::BOUND, move |news| {
+                if let (Some(it), PeerEvent::Decided(key, outcome)) = (it.upgrade(), news) {
                     it.decided(key, outcome);
                 }
             });
@@ -170,7 +170,7 @@
     /// Those that have waited too long are refused, for as long as the router runs.
     pub async fn run(self: Rc<Self>) {
         loop {
-            self.alarm.rings(&self.desk.clock).await;
+            self.alarm.rings(&self.context.clock).await;
             self.sessions(sessions::Input::Tick);
         }
     }
@@ -191,7 +191,7 @@
             return hashed((t.account, together));
         }
         self.draws.set(self.draws.get() + 1);
-        hashed((self.desk.seed, self.draws.get()))
+        hashed((self.context.seed, self.draws.get()))
     }
 
     fn taken(&self, mut t: Taken) -> Option<Taken> {
@@ -211,15 +211,15 @@
         self.tickets.set(ticket + 1);
         let proposes = upgrading.map(|u| u.proposes(model, self.draw(&t), session.start));
         let place_key = sessions::place_key(model, &session.id);
-        let placed = self.shared.as_ref().and_then(|s| s.noted(&place_key)).as_ref().map(noted);
+        let placed = self.shared.as_ref().and_then(|s| s.latest_note(&place_key)).as_ref().map(noted);
         let (model, session) = (Name::from(model), session.id.clone());
-        self.held.borrow_mut().insert(ticket, (t, self.desk.clock.now()));
+        self.held.borrow_mut().insert(ticket, (t, self.context.clock.now()));
         self.sessions(sessions::Input::Arrives { ticket, model, session, proposes, placed });
         None
     }
 
     fn sessions(&self, input: sessions::Input) {
-        let now = self.desk.clock.now();
+        let now = self.context.clock.now();
         let mut out = Vec::new();
         let due = {
             let mut sessions = self.sessions.borrow_mut();
@@ -264,7 +264,7 @@
 
     fn release(&self, ticket: u64) -> Option<Taken> {
         let (mut t, since) = self.held.borrow_mut().remove(&ticket)?;
-        t.waited = t.waited.saturating_add(self.desk.clock.now() - since);
+        t.waited = t.waited.saturating_add(self.context.clock.now() - since);
         Some(t)
     }
 
--- a/crates/gateway/src/grpc.rs
+++ b/crates/gateway/src/grpc.rs
@@ -64,7 +64,7 @@
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     stop: Bell,
 ) {
-    let mut builder = http2::Builder::new(Local(calls.desk.executor.clone()));
+    let mut builder = http2::Builder::new(Local(calls.context.executor.clone()));
     builder.timer(SmolTimer::new());
     builder.max_concurrent_streams(calls.most_streams).max_header_list_size(MOST_HEADERS);
     builder.initial_stream_window_size(STREAM_WINDOW).initial_connection_window_size(CONNECTION_WINDOW);
@@ -202,7 +202,7 @@
 async fn infer(calls: Rc<Calls>, line: Rc<Line>, request: Request<Incoming>) -> Reply {
     let (head, mut body) = request.into_parts();
     let misunderstood = |cause: &str| {
-        calls.desk.not_understood();
+        calls.context.count_malformed();
         wrong(Code::InvalidArgument, cause)
     };
     let mut taken = match understood(&calls, &line, &head.headers, String::new()) {
@@ -214,7 +214,7 @@
         Ok(Some(timeout)) => taken.client_timeout = taken.client_timeout.min(timeout),
         Err(cause) => return misunderstood(&format!("{}: {cause}", rpc::TIMEOUT)),
     }
-    let began = calls.desk.clock.now();
+    let began = calls.context.clock.now();
     let first = match begin(&mut body).await {
         Ok(first) => first,
         Err(why) => return unwhole(why),
@@ -224,7 +224,7 @@
     if promised > calls.most_body {
         return misunderstood(&format!("larger than {} bytes", calls.most_body));
     }
-    taken.waited += calls.desk.clock.now() - began;
+    taken.waited += calls.context.clock.now() - began;
     // Turned away before it is taken: nothing is owed but this, and nothing of it has run.
     let open = match calls.knock(&line, &taken, promised) {
         Ok(open) => open,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,16 +1,15 @@
-//! One router as a process: sockets, timers, signals and settings around the core in `cedarpulley-router`. It
-//! decides nothing of its own: what came in goes to the core, what the core puts out is carried out in order.
+//! One router as a process: sockets, timers, signals and configuration around the core in
+//! `cedarpulley-router`. It makes no routing decisions: every event goes to the core, and the core's outputs
+//! are carried out in order.
 //!
-//! Begin reading at [`serve`], which alone knows the whole; then [`desk`] (what each part gets), [`front`] (AMQP),
-//! [`listen`] with [`rest`] and [`grpc`] (KServe v2), [`pool`] (workers), [`list`] (the worker list), [`circle`] with
-//! [`fellows`], [`post`] and [`folder`] (the group that shares what was taken), and [`shared`], what other parts have of it. No part knows
-//! another that stands above it.
+//! Begin reading at [`serve`], the only module that knows all others. Then: [`context`] (what every part may
+//! use), [`front`] (AMQP), [`listen`] with [`rest`] and [`grpc`] (KServe v2), [`pool`] (connections to
+//! workers), [`list`] (the worker list), [`peer_group`] with [`peers`], [`peer_transport`] and [`peer_store`]
+//! (the state that routers of a group share), and [`shared_state`], the interface of that state for the other
+//! parts. No module depends on one that stands above it in this order of construction.
 
 pub mod calls;
-pub mod circle;
-pub mod desk;
-pub mod fellows;
-pub mod folder;
+pub mod context;
 pub mod front;
 pub mod gate;
 pub mod grpc;
@@ -18,17 +17,20 @@
 pub mod listen;
 pub mod meddle;
 pub mod metering;
+pub mod peer_group;
+pub mod peer_store;
+pub mod peer_transport;
+pub mod peers;
 pub mod pool;
-pub mod post;
 pub mod reconciling;
 pub mod recorder;
 pub mod rest;
 pub mod serve;
 pub mod settings;
-pub mod shared;
+pub mod shared_state;
 pub mod sheet;
-pub mod shown;
-pub mod strangers;
+pub mod state_endpoint;
 pub mod tls;
+pub mod unknown_members;
 pub mod upgrading;
 pub mod words;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -20,7 +20,7 @@
 use serde_json::Value;
 use smol_hyper::rt::FuturesIo;
 
-use crate::desk::Desk;
+use crate::context::GatewayContext;
 
 const PATH: &str = "/apis/discovery.k8s.io/v1/endpointslices";
 const CONNECT_WITHIN: Micros = 1_000_000;
@@ -33,31 +33,31 @@
 const MOST_LISTING: usize = 64 << 20;
 
 /// `heard`: what of the news is told on; all of it, but in tests of the judge.
-pub async fn watch(desk: Rc<Desk>, address: SocketAddr, heard: impl Fn(News) -> News) {
+pub async fn watch(context: Rc<GatewayContext>, address: SocketAddr, heard: impl Fn(News) -> News) {
     let mut roster = Roster::default();
-    let mut backoff = Backoff::new(desk.seed ^ 0x11_57);
+    let mut backoff = Backoff::new(context.seed ^ 0x11_57);
     let mut next = Step::List;
     loop {
-        let began = desk.clock.now();
+        let began = context.clock.now();
         let news = match &next {
-            Step::Watch(version) => follow(&desk, address, *version, &mut roster, &heard).await,
-            _ => list(&desk, address).await,
+            Step::Watch(version) => follow(&context, address, *version, &mut roster, &heard).await,
+            _ => list(&context, address).await,
         };
         let failed = matches!(news, News::Broken { .. });
-        next = carry(&desk, &mut roster, heard(news)).unwrap_or(Step::List);
+        next = carry(&context, &mut roster, heard(news)).unwrap_or(Step::List);
         if failed || matches!(next, Step::List) {
-            let now = desk.clock.now();
-            Timer::at(desk.clock.instant(now + backoff.after(now - began))).await;
+            let now = context.clock.now();
+            Timer::at(context.clock.instant(now + backoff.after(now - began))).await;
         }
     }
 }
 
 /// Tells the core; what is to be asked next.
-fn carry(desk: &Desk, roster: &mut Roster, news: News) -> Option<Step> {
+fn carry(context: &GatewayContext, roster: &mut Roster, news: News) -> Option<Step> {
     let mut next = None;
-    for step in roster.news(desk.clock.now(), news) {
+    for step in roster.news(context.clock.now(), news) {
         match step {
-            Step::Tell { mode, workers } => desk.feed(Input::List { mode, workers }),
+            Step::Tell { mode, workers } => context.feed(Input::List { mode, workers }),
             step => next = Some(step),
         }
     }
@@ -71,10 +71,10 @@
     _driver: Task<()>,
 }
 
-async fn open(desk: &Desk, address: SocketAddr, path: &str) -> Option<Reading> {
-    let stream = connect(address, desk.from, CONNECT_WITHIN).await.ok()?;
+async fn open(context: &GatewayContext, address: SocketAddr, path: &str) -> Option<Reading> {
+    let stream = connect(address, context.local_address, CONNECT_WITHIN).await.ok()?;
     let (mut sender, connection) = http1::handshake(FuturesIo::new(stream)).await.ok()?;
-    let _driver = desk.executor.spawn(async move {
+    let _driver = context.executor.spawn(async move {
         // How it ended shows in the body.
         let _ = connection.await;
     });
@@ -105,9 +105,9 @@
     }
 }
 
-async fn list(desk: &Desk, address: SocketAddr) -> News {
+async fn list(context: &GatewayContext, address: SocketAddr) -> News {
     let broken = News::Broken { too_old: false };
-    let Some(mut reading) = open(desk, address, PATH).await.filter(|r| r.status == 200) else {
+    let Some(mut reading) = open(context, address, PATH).await.filter(|r| r.status == 200) else {
         return broken;
     };
     let mut buffer = Vec::new();
@@ -118,14 +118,14 @@
     let items = value["items"].as_array().map(Vec::as_slice).unwrap_or_default();
     match version {
         Some(version) => {
-            News::Listing { version, slices: items.iter().filter_map(|i| slice(desk, i)).collect() }
+            News::Listing { version, slices: items.iter().filter_map(|i| slice(context, i)).collect() }
         }
         None => broken,
     }
 }
 
 async fn follow(
-    desk: &Desk,
+    context: &GatewayContext,
     address: SocketAddr,
     from: u64,
     roster: &mut Roster,
@@ -133,7 +133,7 @@
 ) -> News {
     let broken = |too_old| News::Broken { too_old };
     let path = format!("{PATH}?watch=1&allowWatchBookmarks=true&resourceVersion={from}");
-    let Some(mut reading) = open(desk, address, &path).await else { return broken(false) };
+    let Some(mut reading) = open(context, address, &path).await else { return broken(false) };
     if reading.status != 200 {
         return broken(reading.status == 410);
     }
@@ -144,7 +144,7 @@
             let Ok(value) = serde_json::from_slice::<Value>(&line) else { return broken(false) };
             let object = &value["object"];
             let news = match value["type"].as_str() {
-                Some("ADDED" | "MODIFIED") => slice(desk, object).map(News::Changed),
+                Some("ADDED" | "MODIFIED") => slice(context, object).map(News::Changed),
                 Some("DELETED") => object["metadata"]["name"]
                     .as_str()
                     .zip(version(object))
@@ -154,7 +154,7 @@
                 _ => return broken(object["code"].as_u64() == Some(410)),
             };
             if let Some(news) = news {
-                carry(desk, roster, heard(news));
+                carry(context, roster, heard(news));
             }
         }
         if buffer.len() > MOST_LINE {
@@ -169,7 +169,7 @@
 }
 
 /// One slice; endpoints that cannot be understood are left out.
-fn slice(desk: &Desk, object: &Value) -> Option<Slice> {
+fn slice(context: &GatewayContext, object: &Value) -> Option<Slice> {
     let name = object["metadata"]["name"].as_str()?.to_owned();
     let version = version(object)?;
     let port = object["ports"].as_array()?.first()?["port"].as_u64()?;
@@ -179,7 +179,7 @@
     };
     // The wall's time of a start, on the router's clock.
     let started = note("cedarpulley/started-at-us").and_then(|t| t.parse::<Micros>().ok());
-    let started = started.filter(|&s| s > 0).map(|s| desk.clock.now() - (desk.clock.wall() - s));
+    let started = started.filter(|&s| s > 0).map(|s| context.clock.now() - (context.clock.wall() - s));
     let mut entries = Vec::new();
     for endpoint in object["endpoints"].as_array().map(Vec::as_slice).unwrap_or_default() {
         let Some(ip) = endpoint["addresses"][0].as_str() else { continue };
@@ -193,8 +193,8 @@
         let draining = conditions["terminating"].as_bool().unwrap_or(false) || !ready;
         let worker = Listed {
             address: address.to_string(),
-            zone: index(&desk.names.zones, endpoint["zone"].as_str()),
-            kind: index(&desk.names.kinds, note("cedarpulley/kind")),
+            zone: index(&context.names.zones, endpoint["zone"].as_str()),
+            kind: index(&context.names.kinds, note("cedarpulley/kind")),
             cell: note("cedarpulley/cell").and_then(|c| c.parse().ok()).unwrap_or(0),
             standing: if draining { Standing::Draining } else { Standing::InService },
             weight: 1.0,
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -119,11 +119,11 @@
 
     /// Listens until the router ends.
     pub async fn run(self: Rc<Self>, listener: Async<TcpListener>) {
-        let desk = &self.calls.desk;
-        desk.feed(Input::Front { front: self.calls.ix, state: FrontState::Up });
+        let context = &self.calls.context;
+        context.feed(Input::Front { front: self.calls.ix, state: FrontState::Up });
         tracing::info!(front = %self.listen.name, address = %self.listen.address, "listening");
         if let Some(tls) = self.tls.clone() {
-            desk.executor.spawn(tls.watch(desk.clock, self.listen.name.clone())).detach();
+            context.executor.spawn(tls.watch(context.clock, self.listen.name.clone())).detach();
         }
         let mut serial = 0;
         loop {
@@ -141,7 +141,7 @@
             serial += 1;
             let stands = Stands(self.clone(), serial);
             self.stand.borrow_mut().insert(serial, stop.clone());
-            let served = desk.executor.spawn(async move {
+            let served = context.executor.spawn(async move {
                 let _stands = stands;
                 let line = Rc::new(Line::default());
                 // Each on its own: ten thousand idle ones must not take the largest one's room.
--- a/crates/gateway/src/meddle.rs
+++ b/crates/gateway/src/meddle.rs
@@ -15,7 +15,7 @@
 use cedarpulley_router::roster::News;
 use cedarpulley_router::{Answer, Delivery, Input, Output};
 
-use crate::desk::Desk;
+use crate::context::GatewayContext;
 use crate::front::Front;
 use crate::pool::Pool;
 use crate::reconciling::Reconciling;
@@ -116,7 +116,7 @@
 
 pub struct Meddler {
     kind: Option<Meddle>,
-    desk: Rc<Desk>,
+    context: Rc<GatewayContext>,
     pool: Rc<Pool>,
     address: Address,
     seen: Cell<u64>,
@@ -126,10 +126,10 @@
 }
 
 impl Meddler {
-    pub fn new(kind: Option<Meddle>, desk: Rc<Desk>, pool: Rc<Pool>, address: Address) -> Self {
+    pub fn new(kind: Option<Meddle>, context: Rc<GatewayContext>, pool: Rc<Pool>, address: Address) -> Self {
         Meddler {
             kind,
-            desk,
+            context,
             pool,
             address,
             seen: Cell::new(0),
@@ -143,7 +143,7 @@
         if self.kind != Some(Meddle::Spoilt) {
             return;
         }
-        let mut chance = Chance::new(self.desk.seed ^ SPOILT);
+        let mut chance = Chance::new(self.context.seed ^ SPOILT);
         let mut spoilt = 0;
         while spoilt < MOST_SPOILT {
             Timer::after(micros(SPOILS_EVERY)).await;
@@ -152,7 +152,7 @@
                 continue;
             }
             spoilt += 1;
-            self.desk.feed(Input::Held { worker: worker.into(), function: function.into(), copies });
+            self.context.feed(Input::Held { worker: worker.into(), function: function.into(), copies });
         }
         tracing::info!(spoilt, "meddled: no more is spoilt");
     }
@@ -189,7 +189,7 @@
                     Timer::after(micros(LATE)).await;
                     front.answer(delivery, &answer);
                 };
-                self.desk.executor.spawn(late).detach();
+                self.context.executor.spawn(late).detach();
             }
             _ => front.answer(delivery, &answer),
         }
@@ -231,7 +231,7 @@
                         );
                         let _ = pool.order(address, request, LATE).await;
                     };
-                    self.desk.executor.spawn(order).detach();
+                    self.context.executor.spawn(order).detach();
                 }
             }
             _ => {}
@@ -241,7 +241,8 @@
     fn again(&self, output: &Output, times: usize) {
         let Output::Send { worker, function, trigger, call, .. } = output else { return };
         for _ in 0..times {
-            let (desk, pool, whereabouts) = (self.desk.clone(), self.pool.clone(), self.address.clone());
+            let (context, pool, whereabouts) =
+                (self.context.clone(), self.pool.clone(), self.address.clone());
             let (worker, function) = (*worker, function.clone());
             let (trigger, call) = (*trigger as usize, call.clone());
             let send = async move {
@@ -250,7 +251,7 @@
                     invocation: call.mark.as_deref(),
                     dispatch: 99,
                     token: None,
-                    trigger: &desk.names.triggers[trigger],
+                    trigger: &context.names.triggers[trigger],
                     account: None,
                     time_left: call.time_left,
                     session: None,
@@ -259,7 +260,7 @@
                     requests::infer(&address.to_string(), &function, marks, call.body.bytes, call.body.first);
                 let _ = pool.exchange(address, request, false, || true).await;
             };
-            self.desk.executor.spawn(send).detach();
+            self.context.executor.spawn(send).detach();
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/peer_group.rs
@@ -0,0 +1,170 @@
+//! The peer group as one part of the process: what has to be acquired before a router starts
+//! ([`PeerGroupResources::acquire`]: its listener and its store), and the tasks that run beside it
+//! ([`PeerGroup::run`]).
+
+use std::cell::RefCell;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use cedarpulley_errors::Remedy;
+use cedarpulley_membership::MemberIx;
+use cedarpulley_net::{Clock, listen};
+use cedarpulley_replica::{self as replica, Guard};
+use cedarpulley_router::group::Ask;
+use futures_lite::{FutureExt, StreamExt};
+use thiserror::Error;
+
+use crate::context::GatewayContext;
+use crate::peer_store::{PeerStore, StoreError};
+use crate::peer_transport::{self, PeerTransport, TransportHandle};
+use crate::peers::{PeerSettings, Peers, RestoredState};
+use crate::shared_state::SharedState;
+
+/// Changes of the shared state are written to the store this often, and at once if a vote waits for them.
+const STORE_WRITE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Why the group's part cannot start.
+#[derive(Debug, Error)]
+pub enum PeerGroupError {
+    #[error("the group's listener at {address}: {source}")]
+    Listen { address: SocketAddr, source: std::io::Error },
+    #[error(transparent)]
+    Store(#[from] StoreError),
+}
+
+impl Remedy for PeerGroupError {
+    fn remedy(&self) -> &'static str {
+        match self {
+            PeerGroupError::Listen { .. } => {
+                "give peers.listen an address of this machine that nobody else has"
+            }
+            PeerGroupError::Store(failed) => failed.remedy(),
+        }
+    }
+}
+
+/// What must be available before a router starts.
+pub struct PeerGroupResources {
+    settings: PeerSettings,
+    listener: Async<TcpListener>,
+    store: Option<PeerStore>,
+    restored: Option<RestoredState>,
+    disabled_guard: Option<Guard>,
+}
+
+impl PeerGroupResources {
+    /// Binds the listener and opens the store. `disabled_guard`: only in tests of the auditor, one guard of
+    /// the shared state is switched off. Fails if the address is taken or the store cannot be opened.
+    pub fn acquire(
+        settings: PeerSettings,
+        clock: &Clock,
+        disabled_guard: Option<Guard>,
+    ) -> Result<PeerGroupResources, PeerGroupError> {
+        let listen_error = |source| PeerGroupError::Listen { address: settings.listen, source };
+        let listener = listen(settings.listen).map_err(listen_error)?;
+        let (store, restored) = match &settings.state_folder {
+            None => (None, None),
+            Some(path) => {
+                let identity = settings.group.mark ^ u64::from(settings.group.me);
+                let (store, restored) = PeerStore::open(path, identity, clock.wall(), settings.retention)?;
+                (Some(store), restored)
+            }
+        };
+        Ok(PeerGroupResources { settings, listener, store, restored, disabled_guard })
+    }
+}
+
+/// The group of a running router.
+pub struct PeerGroup {
+    peers: Rc<Peers>,
+    transport: Rc<PeerTransport>,
+    store: Option<Rc<PeerStore>>,
+    listener: RefCell<Option<Async<TcpListener>>>,
+    own_index: MemberIx,
+    name: String,
+}
+
+impl PeerGroup {
+    /// Connects the group's parts; nothing runs before [`PeerGroup::run`].
+    pub fn new(context: &Rc<GatewayContext>, resources: PeerGroupResources) -> PeerGroup {
+        let PeerGroupResources { settings, listener, store, restored, disabled_guard } = resources;
+        // Above 0, and unique among processes with all but certainty.
+        let nonce = uuid::Uuid::new_v4().as_u64_pair().0 | 1;
+        let transport = Rc::new(PeerTransport::new(
+            context.executor.clone(),
+            context.local_address,
+            settings.addresses.clone(),
+        ));
+        let transport_handle = Box::new(TransportHandle(transport.clone()));
+        let peers = Rc::new(Peers::new(
+            context.clone(),
+            &settings,
+            nonce,
+            restored,
+            disabled_guard,
+            transport_handle,
+        ));
+        let (store, listener) = (store.map(Rc::new), RefCell::new(Some(listener)));
+        let name = settings.group.members[settings.group.me as usize].name.clone();
+        PeerGroup { peers, transport, store, listener, own_index: settings.group.me, name }
+    }
+
+    /// Takes a request of the core to the group.
+    pub fn request(&self, request: Ask) {
+        self.peers.request(request);
+    }
+
+    /// This router's name within its group.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The interface of the shared state for other parts of this router.
+    pub fn shared_state(&self) -> SharedState {
+        SharedState::new(self.peers.clone())
+    }
+
+    /// Starts the tasks; does nothing when called again.
+    pub fn run(&self, context: &Rc<GatewayContext>) {
+        let Some(listener) = self.listener.borrow_mut().take() else { return };
+        let executor = &context.executor;
+        self.transport.run(&self.peers, self.own_index);
+        executor
+            .spawn(peer_transport::accept_connections(self.peers.clone(), self.transport.clone(), listener))
+            .detach();
+        let peers = self.peers.clone();
+        let tick_task = async move {
+            loop {
+                peers.tick();
+                peers.wait_until_due().await;
+            }
+        };
+        executor.spawn(tick_task).detach();
+        if let Some(store) = self.store.clone() {
+            let (peers, clock) = (self.peers.clone(), context.clock);
+            let write_task = async move {
+                let (mut interval, mut reported_serial) = (Timer::interval(STORE_WRITE_INTERVAL), 0);
+                loop {
+                    let due = async { interval.next().await.is_some() };
+                    let requested = async {
+                        peers.write_requested().or(store.write_finished()).await;
+                        false
+                    };
+                    let due = due.or(requested).await;
+                    let serial = store.persisted_serial();
+                    if std::mem::replace(&mut reported_serial, serial) != serial {
+                        peers.apply_replica(replica::Input::Kept { serial });
+                    }
+                    // One write at a time: changes that come meanwhile go together into the next.
+                    if store.is_idle() && (due || peers.awaits_store()) {
+                        let (turn, serial, changes) = peers.changes();
+                        store.write(turn, serial, clock.wall(), changes);
+                    }
+                }
+            };
+            executor.spawn(write_task).detach();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,605 @@
+//! The group that this router belongs to: who is alive (`cedarpulley-membership`) and what is shared
+//! (`cedarpulley-replica`). It makes no decisions: requests of the core and messages of other members go to
+//! those two state machines, and their outputs are carried out here, through the context and [`Transport`].
+//!
+//! The caller uses [`Peers::request`] for requests of the core, [`Peers::receive`] for an envelope from a
+//! member, and [`Peers::tick`] whenever [`Peers::wait_until_due`] returns.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use cedarpulley::interface::Micros;
+use cedarpulley_errors::Remedy;
+use cedarpulley_membership::{self as membership, Believed, Group, MemberIx, Membership, Process};
+use cedarpulley_net::Alarm;
+use cedarpulley_replica::{self as replica, Guard, Need, Replica};
+use cedarpulley_router::group::{self, Ask, Told};
+use cedarpulley_router::{Answer, Fate, Input, Payload, Reason};
+use serde::{Deserialize, Serialize};
+use smol::channel::{Receiver, Sender};
+
+use crate::context::GatewayContext;
+use crate::unknown_members::{Refusal, RefusalCause, UnknownMembers};
+
+/// Assumed transit time of a member's message while nothing bounds it: long before any router began. In
+/// microseconds.
+const UNKNOWN_TRANSIT: Micros = Micros::MAX / 4;
+
+/// Configuration of the group and of this router's place in it. All times are in microseconds.
+#[derive(Clone, Debug)]
+pub struct PeerSettings {
+    pub listen: SocketAddr,
+    pub group: Group,
+    /// Address of each member as reached from this router, by member index.
+    pub addresses: Vec<SocketAddr>,
+    pub state_folder: Option<PathBuf>,
+    pub probe_interval: Micros,
+    pub probe_timeout: Micros,
+    pub suspicion_timeout: Micros,
+    /// A change in who is alive is acted upon only after it has lasted this long.
+    pub belief_delay: Micros,
+    pub retention: Micros,
+    pub replication_timeout: Micros,
+    pub catch_up_bytes_per_s: u64,
+    pub max_records: usize,
+}
+
+impl PeerSettings {
+    /// How long a permission to send an invocation stays valid. It ends before another member can consider
+    /// this one dead and take its invocations over.
+    pub fn send_lease(&self) -> Micros {
+        self.suspicion_timeout / 2
+    }
+}
+
+/// Everything that one member sends to another in one request, encoded with `postcard`. The order of fields
+/// is the wire format.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Envelope {
+    pub version: u16,
+    /// Fingerprint of the whole group: routers of another group, or with other members configured, have
+    /// another one.
+    pub group: u64,
+    pub from: MemberIx,
+    pub to: MemberIx,
+    pub process: Process,
+    /// The sender's own clock; then the receiver's clock as the sender last saw it, and the process it
+    /// belonged to. With these the receiver bounds the transit time by its own clock alone. In microseconds.
+    pub clock: Micros,
+    pub echo: Micros,
+    pub echo_of: u64,
+    /// Encoded messages, each by itself: one that cannot be decoded does not affect the others.
+    pub messages: Vec<Bytes>,
+}
+
+#[derive(Serialize, Deserialize)]
+enum PeerMessage {
+    Membership(membership::Message),
+    Replica(replica::Message),
+}
+
+/// Sends messages to other members. It must not block.
+pub trait Transport {
+    /// `bulk`: may wait behind messages that a vote waits for. `recoverable`: may be dropped if there is no
+    /// room, as a later comparison of the records repairs the loss.
+    fn send(&self, to: MemberIx, message: Bytes, bulk: bool, recoverable: bool);
+}
+
+/// Envelopes received and those refused, by cause. The names are those of the state endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    pub envelopes: u64,
+    pub other_version: u64,
+    pub other_group: u64,
+    pub other_member: u64,
+    pub unreadable: u64,
+    /// Answers stored by another member that could not be decoded here.
+    pub unreadable_answers: u64,
+}
+
+struct State {
+    membership: Membership,
+    believed: Believed,
+    replica: Replica,
+    /// By member: its clock as last received (microseconds), and the process that it belongs to.
+    clocks: Vec<(Micros, u64)>,
+    counts: Counts,
+    unknown_members: UnknownMembers,
+    /// While an envelope is processed: its sender and the messages that go back in the reply.
+    replies: Option<(MemberIx, Vec<Bytes>)>,
+    /// This process was started from a stored state; and that state was older than what other members know of
+    /// it.
+    was_restored: bool,
+    store_was_older: bool,
+}
+
+/// What other parts of this router can learn about the group.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerEvent {
+    /// The outcome of a proposal of this router.
+    Decided(replica::Key, replica::Outcome),
+    /// Another member published a note or a choice under this key.
+    Updated(replica::Key),
+    /// The set of members believed to be alive has changed.
+    BelievedMembersChanged,
+}
+
+/// Called for each event that it subscribed to.
+pub type EventListener = Rc<dyn Fn(PeerEvent)>;
+
+enum Notification {
+    Core(Told),
+    Listeners(PeerEvent),
+}
+
+/// This router's membership and shared records, with the queue of notifications that follow from them.
+pub struct Peers {
+    context: Rc<GatewayContext>,
+    nonce: u64,
+    group_fingerprint: u64,
+    own_index: MemberIx,
+    members: usize,
+    state: RefCell<State>,
+    transport: Box<dyn Transport>,
+    /// Waiting to be delivered to the core and to listeners, in order.
+    notifications: RefCell<VecDeque<Notification>>,
+    /// Listeners with the key prefix that each subscribed to.
+    listeners: RefCell<Vec<(&'static str, EventListener)>>,
+    is_notifying: std::cell::Cell<bool>,
+    /// Further sections of the state endpoint, by name.
+    state_providers: RefCell<Vec<(&'static str, StateProvider)>>,
+    alarm: Alarm,
+    /// Signals that a vote waits for the store to be written.
+    write_request: (Sender<()>, Receiver<()>),
+}
+
+type StateProvider = Box<dyn Fn() -> serde_json::Value>;
+
+/// State read from the store at start.
+#[derive(Default)]
+pub struct RestoredState {
+    pub turn: u64,
+    pub records: Vec<(replica::Key, replica::Shared)>,
+}
+
+impl Peers {
+    /// `nonce`: unique for this process; `disabled_guard`: only in tests of the auditor, see
+    /// `cedarpulley-replica`.
+    pub fn new(
+        context: Rc<GatewayContext>,
+        settings: &PeerSettings,
+        nonce: u64,
+        restored: Option<RestoredState>,
+        disabled_guard: Option<Guard>,
+        transport: Box<dyn Transport>,
+    ) -> Self {
+        let now = context.clock.now();
+        let group = settings.group.clone();
+        let (group_fingerprint, own_index, member_count) = (group.mark, group.me, group.len());
+        let terms = membership::Terms {
+            probe_every: settings.probe_interval,
+            answer_within: settings.probe_timeout,
+            suspected_for: settings.suspicion_timeout,
+            seed: context.seed,
+        };
+        let (turn, was_restored) = (restored.as_ref().map_or(0, |state| state.turn), restored.is_some());
+        let membership = Membership::new(now, group.clone(), terms, nonce, turn);
+        let terms = replica::Terms {
+            most_records: settings.max_records,
+            catch_up_bytes_per_s: settings.catch_up_bytes_per_s,
+            written: settings.state_folder.is_some(),
+            without: disabled_guard,
+            ..replica::Terms::usual(settings.retention, settings.replication_timeout, context.seed)
+        };
+        let replica = Replica::new(now, group, terms, nonce, restored.map(|state| state.records));
+        let state = State {
+            membership,
+            believed: Believed::new(now, member_count, settings.belief_delay),
+            replica,
+            clocks: vec![(0, 0); member_count],
+            counts: Counts::default(),
+            unknown_members: UnknownMembers::new(member_count),
+            replies: None,
+            was_restored,
+            store_was_older: false,
+        };
+        Peers {
+            context,
+            nonce,
+            group_fingerprint,
+            own_index,
+            members: member_count,
+            state: RefCell::new(state),
+            transport,
+            notifications: RefCell::default(),
+            listeners: RefCell::default(),
+            is_notifying: std::cell::Cell::new(false),
+            state_providers: RefCell::default(),
+            alarm: Alarm::default(),
+            write_request: smol::channel::bounded(1),
+        }
+    }
+
+    /// Takes a request of the core to its group.
+    pub fn request(&self, request: Ask) {
+        let input = match request {
+            Ask::Take { key, need, redelivered } => {
+                let need = match need {
+                    group::Need::Known => Need::Known,
+                    group::Need::Held => Need::Held,
+                };
+                replica::Input::Take { key, need, redelivered }
+            }
+            Ask::Leave { key, sending, place, alone } => {
+                replica::Input::Intend { key, sending, place, alone }
+            }
+            Ask::Left { key, sending, place } => replica::Input::Left { key, sending, place },
+            Ask::Ended { key, sending, may_have_run } => replica::Input::Ended { key, sending, may_have_run },
+            Ask::Answered { key, answer } => replica::Input::Answered { key, answer: encode_answer(&answer) },
+            Ask::Closed { key } => replica::Input::Closed { key },
+            Ask::Dropped { key } => replica::Input::Dropped { key },
+        };
+        self.apply_replica(input);
+    }
+
+    /// Hands an input to the shared records and carries out the outputs.
+    pub fn apply_replica(&self, input: replica::Input) {
+        let now = self.context.clock.now();
+        let mut out = Vec::new();
+        self.state.borrow_mut().replica.handle(now, input, &mut out);
+        self.apply_replica_outputs(out);
+    }
+
+    /// Handles everything that has become due.
+    pub fn tick(&self) {
+        let now = self.context.clock.now();
+        let mut out = Vec::new();
+        self.state.borrow_mut().membership.handle(now, membership::Input::Tick, &mut out);
+        self.apply_membership(out);
+        self.apply_replica(replica::Input::Tick);
+    }
+
+    /// Returns when something is due: call [`Peers::tick`] then.
+    pub async fn wait_until_due(&self) {
+        self.alarm.rings(&self.context.clock).await;
+    }
+
+    /// Processes an encoded envelope received from `address`; returns the envelope to reply with. One of
+    /// another version, group or receiver is counted, logged and refused.
+    pub fn receive(&self, address: Option<IpAddr>, bytes: &[u8]) -> Result<Envelope, RefusalCause> {
+        let now = self.context.clock.now();
+        let envelope = self.decode(bytes).map_err(|refused| {
+            let refused = Refusal { address, ..refused };
+            self.record_refusal(now, refused);
+            refused.why
+        })?;
+        let (from, process) = (envelope.from, envelope.process);
+        let transit = {
+            let mut state = self.state.borrow_mut();
+            state.counts.envelopes += 1;
+            state.unknown_members.accepted(from);
+            state.clocks[from as usize] = (envelope.clock, process.nonce);
+            state.replies = Some((from, Vec::new()));
+            match envelope.echo_of == self.nonce {
+                true => (now - envelope.echo).max(0),
+                false => UNKNOWN_TRANSIT,
+            }
+        };
+        let mut out = Vec::new();
+        self.state.borrow_mut().membership.came_from(now, from, process, &mut out);
+        self.apply_membership(out);
+        for message in envelope.messages {
+            let Ok(message) = postcard::from_bytes::<PeerMessage>(&message) else {
+                self.state.borrow_mut().counts.unreadable += 1;
+                continue;
+            };
+            match message {
+                PeerMessage::Membership(message) => {
+                    let mut out = Vec::new();
+                    let input = membership::Input::Heard { from, process, message };
+                    self.state.borrow_mut().membership.handle(now, input, &mut out);
+                    self.apply_membership(out);
+                }
+                PeerMessage::Replica(message) => {
+                    self.apply_replica(replica::Input::Heard {
+                        from,
+                        nonce: process.nonce,
+                        transit,
+                        message,
+                    });
+                }
+            }
+        }
+        let messages = self.state.borrow_mut().replies.take().map(|r| r.1).unwrap_or_default();
+        Ok(self.envelope(from, messages))
+    }
+
+    /// Decodes an envelope that is of this group and for this member.
+    fn decode(&self, bytes: &[u8]) -> Result<Envelope, Refusal> {
+        let unidentified =
+            Refusal { why: RefusalCause::Unreadable, version: None, from: None, address: None };
+        // All versions have the version in front, whatever follows it.
+        let Ok((version, _)) = postcard::take_from_bytes::<u16>(bytes) else { return Err(unidentified) };
+        let read = postcard::from_bytes::<Envelope>(bytes).ok();
+        let of_group = read.as_ref().filter(|e| e.group == self.group_fingerprint);
+        let from = of_group.filter(|e| e.from != self.own_index && (e.from as usize) < self.members);
+        let from = from.map(|e| (e.from, e.process.nonce));
+        let why = match &read {
+            _ if version != replica::VERSION => RefusalCause::Version,
+            None => RefusalCause::Unreadable,
+            Some(e) if e.group != self.group_fingerprint => RefusalCause::Group,
+            Some(e) if e.to != self.own_index || from.is_none() => RefusalCause::Member,
+            Some(_) => return read.ok_or(unidentified),
+        };
+        Err(Refusal { why, version: Some(version), from, address: None })
+    }
+
+    fn record_refusal(&self, now: Micros, refused: Refusal) {
+        let mut state = self.state.borrow_mut();
+        state.counts.envelopes += 1;
+        *match refused.why {
+            RefusalCause::Version => &mut state.counts.other_version,
+            RefusalCause::Group => &mut state.counts.other_group,
+            RefusalCause::Member => &mut state.counts.other_member,
+            RefusalCause::Unreadable => &mut state.counts.unreadable,
+        } += 1;
+        if state.unknown_members.record(now, refused) {
+            let members = &state.membership.group().members;
+            let member = refused.from.map(|(m, _)| members[m as usize].name.as_str());
+            let (version, address) = (refused.version, refused.address.map(|a| a.to_string()));
+            tracing::warn!(member, version, address, "group: refused: {}", refused.why.line());
+        }
+    }
+
+    /// An envelope with these encoded messages for a member.
+    pub fn envelope(&self, to: MemberIx, messages: Vec<Bytes>) -> Envelope {
+        let state = self.state.borrow();
+        let (echo, echo_of) = state.clocks.get(to as usize).copied().unwrap_or_default();
+        Envelope {
+            version: replica::VERSION,
+            group: self.group_fingerprint,
+            from: self.own_index,
+            to,
+            process: state.membership.me(),
+            clock: self.context.clock.now(),
+            echo,
+            echo_of,
+            messages,
+        }
+    }
+
+    fn apply_membership(&self, outputs: Vec<membership::Output>) {
+        let now = self.context.clock.now();
+        for output in outputs {
+            match output {
+                membership::Output::Send { to, message } => {
+                    self.send(to, PeerMessage::Membership(message), false, false)
+                }
+                membership::Output::Changed(member) => self.member_changed(now, member),
+            }
+        }
+        self.update_believed(now);
+    }
+
+    fn member_changed(&self, now: Micros, member: MemberIx) {
+        let (known, alive, name) = {
+            let mut state = self.state.borrow_mut();
+            let known = state.membership.known(member);
+            // Other members knew a later process of this member than its store did. A member that was only
+            // suspected for a while and refuted that has no older store, and must not be reported with one.
+            let outdated = state.membership.counts.outdated > 0;
+            state.store_was_older |= member == self.own_index && state.was_restored && outdated;
+            (
+                known,
+                state.membership.lives(member),
+                state.membership.group().members[member as usize].name.clone(),
+            )
+        };
+        tracing::info!(member = name, standing = ?known.standing, why = ?known.why, turn = known.process.turn, "group");
+        self.apply_replica(replica::Input::Member { member, nonce: known.process.nonce, alive });
+        self.update_believed(now);
+    }
+
+    fn update_believed(&self, now: Micros) {
+        let changed = {
+            let mut state = self.state.borrow_mut();
+            let State { membership, believed, .. } = &mut *state;
+            let changed = believed.see(now, |m| membership.lives(m));
+            if changed {
+                tracing::info!(alive = ?believed.alive(), version = believed.version(), "group: believed alive");
+            }
+            changed
+        };
+        if changed {
+            self.queue_event(PeerEvent::BelievedMembersChanged);
+            self.notify();
+        }
+    }
+
+    fn send(&self, to: MemberIx, message: PeerMessage, bulk: bool, recoverable: bool) {
+        // Encoding these types cannot fail.
+        let Ok(message) = postcard::to_stdvec(&message).map(Bytes::from) else { return };
+        if let Some((asker, replies)) = self.state.borrow_mut().replies.as_mut()
+            && *asker == to
+        {
+            return replies.push(message);
+        }
+        self.transport.send(to, message, bulk, recoverable);
+    }
+
+    fn apply_replica_outputs(&self, outputs: Vec<replica::Output>) {
+        for output in outputs {
+            match output {
+                replica::Output::Send { to, message } => {
+                    let (bulk, recoverable) = (message.is_bulk(), message.is_made_up_for());
+                    self.send(to, PeerMessage::Replica(message), bulk, recoverable);
+                }
+                replica::Output::Verdict { key, verdict } => {
+                    let verdict = self.convert_verdict(verdict);
+                    self.notifications
+                        .borrow_mut()
+                        .push_back(Notification::Core(Told::Verdict { key, verdict }));
+                }
+                replica::Output::Leave { sending, left, .. } => {
+                    let left = left.map_err(|lack| match lack {
+                        replica::Lack::Elsewhere => group::Refusal::Elsewhere,
+                        _ => group::Refusal::NoMajority,
+                    });
+                    self.notifications
+                        .borrow_mut()
+                        .push_back(Notification::Core(Told::Leave { sending, left }));
+                }
+                replica::Output::Whole => tracing::info!("group: this router remembers enough to vote"),
+                replica::Output::Decided { key, outcome } => {
+                    self.queue_event(PeerEvent::Decided(key, outcome))
+                }
+                replica::Output::Noticed(key) => self.queue_event(PeerEvent::Updated(key)),
+            }
+        }
+        let (due, urgent) = {
+            let state = self.state.borrow();
+            let members = state.membership.next_due().min(state.believed.next_due());
+            (members.min(state.replica.next_due()), state.replica.awaits_folder())
+        };
+        self.alarm.set(due);
+        if urgent {
+            // A full channel already carries the signal.
+            let _ = self.write_request.0.try_send(());
+        }
+        self.notify();
+    }
+
+    /// Queues an event for the listeners; without listeners it is dropped.
+    fn queue_event(&self, event: PeerEvent) {
+        if !self.listeners.borrow().is_empty() {
+            self.notifications.borrow_mut().push_back(Notification::Listeners(event));
+        }
+    }
+
+    /// Delivers what is queued. The core and listeners may make requests from within: whatever those queue is
+    /// delivered by the loop that already runs.
+    fn notify(&self) {
+        if self.is_notifying.replace(true) {
+            return;
+        }
+        loop {
+            let Some(next) = self.notifications.borrow_mut().pop_front() else { break };
+            match next {
+                Notification::Core(message) => self.context.feed(Input::Group(message)),
+                Notification::Listeners(event) => {
+                    let subscribed = |prefix: &str| match &event {
+                        PeerEvent::Decided(key, _) | PeerEvent::Updated(key) => key.starts_with(prefix),
+                        PeerEvent::BelievedMembersChanged => true,
+                    };
+                    let listeners = self.listeners.borrow().clone();
+                    listeners
+                        .iter()
+                        .filter(|(p, _)| subscribed(p))
+                        .for_each(|(_, listener)| listener(event.clone()));
+                }
+            }
+        }
+        self.is_notifying.set(false);
+    }
+
+    /// From now on `listener` receives events of keys with this prefix, and every change of the believed
+    /// members.
+    pub fn subscribe(&self, prefix: &'static str, listener: EventListener) {
+        self.listeners.borrow_mut().push((prefix, listener));
+    }
+
+    /// Adds a section of this name to the state endpoint.
+    pub fn add_state_provider(&self, name: &'static str, provider: StateProvider) {
+        self.state_providers.borrow_mut().push((name, provider));
+    }
+
+    /// The sections added with [`Peers::add_state_provider`], evaluated now.
+    pub fn provided_state(&self) -> Vec<(&'static str, serde_json::Value)> {
+        self.state_providers.borrow().iter().map(|(name, provider)| (*name, provider())).collect()
+    }
+
+    fn convert_verdict(&self, verdict: replica::Verdict) -> group::Verdict {
+        match verdict {
+            replica::Verdict::Go { first_ago } => group::Verdict::Go { first_ago },
+            replica::Verdict::Waits => group::Verdict::Waits,
+            replica::Verdict::Answer(bytes) => match decode_answer(&bytes) {
+                Some(answer) => group::Verdict::Answer(answer),
+                None => {
+                    self.state.borrow_mut().counts.unreadable_answers += 1;
+                    group::Verdict::MayHaveRun
+                }
+            },
+            replica::Verdict::MayHaveRun(because) => {
+                tracing::debug!(?because, "group: may have run");
+                group::Verdict::MayHaveRun
+            }
+            replica::Verdict::NoMajority(lack) => {
+                tracing::warn!(?lack, "group: no majority");
+                group::Verdict::NoMajority
+            }
+        }
+    }
+
+    /// Changes since the last call, for the store: the incarnation of this process, the serial of the
+    /// changes, and the records (absent ones were removed).
+    pub fn changes(&self) -> (u64, u64, Vec<(replica::Key, Option<replica::Shared>)>) {
+        let mut state = self.state.borrow_mut();
+        let (serial, changes) = state.replica.changes(self.context.clock.now());
+        (state.membership.me().turn, serial, changes)
+    }
+
+    /// A vote waits for changes that have not been fetched with [`Peers::changes`].
+    pub fn awaits_store(&self) -> bool {
+        self.state.borrow().replica.awaits_folder()
+    }
+
+    /// Returns when a vote waits for the store, once for each signal since the last call.
+    pub async fn write_requested(&self) {
+        // The sender is owned by `self`: the channel never closes.
+        let _ = self.write_request.1.recv().await;
+    }
+
+    /// Refused envelopes in the name of this member or, without one, of all senders that cannot be
+    /// identified. JSON null if there are none.
+    pub fn refusals(&self, member: Option<MemberIx>) -> serde_json::Value {
+        self.state.borrow().unknown_members.state(self.context.clock.now(), member)
+    }
+
+    /// Gives access to the state for reading: time, membership, believed members, records, counts, and
+    /// whether the store was older than what others knew.
+    pub fn inspect<R>(
+        &self,
+        inspect: impl FnOnce(Micros, &Membership, &Believed, &Replica, &Counts, bool) -> R,
+    ) -> R {
+        let state = self.state.borrow();
+        let State { membership, believed, replica, counts, store_was_older, .. } = &*state;
+        inspect(self.context.clock.now(), membership, believed, replica, counts, *store_was_older)
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct SharedAnswer {
+    alone: bool,
+    first: Option<u32>,
+    body: Bytes,
+}
+
+/// Only successful answers are shared.
+fn encode_answer(answer: &Answer) -> Bytes {
+    let encode_answer = SharedAnswer {
+        alone: answer.reason == Reason::Alone,
+        first: answer.body.first,
+        body: answer.body.bytes.clone(),
+    };
+    postcard::to_stdvec(&encode_answer).map(Bytes::from).unwrap_or_default()
+}
+
+fn decode_answer(bytes: &[u8]) -> Option<Answer> {
+    let SharedAnswer { alone, first, body } = postcard::from_bytes(bytes).ok()?;
+    let reason = if alone { Reason::Alone } else { Reason::Worker };
+    Some(Answer { fate: Fate::Succeeded, reason, return_after: None, body: Payload { bytes: body, first } })
+}
--- a/crates/gateway/src/reconciling.rs
+++ b/crates/gateway/src/reconciling.rs
@@ -35,10 +35,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use crate::desk::Desk;
-use crate::fellows::News;
+use crate::context::GatewayContext;
+use crate::peers::PeerEvent;
 use crate::pool::{Failed, Pool};
-use crate::shared::Shared;
+use crate::shared_state::SharedState;
 
 /// Keys of its notes in what the group shares: of a worker, and of a member's clock.
 const PREFIX: &str = "w\n";
@@ -122,9 +122,9 @@
 pub type LetGo = Box<dyn Fn(&str, &str, &[Arc<str>])>;
 
 pub struct Reconciling {
-    desk: Rc<Desk>,
+    context: Rc<GatewayContext>,
     pool: Rc<Pool>,
-    shared: Option<Shared>,
+    shared: Option<SharedState>,
     me: Arc<str>,
     process: u64,
     every: Micros,
@@ -140,20 +140,21 @@
 impl Reconciling {
     /// `kept`: for how long the module believes in a copy after its last use; `kinds_mb`: memory by kind of worker.
     pub fn new(
-        desk: Rc<Desk>,
+        context: Rc<GatewayContext>,
         pool: Rc<Pool>,
-        shared: Option<Shared>,
+        shared: Option<SharedState>,
         terms: Reconcile,
         kept: Micros,
         kinds_mb: Vec<f64>,
     ) -> Rc<Reconciling> {
         // As the group knows it, where there is one; so are its orders signed, too.
-        let member = shared.as_ref().and_then(|s| s.fellows().get(s.me() as usize).map(|f| f.name.clone()));
-        let me: Arc<str> = Arc::from(member.unwrap_or_else(|| desk.name.clone()));
+        let member =
+            shared.as_ref().and_then(|s| s.members().get(s.own_index() as usize).map(|f| f.name.clone()));
+        let me: Arc<str> = Arc::from(member.unwrap_or_else(|| context.name.clone()));
         let Reconcile { every, grace, asks_per_s, repairs_per_s } = terms;
-        let now = desk.clock.now();
+        let now = context.clock.now();
         // Chance of its own: the module's draws are the same with and without it.
-        let seed = desk.seed ^ 0x7ec0;
+        let seed = context.seed ^ 0x7ec0;
         let terms = Terms { me: me.clone(), every, grace, kept, asks_per_s, repairs_per_s, seed };
         let state = State {
             it: Reconciler::new(now, terms),
@@ -165,7 +166,7 @@
         };
         let it = Rc::new(Reconciling {
             process: uuid::Uuid::new_v4().as_u64_pair().0,
-            desk,
+            context,
             pool,
             shared,
             me,
@@ -180,7 +181,7 @@
         });
         if let Some(shared) = &it.shared {
             let weak = Rc::downgrade(&it);
-            shared.listen(PREFIX, move |news| {
+            shared.subscribe(PREFIX, move |news| {
                 if let Some(it) = weak.upgrade() {
                     it.news(&news);
                 }
@@ -223,7 +224,7 @@
     /// A meddler's, in tests: so many copies are believed from now on, whatever is true. False if a load is under way
     /// there, as far as this router knows.
     pub fn spoil(&self, worker: &str, function: &str, copies: u32) -> bool {
-        let (now, mut state) = (self.desk.clock.now(), self.state.borrow_mut());
+        let (now, mut state) = (self.context.clock.now(), self.state.borrow_mut());
         state.heard.get_or_insert_default();
         if state.it.under_way(worker, function) {
             return false;
@@ -245,7 +246,7 @@
 
     /// This router has used copies there lately, and nothing has been heard since that they are gone.
     pub fn used_lately(&self, worker: &str, function: &str) -> bool {
-        self.state.borrow().it.used_lately(self.desk.clock.now(), worker, function)
+        self.state.borrow().it.used_lately(self.context.clock.now(), worker, function)
     }
 
     /// What came of the list, before the core hears of it.
@@ -289,7 +290,7 @@
         self.tell(In::Workers(seats));
         // What others have noted of them before they were on the list here.
         for key in new.iter().map(|id| format!("{PREFIX}{id}")) {
-            if let Some(note) = self.shared.as_ref().and_then(|s| s.noted(&key)) {
+            if let Some(note) = self.shared.as_ref().and_then(|s| s.latest_note(&key)) {
                 self.noted(&key, note.version, &note.value);
             }
         }
@@ -324,10 +325,10 @@
             loop {
                 it.tell_clock();
                 it.tell(In::Tick);
-                it.alarm.rings(&it.desk.clock).await;
+                it.alarm.rings(&it.context.clock).await;
             }
         };
-        self.desk.executor.spawn(ticks).detach();
+        self.context.executor.spawn(ticks).detach();
         let it = self.clone();
         let logs = async move {
             let mut before = Default::default();
@@ -340,7 +341,7 @@
                 }
             }
         };
-        self.desk.executor.spawn(logs).detach();
+        self.context.executor.spawn(logs).detach();
     }
 
     /// As an operator reads it.
@@ -358,7 +359,7 @@
         let mut out = Vec::new();
         let due = {
             let mut state = self.state.borrow_mut();
-            state.it.handle(self.desk.clock.now(), input, &mut out);
+            state.it.handle(self.context.clock.now(), input, &mut out);
             state.tell_heard();
             let clock =
                 if self.shared.is_some() { state.told.saturating_add(self.every) } else { Micros::MAX };
@@ -373,16 +374,16 @@
             Out::Ask { worker } => {
                 let it = self.clone();
                 let ask = async move { it.ask(&worker).await };
-                self.desk.executor.spawn(ask).detach();
+                self.context.executor.spawn(ask).detach();
             }
             Out::Held { worker, function, copies } => {
-                self.desk.feed(Input::Held { worker, function, copies });
+                self.context.feed(Input::Held { worker, function, copies });
             }
             // Symptom: what a plan has unloaded is taken for lost and loaded again, over and over.
             Out::Want { function, .. } if self.tended.borrow().as_ref().is_some_and(|t| t(&function)) => {}
             Out::Want { worker, function } => {
                 let like = function.clone();
-                self.desk.feed(Input::Wanted { worker, function, like, term: None });
+                self.context.feed(Input::Wanted { worker, function, like, term: None });
             }
             Out::Unload { worker, function, term } => {
                 tracing::info!(
@@ -390,7 +391,7 @@
                     function = &*function,
                     "reconcile: unloaded, as nobody claims it"
                 );
-                self.desk.feed(Input::Unwanted { worker, function, term });
+                self.context.feed(Input::Unwanted { worker, function, term });
             }
             Out::PrefixLost { worker, function, sessions } => {
                 if let Some(let_go) = &*self.let_go.borrow() {
@@ -414,7 +415,7 @@
     }
 
     async fn ask(self: Rc<Self>, worker: &str) {
-        let began = self.desk.clock.now();
+        let began = self.context.clock.now();
         let Ok(address) = worker.parse::<SocketAddr>() else { return self.tell(In::Silent { worker }) };
         let request = requests::index(&address.to_string());
         let answer = self.pool.order(address, request, ANSWERED_WITHIN).await;
@@ -445,27 +446,27 @@
         }
     }
 
-    fn news(self: &Rc<Self>, news: &News) {
+    fn news(self: &Rc<Self>, news: &PeerEvent) {
         match news {
-            News::Alive => self.members(),
-            News::Noticed(key) => {
-                if let Some(note) = self.shared.as_ref().and_then(|s| s.noted(key)) {
+            PeerEvent::BelievedMembersChanged => self.members(),
+            PeerEvent::Updated(key) => {
+                if let Some(note) = self.shared.as_ref().and_then(|s| s.latest_note(key)) {
                     self.noted(key, note.version, &note.value);
                 }
             }
-            News::Decided(..) => {}
+            PeerEvent::Decided(..) => {}
         }
     }
 
     fn members(self: &Rc<Self>) {
         let Some(shared) = &self.shared else { return };
-        let alive = shared.fellows().into_iter().filter(|f| f.alive);
+        let alive = shared.members().into_iter().filter(|f| f.alive);
         self.tell(In::Members(alive.map(|f| Arc::from(f.name)).collect()));
     }
 
     fn note(&self, key: String, version: (u64, u64), word: Vec<u8>) {
         let Some(shared) = &self.shared else { return };
-        let now = self.desk.clock.now();
+        let now = self.context.clock.now();
         let note = {
             let mut state = self.state.borrow_mut();
             state.told = now;
@@ -479,11 +480,11 @@
 
     /// Symptom: who asks nobody tells nothing, and so learns of no other's note how old it can be.
     fn tell_clock(&self) {
-        let now = self.desk.clock.now();
+        let now = self.context.clock.now();
         if self.shared.is_some() && self.state.borrow().told.saturating_add(self.every) <= now {
             let key = format!("{CLOCK}{}", self.me);
             // Above that of an earlier process, however its clock stood.
-            let before = self.shared.as_ref().and_then(|s| s.noted(&key)).map_or(0, |n| n.version.0);
+            let before = self.shared.as_ref().and_then(|s| s.latest_note(&key)).map_or(0, |n| n.version.0);
             self.note(key, (before + 1, 0), Vec::new());
         }
     }
@@ -493,7 +494,7 @@
         if *note.from == *self.me && note.process == self.process {
             return;
         }
-        let now = self.desk.clock.now();
+        let now = self.context.clock.now();
         let mut transit = FOR_EVER;
         {
             let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -83,7 +83,7 @@
     let mut taken = match understood(&calls, &line, &head.headers, function) {
         Ok(taken) => taken,
         Err(e) => {
-            calls.desk.not_understood();
+            calls.context.count_malformed();
             return wrong(StatusCode::BAD_REQUEST, &format!("{}: {}", e.field, e.cause));
         }
     };
@@ -108,13 +108,13 @@
         }
     };
     if taken.body.first.is_some_and(|json| json as usize > taken.body.len()) {
-        calls.desk.not_understood();
+        calls.context.count_malformed();
         return wrong(StatusCode::BAD_REQUEST, &format!("{JSON_LENGTH}: is beyond the body's end"));
     }
     taken.session = match session(&calls, &taken.body) {
         Ok(session) => session,
         Err(why) => {
-            calls.desk.not_understood();
+            calls.context.count_malformed();
             return wrong(StatusCode::BAD_REQUEST, &why.to_string());
         }
     };
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,14 +21,14 @@
 use thiserror::Error;
 
 use crate::calls::{Calls, Hall};
-use crate::circle::{self, Circle, Ground};
-use crate::desk::Desk;
+use crate::context::GatewayContext;
 use crate::front::{Front, Times};
 use crate::gate::Gate;
 use crate::list;
 use crate::listen::{Listen, Listening};
 use crate::meddle::{Meddle, Meddler};
 use crate::metering::Metering;
+use crate::peer_group::{PeerGroup, PeerGroupError, PeerGroupResources};
 use crate::pool::{Failed, Pool, ended};
 use crate::reconciling::Reconciling;
 use crate::recorder::Recorder;
@@ -46,7 +46,7 @@
 const STOP_LOOK: Duration = Duration::from_millis(10);
 
 struct Gateway {
-    desk: Rc<Desk>,
+    context: Rc<GatewayContext>,
     router: Rc<RefCell<Router>>,
     meddler: Rc<Meddler>,
     times: Rc<Times>,
@@ -56,7 +56,7 @@
     /// Their indices follow those of `fronts`.
     listenings: Vec<Rc<Listening>>,
     pool: Rc<Pool>,
-    circle: Option<Circle>,
+    peer_group: Option<PeerGroup>,
     upgrading: Option<Rc<Upgrading>>,
     gate: Option<Rc<Gate>>,
     reconciling: Option<Rc<Reconciling>>,
@@ -126,7 +126,7 @@
         };
         let due = {
             let mut router = self.router.borrow_mut();
-            router.handle(self.desk.clock.now(), input, &mut outputs);
+            router.handle(self.context.clock.now(), input, &mut outputs);
             router.next_due().unwrap_or(Micros::MAX)
         };
         self.alarm.set(due);
@@ -175,8 +175,8 @@
             },
             Output::Send { ticket, worker, function, trigger, account, call } => {
                 let it = self.clone();
-                let task = self.desk.executor.spawn(async move {
-                    let names = &it.desk.names;
+                let task = self.context.executor.spawn(async move {
+                    let names = &it.context.names;
                     let marks = requests::Marks {
                         invocation: call.mark.as_deref(),
                         dispatch: ticket.dispatch,
@@ -190,7 +190,7 @@
                         Some(address) => {
                             let (host, body) = (address.to_string(), call.body);
                             let request = requests::infer(&host, &function, marks, body.bytes, body.first);
-                            let now = || it.desk.clock.now();
+                            let now = || it.context.clock.now();
                             let leaves = || it.router.borrow().may_leave(now(), ticket);
                             it.pool.exchange(address, request, false, leaves).await
                         }
@@ -229,7 +229,7 @@
                     let request = match copies {
                         0 => requests::ready(&host, &function),
                         n => {
-                            let account = it.desk.names.accounts.get(account as usize).map(String::as_str);
+                            let account = it.context.names.accounts.get(account as usize).map(String::as_str);
                             let by = it.orderer(term.as_deref());
                             requests::load(&host, &function, n, account, by)
                         }
@@ -239,7 +239,7 @@
                     let (result, copies) = endings::order(&ended(&result, &function));
                     it.feed(Input::OrderEnded { ticket, result, copies, held });
                 };
-                self.desk.executor.spawn(order).detach();
+                self.context.executor.spawn(order).detach();
             }
             Output::Unload { worker, function, term } => {
                 let it = self.clone();
@@ -250,12 +250,12 @@
                     // No answer is waited for by anyone; it only has to get there.
                     let _ = it.pool.order(address, request, STOP_MARGIN).await;
                 };
-                self.desk.executor.spawn(order).detach();
+                self.context.executor.spawn(order).detach();
             }
             Output::Probe { worker } => {
                 let it = self.clone();
                 let probe = async move {
-                    let began = it.desk.clock.now();
+                    let began = it.context.clock.now();
                     let (outcome, report) = match it.address(worker) {
                         Some(address) => {
                             let request = requests::live(&address.to_string());
@@ -264,16 +264,16 @@
                         }
                         None => (Outcome::Unreachable, Report::default()),
                     };
-                    let took = it.desk.clock.now() - began;
+                    let took = it.context.clock.now() - began;
                     it.feed(Input::Probed { worker, outcome, took, report });
                 };
-                self.desk.executor.spawn(probe).detach();
+                self.context.executor.spawn(probe).detach();
             }
             // The watch asks again by itself, with spread-out waits.
             Output::AskList => {}
             Output::Group(ask) => {
-                if let Some(circle) = &self.circle {
-                    circle.ask(ask);
+                if let Some(peer_group) = &self.peer_group {
+                    peer_group.request(ask);
                 }
             }
         }
@@ -281,7 +281,7 @@
 
     /// As workers are told, where they are to tell routers apart.
     fn orderer<'a>(&'a self, term: Option<&'a str>) -> requests::Orderer<'a> {
-        requests::Orderer { router: self.circle.as_ref().map(Circle::name), term }
+        requests::Orderer { router: self.peer_group.as_ref().map(PeerGroup::name), term }
     }
 
     fn calls(&self, front: FrontIx) -> Option<&Rc<Calls>> {
@@ -294,7 +294,7 @@
 
     async fn timers(self: Rc<Self>) {
         loop {
-            self.alarm.rings(&self.desk.clock).await;
+            self.alarm.rings(&self.context.clock).await;
             self.feed(Input::Tick);
         }
     }
@@ -304,20 +304,20 @@
         tracing::info!("stopping: nothing new is taken");
         self.feed(Input::Stop);
         self.listenings.iter().for_each(|l| l.stop());
-        let until = self.desk.clock.now() + longest + STOP_MARGIN;
+        let until = self.context.clock.now() + longest + STOP_MARGIN;
         let fronts = || {
             self.fronts.iter().all(|f| f.is_drained()) && self.listenings.iter().all(|l| l.calls.is_drained())
         };
         let gate = || self.gate.as_ref().is_none_or(|g| g.is_empty());
         let empty = || self.router.borrow().open() == 0 && gate() && fronts();
-        while !empty() && self.desk.clock.now() < until {
+        while !empty() && self.context.clock.now() < until {
             // Symptom: told to stop while a connection to the broker came up, it consumed all the same and never left
             // in good order.
             self.fronts.iter().for_each(|f| f.grant(0));
             Timer::after(STOP_LOOK).await;
         }
         let clean = empty();
-        self.fronts.iter().for_each(|f| f.close(self.desk.clock.now()));
+        self.fronts.iter().for_each(|f| f.close(self.context.clock.now()));
         Timer::after(STOP_LOOK * 5).await;
         let router = self.router.borrow();
         for (name, times) in [("answered", &self.times.answered), ("safe", &self.times.safe)] {
@@ -330,11 +330,11 @@
             tracing::info!(ended, lost_records = recorder.lost(), "the trace was closed");
         }
         if let Some(metering) = &self.metering {
-            let written = metering.close(self.desk.clock.now());
+            let written = metering.close(self.context.clock.now());
             tracing::info!(written, "the ledger was closed");
         }
         self.reconciling.iter().for_each(|r| r.close());
-        tracing::info!(clean, counts = ?router.counts, misunderstood = self.desk.misunderstood.get(), "stopped");
+        tracing::info!(clean, counts = ?router.counts, misunderstood = self.context.malformed_inputs.get(), "stopped");
         clean
     }
 }
@@ -345,7 +345,7 @@
     #[error("{0}")]
     System(#[from] std::io::Error),
     #[error(transparent)]
-    Group(#[from] circle::Failed),
+    Group(#[from] PeerGroupError),
 }
 
 impl Remedy for Unstarted {
@@ -404,9 +404,9 @@
         Some(keep) => Some(Recorder::begin(keep, name, start)?),
         None => None,
     };
-    let without = meddle.and_then(Meddle::guard);
-    let ground = match peers {
-        Some(peers) => Some(Ground::take(peers, &clock, without)?),
+    let disabled_guard = meddle.and_then(Meddle::guard);
+    let group_resources = match peers {
+        Some(peers) => Some(PeerGroupResources::acquire(peers, &clock, disabled_guard)?),
         None => None,
     };
     let control = settings.control(seed);
@@ -446,17 +446,17 @@
     let (times, speakers) = (Rc::new(Times::default()), Rc::new(speakers));
     let gateway = Rc::new_cyclic(|gateway: &Weak<Gateway>| {
         let (gateway, past) = (gateway.clone(), gateway.clone());
-        let desk = Rc::new(Desk {
+        let context = Rc::new(GatewayContext {
             clock,
             executor: executor.clone(),
             name: name.to_owned(),
             seed,
-            from: links.from,
+            local_address: links.from,
             names,
-            sessions: sessions.is_some() || reconcile.is_some(),
-            misunderstood: Cell::new(0),
+            tracks_sessions: sessions.is_some() || reconcile.is_some(),
+            malformed_inputs: Cell::new(0),
             // Found for as long as anything runs: it is held until the executor has ended.
-            core: Box::new(move |input| {
+            core_input: Box::new(move |input| {
                 if let Some(gateway) = gateway.upgrade() {
                     gateway.feed(input);
                 }
@@ -470,39 +470,39 @@
         let places = Rc::new(move |worker| address(&places, worker));
         let first = sources.len();
         let fronts = sources.into_iter().enumerate();
-        let fronts =
-            fronts.map(|(ix, s)| Rc::new(Front::new(ix as u32, s, most_body, desk.clone(), times.clone())));
+        let fronts = fronts
+            .map(|(ix, s)| Rc::new(Front::new(ix as u32, s, most_body, context.clone(), times.clone())));
         let listening = |(n, (listen, tls)): (usize, (Listen, Option<Rc<Inward>>))| {
             let ix = (first + n) as u32;
-            let calls = Calls::new(ix, desk.clone(), hall.clone(), most_body, listen.most_streams);
+            let calls = Calls::new(ix, context.clone(), hall.clone(), most_body, listen.most_streams);
             Rc::new(Listening::new(Rc::new(calls), listen, tls, speakers.clone()))
         };
-        let circle = ground.map(|ground| Circle::new(&desk, ground));
-        let shared = circle.as_ref().map(Circle::shared);
+        let peer_group = group_resources.map(|group_resources| PeerGroup::new(&context, group_resources));
+        let shared = peer_group.as_ref().map(PeerGroup::shared_state);
         let upgrading = shared
             .clone()
             .zip(upgrade)
-            .map(|(shared, ordered)| Upgrading::new(desk.clone(), shared, ordered));
+            .map(|(shared, ordered)| Upgrading::new(context.clone(), shared, ordered));
         let gate = sessions.map(|terms| {
             let core = Box::new(move |input| {
                 if let Some(gateway) = past.upgrade() {
                     gateway.past_the_gate(input);
                 }
             });
-            Gate::new(desk.clone(), terms, shared.clone(), upgrading.clone(), core)
+            Gate::new(context.clone(), terms, shared.clone(), upgrading.clone(), core)
         });
         if let Some(gate) = &gate {
             router.borrow_mut().watched_by(gate.watch());
         }
         let reconciling = reconcile.map(|terms| {
-            let (desk, pool) = (desk.clone(), pool.clone());
-            Reconciling::new(desk, pool, shared.clone(), terms, idle_kept, kinds_mb)
+            let (context, pool) = (context.clone(), pool.clone());
+            Reconciling::new(context, pool, shared.clone(), terms, idle_kept, kinds_mb)
         });
         if let Some(reconciling) = &reconciling {
             router.borrow_mut().watched_by(reconciling.watch());
             if let Some(shared) = &shared {
                 let shown = reconciling.clone();
-                shared.show("reconcile", move || shown.shown());
+                shared.add_state_provider("reconcile", move || shown.shown());
             }
             if let Some(upgrading) = &upgrading {
                 let (seen, it) = (reconciling.clone(), upgrading.clone());
@@ -527,23 +527,23 @@
         }
         if let (Some(shared), Some(upgrading), Some(gate)) = (&shared, &upgrading, &gate) {
             let (upgrading, gate) = (upgrading.clone(), gate.clone());
-            shared.show("upgrade", move || upgrading.shown(gate.shown()));
+            shared.add_state_provider("upgrade", move || upgrading.shown(gate.shown()));
         }
         Gateway {
             router,
-            meddler: Rc::new(Meddler::new(meddle, desk.clone(), pool.clone(), places)),
+            meddler: Rc::new(Meddler::new(meddle, context.clone(), pool.clone(), places)),
             times: times.clone(),
             recorder,
             metering,
             fronts: fronts.collect(),
             listenings: doors.into_iter().enumerate().map(listening).collect(),
             pool,
-            circle,
+            peer_group,
             upgrading,
             gate,
             reconciling,
             alarm: Alarm::default(),
-            desk: desk.clone(),
+            context: context.clone(),
         }
     });
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
@@ -559,7 +559,7 @@
                     reconciling.iter().for_each(|r| r.heard(&news));
                     news
                 };
-                executor.spawn(list::watch(gateway.desk.clone(), address, heard)).detach();
+                executor.spawn(list::watch(gateway.context.clone(), address, heard)).detach();
             }
         }
         for front in &gateway.fronts {
@@ -576,7 +576,7 @@
             }
         };
         executor.spawn(tidy).detach();
-        gateway.circle.iter().for_each(|circle| circle.run(&gateway.desk));
+        gateway.peer_group.iter().for_each(|peer_group| peer_group.run(&gateway.context));
         gateway.gate.iter().for_each(|gate| executor.spawn(gate.clone().run()).detach());
         if let Some(upgrading) = &gateway.upgrading {
             executor.spawn(upgrading.clone().run()).detach();
@@ -588,7 +588,7 @@
         let look = async move {
             loop {
                 Timer::after(LOOK).await;
-                let now = it.desk.clock.now();
+                let now = it.context.clock.now();
                 it.recorder.iter().for_each(|r| r.look(now));
                 it.metering.iter().for_each(|m| m.look(now));
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,9 +21,9 @@
 use cedarpulley_trace::start::digest;
 use cedarpulley_upgrade::sessions;
 
-use crate::fellows::Peers;
 use crate::front::Source;
 use crate::listen::{Listen, Protocol};
+use crate::peers::PeerSettings;
 use crate::pool::Links;
 use crate::reconciling::Reconcile;
 use crate::recorder::Keep;
@@ -75,7 +75,7 @@
     /// By which the wall's clock is off; only where `[rig]` is allowed.
     pub clock_offset: Micros,
     /// The group that it shares what it takes with, if there is one.
-    pub peers: Option<Peers>,
+    pub peers: Option<PeerSettings>,
     /// Models are upgraded in it.
     pub upgrade: Option<Ordered>,
     /// The warm index is held against what workers say.
@@ -306,7 +306,7 @@
     });
     // Without upgrades a session is told apart for its worker alone.
     let sessions = sessions.or(reconcile.map(|_| SESSIONS));
-    let sharing = peers.as_ref().map(|p| Sharing { alone: alone.clone(), leave_kept: p.leave_kept() });
+    let sharing = peers.as_ref().map(|p| Sharing { alone: alone.clone(), leave_kept: p.send_lease() });
 
     let w = root.section("workers");
     let list = match (w.has("watch"), w.has("list")) {
@@ -440,28 +440,28 @@
 }
 
 /// The group, where there is one. `longest`: that any client waits.
-fn peers(p: &Section, folder: &Path, longest: Micros) -> Option<Peers> {
+fn peers(p: &Section, folder: &Path, longest: Micros) -> Option<PeerSettings> {
     if !p.is_present() {
         return None;
     }
     let (name, me) = (p.text("group", None), p.text("name", None));
     let listen = p.address("listen");
-    let state = named(p, "state", folder);
+    let state_folder = named(p, "state", folder);
     let usual = kept_for(longest + KEPT_BEYOND);
-    let kept = p.millis("kept_ms", 1..DAY, Some((usual as u64 / 1_000).min(DAY)));
-    if kept < longest {
+    let retention = p.millis("kept_ms", 1..DAY, Some((usual as u64 / 1_000).min(DAY)));
+    if retention < longest {
         p.wrong(
             "kept_ms",
             "is below the longest client timeout: what may still be waited for would be forgotten",
         );
     }
-    let probe_every = p.millis("probe_ms", 10..DAY, Some(250));
-    let answer_within = p.millis("answer_ms", 5..DAY, Some(100));
-    let suspected_for = p.millis("suspected_ms", 100..DAY, Some(1_500));
-    let believed_after = p.millis("believed_ms", 100..DAY, Some(3_000));
-    let copied_within = p.millis("copied_within_ms", 10..DAY, Some(500));
+    let probe_interval = p.millis("probe_ms", 10..DAY, Some(250));
+    let probe_timeout = p.millis("answer_ms", 5..DAY, Some(100));
+    let suspicion_timeout = p.millis("suspected_ms", 100..DAY, Some(1_500));
+    let belief_delay = p.millis("believed_ms", 100..DAY, Some(3_000));
+    let replication_timeout = p.millis("copied_within_ms", 10..DAY, Some(500));
     let catch_up_bytes_per_s = p.count("catch_up_kb_per_s", 64..1 << 20, Some(16 << 10)) << 10;
-    let most_records = p.count("most_records", 1_000..10_000_000, Some(200_000)) as usize;
+    let max_records = p.count("most_records", 1_000..10_000_000, Some(200_000)) as usize;
     let (mut members, mut addresses) = (Vec::new(), BTreeMap::new());
     for m in p.sections("member") {
         let member = Member {
@@ -479,19 +479,19 @@
         Ok(group) => {
             let addresses =
                 group.members.iter().map(|m| addresses.get(&m.name).copied().unwrap_or(listen)).collect();
-            Some(Peers {
+            Some(PeerSettings {
                 listen,
                 group,
                 addresses,
-                folder: state,
-                probe_every,
-                answer_within,
-                suspected_for,
-                believed_after,
-                kept,
-                copied_within,
+                state_folder,
+                probe_interval,
+                probe_timeout,
+                suspicion_timeout,
+                belief_delay,
+                retention,
+                replication_timeout,
                 catch_up_bytes_per_s,
-                most_records,
+                max_records,
             })
         }
         Err(unfit) => {
@@ -517,13 +517,13 @@
 fn upgrade(
     u: &Section,
     folder: &Path,
-    peers: Option<&Peers>,
+    peers: Option<&PeerSettings>,
     reconciles: bool,
 ) -> (Option<Ordered>, Option<sessions::Terms>) {
     if !u.is_present() {
         return (None, None);
     }
-    let copied_within = peers.map_or(0, |p| p.copied_within);
+    let copied_within = peers.map_or(0, |p| p.replication_timeout);
     if !reconciles {
         u.wrong("order", "upgrades need to know what workers hold; give [reconcile]");
     }
--- a/crates/gateway/src/shown.rs
+++ b/crates/gateway/src/state_endpoint.rs
@@ -1,5 +1,5 @@
-//! What an operator reads of a group at one of its routers: `GET /state` as JSON, `GET /metrics` as counts. It changes
-//! nothing.
+//! The group's state for operators, read-only: `GET /state` as JSON, `GET /metrics` in the Prometheus text
+//! format.
 
 use std::collections::BTreeMap;
 
@@ -9,11 +9,11 @@
 use serde::Serialize;
 use serde_json::{Map, Value, json};
 
-use crate::fellows::Fellows;
-use crate::post::Sent;
+use crate::peer_transport::TransportCounts;
+use crate::peers::Peers;
 
-fn standing(s: Standing) -> &'static str {
-    match s {
+fn liveness_name(standing: Standing) -> &'static str {
+    match standing {
         Standing::Unknown => "unknown",
         Standing::Alive => "alive",
         Standing::Suspected => "suspected",
@@ -21,8 +21,8 @@
     }
 }
 
-/// How far a record has advanced.
-fn advanced(record: &Record) -> &'static str {
+/// The name of the stage that a record has reached.
+fn record_stage(record: &Record) -> &'static str {
     match record {
         Record::Effect(e) if e.closed => "closed",
         Record::Effect(e) if e.fault => "fault",
@@ -36,56 +36,57 @@
     }
 }
 
-/// Counts of several parts, whose names differ.
-fn counts_of(parts: &[&dyn Named]) -> Value {
+/// Merges the counts of several parts into one object; their names are distinct.
+fn merged_counts(parts: &[&dyn ToJson]) -> Value {
     let mut all = Map::new();
     for part in parts {
-        if let Value::Object(counts) = part.named() {
+        if let Value::Object(counts) = part.to_json() {
             all.extend(counts);
         }
     }
     Value::Object(all)
 }
 
-trait Named {
-    fn named(&self) -> Value;
+trait ToJson {
+    fn to_json(&self) -> Value;
 }
 
-impl<T: Serialize> Named for T {
-    fn named(&self) -> Value {
+impl<T: Serialize> ToJson for T {
+    fn to_json(&self) -> Value {
         serde_json::to_value(self).unwrap_or_default()
     }
 }
 
-pub fn state(fellows: &Fellows, sent: Sent) -> Value {
-    let mut state = group(fellows, sent);
+/// The whole state as JSON; docs/operate/group.md describes its keys.
+pub fn state(peers: &Peers, transport: TransportCounts) -> Value {
+    let mut state = group_state(peers, transport);
     if let Value::Object(state) = &mut state {
-        state.extend(fellows.shown().into_iter().map(|(name, shown)| (name.to_owned(), shown)));
+        state.extend(peers.provided_state().into_iter().map(|(name, state)| (name.to_owned(), state)));
     }
     state
 }
 
-fn group(fellows: &Fellows, sent: Sent) -> Value {
-    fellows.look(|now, membership, believed, replica, counts, stale_folder| {
+fn group_state(peers: &Peers, transport: TransportCounts) -> Value {
+    peers.inspect(|now, membership, believed, replica, counts, store_was_older| {
         let group = membership.group();
         let member = |m: MemberIx| {
-            let (known, of) = (membership.known(m), &group.members[m as usize]);
+            let (known, settings) = (membership.known(m), &group.members[m as usize]);
             json!({
-                "name": of.name, "region": of.region, "weight": of.weight, "witness": of.witness,
-                "standing": standing(known.standing), "why": known.why, "for_us": now - known.since,
+                "name": settings.name, "region": settings.region, "weight": settings.weight, "witness": settings.witness,
+                "standing": liveness_name(known.standing), "why": known.why, "for_us": now - known.since,
                 "turn": known.process.turn, "process": format!("{:016x}", known.process.nonce),
                 "heard_us_ago": known.heard.map(|at| now - at), "believed_alive": believed.is_alive(m),
-                "refused": fellows.strangers(Some(m)),
+                "refused": peers.refusals(Some(m)),
             })
         };
         let mut records: BTreeMap<&str, u64> = BTreeMap::new();
         let mut open: BTreeMap<&str, BTreeMap<&str, u64>> = BTreeMap::new();
         for (_, slot) in replica.records() {
-            let how = advanced(&slot.record);
-            *records.entry(how).or_default() += 1;
-            if let (Record::Effect(e), "taken" | "intended") = (&slot.record, how) {
+            let stage = record_stage(&slot.record);
+            *records.entry(stage).or_default() += 1;
+            if let (Record::Effect(e), "taken" | "intended") = (&slot.record, stage) {
                 let owner = group.members.get(e.owner.ballot.member as usize).map_or("", |m| m.name.as_str());
-                *open.entry(owner).or_default().entry(how).or_default() += 1;
+                *open.entry(owner).or_default().entry(stage).or_default() += 1;
             }
         }
         let mut claims: BTreeMap<&str, u64> = BTreeMap::new();
@@ -96,25 +97,25 @@
             "group": group.name,
             "member": group.members[group.me as usize].name,
             "memory": replica.memory(),
-            "folder_was_older": stale_folder,
+            "folder_was_older": store_was_older,
             "view": {"version": membership.version(), "believed": believed.version()},
             "members": (0..group.len() as MemberIx).map(member).collect::<Vec<_>>(),
-            "strangers": fellows.strangers(None),
+            "strangers": peers.refusals(None),
             "majority_alive": group.is_majority((0..group.len() as MemberIx).filter(|m| membership.lives(*m))),
             "records": records,
-            // By who owns them: what a member that goes now would leave to others.
+            // By owner: what a member that fails now would leave to the others.
             "open": open,
             "claims": claims,
             "lacking_leaves": replica.lacking(),
             "conflicts": replica.faults(),
-            "counts": counts_of(&[&replica.counts, &membership.counts, counts, &sent]),
+            "counts": merged_counts(&[&replica.counts, &membership.counts, counts, &transport]),
         })
     })
 }
 
-/// The counts of [`state`], in the text form that scrapers read.
-pub fn metrics(fellows: &Fellows, sent: Sent) -> String {
-    let state = state(fellows, sent);
+/// The counts of [`state`] in the Prometheus text format.
+pub fn metrics(peers: &Peers, transport: TransportCounts) -> String {
+    let state = state(peers, transport);
     let recorder = PrometheusBuilder::new().build_recorder();
     let handle = recorder.handle();
     metrics::with_local_recorder(&recorder, || {
--- /dev/null
+++ b/crates/gateway/src/unknown_members.rs
@@ -0,0 +1,143 @@
+//! Keeps track of refused envelopes, by the member that the sender claims to be; senders that cannot be
+//! identified share one entry. Free of I/O: a refusal goes in with its time, and whether to log it comes out.
+//!
+//! Mechanisms:
+//! 1. Each process and cause is logged once: members of an earlier build are refused many times a second, and
+//!    must be named in the log without filling it.
+//! 2. Two processes under one name share an entry; a different one is logged only [`LOG_INTERVAL`] after the
+//!    last log line.
+//! 3. Once an envelope of the member is accepted, it is no longer shown as refused.
+
+use std::net::IpAddr;
+
+use cedarpulley::interface::Micros;
+use cedarpulley_errors::Remedy;
+use cedarpulley_membership::MemberIx;
+use serde_json::{Value, json};
+
+/// Why an envelope was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RefusalCause {
+    #[error("a member speaks another version")]
+    Version,
+    #[error("a member of another group, or with other members listed")]
+    Group,
+    #[error("it is for another member, or from none")]
+    Member,
+    #[error("it cannot be read")]
+    Unreadable,
+}
+
+impl Remedy for RefusalCause {
+    fn remedy(&self) -> &'static str {
+        match self {
+            RefusalCause::Version => "run one build in all routers of the group",
+            RefusalCause::Group => "give all routers of the group the same [[peers.member]] list",
+            RefusalCause::Member => "see that each member's address in the settings leads to that member",
+            RefusalCause::Unreadable => "see what else connects to peers.listen",
+        }
+    }
+}
+
+/// Minimum time between log lines of two processes that share an entry, in microseconds: an operator sees
+/// both, and the log is not filled.
+const LOG_INTERVAL: Micros = 10_000_000;
+
+/// What is known of a refused envelope.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    pub why: RefusalCause,
+    /// Wire version that it states, if any.
+    pub version: Option<u16>,
+    /// Its sender, if known: the member that it claims to be, and its process.
+    pub from: Option<(MemberIx, u64)>,
+    pub address: Option<IpAddr>,
+}
+
+/// The last refusal of one entry.
+struct RefusalRecord {
+    last: Refusal,
+    at: Micros,
+    times: u64,
+    /// No envelope of it has been accepted since.
+    is_active: bool,
+    logged: (RefusalCause, u64),
+    logged_at: Micros,
+}
+
+/// Refusals by entry.
+pub struct UnknownMembers {
+    /// By member; the last entry is for all senders that cannot be identified.
+    records: Vec<Option<RefusalRecord>>,
+}
+
+impl UnknownMembers {
+    /// `members`: how many the group has.
+    pub fn new(members: usize) -> Self {
+        UnknownMembers { records: (0..=members).map(|_| None).collect() }
+    }
+
+    fn index(&self, from: Option<(MemberIx, u64)>) -> usize {
+        let others = self.records.len() - 1;
+        from.map_or(others, |(m, _)| (m as usize).min(others))
+    }
+
+    /// Records a refusal at `now` (microseconds); true if it is to be logged.
+    pub fn record(&mut self, now: Micros, last: Refusal) -> bool {
+        let (index, logged) = (self.index(last.from), (last.why, last.from.map_or(0, |f| f.1)));
+        let record = &mut self.records[index];
+        let (should_log, times) = match record {
+            None => (true, 0),
+            Some(p) => (p.logged != logged && now - p.logged_at >= LOG_INTERVAL, p.times),
+        };
+        let (logged, logged_at) = match record {
+            Some(p) if !should_log => (p.logged, p.logged_at),
+            _ => (logged, now),
+        };
+        *record = Some(RefusalRecord { last, at: now, times: times + 1, is_active: true, logged, logged_at });
+        should_log
+    }
+
+    /// An envelope of this member was accepted.
+    pub fn accepted(&mut self, from: MemberIx) {
+        if let Some(Some(record)) = self.records.get_mut(from as usize) {
+            record.is_active = false;
+        }
+    }
+
+    /// For the state endpoint: the refusals of a member or, without one, of all unidentified senders; null
+    /// where nobody is refused.
+    pub fn state(&self, now: Micros, member: Option<MemberIx>) -> Value {
+        let record = &self.records[self.index(member.map(|m| (m, 0)))];
+        record.as_ref().filter(|p| p.is_active).map_or(Value::Null, |p| {
+            json!({
+                "why": p.last.why.to_string(), "do": p.last.why.remedy(), "version": p.last.version,
+                "address": p.last.address, "times": p.times, "us_ago": now - p.at,
+            })
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_process_and_cause_is_said_once_and_two_under_one_name_do_not_fill_a_log() {
+        let mut members = UnknownMembers::new(3);
+        let of = |why, process| Refusal { why, version: Some(1), from: Some((1, process)), address: None };
+        let mut logged = |now, why, process| members.record(now, of(why, process));
+        assert!(logged(0, RefusalCause::Version, 7));
+        // Once, however long it continues.
+        assert!((1..1000).all(|n| !logged(n * LOG_INTERVAL, RefusalCause::Version, 7)));
+        assert!(logged(1000 * LOG_INTERVAL, RefusalCause::Version, 8));
+        assert!((1..1000).all(|n| !logged(1000 * LOG_INTERVAL + n, RefusalCause::Version, 7 + n as u64 % 2)));
+        assert!(logged(1001 * LOG_INTERVAL, RefusalCause::Group, 8));
+        assert_eq!(
+            (members.state(0, Some(1))["times"].as_u64(), members.state(0, Some(2))),
+            (Some(2001), Value::Null)
+        );
+        members.accepted(1);
+        assert_eq!(members.state(0, Some(1)), Value::Null);
+    }
+}
--- a/crates/gateway/src/upgrading.rs
+++ b/crates/gateway/src/upgrading.rs
@@ -25,9 +25,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use crate::desk::Desk;
-use crate::fellows::News;
-use crate::shared::Shared;
+use crate::context::GatewayContext;
+use crate::peers::PeerEvent;
+use crate::shared_state::SharedState;
 use crate::sheet::{Refused, Section, Sheet};
 
 /// Before the model in a plan's record, and before model and member in what members have seen of its versions.
@@ -111,8 +111,8 @@
 }
 
 pub struct Upgrading {
-    desk: Rc<Desk>,
-    shared: Shared,
+    context: Rc<GatewayContext>,
+    shared: SharedState,
     ordered: Ordered,
     /// This router's own.
     region: String,
@@ -149,14 +149,14 @@
 }
 
 impl Upgrading {
-    pub fn new(desk: Rc<Desk>, shared: Shared, ordered: Ordered) -> Rc<Upgrading> {
-        let me = shared.me();
-        let region = shared.fellows().get(me as usize).map(|f| f.region.clone()).unwrap_or_default();
+    pub fn new(context: Rc<GatewayContext>, shared: SharedState, ordered: Ordered) -> Rc<Upgrading> {
+        let me = shared.own_index();
+        let region = shared.members().get(me as usize).map(|f| f.region.clone()).unwrap_or_default();
         let planner = RefCell::new(Planner::new(ordered.terms.clone()));
-        let began = desk.clock.wall().max(0) as u64;
+        let began = context.clock.wall().max(0) as u64;
         let orders = RefCell::new(ordered.orders.clone());
         let it = Rc::new(Upgrading {
-            desk,
+            context,
             shared,
             ordered,
             region,
@@ -175,7 +175,7 @@
         let weak = Rc::downgrade(&it);
         for prefix in [PLANS, SEEN] {
             let weak = weak.clone();
-            it.shared.listen(prefix, move |news| {
+            it.shared.subscribe(prefix, move |news| {
                 if let Some(it) = weak.upgrade() {
                     it.heard(prefix, news);
                 }
@@ -255,7 +255,7 @@
                 let mut counts = self.counts.borrow_mut();
                 let count =
                     counts.entry((Name::from(model), version.clone(), trigger)).or_insert_with(|| {
-                        let trigger = self.desk.names.triggers.get(trigger as usize);
+                        let trigger = self.context.names.triggers.get(trigger as usize);
                         let trigger = Name::from(trigger.map_or("", String::as_str));
                         Count { version, trigger, ..Count::default() }
                     });
@@ -311,7 +311,7 @@
             let look = async {
                 Timer::after(LOOK).await;
             };
-            self.alarm.rings(&self.desk.clock).or(look).await;
+            self.alarm.rings(&self.context.clock).or(look).await;
         }
     }
 
@@ -340,7 +340,7 @@
         let mut out = Vec::new();
         let due = {
             let mut planner = self.planner.borrow_mut();
-            planner.handle(self.desk.clock.now(), input, &mut out);
+            planner.handle(self.context.clock.now(), input, &mut out);
             planner.next_due()
         };
         self.alarm.set(due);
@@ -351,34 +351,34 @@
                     self.shared.write(key, theirs(ballot), value, PLAN_KEPT);
                 }
                 Output::Want { worker, function, like, term } => {
-                    self.desk.feed(Input::Wanted { worker, function, like, term: Some(term) });
+                    self.context.feed(Input::Wanted { worker, function, like, term: Some(term) });
                 }
                 Output::Unwant { worker, function, term } => {
-                    self.desk.feed(Input::Unwanted { worker, function, term: Some(term) });
+                    self.context.feed(Input::Unwanted { worker, function, term: Some(term) });
                 }
                 Output::Log(line) => tracing::info!("upgrade: {line}"),
             }
         }
     }
 
-    fn heard(&self, prefix: &str, news: News) {
+    fn heard(&self, prefix: &str, news: PeerEvent) {
         match news {
             // Each listener is told of it; one is enough.
-            News::Alive if prefix == PLANS => self.members(),
-            News::Alive => {}
-            News::Noticed(key) if prefix == PLANS => {
+            PeerEvent::BelievedMembersChanged if prefix == PLANS => self.members(),
+            PeerEvent::BelievedMembersChanged => {}
+            PeerEvent::Updated(key) if prefix == PLANS => {
                 if let Some((ballot, bytes)) = self.shared.accepted(&key) {
                     self.plan_heard(&key, ballot, bytes);
                 }
                 // Whoever leads waits until all go by its step.
                 self.tell_seen();
             }
-            News::Noticed(key) => {
-                if let Some(note) = self.shared.noted(&key) {
+            PeerEvent::Updated(key) => {
+                if let Some(note) = self.shared.latest_note(&key) {
                     self.counted(&key, &note);
                 }
             }
-            News::Decided(key, outcome) => {
+            PeerEvent::Decided(key, outcome) => {
                 let outcome = match outcome {
                     replica::Outcome::Leads { ballot, last } => {
                         upgrade::Outcome::Leads { ballot: ours(ballot), last }
@@ -396,11 +396,11 @@
     }
 
     fn members(&self) {
-        let fellows = self.shared.fellows();
+        let members = self.shared.members();
         self.plan(upgrade::Input::Members {
-            me: self.shared.me(),
-            alive: fellows.iter().map(|f| f.alive).collect(),
-            regions: fellows.iter().map(|f| Name::from(&*f.region)).collect(),
+            me: self.shared.own_index(),
+            alive: members.iter().map(|f| f.alive).collect(),
+            regions: members.iter().map(|f| Name::from(&*f.region)).collect(),
         });
     }
 
@@ -422,7 +422,7 @@
 
     /// What this router has seen of versions, where that has changed.
     fn tell_seen(&self) {
-        let (me, now) = (self.shared.me(), self.desk.clock.now());
+        let (me, now) = (self.shared.own_index(), self.context.clock.now());
         let models: Vec<Name> = self.planner.borrow().models().cloned().collect();
         for model in models {
             let goes_by = self.planner.borrow().goes_by(&model);
@@ -456,7 +456,7 @@
         let held = self.holds.borrow().as_ref().map(|holds| holds()).unwrap_or_default();
         let mut held: BTreeMap<Name, WorkerSeen> = held.into_iter().map(|w| (w.name.clone(), w)).collect();
         let seen = |(name, seat): (&Name, &Listed)| {
-            let zone = self.desk.names.zones.get(seat.zone as usize).map_or("", String::as_str);
+            let zone = self.context.names.zones.get(seat.zone as usize).map_or("", String::as_str);
             let region = self.ordered.regions.get(zone).map_or(zone, String::as_str);
             let mut w = held.remove(name)?;
             w.region = Name::from(region);
--- a/crates/gateway/tests/gate.rs
+++ b/crates/gateway/tests/gate.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use cedarpulley::interface::{CopyNote, Micros, Outcome};
-use cedarpulley_gateway::desk::Desk;
+use cedarpulley_gateway::context::GatewayContext;
 use cedarpulley_gateway::gate::Gate;
 use cedarpulley_net::Clock;
 use cedarpulley_router::watch::{By, Used};
@@ -44,21 +44,21 @@
 #[test]
 fn a_copy_that_was_used_lately_is_told_again_before_each_turn() {
     let passed: Rc<RefCell<Vec<Input>>> = Rc::default();
-    let desk = Rc::new(Desk {
+    let context = Rc::new(GatewayContext {
         clock: Clock::start(),
         executor: Rc::default(),
         name: "r0".into(),
         seed: 1,
-        from: None,
+        local_address: None,
         names: Names { triggers: vec!["t".into()], accounts: vec![], zones: vec![], kinds: vec![] },
-        sessions: true,
-        misunderstood: Cell::new(0),
-        core: Box::new(|_| {}),
+        tracks_sessions: true,
+        malformed_inputs: Cell::new(0),
+        core_input: Box::new(|_| {}),
     });
     let minute: Micros = 60_000_000;
     let terms = Terms { kept: 10 * minute, patience: minute, most_known: 10, most_waiting: 10 };
     let core = passed.clone();
-    let gate = Gate::new(desk, terms, None, None, Box::new(move |input| core.borrow_mut().push(input)));
+    let gate = Gate::new(context, terms, None, None, Box::new(move |input| core.borrow_mut().push(input)));
     let stands = Rc::new(Cell::new(true));
     let used = stands.clone();
     gate.knows_uses(Box::new(move |worker, function| used.get() && worker == WORKER && function == "f"));
--- a/crates/gateway/tests/strangers.rs
+++ b/crates/gateway/tests/unknown_members.rs
@@ -1,23 +1,23 @@
-//! Members of two builds beside each other: refused, counted, and shown with a remedy until they are of one build.
+//! Members of two builds in one group: refused, counted, and shown with a remedy until they run one build.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
-use cedarpulley_gateway::desk::Desk;
-use cedarpulley_gateway::fellows::{Fellows, Post};
-use cedarpulley_gateway::post::Sent;
-use cedarpulley_gateway::strangers::Strange;
-use cedarpulley_gateway::{settings, shown};
+use cedarpulley_gateway::context::GatewayContext;
+use cedarpulley_gateway::peer_transport::TransportCounts;
+use cedarpulley_gateway::peers::{Peers, Transport};
+use cedarpulley_gateway::unknown_members::RefusalCause;
+use cedarpulley_gateway::{settings, state_endpoint};
 use cedarpulley_net::Clock;
 
 struct Nowhere;
 
-impl Post for Nowhere {
-    fn put(&self, _: u16, _: Bytes, _: bool, _: bool) {}
+impl Transport for Nowhere {
+    fn send(&self, _: u16, _: Bytes, _: bool, _: bool) {}
 }
 
-fn fellows(name: &str) -> Fellows {
+fn peers(name: &str) -> Peers {
     let members =
         ["r0", "r1", "r2"].map(|m| format!("[[peers.member]]\nname = {m:?}\naddress = \"127.0.0.1:7101\"\n"));
     let text = format!(
@@ -27,34 +27,36 @@
         members.concat()
     );
     let parts = settings::read("router.toml", &text, false).unwrap_or_else(|e| panic!("{e}"));
-    let desk = Desk {
+    let context = GatewayContext {
         clock: Clock::start(),
         executor: Rc::default(),
         name: name.into(),
         seed: 1,
-        from: None,
+        local_address: None,
         names: Default::default(),
-        sessions: false,
-        misunderstood: Cell::new(0),
-        core: Box::new(|_| {}),
+        tracks_sessions: false,
+        malformed_inputs: Cell::new(0),
+        core_input: Box::new(|_| {}),
     };
-    Fellows::new(Rc::new(desk), &parts.peers.expect("peers"), 1, None, None, Box::new(Nowhere))
+    Peers::new(Rc::new(context), &parts.peers.expect("peers"), 1, None, None, Box::new(Nowhere))
 }
 
 #[test]
 fn a_member_of_another_version_is_refused_counted_and_shown_until_it_is_of_this_one() {
-    let (here, there) = (fellows("r0"), fellows("r1"));
+    let (here, there) = (peers("r0"), peers("r1"));
     let good = there.envelope(0, Vec::new());
     let (version, bytes) = (good.version, postcard::to_stdvec(&good).expect("encoded"));
     let mut other = good;
     other.version -= 1;
     let other = postcard::to_stdvec(&other).expect("encoded");
-    let state = || shown::state(&here, Sent::default());
-    // Of a version whose envelopes have another form, nothing can be known but that.
-    for (said, why) in
-        [(&other[..], Strange::Version), (&other[..1], Strange::Version), (&bytes[..9], Strange::Unreadable)]
-    {
-        assert_eq!(here.heard(None, said).err(), Some(why));
+    let state = || state_endpoint::state(&here, TransportCounts::default());
+    // Of an envelope in another version's form, nothing more than its version can be known.
+    for (said, why) in [
+        (&other[..], RefusalCause::Version),
+        (&other[..1], RefusalCause::Version),
+        (&bytes[..9], RefusalCause::Unreadable),
+    ] {
+        assert_eq!(here.receive(None, said).err(), Some(why));
     }
     let s = state();
     assert_eq!((&s["counts"]["other_version"], &s["counts"]["unreadable"]), (&2.into(), &1.into()), "{s}");
@@ -62,6 +64,6 @@
     assert_eq!((&refused["version"], &refused["times"]), (&(version - 1).into(), &1.into()), "{s}");
     assert_eq!(refused["do"], "run one build in all routers of the group");
     assert!(s["members"][2]["refused"].is_null() && s["strangers"]["times"] == 2, "{s}");
-    assert!(here.heard(None, &bytes).is_ok());
+    assert!(here.receive(None, &bytes).is_ok());
     assert!(state()["members"][1]["refused"].is_null(), "{}", state());
 }
