--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -22,8 +22,8 @@
 use std::process::ExitCode;
 
 use cedarpulley_errors::Remedy;
-use cedarpulley_gateway::meddle::Meddle;
-use cedarpulley_gateway::settings::{self, Parts};
+use cedarpulley_gateway::fault_injection::InjectedFault;
+use cedarpulley_gateway::settings::{self, RouterSettings};
 use clap::{Parser, Subcommand, ValueEnum};
 use tracing_subscriber::EnvFilter;
 use wrong::Wrong;
@@ -182,23 +182,25 @@
     ExitCode::from(2)
 }
 
-fn read(path: &Path, rig: bool) -> Result<Parts, Wrong> {
+fn read(path: &Path, rig: bool) -> Result<RouterSettings, Wrong> {
     let text = std::fs::read_to_string(path).map_err(Wrong::file(path))?;
     settings::read(&path.display().to_string(), &text, rig).map_err(Wrong::Settings)
 }
 
-fn named(tamper: &Option<String>) -> Result<Option<Meddle>, Wrong> {
+fn named(tamper: &Option<String>) -> Result<Option<InjectedFault>, Wrong> {
     match tamper {
         None => Ok(None),
-        Some(name) => Meddle::named(name).map(Some).ok_or_else(|| Wrong::Tamper { name: name.clone() }),
+        Some(name) => {
+            InjectedFault::from_name(name).map(Some).ok_or_else(|| Wrong::Tamper { name: name.clone() })
+        }
     }
 }
 
 fn serve(path: &Path, tamper: Option<String>, rig: bool) -> Result<bool, Wrong> {
-    let (parts, meddle) = (read(path, rig)?, named(&tamper)?);
+    let (settings, fault) = (read(path, rig)?, named(&tamper)?);
     let name = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
     let wrong = |source| Wrong::Serve { file: path.display().to_string(), source };
-    cedarpulley_gateway::serve::run(&name, parts, meddle).map_err(wrong)
+    cedarpulley_gateway::serve::run(&name, settings, fault).map_err(wrong)
 }
 
 fn audit(folder: &Path, json: bool) -> Result<bool, Wrong> {
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
-use cedarpulley_gateway::listen::Protocol;
+use cedarpulley_gateway::client_listener::Protocol;
 use cedarpulley_standins::broker::Broker;
 use cedarpulley_standins::store::{self, Store};
 use cedarpulley_standins::worker::{Memory, Nature, Program, Worker};
--- a/crates/cli/src/wrong.rs
+++ b/crates/cli/src/wrong.rs
@@ -23,9 +23,9 @@
     #[error("{file}: it cannot be read or written")]
     File { file: String, source: io::Error },
     #[error("{0}")]
-    Settings(cedarpulley_gateway::sheet::Refused),
+    Settings(cedarpulley_gateway::config_reader::ConfigErrors),
     #[error("{file}: the router cannot run")]
-    Serve { file: String, source: cedarpulley_gateway::serve::Unstarted },
+    Serve { file: String, source: cedarpulley_gateway::serve::StartError },
     #[error(transparent)]
     Node(#[from] cedarpulley_platform_node::StartError),
     #[error(transparent)]
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/amqp_front.rs
@@ -1,5 +1,5 @@
-//! The AMQP front: one connection for each queue that is consumed. It turns messages into what the core takes, and
-//! final answers into messages; what a connection may do when is in `cedarpulley_amqp::connection`.
+//! The AMQP front: one connection for each consumed queue. It turns messages into requests for the core, and
+//! final answers into messages; the connection's state machine is in `cedarpulley_amqp::connection`.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -22,20 +22,20 @@
 use hdrhistogram::Histogram;
 
 use crate::context::GatewayContext;
-use crate::tls::{Outward, Wire};
-use crate::words::{fate, reason};
+use crate::outcome_names::{fate_name, reason_name};
+use crate::tls::{BrokerStream, ClientTls};
 
-const READ: usize = 64 * 1024;
-/// What is said to a broker at the end is waited for so long: one that reads nothing must not hold up what follows.
-const LAST_WORDS: std::time::Duration = std::time::Duration::from_millis(500);
-/// Connecting to a broker may take so long.
-const CONNECT_WITHIN: Micros = 2_000_000;
-/// Output that waits for a broker that reads slowly; beyond, no more is read from it either.
-const MOST_WAITING: usize = 4 * 1024 * 1024;
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Limit on writing the last frames to a broker: one that reads nothing must not delay the shutdown.
+const CLOSE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
+/// Time limit for connecting to a broker, in microseconds.
+const CONNECT_TIMEOUT: Micros = 2_000_000;
+/// Output that may wait for a broker that reads slowly; beyond, nothing more is read from it either.
+const MAX_OUTPUT_BYTES: usize = 4 * 1024 * 1024;
 
-/// One broker's queue to consume from.
+/// A broker's queue to consume from.
 #[derive(Clone, Debug)]
-pub struct Source {
+pub struct AmqpSource {
     pub name: String,
     pub broker: SocketAddr,
     pub virtual_host: String,
@@ -43,82 +43,86 @@
     pub password: String,
     pub queue: String,
     pub heartbeat_s: u16,
-    pub tls: Option<Outward>,
+    pub tls: Option<ClientTls>,
 }
 
-/// Microseconds from taking to the final answer, and until that was safely out; of all fronts.
-pub struct Times {
+/// Histograms over all AMQP fronts, in microseconds: from taking a message to its final answer, and until
+/// that answer was committed.
+pub struct AnswerTimes {
     pub answered: RefCell<Histogram<u64>>,
-    pub safe: RefCell<Histogram<u64>>,
+    pub committed: RefCell<Histogram<u64>>,
 }
 
-impl Default for Times {
+impl Default for AnswerTimes {
     fn default() -> Self {
-        // From a microsecond to ten minutes, three digits; such bounds are always valid.
+        // From a microsecond to ten minutes with three digits; these bounds are always valid.
         let times = || RefCell::new(Histogram::new_with_bounds(1, 600_000_000, 3).expect("valid bounds"));
-        Times { answered: times(), safe: times() }
+        AnswerTimes { answered: times(), committed: times() }
     }
 }
 
-pub struct Front {
+/// The front of one consumed queue.
+pub struct AmqpFront {
     pub ix: FrontIx,
-    source: Source,
-    most_body: u64,
+    source: AmqpSource,
+    max_body_bytes: u64,
     context: Rc<GatewayContext>,
-    times: Rc<Times>,
+    times: Rc<AnswerTimes>,
     connection: RefCell<Option<Connection>>,
     life: Cell<u32>,
-    grant: Cell<u32>,
-    /// Where the answer to each delivery of this life goes.
-    owed: RefCell<HashMap<u64, (AMQPProperties, Micros)>>,
+    granted: Cell<u32>,
+    /// By delivery tag of the current connection: where its answer goes, and when it was taken.
+    pending: RefCell<HashMap<u64, (AMQPProperties, Micros)>>,
     bell: Bell,
-    up: Cell<bool>,
+    is_up: Cell<bool>,
     reopen_at: Cell<Option<Micros>>,
     closing: Cell<bool>,
 }
 
-impl Front {
+impl AmqpFront {
     pub fn new(
         ix: FrontIx,
-        source: Source,
-        most_body: u64,
+        source: AmqpSource,
+        max_body_bytes: u64,
         context: Rc<GatewayContext>,
-        times: Rc<Times>,
+        times: Rc<AnswerTimes>,
     ) -> Self {
-        Front {
+        AmqpFront {
             ix,
             source,
-            most_body,
+            max_body_bytes,
             context,
             times,
             connection: RefCell::default(),
             life: Cell::new(0),
-            grant: Cell::new(0),
-            owed: RefCell::default(),
+            granted: Cell::new(0),
+            pending: RefCell::default(),
             bell: Bell::default(),
-            up: Cell::new(false),
+            is_up: Cell::new(false),
             reopen_at: Cell::new(None),
             closing: Cell::new(false),
         }
     }
 
+    /// The core admits this many messages at once: the prefetch.
     pub fn grant(&self, most: u32) {
-        self.grant.set(most);
+        self.granted.set(most);
         if let Some(c) = self.connection.borrow_mut().as_mut() {
             c.set_prefetch(most.min(u32::from(u16::MAX)) as u16);
         }
         self.bell.ring();
     }
 
+    /// Publishes an answer, unless its delivery belongs to an earlier connection.
     pub fn answer(&self, delivery: Delivery, answer: &Answer) {
-        if delivery.life != self.life.get() || !self.up.get() {
+        if delivery.life != self.life.get() || !self.is_up.get() {
             return;
         }
-        let owed = self.owed.borrow();
-        let Some((to, taken)) = owed.get(&delivery.tag) else { return };
+        let pending = self.pending.borrow();
+        let Some((to, taken)) = pending.get(&delivery.tag) else { return };
         self.times.answered.borrow_mut().saturating_record((self.context.clock.now() - taken).max(0) as u64);
         if let Some(c) = self.connection.borrow_mut().as_mut() {
-            let (f, r) = (fate(answer.fate), reason(answer.reason));
+            let (f, r) = (fate_name(answer.fate), reason_name(answer.reason));
             let properties = meaning::answer(to, f, r, None, answer.return_after, answer.body.first);
             let reply_to = to.reply_to().as_ref().map(|r| r.as_str());
             c.answer(delivery.tag, reply_to.map(|to| (to, properties, answer.body.bytes.as_ref())));
@@ -126,7 +130,7 @@
         self.bell.ring();
     }
 
-    /// Out of the way without an answer.
+    /// Acknowledges a message without an answer.
     pub fn discard(&self, delivery: Delivery) {
         if delivery.life == self.life.get()
             && let Some(c) = self.connection.borrow_mut().as_mut()
@@ -136,12 +140,13 @@
         }
     }
 
-    /// Nothing more comes, and all answers are safe.
+    /// Nothing more is delivered, and all answers are committed.
     pub fn is_drained(&self) -> bool {
         let connection = self.connection.borrow();
-        !self.up.get() || connection.as_ref().is_none_or(|c| c.is_quiet() && c.unsafe_answers() == 0)
+        !self.is_up.get() || connection.as_ref().is_none_or(|c| c.is_quiet() && c.unsafe_answers() == 0)
     }
 
+    /// Closes the connection and does not reconnect.
     pub fn close(&self, now: Micros) {
         self.closing.set(true);
         if let Some(c) = self.connection.borrow_mut().as_mut() {
@@ -150,15 +155,15 @@
         self.bell.ring();
     }
 
-    /// Connects, consumes, and connects again, for as long as the router runs.
+    /// Connects, consumes, and reconnects, for as long as the router runs.
     pub async fn run(self: Rc<Self>) {
         let mut backoff = Backoff::new(self.context.seed ^ u64::from(self.ix) << 32);
         while !self.closing.get() {
             let began = self.context.clock.now();
-            match connect(self.source.broker, self.context.local_address, CONNECT_WITHIN).await {
-                Ok(stream) => match Wire::begin(stream, self.source.tls.as_ref()).await {
+            match connect(self.source.broker, self.context.local_address, CONNECT_TIMEOUT).await {
+                Ok(stream) => match BrokerStream::connect(stream, self.source.tls.as_ref()).await {
                     Ok(wire) => {
-                        let fault = self.converse(wire, &mut backoff).await;
+                        let fault = self.run_connection(wire, &mut backoff).await;
                         tracing::warn!(front = %self.source.name, cause = %fault, "connection to the broker ended");
                     }
                     Err(e) => {
@@ -170,7 +175,7 @@
                 }
             }
             self.connection.borrow_mut().take();
-            self.down();
+            self.set_down();
             if self.closing.get() {
                 return;
             }
@@ -179,32 +184,32 @@
         }
     }
 
-    fn down(&self) {
-        self.owed.borrow_mut().clear();
+    fn set_down(&self) {
+        self.pending.borrow_mut().clear();
         self.reopen_at.set(None);
-        if self.up.replace(false) {
+        if self.is_up.replace(false) {
             self.context.feed(Input::Front { front: self.ix, state: FrontState::Down });
         }
     }
 
-    async fn converse(self: &Rc<Self>, wire: Wire, backoff: &mut Backoff) -> Fault {
+    async fn run_connection(self: &Rc<Self>, wire: BrokerStream, backoff: &mut Backoff) -> Fault {
         let login = Login {
             virtual_host: self.source.virtual_host.clone(),
             user: self.source.user.clone(),
             password: self.source.password.clone(),
             heartbeat_s: self.source.heartbeat_s,
             name: self.context.name.clone(),
-            most_body: self.most_body,
+            most_body: self.max_body_bytes,
         };
-        let prefetch = self.grant.get().clamp(1, u32::from(u16::MAX)) as u16;
+        let prefetch = self.granted.get().clamp(1, u32::from(u16::MAX)) as u16;
         let role = Role::Answers { queue: self.source.queue.clone(), prefetch };
         *self.connection.borrow_mut() = Some(Connection::new(self.context.clock.now(), role, login));
-        let stood = Cell::new(self.context.clock.now());
+        let ready_since = Cell::new(self.context.clock.now());
         let backoff = RefCell::new(backoff);
         let (mut reads, mut writes) = split(wire);
-        let reading = self.read(&mut reads, &stood, &backoff);
+        let reading = self.read(&mut reads, &ready_since, &backoff);
         let fault = reading.or(self.write(&mut writes)).await;
-        // Tell the broker why, if it will hear it.
+        // Tells the broker why, if it still reads.
         let last = self.connection.borrow_mut().as_mut().map(|c| {
             if fault.code != 200 {
                 c.fail(self.context.clock.now(), &fault);
@@ -217,21 +222,21 @@
                 let _ = writes.write_all(&bytes).await;
                 let _ = writes.flush().await;
             };
-            let late = async {
-                Timer::after(LAST_WORDS).await;
+            let timeout = async {
+                Timer::after(CLOSE_TIMEOUT).await;
             };
-            told.or(late).await;
+            told.or(timeout).await;
         }
         fault
     }
 
     async fn read(
         self: &Rc<Self>,
-        stream: &mut ReadHalf<Wire>,
-        stood: &Cell<Micros>,
+        stream: &mut ReadHalf<BrokerStream>,
+        ready_since: &Cell<Micros>,
         backoff: &RefCell<&mut Backoff>,
     ) -> Fault {
-        let mut buffer = vec![0; READ];
+        let mut buffer = vec![0; READ_BUFFER_BYTES];
         let mut events = Vec::new();
         loop {
             let n = match stream.read(&mut buffer).await {
@@ -248,17 +253,20 @@
                 match event {
                     Event::Ready => {
                         self.life.set(self.life.get().wrapping_add(1));
-                        self.up.set(true);
-                        stood.set(now);
+                        self.is_up.set(true);
+                        ready_since.set(now);
                         tracing::info!(front = %self.source.name, queue = %self.source.queue, "consuming");
                         self.context.feed(Input::Front { front: self.ix, state: FrontState::Up });
                     }
                     Event::Delivered(message) => self.delivered(*message),
                     Event::Committed(tags) => {
                         for tag in tags {
-                            let owed = self.owed.borrow_mut().remove(&tag);
-                            if let Some((_, taken)) = owed {
-                                self.times.safe.borrow_mut().saturating_record((now - taken).max(0) as u64);
+                            let pending = self.pending.borrow_mut().remove(&tag);
+                            if let Some((_, taken)) = pending {
+                                self.times
+                                    .committed
+                                    .borrow_mut()
+                                    .saturating_record((now - taken).max(0) as u64);
                                 let delivery = Delivery { front: self.ix, life: self.life.get(), tag };
                                 self.context.feed(Input::Safe(delivery));
                             }
@@ -271,8 +279,8 @@
                     }
                     Event::ChannelLost { code, text } => {
                         tracing::warn!(front = %self.source.name, code, text, "the broker closed the channel");
-                        self.down();
-                        let wait = backoff.borrow_mut().after(now - stood.get());
+                        self.set_down();
+                        let wait = backoff.borrow_mut().after(now - ready_since.get());
                         self.reopen_at.set(Some(now + wait));
                     }
                     Event::Cancelled => return Fault::new(320, "the queue is no longer consumed"),
@@ -283,14 +291,14 @@
                 return fault;
             }
             self.bell.ring();
-            // Symptom: a broker sends on but reads nothing. What it is owed must not pile up here.
-            while self.connection.borrow().as_ref().is_some_and(|c| c.waiting() > MOST_WAITING) {
+            // Guards against a broker that keeps sending but reads nothing: its output must not pile up here.
+            while self.connection.borrow().as_ref().is_some_and(|c| c.waiting() > MAX_OUTPUT_BYTES) {
                 Timer::after(std::time::Duration::from_millis(1)).await;
             }
         }
     }
 
-    async fn write(self: &Rc<Self>, stream: &mut WriteHalf<Wire>) -> Fault {
+    async fn write(self: &Rc<Self>, stream: &mut WriteHalf<BrokerStream>) -> Fault {
         loop {
             let now = self.context.clock.now();
             let (bytes, due) = {
@@ -331,19 +339,19 @@
     fn delivered(&self, message: Message) {
         let delivery = Delivery { front: self.ix, life: self.life.get(), tag: message.tag };
         let understood = if message.oversized {
-            let cause = format!("larger than {} bytes", self.most_body);
+            let cause = format!("larger than {} bytes", self.max_body_bytes);
             Err(meaning::Misunderstood { field: "body", cause })
         } else {
-            meaning::read(&message, self.context.clock.wall()).and_then(|t| self.taken(&message, t, delivery))
+            meaning::read(&message, self.context.clock.wall()).and_then(|t| self.parse(&message, t, delivery))
         };
         match understood {
             Ok(mut taken) => {
                 taken.body = Payload { bytes: Bytes::from(message.body), first: taken.body.first };
-                self.owed.borrow_mut().insert(message.tag, (message.properties, self.context.clock.now()));
+                self.pending.borrow_mut().insert(message.tag, (message.properties, self.context.clock.now()));
                 self.context.feed(Input::Taken(taken));
             }
             Err(wrong) => {
-                // Never back into the queue: it would come again for ever.
+                // Never requeued: it would be delivered again for ever.
                 tracing::debug!(front = %self.source.name, field = wrong.field, cause = %wrong.cause, "not understood");
                 self.context.count_malformed();
                 if let Some(c) = self.connection.borrow_mut().as_mut() {
@@ -363,42 +371,50 @@
         }
     }
 
-    fn taken(
+    fn parse(
         &self,
         message: &Message,
-        t: meaning::Trigger,
+        trigger_message: meaning::Trigger,
         delivery: Delivery,
     ) -> Result<Taken, meaning::Misunderstood> {
         let unknown =
             |field, name: &str| meaning::Misunderstood { field, cause: format!("'{name}' is unknown") };
-        let trigger = self.context.names.trigger(&t.kind).ok_or_else(|| unknown("type", &t.kind))?;
+        let trigger = self
+            .context
+            .names
+            .trigger(&trigger_message.kind)
+            .ok_or_else(|| unknown("type", &trigger_message.kind))?;
         let account = self
             .context
             .names
-            .account(t.account.as_deref())
-            .ok_or_else(|| unknown("app-id", t.account.as_deref().unwrap_or("")))?;
-        let identity: Option<Arc<str>> = t.identity.map(Arc::from);
+            .account(trigger_message.account.as_deref())
+            .ok_or_else(|| unknown("app-id", trigger_message.account.as_deref().unwrap_or("")))?;
+        let identity: Option<Arc<str>> = trigger_message.identity.map(Arc::from);
         Ok(Taken {
             delivery,
             mark: identity.clone(),
             identity,
             redelivered: message.redelivered,
-            repeat: t.repeat,
+            repeat: trigger_message.repeat,
             trigger,
             account,
-            function: Arc::from(t.function),
-            token: t.token.map(Arc::from),
-            waited: t.waited_us,
-            client_timeout: t.client_timeout_us.unwrap_or(Micros::MAX / 8),
-            cost_hint: t.cost_hint_us,
-            load_hint: t.load_hint_us,
-            copy_mb: t.copy_mb,
-            lanes: t.lanes,
-            session: t.session.map(|(id, start, end)| Session { id: Arc::from(id), start, end }),
+            function: Arc::from(trigger_message.function),
+            token: trigger_message.token.map(Arc::from),
+            waited: trigger_message.waited_us,
+            client_timeout: trigger_message.client_timeout_us.unwrap_or(Micros::MAX / 8),
+            cost_hint: trigger_message.cost_hint_us,
+            load_hint: trigger_message.load_hint_us,
+            copy_mb: trigger_message.copy_mb,
+            lanes: trigger_message.lanes,
+            session: trigger_message.session.map(|(id, start, end)| Session {
+                id: Arc::from(id),
+                start,
+                end,
+            }),
             named: None,
             prefers: None,
             refused: None,
-            body: Payload { bytes: Bytes::new(), first: t.first_part },
+            body: Payload { bytes: Bytes::new(), first: trigger_message.first_part },
         })
     }
 }
--- /dev/null
+++ b/crates/gateway/src/client_listener.rs
@@ -0,0 +1,215 @@
+//! Connections of KServe clients: listening, TLS, the limit on connections, and handing each to its protocol.
+//! Requests are handled in `rest.rs`, `grpc.rs` and `request_handling.rs`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use async_io::{Async, Timer};
+use cedarpulley::interface::Micros;
+use cedarpulley_certificates::Speakers;
+use cedarpulley_net::{Bell, Stream, micros};
+use cedarpulley_router::Input;
+use cedarpulley_router::admission::FrontState;
+use futures_lite::{AsyncRead, AsyncWrite};
+use futures_rustls::server::TlsStream;
+
+use crate::request_handling::{ClientConnection, RequestHandler};
+use crate::tls::{ServerTls, TlsFiles};
+use crate::{grpc, rest};
+
+/// A client that reads nothing for this long, while something waits to be written to it, is considered gone.
+/// In microseconds.
+const WRITE_STALL_TIMEOUT: Micros = 30_000_000;
+
+/// The protocol of a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    /// HTTP/1.1 with JSON, optionally followed by raw tensors.
+    Rest,
+    Grpc,
+}
+
+/// Configuration of one listener.
+#[derive(Clone, Debug)]
+pub struct ListenerSettings {
+    pub name: String,
+    pub address: SocketAddr,
+    pub protocol: Protocol,
+    pub max_connections: usize,
+    /// Limit on concurrent requests of one connection, where the protocol has them.
+    pub max_streams: u32,
+    pub tls: Option<TlsFiles>,
+}
+
+/// A connection that fails if nothing of what waits to be written is taken for too long.
+pub struct StallGuard<S> {
+    stream: S,
+    stall_timer: Option<Timer>,
+}
+
+impl<S> StallGuard<S> {
+    pub fn new(stream: S) -> Self {
+        StallGuard { stream, stall_timer: None }
+    }
+
+    fn watch<T>(&mut self, cx: &mut Context, polled: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if polled.is_ready() {
+            self.stall_timer = None;
+            return polled;
+        }
+        let timer = self.stall_timer.get_or_insert_with(|| Timer::after(micros(WRITE_STALL_TIMEOUT)));
+        match Pin::new(timer).poll(cx) {
+            Poll::Ready(_) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for StallGuard<S> {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for StallGuard<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.watch(cx, polled)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        self.watch(cx, polled)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
+/// One listener and its open connections.
+pub struct ClientListener {
+    pub handler: Rc<RequestHandler>,
+    settings: ListenerSettings,
+    tls: Option<Rc<ServerTls>>,
+    /// Which certificate is bound to which account.
+    certificate_accounts: Rc<Speakers>,
+    /// Open connections, each with the signal that tells it to stop.
+    connections: RefCell<HashMap<u64, Bell>>,
+    /// Connections closed at once because `max_connections` was reached.
+    pub over_limit: Cell<u64>,
+    /// Connections closed for a failed handshake, or a certificate that is bound to no account.
+    pub refused_handshakes: Cell<u64>,
+}
+
+impl ClientListener {
+    pub fn new(
+        handler: Rc<RequestHandler>,
+        settings: ListenerSettings,
+        tls: Option<Rc<ServerTls>>,
+        certificate_accounts: Rc<Speakers>,
+    ) -> Self {
+        let (connections, over_limit, refused_handshakes) = (RefCell::default(), Cell::new(0), Cell::new(0));
+        ClientListener {
+            handler,
+            settings,
+            tls,
+            certificate_accounts,
+            connections,
+            over_limit,
+            refused_handshakes,
+        }
+    }
+
+    /// Tells open connections to take nothing new and to complete their open requests. Later connections are
+    /// still accepted and their requests turned away by the core: a connection closed at once would leave its
+    /// client unsure whether anything ran.
+    pub fn stop(&self) {
+        self.connections.borrow().values().for_each(Bell::ring);
+    }
+
+    /// Accepts connections until the router ends.
+    pub async fn run(self: Rc<Self>, listener: Async<TcpListener>) {
+        let context = &self.handler.context;
+        context.feed(Input::Front { front: self.handler.ix, state: FrontState::Up });
+        tracing::info!(front = %self.settings.name, address = %self.settings.address, "listening");
+        if let Some(tls) = self.tls.clone() {
+            context.executor.spawn(tls.watch(context.clock, self.settings.name.clone())).detach();
+        }
+        let mut serial = 0;
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                // Most likely out of file descriptors: wait until some are released.
+                Timer::after(micros(10_000)).await;
+                continue;
+            };
+            if self.connections.borrow().len() >= self.settings.max_connections {
+                self.over_limit.set(self.over_limit.get() + 1);
+                continue;
+            }
+            let _ = stream.get_ref().set_nodelay(true);
+            let (listening, stop) = (self.clone(), Bell::default());
+            serial += 1;
+            let guard = ConnectionGuard(self.clone(), serial);
+            self.connections.borrow_mut().insert(serial, stop.clone());
+            let task = context.executor.spawn(async move {
+                let _guard = guard;
+                let client = Rc::new(ClientConnection::default());
+                // Boxed separately, so that ten thousand idle connections do not each take the room of the
+                // largest future.
+                let Some(tls) = listening.tls.clone() else {
+                    return Box::pin(listening.serve(client, StallGuard::new(stream), stop)).await;
+                };
+                let Some(stream) = Box::pin(listening.handshake(&client, &tls, stream)).await else {
+                    return listening.refused_handshakes.set(listening.refused_handshakes.get() + 1);
+                };
+                Box::pin(listening.serve(client, StallGuard::new(stream), stop)).await;
+            });
+            task.detach();
+        }
+    }
+
+    /// Absent if the handshake failed, or if the certificate has to be bound to an account and is not.
+    async fn handshake(
+        &self,
+        client: &ClientConnection,
+        tls: &ServerTls,
+        stream: Stream,
+    ) -> Option<TlsStream<Stream>> {
+        let stream = tls.accept(stream).await.ok()?;
+        if tls.requires_client_certificate() && !self.certificate_accounts.is_empty() {
+            let (_, session) = stream.get_ref();
+            let account = self.certificate_accounts.account(session.peer_certificates()?.first()?)?;
+            client.bind_account(account);
+        }
+        Some(stream)
+    }
+
+    /// However it ends, its open requests have been dropped by then.
+    async fn serve(
+        self: Rc<Self>,
+        client: Rc<ClientConnection>,
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        stop: Bell,
+    ) {
+        match self.settings.protocol {
+            Protocol::Rest => Box::pin(rest::serve(self.handler.clone(), client, stream, stop)).await,
+            Protocol::Grpc => Box::pin(grpc::serve(self.handler.clone(), client, stream, stop)).await,
+        }
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+struct ConnectionGuard(Rc<ClientListener>, u64);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.borrow_mut().remove(&self.1);
+    }
+}
--- a/crates/gateway/src/grpc.rs
+++ b/crates/gateway/src/grpc.rs
@@ -1,5 +1,5 @@
-//! The KServe v2 front over gRPC. What a call means is in `cedarpulley_kserve::rpc` and its headers in `serving`;
-//! here are HTTP/2 streams and bounds; what it has in common with REST is in `calls.rs`.
+//! The KServe v2 front over gRPC. `cedarpulley_kserve::rpc` interprets calls and `serving` their headers;
+//! here are HTTP/2 streams and limits; what this shares with REST is in `request_handling.rs`.
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -27,29 +27,31 @@
 use prost::Message;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::calls::{
-    Calls, Line, Reply, Told, Unread, Unwhole, gather, session, to_its_end, understood, within,
+use crate::outcome_names::{fate_name, reason_name, rejection_name};
+use crate::request_handling::{
+    AnswerBody, BodyError, ClientConnection, Reply, RequestHandler, UnreadAnswer, parse_head, parse_session,
+    read_body, serve_until_closed, with_body_timeout,
 };
-use crate::words::{fate, reason, short};
 
-const MOST_HEADERS: u32 = 32 * 1024;
-/// What a peer may send of one stream, and of all its streams, before it is read: so much waits here at most for
-/// each connection, whatever is at the door.
+const MAX_HEADER_BYTES: u32 = 32 * 1024;
+/// Bytes that a peer may send on one stream, and on all its streams, before they are read. This bounds what
+/// waits for each connection, however many requests are open.
 const STREAM_WINDOW: u32 = 64 * 1024;
 const CONNECTION_WINDOW: u32 = 1024 * 1024;
-/// Of one answer, handed over and not yet taken by the peer.
-const MOST_SEND: usize = 64 * 1024;
-/// Streams reset before they were looked at, and by our own errors: beyond, the connection is closed.
-const MOST_RESETS: usize = 32;
-/// A peer that answers no ping for so long has gone; else its streams would wait for the kernel's time-outs.
-const PING_EVERY: Micros = 20_000_000;
-const PING_WITHIN: Micros = 10_000_000;
+/// Bytes of one answer handed over and not yet taken by the peer.
+const MAX_SEND_BYTES: usize = 64 * 1024;
+/// Streams reset before they were handled, or reset for our own errors; beyond, the connection is closed.
+const MAX_RESETS: usize = 32;
+/// A peer that answers no ping in time is gone; otherwise its streams would wait for the kernel's time-outs.
+/// In microseconds.
+const PING_INTERVAL: Micros = 20_000_000;
+const PING_TIMEOUT: Micros = 10_000_000;
 
-/// HTTP/2 streams run on the router's one thread.
+/// Runs HTTP/2 streams on the router's one thread.
 #[derive(Clone)]
-struct Local(Rc<LocalExecutor<'static>>);
+struct LocalTasks(Rc<LocalExecutor<'static>>);
 
-impl<F: Future + 'static> hyper::rt::Executor<F> for Local
+impl<F: Future + 'static> hyper::rt::Executor<F> for LocalTasks
 where
     F::Output: 'static,
 {
@@ -59,105 +61,109 @@
 }
 
 pub(crate) async fn serve(
-    calls: Rc<Calls>,
-    line: Rc<Line>,
+    handler: Rc<RequestHandler>,
+    client: Rc<ClientConnection>,
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     stop: Bell,
 ) {
-    let mut builder = http2::Builder::new(Local(calls.context.executor.clone()));
+    let mut builder = http2::Builder::new(LocalTasks(handler.context.executor.clone()));
     builder.timer(SmolTimer::new());
-    builder.max_concurrent_streams(calls.most_streams).max_header_list_size(MOST_HEADERS);
+    builder.max_concurrent_streams(handler.max_streams).max_header_list_size(MAX_HEADER_BYTES);
     builder.initial_stream_window_size(STREAM_WINDOW).initial_connection_window_size(CONNECTION_WINDOW);
-    builder.max_send_buf_size(MOST_SEND);
-    builder.max_pending_accept_reset_streams(MOST_RESETS).max_local_error_reset_streams(MOST_RESETS);
-    builder.keep_alive_interval(micros(PING_EVERY)).keep_alive_timeout(micros(PING_WITHIN));
+    builder.max_send_buf_size(MAX_SEND_BYTES);
+    builder.max_pending_accept_reset_streams(MAX_RESETS).max_local_error_reset_streams(MAX_RESETS);
+    builder.keep_alive_interval(micros(PING_INTERVAL)).keep_alive_timeout(micros(PING_TIMEOUT));
     let service = service_fn(|request| {
-        let handled = handle(calls.clone(), line.clone(), request);
+        let handled = handle(handler.clone(), client.clone(), request);
         async move { Ok::<_, Infallible>(handled.await) }
     });
     let connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
-    to_its_end(connection, stop, |c| c.graceful_shutdown()).await;
+    serve_until_closed(connection, stop, |c| c.graceful_shutdown()).await;
 }
 
-fn told(body: Bytes, trailers: HeaderMap, unread: Option<Unread>) -> Reply {
+fn response(body: Bytes, trailers: HeaderMap, unread: Option<UnreadAnswer>) -> Reply {
     let mut reply = if body.is_empty() {
-        // All of it in one head, as the wire has it for calls that end without a message.
-        let mut reply = Response::new(Told::new(body, None, unread));
+        // Head and trailers in one, as the protocol has it for calls that end without a message.
+        let mut reply = Response::new(AnswerBody::new(body, None, unread));
         *reply.headers_mut() = trailers;
         reply
     } else {
-        Response::new(Told::new(body, Some(trailers), unread))
+        Response::new(AnswerBody::new(body, Some(trailers), unread))
     };
     reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(rpc::CONTENT));
     reply
 }
 
-fn good(message: &impl Message) -> Reply {
-    told(rpc::frame(message), rpc::trailers(Code::Ok, "", None), None)
+fn message_response(message: &impl Message) -> Reply {
+    response(rpc::frame(message), rpc::trailers(Code::Ok, "", None), None)
 }
 
-fn wrong(code: Code, cause: &str) -> Reply {
-    told(Bytes::new(), rpc::trailers(code, cause, None), None)
+fn error_response(code: Code, cause: &str) -> Reply {
+    response(Bytes::new(), rpc::trailers(code, cause, None), None)
 }
 
-/// Ends without a message, with fate and reason beside the code.
-fn ended(code: Code, fate: &'static str, why: &'static str, come_back: Option<Micros>) -> Reply {
+/// Ends a call without a message, with fate and reason beside the code.
+fn status_response(code: Code, fate: &'static str, why: &'static str, come_back: Option<Micros>) -> Reply {
     let mut trailers = rpc::trailers(code, why, come_back);
     trailers.insert(serving::FATE, HeaderValue::from_static(fate));
     trailers.insert(serving::REASON, HeaderValue::from_static(why));
-    told(Bytes::new(), trailers, None)
+    response(Bytes::new(), trailers, None)
 }
 
-async fn handle(calls: Rc<Calls>, line: Rc<Line>, request: Request<Incoming>) -> Reply {
+async fn handle(
+    handler: Rc<RequestHandler>,
+    client: Rc<ClientConnection>,
+    request: Request<Incoming>,
+) -> Reply {
     let content = request.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or_default();
     if !content.starts_with(rpc::CONTENT) || request.method() != hyper::Method::POST {
-        let mut reply = Response::new(Told::new(Bytes::new(), None, None));
+        let mut reply = Response::new(AnswerBody::new(Bytes::new(), None, None));
         *reply.status_mut() = StatusCode::UNSUPPORTED_MEDIA_TYPE;
         return reply;
     }
     let method = match rpc::method(request.uri().path()) {
-        Some(Method::ModelInfer) => return infer(calls, line, request).await,
+        Some(Method::ModelInfer) => return infer(handler, client, request).await,
         Some(method) => method,
-        None => return wrong(Code::Unimplemented, "no such method"),
+        None => return error_response(Code::Unimplemented, "no such method"),
     };
-    // None of these bears more than a name.
-    let body = match gather(request.into_body(), Bytes::new(), u64::from(MOST_HEADERS)).await {
+    // None of these requests carries more than a name.
+    let body = match read_body(request.into_body(), Bytes::new(), u64::from(MAX_HEADER_BYTES)).await {
         Ok(body) => body,
-        Err(why) => return unwhole(why),
+        Err(why) => return body_error_response(why),
     };
     let message = match rpc::unframe(body) {
         Ok(message) => message,
-        Err(why) => return wrong(Code::InvalidArgument, why.cause()),
+        Err(why) => return error_response(Code::InvalidArgument, why.cause()),
     };
     let named = |message: Bytes| match wire::ModelReadyRequest::decode(message) {
         Ok(m) => function(&m.name, &m.version).ok_or("no model has such a name"),
         Err(_) => Err("the message cannot be read"),
     };
     match method {
-        Method::ServerLive => good(&wire::ServerLiveResponse { live: true }),
-        Method::ServerReady => good(&wire::ServerReadyResponse { ready: calls.ready() }),
-        Method::ServerMetadata => good(&wire::ServerMetadataResponse {
+        Method::ServerLive => message_response(&wire::ServerLiveResponse { live: true }),
+        Method::ServerReady => message_response(&wire::ServerReadyResponse { ready: handler.is_ready() }),
+        Method::ServerMetadata => message_response(&wire::ServerMetadataResponse {
             name: "cedarpulley".into(),
             version: env!("CARGO_PKG_VERSION").into(),
             extensions: serving::EXTENSIONS.map(str::to_owned).to_vec(),
         }),
         Method::ModelReady => match named(message) {
-            // Functions are loaded on demand: each may be asked for.
-            Ok(_) => good(&wire::ModelReadyResponse { ready: true }),
-            Err(why) => wrong(Code::InvalidArgument, why),
+            // Functions are loaded on demand: any may be asked for.
+            Ok(_) => message_response(&wire::ModelReadyResponse { ready: true }),
+            Err(why) => error_response(Code::InvalidArgument, why),
         },
-        // Its request is the same as that of readiness.
+        // Its request message is the same as that of readiness.
         Method::ModelMetadata => match named(message) {
             Ok(function) => {
                 let (name, version) = serving::model(&function);
                 let versions = if version.is_empty() { vec![] } else { vec![version.to_owned()] };
                 let name = name.to_owned();
-                good(&wire::ModelMetadataResponse { name, versions, ..Default::default() })
+                message_response(&wire::ModelMetadataResponse { name, versions, ..Default::default() })
             }
-            Err(why) => wrong(Code::InvalidArgument, why),
+            Err(why) => error_response(Code::InvalidArgument, why),
         },
         Method::RepositoryIndex => {
-            let models = (calls.hall.functions)().into_iter().map(|f| {
+            let models = (handler.resources.functions)().into_iter().map(|f| {
                 let (name, version) = serving::model(&f);
                 wire::repository_index_response::ModelIndex {
                     name: name.into(),
@@ -166,23 +172,23 @@
                     reason: String::new(),
                 }
             });
-            good(&wire::RepositoryIndexResponse { models: models.collect() })
+            message_response(&wire::RepositoryIndexResponse { models: models.collect() })
         }
-        Method::ModelInfer => wrong(Code::Internal, "not here"),
+        Method::ModelInfer => error_response(Code::Internal, "not here"),
     }
 }
 
-fn unwhole(why: Unwhole) -> Reply {
+fn body_error_response(why: BodyError) -> Reply {
     match why {
-        Unwhole::TooLarge => wrong(Code::InvalidArgument, "the message is too large"),
-        Unwhole::BrokeOff => wrong(Code::InvalidArgument, "the message broke off"),
-        Unwhole::Slow => wrong(Code::InvalidArgument, "the message was not whole in time"),
+        BodyError::TooLarge => error_response(Code::InvalidArgument, "the message is too large"),
+        BodyError::Interrupted => error_response(Code::InvalidArgument, "the message broke off"),
+        BodyError::TimedOut => error_response(Code::InvalidArgument, "the message was not whole in time"),
     }
 }
 
-/// As much as tells the message's length.
-async fn begin(body: &mut Incoming) -> Result<Bytes, Unwhole> {
-    within(async {
+/// Reads as much as contains the message's length.
+async fn read_length(body: &mut Incoming) -> Result<Bytes, BodyError> {
+    with_body_timeout(async {
         let mut first = Vec::new();
         while first.len() < rpc::FRAME {
             match body.frame().await {
@@ -191,7 +197,7 @@
                         first.extend_from_slice(&data);
                     }
                 }
-                Some(Err(_)) | None => return Err(Unwhole::BrokeOff),
+                Some(Err(_)) | None => return Err(BodyError::Interrupted),
             }
         }
         Ok(Bytes::from(first))
@@ -199,13 +205,17 @@
     .await
 }
 
-async fn infer(calls: Rc<Calls>, line: Rc<Line>, request: Request<Incoming>) -> Reply {
+async fn infer(
+    handler: Rc<RequestHandler>,
+    client: Rc<ClientConnection>,
+    request: Request<Incoming>,
+) -> Reply {
     let (head, mut body) = request.into_parts();
     let misunderstood = |cause: &str| {
-        calls.context.count_malformed();
-        wrong(Code::InvalidArgument, cause)
+        handler.context.count_malformed();
+        error_response(Code::InvalidArgument, cause)
     };
-    let mut taken = match understood(&calls, &line, &head.headers, String::new()) {
+    let mut taken = match parse_head(&handler, &client, &head.headers, String::new()) {
         Ok(taken) => taken,
         Err(e) => return misunderstood(&format!("{}: {}", e.field, e.cause)),
     };
@@ -214,28 +224,33 @@
         Ok(Some(timeout)) => taken.client_timeout = taken.client_timeout.min(timeout),
         Err(cause) => return misunderstood(&format!("{}: {cause}", rpc::TIMEOUT)),
     }
-    let began = calls.context.clock.now();
-    let first = match begin(&mut body).await {
+    let began = handler.context.clock.now();
+    let first = match read_length(&mut body).await {
         Ok(first) => first,
-        Err(why) => return unwhole(why),
+        Err(why) => return body_error_response(why),
     };
-    let told_length = u32::from_be_bytes([first[1], first[2], first[3], first[4]]);
-    let promised = rpc::FRAME as u64 + u64::from(told_length);
-    if promised > calls.most_body {
-        return misunderstood(&format!("larger than {} bytes", calls.most_body));
+    let message_length = u32::from_be_bytes([first[1], first[2], first[3], first[4]]);
+    let announced_bytes = rpc::FRAME as u64 + u64::from(message_length);
+    if announced_bytes > handler.max_body_bytes {
+        return misunderstood(&format!("larger than {} bytes", handler.max_body_bytes));
     }
-    taken.waited += calls.context.clock.now() - began;
-    // Turned away before it is taken: nothing is owed but this, and nothing of it has run.
-    let open = match calls.knock(&line, &taken, promised) {
+    taken.waited += handler.context.clock.now() - began;
+    // Turned away before it is taken: no other answer is owed, and nothing of it has run.
+    let open = match handler.admit(&client, &taken, announced_bytes) {
         Ok(open) => open,
         Err(Entry::TurnedAway { why, come_back }) => {
-            return ended(Code::ResourceExhausted, "throttled", short(why), Some(come_back));
+            return status_response(
+                Code::ResourceExhausted,
+                "throttled",
+                rejection_name(why),
+                Some(come_back),
+            );
         }
-        Err(Entry::Enter) => return wrong(Code::Internal, "no entry was found"),
+        Err(Entry::Enter) => return error_response(Code::Internal, "no entry was found"),
     };
-    let body = match gather(body, first, promised).await {
+    let body = match read_body(body, first, announced_bytes).await {
         Ok(body) => body,
-        Err(why) => return unwhole(why),
+        Err(why) => return body_error_response(why),
     };
     let message = match rpc::unframe(body) {
         Ok(message) => message,
@@ -253,36 +268,36 @@
     };
     taken.function = Arc::from(function);
     taken.body = Payload { bytes: rest.bytes, first: rest.json };
-    taken.session = match session(&calls, &taken.body) {
+    taken.session = match parse_session(&handler, &taken.body) {
         Ok(session) => session,
         Err(why) => return misunderstood(&why.to_string()),
     };
     match open.answer(taken).await {
-        Some((answer, unread)) => answer_of(answer, unread),
-        None => wrong(Code::Internal, "no answer was found"),
+        Some((answer, unread)) => answer_response(answer, unread),
+        None => error_response(Code::Internal, "no answer was found"),
     }
 }
 
-fn answer_of(answer: Answer, unread: Unread) -> Reply {
-    let why = reason(answer.reason);
+fn answer_response(answer: Answer, unread: UnreadAnswer) -> Reply {
+    let why = reason_name(answer.reason);
     match answer.fate {
         Fate::Succeeded => {
             let rest = tensors::Rest { bytes: answer.body.bytes, json: answer.body.first };
             match tensors::response(&rest) {
                 Ok(message) => {
                     let mut trailers = rpc::trailers(Code::Ok, "", None);
-                    trailers.insert(serving::FATE, HeaderValue::from_static(fate(answer.fate)));
+                    trailers.insert(serving::FATE, HeaderValue::from_static(fate_name(answer.fate)));
                     trailers.insert(serving::REASON, HeaderValue::from_static(why));
-                    told(rpc::frame(&message), trailers, Some(unread))
+                    response(rpc::frame(&message), trailers, Some(unread))
                 }
-                // It has run; what came of it has no form here.
-                Err(cause) => wrong(Code::Unknown, &format!("the worker's answer: {cause}")),
+                // It has run, but its result cannot be expressed here.
+                Err(cause) => error_response(Code::Unknown, &format!("the worker's answer: {cause}")),
             }
         }
-        Fate::Throttled => ended(Code::ResourceExhausted, "throttled", why, answer.return_after),
+        Fate::Throttled => status_response(Code::ResourceExhausted, "throttled", why, answer.return_after),
         Fate::Errored if answer.reason == Reason::Overdue => {
-            ended(Code::DeadlineExceeded, "errored", why, None)
+            status_response(Code::DeadlineExceeded, "errored", why, None)
         }
-        Fate::Errored => ended(Code::Unknown, "errored", why, None),
+        Fate::Errored => status_response(Code::Unknown, "errored", why, None),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,34 +3,38 @@
 //! are carried out in order.
 //!
 //! Begin reading at [`serve`], the only module that knows all others. Then: [`context`] (what every part may
-//! use), [`front`] (AMQP), [`listen`] with [`rest`] and [`grpc`] (KServe v2), [`pool`] (connections to
-//! workers), [`list`] (the worker list), [`peer_group`] with [`peers`], [`peer_transport`] and [`peer_store`]
-//! (the state that routers of a group share), and [`shared_state`], the interface of that state for the other
-//! parts. No module depends on one that stands above it in this order of construction.
+//! use), [`amqp_front`] (AMQP), [`client_listener`] with [`rest`] and [`grpc`] (KServe v2), [`pool`]
+//! (connections to workers), [`worker_list`], [`admission`] (sessions and versions, before the core),
+//! [`peer_group`] with [`peers`], [`peer_transport`] and [`peer_store`] (the state that routers of a group
+//! share), and [`shared_state`], the interface of that state for the other parts. No module depends on one
+//! that stands above it.
+//!
+//! A *front* is a way in for requests: a queue consumed over AMQP, or a listener for KServe clients. The
+//! *core* is the router's state machine; the decision module it drives is called *the module*.
 
-pub mod calls;
+pub mod admission;
+pub mod amqp_front;
+pub mod client_listener;
+pub mod config_reader;
 pub mod context;
-pub mod front;
-pub mod gate;
+pub mod fault_injection;
 pub mod grpc;
-pub mod list;
-pub mod listen;
-pub mod meddle;
 pub mod metering;
+pub mod outcome_names;
 pub mod peer_group;
 pub mod peer_store;
 pub mod peer_transport;
 pub mod peers;
 pub mod pool;
-pub mod reconciling;
-pub mod recorder;
+pub mod reconciliation;
+pub mod request_handling;
 pub mod rest;
 pub mod serve;
 pub mod settings;
 pub mod shared_state;
-pub mod sheet;
 pub mod state_endpoint;
 pub mod tls;
+pub mod trace_recorder;
 pub mod unknown_members;
-pub mod upgrading;
-pub mod words;
+pub mod upgrades;
+pub mod worker_list;
--- a/crates/gateway/src/metering.rs
+++ b/crates/gateway/src/metering.rs
@@ -1,5 +1,5 @@
-//! Meters a router: hands what was used to the accounting, and its sums to the ledger's thread, which alone waits for
-//! the disk. What is on its way or could not be written stays here, and nothing here waits.
+//! Metering of a router: hands usage to the accounting, and its sums to the ledger's thread, the only one
+//! that waits for the disk. What is in flight or could not be written stays here, and nothing here waits.
 
 use std::cell::RefCell;
 use std::path::PathBuf;
@@ -15,36 +15,36 @@
 use cedarpulley_router::entry::Short;
 use cedarpulley_router::watch::{By, Given, Names, Used, Watch};
 
-/// On stopping, the ledger has so long; it is looked at this often.
-const CLOSE_WITHIN: Duration = Duration::from_secs(5);
-const CLOSE_LOOK: Duration = Duration::from_millis(5);
-const UNKNOWN: &str = "(unknown)";
+/// On shutdown the ledger has this long, and is polled this often.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+const UNKNOWN_ACCOUNT: &str = "(unknown)";
 
 struct Inner {
     meter: Meter,
     writing: Writing,
     accounts: Vec<String>,
     wall_at_zero: Micros,
-    /// One writing is on its way at most.
+    /// At most one write is in flight.
     parts: Option<SyncSender<Part>>,
-    out: bool,
+    in_flight: bool,
     done: Receiver<Result<(), (Part, String)>>,
     thread: Option<JoinHandle<()>>,
 }
 
-/// Cheap to clone; one is the core's, one is kept to close it.
+/// Cheap to clone: one is registered with the core, one is kept for closing.
 #[derive(Clone)]
 pub struct Metering(Rc<RefCell<Inner>>);
 
-/// Writes each part that comes; one that is not taken goes back.
-fn write(
+/// Writes each part that comes; one that could not be written is returned.
+fn write_loop(
     file: PathBuf,
     router: String,
     source: Source,
     parts: Receiver<Part>,
     done: SyncSender<Result<(), (Part, String)>>,
 ) {
-    let (mut ledger, mut aside) = (None, Writing::default());
+    let (mut ledger, mut quarantine) = (None, Writing::default());
     for part in parts {
         let opened = match ledger.take() {
             Some(open) => Ok(open),
@@ -52,13 +52,13 @@
         };
         let added = opened.and_then(|open| {
             let added = open.add(source, &router, &part);
-            // Opened anew after a failure: what it has in memory may not be what is on the disk.
+            // Reopened after a failure: its memory may differ from what is on disk.
             ledger = added.is_ok().then_some(open);
             added
         });
         let told = added.map(|_| ()).map_err(|failed| {
             if let Failed::Unreadable(_) = &failed
-                && aside.sets_aside()
+                && quarantine.sets_aside()
             {
                 let other = file.with_extension(format!("unreadable-{:032x}", source));
                 if std::fs::rename(&file, &other).is_ok() {
@@ -74,7 +74,8 @@
 }
 
 impl Metering {
-    /// `source`: drawn at random, this life's own.
+    /// `source`: random, unique to this process; `wall_at_zero`: wall time at the clock's zero, in
+    /// microseconds. Fails if the folder cannot be created or the thread cannot start.
     pub fn begin(
         folder: PathBuf,
         name: &str,
@@ -90,51 +91,51 @@
         let router = name.to_owned();
         let thread = std::thread::Builder::new()
             .name("ledger".into())
-            .spawn(move || write(file, router, source, received, told))?;
+            .spawn(move || write_loop(file, router, source, received, told))?;
         Ok(Metering(Rc::new(RefCell::new(Inner {
             meter: Meter::default(),
             writing: Writing::default(),
             accounts,
             wall_at_zero,
             parts: Some(parts),
-            out: false,
+            in_flight: false,
             done,
             thread: Some(thread),
         }))))
     }
 
-    /// Hands on what there is, if it is due.
-    pub fn look(&self, now: Micros) {
-        let mut it = self.0.borrow_mut();
-        it.heard(now);
-        if it.writing.is_due(now) {
-            it.send();
+    /// Hands over what there is, if a write is due.
+    pub fn flush_due(&self, now: Micros) {
+        let mut inner = self.0.borrow_mut();
+        inner.collect_result(now);
+        if inner.writing.is_due(now) {
+            inner.send();
         }
     }
 
-    /// Writes what there is; false if it was not all written in time.
+    /// Writes what is left; false if not everything was written in time.
     pub fn close(&self, now: Micros) -> bool {
-        let mut it = self.0.borrow_mut();
-        let (until, failures) = (Instant::now() + CLOSE_WITHIN, it.writing.failures);
+        let mut inner = self.0.borrow_mut();
+        let (deadline, failures) = (Instant::now() + CLOSE_TIMEOUT, inner.writing.failures);
         loop {
-            it.heard(now);
-            if !it.out && !it.send() {
+            inner.collect_result(now);
+            if !inner.in_flight && !inner.send() {
                 break;
             }
-            if Instant::now() >= until || it.writing.failures > failures {
+            if Instant::now() >= deadline || inner.writing.failures > failures {
                 return false;
             }
-            std::thread::sleep(CLOSE_LOOK);
+            std::thread::sleep(CLOSE_POLL_INTERVAL);
         }
-        it.parts = None;
-        it.thread.take().is_none_or(|t| t.join().is_ok())
+        inner.parts = None;
+        inner.thread.take().is_none_or(|t| t.join().is_ok())
     }
 }
 
 impl Inner {
-    fn heard(&mut self, now: Micros) {
+    fn collect_result(&mut self, now: Micros) {
         let Ok(done) = self.done.try_recv() else { return };
-        self.out = false;
+        self.in_flight = false;
         match done {
             Ok(()) => self.writing.wrote(now),
             Err((part, why)) => {
@@ -148,13 +149,13 @@
 
     /// False if there is nothing to send.
     fn send(&mut self) -> bool {
-        if self.out {
+        if self.in_flight {
             return true;
         }
         let part = self.meter.take();
         let Some(parts) = self.parts.as_ref().filter(|_| !part.is_empty()) else { return false };
         match parts.try_send(part) {
-            Ok(()) => self.out = true,
+            Ok(()) => self.in_flight = true,
             Err(e) => {
                 let (std::sync::mpsc::TrySendError::Full(part)
                 | std::sync::mpsc::TrySendError::Disconnected(part)) = e;
@@ -175,15 +176,15 @@
     fn turned_away(&mut self, _: Micros, _: FrontIx, _: u32, _: u32, _: Short) {}
 
     fn used(&mut self, now: Micros, u: Used) {
-        let mut it = self.0.borrow_mut();
-        let wall = it.wall_at_zero + now;
-        let account = it.accounts.get(u.account as usize).cloned();
-        let account = account.as_deref().unwrap_or(UNKNOWN);
+        let mut inner = self.0.borrow_mut();
+        let wall = inner.wall_at_zero + now;
+        let account = inner.accounts.get(u.account as usize).cloned();
+        let account = account.as_deref().unwrap_or(UNKNOWN_ACCOUNT);
         let Used { worker, function, took, lanes, held, .. } = u;
         let copy_bytes = (u.copy_mb.max(0.0) * 1e6) as u64;
         match u.by {
             By::Dispatch(outcome, note) => {
-                it.meter.ended(Ended {
+                inner.meter.ended(Ended {
                     wall,
                     worker,
                     account,
@@ -198,7 +199,7 @@
             }
             By::Order(result) => {
                 let never_began = matches!(result, OrderResult::Unreachable | OrderResult::NoRoom);
-                it.meter.loaded(Load {
+                inner.meter.loaded(Load {
                     wall,
                     worker,
                     account,
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/outcome_names.rs
@@ -1,9 +1,9 @@
-//! The words by which every front tells what became of a request.
+//! The names by which all fronts report the outcome of a request. They are part of the public interface.
 
 use cedarpulley_router::entry::Short;
 use cedarpulley_router::{Fate, Reason};
 
-pub(crate) fn fate(fate: Fate) -> &'static str {
+pub(crate) fn fate_name(fate: Fate) -> &'static str {
     match fate {
         Fate::Succeeded => "succeeded",
         Fate::Throttled => "throttled",
@@ -11,7 +11,7 @@
     }
 }
 
-pub(crate) fn reason(reason: Reason) -> &'static str {
+pub(crate) fn reason_name(reason: Reason) -> &'static str {
     match reason {
         Reason::Worker => "worker",
         Reason::GivenUp => "given-up",
@@ -27,8 +27,8 @@
     }
 }
 
-/// The word for why a request was not let in.
-pub(crate) fn short(why: Short) -> &'static str {
+/// Why a request was turned away before it was taken.
+pub(crate) fn rejection_name(why: Short) -> &'static str {
     match why {
         Short::Stopping => "stopping",
         Short::Memory => "no-memory",
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,6 @@
-//! Connections to workers. One request at a time on each; calling one back closes its connection. Every ending is
-//! read by the table in `cedarpulley_kserve::endings`; the proof that nothing left is the count of bytes that the
-//! kernel took.
+//! Connections to workers, with one request at a time on each; cancelling a request closes its connection.
+//! Each ending is interpreted by the table in `cedarpulley_kserve::endings`; the number of bytes accepted by
+//! the kernel proves whether anything was sent.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -23,36 +23,36 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use smol_hyper::rt::FuturesIo;
 
-/// Heads of answers: beyond, a worker sends headers without end.
-const MOST_HEAD: usize = 64 * 1024;
-const MOST_HEADERS: usize = 100;
-/// Orders to load and questions beside the invocations at one worker.
-const MOST_ORDERS: usize = 32;
+/// Limits on the head of an answer: beyond, a worker sends headers without end.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEADERS: usize = 100;
+/// Concurrent load orders and queries at one worker, beside the invocations.
+const MAX_ORDERS: usize = 32;
 
-/// How connections to workers are kept.
+/// Configuration of the connections; times in microseconds.
 #[derive(Clone, Copy, Debug)]
-pub struct Links {
-    /// Own address to connect from.
-    pub from: Option<IpAddr>,
-    pub connect_within: Micros,
-    pub most_connections: usize,
-    pub idle_kept: Micros,
-    pub most_answer: usize,
+pub struct PoolSettings {
+    /// Local address that connections are bound to.
+    pub local_address: Option<IpAddr>,
+    pub connect_timeout: Micros,
+    pub max_connections: usize,
+    pub idle_timeout: Micros,
+    pub max_answer_bytes: usize,
 }
 
-/// Counts what the kernel took of our bytes.
-struct Counted {
+/// Counts the bytes that the kernel accepted.
+struct CountingStream {
     stream: Stream,
     written: Rc<Cell<u64>>,
 }
 
-impl AsyncRead for Counted {
+impl AsyncRead for CountingStream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
-impl AsyncWrite for Counted {
+impl AsyncWrite for CountingStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(n)) = polled {
@@ -70,204 +70,211 @@
     }
 }
 
-/// Dropped, it closes: its driver goes with it, and the socket with the driver.
+/// Dropping it drops the driver, which closes the socket.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     _driver: Task<()>,
     written: Rc<Cell<u64>>,
 }
 
+/// The connections to one worker: idle ones with the time since when, and the slots in use.
 #[derive(Default)]
-struct Link {
+struct WorkerConnections {
     idle: Vec<(Connection, Micros)>,
-    used: usize,
+    requests: usize,
     orders: usize,
 }
 
-/// A whole answer.
+/// A complete answer.
 pub struct Reply {
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
 }
 
-pub enum Failed {
+/// Why there is no complete answer. `sent`: at least one byte of the request has left.
+pub enum ExchangeError {
     NoConnection,
     NoRoom,
-    /// At the last look before its first byte it could not leave any more.
+    /// The last check before the first byte found that it may no longer be sent.
     HeldBack,
-    Broke {
-        left: bool,
+    Interrupted {
+        sent: bool,
     },
     Garbled,
     TooLarge,
 }
 
-/// What the ending table is asked about an exchange for this function.
-pub fn ended<'a>(result: &'a Result<Reply, Failed>, function: &'a str) -> Ended<'a> {
+/// The input of the ending table for an exchange about this function.
+pub fn ending_of<'a>(result: &'a Result<Reply, ExchangeError>, function: &'a str) -> Ended<'a> {
     match result {
         Ok(r) => Ended::Answered { status: r.status, headers: &r.headers, body: &r.body, function },
-        Err(Failed::NoConnection) => Ended::NoConnection,
-        Err(Failed::NoRoom) => Ended::NoRoom,
-        Err(Failed::HeldBack) => Ended::Broke { left: false },
-        Err(Failed::Broke { left }) => Ended::Broke { left: *left },
-        Err(Failed::Garbled) => Ended::Garbled,
-        Err(Failed::TooLarge) => Ended::TooLarge,
+        Err(ExchangeError::NoConnection) => Ended::NoConnection,
+        Err(ExchangeError::NoRoom) => Ended::NoRoom,
+        Err(ExchangeError::HeldBack) => Ended::Broke { left: false },
+        Err(ExchangeError::Interrupted { sent }) => Ended::Broke { left: *sent },
+        Err(ExchangeError::Garbled) => Ended::Garbled,
+        Err(ExchangeError::TooLarge) => Ended::TooLarge,
     }
 }
 
+/// Connections to all workers, and the tasks of open dispatches.
 pub struct Pool {
     executor: Rc<LocalExecutor<'static>>,
     clock: Clock,
-    links: Links,
-    /// By address: the index of a gone worker is given out again.
-    workers: RefCell<HashMap<SocketAddr, Link>>,
-    out: RefCell<HashMap<Ticket, Task<()>>>,
+    settings: PoolSettings,
+    /// By address, as the index of a departed worker is reused.
+    workers: RefCell<HashMap<SocketAddr, WorkerConnections>>,
+    dispatches: RefCell<HashMap<Ticket, Task<()>>>,
 }
 
-/// A place at a worker, given back however the exchange ends.
-struct Place<'a> {
+/// A slot for one request at a worker, released however the exchange ends.
+struct RequestSlot<'a> {
     pool: &'a Pool,
     worker: SocketAddr,
-    order: bool,
+    is_order: bool,
 }
 
-impl<'a> Place<'a> {
-    fn take(pool: &'a Pool, worker: SocketAddr, order: bool) -> Option<Self> {
+impl<'a> RequestSlot<'a> {
+    fn acquire(pool: &'a Pool, worker: SocketAddr, is_order: bool) -> Option<Self> {
         let mut workers = pool.workers.borrow_mut();
-        let link = workers.entry(worker).or_default();
-        let (count, most) = match order {
-            true => (&mut link.orders, MOST_ORDERS),
-            false => (&mut link.used, pool.links.most_connections),
+        let connections = workers.entry(worker).or_default();
+        let (count, most) = match is_order {
+            true => (&mut connections.orders, MAX_ORDERS),
+            false => (&mut connections.requests, pool.settings.max_connections),
         };
         if *count >= most {
             return None;
         }
         *count += 1;
-        Some(Place { pool, worker, order })
+        Some(RequestSlot { pool, worker, is_order })
     }
 }
 
-impl Drop for Place<'_> {
+impl Drop for RequestSlot<'_> {
     fn drop(&mut self) {
-        if let Some(link) = self.pool.workers.borrow_mut().get_mut(&self.worker) {
-            let count = if self.order { &mut link.orders } else { &mut link.used };
+        if let Some(connections) = self.pool.workers.borrow_mut().get_mut(&self.worker) {
+            let count = if self.is_order { &mut connections.orders } else { &mut connections.requests };
             *count = count.saturating_sub(1);
         }
     }
 }
 
 impl Pool {
-    pub fn new(executor: Rc<LocalExecutor<'static>>, clock: Clock, links: Links) -> Self {
-        Pool { executor, clock, links, workers: RefCell::default(), out: RefCell::default() }
+    /// A pool without connections.
+    pub fn new(executor: Rc<LocalExecutor<'static>>, clock: Clock, settings: PoolSettings) -> Self {
+        Pool { executor, clock, settings, workers: RefCell::default(), dispatches: RefCell::default() }
     }
 
-    /// Keeps the task of a dispatch, so that it can be called back.
-    pub fn keep(&self, ticket: Ticket, task: Task<()>) {
-        self.out.borrow_mut().insert(ticket, task);
+    /// Keeps the task of a dispatch, so that it can be cancelled.
+    pub fn track(&self, ticket: Ticket, task: Task<()>) {
+        self.dispatches.borrow_mut().insert(ticket, task);
     }
 
     /// The dispatch's task is about to end by itself.
     pub fn finished(&self, ticket: Ticket) {
-        if let Some(task) = self.out.borrow_mut().remove(&ticket) {
+        if let Some(task) = self.dispatches.borrow_mut().remove(&ticket) {
             task.detach();
         }
     }
 
-    /// Calls a dispatch back: its connection closes.
-    pub fn withdraw(&self, ticket: Ticket) {
-        // Taken out before it is dropped: dropping it gives its place back.
-        let task = self.out.borrow_mut().remove(&ticket);
+    /// Cancels a dispatch: its connection closes.
+    pub fn cancel(&self, ticket: Ticket) {
+        // Removed before it is dropped, as dropping it releases its slot and borrows the map of workers.
+        let task = self.dispatches.borrow_mut().remove(&ticket);
         drop(task);
     }
 
     /// Closes connections that have been idle for too long.
-    pub fn tidy(&self) {
-        let old = self.clock.now() - self.links.idle_kept;
+    pub fn close_idle(&self) {
+        let idle_since = self.clock.now() - self.settings.idle_timeout;
         let mut closed = Vec::new();
-        for link in self.workers.borrow_mut().values_mut() {
-            closed.extend(link.idle.extract_if(.., |(c, since)| *since < old || c.sender.is_closed()));
+        for connections in self.workers.borrow_mut().values_mut() {
+            closed.extend(
+                connections.idle.extract_if(.., |(c, since)| *since < idle_since || c.sender.is_closed()),
+            );
         }
         drop(closed);
-        let used = |l: &Link| !l.idle.is_empty() || l.used > 0 || l.orders > 0;
-        self.workers.borrow_mut().retain(|_, link| used(link));
+        let in_use = |l: &WorkerConnections| !l.idle.is_empty() || l.requests > 0 || l.orders > 0;
+        self.workers.borrow_mut().retain(|_, connections| in_use(connections));
     }
 
     async fn open(&self, address: SocketAddr) -> Option<Connection> {
-        let stream = connect(address, self.links.from, self.links.connect_within).await.ok()?;
+        let stream =
+            connect(address, self.settings.local_address, self.settings.connect_timeout).await.ok()?;
         let written = Rc::new(Cell::new(0));
-        let io = FuturesIo::new(Counted { stream, written: written.clone() });
+        let io = FuturesIo::new(CountingStream { stream, written: written.clone() });
         let mut builder = Builder::new();
-        builder.max_buf_size(MOST_HEAD).max_headers(MOST_HEADERS);
+        builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
         let (sender, connection) = builder.handshake(io).await.ok()?;
         let _driver = self.executor.spawn(async move {
-            // How it ended is told to whoever waits on the sender.
+            // A failure is reported to whoever waits on the sender.
             let _ = connection.await;
         });
         Some(Connection { sender, _driver, written })
     }
 
-    /// One request and its whole answer. `leaves` is asked last, right before its first byte: connecting takes time, and a
-    /// process may have been stopped meanwhile.
+    /// Sends one request and reads its whole answer. `may_send` is asked last, right before the first byte:
+    /// connecting takes time, and the process may have been suspended meanwhile.
     pub async fn exchange(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
-        order: bool,
-        leaves: impl Fn() -> bool,
-    ) -> Result<Reply, Failed> {
-        let _place = Place::take(self, address, order).ok_or(Failed::NoRoom)?;
-        let mut connection = match self.idle(address) {
+        is_order: bool,
+        may_send: impl Fn() -> bool,
+    ) -> Result<Reply, ExchangeError> {
+        let _slot = RequestSlot::acquire(self, address, is_order).ok_or(ExchangeError::NoRoom)?;
+        let mut connection = match self.take_idle(address) {
             Some(connection) => connection,
-            None => self.open(address).await.ok_or(Failed::NoConnection)?,
+            None => self.open(address).await.ok_or(ExchangeError::NoConnection)?,
         };
-        if !leaves() {
-            return Err(Failed::HeldBack);
+        if !may_send() {
+            return Err(ExchangeError::HeldBack);
         }
         let before = connection.written.get();
         let answer = connection.sender.send_request(request.map(Full::new)).await;
         let answer = answer.map_err(|e| {
             if connection.written.get() == before {
-                Failed::Broke { left: false }
+                ExchangeError::Interrupted { sent: false }
             } else if e.is_parse() {
-                Failed::Garbled
+                ExchangeError::Garbled
             } else {
-                Failed::Broke { left: true }
+                ExchangeError::Interrupted { sent: true }
             }
         })?;
         let (head, mut body) = answer.into_parts();
-        let most = self.links.most_answer;
-        if body.size_hint().lower() > most as u64 {
-            return Err(Failed::TooLarge);
+        let max_bytes = self.settings.max_answer_bytes;
+        if body.size_hint().lower() > max_bytes as u64 {
+            return Err(ExchangeError::TooLarge);
         }
-        let mut whole: Vec<Bytes> = Vec::new();
+        let mut chunks: Vec<Bytes> = Vec::new();
         let mut size = 0;
         while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return Err(Failed::Garbled) };
+            let Ok(frame) = frame else { return Err(ExchangeError::Garbled) };
             if let Ok(data) = frame.into_data() {
                 size += data.len();
-                if size > most {
-                    return Err(Failed::TooLarge);
+                if size > max_bytes {
+                    return Err(ExchangeError::TooLarge);
                 }
-                whole.push(data);
+                chunks.push(data);
             }
         }
-        let body = if whole.len() == 1 { whole.swap_remove(0) } else { Bytes::from(whole.concat()) };
+        let body = if chunks.len() == 1 { chunks.swap_remove(0) } else { Bytes::from(chunks.concat()) };
         if connection.sender.ready().await.is_ok()
-            && let Some(link) = self.workers.borrow_mut().get_mut(&address)
+            && let Some(connections) = self.workers.borrow_mut().get_mut(&address)
         {
-            link.idle.push((connection, self.clock.now()));
+            connections.idle.push((connection, self.clock.now()));
         }
         Ok(Reply { status: head.status, headers: head.headers, body })
     }
 
-    /// The connection used last, as it is the least likely to be closed by now.
-    fn idle(&self, worker: SocketAddr) -> Option<Connection> {
+    /// The connection used last, as it is the least likely to have been closed.
+    fn take_idle(&self, worker: SocketAddr) -> Option<Connection> {
         let mut closed = Vec::new();
         let mut workers = self.workers.borrow_mut();
-        let link = workers.get_mut(&worker)?;
+        let connections = workers.get_mut(&worker)?;
         let found = loop {
-            match link.idle.pop() {
+            match connections.idle.pop() {
                 Some((connection, _)) if connection.sender.is_ready() => break Some(connection),
                 Some((connection, _)) => closed.push(connection),
                 None => break None,
@@ -277,17 +284,17 @@
         found
     }
 
-    /// An order, given up after this time.
+    /// A load order or query, given up after `within` microseconds.
     pub async fn order(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
         within: Micros,
-    ) -> Result<Reply, Failed> {
-        let late = async {
+    ) -> Result<Reply, ExchangeError> {
+        let timeout = async {
             async_io::Timer::after(micros(within)).await;
-            Err(Failed::Broke { left: true })
+            Err(ExchangeError::Interrupted { sent: true })
         };
-        self.exchange(address, request, true, || true).or(late).await
+        self.exchange(address, request, true, || true).or(timeout).await
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -20,66 +20,70 @@
 use futures_lite::StreamExt;
 use thiserror::Error;
 
-use crate::calls::{Calls, Hall};
+use crate::admission::Admission;
+use crate::amqp_front::{AmqpFront, AnswerTimes};
+use crate::client_listener::{ClientListener, ListenerSettings};
 use crate::context::GatewayContext;
-use crate::front::{Front, Times};
-use crate::gate::Gate;
-use crate::list;
-use crate::listen::{Listen, Listening};
-use crate::meddle::{Meddle, Meddler};
+use crate::fault_injection::{FaultInjector, InjectedFault};
 use crate::metering::Metering;
 use crate::peer_group::{PeerGroup, PeerGroupError, PeerGroupResources};
-use crate::pool::{Failed, Pool, ended};
-use crate::reconciling::Reconciling;
-use crate::recorder::Recorder;
-use crate::settings::{Parts, WorkerList};
-use crate::tls::Inward;
-use crate::upgrading::Upgrading;
+use crate::pool::{ExchangeError, Pool, ending_of};
+use crate::reconciliation::Reconciliation;
+use crate::request_handling::{HandlerResources, RequestHandler};
+use crate::settings::{RouterSettings, WorkerList};
+use crate::tls::ServerTls;
+use crate::trace_recorder::TraceRecorder;
+use crate::upgrades::Upgrades;
+use crate::worker_list;
 
-/// How often connections that have been idle too long are looked for.
-const TIDY: Duration = Duration::from_secs(5);
-/// A quiet router's last block is closed too, or a kill would lose what is minutes old; likewise the ledger.
-const LOOK: Duration = Duration::from_secs(1);
-/// On stopping: what was taken has this long beyond the longest client timeout.
+/// How often idle connections are checked.
+const CLOSE_IDLE_INTERVAL: Duration = Duration::from_secs(5);
+/// How often blocks and sums that are old are written, though nothing more comes: otherwise a kill would lose
+/// what is minutes old.
+const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
+/// On shutdown: how long open requests have beyond the longest client timeout, in microseconds.
 const STOP_MARGIN: Micros = 2_000_000;
-/// A stopping router looks this often whether all is answered.
-const STOP_LOOK: Duration = Duration::from_millis(10);
+/// How often a router that shuts down checks whether everything is answered.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// All parts of a running router.
 struct Gateway {
     context: Rc<GatewayContext>,
     router: Rc<RefCell<Router>>,
-    meddler: Rc<Meddler>,
-    times: Rc<Times>,
-    recorder: Option<Recorder>,
+    fault_injector: Rc<FaultInjector>,
+    times: Rc<AnswerTimes>,
+    trace_recorder: Option<TraceRecorder>,
     metering: Option<Metering>,
-    fronts: Vec<Rc<Front>>,
-    /// Their indices follow those of `fronts`.
-    listenings: Vec<Rc<Listening>>,
+    fronts: Vec<Rc<AmqpFront>>,
+    /// Their front indices follow those of `fronts`.
+    client_listeners: Vec<Rc<ClientListener>>,
     pool: Rc<Pool>,
     peer_group: Option<PeerGroup>,
-    upgrading: Option<Rc<Upgrading>>,
-    gate: Option<Rc<Gate>>,
-    reconciling: Option<Rc<Reconciling>>,
+    upgrades: Option<Rc<Upgrades>>,
+    admission: Option<Rc<Admission>>,
+    reconciliation: Option<Rc<Reconciliation>>,
     alarm: Alarm,
 }
 
-/// What plans answer for, and which of these functions are of a version that a plan has taken out of service. While one
-/// is under way it alone decides: where it is over here, copies elsewhere may still be what its floor rests on.
-fn claims(upgrading: &Upgrading, functions: &[Arc<str>]) -> Claims {
-    let over = |f: &&Arc<str>| {
+/// What upgrade plans claim, and which of these functions are of a version that a plan has retired. While a
+/// plan is in progress it alone decides: a version retired here may still be needed elsewhere to keep the
+/// plan's minimum of copies.
+fn claims(upgrades: &Upgrades, functions: &[Arc<str>]) -> Claims {
+    let retired = |f: &&Arc<str>| {
         let (model, version) = serving::model(f);
-        upgrading.over(model, version) && !upgrading.tends(f)
+        upgrades.is_retired(model, version) && !upgrades.manages(f)
     };
-    let claims = upgrading.claims();
+    let claims = upgrades.claims();
     Claims {
         terms: claims.iter().filter_map(|c| c.term.clone()).collect(),
-        retired: functions.iter().filter(over).cloned().collect(),
+        retired: functions.iter().filter(retired).cloned().collect(),
         functions: claims.into_iter().map(|c| c.function).collect(),
     }
 }
 
-/// What a worker said last, for whoever plans; where it stands and what its copies are like is not known here.
-fn holds(worker: &Arc<str>, seen_at: Micros, memory_mb: f64, said: &Observation) -> WorkerSeen {
+/// A worker's last report in the planner's form; the worker's region and state and the copies' sizes are not
+/// known here.
+fn to_worker_seen(worker: &Arc<str>, seen_at: Micros, memory_mb: f64, said: &Observation) -> WorkerSeen {
     let held = |e: &Entry| Held {
         function: e.function.clone(),
         copies: e.copies,
@@ -101,26 +105,26 @@
 }
 
 fn address(router: &RefCell<Router>, worker: WorkerIx) -> Option<SocketAddr> {
-    // Not kept by index: that of a gone worker is given out again.
+    // Not cached by index, as the index of a departed worker is reused.
     router.borrow().worker_name(worker)?.parse().ok()
 }
 
 impl Gateway {
-    /// Hands the core what happened and carries out what it wants.
+    /// Hands an event to the core, through the admission if there is one, and carries out the outputs.
     fn feed(self: &Rc<Self>, input: Input) {
-        let input = match &self.gate {
+        let input = match &self.admission {
             None => input,
-            Some(gate) => match gate.passes(input) {
+            Some(admission) => match admission.filter(input) {
                 Some(input) => input,
                 None => return,
             },
         };
-        self.past_the_gate(input);
+        self.feed_core(input);
     }
 
-    fn past_the_gate(self: &Rc<Self>, input: Input) {
+    fn feed_core(self: &Rc<Self>, input: Input) {
         let mut outputs = Vec::new();
-        let listed = match (&self.reconciling, &input) {
+        let listed = match (&self.reconciliation, &input) {
             (Some(_), Input::List { mode, workers }) => Some((*mode, workers.clone())),
             _ => None,
         };
@@ -133,31 +137,33 @@
         for output in outputs {
             self.carry_out(output);
         }
-        if let Some(gate) = &self.gate {
-            gate.settle();
+        if let Some(admission) = &self.admission {
+            admission.process_completed();
         }
-        if let (Some(reconciling), Some((mode, workers))) = (&self.reconciling, listed) {
-            reconciling.listed(mode, &workers);
+        if let (Some(reconciliation), Some((mode, workers))) = (&self.reconciliation, listed) {
+            reconciliation.list_applied(mode, &workers);
         }
     }
 
     fn carry_out(self: &Rc<Self>, output: Output) {
-        self.meddler.see(&output);
+        self.fault_injector.observe(&output);
         match output {
             Output::Answer { delivery, answer } => {
                 tracing::debug!(fate = ?answer.fate, reason = ?answer.reason, "answered");
                 match self.fronts.get(delivery.front as usize) {
-                    Some(front) => self.meddler.answer(front, delivery, answer),
+                    Some(front) => self.fault_injector.answer(front, delivery, answer),
                     None => {
-                        if let Some(calls) = self.calls(delivery.front).filter(|_| !self.meddler.loses()) {
-                            calls.answer(delivery, answer);
+                        if let Some(handler) =
+                            self.handler(delivery.front).filter(|_| !self.fault_injector.loses_answer())
+                        {
+                            handler.deliver(delivery, answer);
                         }
                     }
                 }
             }
             Output::Entry { delivery, entry } => {
-                if let Some(calls) = self.calls(delivery.front) {
-                    calls.entry(entry);
+                if let Some(handler) = self.handler(delivery.front) {
+                    handler.set_decision(entry);
                 }
             }
             Output::Discard(delivery) => {
@@ -168,15 +174,15 @@
             Output::Grant { front, most } => match self.fronts.get(front as usize) {
                 Some(front) => front.grant(most),
                 None => {
-                    if let Some(calls) = self.calls(front) {
-                        calls.grant(most);
+                    if let Some(handler) = self.handler(front) {
+                        handler.grant(most);
                     }
                 }
             },
             Output::Send { ticket, worker, function, trigger, account, call } => {
-                let it = self.clone();
+                let this = self.clone();
                 let task = self.context.executor.spawn(async move {
-                    let names = &it.context.names;
+                    let names = &this.context.names;
                     let marks = requests::Marks {
                         invocation: call.mark.as_deref(),
                         dispatch: ticket.dispatch,
@@ -186,17 +192,17 @@
                         time_left: call.time_left,
                         session: call.session.as_ref().map(|s| (&*s.id, s.start, s.end)),
                     };
-                    let result = match it.address(worker) {
+                    let result = match this.address(worker) {
                         Some(address) => {
                             let (host, body) = (address.to_string(), call.body);
                             let request = requests::infer(&host, &function, marks, body.bytes, body.first);
-                            let now = || it.context.clock.now();
-                            let leaves = || it.router.borrow().may_leave(now(), ticket);
-                            it.pool.exchange(address, request, false, leaves).await
+                            let now = || this.context.clock.now();
+                            let may_send = || this.router.borrow().may_leave(now(), ticket);
+                            this.pool.exchange(address, request, false, may_send).await
                         }
-                        None => Err(Failed::NoConnection),
+                        None => Err(ExchangeError::NoConnection),
                     };
-                    let read = endings::infer(&ended(&result, &function));
+                    let read = endings::infer(&ending_of(&result, &function));
                     let held = result.as_ref().ok().and_then(|r| reports::held(&r.headers));
                     let body = match result {
                         Ok(reply) if read.outcome == Outcome::Succeeded => {
@@ -207,8 +213,8 @@
                         _ => Payload::default(),
                     };
                     tracing::debug!(inv = ticket.inv, dispatch = ticket.dispatch, worker, outcome = ?read.outcome, "ended");
-                    it.pool.finished(ticket);
-                    it.feed(Input::DispatchEnded {
+                    this.pool.finished(ticket);
+                    this.feed(Input::DispatchEnded {
                         ticket,
                         outcome: read.outcome,
                         note: read.note,
@@ -218,58 +224,59 @@
                         body,
                     });
                 });
-                self.pool.keep(ticket, task);
+                self.pool.track(ticket, task);
             }
-            Output::Withdraw(ticket) => self.pool.withdraw(ticket),
+            Output::Withdraw(ticket) => self.pool.cancel(ticket),
             Output::Order { ticket, function, account, copies, within, term } => {
-                let (it, worker) = (self.clone(), ticket.worker);
+                let (this, worker) = (self.clone(), ticket.worker);
                 let order = async move {
-                    let Some(address) = it.address(worker) else { return };
+                    let Some(address) = this.address(worker) else { return };
                     let host = address.to_string();
                     let request = match copies {
                         0 => requests::ready(&host, &function),
                         n => {
-                            let account = it.context.names.accounts.get(account as usize).map(String::as_str);
-                            let by = it.orderer(term.as_deref());
+                            let account =
+                                this.context.names.accounts.get(account as usize).map(String::as_str);
+                            let by = this.orderer(term.as_deref());
                             requests::load(&host, &function, n, account, by)
                         }
                     };
-                    let result = it.pool.order(address, request, within).await;
+                    let result = this.pool.order(address, request, within).await;
                     let held = result.as_ref().ok().and_then(|r| reports::held(&r.headers));
-                    let (result, copies) = endings::order(&ended(&result, &function));
-                    it.feed(Input::OrderEnded { ticket, result, copies, held });
+                    let (result, copies) = endings::order(&ending_of(&result, &function));
+                    this.feed(Input::OrderEnded { ticket, result, copies, held });
                 };
                 self.context.executor.spawn(order).detach();
             }
             Output::Unload { worker, function, term } => {
-                let it = self.clone();
+                let this = self.clone();
                 let order = async move {
-                    let Some(address) = it.address(worker) else { return };
-                    let by = it.orderer(term.as_deref());
+                    let Some(address) = this.address(worker) else { return };
+                    let by = this.orderer(term.as_deref());
                     let request = requests::unload(&address.to_string(), &function, by);
-                    // No answer is waited for by anyone; it only has to get there.
-                    let _ = it.pool.order(address, request, STOP_MARGIN).await;
+                    // No one waits for the answer; the order only has to arrive.
+                    let _ = this.pool.order(address, request, STOP_MARGIN).await;
                 };
                 self.context.executor.spawn(order).detach();
             }
             Output::Probe { worker } => {
-                let it = self.clone();
+                let this = self.clone();
                 let probe = async move {
-                    let began = it.context.clock.now();
-                    let (outcome, report) = match it.address(worker) {
+                    let began = this.context.clock.now();
+                    let (outcome, report) = match this.address(worker) {
                         Some(address) => {
                             let request = requests::live(&address.to_string());
-                            let result = it.pool.order(address, request, STOP_MARGIN).await;
-                            endings::probe(&ended(&result, ""))
+                            let result = this.pool.order(address, request, STOP_MARGIN).await;
+                            endings::probe(&ending_of(&result, ""))
                         }
                         None => (Outcome::Unreachable, Report::default()),
                     };
-                    let took = it.context.clock.now() - began;
-                    it.feed(Input::Probed { worker, outcome, took, report });
+                    let took = this.context.clock.now() - began;
+                    this.feed(Input::Probed { worker, outcome, took, report });
                 };
                 self.context.executor.spawn(probe).detach();
             }
-            // The watch asks again by itself, with spread-out waits.
+            // The watch retries by itself, with spread-out delays.
             Output::AskList => {}
             Output::Group(ask) => {
                 if let Some(peer_group) = &self.peer_group {
@@ -279,61 +286,62 @@
         }
     }
 
-    /// As workers are told, where they are to tell routers apart.
+    /// What load orders tell workers of their origin, if routers are to be told apart.
     fn orderer<'a>(&'a self, term: Option<&'a str>) -> requests::Orderer<'a> {
         requests::Orderer { router: self.peer_group.as_ref().map(PeerGroup::name), term }
     }
 
-    fn calls(&self, front: FrontIx) -> Option<&Rc<Calls>> {
-        Some(&self.listenings.get((front as usize).checked_sub(self.fronts.len())?)?.calls)
+    fn handler(&self, front: FrontIx) -> Option<&Rc<RequestHandler>> {
+        Some(&self.client_listeners.get((front as usize).checked_sub(self.fronts.len())?)?.handler)
     }
 
     fn address(&self, worker: WorkerIx) -> Option<SocketAddr> {
         address(&self.router, worker)
     }
 
-    async fn timers(self: Rc<Self>) {
+    async fn run_timers(self: Rc<Self>) {
         loop {
             self.alarm.rings(&self.context.clock).await;
             self.feed(Input::Tick);
         }
     }
 
-    /// Takes nothing new, answers what was taken, acknowledges, leaves.
+    /// Takes nothing new, answers what was taken, acknowledges, and ends.
     async fn stop(self: &Rc<Self>, longest: Micros) -> bool {
         tracing::info!("stopping: nothing new is taken");
         self.feed(Input::Stop);
-        self.listenings.iter().for_each(|l| l.stop());
+        self.client_listeners.iter().for_each(|l| l.stop());
         let until = self.context.clock.now() + longest + STOP_MARGIN;
         let fronts = || {
-            self.fronts.iter().all(|f| f.is_drained()) && self.listenings.iter().all(|l| l.calls.is_drained())
+            self.fronts.iter().all(|f| f.is_drained())
+                && self.client_listeners.iter().all(|l| l.handler.is_drained())
         };
-        let gate = || self.gate.as_ref().is_none_or(|g| g.is_empty());
-        let empty = || self.router.borrow().open() == 0 && gate() && fronts();
+        let admission = || self.admission.as_ref().is_none_or(|a| a.is_empty());
+        let empty = || self.router.borrow().open() == 0 && admission() && fronts();
         while !empty() && self.context.clock.now() < until {
-            // Symptom: told to stop while a connection to the broker came up, it consumed all the same and never left
-            // in good order.
+            // Repeated, as a connection to the broker that came up during the shutdown would otherwise
+            // consume and never close in good order.
             self.fronts.iter().for_each(|f| f.grant(0));
-            Timer::after(STOP_LOOK).await;
+            Timer::after(STOP_POLL_INTERVAL).await;
         }
         let clean = empty();
         self.fronts.iter().for_each(|f| f.close(self.context.clock.now()));
-        Timer::after(STOP_LOOK * 5).await;
+        Timer::after(STOP_POLL_INTERVAL * 5).await;
         let router = self.router.borrow();
-        for (name, times) in [("answered", &self.times.answered), ("safe", &self.times.safe)] {
+        for (name, times) in [("answered", &self.times.answered), ("safe", &self.times.committed)] {
             let t = times.borrow();
             let (p50_us, p99_us) = (t.value_at_quantile(0.5), t.value_at_quantile(0.99));
             tracing::info!(p50_us, p99_us, max_us = t.max(), "time until {name}");
         }
-        if let Some(recorder) = &self.recorder {
-            let ended = recorder.close();
-            tracing::info!(ended, lost_records = recorder.lost(), "the trace was closed");
+        if let Some(trace_recorder) = &self.trace_recorder {
+            let ended = trace_recorder.close();
+            tracing::info!(ended, lost_records = trace_recorder.lost_records(), "the trace was closed");
         }
         if let Some(metering) = &self.metering {
             let written = metering.close(self.context.clock.now());
             tracing::info!(written, "the ledger was closed");
         }
-        self.reconciling.iter().for_each(|r| r.close());
+        self.reconciliation.iter().for_each(|r| r.log_counts());
         tracing::info!(clean, counts = ?router.counts, misunderstood = self.context.malformed_inputs.get(), "stopped");
         clean
     }
@@ -341,49 +349,49 @@
 
 /// Why a router does not start.
 #[derive(Debug, Error)]
-pub enum Unstarted {
+pub enum StartError {
     #[error("{0}")]
     System(#[from] std::io::Error),
     #[error(transparent)]
     Group(#[from] PeerGroupError),
 }
 
-impl Remedy for Unstarted {
+impl Remedy for StartError {
     fn remedy(&self) -> &'static str {
         match self {
-            Unstarted::System(_) => "see that its addresses are free and its folders can be written to",
-            Unstarted::Group(failed) => failed.remedy(),
+            StartError::System(_) => "see that its addresses are free and its folders can be written to",
+            StartError::Group(failed) => failed.remedy(),
         }
     }
 }
 
-/// Runs one router until a signal to end. True if all that was taken has been answered.
-pub fn run(name: &str, parts: Parts, meddle: Option<Meddle>) -> Result<bool, Unstarted> {
-    let Parts {
+/// Runs one router until a signal to end. True if everything taken was answered.
+pub fn run(name: &str, settings: RouterSettings, fault: Option<InjectedFault>) -> Result<bool, StartError> {
+    let RouterSettings {
         seed,
-        settings,
+        startup,
         names,
-        terms,
-        sources,
-        listens,
-        list,
-        links,
-        most_body,
-        speakers,
-        keep,
-        meter,
+        core_terms,
+        amqp_sources,
+        listeners: listener_settings,
+        workers,
+        pool: pool_settings,
+        max_body_bytes,
+        certificate_accounts,
+        trace,
+        ledger_folder,
         digest,
         clock_offset,
         peers,
         upgrade,
         reconcile,
         sessions,
-    } = parts;
+    } = settings;
     let clock = Clock::off_by(clock_offset);
     let executor = Rc::new(LocalExecutor::new());
-    // Without a seed of its own each start draws differently.
+    // Without a configured seed each start draws differently.
     let seed = seed.unwrap_or_else(|| clock.wall() as u64 ^ u64::from(std::process::id()) << 40);
-    let longest = settings.triggers.iter().map(|t| t.client_timeout).max().unwrap_or(0);
+    let longest = startup.triggers.iter().map(|t| t.client_timeout).max().unwrap_or(0);
     let start = Start {
         router: name.to_owned(),
         module: module_digest(),
@@ -392,46 +400,46 @@
         wall_at_zero: clock.wall() - clock.now(),
         triggers_named: names.triggers.clone(),
         accounts_named: names.accounts.clone(),
-        fronts_named: sources
+        fronts_named: amqp_sources
             .iter()
             .map(|s| s.name.clone())
-            .chain(listens.iter().map(|l| l.name.clone()))
+            .chain(listener_settings.iter().map(|l| l.name.clone()))
             .collect(),
         seed,
-        startup: settings.clone(),
+        startup: startup.clone(),
     };
-    let recorder = match keep {
-        Some(keep) => Some(Recorder::begin(keep, name, start)?),
+    let trace_recorder = match trace {
+        Some(trace) => Some(TraceRecorder::begin(trace, name, start)?),
         None => None,
     };
-    let disabled_guard = meddle.and_then(Meddle::guard);
+    let disabled_guard = fault.and_then(InjectedFault::guard);
     let group_resources = match peers {
         Some(peers) => Some(PeerGroupResources::acquire(peers, &clock, disabled_guard)?),
         None => None,
     };
-    let control = settings.control(seed);
-    let (idle_kept, kinds_mb) = (settings.loads.idle_kept, settings.loads.memory_mb.clone());
+    let control = startup.control(seed);
+    let (idle_kept, kinds_mb) = (startup.loads.idle_kept, startup.loads.memory_mb.clone());
     let mut listeners = Vec::new();
-    for front in &listens {
+    for front in &listener_settings {
         listeners.push(listen(front.address)?);
     }
-    let mut doors = Vec::new();
-    for listen in listens {
+    let mut bound_listeners = Vec::new();
+    for listen in listener_settings {
         let tls = match &listen.tls {
             None => None,
-            Some(files) => {
-                Some(Inward::open(files.clone(), clock.wall()).map_err(|e| std::io::Error::other(e.cause))?)
-            }
+            Some(files) => Some(
+                ServerTls::open(files.clone(), clock.wall()).map_err(|e| std::io::Error::other(e.cause))?,
+            ),
         };
-        doors.push((listen, tls));
+        bound_listeners.push((listen, tls));
     }
-    let mut router = Router::new(control, settings.triggers, terms);
-    if let Some(recorder) = &recorder {
-        router.watched_by(Box::new(recorder.clone()));
+    let mut router = Router::new(control, startup.triggers, core_terms);
+    if let Some(trace_recorder) = &trace_recorder {
+        router.watched_by(Box::new(trace_recorder.clone()));
     }
-    let metering = match meter {
+    let metering = match ledger_folder {
         Some(folder) => {
-            // Random beyond what any two lives share.
+            // Unique among processes with all but certainty.
             let source = uuid::Uuid::new_v4().as_u128();
             let wall_at_zero = clock.wall() - clock.now();
             Some(Metering::begin(folder, name, source, names.accounts.clone(), wall_at_zero)?)
@@ -442,8 +450,8 @@
         router.watched_by(Box::new(metering.clone()));
     }
     let router = Rc::new(RefCell::new(router));
-    let pool = Rc::new(Pool::new(executor.clone(), clock, links));
-    let (times, speakers) = (Rc::new(Times::default()), Rc::new(speakers));
+    let pool = Rc::new(Pool::new(executor.clone(), clock, pool_settings));
+    let (times, certificate_accounts) = (Rc::new(AnswerTimes::default()), Rc::new(certificate_accounts));
     let gateway = Rc::new_cyclic(|gateway: &Weak<Gateway>| {
         let (gateway, past) = (gateway.clone(), gateway.clone());
         let context = Rc::new(GatewayContext {
@@ -451,11 +459,12 @@
             executor: executor.clone(),
             name: name.to_owned(),
             seed,
-            local_address: links.from,
+            local_address: pool_settings.local_address,
             names,
             tracks_sessions: sessions.is_some() || reconcile.is_some(),
             malformed_inputs: Cell::new(0),
-            // Found for as long as anything runs: it is held until the executor has ended.
+            // The gateway is held until the executor has ended, so that it is found for as long as anything
+            // runs.
             core_input: Box::new(move |input| {
                 if let Some(gateway) = gateway.upgrade() {
                     gateway.feed(input);
@@ -463,137 +472,150 @@
             }),
         });
         let (known, places) = (router.clone(), router.clone());
-        let hall = Rc::new(Hall {
+        let resources = Rc::new(HandlerResources {
             unread_bytes: Cell::new(0),
             functions: Box::new(move || known.borrow().functions().map(str::to_owned).collect()),
         });
         let places = Rc::new(move |worker| address(&places, worker));
-        let first = sources.len();
-        let fronts = sources.into_iter().enumerate();
-        let fronts = fronts
-            .map(|(ix, s)| Rc::new(Front::new(ix as u32, s, most_body, context.clone(), times.clone())));
-        let listening = |(n, (listen, tls)): (usize, (Listen, Option<Rc<Inward>>))| {
+        let first = amqp_sources.len();
+        let fronts = amqp_sources.into_iter().enumerate();
+        let fronts = fronts.map(|(ix, s)| {
+            Rc::new(AmqpFront::new(ix as u32, s, max_body_bytes, context.clone(), times.clone()))
+        });
+        let client_listener = |(n, (listen, tls)): (usize, (ListenerSettings, Option<Rc<ServerTls>>))| {
             let ix = (first + n) as u32;
-            let calls = Calls::new(ix, context.clone(), hall.clone(), most_body, listen.most_streams);
-            Rc::new(Listening::new(Rc::new(calls), listen, tls, speakers.clone()))
+            let handler = RequestHandler::new(
+                ix,
+                context.clone(),
+                resources.clone(),
+                max_body_bytes,
+                listen.max_streams,
+            );
+            Rc::new(ClientListener::new(Rc::new(handler), listen, tls, certificate_accounts.clone()))
         };
         let peer_group = group_resources.map(|group_resources| PeerGroup::new(&context, group_resources));
         let shared = peer_group.as_ref().map(PeerGroup::shared_state);
-        let upgrading = shared
+        let upgrades = shared
             .clone()
             .zip(upgrade)
-            .map(|(shared, ordered)| Upgrading::new(context.clone(), shared, ordered));
-        let gate = sessions.map(|terms| {
+            .map(|(shared, ordered)| Upgrades::new(context.clone(), shared, ordered));
+        let admission = sessions.map(|terms| {
             let core = Box::new(move |input| {
                 if let Some(gateway) = past.upgrade() {
-                    gateway.past_the_gate(input);
+                    gateway.feed_core(input);
                 }
             });
-            Gate::new(context.clone(), terms, shared.clone(), upgrading.clone(), core)
+            Admission::new(context.clone(), terms, shared.clone(), upgrades.clone(), core)
         });
-        if let Some(gate) = &gate {
-            router.borrow_mut().watched_by(gate.watch());
+        if let Some(admission) = &admission {
+            router.borrow_mut().watched_by(admission.observer());
         }
-        let reconciling = reconcile.map(|terms| {
+        let reconciliation = reconcile.map(|terms| {
             let (context, pool) = (context.clone(), pool.clone());
-            Reconciling::new(context, pool, shared.clone(), terms, idle_kept, kinds_mb)
+            Reconciliation::new(context, pool, shared.clone(), terms, idle_kept, kinds_mb)
         });
-        if let Some(reconciling) = &reconciling {
-            router.borrow_mut().watched_by(reconciling.watch());
+        if let Some(reconciliation) = &reconciliation {
+            router.borrow_mut().watched_by(reconciliation.watch());
             if let Some(shared) = &shared {
-                let shown = reconciling.clone();
-                shared.add_state_provider("reconcile", move || shown.shown());
+                let source = reconciliation.clone();
+                shared.add_state_provider("reconcile", move || source.state());
             }
-            if let Some(upgrading) = &upgrading {
-                let (seen, it) = (reconciling.clone(), upgrading.clone());
-                upgrading.held(Box::new(move || seen.observed(holds)));
-                reconciling.claimed_by(Box::new(move |functions| claims(&it, functions)));
-                let it = upgrading.clone();
-                // Nor is what a plan took out of service brought back.
-                let over = move |f: &str| {
+            if let Some(upgrades) = &upgrades {
+                let (seen, this) = (reconciliation.clone(), upgrades.clone());
+                upgrades.set_holdings_source(Box::new(move || seen.observed(to_worker_seen)));
+                reconciliation.set_claims_provider(Box::new(move |functions| claims(&this, functions)));
+                let this = upgrades.clone();
+                // Nor is a copy that a plan has retired loaded again.
+                let retired_or_managed = move |f: &str| {
                     let (model, version) = serving::model(f);
-                    it.tends(f) || it.over(model, version)
+                    this.manages(f) || this.is_retired(model, version)
                 };
-                reconciling.tended_by(Box::new(over));
+                reconciliation.set_plan_check(Box::new(retired_or_managed));
             }
-            if let Some(gate) = &gate {
-                let (id, worker) = (reconciling.clone(), reconciling.clone());
-                gate.names_workers(Box::new(move |w| id.id_of(w)), Box::new(move |id| worker.worker_of(id)));
-                let used = reconciling.clone();
-                gate.knows_uses(Box::new(move |worker, function| used.used_lately(worker, function)));
-                let gate = gate.clone();
-                reconciling.lets_go(Box::new(move |worker, of, ids| gate.prefix_lost(worker, of, ids)));
+            if let Some(admission) = &admission {
+                let (id, worker) = (reconciliation.clone(), reconciliation.clone());
+                admission
+                    .set_worker_ids(Box::new(move |w| id.id_of(w)), Box::new(move |id| worker.worker_of(id)));
+                let used = reconciliation.clone();
+                admission.set_recent_use_check(Box::new(move |worker, function| {
+                    used.used_lately(worker, function)
+                }));
+                let admission = admission.clone();
+                reconciliation
+                    .on_prefix_lost(Box::new(move |worker, of, ids| admission.prefix_lost(worker, of, ids)));
             }
         }
-        if let (Some(shared), Some(upgrading), Some(gate)) = (&shared, &upgrading, &gate) {
-            let (upgrading, gate) = (upgrading.clone(), gate.clone());
-            shared.add_state_provider("upgrade", move || upgrading.shown(gate.shown()));
+        if let (Some(shared), Some(upgrades), Some(admission)) = (&shared, &upgrades, &admission) {
+            let (upgrades, admission) = (upgrades.clone(), admission.clone());
+            shared.add_state_provider("upgrade", move || upgrades.state(admission.state()));
         }
         Gateway {
             router,
-            meddler: Rc::new(Meddler::new(meddle, context.clone(), pool.clone(), places)),
+            fault_injector: Rc::new(FaultInjector::new(fault, context.clone(), pool.clone(), places)),
             times: times.clone(),
-            recorder,
+            trace_recorder,
             metering,
             fronts: fronts.collect(),
-            listenings: doors.into_iter().enumerate().map(listening).collect(),
+            client_listeners: bound_listeners.into_iter().enumerate().map(client_listener).collect(),
             pool,
             peer_group,
-            upgrading,
-            gate,
-            reconciling,
+            upgrades,
+            admission,
+            reconciliation,
             alarm: Alarm::default(),
             context: context.clone(),
         }
     });
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     async_io::block_on(executor.run(async {
-        executor.spawn(gateway.clone().timers()).detach();
-        match list {
+        executor.spawn(gateway.clone().run_timers()).detach();
+        match workers {
             WorkerList::Fixed(workers) => gateway.feed(Input::List { mode: ListMode::Complete, workers }),
             WorkerList::Watched(address) => {
-                let meddler = gateway.meddler.clone();
-                let reconciling = gateway.reconciling.clone();
-                let heard = move |news| {
-                    let news = meddler.news(news);
-                    reconciling.iter().for_each(|r| r.heard(&news));
-                    news
+                let fault_injector = gateway.fault_injector.clone();
+                let reconciliation = gateway.reconciliation.clone();
+                let filter = move |event| {
+                    let event = fault_injector.filter_list_event(event);
+                    reconciliation.iter().for_each(|r| r.observe_list_event(&event));
+                    event
                 };
-                executor.spawn(list::watch(gateway.context.clone(), address, heard)).detach();
+                executor.spawn(worker_list::watch(gateway.context.clone(), address, filter)).detach();
             }
         }
         for front in &gateway.fronts {
             executor.spawn(front.clone().run()).detach();
         }
-        for (listening, listener) in gateway.listenings.iter().zip(listeners) {
-            executor.spawn(listening.clone().run(listener)).detach();
+        for (client_listener, listener) in gateway.client_listeners.iter().zip(listeners) {
+            executor.spawn(client_listener.clone().run(listener)).detach();
         }
         let pool = gateway.pool.clone();
-        let tidy = async move {
+        let close_idle = async move {
             loop {
-                Timer::after(TIDY).await;
-                pool.tidy();
+                Timer::after(CLOSE_IDLE_INTERVAL).await;
+                pool.close_idle();
             }
         };
-        executor.spawn(tidy).detach();
+        executor.spawn(close_idle).detach();
         gateway.peer_group.iter().for_each(|peer_group| peer_group.run(&gateway.context));
-        gateway.gate.iter().for_each(|gate| executor.spawn(gate.clone().run()).detach());
-        if let Some(upgrading) = &gateway.upgrading {
-            executor.spawn(upgrading.clone().run()).detach();
-            executor.spawn(upgrading.clone().rereads()).detach();
+        gateway.admission.iter().for_each(|admission| executor.spawn(admission.clone().run()).detach());
+        if let Some(upgrades) = &gateway.upgrades {
+            executor.spawn(upgrades.clone().run()).detach();
+            executor.spawn(upgrades.clone().reload_on_sighup()).detach();
         }
-        gateway.reconciling.iter().for_each(|r| r.run());
-        executor.spawn(gateway.meddler.clone().spoils(gateway.reconciling.clone())).detach();
-        let it = gateway.clone();
-        let look = async move {
+        gateway.reconciliation.iter().for_each(|r| r.run());
+        executor
+            .spawn(gateway.fault_injector.clone().corrupt_beliefs(gateway.reconciliation.clone()))
+            .detach();
+        let this = gateway.clone();
+        let flush = async move {
             loop {
-                Timer::after(LOOK).await;
-                let now = it.context.clock.now();
-                it.recorder.iter().for_each(|r| r.look(now));
-                it.metering.iter().for_each(|m| m.look(now));
+                Timer::after(FLUSH_INTERVAL).await;
+                let now = this.context.clock.now();
+                this.trace_recorder.iter().for_each(|r| r.flush_old(now));
+                this.metering.iter().for_each(|m| m.flush_due(now));
             }
         };
-        executor.spawn(look).detach();
+        executor.spawn(flush).detach();
         tracing::info!(router = name, "running");
         signals.next().await;
         Ok(gateway.stop(longest).await)
--- a/crates/gateway/src/tls.rs
+++ b/crates/gateway/src/tls.rs
@@ -1,5 +1,6 @@
-//! TLS on sockets, by rustls alone: certificates read from files, and replaced while running without touching a
-//! stream that stands. What may serve `cedarpulley_certificates` decides; here files are read and handshakes made.
+//! TLS on sockets with rustls: certificates are read from files, and replaced at run time without affecting
+//! established connections. `cedarpulley_certificates` decides what may be served; here files are read and
+//! handshakes made.
 
 use std::cell::RefCell;
 use std::fs::File;
@@ -22,39 +23,40 @@
 use futures_rustls::rustls::{ClientConfig, RootCertStore, ServerConfig, crypto::ring};
 use futures_rustls::{TlsAcceptor, TlsConnector, client, server};
 
-/// A handshake comes to its end within this time, or its connection is closed.
-const HANDSHAKE_WITHIN: Micros = 10_000_000;
-/// How often files are looked at: certificates change by the week, and who changes one waits for it.
-const LOOK: Duration = Duration::from_secs(1);
-/// How often it is told that a certificate ends soon.
-const TELL: Micros = 3_600_000_000;
+/// Time limit for a handshake, in microseconds.
+const HANDSHAKE_TIMEOUT: Micros = 10_000_000;
+/// How often files are checked: certificates change by the week, but whoever changes one waits for it.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// How often an expiring certificate is logged, in microseconds.
+const EXPIRY_WARNING_INTERVAL: Micros = 3_600_000_000;
 
-/// The files of one front.
+/// The certificate files of one listener.
 #[derive(Clone, Debug)]
-pub struct Files {
+pub struct TlsFiles {
     pub certificate: PathBuf,
     pub key: PathBuf,
-    /// Authorities for clients' certificates; with them a client must show one.
+    /// Certificate authorities for clients; if given, a client has to present a certificate.
     pub clients: Option<PathBuf>,
     pub alpn: &'static [u8],
 }
 
-/// Towards a broker.
+/// Client configuration for the connection to a broker.
 #[derive(Clone, Debug)]
-pub struct Outward {
+pub struct ClientTls {
     pub config: Arc<ClientConfig>,
     pub name: ServerName<'static>,
 }
 
-pub fn read(path: &Path) -> io::Result<Read> {
+/// Reads a certificate or key with its file mode; fails if it is too large.
+pub fn read_file(path: &Path) -> io::Result<Read> {
     let file = File::open(path)?;
-    let about = file.metadata()?;
-    if about.len() > MOST_FILE {
+    let metadata = file.metadata()?;
+    if metadata.len() > MOST_FILE {
         return Err(io::Error::other("is too large for a certificate"));
     }
     let mut bytes = Vec::new();
     file.take(MOST_FILE).read_to_end(&mut bytes)?;
-    Ok(Read { bytes, mode: about.permissions().mode() })
+    Ok(Read { bytes, mode: metadata.permissions().mode() })
 }
 
 fn unreadable(which: Which, e: &io::Error) -> Refused {
@@ -70,7 +72,7 @@
     Ok(roots)
 }
 
-fn serving(served: Served, clients: Option<&[u8]>, alpn: &[u8]) -> Result<Arc<ServerConfig>, Refused> {
+fn server_config(served: Served, clients: Option<&[u8]>, alpn: &[u8]) -> Result<Arc<ServerConfig>, Refused> {
     let wrong = |which| move |e: &dyn std::fmt::Display| Refused { which, cause: e.to_string() };
     let provider = Arc::new(ring::default_provider());
     let builder = ServerConfig::builder_with_provider(provider.clone())
@@ -89,33 +91,33 @@
     Ok(Arc::new(config))
 }
 
-/// What a listening front has for TLS.
-pub struct Inward {
-    files: Files,
+/// Server configuration of one listener.
+pub struct ServerTls {
+    files: TlsFiles,
     keeper: RefCell<Keeper>,
     clients: RefCell<Option<Vec<u8>>>,
     acceptor: RefCell<TlsAcceptor>,
 }
 
-impl std::fmt::Debug for Inward {
+impl std::fmt::Debug for ServerTls {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         write!(f, "TLS by {}", self.files.certificate.display())
     }
 }
 
-impl Inward {
-    /// Reads and judges the files at `wall`, in microseconds since 1970.
-    pub fn open(files: Files, wall: Micros) -> Result<Rc<Inward>, Refused> {
-        let certificate = read(&files.certificate).map_err(|e| unreadable(Which::Certificate, &e))?;
-        let key = read(&files.key).map_err(|e| unreadable(Which::Key, &e))?;
+impl ServerTls {
+    /// Reads and validates the files at `wall`, in microseconds since 1970.
+    pub fn open(files: TlsFiles, wall: Micros) -> Result<Rc<ServerTls>, Refused> {
+        let certificate = read_file(&files.certificate).map_err(|e| unreadable(Which::Certificate, &e))?;
+        let key = read_file(&files.key).map_err(|e| unreadable(Which::Key, &e))?;
         let clients = match &files.clients {
-            Some(path) => Some(read(path).map_err(|e| unreadable(Which::Clients, &e))?.bytes),
+            Some(path) => Some(read_file(path).map_err(|e| unreadable(Which::Clients, &e))?.bytes),
             None => None,
         };
         let served = certificates::judge(&certificate, &key, wall)?;
         let ends = served.ends;
-        let config = serving(served, clients.as_deref(), files.alpn)?;
-        Ok(Rc::new(Inward {
+        let config = server_config(served, clients.as_deref(), files.alpn)?;
+        Ok(Rc::new(ServerTls {
             files,
             keeper: RefCell::new(Keeper::new(certificate, key, ends)),
             clients: RefCell::new(clients),
@@ -123,29 +125,32 @@
         }))
     }
 
-    /// Clients have to show a certificate.
-    pub fn asks_clients(&self) -> bool {
+    /// Clients have to present a certificate.
+    pub fn requires_client_certificate(&self) -> bool {
         self.files.clients.is_some()
     }
 
+    /// Performs a handshake within its time limit.
     pub async fn accept(&self, stream: Stream) -> io::Result<server::TlsStream<Stream>> {
         let acceptor = self.acceptor.borrow().clone();
-        let late = async {
-            Timer::after(micros(HANDSHAKE_WITHIN)).await;
+        let timeout = async {
+            Timer::after(micros(HANDSHAKE_TIMEOUT)).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        acceptor.accept(stream).or(late).await
+        acceptor.accept(stream).or(timeout).await
     }
 
-    /// Looks at the files until the router ends. Connections that stand keep what they were made with.
+    /// Checks the files until the router ends. Established connections keep the certificate they were made
+    /// with.
     pub async fn watch(self: Rc<Self>, clock: Clock, front: String) {
-        let mut told = Micros::MIN;
+        let mut last_warned = Micros::MIN;
         loop {
-            Timer::after(LOOK).await;
+            Timer::after(POLL_INTERVAL).await;
             let wall = clock.wall();
-            // A disk that hangs must not hold up the router's one thread.
-            let Files { certificate, key, .. } = self.files.clone();
-            let pair = smol::unblock(move || Ok::<_, io::Error>((read(&certificate)?, read(&key)?))).await;
+            // A disk that hangs must not block the router's one thread.
+            let TlsFiles { certificate, key, .. } = self.files.clone();
+            let pair =
+                smol::unblock(move || Ok::<_, io::Error>((read_file(&certificate)?, read_file(&key)?))).await;
             let step = self.keeper.borrow_mut().offered(wall, pair.ok());
             match step {
                 Step::Keep | Step::LookAgain => {}
@@ -153,7 +158,7 @@
                     tracing::error!(front, file = ?why.which, cause = why.cause, "not replaced; the old one goes on");
                 }
                 Step::Replace(served) => {
-                    match serving(served, self.clients.borrow().as_deref(), self.files.alpn) {
+                    match server_config(served, self.clients.borrow().as_deref(), self.files.alpn) {
                         Ok(config) => {
                             *self.acceptor.borrow_mut() = config.into();
                             tracing::info!(front, "the certificate was replaced");
@@ -165,22 +170,24 @@
                 }
             }
             let left = self.keeper.borrow().ends_soon(wall);
-            if let Some(left) = left.filter(|_| clock.now().saturating_sub(told) > TELL) {
-                told = clock.now();
+            if let Some(left) =
+                left.filter(|_| clock.now().saturating_sub(last_warned) > EXPIRY_WARNING_INTERVAL)
+            {
+                last_warned = clock.now();
                 tracing::warn!(front, hours = left / 3_600_000_000, "the certificate ends soon");
             }
         }
     }
 }
 
-/// For a broker: whose certificates count, and our own if it wants one.
-pub fn outward(
+/// For a broker: the trusted authorities, and our own certificate and key if the broker requires one.
+pub fn client_tls(
     roots: &Path,
     own: Option<(&Path, &Path)>,
     name: &str,
     wall: Micros,
-) -> Result<Outward, Refused> {
-    let clients = read(roots).map_err(|e| unreadable(Which::Clients, &e))?;
+) -> Result<ClientTls, Refused> {
+    let clients = read_file(roots).map_err(|e| unreadable(Which::Clients, &e))?;
     let builder = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
         .with_safe_default_protocol_versions()
         .map_err(|e| Refused { which: Which::Clients, cause: e.to_string() })?
@@ -188,8 +195,8 @@
     let config = match own {
         None => builder.with_no_client_auth(),
         Some((certificate, key)) => {
-            let certificate = read(certificate).map_err(|e| unreadable(Which::Certificate, &e))?;
-            let key = read(key).map_err(|e| unreadable(Which::Key, &e))?;
+            let certificate = read_file(certificate).map_err(|e| unreadable(Which::Certificate, &e))?;
+            let key = read_file(key).map_err(|e| unreadable(Which::Key, &e))?;
             let served = certificates::judge(&certificate, &key, wall)?;
             builder
                 .with_client_auth_cert(served.chain, served.key)
@@ -197,44 +204,45 @@
         }
     };
     let cause = |_| Refused { which: Which::Clients, cause: format!("'{name}' is no server's name") };
-    Ok(Outward { config: Arc::new(config), name: ServerName::try_from(name.to_owned()).map_err(cause)? })
+    Ok(ClientTls { config: Arc::new(config), name: ServerName::try_from(name.to_owned()).map_err(cause)? })
 }
 
-/// A broker's connection, with or without TLS.
-pub enum Wire {
+/// A connection to a broker, with or without TLS.
+pub enum BrokerStream {
     Plain(Stream),
     Tls(Box<client::TlsStream<Stream>>),
 }
 
-impl Wire {
-    pub async fn begin(stream: Stream, tls: Option<&Outward>) -> io::Result<Wire> {
-        let Some(tls) = tls else { return Ok(Wire::Plain(stream)) };
+impl BrokerStream {
+    /// Performs a handshake within its time limit, if TLS is configured.
+    pub async fn connect(stream: Stream, tls: Option<&ClientTls>) -> io::Result<BrokerStream> {
+        let Some(tls) = tls else { return Ok(BrokerStream::Plain(stream)) };
         let connector = TlsConnector::from(tls.config.clone());
-        let late = async {
-            Timer::after(micros(HANDSHAKE_WITHIN)).await;
+        let timeout = async {
+            Timer::after(micros(HANDSHAKE_TIMEOUT)).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        let stream = connector.connect(tls.name.clone(), stream).or(late).await?;
-        Ok(Wire::Tls(Box::new(stream)))
+        let stream = connector.connect(tls.name.clone(), stream).or(timeout).await?;
+        Ok(BrokerStream::Tls(Box::new(stream)))
     }
 }
 
 macro_rules! either {
     ($it:expr, $of:pat => $do:expr) => {
         match $it.get_mut() {
-            Wire::Plain($of) => $do,
-            Wire::Tls($of) => $do,
+            BrokerStream::Plain($of) => $do,
+            BrokerStream::Tls($of) => $do,
         }
     };
 }
 
-impl AsyncRead for Wire {
+impl AsyncRead for BrokerStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         either!(self, s => Pin::new(s).poll_read(cx, buf))
     }
 }
 
-impl AsyncWrite for Wire {
+impl AsyncWrite for BrokerStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         either!(self, s => Pin::new(s).poll_write(cx, buf))
     }
--- /dev/null
+++ b/crates/gateway/src/trace_recorder.rs
@@ -0,0 +1,190 @@
+//! Records a router's trace: gathers what the core reports into blocks, and hands whole blocks to the
+//! writer's thread. It never waits: a block that does not fit the queue becomes a gap, recorded with its
+//! counts.
+
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use cedarpulley::ids::fingerprint;
+use cedarpulley::interface::{Action, Event, InvIx, Micros};
+use cedarpulley_router::FrontIx;
+use cedarpulley_router::entry::Short;
+use cedarpulley_router::watch::{Given, Names, Used, Watch};
+use cedarpulley_trace::blocks::{Gather, event_uses};
+use cedarpulley_trace::keeping::Bounds;
+use cedarpulley_trace::records::{Record, Space};
+use cedarpulley_trace::start::Start;
+use cedarpulley_trace::writer::{Note, Own, Row, run};
+
+/// Blocks of some 128 KB that may wait for the writer.
+const MAX_QUEUED_BLOCKS: usize = 32;
+/// A block is closed at this age, so that a killed router loses little. In microseconds.
+const MAX_BLOCK_AGE: Micros = 1_000_000;
+/// On shutdown the writer has this long, and is polled this often.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Where to write the trace, and how much of it to keep.
+#[derive(Clone, Debug)]
+pub struct TraceSettings {
+    pub folder: PathBuf,
+    pub bounds: Bounds,
+}
+
+struct Inner {
+    block: Gather,
+    notes: SyncSender<Note>,
+    writer: Option<JoinHandle<()>>,
+    _own: Own,
+    /// Lost since the last block handed over: number of records, first and last time.
+    lost: Option<(u64, Micros, Micros)>,
+    /// Lost in all.
+    lost_records: u64,
+    now: Micros,
+}
+
+/// Cheap to clone: one is registered with the core, one is kept for closing.
+#[derive(Clone)]
+pub struct TraceRecorder(Rc<RefCell<Inner>>);
+
+impl TraceRecorder {
+    /// Starts the writer's thread. Fails if the folder cannot be created or the thread cannot start.
+    pub fn begin(settings: TraceSettings, name: &str, start: Start) -> std::io::Result<TraceRecorder> {
+        std::fs::create_dir_all(&settings.folder)?;
+        let name: String =
+            name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).take(64).collect();
+        let own = Own::take(&settings.folder, &name)?;
+        if own.name != name {
+            tracing::warn!(name, writes_as = own.name, "another router of this name writes its trace here");
+        }
+        let row =
+            Row { folder: settings.folder, name: own.name.clone(), run: (start.wall_at_zero / 1000) as u64 };
+        let (notes, received) = sync_channel(MAX_QUEUED_BLOCKS);
+        let log_failure = |why: &str| tracing::error!(why, "trace");
+        let writer = std::thread::Builder::new()
+            .name("trace".into())
+            .spawn(move || run(row, start, settings.bounds, received, log_failure))?;
+        Ok(TraceRecorder(Rc::new(RefCell::new(Inner {
+            block: Gather::default(),
+            notes,
+            writer: Some(writer),
+            _own: own,
+            lost: None,
+            lost_records: 0,
+            now: 0,
+        }))))
+    }
+
+    /// Hands over a block that is old, though nothing more came.
+    pub fn flush_old(&self, now: Micros) {
+        self.0.borrow_mut().close_old(now);
+    }
+
+    /// Writes what is left; false if the writer failed or was not done in time: a disk that hangs must not
+    /// keep a router from ending.
+    pub fn close(&self) -> bool {
+        let mut inner = self.0.borrow_mut();
+        let until = Instant::now() + CLOSE_TIMEOUT;
+        let mut pending = vec![Note::End];
+        if !inner.block.is_empty() {
+            pending.push(Note::Block(inner.now, inner.block.close()));
+        }
+        while let Some(note) = pending.pop() {
+            match inner.notes.try_send(note) {
+                Ok(()) => {}
+                Err(TrySendError::Full(note)) if Instant::now() < until => {
+                    pending.push(note);
+                    std::thread::sleep(CLOSE_POLL_INTERVAL);
+                }
+                Err(_) => return false,
+            }
+        }
+        let Some(writer) = inner.writer.take() else { return true };
+        while !writer.is_finished() {
+            if Instant::now() >= until {
+                return false;
+            }
+            std::thread::sleep(CLOSE_POLL_INTERVAL);
+        }
+        writer.join().is_ok()
+    }
+
+    /// Records lost since the start.
+    pub fn lost_records(&self) -> u64 {
+        self.0.borrow().lost_records
+    }
+}
+
+impl Inner {
+    fn send_block(&mut self) {
+        let raw = self.block.close();
+        let (records, first, last) = (u64::from(raw.records), raw.first, raw.last);
+        if self.notes.try_send(Note::Block(self.now, raw)).is_err() {
+            // The disk is slower than the router: the trace gets a gap, and the router goes on.
+            let (before, from, _) = self.lost.unwrap_or((0, first, last));
+            self.lost = Some((before + records, from, last));
+            self.lost_records += records;
+        }
+    }
+
+    fn close_old(&mut self, now: Micros) {
+        self.now = now;
+        if self.block.is_full() || self.block.age(now) >= MAX_BLOCK_AGE {
+            self.send_block();
+        }
+    }
+
+    /// To be called before each record.
+    fn prepare(&mut self, now: Micros) {
+        self.close_old(now);
+        if self.block.is_empty()
+            && let Some((records, from, until)) = self.lost.take()
+        {
+            self.block.record(now, &Record::Gap { records, from, until });
+        }
+    }
+}
+
+impl Watch for TraceRecorder {
+    fn decided(&mut self, now: Micros, event: &Event, actions: &[Action], names: Names) {
+        let mut inner = self.0.borrow_mut();
+        inner.prepare(now);
+        event_uses(event, actions, &mut |space, ix| {
+            let name = match space {
+                Space::Function => names.function(ix),
+                Space::Worker => names.worker(ix),
+            };
+            if let Some(name) = name {
+                inner.block.name(now, space, ix, name);
+            }
+        });
+        inner.block.decided(now, event, actions);
+    }
+
+    fn taken(&mut self, now: Micros, inv: InvIx, front: FrontIx, mark: Option<&str>, redelivered: bool) {
+        let mut inner = self.0.borrow_mut();
+        inner.prepare(now);
+        let mark = mark.map(fingerprint);
+        inner.block.record(now, &Record::Taken { inv, front, mark, redelivered });
+    }
+
+    fn answered(&mut self, now: Micros, g: Given) {
+        let mut inner = self.0.borrow_mut();
+        inner.prepare(now);
+        let Given { inv, front, fate, reason, trigger, account, took } = g;
+        inner.block.record(now, &Record::Answered { inv, front, fate, reason, trigger, account, took });
+    }
+
+    fn turned_away(&mut self, now: Micros, front: FrontIx, trigger: u32, account: u32, why: Short) {
+        let mut inner = self.0.borrow_mut();
+        inner.prepare(now);
+        inner.block.record(now, &Record::TurnedAway { front, trigger, account, why });
+    }
+
+    /// Not part of the format: the module does not learn what a worker reports it held.
+    fn used(&mut self, _: Micros, _: Used) {}
+}
--- a/crates/gateway/tests/gate.rs
+++ b/crates/gateway/tests/admission.rs
@@ -1,11 +1,11 @@
-//! What the gate tells the core of a session's worker before it lets an invocation of the session pass.
+//! What the admission tells the core of a session's worker before it forwards an invocation of the session.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use cedarpulley::interface::{CopyNote, Micros, Outcome};
+use cedarpulley_gateway::admission::Admission;
 use cedarpulley_gateway::context::GatewayContext;
-use cedarpulley_gateway::gate::Gate;
 use cedarpulley_net::Clock;
 use cedarpulley_router::watch::{By, Used};
 use cedarpulley_router::{Delivery, Input, Session, Taken};
@@ -39,8 +39,8 @@
     }
 }
 
-/// Symptom: a function's homes move, the module lets go of all that it believed of it, and each session that this router
-/// knew to be warm goes to a new home.
+/// Guards against sessions leaving their warm worker: a function's homes move, and the module forgets all
+/// that it believed of it.
 #[test]
 fn a_copy_that_was_used_lately_is_told_again_before_each_turn() {
     let passed: Rc<RefCell<Vec<Input>>> = Rc::default();
@@ -58,13 +58,16 @@
     let minute: Micros = 60_000_000;
     let terms = Terms { kept: 10 * minute, patience: minute, most_known: 10, most_waiting: 10 };
     let core = passed.clone();
-    let gate = Gate::new(context, terms, None, None, Box::new(move |input| core.borrow_mut().push(input)));
+    let admission =
+        Admission::new(context, terms, None, None, Box::new(move |input| core.borrow_mut().push(input)));
     let stands = Rc::new(Cell::new(true));
     let used = stands.clone();
-    gate.knows_uses(Box::new(move |worker, function| used.get() && worker == WORKER && function == "f"));
-    // Whether it is told of the copy, and where the turn is to go.
+    admission.set_recent_use_check(Box::new(move |worker, function| {
+        used.get() && worker == WORKER && function == "f"
+    }));
+    // Whether the core is told of the copy, and which worker the invocation prefers.
     let told = |tag| {
-        assert!(gate.passes(Input::Taken(turn(tag))).is_none());
+        assert!(admission.filter(Input::Taken(turn(tag))).is_none());
         let passed = std::mem::take(&mut *passed.borrow_mut());
         let held =
             passed.iter().any(|i| matches!(i, Input::Held { worker, copies: 1, .. } if **worker == *WORKER));
@@ -73,7 +76,7 @@
     };
     assert_eq!(told(1), (false, None));
     let by = By::Dispatch(Outcome::Succeeded, CopyNote::Found);
-    gate.watch().used(
+    admission.observer().used(
         0,
         Used {
             worker: 0,
@@ -90,9 +93,9 @@
             held: None,
         },
     );
-    gate.settle();
+    admission.process_completed();
     assert_eq!((told(2), told(3)), ((true, Some(WORKER.into())), (true, Some(WORKER.into()))));
-    // Another copy, or none that is known: nothing is told.
+    // The copy is not known to be in use any more: nothing is told.
     stands.set(false);
     assert_eq!(told(4), (false, Some(WORKER.into())));
 }
--- a/crates/gateway/tests/metering.rs
+++ b/crates/gateway/tests/metering.rs
@@ -49,7 +49,7 @@
 fn looked(m: &Metering, from: Micros, until: impl Fn() -> bool) {
     let (began, mut now) = (Instant::now(), from);
     while !until() {
-        m.look(now);
+        m.flush_due(now);
         now += 400 * SECOND;
         assert!(began.elapsed() < Duration::from_secs(20), "nothing came of it");
         std::thread::sleep(Duration::from_millis(5));
@@ -70,7 +70,7 @@
     let metering = begin(&folder);
     use_it(&metering, 0..3);
     (0..5).for_each(|n| {
-        metering.look(n * 400 * SECOND);
+        metering.flush_due(n * 400 * SECOND);
         std::thread::sleep(Duration::from_millis(20));
     });
     use_it(&metering, 3..5);
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -8,21 +8,21 @@
 use async_executor::LocalExecutor;
 use bytes::Bytes;
 use cedarpulley::interface::Outcome;
-use cedarpulley_gateway::pool::{Links, Pool, ended};
+use cedarpulley_gateway::pool::{Pool, PoolSettings, ending_of};
 use cedarpulley_kserve::{endings, requests};
 use cedarpulley_net::Clock;
 use cedarpulley_router::Ticket;
 use futures_lite::FutureExt;
 
-const MOST_ANSWER: usize = 1 << 20;
+const MAX_ANSWER_BYTES: usize = 1 << 20;
 
-fn links(most_connections: usize) -> Links {
-    Links {
-        from: None,
-        connect_within: 300_000,
-        most_connections,
-        idle_kept: 30_000_000,
-        most_answer: MOST_ANSWER,
+fn pool_settings(max_connections: usize) -> PoolSettings {
+    PoolSettings {
+        local_address: None,
+        connect_timeout: 300_000,
+        max_connections,
+        idle_timeout: 30_000_000,
+        max_answer_bytes: MAX_ANSWER_BYTES,
     }
 }
 
@@ -67,7 +67,7 @@
 /// So many exchanges one after the other, within a time.
 fn outcomes(address: SocketAddr, most: usize, times: usize) -> Vec<Outcome> {
     let executor = Rc::new(LocalExecutor::new());
-    let pool = Pool::new(executor.clone(), Clock::start(), links(most));
+    let pool = Pool::new(executor.clone(), Clock::start(), pool_settings(most));
     async_io::block_on(executor.run(async {
         let mut all = Vec::new();
         for _ in 0..times {
@@ -76,7 +76,7 @@
                 panic!("no end to the exchange")
             };
             let result = pool.exchange(address, infer(address), false, || true).or(late).await;
-            all.push(endings::infer(&ended(&result, "f")).outcome);
+            all.push(endings::infer(&ending_of(&result, "f")).outcome);
             async_io::Timer::after(Duration::from_millis(30)).await;
         }
         all
@@ -105,9 +105,9 @@
         assert_eq!(s.read(&mut [0; 1]).unwrap_or(0), 0, "a byte has left");
     });
     let executor = Rc::new(LocalExecutor::new());
-    let pool = Pool::new(executor.clone(), Clock::start(), links(1));
+    let pool = Pool::new(executor.clone(), Clock::start(), pool_settings(1));
     let result = async_io::block_on(executor.run(pool.exchange(address, infer(address), false, || false)));
-    assert_eq!(endings::infer(&ended(&result, "f")).outcome, Outcome::NotSent);
+    assert_eq!(endings::infer(&ending_of(&result, "f")).outcome, Outcome::NotSent);
 }
 
 #[test]
@@ -181,11 +181,11 @@
         });
     });
     let executor = Rc::new(LocalExecutor::new());
-    let pool = Rc::new(Pool::new(executor.clone(), Clock::start(), links(1)));
+    let pool = Rc::new(Pool::new(executor.clone(), Clock::start(), pool_settings(1)));
     async_io::block_on(executor.run(async {
         let ticket = Ticket { inv: 0, dispatch: 0, generation: 0 };
         let first = pool.clone();
-        pool.keep(
+        pool.track(
             ticket,
             executor.spawn(async move {
                 let _ = first.exchange(address, infer(address), false, || true).await;
@@ -193,8 +193,8 @@
         );
         async_io::Timer::after(Duration::from_millis(100)).await;
         let result = pool.exchange(address, infer(address), false, || true).await;
-        assert_eq!(endings::infer(&ended(&result, "f")).outcome, Outcome::Throttled);
-        pool.withdraw(ticket);
+        assert_eq!(endings::infer(&ending_of(&result, "f")).outcome, Outcome::Throttled);
+        pool.cancel(ticket);
         async_io::Timer::after(Duration::from_millis(20)).await;
         let late = async {
             async_io::Timer::after(Duration::from_millis(200)).await;
--- a/crates/gateway/tests/upgrading.rs
+++ b/crates/gateway/tests/upgrades.rs
@@ -1,8 +1,8 @@
-//! What a router is told of upgrades: its section of the settings, and the operator's orders beside it.
+//! The settings of upgrades: their section, and the operator's orders in a file beside it.
 
 use std::path::Path;
 
-use cedarpulley_gateway::{settings, upgrading};
+use cedarpulley_gateway::{settings, upgrades};
 
 const PEERS: &str = r#"
 [peers]
@@ -30,15 +30,15 @@
     )
 }
 
-fn read(folder: &Path, more: &str) -> Result<settings::Parts, Vec<String>> {
+fn read(folder: &Path, more: &str) -> Result<settings::RouterSettings, Vec<String>> {
     let file = folder.join("router.toml").display().to_string();
-    settings::read(&file, &text(more), false).map_err(|refused| refused.0)
+    settings::read(&file, &text(more), false).map_err(|errors| errors.0)
 }
 
 fn orders(folder: &Path, text: &str) -> Result<usize, Vec<String>> {
     let file = folder.join("orders.toml");
     std::fs::write(&file, text).expect("written");
-    upgrading::read(&file).map(|orders| orders.len()).map_err(|refused| refused.0)
+    upgrades::read(&file).map(|orders| orders.len()).map_err(|errors| errors.0)
 }
 
 const GOOD: &str = "[[order]]\nmodel = \"m\"\nto = \"2\"\nserial = 1\ndrain_limit_ms = 9000\n";
@@ -63,7 +63,7 @@
     let twice = orders(at, &format!("{GOOD}{GOOD}")).expect_err("one serial for two");
     assert!(twice[0].contains("two orders"), "{twice:?}");
     std::fs::remove_file(at.join("orders.toml")).expect("removed");
-    assert!(upgrading::read(&at.join("orders.toml")).is_err());
+    assert!(upgrades::read(&at.join("orders.toml")).is_err());
 }
 
 #[test]
@@ -80,7 +80,10 @@
     assert!(alone[0].contains("[peers]"), "{alone:?}");
     let parts = read(at, &format!("{PEERS}{section}lease_ms = 900\n")).unwrap_or_else(|e| panic!("{e:?}"));
     let upgrade = parts.upgrade.expect("upgrades");
-    assert_eq!((upgrade.orders.len(), upgrade.terms.lease, upgrade.objectives), (1, 900_000, vec![100_000]));
+    assert_eq!(
+        (upgrade.orders.len(), upgrade.terms.lease, upgrade.latency_objectives),
+        (1, 900_000, vec![100_000])
+    );
     assert!(parts.sessions.is_some());
     let short = read(at, &format!("{PEERS}{section}session_kept_ms = 2000\n")).err().expect("too short");
     assert!(short[0].contains("session_kept_ms"), "{short:?}");
