--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -25,7 +25,7 @@
 use serde_json::{Value, json};
 
 use crate::context::GatewayContext;
-use crate::peers::PeerEvent;
+use crate::peer_events::PeerEvent;
 use crate::shared_state::SharedState;
 use crate::upgrades::Upgrades;
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,6 +1,6 @@
 //! What every part of the process may use: clock, executor, the router's name, seed and address, the
 //! configured names, and the input of the core. Each part gets this context and whatever else it needs
-//! explicitly; only `serve.rs` knows the whole, so that a part can be read, built and tested without the
+//! explicitly; only `wiring.rs` knows the whole, so that a part can be read, built and tested without the
 //! others.
 
 use std::cell::Cell;
--- /dev/null
+++ b/crates/gateway/src/core_settings.rs
@@ -0,0 +1,260 @@
+//! The settings of the core and its decision module: place in the fleet, dispatches, rules, loads, prices, trigger
+//! types and accounts.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use cedarpulley::interface::*;
+use cedarpulley_certificates::Speakers;
+use cedarpulley_startup::Names;
+
+use crate::config_reader::Section;
+use crate::pool::PoolSettings;
+use crate::settings::{DAY_MS, MAX_NUMBER, zone_index};
+
+/// Later than any time of a clock, in microseconds.
+pub(crate) const NEVER: Micros = i64::MAX / 8;
+
+/// The section `[router]`. Times are in microseconds.
+pub(crate) struct RouterSection {
+    pub(crate) seed: Option<u64>,
+    pub(crate) fleet: FleetPosition,
+    pub(crate) local_address: Option<IpAddr>,
+    pub(crate) answer_margin: Micros,
+    pub(crate) clock_margin: Micros,
+    pub(crate) memory_bytes: u64,
+    pub(crate) max_body_bytes: u64,
+}
+
+/// Reads `[router]`; the zones go into `names`.
+pub(crate) fn router(section: &Section, names: &mut Names) -> RouterSection {
+    let seed = section.has("seed").then(|| section.integer("seed", 0..1 << 53, None));
+    names.zones = section.strings("zones");
+    let zone = zone_index(section, "zone", &names.zones);
+    let fleet = FleetPosition {
+        routers: section.integer("routers", 1..10_000, Some(1)) as u32,
+        position: section.integer("position", 0..9_999, Some(0)) as u32,
+        zone,
+        granularity: section.millis_as_micros("granularity_ms", 0..1000, Some(10)),
+    };
+    if fleet.position >= fleet.routers {
+        section.error("position", "is not below the number of routers");
+    }
+    let local_address = match section.string("from", Some("")).as_str() {
+        "" => None,
+        text => match text.parse::<Ipv4Addr>() {
+            Ok(ip) if ip.is_loopback() => Some(IpAddr::V4(ip)),
+            _ => {
+                section.error("from", "is not a loopback address");
+                None
+            }
+        },
+    };
+    let answer_margin = section.millis_as_micros("answer_margin_ms", 0..DAY_MS, Some(100));
+    let clock_margin = section.millis_as_micros("clock_margin_ms", 0..DAY_MS, Some(50));
+    let memory_bytes = section.integer("memory_mb", 1..1 << 20, Some(256)) << 20;
+    let max_body_bytes = section.integer("most_body_kb", 1..1 << 20, Some(16 * 1024)) << 10;
+    section.check_unknown_keys();
+
+    RouterSection { seed, fleet, local_address, answer_margin, clock_margin, memory_bytes, max_body_bytes }
+}
+
+/// Reads `[dispatch]`: the limits of dispatches, and the connections to workers.
+pub(crate) fn dispatch(section: &Section, local_address: Option<IpAddr>) -> (DispatchLimits, PoolSettings) {
+    let limits = DispatchLimits {
+        max_dispatches: section.integer("max_dispatches", 1..100, Some(4)) as u32,
+        second_copies: section.boolean("second_copies", Some(false)),
+        withdrawals: section.boolean("withdrawals", Some(true)),
+        probes: section.boolean("probes", Some(false)),
+        connect_within: section.millis_as_micros("connect_within_ms", 1..DAY_MS, Some(250)),
+        max_advice: section.millis_as_micros("max_advice_ms", 0..DAY_MS, Some(0)),
+    };
+    let pool = PoolSettings {
+        local_address,
+        connect_timeout: limits.connect_within,
+        max_connections: section.integer("most_connections", 1..10_000, Some(128)) as usize,
+        idle_timeout: section.millis_as_micros("connection_kept_ms", 1..DAY_MS, Some(30_000)),
+        max_answer_bytes: (section.integer("most_answer_kb", 1..1 << 20, Some(16 * 1024)) << 10) as usize,
+    };
+    section.check_unknown_keys();
+    (limits, pool)
+}
+
+/// Reads `[rules]`.
+pub(crate) fn rules(section: &Section) -> RuleTerms {
+    let rules = RuleTerms {
+        answer_slack: section.millis_as_micros("answer_slack_ms", 0..DAY_MS, Some(0)),
+        drain_grace: section.millis_as_micros("drain_grace_ms", 0..DAY_MS, Some(500)),
+        ask_within: NEVER,
+        list_on_request: false,
+        cold_part: section.number("cold_part", 0.0..1.0, Some(1.0)),
+        cold_for: section.millis_as_micros("cold_for_ms", 0..DAY_MS, Some(0)),
+        overload_multiple: section.number("overload_multiple", 0.0..MAX_NUMBER, Some(MAX_NUMBER)),
+        overload_window: section.millis_as_micros("overload_window_ms", 1..DAY_MS, Some(1_000)),
+    };
+    section.check_unknown_keys();
+    rules
+}
+
+/// Reads the kinds of workers: their names go into `names`, their memory in MB is returned.
+pub(crate) fn kinds(root: &Section, names: &mut Names) -> Vec<f64> {
+    let mut memory_mb = Vec::new();
+    for kind in root.sections("kind") {
+        names.kinds.push(kind.string("name", None));
+        memory_mb.push(kind.number("memory_mb", 1.0..MAX_NUMBER, None));
+        kind.finish();
+    }
+    memory_mb
+}
+
+/// Reads `[loads]`. `memory_mb`: by kind of worker.
+pub(crate) fn loads(section: &Section, memory_mb: Vec<f64>) -> LoadTerms {
+    let loads = LoadTerms {
+        idle_kept: section.millis_as_micros("idle_kept_ms", 1..DAY_MS, Some(30_000)),
+        orders: section.boolean("orders", Some(false)),
+        loads_when_absent: section.boolean("loads_when_absent", Some(true)),
+        order_answered_within: section.millis_as_micros("order_answered_within_ms", 1..DAY_MS, Some(10_000)),
+        ration_window: section.millis_as_micros("ration_window_ms", 0..DAY_MS, Some(0)),
+        ration_few: section.number("ration_few", 0.0..MAX_NUMBER, Some(0.0)),
+        ration_part: section.number("ration_part", 0.0..1.0, Some(0.0)),
+        notes: section.boolean("notes", Some(true)),
+        crowds: section.boolean("crowds", Some(true)),
+        memory_mb,
+    };
+    if !loads.orders && !loads.loads_when_absent {
+        section.error("loads_when_absent", "without it and without orders nothing is ever loaded");
+    }
+    section.check_unknown_keys();
+    loads
+}
+
+/// Reads `[prices]`.
+pub(crate) fn prices(section: &Section) -> Prices {
+    let prices = Prices {
+        crossing: section.number("crossing", 0.0..MAX_NUMBER, Some(0.0)),
+        fetch: section.number("fetch", 0.0..MAX_NUMBER, Some(0.0)),
+        waste: section.number("waste", 0.0..MAX_NUMBER, Some(0.0)),
+        probe: section.number("probe", 0.0..MAX_NUMBER, Some(0.0)),
+        late_error: section.number("late_error", 0.0..MAX_NUMBER, Some(0.0)),
+        over_share: section.number("over_share", 0.0..1.0, Some(1.0)),
+    };
+    section.check_unknown_keys();
+    prices
+}
+
+/// Reads the trigger types, and for each whether it is sent without a majority; their names go into `names`.
+pub(crate) fn triggers(
+    root: &Section,
+    limits: &DispatchLimits,
+    names: &mut Names,
+) -> (Vec<TriggerType>, Vec<bool>) {
+    let (mut triggers, mut alone) = (Vec::new(), Vec::new());
+    for t in root.sections("trigger") {
+        let name = t.string("name", None);
+        if names.triggers.contains(&name) {
+            t.error("name", &format!("'{name}' is named twice"));
+        }
+        names.triggers.push(name);
+        triggers.push(trigger(&t, limits));
+        alone.push(sends_without_majority(&t));
+        t.finish();
+    }
+    if triggers.is_empty() {
+        root.error("trigger", "no trigger type is given");
+    }
+    (triggers, alone)
+}
+
+/// Reads the accounts, and the certificate names bound to them; their names go into `names`.
+pub(crate) fn accounts(root: &Section, names: &mut Names) -> (Vec<Account>, Speakers) {
+    let mut accounts = Vec::new();
+    let mut certificate_accounts = Speakers::default();
+    for a in root.sections("account") {
+        names.accounts.push(a.string("name", None));
+        if a.has("certificate_names") {
+            for name in a.strings("certificate_names") {
+                if !certificate_accounts.give(name.clone(), accounts.len() as u32) {
+                    a.error("certificate_names", &format!("'{name}' speaks for another account"));
+                }
+            }
+        }
+        accounts.push(Account {
+            allowance_per_s: a.number("allowance_per_s", 0.0..MAX_NUMBER, Some(MAX_NUMBER)),
+            share: a.number("share", 0.0..1.0, Some(1.0)),
+        });
+        a.finish();
+    }
+    let all: f64 = accounts.iter().map(|a| a.share).sum();
+    if accounts.len() > 1 && all > 1.0 + 1e-9 && root.has("account") {
+        root.error("account", &format!("the shares sum to {all}, above 1"));
+    }
+
+    (accounts, certificate_accounts)
+}
+
+/// Where workers' reports come from.
+pub(crate) fn reports(root: &Section) -> ReportsIn {
+    match root.string("reports", Some("answers")).as_str() {
+        "answers" => ReportsIn::Answers,
+        "probes" => ReportsIn::Probes,
+        "nothing" => ReportsIn::Nothing,
+        _ => {
+            root.error("reports", "is none of answers, probes, nothing");
+            ReportsIn::Nothing
+        }
+    }
+}
+
+fn trigger(t: &Section, limits: &DispatchLimits) -> TriggerType {
+    let group = match t.string("repeats_dropped_by", Some("all")).as_str() {
+        "all" => RepeatGroup::All,
+        "zone" => RepeatGroup::Zone,
+        "cell" => RepeatGroup::Cell,
+        _ => {
+            t.error("repeats_dropped_by", "is none of all, zone, cell");
+            RepeatGroup::Cell
+        }
+    };
+    let effect = match t.string("effect", None).as_str() {
+        "idempotent" => Effect::Idempotent,
+        "tokened" => Effect::Tokened { group, window: t.millis_as_micros("window_ms", 0..DAY_MS, None) },
+        "non-idempotent" => Effect::NonIdempotent,
+        "" => Effect::NonIdempotent,
+        _ => {
+            t.error("effect", "is none of idempotent, tokened, non-idempotent");
+            Effect::NonIdempotent
+        }
+    };
+    if t.boolean("second_copies", Some(false)) {
+        if effect == Effect::NonIdempotent {
+            t.error("second_copies", "what must never run twice may have no second copy");
+        } else if !limits.second_copies {
+            t.error("second_copies", "second copies are not allowed under [dispatch]");
+        }
+    }
+    let latency_objective = t.millis_as_micros("latency_objective_ms", 1..DAY_MS, None);
+    let client_timeout = t.millis_as_micros("client_timeout_ms", 1..DAY_MS, None);
+    if latency_objective > client_timeout {
+        t.error("latency_objective_ms", "is above the client timeout");
+    }
+    TriggerType {
+        effect,
+        latency_objective,
+        objective_stretch: t.number("objective_stretch", 0.0..MAX_NUMBER, Some(0.0)),
+        client_timeout,
+        billed_value: t.number("billed_value", 0.0..MAX_NUMBER, Some(1.0)),
+        late_part: t.number("late_part", 0.0..1.0, Some(0.0)),
+        streamed: false,
+    }
+}
+
+/// Whether a trigger type is sent without a majority of the group.
+fn sends_without_majority(t: &Section) -> bool {
+    match t.string("without_majority", Some("refuse")).as_str() {
+        "refuse" => false,
+        "alone" => true,
+        _ => {
+            t.error("without_majority", "is none of refuse, alone");
+            false
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,12 +2,13 @@
 //! `cedarpulley-router`. It makes no routing decisions: every event goes to the core, and the core's outputs
 //! are carried out in order.
 //!
-//! Begin reading at [`serve`], the only module that knows all others. Then: [`context`] (what every part may
-//! use), [`amqp_front`] (AMQP), [`client_listener`] with [`rest`] and [`grpc`] (KServe v2), [`pool`]
-//! (connections to workers), [`worker_list`], [`admission`] (sessions and versions, before the core),
-//! [`peer_group`] with [`peers`], [`peer_transport`] and [`peer_store`] (the state that routers of a group
-//! share), and [`shared_state`], the interface of that state for the other parts. No module depends on one
-//! that stands above it.
+//! Begin reading at [`serve`], with `resources` (what a router must have), `wiring` (puts the parts
+//! together), `gateway` (the running router), `outputs` and `shutdown`; these alone know the whole.
+//! [`settings`] reads the configuration. Then: [`context`] (what every part may use), [`amqp_front`] (AMQP),
+//! [`client_listener`] with [`rest`] and [`grpc`] (KServe v2), [`pool`] (connections to workers),
+//! [`worker_list`], [`admission`] (sessions and versions, before the core), [`peer_group`] with [`peers`],
+//! [`peer_transport`] and [`peer_store`] (the state that routers of a group share), and [`shared_state`], the
+//! interface of that state for the other parts. No module depends on one that stands above it.
 //!
 //! A *front* is a way in for requests: a queue consumed over AMQP, or a listener for KServe clients. The
 //! *core* is the router's state machine; the decision module it drives is called *the module*.
@@ -17,24 +18,37 @@
 pub mod client_listener;
 pub mod config_reader;
 pub mod context;
+pub(crate) mod core_settings;
 pub mod fault_injection;
+pub(crate) mod front_settings;
+pub(crate) mod gateway;
+pub(crate) mod group_settings;
 pub mod grpc;
 pub mod metering;
 pub mod outcome_names;
+pub(crate) mod outputs;
+pub mod peer_events;
 pub mod peer_group;
+pub mod peer_messages;
+pub mod peer_settings;
 pub mod peer_store;
 pub mod peer_transport;
 pub mod peers;
 pub mod pool;
 pub mod reconciliation;
+pub(crate) mod reconciliation_notes;
+pub(crate) mod reconciliation_observer;
 pub mod request_handling;
+pub(crate) mod resources;
 pub mod rest;
 pub mod serve;
 pub mod settings;
 pub mod shared_state;
+pub(crate) mod shutdown;
 pub mod state_endpoint;
 pub mod tls;
 pub mod trace_recorder;
 pub mod unknown_members;
 pub mod upgrades;
+pub(crate) mod wiring;
 pub mod worker_list;
--- /dev/null
+++ b/crates/gateway/src/outputs.rs
@@ -0,0 +1,195 @@
+//! Carries out what the core puts out: answers go to their fronts, dispatches and load orders to workers through the
+//! pool, and requests for the group to the peer group. What they lead to comes back to the core as events.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use cedarpulley::interface::{Micros, Outcome, Report, WorkerIx};
+use cedarpulley_kserve::{endings, reports, requests};
+use cedarpulley_router::core::Call;
+use cedarpulley_router::{Answer, Delivery, FrontIx, Input, OrderTicket, Output, Payload, Ticket};
+
+use crate::gateway::Gateway;
+use crate::peer_group::PeerGroup;
+use crate::pool::{ExchangeError, Reply, ending_of};
+
+/// A probe or an unload order is given up after this time, in microseconds.
+const CONTROL_TIMEOUT: Micros = 2_000_000;
+
+/// A dispatch to a worker.
+struct Dispatch {
+    ticket: Ticket,
+    worker: WorkerIx,
+    function: Arc<str>,
+    trigger: u32,
+    account: u32,
+    call: Call,
+}
+
+/// An order to load copies at a worker or, with `copies` 0, a query how many exist.
+struct LoadOrder {
+    ticket: OrderTicket,
+    function: Arc<str>,
+    account: u32,
+    copies: u32,
+    within: Micros,
+    term: Option<Arc<str>>,
+}
+
+impl Gateway {
+    /// Begins to carry out one output; what takes time runs as a task.
+    pub(crate) fn carry_out(self: &Rc<Self>, output: Output) {
+        self.fault_injector.observe(&output);
+        match output {
+            Output::Answer { delivery, answer } => self.deliver(delivery, answer),
+            Output::Entry { delivery, entry } => {
+                if let Some(handler) = self.handler(delivery.front) {
+                    handler.set_decision(entry);
+                }
+            }
+            Output::Discard(delivery) => {
+                if let Some(front) = self.fronts.get(delivery.front as usize) {
+                    front.discard(delivery);
+                }
+            }
+            Output::Grant { front, most } => self.grant(front, most),
+            Output::Send { ticket, worker, function, trigger, account, call } => {
+                self.begin_dispatch(Dispatch { ticket, worker, function, trigger, account, call });
+            }
+            Output::Withdraw(ticket) => self.pool.cancel(ticket),
+            Output::Order { ticket, function, account, copies, within, term } => {
+                let order = LoadOrder { ticket, function, account, copies, within, term };
+                self.context.executor.spawn(self.clone().order_load(order)).detach();
+            }
+            Output::Unload { worker, function, term } => {
+                self.context.executor.spawn(self.clone().order_unload(worker, function, term)).detach();
+            }
+            Output::Probe { worker } => {
+                self.context.executor.spawn(self.clone().probe(worker)).detach();
+            }
+            // The watch retries by itself, with spread-out delays.
+            Output::AskList => {}
+            Output::Group(request) => {
+                if let Some(peer_group) = &self.peer_group {
+                    peer_group.request(request);
+                }
+            }
+        }
+    }
+
+    fn deliver(&self, delivery: Delivery, answer: Answer) {
+        tracing::debug!(fate = ?answer.fate, reason = ?answer.reason, "answered");
+        if let Some(front) = self.fronts.get(delivery.front as usize) {
+            return self.fault_injector.answer(front, delivery, answer);
+        }
+        let handler = self.handler(delivery.front).filter(|_| !self.fault_injector.loses_answer());
+        if let Some(handler) = handler {
+            handler.deliver(delivery, answer);
+        }
+    }
+
+    fn grant(&self, front: FrontIx, most: u32) {
+        match self.fronts.get(front as usize) {
+            Some(front) => front.grant(most),
+            None => {
+                if let Some(handler) = self.handler(front) {
+                    handler.grant(most);
+                }
+            }
+        }
+    }
+
+    fn begin_dispatch(self: &Rc<Self>, dispatch: Dispatch) {
+        let ticket = dispatch.ticket;
+        let task = self.context.executor.spawn(self.clone().dispatch(dispatch));
+        self.pool.track(ticket, task);
+    }
+
+    async fn dispatch(self: Rc<Self>, dispatch: Dispatch) {
+        let (ticket, worker, function) = (dispatch.ticket, dispatch.worker, dispatch.function.clone());
+        let result = self.exchange(dispatch).await;
+        let read = endings::infer(&ending_of(&result, &function));
+        let held = result.as_ref().ok().and_then(|r| reports::held(&r.headers));
+        let body = match result {
+            Ok(reply) if read.outcome == Outcome::Succeeded => {
+                let json = endings::json_length(&reply.headers, &reply.body);
+                let first = json.filter(|n| *n < reply.body.len()).map(|n| n as u32);
+                Payload { bytes: reply.body, first }
+            }
+            _ => Payload::default(),
+        };
+        tracing::debug!(inv = ticket.inv, dispatch = ticket.dispatch, worker, outcome = ?read.outcome, "ended");
+        self.pool.finished(ticket);
+        self.feed(Input::DispatchEnded {
+            ticket,
+            outcome: read.outcome,
+            note: read.note,
+            crowd: read.crowd,
+            report: read.report,
+            held,
+            body,
+        });
+    }
+
+    async fn exchange(&self, dispatch: Dispatch) -> Result<Reply, ExchangeError> {
+        let Dispatch { ticket, worker, function, trigger, account, call } = dispatch;
+        let names = &self.context.names;
+        let marks = requests::Marks {
+            invocation: call.mark.as_deref(),
+            dispatch: ticket.dispatch,
+            token: call.token.as_deref(),
+            trigger: names.triggers.get(trigger as usize).map_or("", String::as_str),
+            account: names.accounts.get(account as usize).map(String::as_str),
+            time_left: call.time_left,
+            session: call.session.as_ref().map(|s| (&*s.id, s.start, s.end)),
+        };
+        let Some(address) = self.address(worker) else { return Err(ExchangeError::NoConnection) };
+        let (host, body) = (address.to_string(), call.body);
+        let request = requests::infer(&host, &function, marks, body.bytes, body.first);
+        let may_send = || self.router.borrow().may_leave(self.context.clock.now(), ticket);
+        self.pool.exchange(address, request, false, may_send).await
+    }
+
+    async fn order_load(self: Rc<Self>, order: LoadOrder) {
+        let LoadOrder { ticket, function, account, copies, within, term } = order;
+        let Some(address) = self.address(ticket.worker) else { return };
+        let host = address.to_string();
+        let request = match copies {
+            0 => requests::ready(&host, &function),
+            copies => {
+                let account = self.context.names.accounts.get(account as usize).map(String::as_str);
+                requests::load(&host, &function, copies, account, self.orderer(term.as_deref()))
+            }
+        };
+        let result = self.pool.order(address, request, within).await;
+        let held = result.as_ref().ok().and_then(|r| reports::held(&r.headers));
+        let (result, copies) = endings::order(&ending_of(&result, &function));
+        self.feed(Input::OrderEnded { ticket, result, copies, held });
+    }
+
+    async fn order_unload(self: Rc<Self>, worker: WorkerIx, function: Arc<str>, term: Option<Arc<str>>) {
+        let Some(address) = self.address(worker) else { return };
+        let request = requests::unload(&address.to_string(), &function, self.orderer(term.as_deref()));
+        // No one waits for the answer; the order only has to arrive.
+        let _ = self.pool.order(address, request, CONTROL_TIMEOUT).await;
+    }
+
+    async fn probe(self: Rc<Self>, worker: WorkerIx) {
+        let began = self.context.clock.now();
+        let (outcome, report) = match self.address(worker) {
+            Some(address) => {
+                let request = requests::live(&address.to_string());
+                let result = self.pool.order(address, request, CONTROL_TIMEOUT).await;
+                endings::probe(&ending_of(&result, ""))
+            }
+            None => (Outcome::Unreachable, Report::default()),
+        };
+        let took = self.context.clock.now() - began;
+        self.feed(Input::Probed { worker, outcome, took, report });
+    }
+
+    /// What load orders tell workers of their origin, if routers are to be told apart.
+    fn orderer<'a>(&'a self, term: Option<&'a str>) -> requests::Orderer<'a> {
+        requests::Orderer { router: self.peer_group.as_ref().map(PeerGroup::name), term }
+    }
+}
--- a/crates/gateway/src/peer_group.rs
+++ b/crates/gateway/src/peer_group.rs
@@ -17,9 +17,10 @@
 use thiserror::Error;
 
 use crate::context::GatewayContext;
+use crate::peer_settings::PeerSettings;
 use crate::peer_store::{PeerStore, StoreError};
 use crate::peer_transport::{self, PeerTransport, TransportHandle};
-use crate::peers::{PeerSettings, Peers, RestoredState};
+use crate::peers::{Peers, RestoredState};
 use crate::shared_state::SharedState;
 
 /// Changes of the shared state are written to the store this often, and at once if a vote waits for them.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,81 +7,29 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
+use std::net::IpAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
 use cedarpulley_errors::Remedy;
-use cedarpulley_membership::{self as membership, Believed, Group, MemberIx, Membership, Process};
+use cedarpulley_membership::{self as membership, Believed, MemberIx, Membership};
 use cedarpulley_net::Alarm;
 use cedarpulley_replica::{self as replica, Guard, Need, Replica};
 use cedarpulley_router::group::{self, Ask, Told};
-use cedarpulley_router::{Answer, Fate, Input, Payload, Reason};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use smol::channel::{Receiver, Sender};
 
 use crate::context::GatewayContext;
+use crate::peer_events::{EventListener, Notification, PeerEvent};
+use crate::peer_messages::{Envelope, PeerMessage, decode_answer, encode_answer};
+use crate::peer_settings::PeerSettings;
 use crate::unknown_members::{Refusal, RefusalCause, UnknownMembers};
 
 /// Assumed transit time of a member's message while nothing bounds it: long before any router began. In
 /// microseconds.
 const UNKNOWN_TRANSIT: Micros = Micros::MAX / 4;
 
-/// Configuration of the group and of this router's place in it. All times are in microseconds.
-#[derive(Clone, Debug)]
-pub struct PeerSettings {
-    pub listen: SocketAddr,
-    pub group: Group,
-    /// Address of each member as reached from this router, by member index.
-    pub addresses: Vec<SocketAddr>,
-    pub state_folder: Option<PathBuf>,
-    pub probe_interval: Micros,
-    pub probe_timeout: Micros,
-    pub suspicion_timeout: Micros,
-    /// A change in who is alive is acted upon only after it has lasted this long.
-    pub belief_delay: Micros,
-    pub retention: Micros,
-    pub replication_timeout: Micros,
-    pub catch_up_bytes_per_s: u64,
-    pub max_records: usize,
-}
-
-impl PeerSettings {
-    /// How long a permission to send an invocation stays valid. It ends before another member can consider
-    /// this one dead and take its invocations over.
-    pub fn send_lease(&self) -> Micros {
-        self.suspicion_timeout / 2
-    }
-}
-
-/// Everything that one member sends to another in one request, encoded with `postcard`. The order of fields
-/// is the wire format.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Envelope {
-    pub version: u16,
-    /// Fingerprint of the whole group: routers of another group, or with other members configured, have
-    /// another one.
-    pub group: u64,
-    pub from: MemberIx,
-    pub to: MemberIx,
-    pub process: Process,
-    /// The sender's own clock; then the receiver's clock as the sender last saw it, and the process it
-    /// belonged to. With these the receiver bounds the transit time by its own clock alone. In microseconds.
-    pub clock: Micros,
-    pub echo: Micros,
-    pub echo_of: u64,
-    /// Encoded messages, each by itself: one that cannot be decoded does not affect the others.
-    pub messages: Vec<Bytes>,
-}
-
-#[derive(Serialize, Deserialize)]
-enum PeerMessage {
-    Membership(membership::Message),
-    Replica(replica::Message),
-}
-
 /// Sends messages to other members. It must not block.
 pub trait Transport {
     /// `bulk`: may wait behind messages that a vote waits for. `recoverable`: may be dropped if there is no
@@ -117,28 +65,9 @@
     store_was_older: bool,
 }
 
-/// What other parts of this router can learn about the group.
-#[derive(Clone, Debug, PartialEq)]
-pub enum PeerEvent {
-    /// The outcome of a proposal of this router.
-    Decided(replica::Key, replica::Outcome),
-    /// Another member published a note or a choice under this key.
-    Updated(replica::Key),
-    /// The set of members believed to be alive has changed.
-    BelievedMembersChanged,
-}
-
-/// Called for each event that it subscribed to.
-pub type EventListener = Rc<dyn Fn(PeerEvent)>;
-
-enum Notification {
-    Core(Told),
-    Listeners(PeerEvent),
-}
-
 /// This router's membership and shared records, with the queue of notifications that follow from them.
 pub struct Peers {
-    context: Rc<GatewayContext>,
+    pub(crate) context: Rc<GatewayContext>,
     nonce: u64,
     group_fingerprint: u64,
     own_index: MemberIx,
@@ -146,10 +75,10 @@
     state: RefCell<State>,
     transport: Box<dyn Transport>,
     /// Waiting to be delivered to the core and to listeners, in order.
-    notifications: RefCell<VecDeque<Notification>>,
+    pub(crate) notifications: RefCell<VecDeque<Notification>>,
     /// Listeners with the key prefix that each subscribed to.
-    listeners: RefCell<Vec<(&'static str, EventListener)>>,
-    is_notifying: std::cell::Cell<bool>,
+    pub(crate) listeners: RefCell<Vec<(&'static str, EventListener)>>,
+    pub(crate) is_notifying: std::cell::Cell<bool>,
     /// Further sections of the state endpoint, by name.
     state_providers: RefCell<Vec<(&'static str, StateProvider)>>,
     alarm: Alarm,
@@ -473,45 +402,6 @@
         self.notify();
     }
 
-    /// Queues an event for the listeners; without listeners it is dropped.
-    fn queue_event(&self, event: PeerEvent) {
-        if !self.listeners.borrow().is_empty() {
-            self.notifications.borrow_mut().push_back(Notification::Listeners(event));
-        }
-    }
-
-    /// Delivers what is queued. The core and listeners may make requests from within: whatever those queue is
-    /// delivered by the loop that already runs.
-    fn notify(&self) {
-        if self.is_notifying.replace(true) {
-            return;
-        }
-        loop {
-            let Some(next) = self.notifications.borrow_mut().pop_front() else { break };
-            match next {
-                Notification::Core(message) => self.context.feed(Input::Group(message)),
-                Notification::Listeners(event) => {
-                    let subscribed = |prefix: &str| match &event {
-                        PeerEvent::Decided(key, _) | PeerEvent::Updated(key) => key.starts_with(prefix),
-                        PeerEvent::BelievedMembersChanged => true,
-                    };
-                    let listeners = self.listeners.borrow().clone();
-                    listeners
-                        .iter()
-                        .filter(|(p, _)| subscribed(p))
-                        .for_each(|(_, listener)| listener(event.clone()));
-                }
-            }
-        }
-        self.is_notifying.set(false);
-    }
-
-    /// From now on `listener` receives events of keys with this prefix, and every change of the believed
-    /// members.
-    pub fn subscribe(&self, prefix: &'static str, listener: EventListener) {
-        self.listeners.borrow_mut().push((prefix, listener));
-    }
-
     /// Adds a section of this name to the state endpoint.
     pub fn add_state_provider(&self, name: &'static str, provider: StateProvider) {
         self.state_providers.borrow_mut().push((name, provider));
@@ -580,26 +470,3 @@
         inspect(self.context.clock.now(), membership, believed, replica, counts, *store_was_older)
     }
 }
-
-#[derive(Serialize, Deserialize)]
-struct SharedAnswer {
-    alone: bool,
-    first: Option<u32>,
-    body: Bytes,
-}
-
-/// Only successful answers are shared.
-fn encode_answer(answer: &Answer) -> Bytes {
-    let encode_answer = SharedAnswer {
-        alone: answer.reason == Reason::Alone,
-        first: answer.body.first,
-        body: answer.body.bytes.clone(),
-    };
-    postcard::to_stdvec(&encode_answer).map(Bytes::from).unwrap_or_default()
-}
-
-fn decode_answer(bytes: &[u8]) -> Option<Answer> {
-    let SharedAnswer { alone, first, body } = postcard::from_bytes(bytes).ok()?;
-    let reason = if alone { Reason::Alone } else { Reason::Worker };
-    Some(Answer { fate: Fate::Succeeded, reason, return_after: None, body: Payload { bytes: body, first } })
-}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -187,11 +187,11 @@
 
     /// Closes connections that have been idle for too long.
     pub fn close_idle(&self) {
-        let idle_since = self.clock.now() - self.settings.idle_timeout;
+        let cutoff = self.clock.now() - self.settings.idle_timeout;
         let mut closed = Vec::new();
         for connections in self.workers.borrow_mut().values_mut() {
             closed.extend(
-                connections.idle.extract_if(.., |(c, since)| *since < idle_since || c.sender.is_closed()),
+                connections.idle.extract_if(.., |(c, since)| *since < cutoff || c.sender.is_closed()),
             );
         }
         drop(closed);
--- a/crates/gateway/src/reconciliation.rs
+++ b/crates/gateway/src/reconciliation.rs
@@ -4,10 +4,6 @@
 //!
 //! The caller uses [`Reconciliation::observe_list_event`] and [`Reconciliation::list_applied`] for the worker
 //! list, [`Reconciliation::watch`] for the core, and [`Reconciliation::run`] once.
-//!
-//! A note carries its sender's clock when it was sent, and each member's clock as the sender last saw it.
-//! With these the receiver bounds the note's transit time by its own clock, whatever the other clocks say and
-//! however long a link delayed it.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -17,10 +13,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use bytes::Bytes;
-use cedarpulley::interface::{
-    Action, CopyNote, Event, InvIx, ListMode, Micros, OrderResult, Outcome, Standing,
-};
+use cedarpulley::interface::{ListMode, Micros, Standing};
 use cedarpulley_errors::Remedy;
 use cedarpulley_kserve::{index, requests};
 use cedarpulley_net::Alarm;
@@ -28,30 +21,19 @@
     Cause, Change, Claims, Entry, Input as ReconcilerInput, Kind, Observation, Output as ReconcilerOutput,
     Reconciler, Seat, Terms,
 };
-use cedarpulley_router::FrontIx;
 use cedarpulley_router::Input;
-use cedarpulley_router::entry::Short;
 use cedarpulley_router::roster::{Listed, News as ListNews};
-use cedarpulley_router::watch::{By, Given, Names, Used, Watch};
-use serde::{Deserialize, Serialize};
+use cedarpulley_router::watch::Watch;
 use serde_json::{Value, json};
 
 use crate::context::GatewayContext;
-use crate::peers::PeerEvent;
 use crate::pool::{ExchangeError, Pool};
+use crate::reconciliation_notes::{NOTE_PREFIX, PeerClock};
+use crate::reconciliation_observer::CoreObserver;
 use crate::shared_state::SharedState;
 
-/// Key prefixes of the notes in the shared state: of a worker, and of a member's clock.
-const NOTE_PREFIX: &str = "w\n";
-const CLOCK_PREFIX: &str = "w\n\n";
 /// A worker that does not respond within this time counts as silent. In microseconds.
 const QUERY_TIMEOUT: Micros = 2_000_000;
-/// Retention of notes, in query intervals: longer than any worker that responds goes without a query.
-const RETENTION_INTERVALS: Micros = 30;
-/// Assumed transit time of a note that nothing bounds; long before any router began. In microseconds.
-const UNKNOWN_TRANSIT: Micros = Micros::MAX / 4;
-/// Members whose clocks are published and remembered; groups are far smaller.
-const MAX_CLOCKS: usize = 1_000;
 /// Start marks of departed workers are kept up to this number, as the list may name them before it reports
 /// them in service.
 const MAX_DEPARTED_MARKS: usize = 1_000;
@@ -67,38 +49,19 @@
     pub repairs_per_s: f64,
 }
 
-/// A note as it is encoded in the shared state. The order of fields is the format.
-#[derive(Serialize, Deserialize)]
-struct Note {
-    from: String,
-    /// The sender's process, and its clock when the note was sent (microseconds).
-    process: u64,
-    sent_at: Micros,
-    /// By member: its process, its clock as last seen, and how long ago that was (microseconds).
-    clocks: Vec<(String, u64, Micros, Micros)>,
-    /// Empty if only the clock is published.
-    payload: Vec<u8>,
-}
-
-/// Another member's clock: its process, its reading, and when that was received here (microseconds).
-struct PeerClock {
-    process: u64,
-    remote: Micros,
-    local: Micros,
-}
-
-struct State {
-    reconciler: Reconciler,
+/// The reconciler, and what is known beside it.
+pub(crate) struct State {
+    pub(crate) reconciler: Reconciler,
     /// By address: the list's mark that tells processes at one address apart.
-    start_marks: HashMap<String, String>,
+    pub(crate) start_marks: HashMap<String, String>,
     /// By address: memory as reported by the worker itself.
-    memory_mb: HashMap<String, f64>,
-    clocks: BTreeMap<String, PeerClock>,
+    pub(crate) memory_mb: HashMap<String, f64>,
+    pub(crate) clocks: BTreeMap<String, PeerClock>,
     /// When something was last published to the group.
-    last_published_at: Micros,
+    pub(crate) last_published_at: Micros,
     /// Only once a test has corrupted a belief: since when each worker's last report holds; from then on all
     /// that matters is logged.
-    logged_words: Option<BTreeMap<Arc<str>, Micros>>,
+    pub(crate) logged_words: Option<BTreeMap<Arc<str>, Micros>>,
 }
 
 impl State {
@@ -127,18 +90,18 @@
 
 /// The reconciliation of one router.
 pub struct Reconciliation {
-    context: Rc<GatewayContext>,
+    pub(crate) context: Rc<GatewayContext>,
     pool: Rc<Pool>,
-    shared: Option<SharedState>,
-    me: Arc<str>,
-    process: u64,
-    interval: Micros,
+    pub(crate) shared: Option<SharedState>,
+    pub(crate) me: Arc<str>,
+    pub(crate) process: u64,
+    pub(crate) interval: Micros,
     kinds_mb: Vec<f64>,
     listing: WorkerListing,
     claims_provider: RefCell<Option<ClaimsProvider>>,
     prefix_loss_listener: RefCell<Option<PrefixLossListener>>,
     plan_check: RefCell<Option<PlanCheck>>,
-    state: RefCell<State>,
+    pub(crate) state: RefCell<State>,
     alarm: Alarm,
 }
 
@@ -206,7 +169,7 @@
 
     /// To be registered with the core, which reports its decisions.
     pub fn watch(self: &Rc<Self>) -> Box<dyn Watch> {
-        Box::new(CoreObserver { reconciliation: self.clone(), open: Vec::new() })
+        Box::new(CoreObserver::new(self.clone()))
     }
 
     /// The workers as reported to the core; for other parts.
@@ -376,7 +339,7 @@
         tracing::info!(counts = ?self.state.borrow().reconciler.counts, "reconcile");
     }
 
-    fn apply(self: &Rc<Self>, input: ReconcilerInput) {
+    pub(crate) fn apply(self: &Rc<Self>, input: ReconcilerInput) {
         let mut out = Vec::new();
         let due = {
             let mut state = self.state.borrow_mut();
@@ -475,77 +438,6 @@
             }
         }
     }
-
-    fn peer_event(self: &Rc<Self>, event: &PeerEvent) {
-        match event {
-            PeerEvent::BelievedMembersChanged => self.update_members(),
-            PeerEvent::Updated(key) => {
-                if let Some(note) = self.shared.as_ref().and_then(|s| s.latest_note(key)) {
-                    self.note_received(key, note.version, &note.value);
-                }
-            }
-            PeerEvent::Decided(..) => {}
-        }
-    }
-
-    fn update_members(self: &Rc<Self>) {
-        let Some(shared) = &self.shared else { return };
-        let alive = shared.members().into_iter().filter(|m| m.alive);
-        self.apply(ReconcilerInput::Members(alive.map(|m| Arc::from(m.name)).collect()));
-    }
-
-    fn publish(&self, key: String, version: (u64, u64), payload: Vec<u8>) {
-        let Some(shared) = &self.shared else { return };
-        let now = self.context.clock.now();
-        let note = {
-            let mut state = self.state.borrow_mut();
-            state.last_published_at = now;
-            let clocks = state.clocks.iter().map(|(m, c)| (m.clone(), c.process, c.remote, now - c.local));
-            let (from, clocks) = (self.me.to_string(), clocks.collect());
-            Note { from, process: self.process, sent_at: now, clocks, payload }
-        };
-        let Ok(value) = postcard::to_stdvec(&note) else { return };
-        shared.note(Arc::from(key), version, Bytes::from(value), self.interval * RETENTION_INTERVALS);
-    }
-
-    /// A member that queries nobody publishes nothing else, and would never learn how old the notes of others
-    /// can be.
-    fn publish_clock_if_due(&self) {
-        let now = self.context.clock.now();
-        if self.shared.is_some() && self.state.borrow().last_published_at.saturating_add(self.interval) <= now
-        {
-            let key = format!("{CLOCK_PREFIX}{}", self.me);
-            // Above that of an earlier process, whatever its clock was.
-            let before = self.shared.as_ref().and_then(|s| s.latest_note(&key)).map_or(0, |n| n.version.0);
-            self.publish(key, (before + 1, 0), Vec::new());
-        }
-    }
-
-    fn note_received(self: &Rc<Self>, key: &str, version: (u64, u64), value: &[u8]) {
-        let Ok(note) = postcard::from_bytes::<Note>(value) else { return };
-        if *note.from == *self.me && note.process == self.process {
-            return;
-        }
-        let now = self.context.clock.now();
-        let mut transit = UNKNOWN_TRANSIT;
-        {
-            let mut state = self.state.borrow_mut();
-            if let Some((_, _, local, ago)) =
-                note.clocks.iter().find(|c| *c.0 == *self.me && c.1 == self.process)
-            {
-                transit = now.saturating_sub(*local).saturating_sub(*ago).clamp(0, UNKNOWN_TRANSIT);
-            }
-            let known = state.clocks.get(&note.from);
-            let newer = known.is_none_or(|c| c.process != note.process || c.remote < note.sent_at);
-            if newer && (known.is_some() || state.clocks.len() < MAX_CLOCKS) {
-                let clock = PeerClock { process: note.process, remote: note.sent_at, local: now };
-                state.clocks.insert(note.from, clock);
-            }
-        }
-        if let Some(id) = key.strip_prefix(NOTE_PREFIX).filter(|_| !note.payload.is_empty()) {
-            self.apply(ReconcilerInput::Noted { id, version, transit, value: &note.payload });
-        }
-    }
 }
 
 fn observation_of(index: index::Index) -> Observation {
@@ -562,90 +454,3 @@
     };
     Observation { life: index.life, entries: index.models.into_iter().map(entry).collect(), cut: index.cut }
 }
-
-/// Follows what the core decides, and with it what its module believes.
-struct CoreObserver {
-    reconciliation: Rc<Reconciliation>,
-    /// By index of an open invocation: its function, and the size of a copy in MB.
-    open: Vec<(u32, f64)>,
-}
-
-impl CoreObserver {
-    fn change(&self, now: Micros, worker: Option<&str>, function: Option<&str>, change: Change) {
-        if let (Some(worker), Some(function)) = (worker, function) {
-            let input = ReconcilerInput::Believes { worker, function, change };
-            let mut state = self.reconciliation.state.borrow_mut();
-            if state.logged_words.is_some() {
-                tracing::info!(worker, function, "meddled: changed");
-            }
-            // This yields no outputs; what follows from it comes with the next report.
-            state.reconciler.handle(now, input, &mut Vec::new());
-        }
-    }
-
-    fn function(&self, inv: InvIx) -> (u32, f64) {
-        self.open.get(inv as usize).copied().unwrap_or((u32::MAX, 0.0))
-    }
-}
-
-/// What the end of a dispatch shows of the copy: whether it exists now, and whether it existed before.
-fn copy_evidence(outcome: Outcome, note: CopyNote) -> (Option<bool>, bool) {
-    match (outcome, note) {
-        (_, CopyNote::LoadErrored) | (Outcome::Missed, _) => (Some(false), false),
-        (Outcome::Succeeded, note) => (Some(true), note == CopyNote::Found),
-        (_, CopyNote::Found) => (Some(true), true),
-        _ => (None, false),
-    }
-}
-
-impl Watch for CoreObserver {
-    fn decided(&mut self, now: Micros, event: &Event, actions: &[Action], names: Names) {
-        match event {
-            Event::Invocation(a) => {
-                let inv = a.inv as usize;
-                if self.open.len() <= inv {
-                    self.open.resize(inv + 1, (u32::MAX, 0.0));
-                }
-                self.open[inv] = (a.func, a.copy_mb);
-            }
-            Event::DispatchEnded(e) => {
-                let (func, copy_mb) = self.function(e.inv);
-                let (stands, found) = copy_evidence(e.outcome, e.note);
-                let ended = Change::Ended { stands, found, copy_mb };
-                self.change(now, names.worker(e.worker), names.function(func), ended);
-            }
-            Event::OrderEnded { worker, func, result, copies, .. } => {
-                let stands = match result {
-                    OrderResult::Stand => Some(*copies > 0),
-                    OrderResult::NoRoom | OrderResult::LoadErrored => Some(*copies > 0),
-                    OrderResult::Broken | OrderResult::Unreachable | OrderResult::TimedOut => None,
-                };
-                let ended = Change::OrderEnded { stands, copies: (*copies > 0).then_some(*copies) };
-                self.change(now, names.worker(*worker), names.function(*func), ended);
-            }
-            _ => {}
-        }
-        for action in actions {
-            let (worker, func, change) = match action {
-                Action::Dispatch { inv, worker, .. } => (*worker, self.function(*inv).0, Change::Sent),
-                Action::Order { worker, func, .. } => (*worker, *func, Change::Ordered),
-                Action::Unload { worker, func } => (*worker, *func, Change::Unloaded),
-                _ => continue,
-            };
-            self.change(now, names.worker(worker), names.function(func), change);
-        }
-    }
-
-    fn taken(&mut self, _: Micros, _: InvIx, _: FrontIx, _: Option<&str>, _: bool) {}
-
-    fn answered(&mut self, _: Micros, _: Given) {}
-
-    fn turned_away(&mut self, _: Micros, _: FrontIx, _: u32, _: u32, _: Short) {}
-
-    fn used(&mut self, now: Micros, u: Used) {
-        if let (Some(id), By::Dispatch(Outcome::Succeeded, _)) = (u.session, u.by) {
-            let change = Change::Session { id: Arc::from(id), over: u.ends };
-            self.change(now, Some(u.worker_name), Some(u.function), change);
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/reconciliation_observer.rs
@@ -0,0 +1,103 @@
+//! Follows what the core decides, and with it what its module believes of copies at workers, for the reconciliation.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use cedarpulley::interface::{Action, CopyNote, Event, InvIx, Micros, OrderResult, Outcome};
+use cedarpulley_reconcile::{Change, Input as ReconcilerInput};
+use cedarpulley_router::FrontIx;
+use cedarpulley_router::entry::Short;
+use cedarpulley_router::watch::{By, Given, Names, Used, Watch};
+
+use crate::reconciliation::Reconciliation;
+
+/// Follows what the core decides, and with it what its module believes.
+pub(crate) struct CoreObserver {
+    reconciliation: Rc<Reconciliation>,
+    /// By index of an open invocation: its function, and the size of a copy in MB.
+    open: Vec<(u32, f64)>,
+}
+
+impl CoreObserver {
+    pub(crate) fn new(reconciliation: Rc<Reconciliation>) -> Self {
+        CoreObserver { reconciliation, open: Vec::new() }
+    }
+
+    fn change(&self, now: Micros, worker: Option<&str>, function: Option<&str>, change: Change) {
+        if let (Some(worker), Some(function)) = (worker, function) {
+            let input = ReconcilerInput::Believes { worker, function, change };
+            let mut state = self.reconciliation.state.borrow_mut();
+            if state.logged_words.is_some() {
+                tracing::info!(worker, function, "meddled: changed");
+            }
+            // This yields no outputs; what follows from it comes with the next report.
+            state.reconciler.handle(now, input, &mut Vec::new());
+        }
+    }
+
+    fn function(&self, inv: InvIx) -> (u32, f64) {
+        self.open.get(inv as usize).copied().unwrap_or((u32::MAX, 0.0))
+    }
+}
+
+/// What the end of a dispatch shows of the copy: whether it exists now, and whether it existed before.
+fn copy_evidence(outcome: Outcome, note: CopyNote) -> (Option<bool>, bool) {
+    match (outcome, note) {
+        (_, CopyNote::LoadErrored) | (Outcome::Missed, _) => (Some(false), false),
+        (Outcome::Succeeded, note) => (Some(true), note == CopyNote::Found),
+        (_, CopyNote::Found) => (Some(true), true),
+        _ => (None, false),
+    }
+}
+
+impl Watch for CoreObserver {
+    fn decided(&mut self, now: Micros, event: &Event, actions: &[Action], names: Names) {
+        match event {
+            Event::Invocation(a) => {
+                let inv = a.inv as usize;
+                if self.open.len() <= inv {
+                    self.open.resize(inv + 1, (u32::MAX, 0.0));
+                }
+                self.open[inv] = (a.func, a.copy_mb);
+            }
+            Event::DispatchEnded(e) => {
+                let (func, copy_mb) = self.function(e.inv);
+                let (stands, found) = copy_evidence(e.outcome, e.note);
+                let ended = Change::Ended { stands, found, copy_mb };
+                self.change(now, names.worker(e.worker), names.function(func), ended);
+            }
+            Event::OrderEnded { worker, func, result, copies, .. } => {
+                let stands = match result {
+                    OrderResult::Stand => Some(*copies > 0),
+                    OrderResult::NoRoom | OrderResult::LoadErrored => Some(*copies > 0),
+                    OrderResult::Broken | OrderResult::Unreachable | OrderResult::TimedOut => None,
+                };
+                let ended = Change::OrderEnded { stands, copies: (*copies > 0).then_some(*copies) };
+                self.change(now, names.worker(*worker), names.function(*func), ended);
+            }
+            _ => {}
+        }
+        for action in actions {
+            let (worker, func, change) = match action {
+                Action::Dispatch { inv, worker, .. } => (*worker, self.function(*inv).0, Change::Sent),
+                Action::Order { worker, func, .. } => (*worker, *func, Change::Ordered),
+                Action::Unload { worker, func } => (*worker, *func, Change::Unloaded),
+                _ => continue,
+            };
+            self.change(now, names.worker(worker), names.function(func), change);
+        }
+    }
+
+    fn taken(&mut self, _: Micros, _: InvIx, _: FrontIx, _: Option<&str>, _: bool) {}
+
+    fn answered(&mut self, _: Micros, _: Given) {}
+
+    fn turned_away(&mut self, _: Micros, _: FrontIx, _: u32, _: u32, _: Short) {}
+
+    fn used(&mut self, now: Micros, u: Used) {
+        if let (Some(id), By::Dispatch(Outcome::Succeeded, _)) = (u.session, u.by) {
+            let change = Change::Session { id: Arc::from(id), over: u.ends };
+            self.change(now, Some(u.worker_name), Some(u.function), change);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/resources.rs
@@ -0,0 +1,162 @@
+//! What a router must have before it runs: its files, its sockets and its core. Acquired in a fixed order, so that a
+//! router that cannot start fails with the same error each time.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use async_io::Async;
+use cedarpulley::interface::Micros;
+use cedarpulley_certificates::Speakers;
+use cedarpulley_net::{Clock, listen};
+use cedarpulley_router::Router;
+use cedarpulley_startup::Names;
+use cedarpulley_trace::start::{Start, module_digest};
+use cedarpulley_upgrade::sessions;
+
+use crate::amqp_front::AmqpSource;
+use crate::client_listener::ListenerSettings;
+use crate::fault_injection::InjectedFault;
+use crate::metering::Metering;
+use crate::peer_group::PeerGroupResources;
+use crate::pool::PoolSettings;
+use crate::reconciliation::ReconcileSettings;
+use crate::serve::StartError;
+use crate::settings::RouterSettings;
+use crate::tls::ServerTls;
+use crate::trace_recorder::TraceRecorder;
+use crate::upgrades::UpgradeSettings;
+
+/// A KServe listener with its TLS configuration, if it has one.
+pub(crate) type ListenerWithTls = (ListenerSettings, Option<Rc<ServerTls>>);
+
+/// All that the parts of a router are made of.
+pub(crate) struct Resources {
+    pub(crate) name: String,
+    pub(crate) clock: Clock,
+    pub(crate) seed: u64,
+    pub(crate) names: Names,
+    pub(crate) router: Router,
+    pub(crate) trace_recorder: Option<TraceRecorder>,
+    pub(crate) metering: Option<Metering>,
+    pub(crate) peer_group: Option<PeerGroupResources>,
+    pub(crate) amqp_sources: Vec<AmqpSource>,
+    pub(crate) listeners: Vec<ListenerWithTls>,
+    /// The bound sockets of `listeners`, in the same order.
+    pub(crate) sockets: Vec<Async<TcpListener>>,
+    pub(crate) certificate_accounts: Rc<Speakers>,
+    pub(crate) max_body_bytes: u64,
+    pub(crate) pool: PoolSettings,
+    pub(crate) upgrade: Option<UpgradeSettings>,
+    pub(crate) reconcile: Option<ReconcileSettings>,
+    pub(crate) sessions: Option<sessions::Terms>,
+    /// How long the module believes in a copy after its last use, in microseconds.
+    pub(crate) idle_kept: Micros,
+    /// Memory by kind of worker.
+    pub(crate) kinds_mb: Vec<f64>,
+    pub(crate) fault: Option<InjectedFault>,
+}
+
+impl Resources {
+    /// Opens files and binds sockets. Fails if an address is taken, or a file or folder cannot be used.
+    pub(crate) fn acquire(
+        name: &str,
+        settings: RouterSettings,
+        fault: Option<InjectedFault>,
+    ) -> Result<Resources, StartError> {
+        let clock = Clock::off_by(settings.clock_offset);
+        // Without a configured seed each start draws differently.
+        let seed = settings.seed.unwrap_or_else(|| clock.wall() as u64 ^ u64::from(std::process::id()) << 40);
+        let trace_recorder = begin_trace(name, &settings, &clock, seed)?;
+        let disabled_guard = fault.and_then(InjectedFault::guard);
+        let peer_group = match settings.peers {
+            Some(peers) => Some(PeerGroupResources::acquire(peers, &clock, disabled_guard)?),
+            None => None,
+        };
+        let control = settings.startup.control(seed);
+        let sockets = settings.listeners.iter().map(|l| listen(l.address)).collect::<Result<_, _>>()?;
+        let listeners = with_tls(settings.listeners, &clock)?;
+        let (idle_kept, kinds_mb) = (settings.startup.loads.idle_kept, settings.startup.loads.memory_mb);
+        let mut router = Router::new(control, settings.startup.triggers, settings.core_terms);
+        let metering = begin_metering(name, settings.ledger_folder, &settings.names, &clock)?;
+        if let Some(trace_recorder) = &trace_recorder {
+            router.watched_by(Box::new(trace_recorder.clone()));
+        }
+        if let Some(metering) = &metering {
+            router.watched_by(Box::new(metering.clone()));
+        }
+        Ok(Resources {
+            name: name.to_owned(),
+            clock,
+            seed,
+            names: settings.names,
+            router,
+            trace_recorder,
+            metering,
+            peer_group,
+            amqp_sources: settings.amqp_sources,
+            listeners,
+            sockets,
+            certificate_accounts: Rc::new(settings.certificate_accounts),
+            max_body_bytes: settings.max_body_bytes,
+            pool: settings.pool,
+            upgrade: settings.upgrade,
+            reconcile: settings.reconcile,
+            sessions: settings.sessions,
+            idle_kept,
+            kinds_mb,
+            fault,
+        })
+    }
+}
+
+fn begin_trace(
+    name: &str,
+    settings: &RouterSettings,
+    clock: &Clock,
+    seed: u64,
+) -> std::io::Result<Option<TraceRecorder>> {
+    let Some(trace) = settings.trace.clone() else { return Ok(None) };
+    let sources = settings.amqp_sources.iter().map(|s| s.name.clone());
+    let start = Start {
+        router: name.to_owned(),
+        module: module_digest(),
+        settings: settings.digest,
+        file: 0,
+        wall_at_zero: clock.wall() - clock.now(),
+        triggers_named: settings.names.triggers.clone(),
+        accounts_named: settings.names.accounts.clone(),
+        fronts_named: sources.chain(settings.listeners.iter().map(|l| l.name.clone())).collect(),
+        seed,
+        startup: settings.startup.clone(),
+    };
+    TraceRecorder::begin(trace, name, start).map(Some)
+}
+
+fn with_tls(listeners: Vec<ListenerSettings>, clock: &Clock) -> std::io::Result<Vec<ListenerWithTls>> {
+    let mut all = Vec::new();
+    for listener in listeners {
+        let tls = match &listener.tls {
+            None => None,
+            Some(files) => {
+                let opened = ServerTls::open(files.clone(), clock.wall());
+                Some(opened.map_err(|e| std::io::Error::other(e.cause))?)
+            }
+        };
+        all.push((listener, tls));
+    }
+    Ok(all)
+}
+
+fn begin_metering(
+    name: &str,
+    folder: Option<PathBuf>,
+    names: &Names,
+    clock: &Clock,
+) -> std::io::Result<Option<Metering>> {
+    let Some(folder) = folder else { return Ok(None) };
+    // Unique among processes with all but certainty.
+    let source = uuid::Uuid::new_v4().as_u128();
+    let wall_at_zero = clock.wall() - clock.now();
+    Metering::begin(folder, name, source, names.accounts.clone(), wall_at_zero).map(Some)
+}
--- a/crates/gateway/src/shared_state.rs
+++ b/crates/gateway/src/shared_state.rs
@@ -9,7 +9,8 @@
 use cedarpulley_membership::MemberIx;
 use cedarpulley_replica::{Ballot, Input, Key, Note, Record};
 
-use crate::peers::{PeerEvent, Peers};
+use crate::peer_events::PeerEvent;
+use crate::peers::Peers;
 
 /// Cheap to clone.
 #[derive(Clone)]
--- a/crates/gateway/src/unknown_members.rs
+++ b/crates/gateway/src/unknown_members.rs
@@ -4,7 +4,7 @@
 //! Mechanisms:
 //! 1. Each process and cause is logged once: members of an earlier build are refused many times a second, and
 //!    must be named in the log without filling it.
-//! 2. Two processes under one name share an entry; a different one is logged only [`LOG_INTERVAL`] after the
+//! 2. Two processes under one name share an entry; a different one is logged only `LOG_INTERVAL` after the
 //!    last log line.
 //! 3. Once an envelope of the member is accepted, it is no longer shown as refused.
 
--- a/crates/gateway/src/upgrades.rs
+++ b/crates/gateway/src/upgrades.rs
@@ -27,7 +27,7 @@
 
 use crate::config_reader::{ConfigDocument, ConfigErrors, Section};
 use crate::context::GatewayContext;
-use crate::peers::PeerEvent;
+use crate::peer_events::PeerEvent;
 use crate::shared_state::SharedState;
 
 /// Key prefixes in the shared state: before the model of a plan, and before model and member of version
--- /dev/null
+++ b/crates/gateway/src/wiring.rs
@@ -0,0 +1,240 @@
+//! Puts the parts of a router together: each gets the context and the other parts that it needs. Nothing runs yet.
+
+use std::cell::{Cell, RefCell};
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+
+use async_executor::LocalExecutor;
+use cedarpulley::interface::Micros;
+use cedarpulley_certificates::Speakers;
+use cedarpulley_kserve::serving;
+use cedarpulley_net::Alarm;
+use cedarpulley_reconcile::{Claims, Entry, Observation};
+use cedarpulley_router::{Input, Router};
+use cedarpulley_upgrade::{Held, WorkerSeen};
+
+use crate::admission::Admission;
+use crate::amqp_front::{AmqpFront, AnswerTimes};
+use crate::client_listener::ClientListener;
+use crate::context::GatewayContext;
+use crate::fault_injection::FaultInjector;
+use crate::gateway::{Gateway, worker_address};
+use crate::peer_group::PeerGroup;
+use crate::pool::Pool;
+use crate::reconciliation::Reconciliation;
+use crate::request_handling::{HandlerResources, RequestHandler};
+use crate::resources::{ListenerWithTls, Resources};
+use crate::shared_state::SharedState;
+use crate::upgrades::Upgrades;
+
+/// The gateway of these resources. It is to be held until the executor has ended, so that events find it for as long
+/// as anything runs.
+pub(crate) fn build(resources: Resources, executor: &Rc<LocalExecutor<'static>>) -> Rc<Gateway> {
+    Rc::new_cyclic(|gateway| assemble(resources, executor, gateway))
+}
+
+fn assemble(resources: Resources, executor: &Rc<LocalExecutor<'static>>, gateway: &Weak<Gateway>) -> Gateway {
+    let context = context(&resources, executor, gateway.clone());
+    let times = Rc::new(AnswerTimes::default());
+    let router = Rc::new(RefCell::new(resources.router));
+    let pool = Rc::new(Pool::new(executor.clone(), resources.clock, resources.pool));
+    let kserve = KserveFronts {
+        first_index: resources.amqp_sources.len(),
+        context: context.clone(),
+        shared: handler_resources(&router),
+        max_body_bytes: resources.max_body_bytes,
+        certificate_accounts: resources.certificate_accounts,
+    };
+    let fronts = resources.amqp_sources.into_iter().enumerate().map(|(index, source)| {
+        let max_body_bytes = resources.max_body_bytes;
+        Rc::new(AmqpFront::new(index as u32, source, max_body_bytes, context.clone(), times.clone()))
+    });
+    let fronts = fronts.collect();
+    let peer_group = resources.peer_group.map(|group| PeerGroup::new(&context, group));
+    let shared = peer_group.as_ref().map(PeerGroup::shared_state);
+    let upgrades = shared.clone().zip(resources.upgrade);
+    let upgrades = upgrades.map(|(shared, settings)| Upgrades::new(context.clone(), shared, settings));
+    let admission = resources.sessions.map(|terms| {
+        let (shared, upgrades) = (shared.clone(), upgrades.clone());
+        Admission::new(context.clone(), terms, shared, upgrades, core_past_admission(gateway.clone()))
+    });
+    let reconciliation = resources.reconcile.map(|settings| {
+        let (context, pool) = (context.clone(), pool.clone());
+        let (idle_kept, kinds_mb) = (resources.idle_kept, resources.kinds_mb);
+        Reconciliation::new(context, pool, shared.clone(), settings, idle_kept, kinds_mb)
+    });
+    let address_router = router.clone();
+    let address = Rc::new(move |worker| worker_address(&address_router, worker));
+    let gateway = Gateway {
+        fault_injector: Rc::new(FaultInjector::new(resources.fault, context.clone(), pool.clone(), address)),
+        router,
+        times,
+        trace_recorder: resources.trace_recorder,
+        metering: resources.metering,
+        fronts,
+        client_listeners: kserve.listeners(resources.listeners),
+        pool,
+        peer_group,
+        upgrades,
+        admission,
+        reconciliation,
+        alarm: Alarm::default(),
+        context,
+    };
+    connect(&gateway, shared.as_ref());
+    gateway
+}
+
+fn context(
+    resources: &Resources,
+    executor: &Rc<LocalExecutor<'static>>,
+    gateway: Weak<Gateway>,
+) -> Rc<GatewayContext> {
+    Rc::new(GatewayContext {
+        clock: resources.clock,
+        executor: executor.clone(),
+        name: resources.name.clone(),
+        seed: resources.seed,
+        local_address: resources.pool.local_address,
+        names: resources.names.clone(),
+        tracks_sessions: resources.sessions.is_some() || resources.reconcile.is_some(),
+        malformed_inputs: Cell::new(0),
+        core_input: Box::new(move |input| {
+            if let Some(gateway) = gateway.upgrade() {
+                gateway.feed(input);
+            }
+        }),
+    })
+}
+
+fn core_past_admission(gateway: Weak<Gateway>) -> Box<dyn Fn(Input)> {
+    Box::new(move |input| {
+        if let Some(gateway) = gateway.upgrade() {
+            gateway.feed_core(input);
+        }
+    })
+}
+
+fn handler_resources(router: &Rc<RefCell<Router>>) -> Rc<HandlerResources> {
+    let router = router.clone();
+    Rc::new(HandlerResources {
+        unread_bytes: Cell::new(0),
+        functions: Box::new(move || router.borrow().functions().map(str::to_owned).collect()),
+    })
+}
+
+/// What all KServe fronts are made of.
+struct KserveFronts {
+    /// Index of the first; those of the AMQP fronts come before.
+    first_index: usize,
+    context: Rc<GatewayContext>,
+    shared: Rc<HandlerResources>,
+    max_body_bytes: u64,
+    certificate_accounts: Rc<Speakers>,
+}
+
+impl KserveFronts {
+    fn listeners(&self, listeners: Vec<ListenerWithTls>) -> Vec<Rc<ClientListener>> {
+        let listener = |(n, (settings, tls)): (usize, ListenerWithTls)| {
+            let index = (self.first_index + n) as u32;
+            let (context, shared) = (self.context.clone(), self.shared.clone());
+            let handler =
+                RequestHandler::new(index, context, shared, self.max_body_bytes, settings.max_streams);
+            let accounts = self.certificate_accounts.clone();
+            Rc::new(ClientListener::new(Rc::new(handler), settings, tls, accounts))
+        };
+        listeners.into_iter().enumerate().map(listener).collect()
+    }
+}
+
+/// Registers the parts with the core, the state endpoint and each other.
+fn connect(gateway: &Gateway, shared: Option<&SharedState>) {
+    let Gateway { router, upgrades, admission, reconciliation, .. } = gateway;
+    if let Some(admission) = admission {
+        router.borrow_mut().watched_by(admission.observer());
+    }
+    if let Some(reconciliation) = reconciliation {
+        router.borrow_mut().watched_by(reconciliation.watch());
+        if let Some(shared) = shared {
+            let source = reconciliation.clone();
+            shared.add_state_provider("reconcile", move || source.state());
+        }
+        if let Some(upgrades) = upgrades {
+            connect_upgrades(reconciliation, upgrades);
+        }
+        if let Some(admission) = admission {
+            connect_admission(reconciliation, admission);
+        }
+    }
+    if let (Some(shared), Some(upgrades), Some(admission)) = (shared, upgrades, admission) {
+        let (upgrades, admission) = (upgrades.clone(), admission.clone());
+        shared.add_state_provider("upgrade", move || upgrades.state(admission.state()));
+    }
+}
+
+fn connect_upgrades(reconciliation: &Rc<Reconciliation>, upgrades: &Rc<Upgrades>) {
+    let source = reconciliation.clone();
+    upgrades.set_holdings_source(Box::new(move || source.observed(to_worker_seen)));
+    let claiming = upgrades.clone();
+    reconciliation.set_claims_provider(Box::new(move |functions| claims(&claiming, functions)));
+    let upgrades = upgrades.clone();
+    // Nor is a copy that a plan has retired loaded again.
+    let managed_or_retired = move |function: &str| {
+        let (model, version) = serving::model(function);
+        upgrades.manages(function) || upgrades.is_retired(model, version)
+    };
+    reconciliation.set_plan_check(Box::new(managed_or_retired));
+}
+
+fn connect_admission(reconciliation: &Rc<Reconciliation>, admission: &Rc<Admission>) {
+    let (ids, workers) = (reconciliation.clone(), reconciliation.clone());
+    let (id_of, worker_of) = (move |worker: &str| ids.id_of(worker), move |id: &str| workers.worker_of(id));
+    admission.set_worker_ids(Box::new(id_of), Box::new(worker_of));
+    let uses = reconciliation.clone();
+    let used_lately = move |worker: &str, function: &str| uses.used_lately(worker, function);
+    admission.set_recent_use_check(Box::new(used_lately));
+    let admission = admission.clone();
+    let prefix_lost = move |worker: &str, function: &str, sessions: &[Arc<str>]| {
+        admission.prefix_lost(worker, function, sessions);
+    };
+    reconciliation.on_prefix_lost(Box::new(prefix_lost));
+}
+
+/// What upgrade plans claim, and which of these functions are of a version that a plan has retired. While a
+/// plan is in progress it alone decides: a version retired here may still be needed elsewhere to keep the
+/// plan's minimum of copies.
+fn claims(upgrades: &Upgrades, functions: &[Arc<str>]) -> Claims {
+    let retired = |f: &&Arc<str>| {
+        let (model, version) = serving::model(f);
+        upgrades.is_retired(model, version) && !upgrades.manages(f)
+    };
+    let claims = upgrades.claims();
+    Claims {
+        terms: claims.iter().filter_map(|c| c.term.clone()).collect(),
+        retired: functions.iter().filter(retired).cloned().collect(),
+        functions: claims.into_iter().map(|c| c.function).collect(),
+    }
+}
+
+/// A worker's last report in the planner's form; the worker's region and state and the copies' sizes are not
+/// known here.
+fn to_worker_seen(worker: &Arc<str>, seen_at: Micros, memory_mb: f64, said: &Observation) -> WorkerSeen {
+    let held = |e: &Entry| Held {
+        function: e.function.clone(),
+        copies: e.copies,
+        lanes: e.copies,
+        busy: e.busy.unwrap_or(0),
+        loading: e.loading,
+        sessions: e.sequences.as_ref().map_or(0, |ids| ids.len() as u32),
+        copy_mb: 0,
+    };
+    WorkerSeen {
+        name: worker.clone(),
+        region: Arc::from(""),
+        takes_new: false,
+        seen_at,
+        memory_mb: memory_mb as u32,
+        used_mb: 0,
+        holds: said.entries.iter().map(held).collect(),
+    }
+}
