--- a/crates/cli/tests/errors.rs
+++ b/crates/cli/tests/errors.rs
@@ -7,17 +7,30 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
 
+/// All files below a folder.
+fn files_below(folder: &Path) -> Vec<PathBuf> {
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(folder).into_iter().flatten().flatten() {
+        let path = entry.path();
+        if path.is_dir() {
+            files.extend(files_below(&path));
+        } else {
+            files.push(path);
+        }
+    }
+    files
+}
+
 /// Every source file of every package without its tests, with its package's name.
 fn sources() -> Vec<(String, String)> {
     let mut found = Vec::new();
     for package in std::fs::read_dir(root().join("crates")).expect("packages").flatten() {
         let name = package.file_name().to_string_lossy().into_owned();
-        for file in std::fs::read_dir(package.path().join("src")).into_iter().flatten().flatten() {
-            if file.path().extension().is_some_and(|e| e == "rs") {
-                let source = std::fs::read_to_string(file.path()).expect("a source");
-                let before_tests = source.split("#[cfg(test)]").next().unwrap_or_default();
-                found.push((name.clone(), before_tests.to_owned()));
-            }
+        let files = files_below(&package.path().join("src"));
+        for file in files.iter().filter(|file| file.extension().is_some_and(|e| e == "rs")) {
+            let source = std::fs::read_to_string(file).expect("a source");
+            let before_tests = source.split("#[cfg(test)]").next().unwrap_or_default();
+            found.push((name.clone(), before_tests.to_owned()));
         }
     }
     found
