--- a/crates/platform/src/attempt_outcome.rs
+++ b/crates/platform/src/attempt_outcome.rs
@@ -6,12 +6,19 @@
 /// The words of a worker's answer; on the wire they are in lower case.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerWord {
+    /// Served; the body follows. Of an order: the copies stand.
     Ok,
+    /// The function is not loaded: nothing ran.
     Nothing,
+    /// The worker is full, or drains: nothing ran.
     Refused,
+    /// It failed, and may have run.
     Error,
+    /// It was over before it began there: nothing ran.
     Stale,
+    /// Of a probe: the worker does well.
     Yes,
+    /// Of a probe: it does not.
     No,
 }
 
@@ -34,6 +41,7 @@
 /// How an exchange ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
+    /// The worker answered.
     Answered(AnswerWord),
     /// No connection came up.
     Unreached,
--- a/crates/platform/src/client_protocol/parser.rs
+++ b/crates/platform/src/client_protocol/parser.rs
@@ -35,6 +35,7 @@
     Refused(RequestError),
 }
 
+/// The bytes of one connection that are not yet a whole request.
 #[derive(Debug, Default)]
 pub struct Parser {
     bytes: Vec<u8>,
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -16,20 +16,39 @@
 /// Why no router starts with a configuration, or a replaced one is not taken.
 #[derive(Debug, Error)]
 pub enum ConfigError {
+    /// It is no JSON, or a part is missing.
     #[error("the configuration is not as the platform has it")]
     Form(#[from] serde_json::Error),
+    /// The settings are wrong.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The address of discovery cannot be read.
     #[error("channel '{channel}' is no address")]
-    Channel { channel: String },
+    Channel {
+        /// What stands there.
+        channel: String,
+    },
+    /// There is no trigger type.
     #[error("the settings name no services")]
     NoServices,
+    /// A name is missing.
     #[error("setting {path} is missing")]
-    Missing { path: String },
+    Missing {
+        /// Where it belongs.
+        path: String,
+    },
+    /// A limit leaves no room for anything.
     #[error("limits.{which} is not above 0")]
-    NoRoom { which: &'static str },
+    NoRoom {
+        /// Which limit.
+        which: &'static str,
+    },
+    /// The seed cannot be read.
     #[error("seed {seed} is neither hex digits nor a whole number")]
-    Seed { seed: Value },
+    Seed {
+        /// What stands there.
+        seed: Value,
+    },
 }
 
 impl Remedy for ConfigError {
@@ -62,30 +81,44 @@
     settings: Value,
 }
 
+/// What the platform allows one process.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
+    /// Memory, in megabytes.
     pub memory_mb: f64,
+    /// File descriptors.
     pub sockets: u64,
 }
 
 /// What the settings say of connections to workers.
 #[derive(Clone, Copy, Debug)]
 pub struct Links {
+    /// Exchanges at once on one connection.
     pub streams: usize,
+    /// For how long workers keep an idle connection.
     pub idle_kept: Micros,
+    /// A connection comes up within this time or not at all.
     pub connect_within: Micros,
 }
 
+/// A configuration, read and found fit.
 #[derive(Debug)]
 pub struct Start {
+    /// For random numbers; new with each start.
     pub seed: u64,
+    /// What the process may use.
     pub limits: Limits,
+    /// Where discovery listens.
     pub channel: SocketAddr,
+    /// Discovery's events up to the start.
     pub known: EventBatch,
+    /// What the policy module starts with.
     pub settings: StartupSettings,
     /// The values in load reports.
     pub fields: Vec<ReportField>,
+    /// Names on the sockets.
     pub names: Names,
+    /// Of connections to workers.
     pub links: Links,
     /// A copy larger than the largest machine is asked of no worker.
     pub largest_mb: f64,
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -29,6 +29,7 @@
 /// Asked for this wait, of the 5 s that the protocol allows: a channel that has stopped but stays open is
 /// noticed so much later, and this much beyond, as an answer takes its way.
 pub const ASKED_WAIT: Micros = 1_000_000;
+/// An answer takes its way: so much later than the wait that was asked for it counts as missing.
 pub const ANSWER_LATE: Micros = 500_000;
 /// Longest pause before it is connected to again: what it tells must be known within two seconds of a break.
 pub const LONGEST_PAUSE: Micros = 320_000;
@@ -41,26 +42,53 @@
 /// Why nothing is taken of an answer, or of what the configuration knew.
 #[derive(Debug, Error)]
 pub enum DiscoveryError {
+    /// A state that the protocol does not have.
     #[error("state '{state}' of worker '{id}' is unknown")]
-    State { id: String, state: String },
+    State {
+        /// The worker.
+        id: String,
+        /// What stands there.
+        state: String,
+    },
+    /// An address that cannot be read.
     #[error("address '{address}' of worker '{id}' cannot be read")]
-    Address { id: String, address: String },
+    Address {
+        /// The worker.
+        id: String,
+        /// What stands there.
+        address: String,
+    },
+    /// The head of an answer.
     #[error("the head of an answer cannot be read")]
     Head(#[source] httparse::Error),
+    /// A head beyond its bound.
     #[error("the head of an answer has no end")]
     EndlessHead,
+    /// Another status than 200.
     #[error("an answer of status {status}")]
-    Status { status: u16 },
+    Status {
+        /// The status.
+        status: u16,
+    },
+    /// A length that is no number.
     #[error("the content-length of an answer cannot be read")]
     Length,
+    /// Neither a length nor chunks.
     #[error("an answer without a length")]
     NoLength,
+    /// An answer beyond its bound.
     #[error("an answer of {size} bytes, more than {MOST_ANSWER}")]
-    Large { size: usize },
+    Large {
+        /// Its size, in bytes.
+        size: usize,
+    },
+    /// An answer in chunks beyond its bound.
     #[error("an answer in chunks goes beyond {MOST_ANSWER} bytes")]
     Endless,
+    /// A chunk without a size or an end.
     #[error("a chunk of an answer cannot be read")]
     Chunk,
+    /// The events of an answer.
     #[error("the events of an answer cannot be read")]
     Events(#[source] serde_json::Error),
 }
@@ -81,41 +109,59 @@
 
 type Result<T> = std::result::Result<T, DiscoveryError>;
 
+/// One answer of the channel: what has happened since the event that was asked about.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct EventBatch {
+    /// The number of the last event.
     pub cursor: u64,
+    /// The events, by rising numbers.
     #[serde(default)]
     pub cmds: Vec<Command>,
 }
 
+/// One event.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Command {
+    /// Its number; numbering starts from 1 at each start of a router.
     pub cursor: u64,
+    /// What it changes of the list of workers, if it is about them.
     pub nodes: Option<Nodes>,
 }
 
+/// A change of the list of workers, or the whole list.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Nodes {
+    /// It is the whole list: whoever is not named is gone.
     #[serde(default)]
     pub full: bool,
+    /// The workers it is about.
     #[serde(default)]
     pub servers: Vec<Server>,
 }
 
+/// A worker, as the channel tells of it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Server {
+    /// Its name, which no other worker ever has.
     pub id: String,
+    /// IP address and port; may be empty for one that has gone.
     #[serde(default)]
     pub addr: String,
+    /// The name of its zone.
     #[serde(default)]
     pub zone: String,
+    /// The name of its kind of machine.
     #[serde(default)]
     pub kind: String,
+    /// The number of its cell, a group of workers that drop repeats together.
     #[serde(default)]
     pub cell: u32,
+    /// `active`, `leaving` or `left`.
     pub state: String,
+    /// Its part of the work, where the settings use weights.
     #[serde(default = "one")]
     pub weight: f64,
+    /// The Unix millisecond of a late start, or 0.
     #[serde(default)]
     pub started_ms: i64,
 }
@@ -124,8 +170,10 @@
     1.0
 }
 
+/// A change of the list of workers, in the terms of the router.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListUpdate {
+    /// Whether the whole list or changes of it.
     pub mode: ListMode,
     /// By their ids.
     pub workers: Vec<Listed>,
@@ -133,6 +181,7 @@
     pub retired: Vec<String>,
 }
 
+/// Follows the list of workers from event to event.
 #[derive(Debug, Default)]
 pub struct WorkerListFollower {
     last: u64,
@@ -156,6 +205,7 @@
         format!("GET /cmd/next?resume={last}&block={wait} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
     }
 
+    /// The number of the last event taken.
     pub fn last(&self) -> u64 {
         self.last
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,8 @@
 //! * [`event_loop_lag`]: estimates how late the process reads what has arrived.
 //! * [`graceful_shutdown`]: decides what a router that was told to stop still accepts, and when it exits.
 
+#![warn(missing_docs)]
+
 pub mod attempt_outcome;
 pub mod client_protocol;
 pub mod config;
--- a/crates/platform/src/worker_protocol.rs
+++ b/crates/platform/src/worker_protocol.rs
@@ -21,11 +21,17 @@
 
 /// What a worker is told of an invocation.
 pub struct Call<'a> {
+    /// The request's id, 16 hex digits.
     pub id: &'a str,
+    /// The name of its trigger type.
     pub trigger: &'a str,
+    /// 16 hex digits.
     pub function: &'a str,
+    /// How long the router waits, in microseconds; told in whole milliseconds, 1 at least.
     pub time_left: Micros,
+    /// The idempotency key.
     pub token: Option<&'a str>,
+    /// The body, passed on unchanged.
     pub body: &'a [u8],
 }
 
@@ -34,6 +40,7 @@
     let _ = out.write_fmt(text);
 }
 
+/// Writes a request: `FN ID FIELDS LENGTH` and the body.
 pub fn call(out: &mut Vec<u8>, c: &Call) {
     let ms = (c.time_left / 1_000).max(1);
     put(out, format_args!("FN {} kind={},obj={},ms={ms}", c.id, c.trigger, c.function));
@@ -45,18 +52,22 @@
     out.extend_from_slice(b"\r\n");
 }
 
+/// Writes that a request is given up: `KILL ID`. No answer comes.
 pub fn withdraw(out: &mut Vec<u8>, id: &str) {
     put(out, format_args!("KILL {id}\r\n"));
 }
 
+/// Writes an order to hold copies: `SPAWN TAG obj=..,n=..`.
 pub fn load(out: &mut Vec<u8>, tag: &str, function: &str, copies: u32) {
     put(out, format_args!("SPAWN {tag} obj={function},n={copies}\r\n"));
 }
 
+/// Writes that idle copies are to go: `REAP FUNCTION`. No answer comes.
 pub fn unload(out: &mut Vec<u8>, function: &str) {
     put(out, format_args!("REAP {function}\r\n"));
 }
 
+/// Writes a question how the worker does: `TOP TAG`.
 pub fn probe(out: &mut Vec<u8>, tag: &str) {
     put(out, format_args!("TOP {tag}\r\n"));
 }
@@ -64,26 +75,36 @@
 /// A whole answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
+    /// Of the request, or the tag of what was ordered or asked.
     pub id: String,
+    /// What became of it.
     pub word: AnswerWord,
     /// Invocations of the same function that the worker held when this one came.
     pub crowd: u32,
     /// Loaded copies.
     pub copies: u32,
+    /// The load report, where the settings have one.
     pub report: Report,
+    /// The body of a good answer.
     pub body: Bytes,
 }
 
 /// What cannot be read, and why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerError {
+    /// The words of a line.
     Line,
+    /// A line that does not end in time.
     Endless,
+    /// The fields of a line.
     Fields,
+    /// A length that is no number, or too large.
     Length,
+    /// A body that does not end where its length says.
     End,
 }
 
+/// The bytes of one connection that are not yet a whole answer.
 #[derive(Debug, Default)]
 pub struct AnswerReader {
     bytes: Vec<u8>,
@@ -92,6 +113,7 @@
 }
 
 impl AnswerReader {
+    /// Bytes that came.
     pub fn put(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
     }
@@ -101,6 +123,7 @@
         !self.bytes.is_empty()
     }
 
+    /// The next whole answer, if there is one. After an error nothing of the connection can be read any more.
     pub fn next(&mut self, fields: &[ReportField]) -> Result<Option<Answer>, AnswerError> {
         let from = self.searched.min(self.bytes.len());
         let Some(end) = self.bytes[from..].iter().position(|b| *b == b'\n').map(|n| from + n) else {
--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -132,6 +132,7 @@
         Ok(())
     }
 
+    /// The value, or none if it is absent.
     pub fn text(&self, path: &str) -> Option<&str> {
         self.values.get(path)?.as_deref()
     }
@@ -144,6 +145,7 @@
         nested.into_iter().flatten().map(String::as_str).chain(joined)
     }
 
+    /// A number, or `absent` where there is none.
     pub fn number(&self, path: &str, absent: f64) -> Result<f64> {
         match self.text(path) {
             None => Ok(absent),
@@ -154,6 +156,7 @@
         }
     }
 
+    /// A time in microseconds (in the settings: whole nanoseconds), or `absent` where there is none.
     pub fn time(&self, path: &str, absent: Micros) -> Result<Micros> {
         match self.text(path) {
             None => Ok(absent),
@@ -161,6 +164,7 @@
         }
     }
 
+    /// A flag, or `absent` where there is none.
     pub fn flag(&self, path: &str, absent: bool) -> Result<bool> {
         match self.text(path) {
             None => Ok(absent),
@@ -207,13 +211,18 @@
 /// Names on the sockets; their places in the lists are the module's indices.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
+    /// Of trigger types.
     pub triggers: Vec<String>,
+    /// Of accounts; may be empty.
     pub accounts: Vec<String>,
+    /// Of zones.
     pub zones: Vec<String>,
+    /// Of kinds of machines.
     pub kinds: Vec<String>,
 }
 
 impl Names {
+    /// The index of a trigger type.
     pub fn trigger(&self, name: &str) -> Option<u32> {
         self.triggers.iter().position(|n| n == name).map(|i| i as u32)
     }
@@ -231,17 +240,26 @@
 /// What the module is born with.
 #[derive(Clone, Debug)]
 pub struct StartupSettings {
+    /// This router's place among all.
     pub fleet: FleetPosition,
+    /// What attempts are allowed.
     pub limits: DispatchLimits,
+    /// The figures of the rules.
     pub rules: RuleTerms,
+    /// By index.
     pub triggers: Vec<TriggerType>,
+    /// By index.
     pub accounts: Vec<Account>,
+    /// Of copies and orders to load.
     pub loads: LoadTerms,
+    /// What things cost.
     pub prices: Prices,
+    /// Where load reports come.
     pub reports: ReportsIn,
 }
 
 impl StartupSettings {
+    /// A policy module with these settings.
     pub fn control(&self, seed: u64) -> Control {
         Control::new(
             seed,
@@ -256,6 +274,7 @@
         )
     }
 
+    /// Reads the settings; names the first one that is wrong.
     pub fn read(p: &RawSettings) -> Result<Self> {
         let fleet = FleetPosition {
             routers: p.number("fleetSize", 1.0)?.max(1.0) as u32,
