Tests of the node's endings: no longer bound to two seconds of a slow machine

Of 15 plays in a row under a load on all cores (six busy loops and the workspace's tests) the last four failed in a_connection_with_an_unread_request_makes_no_room_for_others, at 'it lies unread': its connections had sent nothing, and were closed for that after two seconds, before the router was halted; reading the system's table of connections takes long while thousands fade in it. They are idle ones now, which have five seconds, and none of them is waited for by the table. The same holds for the request that arrives while the router stands still. The test of the backlog plays again where the router had exited before it was halted. Each guard taken out again (requests read before they are judged, the backlog emptied): the test fails.

--- a/crates/cli/tests/node_endings.rs
+++ b/crates/cli/tests/node_endings.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use procfs::net::TcpState::SynSent;
 use rustix::process::Signal;
@@ -17,6 +17,8 @@
 const HEALTH: &str = "GET /-/healthy HTTP/1.1\r\n\r\n";
 /// Requests that come later than this after the order to stop are refused.
 const STILL_ACCEPTS: Duration = Duration::from_millis(700);
+/// A connection is idle for less than this.
+const IDLE_KEPT: Duration = Duration::from_millis(5_300);
 
 fn send(w: &World, text: &str) -> TcpStream {
     let mut stream = w.connect();
@@ -179,15 +181,7 @@
 fn a_connection_with_an_unread_request_makes_no_room_for_others() {
     for new_comes_first in [false, true] {
         let w = World::with(35, |c| c.replace("\"sockets\":256", "\"sockets\":8"));
-        let mut silent: Vec<TcpStream> = (0..4)
-            .map(|_| {
-                let stream = w.connect();
-                w.accepted(address(&stream));
-                stream
-            })
-            .collect();
-        // Past the time in which a request that was sent with the connection has come.
-        thread::sleep(Duration::from_millis(300));
+        let mut idle: Vec<TcpStream> = (0..4).map(|_| open(&w)).collect();
         w.halt();
         let come = || {
             let stream = send(&w, &call(&id(2), "plain", GOOD, "", "x"));
@@ -195,11 +189,11 @@
             stream
         };
         let first = new_comes_first.then(come);
-        silent[0].write_all(call(&id(1), "plain", GOOD, "", "x").as_bytes()).expect("sent");
-        w.lies_unread(address(&silent[0]));
+        idle[0].write_all(call(&id(1), "plain", GOOD, "", "x").as_bytes()).expect("sent");
+        w.lies_unread(address(&idle[0]));
         let new = first.unwrap_or_else(come);
         w.goes_on();
-        assert_eq!((status(silent.remove(0)), status(new)), (200, 200), "{new_comes_first}");
+        assert_eq!((status(idle.remove(0)), status(new)), (200, 200), "{new_comes_first}");
     }
 }
 
@@ -220,16 +214,15 @@
     assert!(statuses.all(|s| s == 503));
 }
 
-/// The process stands still for longer than a client may take to send its request, which arrives meanwhile.
+/// The process stands still for longer than a connection may be idle, and a request arrives on it meanwhile.
 #[test]
 fn a_request_that_arrived_while_the_router_stood_still_is_served() {
     let w = World::new(37);
-    let mut stream = w.connect();
-    w.accepted(address(&stream));
+    let mut stream = open(&w);
     w.halt();
     stream.write_all(call(&id(1), "plain", GOOD, "", "x").as_bytes()).expect("sent");
     w.lies_unread(address(&stream));
-    thread::sleep(Duration::from_millis(2_300));
+    thread::sleep(IDLE_KEPT);
     w.goes_on();
     assert_eq!(status(stream), 200);
 }
@@ -287,18 +280,35 @@
     exits(&mut w);
 }
 
-/// A connection stands in the listener's backlog, its request whole, as the router finds that it may exit.
+/// A connection stands in the listener's backlog, its request whole, as the router finds that it may exit. On a machine too
+/// slow to halt the router before that, once more.
 #[test]
 fn what_stands_in_the_backlog_of_a_router_that_shuts_down_is_answered() {
     let mut w = World::new(41);
-    told_to_stop(&w);
-    w.halt();
-    let stream = send(&w, &call(&id(1), "plain", GOOD, "", "x"));
-    w.lies_unread(address(&stream));
-    thread::sleep(STILL_ACCEPTS);
-    w.goes_on();
-    assert!([200, 503].contains(&status(stream)));
-    exits(&mut w);
+    for _ in 0..10 {
+        let began = Instant::now();
+        told_to_stop(&w);
+        w.signal(Signal::STOP);
+        let came = TcpStream::connect(w.address).and_then(|mut stream| {
+            stream.set_read_timeout(Some(PATIENCE))?;
+            stream.write_all(call(&id(1), "plain", GOOD, "", "x").as_bytes()).map(|()| stream)
+        });
+        let in_time = began.elapsed() < STILL_ACCEPTS;
+        if in_time {
+            w.halt();
+            thread::sleep(STILL_ACCEPTS);
+        }
+        w.goes_on();
+        if in_time {
+            assert!([200, 503].contains(&status(came.expect("it listens"))));
+        }
+        exits(&mut w);
+        if in_time {
+            return;
+        }
+        w.until("it serves again", |w| w.ask(HEALTH).is_some_and(|a| a.0 == 200));
+    }
+    panic!("the machine is too slow");
 }
 
 /// Discovery moves while a router shuts down: it heard no further signal, and nothing of what the new address tells.
