Node: a burst is served before anybody is refused for want of room

When there is no room, those that have a whole request now run once before a new connection is judged (accept_clients, ConnectionLimiter::has_room).

--- a/crates/platform-node/src/client_connections/accept.rs
+++ b/crates/platform-node/src/client_connections/accept.rs
@@ -19,6 +19,10 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                if !node.clients.has_room(&node) {
+                    // A burst was accepted before any of it was served. Those that get their answer at once make room.
+                    yield_now().await;
+                }
                 if node.clients.admit(&node, stream) {
                     // The evicted connection's descriptor is free again before the next one is accepted.
                     yield_now().await;
--- a/crates/platform-node/src/client_connections/mod.rs
+++ b/crates/platform-node/src/client_connections/mod.rs
@@ -117,6 +117,12 @@
         self.limiter.borrow().has_unfinished() || unread()
     }
 
+    /// Whether a new connection would find room.
+    pub fn has_room(&self, node: &Node) -> bool {
+        let has_request = |id| self.has_request(node, id);
+        self.limiter.borrow().has_room(node.clock.now(), has_request)
+    }
+
     /// Takes a new connection; true if another one has to close for it.
     pub fn admit(&self, node: &Rc<Node>, stream: Stream) -> bool {
         let _ = stream.get_ref().set_nodelay(true);
--- a/crates/platform/src/connection_limiter.rs
+++ b/crates/platform/src/connection_limiter.rs
@@ -107,6 +107,11 @@
         Admission { id: self.last_id, refused, evicts }
     }
 
+    /// Whether a new connection would be admitted now.
+    pub fn has_room(&self, now: Micros, has_request: impl Fn(ClientId) -> bool) -> bool {
+        self.count() < self.most || self.eviction(now, has_request).is_some()
+    }
+
     fn eviction(&self, now: Micros, has_request: impl Fn(ClientId) -> bool) -> Option<ClientId> {
         let rank = |client: &Client| match client.state {
             State::New if now - client.since > EXPECTED_BY => Some(0),
--- a/crates/platform/tests/decisions.rs
+++ b/crates/platform/tests/decisions.rs
@@ -188,7 +188,9 @@
     let busy = admitted(&mut d, 0);
     d.pending(0, busy);
     d.responding(MS, busy, None);
-    assert!(connected(&mut d, SECOND).refused);
+    assert!(!d.has_room(SECOND, NONE) && connected(&mut d, SECOND).refused);
+    d.idle(SECOND, busy);
+    assert!(d.has_room(SECOND, NONE) && !d.has_room(SECOND, |_| true));
 }
 
 /// A request lies unread on a connection that looks idle: closing it would lose the request.
