Platform: bounds of reloading and of reading away stand with the decisions, not with sockets

Read over once more: how often a replaced configuration is read again was decided in platform-node/signals.rs, and the bytes read away after a last answer in client_connections; both stand in crates/platform now, with the same values.

--- a/crates/platform-node/src/client_connections/accept.rs
+++ b/crates/platform-node/src/client_connections/accept.rs
@@ -1,12 +1,11 @@
 //! Accepts clients' connections.
 
-use std::io::{self, ErrorKind};
-use std::net::{TcpListener, TcpStream};
+use std::io::ErrorKind;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use cedarpulley_net::Stream;
 use futures_lite::future::yield_now;
 
 use crate::node::Node;
@@ -39,7 +38,7 @@
 /// Accepts what the kernel has accepted for this listener by now; false if some of it had to be left there.
 pub fn accept_backlog(node: &Rc<Node>, listener: &Async<TcpListener>) -> bool {
     loop {
-        let accepted = listener.get_ref().accept().and_then(|(stream, _)| asynchronous(stream));
+        let accepted = listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream));
         match accepted {
             Ok(stream) => {
                 node.clients.admit(node, stream);
@@ -49,7 +48,3 @@
         }
     }
 }
-
-fn asynchronous(stream: TcpStream) -> io::Result<Stream> {
-    Async::new(stream)
-}
--- a/crates/platform-node/src/client_connections/mod.rs
+++ b/crates/platform-node/src/client_connections/mod.rs
@@ -13,7 +13,7 @@
 use cedarpulley::interface::Micros;
 use cedarpulley_net::Stream;
 use cedarpulley_platform::client_protocol::{
-    self, Call, REFUSED, Request, RequestError, RequestKind, RequestRules,
+    self, Call, MOST_READ_AWAY, REFUSED, Request, RequestError, RequestKind, RequestRules,
 };
 use cedarpulley_platform::connection_limiter::{ClientId, ConnectionLimiter};
 use cedarpulley_router::{Answer, Delivery, Input, Payload, Taken};
@@ -24,10 +24,6 @@
 
 use crate::node::{Node, ReadResult};
 
-/// What a refused client still sends is read away up to here: the largest body that the protocol's clients try, and
-/// more.
-const MOST_READ_AWAY: usize = 80 << 20;
-
 /// A request that was handed to the core and has no answer yet.
 struct PendingRequest {
     connection: Rc<ClientConnection>,
--- a/crates/platform-node/src/signals.rs
+++ b/crates/platform-node/src/signals.rs
@@ -7,16 +7,13 @@
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use cedarpulley_errors::Remedy;
-use cedarpulley_net::Bell;
+use cedarpulley_net::{Bell, micros};
+use cedarpulley_platform::config::{MOST_RELOADS, RELOAD_PAUSE};
 use futures_lite::{FutureExt, StreamExt};
 
 use crate::node::Node;
 use crate::startup::ConfigFile;
 
-/// A replaced file that cannot be read, perhaps because it is still being written, is read again this much later, and
-/// this many times in all: for about as long as discovery goes on at its old address.
-const READ_AGAIN_AFTER: Duration = Duration::from_millis(100);
-const MOST_READS: u32 = 20;
 /// After a failure of the stream of signals, so that the process does not spin.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -48,7 +45,7 @@
 
 /// Follows discovery to the address that the replaced file names. Without a readable one the old address stays.
 async fn read_again(node: &Node, file: &ConfigFile) {
-    for _ in 0..MOST_READS {
+    for _ in 0..MOST_RELOADS {
         match file.discovery_address() {
             Ok(address) => {
                 tracing::info!(%address, "the configuration was read again");
@@ -58,6 +55,6 @@
             }
             Err(error) => tracing::warn!(why = error.line(), "the configuration could not be read again"),
         }
-        Timer::after(READ_AGAIN_AFTER).await;
+        Timer::after(micros(RELOAD_PAUSE)).await;
     }
 }
--- a/crates/platform/src/client_protocol/mod.rs
+++ b/crates/platform/src/client_protocol/mod.rs
@@ -21,6 +21,9 @@
 
 /// Largest body of a request, in bytes, by the protocol.
 pub const MOST_BODY: usize = 16 << 10;
+/// What a client still sends after its last answer is read away up to here, in bytes: the largest body that the
+/// protocol's clients try, and more.
+pub const MOST_READ_AWAY: usize = 80 << 20;
 /// Largest head of a request, in bytes: one with every field of the protocol takes a few hundred.
 const MOST_HEAD: usize = 8 << 10;
 
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -186,6 +186,12 @@
     }
 }
 
+/// A replaced file that cannot be read, perhaps because it is still being written, is read again this much later, in
+/// microseconds, and this many times in all: for about as long as discovery goes on at its old address.
+pub const RELOAD_PAUSE: Micros = 100_000;
+/// See [`RELOAD_PAUSE`].
+pub const MOST_RELOADS: u32 = 20;
+
 /// The discovery channel's address in a file that has replaced the first one.
 pub fn discovery_address_of(text: &str) -> Result<SocketAddr> {
     #[derive(Deserialize)]
