Node: log when discovery is lost and back, and what became of each attempt

Need: the incident's logs were empty. A failed poll was logged at debug only, so nobody could tell whether a router had heard a drain, and nothing told why a request was retried, refused or closed. Change: one warning when discovery has not answered for the list's lease (address, error, last event, unheard_ms) and one when it is back; at debug, by request id: attempt decided, exchange ended and how, request answered with its reason, client left, connection to be closed and why.

--- a/crates/platform-node/src/client_connections/mod.rs
+++ b/crates/platform-node/src/client_connections/mod.rs
@@ -141,6 +141,7 @@
 
     fn end(&self, id: ClientId, reason: CloseReason) {
         if let Some(connection) = self.connections.borrow().get(&id) {
+            tracing::debug!(connection = id, ?reason, "client connection to be closed");
             connection.end(reason);
         }
     }
@@ -160,7 +161,8 @@
 
     /// Delivers the core's answer to the connection that waits for it, and acknowledges it to the core.
     pub fn answer(&self, node: &Rc<Node>, delivery: Delivery, answer: Answer) {
-        if let Some(connection) = self.pending.remove(delivery.tag) {
+        if let Some((id, connection)) = self.pending.remove(delivery.tag) {
+            tracing::debug!(%id, outcome = ?answer.outcome, reason = ?answer.reason, "request answered");
             connection.deliver(answer);
         }
         node.feed(Input::AnswerDelivered(delivery));
@@ -183,12 +185,14 @@
 
     /// Notifies the core that nobody waits for the answer to a request, unless it has been answered.
     fn notify_departure(&self, node: &Rc<Node>, tag: Tag) {
-        if self.pending.remove(tag).is_some() {
+        if let Some((id, _)) = self.pending.remove(tag) {
+            tracing::debug!(%id, "client left before its answer");
             node.feed(Input::ClientLeft(delivery(tag)));
         }
     }
 
     fn count_rejection(&self, error: RequestError) {
+        tracing::debug!(?error, "request rejected before the core");
         let mut rejected = self.rejected_requests.borrow_mut();
         *rejected.entry(error).or_default() += 1;
     }
--- a/crates/platform-node/src/client_connections/pending.rs
+++ b/crates/platform-node/src/client_connections/pending.rs
@@ -47,11 +47,11 @@
         Some((tag, connection))
     }
 
-    /// Removes a request, and returns the connection that waits for its answer.
-    pub fn remove(&self, tag: Tag) -> Option<Rc<ClientConnection>> {
+    /// Removes a request, and returns its id and the connection that waits for its answer.
+    pub fn remove(&self, tag: Tag) -> Option<(Arc<str>, Rc<ClientConnection>)> {
         let pending = self.by_tag.borrow_mut().remove(&tag)?;
         self.tags.borrow_mut().remove(&pending.id);
-        Some(pending.connection)
+        Some((pending.id, pending.connection))
     }
 
     /// Whether neither table is borrowed.
--- a/crates/platform-node/src/client_connections/session.rs
+++ b/crates/platform-node/src/client_connections/session.rs
@@ -144,7 +144,8 @@
             RequestKind::Health => Reply::bare(health_status(self.node.is_shutting_down()), close),
             // Nothing is begun for a client that does not wait for it.
             RequestKind::Call(_) if self.connection.is_disconnected() => return None,
-            RequestKind::Call(_) if !self.node.accepts(arrived) => {
+            RequestKind::Call(call) if !self.node.accepts(arrived) => {
+                tracing::debug!(id = %call.id, "request refused in shutdown");
                 Reply::bare(STATUS_REJECTED, close)
             }
             RequestKind::Call(call) => {
--- a/crates/platform-node/src/discovery.rs
+++ b/crates/platform-node/src/discovery.rs
@@ -10,8 +10,8 @@
 use cedarpulley_errors::Remedy;
 use cedarpulley_net::{Notifier, Stream, connect, duration_from_micros};
 use cedarpulley_platform::discovery::{
-    DiscoveryError, EventBatch, ListUpdate, MAX_BACKOFF, POLL_WAIT, RESPONSE_MARGIN,
-    ResponseReader, WorkerListFollower,
+    DiscoveryContact, DiscoveryError, EventBatch, ListUpdate, MAX_BACKOFF, POLL_WAIT,
+    RESPONSE_MARGIN, ResponseReader, Silence, WorkerListFollower,
 };
 use cedarpulley_router::backoff::Backoff;
 use cedarpulley_startup::Names;
@@ -29,16 +29,23 @@
     address: Cell<SocketAddr>,
     moved: Notifier,
     worker_list: RefCell<WorkerListFollower>,
+    contact: Cell<DiscoveryContact>,
 }
 
 impl Discovery {
-    /// `names`: the zones and kinds of workers.
-    pub fn new(address: SocketAddr, names: Names, worker_list: WorkerListFollower) -> Self {
+    /// `names`: the zones and kinds of workers. `now`: when the router starts.
+    pub fn new(
+        address: SocketAddr,
+        names: Names,
+        worker_list: WorkerListFollower,
+        now: Micros,
+    ) -> Self {
         Discovery {
             names,
             address: Cell::new(address),
             moved: Notifier::default(),
             worker_list: RefCell::new(worker_list),
+            contact: Cell::new(DiscoveryContact::new(now)),
         }
     }
 
@@ -66,6 +73,28 @@
             .apply_batch(batch, &self.names, wall_at_zero, unheard_for)
     }
 
+    /// A response was applied.
+    fn heard(&self, now: Micros) {
+        let mut contact = self.contact.get();
+        if let Some(Silence(silence)) = contact.heard(now) {
+            tracing::warn!(unheard_ms = silence / 1_000, "discovery is in reach again");
+        }
+        self.contact.set(contact);
+    }
+
+    /// A poll failed.
+    fn failed(&self, now: Micros, error: &ChannelError) {
+        let (address, error) = (self.address.get(), error.line());
+        tracing::debug!(%address, error, "discovery connection ended");
+        let mut contact = self.contact.get();
+        if let Some(Silence(silence)) = contact.failed(now) {
+            let last_event = self.worker_list.borrow().last_cursor();
+            let unheard_ms = silence / 1_000;
+            tracing::warn!(%address, error, last_event, unheard_ms, "discovery is out of reach");
+        }
+        self.contact.set(contact);
+    }
+
     /// Repeated events and workers beyond the limit that were ignored so far.
     pub fn ignored(&self) -> (u64, u64) {
         let list = self.worker_list.borrow();
@@ -102,7 +131,7 @@
         let connected_at = node.clock.now();
         let poll_and_back_off = async {
             if let Err(error) = poll_on_one_connection(&node).await {
-                tracing::debug!(error = error.line(), "discovery connection ended");
+                node.discovery.failed(node.clock.now(), &error);
             }
             let pause = backoff.next_delay(node.clock.now() - connected_at);
             Timer::after(duration_from_micros(pause)).await;
@@ -134,6 +163,7 @@
             .or(timeout)
             .await?;
         node.apply_events(&batch, unheard_for.max(node.lag()))?;
+        node.discovery.heard(node.clock.now());
         unheard_for = 0;
     }
 }
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -46,8 +46,7 @@
 }
 
 impl Node {
-    pub fn new(parts: NodeParts) -> Self {
-        let clock = Clock::start();
+    pub fn new(clock: Clock, parts: NodeParts) -> Self {
         Node {
             clock,
             clients: parts.clients,
@@ -143,6 +142,12 @@
         self.core.router().may_send_order(self.clock.now(), ticket)
     }
 
+    /// The worker's name in the list, for the log.
+    pub fn worker_name(&self, worker: WorkerIndex) -> String {
+        let router = self.core.router();
+        router.worker_name(worker).unwrap_or_default().to_owned()
+    }
+
     /// Where a worker listens, if it is listed.
     pub fn worker_address(&self, worker: WorkerIndex) -> Option<SocketAddr> {
         self.discovery
--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -9,7 +9,7 @@
 use async_signal::{Signal, Signals};
 use cedarpulley::interface::{Effect, Micros, TriggerType};
 use cedarpulley_errors::Remedy;
-use cedarpulley_net::{Notifier, listen};
+use cedarpulley_net::{Clock, Notifier, listen};
 use cedarpulley_platform::client_protocol::{RequestRules, TriggerRules};
 use cedarpulley_platform::config::{ConfigError, StartupConfig};
 use cedarpulley_platform::connection_limiter::ConnectionLimiter;
@@ -110,7 +110,8 @@
     let address = listen_address()?;
     let start = file.read()?;
     let (seed, initial_events) = (start.seed, start.initial_events.clone());
-    let node = Rc::new(Node::new(node_parts(start)));
+    let clock = Clock::start();
+    let node = Rc::new(Node::new(clock, node_parts(start, clock.now())));
     // The events in the configuration may be of any age.
     node.apply_events(&initial_events, Micros::MAX)
         .map_err(|source| file.invalid_events(source))?;
@@ -148,7 +149,7 @@
     node.log_counts();
 }
 
-fn node_parts(start: StartupConfig) -> NodeParts {
+fn node_parts(start: StartupConfig, now: Micros) -> NodeParts {
     let settings = &start.settings;
     let limits = ResourceLimits::of(start.limits);
     let connections = start.worker_connections;
@@ -177,7 +178,7 @@
         ),
         workers: WorkerConnections::new(protocol, pool),
         shutdown: GracefulShutdown::new(longest_deadline(settings)),
-        discovery: Discovery::new(start.discovery_address, start.names, worker_list),
+        discovery: Discovery::new(start.discovery_address, start.names, worker_list, now),
     }
 }
 
--- a/crates/platform-node/src/worker_connections/connection.rs
+++ b/crates/platform-node/src/worker_connections/connection.rs
@@ -194,12 +194,11 @@
         read_or_woken.or(writable).await;
     }
 
-    /// The connection has ended; the exchanges that were in flight on it.
-    pub fn take_exchanges(&self) -> Vec<Exchange> {
+    /// The connection has ended; the exchanges that were in flight on it, with their ids.
+    pub fn take_exchanges(&self) -> Vec<(String, Exchange)> {
         self.ending.set(true);
         self.stream.replace(None);
-        let mut exchanges = self.exchanges.borrow_mut();
-        exchanges.drain().map(|(_, exchange)| exchange).collect()
+        self.exchanges.borrow_mut().drain().collect()
     }
 }
 
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -119,6 +119,7 @@
             deadline: node.clock.now() + call.timeout,
             call,
         });
+        log_attempt(node, &id, &attempt.ticket, attempt.worker);
         let exchange = Exchange::new(Purpose::Attempt(attempt.ticket), Micros::MAX);
         self.post(
             node,
@@ -207,7 +208,10 @@
     ) {
         let connection = match self.place(node, worker) {
             Ok(connection) => connection,
-            Err(end) => return report_end(node, exchange.purpose, end, None),
+            Err(end) => {
+                tracing::debug!(id = queued.id, ?end, "exchange without a connection");
+                return report_end(node, exchange.purpose, end, None);
+            }
         };
         if let Purpose::Attempt(ticket) = exchange.purpose {
             let location = AttemptLocation {
@@ -348,6 +352,7 @@
             LateAnswer::Possible
         };
         self.release(node, connection, late_answer);
+        tracing::debug!(id, ?end, "exchange with a worker ended");
         report_end(node, exchange.purpose, end, answer);
     }
 
@@ -378,7 +383,7 @@
         }
         drop(pool);
         self.connections.borrow_mut().remove(&connection.id());
-        for exchange in connection.take_exchanges() {
+        for (id, exchange) in connection.take_exchanges() {
             if let Purpose::Attempt(ticket) = exchange.purpose {
                 self.attempts.borrow_mut().remove(&ticket);
             }
@@ -387,7 +392,16 @@
             } else {
                 unsent
             };
+            tracing::debug!(id, ?end, "exchange with a worker ended");
             report_end(node, exchange.purpose, end, None);
         }
     }
 }
+
+/// Logs which worker an attempt goes to. The name is looked up only where it is logged.
+fn log_attempt(node: &Node, request_id: &str, ticket: &Ticket, worker: WorkerIndex) {
+    if tracing::enabled!(tracing::Level::DEBUG) {
+        let (attempt, worker) = (ticket.dispatch, node.worker_name(worker));
+        tracing::debug!(id = request_id, attempt, worker, "attempt decided");
+    }
+}
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -10,6 +10,7 @@
 //! 4. A drain that may have been announced a while ago, because the channel was not connected meanwhile or this process
 //!    was not running, has no grace left: the grace counts from when it was announced, not from when it was read.
 
+mod contact;
 mod error;
 mod events;
 mod follower;
@@ -17,6 +18,7 @@
 
 use cedarpulley::interface::Micros;
 
+pub use contact::{DiscoveryContact, Silence};
 pub use error::DiscoveryError;
 pub use events::{
     Command as WatchEvent, EventBatch, Nodes as WorkerListEvent, Server as WorkerEntry,
@@ -32,4 +34,9 @@
 /// Longest backoff before connecting again, in microseconds: events must be known within two seconds of a disconnection.
 pub const MAX_BACKOFF: Micros = 320_000;
 
+/// What discovery announces counts as known at the latest so long after its connection broke, by the protocol. A broken
+/// connection and a silent one cannot be told apart at first, and of the protocol's terms this is the shortest: the list
+/// is relied on for so long after a response, in microseconds.
+pub const LIST_LEASE: Micros = 2_000_000;
+
 type Result<T> = std::result::Result<T, DiscoveryError>;
