Failing test: workers that drain while discovery is out of reach still get work

Cause, as far as shown: nothing limits how long the last list is used while discovery cannot be reached. The test plays the incident on a real process over loopback, once with a silent channel and once with one that closes each connection, and counts what reaches the draining worker after the time told and the grace.

--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -48,6 +48,11 @@
     freed: Vec<String>,
     pub connections: usize,
     pub orders: Vec<String>,
+    /// The worker drains: it stays up, is not healthy, and turns new work away.
+    pub draining: bool,
+    /// Calls and orders to load that were turned away, by the time of their coming.
+    pub turned_away: Vec<Instant>,
+    pub probes: usize,
 }
 
 pub type Shared = Arc<Mutex<Seen>>;
@@ -84,6 +89,11 @@
                         .expect("a field")
                 };
                 let (function, deadline) = (field("obj="), field("ms=").parse().expect("a number"));
+                if turns_away(seen) {
+                    let _ = out.write_all(format!("{id} refused - 0\r\n\r\n").as_bytes());
+                    line.clear();
+                    continue;
+                }
                 seen.lock()
                     .expect("seen")
                     .calls
@@ -118,18 +128,50 @@
                 }
             }
             ["KILL", id] => seen.lock().expect("seen").killed.push(id.to_owned()),
+            ["SPAWN", tag, _] if turns_away(seen) => {
+                let _ = out.write_all(format!("{tag} refused - 0\r\n\r\n").as_bytes());
+            }
             ["SPAWN", tag, fields] => {
                 seen.lock().expect("seen").orders.push(fields.to_owned());
                 out.write_all(format!("{tag} ok n=1 0\r\n\r\n").as_bytes())
                     .expect("an answer");
             }
             ["REAP", _] => {}
+            ["HELO" | "TOP", tag] => {
+                let health = if probed(seen) { "yes" } else { "no" };
+                let _ = out.write_all(format!("{tag} {health} - 0\r\n\r\n").as_bytes());
+            }
             _ => panic!("the worker was told {line:?}"),
         }
         line.clear();
     }
 }
 
+/// Whether the worker drains; if so, what has just come counts as turned away.
+fn turns_away(seen: &Shared) -> bool {
+    let mut seen = seen.lock().expect("seen");
+    if seen.draining {
+        seen.turned_away.push(Instant::now());
+    }
+    seen.draining
+}
+
+/// Counts a probe; whether the worker is healthy.
+fn probed(seen: &Shared) -> bool {
+    let mut seen = seen.lock().expect("seen");
+    seen.probes += 1;
+    !seen.draining
+}
+
+/// How a channel is out of reach.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outage {
+    /// Questions stay open for ever, on connections that stay open.
+    Silent,
+    /// Connections are closed at once.
+    Closes,
+}
+
 /// A channel that tells what it is given to tell.
 #[derive(Default)]
 pub struct Channel {
@@ -138,6 +180,8 @@
     pub breaks: bool,
     /// Leaves the next question open for ever.
     pub silent: bool,
+    /// Tells nothing for as long as this is set.
+    pub outage: Option<Outage>,
     pub asked: Vec<u64>,
 }
 
@@ -165,12 +209,16 @@
             shared.lock().expect("channel").asked.push(from);
             let until = Instant::now() + Duration::from_millis(400);
             while Instant::now() < until
+                && shared.lock().expect("channel").outage.is_none()
                 && shared.lock().expect("channel").events.len() as u64 <= from
             {
                 thread::sleep(Duration::from_millis(5));
             }
             let mut it = shared.lock().expect("channel");
-            if std::mem::take(&mut it.silent) {
+            if it.outage == Some(Outage::Closes) {
+                return;
+            }
+            if std::mem::take(&mut it.silent) || it.outage.is_some() {
                 line.clear();
                 continue;
             }
