Discovery out of reach: after the list's lease, work needs a passed health check

Cause: a failed poll only made the next one later. Nothing told the core that the list of workers might be out of date, so all workers in it were good for ever (crates/platform-node/src/discovery.rs, follow). Class: state learned from a source that is out of reach is used without a limit in time. Change: each whole answer of discovery renews a lease on the list, 2 s from when it can have arrived: the shortest of the protocol's terms for what counts as told. After it the decision module sends new work and orders to load only where a health check was passed within three quarters of the drain grace, and has workers checked as work is wanted there (src/balancer/readiness.rs); the last look before the first byte holds to the same (drain_gate.rs). A worker that was away for a second starts slowly and without copies, as its start counts as announced. The first poll on a connection is answered at once.

--- a/crates/platform-node/src/discovery.rs
+++ b/crates/platform-node/src/discovery.rs
@@ -10,8 +10,8 @@
 use cedarpulley_errors::Remedy;
 use cedarpulley_net::{Notifier, Stream, connect, duration_from_micros};
 use cedarpulley_platform::discovery::{
-    DiscoveryContact, DiscoveryError, EventBatch, ListUpdate, MAX_BACKOFF, POLL_WAIT,
-    RESPONSE_MARGIN, ResponseReader, Silence, WorkerListFollower,
+    DiscoveryContact, DiscoveryError, EventBatch, FIRST_POLL_WAIT, LIST_LEASE, ListUpdate,
+    MAX_BACKOFF, POLL_WAIT, RESPONSE_MARGIN, ResponseReader, Silence, WorkerListFollower,
 };
 use cedarpulley_router::backoff::Backoff;
 use cedarpulley_startup::Names;
@@ -148,12 +148,13 @@
     let mut responses = ResponseReader::default();
     // The events of the first response may have happened while nobody was connected; later ones arrive as they happen.
     let mut unheard_for = Micros::MAX;
+    let mut wait = FIRST_POLL_WAIT;
     loop {
         let request = node
             .discovery
             .worker_list
             .borrow()
-            .poll_request(&address.to_string());
+            .poll_request(&address.to_string(), wait);
         stream.write_all(&request).await?;
         let timeout = async {
             Timer::after(duration_from_micros(POLL_WAIT + RESPONSE_MARGIN)).await;
@@ -162,9 +163,15 @@
         let batch = read_response(&mut stream, &mut responses)
             .or(timeout)
             .await?;
+        let arrived = node.arrival_time();
+        let is_behind = node.discovery.worker_list.borrow().is_behind(&batch);
         node.apply_events(&batch, unheard_for.max(node.lag()))?;
-        node.discovery.heard(node.clock.now());
+        if !is_behind {
+            node.discovery.heard(node.clock.now());
+            node.renew_list_lease(arrived + LIST_LEASE);
+        }
         unheard_for = 0;
+        wait = POLL_WAIT;
     }
 }
 
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -167,6 +167,15 @@
         Ok(())
     }
 
+    /// The list of workers is up to date, and may be relied on until then. Where the platform allows no health checks,
+    /// nothing could be asked once a lease has ended, and the list is always relied on.
+    pub fn renew_list_lease(self: &Rc<Self>, until: Micros) {
+        if self.workers.protocol().health_checks {
+            self.workers.forget_failed_checks();
+            self.feed(Input::EndpointListLease { until });
+        }
+    }
+
     fn apply(self: &Rc<Self>, update: ListUpdate) {
         for id in &update.retired {
             if let Some(worker) = self.core.router().worker_index(id) {
--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -115,6 +115,8 @@
     // The events in the configuration may be of any age.
     node.apply_events(&initial_events, Micros::MAX)
         .map_err(|source| file.invalid_events(source))?;
+    // They may be out of date: the lease begins with discovery's first answer.
+    node.renew_list_lease(clock.now());
     let listener = listen(address).map_err(|source| StartError::Listen { address, source })?;
     node.block_on(serve(node.clone(), Rc::new(listener), signals, file, seed));
     Ok(())
@@ -164,6 +166,7 @@
         report_fields: start.report_fields.clone(),
         reports_function_load: settings.loads.reports_function_load,
         connect_timeout: connections.connect_timeout,
+        health_checks: settings.limits.probes,
     };
     let worker_list = WorkerListFollower::new(settings.rules.drain_grace);
     NodeParts {
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -2,6 +2,7 @@
 //! a message was never sent is proven by the count of bytes that the kernel accepted.
 
 mod connection;
+mod readiness_log;
 mod report;
 mod sending;
 mod session;
@@ -21,6 +22,7 @@
 
 use crate::node::Node;
 use connection::{Exchange, Message, OutgoingCall, Purpose, QueuedMessage, WorkerConnection};
+use readiness_log::ReadinessLog;
 use report::report_end;
 use sending::Sender;
 use session::Session;
@@ -35,6 +37,8 @@
     pub reports_function_load: bool,
     /// Within which a connection is established and a probe answered, in microseconds.
     pub connect_timeout: Micros,
+    /// Whether workers may be sent health checks.
+    pub health_checks: bool,
 }
 
 impl WorkerProtocol {
@@ -77,6 +81,7 @@
     connections: RefCell<HashMap<ConnectionId, Rc<WorkerConnection>>>,
     attempts: RefCell<HashMap<Ticket, AttemptLocation>>,
     last_tag: Cell<u64>,
+    readiness: ReadinessLog,
 }
 
 impl WorkerConnections {
@@ -87,6 +92,7 @@
             connections: RefCell::default(),
             attempts: RefCell::default(),
             last_tag: Cell::new(0),
+            readiness: ReadinessLog::default(),
         }
     }
 
@@ -94,6 +100,11 @@
         &self.protocol
     }
 
+    /// The list of workers is up to date, and says who takes new work.
+    pub fn forget_failed_checks(&self) {
+        self.readiness.clear();
+    }
+
     /// Exchanges for which no connection was available so far.
     pub fn unplaced_exchanges(&self) -> u64 {
         self.pool.borrow().exhausted()
--- a/crates/platform-node/src/worker_connections/report.rs
+++ b/crates/platform-node/src/worker_connections/report.rs
@@ -28,12 +28,19 @@
             copies: answer.map_or(0, |answer| answer.copies),
             memory_held: None,
         },
-        Purpose::Probe { worker, started } => Input::ProbeEnded {
-            worker,
-            outcome: attempt_outcome::probe_outcome(end),
-            took: node.clock.now() - started,
-            report,
-        },
+        Purpose::Probe { worker, started } => {
+            let outcome = attempt_outcome::probe_outcome(end);
+            let workers = &node.workers;
+            workers
+                .readiness
+                .check_ended(node.worker_name(worker), outcome);
+            Input::ProbeEnded {
+                worker,
+                outcome,
+                took: node.clock.now() - started,
+                report,
+            }
+        }
     };
     node.feed(input);
 }
--- a/crates/platform/src/attempt_outcome.rs
+++ b/crates/platform/src/attempt_outcome.rs
@@ -93,9 +93,9 @@
     match end {
         ExchangeEnd::Answered(AnswerStatus::Healthy) => DispatchOutcome::Succeeded,
         ExchangeEnd::Answered(AnswerStatus::Unhealthy) => DispatchOutcome::Rejected,
-        ExchangeEnd::ConnectFailed | ExchangeEnd::NotSent | ExchangeEnd::Withheld => {
-            DispatchOutcome::Unreachable
-        }
+        ExchangeEnd::ConnectFailed => DispatchOutcome::Unreachable,
+        // A shortage here, or an idle connection that was closed, says nothing about the worker.
+        ExchangeEnd::NotSent | ExchangeEnd::Withheld => DispatchOutcome::NotSent,
         ExchangeEnd::Answered(_) | ExchangeEnd::ConnectionLost => DispatchOutcome::ConnectionLost,
     }
 }
--- a/crates/platform/src/discovery/follower.rs
+++ b/crates/platform/src/discovery/follower.rs
@@ -7,7 +7,7 @@
 use cedarpulley::interface::{EndpointListKind, EndpointState, Micros};
 use cedarpulley_router::endpoint_list::ListedWorker;
 
-use super::{DiscoveryError, EventBatch, POLL_WAIT, Result, WorkerEntry, WorkerListEvent};
+use super::{DiscoveryError, EventBatch, Result, WorkerEntry, WorkerListEvent};
 use crate::config::Names;
 
 /// A drain that is read later than this part of its grace has none left: the policy module and the last check before
@@ -60,9 +60,10 @@
         }
     }
 
-    /// The poll for the events after the last one applied, encoded.
-    pub fn poll_request(&self, host: &str) -> Vec<u8> {
-        let (cursor, wait_ms) = (self.last_cursor, POLL_WAIT / 1_000);
+    /// The poll for the events after the last one applied, encoded. `wait`: for how long it may be held open, in
+    /// microseconds.
+    pub fn poll_request(&self, host: &str, wait: Micros) -> Vec<u8> {
+        let (cursor, wait_ms) = (self.last_cursor, wait / 1_000);
         format!("GET /cmd/next?resume={cursor}&block={wait_ms} HTTP/1.1\r\nHost: {host}\r\n\r\n")
             .into_bytes()
     }
@@ -87,6 +88,12 @@
         self.ignored_workers
     }
 
+    /// Whether a response comes from a server that has fewer events than were applied already: it does not show that the
+    /// list is up to date.
+    pub fn is_behind(&self, batch: &EventBatch) -> bool {
+        batch.cursor < self.last_cursor
+    }
+
     /// The updates in a batch, in order; all of them or, where a part is malformed, nothing. `wall_at_zero`: the Unix time
     /// at which the router's clock began, in microseconds. `unheard_for`: the batch may have been in the channel for so
     /// many microseconds before it was read.
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -29,6 +29,9 @@
 /// How long discovery may hold a poll open until there are events, in microseconds, of the 5 s that the protocol allows:
 /// that a channel has stopped while its connection stays open is noticed after this and [`RESPONSE_MARGIN`].
 pub const POLL_WAIT: Micros = 1_000_000;
+/// The first poll on a connection is held open for no longer than this, in microseconds: what was announced while nobody
+/// was connected, and that this is all of it, is to be known at once.
+pub const FIRST_POLL_WAIT: Micros = 1_000;
 /// A response that has not arrived so long after [`POLL_WAIT`] counts as missing, in microseconds.
 pub const RESPONSE_MARGIN: Micros = 500_000;
 /// Longest backoff before connecting again, in microseconds: events must be known within two seconds of a disconnection.
--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -2,7 +2,9 @@
 
 use cedarpulley::interface::{EndpointListKind, EndpointState::Draining, EndpointState::Gone};
 use cedarpulley_platform::config::Names;
-use cedarpulley_platform::discovery::{EventBatch, ListUpdate, ResponseReader, WorkerListFollower};
+use cedarpulley_platform::discovery::{
+    EventBatch, ListUpdate, POLL_WAIT, ResponseReader, WorkerListFollower,
+};
 
 fn names() -> Names {
     let list = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
@@ -66,7 +68,7 @@
     assert!(apply_events(&mut follower, &[leaving(2), leaving(3)]).is_empty());
     assert_eq!(follower.repeated_events(), 3);
     assert!(
-        String::from_utf8_lossy(&follower.poll_request("x"))
+        String::from_utf8_lossy(&follower.poll_request("x", POLL_WAIT))
             .starts_with("GET /cmd/next?resume=3&block=")
     );
 }
--- a/crates/router/src/core/balancer_actions.rs
+++ b/crates/router/src/core/balancer_actions.rs
@@ -69,7 +69,12 @@
                 function: self.functions.name(function),
                 term: self.plan_term.clone(),
             }),
-            Action::Probe { worker } => out.push(Output::Probe { worker }),
+            Action::Probe { worker } => {
+                // Its index stays the worker's until the check has ended.
+                self.workers.reserve(worker);
+                self.counts.health_checks += 1;
+                out.push(Output::Probe { worker });
+            }
             Action::Timer { token, after } => {
                 self.set_timer(self.now + after, Timer::Balancer(token));
             }
--- a/crates/router/src/core/counters.rs
+++ b/crates/router/src/core/counters.rs
@@ -16,6 +16,10 @@
     pub dispatches: u64,
     /// Load orders that were sent.
     pub orders: u64,
+    /// Health checks of workers that were sent.
+    pub health_checks: u64,
+    /// Health checks that were not passed.
+    pub health_checks_failed: u64,
     /// Dispatches that the module cancelled.
     pub cancelled: u64,
     /// Messages delivered again while their invocation was open: they join it.
--- a/crates/router/src/core/messages.rs
+++ b/crates/router/src/core/messages.rs
@@ -47,6 +47,12 @@
         /// The workers.
         workers: Vec<ListedWorker>,
     },
+    /// The endpoint list is up to date, and may be relied on until then although nothing more is heard. A front that never
+    /// says so has its list relied on always.
+    EndpointListLease {
+        /// When the lease ends, unless it is renewed.
+        until: Micros,
+    },
     /// A dispatch ended, with the worker's answer or without.
     DispatchEnded {
         /// The dispatch, as in [`Output::Send`].
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -32,7 +32,9 @@
 use std::sync::Arc;
 
 use cedarpulley::Balancer;
-use cedarpulley::interface::{EndpointListKind, Event, Micros, TriggerType, WorkerIndex};
+use cedarpulley::interface::{
+    DispatchOutcome, EndpointListKind, Event, Micros, TriggerType, WorkerIndex,
+};
 
 pub use counters::RouterCounters;
 pub use messages::{DispatchRequest, Input, Output};
@@ -164,6 +166,10 @@
     fn apply_of_workers(&mut self, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::EndpointList { kind, workers } => self.update_workers(kind, &workers, out),
+            Input::EndpointListLease { until } => {
+                self.workers.renew_lease(until);
+                self.decide(&Event::EndpointListLease { until }, out);
+            }
             Input::OrderEnded {
                 ticket,
                 result,
@@ -182,6 +188,7 @@
                     took,
                     report,
                 };
+                self.health_check_ended(worker, outcome, took);
                 self.decide(&event, out);
             }
             Input::CopyWanted {
@@ -219,6 +226,16 @@
         self.decide(&event, out);
     }
 
+    /// Takes over what a health check says of its worker.
+    fn health_check_ended(&mut self, worker: WorkerIndex, outcome: DispatchOutcome, took: Micros) {
+        self.workers.unreserve(worker);
+        if outcome == DispatchOutcome::Succeeded {
+            self.workers.passed_health_check(worker, self.now - took);
+        } else {
+            self.counts.health_checks_failed += 1;
+        }
+    }
+
     /// When [`Input::Tick`] is next wanted.
     pub fn next_due(&self) -> Option<Micros> {
         self.timers.next_due()
--- a/crates/router/src/core/state/workers.rs
+++ b/crates/router/src/core/state/workers.rs
@@ -96,6 +96,16 @@
         self.drain_gate.accepts(now, worker)
     }
 
+    /// The list is up to date, and says all that is announced until then.
+    pub(crate) fn renew_lease(&mut self, until: Micros) {
+        self.drain_gate.renew_lease(until);
+    }
+
+    /// The worker has passed a health check that was sent at `sent_at`.
+    pub(crate) fn passed_health_check(&mut self, worker: WorkerIndex, sent_at: Micros) {
+        self.drain_gate.passed_health_check(worker, sent_at);
+    }
+
     /// The group of workers that recognise repeats of what is sent to this one; 0 where there is only one group.
     pub(crate) fn deduplication_domain(&self, worker: WorkerIndex, effect: Effect) -> u32 {
         let location = self.locations.get(worker as usize);
--- a/crates/router/tests/drain_gate.rs
+++ b/crates/router/tests/drain_gate.rs
@@ -85,6 +85,34 @@
     assert!(!gate.accepts(MS, 0) && !gate.accepts(MS, 1));
 }
 
+/// Discovery outage: a dispatch that was decided in time waits for its connection while the list's lease ends.
+#[test]
+fn list_without_a_lease_holds_back_what_no_health_check_covers() {
+    let mut gate = DrainGate::new(500 * MS);
+    let listed = [0, 1].map(|worker| endpoint(worker, EndpointState::InService));
+    gate.update(0, EndpointListKind::Complete, &listed);
+    assert!(gate.accepts(60 * SECOND, 0), "no lease is kept here");
+    gate.renew_lease(SECOND);
+    assert!(gate.accepts(1_499 * MS, 0) && !gate.accepts(1_500 * MS, 0));
+    gate.passed_health_check(0, 2 * SECOND);
+    assert!(gate.accepts(2_499 * MS, 0) && !gate.accepts(2_500 * MS, 0));
+    assert!(!gate.accepts(2_100 * MS, 1), "checks count for one worker");
+    gate.renew_lease(9 * SECOND);
+    assert!(gate.accepts(9 * SECOND, 1));
+    gate.update(
+        9 * SECOND,
+        EndpointListKind::Changes,
+        &[endpoint(0, EndpointState::Gone)],
+    );
+    gate.passed_health_check(0, 9 * SECOND);
+    assert!(
+        !gate.accepts(9 * SECOND, 0),
+        "it has gone, whatever it says"
+    );
+    gate.forget(1);
+    assert!(!gate.accepts(9 * SECOND, 1));
+}
+
 /// A whole list is sent again after a gap, and a worker is missing: it may have gone long ago, and what still waits for a
 /// connection to it must not leave within a grace that counts from the hearing.
 #[test]
--- a/crates/trace/src/blocks.rs
+++ b/crates/trace/src/blocks.rs
@@ -290,7 +290,7 @@
             each(NameKind::Worker, worker);
             each(NameKind::Function, function);
         }
-        Event::ClientLeft { .. } | Event::Timer { .. } => {}
+        Event::ClientLeft { .. } | Event::EndpointListLease { .. } | Event::Timer { .. } => {}
     }
 }
 
--- a/crates/trace/src/event_codec.rs
+++ b/crates/trace/src/event_codec.rs
@@ -36,6 +36,7 @@
 const INVOCATION_WITH_PREFERENCE: u8 = 8;
 const COPY_WANTED: u8 = 9;
 const COPIES_REPORTED: u8 = 10;
+const ENDPOINT_LIST_LEASE: u8 = 11;
 
 /// Writes a value's position in its table: tables only grow at their end.
 pub(crate) fn encode_tag<T: PartialEq>(out: &mut Encoder, table: &[T], value: &T) {
@@ -226,6 +227,10 @@
             out.byte(TIMER_FIRED);
             out.unsigned(token);
         }
+        Event::EndpointListLease { until } => {
+            out.byte(ENDPOINT_LIST_LEASE);
+            out.signed(until);
+        }
         _ => encode_worker_event(out, event),
     }
 }
@@ -278,6 +283,7 @@
         | Event::ClientLeft { .. }
         | Event::AnswerStarted { .. }
         | Event::DispatchEnded(_)
+        | Event::EndpointListLease { .. }
         | Event::Timer { .. } => {}
     }
 }
@@ -315,6 +321,9 @@
         TIMER_FIRED => Event::Timer {
             token: input.unsigned()?,
         },
+        ENDPOINT_LIST_LEASE => Event::EndpointListLease {
+            until: input.signed()?,
+        },
         tag => decode_worker_event(tag, input, fingerprint)?,
     };
     Ok(RecordedEvent::Other(event))
--- a/crates/trace/src/selection.rs
+++ b/crates/trace/src/selection.rs
@@ -172,7 +172,9 @@
                 Event::ClientLeft { invocation } | Event::AnswerStarted { invocation, .. },
             ) => self.belonging.contains(invocation),
             // A list is never among the others.
-            RecordedEvent::Other(Event::Timer { .. } | Event::EndpointList { .. }) => false,
+            RecordedEvent::Other(
+                Event::Timer { .. } | Event::EndpointListLease { .. } | Event::EndpointList { .. },
+            ) => false,
         }
     }
 
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -384,6 +384,7 @@
             report
         }),
         any::<u64>().prop_map(|token| Event::Timer { token }),
+        t().prop_map(|until| Event::EndpointListLease { until }),
     ]
 }
 
--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -3,6 +3,7 @@
 use super::Balancer;
 use super::functions::Function;
 use super::invocations::{Dispatch, DispatchState, Invocation};
+use super::readiness::Readiness;
 use crate::interface::*;
 
 /// Silent for so many long but normal latencies, a worker hangs.
@@ -23,7 +24,8 @@
 }
 
 impl Balancer {
-    /// Sends the invocation to a worker; with `loads_copy` the worker has to load the function.
+    /// Sends the invocation to a worker, or has the worker checked first where it is not known to be ready; with
+    /// `loads_copy` the worker has to load the function.
     pub(super) fn dispatch(
         &mut self,
         index: InvocationIndex,
@@ -31,6 +33,9 @@
         loads_copy: bool,
         out: &mut Vec<Action>,
     ) {
+        if self.readiness_of(worker) != Readiness::Ready {
+            return self.await_readiness(index, worker, out);
+        }
         self.dequeue(index);
         let now = self.now;
         let Some((invocation, state)) = self.find_invocation(index) else {
--- a/src/balancer/eligibility.rs
+++ b/src/balancer/eligibility.rs
@@ -15,7 +15,7 @@
         if invocation.answered
             || invocation.in_flight()
             || invocation.dispatches.len() as u32 >= self.settings.limits.max_dispatches
-            || !self.workers[worker].accepts_new_work(self.now)
+            || !self.accepts_new_work(worker)
         {
             return false;
         }
--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -50,6 +50,7 @@
             .fold(self.workers.len(), usize::max);
         self.workers.resize_with(workers, WorkerState::default);
         self.outliers.grow(workers);
+        self.readiness.grow(workers);
         for function in &mut self.functions {
             function.grow(workers);
         }
@@ -77,6 +78,7 @@
             // The index of one that is gone was given out again: nothing of it is the new one's.
             self.workers[worker] = WorkerState::default();
             self.outliers.reset(worker);
+            self.readiness.reset(worker);
         }
         let state = &mut self.workers[worker];
         let started_at = endpoint.started_at.unwrap_or(state.started_at);
@@ -96,7 +98,7 @@
     }
 
     /// A restarted process has no copies, and its outcomes do not count yet.
-    fn forget_copies(&mut self, worker: usize) {
+    pub(super) fn forget_copies(&mut self, worker: usize) {
         self.outliers.forget_outcomes(worker);
         self.workers[worker].no_load_until = LONG_AGO;
         for function in &mut self.functions {
--- a/src/balancer/load_orders.rs
+++ b/src/balancer/load_orders.rs
@@ -2,6 +2,7 @@
 
 use super::Balancer;
 use super::estimates::{LONG_AGO, SlidingWindow};
+use super::readiness::Readiness;
 use crate::interface::*;
 
 /// A load that took less than this part of its usual time found the copy loaded.
@@ -65,7 +66,9 @@
         worker: usize,
         out: &mut Vec<Action>,
     ) {
-        if self.loads_on_dispatch(index) {
+        if self.readiness_of(worker) != Readiness::Ready {
+            self.await_readiness(index, worker, out);
+        } else if self.loads_on_dispatch(index) {
             self.dispatch(index, worker, true, out);
         } else if let Some((invocation, _)) = self.find_invocation(index) {
             let function = invocation.function;
@@ -96,10 +99,13 @@
     ) {
         if !self.settings.loads.load_orders
             || worker >= self.workers.len()
-            || !self.workers[worker].accepts_new_work(self.now)
+            || !self.accepts_new_work(worker)
         {
             return;
         }
+        if self.readiness_of(worker) != Readiness::Ready {
+            return self.check_readiness(worker, out);
+        }
         self.register_function(info);
         let function = &self.functions[info.function as usize];
         let is_warm = function.is_warm(worker, self.now);
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -13,6 +13,7 @@
 //! | `feedback.rs` | what is learned from the end of a dispatch |
 //! | `load_orders.rs` | loads of copies: orders, their quota, loads in progress |
 //! | `endpoints.rs` | the endpoint list: workers that come, drain, restart and go |
+//! | `readiness.rs` | health checks while the endpoint list may be out of date |
 //!
 //! Mechanisms beside the ordinary path:
 //!
@@ -44,6 +45,7 @@
 mod outlier_detection;
 mod placement;
 mod queue;
+mod readiness;
 mod routing;
 mod slow_start;
 mod workers;
@@ -57,6 +59,7 @@
 use load_shedding::LoadShedder;
 use outlier_detection::OutlierDetector;
 use queue::WaitingQueue;
+use readiness::ReadinessChecks;
 use workers::WorkerState;
 
 /// While invocations wait, they are retried this often (the design's pace).
@@ -87,6 +90,7 @@
     next_tick: Option<Micros>,
     /// By worker index.
     workers: Vec<WorkerState>,
+    readiness: ReadinessChecks,
     outliers: OutlierDetector,
     /// By function index.
     functions: Vec<Function>,
@@ -140,6 +144,7 @@
         self.now = now;
         match *event {
             Event::EndpointList { kind, endpoints } => self.on_endpoint_list(kind, endpoints, out),
+            Event::EndpointListLease { until } => self.on_list_lease(until, out),
             Event::Invocation(arrival) => {
                 self.accept(&arrival);
                 self.route(arrival.invocation, out);
@@ -172,7 +177,13 @@
                 function,
                 copies,
             } => self.on_copies_reported(worker as usize, function, copies, out),
-            Event::Timer { .. } | Event::ProbeEnded { .. } => {}
+            Event::ProbeEnded {
+                worker,
+                outcome,
+                took,
+                ..
+            } => self.on_probe_ended(worker as usize, outcome, took, out),
+            Event::Timer { .. } => {}
         }
         self.schedule_tick(out);
     }
--- a/src/balancer/queue.rs
+++ b/src/balancer/queue.rs
@@ -16,8 +16,11 @@
             self.by_function
                 .resize_with(function as usize + 1, Vec::new);
         }
-        self.by_function[function as usize].push(invocation);
-        self.waiting += 1;
+        let queue = &mut self.by_function[function as usize];
+        if !queue.contains(&invocation) {
+            queue.push(invocation);
+            self.waiting += 1;
+        }
     }
 
     fn remove(&mut self, function: FunctionIndex, invocation: InvocationIndex) {
@@ -52,7 +55,7 @@
         wait < (invocation.objective_at - self.now - service).max(0)
     }
 
-    /// The invocation waits for a lane.
+    /// The invocation waits for a lane, or for its worker's health check; one that waits already keeps its place.
     pub(super) fn enqueue(&mut self, index: InvocationIndex) {
         if let Some(invocation) = self.invocations.get(index) {
             self.queue.push(invocation.function, index);
--- a/src/balancer/routing.rs
+++ b/src/balancer/routing.rs
@@ -76,6 +76,9 @@
         if let Some(worker) = preferred.filter(|worker| candidates.contains(worker)) {
             return Some(worker);
         }
+        let readiest = candidates.iter().map(|&worker| self.readiness_of(worker));
+        let readiest = readiest.min()?;
+        candidates.retain(|&worker| self.readiness_of(worker) == readiest);
         let in_flight = |worker: usize| self.outliers.in_flight(worker);
         let fewest = candidates.iter().copied().map(in_flight).min()?;
         candidates.retain(|&worker| in_flight(worker) == fewest);
@@ -103,6 +106,9 @@
                     && !invocation.was_rejected_by(worker)
                     && self.is_eligible(invocation, worker)
             })
-            .min_by_key(|&worker| function.at_workers[worker].in_flight)
+            .min_by_key(|&worker| {
+                let in_flight = function.at_workers[worker].in_flight;
+                (self.readiness_of(worker), in_flight)
+            })
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -385,6 +385,12 @@
         /// The workers.
         endpoints: &'a [Endpoint],
     },
+    /// The endpoint list is up to date. Until the time given it may be relied on although nothing more is heard of it;
+    /// without any such event it always is.
+    EndpointListLease {
+        /// When the lease ends, unless it is renewed.
+        until: Micros,
+    },
     /// An invocation was accepted.
     Invocation(Arrival),
     /// The client has left: no answer is owed.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
     "balancer/outlier_detection.rs",
     "balancer/placement.rs",
     "balancer/queue.rs",
+    "balancer/readiness.rs",
     "balancer/routing.rs",
     "balancer/slow_start.rs",
     "balancer/workers.rs",
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod load_orders;
 mod load_shedding;
 mod outlier_detection;
+mod readiness;
 mod routing;
 mod rules;
 mod script;
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -163,6 +163,10 @@
     open: BTreeSet<(Micros, InvocationIndex)>,
     /// When the router was notified that a worker drains or is gone.
     drained_at: BTreeMap<WorkerIndex, Micros>,
+    /// When workers began to drain of which the router was not notified.
+    pub unheard_drains: BTreeMap<WorkerIndex, Micros>,
+    /// What happens until then has been heard, or has not happened.
+    lease_until: Option<Micros>,
     started: BTreeMap<WorkerIndex, Micros>,
     sends: Vec<(Micros, WorkerIndex)>,
     successes: Vec<(Micros, WorkerIndex)>,
@@ -188,6 +192,8 @@
             records: Vec::new(),
             open: BTreeSet::new(),
             drained_at: BTreeMap::new(),
+            unheard_drains: BTreeMap::new(),
+            lease_until: None,
             started: BTreeMap::new(),
             sends: Vec::new(),
             successes: Vec::new(),
@@ -221,6 +227,28 @@
         self.tell(&Event::EndpointList { kind, endpoints })
     }
 
+    /// The list is up to date, and relied on for so long.
+    pub fn renew_lease(&mut self, span: Micros) -> Vec<Action> {
+        let until = self.now + span;
+        self.lease_until = Some(until);
+        self.tell(&Event::EndpointListLease { until })
+    }
+
+    /// A health check that was sent so long ago has ended.
+    pub fn probed(
+        &mut self,
+        worker: WorkerIndex,
+        outcome: DispatchOutcome,
+        took: Micros,
+    ) -> Vec<Action> {
+        self.tell(&Event::ProbeEnded {
+            worker,
+            outcome,
+            took,
+            report: LoadReport::default(),
+        })
+    }
+
     pub fn arrive(
         &mut self,
         trigger: u32,
@@ -474,6 +502,12 @@
             !late,
             "rule 3: worker {worker} is sent new work after the grace"
         );
+        let told = self.unheard_drains.get(&worker);
+        let told = told.map(|&at| self.lease_until.map_or(at, |until| until.max(at)));
+        assert!(
+            told.is_none_or(|told| self.now - told <= DRAIN_GRACE),
+            "rule 3: worker {worker} drains unheard and is sent new work"
+        );
     }
 
     /// Rule 4, by what the busiest warm worker has been seen to carry, or one core alone does: it can do that.
