Slow start: what workers carried is divided by those that were there then

Found by random runs with discovery out of reach: a worker in slow start was sent 5 where 4.5 was its capacity. Completions of up to three windows were divided by the workers in service now; when many go at once, the rest seems to carry as much as all did before. Each completion is divided as it happens.

--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -102,8 +102,8 @@
     slowness: MachineSlowness,
     /// Work accepted, of all functions, within about the idle retention time.
     work_accepted: DecayingSum,
-    /// Invocations that succeeded within some overload windows.
-    completions: DecayingSum,
+    /// Invocations that succeeded within some overload windows, for each worker in service at the time.
+    completions_per_worker: DecayingSum,
 }
 
 impl Balancer {
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -21,8 +21,7 @@
         if self.now - state.started_at >= rules.slow_start_duration {
             return true;
         }
-        let in_service = workers::in_service(&self.workers).count().max(1);
-        let carried = self.completions.value() / THROUGHPUT_WINDOWS / in_service as f64;
+        let carried = self.completions_per_worker.value() / THROUGHPUT_WINDOWS;
         let per_core = self.core_throughput(window);
         let budget = BUDGET_FRACTION
             * rules.overload_multiple
@@ -54,10 +53,15 @@
         rules.slow_start_fraction + (1.0 - rules.slow_start_fraction) * progress.min(1.0)
     }
 
-    /// An invocation succeeded: the workers carry as much.
+    /// An invocation succeeded: the workers carry as much. Symptom: many workers go at once, and what all of them
+    /// carried counts as carried by those that are left. So it is divided by those that are there now.
     pub(super) fn record_completion(&mut self) {
         let window = self.settings.rules.overload_window.max(1) as f64;
-        self.completions
-            .add(self.now, THROUGHPUT_WINDOWS * window, 1.0);
+        let in_service = workers::in_service(&self.workers).count().max(1);
+        self.completions_per_worker.add(
+            self.now,
+            THROUGHPUT_WINDOWS * window,
+            1.0 / in_service as f64,
+        );
     }
 }
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -40,6 +40,28 @@
         function: FunctionIndex,
         copies: u32,
     },
+    /// Discovery is in reach: all drains are announced, and the list is relied on for a while.
+    Renew {
+        span: Micros,
+    },
+    DrainUnheard {
+        worker: WorkerIndex,
+    },
+}
+
+/// As [`steps`], with discovery out of reach now and then.
+fn steps_with_outages() -> impl Strategy<Value = Vec<(Micros, Step)>> {
+    let step = prop_oneof![
+        60 => (0..3u32, 0..FUNCTIONS, 300..2_000i64)
+            .prop_map(|(trigger, function, ms)| Step::Arrive { trigger, function, client_timeout_in: ms * MS }),
+        2 => (0..WORKERS, 0..6u32).prop_map(|(worker, mood)| Step::Mood { worker, mood }),
+        3 => (0..WORKERS, 0..FUNCTIONS).prop_map(|(worker, function)| Step::Want { worker, function }),
+        1 => (0..WORKERS).prop_map(|worker| Step::Drain { worker }),
+        2 => (0..WORKERS).prop_map(|worker| Step::Restart { worker }),
+        2 => (0..WORKERS).prop_map(|worker| Step::DrainUnheard { worker }),
+        2 => (0..1_000i64).prop_map(|ms| Step::Renew { span: ms * MS }),
+    ];
+    proptest::collection::vec((0..40 * MS, step), 100..500)
 }
 
 fn steps() -> impl Strategy<Value = Vec<(Micros, Step)>> {
@@ -124,6 +146,11 @@
         copies: u32,
         took: Micros,
     },
+    Probe {
+        worker: WorkerIndex,
+        outcome: DispatchOutcome,
+        took: Micros,
+    },
 }
 
 /// The script with workers that answer.
@@ -178,12 +205,31 @@
                     self.due
                         .insert((self.script.now + took, self.serial), result);
                 }
+                Action::Probe { worker } => self.probe(worker, draw),
                 _ => {}
             }
         }
         self.log.extend(actions);
     }
 
+    /// The worker answers what is true as the health check leaves; it may begin to drain right after.
+    fn probe(&mut self, worker: WorkerIndex, draw: u64) {
+        let is_draining = self.script.unheard_drains.contains_key(&worker);
+        let (outcome, took) = match self.moods[worker as usize] {
+            1 => (DispatchOutcome::ConnectionLost, 250 * MS),
+            3 => (DispatchOutcome::Unreachable, 250 * MS),
+            _ if is_draining => (DispatchOutcome::Rejected, 5 * MS),
+            _ => (DispatchOutcome::Succeeded, (1 + draw % 200) as Micros * MS),
+        };
+        let result = WorkerResult::Probe {
+            worker,
+            outcome,
+            took,
+        };
+        self.due
+            .insert((self.script.now + took, self.serial), result);
+    }
+
     fn dispatch(
         &mut self,
         invocation: InvocationIndex,
@@ -256,6 +302,11 @@
                     copies,
                 })
             }
+            WorkerResult::Probe {
+                worker,
+                outcome,
+                took,
+            } => self.script.probed(worker, outcome, took),
         }
     }
 
@@ -310,6 +361,7 @@
             }
             Step::Restart { worker } => {
                 self.moods[worker as usize] = 0;
+                script.unheard_drains.remove(&worker);
                 let restarted = state(worker, EndpointState::InService, Some(script.now));
                 script.list(EndpointListKind::Changes, &restarted)
             }
@@ -328,6 +380,20 @@
                 function: function * 3,
                 copies,
             }),
+            Step::Renew { span } => {
+                let gone: Vec<Endpoint> = std::mem::take(&mut script.unheard_drains)
+                    .into_keys()
+                    .map(|worker| entry(worker, EndpointState::Gone, None))
+                    .collect();
+                let mut actions = script.list(EndpointListKind::Changes, &gone);
+                actions.extend(script.renew_lease(span));
+                actions
+            }
+            Step::DrainUnheard { worker } => {
+                let now = script.now;
+                script.unheard_drains.entry(worker).or_insert(now);
+                Vec::new()
+            }
         }
     }
 }
@@ -369,3 +435,30 @@
         panic!("{e}");
     }
 }
+
+#[test]
+fn the_rules_hold_while_discovery_is_out_of_reach() {
+    let config = Config {
+        cases: 100,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new(config);
+    let runs = (any::<u64>(), sites(), steps_with_outages());
+    let result = runner.run(&runs, |(seed, site, steps)| {
+        let renewed_once = (0, Step::Renew { span: SECOND });
+        let steps: Vec<_> = std::iter::once(renewed_once).chain(steps).collect();
+        let log = run(seed, site, &steps);
+        let probes = log
+            .iter()
+            .filter(|action| matches!(action, Action::Probe { .. }));
+        prop_assert!(probes.count() > 0, "no health check");
+        prop_assert!(log == run(seed, site, &steps));
+        Ok(())
+    });
+    if let Err(e) = result {
+        panic!("{e}");
+    }
+}
