Outage tests: garbled, behind and moved channels, a start in an outage, a late drain

Need: every way in which discovery can be lost is of the same class, and each gets its test over processes: answers that cannot be read, a server that is behind, a move by SIGHUP to where nobody listens, a router that starts while discovery is lost, and a drain long after the lease has ended.

--- a/crates/cli/tests/discovery_outage.rs
+++ b/crates/cli/tests/discovery_outage.rs
@@ -11,6 +11,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::process::Signal;
+
 mod platform;
 use platform::*;
 
@@ -62,10 +64,11 @@
     (first..first + REQUESTS).filter(|n| ask(*n) == 200).count()
 }
 
-fn workers_that_drain_unheard_get_nothing_new(part: u16, outage: Outage) {
-    let (w, second) = with_second_worker(part);
+/// Loses discovery by `lose`, has the first worker drain just after that, and sees what goes there once it counts as told.
+fn a_worker_that_drains_unheard_gets_nothing_new(part: u16, lose: impl FnOnce(&mut World)) {
+    let (mut w, second) = with_second_worker(part);
     assert_eq!(served(&w, 1), REQUESTS as usize);
-    w.channel.lock().expect("channel").outage = Some(outage);
+    lose(&mut w);
     let lost = Instant::now();
     drain(&w.seen);
     thread::sleep((lost + TOLD_AFTER + GRACE).saturating_duration_since(Instant::now()));
@@ -73,15 +76,92 @@
     let served = served(&w, 1_000);
     assert_eq!(turned_away_since(&w.seen, told), 0, "sends after the grace");
     assert_eq!(served, REQUESTS as usize);
-    assert!(!second.lock().expect("seen").draining);
+    assert!(second.lock().expect("seen").probes > 0);
+}
+
+fn lose(outage: Outage) -> impl FnOnce(&mut World) {
+    move |w| w.channel.lock().expect("channel").outage = Some(outage)
 }
 
 #[test]
 fn a_worker_that_drains_while_discovery_is_silent_gets_nothing_new() {
-    workers_that_drain_unheard_get_nothing_new(30, Outage::Silent);
+    a_worker_that_drains_unheard_gets_nothing_new(30, lose(Outage::Silent));
 }
 
 #[test]
 fn a_worker_that_drains_while_discovery_closes_gets_nothing_new() {
-    workers_that_drain_unheard_get_nothing_new(31, Outage::Closes);
+    a_worker_that_drains_unheard_gets_nothing_new(31, lose(Outage::Closes));
+}
+
+#[test]
+fn a_worker_that_drains_while_discovery_is_garbled_gets_nothing_new() {
+    a_worker_that_drains_unheard_gets_nothing_new(32, lose(Outage::Garbled));
+}
+
+#[test]
+fn a_worker_that_drains_while_discovery_is_behind_gets_nothing_new() {
+    a_worker_that_drains_unheard_gets_nothing_new(33, lose(Outage::Behind));
+}
+
+/// The configuration names a channel at which nobody listens.
+#[test]
+fn a_worker_that_drains_after_a_move_to_nowhere_gets_nothing_new() {
+    a_worker_that_drains_unheard_gets_nothing_new(34, |w| {
+        let text = std::fs::read_to_string(&w.file).expect("read");
+        let (old, new) = (w.first_channel, own(34));
+        let text = text.replace(
+            &format!(r#""channel":"{old}""#),
+            &format!(r#""channel":"{new}""#),
+        );
+        std::fs::write(&w.file, text).expect("written");
+        w.signal(Signal::HUP);
+    });
+}
+
+/// A router that starts in an outage knows only what its configuration holds, of whatever age.
+#[test]
+fn a_router_that_starts_while_discovery_is_lost_checks_its_workers() {
+    let (mut w, _second) = with_second_worker(35);
+    // What the configuration holds names the first worker alone.
+    w.channel.lock().expect("channel").outage = Some(Outage::Closes);
+    drain(&w.seen);
+    w.node.kill().expect("killed");
+    w.node.wait().expect("ended");
+    let restarted = Instant::now();
+    w.node = start(&w.file, &w.folder, w.address);
+    w.until("it serves again", |w| {
+        w.ask("GET /-/healthy HTTP/1.1\r\n\r\n")
+            .is_some_and(|a| a.0 == 200)
+    });
+    let text = call(&id(1), "plain", GOOD, "", "x").replace("Wait-Ms: 60000", "Wait-Ms: 9000");
+    assert_eq!(w.ask(&text).expect("an answer").0, 503);
+    assert_eq!(turned_away_since(&w.seen, restarted), 0);
+    // It is ready again, and used although discovery is not.
+    w.seen.lock().expect("seen").draining = false;
+    assert_eq!(
+        w.ask(&call(&id(2), "plain", GOOD, "", "x"))
+            .expect("an answer")
+            .0,
+        200
+    );
+}
+
+/// Deep in an outage, a worker that begins to drain gets work for the grace at most.
+#[test]
+fn a_worker_that_drains_deep_in_an_outage_has_its_grace_and_no_more() {
+    let (w, second) = with_second_worker(36);
+    w.channel.lock().expect("channel").outage = Some(Outage::Silent);
+    thread::sleep(TOLD_AFTER + GRACE);
+    assert_eq!(served(&w, 1), REQUESTS as usize);
+    let first_to_drain = drain(&w.seen);
+    thread::sleep((first_to_drain + GRACE).saturating_duration_since(Instant::now()));
+    let told = Instant::now();
+    assert_eq!(served(&w, 1_000), REQUESTS as usize);
+    assert_eq!(turned_away_since(&w.seen, told), 0, "sends after the grace");
+    // Discovery is back, and says that both are in service.
+    w.seen.lock().expect("seen").draining = false;
+    drain(&second);
+    w.channel.lock().expect("channel").outage = None;
+    w.tell(3, "s-2", own(36), "left");
+    assert_eq!(served(&w, 2_000), REQUESTS as usize);
 }
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -170,6 +170,23 @@
     Silent,
     /// Connections are closed at once.
     Closes,
+    /// Answers cannot be read.
+    Garbled,
+    /// Answers come from a server that is behind, and has no events yet.
+    Behind,
+}
+
+/// What a channel answers that is up and tells nothing.
+fn useless_answer(outage: Outage) -> Option<String> {
+    let body = match outage {
+        Outage::Silent | Outage::Closes => return None,
+        Outage::Garbled => r#"{"cursor":"?"}"#,
+        Outage::Behind => r#"{"cursor":0,"cmds":[]}"#,
+    };
+    let length = body.len();
+    Some(format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"
+    ))
 }
 
 /// A channel that tells what it is given to tell.
@@ -218,6 +235,12 @@
             if it.outage == Some(Outage::Closes) {
                 return;
             }
+            if let Some(text) = it.outage.and_then(useless_answer) {
+                let _ = out.write_all(text.as_bytes());
+                thread::sleep(Duration::from_millis(20));
+                line.clear();
+                continue;
+            }
             if std::mem::take(&mut it.silent) || it.outage.is_some() {
                 line.clear();
                 continue;
@@ -265,6 +288,26 @@
     .replace('\n', "")
 }
 
+/// The configuration of a router, with long times and small limits. `known`: the events of its start.
+pub fn configuration(address: SocketAddr, channel: SocketAddr, known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{address}","seed":"00000000000000ff",
+            "channel":"{channel}","known":{known},
+            "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},
+            "settings":{{"granularity":2000000000,"fleetSize":1,
+            "zones":["east"],"kinds":["std"],"orgs":[{{"name":"acme","allowancePerS":100000,"share":1}}],
+            "permissions":{{"cancel":true,"sendCap":3,"retryAfter":true,
+            "maxRetryAfter":1000000000,"streamsPerConn":10,
+            "connectTimeout":250000000,"keepalive":15000000000}},
+            "rules":{{"answerSlack":5000000,"stopSendingWithin":500000000,
+            "overloadFactor":1000,"fall":3000000000}},
+            "familyInfo":{{"mayLoad":true,"whenAbsent":"miss","answerWithin":20000000000,
+            "staysLoaded":5000000000,"tellsCrowd":true}},
+            "services":[{{"name":"plain","aim":8000000000,"hardLimit":60000000000,"effect":"retryable"}},
+            {{"name":"once","aim":8000000000,"hardLimit":60000000000,"effect":"fragile"}}]}}}}"#
+    )
+}
+
 impl World {
     pub fn new(part: u16) -> World {
         World::with(part, |config| config)
@@ -288,22 +331,7 @@
             r#"{{"cursor":1,"cmds":[{}]}}"#,
             event(1, workers, "s-1", "active")
         );
-        let config = format!(
-            r#"{{"name":"n0","listen":"{address}","seed":"00000000000000ff",
-            "channel":"{first_channel}","known":{known},
-            "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},
-            "settings":{{"granularity":2000000000,"fleetSize":1,
-            "zones":["east"],"kinds":["std"],"orgs":[{{"name":"acme","allowancePerS":100000,"share":1}}],
-            "permissions":{{"cancel":true,"sendCap":3,"retryAfter":true,
-            "maxRetryAfter":1000000000,"streamsPerConn":10,
-            "connectTimeout":250000000,"keepalive":15000000000}},
-            "rules":{{"answerSlack":5000000,"stopSendingWithin":500000000,
-            "overloadFactor":1000,"fall":3000000000}},
-            "familyInfo":{{"mayLoad":true,"whenAbsent":"miss","answerWithin":20000000000,
-            "staysLoaded":5000000000,"tellsCrowd":true}},
-            "services":[{{"name":"plain","aim":8000000000,"hardLimit":60000000000,"effect":"retryable"}},
-            {{"name":"once","aim":8000000000,"hardLimit":60000000000,"effect":"fragile"}}]}}}}"#
-        );
+        let config = configuration(address, first_channel, &known);
         let name = format!("cedarpulley-node-{}-{}", std::process::id(), address.port());
         let folder = std::env::temp_dir();
         let (file, folder) = (folder.join(format!("{name}.json")), folder.join(name));
