Discovery: a drain heard from a server that was behind has no grace left

Found while checking paths of the incident's class: answers of a server with fewer events than were applied already counted as heard, so a drain told by it later was taken for fresh and got a whole new grace. Change: after such an answer the next one counts as heard late, as the first one of a connection does.

--- a/crates/cli/tests/discovery_outage.rs
+++ b/crates/cli/tests/discovery_outage.rs
@@ -165,3 +165,32 @@
     w.tell(3, "s-2", own(36), "left");
     assert_eq!(served(&w, 2_000), REQUESTS as usize);
 }
+
+/// A server that is behind answers each poll: what it did not know is heard late, once it has caught up.
+#[test]
+fn a_drain_heard_from_a_server_that_was_behind_has_no_grace_left() {
+    let patient = |config: String| {
+        probes_allowed(config).replace(
+            "\"stopSendingWithin\":500000000",
+            "\"stopSendingWithin\":600000000000",
+        )
+    };
+    let (w, at, second) = (World::with(37, patient), own(37), Shared::default());
+    worker(TcpListener::bind(at).expect("bind"), second.clone());
+    // The first worker alone has the function loaded.
+    assert_eq!(served(&w, 1), REQUESTS as usize);
+    w.tell(2, "s-2", at, "active");
+    let asked = |w: &World| w.channel.lock().expect("channel").asked.len();
+    w.channel.lock().expect("channel").outage = Some(Outage::Behind);
+    let before = asked(&w);
+    w.until("it is behind", |w| asked(w) > before + 2);
+    let drains = event(3, w.workers, "s-1", "leaving");
+    w.channel.lock().expect("channel").events.push(drains);
+    w.channel.lock().expect("channel").outage = None;
+    w.until("it has caught up", |w| {
+        w.channel.lock().expect("channel").asked.contains(&3)
+    });
+    let told = drain(&w.seen);
+    assert_eq!(served(&w, 1_000), REQUESTS as usize);
+    assert_eq!(turned_away_since(&w.seen, told), 0);
+}
--- a/crates/platform-node/src/discovery.rs
+++ b/crates/platform-node/src/discovery.rs
@@ -166,11 +166,14 @@
         let arrived = node.arrival_time();
         let is_behind = node.discovery.worker_list.borrow().is_behind(&batch);
         node.apply_events(&batch, unheard_for.max(node.lag()))?;
-        if !is_behind {
+        if is_behind {
+            // Whatever is announced meanwhile is heard late.
+            unheard_for = Micros::MAX;
+        } else {
             node.discovery.heard(node.clock.now());
             node.renew_list_lease(arrived + LIST_LEASE);
+            unheard_for = 0;
         }
-        unheard_for = 0;
         wait = POLL_WAIT;
     }
 }
