--- /dev/null
+++ b/crates/cli/tests/soak/fleet.rs
@@ -0,0 +1,429 @@
+//! Three routers, eight workers and a discovery channel, played through the faults of one seed.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::Child;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+
+use crate::clients::{self, ClientSettings, DEADLINE, Sent, ToldToStop};
+use crate::draws::Draws;
+use crate::faults::{self, FAULTS_FOR, Fault, Size};
+use crate::platform::{
+    Channel, Outage, PATIENCE, Shared, channel, configuration, event, own, start, worker,
+};
+use crate::verdict::{Absence, GRACE, OutageSpan, Record, Verdict};
+
+const ROUTERS: usize = 3;
+const WORKERS: usize = 8;
+const CLIENTS_PER_ROUTER: u64 = 6;
+/// A kill comes no earlier than the longest deadline and this after the signal to stop.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// After the last fault, faults end and what they left is answered.
+const CALM: Duration = Duration::from_secs(2);
+const TICK: Duration = Duration::from_millis(10);
+
+/// How a router's process ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    pub told_to_stop: Option<Instant>,
+    /// Killed, and not ended by itself.
+    pub killed: bool,
+    pub at: Instant,
+}
+
+struct RouterProcess {
+    number: usize,
+    address: SocketAddr,
+    file: PathBuf,
+    folder: PathBuf,
+    process: Child,
+    told_to_stop: ToldToStop,
+    endings: Vec<Ending>,
+}
+
+impl RouterProcess {
+    fn start(part: u16, number: usize, channel: SocketAddr, known: &str) -> Self {
+        let address = own(part);
+        let name = format!("cedarpulley-soak-{}-{}", std::process::id(), address.port());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let file = folder.with_extension("json");
+        std::fs::write(&file, edited(&configuration(address, channel, known))).expect("written");
+        let process = start(&file, &folder, address);
+        RouterProcess {
+            number,
+            address,
+            file,
+            folder,
+            process,
+            told_to_stop: ToldToStop::default(),
+            endings: Vec::new(),
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = rustix::process::Pid::from_child(&self.process);
+        let _ = rustix::process::kill_process(pid, signal);
+    }
+
+    fn told_to_stop(&self) -> Option<Instant> {
+        *self.told_to_stop.lock().expect("a time")
+    }
+
+    fn has_ended(&mut self) -> bool {
+        self.process.try_wait().expect("a state").is_some()
+    }
+
+    /// The process has ended, or is killed now; another one takes its place.
+    fn replace(&mut self) {
+        let ended_before = self.has_ended();
+        let at = Instant::now();
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        self.process = start(&self.file, &self.folder, self.address);
+        self.endings.push(Ending {
+            told_to_stop: self.told_to_stop.lock().expect("a time").take(),
+            killed: !ended_before,
+            at,
+        });
+    }
+
+    /// A planned restart goes on: the kill comes at its earliest time.
+    fn advance(&mut self, broken: &mut Vec<String>) {
+        let told_to_stop = self.told_to_stop();
+        if let Some(told) = told_to_stop {
+            if self.has_ended() || told.elapsed() >= DEADLINE + KILL_MARGIN {
+                self.replace();
+            }
+        } else if self.has_ended() {
+            broken.push(format!("crash: router {} has ended", self.number));
+            self.replace();
+        }
+    }
+
+    fn move_channel(&self, to: SocketAddr) {
+        let text = std::fs::read_to_string(&self.file).expect("read");
+        let (before, rest) = text.split_once(r#""channel":""#).expect("a channel");
+        let (_, after) = rest.split_once('"').expect("its end");
+        let moved = format!(r#"{before}"channel":"{to}"{after}"#);
+        std::fs::write(&self.file, moved).expect("written");
+        self.signal(Signal::HUP);
+    }
+}
+
+impl Drop for RouterProcess {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// The settings of a run: short deadlines, workers that may be checked and load by themselves.
+fn edited(configuration: &str) -> String {
+    let grace = format!(r#""stopSendingWithin":{}"#, GRACE.as_nanos());
+    configuration
+        .replace(r#""cancel":true"#, r#""cancel":true,"probes":true"#)
+        .replace(r#""stopSendingWithin":500000000"#, &grace)
+        .replace("60000000000", "2000000000")
+        .replace("8000000000", "1500000000")
+        .replace(
+            r#""granularity":2000000000,"fleetSize":1"#,
+            r#""granularity":4000000,"fleetSize":3"#,
+        )
+        .replace("\"miss\"", "\"load\"")
+}
+
+/// What is to be done at a time.
+enum Step {
+    Begin(Fault),
+    EndOutage(usize),
+    Gone(usize),
+    Return(usize),
+    Reload,
+    Resume(usize),
+    DropCrowd,
+}
+
+struct Fleet {
+    part: u16,
+    routers: Vec<RouterProcess>,
+    workers: Vec<(Shared, SocketAddr)>,
+    channel: Arc<Mutex<Channel>>,
+    absences: Vec<Vec<Absence>>,
+    outages: Vec<OutageSpan>,
+    steps: Vec<(Instant, Step)>,
+    crowd: Vec<TcpStream>,
+    broken: Vec<String>,
+}
+
+impl Fleet {
+    fn start(part: u16) -> Fleet {
+        let told = Arc::new(Mutex::new(Channel::default()));
+        let at = own(part);
+        channel(TcpListener::bind(at).expect("bind"), told.clone());
+        let workers: Vec<_> = (0..WORKERS).map(|_| start_worker(part)).collect();
+        for (number, (_, address)) in workers.iter().enumerate() {
+            push_event(&told, number, *address, "active");
+        }
+        let events = told.lock().expect("channel").events.clone();
+        let known = format!(r#"{{"cursor":{WORKERS},"cmds":[{}]}}"#, events.join(","));
+        let routers = (0..ROUTERS).map(|number| RouterProcess::start(part, number, at, &known));
+        let fleet = Fleet {
+            part,
+            routers: routers.collect(),
+            workers,
+            channel: told,
+            absences: vec![Vec::new(); WORKERS],
+            outages: Vec::new(),
+            steps: Vec::new(),
+            crowd: Vec::new(),
+            broken: Vec::new(),
+        };
+        fleet
+            .routers
+            .iter()
+            .for_each(|router| until_ready(router.address));
+        fleet
+    }
+
+    /// Plays the steps until all are done and their time is over.
+    fn run(&mut self, until: Instant) {
+        while Instant::now() < until || !self.steps.is_empty() || self.is_restarting() {
+            let now = Instant::now();
+            let due = self.steps.extract_if(.., |(at, _)| *at <= now);
+            let due: Vec<Step> = due.map(|(_, step)| step).collect();
+            due.into_iter().for_each(|step| self.take(step));
+            for router in &mut self.routers {
+                router.advance(&mut self.broken);
+            }
+            thread::sleep(TICK);
+        }
+    }
+
+    fn is_restarting(&self) -> bool {
+        self.routers
+            .iter()
+            .any(|router| router.told_to_stop().is_some())
+    }
+
+    fn later(&mut self, after: Duration, step: Step) {
+        self.steps.push((Instant::now() + after, step));
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Begin(fault) => self.begin(fault),
+            Step::EndOutage(number) => self.end_outage(number),
+            Step::Gone(worker) => self.announce(worker, "left"),
+            Step::Return(worker) => self.return_worker(worker),
+            Step::Reload => self.reload(),
+            Step::Resume(router) => self.routers[router].signal(Signal::CONT),
+            Step::DropCrowd => self.crowd.clear(),
+        }
+    }
+
+    fn begin(&mut self, fault: Fault) {
+        match fault {
+            Fault::Outage { how, lasts } => self.begin_outage(how, lasts),
+            Fault::Drain {
+                worker,
+                gone_after,
+                away,
+            } => self.drain(worker, gone_after, away),
+            Fault::Reloads { count, apart } => {
+                for number in 0..count as u32 {
+                    self.later(apart * number, Step::Reload);
+                }
+            }
+            Fault::Restart { router } => self.stop(router),
+            Fault::Kill { router } => {
+                if self.routers[router].told_to_stop().is_none() {
+                    self.routers[router].replace();
+                }
+            }
+            Fault::Halt { router, lasts } => {
+                self.routers[router].signal(Signal::STOP);
+                self.later(lasts, Step::Resume(router));
+            }
+            Fault::Crowd {
+                router,
+                connections,
+            } => self.gather_crowd(router, connections),
+        }
+    }
+
+    /// Signals to stop come in series.
+    fn stop(&mut self, router: usize) {
+        let router = &mut self.routers[router];
+        router
+            .told_to_stop
+            .lock()
+            .expect("a time")
+            .get_or_insert_with(Instant::now);
+        router.signal(Signal::TERM);
+        router.signal(Signal::HUP);
+        router.signal(Signal::TERM);
+    }
+
+    fn begin_outage(&mut self, how: Outage, lasts: Duration) {
+        let mut channel = self.channel.lock().expect("channel");
+        if channel.outage.is_some() {
+            return;
+        }
+        channel.outage = Some(how);
+        drop(channel);
+        self.outages.push((Instant::now(), None));
+        self.later(lasts, Step::EndOutage(self.outages.len() - 1));
+    }
+
+    fn end_outage(&mut self, number: usize) {
+        self.channel.lock().expect("channel").outage = None;
+        self.outages[number].1 = Some(Instant::now());
+    }
+
+    /// Some workers stay in service.
+    fn drain(&mut self, worker: usize, gone_after: Duration, away: Duration) {
+        let absent = |worker: &Vec<Absence>| worker.last().is_some_and(|a| a.until.is_none());
+        let out_of_service = self.absences.iter().filter(|worker| absent(worker)).count();
+        if absent(&self.absences[worker]) || out_of_service >= WORKERS / 2 {
+            return;
+        }
+        self.workers[worker].0.lock().expect("seen").draining = true;
+        self.absences[worker].push(Absence {
+            from: Instant::now(),
+            until: None,
+        });
+        self.announce(worker, "leaving");
+        self.later(gone_after, Step::Gone(worker));
+        self.later(gone_after + away, Step::Return(worker));
+    }
+
+    fn return_worker(&mut self, worker: usize) {
+        if let Some(absence) = self.absences[worker].last_mut() {
+            absence.until = Some(Instant::now());
+        }
+        self.workers[worker].0.lock().expect("seen").draining = false;
+        self.announce(worker, "active");
+    }
+
+    fn announce(&self, worker: usize, state: &str) {
+        push_event(&self.channel, worker, self.workers[worker].1, state);
+    }
+
+    fn reload(&self) {
+        let to = own(self.part);
+        channel(TcpListener::bind(to).expect("bind"), self.channel.clone());
+        self.routers
+            .iter()
+            .for_each(|router| router.move_channel(to));
+    }
+
+    fn gather_crowd(&mut self, router: usize, connections: u64) {
+        let address = self.routers[router].address;
+        for number in 0..connections {
+            let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200))
+            else {
+                continue;
+            };
+            if number % 2 == 0 {
+                let _ = stream.write_all(b"POST /api/v2/00000000000000a0/call HT");
+            }
+            self.crowd.push(stream);
+        }
+        self.later(Duration::from_secs(3), Step::DropCrowd);
+    }
+}
+
+fn start_worker(part: u16) -> (Shared, SocketAddr) {
+    let (seen, address) = (Shared::default(), own(part));
+    worker(TcpListener::bind(address).expect("bind"), seen.clone());
+    (seen, address)
+}
+
+fn push_event(channel: &Mutex<Channel>, worker: usize, address: SocketAddr, state: &str) {
+    let mut channel = channel.lock().expect("channel");
+    let number = channel.events.len() as u64 + 1;
+    let text = event(number, address, &format!("s-{worker}"), state);
+    channel.events.push(text);
+}
+
+fn until_ready(address: SocketAddr) {
+    let until = Instant::now() + PATIENCE;
+    while TcpStream::connect(address).is_err() {
+        assert!(Instant::now() < until, "no router listens at {address}");
+        thread::sleep(TICK);
+    }
+}
+
+/// Plays one seed.
+pub fn play(seed: u64) -> Verdict {
+    let mut fleet = Fleet::start(40 + (seed % 100) as u16);
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients = start_clients(&fleet, seed, &stop);
+    let began = Instant::now();
+    let size = Size {
+        routers: ROUTERS as u64,
+        workers: WORKERS as u64,
+    };
+    let faults = faults::draw(seed, &size);
+    fleet.steps = faults
+        .iter()
+        .map(|(at, fault)| (began + *at, Step::Begin(*fault)))
+        .collect();
+    fleet.run(began + FAULTS_FOR);
+    fleet.run(Instant::now() + CALM);
+    stop.store(true, Ordering::Relaxed);
+    let sent: Vec<Sent> = clients
+        .into_iter()
+        .flat_map(|client| client.join().expect("a client ends"))
+        .collect();
+    let record = Record {
+        sent,
+        workers: fleet.workers.iter().map(|(seen, _)| seen.clone()).collect(),
+        absences: fleet.absences.clone(),
+        outages: fleet.outages.clone(),
+        endings: fleet
+            .routers
+            .iter()
+            .map(|router| router.endings.clone())
+            .collect(),
+    };
+    let mut verdict = record.judge();
+    verdict.broken.append(&mut fleet.broken);
+    if !verdict.broken.is_empty() || std::env::var("SOAK_TELL").is_ok() {
+        println!("seed {seed} began at {began:?}, faults: {faults:#?}");
+    }
+    verdict
+}
+
+fn start_clients(
+    fleet: &Fleet,
+    seed: u64,
+    stop: &Arc<AtomicBool>,
+) -> Vec<thread::JoinHandle<Vec<Sent>>> {
+    let last_id = Arc::new(AtomicU32::new(1));
+    let mut draws = Draws::new(seed ^ 0x5eed);
+    let mut clients = Vec::new();
+    for router in &fleet.routers {
+        for _ in 0..CLIENTS_PER_ROUTER {
+            let settings = ClientSettings {
+                router: router.number,
+                address: router.address,
+                seed: draws.below(u64::MAX),
+                stop: stop.clone(),
+                last_id: last_id.clone(),
+                told_to_stop: router.told_to_stop.clone(),
+            };
+            clients.push(thread::spawn(move || clients::run(&settings)));
+        }
+    }
+    clients
+}
