--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -17,6 +17,7 @@
 use crate::platform::{
     Channel, Outage, PATIENCE, Shared, channel, configuration, event, own, start, worker,
 };
+use crate::stalls;
 use crate::verdict::{Absence, GRACE, OutageSpan, Record, Verdict};
 
 const ROUTERS: usize = 3;
@@ -367,6 +368,7 @@
 pub fn play(seed: u64) -> Verdict {
     let mut fleet = Fleet::start(40 + (seed % 100) as u16);
     let stop = Arc::new(AtomicBool::new(false));
+    let stalls = stalls::watch(&stop);
     let clients = start_clients(&fleet, seed, &stop);
     let began = Instant::now();
     let size = Size {
@@ -390,6 +392,7 @@
         workers: fleet.workers.iter().map(|(seen, _)| seen.clone()).collect(),
         absences: fleet.absences.clone(),
         outages: fleet.outages.clone(),
+        stalls: stalls.join().expect("the watch ends"),
         endings: fleet
             .routers
             .iter()
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -11,6 +11,7 @@
 mod draws;
 mod faults;
 mod fleet;
+mod stalls;
 mod verdict;
 
 use std::thread;
@@ -36,6 +37,10 @@
         for (seed, run) in some.iter().zip(runs) {
             let verdict = run.join().expect("the run ends");
             println!("seed {seed}: {verdict}");
+            verdict
+                .void
+                .iter()
+                .for_each(|rule| println!("void: {rule}"));
             broken.extend(verdict.broken.iter().map(|rule| format!("{seed}: {rule}")));
         }
     }
