Discovery: a server that is behind is an error, asked anew with backoff

Cause: answers with fewer events than were applied were asked for again at once, without a pause and without a log message, and a flag beside the loop had to say that what follows is heard late.

--- a/crates/platform-node/src/discovery.rs
+++ b/crates/platform-node/src/discovery.rs
@@ -111,6 +111,8 @@
     Timeout,
     #[error("the discovery channel closed its connection")]
     Closed,
+    #[error("the discovery channel has fewer events than it had")]
+    Behind,
     #[error(transparent)]
     Response(#[from] DiscoveryError),
 }
@@ -119,6 +121,9 @@
     fn remedy(&self) -> &'static str {
         match self {
             ChannelError::Response(error) => error.remedy(),
+            ChannelError::Behind => {
+                "see whether the channel was restored from an older state; restart the routers if it was"
+            }
             _ => "nothing, if it comes now and then; else see that the channel runs and is reached",
         }
     }
@@ -164,16 +169,15 @@
             .or(timeout)
             .await?;
         let arrived = node.arrival_time();
-        let is_behind = node.discovery.worker_list.borrow().is_behind(&batch);
-        node.apply_events(&batch, unheard_for.max(node.lag()))?;
-        if is_behind {
-            // Whatever is announced meanwhile is heard late.
-            unheard_for = Micros::MAX;
-        } else {
-            node.discovery.heard(node.clock.now());
-            node.renew_list_lease(arrived + LIST_LEASE);
-            unheard_for = 0;
+        // Such a server does not know what is announced. What it tells once it has caught up is heard late, as all that a
+        // new connection tells first.
+        if node.discovery.worker_list.borrow().is_behind(&batch) {
+            return Err(ChannelError::Behind);
         }
+        node.apply_events(&batch, unheard_for.max(node.lag()))?;
+        node.discovery.heard(node.clock.now());
+        node.renew_list_lease(arrived + LIST_LEASE);
+        unheard_for = 0;
         wait = POLL_WAIT;
     }
 }
