--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -35,7 +35,9 @@
     pub told_to_stop: Option<Instant>,
     /// Killed, and not ended by itself.
     pub killed: bool,
+    /// When the kill was sent, and when the process had ended.
     pub at: Instant,
+    pub gone: Instant,
 }
 
 struct RouterProcess {
@@ -87,11 +89,13 @@
         let at = Instant::now();
         let _ = self.process.kill();
         let _ = self.process.wait();
+        let gone = Instant::now();
         self.process = start(&self.file, &self.folder, self.address);
         self.endings.push(Ending {
             told_to_stop: self.told_to_stop.lock().expect("a time").take(),
             killed: !ended_before,
             at,
+            gone,
         });
     }
 
