Health check that did not leave: sent again at the next tick, not in the same step

Cause, found on rereading: with no connection left a check ends within the step that sends it; the module sent it again in that step, so the router's loop would not have come to an end (outage and no descriptors together). Change: such an end is left to the next tick.

--- a/src/balancer/readiness.rs
+++ b/src/balancer/readiness.rs
@@ -170,17 +170,19 @@
             return;
         }
         self.readiness.checks[worker].in_flight = false;
-        // One that did not leave says nothing about the worker.
-        if outcome != DispatchOutcome::NotSent {
-            let (numerator, denominator) = CHECK_VALIDITY;
-            let ended = EndedCheck {
-                passed: outcome == DispatchOutcome::Succeeded,
-                sent_at: self.now - took,
-                validity: self.settings.rules.drain_grace * numerator / denominator,
-            };
-            if self.readiness.record(worker, self.now, &ended) {
-                self.assume_restarted(worker);
-            }
+        // One that did not leave says nothing about the worker. The next tick sends another: at once it could end in
+        // the same way again, and again, without a pause.
+        if outcome == DispatchOutcome::NotSent {
+            return;
+        }
+        let (numerator, denominator) = CHECK_VALIDITY;
+        let ended = EndedCheck {
+            passed: outcome == DispatchOutcome::Succeeded,
+            sent_at: self.now - took,
+            validity: self.settings.rules.drain_grace * numerator / denominator,
+        };
+        if self.readiness.record(worker, self.now, &ended) {
+            self.assume_restarted(worker);
         }
         if !self.readiness.list_is_current(self.now) {
             self.retry_queued(None, out);
