Outage test: a health check without a connection holds up nobody

Need: the hang mended before, over a process: one connection for workers, kept busy, the list's lease over, and a second worker to be asked. Without that mend the router answers nothing for 20 s; with it at once.

--- a/crates/cli/tests/discovery_outage.rs
+++ b/crates/cli/tests/discovery_outage.rs
@@ -7,6 +7,7 @@
 //! of date, so every worker in it was good for ever. Proof: these tests, which count what reaches a draining worker once
 //! that time is over. Before the repair the first of 60 invocations went there in each test, and was turned away.
 
+use std::io::{BufReader, Write};
 use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -194,3 +195,34 @@
     assert_eq!(served(&w, 1_000), REQUESTS as usize);
     assert_eq!(turned_away_since(&w.seen, told), 0);
 }
+
+/// With no connection left a health check ends at once; sent again at once, it would hold up everything else.
+#[test]
+fn a_health_check_without_a_connection_holds_up_nobody() {
+    // Objectives beyond the test's patience: what waits for a worker goes on waiting.
+    let one_connection = |config: String| {
+        probes_allowed(config)
+            .replace("\"sockets\":256", "\"sockets\":66")
+            .replace("8000000000", "60000000000")
+    };
+    let (w, at, second) = (World::with(38, one_connection), own(38), Shared::default());
+    worker(TcpListener::bind(at).expect("bind"), second);
+    let mut kept = w.connect();
+    kept.write_all(call(&id(1), "once", KEPT, "", "x").as_bytes())
+        .expect("sent");
+    w.until("it is out", |w| w.calls(&id(1)) == 1);
+    w.tell(2, "s-2", at, "active");
+    w.channel.lock().expect("channel").outage = Some(Outage::Closes);
+    thread::sleep(Duration::from_millis(2_500));
+    drain(&w.seen);
+    // The first worker fails its check on the one connection, and the second one cannot be asked.
+    let text = call(&id(2), "plain", GOOD, "", "x");
+    let mut waiting = w.connect();
+    waiting.write_all(text.as_bytes()).expect("sent");
+    w.until("it was asked", |w| w.seen.lock().expect("seen").probes > 0);
+    thread::sleep(Duration::from_millis(200));
+    w.turns();
+    w.free(&id(1));
+    let answers = answer(&mut BufReader::new(kept)).expect("an answer");
+    assert_eq!(answers.0, 200);
+}
