Replica: a member that lost its store does not vote on choices by time alone

Callers saw a session move to another version while a router still used the first one, after two of three members had lost their stores.

Cause: recovery by time ends when every invocation that may be forgotten has expired (kept_ms and an eighth), but choices are retained for longer: sessions ten minutes, plans ten years. Two members without stores that reach nobody then chose a second value.

Change: such a member votes on choices after a comparison with members that every majority meets, or once it has reached every other member and kept_ms and an eighth have passed since it learned of the last start without records. Until then it reports that it remembers nothing. /state says votes_on_choices and choices_wait_for, the log warns and names the members.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,6 +26,7 @@
 use crate::peer_requests::{dispatch_permission, ownership_decision, replica_input};
 use crate::peer_settings::PeerSettings;
 use crate::rejected_envelopes::RejectionCause;
+use crate::state_endpoint::members_choices_wait_for;
 pub use crate::stored_state::{RestoredState, StoreChanges};
 
 /// A read-only view of this router's state as a member of its group.
@@ -340,9 +341,7 @@
                             result,
                         });
                 }
-                replica::Output::Recovered => {
-                    tracing::info!("group: recovery complete, this router may vote")
-                }
+                replica::Output::Recovered => log_recovery(&self.state.borrow().replica),
                 replica::Output::ProposalEnded { key, outcome } => {
                     let event = PeerEvent::Decided(key, outcome);
                     self.notifications.push_event(event);
@@ -438,3 +437,18 @@
         })
     }
 }
+
+/// Logs that a recovery is complete, or what it still lacks.
+fn log_recovery(replica: &Replica) {
+    if replica.can_vote_on_choices() {
+        tracing::info!("group: recovery complete, this router may vote");
+        return;
+    }
+    let wait_for = members_choices_wait_for(replica).join(", ");
+    tracing::warn!(
+        wait_for,
+        "group: recovery complete for invocations only; this router started without its records, and binds no \
+         session and leads no plan until it has reached these members: start them, with their folders if they have \
+         them"
+    );
+}
--- a/crates/gateway/src/state_endpoint.rs
+++ b/crates/gateway/src/state_endpoint.rs
@@ -144,6 +144,8 @@
             "group": group.name,
             "member": group.members[group.own_index as usize].name,
             "memory": replica.recovery_state(),
+            "votes_on_choices": replica.can_vote_on_choices(),
+            "choices_wait_for": members_choices_wait_for(replica),
             "folder_was_older": store_was_older,
             "view": {"version": membership.version(), "believed": stable_view.version()},
             "members": (0..group.len() as MemberIndex).map(member).collect::<Vec<_>>(),
@@ -159,6 +161,18 @@
     })
 }
 
+/// The names of the members that this router has to reach before it may vote on choices; none if it may vote on them.
+pub(crate) fn members_choices_wait_for(replica: &Replica) -> Vec<&str> {
+    if replica.can_vote_on_choices() {
+        return Vec::new();
+    }
+    let unreached = replica.members_unreached_by_recovery().into_iter();
+    let members = &replica.group().members;
+    unreached
+        .map(|member| members[member as usize].name.as_str())
+        .collect()
+}
+
 /// The counts of [`state`] in the Prometheus text format.
 pub fn metrics(peers: &Peers, transport: TransportCounts) -> String {
     let state = state(peers, transport);
--- a/crates/replica/src/acceptor.rs
+++ b/crates/replica/src/acceptor.rs
@@ -247,7 +247,7 @@
     ballot: Ballot,
     lifetime: Micros,
 ) -> Result<Choice, RejectionReason> {
-    if !cx.member.can_vote() {
+    if !cx.member.can_vote_on_choices() {
         Err(RejectionReason::Recovering)
     } else if has_promised_higher(cx.member, key, ballot) {
         Err(RejectionReason::HigherBallot)
@@ -267,7 +267,7 @@
     lifetime: Micros,
 ) -> Result<u64, RejectionReason> {
     let value_hash = hashed(&value);
-    if !cx.member.can_vote() {
+    if !cx.member.can_vote_on_choices() {
         Err(RejectionReason::Recovering)
     } else if lifetime <= 0 || !accept_choice(cx, key, ballot, value, lifetime) {
         Err(RejectionReason::HigherBallot)
--- a/crates/replica/src/consensus.rs
+++ b/crates/replica/src/consensus.rs
@@ -29,7 +29,8 @@
 //! * Crash and restart with the disk intact: promises and acceptances are on disk before they are sent or counted. This
 //!   includes the proposer's own votes ([`crate::persistence`]).
 //! * Restart with a lost disk: the member does not vote until it has caught up ([`crate::recovery`]), and votes are
-//!   counted together only if the voters agree on each other's processes ([`crate::votes`]).
+//!   counted together only if the voters agree on each other's processes ([`crate::votes`]). Choices outlive the time
+//!   after which a member that reaches nobody votes on invocations again, so that time does not let it vote on choices.
 //! * Partition: a minority cannot obtain a majority. Its proposals end with [`Outcome::NoMajority`], which does not
 //!   mean that the value was not chosen: a later proposal may find the value and complete it.
 
@@ -120,7 +121,7 @@
     }
 
     fn propose(&mut self, cx: &mut Context<'_>, key: Key, proposal: Proposal) {
-        if let Some(reason) = cx.member.majority_obstacle() {
+        if let Some(reason) = cx.member.choice_obstacle() {
             let outcome = Outcome::NoMajority(reason);
             return cx.emit(Output::ProposalEnded { key, outcome });
         }
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -135,6 +135,14 @@
             || self.is_disabled(SafetyCheck::NoVoteWithoutState)
     }
 
+    /// Whether this member remembers its earlier votes on choices. If so, it may vote on them and propose values.
+    pub(crate) fn can_vote_on_choices(&self) -> bool {
+        let remembers = self.recovery.remembers_choices()
+            || self.is_disabled(SafetyCheck::ChoicesOutliveRecovery)
+            || self.is_disabled(SafetyCheck::NoVoteWithoutState);
+        remembers && self.can_vote()
+    }
+
     pub(crate) fn others(&self) -> Vec<MemberIndex> {
         self.group.others().collect()
     }
@@ -206,6 +214,14 @@
         }
     }
 
+    /// The reason why no value can be chosen at present, if there is one.
+    pub(crate) fn choice_obstacle(&self) -> Option<NoMajorityReason> {
+        match self.can_vote_on_choices() {
+            true => self.majority_obstacle(),
+            false => Some(NoMajorityReason::Recovering),
+        }
+    }
+
     /// The reason why no majority was obtained before a deadline.
     pub(crate) fn timeout_reason(&self) -> NoMajorityReason {
         match self.is_majority_alive() {
@@ -295,7 +311,7 @@
         self.broadcasts
             .next_due()
             .min(self.store.next_expiry())
-            .min(self.recovery.next_due(self.settings.retention))
+            .min(self.recovery.next_due(self.settings.retention, &self.group))
     }
 
     /// Hashes all state that later steps depend on, except for times.
--- a/crates/replica/src/record_server.rs
+++ b/crates/replica/src/record_server.rs
@@ -115,7 +115,7 @@
         let differing = (0..GROUPS).filter(|g| ours[*g as usize] != theirs[*g as usize]);
         let message = Message::DifferingGroups {
             serial,
-            memory: cx.member.recovery_state(),
+            memory: cx.member.recovery().reported_state(),
             your_process: cx.member.process_of(from),
             groups: differing.map(|g| (g, store.leaf_digests(g))).collect(),
         };
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -5,7 +5,7 @@
 use std::hash::Hasher;
 
 use cedarpulley::interface::Micros;
-use cedarpulley_membership::Group;
+use cedarpulley_membership::{Group, MemberIndex};
 
 use crate::context::Context;
 use crate::events::{Counts, Input, Output};
@@ -98,7 +98,19 @@
         self.member.can_vote()
     }
 
-    /// How much this member remembers of its earlier votes.
+    /// Whether this member may vote on choices, and propose values. A member that lost its store may do so later than
+    /// it may vote on invocations ([`crate::recovery`]).
+    pub fn can_vote_on_choices(&self) -> bool {
+        self.member.can_vote_on_choices()
+    }
+
+    /// The members that this member has not reached since it started. Until it has, or has compared its records with
+    /// enough of the others, a member that lost its store does not vote on choices.
+    pub fn members_unreached_by_recovery(&self) -> Vec<MemberIndex> {
+        self.member.recovery().unreached(self.member.group())
+    }
+
+    /// How much this member remembers of its earlier votes on invocations.
     pub fn recovery_state(&self) -> RecoveryState {
         self.member.recovery_state()
     }
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -114,4 +114,6 @@
     PersistBeforeVote,
     /// The promise of a ballot outlives the record that expires.
     PromiseOutlivesRecord,
+    /// A member that lost its store votes on choices only once it has reached every member that may remember any.
+    ChoicesOutliveRecovery,
 }
--- a/crates/replica/src/store/ballot_floor.rs
+++ b/crates/replica/src/store/ballot_floor.rs
@@ -59,6 +59,15 @@
         });
     }
 
+    /// Raises the promises of all records to the floor.
+    pub(crate) fn raise_all_to_ballot_floor(&mut self) {
+        let choices = self.all().filter(|(_, stored)| stored.is_choice());
+        let keys: Vec<Key> = choices.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.raise_to_ballot_floor(&key);
+        }
+    }
+
     /// Forgets promises together with their records. Only for tests of [`crate::SafetyCheck::PromiseOutlivesRecord`].
     pub(crate) fn forget_expired_promises(&mut self) {
         self.keeps_promises = false;
--- a/crates/replica/src/store/stored_record.rs
+++ b/crates/replica/src/store/stored_record.rs
@@ -104,6 +104,11 @@
         changed
     }
 
+    /// Whether this is the record of a choice.
+    pub(super) fn is_choice(&self) -> bool {
+        matches!(self.record, Record::Choice(_))
+    }
+
     /// Whether two different answers are known.
     pub(super) fn has_conflict(&self) -> bool {
         matches!(
--- a/crates/upgrade/tests/sessions.rs
+++ b/crates/upgrade/tests/sessions.rs
@@ -308,6 +308,28 @@
     assert_eq!(play(&ops, None), Ok(()));
 }
 
+/// A case that the property above drew: all members lose their stores one after the other, while a router still uses
+/// the version that the first two of them have forgotten.
+#[test]
+fn members_that_lost_their_stores_do_not_rebind_a_session_in_use() {
+    let ops = [
+        Op::Arrives(0, 0, false),
+        Op::Arrives(2, 0, false),
+        Op::Settles,
+        Op::Dies(1, false),
+        Op::Dies(0, false),
+        Op::Waits(7),
+        Op::Waits(37),
+        Op::Waits(24),
+        Op::Arrives(2, 0, false),
+        Op::Arrives(0, 0, true),
+        Op::Dies(2, false),
+        Op::Settles,
+    ];
+    assert_eq!(play(&ops, None), Ok(()));
+    assert!(play(&ops, Some(SafetyCheck::ChoicesOutliveRecovery)).is_err());
+}
+
 /// A case that the property above drew: a value that has expired at a majority is still stored at one member and comes
 /// back after another value was chosen.
 #[test]
