Replica: a choice that expired while no process ran leaves the folder

Operators: since an expired choice is read from the folder for its promise, its row stayed there for good and was read again at each start, so a folder would have grown by the sessions that expired over each restart.

Cause: only records of the running store are marked for removal. Change: an expired record that is restored keeps its promise and is marked, so that the next batch removes it.

Evidence: a_choice_that_expired_while_its_member_was_down_is_removed_from_the_disk (its disk then has the ballot floor alone); without the mark it has both.

--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -63,7 +63,7 @@
         }
         for (key, copy) in restored.into_iter().flatten() {
             if store.merge(now, &key, &copy, 0) == MergeOutcome::Expired {
-                store.keep_promise_of(&key, &copy.record);
+                store.drop_expired(&key, &copy.record);
             }
         }
         let mut peers = vec![PeerState::default(); group.len()];
--- a/crates/replica/src/store/ballot_floor.rs
+++ b/crates/replica/src/store/ballot_floor.rs
@@ -48,6 +48,15 @@
         });
     }
 
+    /// Notes that a persisted record expired while no process ran: keeps its promise, and marks the key so that the
+    /// record is removed from the disk.
+    pub(crate) fn drop_expired(&mut self, key: &Key, record: &Record) {
+        self.keep_promise_of(key, record);
+        if let Some(dirty) = &mut self.dirty {
+            dirty.insert(key.clone());
+        }
+    }
+
     /// Raises the promise of a record that this member has learned to the floor: it may have made a higher promise
     /// under this key before its own record expired.
     pub(crate) fn raise_to_ballot_floor(&mut self, key: &Key) {
--- a/crates/replica/tests/expired_choices.rs
+++ b/crates/replica/tests/expired_choices.rs
@@ -110,6 +110,24 @@
     assert!(!is_promised(&mut w, second));
 }
 
+#[test]
+fn a_choice_that_expired_while_its_member_was_down_is_removed_from_the_disk() {
+    let mut w = ReplicaGroup::persistent(3, None);
+    w.handle(0, choice_input("1"));
+    for _ in 0..4 {
+        (0..3).for_each(|r| w.start_batch(r));
+        (0..3).for_each(|r| w.commit_batch(r));
+        w.advance(50 * MILLISECOND);
+    }
+    let on_disk = w.disks[2].get_mut(CHOICE).expect("the choice is on disk");
+    on_disk.expires_in = -1;
+    w.restart_from_disk(2);
+    w.start_batch(2);
+    w.commit_batch(2);
+    let keys: Vec<&str> = w.disks[2].keys().map(|key| &**key).collect();
+    assert!(!keys.contains(&CHOICE) && keys.len() == 1, "{keys:?}");
+}
+
 #[test]
 fn a_record_that_is_learned_anew_carries_the_promise_of_the_expired_one() {
     let (mut w, second) = group_with_three_ballots(None);
