Replica: the folder of a member that has not recovered does not count as kept

Callers could see a session bound twice: a member that lost its folder and crashed once more before it had caught up found a folder at its next start, was taken for one that remembers its votes, and voted by time alone (docs/design/replica.md had named it as what remains).

Cause: whether a member remembers its votes was derived from the folder being there. Change: the first batch of a member that started without records writes a mark, which the batch after its recovery removes; with the mark the member starts as without records, but keeps what it had learned.

Evidence: a_member_that_crashes_again_before_it_has_recovered_does_not_count_ as_one_that_kept_its_store; with the mark ignored it fails (Restored instead of Empty). Tests of replica and gateway pass.

--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -17,7 +17,7 @@
 //! | [`ownership`] | who may dispatch an invocation: replicated intents and fenced takeovers |
 //! | [`consensus`] | single-value agreement with ballots, and leadership in terms |
 //! | [`persistence`] | votes that wait until the state that backs them is on disk |
-//! | [`recovery`] | when a restarted member may vote again |
+//! | [`recovery`], `recovery_marker` | when a restarted member may vote again; the mark on its disk until then |
 //! | [`catch_up`], `record_server`, `byte_budget` | anti-entropy between two members at a bounded rate |
 //! | `broadcast` | the queue of changed records for the other members |
 //!
@@ -38,6 +38,7 @@
 pub mod record;
 mod record_server;
 pub mod recovery;
+mod recovery_marker;
 pub mod replica;
 mod roles;
 pub mod settings;
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -12,6 +12,7 @@
 use crate::ownership::NoMajorityReason;
 use crate::record::{Ballot, FIRST_BALLOT_NUMBER, Invocation, Owner, Record};
 use crate::recovery::Recovery;
+use crate::recovery_marker::RecoveryMarker;
 use crate::settings::{CLOCK_DRIFT_DIVISOR, MAX_TRANSIT_DIVISOR, ReplicaSettings, SafetyCheck};
 use crate::store::{Key, MergeOutcome, Origin, RecordCopy, Store, StoredRecord};
 use crate::votes::{KnownProcesses, Votes, process_tag};
@@ -38,6 +39,7 @@
     peers: Vec<PeerState>,
     store: Store,
     recovery: Recovery,
+    recovery_marker: RecoveryMarker,
     broadcasts: BroadcastQueue,
     /// The serial of the last record that this process created.
     last_serial: u64,
@@ -51,11 +53,12 @@
         group: Group,
         settings: ReplicaSettings,
         nonce: u64,
-        restored: Option<Vec<(Key, RecordCopy)>>,
+        mut restored: Option<Vec<(Key, RecordCopy)>>,
     ) -> Self {
+        let was_recovering = restored.as_mut().is_some_and(RecoveryMarker::take_from);
         let recovery_state = match restored {
-            Some(_) => RecoveryState::Restored,
-            None => RecoveryState::Empty,
+            Some(_) if !was_recovering => RecoveryState::Restored,
+            _ => RecoveryState::Empty,
         };
         let mut store = Store::new(settings.max_records, settings.is_persistent);
         if settings.disabled_check == Some(SafetyCheck::PromiseOutlivesRecord) {
@@ -75,6 +78,7 @@
             peers,
             store,
             recovery: Recovery::new(now, recovery_state),
+            recovery_marker: RecoveryMarker::new(was_recovering),
             broadcasts: BroadcastQueue::new(),
             last_serial: 0,
             backoffs_drawn: 0,
@@ -123,6 +127,16 @@
         self.recovery.state()
     }
 
+    /// The keys of the records that have changed since the last call, and the change of the recovery marker on the disk.
+    pub(crate) fn take_changes(&mut self) -> (BTreeSet<Key>, Option<(Key, Option<RecordCopy>)>) {
+        let is_recovering = self.recovery.reported_state() == RecoveryState::Empty;
+        let marker = match self.settings.is_persistent {
+            true => self.recovery_marker.change(is_recovering),
+            false => None,
+        };
+        (self.store.take_dirty(), marker)
+    }
+
     /// Whether a test has disabled this safety check.
     pub(crate) fn is_disabled(&self, check: SafetyCheck) -> bool {
         self.settings.disabled_check == Some(check)
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -28,7 +28,8 @@
 
 impl Replica {
     /// Creates the replica of a process that has just started. `nonce`: identifies this process; it is above 0 and
-    /// different from the nonce of any other process. `restored`: the records on this member's disk, if it has a disk.
+    /// different from the nonce of any other process. `restored`: what [`Replica::changes`] has written to this member's
+    /// disk, if it has a disk.
     pub fn new(
         now: Micros,
         group: Group,
@@ -58,14 +59,15 @@
     /// without one if the record was removed. The caller passes the serial to [`Input::Persisted`] once these and all
     /// earlier changes are on disk.
     pub fn changes(&mut self, now: Micros) -> (u64, Vec<(Key, Option<RecordCopy>)>) {
-        let dirty = self.member.store_mut().take_dirty();
-        let serial = self.roles.consensus_mut().begin_batch(!dirty.is_empty());
+        let (dirty, marker) = self.member.take_changes();
+        let has_changes = !dirty.is_empty() || marker.is_some();
+        let serial = self.roles.consensus_mut().begin_batch(has_changes);
         let store = self.member.store();
         let changes = dirty.into_iter().map(|key| {
             let copy = store.copy(now, &key);
             (key, copy)
         });
-        (serial, changes.collect())
+        (serial, changes.chain(marker).collect())
     }
 
     /// Whether a vote waits for changes that have not been taken with [`Replica::changes`].
--- a/crates/replica/tests/recovery_of_choices.rs
+++ b/crates/replica/tests/recovery_of_choices.rs
@@ -58,6 +58,26 @@
     assert_eq!(choose(&mut w, 1, "2"), chosen("1"));
 }
 
+#[test]
+fn a_member_that_crashes_again_before_it_has_recovered_does_not_count_as_one_that_kept_its_store() {
+    let mut w = ReplicaGroup::persistent(3, None);
+    let write_all = |w: &mut ReplicaGroup| {
+        (0..3).for_each(|r| w.start_batch(r));
+        (0..3).for_each(|r| w.commit_batch(r));
+    };
+    w.disks[2].clear();
+    w.crash(2);
+    w.start(2, None);
+    write_all(&mut w);
+    w.restart_from_disk(2);
+    assert_eq!(w.replica(2).recovery_state(), RecoveryState::Empty);
+    w.advance(1_000 * MILLISECOND);
+    assert_eq!(w.replica(2).recovery_state(), RecoveryState::Complete);
+    write_all(&mut w);
+    w.restart_from_disk(2);
+    assert_eq!(w.replica(2).recovery_state(), RecoveryState::Restored);
+}
+
 #[test]
 fn members_without_stores_choose_again_once_all_have_said_so() {
     let (mut w, _) = two_members_without_stores();
