Membership: a member that was never heard of is declared dead when silent

Operators saw members that had been gone for minutes as "unknown", as if the group were just starting, on a router that had restarted while the others were down.

Cause: FailureDetector::suspect acted on alive members only, so an unknown member stayed unknown for good, whatever number of probes failed.

Change: failed probes of an unknown member start a suspicion, and its timeout declares the member dead. Until then it stays unknown, since a suspected member counts as alive; majorities, the stable view and the planner see no difference, and the shared records learn nothing that they do not assume.

--- a/crates/membership/src/failure_detector.rs
+++ b/crates/membership/src/failure_detector.rs
@@ -6,7 +6,8 @@
 //! 1. Probes: members are probed one after the other, in a random order that changes each round. A member that does not
 //!    answer is also probed indirectly, through other members, so that one bad link does not make it look dead.
 //! 2. Suspicion: a member that answers neither kind of probe is suspected. It is declared dead if nothing is received
-//!    from it before the suspicion times out. Dead members are still probed.
+//!    from it before the suspicion times out. Dead members are still probed. A member of which this process has never
+//!    received anything remains `Unknown`, and so not alive, while it is suspected.
 //! 3. Refutation: a member raises its incarnation when it receives an update in which it is suspected or dead, or which
 //!    names another process of this member. The higher incarnation wins; within one incarnation the worse state wins.
 //! 4. Resumption: a process that was suspended discards the timeouts that passed meanwhile, since they do not show that
@@ -120,7 +121,7 @@
         let next_death = self
             .table
             .statuses()
-            .filter(|(_, status)| status.state == MemberState::Suspected)
+            .filter(|(_, status)| status.is_suspected())
             .map(|(_, status)| status.since + self.settings.suspicion_timeout)
             .min()
             .unwrap_or(Micros::MAX);
@@ -311,8 +312,7 @@
     /// Declares members dead whose suspicion timed out.
     fn declare_dead(&mut self, now: Micros, out: &mut Vec<Output>) {
         let is_overdue = |status: &MemberStatus| {
-            status.state == MemberState::Suspected
-                && now >= status.since + self.settings.suspicion_timeout
+            status.is_suspected() && now >= status.since + self.settings.suspicion_timeout
         };
         let dead: Vec<MemberIndex> = self
             .table
@@ -333,16 +333,16 @@
     }
 
     fn suspect(&mut self, now: Micros, member: MemberIndex, out: &mut Vec<Output>) {
-        if self.status(member).state == MemberState::Alive {
-            self.counts.suspicions += 1;
-            self.table.set_state(
-                now,
-                member,
-                MemberState::Suspected,
-                StateReason::Unresponsive,
-            );
-            out.push(Output::Changed(member));
-        }
+        let status = self.status(member);
+        let suspected = match status.state {
+            MemberState::Alive => MemberState::Suspected,
+            MemberState::Unknown if !status.is_suspected() => MemberState::Unknown,
+            _ => return,
+        };
+        self.counts.suspicions += 1;
+        let reason = StateReason::Unresponsive;
+        self.table.set_state(now, member, suspected, reason);
+        out.push(Output::Changed(member));
     }
 
     /// Probes the next member of the round.
--- a/crates/membership/src/member_table.rs
+++ b/crates/membership/src/member_table.rs
@@ -51,6 +51,18 @@
     pub last_received: Option<Micros>,
 }
 
+impl MemberStatus {
+    /// Whether the member is declared dead once this lasts for the suspicion timeout. An unknown member has never been
+    /// alive for this process, so it does not become [`MemberState::Suspected`], which counts as alive.
+    pub(crate) fn is_suspected(&self) -> bool {
+        match self.state {
+            MemberState::Suspected => true,
+            MemberState::Unknown => self.reason == StateReason::Unresponsive,
+            _ => false,
+        }
+    }
+}
+
 /// Result of [`MemberTable::merge`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum MergeOutcome {
@@ -130,7 +142,7 @@
     /// Restarts the timeouts of all suspicions.
     pub fn restart_suspicions(&mut self, now: Micros) {
         for status in &mut self.members {
-            if status.state == MemberState::Suspected {
+            if status.is_suspected() {
                 status.since = now;
             }
         }
--- a/crates/membership/tests/failure_detector.rs
+++ b/crates/membership/tests/failure_detector.rs
@@ -276,6 +276,33 @@
     assert!(large < small * 1.2, "{small} {large}");
 }
 
+#[test]
+fn members_of_which_nothing_was_ever_received_are_declared_dead_and_never_count_as_alive() {
+    let mut simulation = Simulation::new(3, 9);
+    (simulation.members[0], simulation.members[2]) = (None, None);
+    for _ in 0..100 {
+        simulation.run(100 * MILLISECOND);
+        let member = simulation.members[1].as_ref().expect("it is running");
+        assert!(!member.is_alive(0) && !member.is_alive(2));
+    }
+    assert!(simulation.all_agree());
+}
+
+#[test]
+fn members_that_start_late_are_alive_at_once_without_a_refutation() {
+    let mut simulation = Simulation::new(3, 9);
+    (simulation.members[1], simulation.members[2]) = (None, None);
+    simulation.run(10 * SECOND);
+    assert_eq!(simulation.state(0, 1), MemberState::Dead);
+    simulation.start(1);
+    simulation.start(2);
+    simulation.run(SECOND);
+    assert!(simulation.all_agree());
+    for member in simulation.members.iter().flatten() {
+        assert_eq!(member.own_incarnation().number, 1);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 40, ..ProptestConfig::default() })]
 
