Replica: the ballot of a takeover is not used again by the same process

Callers: an invocation could have run twice, or been answered errored, after a router took the same message over twice, more than kept_ms apart, while a member that was suspended in between sent its old promise late.

Cause: the ballot number of a takeover came from the record, which had expired, so the second takeover had the ballot of the first and counted the promise for it, which its member no longer keeps.

Change: a process numbers its takeovers above all that it has begun.

Evidence: a_promise_that_arrives_after_its_record_has_expired_is_no_vote_for_ the_next_takeover failed before (the late promise ended the takeover as Indeterminate(Unknown)) and passes. The tests of the replica pass.

--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -43,6 +43,8 @@
     broadcasts: BroadcastQueue,
     /// The serial of the last record that this process created.
     last_serial: u64,
+    /// The ballot number of the last takeover that this process began.
+    last_takeover_number: u32,
     /// The number of backoffs drawn so far.
     backoffs_drawn: u64,
 }
@@ -81,6 +83,7 @@
             recovery_marker: RecoveryMarker::new(was_recovering),
             broadcasts: BroadcastQueue::new(),
             last_serial: 0,
+            last_takeover_number: FIRST_BALLOT_NUMBER,
             backoffs_drawn: 0,
         }
     }
@@ -264,6 +267,14 @@
         }
     }
 
+    /// The ballot of the next takeover: above `known`, and above every ballot that this process has used for a takeover.
+    /// Without the latter, a promise for an earlier takeover of the same key, whose record has expired everywhere, would
+    /// count for the next one.
+    pub(crate) fn next_takeover_ballot(&mut self, known: u32) -> Ballot {
+        self.last_takeover_number = known.max(self.last_takeover_number).saturating_add(1);
+        self.ballot(self.last_takeover_number)
+    }
+
     /// The origin of the next record of this process.
     pub(crate) fn next_origin(&mut self) -> Origin {
         self.last_serial += 1;
@@ -334,5 +345,6 @@
             (key, &stored.record).hash(state);
         }
         (&self.recovery, &self.peers).hash(state);
+        self.last_takeover_number.hash(state);
     }
 }
--- a/crates/replica/src/ownership/takeover.rs
+++ b/crates/replica/src/ownership/takeover.rs
@@ -25,8 +25,8 @@
         let known = before.as_ref().map_or(FIRST_BALLOT_NUMBER, |invocation| {
             invocation.owner.ballot.number
         });
-        let number = known.max(claim.ballot.number).saturating_add(1);
-        claim.ballot = cx.member.ballot(number);
+        let known = known.max(claim.ballot.number);
+        claim.ballot = cx.member.next_takeover_ballot(known);
         let request = FenceRequest {
             key: key.clone(),
             ballot: claim.ballot,
--- a/crates/replica/tests/recovery.rs
+++ b/crates/replica/tests/recovery.rs
@@ -238,6 +238,37 @@
     assert_eq!(w.last_decision(2, "x"), Some(OwnershipDecision::Wait));
 }
 
+/// Guards against a promise of an earlier takeover, long expired at its member, that counts for the next takeover of the
+/// same key by the same process.
+#[test]
+fn a_promise_that_arrives_after_its_record_has_expired_is_no_vote_for_the_next_takeover() {
+    let mut w = ReplicaGroup::new(3, None);
+    w.announce(1, "x", true);
+    w.deliver(|from, to, m| (from, to) == (1, 2) && matches!(m, Message::Fence { .. }));
+    let is_promise = |m: &Message| matches!(m, Message::Fenced { .. });
+    let late = w.in_transit.iter().find(|sent| is_promise(&sent.4));
+    let (from, _, nonce, _, promise) = late.cloned().expect("member 2 has promised");
+    w.advance_delivering(3 * RETENTION, |_, _, _| false);
+    assert!((1..3).all(|r| w.replica(r).record("x").is_none()));
+    let decided = w.decisions[1]["x"].len();
+    w.announce(1, "x", true);
+    w.handle(
+        1,
+        Input::MessageReceived {
+            from,
+            nonce,
+            transit: 3 * RETENTION,
+            message: promise,
+        },
+    );
+    assert_eq!(
+        w.decisions[1]["x"].len(),
+        decided,
+        "{:?}",
+        w.decisions[1]["x"]
+    );
+}
+
 #[test]
 fn a_long_lived_record_is_learned_after_a_later_invocation_has_expired() {
     let mut w = ReplicaGroup::new(3, None);
