Tests of a group: two waits for what chance may withhold are made certain

The first: by the traffic of the failed run, all three invocations that the owner had dispatched were delivered again to the router without the injected fault (the third router), so that no rule could break. Its link to the broker is reset now before the owner dies, so that the broker can only deliver to the router with the fault, and only the group's links are mended after the kill. The second: it waited for three claims of any type, which may be idempotent by key or answered before the kill; neither leads to a takeover. It waits now for three dispatches of the non-idempotent type that run while workers withhold their answers.

Checks and bounds are the same.

--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -1005,9 +1005,13 @@
             wait_for("dispatched invocations that run", || {
                 dispatched_and_ran(f, OWNER) as u64 >= before + MIN_IN_STEP
             });
+            if tamper.is_some() {
+                // The broker can deliver again only to the router with the injected fault, the first one.
+                f.links.set(&f.router_name(2), BROKER, LinkFault::Reset);
+            }
             f.kill_router(OWNER);
             hang(f, false);
-            f.links.heal();
+            both_ways(f, LinkFault::Pass);
         })
         .at(5000, |f| restart(f, OWNER, StateAtStart::Kept));
     let patience = if tamper.is_some() {
@@ -1043,8 +1047,9 @@
         // Forces one takeover, before random faults may leave no majority or no router that counted a takeover.
         .at(700, |f| {
             hang(f, true);
-            wait_for("accepted messages", || {
-                claims(f, OWNER, "mine") >= MIN_IN_STEP
+            let before = dispatched_and_ran(f, OWNER) as u64;
+            wait_for("dispatched invocations that run", || {
+                dispatched_and_ran(f, OWNER) as u64 >= before + MIN_IN_STEP
             });
             f.kill_router(OWNER);
             wait_for("the others to take over", || {
