Soak: series of signals in several orders, with and without pauses

Need: the soak sent SIGTERM, SIGHUP and SIGTERM at once at each planned restart. A reload that runs into a stop, a second SIGTERM while the first is handled, and a SIGHUP during the drain were not played apart from each other.

Change: each restart draws one of four series (reload before, between and after one or two requests to stop) and a pause of up to 150 ms between its signals, from numbers of their own, so that the other faults of a seed stay what they were. A signal goes only to the process that the series began with.

The checks are unchanged.

--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -12,7 +12,7 @@
 use rustix::process::Signal;
 
 use crate::clients::{self, ClientSettings, DEADLINE, Sent, StopRequestedAt};
-use crate::faults::{self, ClusterSize, FAULT_PERIOD, Fault};
+use crate::faults::{self, ClusterSize, FAULT_PERIOD, Fault, StopSignals};
 use crate::platform::{
     Channel, Outage, PATIENCE, Shared, channel, configuration, event, own, start, worker,
 };
@@ -166,6 +166,12 @@
     /// Puts this worker in service again.
     ReturnWorker(usize),
     Reload,
+    /// Sends a signal to this process of a router.
+    Signal {
+        router: usize,
+        process: u32,
+        signal: Signal,
+    },
     /// Continues the process of this router.
     Resume(usize),
     /// Closes the connections of the crowd.
@@ -249,6 +255,11 @@
             Step::RemoveWorker(worker) => self.announce(worker, "left"),
             Step::ReturnWorker(worker) => self.return_worker(worker),
             Step::Reload => self.reload(),
+            Step::Signal {
+                router,
+                process,
+                signal,
+            } => self.send_signal(router, process, signal),
             Step::Resume(router) => self.routers[router].signal(Signal::CONT),
             Step::DropCrowd => self.crowd.clear(),
         }
@@ -267,7 +278,7 @@
                     self.schedule(apart * number, Step::Reload);
                 }
             }
-            Fault::Restart { router } => self.stop(router),
+            Fault::Restart { router, signals } => self.stop(router, signals),
             Fault::Kill { router } => {
                 if self.routers[router].stop_requested_at().is_none() {
                     self.routers[router].replace();
@@ -284,17 +295,33 @@
         }
     }
 
-    /// Sends a series of signals: stop, reload, stop.
-    fn stop(&mut self, router: usize) {
+    /// Begins a series of signals to the present process of a router.
+    fn stop(&mut self, router: usize, signals: StopSignals) {
+        let process = self.routers[router].process.id();
+        for (number, signal) in (0..).zip(signals.series) {
+            let step = Step::Signal {
+                router,
+                process,
+                signal: *signal,
+            };
+            match signals.apart * number {
+                Duration::ZERO => self.execute(step),
+                after => self.schedule(after, step),
+            }
+        }
+    }
+
+    /// Sends a signal of a series, unless the process was replaced in the meantime.
+    fn send_signal(&mut self, router: usize, process: u32, signal: Signal) {
         let router = &mut self.routers[router];
-        router
-            .stop_requested_at
-            .lock()
-            .expect("a time")
-            .get_or_insert_with(Instant::now);
-        router.signal(Signal::TERM);
-        router.signal(Signal::HUP);
-        router.signal(Signal::TERM);
+        if router.process.id() != process {
+            return;
+        }
+        if signal == Signal::TERM {
+            let mut requested_at = router.stop_requested_at.lock().expect("a time");
+            requested_at.get_or_insert_with(Instant::now);
+        }
+        router.signal(signal);
     }
 
     fn begin_outage(&mut self, how: Outage, lasts: Duration) {
--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -1,7 +1,9 @@
-//! SeededRandom the faults of a run from its seed, each with the time at which it begins.
+//! Draws the faults of a run from its seed, each with the time at which it begins.
 
 use std::time::Duration;
 
+use rustix::process::Signal;
+
 use crate::platform::Outage;
 use crate::seeded_random::SeededRandom;
 
@@ -22,8 +24,9 @@
     },
     /// A series of configuration reloads, `apart` from each other. Each moves discovery to another address.
     Reloads { count: u64, apart: Duration },
-    /// A planned restart: the process is signaled to stop, and killed at the earliest time that the platform allows.
-    Restart { router: usize },
+    /// A planned restart: the process gets a series of signals, of which the first SIGTERM requests the stop, and is
+    /// killed at the earliest time that the platform allows.
+    Restart { router: usize, signals: StopSignals },
     /// The process is killed without a signal before, and started again.
     Kill { router: usize },
     /// The process of a router is stopped (SIGSTOP) for a while.
@@ -32,20 +35,52 @@
     Crowd { router: usize, connections: u64 },
 }
 
+/// A series of signals around a request to stop, the first at once and the others `apart` from each other.
+#[derive(Clone, Copy, Debug)]
+pub struct StopSignals {
+    pub series: &'static [Signal],
+    pub apart: Duration,
+}
+
+/// Series of signals: reloads before, between and after one or two requests to stop.
+const STOP_SERIES: [&[Signal]; 4] = [
+    &[Signal::TERM, Signal::HUP, Signal::TERM],
+    &[Signal::HUP, Signal::TERM],
+    &[Signal::TERM, Signal::TERM],
+    &[Signal::HUP, Signal::HUP, Signal::TERM, Signal::HUP],
+];
+/// One in this many series is sent without a pause between its signals.
+const SERIES_AT_ONCE_ONE_IN: u64 = 3;
+/// Distinguishes the numbers that the series are drawn from from those of the faults.
+const SERIES_SEED: u64 = 0x5161;
+
+impl StopSignals {
+    fn draw(random: &mut SeededRandom) -> StopSignals {
+        let series = STOP_SERIES[random.below(STOP_SERIES.len() as u64) as usize];
+        let apart = match random.one_in(SERIES_AT_ONCE_ONE_IN) {
+            true => Duration::ZERO,
+            false => random.millis(1, 150),
+        };
+        StopSignals { series, apart }
+    }
+}
+
 /// The numbers of routers and workers in a run.
 pub struct ClusterSize {
     pub routers: u64,
     pub workers: u64,
 }
 
-/// SeededRandom the faults of a run, ordered by the time at which they begin.
+/// Draws the faults of a run, ordered by the time at which they begin.
 pub fn draw(seed: u64, size: &ClusterSize) -> Vec<(Duration, Fault)> {
     let mut random = SeededRandom::new(seed);
+    let mut series_random = SeededRandom::new(seed ^ SERIES_SEED);
     let mut faults = vec![(random.millis(500, 3_000), long_outage(&mut random))];
     let has_crowd = random.one_in(3);
     for _ in 0..8 + random.below(6) {
         let at = random.millis(200, FAULT_PERIOD.as_millis() as u64);
-        faults.push((at, short_fault(&mut random, size)));
+        let fault = short_fault(&mut random, &mut series_random, size);
+        faults.push((at, fault));
     }
     if has_crowd {
         let at = random.millis(1_000, FAULT_PERIOD.as_millis() as u64);
@@ -82,7 +117,11 @@
     all[random.below(all.len() as u64) as usize]
 }
 
-fn short_fault(random: &mut SeededRandom, size: &ClusterSize) -> Fault {
+fn short_fault(
+    random: &mut SeededRandom,
+    series_random: &mut SeededRandom,
+    size: &ClusterSize,
+) -> Fault {
     let router = random.below(size.routers) as usize;
     match random.below(10) {
         0..4 => Fault::Drain {
@@ -98,7 +137,10 @@
             count: 1 + random.below(3),
             apart: random.millis(20, 400),
         },
-        6 | 7 => Fault::Restart { router },
+        6 | 7 => Fault::Restart {
+            router,
+            signals: StopSignals::draw(series_random),
+        },
         8 => Fault::Kill { router },
         _ => Fault::Halt {
             router,
