Replica: a rejected promise or acceptance names its reason

Callers: a rolling upgrade stood still until its leader was elected again, though no other leader existed.

Cause: an acceptor rejected every acceptance that it could not make as "a higher ballot", also with a full store or an expired request, and a promise for an expired request as a full store; the proposer ends its term at a higher ballot. Its own full store ended a write as overtaken as well.

Change: promises and acceptances return the reason.

Evidence: a_rejected_acceptance_names_its_reason failed before (HigherBallot instead of StoreFull). Tests of replica and upgrade pass.

--- a/crates/replica/src/acceptor.rs
+++ b/crates/replica/src/acceptor.rs
@@ -198,46 +198,51 @@
     member.store().promised(key) > ballot && !member.is_disabled(SafetyCheck::KeptPromise)
 }
 
-/// Promises not to accept any value below this ballot. Returns false if a higher ballot is promised already, or if the
-/// store is full.
+/// Promises not to accept any value below this ballot. Fails if a higher ballot is promised already, if the promise would
+/// expire at once, or if the store is full.
 pub(crate) fn promise_choice(
     cx: &mut Context<'_>,
     key: &Key,
     ballot: Ballot,
     lifetime: Micros,
-) -> bool {
+) -> Result<(), RejectionReason> {
     if has_promised_higher(cx.member, key, ballot) {
-        return false;
+        return Err(RejectionReason::HigherBallot);
+    }
+    if lifetime <= 0 {
+        return Err(RejectionReason::Expired);
     }
     let origin = cx.member.next_origin();
     let expires_at = cx.now.saturating_add(lifetime);
     let absent = || StoredRecord::new(Record::Choice(Choice::default()), origin, expires_at);
-    cx.member.store_mut().change(key, absent, |stored| {
+    let is_stored = cx.member.store_mut().change(key, absent, |stored| {
         if let Record::Choice(choice) = &mut stored.record {
             choice.promised = choice.promised.max(ballot);
             stored.expires_at = stored.expires_at.max(expires_at);
         }
-    })
+    });
+    match is_stored {
+        true => Ok(()),
+        false => Err(RejectionReason::StoreFull),
+    }
 }
 
-/// Accepts a value under this ballot and promises the ballot. Returns false if a higher ballot is promised already, or
-/// if the store is full.
+/// Accepts a value under this ballot and promises the ballot. Fails as [`promise_choice`] does.
 pub(crate) fn accept_choice(
     cx: &mut Context<'_>,
     key: &Key,
     ballot: Ballot,
     value: Bytes,
     lifetime: Micros,
-) -> bool {
-    if !promise_choice(cx, key, ballot, lifetime) {
-        return false;
-    }
+) -> Result<(), RejectionReason> {
+    promise_choice(cx, key, ballot, lifetime)?;
     cx.member.store_mut().update(key, |stored| {
         // Messages may be reordered. Within a term the greater value is the later one.
         if let Record::Choice(choice) = &mut stored.record {
             choice.accepted = choice.accepted.take().max(Some((ballot, value)));
         }
-    })
+    });
+    Ok(())
 }
 
 /// Phase 1: promises the ballot, and returns the acceptor's state with the value accepted before, if any.
@@ -248,14 +253,10 @@
     lifetime: Micros,
 ) -> Result<Choice, RejectionReason> {
     if !cx.member.can_vote_on_choices() {
-        Err(RejectionReason::Recovering)
-    } else if has_promised_higher(cx.member, key, ballot) {
-        Err(RejectionReason::HigherBallot)
-    } else if lifetime <= 0 || !promise_choice(cx, key, ballot, lifetime) {
-        Err(RejectionReason::StoreFull)
-    } else {
-        Ok(choice(cx.member, key).unwrap_or_default())
+        return Err(RejectionReason::Recovering);
     }
+    promise_choice(cx, key, ballot, lifetime)?;
+    Ok(choice(cx.member, key).unwrap_or_default())
 }
 
 /// Phase 2: accepts the value, and returns the hash of the value.
@@ -266,14 +267,12 @@
     value: Bytes,
     lifetime: Micros,
 ) -> Result<u64, RejectionReason> {
-    let value_hash = hashed(&value);
     if !cx.member.can_vote_on_choices() {
-        Err(RejectionReason::Recovering)
-    } else if lifetime <= 0 || !accept_choice(cx, key, ballot, value, lifetime) {
-        Err(RejectionReason::HigherBallot)
-    } else {
-        Ok(value_hash)
+        return Err(RejectionReason::Recovering);
     }
+    let value_hash = hashed(&value);
+    accept_choice(cx, key, ballot, value, lifetime)?;
+    Ok(value_hash)
 }
 
 /// The ballot floor as the state of a key without a record; absent if nothing was promised.
--- a/crates/replica/src/consensus.rs
+++ b/crates/replica/src/consensus.rs
@@ -146,7 +146,7 @@
             return;
         };
         proposal.prepare(ballot, known.accepted);
-        if !acceptor::promise_choice(cx, key, ballot, proposal.retention) {
+        if acceptor::promise_choice(cx, key, ballot, proposal.retention).is_err() {
             let outcome = Outcome::NoMajority(NoMajorityReason::StoreFull);
             let key = key.clone();
             return cx.emit(Output::ProposalEnded { key, outcome });
@@ -164,8 +164,11 @@
             return;
         };
         let (ballot, value_hash) = (proposal.ballot, hashed(&value));
-        if !acceptor::accept_choice(cx, key, ballot, value, proposal.retention) {
-            let outcome = Outcome::Overtaken;
+        if let Err(reason) = acceptor::accept_choice(cx, key, ballot, value, proposal.retention) {
+            let outcome = match reason {
+                RejectionReason::HigherBallot => Outcome::Overtaken,
+                _ => Outcome::NoMajority(NoMajorityReason::StoreFull),
+            };
             let key = key.clone();
             return cx.emit(Output::ProposalEnded { key, outcome });
         }
@@ -335,7 +338,8 @@
         let (goal, tries, retention) = (proposal.goal, proposal.tries, proposal.retention);
         // The next ballot has to be higher than the ballot that the rejecting member has promised.
         if let Some(choice) = choice {
-            acceptor::promise_choice(cx, key, choice.promised, retention);
+            // If the store is full, the next attempt ends for this reason.
+            let _ = acceptor::promise_choice(cx, key, choice.promised, retention);
         }
         if goal == Goal::Write {
             self.proposals.remove(key);
--- a/crates/replica/tests/recovery.rs
+++ b/crates/replica/tests/recovery.rs
@@ -5,8 +5,9 @@
 
 use bytes::Bytes;
 use cedarpulley_membership::MemberIndex;
+use cedarpulley_replica::wire::RejectionReason;
 use cedarpulley_replica::{
-    IndeterminateReason, Input, Message, OwnershipDecision, RecoveryState, Replica,
+    Ballot, IndeterminateReason, Input, Message, OwnershipDecision, RecoveryState, Replica,
     ReplicaSettings, SafetyCheck,
 };
 use common::{MILLISECOND, RETENTION, ReplicaGroup, group, settings};
@@ -238,6 +239,56 @@
     assert_eq!(w.last_decision(2, "x"), Some(OwnershipDecision::Wait));
 }
 
+/// Guards against a leader that takes a full store or an expired request for a later term, and so for a lost one.
+#[test]
+fn a_rejected_acceptance_names_its_reason() {
+    let mut w = ReplicaGroup::new(3, None);
+    let small_store = ReplicaSettings {
+        max_records: 1,
+        ..settings(None, 800 * MILLISECOND)
+    };
+    w.replicas[2] = Some(Replica::new(w.now, group(3, 2), small_store, 99, None));
+    w.nonces[2] = 99;
+    (0..3).for_each(|m| w.report_member(2, m, true));
+    (0..2).for_each(|r| w.report_member(r, 2, true));
+    note(&mut w, 0, 1);
+    w.advance(1_000 * MILLISECOND);
+    assert!(w.replica(2).can_vote_on_choices() && w.replica(2).records().count() == 1);
+    let ballot = Ballot {
+        number: 2,
+        member: 0,
+        nonce: w.nonces[0],
+    };
+    let mut reason_of = |key: &str, lifetime: i64| {
+        let message = Message::Accept {
+            key: key.into(),
+            ballot,
+            value: Bytes::from_static(b"1"),
+            lifetime,
+        };
+        w.in_transit.clear();
+        let nonce = w.nonces[0];
+        w.handle(
+            2,
+            Input::MessageReceived {
+                from: 0,
+                nonce,
+                transit: 0,
+                message,
+            },
+        );
+        w.in_transit.iter().find_map(|sent| match &sent.4 {
+            Message::Nack { reason, .. } => Some(*reason),
+            _ => None,
+        })
+    };
+    assert_eq!(
+        reason_of("u\nm", RETENTION),
+        Some(RejectionReason::StoreFull)
+    );
+    assert_eq!(reason_of("u\nm", 0), Some(RejectionReason::Expired));
+}
+
 /// Guards against a promise of an earlier takeover, long expired at its member, that counts for the next takeover of the
 /// same key by the same process.
 #[test]
