Router: delivered answers are reported, and records of overdue joins expire

Callers saw nothing at once: the group kept dispatches and answer of an invocation with two deliveries until kept_ms had passed although the answer was delivered, and a router's memory grew by each invocation whose own delivery was lost and whose joined delivery was overdue.

Cause: the first of two reports took the group's key, though only the last one passes it on; and a record became an orphan only with a lost channel.

Change: the key is taken with the last report; an overdue joined delivery leaves its record as a lost channel does, within the same limit.

Evidence: with the old rules the_last_delivered_answer_returns_the_group_key fails (no key) and a_record_expires_after_its_last_joined_delivery_was_overdue fails (no open invocation is named); both pass. Tests of the router pass.

--- a/crates/router/src/answer_registry.rs
+++ b/crates/router/src/answer_registry.rs
@@ -61,7 +61,7 @@
     expires_at: Micros,
 }
 
-/// The open invocations affected by the loss of a front's channel.
+/// The open invocations affected by the loss of waiting deliveries.
 #[derive(Debug, Default)]
 pub struct LostDeliveries {
     /// Open invocations that lost their last waiting delivery.
@@ -78,7 +78,7 @@
     free: Vec<AnswerSlot>,
     by_identity: HashMap<Arc<str>, AnswerSlot>,
     by_waiter: HashMap<Delivery, AnswerSlot>,
-    /// The records whose last waiting delivery was lost with its front's channel, by expiry.
+    /// The records whose last waiting delivery was lost with its front's channel or was overdue, by expiry.
     orphans: BTreeSet<(Micros, AnswerSlot)>,
     /// Number of records evicted before their expiry, as there were too many without a waiting delivery.
     pub evicted: u64,
@@ -285,24 +285,54 @@
     }
 
     /// Records that the front delivered the answer, so that the message cannot be delivered again. If no other delivery
-    /// waits, the record is removed, and the key of the invocation in the group of routers is returned unless an
-    /// answer to another delivery of the same record was reported before.
+    /// waits, the record is removed, and the key of the invocation in the group of routers is returned.
     pub fn delivered(&mut self, delivery: Delivery) -> Option<Arc<str>> {
-        let (slot, was_last) = self.remove_waiter(delivery)?;
-        let group_key = self
-            .records
-            .get_mut(slot as usize)
-            .and_then(Option::as_mut)
-            .and_then(|record| record.group_key.take());
-        if was_last {
+        let (slot, true) = self.remove_waiter(delivery)? else {
+            return None;
+        };
+        let record = self.records.get_mut(slot as usize)?.as_mut()?;
+        let group_key = record.group_key.take();
+        self.forget(slot);
+        group_key
+    }
+
+    /// Records that a delivery that joined the record does not wait any longer, as its answer is due. If no other delivery
+    /// waits, the record is retained until its client gives up, as after the loss of a front's channel.
+    pub fn joined_answer_overdue(&mut self, delivery: Delivery) -> LostDeliveries {
+        let mut result = LostDeliveries::default();
+        if let Some((slot, true)) = self.remove_waiter(delivery) {
+            self.orphan(slot, &mut result);
+            self.evict_orphans(&mut result);
+        }
+        result
+    }
+
+    /// Retains a record without a waiting delivery until its client gives up.
+    fn orphan(&mut self, slot: AnswerSlot, result: &mut LostDeliveries) {
+        let Some(Some(record)) = self.records.get(slot as usize) else {
+            return;
+        };
+        self.orphans.insert((record.expires_at, slot));
+        if let RecordState::Open(index) = record.state {
+            result.open.push(index);
+        }
+    }
+
+    /// Forgets records without a waiting delivery that exceed the limit, those first that expire first.
+    fn evict_orphans(&mut self, result: &mut LostDeliveries) {
+        while self.orphans.len() > self.max_orphans
+            && let Some(&(_, slot)) = self.orphans.first()
+        {
+            self.evicted += 1;
+            result.evicted.extend(self.invocation(slot));
             self.forget(slot);
         }
-        group_key.filter(|_| was_last)
     }
 
     /// Records that a front lost its channel: its deliveries no longer wait. Their messages may be delivered again.
     pub fn front_lost(&mut self, front: FrontIndex) -> LostDeliveries {
         let mut result = LostDeliveries::default();
+        let mut without_waiters = Vec::new();
         for (record, slot) in self.records.iter_mut().zip(0..) {
             let Some(record) = record else { continue };
             let lost: Vec<Delivery> = record
@@ -313,21 +343,14 @@
             lost.iter().for_each(|delivery| {
                 self.by_waiter.remove(delivery);
             });
-            if lost.is_empty() || !record.waiters.is_empty() {
-                continue;
-            }
-            self.orphans.insert((record.expires_at, slot));
-            if let RecordState::Open(index) = record.state {
-                result.open.push(index);
+            if !lost.is_empty() && record.waiters.is_empty() {
+                without_waiters.push(slot);
             }
         }
-        while self.orphans.len() > self.max_orphans
-            && let Some(&(_, slot)) = self.orphans.first()
-        {
-            self.evicted += 1;
-            result.evicted.extend(self.invocation(slot));
-            self.forget(slot);
+        for slot in without_waiters {
+            self.orphan(slot, &mut result);
         }
+        self.evict_orphans(&mut result);
         result
     }
 
--- a/crates/router/src/core/waiting_deliveries.rs
+++ b/crates/router/src/core/waiting_deliveries.rs
@@ -7,7 +7,7 @@
 use super::state::invocation::Invocation;
 use super::state::timers::Timer;
 use super::{Output, Router};
-use crate::answer_registry::AnswerSlot;
+use crate::answer_registry::{AnswerSlot, LostDeliveries};
 use crate::concurrency_limit::{FrontState, LoadSignal};
 use crate::replication::ReplicationRequest;
 use crate::{Answer, AnswerReason, Delivery, FinalOutcome, FrontIndex};
@@ -59,12 +59,13 @@
     }
 
     /// Answers a delivery that joined an invocation and whose own answer is now due. The invocation's first client may
-    /// wait longer, so the invocation continues and may still run.
+    /// wait longer, so the invocation continues and may still run, unless its message's own delivery was lost.
     pub(super) fn joined_answer_overdue(&mut self, delivery: Delivery, out: &mut Vec<Output>) {
         if self.answers.is_waiting(delivery) {
-            self.answers.remove_waiter(delivery);
+            let lost = self.answers.joined_answer_overdue(delivery);
             let answer = Answer::without_body(FinalOutcome::Errored, AnswerReason::Overdue);
             self.answer(delivery, answer, AnsweredInvocation::unknown(self.now), out);
+            self.deliveries_lost(lost, out);
         }
     }
 }
@@ -110,6 +111,11 @@
             return;
         }
         let lost = self.answers.front_lost(front);
+        self.deliveries_lost(lost, out);
+    }
+
+    /// Handles that invocations lost waiting deliveries.
+    fn deliveries_lost(&mut self, lost: LostDeliveries, out: &mut Vec<Output>) {
         for index in lost.evicted {
             self.answer_record_evicted(index);
         }
--- a/crates/router/tests/answer_registry.rs
+++ b/crates/router/tests/answer_registry.rs
@@ -34,6 +34,34 @@
     assert!(registry.delivered(delivery(0, 1)).is_none() && registry.is_empty());
 }
 
+/// Guards against records of the group that keep an answer which was delivered, because the first of two deliveries of
+/// one invocation took the key with it.
+#[test]
+fn the_last_delivered_answer_returns_the_group_key() {
+    let mut registry = AnswerRegistry::default();
+    let slot = registry.open(Some(Arc::from("a")), delivery(0, 1), 5, SECOND);
+    registry.share(slot, Arc::from("i\na"));
+    assert!(registry.join(slot, delivery(0, 2)));
+    let answer = Answer::without_body(FinalOutcome::Succeeded, AnswerReason::Worker);
+    assert_eq!(registry.give(slot, &answer).len(), 2);
+    assert_eq!(registry.delivered(delivery(0, 1)), None);
+    assert_eq!(registry.delivered(delivery(0, 2)).as_deref(), Some("i\na"));
+    assert!(registry.is_empty());
+}
+
+/// Guards against records that are never removed: the message's own delivery is lost, and then the one that joined it
+/// is overdue.
+#[test]
+fn a_record_expires_after_its_last_joined_delivery_was_overdue() {
+    let mut registry = AnswerRegistry::default();
+    let slot = registry.open(Some(Arc::from("a")), delivery(0, 1), 5, SECOND);
+    assert!(registry.join(slot, delivery(1, 2)));
+    assert!(registry.front_lost(0).open.is_empty());
+    assert_eq!(registry.joined_answer_overdue(delivery(1, 2)).open, [5]);
+    registry.expire(SECOND);
+    assert!(registry.is_empty());
+}
+
 #[test]
 fn records_without_waiters_are_bounded_and_forgotten_ones_are_named() {
     let mut registry = AnswerRegistry::bounded(2);
