Membership, replica: hashes that members compare no longer follow the toolchain

Operators: routers built by another toolchain might have rejected each other as strangers and set their own folders aside as foreign.

Cause: the fingerprint of a group, the digest of the member table and the digests of records used the standard library's hasher, whose algorithm is not promised to stay the same.

Change: SipHash-1-3 of the siphasher library, in one place for both packages (stable_hash). All values are those of before, so builds mix and folders stay.

Evidence: the fingerprint of a fixed group is the same with the old and the new hash (the_fingerprint_of_a_group_keeps_its_value); the pinned digests of records (digests_that_members_compare_keep_their_values) pass unchanged. A second toolchain that differs was not at hand, so the failure itself was not seen. The hash of placement (src/ids.rs) still follows the toolchain: it costs locality between builds, not agreement.

--- a/crates/membership/src/group.rs
+++ b/crates/membership/src/group.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::member_table::stable_hash;
+use crate::stable_hash::stable_hash;
 
 /// Index of a member in [`Group::members`].
 pub type MemberIndex = u16;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -19,6 +19,7 @@
 mod probe_schedule;
 mod relayed_probes;
 pub mod settings;
+mod stable_hash;
 pub mod stable_view;
 
 pub use counts::MembershipCounts;
@@ -27,4 +28,5 @@
 pub use member_table::{MemberStatus, StateReason};
 pub use message::{Incarnation, MemberState, MemberUpdate, Message};
 pub use settings::FailureDetectorSettings;
+pub use stable_hash::stable_hash;
 pub use stable_view::StableView;
--- a/crates/membership/src/member_table.rs
+++ b/crates/membership/src/member_table.rs
@@ -1,13 +1,12 @@
 //! Table of the states of all members, with the rule by which the tables of two members are merged: the higher
 //! incarnation wins, and within one incarnation the worse state. Only a member itself raises its incarnation.
 
-use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher, Hash};
-
 use cedarpulley::interface::Micros;
 use serde::Serialize;
 
 use crate::group::MemberIndex;
 use crate::message::{Incarnation, MemberState, MemberUpdate};
+use crate::stable_hash::stable_hash;
 
 /// The reason for a member's present state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize)]
@@ -262,8 +261,3 @@
         stable_hash(self.updates()) | 1
     }
 }
-
-/// A hash that is the same in each process of one build.
-pub(crate) fn stable_hash(value: impl Hash) -> u64 {
-    BuildHasherDefault::<DefaultHasher>::default().hash_one(value)
-}
--- a/crates/membership/src/probe_schedule.rs
+++ b/crates/membership/src/probe_schedule.rs
@@ -3,7 +3,7 @@
 use cedarpulley::interface::Micros;
 
 use crate::group::{Group, MemberIndex};
-use crate::member_table::stable_hash;
+use crate::stable_hash::stable_hash;
 
 /// The probe in flight.
 #[derive(Clone, Copy, Debug)]
--- a/crates/membership/tests/group.rs
+++ b/crates/membership/tests/group.rs
@@ -92,3 +92,10 @@
         fingerprint(vec![member("a", 1), member("b", 2)])
     );
 }
+
+/// Guards against a change of the hash, after which routers of two builds would reject each other, and a router its own
+/// folder.
+#[test]
+fn the_fingerprint_of_a_group_keeps_its_value() {
+    assert_eq!(group(&[1, 2, 1]).fingerprint, 0xc32a_2702_05ef_2334);
+}
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -55,9 +55,4 @@
 pub use store::{Key, RecordCopy};
 pub use wire::{Message, RecoveryState, VERSION};
 
-use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher, Hash};
-
-/// A hash that is the same in every process of the same build. Members compare such hashes with each other.
-pub(crate) fn hashed(of: impl Hash) -> u64 {
-    BuildHasherDefault::<DefaultHasher>::default().hash_one(of)
-}
+pub(crate) use cedarpulley_membership::stable_hash as hashed;
