Settings: unknown sections are reported instead of ignored

Operators: a file with [peer] in place of [peers] was good for check, and serve started a router without its group, which protects nothing from running twice, without a word.

Cause: the names at the top of the file were registered as known, but the check for unknown names was never called for the file itself.

Change: it is; the line names the key and the known ones, exit code 2.

Evidence: the new unknown-section.toml was good before ("colour", "peer" and "triggers" unreported) and has three lines now; the other files of check_keys.rs keep their lines, good files stay good.

--- a/crates/cli/tests/check_keys.rs
+++ b/crates/cli/tests/check_keys.rs
@@ -7,10 +7,11 @@
 
 use pinned::*;
 
-const FILES: [&str; 9] = [
+const FILES: [&str; 10] = [
     "good.toml",
     "good-list.toml",
     "unknown-key.toml",
+    "unknown-section.toml",
     "wrong-type.toml",
     "out-of-range.toml",
     "missing-key.toml",
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -88,6 +88,7 @@
     settings.clock_offset =
         (test_section.number("clock_offset_ms", -day..day, Some(0.0)) * 1000.0) as Micros;
     test_section.finish();
+    root.check_unknown_keys();
     settings.digest = digest(text.as_bytes());
     document.finish(settings)
 }
