--- a/crates/replica/tests/common/mod.rs
+++ b/crates/replica/tests/common/mod.rs
@@ -271,6 +271,18 @@
         }
     }
 
+    /// A member receives a message of another member's present process that was in transit for this time, in microseconds.
+    pub fn receive(&mut self, to: usize, from: MemberIndex, transit: i64, message: Message) {
+        let nonce = self.nonces[from as usize];
+        let input = Input::MessageReceived {
+            from,
+            nonce,
+            transit,
+            message,
+        };
+        self.handle(to, input);
+    }
+
     /// Delivers the messages in transit that match, and the messages sent in response if they match.
     pub fn deliver(&mut self, selects: impl Fn(MemberIndex, MemberIndex, &Message) -> bool) {
         while let Some(n) = self
--- a/crates/replica/tests/expired_choices.rs
+++ b/crates/replica/tests/expired_choices.rs
@@ -41,16 +41,7 @@
         lifetime: RETENTION,
     };
     w.in_transit.clear();
-    let nonce = w.nonces[0];
-    w.handle(
-        2,
-        Input::MessageReceived {
-            from: 0,
-            nonce,
-            transit: 0,
-            message,
-        },
-    );
+    w.receive(2, 0, 0, message);
     w.in_transit
         .iter()
         .any(|(_, _, _, _, message)| matches!(message, Message::Promise { .. }))
@@ -147,16 +138,7 @@
             ..old
         },
     };
-    let nonce = w.nonces[0];
-    w.handle(
-        2,
-        Input::MessageReceived {
-            from: 0,
-            nonce,
-            transit: 0,
-            message,
-        },
-    );
+    w.receive(2, 0, 0, message);
     assert!(promised(&w, 2) > second);
     assert!(!is_promised(&mut w, second));
 }
--- a/crates/replica/tests/recovery.rs
+++ b/crates/replica/tests/recovery.rs
@@ -267,16 +267,7 @@
             lifetime,
         };
         w.in_transit.clear();
-        let nonce = w.nonces[0];
-        w.handle(
-            2,
-            Input::MessageReceived {
-                from: 0,
-                nonce,
-                transit: 0,
-                message,
-            },
-        );
+        w.receive(2, 0, 0, message);
         w.in_transit.iter().find_map(|sent| match &sent.4 {
             Message::Nack { reason, .. } => Some(*reason),
             _ => None,
@@ -298,20 +289,12 @@
     w.deliver(|from, to, m| (from, to) == (1, 2) && matches!(m, Message::Fence { .. }));
     let is_promise = |m: &Message| matches!(m, Message::Fenced { .. });
     let late = w.in_transit.iter().find(|sent| is_promise(&sent.4));
-    let (from, _, nonce, _, promise) = late.cloned().expect("member 2 has promised");
+    let promise = late.cloned().expect("member 2 has promised").4;
     w.advance_delivering(3 * RETENTION, |_, _, _| false);
     assert!((1..3).all(|r| w.replica(r).record("x").is_none()));
     let decided = w.decisions[1]["x"].len();
     w.announce(1, "x", true);
-    w.handle(
-        1,
-        Input::MessageReceived {
-            from,
-            nonce,
-            transit: 3 * RETENTION,
-            message: promise,
-        },
-    );
+    w.receive(1, 2, 3 * RETENTION, promise);
     assert_eq!(
         w.decisions[1]["x"].len(),
         decided,
