Platform: the log says what follows a request when it is passed on and answered

Three causes were possible, and neither the log nor the counts told them apart: the rest of the body had been read and was not looked at; it arrived after the request had been passed on; or it could pass for the beginning of another request.

RequestQueue::following_input classifies what has arrived behind the request taken last: nothing, too little to tell, a further request, or bytes that begin no request. The debug lines "request passed to the router core" and "answer passed to the client" carry it. Nothing is decided on it yet.

--- a/crates/platform-node/src/client_connections/connection.rs
+++ b/crates/platform-node/src/client_connections/connection.rs
@@ -5,7 +5,7 @@
 use std::net::Shutdown;
 
 use cedarpulley_net::{Notifier, Stream};
-use cedarpulley_platform::client_protocol::{QueuedRequest, RequestQueue};
+use cedarpulley_platform::client_protocol::{FollowingInput, QueuedRequest, RequestQueue};
 use cedarpulley_platform::connection_limiter::ClientId;
 use cedarpulley_router::Answer;
 use futures_lite::FutureExt;
@@ -144,6 +144,11 @@
         self.requests.borrow().is_receiving()
     }
 
+    /// What has been read behind the request that was taken last.
+    pub fn following_input(&self) -> FollowingInput {
+        self.requests.borrow().following_input()
+    }
+
     /// Takes the next request that has been read and not served yet.
     pub fn take_request(&self) -> Option<QueuedRequest> {
         self.requests.borrow_mut().take()
--- a/crates/platform-node/src/client_connections/session.rs
+++ b/crates/platform-node/src/client_connections/session.rs
@@ -181,10 +181,14 @@
         let id = call.id.clone();
         let tag = self.clients().pending.add(connection.clone(), id.clone());
         let waited = self.now() - arrived;
+        let following = connection.following_input();
+        tracing::debug!(%id, ?following, "request passed to the router core");
         self.node
             .feed(Input::MessageArrived(incoming(delivery(tag), call, waited)));
         loop {
             if let Some(answer) = connection.take_answer() {
+                let following = connection.following_input();
+                tracing::debug!(%id, ?following, "answer passed to the client");
                 return Some(answer);
             }
             if connection.is_disconnected() {
--- a/crates/platform/src/client_protocol/mod.rs
+++ b/crates/platform/src/client_protocol/mod.rs
@@ -6,6 +6,7 @@
 //! of length may hide a second request in its body.
 
 mod call_fields;
+mod following_input;
 mod head;
 mod parser;
 mod queue;
@@ -18,6 +19,7 @@
 
 use crate::config::Names;
 
+pub use following_input::FollowingInput;
 pub use queue::{QueuedRequest, RequestQueue};
 pub use response::{Response, STATUS_REJECTED, health_status, status_of, write_response};
 
--- a/crates/platform/src/client_protocol/parser.rs
+++ b/crates/platform/src/client_protocol/parser.rs
@@ -1,7 +1,7 @@
 //! Decodes complete requests from the bytes of one connection, with a state machine over head and body.
 
 use super::head::{BodyFraming, Head, parse_head};
-use super::{MAX_BODY_BYTES, Request, RequestError, RequestKind, RequestRules};
+use super::{FollowingInput, MAX_BODY_BYTES, Request, RequestError, RequestKind, RequestRules};
 use crate::chunked::{Chunk, ChunkError, parse_chunk};
 
 /// Longest encoded form of a chunked body, in bytes. Without this limit a client could send chunks of one byte each,
@@ -22,7 +22,11 @@
         body: ChunkedBody,
     },
     /// The request is malformed, and nothing after it can be parsed.
-    Failed(RequestError),
+    Failed {
+        error: RequestError,
+        /// How the bytes of the malformed request count for the request before it.
+        input: FollowingInput,
+    },
 }
 
 /// Buffers and decodes the bytes of one connection that do not form a complete request yet.
@@ -30,12 +34,14 @@
 pub(super) struct Parser {
     bytes: Vec<u8>,
     state: State,
+    /// Whether empty lines were removed since the last request.
+    skipped_empty_lines: bool,
 }
 
 impl Parser {
     /// Appends bytes that were received.
     pub fn put(&mut self, bytes: &[u8]) {
-        if !matches!(self.state, State::Failed(_)) {
+        if !matches!(self.state, State::Failed { .. }) {
             self.bytes.extend_from_slice(bytes);
         }
     }
@@ -59,10 +65,7 @@
     pub fn next(&mut self, rules: &RequestRules) -> Result<Option<Request>, RequestError> {
         let next = self.advance(rules);
         match &next {
-            Err(error) => {
-                self.state = State::Failed(*error);
-                self.bytes = Vec::new();
-            }
+            Err(error) => self.fail(*error),
             // Idle connections keep no buffer.
             Ok(Some(_)) if self.bytes.is_empty() => self.bytes = Vec::new(),
             Ok(_) => {}
@@ -73,13 +76,17 @@
     fn advance(&mut self, rules: &RequestRules) -> Result<Option<Request>, RequestError> {
         loop {
             match std::mem::take(&mut self.state) {
-                State::Failed(error) => return Err(error),
+                State::Failed { error, input } => {
+                    self.state = State::Failed { error, input };
+                    return Err(error);
+                }
                 State::Head => {
                     self.skip_empty_lines();
                     let Some(head) = parse_head(&self.bytes, rules)? else {
                         return Ok(None);
                     };
                     self.bytes.drain(..head.length);
+                    self.skipped_empty_lines = false;
                     self.state = State::expecting_body(head);
                 }
                 State::SizedBody { request, length } => {
@@ -110,6 +117,38 @@
             .take_while(|byte| matches!(byte, b'\r' | b'\n'))
             .count();
         self.bytes.drain(..empty);
+        self.skipped_empty_lines |= empty > 0;
+    }
+
+    /// Records a malformed request, and drops its bytes.
+    fn fail(&mut self, error: RequestError) {
+        if !matches!(self.state, State::Failed { .. }) {
+            let input = self.malformed_input(error);
+            self.state = State::Failed { error, input };
+        }
+        self.bytes = Vec::new();
+    }
+
+    /// What has arrived behind the last complete request.
+    pub fn following_input(&self) -> FollowingInput {
+        match &self.state {
+            State::Head if self.bytes.is_empty() && self.skipped_empty_lines => {
+                FollowingInput::Undecided
+            }
+            State::Head => FollowingInput::of_partial_head(&self.bytes),
+            State::SizedBody { .. } | State::ChunkedBody { .. } => FollowingInput::Request,
+            State::Failed { input, .. } => *input,
+        }
+    }
+
+    /// How the buffered bytes, which are malformed, count for the request before them.
+    fn malformed_input(&self, error: RequestError) -> FollowingInput {
+        match error {
+            RequestError::MalformedHead | RequestError::HeadTooLong => {
+                FollowingInput::of_malformed_head(&self.bytes)
+            }
+            _ => FollowingInput::Request,
+        }
     }
 }
 
--- a/crates/platform/src/client_protocol/queue.rs
+++ b/crates/platform/src/client_protocol/queue.rs
@@ -9,7 +9,10 @@
 use cedarpulley::interface::Micros;
 
 use super::parser::Parser;
-use super::{MAX_BODY_BYTES, MAX_HEAD_BYTES, Request, RequestError, RequestKind, RequestRules};
+use super::{
+    FollowingInput, MAX_BODY_BYTES, MAX_HEAD_BYTES, Request, RequestError, RequestKind,
+    RequestRules,
+};
 
 /// Limit on the bytes of bodies and undecoded input that are stored while a response is pending: the size of one more
 /// request. No further request is stored once it is reached.
@@ -100,6 +103,15 @@
         !self.queued.is_empty() || self.overflow > 0 || self.malformed.is_some()
     }
 
+    /// What has arrived behind the request that was taken last.
+    pub fn following_input(&self) -> FollowingInput {
+        if self.queued.is_empty() && self.overflow == 0 {
+            self.parser.following_input()
+        } else {
+            FollowingInput::Request
+        }
+    }
+
     /// Whether a request has been received in part.
     pub fn is_receiving(&self) -> bool {
         !self.input_ended && self.parser.has_partial_request()
