Node: a request whose body is longer than its declared length is never served

Cause: a request ends at its declared length. That the length is wrong shows only in the bytes behind it, and these were looked at after the request had been executed and answered.

Change: RequestQueue::following_input decides. Bytes that begin no request end the request with 400 and a close: when it is taken, right before an attempt is sent, and while it is executed, when the core cancels the attempt as for a client that leaves. A success waits while empty lines or the first bytes of a method do not tell yet, as long as for any part of a request. Why this works: whatever is behind a request either begins a request, which pipelining clients keep, or is the rest of its body; both cases are decided on the bytes alone, before 200 is written.

Not told apart: a rest that begins like a request, and one that arrives after the answer.

--- a/crates/cli/tests/node_bad_input.rs
+++ b/crates/cli/tests/node_bad_input.rs
@@ -301,3 +301,92 @@
     assert_eq!(seen.lock().expect("seen").calls.len(), 1);
     drop(idle);
 }
+
+/// Guards against serving a request whose declared length cuts off its body: a worker ran the beginning of a body, and
+/// the client was told that its request had succeeded.
+#[test]
+fn a_request_longer_than_its_length_is_never_served() {
+    let w = world(34);
+    let decided = [
+        "}]",
+        "\"hour\": 7}",
+        "rest",
+        "PO ST",
+        "\r\n1;2\r\n",
+        "\u{0}",
+    ];
+    let undecided = ["\r\n", "P", "GET", "DELETE ", "\n\n"];
+    let mut clients = Vec::new();
+    for (n, rest) in decided.iter().chain(&undecided).enumerate() {
+        let text = call(&id(n as u32), "once", GOOD, "", "{\"slots\": [") + rest;
+        let mut stream = w.connect();
+        stream.write_all(text.as_bytes()).expect("sent");
+        clients.push((stream, rest));
+    }
+    for (stream, rest) in clients {
+        assert_rejected_once(stream, rest);
+    }
+    for (n, rest) in decided.iter().enumerate() {
+        assert_eq!(w.calls(&id(n as u32)), 0, "{rest:?}");
+    }
+    assert_served(&w, 1_000);
+}
+
+/// As above, but the rest of the body arrives while the beginning is being executed.
+#[test]
+fn a_rest_of_a_body_that_arrives_late_cancels_the_execution() {
+    let w = world(35);
+    for (n, rest) in ["}]", "rest", "P\r\n"].into_iter().enumerate() {
+        let id = id(n as u32);
+        let mut stream = w.connect();
+        let begin = call(&id, "once", KEPT, "", "{\"slots\": [");
+        stream.write_all(begin.as_bytes()).expect("sent");
+        w.until("the call is executed", |w| w.calls(&id) == 1);
+        stream.write_all(rest.as_bytes()).expect("sent");
+        assert_rejected_once(stream, rest);
+        w.until("the call is cancelled", |w| {
+            w.seen.lock().expect("seen").killed.contains(&id)
+        });
+        w.free(&id);
+    }
+    assert_served(&w, 1_000);
+}
+
+/// Reads the answer to a request that is longer than its length: a single one, after which the connection is closed.
+fn assert_rejected_once(stream: TcpStream, rest: &str) {
+    let mut answers = BufReader::new(stream);
+    assert_eq!(answer(&mut answers).expect("an answer").0, 400, "{rest:?}");
+    assert_eq!(answers.read(&mut [0]).unwrap_or(0), 0, "{rest:?}");
+}
+
+/// Guards against rejecting the requests of clients that send the next one before the answer, in pieces, after empty
+/// lines, or malformed.
+#[test]
+fn pipelined_requests_are_answered_however_they_arrive() {
+    let w = world(36);
+    let second = "GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n";
+    let mut next_id = 0;
+    for lines in ["", "\r\n"] {
+        for cut in [1, 3, 4, 5, 20] {
+            next_id += 1;
+            let (id, first) = (id(next_id), call(&id(next_id), "once", GOOD, "", "body"));
+            let mut stream = w.connect();
+            let head = format!("{first}{lines}{}", &second[..cut]);
+            stream.write_all(head.as_bytes()).expect("sent");
+            w.until("the call is executed", |w| w.calls(&id) == 1);
+            w.turns();
+            stream.write_all(&second.as_bytes()[cut..]).expect("sent");
+            let mut answers = BufReader::new(stream);
+            for _ in 0..2 {
+                assert_eq!(answer(&mut answers).expect("an answer").0, 200, "{head:?}");
+            }
+        }
+    }
+    let text = call(&id(100), "once", GOOD, "", "body") + "PUT /elsewhere HTTP/1.1\r\n\r\n";
+    let mut stream = w.connect();
+    stream.write_all(text.as_bytes()).expect("sent");
+    let mut answers = BufReader::new(stream);
+    for status in [200, 404] {
+        assert_eq!(answer(&mut answers).expect("an answer").0, status);
+    }
+}
--- a/crates/platform-node/src/client_connections/connection.rs
+++ b/crates/platform-node/src/client_connections/connection.rs
@@ -4,10 +4,12 @@
 use std::io::{ErrorKind, Write};
 use std::net::Shutdown;
 
-use cedarpulley_net::{Notifier, Stream};
+use async_io::Timer;
+use cedarpulley::interface::Micros;
+use cedarpulley_net::{Notifier, Stream, duration_from_micros};
 use cedarpulley_platform::client_protocol::{FollowingInput, QueuedRequest, RequestQueue};
 use cedarpulley_platform::connection_limiter::ClientId;
-use cedarpulley_router::Answer;
+use cedarpulley_router::{Answer, FinalOutcome};
 use futures_lite::FutureExt;
 
 use crate::node::Node;
@@ -81,9 +83,14 @@
         self.wake();
     }
 
-    /// Takes the answer to the pending request; `None` if there is none yet.
-    pub fn take_answer(&self) -> Option<Answer> {
-        self.answer.take()
+    /// Takes the answer to the pending request, unless it has to wait; `None` if there is none yet. A success has to
+    /// wait while the input behind the request is undecided, because it may show that the worker got only a part of the
+    /// body.
+    pub fn take_answer(&self, following: FollowingInput) -> Option<Answer> {
+        let is_decided = following != FollowingInput::Undecided;
+        self.answer
+            .borrow_mut()
+            .take_if(|answer| is_decided || answer.outcome != FinalOutcome::Succeeded)
     }
 
     /// Whether a read has shown that the client closed its sending side, or that the connection failed.
@@ -91,6 +98,19 @@
         self.disconnected.get()
     }
 
+    /// As [`ClientConnection::wait`], but undecided input behind the pending request is waited for only while it may still
+    /// begin a request.
+    pub async fn wait_while_pending(&self, now: Micros, following: FollowingInput) {
+        if following != FollowingInput::Undecided {
+            return self.wait().await;
+        }
+        let until = self.requests.borrow().undecided_until();
+        let decided = async {
+            Timer::after(duration_from_micros(until - now)).await;
+        };
+        self.wait().or(decided).await;
+    }
+
     /// Waits until the connection is readable or its task is woken.
     pub async fn wait(&self) {
         let readable = async {
@@ -144,9 +164,13 @@
         self.requests.borrow().is_receiving()
     }
 
-    /// What has been read behind the request that was taken last.
-    pub fn following_input(&self) -> FollowingInput {
-        self.requests.borrow().following_input()
+    /// What has been read behind the request that was taken last. After a client has disconnected, undecided input
+    /// becomes no request.
+    pub fn following_input(&self, now: Micros) -> FollowingInput {
+        match self.requests.borrow().following_input(now) {
+            FollowingInput::Undecided if self.is_disconnected() => FollowingInput::NotARequest,
+            input => input,
+        }
     }
 
     /// Takes the next request that has been read and not served yet.
--- a/crates/platform-node/src/client_connections/mod.rs
+++ b/crates/platform-node/src/client_connections/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 use cedarpulley_net::Stream;
-use cedarpulley_platform::client_protocol::{RequestError, RequestRules};
+use cedarpulley_platform::client_protocol::{FollowingInput, RequestError, RequestRules};
 use cedarpulley_platform::connection_limiter::{ClientId, ConnectionLimiter};
 use cedarpulley_router::{Answer, Delivery, Input};
 
@@ -171,25 +171,28 @@
         node.feed(Input::AnswerDelivered(delivery));
     }
 
-    /// Whether the client of this request has disconnected; if so, the core is notified. This is checked right before
-    /// an attempt is sent, because the disconnection may have arrived since the last read from the connection.
-    pub fn has_disconnected(&self, node: &Rc<Node>, request_id: &str) -> bool {
+    /// Whether this request may not be executed any more, because its client has disconnected or its length has turned
+    /// out to be wrong; if so, the core is notified. This is checked right before an attempt is sent, because either may
+    /// have arrived since the last read from the connection.
+    pub fn is_withdrawn(&self, node: &Rc<Node>, request_id: &str) -> bool {
         let Some((tag, connection)) = self.pending.find(request_id) else {
             return true;
         };
         connection.read_available(node);
-        if !connection.is_disconnected() {
+        let has_wrong_length =
+            connection.following_input(node.clock.now()) == FollowingInput::NotARequest;
+        if !connection.is_disconnected() && !has_wrong_length {
             return false;
         }
         connection.wake();
-        self.notify_departure(node, tag);
+        self.withdraw(node, tag);
         true
     }
 
-    /// Notifies the core that the client has disconnected from a request, unless the request has been answered.
-    fn notify_departure(&self, node: &Rc<Node>, tag: Tag) {
+    /// Notifies the core that no answer to a request is awaited any more, unless the request has been answered.
+    fn withdraw(&self, node: &Rc<Node>, tag: Tag) {
         if let Some((id, _)) = self.pending.remove(tag) {
-            tracing::debug!(%id, "client disconnected before the answer");
+            tracing::debug!(%id, "request withdrawn before the answer");
             node.feed(Input::ClientLeft(delivery(tag)));
         }
     }
--- a/crates/platform-node/src/client_connections/session.rs
+++ b/crates/platform-node/src/client_connections/session.rs
@@ -5,8 +5,8 @@
 
 use cedarpulley::interface::Micros;
 use cedarpulley_platform::client_protocol::{
-    Call, MAX_DISCARDED_BYTES, QueuedRequest, RequestError, RequestKind, Response, STATUS_REJECTED,
-    health_status, status_of, write_response,
+    Call, FollowingInput, MAX_DISCARDED_BYTES, QueuedRequest, RequestError, RequestKind, Response,
+    STATUS_REJECTED, health_status, status_of, write_response,
 };
 use cedarpulley_platform::connection_limiter::ConnectionLimiter;
 use cedarpulley_router::{Answer, Delivery, IncomingInvocation, Input, Payload};
@@ -40,6 +40,15 @@
     Ended,
 }
 
+/// Why a call that was passed to the core gets no answer of the core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Withdrawal {
+    /// The client has disconnected.
+    Disconnected,
+    /// The body is longer than its declared length.
+    LengthMismatch,
+}
+
 /// The task of a client connection.
 pub(super) struct Session {
     node: Rc<Node>,
@@ -136,6 +145,10 @@
             Ok(request) => request,
             Err(error) => return Some(self.reject(error)),
         };
+        self.connection.read_available(&self.node);
+        if self.connection.following_input(self.now()) == FollowingInput::NotARequest {
+            return Some(self.reject(RequestError::LengthMismatch));
+        }
         if let RequestKind::Call(call) = &request.kind
             && self.clients().pending.contains(&call.id)
         {
@@ -152,7 +165,13 @@
             }
             RequestKind::Call(call) => {
                 let deadline = Some(arrived + call.client_timeout);
-                let answer = self.execute(call, arrived).await?;
+                let answer = match self.execute(call, arrived).await {
+                    Ok(answer) => answer,
+                    Err(Withdrawal::Disconnected) => return None,
+                    Err(Withdrawal::LengthMismatch) => {
+                        return Some(self.reject(RequestError::LateLengthMismatch));
+                    }
+                };
                 let response = Response {
                     status: status_of(answer.outcome),
                     retry_after: answer.retry_after,
@@ -175,31 +194,38 @@
         Reply::bare(error.status(), !keep_open)
     }
 
-    /// Passes a call to the core and waits for the answer; `None` if the client has disconnected before it.
-    async fn execute(&self, call: Call, arrived: Micros) -> Option<Answer> {
+    /// Passes a call to the core and waits for the answer.
+    async fn execute(&self, call: Call, arrived: Micros) -> Result<Answer, Withdrawal> {
         let connection = &self.connection;
         let id = call.id.clone();
         let tag = self.clients().pending.add(connection.clone(), id.clone());
         let waited = self.now() - arrived;
-        let following = connection.following_input();
+        let following = connection.following_input(self.now());
         tracing::debug!(%id, ?following, "request passed to the router core");
         self.node
             .feed(Input::MessageArrived(incoming(delivery(tag), call, waited)));
         loop {
-            if let Some(answer) = connection.take_answer() {
-                let following = connection.following_input();
+            let following = connection.following_input(self.now());
+            if following == FollowingInput::NotARequest {
+                tracing::debug!(%id, "the bytes behind the request begin no request");
+                self.clients().withdraw(&self.node, tag);
+                return Err(Withdrawal::LengthMismatch);
+            }
+            if let Some(answer) = connection.take_answer(following) {
                 tracing::debug!(%id, ?following, "answer passed to the client");
-                return Some(answer);
+                return Ok(answer);
             }
             if connection.is_disconnected() {
                 // A client may close its sending side while its answer is unread on a connection to a worker, so that
                 // one wake-up finds both. The answer is read first: if the core were notified of the disconnection
                 // first, it would cancel the attempt.
                 self.node.workers.read_answers_to(&self.node, &id);
-                self.clients().notify_departure(&self.node, tag);
-                return connection.take_answer();
+                self.clients().withdraw(&self.node, tag);
+                return connection
+                    .take_answer(following)
+                    .ok_or(Withdrawal::Disconnected);
             }
-            connection.wait().await;
+            connection.wait_while_pending(self.now(), following).await;
             connection.read_available(&self.node);
         }
     }
--- a/crates/platform-node/src/worker_connections/sending.rs
+++ b/crates/platform-node/src/worker_connections/sending.rs
@@ -111,7 +111,7 @@
                 in_time
                     && !is_retired()
                     && self.node.may_send(ticket)
-                    && !self.node.clients.has_disconnected(self.node, &queued.id)
+                    && !self.node.clients.is_withdrawn(self.node, &queued.id)
             }
             Some(Purpose::LoadOrder(ticket)) => {
                 !is_retired() && self.node.may_send_load_order(ticket)
--- a/crates/platform/src/client_protocol/mod.rs
+++ b/crates/platform/src/client_protocol/mod.rs
@@ -4,6 +4,9 @@
 //! A malformed or ambiguous request is rejected before anything reaches a worker, and its connection is closed after
 //! the rejection, because it is no longer certain where the next request begins. For example, a request with both kinds
 //! of length may hide a second request in its body.
+//!
+//! Nothing in a request shows that its body is longer than its declared length, only the bytes behind it do: they begin
+//! no request ([`FollowingInput`]). Such a request is rejected as well, and its execution is cancelled if it has begun.
 
 mod call_fields;
 mod following_input;
@@ -113,6 +116,11 @@
     BodyTooLong,
     /// The chunks of the body are malformed.
     MalformedChunks,
+    /// Bytes that begin no request follow the request: its body is longer than its declared length. The request was
+    /// not executed.
+    LengthMismatch,
+    /// As [`RequestError::LengthMismatch`], but the bytes arrived while the request was being executed.
+    LateLengthMismatch,
     /// A header field of the protocol is repeated, is missing or has an invalid value.
     InvalidField,
     /// The request has the field `Expect`, which is not supported.
@@ -131,6 +139,8 @@
         match self {
             RequestError::MalformedHead
             | RequestError::InvalidLength
+            | RequestError::LengthMismatch
+            | RequestError::LateLengthMismatch
             | RequestError::MalformedChunks
             | RequestError::InvalidField => 400,
             RequestError::HeadTooLong => 431,
--- a/crates/platform/src/client_protocol/queue.rs
+++ b/crates/platform/src/client_protocol/queue.rs
@@ -13,6 +13,7 @@
     FollowingInput, MAX_BODY_BYTES, MAX_HEAD_BYTES, Request, RequestError, RequestKind,
     RequestRules,
 };
+use crate::connection_limiter::REQUEST_TIMEOUT;
 
 /// Limit on the bytes of bodies and undecoded input that are stored while a response is pending: the size of one more
 /// request. No further request is stored once it is reached.
@@ -103,13 +104,23 @@
         !self.queued.is_empty() || self.overflow > 0 || self.malformed.is_some()
     }
 
-    /// What has arrived behind the request that was taken last.
-    pub fn following_input(&self) -> FollowingInput {
-        if self.queued.is_empty() && self.overflow == 0 {
-            self.parser.following_input()
-        } else {
-            FollowingInput::Request
+    /// What has arrived behind the request that was taken last. Undecided bytes that are not continued within the time
+    /// for a request begin none.
+    pub fn following_input(&self, now: Micros) -> FollowingInput {
+        if !self.queued.is_empty() || self.overflow > 0 {
+            return FollowingInput::Request;
         }
+        match self.parser.following_input() {
+            FollowingInput::Undecided if now >= self.undecided_until() => {
+                FollowingInput::NotARequest
+            }
+            input => input,
+        }
+    }
+
+    /// Time from which undecided input counts as [`FollowingInput::NotARequest`], in microseconds of the router's clock.
+    pub fn undecided_until(&self) -> Micros {
+        self.last_arrival + REQUEST_TIMEOUT
     }
 
     /// Whether a request has been received in part.
--- a/crates/platform/src/connection_limiter.rs
+++ b/crates/platform/src/connection_limiter.rs
@@ -31,7 +31,7 @@
 /// Time within which a request must be complete, in microseconds. Clients send a request in one piece, and the protocol
 /// requires that a misbehaving client is rejected or closed within 3 s of connecting. A response must be read within
 /// the same time, unless the client's own deadline is later.
-const REQUEST_TIMEOUT: Micros = 2_000_000;
+pub(crate) const REQUEST_TIMEOUT: Micros = 2_000_000;
 /// Time after the last response at which a connection is closed, in microseconds. A well-behaved client closes it at
 /// once; any other may still be sending input, which is discarded.
 const LINGER_TIMEOUT: Micros = 1_500_000;
--- a/crates/platform/tests/client_protocol.rs
+++ b/crates/platform/tests/client_protocol.rs
@@ -469,6 +469,62 @@
     );
 }
 
+/// Guards against taking the rest of a body for a further request, and a further request for the rest of a body.
+#[test]
+fn input_behind_a_request_shows_whether_its_length_is_right() {
+    let following = |rest: &[u8]| {
+        let mut queue = queue(&[&request("00000000000000aa", "", b"hi"), rest].concat());
+        assert!(queue.take().expect("complete").request.is_ok());
+        queue.following_input(0)
+    };
+    let next = request("00000000000000ab", "", b"hi");
+    assert_eq!(following(b""), FollowingInput::Nothing);
+    for end in 1..=next.len() {
+        let expected = if end < b"POST /".len() {
+            FollowingInput::Undecided
+        } else {
+            FollowingInput::Request
+        };
+        assert_eq!(following(&next[..end]), expected, "{end}");
+        assert_eq!(following(&[b"\r\n", &next[..end]].concat()), expected);
+    }
+    let malformed = [
+        &b"POST /x HTTP/1.1\r\nX\0: y\r\n\r\n"[..],
+        b"GET / HTTP/1.1\r\n\xff",
+    ];
+    let long = [b"GET / HTTP/1.1\r\nX: ", &[b'y'; 20_000][..]].concat();
+    for text in malformed.into_iter().chain([&long[..]]) {
+        assert_eq!(following(text), FollowingInput::Request);
+    }
+    assert_eq!(following(b"\r\n\n\r\n"), FollowingInput::Undecided);
+    for rest in [
+        &b"}"[..],
+        b"rest",
+        b"post /",
+        b"POST it",
+        b"GETS",
+        b" ",
+        b"\0",
+        b"\r\nrest",
+        b"GET / of the list\r\n",
+        &[b'a'; 20_000],
+    ] {
+        assert_eq!(following(rest), FollowingInput::NotARequest, "{rest:?}");
+    }
+}
+
+/// Undecided input becomes a request soon or never: a client that is not sending one waits for its answer.
+#[test]
+fn undecided_input_counts_as_no_request_after_a_while() {
+    let mut queue = queue(&[&request("00000000000000aa", "", b"hi")[..], b"P"].concat());
+    assert!(queue.take().expect("complete").request.is_ok());
+    let until = queue.undecided_until();
+    assert_eq!(queue.following_input(until - 1), FollowingInput::Undecided);
+    assert_eq!(queue.following_input(until), FollowingInput::NotARequest);
+    queue.put(until - 1, b"OST /", &rules());
+    assert_eq!(queue.following_input(until), FollowingInput::Request);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(19), failure_persistence: None, cases: 200, ..ProptestConfig::default()
