Node: an answer whose body is longer than its declared length is not passed on

What callers saw: 200 with the beginning of a worker's body, for answers whose length ends right before a CR LF of the body.

Cause: CR LF at the declared length was the only check. The bytes behind it were looked at after the answer had been used, though they had mostly been read together with it.

Change: AnswerReader::next returns an answer only if nothing has arrived behind it, or the line of a further answer; other bytes are LengthMismatch, and the attempt may have run. A read that fills the buffer is followed by another before answers are processed. Why this works: on these connections only an answer can follow an answer, and the rest of a body always ends in the CR LF that closes it, so that one line decides.

Not told apart: a rest that arrives after the answer was used.

Measured: an_answer_longer_than_its_length_is_an_error and the new case of invalid_answers_affect_only_their_invocation failed before (answer decoded; 200).

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -165,7 +165,7 @@
 fn invalid_answers_affect_only_their_invocation() {
     // A non-idempotent invocation that may have run is dispatched once and answered with an error. Each case has a new
     // router, because the balancer avoids a worker whose last answer was invalid.
-    for (n, function) in [(2, NOISE), (3, HUGE), (4, HALF)] {
+    for (n, function) in [(2, NOISE), (3, HUGE), (4, HALF), (6, CUT)] {
         let w = World::new(10 + n as u16);
         // A valid answer, together with answers that do not belong to the invocation.
         let a = w
--- a/crates/cli/tests/node_bad_input.rs
+++ b/crates/cli/tests/node_bad_input.rs
@@ -188,7 +188,7 @@
     assert_served(&w, 1_000);
     let before = descriptors(&w);
     let mut broken = 0;
-    for (n, function) in [TWICE, NOISE, HALF, HUGE].into_iter().enumerate() {
+    for (n, function) in [TWICE, NOISE, HALF, HUGE, CUT].into_iter().enumerate() {
         for m in 0..8 {
             let number = (n * 100 + m) as u32;
             let text = call(&id(number), "plain", function, "", "x")
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -31,6 +31,8 @@
 pub const HUGE: &str = "00000000000000a4";
 /// Answered with a body that is shorter than its announced length.
 pub const HALF: &str = "00000000000000a5";
+/// Answered with a body that is longer than its announced length, which ends right before a CR LF of the body.
+pub const CUT: &str = "00000000000000a6";
 
 /// Returns an unused loopback address. It is derived from the process id, so that test processes do not collide;
 /// `part` separates the tests.
@@ -137,6 +139,7 @@
         TWICE => [b"ffffffffffffffff ok - 3\r\nxyz\r\n", &good[..], &good[..]].concat(),
         HUGE => format!("{id} ok - 3221225472\r\nmore and more").into_bytes(),
         HALF => format!("{id} ok - 10\r\nhalf").into_bytes(),
+        CUT => format!("{id} ok - 8\r\npart;1.0\r\npart;2.0\r\n\r\n").into_bytes(),
         KEPT => {
             answer_once_freed(id, good, out, seen);
             Vec::new()
--- a/crates/platform-node/src/worker_connections/session.rs
+++ b/crates/platform-node/src/worker_connections/session.rs
@@ -92,15 +92,40 @@
         }
     }
 
-    /// Reads once without waiting, and processes the complete answers.
+    /// Reads without waiting, and processes the complete answers. After a read that filled the buffer, the bytes that
+    /// did not fit are read first: they may show that the last answer is not whole.
     fn read(self, stream: &Stream) -> ReadResult<()> {
-        let result = self
-            .node
-            .read(stream, |bytes| self.connection.add_bytes(bytes));
-        if let ReadResult::Bytes(()) = result {
+        let (mut has_bytes, mut has_ended) = (false, false);
+        for _ in 0..MAX_READS {
+            let length = match self.read_once(stream) {
+                ReadResult::Bytes(length) => length,
+                ReadResult::Nothing => break,
+                ReadResult::Ended => {
+                    has_ended = true;
+                    break;
+                }
+            };
+            has_bytes = true;
+            if length < READ_SIZE {
+                break;
+            }
+        }
+        if has_bytes {
             self.process_answers();
         }
-        result
+        match (has_ended, has_bytes) {
+            (true, _) => ReadResult::Ended,
+            (false, true) => ReadResult::Bytes(()),
+            (false, false) => ReadResult::Nothing,
+        }
+    }
+
+    /// Reads once without waiting; returns the number of bytes.
+    fn read_once(self, stream: &Stream) -> ReadResult<usize> {
+        self.node.read(stream, |bytes| {
+            self.connection.add_bytes(bytes);
+            bytes.len()
+        })
     }
 
     fn process_answers(self) {
--- a/crates/platform/src/worker_protocol.rs
+++ b/crates/platform/src/worker_protocol.rs
@@ -4,6 +4,10 @@
 //! A connection is closed after an answer that is malformed, whose line is longer than its limit, or that declares a
 //! body longer than its limit: the bytes after it cannot be attributed to answers. No memory is allocated for a
 //! declared length before the bytes arrive.
+//!
+//! A body that is longer than its declared length passes for a shorter one if CR LF stands at that length. Only the bytes
+//! behind the answer show this: they are no line of an answer. An answer is therefore decoded only once nothing more has
+//! arrived behind it, or the line of a further answer.
 
 use std::io::Write;
 
@@ -116,6 +120,8 @@
     Length,
     /// CR LF does not follow the body at its declared length.
     BodyEnd,
+    /// Bytes that begin no answer follow the body at its declared length: the body is longer.
+    LengthMismatch,
 }
 
 /// Decodes answers from the bytes received on one connection.
@@ -137,8 +143,9 @@
         !self.bytes.is_empty()
     }
 
-    /// Removes and returns the next complete answer, if there is one. `report_fields` are the values of the load report
-    /// to decode. After an error, no further answer can be read from the connection.
+    /// Removes and returns the next complete answer, if there is one and no part of a line has arrived behind it.
+    /// `report_fields` are the values of the load report to decode. After an error, no further answer can be read from
+    /// the connection.
     pub fn next(&mut self, report_fields: &[ReportField]) -> Result<Option<Answer>, AnswerError> {
         let Some(line_length) = self.line_length()? else {
             return Ok(None);
@@ -156,6 +163,9 @@
         if ending != LINE_END {
             return Err(AnswerError::BodyEnd);
         }
+        if !is_whole_answer(&self.bytes[answer_end..], report_fields)? {
+            return Ok(None);
+        }
         answer.body = Bytes::copy_from_slice(&self.bytes[body_start..body_end]);
         self.discard(answer_end);
         Ok(Some(answer))
@@ -183,6 +193,26 @@
     }
 }
 
+/// Whether an answer is whole, by the bytes behind it: there are none, or the line of a further answer. Returns false
+/// while that line is incomplete, and an error if it is malformed.
+fn is_whole_answer(following: &[u8], report_fields: &[ReportField]) -> Result<bool, AnswerError> {
+    if following.is_empty() {
+        return Ok(true);
+    }
+    let line_feed = following.iter().position(|byte| *byte == b'\n');
+    if line_feed.unwrap_or(following.len()) > MAX_LINE_BYTES {
+        return Err(AnswerError::LengthMismatch);
+    }
+    let Some(line_length) = line_feed else {
+        return Ok(false);
+    };
+    following[..line_length]
+        .strip_suffix(b"\r")
+        .and_then(|line| parse_line(line, report_fields).ok())
+        .map(|_| true)
+        .ok_or(AnswerError::LengthMismatch)
+}
+
 /// Parses the line of an answer; returns the answer without its body, and the length of the body in bytes.
 fn parse_line(line: &[u8], report_fields: &[ReportField]) -> Result<(Answer, usize), AnswerError> {
     let line = std::str::from_utf8(line).map_err(|_| AnswerError::Line)?;
--- a/crates/platform/tests/worker_protocol.rs
+++ b/crates/platform/tests/worker_protocol.rs
@@ -91,6 +91,46 @@
     );
 }
 
+/// Guards against using an answer whose declared length ends right before a CR LF of its body: the client got the
+/// beginning of the body as the whole of it.
+#[test]
+fn an_answer_longer_than_its_length_is_an_error() {
+    let good = b"a ok - 3\r\nx;1\r\n";
+    for rest in [
+        &b"\r\n"[..],
+        b"y;2\r\n\r\n",
+        b"a ok - -\r\n",
+        b"a ok - 0\n\r\n",
+        &[b'y'; 5_000],
+    ] {
+        let mut reader = AnswerReader::default();
+        reader.put(&[good, &rest[..1]].concat());
+        assert_eq!(reader.next(&[]), Ok(None), "{rest:?}");
+        reader.put(&rest[1..]);
+        assert_eq!(
+            reader.next(&[]),
+            Err(AnswerError::LengthMismatch),
+            "{rest:?}"
+        );
+    }
+}
+
+/// A further answer may follow in pieces. It is used only once it is complete, the one before it once its line is.
+#[test]
+fn an_answer_followed_by_the_beginning_of_another_is_used() {
+    let mut reader = AnswerReader::default();
+    reader.put(b"a ok - 3\r\nx;1\r\nb ok - 4");
+    assert_eq!(reader.next(&[]), Ok(None));
+    reader.put(b"\r\nbo");
+    let first = reader.next(&[]).expect("good").expect("complete");
+    assert_eq!((&*first.id, &first.body[..]), ("a", &b"x;1"[..]));
+    assert_eq!(reader.next(&[]), Ok(None));
+    reader.put(b"dy\r\n");
+    let second = reader.next(&[]).expect("good").expect("complete");
+    assert_eq!((&*second.id, &second.body[..]), ("b", &b"body"[..]));
+    assert!(!reader.has_partial_answer());
+}
+
 #[test]
 #[expect(
     clippy::too_many_lines,
