Platform: a discovery response with bytes behind it is not applied

A response followed by further bytes renewed the lease of the endpoint list, and the bytes counted as the response to a poll that had not been sent yet.

Cause: the reader handed out a response by its declared length and kept the rest. Lists that are cut off were never applied, because no beginning of a JSON object is valid JSON.

Why this works: each poll has one response, and the next poll is sent only after it.

Measured: a_discovery_response_longer_than_its_length_is_an_error failed before (rest "}"), passes now.

--- a/crates/platform/src/discovery/error.rs
+++ b/crates/platform/src/discovery/error.rs
@@ -52,6 +52,9 @@
     /// The chunks of a response are longer than the limit.
     #[error("a chunked discovery response exceeds the limit of {max_bytes} bytes", max_bytes = MAX_RESPONSE_BYTES)]
     ChunksTooLong,
+    /// Further bytes follow a response.
+    #[error("a discovery response is longer than its declared length")]
+    LengthMismatch,
     /// The size or the end of a chunk is malformed.
     #[error("a chunk of a discovery response is malformed")]
     MalformedChunk,
--- a/crates/platform/src/discovery/response_reader.rs
+++ b/crates/platform/src/discovery/response_reader.rs
@@ -40,7 +40,8 @@
         self.bytes.extend_from_slice(bytes);
     }
 
-    /// Removes the next complete response, if there is one, and returns its events.
+    /// Removes the next complete response, if there is one, and returns its events. Each poll has one response, so that
+    /// bytes behind a response show that it is longer than its declared length; empty lines are ignored.
     pub fn next_batch(&mut self) -> Result<Option<EventBatch>> {
         let Some(head) = parse_head(&self.bytes)? else {
             return Ok(None);
@@ -60,6 +61,9 @@
             },
         };
         self.bytes.drain(..head.length + body_length);
+        if self.bytes.iter().any(|byte| !b"\r\n".contains(byte)) {
+            return Err(DiscoveryError::LengthMismatch);
+        }
         self.bytes.shrink_to(MAX_HEAD_BYTES);
         let batch = serde_json::from_slice(&body).map_err(DiscoveryError::MalformedEvents)?;
         Ok(Some(batch))
--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -235,6 +235,35 @@
     }
 }
 
+/// Guards against renewing the lease of the endpoint list by a response whose declared length is wrong, and against
+/// taking the bytes behind it for the response to the next poll. Empty lines carry nothing and are ignored.
+#[test]
+fn a_discovery_response_longer_than_its_length_is_an_error() {
+    let body = r#"{"cursor":4,"cmds":[]}"#;
+    let good = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let chunked = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
+        body.len()
+    );
+    for text in [&good, &chunked] {
+        for rest in ["}", "rest", "\r\nHTTP", &good] {
+            let mut responses = ResponseReader::default();
+            responses.put(format!("{text}{rest}").as_bytes());
+            assert!(responses.next_batch().is_err(), "{rest:?}");
+        }
+        for empty in ["\n", "\r\n\r\n"] {
+            let mut responses = ResponseReader::default();
+            for _ in 0..2 {
+                responses.put(format!("{text}{empty}").as_bytes());
+                assert!(responses.next_batch().expect("good").is_some());
+            }
+        }
+    }
+}
+
 /// Operators know these names from the logs, so the messages keep them although the exported types have other names.
 #[test]
 fn parse_errors_keep_the_names_of_the_wire_types() {
