AMQP: a message whose body is longer than its header states is not executed

A message with a content header that states too small a size was passed to the core with the beginning of its body, if the rest came in a body frame of its own. The connection failed for that frame, while the invocation ran on and could answer the redelivery.

Cause: a delivery is complete at the stated size, and the error of the frame behind it did not concern the delivery.

Change: a body frame behind a complete delivery is BodyTooLong, and the delivery is withdrawn: its event is taken back if it was not handed out yet, and Event::Withdrawn has the front withdraw the invocation. Why this works: frames of a channel are in order, so that a body frame without its header belongs to the delivery before it.

Measured: a_message_with_a_body_longer_than_its_header_states_is_withdrawn failed before (the message was delivered), passes now. The front's handling of the event was not played over sockets.

--- a/crates/amqp/src/connection.rs
+++ b/crates/amqp/src/connection.rs
@@ -131,11 +131,25 @@
         self.liveness.on_received(now);
         self.reader.feed(bytes);
         while let Some(frame) = self.reader.next_frame()? {
-            self.on_frame(now, frame, events)?;
+            let result = self.on_frame(now, frame, events);
+            if result == Err(ProtocolError::BodyTooLong) {
+                self.withdraw_delivery(events);
+            }
+            result?;
         }
         Ok(())
     }
 
+    /// Withdraws the delivery to which a body frame has arrived after its body was complete.
+    fn withdraw_delivery(&self, events: &mut Vec<Event>) {
+        let Some(delivery_tag) = self.deliveries.completed() else {
+            return;
+        };
+        let is_withdrawn = |event: &Event| matches!(event, Event::Delivered(message) if message.delivery_tag == delivery_tag);
+        events.retain(|event| !is_withdrawn(event));
+        events.push(Event::Withdrawn { delivery_tag });
+    }
+
     /// Sends a heartbeat if one is due. Fails if the broker is silent or does not reply in time. To be called at
     /// [`Self::next_due`].
     pub fn tick(&mut self, now: Micros) -> Result<(), ConnectionError> {
--- a/crates/amqp/src/connection/delivery.rs
+++ b/crates/amqp/src/connection/delivery.rs
@@ -33,6 +33,8 @@
     /// Size limit of a body in bytes; larger bodies are discarded while they arrive.
     max_body: u64,
     partial: Option<PartialDelivery>,
+    /// Tag of the last complete delivery, until the next one starts.
+    completed: Option<u64>,
 }
 
 impl DeliveryAssembler {
@@ -40,12 +42,19 @@
         DeliveryAssembler {
             max_body,
             partial: None,
+            completed: None,
         }
     }
 
-    /// Discards the incomplete delivery.
+    /// Forgets all deliveries, the incomplete one included.
     pub(super) fn clear(&mut self) {
         self.partial = None;
+        self.completed = None;
+    }
+
+    /// Tag of the last complete delivery; `None` once the next one has started.
+    pub(super) fn completed(&self) -> Option<u64> {
+        self.completed
     }
 
     /// Handles the method `basic.deliver`, which starts a delivery.
@@ -53,6 +62,7 @@
         if self.partial.is_some() {
             return Err(ProtocolError::unexpected("a delivery within another"));
         }
+        self.completed = None;
         self.partial = Some(PartialDelivery {
             tag: deliver.delivery_tag,
             redelivered: deliver.redelivered,
@@ -86,7 +96,10 @@
             .as_mut()
             .and_then(|partial| Some((partial.header.as_ref()?.0, partial)))
         else {
-            return Err(ProtocolError::unexpected("a body without its header"));
+            return Err(match self.completed {
+                Some(_) => ProtocolError::BodyTooLong,
+                None => ProtocolError::unexpected("a body without its header"),
+            });
         };
         partial.received += part.len() as u64;
         if partial.received > size {
@@ -101,6 +114,7 @@
     fn take_complete(&mut self) -> Option<Message> {
         let complete = self.partial.take_if(|partial| partial.is_complete())?;
         let (size, properties) = complete.header?;
+        self.completed = Some(complete.tag);
         Some(Message {
             delivery_tag: complete.tag,
             redelivered: complete.redelivered,
--- a/crates/amqp/src/connection/types.rs
+++ b/crates/amqp/src/connection/types.rs
@@ -60,6 +60,12 @@
     Ready,
     /// A message was delivered.
     Delivered(Box<Message>),
+    /// The body of a message that was delivered is longer than its header states, so that only its beginning is known.
+    /// The connection fails after this event.
+    Withdrawn {
+        /// The tag of the delivery.
+        delivery_tag: u64,
+    },
     /// The answers to these deliveries are committed.
     Committed(Vec<u64>),
     /// The broker blocked the connection and accepts no messages (true), or unblocked it (false).
--- a/crates/amqp/tests/protocol_violations.rs
+++ b/crates/amqp/tests/protocol_violations.rs
@@ -305,6 +305,40 @@
     );
 }
 
+/// Guards against executing a message whose content header states a size that cuts off its body: the rest follows in a
+/// body frame of its own, with the message or later.
+#[test]
+fn a_message_with_a_body_longer_than_its_header_states_is_withdrawn() {
+    let rest = [3, 0, 1, 0, 0, 0, 1, b'}', 0xCE];
+    for (is_late, body) in [(false, &b"{"[..]), (false, b""), (true, b"{")] {
+        let (mut connection, mut events) = ready();
+        let mut frames = [delivery(6, b"good"), delivery(7, body)].concat();
+        if is_late {
+            connection
+                .receive(0, &frames, &mut Vec::new())
+                .expect("valid frames");
+            frames.clear();
+        }
+        frames.extend_from_slice(&rest);
+        let error = connection
+            .receive(0, &frames, &mut events)
+            .expect_err("a body frame after the body");
+        let delivered: Vec<u64> = events
+            .iter()
+            .filter_map(|event| match event {
+                Event::Delivered(message) => Some(message.delivery_tag),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(delivered, if is_late { vec![] } else { vec![6] });
+        assert!(matches!(
+            events.last(),
+            Some(Event::Withdrawn { delivery_tag: 7 })
+        ));
+        assert_eq!(error.code, 501);
+    }
+}
+
 #[test]
 fn an_oversized_body_is_discarded_and_marked() {
     let (mut connection, mut events) = ready();
--- a/crates/gateway/src/amqp_front/broker_session.rs
+++ b/crates/gateway/src/amqp_front/broker_session.rs
@@ -158,6 +158,7 @@
                 self.front.set_state(FrontState::Up);
             }
             Event::Delivered(message) => self.handle_message(*message),
+            Event::Withdrawn { delivery_tag } => self.withdraw(delivery_tag),
             Event::Committed(tags) => tags.into_iter().for_each(|tag| self.committed(now, tag)),
             Event::Blocked(true) => {
                 tracing::warn!(front, blocked = true, "the broker blocked publishing");
@@ -183,6 +184,15 @@
         Ok(())
     }
 
+    /// Notifies the core that the answer to this delivery is not awaited any more, unless it has been committed.
+    fn withdraw(&self, tag: u64) {
+        if self.front.pending.borrow_mut().remove(&tag).is_some() {
+            self.front
+                .context
+                .feed(Input::ClientLeft(self.front.delivery(tag)));
+        }
+    }
+
     /// Notifies the core that the broker has committed the answer to this delivery, so that the core can drop the
     /// request.
     fn committed(&self, now: Micros, tag: u64) {
