Gateway: a REST request whose body is longer than its content-length is not served

What callers saw: as at the node's front: 200 for a cut-off body, then 400 for its rest. Found on the related paths of serve.

Cause: hyper ends a body at its declared length and parses what is behind it after the answer.

Bytes behind a request that begin none end it with 400 and a close, before it is handed to the core or while it is executed, when it is dropped as for a client that leaves. Empty lines and parts of a method do not delay an answer here, because hyper reads no further before it.

A test is replaced: half_closed_endless_and_overlong_requests_affect_no_other_client asked for 200, a 400 and one dispatch for a body that is too long. The users' rule is that such a client is never answered 200; the test now asks for a single 400 and no dispatch, which is as strict.

--- a/crates/cli/tests/rest.rs
+++ b/crates/cli/tests/rest.rs
@@ -288,7 +288,7 @@
     );
 }
 
-/// Also checks a body that is longer than its content-length: the excess is read as the next request and rejected.
+/// Also checks a body that is longer than its content-length: the request is rejected and not executed.
 #[test]
 fn half_closed_endless_and_overlong_requests_affect_no_other_client() {
     let r = start("rest-odd", Duration::from_millis(500));
@@ -306,8 +306,9 @@
     );
     stream.write_all(head.as_bytes()).expect("written");
     let (status, text) = read(stream);
-    assert!(status == 200 && text.contains("HTTP/1.1 400"), "{text}");
-    assert_eq!(r.received(), before + 1);
+    assert_eq!(status, 400, "{text}");
+    assert_eq!(text.matches("HTTP/1.1 ").count(), 1, "{text}");
+    assert_eq!(r.received(), before);
     // Endless headers.
     let mut stream = TcpStream::connect(r.address).expect("the router listens");
     stream
@@ -364,3 +365,49 @@
         .0
         == 200));
 }
+
+/// The text of a request with a declared length of 2, with a body of that length and further bytes.
+fn request_of_two_bytes_and(rest: &str) -> String {
+    format!(
+        "POST /v2/models/f/infer HTTP/1.1\r\nhost: x\r\n{LONG_TIMEOUT}content-length: 2\r\n\r\n{{}}{rest}"
+    )
+}
+
+/// Guards against serving a request whose declared length cuts off its body. The work of the invocation takes longer
+/// than the test waits for its rejection.
+#[test]
+fn a_request_longer_than_its_length_is_not_served() {
+    let r = start("rest-cut-off", Duration::from_secs(30));
+    for (at_once, late) in [("}", ""), ("rest", ""), ("", "}"), ("", "rest")] {
+        let before = r.received();
+        let mut stream = TcpStream::connect(r.address).expect("the router listens");
+        let request = request_of_two_bytes_and(at_once);
+        stream.write_all(request.as_bytes()).expect("written");
+        if !late.is_empty() {
+            assert!(eventually(|| r.received() > before), "it is executed");
+            stream.write_all(late.as_bytes()).expect("written");
+        }
+        stream
+            .set_read_timeout(Some(Duration::from_secs(10)))
+            .expect("set");
+        let (status, text) = read(stream);
+        assert_eq!(status, 400, "{at_once}{late}: {text}");
+        assert_eq!(text.matches("HTTP/1.1 ").count(), 1, "{text}");
+        assert_eq!(r.received() > before, !late.is_empty());
+    }
+}
+
+/// A further request may follow a request in one piece, in two, or after an empty line.
+#[test]
+fn pipelined_requests_are_answered() {
+    let r = start("rest-pipelined", Duration::from_millis(5));
+    let next = "GET /v2/health/ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    for (at_once, late) in [("", next), (next, ""), ("\r\n", next), ("GE", &next[2..])] {
+        let mut stream = TcpStream::connect(r.address).expect("the router listens");
+        let request = request_of_two_bytes_and(at_once);
+        stream.write_all(request.as_bytes()).expect("written");
+        stream.write_all(late.as_bytes()).expect("written");
+        let (_, text) = read(stream);
+        assert_eq!(text.matches("HTTP/1.1 200").count(), 2, "{text}");
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 pub(crate) mod reconciliation_query;
 pub(crate) mod reconciliation_workers;
 pub mod rejected_envelopes;
+mod request_framing;
 pub mod request_handling;
 pub mod request_parsing;
 pub(crate) mod resources;
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -15,7 +15,7 @@
 use cedarpulley_router::{Answer, FinalOutcome};
 use futures_lite::{AsyncRead, AsyncWrite};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -24,6 +24,7 @@
 use crate::answer_body::{AnswerBody, Reply, UnreadAnswer};
 use crate::client_connection::ClientConnection;
 use crate::outcome_names::{outcome_name, reason_name, rejection_name};
+use crate::request_framing::{LengthMismatch, ObservedStream, RequestFraming};
 use crate::request_handling::{RequestHandler, serve_until_closed};
 use crate::request_parsing::{BodyError, parse_head, parse_session, read_body};
 
@@ -45,6 +46,14 @@
     reply(status, client_requests::error(cause), None)
 }
 
+/// What the requests of one connection share.
+#[derive(Clone)]
+struct Session {
+    handler: Rc<RequestHandler>,
+    client: Rc<ClientConnection>,
+    framing: Rc<RequestFraming>,
+}
+
 /// Serves one HTTP/1.1 connection until it ends.
 pub(crate) async fn serve(
     handler: Rc<RequestHandler>,
@@ -52,8 +61,15 @@
     stream: impl AsyncRead + AsyncWrite + Unpin,
     stop: Notifier,
 ) {
+    let session = Session {
+        handler,
+        client,
+        framing: Rc::default(),
+    };
+    let stream = ObservedStream::new(stream, session.framing.clone());
     let service = service_fn(|request| {
-        let handled = handle(handler.clone(), client.clone(), request);
+        // Boxed, because hyper keeps room for it in each idle connection.
+        let handled = Box::pin(handle(session.clone(), request));
         async move { Ok::<_, Infallible>(handled.await) }
     });
     let mut builder = http1::Builder::new();
@@ -70,11 +86,9 @@
     .await;
 }
 
-async fn handle(
-    handler: Rc<RequestHandler>,
-    client: Rc<ClientConnection>,
-    request: Request<Incoming>,
-) -> Reply {
+async fn handle(session: Session, request: Request<Incoming>) -> Reply {
+    let number = session.framing.begin_request();
+    let handler = &session.handler;
     match client_requests::parse_path(request.method(), request.uri().path()) {
         ClientRequest::ServerLive => reply(StatusCode::OK, r#"{"live":true}"#, None),
         ClientRequest::ServerReady if handler.is_ready() => {
@@ -99,7 +113,7 @@
             client_requests::index(&(handler.resources.functions)()),
             None,
         ),
-        ClientRequest::Infer(function) => infer(handler, client, function, request).await,
+        ClientRequest::Infer(function) => infer(&session, number, function, request).await,
         ClientRequest::Unknown => error_response(StatusCode::NOT_FOUND, "no such path"),
         ClientRequest::WrongMethod => {
             error_response(StatusCode::METHOD_NOT_ALLOWED, "another method is wanted")
@@ -107,18 +121,22 @@
     }
 }
 
+/// Serves an inference request, which is the request with this number on its connection.
 async fn infer(
-    handler: Rc<RequestHandler>,
-    client: Rc<ClientConnection>,
+    session: &Session,
+    number: u64,
     function: String,
     request: Request<Incoming>,
 ) -> Reply {
+    let Session {
+        handler, client, ..
+    } = session;
     let (head, body) = request.into_parts();
-    let mut invocation = match parse_head(&handler, &client, &head.headers, function) {
+    let mut invocation = match parse_head(handler, client, &head.headers, function) {
         Ok(invocation) => invocation,
         Err(malformed) => {
             let cause = format!("{}: {}", malformed.field, malformed.cause);
-            return malformed_response(&handler, &cause);
+            return malformed_response(handler, &cause);
         }
     };
     if body.size_hint().lower() > handler.max_body_bytes {
@@ -127,7 +145,7 @@
     // The limit is assumed for a body without content length.
     let announced_bytes = body.size_hint().exact().unwrap_or(handler.max_body_bytes);
     // A request rejected here has not been accepted: nothing was executed, and the rejection is its only answer.
-    let open = match handler.admit(&client, &invocation, announced_bytes) {
+    let open = match handler.admit(client, &invocation, announced_bytes) {
         Ok(open) => open,
         Err(decision) => return rejection_response(decision),
     };
@@ -141,19 +159,34 @@
         .map(|length| length as usize);
     if json_length.is_some_and(|length| length > invocation.body.len()) {
         let cause = format!("{JSON_LENGTH}: is beyond the body's end");
-        return malformed_response(&handler, &cause);
+        return malformed_response(handler, &cause);
     }
-    invocation.session = match parse_session(&handler, &invocation.body) {
+    invocation.session = match parse_session(handler, &invocation.body) {
         Ok(session) => session,
-        Err(malformed) => return malformed_response(&handler, &malformed.to_string()),
+        Err(malformed) => return malformed_response(handler, &malformed.to_string()),
     };
-    // Every accepted request is answered; a missing answer would be a defect of the core.
-    match open.answer(invocation).await {
-        Some((answer, unread)) => answer_response(answer, unread),
-        None => error_response(StatusCode::INTERNAL_SERVER_ERROR, "no answer was found"),
+    let answered = session
+        .framing
+        .while_whole(number, open.answer(invocation))
+        .await;
+    match answered {
+        Ok(Some((answer, unread))) => answer_response(answer, unread),
+        // Every accepted request is answered; a missing answer would be a defect of the core.
+        Ok(None) => error_response(StatusCode::INTERNAL_SERVER_ERROR, "no answer was found"),
+        Err(LengthMismatch) => length_mismatch_response(handler),
     }
 }
 
+/// Rejects a request whose body is longer than its declared length, and closes the connection: what follows cannot be
+/// parsed.
+fn length_mismatch_response(handler: &RequestHandler) -> Reply {
+    let mut reply = malformed_response(handler, "content-length: is shorter than the body");
+    reply
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+    reply
+}
+
 /// Rejects a malformed request, and counts it.
 fn malformed_response(handler: &RequestHandler, cause: &str) -> Reply {
     handler.context.count_malformed();
--- a/crates/platform/src/client_protocol/following_input.rs
+++ b/crates/http-framing/src/following_input.rs
@@ -29,7 +29,7 @@
 
 impl FollowingInput {
     /// Classifies bytes that may be the beginning of a request head.
-    pub(super) fn of_partial_head(bytes: &[u8]) -> Self {
+    pub fn of_partial_head(bytes: &[u8]) -> Self {
         if bytes.is_empty() {
             FollowingInput::Nothing
         } else if REQUEST_STARTS.iter().any(|start| bytes.starts_with(start)) {
@@ -43,7 +43,7 @@
 
     /// Classifies bytes that cannot be parsed as a request head. With a valid request line they are a malformed
     /// request.
-    pub(super) fn of_malformed_head(bytes: &[u8]) -> Self {
+    pub fn of_malformed_head(bytes: &[u8]) -> Self {
         let mut head = httparse::Request::new(&mut []);
         // Parsing fails at the first header field at the latest, and the version is the end of the request line.
         let _ = head.parse(bytes);
--- a/crates/platform/src/client_protocol/mod.rs
+++ b/crates/platform/src/client_protocol/mod.rs
@@ -9,7 +9,6 @@
 //! no request ([`FollowingInput`]). Such a request is rejected as well, and its execution is cancelled if it has begun.
 
 mod call_fields;
-mod following_input;
 mod head;
 mod parser;
 mod queue;
@@ -22,7 +21,7 @@
 
 use crate::config::Names;
 
-pub use following_input::FollowingInput;
+pub use cedarpulley_http_framing::FollowingInput;
 pub use queue::{QueuedRequest, RequestQueue};
 pub use response::{Response, STATUS_REJECTED, health_status, status_of, write_response};
 
