Gateway: a worker's answer that is longer than its declared length is not passed on

What callers saw: as at the node's workers, over HTTP/1.1 with a content-length or chunks: 200 with the beginning of the answer.

Cause: hyper ends a body at its declared length. For the bytes behind it hyper closes the connection, when the pool has returned the answer already.

Change: the pool observes what hyper reads (ResponseObserver) and returns MalformedAnswer if anything is behind the answer once the connection is ready for the next request. Why this works: a connection carries one request at a time, so nothing else can follow, and hyper has looked for the end of the stream by then.

Measured: answer_longer_than_its_length_is_reported_as_connection_lost failed before (Succeeded), passes now, with the other nine tests of pool.rs.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -13,6 +13,7 @@
 use async_executor::{LocalExecutor, Task};
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
+use cedarpulley_http_framing::ResponseObserver;
 use cedarpulley_kserve::ExchangeOutcome;
 use cedarpulley_net::{Clock, Stream, connect, duration_from_micros};
 use cedarpulley_router::Ticket;
@@ -44,23 +45,28 @@
     pub max_answer_bytes: usize,
 }
 
-/// A stream that counts the bytes accepted by the kernel.
-struct CountingStream {
+/// A stream that counts the bytes accepted by the kernel, and observes the answers.
+struct ObservedStream {
     stream: Stream,
     written: Rc<Cell<u64>>,
+    answers: Rc<RefCell<ResponseObserver>>,
 }
 
-impl AsyncRead for CountingStream {
+impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Poll::Ready(Ok(length)) = polled {
+            self.answers.borrow_mut().put(&buf[..length]);
+        }
+        polled
     }
 }
 
-impl AsyncWrite for CountingStream {
+impl AsyncWrite for ObservedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context,
@@ -87,6 +93,7 @@
     sender: SendRequest<Full<Bytes>>,
     _driver: Task<()>,
     written: Rc<Cell<u64>>,
+    answers: Rc<RefCell<ResponseObserver>>,
 }
 
 /// The connections to one worker: idle connections, each with the time at which it became idle, and the numbers of
@@ -121,7 +128,7 @@
         /// Whether at least one byte of the request was sent.
         sent: bool,
     },
-    /// The answer violates the protocol, or was truncated.
+    /// The answer violates the protocol, was truncated, or is longer than its declared length.
     MalformedAnswer,
     /// The answer's body is above the limit.
     TooLarge,
@@ -260,9 +267,11 @@
         .await
         .ok()?;
         let written = Rc::new(Cell::new(0));
-        let io = FuturesIo::new(CountingStream {
+        let answers = Rc::<RefCell<ResponseObserver>>::default();
+        let io = FuturesIo::new(ObservedStream {
             stream,
             written: written.clone(),
+            answers: answers.clone(),
         });
         let mut builder = Builder::new();
         builder
@@ -277,6 +286,7 @@
             sender,
             _driver,
             written,
+            answers,
         })
     }
 
@@ -301,6 +311,7 @@
         if !may_send() {
             return Err(ExchangeError::NotSent);
         }
+        connection.answers.borrow_mut().begin();
         let written_before = connection.written.get();
         let answer = connection.sender.send_request(request.map(Full::new)).await;
         let answer = answer.map_err(|error| {
@@ -314,9 +325,12 @@
         })?;
         let (head, body) = answer.into_parts();
         let body = self.read_body(body).await?;
-        if connection.sender.ready().await.is_ok()
-            && let Some(connections) = self.workers.borrow_mut().get_mut(&address)
-        {
+        let is_reusable = connection.sender.ready().await.is_ok();
+        // By now the connection has looked for the end of the stream, and has read what is behind the answer.
+        if connection.answers.borrow().is_followed() {
+            return Err(ExchangeError::MalformedAnswer);
+        }
+        if is_reusable && let Some(connections) = self.workers.borrow_mut().get_mut(&address) {
             connections.idle.push((connection, self.clock.now()));
         }
         Ok(Reply {
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -149,6 +149,23 @@
     assert_eq!(outcomes(address, 4, 1), [DispatchOutcome::ConnectionLost]);
 }
 
+/// Guards against passing on an answer that its declared length cuts off. What is behind it arrives with it, or is read
+/// while its end is awaited.
+#[test]
+fn answer_longer_than_its_length_is_reported_as_connection_lost() {
+    let chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n";
+    for answer in [OK_RESPONSE, chunked] {
+        for rest in [&b"}"[..], b"\r\n", OK_RESPONSE, &[b' '; 300_000]] {
+            let answer = [answer, rest].concat();
+            let address = start_worker(move |mut stream, _| {
+                read_request(&mut stream);
+                let _ = stream.write_all(&answer);
+            });
+            assert_eq!(outcomes(address, 4, 1), [DispatchOutcome::ConnectionLost]);
+        }
+    }
+}
+
 #[test]
 fn connection_closed_after_the_request_is_reported_as_lost() {
     let address = start_worker(|mut stream, _| {
