HTTP framing: what follows a request is classified alike for any split of its bytes

Cause: bytes with an unknown method ("BOOK /7 HTTP/1.1") counted as the rest of a body while their head was incomplete, and as a request once it was complete. Found by the new fuzz target of the observers (fuzz_http_observers), on its first run: bytes that had been found to begin no request became one.

Change: a request begins with a method that gets a response of its own, and a target that begins as a path, a URL or an asterisk; a rejected or complete head is asked the same. URLs as targets, which HTTP allows, no longer count as the rest of a body. The function that hands an admitted REST request to the core is split from its parsing.

--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -5,11 +5,13 @@
 //! * [`mod@kserve`]: KServe v2 requests of clients and responses of workers.
 //! * [`mod@amqp`]: AMQP 0-9-1 frames of a broker.
 //! * [`mod@platform`]: requests of the platform's clients, answers of its workers and responses of its command channel.
+//! * [`mod@http_framing`]: requests and responses of HTTP/1.1, as they are observed beside hyper.
 //! * [`mod@trace`]: trace files.
 
 #![warn(missing_docs)]
 
 pub mod amqp;
+pub mod http_framing;
 pub mod kserve;
 pub mod platform;
 pub mod trace;
--- a/crates/fuzz/tests/targets.rs
+++ b/crates/fuzz/tests/targets.rs
@@ -4,6 +4,7 @@
 
 use bolero::check;
 use cedarpulley_fuzz::amqp::{amqp_connection, amqp_frames};
+use cedarpulley_fuzz::http_framing::{http_requests, http_responses};
 use cedarpulley_fuzz::kserve::{
     grpc_body, grpc_message, infer_response, request_head, worker_index,
 };
@@ -109,6 +110,36 @@
         });
 }
 
+/// Random bytes are seldom messages of HTTP, so this test joins parts of them in random order, mixed with random bytes.
+#[test]
+fn fuzz_http_observers() {
+    const PARTS: [&[u8]; 11] = [
+        b"POST /x HTTP/1.1\r\n",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"Content-Length: 3\r\n",
+        b"Content-Length: 18446744073709551615\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"\r\n",
+        b"3\r\nabc\r\n",
+        b"ffffffffffffffff\r\n",
+        b"0\r\n\r\n",
+        b"abc",
+    ];
+    check!()
+        .with_type::<Vec<(u8, Vec<u8>)>>()
+        .with_iterations(INPUTS_PER_TARGET)
+        .for_each(|choices| {
+            let piece = |(n, random): &(u8, Vec<u8>)| match PARTS.get(*n as usize % 13) {
+                Some(part) => part.to_vec(),
+                None => random.clone(),
+            };
+            let pieces = choices.iter().map(piece).collect::<Vec<_>>();
+            http_requests(&pieces);
+            http_responses(&pieces);
+        });
+}
+
 /// Random bytes are seldom requests, so this test joins parts of requests in random order, mixed with random bytes.
 #[test]
 fn fuzz_platform_client() {
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -12,7 +12,7 @@
 use cedarpulley_kserve::worker_requests::JSON_LENGTH;
 use cedarpulley_net::{Notifier, duration_from_micros};
 use cedarpulley_router::admission_control::AdmissionDecision;
-use cedarpulley_router::{Answer, FinalOutcome};
+use cedarpulley_router::{Answer, FinalOutcome, IncomingInvocation};
 use futures_lite::{AsyncRead, AsyncWrite};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -25,7 +25,7 @@
 use crate::client_connection::ClientConnection;
 use crate::outcome_names::{outcome_name, reason_name, rejection_name};
 use crate::request_framing::{LengthMismatch, ObservedStream, RequestFraming};
-use crate::request_handling::{RequestHandler, serve_until_closed};
+use crate::request_handling::{OpenRequest, RequestHandler, serve_until_closed};
 use crate::request_parsing::{BodyError, parse_head, parse_session, read_body};
 
 /// Time limit for receiving a request head, also for the next one on a kept-alive connection. In microseconds.
@@ -165,6 +165,16 @@
         Ok(session) => session,
         Err(malformed) => return malformed_response(handler, &malformed.to_string()),
     };
+    execute(session, number, open, invocation).await
+}
+
+/// Hands an admitted request to the core and waits for its answer, as long as its length proves right.
+async fn execute(
+    session: &Session,
+    number: u64,
+    open: OpenRequest,
+    invocation: IncomingInvocation,
+) -> Reply {
     let answered = session
         .framing
         .while_whole(number, open.answer(invocation))
@@ -173,7 +183,7 @@
         Ok(Some((answer, unread))) => answer_response(answer, unread),
         // Every accepted request is answered; a missing answer would be a defect of the core.
         Ok(None) => error_response(StatusCode::INTERNAL_SERVER_ERROR, "no answer was found"),
-        Err(LengthMismatch) => length_mismatch_response(handler),
+        Err(LengthMismatch) => length_mismatch_response(&session.handler),
     }
 }
 
--- a/crates/http-framing/src/lib.rs
+++ b/crates/http-framing/src/lib.rs
@@ -4,6 +4,8 @@
 //! they belong to no other message. [`FollowingInput`] classifies bytes behind a request. [`RequestObserver`] and
 //! [`ResponseObserver`] follow the bytes of a connection beside an HTTP library that keeps such bytes to itself.
 
+#![warn(missing_docs)]
+
 mod body;
 mod following_input;
 mod request_observer;
--- a/crates/http-framing/src/request_observer.rs
+++ b/crates/http-framing/src/request_observer.rs
@@ -67,7 +67,7 @@
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut request = httparse::Request::new(&mut headers);
         match request.parse(&self.head) {
-            Ok(Status::Complete(length)) => {
+            Ok(Status::Complete(length)) if is_request(&self.head) => {
                 let body = body_of(request.headers);
                 *bytes = &bytes[length - before..];
                 self.heads += 1;
@@ -77,13 +77,18 @@
             }
             Ok(Status::Partial) if self.head.len() <= MAX_HEAD_BYTES => *bytes = &[],
             _ => {
-                self.malformed = Some(FollowingInput::of_malformed_head(&self.head));
+                self.malformed = Some(FollowingInput::of_rejected_head(&self.head));
                 self.head = Vec::new();
             }
         }
     }
 }
 
+/// Whether a head that is well-formed counts as a request where a body may go on.
+fn is_request(head: &[u8]) -> bool {
+    FollowingInput::of_partial_head(head) == FollowingInput::Request
+}
+
 /// The body of a request; `None` if it has none.
 fn body_of(headers: &[httparse::Header]) -> Option<Body> {
     if field(headers, "transfer-encoding").is_some() {
--- a/crates/platform/src/client_protocol/parser.rs
+++ b/crates/platform/src/client_protocol/parser.rs
@@ -144,10 +144,9 @@
     /// How the buffered bytes, which are malformed, count for the request before them.
     fn malformed_input(&self, error: RequestError) -> FollowingInput {
         match error {
-            RequestError::MalformedHead | RequestError::HeadTooLong => {
-                FollowingInput::of_malformed_head(&self.bytes)
-            }
-            _ => FollowingInput::Request,
+            // The head was a valid one if the error is in the body.
+            RequestError::MalformedChunks | RequestError::BodyTooLong => FollowingInput::Request,
+            _ => FollowingInput::of_rejected_head(&self.bytes),
         }
     }
 }
--- a/crates/platform/tests/client_protocol.rs
+++ b/crates/platform/tests/client_protocol.rs
@@ -491,6 +491,7 @@
     let malformed = [
         &b"POST /x HTTP/1.1\r\nX\0: y\r\n\r\n"[..],
         b"GET / HTTP/1.1\r\n\xff",
+        b"GET http://x/ HTTP/1.1\r\nExpect: y\r\n\r\n",
     ];
     let long = [b"GET / HTTP/1.1\r\nX: ", &[b'y'; 20_000][..]].concat();
     for text in malformed.into_iter().chain([&long[..]]) {
@@ -507,6 +508,8 @@
         b"\0",
         b"\r\nrest",
         b"GET / of the list\r\n",
+        b"BOOK /7 HTTP/1.1\r\n\r\n",
+        b"BOOK /7 HTTP/1.1\r\n",
         &[b'a'; 20_000],
     ] {
         assert_eq!(following(rest), FollowingInput::NotARequest, "{rest:?}");
