Tests: a gRPC call that a declared length cuts off is not served, as before

Change: a test with bytes behind the message, a message length that is too small, and a content-length that is too small. Measured: it passes without a change of the product; with the check of unframe taken out it fails. The content-length is checked by the library for HTTP/2.

--- a/crates/cli/tests/grpc.rs
+++ b/crates/cli/tests/grpc.rs
@@ -475,3 +475,37 @@
         .0
         == 200));
 }
+
+/// Guards against executing a call of which a declared length cuts off a part: the length of the message, or the
+/// content-length. A message that protobuf could read without its last field would be served otherwise.
+#[test]
+fn a_call_longer_than_its_length_is_not_served() {
+    let r = start_with("grpc-cut-off", Duration::from_millis(5), 64, 1, GRPC);
+    run(async |local| {
+        let mut longer = ask(None).to_vec();
+        longer.push(0);
+        let mut cut_off = ask(None).to_vec();
+        let length = u32::from_be_bytes([cut_off[1], cut_off[2], cut_off[3], cut_off[4]]);
+        cut_off[1..5].copy_from_slice(&(length - 1).to_be_bytes());
+        let short_length = (ask(None).len() - 1).to_string();
+        for (body, content_length) in [
+            (Bytes::from(longer), None),
+            (Bytes::from(cut_off), None),
+            (ask(None), Some(&*short_length)),
+        ] {
+            let mut headers = LONG_TIMEOUT.to_vec();
+            headers.extend(content_length.map(|length| ("content-length", length)));
+            let mut sender = connect(&local, &r).await;
+            let answer = call(&mut sender, request(&r, "ModelInfer", &headers, body)).await;
+            // A call that breaks the framing of HTTP/2 has its stream reset.
+            let is_served =
+                answer.is_some_and(|(_, headers)| header(&headers, "grpc-status") == "0");
+            assert!(!is_served);
+        }
+        assert_eq!(r.received(), 0);
+        let mut sender = connect(&local, &r).await;
+        let good = request(&r, "ModelInfer", &LONG_TIMEOUT, ask(None));
+        let (_, headers) = call(&mut sender, good).await.expect("an answer");
+        assert_eq!(header(&headers, "grpc-status"), "0");
+    });
+}
