--- a/crates/cli/tests/rest.rs
+++ b/crates/cli/tests/rest.rs
@@ -395,6 +395,10 @@
         assert_eq!(text.matches("HTTP/1.1 ").count(), 1, "{text}");
         assert_eq!(r.received() > before, !late.is_empty());
     }
+    assert!(
+        eventually(|| r.logged(r#""what":"left""#) == 2),
+        "the worker must see that both dispatches are cancelled"
+    );
 }
 
 /// A further request may follow a request in one piece, in two, or after an empty line.
