--- a/crates/platform/src/chunked.rs
+++ b/crates/http-framing/src/chunked.rs
@@ -1,5 +1,4 @@
-//! Decodes bodies in the chunked transfer encoding of HTTP/1.1. Requests from clients and responses from discovery use
-//! it.
+//! Decodes bodies in the chunked transfer encoding of HTTP/1.1 from a buffer that holds them.
 
 use std::ops::Range;
 
@@ -10,7 +9,7 @@
 
 /// The state of the first chunk in a buffer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Chunk {
+pub enum Chunk {
     /// The line with the chunk's size has not been received completely.
     SizeIncomplete,
     /// The chunk's data has not been received completely.
@@ -26,7 +25,7 @@
 
 /// Why a chunk cannot be parsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ChunkError {
+pub enum ChunkError {
     /// The size or the end of the chunk is malformed. Trailer fields after the last chunk are not supported and count
     /// as a malformed end.
     Malformed,
@@ -36,7 +35,7 @@
 
 /// Parses the first chunk in `bytes`. `max_data` and `max_size_line` limit the lengths of its data and of its size
 /// line, in bytes.
-pub(crate) fn parse_chunk(
+pub fn parse_chunk(
     bytes: &[u8],
     max_data: usize,
     max_size_line: usize,
--- a/crates/http-framing/src/lib.rs
+++ b/crates/http-framing/src/lib.rs
@@ -7,14 +7,25 @@
 #![warn(missing_docs)]
 
 mod body;
+mod chunked;
 mod following_input;
 mod request_observer;
 mod response_observer;
 
+pub use chunked::{Chunk, ChunkError, parse_chunk};
 pub use following_input::FollowingInput;
 pub use request_observer::RequestObserver;
 pub use response_observer::ResponseObserver;
 
+/// How the end of a body that is buffered as a whole is determined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By the length of the body, in bytes.
+    Sized(usize),
+    /// By the last chunk.
+    Chunked,
+}
+
 /// Longest head that is followed, in bytes. HTTP libraries in use refuse shorter ones already.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Most header fields that are followed.
--- a/crates/platform/src/client_protocol/head.rs
+++ b/crates/platform/src/client_protocol/head.rs
@@ -1,6 +1,7 @@
 //! Parses the head of a request: the kind of the request, the framing of its body, and whether the connection stays
 //! open.
 
+use cedarpulley_http_framing::BodyFraming;
 use httparse::Status;
 
 use super::call_fields::parse_call;
@@ -16,15 +17,6 @@
 /// The path of a question whether the router is healthy.
 const HEALTH_PATH: &str = "/-/healthy";
 
-/// How the end of a request body is determined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum BodyFraming {
-    /// By the length of the body, in bytes.
-    Sized(usize),
-    /// By the last chunk.
-    Chunked,
-}
-
 /// The parsed head of a request.
 #[derive(Debug)]
 pub(super) struct Head {
--- a/crates/platform/src/client_protocol/parser.rs
+++ b/crates/platform/src/client_protocol/parser.rs
@@ -1,8 +1,9 @@
 //! Decodes complete requests from the bytes of one connection, with a state machine over head and body.
 
-use super::head::{BodyFraming, Head, parse_head};
+use cedarpulley_http_framing::{BodyFraming, Chunk, ChunkError, parse_chunk};
+
+use super::head::{Head, parse_head};
 use super::{FollowingInput, MAX_BODY_BYTES, Request, RequestError, RequestKind, RequestRules};
-use crate::chunked::{Chunk, ChunkError, parse_chunk};
 
 /// Longest encoded form of a chunked body, in bytes. Without this limit a client could send chunks of one byte each,
 /// whose encoding takes several times the bytes of the body.
--- a/crates/platform/src/discovery/response_reader.rs
+++ b/crates/platform/src/discovery/response_reader.rs
@@ -1,9 +1,9 @@
 //! Decodes complete responses from the bytes of a connection to discovery.
 
+use cedarpulley_http_framing::{BodyFraming, Chunk, ChunkError, parse_chunk};
 use httparse::Status;
 
 use super::{DiscoveryError, EventBatch, Result};
-use crate::chunked::{Chunk, ChunkError, parse_chunk};
 
 /// Longest response, in bytes: it lists a few thousand workers at most.
 pub(super) const MAX_RESPONSE_BYTES: usize = 4 << 20;
@@ -19,14 +19,6 @@
     bytes: Vec<u8>,
 }
 
-/// How the end of a response body is determined.
-enum BodyFraming {
-    /// By the length of the body, in bytes.
-    Sized(usize),
-    /// By the last chunk.
-    Chunked,
-}
-
 /// The parsed head of a response.
 struct Head {
     /// Length of the head, in bytes.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,7 +18,6 @@
 #![warn(missing_docs)]
 
 pub mod attempt_outcome;
-mod chunked;
 pub mod client_protocol;
 pub mod config;
 pub mod connection_limiter;
