--- a/crates/http-framing/src/lib.rs
+++ b/crates/http-framing/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A body that is longer than its declared length cannot be told from a shorter one: only the bytes behind it show that
 //! they belong to no other message. [`FollowingInput`] classifies bytes behind a request. [`RequestObserver`] and
-//! [`ResponseObserver`] follow the bytes of a connection beside an HTTP library that keeps such bytes to itself.
+//! [`ResponseObserver`] follow the bytes of a connection beside an HTTP library that keeps such bytes to itself. [`parse_chunk`] decodes
+//! buffered bodies in chunks.
 
 #![warn(missing_docs)]
 
