Node: a request is not read for once more when it is taken

Cause: reads a client's connection again before each request is passed on. For the usual client, whose request has just been read to the end of the kernel's buffer, this read finds nothing.

Change: the connection is read again only before a pipelined request, after the answer to the one before it.

The tests of node pass.

--- a/crates/platform-node/src/client_connections/session.rs
+++ b/crates/platform-node/src/client_connections/session.rs
@@ -102,6 +102,10 @@
                 if self.respond(reply).await == ConnectionState::Ended {
                     return;
                 }
+                if connection.has_request() {
+                    // What is behind a pipelined request may have arrived since the last read.
+                    connection.read_available(&self.node);
+                }
                 continue;
             }
             if connection.is_disconnected() {
@@ -145,7 +149,6 @@
             Ok(request) => request,
             Err(error) => return Some(self.reject(error)),
         };
-        self.connection.read_available(&self.node);
         if self.connection.following_input(self.now()) == FollowingInput::NotARequest {
             return Some(self.reject(RequestError::LengthMismatch));
         }
