Test of clocks apart: routers are killed while they certainly have unanswered messages

Its last check asks that the broker delivered messages again.

Cause: two routers were killed at fixed times, and whether one of them had an unacknowledged message at that moment was left to chance.

Change: each of the two kills waits, while workers withhold their answers, until three invocations of that router run unanswered, as two other tests of the file do already; the three share a function now.

--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -104,6 +104,22 @@
     spread: Duration::ZERO,
 };
 
+/// Makes all workers withhold their answers, and waits until [`MIN_IN_STEP`] invocations of a router run without one.
+fn withhold_answers_of(f: &Cluster, n: usize) {
+    hang(f, true);
+    let before = dispatched_and_ran(f, n) as u64;
+    wait_for("dispatched invocations that run", || {
+        dispatched_and_ran(f, n) as u64 >= before + MIN_IN_STEP
+    });
+}
+
+/// Kills a router that has unanswered invocations, so that the broker delivers them again.
+fn kill_with_unanswered(f: &Cluster, n: usize) {
+    withhold_answers_of(f, n);
+    f.kill_router(n);
+    hang(f, false);
+}
+
 /// Slows the store down and lets workers load only on order, so that accepted invocations wait until
 /// [`restore_store_speed`].
 fn stall_loads(d: &mut Scenario) {
@@ -933,9 +949,9 @@
 fn clocks_apart_by_minutes_break_no_rule() {
     let apart = |d: &mut Scenario| d.clock_offsets_ms = vec![0, 180_000, -180_000];
     let script = Script::new(1)
-        .at(1500, |f| f.kill_router(2))
+        .at(1500, |f| kill_with_unanswered(f, 2))
         .at(1500, |f| restart(f, 2, StateAtStart::Kept))
-        .at(3000, |f| f.kill_router(0))
+        .at(3000, |f| kill_with_unanswered(f, 0))
         .at(3000, |f| restart(f, 0, StateAtStart::Kept));
     let played = play(&shared(3, apart), None, script, PATIENCE);
     played.holds();
@@ -1000,11 +1016,7 @@
     let script = Script::new(1)
         .at(0, |f| both_ways(f, LinkFault::Lost))
         .at(1000, |f| {
-            hang(f, true);
-            let before = dispatched_and_ran(f, OWNER) as u64;
-            wait_for("dispatched invocations that run", || {
-                dispatched_and_ran(f, OWNER) as u64 >= before + MIN_IN_STEP
-            });
+            withhold_answers_of(f, OWNER);
             if tamper.is_some() {
                 // The broker can deliver again only to the router with the injected fault, the first one.
                 f.links.set(&f.router_name(2), BROKER, LinkFault::Reset);
@@ -1046,11 +1058,7 @@
     let script = Script::new(seed)
         // Forces one takeover, before random faults may leave no majority or no router that counted a takeover.
         .at(700, |f| {
-            hang(f, true);
-            let before = dispatched_and_ran(f, OWNER) as u64;
-            wait_for("dispatched invocations that run", || {
-                dispatched_and_ran(f, OWNER) as u64 >= before + MIN_IN_STEP
-            });
+            withhold_answers_of(f, OWNER);
             f.kill_router(OWNER);
             wait_for("the others to take over", || {
                 count_of_others(f, "takeovers") > 0
