Gateway: one observed stream for clients and workers

The connections to workers and those from clients over HTTP/1.1 each had a stream type of the same name, ObservedStream, which passed on the same four calls. There is one now, over an observer: the framing of requests, or the traffic of a connection to a worker. No behaviour changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub(crate) mod listed_workers;
 pub(crate) mod message_sending;
 pub mod metering;
+pub(crate) mod observed_stream;
 pub mod outcome_names;
 pub(crate) mod outputs;
 pub(crate) mod peer_envelopes;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -4,26 +4,25 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 
 use async_executor::{LocalExecutor, Task};
 use bytes::Bytes;
 use cedarpulley::interface::Micros;
 use cedarpulley_http_framing::ResponseObserver;
 use cedarpulley_kserve::ExchangeOutcome;
-use cedarpulley_net::{Clock, Stream, connect, duration_from_micros};
+use cedarpulley_net::{Clock, connect, duration_from_micros};
 use cedarpulley_router::Ticket;
-use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{HeaderMap, Request, StatusCode};
 use smol_hyper::rt::FuturesIo;
 
+use crate::observed_stream::{ObservedStream, StreamObserver};
+
 /// Limits on the head of an answer, against a worker that sends headers without end.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 const MAX_HEADERS: usize = 100;
@@ -45,46 +44,21 @@
     pub max_answer_bytes: usize,
 }
 
-/// A stream that counts the bytes accepted by the kernel, and observes the answers.
-struct ObservedStream {
-    stream: Stream,
-    written: Rc<Cell<u64>>,
-    answers: Rc<RefCell<ResponseObserver>>,
-}
-
-impl AsyncRead for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if let Poll::Ready(Ok(length)) = polled {
-            self.answers.borrow_mut().put(&buf[..length]);
-        }
-        polled
-    }
+/// What has passed over one connection.
+#[derive(Default)]
+struct ConnectionTraffic {
+    /// Number of bytes accepted by the kernel.
+    written: Cell<u64>,
+    answers: RefCell<ResponseObserver>,
 }
 
-impl AsyncWrite for ObservedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(bytes)) = polled {
-            self.written.set(self.written.get() + bytes as u64);
-        }
-        polled
+impl StreamObserver for ConnectionTraffic {
+    fn received(&self, bytes: &[u8]) {
+        self.answers.borrow_mut().put(bytes);
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
+    fn sent(&self, count: usize) {
+        self.written.set(self.written.get() + count as u64);
     }
 }
 
@@ -92,8 +66,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     _driver: Task<()>,
-    written: Rc<Cell<u64>>,
-    answers: Rc<RefCell<ResponseObserver>>,
+    traffic: Rc<ConnectionTraffic>,
 }
 
 /// The connections to one worker: idle connections, each with the time at which it became idle, and the numbers of
@@ -266,13 +239,8 @@
         )
         .await
         .ok()?;
-        let written = Rc::new(Cell::new(0));
-        let answers = Rc::<RefCell<ResponseObserver>>::default();
-        let io = FuturesIo::new(ObservedStream {
-            stream,
-            written: written.clone(),
-            answers: answers.clone(),
-        });
+        let traffic = Rc::<ConnectionTraffic>::default();
+        let io = FuturesIo::new(ObservedStream::new(stream, traffic.clone()));
         let mut builder = Builder::new();
         builder
             .max_buf_size(MAX_HEAD_BYTES)
@@ -285,8 +253,7 @@
         Some(Connection {
             sender,
             _driver,
-            written,
-            answers,
+            traffic,
         })
     }
 
@@ -311,11 +278,12 @@
         if !may_send() {
             return Err(ExchangeError::NotSent);
         }
-        connection.answers.borrow_mut().begin();
-        let written_before = connection.written.get();
+        let traffic = connection.traffic.clone();
+        traffic.answers.borrow_mut().begin();
+        let written_before = traffic.written.get();
         let answer = connection.sender.send_request(request.map(Full::new)).await;
         let answer = answer.map_err(|error| {
-            if connection.written.get() == written_before {
+            if traffic.written.get() == written_before {
                 ExchangeError::Interrupted { sent: false }
             } else if error.is_parse() {
                 ExchangeError::MalformedAnswer
@@ -327,7 +295,7 @@
         let body = self.read_body(body).await?;
         let is_reusable = connection.sender.ready().await.is_ok();
         // By now the connection has looked for the end of the stream, and has read what is behind the answer.
-        if connection.answers.borrow().is_followed() {
+        if traffic.answers.borrow().is_followed() {
             return Err(ExchangeError::MalformedAnswer);
         }
         if is_reusable && let Some(connections) = self.workers.borrow_mut().get_mut(&address) {
--- a/crates/gateway/src/request_framing.rs
+++ b/crates/gateway/src/request_framing.rs
@@ -2,14 +2,12 @@
 //! that length, and looks at the bytes behind it only after the request has been answered.
 
 use std::cell::{Cell, RefCell};
-use std::io;
-use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll};
 
 use cedarpulley_http_framing::{FollowingInput, RequestObserver};
 use cedarpulley_net::Notifier;
-use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use futures_lite::FutureExt;
+
+use crate::observed_stream::StreamObserver;
 
 /// The body of a request is longer than its declared length.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,53 +49,11 @@
     fn is_mismatched(&self, request: u64) -> bool {
         self.observer.borrow().following_input(request) == FollowingInput::NotARequest
     }
+}
 
-    fn put(&self, bytes: &[u8]) {
+impl StreamObserver for RequestFraming {
+    fn received(&self, bytes: &[u8]) {
         self.observer.borrow_mut().put(bytes);
         self.received.notify();
     }
 }
-
-/// A stream from a client whose bytes are observed.
-pub(crate) struct ObservedStream<S> {
-    stream: S,
-    framing: Rc<RequestFraming>,
-}
-
-impl<S> ObservedStream<S> {
-    pub fn new(stream: S, framing: Rc<RequestFraming>) -> Self {
-        ObservedStream { stream, framing }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for ObservedStream<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if let Poll::Ready(Ok(length)) = polled {
-            self.framing.put(&buf[..length]);
-        }
-        polled
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for ObservedStream<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
-    }
-}
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -23,8 +23,9 @@
 
 use crate::answer_body::{AnswerBody, Reply, UnreadAnswer};
 use crate::client_connection::ClientConnection;
+use crate::observed_stream::ObservedStream;
 use crate::outcome_names::{outcome_name, reason_name, rejection_name};
-use crate::request_framing::{LengthMismatch, ObservedStream, RequestFraming};
+use crate::request_framing::{LengthMismatch, RequestFraming};
 use crate::request_handling::{OpenRequest, RequestHandler, serve_until_closed};
 use crate::request_parsing::{BodyError, parse_head, parse_session, read_body};
 
