Node: a metric and a warning that tell what filled the longest turn of the core loop

A router that stood still for up to two seconds logged nothing that told why at the level at which it runs. Five causes were possible: load orders that end within the call that gives them because the worker has no address, or because no connection is left; connections that fail at once; dispatches or health checks that do the same; or plain work (the list, the queue, many requests).

Change: LoopActivity (crates/platform) counts what each turn of the core loop handled, and the exchanges that ended within the call that started them, apart by reason.

The 54 tests of cedarpulley-platform pass.

--- a/crates/platform-node/src/core_loop.rs
+++ b/crates/platform-node/src/core_loop.rs
@@ -1,10 +1,11 @@
 //! [`CoreLoop`]: the router core with the queue of its inputs and the timer for its next deadline.
 
-use std::cell::{Cell, Ref, RefCell};
+use std::cell::{Cell, Ref, RefCell, RefMut};
 use std::collections::VecDeque;
 
 use cedarpulley::interface::Micros;
 use cedarpulley_net::{Clock, DeadlineTimer};
+use cedarpulley_platform::loop_activity::{Activity, LoopActivity};
 use cedarpulley_router::{Input, Output, Router};
 
 /// Passes inputs to the router core, one at a time.
@@ -16,15 +17,18 @@
     is_running: Cell<bool>,
     /// Elapses when the next of the core's timers is due.
     deadline_timer: DeadlineTimer,
+    activity: RefCell<LoopActivity>,
 }
 
 impl CoreLoop {
-    pub fn new(router: Router) -> Self {
+    /// `now` is the time at which the loop starts, in microseconds of the router's clock.
+    pub fn new(router: Router, now: Micros) -> Self {
         CoreLoop {
             router: RefCell::new(router),
             inputs: RefCell::default(),
             is_running: Cell::new(false),
             deadline_timer: DeadlineTimer::default(),
+            activity: RefCell::new(LoopActivity::new(now)),
         }
     }
 
@@ -35,8 +39,10 @@
         if self.is_running.replace(true) {
             return;
         }
+        self.activity.borrow_mut().turn_began(clock.now());
         let mut outputs = Vec::new();
         while let Some(input) = self.next_input() {
+            self.record(activity_of(&input));
             let due = {
                 let mut router = self.router.borrow_mut();
                 router.handle(clock.now(), input, &mut outputs);
@@ -45,9 +51,20 @@
             self.deadline_timer.set_deadline(due);
             outputs.drain(..).for_each(&mut execute);
         }
+        self.activity.borrow_mut().turn_ended(clock.now());
         self.is_running.set(false);
     }
 
+    /// Records an activity of the loop.
+    pub fn record(&self, activity: Activity) {
+        self.activity.borrow_mut().record(activity);
+    }
+
+    /// What the loop has done.
+    pub fn activity(&self) -> RefMut<'_, LoopActivity> {
+        self.activity.borrow_mut()
+    }
+
     fn next_input(&self) -> Option<Input> {
         self.inputs.borrow_mut().pop_front()
     }
@@ -63,3 +80,15 @@
         self.router.borrow()
     }
 }
+
+/// The activity that an input of the core counts as. The other inputs do not occur on this platform.
+fn activity_of(input: &Input) -> Activity {
+    match input {
+        Input::DispatchEnded { .. } => Activity::AttemptEnded,
+        Input::OrderEnded { .. } => Activity::LoadOrderEnded,
+        Input::ProbeEnded { .. } => Activity::HealthCheckEnded,
+        Input::EndpointList { .. } | Input::EndpointListLease { .. } => Activity::EndpointList,
+        Input::Tick => Activity::Timer,
+        _ => Activity::Request,
+    }
+}
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -12,6 +12,7 @@
 use cedarpulley_platform::discovery::{DiscoveryError, EndpointListUpdate, EventBatch};
 use cedarpulley_platform::event_loop_lag::EventLoopLag;
 use cedarpulley_platform::graceful_shutdown::GracefulShutdown;
+use cedarpulley_platform::loop_activity::Activity;
 use cedarpulley_router::{Input, LoadOrderTicket, Output, Router, Ticket};
 
 use crate::client_connections::ClientConnections;
@@ -53,7 +54,7 @@
             workers: parts.workers,
             discovery: parts.discovery,
             executor: Rc::new(LocalExecutor::new()),
-            core: CoreLoop::new(parts.router),
+            core: CoreLoop::new(parts.router, clock.now()),
             shutdown: RefCell::new(parts.shutdown),
             event_loop_lag: Cell::new(new_event_loop_lag(&clock)),
             read_buffer: ReadBuffer::new(),
@@ -210,6 +211,7 @@
     pub async fn run_sweeps(self: Rc<Self>) {
         loop {
             Timer::after(SWEEP_PERIOD).await;
+            self.report_activity();
             let mut lag = self.event_loop_lag.get();
             lag.timer_ran(self.clock.now());
             self.event_loop_lag.set(lag);
@@ -218,9 +220,31 @@
         }
     }
 
+    /// Records an activity of the core loop.
+    pub fn record_activity(&self, activity: Activity) {
+        self.core.record(activity);
+    }
+
+    /// Logs what filled the time since the last call if the router stood still for long.
+    fn report_activity(&self) {
+        let report = self.core.activity().take_report(self.clock.now());
+        if report.is_notable(SWEEP_PERIOD.as_micros() as Micros) {
+            let longest = report.longest_turn;
+            tracing::warn!(
+                period_ms = report.duration / 1_000,
+                turns = report.turns,
+                all_turns = ?report.counts,
+                longest_turn_ms = longest.duration / 1_000,
+                longest_turn = ?longest.counts,
+                "the router stood still"
+            );
+        }
+    }
+
     /// Measures the lag of the event loop from now on, when the loop starts to run. The time before, in which nothing
     /// could be read, does not count.
     pub fn reset_lag(&self) {
+        self.core.activity().take_report(self.clock.now());
         self.event_loop_lag.set(new_event_loop_lag(&self.clock));
     }
 
@@ -270,6 +294,12 @@
             "client connection counts"
         );
         tracing::info!(rejected = ?clients.rejected_requests, "requests rejected before reaching the router core");
+        let longest = self.core.activity().longest_turn();
+        tracing::info!(
+            longest_turn_ms = longest.duration / 1_000,
+            counts = ?longest.counts,
+            "longest turn of the core loop"
+        );
         let unplaced = self.workers.unplaced_exchanges();
         tracing::info!(unplaced, "exchanges without a worker connection");
         let (repeated_events, ignored_workers) = self.discovery.ignored_counts();
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -15,6 +15,7 @@
 use cedarpulley::interface::{Micros, WorkerIndex};
 use cedarpulley_platform::attempt_outcome::ExchangeEnd;
 use cedarpulley_platform::connection_pool::{ConnectionId, ConnectionPool, LateAnswer, Placement};
+use cedarpulley_platform::loop_activity::Activity;
 use cedarpulley_platform::worker_protocol::{self, Answer};
 use cedarpulley_router::core::DispatchRequest;
 use cedarpulley_router::{LoadOrderTicket, Ticket};
@@ -261,10 +262,14 @@
         let placement = self.pool.borrow_mut().place(node.clock.now(), worker);
         match placement {
             Placement::Existing(id) => self.connection(id).ok_or(ExchangeEnd::NotSent),
-            Placement::New(id) => self
-                .open(node, id, worker)
-                .ok_or(ExchangeEnd::ConnectFailed),
-            Placement::Exhausted => Err(ExchangeEnd::Withheld),
+            Placement::New(id) => self.open(node, id, worker).ok_or_else(|| {
+                node.record_activity(Activity::UnknownAddress);
+                ExchangeEnd::ConnectFailed
+            }),
+            Placement::Exhausted => {
+                node.record_activity(Activity::NoConnection);
+                Err(ExchangeEnd::Withheld)
+            }
         }
     }
 
--- a/crates/platform-node/src/worker_connections/session.rs
+++ b/crates/platform-node/src/worker_connections/session.rs
@@ -7,6 +7,7 @@
 use cedarpulley::interface::Micros;
 use cedarpulley_net::{Stream, connect};
 use cedarpulley_platform::attempt_outcome::ExchangeEnd;
+use cedarpulley_platform::loop_activity::Activity;
 use cedarpulley_platform::worker_protocol::MAX_ANSWER_BYTES;
 use futures_lite::FutureExt;
 
@@ -43,6 +44,7 @@
             let end = if self.connection.is_closed_locally() {
                 ExchangeEnd::Withheld
             } else {
+                self.node.record_activity(Activity::ConnectFailed);
                 ExchangeEnd::ConnectFailed
             };
             return self.end(end);
--- /dev/null
+++ b/crates/platform/src/loop_activity.rs
@@ -0,0 +1,168 @@
+//! Records what fills the turns of the core loop, so that an operator of a router that stood still sees why.
+//!
+//! A turn begins when the event loop passes an input to the router core, and ends when the core has handled it and all
+//! inputs that followed from executing its outputs. No connection is served during a turn. Call
+//! [`LoopActivity::turn_began`] and [`LoopActivity::turn_ended`] around each turn, and [`LoopActivity::record`] for
+//! each input. [`LoopActivity::take_report`] returns what has happened since its last call.
+
+use cedarpulley::interface::Micros;
+
+/// A turn, or a delay of the event loop, from this length on is reported, in microseconds: the router may be this late
+/// by the platform's time limits.
+pub const LONG_TURN: Micros = 50_000;
+
+/// What the core loop did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Activity {
+    /// A request arrived, or its client left.
+    Request,
+    /// An attempt ended.
+    AttemptEnded,
+    /// A load order ended.
+    LoadOrderEnded,
+    /// A health check ended.
+    HealthCheckEnded,
+    /// The endpoint list or its lease changed.
+    EndpointList,
+    /// A timer of the core was due.
+    Timer,
+    /// An exchange with a worker ended within the call that started it: the address of the worker is unknown.
+    UnknownAddress,
+    /// An exchange with a worker ended within the call that started it: no connection was available.
+    NoConnection,
+    /// A connection to a worker could not be established.
+    ConnectFailed,
+}
+
+/// How often each activity happened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ActivityCounts {
+    /// Requests that arrived, and clients that left.
+    pub requests: u64,
+    /// Ends of attempts.
+    pub attempts_ended: u64,
+    /// Ends of load orders.
+    pub load_orders_ended: u64,
+    /// Ends of health checks.
+    pub health_checks_ended: u64,
+    /// Changes of the endpoint list and of its lease.
+    pub endpoint_lists: u64,
+    /// Timers of the core that were due.
+    pub timers: u64,
+    /// Exchanges that ended at once because the address of the worker is unknown.
+    pub unknown_address: u64,
+    /// Exchanges that ended at once because no connection was available.
+    pub no_connection: u64,
+    /// Connections to workers that could not be established.
+    pub connect_failed: u64,
+}
+
+impl ActivityCounts {
+    fn add(&mut self, activity: Activity) {
+        let count = match activity {
+            Activity::Request => &mut self.requests,
+            Activity::AttemptEnded => &mut self.attempts_ended,
+            Activity::LoadOrderEnded => &mut self.load_orders_ended,
+            Activity::HealthCheckEnded => &mut self.health_checks_ended,
+            Activity::EndpointList => &mut self.endpoint_lists,
+            Activity::Timer => &mut self.timers,
+            Activity::UnknownAddress => &mut self.unknown_address,
+            Activity::NoConnection => &mut self.no_connection,
+            Activity::ConnectFailed => &mut self.connect_failed,
+        };
+        *count += 1;
+    }
+}
+
+/// One turn of the core loop.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Turn {
+    /// How long it lasted, in microseconds.
+    pub duration: Micros,
+    /// What filled it.
+    pub counts: ActivityCounts,
+}
+
+/// What has happened since the last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ActivityReport {
+    /// Time since the last report, in microseconds.
+    pub duration: Micros,
+    /// Number of turns.
+    pub turns: u64,
+    /// The longest turn.
+    pub longest_turn: Turn,
+    /// What filled all turns, and what happened between them.
+    pub counts: ActivityCounts,
+}
+
+impl ActivityReport {
+    /// Whether the router stood still for long enough that an operator should know: within one turn, or over many short
+    /// ones. `period`: the time after which the report was due, in microseconds.
+    pub fn is_notable(&self, period: Micros) -> bool {
+        self.longest_turn.duration.max(self.duration - period) >= LONG_TURN
+    }
+}
+
+/// Measures the turns of the core loop.
+#[derive(Debug)]
+pub struct LoopActivity {
+    /// When the present turn began, and its counts so far; `None` between two turns.
+    turn: Option<(Micros, ActivityCounts)>,
+    report: ActivityReport,
+    reported_at: Micros,
+    longest_turn: Turn,
+}
+
+impl LoopActivity {
+    /// Measures from `now` on, in microseconds.
+    pub fn new(now: Micros) -> Self {
+        LoopActivity {
+            turn: None,
+            report: ActivityReport::default(),
+            reported_at: now,
+            longest_turn: Turn::default(),
+        }
+    }
+
+    /// Records that a turn began at `now`, in microseconds.
+    pub fn turn_began(&mut self, now: Micros) {
+        self.turn = Some((now, ActivityCounts::default()));
+    }
+
+    /// Records an activity, which belongs to the present turn if there is one.
+    pub fn record(&mut self, activity: Activity) {
+        self.report.counts.add(activity);
+        if let Some((_, counts)) = &mut self.turn {
+            counts.add(activity);
+        }
+    }
+
+    /// Records that the turn ended at `now`, in microseconds.
+    pub fn turn_ended(&mut self, now: Micros) {
+        let Some((began, counts)) = self.turn.take() else {
+            return;
+        };
+        let turn = Turn {
+            duration: now - began,
+            counts,
+        };
+        self.report.turns += 1;
+        for longest in [&mut self.report.longest_turn, &mut self.longest_turn] {
+            if turn.duration > longest.duration {
+                *longest = turn;
+            }
+        }
+    }
+
+    /// Returns what has happened since the last call. `now` is in microseconds.
+    pub fn take_report(&mut self, now: Micros) -> ActivityReport {
+        self.report.duration = now - std::mem::replace(&mut self.reported_at, now);
+        std::mem::take(&mut self.report)
+    }
+
+    /// The longest turn since the start.
+    pub fn longest_turn(&self) -> Turn {
+        self.longest_turn
+    }
+}
