Platform: a discovery response is in force as a whole before anything is decided on it

What callers saw: no answer for up to two seconds, on no connection, while one response of the discovery channel took several workers away.

Cause: the addresses of all events of a response changed first, then the core was told of one event after the other. It still chose workers that later events had taken away; a load order for one of them ends within the call that gives it, and the balancer gives it again.

Change: the updates of a response are merged into one, with the last entry of each worker; one that was gone and is back within the response is added by a second update. Every worker that the core may choose has an address, at each step. So no order can end for this reason, whatever comes in one response.

--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -9,7 +9,7 @@
 use async_io::Timer;
 use cedarpulley::interface::{Micros, WorkerIndex};
 use cedarpulley_net::{Clock, Stream};
-use cedarpulley_platform::discovery::{DiscoveryError, EndpointListUpdate, EventBatch};
+use cedarpulley_platform::discovery::{DiscoveryError, EventBatch};
 use cedarpulley_platform::event_loop_lag::EventLoopLag;
 use cedarpulley_platform::graceful_shutdown::GracefulShutdown;
 use cedarpulley_platform::loop_activity::Activity;
@@ -167,7 +167,17 @@
     ) -> Result<(), DiscoveryError> {
         let wall_at_zero = self.clock.wall_time() - self.clock.now();
         let updates = self.discovery.apply_batch(batch, wall_at_zero, max_age)?;
-        updates.into_iter().for_each(|update| self.apply(update));
+        for id in updates.iter().flat_map(|update| &update.retired) {
+            if let Some(worker) = self.core.router().worker_index(id) {
+                self.workers.retire(worker);
+            }
+        }
+        for update in updates {
+            self.feed(Input::EndpointList {
+                kind: update.mode,
+                workers: update.workers,
+            });
+        }
         Ok(())
     }
 
@@ -181,19 +191,6 @@
         }
     }
 
-    /// Applies a change of the endpoint list.
-    fn apply(self: &Rc<Self>, update: EndpointListUpdate) {
-        for id in &update.retired {
-            if let Some(worker) = self.core.router().worker_index(id) {
-                self.workers.retire(worker);
-            }
-        }
-        self.feed(Input::EndpointList {
-            kind: update.mode,
-            workers: update.workers,
-        });
-    }
-
     /// Reads once from a connection without waiting.
     pub fn read<T>(&self, stream: &Stream, process: impl FnOnce(&[u8]) -> T) -> ReadResult<T> {
         self.read_buffer.read(stream, process)
--- a/crates/platform/src/discovery/follower.rs
+++ b/crates/platform/src/discovery/follower.rs
@@ -7,6 +7,7 @@
 use cedarpulley::interface::{EndpointListKind, EndpointState, Micros};
 use cedarpulley_router::endpoint_list::ListedWorker;
 
+use super::batch_merge;
 use super::{DiscoveryError, EndpointListEvent, EventBatch, Result, WorkerEntry};
 use crate::config::Names;
 
@@ -95,7 +96,8 @@
         batch.cursor < self.last_cursor
     }
 
-    /// Applies a batch of events and returns the updates in order. If any part of the batch is malformed, nothing is
+    /// Applies a batch of events as a whole and returns the updates in order: none, one, or two if a worker was gone
+    /// and is back within the batch. If any part of the batch is malformed, nothing is
     /// applied. `wall_at_zero`: the Unix time at which the router's clock was 0, in microseconds. `max_age`: the
     /// longest time for which the batch may have waited in the channel before it was read, in microseconds.
     pub fn apply_batch(
@@ -123,10 +125,8 @@
         }
         self.last_cursor = last_cursor.max(batch.cursor);
         self.repeated_events += repeated;
-        Ok(changes
-            .into_iter()
-            .map(|change| self.apply(change))
-            .collect())
+        let updates = changes.into_iter().map(|change| self.apply(change));
+        Ok(batch_merge::merge(updates.collect()))
     }
 
     fn apply(&mut self, change: ListChange) -> EndpointListUpdate {
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -9,7 +9,10 @@
 //!    another address: a connection to the earlier worker or address must not be used afterwards.
 //! 4. The drain grace counts from the announcement of the drain, not from when the announcement was read. If it may
 //!    have been read late, because the channel was not connected or this process was not running, no grace is left.
+//! 5. The events of a response are in force as a whole before anything is decided on them: every worker that the router
+//!    core may choose has an address.
 
+mod batch_merge;
 mod contact;
 mod error;
 mod events;
--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -176,8 +176,9 @@
             .replace("west", id)
             .replace("std", "odd")
     };
-    let updates = apply_events(&mut follower, &[unnamed(1, "a"), unnamed(2, "b")]);
-    let (a, b) = (&updates[0].workers[0], &updates[1].workers[0]);
+    let updates =
+        [unnamed(1, "a"), unnamed(2, "b")].map(|event| apply_events(&mut follower, &[event]));
+    let [a, b] = updates.each_ref().map(|updates| &updates[0].workers[0]);
     assert!(a.zone > 1 && b.zone > 1 && a.zone != b.zone && a.machine_kind == 1);
 }
 
