Balancer: a worker that a load order could not reach gets no other order at once

What callers saw: where workers load on order only, a worker that refuses connections was sent load orders as fast as they failed, and the router did little else while there were several.

Cause: a failed order counts in the worker's outcomes over all types, which decide only for types without outcomes of their own. A worker that has just answered invocations stays eligible, its end of an order frees it for loads, and the queue is retried in the same step.

Change: after an order that was Unreachable or lost its connection, the worker takes no load for the connect timeout, the longest time that such a failure may take. Other workers are tried at once. A failure without this pause is now at most one in that time for each worker, however fast it comes.

Tests: both new ones fail on the code before (the same worker is ordered from again; the third worker is never tried).

--- a/src/balancer/load_orders.rs
+++ b/src/balancer/load_orders.rs
@@ -186,6 +186,13 @@
         self.functions[function as usize].no_load_before = self.now + expected_load_time - took;
     }
 
+    /// Delays the next load at a worker that could not be reached, for as long as a connection may take to fail. A worker
+    /// that refuses connections fails at once. Without the delay it would be sent one order after the other until it is
+    /// an outlier, which a worker that has recently answered invocations does not become by failed orders.
+    fn delay_order_after_failure(&mut self, worker: usize) {
+        self.workers[worker].no_load_until = self.now + self.settings.limits.connect_timeout;
+    }
+
     /// Handles the end of a load order.
     pub(super) fn on_order_ended(&mut self, ended: &OrderEnded, out: &mut Vec<Action>) {
         let &OrderEnded {
@@ -223,9 +230,11 @@
                 self.workers[worker].no_load_until = self.now + expected_load_time;
             }
             LoadOrderResult::LoadFailed => self.delay_loads(function, took),
-            LoadOrderResult::ConnectionLost
-            | LoadOrderResult::Unreachable
-            | LoadOrderResult::TimedOut => self.outliers.record_order_failure(worker, self.now),
+            LoadOrderResult::ConnectionLost | LoadOrderResult::Unreachable => {
+                self.outliers.record_order_failure(worker, self.now);
+                self.delay_order_after_failure(worker);
+            }
+            LoadOrderResult::TimedOut => self.outliers.record_order_failure(worker, self.now),
         }
         self.retry_queued(Some(function), out);
     }
--- a/tests/decisions/load_orders.rs
+++ b/tests/decisions/load_orders.rs
@@ -278,3 +278,65 @@
         "{actions:?}"
     );
 }
+
+/// The router stood still: a worker that answered invocations well but refused the connections for load orders was sent
+/// one order after the other without a pause, as failed orders do not make it an outlier for such invocations.
+#[test]
+fn a_worker_that_cannot_be_reached_gets_no_further_load_order_at_once() {
+    for result in [
+        LoadOrderResult::Unreachable,
+        LoadOrderResult::ConnectionLost,
+    ] {
+        let mut script = Script::new(31, LOADS_ONLY_ON_ORDER, 1);
+        let worker = 0;
+        let (earlier, _) = script.arrive(0, 7, 1, 2 * SECOND);
+        script.handle(&Event::OrderEnded {
+            worker,
+            function: 7,
+            result: LoadOrderResult::Loaded,
+            took: 400 * MS,
+            copies: 1,
+        });
+        answer(&mut script, earlier, 50 * MS);
+        let (_, actions) = script.arrive(0, 0, 1, 2 * SECOND);
+        assert_eq!(ordered(&actions), [worker]);
+        let failed = Event::OrderEnded {
+            worker,
+            function: 0,
+            result,
+            took: 0,
+            copies: 0,
+        };
+        let repeated = ordered(&script.handle(&failed));
+        assert!(
+            repeated.is_empty(),
+            "{result:?}: ordered again at {repeated:?}"
+        );
+        assert!(ordered(&script.advance(CONNECT_TIMEOUT - MS)).is_empty());
+        assert_eq!(ordered(&script.advance(20 * MS)), [worker]);
+    }
+}
+
+/// Where one worker cannot be reached, the copy is ordered from another one at once.
+#[test]
+fn a_load_order_that_failed_is_repeated_at_another_worker() {
+    let mut script = Script::new(32, LOADS_ONLY_ON_ORDER, 3);
+    let (_, actions) = script.arrive(0, 0, 1, 2 * SECOND);
+    let mut tried = ordered(&actions);
+    while let Some(&worker) = tried.last().filter(|_| tried.len() <= 3) {
+        let failed = Event::OrderEnded {
+            worker,
+            function: 0,
+            result: LoadOrderResult::Unreachable,
+            took: 0,
+            copies: 0,
+        };
+        let next = ordered(&script.handle(&failed));
+        if next.is_empty() {
+            break;
+        }
+        tried.extend(next);
+    }
+    assert_eq!(tried.len(), 3);
+    assert_eq!(tried.iter().collect::<BTreeSet<_>>().len(), 3);
+}
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -8,6 +8,7 @@
 
 pub const SECOND: Micros = 1_000_000;
 pub const MS: Micros = 1_000;
+pub const CONNECT_TIMEOUT: Micros = 250 * MS;
 pub const DRAIN_GRACE: Micros = 500 * MS;
 pub const ANSWER_SLACK: Micros = 16 * MS;
 pub const SLOW_START_DURATION: Micros = 10 * SECOND;
@@ -86,7 +87,7 @@
             hedged_requests: site.hedged_requests,
             cancellation: true,
             probes: true,
-            connect_timeout: 250 * MS,
+            connect_timeout: CONNECT_TIMEOUT,
             max_retry_after: MAX_RETRY_AFTER,
         },
         RuleLimits {
