Balancer, node, serve: what the router had no connection for is not tried again at once

Cause: a load order that finds the pool exhausted ended as Unreachable within the call that gave it, and was given again in the same turn. A connection that fails for lack of a descriptor took the same way one turn later, without a pause; a dispatch used up its attempts.

Change: a lack of the router's own is an ending of its own: NoConnection of a dispatch, NotSent of an order. The balancer gives it again at a later tick, never in the same step (an invocation waits for one tick more each time), counts nothing against the worker and returns the order to the quota. A connect error for lack of descriptors, memory or ports is told from the worker's; the pool opens nothing for 10 ms after it. serve does the same; there, an order above the cap of a worker's connections was blamed on the worker. In the trace format both are new values with the next tags; the pinned fixtures are unchanged.

Why it works: such an ending leads to no dispatch, order or check in the step that reports it, so no chain of them can form, whatever ends it and how fast.

The four of connection_shortage.rs fail when the new endings are handled like the old ones.

--- a/crates/gateway/src/metering.rs
+++ b/crates/gateway/src/metering.rs
@@ -220,7 +220,9 @@
             UsageSource::LoadOrder(result) => {
                 let not_started = matches!(
                     result,
-                    LoadOrderResult::Unreachable | LoadOrderResult::NoCapacity
+                    LoadOrderResult::Unreachable
+                        | LoadOrderResult::NoCapacity
+                        | LoadOrderResult::NotSent
                 );
                 state.meter.record_load(LoadUsage {
                     ended_at,
--- a/crates/gateway/src/outputs.rs
+++ b/crates/gateway/src/outputs.rs
@@ -211,7 +211,7 @@
                 .map(|session| (&*session.id, session.is_first, session.is_last)),
         };
         let Some(address) = self.address(worker) else {
-            return Err(ExchangeError::NoConnection);
+            return Err(ExchangeError::Unreachable);
         };
         let (host, body) = (address.to_string(), request.body);
         let http_request = worker_requests::infer(
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,7 +12,7 @@
 use cedarpulley::interface::Micros;
 use cedarpulley_http_framing::ResponseObserver;
 use cedarpulley_kserve::ExchangeOutcome;
-use cedarpulley_net::{Clock, connect, duration_from_micros};
+use cedarpulley_net::{Clock, connect, duration_from_micros, is_out_of_resources};
 use cedarpulley_router::Ticket;
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full};
@@ -91,6 +91,8 @@
 /// Why an exchange produced no complete answer.
 pub enum ExchangeError {
     /// The worker did not accept a connection in time.
+    Unreachable,
+    /// This process has no descriptor left for a connection.
     NoConnection,
     /// The limit on concurrent requests at the worker is reached.
     ConnectionLimit,
@@ -120,7 +122,8 @@
             body: &reply.body,
             function,
         },
-        Err(ExchangeError::NoConnection) => ExchangeOutcome::Unreachable,
+        Err(ExchangeError::Unreachable) => ExchangeOutcome::Unreachable,
+        Err(ExchangeError::NoConnection) => ExchangeOutcome::NoConnection,
         Err(ExchangeError::ConnectionLimit) => ExchangeOutcome::ConnectionLimit,
         Err(ExchangeError::NotSent) => ExchangeOutcome::ConnectionLost { bytes_sent: false },
         Err(ExchangeError::Interrupted { sent }) => {
@@ -231,26 +234,30 @@
             .retain(|_, connections| in_use(connections));
     }
 
-    async fn open(&self, address: SocketAddr) -> Option<Connection> {
+    async fn open(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
         let stream = connect(
             address,
             self.settings.local_address,
             self.settings.connect_timeout,
         )
         .await
-        .ok()?;
+        .map_err(|error| match is_out_of_resources(&error) {
+            true => ExchangeError::NoConnection,
+            false => ExchangeError::Unreachable,
+        })?;
         let traffic = Rc::<ConnectionTraffic>::default();
         let io = FuturesIo::new(ObservedStream::new(stream, traffic.clone()));
         let mut builder = Builder::new();
         builder
             .max_buf_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADERS);
-        let (sender, connection) = builder.handshake(io).await.ok()?;
+        let handshake = builder.handshake(io).await;
+        let (sender, connection) = handshake.map_err(|_| ExchangeError::Unreachable)?;
         let _driver = self.executor.spawn(async move {
             // A failure is also reported to the caller that waits on the sender.
             let _ = connection.await;
         });
-        Some(Connection {
+        Ok(Connection {
             sender,
             _driver,
             traffic,
@@ -270,10 +277,7 @@
             RequestSlot::acquire(self, address, is_order).ok_or(ExchangeError::ConnectionLimit)?;
         let mut connection = match self.take_idle(address) {
             Some(connection) => connection,
-            None => self
-                .open(address)
-                .await
-                .ok_or(ExchangeError::NoConnection)?,
+            None => self.open(address).await?,
         };
         if !may_send() {
             return Err(ExchangeError::NotSent);
--- a/crates/gateway/src/reconciliation_observer.rs
+++ b/crates/gateway/src/reconciliation_observer.rs
@@ -104,7 +104,8 @@
                     | LoadOrderResult::LoadFailed => Some(*copies > 0),
                     LoadOrderResult::ConnectionLost
                     | LoadOrderResult::Unreachable
-                    | LoadOrderResult::TimedOut => None,
+                    | LoadOrderResult::TimedOut
+                    | LoadOrderResult::NotSent => None,
                 };
                 let ended = CopyChange::LoadOrderEnded {
                     present,
--- a/crates/kserve/src/outcomes.rs
+++ b/crates/kserve/src/outcomes.rs
@@ -21,6 +21,8 @@
 pub enum ExchangeOutcome<'a> {
     /// No connection was established: it was refused, reset or timed out.
     Unreachable,
+    /// This router has no descriptor left for a connection.
+    NoConnection,
     /// The limit on connections to this worker is reached, and all of them are in use.
     ConnectionLimit,
     /// The connection failed before the response was complete.
@@ -77,6 +79,9 @@
         ExchangeOutcome::Unreachable => {
             InferenceResult::without_response(DispatchOutcome::Unreachable)
         }
+        ExchangeOutcome::NoConnection => {
+            InferenceResult::without_response(DispatchOutcome::NoConnection)
+        }
         // Handled like a full queue at the worker: this router cannot send it any more requests.
         ExchangeOutcome::ConnectionLimit => {
             InferenceResult::without_response(DispatchOutcome::Rejected)
@@ -140,8 +145,11 @@
 pub fn classify_load_order(exchange: &ExchangeOutcome) -> (LoadOrderResult, u32) {
     match exchange {
         ExchangeOutcome::Unreachable => (LoadOrderResult::Unreachable, 0),
-        ExchangeOutcome::ConnectionLimit
-        | ExchangeOutcome::ConnectionLost { .. }
+        // The worker was sent nothing, for a reason of this router.
+        ExchangeOutcome::NoConnection
+        | ExchangeOutcome::ConnectionLimit
+        | ExchangeOutcome::ConnectionLost { bytes_sent: false } => (LoadOrderResult::NotSent, 0),
+        ExchangeOutcome::ConnectionLost { bytes_sent: true }
         | ExchangeOutcome::MalformedResponse
         | ExchangeOutcome::ResponseTooLarge => (LoadOrderResult::ConnectionLost, 0),
         ExchangeOutcome::Responded {
@@ -172,6 +180,7 @@
             };
             (outcome, response_headers::load_report(headers))
         }
+        ExchangeOutcome::ConnectionLimit => (DispatchOutcome::NoConnection, LoadReport::default()),
         other => (classify_inference(other).outcome, LoadReport::default()),
     }
 }
--- a/crates/kserve/tests/outcomes.rs
+++ b/crates/kserve/tests/outcomes.rs
@@ -28,6 +28,10 @@
         outcome(ExchangeOutcome::Unreachable),
         DispatchOutcome::Unreachable
     );
+    assert_eq!(
+        outcome(ExchangeOutcome::NoConnection),
+        DispatchOutcome::NoConnection
+    );
     assert_eq!(
         outcome(ExchangeOutcome::ConnectionLimit),
         DispatchOutcome::Rejected
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,5 +12,5 @@
 
 pub use clock::{Clock, duration_from_micros};
 pub use notifier::Notifier;
-pub use tcp::{Stream, connect, listen};
+pub use tcp::{Stream, connect, is_out_of_resources, listen};
 pub use timer::DeadlineTimer;
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -15,6 +15,9 @@
 
 /// `EINPROGRESS` on Linux: a non-blocking connect has been started and is not complete yet.
 const EINPROGRESS: i32 = 115;
+/// `ENOMEM`, `ENFILE`, `EMFILE` and `ENOBUFS` on Linux: this process or machine has no memory, descriptor or buffer left
+/// for a further socket.
+const OUT_OF_RESOURCES: [i32; 4] = [12, 23, 24, 105];
 /// Most connections that may wait to be accepted. The system's default is short: when a thousand clients connect at
 /// once, the connections above it are dropped, and their clients retry only a second later.
 const LISTEN_BACKLOG: i32 = 4096;
@@ -43,6 +46,15 @@
     connect_from(remote, local).or(timed_out).await
 }
 
+/// Whether a connection could not be opened for lack of a resource of this process or machine: descriptors, memory or
+/// local ports. Such an error tells nothing about the remote side.
+pub fn is_out_of_resources(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::AddrNotAvailable
+        || error
+            .raw_os_error()
+            .is_some_and(|code| OUT_OF_RESOURCES.contains(&code))
+}
+
 async fn connect_from(remote: SocketAddr, local: Option<IpAddr>) -> io::Result<Stream> {
     let socket = tcp_socket(remote)?;
     socket.set_nonblocking(true)?;
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -262,27 +262,26 @@
         let placement = self.pool.borrow_mut().place(node.clock.now(), worker);
         match placement {
             Placement::Existing(id) => self.connection(id).ok_or(ExchangeEnd::NotSent),
-            Placement::New(id) => self.open(node, id, worker).ok_or_else(|| {
-                node.record_activity(Activity::UnknownAddress);
-                ExchangeEnd::ConnectFailed
-            }),
+            Placement::New(id) => self.open(node, id, worker),
             Placement::Exhausted => {
                 node.record_activity(Activity::NoConnection);
-                Err(ExchangeEnd::Withheld)
+                Err(ExchangeEnd::NoConnection)
             }
         }
     }
 
-    /// Opens a connection to a worker and starts its task; `None` if the address of the worker is unknown.
+    /// Opens a connection to a worker and starts its task. The error is the result of the exchange if the address of the
+    /// worker is unknown.
     fn open(
         &self,
         node: &Rc<Node>,
         id: ConnectionId,
         worker: WorkerIndex,
-    ) -> Option<Rc<WorkerConnection>> {
+    ) -> Result<Rc<WorkerConnection>, ExchangeEnd> {
         let Some(address) = node.worker_address(worker) else {
             self.pool.borrow_mut().closed(id);
-            return None;
+            node.record_activity(Activity::UnknownAddress);
+            return Err(ExchangeEnd::ConnectFailed);
         };
         let connection = Rc::new(WorkerConnection::new(id));
         self.connections.borrow_mut().insert(id, connection.clone());
@@ -292,7 +291,7 @@
             let session = Session::new(&task_node, &task_connection);
             session.run(address, connect_timeout).await;
         });
-        Some(connection)
+        Ok(connection)
     }
 
     /// Whether this connection is retired, so that no further attempt or load order may be sent on it.
@@ -346,6 +345,12 @@
 
 /// Handling of connection events.
 impl WorkerConnections {
+    /// Records that the process had no descriptor left for a connection.
+    fn out_of_descriptors(&self, node: &Node) {
+        node.record_activity(Activity::NoConnection);
+        self.pool.borrow_mut().out_of_descriptors(node.clock.now());
+    }
+
     fn established(&self, connection: &WorkerConnection) {
         self.pool.borrow_mut().connected(connection.id());
     }
--- a/crates/platform-node/src/worker_connections/session.rs
+++ b/crates/platform-node/src/worker_connections/session.rs
@@ -1,11 +1,12 @@
 //! [`Session`]: the task of a connection to a worker. It establishes the connection, then reads answers until the
 //! connection ends.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use cedarpulley::interface::Micros;
-use cedarpulley_net::{Stream, connect};
+use cedarpulley_net::{Stream, connect, is_out_of_resources};
 use cedarpulley_platform::attempt_outcome::ExchangeEnd;
 use cedarpulley_platform::loop_activity::Activity;
 use cedarpulley_platform::worker_protocol::MAX_ANSWER_BYTES;
@@ -34,20 +35,17 @@
 
     /// Establishes and serves the connection, and reports the end of the exchanges that were in flight on it.
     pub async fn run(self, address: SocketAddr, connect_timeout: Micros) {
-        let connecting = async { connect(address, None, connect_timeout).await.ok() };
+        let connecting = async {
+            let connected = connect(address, None, connect_timeout).await;
+            connected.map_err(|error| self.connect_failed(&error))
+        };
         let cancelled = async {
             self.connection.end_requested().await;
-            None
+            Err(ExchangeEnd::Withheld)
         };
-        let Some(stream) = connecting.or(cancelled).await else {
-            // A connection attempt that this router cancelled shows nothing about the worker.
-            let end = if self.connection.is_closed_locally() {
-                ExchangeEnd::Withheld
-            } else {
-                self.node.record_activity(Activity::ConnectFailed);
-                ExchangeEnd::ConnectFailed
-            };
-            return self.end(end);
+        let stream = match connecting.or(cancelled).await {
+            Ok(stream) => stream,
+            Err(end) => return self.end(end),
         };
         self.connection.established(stream);
         self.node.workers.established(self.connection);
@@ -56,6 +54,20 @@
         self.end(ExchangeEnd::NotSent);
     }
 
+    /// The result of the exchanges on a connection that could not be established. An attempt that this router cancelled
+    /// shows nothing about the worker.
+    fn connect_failed(self, error: &io::Error) -> ExchangeEnd {
+        if is_out_of_resources(error) {
+            self.node.workers.out_of_descriptors(self.node);
+            ExchangeEnd::NoConnection
+        } else if self.connection.is_closed_locally() {
+            ExchangeEnd::Withheld
+        } else {
+            self.node.record_activity(Activity::ConnectFailed);
+            ExchangeEnd::ConnectFailed
+        }
+    }
+
     /// Ends the connection. `unsent`: the result of the exchanges whose messages were not sent completely.
     fn end(self, unsent: ExchangeEnd) {
         let workers = &self.node.workers;
--- a/crates/platform/src/attempt_outcome.rs
+++ b/crates/platform/src/attempt_outcome.rs
@@ -46,10 +46,12 @@
     Answered(AnswerStatus),
     /// No connection to the worker could be established.
     ConnectFailed,
+    /// This router had no connection for the message: it can open no further one, and no open one was free.
+    NoConnection,
     /// The connection ended, or this router closed it, before the kernel had accepted every byte of the message.
     NotSent,
-    /// This router sent no byte of the message: the deadline had passed, the client had disconnected, the worker no
-    /// longer accepts requests, or no further connection may be opened.
+    /// This router sent no byte of the message: the deadline had passed, the client had disconnected, or the worker no
+    /// longer accepts requests.
     Withheld,
     /// The connection ended after the whole message was written, or delivered bytes that violate the protocol.
     ConnectionLost,
@@ -70,6 +72,7 @@
             DispatchOutcome::ConnectionLost
         }
         ExchangeEnd::ConnectFailed => DispatchOutcome::Unreachable,
+        ExchangeEnd::NoConnection => DispatchOutcome::NoConnection,
         // Nothing ran. A connection that is reset while idle or just after it was established does not show that the
         // worker is down. If it is down, the next attempt to connect fails.
         ExchangeEnd::NotSent | ExchangeEnd::Withheld => DispatchOutcome::NotSent,
@@ -83,8 +86,9 @@
         ExchangeEnd::Answered(AnswerStatus::Ok) => LoadOrderResult::Loaded,
         ExchangeEnd::Answered(AnswerStatus::Rejected) => LoadOrderResult::NoCapacity,
         ExchangeEnd::Answered(AnswerStatus::Error) => LoadOrderResult::LoadFailed,
-        ExchangeEnd::ConnectFailed | ExchangeEnd::NotSent | ExchangeEnd::Withheld => {
-            LoadOrderResult::Unreachable
+        ExchangeEnd::ConnectFailed => LoadOrderResult::Unreachable,
+        ExchangeEnd::NoConnection | ExchangeEnd::NotSent | ExchangeEnd::Withheld => {
+            LoadOrderResult::NotSent
         }
         ExchangeEnd::Answered(_) | ExchangeEnd::ConnectionLost => LoadOrderResult::ConnectionLost,
     }
@@ -98,7 +102,9 @@
         ExchangeEnd::ConnectFailed => DispatchOutcome::Unreachable,
         // A lack of connections in this router, or an idle connection that was closed, is no sign of a fault of the
         // worker.
-        ExchangeEnd::NotSent | ExchangeEnd::Withheld => DispatchOutcome::NotSent,
+        ExchangeEnd::NoConnection | ExchangeEnd::NotSent | ExchangeEnd::Withheld => {
+            DispatchOutcome::NotSent
+        }
         ExchangeEnd::Answered(_) | ExchangeEnd::ConnectionLost => DispatchOutcome::ConnectionLost,
     }
 }
--- a/crates/platform/src/connection_pool/mod.rs
+++ b/crates/platform/src/connection_pool/mod.rs
@@ -14,6 +14,8 @@
 //! 4. An idle connection is reused only after idle times for which connections were found alive ([`idle_reuse`]). If a
 //!    worker drops idle connections early without closing them, the next request on one is reset, and nothing proves
 //!    that the request did not run.
+//! 5. After the process had no descriptor left for a connection, none is opened for a short time: exchanges share open
+//!    connections, or wait.
 
 mod idle_reuse;
 
@@ -23,6 +25,9 @@
 
 use idle_reuse::IdleReuseLimit;
 
+/// Time for which no connection is opened after the process had no descriptor left for one, in microseconds.
+const OPEN_PAUSE: Micros = 10_000;
+
 /// Identifies a connection to a worker. Ids are never reused.
 pub type ConnectionId = u64;
 
@@ -92,6 +97,8 @@
     by_worker: BTreeMap<WorkerIndex, Vec<ConnectionId>>,
     last_id: ConnectionId,
     exhausted: u64,
+    /// The earliest time at which a connection is opened.
+    no_open_before: Micros,
 }
 
 impl ConnectionPool {
@@ -113,12 +120,13 @@
             by_worker: BTreeMap::new(),
             last_id: 0,
             exhausted: 0,
+            no_open_before: Micros::MIN,
         }
     }
 
     /// Chooses the connection for the next exchange with this worker. The exchange counts as in flight from now on.
     pub fn place(&mut self, now: Micros, worker: WorkerIndex) -> Placement {
-        let can_open = self.connections.len() < self.max_connections;
+        let can_open = self.connections.len() < self.max_connections && now >= self.no_open_before;
         let reused = self
             .reusable_idle(now, worker)
             .or_else(|| self.least_shared(worker).filter(|_| !can_open));
@@ -177,6 +185,11 @@
         self.last_id
     }
 
+    /// Records that the process had no descriptor left for a connection.
+    pub fn out_of_descriptors(&mut self, now: Micros) {
+        self.no_open_before = now + OPEN_PAUSE;
+    }
+
     /// Records that the connection is established.
     pub fn connected(&mut self, id: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/crates/platform/tests/worker_protocol.rs
+++ b/crates/platform/tests/worker_protocol.rs
@@ -175,6 +175,7 @@
             false,
         ),
         (ConnectFailed, DispatchOutcome::Unreachable, true),
+        (NoConnection, DispatchOutcome::NoConnection, true),
         (NotSent, DispatchOutcome::NotSent, true),
         (Withheld, DispatchOutcome::NotSent, true),
         (ConnectionLost, DispatchOutcome::ConnectionLost, false),
@@ -200,6 +201,9 @@
             LoadOrderResult::ConnectionLost,
         ),
         (ConnectFailed, LoadOrderResult::Unreachable),
+        (NoConnection, LoadOrderResult::NotSent),
+        (NotSent, LoadOrderResult::NotSent),
+        (Withheld, LoadOrderResult::NotSent),
         (ConnectionLost, LoadOrderResult::ConnectionLost),
     ] {
         assert_eq!(attempt_outcome::load_order_result(end), result, "{end:?}");
@@ -208,6 +212,7 @@
         (Answered(AnswerStatus::Healthy), DispatchOutcome::Succeeded),
         (Answered(AnswerStatus::Unhealthy), DispatchOutcome::Rejected),
         (ConnectFailed, DispatchOutcome::Unreachable),
+        (NoConnection, DispatchOutcome::NotSent),
         (NotSent, DispatchOutcome::NotSent),
         (Withheld, DispatchOutcome::NotSent),
         (ConnectionLost, DispatchOutcome::ConnectionLost),
--- a/crates/trace/src/event_codec.rs
+++ b/crates/trace/src/event_codec.rs
@@ -18,9 +18,9 @@
 }
 pub(crate) use tag_table;
 
-tag_table!(OUTCOMES: DispatchOutcome, Succeeded, Errored, Rejected, TimedOut, Unreachable, ConnectionLost, Cancelled, NotSent, NotLoaded);
+tag_table!(OUTCOMES: DispatchOutcome, Succeeded, Errored, Rejected, TimedOut, Unreachable, ConnectionLost, Cancelled, NotSent, NotLoaded, NoConnection);
 tag_table!(COPY_STATUSES: CopyStatus, Unreported, Warm, LoadStarted, LoadAwaited, LoadFailed);
-tag_table!(ORDER_RESULTS: LoadOrderResult, Loaded, NoCapacity, LoadFailed, ConnectionLost, Unreachable, TimedOut);
+tag_table!(ORDER_RESULTS: LoadOrderResult, Loaded, NoCapacity, LoadFailed, ConnectionLost, Unreachable, TimedOut, NotSent);
 tag_table!(LIST_KINDS: EndpointListKind, Changes, Complete, Cached, Failed);
 tag_table!(ENDPOINT_STATES: EndpointState, InService, Draining, Gone);
 
--- a/crates/trace/src/explain/source_state.rs
+++ b/crates/trace/src/explain/source_state.rs
@@ -49,8 +49,10 @@
     /// Records a failed dispatch unless a more severe failure is recorded: a dispatch that was not executed, for
     /// example because it was rejected, counts only if no other dispatch failed.
     pub fn dispatch_ended(&mut self, ended: &DispatchEnded) {
-        if let DispatchOutcome::Succeeded | DispatchOutcome::Cancelled | DispatchOutcome::NotSent =
-            ended.outcome
+        if let DispatchOutcome::Succeeded
+        | DispatchOutcome::Cancelled
+        | DispatchOutcome::NotSent
+        | DispatchOutcome::NoConnection = ended.outcome
         {
             return;
         }
--- a/crates/trace/src/rule_check.rs
+++ b/crates/trace/src/rule_check.rs
@@ -195,10 +195,12 @@
             return;
         };
         dispatch.outcome = Some(ended.outcome);
-        let violation = dispatch
-            .pending_violation
-            .take()
-            .filter(|_| ended.outcome != DispatchOutcome::NotSent);
+        let violation = dispatch.pending_violation.take().filter(|_| {
+            !matches!(
+                ended.outcome,
+                DispatchOutcome::NotSent | DispatchOutcome::NoConnection
+            )
+        });
         let non_idempotent = effect_of(source, trigger) == Some(Effect::NonIdempotent);
         if let Some(correlation_hash) =
             correlation_hash.filter(|_| non_idempotent && !ended.outcome.not_executed())
--- a/crates/trace/tests/format_stability.rs
+++ b/crates/trace/tests/format_stability.rs
@@ -1,6 +1,6 @@
 //! Guards against unintended changes of the trace format 3: records must be encoded as in `fixtures/format-3.trace` (a
 //! whole file with sources, blocks, index and footer) and `fixtures/records.hex` (a line for each kind of record, event
-//! and action, and for each value of their enumerations). Both were written once; `every_record` has the values.
+//! and action, and for each value of their enumerations then). Both were written once; `every_record` has the values.
 //! `file_format.rs` tests that files of formats 1 and 2 can be read.
 
 mod every_record;
@@ -182,3 +182,65 @@
     );
     assert_eq!((fleet.routers, fleet.position, fleet.zone), (5, 3, 1));
 }
+
+/// Encodes a record.
+fn encoded(record: &Record) -> Vec<u8> {
+    let mut encoder = Encoder::default();
+    record_codec::encode_record(&mut encoder, record);
+    encoder.bytes
+}
+
+/// Replaces the last outcome or result that the fixtures contain by the one that was added after it, and returns the
+/// record with the tag of the added value; `None` for other records.
+fn with_added_value(record: &Record) -> Option<(Record, u8)> {
+    let Record::Decided { event, actions } = record else {
+        return None;
+    };
+    let RecordedEvent::Other(mut event) = event.clone() else {
+        return None;
+    };
+    let tag = match &mut event {
+        Event::DispatchEnded(DispatchEnded { outcome, .. }) | Event::ProbeEnded { outcome, .. }
+            if *outcome == DispatchOutcome::NotLoaded =>
+        {
+            *outcome = DispatchOutcome::NoConnection;
+            9
+        }
+        Event::OrderEnded { result, .. } if *result == LoadOrderResult::TimedOut => {
+            *result = LoadOrderResult::NotSent;
+            6
+        }
+        _ => return None,
+    };
+    let record = Record::Decided {
+        event: RecordedEvent::Other(event),
+        actions: actions.clone(),
+    };
+    Some((record, tag))
+}
+
+/// Values that were added after the fixtures had been written take the next tags; the other bytes stay the same.
+#[test]
+fn values_added_since_have_the_next_tags() {
+    let function = fingerprint("quote:7");
+    let mut added = 0;
+    for record in every_record::all() {
+        let Some((record_with_value, tag)) = with_added_value(&record) else {
+            continue;
+        };
+        let (before, after) = (encoded(&record), encoded(&record_with_value));
+        let changes: Vec<(u8, u8)> = before
+            .iter()
+            .zip(&after)
+            .filter(|(old, new)| old != new)
+            .map(|(old, new)| (*old, *new))
+            .collect();
+        assert_eq!(before.len(), after.len());
+        assert_eq!(changes, [(tag - 1, tag)]);
+        let decoded = record_codec::decode_record(&mut Decoder::new(&after), &|_| function)
+            .expect("readable");
+        assert_eq!(format!("{decoded:?}"), format!("{record_with_value:?}"));
+        added += 1;
+    }
+    assert_eq!(added, 3);
+}
--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -1,9 +1,9 @@
 //! Attempts: dispatches with their timeouts, retries, and final answers.
 
-use super::Balancer;
 use super::functions::Function;
 use super::invocations::{Dispatch, DispatchState, Invocation};
 use super::readiness::Readiness;
+use super::{Balancer, RETRY_INTERVAL};
 use crate::interface::*;
 
 /// A worker that has not answered for this multiple of the upper bound of the expected latency counts as hanging.
@@ -99,7 +99,7 @@
         // A retry after the timeout is useful only if it could still finish before the client's timeout.
         let left = invocation.client_timeout_at - self.now;
         let may_retry = self.settings.triggers[invocation.trigger].effect != Effect::NonIdempotent
-            && invocation.dispatches.len() as u32 + 1 < self.settings.limits.max_dispatches
+            && invocation.attempts() + 1 < self.settings.limits.max_dispatches
             && left - timeout > service.mean;
         AttemptLimits {
             silence: SILENCE_MULTIPLE * due,
@@ -117,13 +117,17 @@
         if ended.answered {
             self.mark_answered(ended.invocation);
         }
-        self.retry_or_answer(ended.invocation, out);
+        self.retry_or_answer(ended, out);
         self.remove_if_finished(ended.invocation);
-        self.retry_queued(Some(attempt.function), out);
+        // A dispatch without a connection has freed nothing that a queued invocation could use.
+        if ended.outcome != DispatchOutcome::NoConnection {
+            self.retry_queued(Some(attempt.function), out);
+        }
     }
 
     /// Retries an unanswered invocation without dispatches in flight, or answers it at once if no retry is possible.
-    fn retry_or_answer(&mut self, index: InvocationIndex, out: &mut Vec<Action>) {
+    fn retry_or_answer(&mut self, ended: &DispatchEnded, out: &mut Vec<Action>) {
+        let index = ended.invocation;
         let Some((invocation, function)) = self
             .find_invocation(index)
             .filter(|(invocation, _)| !invocation.answered && !invocation.in_flight())
@@ -132,11 +136,24 @@
         };
         let may_retry = (0..self.workers.len()).any(|worker| self.may_dispatch(invocation, worker));
         let left = invocation.client_timeout_at - self.now;
-        if may_retry && left > self.service_time(function).mean {
-            self.route(index, out);
-        } else {
+        if !may_retry || left <= self.service_time(function).mean {
             self.answer_without_success(index, out);
+        } else if ended.outcome == DispatchOutcome::NoConnection {
+            self.await_connection(index);
+        } else {
+            self.route(index, out);
+        }
+    }
+
+    /// Queues an invocation that this router had no connection for. It is retried at a later tick: a dispatch in the same
+    /// step would end in the same way. Each time, it waits for one tick more, so that a shortage that lasts takes few
+    /// dispatches.
+    fn await_connection(&mut self, index: InvocationIndex) {
+        if let Some(invocation) = self.invocations.get_mut(index) {
+            let ticks = Micros::from(invocation.dispatches_without_connection());
+            invocation.retry_from = self.now + ticks * RETRY_INTERVAL;
         }
+        self.enqueue(index);
     }
 
     /// Gives the final answer to an invocation that did not succeed: a rejection if the invocation certainly did not
--- a/src/balancer/eligibility.rs
+++ b/src/balancer/eligibility.rs
@@ -17,7 +17,7 @@
     pub(super) fn may_dispatch(&self, invocation: &Invocation, worker: usize) -> bool {
         if invocation.answered
             || invocation.in_flight()
-            || invocation.dispatches.len() as u32 >= self.settings.limits.max_dispatches
+            || invocation.attempts() >= self.settings.limits.max_dispatches
             || !self.accepts_new_work(worker)
         {
             return false;
--- a/src/balancer/estimates.rs
+++ b/src/balancer/estimates.rs
@@ -108,6 +108,13 @@
         self.times.iter().filter(|&&time| time > since).count()
     }
 
+    /// Drops one of the events that were recorded at `at`, if there is one.
+    pub(super) fn forget_one_at(&mut self, at: Micros) {
+        if let Some(position) = self.times.iter().rposition(|&time| time == at) {
+            self.times.remove(position);
+        }
+    }
+
     /// Drops the events up to and including `until`.
     pub(super) fn forget_until(&mut self, until: Micros) {
         while self.times.front().is_some_and(|&time| time <= until) {
--- a/src/balancer/feedback.rs
+++ b/src/balancer/feedback.rs
@@ -72,7 +72,9 @@
                     objective,
                 );
             }
-            DispatchOutcome::NotSent | DispatchOutcome::Cancelled => {}
+            DispatchOutcome::NotSent
+            | DispatchOutcome::NoConnection
+            | DispatchOutcome::Cancelled => {}
             // A failed load delays the next load of the function, as after a failed load order. It counts against
             // the worker only if the function has run before: otherwise the function itself may be at fault.
             DispatchOutcome::Errored if attempt.loads_copy => {
--- a/src/balancer/invocations.rs
+++ b/src/balancer/invocations.rs
@@ -12,6 +12,8 @@
     NotExecuted,
     /// It did not run because the worker rejected it for lack of capacity.
     Overloaded,
+    /// It did not run because this router had no connection for it.
+    NoConnection,
     /// It ran or may have run.
     Indeterminate,
 }
@@ -21,6 +23,7 @@
     pub(super) fn after(outcome: DispatchOutcome) -> Self {
         match outcome {
             DispatchOutcome::Rejected => DispatchState::Overloaded,
+            DispatchOutcome::NoConnection => DispatchState::NoConnection,
             _ if outcome.not_executed() => DispatchState::NotExecuted,
             _ => DispatchState::Indeterminate,
         }
@@ -28,7 +31,10 @@
 
     /// Whether the dispatch certainly did not run.
     pub(super) fn not_executed(self) -> bool {
-        matches!(self, DispatchState::NotExecuted | DispatchState::Overloaded)
+        matches!(
+            self,
+            DispatchState::NotExecuted | DispatchState::Overloaded | DispatchState::NoConnection
+        )
     }
 }
 
@@ -64,6 +70,8 @@
     pub(super) answered: bool,
     /// All its dispatches, by their number.
     pub(super) dispatches: Vec<Dispatch>,
+    /// While it is queued, the earliest time of its next dispatch or load.
+    pub(super) retry_from: Micros,
 }
 
 impl Invocation {
@@ -74,6 +82,19 @@
             .any(|dispatch| dispatch.state == DispatchState::InFlight)
     }
 
+    /// Number of dispatches that this router had a connection for.
+    pub(super) fn attempts(&self) -> u32 {
+        self.dispatches.len() as u32 - self.dispatches_without_connection()
+    }
+
+    /// Number of dispatches that this router had no connection for.
+    pub(super) fn dispatches_without_connection(&self) -> u32 {
+        let dispatches = self.dispatches.iter();
+        dispatches
+            .filter(|dispatch| dispatch.state == DispatchState::NoConnection)
+            .count() as u32
+    }
+
     /// Whether this worker has rejected the invocation for lack of capacity. Without this check, a full worker, which
     /// rejects at once and so has the fewest dispatches in flight, is sent the same invocation again until its
     /// dispatches are used up. The worker's copy still counts as loaded.
--- a/src/balancer/load_orders.rs
+++ b/src/balancer/load_orders.rs
@@ -27,6 +27,11 @@
         self.accepted.forget_until(until);
     }
 
+    /// Drops an order of `ordered_at` that was not sent: only orders that reach a worker count.
+    fn forget_order(&mut self, ordered_at: Micros) {
+        self.ordered.forget_one_at(ordered_at);
+    }
+
     /// Rule 5: whether one more order is within the quota.
     fn allows_one_more(&self, now: Micros, loads: &LoadSettings) -> bool {
         let since = now - loads.order_quota_window;
@@ -193,6 +198,20 @@
         self.workers[worker].no_load_until = self.now + self.settings.limits.connect_timeout;
     }
 
+    /// Handles an order that was not sent. It tells nothing about the worker, and the next tick retries the load: an order
+    /// given here could end in the same way, in an endless loop.
+    fn on_order_not_sent(&mut self, ended: &OrderEnded) {
+        self.order_quota.forget_order(self.now - ended.took);
+        let function = &mut self.functions[ended.function as usize];
+        if !function.known {
+            return;
+        }
+        function.orders_in_flight = function.orders_in_flight.saturating_sub(1);
+        if self.load_finished(ended.function, ended.worker) {
+            self.functions[ended.function as usize].set_cold(ended.worker);
+        }
+    }
+
     /// Handles the end of a load order.
     pub(super) fn on_order_ended(&mut self, ended: &OrderEnded, out: &mut Vec<Action>) {
         let &OrderEnded {
@@ -202,6 +221,9 @@
             took,
             copies,
         } = ended;
+        if result == LoadOrderResult::NotSent {
+            return self.on_order_not_sent(ended);
+        }
         if !self.functions[function as usize].known {
             return;
         }
@@ -223,7 +245,7 @@
             state.set_cold(worker);
         }
         match result {
-            LoadOrderResult::Loaded => {}
+            LoadOrderResult::Loaded | LoadOrderResult::NotSent => {}
             // A worker without capacity for the copy answers at once. Without this pause of the expected load time,
             // it would be sent the next order at once.
             LoadOrderResult::NoCapacity => {
--- a/src/balancer/queue.rs
+++ b/src/balancer/queue.rs
@@ -112,6 +112,8 @@
         };
         if ends_at - self.now <= service.mean {
             self.answer_without_success(index, out);
+        } else if self.now < invocation.retry_from {
+            // It waits for a connection of this router.
         } else if let Some(worker) = self.pick_free_lane(index) {
             self.dispatch(index, worker, false, out);
         } else if !self.has_warm_worker(index)
--- a/src/balancer/readiness.rs
+++ b/src/balancer/readiness.rs
@@ -175,7 +175,10 @@
         self.readiness.checks[worker].in_flight = false;
         // A check that was not sent is no evidence about the worker. The next tick sends another one: a check sent
         // here at once could fail in the same way, in an endless loop.
-        if outcome == DispatchOutcome::NotSent {
+        if matches!(
+            outcome,
+            DispatchOutcome::NotSent | DispatchOutcome::NoConnection
+        ) {
             return;
         }
         let (numerator, denominator) = CHECK_VALIDITY_OF_DRAIN_GRACE;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -261,6 +261,9 @@
     NotSent,
     /// The worker had no copy and was loading none, or the load for which the invocation waited failed.
     NotLoaded,
+    /// This router had no connection for it: it can open no further one, and no open one was free. No part of the
+    /// request was sent.
+    NoConnection,
 }
 
 impl DispatchOutcome {
@@ -272,6 +275,7 @@
                 | DispatchOutcome::Unreachable
                 | DispatchOutcome::NotSent
                 | DispatchOutcome::NotLoaded
+                | DispatchOutcome::NoConnection
         )
     }
 }
@@ -306,6 +310,8 @@
     Unreachable,
     /// There was no result within the time allowed.
     TimedOut,
+    /// No part of the order was sent, for a reason that tells nothing about the worker.
+    NotSent,
 }
 
 /// An invocation that this router has accepted.
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision module, which run without the benchmark.
 
 mod attempts;
+mod connection_shortage;
 mod helpers;
 mod load_orders;
 mod load_shedding;
