Balancer: a worker that reports a load without a copy gets no other order at once

A worker that answers an order with success but reports no copy (`ok n=0`; 404 over KServe) is sent the next order as soon as the answer comes, as fast as the network allows.

Cause: only a refusal paused the worker; this answer freed it and retried the queue. Change: it pauses the worker like a refusal, for the expected load time.

Test: a_worker_that_loads_nothing_gets_no_further_load_order_at_once fails on the code before.

--- a/src/balancer/load_orders.rs
+++ b/src/balancer/load_orders.rs
@@ -245,10 +245,11 @@
             state.set_cold(worker);
         }
         match result {
-            LoadOrderResult::Loaded | LoadOrderResult::NotSent => {}
-            // A worker without capacity for the copy answers at once. Without this pause of the expected load time,
-            // it would be sent the next order at once.
-            LoadOrderResult::NoCapacity => {
+            LoadOrderResult::Loaded if copies > 0 => {}
+            LoadOrderResult::NotSent => {}
+            // A worker without capacity for the copy, or without the copy that it reports as loaded, answers at once.
+            // Without this pause of the expected load time, it would be sent the next order at once.
+            LoadOrderResult::Loaded | LoadOrderResult::NoCapacity => {
                 self.workers[worker].no_load_until = self.now + expected_load_time;
             }
             LoadOrderResult::LoadFailed => self.delay_loads(function, took),
--- a/tests/decisions/load_orders.rs
+++ b/tests/decisions/load_orders.rs
@@ -279,6 +279,25 @@
     );
 }
 
+/// A worker that answers an order with success, but has no copy, would be sent the next order at once.
+#[test]
+fn a_worker_that_loads_nothing_gets_no_further_load_order_at_once() {
+    let mut script = Script::new(33, LOADS_ONLY_ON_ORDER, 1);
+    let (_, actions) = script.arrive(0, 0, 1, 2 * SECOND);
+    let worker = ordered(&actions)[0];
+    script.advance(MS);
+    let nothing_loaded = Event::OrderEnded {
+        worker,
+        function: 0,
+        result: LoadOrderResult::Loaded,
+        took: MS,
+        copies: 0,
+    };
+    assert!(ordered(&script.handle(&nothing_loaded)).is_empty());
+    assert!(ordered(&script.advance(100 * MS)).is_empty());
+    assert_eq!(ordered(&script.advance(SECOND)), [worker]);
+}
+
 /// The router stood still: a worker that answered invocations well but refused the connections for load orders was sent
 /// one order after the other without a pause, as failed orders do not make it an outlier for such invocations.
 #[test]
