Balancer: a health check whose result came too late is not repeated in the same step

While the list may be out of date, a check whose result is no longer valid as it arrives led to the next check at once; with a drain grace of 0 (which the settings allow) that is every check, and workers that refuse connections were checked without a pause.

Change: such a result decides nothing, and the next tick checks again.

Test: a_health_check_whose_result_came_too_late_is_repeated_at_the_next_tick fails on the code before.

--- a/src/balancer/readiness.rs
+++ b/src/balancer/readiness.rs
@@ -190,7 +190,9 @@
         if self.readiness.record(worker, self.now, &ended) {
             self.assume_restarted(worker);
         }
-        if !self.readiness.list_is_current(self.now) {
+        // A result that is not valid any more lets nothing be decided. The next tick checks the worker again.
+        let is_decisive = self.readiness.of(worker, self.now) != Readiness::Unknown;
+        if is_decisive && !self.readiness.list_is_current(self.now) {
             self.retry_queued(None, out);
         }
     }
--- a/tests/decisions/readiness.rs
+++ b/tests/decisions/readiness.rs
@@ -99,6 +99,19 @@
     }
 }
 
+/// A result that is no longer valid when it arrives lets nothing be decided. If the check were repeated at once, a worker
+/// that answers slowly, or one that refuses connections at once where the grace is very short, would be checked without a
+/// pause.
+#[test]
+fn a_health_check_whose_result_came_too_late_is_repeated_at_the_next_tick() {
+    let (mut script, warm_worker) = with_ended_lease(PLAIN, 2);
+    script.arrive(0, 0, 1, 2 * SECOND);
+    script.advance(DRAIN_GRACE);
+    let late = script.end_probe(warm_worker, Succeeded, DRAIN_GRACE);
+    assert!(probed(&late).is_empty(), "checked again in the same step");
+    assert_eq!(probed(&script.advance(10 * MS)), [warm_worker]);
+}
+
 /// A health check that the router could not send is no evidence about the worker. If no connection is available, a
 /// check ends in the same step that sends it; sending it again in that step would never end.
 #[test]
