Node: a turn of the core loop handles a bounded number of inputs

Need: the core loop went on while there were inputs, and executing an output may add one.

What is left is handled in further turns, between which the other tasks run, so that connections are served whatever fails and however fast. In ordinary work a turn handles one input and the few that end at once. A router does not exit while inputs are left.

--- a/crates/kserve/tests/outcomes.rs
+++ b/crates/kserve/tests/outcomes.rs
@@ -1,9 +1,11 @@
 //! Classification of exchanges with a worker. Guards against an exchange after which the invocation may have run being
 //! taken for proof that it did not run, which would let a retry run it twice.
 
-use cedarpulley::interface::DispatchOutcome;
+use cedarpulley::interface::{DispatchOutcome, LoadOrderResult};
 use cedarpulley_kserve::ExchangeOutcome;
-use cedarpulley_kserve::outcomes::classify_inference;
+use cedarpulley_kserve::outcomes::{
+    classify_health_check, classify_inference, classify_load_order,
+};
 use http::{HeaderMap, StatusCode};
 
 fn response_outcome(status: u16, pairs: &[(&'static str, &str)], body: &[u8]) -> DispatchOutcome {
@@ -21,6 +23,31 @@
     .outcome
 }
 
+/// Guards against blaming a worker for what this router could not send, and against an order that is given again at once.
+#[test]
+fn an_order_or_health_check_that_was_not_sent_tells_nothing_about_the_worker() {
+    for not_sent in [
+        ExchangeOutcome::NoConnection,
+        ExchangeOutcome::ConnectionLimit,
+        ExchangeOutcome::ConnectionLost { bytes_sent: false },
+    ] {
+        let (result, copies) = classify_load_order(&not_sent);
+        assert_eq!(
+            (result, copies),
+            (LoadOrderResult::NotSent, 0),
+            "{not_sent:?}"
+        );
+        let (outcome, _) = classify_health_check(&not_sent);
+        assert!(
+            matches!(
+                outcome,
+                DispatchOutcome::NotSent | DispatchOutcome::NoConnection
+            ),
+            "{not_sent:?}: {outcome:?}"
+        );
+    }
+}
+
 #[test]
 fn each_exchange_has_its_dispatch_outcome() {
     let outcome = |exchange: ExchangeOutcome| classify_inference(&exchange).outcome;
--- a/crates/platform-node/src/core_loop.rs
+++ b/crates/platform-node/src/core_loop.rs
@@ -1,10 +1,10 @@
 //! [`CoreLoop`]: the router core with the queue of its inputs and the timer for its next deadline.
 
-use std::cell::{Cell, Ref, RefCell, RefMut};
-use std::collections::VecDeque;
+use std::cell::{Ref, RefCell, RefMut};
 
 use cedarpulley::interface::Micros;
-use cedarpulley_net::{Clock, DeadlineTimer};
+use cedarpulley_net::{Clock, DeadlineTimer, Notifier};
+use cedarpulley_platform::input_queue::{AfterTurn, InputQueue};
 use cedarpulley_platform::loop_activity::{Activity, LoopActivity};
 use cedarpulley_router::{Input, Output, Router};
 
@@ -12,9 +12,9 @@
 pub(crate) struct CoreLoop {
     router: RefCell<Router>,
     /// Inputs that the core has not processed yet.
-    inputs: RefCell<VecDeque<Input>>,
-    /// Whether a call of [`CoreLoop::feed`] is processing inputs.
-    is_running: Cell<bool>,
+    inputs: RefCell<InputQueue<Input>>,
+    /// Notified when inputs are left after a turn.
+    inputs_left: Notifier,
     /// Elapses when the next of the core's timers is due.
     deadline_timer: DeadlineTimer,
     activity: RefCell<LoopActivity>,
@@ -26,17 +26,24 @@
         CoreLoop {
             router: RefCell::new(router),
             inputs: RefCell::default(),
-            is_running: Cell::new(false),
+            inputs_left: Notifier::default(),
             deadline_timer: DeadlineTimer::default(),
             activity: RefCell::new(LoopActivity::new(now)),
         }
     }
 
     /// Processes an input, and passes the core's outputs to `execute` in order. Executing an output may call this
-    /// function again with a further input: that input is queued, and processed before the outermost call returns.
-    pub fn feed(&self, clock: &Clock, input: Input, mut execute: impl FnMut(Output)) {
-        self.inputs.borrow_mut().push_back(input);
-        if self.is_running.replace(true) {
+    /// function again with a further input: that input is queued, and processed before the outermost call returns,
+    /// unless the turn has processed its largest number of inputs. The rest is then left to further turns
+    /// ([`CoreLoop::inputs_left`]).
+    pub fn feed(&self, clock: &Clock, input: Input, execute: impl FnMut(Output)) {
+        self.inputs.borrow_mut().push(input);
+        self.run_turn(clock, execute);
+    }
+
+    /// Processes the queued inputs, up to the number that one turn processes. Does nothing within a turn.
+    pub fn run_turn(&self, clock: &Clock, mut execute: impl FnMut(Output)) {
+        if !self.inputs.borrow_mut().begin_turn() {
             return;
         }
         self.activity.borrow_mut().turn_began(clock.now());
@@ -52,7 +59,19 @@
             outputs.drain(..).for_each(&mut execute);
         }
         self.activity.borrow_mut().turn_ended(clock.now());
-        self.is_running.set(false);
+        if self.inputs.borrow_mut().end_turn() == AfterTurn::InputsLeft {
+            self.inputs_left.notify();
+        }
+    }
+
+    /// Waits until inputs are left after a turn, for which [`CoreLoop::run_turn`] has to be called.
+    pub async fn inputs_left(&self) {
+        self.inputs_left.notified().await;
+    }
+
+    /// Whether all inputs have been processed.
+    pub fn is_idle(&self) -> bool {
+        self.inputs.borrow().is_empty()
     }
 
     /// Records an activity of the loop.
@@ -66,7 +85,7 @@
     }
 
     fn next_input(&self) -> Option<Input> {
-        self.inputs.borrow_mut().pop_front()
+        self.inputs.borrow_mut().next_in_turn()
     }
 
     /// Waits until a timer of the core is due.
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -14,6 +14,7 @@
 use cedarpulley_platform::graceful_shutdown::GracefulShutdown;
 use cedarpulley_platform::loop_activity::Activity;
 use cedarpulley_router::{Input, LoadOrderTicket, Output, Router, Ticket};
+use futures_lite::future::yield_now;
 
 use crate::client_connections::ClientConnections;
 use crate::core_loop::CoreLoop;
@@ -204,6 +205,17 @@
         }
     }
 
+    /// Continues with the inputs that are left after a turn of the core loop, while the router runs. Between two turns
+    /// the other tasks run, which serve the connections.
+    pub async fn run_left_inputs(self: Rc<Self>) {
+        loop {
+            self.core.inputs_left().await;
+            yield_now().await;
+            self.core
+                .run_turn(&self.clock, |output| self.execute(output));
+        }
+    }
+
     /// Measures the lag of the event loop and closes overdue connections periodically, while the router runs.
     pub async fn run_sweeps(self: Rc<Self>) {
         loop {
@@ -273,8 +285,10 @@
 
     /// Whether the process may exit now. `backlog_empty`: whether no connection is waiting to be accepted.
     pub fn may_exit(&self, backlog_empty: bool) -> bool {
-        let unfinished =
-            !backlog_empty || self.core.router().unfinished() > 0 || self.clients.has_unfinished();
+        let unfinished = !backlog_empty
+            || !self.core.is_idle()
+            || self.core.router().unfinished() > 0
+            || self.clients.has_unfinished();
         self.shutdown
             .borrow()
             .may_exit(self.clock.now(), unfinished)
--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -144,6 +144,7 @@
     let stop = Notifier::default();
     node.reset_lag();
     node.spawn(node.clone().run_timers());
+    node.spawn(node.clone().run_left_inputs());
     node.spawn(node.clone().run_sweeps());
     node.spawn(discovery::follow(node.clone(), seed));
     node.spawn(accept_clients(node.clone(), listener.clone()));
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`connection_limiter`]: decides which client connections stay open.
 //! * [`resource_limits`]: divides the descriptors and the memory that the platform allows.
 //! * [`event_loop_lag`]: estimates how late the process reads bytes that have arrived.
+//! * [`input_queue`]: the inputs that wait for the router core, of which a turn handles a limited number.
 //! * [`loop_activity`]: records what fills the turns of the core loop.
 //! * [`graceful_shutdown`]: decides which requests are accepted after the signal to stop, and when the process exits.
 
@@ -26,6 +27,7 @@
 pub mod discovery;
 pub mod event_loop_lag;
 pub mod graceful_shutdown;
+pub mod input_queue;
 pub mod loop_activity;
 pub mod resource_limits;
 pub mod worker_protocol;
