Node: an idle connection to another worker makes room at the connection limit

What callers saw: at the limit on connections to workers, an invocation for a worker without a connection had none, although connections to other workers were idle; it would wait for as long as those may be kept.

Change: the pool gives the place of the connection that has been idle for longest to the new one; the idle one is closed first. The limit holds.

Test: an_idle_connection_to_another_worker_makes_room_at_the_limit; the code before has no such placement (it answers Exhausted). The random runs of the pool now also check that no connection in use is given away.

--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -263,6 +263,10 @@
         match placement {
             Placement::Existing(id) => self.connection(id).ok_or(ExchangeEnd::NotSent),
             Placement::New(id) => self.open(node, id, worker),
+            Placement::Replacement { evicted, id } => {
+                self.close(vec![evicted]);
+                self.open(node, id, worker)
+            }
             Placement::Exhausted => {
                 node.record_activity(Activity::NoConnection);
                 Err(ExchangeEnd::NoConnection)
--- a/crates/platform/src/connection_pool/mod.rs
+++ b/crates/platform/src/connection_pool/mod.rs
@@ -14,7 +14,9 @@
 //! 4. An idle connection is reused only after idle times for which connections were found alive ([`idle_reuse`]). If a
 //!    worker drops idle connections early without closing them, the next request on one is reset, and nothing proves
 //!    that the request did not run.
-//! 5. After the process had no descriptor left for a connection, none is opened for a short time: exchanges share open
+//! 5. At the limit, an exchange with a worker without connections gets the place of the connection, to any worker, that
+//!    has been idle for longest.
+//! 6. After the process had no descriptor left for a connection, none is opened for a short time: exchanges share open
 //!    connections, or wait.
 
 mod idle_reuse;
@@ -38,7 +40,15 @@
     Existing(ConnectionId),
     /// A new connection with this id, which the caller has to establish.
     New(ConnectionId),
-    /// No connection: no further connection may be opened, and no existing one has a free stream.
+    /// A new connection in place of an idle one to another worker, as no further connection may be opened. The caller
+    /// has to close the idle one, which is no longer in the table, and then establish the new one.
+    Replacement {
+        /// The connection to close.
+        evicted: ConnectionId,
+        /// The connection to establish.
+        id: ConnectionId,
+    },
+    /// No connection: no further connection may be opened, and no existing one has a free stream or is idle.
     Exhausted,
 }
 
@@ -141,10 +151,21 @@
                 Placement::Existing(id)
             }
             None if can_open => Placement::New(self.open(now, worker)),
-            None => {
-                self.exhausted += 1;
-                Placement::Exhausted
-            }
+            None => self.replace_idle(now, worker),
+        }
+    }
+
+    /// Opens a connection in place of the one that has been idle for longest.
+    fn replace_idle(&mut self, now: Micros, worker: WorkerIndex) -> Placement {
+        let idle = self.connections.iter().filter(|(_, c)| c.is_idle());
+        let Some(evicted) = idle.min_by_key(|(_, c)| c.last_used).map(|(id, _)| *id) else {
+            self.exhausted += 1;
+            return Placement::Exhausted;
+        };
+        self.closed(evicted);
+        Placement::Replacement {
+            evicted,
+            id: self.open(now, worker),
         }
     }
 
--- a/crates/platform/tests/connections.rs
+++ b/crates/platform/tests/connections.rs
@@ -53,6 +53,28 @@
     assert_eq!(pool.place(3, 7), Placement::Existing(first));
 }
 
+/// Guards against invocations that wait for a connection while idle connections to other workers take up the limit.
+#[test]
+fn an_idle_connection_to_another_worker_makes_room_at_the_limit() {
+    let mut pool = pool(2);
+    let (older, newer) = (
+        open_connection(&mut pool, 0, 7),
+        open_connection(&mut pool, 0, 8),
+    );
+    assert_eq!(pool.place(1, 9), Placement::Exhausted);
+    pool.exchange_ended(2, older, Impossible);
+    pool.exchange_ended(3, newer, Impossible);
+    let Placement::Replacement { evicted, id } = pool.place(4, 9) else {
+        panic!("a connection in place of an idle one");
+    };
+    assert_eq!((evicted, pool.count()), (older, 2));
+    pool.connected(id);
+    // The end of the evicted connection is reported later and changes nothing.
+    pool.closed(evicted);
+    assert_eq!(pool.place(5, 8), Placement::Existing(newer));
+    assert_eq!(pool.place(5, 7), Placement::Exhausted);
+}
+
 /// Guards against a router that opens connections without a pause while it has no descriptor left: it does nothing else,
 /// and takes each descriptor that becomes free from its clients.
 #[test]
@@ -430,6 +452,10 @@
                         in_flight.push(id);
                     }
                     Placement::Existing(id) => in_flight.push(id),
+                    Placement::Replacement { evicted, id } => {
+                        prop_assert!(!in_flight.contains(&evicted));
+                        in_flight.push(id);
+                    }
                     Placement::Exhausted => {}
                 },
                 2 if !in_flight.is_empty() => {
