Node: the process's own limit on descriptors is divided, too

The descriptors were divided between clients and workers by `limits.sockets` alone (1024), so that both took what they could get until the system refused; orders that failed for lack of a descriptor were repeated without a pause and took each one that became free, and clients waited in the backlog.

Change: the smaller one of the setting and RLIMIT_NOFILE is divided. If the latter is smaller, the router says so when it starts.

--- a/crates/cli/tests/node_shortage.rs
+++ b/crates/cli/tests/node_shortage.rs
@@ -80,6 +80,30 @@
     drop(waiting);
 }
 
+/// Guards against clients that wait without an answer, as their connections cannot be accepted, while the operating system
+/// lets the process open fewer descriptors than its settings say.
+#[test]
+fn a_limit_of_the_process_below_the_settings_leaves_room_for_rejections() {
+    let descriptors = 64;
+    let world = World::with_descriptors(descriptors);
+    // Clients get half of the descriptors. Each of these connections is owed an answer.
+    let mut kept: Vec<_> = (1..=descriptors / 2)
+        .map(|n| send(&world, &id(n), KEPT))
+        .collect();
+    world.until("the worker executes a call", |world| {
+        !world.seen.lock().expect("seen").calls.is_empty()
+    });
+    for _ in 0..10 {
+        let rejection = world.ask("GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n");
+        assert_eq!(rejection.expect("an explicit rejection").0, 503);
+    }
+    (1..=descriptors / 2).for_each(|n| world.free(&id(n)));
+    for answers in &mut kept {
+        assert_eq!(answer(answers).expect("an answer").0, 200);
+    }
+    world.turns();
+}
+
 /// Guards against a router that stands still while it may open no further connection: a load order that found none free
 /// was given again within the same turn.
 #[test]
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -365,6 +365,31 @@
     /// Starts a router with an edited configuration and waits until it serves requests. The times in the configuration
     /// are long, so that none of them expires because the machine is busy: tests cause all that they wait for.
     pub fn with(part: u16, edit: impl FnOnce(String) -> String) -> World {
+        World::started_by(part, edit, start)
+    }
+
+    /// Like [`World::with`], with a router that may open this number of file descriptors.
+    pub fn with_descriptors(descriptors: u32) -> World {
+        World::started_by(
+            3,
+            |config| config,
+            |file, folder, address| {
+                let program = env!("CARGO_BIN_EXE_cedarpulley");
+                let mut shell = Command::new("sh");
+                shell.args([
+                    "-c",
+                    &format!("ulimit -n {descriptors}; exec \"$0\" \"$@\""),
+                ]);
+                start_by(shell.arg(program), file, folder, address)
+            },
+        )
+    }
+
+    fn started_by(
+        part: u16,
+        edit: impl FnOnce(String) -> String,
+        start: impl FnOnce(&Path, &Path, SocketAddr) -> Child,
+    ) -> World {
         let (seen, told) = (Shared::default(), Arc::new(Mutex::new(Channel::default())));
         let (workers, address, first_channel) = (own(part), own(part), own(part));
         worker(TcpListener::bind(workers).expect("bind"), seen.clone());
@@ -537,7 +562,13 @@
 
 /// Starts a router process with this configuration file.
 pub fn start(file: &Path, folder: &Path, address: SocketAddr) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_cedarpulley"))
+    let program = env!("CARGO_BIN_EXE_cedarpulley");
+    start_by(&mut Command::new(program), file, folder, address)
+}
+
+/// Starts a router process by this command, to which the arguments of the program are added.
+fn start_by(command: &mut Command, file: &Path, folder: &Path, address: SocketAddr) -> Child {
+    command
         .args(["--level", "warn", "node"])
         .env("BALANCER_CONFIG", file)
         .env("BALANCER_LISTEN", address.to_string())
--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -20,6 +20,7 @@
 use cedarpulley_platform::resource_limits::ResourceLimits;
 use cedarpulley_router::{CoreSettings, Router};
 use cedarpulley_startup::StartupSettings;
+use rustix::process::{Resource, getrlimit};
 use thiserror::Error;
 
 use crate::client_connections::{ClientConnections, accept_clients};
@@ -157,7 +158,7 @@
 
 fn node_parts(config: StartupConfig, now: Micros) -> NodeParts {
     let settings = &config.settings;
-    let limits = ResourceLimits::of(config.limits);
+    let limits = ResourceLimits::of(config.limits, process_descriptors(config.limits.sockets));
     let connections = config.worker_connections;
     let pool = ConnectionPool::new(
         limits.workers,
@@ -189,6 +190,20 @@
     }
 }
 
+/// The most descriptors that the operating system lets this process open; `None` if it sets no limit. Logs a limit that
+/// is below the configured number.
+fn process_descriptors(configured: u64) -> Option<u64> {
+    let allowed = getrlimit(Resource::Nofile).current?;
+    if allowed < configured {
+        tracing::warn!(
+            allowed,
+            configured,
+            "the process may open fewer descriptors than limits.sockets says"
+        );
+    }
+    Some(allowed)
+}
+
 fn router_settings(settings: &StartupSettings, limits: ResourceLimits) -> CoreSettings {
     CoreSettings {
         answer_margin: settings.fleet.granularity,
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -26,9 +26,14 @@
 }
 
 impl ResourceLimits {
-    /// Divides the configured limits. Clients and workers get at least one connection each.
-    pub fn of(limits: Limits) -> Self {
-        let descriptors = limits.sockets.min(MAX_DESCRIPTORS) as usize;
+    /// Divides the limits. Clients and workers get at least one connection each. `process_descriptors`: the most
+    /// descriptors that the operating system lets this process open, if there is such a limit. The smaller one of it and
+    /// the configured number applies: at the system's limit, connections would fail in place of being refused or shared.
+    pub fn of(limits: Limits, process_descriptors: Option<u64>) -> Self {
+        let descriptors = limits
+            .sockets
+            .min(process_descriptors.unwrap_or(MAX_DESCRIPTORS))
+            .min(MAX_DESCRIPTORS) as usize;
         let clients = (descriptors / CLIENT_DESCRIPTORS_DIVISOR).max(1);
         let workers = descriptors
             .saturating_sub(clients + RESERVED_DESCRIPTORS)
--- a/crates/platform/tests/connections.rs
+++ b/crates/platform/tests/connections.rs
@@ -413,10 +413,17 @@
 #[test]
 fn descriptors_and_memory_are_divided_between_clients_and_workers() {
     for sockets in [256, 384, 512, 1024] {
-        let limits = ResourceLimits::of(Limits {
+        let configured = Limits {
             sockets,
             memory_mb: 32.0,
-        });
+        };
+        let limits = ResourceLimits::of(configured, None);
+        let unlimited = Limits {
+            sockets: 4_096,
+            ..configured
+        };
+        assert_eq!(ResourceLimits::of(unlimited, Some(sockets)), limits);
+        assert_eq!(ResourceLimits::of(configured, Some(4_096)), limits);
         assert!(
             limits.clients as u64 > sockets / 3
                 && limits.clients + limits.workers < sockets as usize
@@ -424,10 +431,11 @@
         );
         assert_eq!(limits.body_bytes, 4 << 20);
     }
-    let none = ResourceLimits::of(Limits {
+    let nothing = Limits {
         sockets: 0,
         memory_mb: 1.0,
-    });
+    };
+    let none = ResourceLimits::of(nothing, None);
     assert_eq!((none.clients, none.workers), (1, 1));
 }
 
