--- a/crates/cli/tests/node_shortage.rs
+++ b/crates/cli/tests/node_shortage.rs
@@ -1,11 +1,14 @@
-//! Runs `cedarpulley node` while load orders end within the call that gives them. The router must go on serving its
-//! clients. The tests check rules and counts, never times: before the faults were mended, the router answered nobody until
-//! the objective of the invocation that waited, which is longer here than the tests wait for an answer.
+//! Runs `cedarpulley node` while load orders end within the call that gives them, or fail as fast as the network allows. The
+//! router must go on serving its clients. The tests check rules and counts, never times: before the faults were mended, the
+//! router answered nobody until the objective of the invocation that waited, which is longer here than the tests wait for
+//! an answer.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Instant;
 
 mod platform;
 use platform::*;
@@ -133,3 +136,70 @@
     // Each ran once, however often it found no connection.
     assert!((1..8).all(|n| world.calls(&id(n)) == 1));
 }
+
+/// A worker that serves its connections until it begins to fail, and then closes every connection at once.
+#[derive(Default)]
+struct FailingWorker {
+    fails: AtomicBool,
+    /// Number of connections accepted since it fails.
+    closed: AtomicUsize,
+    open: Mutex<Vec<TcpStream>>,
+}
+
+impl FailingWorker {
+    fn start(address: SocketAddr) -> Arc<Self> {
+        let worker = Arc::new(FailingWorker::default());
+        let listener = TcpListener::bind(address).expect("bind");
+        let accepting = Arc::clone(&worker);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                accepting.accept(stream);
+            }
+        });
+        worker
+    }
+
+    fn accept(&self, stream: TcpStream) {
+        if self.fails.load(Ordering::SeqCst) {
+            self.closed.fetch_add(1, Ordering::SeqCst);
+            return;
+        }
+        let open = stream.try_clone().expect("clone");
+        self.open.lock().expect("open").push(open);
+        thread::spawn(|| serve(stream, &Shared::default()));
+    }
+
+    fn begin_to_fail(&self) {
+        self.fails.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().expect("open").drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Guards against load orders that are repeated as fast as they fail: a worker that had answered well and then closed every
+/// connection at once got them without a pause.
+#[test]
+fn a_worker_that_closes_every_connection_gets_few_load_orders() {
+    let world = World::with(4, with_long_objective);
+    let address = own(4);
+    let worker = FailingWorker::start(address);
+    world.tell(2, "s-2", address, "active");
+    world.tell(3, "s-1", world.workers, "left");
+    let good = world.ask(&call(&id(1), "plain", GOOD, "", "part"));
+    assert_eq!(good.expect("an answer").0, 200);
+    worker.begin_to_fail();
+    let began = Instant::now();
+    let waiting = send(&world, &id(2), ABSENT);
+    world.until("the worker is ordered to load three times", |_| {
+        worker.closed.load(Ordering::SeqCst) >= 3
+    });
+    world.turns();
+    let closed = worker.closed.load(Ordering::SeqCst);
+    let connect_timeouts = began.elapsed().as_millis() as usize / 250;
+    assert!(
+        closed <= connect_timeouts + 2,
+        "{closed} connections in {connect_timeouts} connect timeouts"
+    );
+    drop(waiting);
+}
