Balancer: a load by dispatch that found no connection leaves no copy behind

Found on reading the change again. A dispatch marks its worker's copy as expected. One that was to load the copy and found no connection left that mark, so that the next attempt was taken for one at a loaded copy: 1.2 s of timeout in place of 7.2 s in the test, too short for the load.

Change: such an ending drops the mark. The same for an attempt that was not sent for other reasons (NotSent) is left as it was: it is not of this fault.

Test: a_load_by_dispatch_without_a_connection_leaves_no_copy fails on the code before.

Also: the type of the longest turn is TurnActivity, and the metering of load orders names its question (is_load_not_started); no behaviour changes by that.

--- a/crates/gateway/src/metering.rs
+++ b/crates/gateway/src/metering.rs
@@ -218,12 +218,6 @@
                 });
             }
             UsageSource::LoadOrder(result) => {
-                let not_started = matches!(
-                    result,
-                    LoadOrderResult::Unreachable
-                        | LoadOrderResult::NoCapacity
-                        | LoadOrderResult::NotSent
-                );
                 state.meter.record_load(LoadUsage {
                     ended_at,
                     worker,
@@ -231,10 +225,18 @@
                     function,
                     duration: took,
                     copy_bytes,
-                    not_started,
+                    not_started: is_load_not_started(result),
                     totals,
                 });
             }
         }
     }
 }
+
+/// Whether the worker began no load for an order with this result.
+fn is_load_not_started(result: LoadOrderResult) -> bool {
+    matches!(
+        result,
+        LoadOrderResult::Unreachable | LoadOrderResult::NoCapacity | LoadOrderResult::NotSent
+    )
+}
--- a/crates/platform/src/loop_activity.rs
+++ b/crates/platform/src/loop_activity.rs
@@ -76,7 +76,7 @@
 
 /// One turn of the core loop.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Turn {
+pub struct TurnActivity {
     /// How long it lasted, in microseconds.
     pub duration: Micros,
     /// What filled it.
@@ -91,7 +91,7 @@
     /// Number of turns.
     pub turns: u64,
     /// The longest turn.
-    pub longest_turn: Turn,
+    pub longest_turn: TurnActivity,
     /// What filled all turns, and what happened between them.
     pub counts: ActivityCounts,
 }
@@ -111,7 +111,7 @@
     turn: Option<(Micros, ActivityCounts)>,
     report: ActivityReport,
     reported_at: Micros,
-    longest_turn: Turn,
+    longest_turn: TurnActivity,
 }
 
 impl LoopActivity {
@@ -121,7 +121,7 @@
             turn: None,
             report: ActivityReport::default(),
             reported_at: now,
-            longest_turn: Turn::default(),
+            longest_turn: TurnActivity::default(),
         }
     }
 
@@ -143,7 +143,7 @@
         let Some((began, counts)) = self.turn.take() else {
             return;
         };
-        let turn = Turn {
+        let turn = TurnActivity {
             duration: now - began,
             counts,
         };
@@ -162,7 +162,7 @@
     }
 
     /// The longest turn since the start.
-    pub fn longest_turn(&self) -> Turn {
+    pub fn longest_turn(&self) -> TurnActivity {
         self.longest_turn
     }
 }
--- a/src/balancer/feedback.rs
+++ b/src/balancer/feedback.rs
@@ -72,6 +72,10 @@
                     objective,
                 );
             }
+            // The worker was not asked to load the copy.
+            DispatchOutcome::NoConnection if attempt.loads_copy => {
+                self.functions[function as usize].set_cold(worker);
+            }
             DispatchOutcome::NotSent
             | DispatchOutcome::NoConnection
             | DispatchOutcome::Cancelled => {}
--- a/tests/decisions/connection_shortage.rs
+++ b/tests/decisions/connection_shortage.rs
@@ -84,6 +84,30 @@
     assert!(!script.is_unanswered(invocation));
 }
 
+/// A dispatch that was to load a copy, and found no connection, must not leave the copy as loaded: the next attempt would get
+/// too short a timeout for the load.
+#[test]
+fn a_load_by_dispatch_without_a_connection_leaves_no_copy() {
+    let timeout_of = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Dispatch { timeout, .. } => Some(*timeout),
+            _ => None,
+        })
+    };
+    let mut script = Script::new(45, PLAIN, 2);
+    let (invocation, actions) = script.arrive(0, 0, 1, 60 * SECOND);
+    let with_load = timeout_of(&actions).expect("a dispatch");
+    assert!(with_load.is_some());
+    script.end(
+        invocation,
+        0,
+        DispatchOutcome::NoConnection,
+        CopyStatus::Unreported,
+    );
+    let actions = script.advance(TICK);
+    assert_eq!(timeout_of(&actions), Some(with_load));
+}
+
 /// A shortage that lasts takes few dispatches, and each invocation gets its answer in time (the script checks that).
 #[test]
 fn a_lasting_shortage_takes_few_dispatches() {
