--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -103,6 +103,8 @@
     pub load_part: f64,
     pub connect_timeout_ms: u64,
     pub probes: bool,
+    /// The workers that drop a repeat of a keyed request: `all`, those of a `zone` or of a `cell`.
+    pub key_scope: &'static str,
     pub drain_grace_ms: u64,
     pub memory_mb: u64,
     pub sockets: u64,
@@ -121,6 +123,7 @@
             load_part: 0.0,
             connect_timeout_ms: 250,
             probes: true,
+            key_scope: "all",
             drain_grace_ms: 500,
             memory_mb: 192,
             sockets: 1024,
@@ -151,7 +154,7 @@
                 r#""fall":3000000000,"overloadFactor":4.0,"stopSendingWithin":{grace}}},"#,
                 r#""services":[{{"aim":800000000,"effect":"retryable","hardLimit":2000000000,"keyScope":"all","#,
                 r#""lateValue":0.3,"name":"estimate","streamed":false,"value":1.0,"window":5000000000}},"#,
-                r#"{{"aim":1200000000,"effect":"dedup","hardLimit":4000000000,"keyScope":"all","lateValue":0.1,"#,
+                r#"{{"aim":1200000000,"effect":"dedup","hardLimit":4000000000,"keyScope":"{scope}","lateValue":0.1,"#,
                 r#""name":"issue-quote","streamed":false,"value":5.0,"window":8000000000}},"#,
                 r#"{{"aim":750000000,"effect":"fragile","hardLimit":2500000000,"keyScope":"all","lateValue":0.2,"#,
                 r#""name":"book-slot","streamed":false,"value":5.0,"window":5000000000}}],"#,
@@ -177,6 +180,7 @@
             fleet = self.fleet_size,
             connect = ns(self.connect_timeout_ms),
             probes = self.probes,
+            scope = self.key_scope,
             grace = ns(self.drain_grace_ms),
         )
     }
