--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -8,7 +8,7 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -249,10 +249,6 @@
         lines[lines.len().saturating_sub(50)..].to_vec()
     }
 
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([format!("-{name}"), self.process.id().to_string()]).status();
-    }
-
     pub fn has_ended(&mut self) -> bool {
         self.process.try_wait().map_or(true, |status| status.is_some())
     }
@@ -280,7 +276,7 @@
 fn end_overdue(router: u32) {
     thread::spawn(move || {
         thread::sleep(LONGEST_CASE);
-        let _ = Command::new("kill").args(["-KILL".to_owned(), router.to_string()]).status();
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {router}")]).status();
         println!("the case took too long");
         std::process::exit(2);
     });
@@ -459,16 +455,53 @@
 
 pub type Handler = Arc<dyn Fn(Message, &Answers) + Send + Sync>;
 
-/// Runs a worker on the listener; `handler` gets each message.
-pub fn worker(listener: TcpListener, handler: Handler) {
-    small_thread(move || {
-        for stream in listener.incoming().flatten() {
-            let handler = handler.clone();
-            small_thread(move || {
-                serve_worker(stream, &handler);
-            });
+/// The process of a worker: a listener and the connections to it.
+pub struct WorkerProcess {
+    address: SocketAddr,
+    ended: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+impl WorkerProcess {
+    /// Starts a worker on the listener; `handler` gets each message.
+    pub fn start(listener: TcpListener, handler: Handler) -> Arc<WorkerProcess> {
+        let process = Arc::new(WorkerProcess {
+            address: listener.local_addr().expect("an address"),
+            ended: AtomicBool::new(false),
+            connections: Mutex::default(),
+        });
+        let running = process.clone();
+        small_thread(move || {
+            for stream in listener.incoming().flatten() {
+                if running.ended.load(Ordering::SeqCst) {
+                    return;
+                }
+                if let Ok(stream) = stream.try_clone() {
+                    running.connections.lock().unwrap().push(stream);
+                }
+                let handler = handler.clone();
+                small_thread(move || {
+                    serve_worker(stream, &handler);
+                });
+            }
+        });
+        process
+    }
+
+    /// Ends the process: its connections end, and its address refuses new ones.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        // The accepting thread notices it with this connection, and drops the listener.
+        let _ = TcpStream::connect(self.address);
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
         }
-    });
+    }
+}
+
+/// Runs a worker that does not end before the case does.
+pub fn worker(listener: TcpListener, handler: Handler) {
+    WorkerProcess::start(listener, handler);
 }
 
 /// A thread with a small stack, as a case may need hundreds of them.
--- a/review/standins-2/no_probes.rs
+++ b/review/standins-2/no_probes.rs
@@ -26,18 +26,14 @@
     let mut workers = Vec::new();
     // For each worker, the times at which a request came whole.
     let received: Arc<Mutex<Vec<(usize, f64, String)>>> = Arc::default();
-    let ended: Arc<Vec<AtomicBool>> = Arc::new((0..WORKERS + ROUNDS).map(|_| AtomicBool::new(false)).collect());
-    let connections: Arc<Mutex<Vec<(usize, Answers)>>> = Arc::default();
+    let mut processes = Vec::new();
     let drains: Arc<Vec<AtomicBool>> = Arc::new((0..WORKERS + ROUNDS).map(|_| AtomicBool::new(false)).collect());
     for number in 0..WORKERS + ROUNDS {
         let listener = listen();
         workers.push((format!("s-{number:08x}"), listener.local_addr().unwrap()));
         let (record, received, drains) = (record.clone(), received.clone(), drains.clone());
-        let (ended, connections) = (ended.clone(), connections.clone());
-        worker(listener, Arc::new(move |message, answers| match message {
-            _ if ended[number].load(Ordering::Relaxed) => answers.close(),
+        let process = WorkerProcess::start(listener, Arc::new(move |message, answers| match message {
             Message::Call { id, body, .. } => {
-                connections.lock().unwrap().push((number, answers.clone()));
                 received.lock().unwrap().push((number, record.now(), id.clone()));
                 if drains[number].load(Ordering::Relaxed) {
                     record.line(format!("worker {number} (draining) receives FN id={id}"));
@@ -55,6 +51,7 @@
             Message::Load { tag, .. } => answers.send(&tag, "ok", "n=1", b""),
             _ => {}
         }));
+        processes.push(process);
     }
     let entry_of = |number: usize, state: &str| entry(&workers[number].0, workers[number].1, state, 0);
     let first: Vec<String> = (0..WORKERS).map(|number| entry_of(number, "active")).collect();
@@ -98,10 +95,7 @@
         drains[round].store(true, Ordering::Relaxed);
         record.line(format!("worker {round} leaving: counts as told"));
         sleep_ms(ENDS_AFTER_MS);
-        ended[round].store(true, Ordering::Relaxed);
-        for (_, answers) in connections.lock().unwrap().iter().filter(|(worker, _)| *worker == round) {
-            answers.close();
-        }
+        processes[round].end();
         record.line(format!("worker {round} ends"));
         channel.change(&[entry_of(round, "left")]);
         late.push((round, told));
--- a/review/standins-2/stale_cell.rs
+++ b/review/standins-2/stale_cell.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -16,16 +16,19 @@
 const CLIENTS: usize = 12;
 const FUNCTIONS: usize = 3;
 const WORK_MS: u64 = 60;
-/// One in this many requests is run but its first attempt is answered `error`, as the result could not be made.
-const ERROR_ONE_IN: u64 = 10;
+/// Of one in this many requests, the answer to the first attempt breaks off: it has run, and its connection ends.
+const BREAKS_OFF_ONE_IN: u64 = 10;
 /// How long the workers of a cell drop a repeat.
 const WINDOW: Duration = Duration::from_millis(8_000);
 /// The worker drains this long after the channel has fallen silent.
 const SILENT_BEFORE_MS: u64 = 1_000;
 /// From this time of silence on, what the channel would have told counts as told.
 const TOLD_AFTER_MS: f64 = 7_000.0;
+/// The worker ends this long after it began to drain, and the new one starts this long after that.
+const ENDS_AFTER_MS: u64 = 1_500;
+const REPLACED_AFTER_MS: u64 = 5_300;
 /// The channel is silent for this long in all.
-const SILENCE_MS: u64 = 14_000;
+const SILENCE_MS: u64 = 30_000;
 /// Each time limit grows by this.
 const SLACK_MS: f64 = 50.0;
 
@@ -35,7 +38,7 @@
     ran: HashMap<(u32, String), Instant>,
     /// The cells in which each token ran.
     cells: HashMap<String, Vec<(u32, String, f64)>>,
-    errors: HashSet<String>,
+    broken_off: HashSet<String>,
 }
 
 /// A worker: its name, its cell, and whether its process has been replaced by that of the new worker.
@@ -43,8 +46,7 @@
     name: String,
     cell: u32,
     replaced: AtomicBool,
-    /// For connections: those that began before the replacement belong to the old process.
-    connections: Mutex<Vec<Answers>>,
+    draining: AtomicBool,
 }
 
 fn main() {
@@ -60,11 +62,12 @@
             name: name_of(number),
             cell,
             replaced: AtomicBool::new(false),
-            connections: Mutex::default(),
+            draining: AtomicBool::new(false),
         });
-        workers.push(this.clone());
-        let (record, seen) = (record.clone(), seen.clone());
-        worker(listener, Arc::new(move |message, answers| handle(&this, message, answers, &record, &seen)));
+        let (worker, record, seen) = (this.clone(), record.clone(), seen.clone());
+        let handler: Handler = Arc::new(move |message, answers| handle(&worker, message, answers, &record, &seen));
+        let process = WorkerProcess::start(listener, handler.clone());
+        workers.push((this, handler, process));
     }
     let list = |number: usize, state: &str| zoned_entry(&name_of(number), addresses[number], state, 0, "hall-a", CELLS[number]);
     let entries: Vec<String> = (0..CELLS.len()).map(|number| list(number, "active")).collect();
@@ -86,16 +89,26 @@
         record.line("the command channel falls silent; its connections stay open");
     }
     sleep_ms(SILENT_BEFORE_MS);
-    // A planned replacement: the worker drains, ends, and a new one starts at its address.
+    // A planned replacement: the worker drains and ends, and later a new one starts at its address.
     channel.change(&[list(LEAVES, "leaving")]);
     record.line(format!("{} leaving", name_of(LEAVES)));
-    sleep_ms(1_500);
-    workers[LEAVES].replaced.store(true, Ordering::Relaxed);
-    workers[LEAVES].connections.lock().unwrap().drain(..).for_each(|answers| answers.close());
+    let (old, handler, process) = &workers[LEAVES];
+    old.draining.store(true, Ordering::Relaxed);
+    sleep_ms(ENDS_AFTER_MS);
+    process.end();
+    channel.change(&[list(LEAVES, "left")]);
+    record.line(format!("{} left", name_of(LEAVES)));
+    sleep_ms(REPLACED_AFTER_MS);
+    old.replaced.store(true, Ordering::Relaxed);
+    old.draining.store(false, Ordering::Relaxed);
+    let Ok(listener) = TcpListener::bind(addresses[LEAVES]) else {
+        finish(&record, Some(router), 2, "the address of the worker that left is taken");
+    };
+    worker(listener, handler.clone());
     let new = zoned_entry("s-0000beef", addresses[LEAVES], "active", unix_ms(), "hall-a", NEW_CELL);
-    channel.change(&[list(LEAVES, "left"), new]);
-    let told = if trouble() { began + TOLD_AFTER_MS } else { record.now() };
-    record.line(format!("{} left, s-0000beef of cell {NEW_CELL} active at its address; counts as told at {told:.0}", name_of(LEAVES)));
+    channel.change(&[new]);
+    let told = record.now().max(if trouble() { began + TOLD_AFTER_MS } else { 0.0 });
+    record.line(format!("s-0000beef of cell {NEW_CELL} active at the address of {}; counts as told at {told:.0}", name_of(LEAVES)));
     sleep_ms((began as u64 + SILENCE_MS).saturating_sub(record.now() as u64));
     channel.set_silent(false);
     sleep_ms(500);
@@ -125,11 +138,8 @@
     let (name, cell) = if replaced { ("s-0000beef", NEW_CELL) } else { (&*worker.name, worker.cell) };
     match message {
         Message::Call { id, fields, body } => {
-            if !replaced {
-                worker.connections.lock().unwrap().push(answers.clone());
-            }
             let token = fields.get("token").cloned().unwrap_or_default();
-            let (first_in_cell, error) = {
+            let (first_in_cell, breaks_off) = {
                 let mut seen = seen.lock().unwrap();
                 let last = seen.ran.get(&(cell, token.clone())).copied();
                 let first = last.is_none_or(|at| at.elapsed() > WINDOW);
@@ -138,20 +148,27 @@
                     let run = (cell, name.to_owned(), record.now());
                     seen.cells.entry(token.clone()).or_default().push(run);
                 }
-                let fails = u64::from_str_radix(&id, 16).unwrap_or(0) % ERROR_ONE_IN == 0;
-                (first, fails && seen.errors.insert(token.clone()))
+                let chosen = u64::from_str_radix(&id, 16).unwrap_or(0) % BREAKS_OFF_ONE_IN == 0;
+                (first, chosen && seen.broken_off.insert(token.clone()))
             };
             let what = if first_in_cell { "runs" } else { "drops the repeat of" };
             record.line(format!("{name} (cell {cell}) {what} id={id} token={token}"));
             let (answers, record, name) = (answers.clone(), record.clone(), name.to_owned());
             small_thread(move || {
                 sleep_ms(WORK_MS);
-                let word = if error { "error" } else { "ok" };
-                answers.send(&id, word, "same=1", if error { b"" } else { &body });
-                record.line(format!("{name} answers id={id} {word}"));
+                if breaks_off {
+                    answers.close();
+                    record.line(format!("{name} ends the connection of id={id}"));
+                } else {
+                    answers.send(&id, "ok", "same=1", &body);
+                    record.line(format!("{name} answers id={id} ok"));
+                }
             });
         }
-        Message::Probe { tag } => answers.send(&tag, "yes", "gauges=busy:0.2;x1:0;x0:0.2", b""),
+        Message::Probe { tag } => {
+            let word = if worker.draining.load(Ordering::Relaxed) { "no" } else { "yes" };
+            answers.send(&tag, word, "gauges=busy:0.2;x1:0;x0:0.2", b"");
+        }
         Message::Load { tag, .. } => answers.send(&tag, "ok", "n=1", b""),
         _ => {}
     }
