Node: table sizes, and why a further attempt was allowed, in the debug log

Need: memory that grows while unknown functions are called can lie in the balancer's tables, the core's tables, the timers or the connections, and a keyed request that ran in two cells can have been repeated on an up-to-date list, on a stale one, or without any rule. Neither could be told apart from the log or the counters.

Change: table_sizes() of balancer and router (entries and estimated bytes), logged once a second at debug and once at the end at info; the line 'attempt assigned to a worker' says what allowed the attempt (allowed_by), and whether the list was up to date then.

No decision changed.

--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -13,6 +13,7 @@
 use cedarpulley_platform::event_loop_lag::EventLoopLag;
 use cedarpulley_platform::graceful_shutdown::GracefulShutdown;
 use cedarpulley_platform::loop_activity::Activity;
+use cedarpulley_router::core::RepeatBasis;
 use cedarpulley_router::{Input, LoadOrderTicket, Output, Router, Ticket};
 use futures_lite::future::yield_now;
 
@@ -25,6 +26,9 @@
 /// Time between two sweeps, each of which closes overdue connections and measures the lag of the event loop.
 const SWEEP_PERIOD: Duration = Duration::from_millis(50);
 
+/// Time between two logs of the sizes of the router's tables, in microseconds.
+const TABLE_LOG_PERIOD: Micros = 1_000_000;
+
 /// A router with its connections.
 pub(crate) struct Node {
     pub clock: Clock,
@@ -35,6 +39,7 @@
     core: CoreLoop,
     shutdown: RefCell<GracefulShutdown>,
     event_loop_lag: Cell<EventLoopLag>,
+    tables_logged_at: Cell<Micros>,
     read_buffer: ReadBuffer,
 }
 
@@ -58,6 +63,7 @@
             core: CoreLoop::new(parts.router, clock.now()),
             shutdown: RefCell::new(parts.shutdown),
             event_loop_lag: Cell::new(new_event_loop_lag(&clock)),
+            tables_logged_at: Cell::new(clock.now()),
             read_buffer: ReadBuffer::new(),
         }
     }
@@ -147,6 +153,11 @@
             .may_send_load_order(self.clock.now(), ticket)
     }
 
+    /// Why an attempt was allowed, for the log.
+    pub fn repeat_basis(&self, ticket: Ticket) -> Option<RepeatBasis> {
+        self.core.router().repeat_basis(ticket)
+    }
+
     /// The worker's name in the endpoint list, for the log; empty if the worker is not listed.
     pub fn worker_name(&self, worker: WorkerIndex) -> String {
         let router = self.core.router();
@@ -226,6 +237,17 @@
             self.event_loop_lag.set(lag);
             self.clients.sweep(&self);
             self.workers.sweep(&self);
+            self.log_tables_periodically();
+        }
+    }
+
+    fn log_tables_periodically(&self) {
+        let now = self.clock.now();
+        let is_due = now - self.tables_logged_at.get() >= TABLE_LOG_PERIOD;
+        if is_due && tracing::enabled!(tracing::Level::DEBUG) {
+            self.tables_logged_at.set(now);
+            let tables = self.core.router().table_sizes();
+            tracing::debug!(%tables, "table sizes");
         }
     }
 
@@ -311,6 +333,8 @@
             counts = ?longest.counts,
             "longest turn of the core loop"
         );
+        let tables = self.core.router().table_sizes();
+        tracing::info!(%tables, "table sizes");
         let unplaced = self.workers.unplaced_exchanges();
         tracing::info!(unplaced, "exchanges without a worker connection");
         let (repeated_events, ignored_workers) = self.discovery.ignored_counts();
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -438,10 +438,12 @@
 fn log_attempt(node: &Node, request_id: &str, ticket: &Ticket, worker: WorkerIndex) {
     if tracing::enabled!(tracing::Level::DEBUG) {
         let (attempt, worker) = (ticket.dispatch, node.worker_name(worker));
+        let allowed_by = node.repeat_basis(*ticket);
         tracing::debug!(
             id = request_id,
             attempt,
             worker,
+            ?allowed_by,
             "attempt assigned to a worker"
         );
     }
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -11,6 +11,7 @@
 //! * `waiting_deliveries`: handles deliveries that join or leave an open invocation.
 //! * `balancer_actions`: calls the balancer and carries out its actions.
 //! * `dispatch`: sends attempts to workers and handles their results.
+//! * `repeat_basis`: tells, for the log, why an attempt was allowed although an earlier one may have run.
 //! * `load_orders`: sends load orders and handles the copies that workers report.
 //! * `replication`: coordinates invocations with the group of routers.
 //! * `completion`: sends the final answer and ends an invocation.
@@ -23,6 +24,7 @@
 mod intake;
 mod load_orders;
 mod messages;
+mod repeat_basis;
 mod replication;
 mod settings;
 mod state;
@@ -34,11 +36,13 @@
 
 use cedarpulley::Balancer;
 use cedarpulley::interface::{
-    DispatchOutcome, EndpointListKind, Event, Micros, TriggerType, WorkerIndex,
+    DispatchOutcome, EndpointListKind, Event, Micros, TableSize, TableSizes, TriggerType,
+    WorkerIndex,
 };
 
 pub use counters::RouterCounters;
 pub use messages::{DispatchRequest, Input, Output};
+pub use repeat_basis::RepeatBasis;
 pub use settings::CoreSettings;
 
 use self::dispatch::DispatchResult;
@@ -273,6 +277,21 @@
         self.admission.limit()
     }
 
+    /// The sizes of the tables that callers, workers and discovery fill.
+    pub fn table_sizes(&self) -> TableSizes {
+        let mut sizes = self.balancer.table_sizes();
+        sizes.0.extend([
+            self.functions.size(),
+            self.timers.size(),
+            TableSize {
+                name: "router bodies",
+                entries: self.invocations.len(),
+                bytes: self.body_bytes() as usize,
+            },
+        ]);
+        sizes
+    }
+
     /// Total size of the bodies of all open invocations, in bytes.
     pub fn body_bytes(&self) -> u64 {
         self.admission.body_bytes()
--- a/crates/router/src/core/state/functions.rs
+++ b/crates/router/src/core/state/functions.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cedarpulley::ids::Interner;
-use cedarpulley::interface::FunctionIndex;
+use cedarpulley::interface::{FunctionIndex, TableSize};
 
 /// Maximum number of functions known at a time. It bounds the memory of the balancer, which stores a few figures of
 /// each function for every worker.
@@ -48,6 +48,17 @@
 }
 
 impl FunctionTable {
+    /// The size of the table. Each name is held three times: as a key, by its index, and shared with its invocations.
+    pub(crate) fn size(&self) -> TableSize {
+        let names: usize = self.names.iter().map(|name| name.len()).sum();
+        let per_index = size_of::<Arc<str>>() + size_of::<FunctionProfile>() + size_of::<String>();
+        TableSize {
+            name: "router functions",
+            entries: self.indices.len(),
+            bytes: 3 * names + self.names.len() * (per_index + size_of::<String>()),
+        }
+    }
+
     /// The index of the function with this name.
     pub(crate) fn find(&self, name: &str) -> Option<FunctionIndex> {
         self.indices.find(name)
--- a/crates/router/src/core/state/timers.rs
+++ b/crates/router/src/core/state/timers.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use cedarpulley::interface::Micros;
+use cedarpulley::interface::{Micros, TableSize};
 
 use super::invocation::InvocationHandle;
 use crate::{Delivery, LoadOrderTicket, Ticket};
@@ -60,6 +60,15 @@
             .push(Reverse(ScheduledTimer { due, serial, timer }));
     }
 
+    /// The size of the queue.
+    pub(crate) fn size(&self) -> TableSize {
+        TableSize {
+            name: "router timers",
+            entries: self.heap.len(),
+            bytes: self.heap.capacity() * size_of::<ScheduledTimer>(),
+        }
+    }
+
     /// When the next timer is due.
     pub(crate) fn next_due(&self) -> Option<Micros> {
         self.heap.peek().map(|scheduled| scheduled.0.due)
--- a/crates/router/src/core/state/workers.rs
+++ b/crates/router/src/core/state/workers.rs
@@ -23,6 +23,8 @@
     /// Locations by worker index.
     locations: Vec<Location>,
     drain_gate: DrainGate,
+    /// Until when the endpoint list is known to be up to date; `None` if no lease is used.
+    lease_until: Option<Micros>,
     indices: WorkerIndexAllocator,
 }
 
@@ -32,6 +34,7 @@
             names: Interner::default(),
             locations: Vec::new(),
             drain_gate: DrainGate::new(drain_grace),
+            lease_until: None,
             indices: WorkerIndexAllocator::default(),
         }
     }
@@ -98,9 +101,15 @@
 
     /// Extends the lease of the endpoint list: the list is up to date and remains valid until then.
     pub(crate) fn renew_lease(&mut self, until: Micros) {
+        self.lease_until = Some(until);
         self.drain_gate.renew_lease(until);
     }
 
+    /// Whether the endpoint list is known to be up to date.
+    pub(crate) fn list_is_current(&self, now: Micros) -> bool {
+        self.lease_until.is_none_or(|until| now < until)
+    }
+
     /// Records that the worker passed a health check that was sent at `sent_at`.
     pub(crate) fn passed_health_check(&mut self, worker: WorkerIndex, sent_at: Micros) {
         self.drain_gate.passed_health_check(worker, sent_at);
--- a/src/balancer/functions.rs
+++ b/src/balancer/functions.rs
@@ -63,6 +63,13 @@
 }
 
 impl Function {
+    /// Memory of its state, in bytes.
+    pub(super) fn bytes(&self) -> usize {
+        size_of::<Function>()
+            + self.at_workers.capacity() * size_of::<FunctionWorkerState>()
+            + self.ranked_workers.capacity() * size_of::<WorkerIndex>()
+    }
+
     /// Extends the table of workers to this number of workers.
     pub(super) fn grow(&mut self, workers: usize) {
         self.at_workers
--- a/src/balancer/invocations.rs
+++ b/src/balancer/invocations.rs
@@ -120,6 +120,17 @@
         self.slots[index as usize] = Some(invocation);
     }
 
+    /// The number of invocations, and the memory of the table in bytes.
+    pub(super) fn size(&self) -> (usize, usize) {
+        let dispatches = |invocation: &Invocation| invocation.dispatches.capacity();
+        let dispatches: usize = self.slots.iter().flatten().map(dispatches).sum();
+        let bytes = self.slots.capacity() * size_of::<Option<Invocation>>();
+        (
+            self.slots.iter().flatten().count(),
+            bytes + dispatches * size_of::<Dispatch>(),
+        )
+    }
+
     /// Returns the invocation with this index, unless it has been removed.
     pub(super) fn get(&self, index: InvocationIndex) -> Option<&Invocation> {
         self.slots[index as usize].as_ref()
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -198,6 +198,30 @@
         self.schedule_tick(out);
     }
 
+    /// The sizes of the tables that grow with the functions, the workers and the open invocations.
+    pub fn table_sizes(&self) -> TableSizes {
+        let known = self.functions.iter().filter(|function| function.known);
+        let function_bytes = self.functions.iter().map(Function::bytes).sum();
+        let (open, invocation_bytes) = self.invocations.size();
+        TableSizes(vec![
+            TableSize {
+                name: "balancer functions",
+                entries: known.count(),
+                bytes: function_bytes,
+            },
+            TableSize {
+                name: "balancer invocations",
+                entries: open,
+                bytes: invocation_bytes,
+            },
+            TableSize {
+                name: "balancer workers",
+                entries: self.workers.len(),
+                bytes: self.workers.len() * size_of::<WorkerState>(),
+            },
+        ])
+    }
+
     /// Sets a timer for the next tick, unless an earlier tick is already scheduled.
     fn schedule_tick(&mut self, out: &mut Vec<Action>) {
         let interval = if self.queue.is_empty() {
