Balancer: functions and their copies are bounded in bytes by the memory limit

Callers saw: a router killed for its memory, with all requests it held, after some 14,000 calls of functions that no worker knows (64 MB, 192 workers). Below the limit, the table held 20,000 functions; a function new to a full table got 500 although the others had long been idle.

Cause: each function had an entry for every listed worker and a ranking of all workers (20 bytes a worker), whether it used them or not; the bound counted functions, not bytes, and functions were only released after four times the idle retention.

Change: a function has entries only for workers with a copy or a dispatch in flight; rankings are computed when needed, kept while there is memory, and follow the changes of the list; what was expected of a process is void by its incarnation. So a change of the list touches no function. Memory: an eighth of memory_mb; above it the function unused for longest is released, and if all are in use, it is forgotten where their copies are. The core keeps a function's index while an invocation refers to it (it could be reused while an invocation waited for its group), and forgets functions that the balancer never came to know. Traces record the bound at the end of the start record, if there is one. serve has the same bound.

Why it works: what is stored grows by one function a call or one copy a report, both are charged, and the bound is enforced after each event.

--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -530,6 +530,14 @@
         );
     }
 
+    /// Memory of the router that belongs to no file, in bytes.
+    pub fn anonymous_memory(&self) -> u64 {
+        let process =
+            procfs::process::Process::new(self.node.id() as i32).expect("the router runs");
+        let status = process.status().expect("its status");
+        status.rssanon.expect("its resident memory, in KiB") << 10
+    }
+
     /// Sends a signal to the router process.
     pub fn signal(&self, signal: Signal) {
         let pid = rustix::process::Pid::from_child(&self.node);
--- a/crates/gateway/src/core_settings.rs
+++ b/crates/gateway/src/core_settings.rs
@@ -11,6 +11,9 @@
 use crate::config_values::{DAY_MS, MAX_NUMBER, NEVER, zone_index};
 use crate::pool::PoolSettings;
 
+/// Functions and their copies get this fraction of the memory for bodies, beside it.
+const FUNCTION_MEMORY_DIVISOR: u64 = 8;
+
 /// The values of section `[router]`. Durations are in microseconds.
 pub(crate) struct RouterSection {
     pub(crate) seed: Option<u64>,
@@ -65,6 +68,15 @@
     }
 }
 
+impl RouterSection {
+    /// The bounds of the balancer's state.
+    pub(crate) fn state_limits(&self) -> StateLimits {
+        StateLimits {
+            function_bytes: Some(self.memory_bytes / FUNCTION_MEMORY_DIVISOR),
+        }
+    }
+}
+
 /// Reads `[dispatch]`: the limits of dispatches and of the connections to workers.
 pub(crate) fn dispatch(
     section: &Section,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -136,6 +136,7 @@
             loads: core.loads,
             prices: core.prices,
             reports: core.reports,
+            state: core.router.state_limits(),
         },
         names: core.names,
         pool: core.pool,
--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -8,7 +8,7 @@
 
 use async_io::Async;
 use async_signal::{Signal, Signals};
-use cedarpulley::interface::{Effect, Micros, TriggerType};
+use cedarpulley::interface::{Effect, Micros, StateLimits, TriggerType};
 use cedarpulley_errors::Remedy;
 use cedarpulley_net::{Clock, Notifier, listen};
 use cedarpulley_platform::client_protocol::{RequestRules, TriggerRules};
@@ -157,8 +157,13 @@
 }
 
 fn node_parts(config: StartupConfig, now: Micros) -> NodeParts {
-    let settings = &config.settings;
     let limits = ResourceLimits::of(config.limits, process_descriptors(config.limits.sockets));
+    let settings = StartupSettings {
+        state: StateLimits {
+            function_bytes: Some(limits.function_bytes),
+        },
+        ..config.settings.clone()
+    };
     let connections = config.worker_connections;
     let pool = ConnectionPool::new(
         limits.workers,
@@ -178,14 +183,14 @@
         router: Router::new(
             settings.balancer(config.seed),
             settings.triggers.clone(),
-            router_settings(settings, limits),
+            router_settings(&settings, limits),
         ),
         clients: ClientConnections::new(
             request_rules(&config),
             ConnectionLimiter::new(limits.clients),
         ),
         workers: WorkerConnections::new(protocol, pool),
-        shutdown: GracefulShutdown::new(longest_client_timeout(settings)),
+        shutdown: GracefulShutdown::new(longest_client_timeout(&settings)),
         discovery: Discovery::new(config.discovery_address, config.names, worker_list, now),
     }
 }
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -11,6 +11,8 @@
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 2;
 /// Bodies of requests in flight get the memory divided by this number. The program and its tables need the rest.
 const BODY_MEMORY_DIVISOR: f64 = 8.0;
+/// Functions and their copies get the memory divided by this number.
+const FUNCTION_MEMORY_DIVISOR: f64 = 8.0;
 /// Upper limit on the configured number of descriptors: no machine allows a process more.
 const MAX_DESCRIPTORS: u64 = 1 << 20;
 
@@ -23,6 +25,8 @@
     pub workers: usize,
     /// Most memory for the bodies of all requests in flight, in bytes.
     pub body_bytes: u64,
+    /// Most memory for the functions that clients name and their copies, in bytes.
+    pub function_bytes: u64,
 }
 
 impl ResourceLimits {
@@ -43,6 +47,7 @@
             clients,
             workers,
             body_bytes: (memory_bytes / BODY_MEMORY_DIVISOR) as u64,
+            function_bytes: (memory_bytes / FUNCTION_MEMORY_DIVISOR) as u64,
         }
     }
 }
--- a/crates/router/src/core/balancer_actions.rs
+++ b/crates/router/src/core/balancer_actions.rs
@@ -81,7 +81,8 @@
             Action::RequestEndpointList { .. } => out.push(Output::RequestEndpointList),
             Action::ReleaseFunction { function } => {
                 self.orders.forget_function(function);
-                self.functions.forget(function);
+                self.functions.released_by_balancer(function);
+                self.functions.forget_if_unused(function);
             }
         }
     }
--- a/crates/router/src/core/completion.rs
+++ b/crates/router/src/core/completion.rs
@@ -267,6 +267,9 @@
         for attempt in invocation.attempts() {
             self.workers.unreserve(attempt.worker);
         }
+        let function = invocation.request.function_index;
+        self.functions.unreserve(function);
+        self.forget_unknown_function(function);
         if let Some(replication) = invocation.into_replication() {
             self.leave_replication(index, replication, out);
         }
--- a/crates/router/src/core/intake.rs
+++ b/crates/router/src/core/intake.rs
@@ -214,8 +214,9 @@
         Err(Resolution::without_body(outcome, AnswerReason::Expired))
     }
 
+    /// Checks whether there is memory for the function of the message, if it is new.
     fn check_functions(&self, message: &IncomingInvocation) -> Result<(), Resolution> {
-        if self.functions.has_capacity_for(&message.function) {
+        if self.has_room_for(&message.function) {
             return Ok(());
         }
         Err(Resolution::without_body(
@@ -308,12 +309,14 @@
             lanes,
             trigger: message.trigger,
         };
+        let function_index = self.functions.register(&message.function, profile);
+        self.functions.reserve(function_index);
         let request = AcceptedRequest {
             front: message.delivery.front,
             admitted: acceptance.admitted,
             trigger: message.trigger,
             account: message.account,
-            function_index: self.functions.register(&message.function, profile),
+            function_index,
             function: message.function,
             idempotency_key: message.idempotency_key,
             name: message.name,
--- a/crates/router/src/core/load_orders.rs
+++ b/crates/router/src/core/load_orders.rs
@@ -149,7 +149,7 @@
         let Some(profile) = known_function.and_then(|known| self.functions.profile(known)) else {
             return;
         };
-        if !self.functions.has_capacity_for(function) {
+        if !self.has_room_for(function) {
             return;
         }
         let function = FunctionInfo {
@@ -161,6 +161,20 @@
         self.plan_term = term;
         self.decide(&Event::CopyWanted { worker, function }, out);
         self.plan_term = None;
+        self.forget_unknown_function(function.function);
+    }
+
+    /// Whether the function is known, or can be added within the memory for functions.
+    pub(super) fn has_room_for(&self, function: &str) -> bool {
+        self.functions.find(function).is_some() || self.balancer.has_room_for_function()
+    }
+
+    /// Removes a function that the balancer does not know, unless an invocation refers to it. The balancer releases only
+    /// functions that it has known.
+    pub(super) fn forget_unknown_function(&mut self, function: FunctionIndex) {
+        if !self.balancer.knows_function(function) {
+            self.functions.forget_if_unused(function);
+        }
     }
 
     /// Orders a worker to unload its idle copies of a function.
--- a/crates/router/src/core/state/functions.rs
+++ b/crates/router/src/core/state/functions.rs
@@ -1,15 +1,10 @@
 //! The functions that this router knows: their indices, names, and their last known properties.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::sync::Arc;
 
-use cedarpulley::ids::Interner;
 use cedarpulley::interface::{FunctionIndex, TableSize};
 
-/// Maximum number of functions known at a time. It bounds the memory of the balancer, which stores a few figures of
-/// each function for every worker.
-const MAX_FUNCTIONS: usize = 20_000;
-
 /// Properties of a function, taken from its last invocation or from the similar function named in a request for a copy.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FunctionProfile {
@@ -36,55 +31,89 @@
     };
 }
 
+/// What the table holds of a function besides its name.
+#[derive(Clone, Copy, Debug)]
+struct FunctionEntry {
+    profile: FunctionProfile,
+    /// Number of invocations that are not over and refer to the function by its index.
+    references: u32,
+    /// Whether the balancer has received an invocation of it since it last released it.
+    known_to_balancer: bool,
+}
+
+impl FunctionEntry {
+    const UNUSED: FunctionEntry = FunctionEntry {
+        profile: FunctionProfile::UNUSED,
+        references: 0,
+        known_to_balancer: false,
+    };
+}
+
 /// Functions by index; the index of a forgotten function is reused.
-#[derive(Default)]
 pub(crate) struct FunctionTable {
-    indices: Interner<String>,
+    indices: HashMap<Arc<str>, FunctionIndex>,
     /// Names by index; empty for a forgotten function.
     names: Vec<Arc<str>>,
-    profiles: Vec<FunctionProfile>,
-    /// Functions that the balancer knows from an invocation and has not released.
-    known_to_balancer: HashSet<FunctionIndex>,
+    /// By index.
+    entries: Vec<FunctionEntry>,
+    free: Vec<FunctionIndex>,
+    no_name: Arc<str>,
+}
+
+impl Default for FunctionTable {
+    fn default() -> Self {
+        FunctionTable {
+            indices: HashMap::new(),
+            names: Vec::new(),
+            entries: Vec::new(),
+            free: Vec::new(),
+            no_name: Arc::from(""),
+        }
+    }
 }
 
 impl FunctionTable {
-    /// The size of the table. Each name is held three times: as a key, by its index, and shared with its invocations.
+    /// The size of the table.
     pub(crate) fn size(&self) -> TableSize {
         let names: usize = self.names.iter().map(|name| name.len()).sum();
-        let per_index = size_of::<Arc<str>>() + size_of::<FunctionProfile>() + size_of::<String>();
+        let per_name = size_of::<(Arc<str>, FunctionIndex)>();
+        let per_index =
+            size_of::<Arc<str>>() + size_of::<FunctionEntry>() + size_of::<FunctionIndex>();
         TableSize {
             name: "router functions",
             entries: self.indices.len(),
-            bytes: 3 * names + self.names.len() * (per_index + size_of::<String>()),
+            bytes: names + self.indices.capacity() * per_name + self.names.capacity() * per_index,
         }
     }
 
     /// The index of the function with this name.
     pub(crate) fn find(&self, name: &str) -> Option<FunctionIndex> {
-        self.indices.find(name)
-    }
-
-    /// Whether the function is known already, or can be added within the maximum number of functions.
-    pub(crate) fn has_capacity_for(&self, name: &str) -> bool {
-        self.find(name).is_some() || self.indices.len() < MAX_FUNCTIONS
+        self.indices.get(name).copied()
     }
 
     /// Adds the function if it is new, and stores its profile.
     pub(crate) fn register(&mut self, name: &Arc<str>, profile: FunctionProfile) -> FunctionIndex {
-        let function = self.indices.intern(name.as_ref());
-        let index = function as usize;
-        if self.names.len() <= index {
-            self.names.resize(index + 1, Arc::from(""));
-            self.profiles.resize(index + 1, FunctionProfile::UNUSED);
-        }
-        self.names[index] = name.clone();
-        self.profiles[index] = profile;
+        let function = self.find(name).unwrap_or_else(|| self.add(name.clone()));
+        self.entries[function as usize].profile = profile;
+        function
+    }
+
+    fn add(&mut self, name: Arc<str>) -> FunctionIndex {
+        let function = self.free.pop().unwrap_or_else(|| {
+            self.names.push(self.no_name.clone());
+            self.entries.push(FunctionEntry::UNUSED);
+            self.names.len() as FunctionIndex - 1
+        });
+        self.names[function as usize] = name.clone();
+        self.entries[function as usize] = FunctionEntry::UNUSED;
+        self.indices.insert(name, function);
         function
     }
 
     /// The last known properties of the function.
     pub(crate) fn profile(&self, function: FunctionIndex) -> Option<FunctionProfile> {
-        self.profiles.get(function as usize).copied()
+        let entry = self.entries.get(function as usize)?;
+        Some(entry.profile)
     }
 
     /// The name of a function that has an index.
@@ -97,15 +126,37 @@
         &self.names
     }
 
+    /// Counts an invocation that refers to the function. Its index is not reused until [`FunctionTable::unreserve`].
+    pub(crate) fn reserve(&mut self, function: FunctionIndex) {
+        self.entries[function as usize].references += 1;
+    }
+
+    /// Removes a reference that [`FunctionTable::reserve`] counted.
+    pub(crate) fn unreserve(&mut self, function: FunctionIndex) {
+        let entry = &mut self.entries[function as usize];
+        entry.references = entry.references.saturating_sub(1);
+    }
+
     /// Records that the balancer receives an invocation of the function; returns true the first time.
     pub(crate) fn mark_known_to_balancer(&mut self, function: FunctionIndex) -> bool {
-        self.known_to_balancer.insert(function)
+        let known = &mut self.entries[function as usize].known_to_balancer;
+        !std::mem::replace(known, true)
+    }
+
+    /// Records that the balancer has released the function.
+    pub(crate) fn released_by_balancer(&mut self, function: FunctionIndex) {
+        self.entries[function as usize].known_to_balancer = false;
     }
 
-    /// Removes a function that the balancer has released; its index may be reused.
-    pub(crate) fn forget(&mut self, function: FunctionIndex) {
-        self.known_to_balancer.remove(&function);
-        self.indices.release(function);
-        self.names[function as usize] = Arc::from("");
+    /// Removes a function that the balancer does not know, unless an invocation refers to it; its index may be reused.
+    pub(crate) fn forget_if_unused(&mut self, function: FunctionIndex) {
+        let index = function as usize;
+        if self.entries[index].references > 0 || self.names[index].is_empty() {
+            return;
+        }
+        let name = std::mem::replace(&mut self.names[index], self.no_name.clone());
+        self.indices.remove(&name);
+        self.entries[index] = FunctionEntry::UNUSED;
+        self.free.push(function);
     }
 }
--- a/crates/startup/src/startup_settings.rs
+++ b/crates/startup/src/startup_settings.rs
@@ -4,7 +4,7 @@
 use cedarpulley::Balancer;
 use cedarpulley::interface::{
     Account, DeduplicationScope, DispatchLimits, Effect, FleetPosition, LoadSettings, Micros,
-    Prices, ReportSource, RuleLimits, TriggerType,
+    Prices, ReportSource, RuleLimits, StateLimits, TriggerType,
 };
 
 use crate::error::{Result, unknown_value, wrong_type};
@@ -33,6 +33,8 @@
     pub prices: Prices,
     /// The source of load reports.
     pub reports: ReportSource,
+    /// Bounds of the balancer's state.
+    pub state: StateLimits,
 }
 
 impl StartupSettings {
@@ -49,6 +51,7 @@
             self.prices,
             self.reports,
         )
+        .with_state_limits(self.state)
     }
 
     /// Converts raw settings; the error describes the first invalid setting.
@@ -66,6 +69,7 @@
             loads: load_settings(raw, &triggers)?,
             prices: prices(raw)?,
             reports: report_source(raw)?,
+            state: StateLimits::default(),
             fleet,
             limits,
             rules,
--- a/crates/trace/src/start_codec.rs
+++ b/crates/trace/src/start_codec.rs
@@ -86,6 +86,7 @@
             ReportSource::Probes => 1,
             ReportSource::Nothing => 2,
         });
+        encode_state_limits(&mut out, &startup.state);
         out.bytes
     }
 
@@ -111,6 +112,7 @@
                 loads: decode_loads(input)?,
                 prices: decode_prices(input)?,
                 reports: decode_report_source(input)?,
+                state: decode_state_limits(input)?,
             },
         })
     }
@@ -295,6 +297,21 @@
     })
 }
 
+/// Encodes nothing if there are no bounds, as in traces that were written before there were any.
+fn encode_state_limits(out: &mut Encoder, limits: &StateLimits) {
+    if let Some(bytes) = limits.function_bytes {
+        out.unsigned(bytes);
+    }
+}
+
+fn decode_state_limits(input: &mut Decoder) -> Decoded<StateLimits> {
+    let function_bytes = match input.is_empty() {
+        true => None,
+        false => Some(input.unsigned()?),
+    };
+    Ok(StateLimits { function_bytes })
+}
+
 fn decode_report_source(input: &mut Decoder) -> Decoded<ReportSource> {
     match input.byte()? {
         0 => Ok(ReportSource::Answers),
--- a/crates/trace/tests/every_record/mod.rs
+++ b/crates/trace/tests/every_record/mod.rs
@@ -455,6 +455,7 @@
             over_quota: 6.0,
         },
         reports,
+        state: StateLimits::default(),
     }
 }
 
--- a/crates/trace/tests/sample_trace/mod.rs
+++ b/crates/trace/tests/sample_trace/mod.rs
@@ -80,6 +80,7 @@
             ..Default::default()
         },
         reports: ReportSource::Answers,
+        state: StateLimits::default(),
     }
 }
 
--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -44,7 +44,7 @@
         };
         let (function, trigger) = (invocation.function, invocation.trigger);
         let is_probe = self.outliers.is_outlier(worker, trigger, now);
-        let waits_for_load = loads_copy || state.is_loading_on(worker);
+        let waits_for_load = loads_copy || state.is_loading_on(&self.workers, worker);
         let limits = self.attempt_limits(invocation, state, waits_for_load);
         out.push(Action::Dispatch {
             invocation: index,
@@ -59,9 +59,11 @@
                 loads_copy,
             });
         }
-        let state = &mut self.functions[function as usize];
-        state.at_workers[worker].in_flight += 1;
-        state.set_warm_until(worker, now + self.settings.loads.idle_retention);
+        let process = self.process_of(worker);
+        let warm_until = now + self.settings.loads.idle_retention;
+        self.functions.edit_copies(function, |copies| {
+            copies.dispatched(process, now, warm_until);
+        });
         if loads_copy {
             self.load_started(function, worker);
         }
@@ -221,7 +223,7 @@
     /// Removes the invocation if it is answered and has no dispatch in flight.
     fn remove_if_finished(&mut self, index: InvocationIndex) {
         if let Some(invocation) = self.invocations.take_if_finished(index) {
-            self.functions[invocation.function as usize].open_invocations -= 1;
+            self.functions.invocation_finished(invocation.function);
         }
     }
 }
--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -1,5 +1,7 @@
 //! The endpoint list: workers that join, drain, restart and leave.
 
+use std::collections::HashSet;
+
 use super::Balancer;
 use super::estimates::DISTANT_PAST;
 use super::workers::WorkerState;
@@ -35,11 +37,6 @@
         for worker in workers_without_copies {
             self.forget_copies(worker);
         }
-        for function in 0..self.functions.len() {
-            if self.functions[function].known {
-                self.rank_workers(function as FunctionIndex);
-            }
-        }
         self.retry_queued(None, out);
     }
 
@@ -52,21 +49,23 @@
         self.workers.resize_with(workers, WorkerState::default);
         self.outliers.grow(workers);
         self.readiness.grow(workers);
-        for function in &mut self.functions {
-            function.grow(workers);
-        }
     }
 
     /// Marks the workers that are missing from a complete list as gone, and returns them.
     fn mark_missing_gone(&mut self, endpoints: &[Endpoint]) -> Vec<usize> {
-        let is_missing = |worker: &usize| {
-            !endpoints
-                .iter()
-                .any(|endpoint| endpoint.worker as usize == *worker)
-        };
-        let missing: Vec<usize> = (0..self.workers.len()).filter(is_missing).collect();
+        let listed: HashSet<usize> = endpoints
+            .iter()
+            .map(|endpoint| endpoint.worker as usize)
+            .collect();
+        let missing: Vec<usize> = (0..self.workers.len())
+            .filter(|worker| !listed.contains(worker))
+            .collect();
         for &worker in &missing {
-            self.workers[worker].state = EndpointState::Gone;
+            let state = &mut self.workers[worker];
+            let was_in_service = state.state == EndpointState::InService;
+            state.state = EndpointState::Gone;
+            self.roster
+                .changed(worker as WorkerIndex, was_in_service, false);
         }
         missing
     }
@@ -75,9 +74,13 @@
     fn update_worker(&mut self, endpoint: &Endpoint) -> bool {
         let worker = endpoint.worker as usize;
         let is_new_worker = self.workers[worker].fingerprint != endpoint.fingerprint;
+        let was_in_service = self.workers[worker].state == EndpointState::InService;
         if is_new_worker {
             // The index of a removed worker has been reused: the new worker must not inherit its state.
-            self.workers[worker] = WorkerState::default();
+            self.workers[worker] = WorkerState {
+                incarnation: self.workers[worker].incarnation,
+                ..WorkerState::default()
+            };
             self.outliers.reset(worker);
             self.readiness.reset(worker);
         }
@@ -94,6 +97,11 @@
         state.machine_kind = endpoint.machine_kind;
         state.state = endpoint.state;
         state.started_at = started_at;
+        let is_in_service = endpoint.state == EndpointState::InService;
+        if is_new_worker || was_in_service != is_in_service {
+            self.roster
+                .changed(endpoint.worker, was_in_service, is_in_service);
+        }
         self.slowness.add_kind(endpoint.machine_kind);
         is_new_worker || process_restarted || endpoint.state == EndpointState::Gone
     }
@@ -101,12 +109,9 @@
     /// Drops the expected copies and the recorded outcomes of a worker whose process has been restarted or is gone.
     pub(super) fn forget_copies(&mut self, worker: usize) {
         self.outliers.forget_outcomes(worker);
-        self.workers[worker].no_load_until = DISTANT_PAST;
-        for function in &mut self.functions {
-            function.set_cold(worker);
-            function
-                .loading_on
-                .take_if(|loading| *loading as usize == worker);
-        }
+        let state = &mut self.workers[worker];
+        state.no_load_until = DISTANT_PAST;
+        // Copies and loads name the incarnation to which they belong.
+        state.incarnation = state.incarnation.wrapping_add(1);
     }
 }
--- a/src/balancer/feedback.rs
+++ b/src/balancer/feedback.rs
@@ -42,8 +42,8 @@
             short_timeout: invocation.short_timeout,
             in_flight: f64::from(self.outliers.in_flight(worker)),
         };
-        let at_worker = &mut self.functions[attempt.function as usize].at_workers[worker];
-        at_worker.in_flight = at_worker.in_flight.saturating_sub(1);
+        self.functions
+            .edit_copies(attempt.function, |copies| copies.dispatch_ended(worker));
         self.outliers.dispatch_ended(worker, attempt.trigger);
         if attempt.loads_copy {
             self.load_finished(attempt.function, worker);
@@ -63,7 +63,7 @@
         self.record_overload(attempt, ended.outcome);
         match ended.outcome {
             DispatchOutcome::Succeeded => self.record_success(attempt, ended),
-            DispatchOutcome::NotLoaded => self.functions[function as usize].set_cold(worker),
+            DispatchOutcome::NotLoaded => self.set_cold(function, worker),
             DispatchOutcome::Rejected => {
                 let objective = self.settings.triggers[trigger].latency_objective;
                 self.workers[worker].concurrency_limit.record_rejection(
@@ -74,7 +74,7 @@
             }
             // The worker was not asked to load the copy.
             DispatchOutcome::NoConnection if attempt.loads_copy => {
-                self.functions[function as usize].set_cold(worker);
+                self.set_cold(function, worker);
             }
             DispatchOutcome::NotSent
             | DispatchOutcome::NoConnection
@@ -83,7 +83,7 @@
             // the worker only if the function has run before: otherwise the function itself may be at fault.
             DispatchOutcome::Errored if attempt.loads_copy => {
                 self.delay_loads(function, ended.took);
-                if self.functions[function as usize].service_time.mean > 0 {
+                if self.functions[function].service_time.mean > 0 {
                     self.outliers.record(worker, trigger, self.now, false);
                 }
             }
@@ -95,8 +95,7 @@
 
     /// The upper bound of the function's normal service time.
     fn normal_service(&self, function: FunctionIndex) -> Micros {
-        self.service_time(&self.functions[function as usize])
-            .upper_bound()
+        self.service_time(&self.functions[function]).upper_bound()
     }
 
     /// Updates the load shedder's estimates from the result of a dispatch.
@@ -122,7 +121,7 @@
         let (now, took) = (self.now, ended.took);
         self.outliers.record(worker, trigger, now, true);
         self.record_completion();
-        let state = &self.functions[function as usize];
+        let state = &self.functions[function];
         let service = self.service_time(state);
         let load = self.load_time(state);
         let loaded_at = self.workers[worker].no_load_until.max(now);
@@ -136,8 +135,11 @@
             _ => false,
         };
         let warm_until = now + self.settings.loads.idle_retention;
-        let state = &mut self.functions[function as usize];
-        state.set_warm_until(worker, warm_until);
+        let process = self.process_of(worker);
+        self.functions.edit_copies(function, |copies| {
+            copies.set_warm_until(process, now, warm_until);
+        });
+        let state = &mut self.functions[function];
         if was_warm {
             self.latencies.record_service(state, trigger, took);
             let worker = &mut self.workers[worker];
--- a/src/balancer/load_orders.rs
+++ b/src/balancer/load_orders.rs
@@ -1,6 +1,7 @@
 //! Loads of copies, caused by load orders or by dispatches; the quota of load orders; the loads in progress.
 
 use super::Balancer;
+use super::copies::WorkerProcess;
 use super::estimates::{DISTANT_PAST, SlidingWindow};
 use super::readiness::Readiness;
 use crate::interface::*;
@@ -95,9 +96,12 @@
             function,
             copies: 1,
         });
-        let state = &mut self.functions[function as usize];
-        state.orders_in_flight += 1;
-        state.set_warm_until(worker, self.now + self.settings.loads.idle_retention);
+        self.functions.order_sent(function);
+        let (process, now) = (self.process_of(worker), self.now);
+        let warm_until = now + self.settings.loads.idle_retention;
+        self.functions.edit_copies(function, |copies| {
+            copies.set_warm_until(process, now, warm_until);
+        });
     }
 
     /// Handles a request for a copy that no invocation needs yet, as from the plan of an upgrade. Such a load is
@@ -119,10 +123,10 @@
         if self.readiness_of(worker) != Readiness::Ready {
             return self.check_readiness(worker, out);
         }
-        self.register_function(info);
-        let function = &self.functions[info.function as usize];
-        let is_warm = function.is_warm(worker, self.now);
-        let can_load = function.loading_on.is_none()
+        self.functions.register(info, self.now);
+        let function = &self.functions[info.function];
+        let is_warm = function.copies().is_warm(&self.workers, worker, self.now);
+        let can_load = function.loading_on(&self.workers).is_none()
             && self.now >= function.no_load_before
             && self.workers[worker].no_load_until < self.now;
         let has_capacity = can_load && !self.is_crowded(worker, self.mean_load());
@@ -143,34 +147,56 @@
         copies: u32,
         out: &mut Vec<Action>,
     ) {
-        let warm_until = self.now + self.settings.loads.idle_retention;
         let state = self
             .functions
-            .get_mut(function as usize)
-            .filter(|state| state.known && worker < state.at_workers.len());
-        let Some(state) = state.filter(|state| !state.is_loading_on(worker)) else {
+            .get(function)
+            .filter(|_| worker < self.workers.len());
+        if state.is_none_or(|state| state.is_loading_on(&self.workers, worker)) {
             return;
-        };
+        }
         match copies {
-            0 => state.set_cold(worker),
-            _ => state.extend_warm_until(worker, warm_until),
+            0 => self.set_cold(function, worker),
+            _ => self.extend_warm(function, worker),
         }
         self.retry_queued(Some(function), out);
     }
 
+    /// The worker's present process.
+    pub(super) fn process_of(&self, worker: usize) -> WorkerProcess {
+        WorkerProcess {
+            worker: worker as WorkerIndex,
+            incarnation: self.workers[worker].incarnation,
+        }
+    }
+
+    /// Records that a copy of the function is loaded at the worker now.
+    fn extend_warm(&mut self, function: FunctionIndex, worker: usize) {
+        let (process, now) = (self.process_of(worker), self.now);
+        let warm_until = now + self.settings.loads.idle_retention;
+        self.functions.edit_copies(function, |copies| {
+            copies.extend_warm_until(process, now, warm_until);
+        });
+    }
+
+    /// Records that no copy of the function is expected to be loaded at the worker.
+    pub(super) fn set_cold(&mut self, function: FunctionIndex, worker: usize) {
+        self.functions
+            .edit_copies(function, |copies| copies.set_cold(worker));
+    }
+
     /// Records that a load of this function has started at the worker.
     pub(super) fn load_started(&mut self, function: FunctionIndex, worker: usize) {
-        let expected_load_time = self.load_time(&self.functions[function as usize]).mean;
-        self.functions[function as usize].loading_on = Some(worker as WorkerIndex);
+        let expected_load_time = self.load_time(&self.functions[function]).mean;
+        self.functions[function].loading = Some(self.process_of(worker));
         self.workers[worker].no_load_until = self.now + expected_load_time;
     }
 
     /// Records the end of the load of this function at the worker; false if none was in progress.
     pub(super) fn load_finished(&mut self, function: FunctionIndex, worker: usize) -> bool {
-        let state = &mut self.functions[function as usize];
-        let was_loading = state.is_loading_on(worker);
+        let state = &mut self.functions[function];
+        let was_loading = state.is_loading_on(&self.workers, worker);
         if was_loading {
-            state.loading_on = None;
+            state.loading = None;
             self.workers[worker].no_load_until = DISTANT_PAST;
         }
         was_loading
@@ -179,7 +205,7 @@
     /// Records that a load of the function took `took`.
     pub(super) fn record_load(&mut self, function: FunctionIndex, took: Micros) {
         self.latencies
-            .record_load(&mut self.functions[function as usize], took);
+            .record_load(&mut self.functions[function], took);
         self.shrink_placement(function);
     }
 
@@ -187,8 +213,8 @@
     /// time together. Without the delay, a function that no worker can load fails at one worker after the other, and
     /// if each of them then counts as an outlier, no worker is left for other loads.
     pub(super) fn delay_loads(&mut self, function: FunctionIndex, took: Micros) {
-        let expected_load_time = self.load_time(&self.functions[function as usize]).mean;
-        self.functions[function as usize].no_load_before = self.now + expected_load_time - took;
+        let expected_load_time = self.load_time(&self.functions[function]).mean;
+        self.functions[function].no_load_before = self.now + expected_load_time - took;
     }
 
     /// Delays the next load at a worker that could not be reached, for as long as a connection may take to fail. A worker
@@ -202,13 +228,12 @@
     /// given here could end in the same way, in an endless loop.
     fn on_order_not_sent(&mut self, ended: &OrderEnded) {
         self.order_quota.forget_order(self.now - ended.took);
-        let function = &mut self.functions[ended.function as usize];
-        if !function.known {
+        if self.functions.get(ended.function).is_none() {
             return;
         }
-        function.orders_in_flight = function.orders_in_flight.saturating_sub(1);
+        self.functions.order_ended(ended.function);
         if self.load_finished(ended.function, ended.worker) {
-            self.functions[ended.function as usize].set_cold(ended.worker);
+            self.set_cold(ended.function, ended.worker);
         }
     }
 
@@ -224,25 +249,26 @@
         if result == LoadOrderResult::NotSent {
             return self.on_order_not_sent(ended);
         }
-        if !self.functions[function as usize].known {
+        let Some(state) = self.functions.get(function) else {
             return;
-        }
-        let expected_load_time = self.load_time(&self.functions[function as usize]).mean;
+        };
+        let expected_load_time = self.load_time(state).mean;
         let was_loading = self.load_finished(function, worker);
-        let state = &mut self.functions[function as usize];
-        state.orders_in_flight = state.orders_in_flight.saturating_sub(1);
+        self.functions.order_ended(function);
         let answered = matches!(
             result,
             LoadOrderResult::Loaded | LoadOrderResult::NoCapacity
         );
         if answered && copies > 0 {
-            state.extend_warm_until(worker, self.now + self.settings.loads.idle_retention);
+            self.extend_warm(function, worker);
             // If the order ended sooner than a load could take, the copy was already loaded.
             if was_loading && took > expected_load_time / IMMEDIATE_DIVISOR {
                 self.record_load(function, took);
             }
-        } else if result != LoadOrderResult::Loaded || state.at_workers[worker].in_flight == 0 {
-            state.set_cold(worker);
+        } else if result != LoadOrderResult::Loaded
+            || self.functions[function].copies().in_flight(worker) == 0
+        {
+            self.set_cold(function, worker);
         }
         match result {
             LoadOrderResult::Loaded if copies > 0 => {}
--- a/src/balancer/load_shedding.rs
+++ b/src/balancer/load_shedding.rs
@@ -155,7 +155,7 @@
 
     /// The expected value of an answer now, in thousandths. Queued invocations of the highest value are served first.
     pub(super) fn queue_priority(&self, invocation: &Invocation) -> i64 {
-        let service = self.service_time(&self.functions[invocation.function as usize]);
+        let service = self.service_time(&self.functions[invocation.function]);
         let late = self.now + service.mean + service.deviation > invocation.objective_at;
         let trigger = &self.settings.triggers[invocation.trigger];
         (self.load_shedder.expected_value(trigger, invocation, late) * 1e3) as i64
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -37,10 +37,11 @@
 //! runs again only if its effect allows that; 3. a worker gets no new work once its drain grace is over; 4. a worker
 //! in slow start is not overloaded; 5. load orders stay within their quota.
 //!
-//! State: `functions.rs`, `workers.rs`, `invocations.rs`. Measurements: `estimates.rs`, `latencies.rs`.
+//! State: `functions.rs` with `copies.rs` and `ranking.rs`, `workers.rs`, `invocations.rs`. Measurements: `estimates.rs`, `latencies.rs`.
 
 mod account_quota;
 mod attempts;
+mod copies;
 mod eligibility;
 mod endpoints;
 mod estimates;
@@ -53,6 +54,7 @@
 mod outlier_detection;
 mod placement;
 mod queue;
+mod ranking;
 mod readiness;
 mod routing;
 mod slow_start;
@@ -60,13 +62,14 @@
 
 use crate::interface::*;
 use estimates::{DecayingSum, MachineSlowness, RandomDraws};
-use functions::Function;
+use functions::{Function, Functions};
 use invocations::{Invocation, Invocations};
 use latencies::Latencies;
 use load_orders::{LoadOrderQuota, OrderEnded};
 use load_shedding::LoadShedder;
 use outlier_detection::OutlierDetector;
 use queue::WaitingQueue;
+use ranking::{Rankings, Roster};
 use readiness::ReadinessChecks;
 use workers::WorkerState;
 
@@ -78,6 +81,9 @@
 /// time.
 const FORGET_AFTER_RETENTIONS: Micros = 4;
 
+/// Rankings of workers get the memory for functions divided by this number.
+const RANKING_MEMORY_DIVISOR: usize = 4;
+
 /// The settings of a balancer. They are fixed when it is created.
 #[derive(Default)]
 struct Settings {
@@ -99,10 +105,11 @@
     next_tick: Option<Micros>,
     /// By worker index.
     workers: Vec<WorkerState>,
+    roster: Roster,
     readiness: ReadinessChecks,
     outliers: OutlierDetector,
-    /// By function index.
-    functions: Vec<Function>,
+    functions: Functions,
+    rankings: Rankings,
     invocations: Invocations,
     queue: WaitingQueue,
     load_shedder: LoadShedder,
@@ -149,6 +156,28 @@
         }
     }
 
+    /// Bounds the state of a balancer that has not handled any event.
+    pub fn with_state_limits(mut self, limits: StateLimits) -> Self {
+        if let Some(bytes) = limits.function_bytes {
+            let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+            let ranking_bytes = bytes / RANKING_MEMORY_DIVISOR;
+            self.functions = Functions::bounded(bytes - ranking_bytes);
+            self.rankings = Rankings::bounded(ranking_bytes);
+        }
+        self
+    }
+
+    /// Whether an invocation of a function that the balancer does not know can be taken: there is memory for the function,
+    /// or there will be once a function that is not in use is released.
+    pub fn has_room_for_function(&self) -> bool {
+        self.functions.has_room()
+    }
+
+    /// Whether the function has an index that was not released.
+    pub fn knows_function(&self, function: FunctionIndex) -> bool {
+        self.functions.get(function).is_some()
+    }
+
     /// Handles an event that happened at `now`, and appends the actions to carry out to `out`.
     pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
         self.now = now;
@@ -195,19 +224,24 @@
             } => self.on_probe_ended(worker as usize, outcome, took, out),
             Event::Timer { .. } => {}
         }
+        self.release_functions(out);
         self.schedule_tick(out);
     }
 
     /// The sizes of the tables that grow with the functions, the workers and the open invocations.
     pub fn table_sizes(&self) -> TableSizes {
-        let known = self.functions.iter().filter(|function| function.known);
-        let function_bytes = self.functions.iter().map(Function::bytes).sum();
         let (open, invocation_bytes) = self.invocations.size();
+        let (rankings, ranking_bytes) = self.rankings.size();
         TableSizes(vec![
             TableSize {
                 name: "balancer functions",
-                entries: known.count(),
-                bytes: function_bytes,
+                entries: self.functions.len(),
+                bytes: self.functions.bytes(),
+            },
+            TableSize {
+                name: "balancer rankings",
+                entries: rankings,
+                bytes: ranking_bytes,
             },
             TableSize {
                 name: "balancer invocations",
@@ -252,22 +286,17 @@
         self.load_shedder
             .expire_pressure(self.now, self.settings.loads.idle_retention);
         self.retry_queued(None, out);
-        self.release_unused_functions(out);
     }
 
-    /// Drops the state of functions that have long been unused, and releases their indices.
-    fn release_unused_functions(&mut self, out: &mut Vec<Action>) {
+    /// Drops the state of functions that have long been unused, and of the functions unused for the longest time while
+    /// there is no memory for all, and releases their indices.
+    fn release_functions(&mut self, out: &mut Vec<Action>) {
         let unused_after = FORGET_AFTER_RETENTIONS * self.settings.loads.idle_retention;
-        for (index, function) in self.functions.iter_mut().enumerate() {
-            let unused = self.now - function.last_used_at > unused_after;
-            let idle = function.open_invocations == 0 && function.orders_in_flight == 0;
-            if function.known && idle && unused {
-                *function = Function::default();
-                out.push(Action::ReleaseFunction {
-                    function: index as FunctionIndex,
-                });
-            }
+        while let Some(function) = self.functions.release_unused(self.now - unused_after) {
+            self.rankings.forget(function);
+            out.push(Action::ReleaseFunction { function });
         }
+        self.functions.forget_copies_above_bound();
     }
 
     /// Records a new invocation, and updates its function from the fields of the arrival.
@@ -294,39 +323,21 @@
         self.invocations.insert(arrival.invocation, invocation);
         self.load_shedder.record_value(trigger.billed_value);
         self.order_quota.record_accepted(now);
-        self.register_function(&FunctionInfo {
+        let info = FunctionInfo {
             function: arrival.function,
             fingerprint: arrival.fingerprint,
             trigger: arrival.trigger,
             lanes: arrival.lanes,
-        });
-        let function = &mut self.functions[arrival.function as usize];
-        function.open_invocations += 1;
-        function.hint_load_time(arrival.load_hint);
+        };
+        self.functions.register(&info, now);
+        self.functions.invocation_accepted(arrival.function);
+        self.functions[arrival.function].hint_load_time(arrival.load_hint);
         self.update_placement(arrival.function);
     }
 
-    /// Creates the state of a function or updates the existing one.
-    fn register_function(&mut self, info: &FunctionInfo) {
-        let index = info.function as usize;
-        if self.functions.len() <= index {
-            self.functions.resize_with(index + 1, Function::default);
-        }
-        let function = &mut self.functions[index];
-        let is_new = !std::mem::replace(&mut function.known, true);
-        function.fingerprint = info.fingerprint;
-        function.trigger = info.trigger as usize;
-        function.lanes = info.lanes.max(1);
-        function.last_used_at = self.now;
-        if is_new {
-            function.grow(self.workers.len());
-            self.rank_workers(info.function);
-        }
-    }
-
     /// Returns an unfinished invocation and its function.
     fn find_invocation(&self, index: InvocationIndex) -> Option<(&Invocation, &Function)> {
         let invocation = self.invocations.get(index)?;
-        Some((invocation, &self.functions[invocation.function as usize]))
+        Some((invocation, self.functions.get(invocation.function)?))
     }
 }
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -1,8 +1,7 @@
 //! Placement: chooses the preferred workers of a function by rendezvous hashing, and the worker for its next load.
 
 use super::Balancer;
-use super::estimates::hash_pair;
-use super::workers;
+use super::copies::CopyTable;
 use crate::interface::*;
 
 /// Number of preferred workers of a function for each worker that its part of the work would keep busy.
@@ -17,9 +16,9 @@
     /// first workers.
     pub(super) fn update_placement(&mut self, function: FunctionIndex) {
         let decay_time = self.settings.loads.idle_retention.max(1) as f64;
-        let work = self.service_time(&self.functions[function as usize]).mean as f64;
-        let state = &mut self.functions[function as usize];
-        let workers = state.ranked_workers.len().max(1);
+        let work = self.service_time(&self.functions[function]).mean as f64;
+        let state = &mut self.functions[function];
+        let workers = self.roster.in_service().max(1);
         let accepted = state.accepted.add(self.now, decay_time, 1.0);
         let all_work = self.work_accepted.add(self.now, decay_time, work);
         let wanted =
@@ -35,7 +34,7 @@
         in_flight: Option<u32>,
         sent_at: Micros,
     ) {
-        let state = &self.functions[function as usize];
+        let state = &self.functions[function];
         let overload_factor = in_flight.unwrap_or(0) / (CROWDED_INVOCATIONS_PER_LANE * state.lanes);
         if overload_factor > 0 && sent_at >= state.preferred_since {
             self.grow_placement(
@@ -49,16 +48,17 @@
     /// first worker, no copy counts as loaded any longer.
     fn grow_placement(&mut self, function: FunctionIndex, wanted: usize) {
         let position = self.settings.fleet.position as usize;
-        let state = &mut self.functions[function as usize];
+        let state = &mut self.functions[function];
         let wanted = wanted
-            .clamp(1, state.ranked_workers.len().max(1))
+            .clamp(1, self.roster.in_service().max(1))
             .next_power_of_two();
         if wanted > state.preferred_workers {
             let moved = state.preferred_workers > 0
                 && position % wanted != position % state.preferred_workers;
             (state.preferred_workers, state.preferred_since) = (wanted, self.now);
             if moved {
-                (0..state.at_workers.len()).for_each(|worker| state.set_cold(worker));
+                self.functions
+                    .edit_copies(function, CopyTable::set_all_cold);
             }
         }
     }
@@ -66,7 +66,7 @@
     /// Halves the number of preferred workers after a load was needed: with too many of them, each is used too rarely
     /// to keep its copy. The number stays for at least the idle retention time after a change.
     pub(super) fn shrink_placement(&mut self, function: FunctionIndex) {
-        let state = &mut self.functions[function as usize];
+        let state = &mut self.functions[function];
         if state.preferred_workers > 1
             && self.now - state.preferred_since > self.settings.loads.idle_retention
         {
@@ -75,31 +75,24 @@
         }
     }
 
-    /// Sorts the workers in service into the function's rendezvous order, which is the same at every router.
-    pub(super) fn rank_workers(&mut self, function: FunctionIndex) {
-        let (workers, state) = (&self.workers, &mut self.functions[function as usize]);
-        state.ranked_workers = workers::in_service(workers)
-            .map(|worker| worker as WorkerIndex)
-            .collect();
-        state.ranked_workers.sort_by_cached_key(|&worker| {
-            hash_pair((workers[worker as usize].fingerprint, state.fingerprint))
-        });
-    }
-
     /// Chooses the worker for a new load: this router's first preferred worker, then the other preferred workers, then
     /// the rest of the rendezvous order, so that routers find each other's copies. A function has one load in progress
     /// at a time, and a worker is given no second load within the expected time of the first.
-    pub(super) fn pick_load_target(&self, index: InvocationIndex) -> Option<usize> {
+    pub(super) fn pick_load_target(&mut self, index: InvocationIndex) -> Option<usize> {
         let (invocation, function) = self.find_invocation(index)?;
-        if function.loading_on.is_some()
+        if function.loading_on(&self.workers).is_some()
             || self.now < function.no_load_before
             || !self.has_order_quota() && !self.loads_on_dispatch(index)
         {
             return None;
         }
+        let (function_index, fingerprint) = (invocation.function, function.fingerprint);
+        self.rankings
+            .update(function_index, fingerprint, &self.roster, &self.workers);
+        let (invocation, function) = self.find_invocation(index)?;
         let fleet = &self.settings.fleet;
         let mean_load = self.mean_load();
-        let ranked = &function.ranked_workers;
+        let ranked = self.rankings.of(function_index);
         let preferred = function.preferred_workers.min(ranked.len());
         let first = fleet.position as usize % function.preferred_workers.max(1);
         let mut candidates = (0..preferred)
@@ -108,7 +101,7 @@
             .map(|rank| ranked[rank] as usize);
         let can_load = |worker: &usize| {
             self.workers[*worker].no_load_until < self.now
-                && !function.is_warm(*worker, self.now)
+                && !function.copies().is_warm(&self.workers, *worker, self.now)
                 && !self.is_crowded(*worker, mean_load)
                 && self.is_eligible(invocation, *worker)
         };
--- a/src/balancer/queue.rs
+++ b/src/balancer/queue.rs
@@ -1,13 +1,16 @@
 //! The queue of invocations that wait for a lane.
 
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+
 use super::Balancer;
 use crate::interface::*;
 
 /// The queued invocations of each function, in the order in which they were queued.
 #[derive(Default)]
 pub(super) struct WaitingQueue {
-    /// By function index.
-    by_function: Vec<Vec<InvocationIndex>>,
+    /// The functions that have queued invocations.
+    by_function: BTreeMap<FunctionIndex, Vec<InvocationIndex>>,
     /// Number of queued invocations of all functions.
     waiting: u32,
 }
@@ -15,11 +18,7 @@
 impl WaitingQueue {
     /// Appends an invocation, unless it is queued already.
     fn push(&mut self, function: FunctionIndex, invocation: InvocationIndex) {
-        if self.by_function.len() <= function as usize {
-            self.by_function
-                .resize_with(function as usize + 1, Vec::new);
-        }
-        let queue = &mut self.by_function[function as usize];
+        let queue = self.by_function.entry(function).or_default();
         if !queue.contains(&invocation) {
             queue.push(invocation);
             self.waiting += 1;
@@ -28,17 +27,24 @@
 
     /// Removes an invocation if it is queued.
     fn remove(&mut self, function: FunctionIndex, invocation: InvocationIndex) {
-        if let Some(queue) = self.by_function.get_mut(function as usize) {
-            let removed = queue.extract_if(.., |waiting| *waiting == invocation);
+        if let Entry::Occupied(mut queue) = self.by_function.entry(function) {
+            let waiting = queue.get_mut();
+            let removed = waiting.extract_if(.., |waiting| *waiting == invocation);
             self.waiting -= removed.count() as u32;
+            if waiting.is_empty() {
+                queue.remove();
+            }
         }
     }
 
     /// The queued invocations of a function.
     pub(super) fn of(&self, function: FunctionIndex) -> &[InvocationIndex] {
-        self.by_function
-            .get(function as usize)
-            .map_or(&[], Vec::as_slice)
+        self.by_function.get(&function).map_or(&[], Vec::as_slice)
+    }
+
+    /// The queued invocations of all functions.
+    fn all(&self) -> impl Iterator<Item = InvocationIndex> {
+        self.by_function.values().flatten().copied()
     }
 
     /// Whether no invocation is queued.
@@ -54,7 +60,8 @@
             return false;
         };
         let service = self.service_time(function).mean.max(1);
-        let copies = function.warm_workers(self.now).count() as Micros;
+        let warm = function.copies().warm_workers(&self.workers, self.now);
+        let copies = warm.count() as Micros;
         let waiting = self.queue.of(invocation.function).len() as Micros;
         let wait = waiting * service / (copies * Micros::from(function.lanes)).max(1);
         wait < (invocation.objective_at - self.now - service).max(0)
@@ -78,11 +85,10 @@
     /// Retries the queued invocations of the function `only`, or of all functions, in descending order of value and
     /// then by age.
     pub(super) fn retry_queued(&mut self, only: Option<FunctionIndex>, out: &mut Vec<Action>) {
-        let all = 0..self.functions.len() as FunctionIndex;
-        let functions = only.map_or(all, |function| function..function + 1);
-        let mut waiting: Vec<InvocationIndex> = functions
-            .flat_map(|function| self.queue.of(function).iter().copied())
-            .collect();
+        let mut waiting: Vec<InvocationIndex> = match only {
+            Some(function) => self.queue.of(function).to_vec(),
+            None => self.queue.all().collect(),
+        };
         waiting.sort_by_cached_key(|&index| {
             self.find_invocation(index)
                 .map_or((0, 0, index), |(invocation, _)| {
--- a/src/balancer/routing.rs
+++ b/src/balancer/routing.rs
@@ -62,17 +62,16 @@
         let (invocation, function) = self.find_invocation(index)?;
         let mean_load = self.mean_load();
         let has_free_lane = |worker: &usize| {
-            let loading = self.settings.loads.load_orders && function.is_loading_on(*worker);
-            function.is_warm(*worker, self.now)
-                && !loading
-                && function.at_workers[*worker].in_flight < function.lanes
+            let loading =
+                self.settings.loads.load_orders && function.is_loading_on(&self.workers, *worker);
+            !loading
+                && function.copies().in_flight(*worker) < function.lanes
                 && !self.is_crowded(*worker, mean_load)
                 && !invocation.was_rejected_by(*worker)
                 && self.is_eligible(invocation, *worker)
         };
-        let mut candidates: Vec<usize> = (0..function.at_workers.len())
-            .filter(has_free_lane)
-            .collect();
+        let warm = function.copies().warm_workers(&self.workers, self.now);
+        let mut candidates: Vec<usize> = warm.filter(has_free_lane).collect();
         // At another worker, the session's state would have to be rebuilt.
         let preferred = invocation.preferred_worker.map(|worker| worker as usize);
         if let Some(worker) = preferred.filter(|worker| candidates.contains(worker)) {
@@ -92,7 +91,8 @@
         self.find_invocation(index)
             .is_some_and(|(invocation, function)| {
                 function
-                    .warm_workers(self.now)
+                    .copies()
+                    .warm_workers(&self.workers, self.now)
                     .any(|worker| self.is_eligible(invocation, worker))
             })
     }
@@ -102,14 +102,15 @@
     fn pick_least_busy(&self, index: InvocationIndex) -> Option<usize> {
         let (invocation, function) = self.find_invocation(index)?;
         function
-            .warm_workers(self.now)
+            .copies()
+            .warm_workers(&self.workers, self.now)
             .filter(|&worker| {
                 !self.concurrency_limit_reached(worker)
                     && !invocation.was_rejected_by(worker)
                     && self.is_eligible(invocation, worker)
             })
             .min_by_key(|&worker| {
-                let in_flight = function.at_workers[worker].in_flight;
+                let in_flight = function.copies().in_flight(worker);
                 (self.readiness_of(worker), in_flight)
             })
     }
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -2,7 +2,6 @@
 
 use super::Balancer;
 use super::estimates::hash_pair;
-use super::workers;
 use crate::interface::Micros;
 
 /// The fraction of the budget that is used. The rest is a margin for uneven arrivals.
@@ -62,7 +61,7 @@
     /// attributed to the remaining ones.
     pub(super) fn record_completion(&mut self) {
         let window = self.settings.rules.overload_window.max(1) as f64;
-        let in_service = workers::in_service(&self.workers).count().max(1);
+        let in_service = self.roster.in_service().max(1);
         self.completions_per_worker.add(
             self.now,
             THROUGHPUT_WINDOWS * window,
--- a/src/balancer/workers.rs
+++ b/src/balancer/workers.rs
@@ -69,6 +69,8 @@
     pub(super) machine_kind: u32,
     pub(super) state: EndpointState,
     pub(super) started_at: Micros,
+    /// Incremented whenever the worker's process is replaced or gone: what was known of an earlier process no longer holds.
+    pub(super) incarnation: u32,
     /// While the worker drains, the time until which it is given new work.
     pub(super) drains_until: Micros,
     pub(super) concurrency_limit: ConcurrencyLimit,
@@ -87,6 +89,7 @@
             machine_kind: 0,
             state: EndpointState::Gone,
             started_at: DISTANT_PAST,
+            incarnation: 0,
             drains_until: DISTANT_PAST,
             concurrency_limit: ConcurrencyLimit::default(),
             no_load_until: DISTANT_PAST,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -183,6 +183,14 @@
     pub memory_mb: Vec<f64>,
 }
 
+/// Bounds of the state that grows with what callers name and workers answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateLimits {
+    /// Memory for the functions and their copies, in bytes; `None`: no bound. Functions that are not in use are released
+    /// above it.
+    pub function_bytes: Option<u64>,
+}
+
 /// Costs, as fractions of the value of the served invocations.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Prices {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod helpers;
 mod load_orders;
 mod load_shedding;
+mod memory;
 mod outlier_detection;
 mod readiness;
 mod routing;
