Balancer, node: no repeat in a zone or cell that an out-of-date list does not prove

Callers saw: one answer, and the effect twice: keyed requests ran in two cells while the command channel was silent and a worker of another cell had taken the address of one that had gone (keyScope = cell).

Cause: Balancer::shares_keys compared the cells that the list gave both workers when the repeat was decided. After the end of the lease a passed health check let a worker get work; it shows that some process answers there, not which one.

Change: an attempt keeps the record of keys of its worker as known when it was decided; while the list may be out of date (lease ended, or the last request for the list failed) it is unknown, and equal to nothing. The core checks right before the first byte that the scope is still known and unchanged. The lease is passed on without health checks, too, for this rule alone: states of workers are then relied on as before. keyScope = all is untouched.

--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -194,13 +194,10 @@
     }
 
     /// Records that the endpoint list is up to date and may be relied on until `until`, in microseconds of the router's
-    /// clock. If the platform allows no health checks, the list has no lease and is always relied on: after the end of
-    /// a lease there would be no way to check a worker.
+    /// clock.
     pub fn renew_list_lease(self: &Rc<Self>, until: Micros) {
-        if self.workers.protocol().health_checks {
-            self.workers.clear_failed_checks();
-            self.feed(Input::EndpointListLease { until });
-        }
+        self.workers.clear_failed_checks();
+        self.feed(Input::EndpointListLease { until });
     }
 
     /// Reads once from a connection without waiting.
--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -176,7 +176,6 @@
         report_fields: config.report_fields.clone(),
         reports_function_load: settings.loads.reports_function_load,
         connect_timeout: connections.connect_timeout,
-        health_checks: settings.limits.probes,
     };
     let worker_list = WorkerListFollower::new(settings.rules.drain_grace);
     NodeParts {
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -38,8 +38,6 @@
     pub reports_function_load: bool,
     /// Time limit for establishing a connection, and for the answer to a health check, in microseconds.
     pub connect_timeout: Micros,
-    /// Whether workers may be sent health checks.
-    pub health_checks: bool,
 }
 
 impl WorkerProtocol {
--- a/crates/router/src/core/dispatch.rs
+++ b/crates/router/src/core/dispatch.rs
@@ -8,7 +8,7 @@
 use cedarpulley_usage_metering::MemoryTotals;
 
 use super::balancer_actions::EndedImmediately;
-use super::state::attempt::{Attempt, AttemptOutcome, EndedAttempt};
+use super::state::attempt::{Attempt, AttemptOutcome, EndedAttempt, NewAttempt};
 use super::state::invocation::Invocation;
 use super::state::timers::Timer;
 use super::{DispatchRequest, Output, Router};
@@ -58,7 +58,14 @@
         let Some(invocation) = self.invocations.get_mut(index) else {
             return;
         };
-        let attempt = invocation.add_attempt(self.now, worker, timeout, self.serials.next());
+        let effect = self.triggers[invocation.request.trigger as usize].effect;
+        let new = NewAttempt {
+            worker,
+            known_scope: self.workers.known_scope(self.now, worker, effect),
+            timeout,
+            serial: self.serials.next(),
+        };
+        let attempt = invocation.add_attempt(self.now, new);
         // No attempt may be sent once the final answer was given or the workers no longer recognise repeats. The
         // attempt is then reported to the balancer as not sent.
         let may_dispatch = invocation.may_dispatch(self.now);
@@ -149,6 +156,7 @@
             && self.workers.accepts(now, attempt.worker)
             && self.is_permitted(now, attempt.permission)
             && self.within_deduplication_window(now, invocation)
+            && self.within_deduplication_scope(now, invocation, attempt)
     }
 
     /// Whether the workers still recognise repeats of the invocation. This enforces safety rule 2 (no effect twice) at
@@ -167,6 +175,29 @@
             .filter(|attempt| attempt.outcome == AttemptOutcome::Indeterminate);
         may_have_run.all(|attempt| now - attempt.decided_at < window)
     }
+
+    /// Whether the worker certainly shares its record of idempotency keys with all workers that may have run the
+    /// invocation. The scope of an attempt is that of its worker when the attempt was decided. It must not have changed or
+    /// become uncertain since, as connecting takes time.
+    fn within_deduplication_scope(
+        &self,
+        now: Micros,
+        invocation: &Invocation,
+        attempt: &Attempt,
+    ) -> bool {
+        let effect = self.triggers[invocation.request.trigger as usize].effect;
+        let mut may_have_run = invocation
+            .attempts()
+            .iter()
+            .filter(|earlier| earlier.outcome == AttemptOutcome::Indeterminate);
+        match attempt.known_scope {
+            None => may_have_run.next().is_none(),
+            Some(_) => {
+                self.workers.known_scope(now, attempt.worker, effect) == attempt.known_scope
+                    && may_have_run.all(|earlier| earlier.known_scope == attempt.known_scope)
+            }
+        }
+    }
 }
 
 /// Ends of attempts.
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -173,7 +173,10 @@
         match input {
             Input::EndpointList { kind, workers } => self.update_workers(kind, &workers, out),
             Input::EndpointListLease { until } => {
-                self.workers.renew_lease(until);
+                // Without health checks there would be no way to check a worker after the end of the lease: its state in the
+                // list is then relied on.
+                let limits_drains = self.balancer.allows_health_checks();
+                self.workers.renew_lease(until, limits_drains);
                 self.decide(&Event::EndpointListLease { until }, out);
             }
             Input::OrderEnded {
--- a/crates/router/src/core/repeat_basis.rs
+++ b/crates/router/src/core/repeat_basis.rs
@@ -46,7 +46,7 @@
             } => RepeatBasis::AllWorkers,
             Effect::IdempotentByKey { .. } => RepeatBasis::SharedRecord {
                 scope: self.workers.deduplication_scope(attempt.worker, effect),
-                list_is_current: self.workers.list_is_current(attempt.decided_at),
+                list_is_current: attempt.known_scope.is_some(),
             },
         })
     }
--- a/crates/router/src/core/state/attempt.rs
+++ b/crates/router/src/core/state/attempt.rs
@@ -15,9 +15,22 @@
     Indeterminate,
 }
 
+/// An attempt that the balancer has decided on.
+pub(crate) struct NewAttempt {
+    pub(crate) worker: WorkerIndex,
+    /// See [`Attempt::known_scope`].
+    pub(crate) known_scope: Option<u32>,
+    /// See [`Attempt::timeout`].
+    pub(crate) timeout: Option<Micros>,
+    /// See [`Attempt::serial`].
+    pub(crate) serial: u64,
+}
+
 /// An attempt (dispatch) to run an invocation at a worker.
 pub(crate) struct Attempt {
     pub(crate) worker: WorkerIndex,
+    /// The deduplication scope of the worker when the attempt was decided; `None` if it was not known for certain.
+    pub(crate) known_scope: Option<u32>,
     /// When the balancer decided on the attempt.
     pub(crate) decided_at: Micros,
     pub(crate) outcome: AttemptOutcome,
--- a/crates/router/src/core/state/invocation.rs
+++ b/crates/router/src/core/state/invocation.rs
@@ -2,11 +2,9 @@
 
 use std::sync::Arc;
 
-use cedarpulley::interface::{
-    DispatchOutcome, FunctionIndex, InvocationIndex, Micros, WorkerIndex,
-};
+use cedarpulley::interface::{DispatchOutcome, FunctionIndex, InvocationIndex, Micros};
 
-use super::attempt::{Attempt, AttemptOutcome, EndedAttempt};
+use super::attempt::{Attempt, AttemptOutcome, EndedAttempt, NewAttempt};
 use crate::answer_registry::AnswerSlot;
 use crate::idempotency_keys;
 use crate::replication::{DispatchPermission, Durability, ReplicationStage, ReplicationState};
@@ -271,13 +269,13 @@
 /// Attempts.
 impl Invocation {
     /// Adds an attempt that is decided at `now`, and returns its number.
-    pub(crate) fn add_attempt(
-        &mut self,
-        now: Micros,
-        worker: WorkerIndex,
-        timeout: Option<Micros>,
-        serial: u64,
-    ) -> u32 {
+    pub(crate) fn add_attempt(&mut self, now: Micros, new: NewAttempt) -> u32 {
+        let NewAttempt {
+            worker,
+            known_scope,
+            timeout,
+            serial,
+        } = new;
         let permission = if self.needs_permission() {
             DispatchPermission::Requested
         } else {
@@ -285,6 +283,7 @@
         };
         self.attempts.push(Attempt {
             worker,
+            known_scope,
             decided_at: now,
             outcome: AttemptOutcome::InFlight,
             timeout,
--- a/crates/router/src/core/state/workers.rs
+++ b/crates/router/src/core/state/workers.rs
@@ -25,6 +25,8 @@
     drain_gate: DrainGate,
     /// Until when the endpoint list is known to be up to date; `None` if no lease is used.
     lease_until: Option<Micros>,
+    /// Whether the list could not be obtained when it was requested last.
+    list_failed: bool,
     indices: WorkerIndexAllocator,
 }
 
@@ -35,6 +37,7 @@
             locations: Vec::new(),
             drain_gate: DrainGate::new(drain_grace),
             lease_until: None,
+            list_failed: false,
             indices: WorkerIndexAllocator::default(),
         }
     }
@@ -46,6 +49,7 @@
         kind: EndpointListKind,
         workers: &[ListedWorker],
     ) -> Vec<Endpoint> {
+        self.list_failed = kind == EndpointListKind::Failed;
         let endpoints: Vec<Endpoint> = workers.iter().map(|worker| self.endpoint(worker)).collect();
         for endpoint in &endpoints {
             self.set_location(endpoint);
@@ -99,15 +103,18 @@
         self.drain_gate.accepts(now, worker)
     }
 
-    /// Extends the lease of the endpoint list: the list is up to date and remains valid until then.
-    pub(crate) fn renew_lease(&mut self, until: Micros) {
+    /// Extends the lease of the endpoint list: the list is up to date and remains valid until then. `limits_drains`:
+    /// whether workers get new work after the end of the lease only if they have passed a health check.
+    pub(crate) fn renew_lease(&mut self, until: Micros, limits_drains: bool) {
         self.lease_until = Some(until);
-        self.drain_gate.renew_lease(until);
+        if limits_drains {
+            self.drain_gate.renew_lease(until);
+        }
     }
 
     /// Whether the endpoint list is known to be up to date.
-    pub(crate) fn list_is_current(&self, now: Micros) -> bool {
-        self.lease_until.is_none_or(|until| now < until)
+    fn list_is_current(&self, now: Micros) -> bool {
+        !self.list_failed && self.lease_until.is_none_or(|until| now < until)
     }
 
     /// Records that the worker passed a health check that was sent at `sent_at`.
@@ -133,6 +140,25 @@
         }
     }
 
+    /// As [`WorkerDirectory::deduplication_scope`]; `None` if the workers share no single record and another worker may
+    /// have taken the place of this one, as the endpoint list may be out of date.
+    pub(crate) fn known_scope(
+        &self,
+        now: Micros,
+        worker: WorkerIndex,
+        effect: Effect,
+    ) -> Option<u32> {
+        let is_shared = !matches!(
+            effect,
+            Effect::IdempotentByKey {
+                scope: DeduplicationScope::Zone | DeduplicationScope::Cell,
+                ..
+            }
+        );
+        let is_known = is_shared || self.list_is_current(now);
+        is_known.then(|| self.deduplication_scope(worker, effect))
+    }
+
     /// Adds a reference to the worker. Its index is not reused until all references are removed.
     pub(crate) fn reserve(&mut self, worker: WorkerIndex) {
         self.indices.reserve(worker);
--- a/crates/router/tests/balancer_only.rs
+++ b/crates/router/tests/balancer_only.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use cedarpulley::interface::*;
+use cedarpulley_router::endpoint_list::ListedWorker;
 use cedarpulley_router::*;
 
 mod harness;
@@ -139,3 +140,39 @@
         [(1, FinalOutcome::Throttled, AnswerReason::Size)]
     );
 }
+
+/// Guards against an attempt that reaches another zone or cell than the one for which it was decided, as connecting took
+/// longer than the endpoint list stayed valid, or as the list changed meanwhile.
+#[test]
+fn an_attempt_is_sent_only_while_the_scope_of_its_worker_is_as_it_was_decided() {
+    for scope in [
+        DeduplicationScope::All,
+        DeduplicationScope::Zone,
+        DeduplicationScope::Cell,
+    ] {
+        for moves in [false, true] {
+            let mut router = RouterHarness::with_key_scope(1, scope);
+            let until = router.now + SECOND;
+            router.handle(Input::EndpointListLease { until });
+            let message = router.message("k", IDEMPOTENT_BY_KEY, 0, 1);
+            router.handle(Input::MessageArrived(message));
+            let ticket = router.sent_tickets()[0];
+            assert!(router.core.may_send(router.now, ticket));
+            if moves {
+                let worker = listed_worker("127.0.0.1:9000", EndpointState::InService);
+                router.handle(Input::EndpointList {
+                    kind: EndpointListKind::Changes,
+                    workers: vec![ListedWorker {
+                        zone: 1,
+                        cell: 1,
+                        ..worker
+                    }],
+                });
+            } else {
+                router.advance(SECOND);
+            }
+            let may_send = router.core.may_send(router.now, ticket);
+            assert_eq!(may_send, scope == DeduplicationScope::All, "{scope:?}");
+        }
+    }
+}
--- a/crates/router/tests/harness/mod.rs
+++ b/crates/router/tests/harness/mod.rs
@@ -40,7 +40,11 @@
 
 /// One trigger type for each effect, in the order of their indices.
 pub fn triggers() -> Vec<TriggerType> {
-    let scope = DeduplicationScope::All;
+    triggers_with(DeduplicationScope::All)
+}
+
+/// As [`triggers`], with this deduplication scope of the invocations that are idempotent by key.
+fn triggers_with(scope: DeduplicationScope) -> Vec<TriggerType> {
     let effects = [
         Effect::Idempotent,
         Effect::IdempotentByKey {
@@ -62,7 +66,7 @@
 }
 
 /// A balancer with one account whose quota is never used up.
-fn balancer(load_orders: bool) -> Balancer {
+fn balancer(load_orders: bool, triggers: Vec<TriggerType>) -> Balancer {
     let limits = DispatchLimits {
         max_dispatches: 4,
         hedged_requests: false,
@@ -100,7 +104,7 @@
         fleet,
         limits,
         rules,
-        triggers(),
+        triggers,
         accounts,
         loads,
         prices,
@@ -147,10 +151,24 @@
         RouterHarness::with_settings(workers, [false, true], None)
     }
 
+    /// A router in which only the balancer decides, with this deduplication scope.
+    pub fn with_key_scope(workers: u32, scope: DeduplicationScope) -> RouterHarness {
+        RouterHarness::with_triggers(workers, [true, false], None, triggers_with(scope))
+    }
+
     fn with_settings(
+        workers: u32,
+        flags: [bool; 2],
+        replication: Option<replication::ReplicationSettings>,
+    ) -> RouterHarness {
+        RouterHarness::with_triggers(workers, flags, replication, triggers())
+    }
+
+    fn with_triggers(
         workers: u32,
         [balancer_only, load_orders]: [bool; 2],
         replication: Option<replication::ReplicationSettings>,
+        triggers: Vec<TriggerType>,
     ) -> RouterHarness {
         let settings = CoreSettings {
             answer_margin: ANSWER_MARGIN,
@@ -164,7 +182,7 @@
             replication,
         };
         let mut harness = RouterHarness {
-            core: Router::new(balancer(load_orders), triggers(), settings),
+            core: Router::new(balancer(load_orders, triggers.clone()), triggers, settings),
             now: SECOND,
             outputs: Vec::new(),
         };
--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -51,11 +51,13 @@
             worker: worker as WorkerIndex,
             timeout: limits.timeout,
         });
+        let key_record = self.key_record(trigger, worker);
         if let Some(invocation) = self.invocations.get_mut(index) {
             invocation.dispatches.push(Dispatch {
                 worker: worker as WorkerIndex,
                 sent_at: now,
                 state: DispatchState::InFlight,
+                key_record,
                 loads_copy,
             });
         }
--- a/src/balancer/eligibility.rs
+++ b/src/balancer/eligibility.rs
@@ -22,28 +22,7 @@
         {
             return false;
         }
-        let mut may_have_run = invocation
-            .dispatches
-            .iter()
-            .filter(|dispatch| !dispatch.state.not_executed());
-        match self.settings.triggers[invocation.trigger].effect {
-            Effect::Idempotent => true,
-            Effect::NonIdempotent => may_have_run.next().is_none(),
-            Effect::IdempotentByKey { scope, window } => may_have_run.all(|dispatch| {
-                self.shares_keys(scope, dispatch.worker as usize, worker)
-                    && self.now - dispatch.sent_at < window
-            }),
-        }
-    }
-
-    /// Whether `worker` recognizes the idempotency keys of invocations that ran on `earlier`.
-    fn shares_keys(&self, scope: DeduplicationScope, earlier: usize, worker: usize) -> bool {
-        let (earlier, worker) = (&self.workers[earlier], &self.workers[worker]);
-        match scope {
-            DeduplicationScope::All => true,
-            DeduplicationScope::Zone => earlier.zone == worker.zone,
-            DeduplicationScope::Cell => earlier.cell == worker.cell,
-        }
+        self.drops_repeats(invocation, worker)
     }
 
     /// Whether the worker is eligible for this invocation: it is allowed by the rules, fast enough, within its
--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -16,6 +16,7 @@
         out: &mut Vec<Action>,
     ) {
         let failed = kind == EndpointListKind::Failed;
+        self.readiness.list_received(kind);
         let stale = kind == EndpointListKind::Cached && self.settings.rules.list_on_request;
         if failed || stale {
             out.push(Action::RequestEndpointList { watch: true });
--- a/src/balancer/invocations.rs
+++ b/src/balancer/invocations.rs
@@ -1,6 +1,7 @@
 //! The state of unfinished invocations (those without a final answer or with dispatches in flight) and of their
 //! dispatches.
 
+use super::deduplication::KeyRecord;
 use crate::interface::*;
 
 /// The state of a dispatch.
@@ -43,6 +44,8 @@
     pub(super) worker: WorkerIndex,
     pub(super) sent_at: Micros,
     pub(super) state: DispatchState,
+    /// The record of idempotency keys of its worker when it was sent.
+    pub(super) key_record: KeyRecord,
     /// Whether the dispatch makes the worker load the function.
     pub(super) loads_copy: bool,
 }
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -10,6 +10,7 @@
 //! | --- | --- |
 //! | `routing.rs` | the ordinary path of an invocation, `Balancer::route`; docs/design.md names its source |
 //! | `eligibility.rs` | the workers that an invocation may be sent to, and which of them have capacity |
+//! | `deduplication.rs` | which workers drop a repeat of an invocation that may have run |
 //! | `queue.rs` | invocations that wait for a lane |
 //! | `attempts.rs` | dispatches with their timeouts, retries, final answers |
 //! | `feedback.rs` | updates of the estimates and of worker state when a dispatch ends |
@@ -42,6 +43,7 @@
 mod account_quota;
 mod attempts;
 mod copies;
+mod deduplication;
 mod eligibility;
 mod endpoints;
 mod estimates;
@@ -167,6 +169,11 @@
         self
     }
 
+    /// Whether health checks may be sent to workers.
+    pub fn allows_health_checks(&self) -> bool {
+        self.settings.limits.probes
+    }
+
     /// Whether an invocation of a function that the balancer does not know can be taken: there is memory for the function,
     /// or there will be once a function that is not in use is released.
     pub fn has_room_for_function(&self) -> bool {
--- a/src/balancer/readiness.rs
+++ b/src/balancer/readiness.rs
@@ -43,6 +43,8 @@
 pub(super) struct ReadinessChecks {
     /// When the lease of the list ends; without a lease the list can always be relied on.
     lease_until: Option<Micros>,
+    /// Whether the list could not be obtained when it was requested last.
+    list_failed: bool,
     /// By worker index.
     checks: Vec<HealthCheck>,
 }
@@ -58,7 +60,17 @@
         self.checks[worker] = HealthCheck::default();
     }
 
-    /// Whether the list can be relied on.
+    /// Records whether the list could be obtained.
+    pub(super) fn list_received(&mut self, kind: EndpointListKind) {
+        self.list_failed = kind == EndpointListKind::Failed;
+    }
+
+    /// Whether a worker may have been replaced without this router knowing.
+    pub(super) fn list_may_be_out_of_date(&self, now: Micros) -> bool {
+        self.list_failed || !self.list_is_current(now)
+    }
+
+    /// Whether the list can be relied on for the states of workers.
     fn list_is_current(&self, now: Micros) -> bool {
         self.lease_until.is_none_or(|until| now < until)
     }
@@ -126,9 +138,10 @@
         }
     }
 
-    /// The readiness of a worker: ready while the list can be relied on, otherwise according to its health checks.
+    /// The readiness of a worker: ready while the list can be relied on, or if no health checks are allowed; otherwise
+    /// according to its health checks.
     pub(super) fn readiness_of(&self, worker: usize) -> Readiness {
-        if self.readiness.list_is_current(self.now) {
+        if !self.allows_health_checks() || self.readiness.list_is_current(self.now) {
             Readiness::Ready
         } else {
             self.readiness.of(worker, self.now)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
     "balancer/account_quota.rs",
     "balancer/attempts.rs",
     "balancer/copies.rs",
+    "balancer/deduplication.rs",
     "balancer/eligibility.rs",
     "balancer/endpoints.rs",
     "balancer/estimates.rs",
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod connection_shortage;
+mod deduplication;
 mod helpers;
 mod load_orders;
 mod load_shedding;
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -94,6 +94,7 @@
     ];
     (any::<[bool; 3]>(), 0..3usize).prop_map(
         move |([orders, hedged_requests, order_quota], key_scope)| Site {
+            health_checks: true,
             orders,
             loads_when_absent: !orders || hedged_requests,
             hedged_requests,
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -31,6 +31,8 @@
     pub hedged_requests: bool,
     pub order_quota: bool,
     pub key_scope: DeduplicationScope,
+    /// Whether health checks may be sent to workers.
+    pub health_checks: bool,
     pub routers: u32,
     pub quota_per_s: f64,
     /// Billed value of the third trigger type; of the others it is 1.
@@ -44,6 +46,7 @@
     hedged_requests: false,
     order_quota: false,
     key_scope: DeduplicationScope::All,
+    health_checks: true,
     routers: 1,
     quota_per_s: 10.0,
     third_type_value: 1.0,
@@ -86,7 +89,7 @@
             max_dispatches: 4,
             hedged_requests: site.hedged_requests,
             cancellation: true,
-            probes: true,
+            probes: site.health_checks,
             connect_timeout: CONNECT_TIMEOUT,
             max_retry_after: MAX_RETRY_AFTER,
         },
