Router core: timers of what is over are removed once the queue has doubled

Test: timers_of_finished_requests_do_not_fill_the_memory failed before (10,001 timers after 5,000 finished requests) and passes.

--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -126,6 +126,7 @@
         self.now = self.now.max(now);
         self.apply(input, out);
         self.run_timers(out);
+        self.sweep_timers();
         self.workers.release_unused();
         self.answers.expire(self.now);
         self.admission
--- a/crates/router/src/core/state/timers.rs
+++ b/crates/router/src/core/state/timers.rs
@@ -8,7 +8,11 @@
 use super::invocation::InvocationHandle;
 use crate::{Delivery, LoadOrderTicket, Ticket};
 
-/// What a timer triggers. Timers are never cancelled: when a timer fires, its handler checks whether it still applies.
+/// Number of timers up to which the queue is never swept.
+const MIN_SWEPT_TIMERS: usize = 1_024;
+
+/// What a timer triggers. Timers are not cancelled one by one: when a timer fires, its handler checks whether it still
+/// applies, and when the queue has doubled, those that no longer apply are removed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Timer {
     /// A timer that the balancer requested, with its token.
@@ -51,6 +55,8 @@
 #[derive(Default)]
 pub(crate) struct TimerQueue {
     heap: BinaryHeap<Reverse<ScheduledTimer>>,
+    /// Number of timers after the last sweep.
+    swept_length: usize,
 }
 
 impl TimerQueue {
@@ -69,6 +75,19 @@
         }
     }
 
+    /// Whether the queue has doubled since the last sweep, so that timers of what is over may fill it.
+    pub(crate) fn is_sweep_due(&self) -> bool {
+        self.heap.len() > MIN_SWEPT_TIMERS.max(2 * self.swept_length)
+    }
+
+    /// Removes all timers that do not apply any more.
+    pub(crate) fn sweep(&mut self, applies: impl Fn(Timer) -> bool) {
+        self.heap.retain(|scheduled| applies(scheduled.0.timer));
+        self.heap
+            .shrink_to(MIN_SWEPT_TIMERS.max(2 * self.heap.len()));
+        self.swept_length = self.heap.len();
+    }
+
     /// When the next timer is due.
     pub(crate) fn next_due(&self) -> Option<Micros> {
         self.heap.peek().map(|scheduled| scheduled.0.due)
--- a/crates/router/src/core/timers.rs
+++ b/crates/router/src/core/timers.rs
@@ -21,6 +21,30 @@
         }
     }
 
+    /// Removes the timers of what is over, if there may be many. Without this, a client whose requests end at once and have
+    /// long timeouts would fill the queue.
+    pub(super) fn sweep_timers(&mut self) {
+        if !self.timers.is_sweep_due() {
+            return;
+        }
+        let Router {
+            timers,
+            invocations,
+            orders,
+            answers,
+            ..
+        } = self;
+        timers.sweep(|timer| match timer {
+            Timer::Balancer(_) => true,
+            Timer::DispatchTimeout(ticket) => invocations.attempt_in_flight(ticket).is_some(),
+            Timer::AnswerDue(handle) | Timer::DispatchWindowEnds(handle) => {
+                invocations.find(handle).is_some()
+            }
+            Timer::JoinedAnswerDue(delivery) => answers.is_waiting(delivery),
+            Timer::OrderTimeout(ticket) => orders.is_in_flight(ticket),
+        });
+    }
+
     fn timer_fired(&mut self, timer: Timer, out: &mut Vec<Output>) {
         match timer {
             Timer::Balancer(token) => self.decide(&Event::Timer { token }, out),
--- a/crates/router/tests/balancer_only.rs
+++ b/crates/router/tests/balancer_only.rs
@@ -176,3 +176,26 @@
         }
     }
 }
+
+/// Guards against a queue of timers that grows with each request of a client whose requests end at once, for as long as its
+/// client timeout.
+#[test]
+fn timers_of_finished_requests_do_not_fill_the_memory() {
+    let mut router = RouterHarness::balancer_only(2);
+    for tag in 0..5_000 {
+        let message = IncomingInvocation {
+            identity: None,
+            ..router.message("f", IDEMPOTENT, 0, tag)
+        };
+        let delivery = message.delivery;
+        router.handle(Input::MessageArrived(message));
+        router.handle(Input::ClientLeft(delivery));
+        for ticket in router.sent_tickets() {
+            router.end_dispatch(ticket, DispatchOutcome::Cancelled);
+        }
+    }
+    let sizes = router.core.table_sizes();
+    let timers = sizes.0.iter().find(|table| table.name == "router timers");
+    let timers = timers.expect("a table of timers");
+    assert!(timers.entries < 2_000, "{timers:?}");
+}
