Node: buffers of connections are bounded in bytes by the memory limit

Cause: unfinished requests (64 KB each), unfinished answers of workers (257 KB each) and answers that clients do not read were bounded for each connection only, so that the descriptors allowed more than memory_mb: 256 client connections hold 16 MB.

Change: each of the three kinds has an eighth of memory_mb (MemoryShare). Above it the largest unfinished request gets 503 and a close (NoMemory), the connection with the largest unfinished answer is closed, and an answer whose body does not fit is given as failed. Their sizes are in the log line 'table sizes'.

--- a/crates/cli/tests/node_memory.rs
+++ b/crates/cli/tests/node_memory.rs
@@ -1,25 +1,32 @@
 //! Runs `cedarpulley node` while clients call ever new functions, and compares its memory with its limit.
 
+use std::io::Write;
 use std::thread;
+use std::time::Duration;
 
 mod platform;
 use platform::*;
 
-/// Memory limit of the router, in megabytes.
+/// Memory limits of the router, in megabytes.
 const MEMORY_MB: u64 = 16;
+const SMALL_MEMORY_MB: u64 = 8;
 /// Workers in the list beside the one of the harness.
 const WORKERS: u64 = 300;
 /// Clients, and the functions that each of them calls.
 const CLIENTS: u32 = 8;
 const FUNCTIONS: u32 = 500;
 
+fn with_memory_limit(part: u16, memory_mb: u64) -> World {
+    World::with(part, |config| {
+        config.replace(r#""memory_mb":64"#, &format!(r#""memory_mb":{memory_mb}"#))
+    })
+}
+
 /// Guards against a router that is killed for its memory: it stored each function that was called once for every worker in
 /// the list, 26 MB here, although nobody called it again.
 #[test]
 fn calls_of_ever_new_functions_stay_within_the_memory_limit() {
-    let world = World::with(4, |config| {
-        config.replace(r#""memory_mb":64"#, &format!(r#""memory_mb":{MEMORY_MB}"#))
-    });
+    let world = with_memory_limit(4, MEMORY_MB);
     for worker in 0..WORKERS {
         world.tell(
             2 + worker,
@@ -47,3 +54,30 @@
     let used = world.anonymous_memory();
     assert!(used <= MEMORY_MB << 20, "{used} bytes");
 }
+
+/// Guards against a router that is killed for its memory while clients send requests that never end: it stored up to 64 KB
+/// for each connection, as many as its descriptors allow.
+#[test]
+fn requests_that_never_end_stay_within_the_memory_limit() {
+    let world = with_memory_limit(5, SMALL_MEMORY_MB);
+    let chunk_line = format!("1;{}", "x".repeat(60_000));
+    let endless = call(&id(1), "plain", GOOD, "", "").replace(
+        "Content-Length: 0\r\n\r\n",
+        &format!("Transfer-Encoding: chunked\r\n\r\n{chunk_line}"),
+    );
+    assert!(endless.ends_with(&chunk_line), "{:.300}", endless);
+    let clients: Vec<_> = (0..120)
+        .map(|_| {
+            let mut stream = world.connect();
+            stream.write_all(endless.as_bytes()).expect("sent");
+            stream
+        })
+        .collect();
+    let sample = |_| {
+        thread::sleep(Duration::from_millis(20));
+        world.anonymous_memory()
+    };
+    let used = (0..50).map(sample).max().expect("samples");
+    assert!(used <= SMALL_MEMORY_MB << 20, "{used} bytes");
+    drop(clients);
+}
--- a/crates/platform-node/src/client_connections/connection.rs
+++ b/crates/platform-node/src/client_connections/connection.rs
@@ -9,9 +9,11 @@
 use cedarpulley_net::{Notifier, Stream, duration_from_micros};
 use cedarpulley_platform::client_protocol::{FollowingInput, QueuedRequest, RequestQueue};
 use cedarpulley_platform::connection_limiter::ClientId;
+use cedarpulley_platform::memory_share::MemoryOwner;
 use cedarpulley_router::{Answer, FinalOutcome};
 use futures_lite::FutureExt;
 
+use super::ClientMemory;
 use crate::node::Node;
 use crate::read_buffer::ReadResult;
 
@@ -37,10 +39,14 @@
     disconnected: Cell<bool>,
     close_reason: Cell<Option<CloseReason>>,
     requests: RefCell<RequestQueue>,
+    /// Memory of `requests`.
+    input_memory: MemoryOwner,
+    /// Memory of the body of an answer, until the client has read it.
+    answer_memory: MemoryOwner,
 }
 
 impl ClientConnection {
-    pub fn new(id: ClientId, stream: Stream) -> Self {
+    pub fn new(id: ClientId, stream: Stream, memory: &ClientMemory) -> Self {
         ClientConnection {
             id,
             stream,
@@ -49,6 +55,8 @@
             disconnected: Cell::new(false),
             close_reason: Cell::new(None),
             requests: RefCell::default(),
+            input_memory: memory.input.owner(),
+            answer_memory: memory.answers.owner(),
         }
     }
 
@@ -79,6 +87,7 @@
 
     /// Stores the answer to the pending request, and wakes the connection's task.
     pub fn deliver(&self, answer: Answer) {
+        self.answer_memory.set(answer.body.len());
         self.answer.replace(Some(answer));
         self.wake();
     }
@@ -133,13 +142,43 @@
                     .put(arrived, bytes, node.clients.rules())
             };
             match node.read(&self.stream, add_bytes) {
-                ReadResult::Bytes(()) => {}
+                ReadResult::Bytes(()) => {
+                    self.update_input_memory();
+                    node.clients.limit_input_memory();
+                }
                 ReadResult::Nothing => return,
                 ReadResult::Ended => self.disconnected.set(true),
             }
         }
     }
 
+    fn update_input_memory(&self) {
+        self.input_memory.set(self.requests.borrow().memory());
+    }
+
+    /// Memory of the request that has been read in part, in bytes.
+    pub fn partial_request_memory(&self) -> usize {
+        let requests = self.requests.borrow();
+        if requests.is_receiving() {
+            requests.partial_memory()
+        } else {
+            0
+        }
+    }
+
+    /// Rejects the request that has been read in part, and frees its memory.
+    pub fn reject_partial_request(&self) {
+        if self.requests.borrow_mut().reject_partial_request() {
+            self.update_input_memory();
+            self.wake();
+        }
+    }
+
+    /// Records that the answer is written, or that there is none.
+    pub fn answer_written(&self) {
+        self.answer_memory.set(0);
+    }
+
     /// Reads once and discards the bytes; returns their number.
     pub fn discard_available(&self, node: &Node) -> ReadResult<usize> {
         node.read(&self.stream, <[u8]>::len)
@@ -175,7 +214,9 @@
 
     /// Takes the next request that has been read and not served yet.
     pub fn take_request(&self) -> Option<QueuedRequest> {
-        self.requests.borrow_mut().take()
+        let request = self.requests.borrow_mut().take();
+        self.update_input_memory();
+        request
     }
 
     /// Writes all bytes. Returns false if the connection has failed, or has to end while the kernel's buffer is full.
--- a/crates/platform-node/src/client_connections/mod.rs
+++ b/crates/platform-node/src/client_connections/mod.rs
@@ -9,10 +9,12 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
+use cedarpulley::interface::TableSize;
 use cedarpulley_net::Stream;
 use cedarpulley_platform::client_protocol::{FollowingInput, RequestError, RequestRules};
 use cedarpulley_platform::connection_limiter::{ClientId, ConnectionLimiter};
-use cedarpulley_router::{Answer, Delivery, Input};
+use cedarpulley_platform::memory_share::MemoryShare;
+use cedarpulley_router::{Answer, Delivery, FinalOutcome, Input};
 
 pub(crate) use accept::{accept_backlog, accept_clients};
 use connection::{ClientConnection, CloseReason};
@@ -34,9 +36,29 @@
     pub rejected_requests: BTreeMap<RequestError, u64>,
 }
 
+/// The shares of the memory for what is read from clients and written to them.
+#[derive(Clone, Debug)]
+pub(crate) struct ClientMemory {
+    /// For input that was not passed to the core yet.
+    pub input: MemoryShare,
+    /// For bodies of answers that the clients have not read.
+    pub answers: MemoryShare,
+}
+
+impl ClientMemory {
+    /// Shares with this limit each, in bytes.
+    pub fn new(max_bytes: usize) -> Self {
+        ClientMemory {
+            input: MemoryShare::new(max_bytes),
+            answers: MemoryShare::new(max_bytes),
+        }
+    }
+}
+
 /// All connections of clients, and the pending requests on them.
 pub(crate) struct ClientConnections {
     rules: RequestRules,
+    memory: ClientMemory,
     limiter: RefCell<ConnectionLimiter>,
     connections: RefCell<HashMap<ClientId, Rc<ClientConnection>>>,
     pending: PendingRequests,
@@ -44,9 +66,10 @@
 }
 
 impl ClientConnections {
-    pub fn new(rules: RequestRules, limiter: ConnectionLimiter) -> Self {
+    pub fn new(rules: RequestRules, limiter: ConnectionLimiter, memory: ClientMemory) -> Self {
         ClientConnections {
             rules,
+            memory,
             limiter: RefCell::new(limiter),
             connections: RefCell::default(),
             pending: PendingRequests::default(),
@@ -101,7 +124,7 @@
             .limiter
             .borrow_mut()
             .connected(node.clock.now(), has_request);
-        let connection = Rc::new(ClientConnection::new(admission.id, stream));
+        let connection = Rc::new(ClientConnection::new(admission.id, stream, &self.memory));
         self.connections
             .borrow_mut()
             .insert(admission.id, connection.clone());
@@ -166,11 +189,51 @@
     pub fn answer(&self, node: &Rc<Node>, delivery: Delivery, answer: Answer) {
         if let Some((id, connection)) = self.pending.remove(delivery.tag) {
             tracing::debug!(%id, outcome = ?answer.outcome, reason = ?answer.reason, "request answered");
-            connection.deliver(answer);
+            connection.deliver(self.within_memory(answer));
         }
         node.feed(Input::AnswerDelivered(delivery));
     }
 
+    /// The answer, or a failure in its place if there is no memory for its body: clients have not read earlier answers.
+    fn within_memory(&self, answer: Answer) -> Answer {
+        if answer.body.is_empty() || self.memory.answers.has_room_for(answer.body.len()) {
+            return answer;
+        }
+        Answer {
+            retry_after: answer.retry_after,
+            ..Answer::without_body(FinalOutcome::Errored, answer.reason)
+        }
+    }
+
+    /// While the input of all clients takes more memory than its share, rejects the largest of the requests that have been
+    /// received in part.
+    fn limit_input_memory(&self) {
+        while self.memory.input.is_exceeded() {
+            let connections = self.connections.borrow();
+            let largest = connections
+                .values()
+                .max_by_key(|connection| (connection.partial_request_memory(), connection.id()));
+            match largest.filter(|connection| connection.partial_request_memory() > 0) {
+                Some(connection) => connection.reject_partial_request(),
+                None => return,
+            }
+        }
+    }
+
+    /// The sizes of the buffers.
+    pub fn table_sizes(&self) -> [TableSize; 2] {
+        let entries = self.connections.borrow().len();
+        let size = |name, share: &MemoryShare| TableSize {
+            name,
+            entries,
+            bytes: share.held(),
+        };
+        [
+            size("client input", &self.memory.input),
+            size("unread answers", &self.memory.answers),
+        ]
+    }
+
     /// Whether this request may not be executed any more, because its client has disconnected or its length has turned
     /// out to be wrong; if so, the core is notified. This is checked right before an attempt is sent, because either may
     /// have arrived since the last read from the connection.
--- a/crates/platform-node/src/client_connections/session.rs
+++ b/crates/platform-node/src/client_connections/session.rs
@@ -241,6 +241,7 @@
         if !self.connection.write(&encode(&reply.response)).await {
             return ConnectionState::Ended;
         }
+        self.connection.answer_written();
         if !reply.response.close {
             self.limiter().idle(self.now(), id);
             return ConnectionState::Open;
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -7,7 +7,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use cedarpulley::interface::{Micros, WorkerIndex};
+use cedarpulley::interface::{Micros, TableSizes, WorkerIndex};
 use cedarpulley_net::{Clock, Stream};
 use cedarpulley_platform::discovery::{DiscoveryError, EventBatch};
 use cedarpulley_platform::event_loop_lag::EventLoopLag;
@@ -243,11 +243,19 @@
         let is_due = now - self.tables_logged_at.get() >= TABLE_LOG_PERIOD;
         if is_due && tracing::enabled!(tracing::Level::DEBUG) {
             self.tables_logged_at.set(now);
-            let tables = self.core.router().table_sizes();
+            let tables = self.table_sizes();
             tracing::debug!(%tables, "table sizes");
         }
     }
 
+    /// The sizes of the tables that callers, workers and discovery fill.
+    fn table_sizes(&self) -> TableSizes {
+        let mut sizes = self.core.router().table_sizes();
+        sizes.0.extend(self.clients.table_sizes());
+        sizes.0.push(self.workers.table_size());
+        sizes
+    }
+
     /// Records an activity of the core loop.
     pub fn record_activity(&self, activity: Activity) {
         self.core.record(activity);
@@ -330,7 +338,7 @@
             counts = ?longest.counts,
             "longest turn of the core loop"
         );
-        let tables = self.core.router().table_sizes();
+        let tables = self.table_sizes();
         tracing::info!(%tables, "table sizes");
         let unplaced = self.workers.unplaced_exchanges();
         tracing::info!(unplaced, "exchanges without a worker connection");
--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -17,13 +17,14 @@
 use cedarpulley_platform::connection_pool::ConnectionPool;
 use cedarpulley_platform::discovery::{DiscoveryError, WorkerListFollower};
 use cedarpulley_platform::graceful_shutdown::GracefulShutdown;
+use cedarpulley_platform::memory_share::MemoryShare;
 use cedarpulley_platform::resource_limits::ResourceLimits;
 use cedarpulley_router::{CoreSettings, Router};
 use cedarpulley_startup::StartupSettings;
 use rustix::process::{Resource, getrlimit};
 use thiserror::Error;
 
-use crate::client_connections::{ClientConnections, accept_clients};
+use crate::client_connections::{ClientConnections, ClientMemory, accept_clients};
 use crate::config_file::ConfigFile;
 use crate::discovery::{self, Discovery};
 use crate::node::{Node, NodeParts};
@@ -187,8 +188,9 @@
         clients: ClientConnections::new(
             request_rules(&config),
             ConnectionLimiter::new(limits.clients),
+            ClientMemory::new(limits.buffer_bytes),
         ),
-        workers: WorkerConnections::new(protocol, pool),
+        workers: WorkerConnections::new(protocol, pool, MemoryShare::new(limits.buffer_bytes)),
         shutdown: GracefulShutdown::new(longest_client_timeout(&settings)),
         discovery: Discovery::new(config.discovery_address, config.names, worker_list, now),
     }
--- a/crates/platform-node/src/worker_connections/connection.rs
+++ b/crates/platform-node/src/worker_connections/connection.rs
@@ -9,6 +9,7 @@
 use cedarpulley::interface::{Micros, WorkerIndex};
 use cedarpulley_net::{Notifier, Stream};
 use cedarpulley_platform::connection_pool::ConnectionId;
+use cedarpulley_platform::memory_share::MemoryOwner;
 use cedarpulley_platform::worker_protocol::{Answer, AnswerError, AnswerReader};
 use cedarpulley_router::core::DispatchRequest;
 use cedarpulley_router::{LoadOrderTicket, Ticket};
@@ -112,6 +113,8 @@
     /// The exchanges in flight, by their ids.
     exchanges: RefCell<HashMap<String, Exchange>>,
     answers: RefCell<AnswerReader>,
+    /// Memory of `answers`.
+    answer_memory: MemoryOwner,
     /// Notified when there are bytes to write, or when the connection has to end.
     wake: Notifier,
     ending: Cell<bool>,
@@ -119,7 +122,7 @@
 }
 
 impl WorkerConnection {
-    pub fn new(id: ConnectionId) -> Self {
+    pub fn new(id: ConnectionId, answer_memory: MemoryOwner) -> Self {
         WorkerConnection {
             id,
             stream: RefCell::default(),
@@ -128,6 +131,7 @@
             written: Cell::new(0),
             exchanges: RefCell::default(),
             answers: RefCell::default(),
+            answer_memory,
             wake: Notifier::default(),
             ending: Cell::new(false),
             closed_locally: Cell::new(false),
@@ -315,11 +319,23 @@
     /// Adds bytes that have arrived.
     pub fn add_bytes(&self, bytes: &[u8]) {
         self.answers.borrow_mut().put(bytes);
+        self.update_answer_memory();
+    }
+
+    fn update_answer_memory(&self) {
+        self.answer_memory.set(self.answers.borrow().memory());
+    }
+
+    /// Memory of the answers that have arrived and are not processed, in bytes.
+    pub fn answer_memory(&self) -> usize {
+        self.answer_memory.bytes()
     }
 
     /// The next complete answer in the bytes that have arrived.
     pub fn next_answer(&self, fields: &[ReportField]) -> Result<Option<Answer>, AnswerError> {
-        self.answers.borrow_mut().next(fields)
+        let next = self.answers.borrow_mut().next(fields);
+        self.update_answer_memory();
+        next
     }
 
     /// Whether the last answer has arrived only in part.
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -12,10 +12,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use cedarpulley::interface::{Micros, WorkerIndex};
+use cedarpulley::interface::{Micros, TableSize, WorkerIndex};
 use cedarpulley_platform::attempt_outcome::ExchangeEnd;
 use cedarpulley_platform::connection_pool::{ConnectionId, ConnectionPool, LateAnswer, Placement};
 use cedarpulley_platform::loop_activity::Activity;
+use cedarpulley_platform::memory_share::MemoryShare;
 use cedarpulley_platform::worker_protocol::{self, Answer};
 use cedarpulley_router::core::DispatchRequest;
 use cedarpulley_router::{LoadOrderTicket, Ticket};
@@ -82,11 +83,14 @@
     /// Number of the last id assigned to a load order or a health check.
     last_exchange_number: Cell<u64>,
     readiness: ReadinessLog,
+    /// Memory for answers that have arrived in part.
+    answer_memory: MemoryShare,
 }
 
 impl WorkerConnections {
-    pub fn new(protocol: WorkerProtocol, pool: ConnectionPool) -> Self {
+    pub fn new(protocol: WorkerProtocol, pool: ConnectionPool, answer_memory: MemoryShare) -> Self {
         WorkerConnections {
+            answer_memory,
             protocol,
             pool: RefCell::new(pool),
             connections: RefCell::default(),
@@ -285,7 +289,7 @@
             node.record_activity(Activity::UnknownAddress);
             return Err(ExchangeEnd::ConnectFailed);
         };
-        let connection = Rc::new(WorkerConnection::new(id));
+        let connection = Rc::new(WorkerConnection::new(id, self.answer_memory.owner()));
         self.connections.borrow_mut().insert(id, connection.clone());
         let (task_node, task_connection) = (node.clone(), connection.clone());
         let connect_timeout = self.protocol.connect_timeout;
@@ -323,6 +327,30 @@
         self.close(due);
     }
 
+    /// Closes the connection with the largest unfinished answer if all of them take more memory than their share.
+    fn limit_answer_memory(&self) {
+        if !self.answer_memory.is_exceeded() {
+            return;
+        }
+        let connections = self.connections.borrow();
+        let largest = connections
+            .values()
+            .filter(|connection| !connection.is_ending())
+            .max_by_key(|connection| connection.answer_memory());
+        if let Some(connection) = largest {
+            connection.close();
+        }
+    }
+
+    /// The size of the buffers.
+    pub fn table_size(&self) -> TableSize {
+        TableSize {
+            name: "unfinished answers",
+            entries: self.connections.borrow().len(),
+            bytes: self.answer_memory.held(),
+        }
+    }
+
     fn close(&self, connections: Vec<ConnectionId>) {
         connections
             .into_iter()
@@ -363,6 +391,7 @@
         self.pool
             .borrow_mut()
             .received(node.clock.now(), connection.id(), partial);
+        self.limit_answer_memory();
     }
 
     /// Ends an exchange on a connection, with an answer or without one, and reports the end to the core.
--- a/crates/platform/src/client_protocol/mod.rs
+++ b/crates/platform/src/client_protocol/mod.rs
@@ -130,6 +130,8 @@
     TooManyPipelined,
     /// The request was not complete within its time limit.
     RequestTimeout,
+    /// The request was not complete, and there was no memory left for the input of clients.
+    NoMemory,
 }
 
 impl RequestError {
@@ -149,7 +151,9 @@
             RequestError::UnsupportedExpectation => 417,
             RequestError::IdInUse => 409,
             // Nothing of the request has run, so the client may safely retry.
-            RequestError::TooManyPipelined | RequestError::RequestTimeout => STATUS_REJECTED,
+            RequestError::TooManyPipelined
+            | RequestError::RequestTimeout
+            | RequestError::NoMemory => STATUS_REJECTED,
         }
     }
 
--- a/crates/platform/src/client_protocol/parser.rs
+++ b/crates/platform/src/client_protocol/parser.rs
@@ -61,6 +61,20 @@
         self.bytes.len() + body
     }
 
+    /// Memory of the buffers, in bytes.
+    pub fn memory(&self) -> usize {
+        let body = match &self.state {
+            State::ChunkedBody { body, .. } => body.data.capacity(),
+            _ => 0,
+        };
+        self.bytes.capacity() + body
+    }
+
+    /// Drops the unfinished request, as if it were malformed. Every further call of [`Parser::next`] returns the error.
+    pub fn abandon(&mut self, error: RequestError) {
+        self.fail(error);
+    }
+
     /// Removes and returns the next complete request, if there is one. After an error, every further call returns the
     /// same error.
     pub fn next(&mut self, rules: &RequestRules) -> Result<Option<Request>, RequestError> {
@@ -147,6 +161,8 @@
         match error {
             // The head was a valid one if the error is in the body.
             RequestError::MalformedChunks | RequestError::BodyTooLong => FollowingInput::Request,
+            // Nothing is wrong with its bytes.
+            RequestError::NoMemory => self.following_input(),
             _ => FollowingInput::of_rejected_head(&self.bytes),
         }
     }
--- a/crates/platform/src/client_protocol/queue.rs
+++ b/crates/platform/src/client_protocol/queue.rs
@@ -128,6 +128,32 @@
         !self.input_ended && self.parser.has_partial_request()
     }
 
+    /// Rejects the request that has been received in part, and ignores all further input. Returns whether there is one.
+    pub fn reject_partial_request(&mut self) -> bool {
+        if !self.is_receiving() {
+            return false;
+        }
+        let error = RequestError::NoMemory;
+        self.parser.abandon(error);
+        self.malformed = Some(QueuedRequest {
+            request: Err(error),
+            arrived: self.last_arrival,
+        });
+        self.input_ended = true;
+        true
+    }
+
+    /// Memory that is held for this connection, in bytes.
+    pub fn memory(&self) -> usize {
+        let bodies: usize = self.queued.iter().map(QueuedRequest::body_bytes).sum();
+        self.parser.memory() + bodies
+    }
+
+    /// Memory of the request that has been received in part, in bytes.
+    pub fn partial_memory(&self) -> usize {
+        self.parser.memory()
+    }
+
     /// Number of bytes that are stored for this connection.
     pub fn bytes(&self) -> usize {
         let bodies: usize = self.queued.iter().map(QueuedRequest::body_bytes).sum();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`connection_pool`]: decides which connection to a worker carries an exchange, and when connections are closed.
 //! * [`connection_limiter`]: decides which client connections stay open.
 //! * [`resource_limits`]: divides the descriptors and the memory that the platform allows.
+//! * [`memory_share`]: counts the memory of the buffers of many connections.
 //! * [`event_loop_lag`]: estimates how late the process reads bytes that have arrived.
 //! * [`input_queue`]: the inputs that wait for the router core, of which a turn handles a limited number.
 //! * [`loop_activity`]: records what fills the turns of the core loop.
@@ -29,5 +30,6 @@
 pub mod graceful_shutdown;
 pub mod input_queue;
 pub mod loop_activity;
+pub mod memory_share;
 pub mod resource_limits;
 pub mod worker_protocol;
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -13,6 +13,9 @@
 const BODY_MEMORY_DIVISOR: f64 = 8.0;
 /// Functions and their copies get the memory divided by this number.
 const FUNCTION_MEMORY_DIVISOR: f64 = 8.0;
+/// What clients have sent and is not passed on yet, what workers have answered in part, and answers that clients have not
+/// read yet each get the memory divided by this number.
+const BUFFER_MEMORY_DIVISOR: f64 = 8.0;
 /// Upper limit on the configured number of descriptors: no machine allows a process more.
 const MAX_DESCRIPTORS: u64 = 1 << 20;
 
@@ -27,6 +30,9 @@
     pub body_bytes: u64,
     /// Most memory for the functions that clients name and their copies, in bytes.
     pub function_bytes: u64,
+    /// Most memory for each kind of buffer: input of clients, unfinished answers of workers, and answers that clients have
+    /// not read; in bytes.
+    pub buffer_bytes: usize,
 }
 
 impl ResourceLimits {
@@ -47,6 +53,7 @@
             clients,
             workers,
             body_bytes: (memory_bytes / BODY_MEMORY_DIVISOR) as u64,
+            buffer_bytes: (memory_bytes / BUFFER_MEMORY_DIVISOR) as usize,
             function_bytes: (memory_bytes / FUNCTION_MEMORY_DIVISOR) as u64,
         }
     }
--- a/crates/platform/src/worker_protocol.rs
+++ b/crates/platform/src/worker_protocol.rs
@@ -138,6 +138,11 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Memory of the buffer, in bytes.
+    pub fn memory(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Whether an answer has been received in part.
     pub fn has_partial_answer(&self) -> bool {
         !self.bytes.is_empty()
--- a/crates/platform/tests/client_protocol.rs
+++ b/crates/platform/tests/client_protocol.rs
@@ -563,3 +563,21 @@
         prop_assert_eq!(found, bodies.into_iter().map(|b| b.1).collect::<Vec<_>>());
     }
 }
+
+/// A request that is rejected for lack of memory frees its buffer and ends the input, but it changes nothing for the request
+/// before it, which may be executing.
+#[test]
+fn a_partial_request_can_be_rejected_behind_a_pending_one() {
+    let first = request("00000000000000aa", "", b"hi");
+    let mut partial = request("00000000000000ab", "", b"hi");
+    partial.truncate(partial.len() - 1);
+    let mut queue = RequestQueue::default();
+    queue.put(0, &[first, partial].concat(), &rules());
+    assert!(queue.take().is_some());
+    let before = queue.following_input(0);
+    assert!(queue.reject_partial_request());
+    assert_eq!((queue.memory(), queue.following_input(0)), (0, before));
+    let rejected = queue.take().expect("the partial request").request;
+    assert_eq!(rejected, Err(RequestError::NoMemory));
+    assert!(!queue.reject_partial_request() && queue.take().is_none());
+}
