Node: the list of workers is bounded by the memory limit; complete lists cost linear time

Found while looking at every table that discovery fills.

Change: an eighth of memory_mb at 1 KiB a worker, 20,000 at most; sets in place of the comparisons.

Test: workers_above_the_bound_of_the_memory_are_left_out (does not compile before: the bound is new); the tests of batches and of the gate pass unchanged. No time was measured.

--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -178,7 +178,7 @@
         reports_function_load: settings.loads.reports_function_load,
         connect_timeout: connections.connect_timeout,
     };
-    let worker_list = WorkerListFollower::new(settings.rules.drain_grace);
+    let worker_list = WorkerListFollower::new(settings.rules.drain_grace, limits.listed_workers);
     NodeParts {
         router: Router::new(
             settings.balancer(config.seed),
--- a/crates/platform/src/discovery/batch_merge.rs
+++ b/crates/platform/src/discovery/batch_merge.rs
@@ -27,6 +27,8 @@
     update: EndpointListUpdate,
     /// The position of each worker in `update.workers`, by its id.
     positions: HashMap<String, usize>,
+    /// The ids in `update.retired`.
+    retired: HashSet<String>,
     /// Ids of workers that were gone at some time within the batch.
     departed: HashSet<String>,
 }
@@ -40,6 +42,7 @@
                 retired: Vec::new(),
             },
             positions: HashMap::new(),
+            retired: HashSet::new(),
             departed: HashSet::new(),
         }
     }
@@ -59,7 +62,7 @@
         let gone = update.retired.iter().filter(|id| !present.contains(&***id));
         self.departed.extend(gone.cloned());
         for id in update.retired {
-            if !self.update.retired.contains(&id) {
+            if self.retired.insert(id.clone()) {
                 self.update.retired.push(id);
             }
         }
--- a/crates/platform/src/discovery/follower.rs
+++ b/crates/platform/src/discovery/follower.rs
@@ -1,6 +1,6 @@
 //! Applies watch events to the endpoint list.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 
 use cedarpulley::ids::fingerprint;
@@ -14,8 +14,6 @@
 /// A drain that may be older than the drain grace divided by this number is read as having no grace left: the balancer
 /// and the last check before sending use up the rest of the grace.
 const DRAIN_GRACE_DIVISOR: Micros = 4;
-/// Most workers in the list; further ones are ignored and counted.
-const MAX_WORKERS: usize = 20_000;
 /// The bit that is set in the index of every zone that the settings do not name. Indexes of named zones do not have it.
 const UNNAMED_ZONE: u32 = 1 << 31;
 
@@ -44,21 +42,35 @@
 }
 
 /// The endpoint list as of the last event applied.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct WorkerListFollower {
     last_cursor: u64,
     addresses: BTreeMap<String, SocketAddr>,
     drain_grace: Micros,
+    /// Most workers in the list; further ones are ignored and counted.
+    max_workers: usize,
     repeated_events: u64,
     ignored_workers: u64,
 }
 
+impl Default for WorkerListFollower {
+    /// A list without a bound, of workers that get no new requests once they drain.
+    fn default() -> Self {
+        WorkerListFollower::new(0, usize::MAX)
+    }
+}
+
 impl WorkerListFollower {
     /// `drain_grace`: time after the announcement of a drain in which the worker may get new requests, in microseconds.
-    pub fn new(drain_grace: Micros) -> Self {
+    /// `max_workers`: most workers in the list; further ones are ignored and counted.
+    pub fn new(drain_grace: Micros, max_workers: usize) -> Self {
         WorkerListFollower {
             drain_grace,
-            ..WorkerListFollower::default()
+            max_workers,
+            last_cursor: 0,
+            addresses: BTreeMap::new(),
+            repeated_events: 0,
+            ignored_workers: 0,
         }
     }
 
@@ -132,11 +144,11 @@
     fn apply(&mut self, change: ListChange) -> EndpointListUpdate {
         let mut retired = Vec::new();
         if change.mode == EndpointListKind::Complete {
-            let is_named = |id: &String| {
-                let mut named = change.workers.iter();
-                named.any(|worker| worker.listed.address == *id)
-            };
-            let gone = self.addresses.extract_if(.., |id, _| !is_named(id));
+            let workers = change.workers.iter();
+            let named: HashSet<&str> = workers.map(|worker| &*worker.listed.address).collect();
+            let gone = self
+                .addresses
+                .extract_if(.., |id, _| !named.contains(&**id));
             retired.extend(gone.map(|(id, _)| id));
         }
         let mut workers = Vec::new();
@@ -166,7 +178,7 @@
     }
 
     fn is_full(&self) -> bool {
-        self.addresses.len() >= MAX_WORKERS
+        self.addresses.len() >= self.max_workers
     }
 }
 
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -16,6 +16,12 @@
 /// What clients have sent and is not passed on yet, what workers have answered in part, and answers that clients have not
 /// read yet each get the memory divided by this number.
 const BUFFER_MEMORY_DIVISOR: f64 = 8.0;
+/// Memory of one worker in the list, in all tables, in bytes.
+const WORKER_BYTES: f64 = 1024.0;
+/// The list of workers gets the memory divided by this number.
+const WORKER_MEMORY_DIVISOR: f64 = 8.0;
+/// Most workers in the list, however much memory there is.
+const MAX_WORKERS: usize = 20_000;
 /// Upper limit on the configured number of descriptors: no machine allows a process more.
 const MAX_DESCRIPTORS: u64 = 1 << 20;
 
@@ -33,6 +39,8 @@
     /// Most memory for each kind of buffer: input of clients, unfinished answers of workers, and answers that clients have
     /// not read; in bytes.
     pub buffer_bytes: usize,
+    /// Most workers in the list.
+    pub listed_workers: usize,
 }
 
 impl ResourceLimits {
@@ -53,6 +61,8 @@
             clients,
             workers,
             body_bytes: (memory_bytes / BODY_MEMORY_DIVISOR) as u64,
+            listed_workers: MAX_WORKERS
+                .min((memory_bytes / WORKER_MEMORY_DIVISOR / WORKER_BYTES) as usize),
             buffer_bytes: (memory_bytes / BUFFER_MEMORY_DIVISOR) as usize,
             function_bytes: (memory_bytes / FUNCTION_MEMORY_DIVISOR) as u64,
         }
--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -1,10 +1,11 @@
 //! Tests the discovery channel: the events that change the endpoint list, and the responses that contain them.
 
 use cedarpulley::interface::{EndpointListKind, EndpointState::Draining, EndpointState::Gone};
-use cedarpulley_platform::config::Names;
+use cedarpulley_platform::config::{Limits, Names};
 use cedarpulley_platform::discovery::{
     EndpointListUpdate, EventBatch, POLL_WAIT, ResponseReader, WorkerListFollower,
 };
+use cedarpulley_platform::resource_limits::ResourceLimits;
 
 /// The zones and kinds of machine that the settings name.
 fn names() -> Names {
@@ -288,3 +289,22 @@
         assert!(error.to_string().contains(name), "{error}");
     }
 }
+
+/// Guards against a list of workers that takes more memory than the process may use.
+#[test]
+fn workers_above_the_bound_of_the_memory_are_left_out() {
+    let limits = Limits {
+        memory_mb: 8.0,
+        sockets: 256,
+    };
+    let most = ResourceLimits::of(limits, None).listed_workers;
+    assert_eq!(most, 1_024);
+    let mut follower = WorkerListFollower::new(0, most);
+    for number in 0..=most as u32 {
+        let id = format!("s-{number}");
+        let server = (&*id, "active", "127.0.0.9:5050");
+        apply_events(&mut follower, &[event(1 + number, false, &[server])]);
+    }
+    assert_eq!(follower.ignored_workers(), 1);
+    assert!(follower.address("s-1023").is_some() && follower.address("s-1024").is_none());
+}
--- a/crates/router/src/drain_gate.rs
+++ b/crates/router/src/drain_gate.rs
@@ -5,6 +5,8 @@
 //! [`DrainGate::renew_lease`], and each passed health check to [`DrainGate::passed_health_check`].
 //! [`DrainGate::accepts`] returns the decision.
 
+use std::collections::HashSet;
+
 use cedarpulley::interface::{Endpoint, EndpointListKind, EndpointState, Micros, WorkerIndex};
 
 /// A point in time before all others, for events that have not happened yet.
@@ -42,13 +44,10 @@
         let grace_ends = now + self.drain_grace;
         if kind != EndpointListKind::Changes {
             // A worker that is missing from a complete list is gone, the same as one that is reported as gone.
-            let is_named = |index: usize| {
-                endpoints
-                    .iter()
-                    .any(|endpoint| endpoint.worker as usize == index)
-            };
+            let workers = endpoints.iter();
+            let named: HashSet<usize> = workers.map(|endpoint| endpoint.worker as usize).collect();
             (0..self.closes_at.len())
-                .filter(|&index| !is_named(index))
+                .filter(|index| !named.contains(index))
                 .for_each(|index| self.closes_at[index] = self.closes_at[index].min(now));
         }
         for endpoint in endpoints {
