Router core: retained answers are bounded in bytes by the memory limit

Found while looking at every table that callers fill.

Change: each of both has an eighth of memory_mb (32 MB at the default of 256); their sizes are in the table sizes.

Test: answers_without_a_delivery_stay_within_their_memory (does not compile before: the bound is new).

--- a/crates/router/src/answer_registry.rs
+++ b/crates/router/src/answer_registry.rs
@@ -14,14 +14,16 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use cedarpulley::interface::{InvocationIndex, Micros};
+use cedarpulley::interface::{InvocationIndex, Micros, TableSize};
 
 use crate::redelivery::PriorDelivery;
 use crate::{Answer, Delivery, FinalOutcome, FrontIndex};
 
-/// Maximum number of records without a waiting delivery; each takes a few hundred bytes. Forgetting a record is safe: its
-/// message is only treated more strictly when it is delivered again.
+/// Maximum number of records without a waiting delivery. Forgetting a record is safe: its message is only treated more
+/// strictly when it is delivered again.
 const MAX_ORPHANS: usize = 10_000;
+/// Estimated size of a record without its identity and the body of its answer, in bytes.
+const RECORD_OVERHEAD_BYTES: usize = 512;
 
 /// Maximum number of deliveries that wait for one answer.
 const MAX_WAITERS: usize = 16;
@@ -61,6 +63,18 @@
     expires_at: Micros,
 }
 
+impl AnswerRecord {
+    /// Estimated size, in bytes.
+    fn bytes(&self) -> usize {
+        let identity = self.identity.as_ref().map_or(0, |identity| identity.len());
+        let body = match &self.state {
+            RecordState::Given(answer) => answer.body.len(),
+            _ => 0,
+        };
+        RECORD_OVERHEAD_BYTES + identity + body
+    }
+}
+
 /// The open invocations affected by the loss of waiting deliveries.
 #[derive(Debug, Default)]
 pub struct LostDeliveries {
@@ -74,36 +88,56 @@
 #[derive(Debug)]
 pub struct AnswerRegistry {
     max_orphans: usize,
+    max_orphan_bytes: usize,
     records: Vec<Option<AnswerRecord>>,
     free: Vec<AnswerSlot>,
     by_identity: HashMap<Arc<str>, AnswerSlot>,
     by_waiter: HashMap<Delivery, AnswerSlot>,
     /// The records whose last waiting delivery was lost with its front's channel or was overdue, by expiry.
     orphans: BTreeSet<(Micros, AnswerSlot)>,
+    /// Size of the records in `orphans`, in bytes.
+    orphan_bytes: usize,
     /// Number of records evicted before their expiry, as there were too many without a waiting delivery.
     pub evicted: u64,
 }
 
 impl Default for AnswerRegistry {
     fn default() -> Self {
-        AnswerRegistry::bounded(MAX_ORPHANS)
+        AnswerRegistry::bounded(MAX_ORPHANS, usize::MAX)
     }
 }
 
 impl AnswerRegistry {
-    /// Creates a registry that retains at most `max_orphans` records without a waiting delivery.
-    pub fn bounded(max_orphans: usize) -> Self {
+    /// Creates a registry that retains records without a waiting delivery of this total size at most, in bytes.
+    pub fn within_memory(max_orphan_bytes: usize) -> Self {
+        AnswerRegistry::bounded(MAX_ORPHANS, max_orphan_bytes)
+    }
+
+    /// Creates a registry that retains at most `max_orphans` records without a waiting delivery, of at most
+    /// `max_orphan_bytes` in total.
+    pub fn bounded(max_orphans: usize, max_orphan_bytes: usize) -> Self {
         AnswerRegistry {
             max_orphans,
+            max_orphan_bytes,
             records: Vec::new(),
             free: Vec::new(),
             by_identity: HashMap::new(),
             by_waiter: HashMap::new(),
             orphans: BTreeSet::new(),
+            orphan_bytes: 0,
             evicted: 0,
         }
     }
 
+    /// The size of the records without a waiting delivery.
+    pub fn size(&self) -> TableSize {
+        TableSize {
+            name: "answers without a delivery",
+            entries: self.orphans.len(),
+            bytes: self.orphan_bytes,
+        }
+    }
+
     /// Number of records.
     pub fn len(&self) -> usize {
         self.records.len() - self.free.len()
@@ -198,7 +232,7 @@
             delivery: waiter,
             joined: false,
         });
-        self.orphans.remove(&(record.expires_at, slot));
+        self.adopt(slot);
         self.by_waiter.insert(waiter, slot);
         true
     }
@@ -214,7 +248,7 @@
             delivery: waiter,
             joined: true,
         });
-        self.orphans.remove(&(record.expires_at, slot));
+        self.adopt(slot);
         self.by_waiter.insert(waiter, slot);
         true
     }
@@ -260,11 +294,13 @@
         match self.records.get_mut(slot as usize) {
             Some(Some(record)) if matches!(record.state, RecordState::Open(_)) => {
                 record.state = RecordState::Given(answer.clone());
-                record
-                    .waiters
-                    .iter()
-                    .map(|waiter| waiter.delivery)
-                    .collect()
+                let waiters = record.waiters.iter();
+                let waiting = waiters.map(|waiter| waiter.delivery).collect();
+                if self.orphans.contains(&(record.expires_at, slot)) {
+                    self.orphan_bytes += answer.body.len();
+                    self.evict_answered_orphans();
+                }
+                waiting
             }
             _ => Vec::new(),
         }
@@ -273,7 +309,11 @@
     /// Records that the invocation ended without an answer to retain, while no delivery waited for it.
     pub fn end(&mut self, slot: AnswerSlot, may_have_run: bool) {
         if let Some(Some(record)) = self.records.get_mut(slot as usize) {
+            let before = record.bytes();
             record.state = RecordState::Ended { may_have_run };
+            if self.orphans.contains(&(record.expires_at, slot)) {
+                self.orphan_bytes -= before - record.bytes();
+            }
         }
     }
 
@@ -312,15 +352,44 @@
         let Some(Some(record)) = self.records.get(slot as usize) else {
             return;
         };
-        self.orphans.insert((record.expires_at, slot));
+        if self.orphans.insert((record.expires_at, slot)) {
+            self.orphan_bytes += record.bytes();
+        }
         if let RecordState::Open(index) = record.state {
             result.open.push(index);
         }
     }
 
-    /// Forgets records without a waiting delivery that exceed the limit, those first that expire first.
+    /// Records that a delivery waits again.
+    fn adopt(&mut self, slot: AnswerSlot) {
+        let Some(Some(record)) = self.records.get(slot as usize) else {
+            return;
+        };
+        if self.orphans.remove(&(record.expires_at, slot)) {
+            self.orphan_bytes -= record.bytes();
+        }
+    }
+
+    fn has_too_many_orphans(&self) -> bool {
+        self.orphans.len() > self.max_orphans || self.orphan_bytes > self.max_orphan_bytes
+    }
+
+    /// Forgets answered records without a waiting delivery while the limits are exceeded, those first that expire first.
+    fn evict_answered_orphans(&mut self) {
+        while self.has_too_many_orphans() {
+            let is_answered = |slot: AnswerSlot| self.answer(slot).is_some();
+            let mut orphans = self.orphans.iter();
+            let Some(&(_, slot)) = orphans.find(|(_, slot)| is_answered(*slot)) else {
+                return;
+            };
+            self.evicted += 1;
+            self.forget(slot);
+        }
+    }
+
+    /// Forgets records without a waiting delivery that exceed the limits, those first that expire first.
     fn evict_orphans(&mut self, result: &mut LostDeliveries) {
-        while self.orphans.len() > self.max_orphans
+        while self.has_too_many_orphans()
             && let Some(&(_, slot)) = self.orphans.first()
         {
             self.evicted += 1;
@@ -376,7 +445,9 @@
         record.waiters.iter().for_each(|waiter| {
             self.by_waiter.remove(&waiter.delivery);
         });
-        self.orphans.remove(&(record.expires_at, slot));
+        if self.orphans.remove(&(record.expires_at, slot)) {
+            self.orphan_bytes -= record.bytes();
+        }
         self.free.push(slot);
     }
 }
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -59,6 +59,10 @@
 use crate::idempotency_keys::IdempotencyKeys;
 use crate::observer::RouterObserver;
 
+/// The answers that no delivery waits for, and those cached for retries, each get the memory for bodies divided by this
+/// number, beside it.
+const ANSWER_MEMORY_DIVISOR: u64 = 8;
+
 /// The state of one router, free of I/O: the same inputs at the same times give the same outputs.
 pub struct Router {
     /// Decides which worker each invocation is sent to.
@@ -89,6 +93,8 @@
     /// Creates a router without workers and fronts. `triggers` must be the trigger types that `balancer` was created
     /// with.
     pub fn new(balancer: Balancer, triggers: Vec<TriggerType>, settings: CoreSettings) -> Self {
+        let answer_bytes = settings.memory_bytes / ANSWER_MEMORY_DIVISOR;
+        let answer_bytes = usize::try_from(answer_bytes).unwrap_or(usize::MAX);
         let admission = Admission::new(
             &settings.front_weights,
             &settings.account_shares,
@@ -103,8 +109,8 @@
             workers: WorkerDirectory::new(settings.drain_grace),
             orders: LoadOrders::default(),
             plan_term: None,
-            answers: AnswerRegistry::default(),
-            idempotency_keys: IdempotencyKeys::default(),
+            answers: AnswerRegistry::within_memory(answer_bytes),
+            idempotency_keys: IdempotencyKeys::bounded(answer_bytes),
             admission,
             replication: PendingReplication::default(),
             timers: TimerQueue::default(),
@@ -287,6 +293,8 @@
         sizes.0.extend([
             self.functions.size(),
             self.timers.size(),
+            self.answers.size(),
+            self.idempotency_keys.size(),
             TableSize {
                 name: "router bodies",
                 entries: self.invocations.len(),
--- a/crates/router/src/idempotency_keys.rs
+++ b/crates/router/src/idempotency_keys.rs
@@ -12,16 +12,16 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use cedarpulley::interface::Micros;
+use cedarpulley::interface::{Micros, TableSize};
 
 use crate::Answer;
 use crate::answer_registry::AnswerSlot;
 
 /// Maximum number of cached answers.
 const MAX_ANSWERS: usize = 20_000;
-/// Maximum total size of the cached answers with their bodies, in bytes.
-const MAX_BYTES: usize = 32 << 20;
-/// Estimated size of a cached answer without its body, in bytes: the key and the entries in the tables.
+/// Maximum total size of the cached answers with their bodies if no other is given, in bytes.
+const DEFAULT_MAX_BYTES: usize = 32 << 20;
+/// Estimated size of a cached answer without its key and body, in bytes: the entries in the tables.
 const ENTRY_OVERHEAD_BYTES: usize = 256;
 
 /// An idempotency key together with its account, trigger type and function, see [`key`].
@@ -44,15 +44,13 @@
     expires_at: Micros,
 }
 
-impl CachedAnswer {
-    /// Size in bytes that counts against [`MAX_BYTES`].
-    fn size(&self) -> usize {
-        self.answer.body.len() + ENTRY_OVERHEAD_BYTES
-    }
+/// Size of a cached answer in bytes, which counts against the limit.
+fn size_of_entry(key: &Key, answer: &CachedAnswer) -> usize {
+    key.len() + answer.answer.body.len() + ENTRY_OVERHEAD_BYTES
 }
 
 /// Holds the keys of open invocations and the cached answers of those that succeeded.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct IdempotencyKeys {
     in_flight: HashMap<Key, AnswerSlot>,
     answers: HashMap<Key, CachedAnswer>,
@@ -60,6 +58,7 @@
     eviction_order: VecDeque<(Micros, Key)>,
     /// Total size of the cached answers, in bytes.
     bytes: usize,
+    max_bytes: usize,
     /// Number of answers evicted before their expiry because the cache was full.
     pub evicted: u64,
 }
@@ -71,7 +70,34 @@
     ))
 }
 
+impl Default for IdempotencyKeys {
+    fn default() -> Self {
+        IdempotencyKeys::bounded(DEFAULT_MAX_BYTES)
+    }
+}
+
 impl IdempotencyKeys {
+    /// Caches answers of this total size at most, in bytes.
+    pub fn bounded(max_bytes: usize) -> Self {
+        IdempotencyKeys {
+            in_flight: HashMap::new(),
+            answers: HashMap::new(),
+            eviction_order: VecDeque::new(),
+            bytes: 0,
+            max_bytes,
+            evicted: 0,
+        }
+    }
+
+    /// The size of the cached answers.
+    pub fn size(&self) -> TableSize {
+        TableSize {
+            name: "cached answers",
+            entries: self.answers.len(),
+            bytes: self.bytes,
+        }
+    }
+
     /// Returns what is known about the key of a new invocation.
     pub fn status(&self, now: Micros, key: &str) -> KeyStatus {
         if let Some(&slot) = self.in_flight.get(key) {
@@ -98,10 +124,10 @@
     pub fn succeeded(&mut self, now: Micros, key: &Key, answer: Answer, expires_at: Micros) {
         self.in_flight.remove(key);
         let cached = CachedAnswer { answer, expires_at };
-        self.bytes += cached.size();
+        self.bytes += size_of_entry(key, &cached);
         self.eviction_order.push_back((expires_at, key.clone()));
         if let Some(replaced) = self.answers.insert(key.clone(), cached) {
-            self.bytes -= replaced.size();
+            self.bytes -= size_of_entry(key, &replaced);
         }
         self.evict(now);
     }
@@ -109,7 +135,7 @@
     /// Removes expired answers, and the oldest answers while the cache exceeds its limits.
     fn evict(&mut self, now: Micros) {
         while let Some((expires_at, _)) = self.eviction_order.front() {
-            let full = self.answers.len() > MAX_ANSWERS || self.bytes > MAX_BYTES;
+            let full = self.answers.len() > MAX_ANSWERS || self.bytes > self.max_bytes;
             if *expires_at > now && !full {
                 break;
             }
@@ -123,7 +149,7 @@
                     .is_some_and(|cached| cached.expires_at == expires_at)
                 && let Some(evicted) = self.answers.remove(&key)
             {
-                self.bytes -= evicted.size();
+                self.bytes -= size_of_entry(&key, &evicted);
             }
         }
     }
--- a/crates/router/tests/answer_registry.rs
+++ b/crates/router/tests/answer_registry.rs
@@ -4,7 +4,7 @@
 
 use cedarpulley::interface::Micros;
 use cedarpulley_router::answer_registry::AnswerRegistry;
-use cedarpulley_router::{Answer, AnswerReason, Delivery, FinalOutcome};
+use cedarpulley_router::{Answer, AnswerReason, Delivery, FinalOutcome, Payload};
 
 const SECOND: Micros = 1_000_000;
 
@@ -64,7 +64,7 @@
 
 #[test]
 fn records_without_waiters_are_bounded_and_forgotten_ones_are_named() {
-    let mut registry = AnswerRegistry::bounded(2);
+    let mut registry = AnswerRegistry::bounded(2, usize::MAX);
     for n in 0..4 {
         registry.open(
             Some(Arc::from(format!("{n}"))),
@@ -79,3 +79,31 @@
     registry.expire(SECOND * 2);
     assert_eq!(registry.len(), 1);
 }
+
+/// Guards against answers that no delivery waits for and whose bodies together take more memory than there is: only their
+/// number was bounded.
+#[test]
+fn answers_without_a_delivery_stay_within_their_memory() {
+    const MAX_BYTES: usize = 64 << 10;
+    let mut registry = AnswerRegistry::within_memory(MAX_BYTES);
+    let answer = Answer {
+        body: Payload::from(bytes::Bytes::from(vec![0; 10 << 10])),
+        ..Answer::without_body(FinalOutcome::Succeeded, AnswerReason::Worker)
+    };
+    for n in 0..20 {
+        let identity = Arc::from(format!("{n}"));
+        let expires_at = SECOND + n as Micros;
+        let slot = registry.open(Some(identity), delivery(0, n), n as u32, expires_at);
+        if n % 2 == 0 {
+            registry.give(slot, &answer);
+            registry.front_lost(0);
+        } else {
+            registry.front_lost(0);
+            registry.give(slot, &answer);
+        }
+        assert!(registry.size().bytes <= MAX_BYTES);
+    }
+    assert_eq!((registry.size().entries, registry.len()), (6, 6));
+    registry.expire(2 * SECOND);
+    assert_eq!(registry.size().bytes, 0);
+}
