Router core: open requests with empty bodies count against the memory, too

Cause: an open invocation counted against memory_mb with its body only, so that the number of open invocations with empty bodies was not bounded by memory (in node by the connections, in serve by the grants, which follow the average body).

Change: each open invocation counts with 1 KiB beside its body.

Test: requests_without_bodies_count_against_the_memory failed before (1,025 open requests in 1 MB) and passes.

--- a/crates/router/src/core/completion.rs
+++ b/crates/router/src/core/completion.rs
@@ -3,7 +3,7 @@
 use cedarpulley::interface::{Effect, InvocationIndex, Micros};
 
 use super::state::attempt::Attempt;
-use super::state::invocation::{Invocation, InvocationHandle};
+use super::state::invocation::{INVOCATION_BYTES, Invocation, InvocationHandle};
 use super::{Output, Router};
 use crate::concurrency_limit::{EndedInvocation, LoadSignal};
 use crate::observer::SentAnswer;
@@ -247,7 +247,7 @@
         let ended = EndedInvocation {
             front: request.front,
             account: request.account,
-            body_bytes: request.body.len(),
+            body_bytes: request.body.len() + INVOCATION_BYTES,
             took,
             queued,
             latency_objective: self.triggers[request.trigger as usize].latency_objective,
--- a/crates/router/src/core/intake.rs
+++ b/crates/router/src/core/intake.rs
@@ -7,7 +7,7 @@
 use super::completion::AnsweredInvocation;
 use super::state::admission::{ArrivedMessage, LimitExceeded};
 use super::state::functions::FunctionProfile;
-use super::state::invocation::{AcceptedRequest, Invocation};
+use super::state::invocation::{AcceptedRequest, INVOCATION_BYTES, Invocation};
 use super::state::timers::Timer;
 use super::{Output, Router};
 use crate::admission_control::{AdmissionDecision, AdmissionRequest};
@@ -235,7 +235,7 @@
         let arrived = ArrivedMessage {
             front: message.delivery.front,
             account: message.account,
-            body_bytes: message.body.len(),
+            body_bytes: message.body.len() + INVOCATION_BYTES,
             admitted,
             share_applies: !admitted && !message.redelivered && !self.settings.balancer_only,
         };
--- a/crates/router/src/core/state/invocation.rs
+++ b/crates/router/src/core/state/invocation.rs
@@ -10,6 +10,10 @@
 use crate::replication::{DispatchPermission, Durability, ReplicationStage, ReplicationState};
 use crate::{FrontIndex, Payload, Session, Ticket};
 
+/// Memory of an open invocation apart from its body, in bytes: its entries in the tables, its keys and its attempts. It counts
+/// against the memory for bodies, so that requests with empty bodies are bounded, too.
+pub(crate) const INVOCATION_BYTES: usize = 1 << 10;
+
 /// Identifies one invocation uniquely, even if its index is reused for another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct InvocationHandle {
--- a/crates/router/tests/balancer_only.rs
+++ b/crates/router/tests/balancer_only.rs
@@ -199,3 +199,21 @@
     let timers = timers.expect("a table of timers");
     assert!(timers.entries < 2_000, "{timers:?}");
 }
+
+/// Guards against open requests with empty bodies that take more memory than there is: only their bodies counted.
+#[test]
+fn requests_without_bodies_count_against_the_memory() {
+    let mut router = RouterHarness::balancer_only(2);
+    let mut rejected = 0;
+    for tag in 0..2_000 {
+        let message = IncomingInvocation {
+            identity: None,
+            body: Payload::default(),
+            ..router.message("e", IDEMPOTENT, 0, tag)
+        };
+        router.handle(Input::MessageArrived(message));
+        rejected += router.answers().len();
+        assert!(router.core.unfinished() <= 1_024);
+    }
+    assert!(rejected > 0);
+}
