--- a/crates/platform-node/src/client_connections/mod.rs
+++ b/crates/platform-node/src/client_connections/mod.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-use cedarpulley::interface::TableSize;
+use cedarpulley::table_size::TableSize;
 use cedarpulley_net::Stream;
 use cedarpulley_platform::client_protocol::{FollowingInput, RequestError, RequestRules};
 use cedarpulley_platform::connection_limiter::{ClientId, ConnectionLimiter};
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -7,7 +7,8 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use cedarpulley::interface::{Micros, TableSizes, WorkerIndex};
+use cedarpulley::interface::{Micros, WorkerIndex};
+use cedarpulley::table_size::TableSizes;
 use cedarpulley_net::{Clock, Stream};
 use cedarpulley_platform::discovery::{DiscoveryError, EventBatch};
 use cedarpulley_platform::event_loop_lag::EventLoopLag;
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -12,7 +12,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use cedarpulley::interface::{Micros, TableSize, WorkerIndex};
+use cedarpulley::interface::{Micros, WorkerIndex};
+use cedarpulley::table_size::TableSize;
 use cedarpulley_platform::attempt_outcome::ExchangeEnd;
 use cedarpulley_platform::connection_pool::{ConnectionId, ConnectionPool, LateAnswer, Placement};
 use cedarpulley_platform::loop_activity::Activity;
--- a/crates/router/src/answer_registry.rs
+++ b/crates/router/src/answer_registry.rs
@@ -14,7 +14,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use cedarpulley::interface::{InvocationIndex, Micros, TableSize};
+use cedarpulley::interface::{InvocationIndex, Micros};
+use cedarpulley::table_size::TableSize;
 
 use crate::redelivery::PriorDelivery;
 use crate::{Answer, Delivery, FinalOutcome, FrontIndex};
--- a/crates/router/src/core/balancer_actions.rs
+++ b/crates/router/src/core/balancer_actions.rs
@@ -1,6 +1,8 @@
 //! Calls the balancer and carries out its actions.
 
-use cedarpulley::interface::{Action, DispatchOutcome, Event, InvocationIndex, Micros};
+use cedarpulley::interface::{
+    Action, DispatchOutcome, Event, FunctionIndex, InvocationIndex, Micros,
+};
 
 use super::dispatch::DispatchResult;
 use super::state::timers::Timer;
@@ -79,14 +81,16 @@
                 self.set_timer(self.now + after, Timer::Balancer(token));
             }
             Action::RequestEndpointList { .. } => out.push(Output::RequestEndpointList),
-            Action::ReleaseFunction { function } => {
-                self.orders.forget_function(function);
-                self.functions.released_by_balancer(function);
-                self.functions.forget_if_unused(function);
-            }
+            Action::ReleaseFunction { function } => self.function_released(function),
         }
     }
 
+    fn function_released(&mut self, function: FunctionIndex) {
+        self.orders.forget_function(function);
+        self.functions.released_by_balancer(function);
+        self.functions.forget_if_unused(function);
+    }
+
     fn cancel(
         &mut self,
         index: InvocationIndex,
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -36,9 +36,9 @@
 
 use cedarpulley::Balancer;
 use cedarpulley::interface::{
-    DispatchOutcome, EndpointListKind, Event, Micros, TableSize, TableSizes, TriggerType,
-    WorkerIndex,
+    DispatchOutcome, EndpointListKind, Event, Micros, TriggerType, WorkerIndex,
 };
+use cedarpulley::table_size::{TableSize, TableSizes};
 
 pub use counters::RouterCounters;
 pub use messages::{DispatchRequest, Input, Output};
--- a/crates/router/src/core/state/functions.rs
+++ b/crates/router/src/core/state/functions.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use cedarpulley::interface::{FunctionIndex, TableSize};
+use cedarpulley::interface::FunctionIndex;
+use cedarpulley::table_size::TableSize;
 
 /// Properties of a function, taken from its last invocation or from the similar function named in a request for a copy.
 #[derive(Clone, Copy, Debug)]
--- a/crates/router/src/core/state/timers.rs
+++ b/crates/router/src/core/state/timers.rs
@@ -3,7 +3,8 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use cedarpulley::interface::{Micros, TableSize};
+use cedarpulley::interface::Micros;
+use cedarpulley::table_size::TableSize;
 
 use super::invocation::InvocationHandle;
 use crate::{Delivery, LoadOrderTicket, Ticket};
--- a/crates/router/src/idempotency_keys.rs
+++ b/crates/router/src/idempotency_keys.rs
@@ -12,7 +12,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use cedarpulley::interface::{Micros, TableSize};
+use cedarpulley::interface::Micros;
+use cedarpulley::table_size::TableSize;
 
 use crate::Answer;
 use crate::answer_registry::AnswerSlot;
--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -72,16 +72,21 @@
         self.outliers
             .dispatch_sent(worker, trigger, now + limits.silence);
         if is_probe {
-            let triggers = self.settings.triggers.iter();
-            let shortest = triggers.map(|t| t.latency_objective).min().unwrap_or(0);
-            self.outliers
-                .probe_sent(worker, trigger, now + shortest / PROBE_INTERVAL_DIVISOR);
+            let next_probe_at = now + self.probe_interval();
+            self.outliers.probe_sent(worker, trigger, next_probe_at);
         }
         let recent = &mut self.workers[worker].recent_dispatches;
         recent.forget_until(now - self.settings.rules.overload_window);
         recent.record(now);
     }
 
+    /// The interval between probes of an outlier.
+    fn probe_interval(&self) -> Micros {
+        let triggers = self.settings.triggers.iter();
+        let shortest = triggers.map(|trigger| trigger.latency_objective).min();
+        shortest.unwrap_or(0) / PROBE_INTERVAL_DIVISOR
+    }
+
     /// Computes the limits of the next attempt from the expected service time and, with `waits_for_load`, the
     /// expected load time.
     fn attempt_limits(
--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -65,7 +65,7 @@
             let state = &mut self.workers[worker];
             let was_in_service = state.state == EndpointState::InService;
             state.state = EndpointState::Gone;
-            self.roster
+            self.in_service
                 .changed(worker as WorkerIndex, was_in_service, false);
         }
         missing
@@ -100,7 +100,7 @@
         state.started_at = started_at;
         let is_in_service = endpoint.state == EndpointState::InService;
         if is_new_worker || was_in_service != is_in_service {
-            self.roster
+            self.in_service
                 .changed(endpoint.worker, was_in_service, is_in_service);
         }
         self.slowness.add_kind(endpoint.machine_kind);
--- a/src/balancer/estimates.rs
+++ b/src/balancer/estimates.rs
@@ -103,6 +103,14 @@
         self.times.push_back(now);
     }
 
+    /// Records an event at `now`, and drops the oldest one if there are more than `most`.
+    pub(super) fn record_within(&mut self, now: Micros, most: usize) {
+        self.record(now);
+        if self.times.len() > most {
+            self.times.pop_front();
+        }
+    }
+
     /// Counts the events after `since`.
     pub(super) fn count_after(&self, since: Micros) -> usize {
         self.times.iter().filter(|&&time| time > since).count()
--- a/src/balancer/load_orders.rs
+++ b/src/balancer/load_orders.rs
@@ -9,6 +9,9 @@
 /// If a load took less than its expected time divided by this, the copy was already loaded.
 pub(super) const IMMEDIATE_DIVISOR: Micros = 8;
 
+/// Most accepted invocations that are recorded: with fewer of them the quota is smaller, so the rule is kept.
+const MAX_RECORDED_INVOCATIONS: usize = 1 << 16;
+
 /// The load orders and the accepted invocations within the quota's window.
 #[derive(Default)]
 pub(super) struct LoadOrderQuota {
@@ -19,7 +22,7 @@
 impl LoadOrderQuota {
     /// Records an accepted invocation, which increases the quota.
     pub(super) fn record_accepted(&mut self, now: Micros) {
-        self.accepted.record(now);
+        self.accepted.record_within(now, MAX_RECORDED_INVOCATIONS);
     }
 
     /// Drops orders and invocations up to and including `until`.
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -63,6 +63,7 @@
 mod workers;
 
 use crate::interface::*;
+use crate::table_size::{TableSize, TableSizes};
 use estimates::{DecayingSum, MachineSlowness, RandomDraws};
 use functions::{Function, Functions};
 use invocations::{Invocation, Invocations};
@@ -71,7 +72,7 @@
 use load_shedding::LoadShedder;
 use outlier_detection::OutlierDetector;
 use queue::WaitingQueue;
-use ranking::{Rankings, Roster};
+use ranking::{Rankings, WorkersInService};
 use readiness::ReadinessChecks;
 use workers::WorkerState;
 
@@ -107,7 +108,7 @@
     next_tick: Option<Micros>,
     /// By worker index.
     workers: Vec<WorkerState>,
-    roster: Roster,
+    in_service: WorkersInService,
     readiness: ReadinessChecks,
     outliers: OutlierDetector,
     functions: Functions,
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -18,7 +18,7 @@
         let decay_time = self.settings.loads.idle_retention.max(1) as f64;
         let work = self.service_time(&self.functions[function]).mean as f64;
         let state = &mut self.functions[function];
-        let workers = self.roster.in_service().max(1);
+        let workers = self.in_service.count().max(1);
         let accepted = state.accepted.add(self.now, decay_time, 1.0);
         let all_work = self.work_accepted.add(self.now, decay_time, work);
         let wanted =
@@ -50,7 +50,7 @@
         let position = self.settings.fleet.position as usize;
         let state = &mut self.functions[function];
         let wanted = wanted
-            .clamp(1, self.roster.in_service().max(1))
+            .clamp(1, self.in_service.count().max(1))
             .next_power_of_two();
         if wanted > state.preferred_workers {
             let moved = state.preferred_workers > 0
@@ -88,7 +88,7 @@
         }
         let (function_index, fingerprint) = (invocation.function, function.fingerprint);
         self.rankings
-            .update(function_index, fingerprint, &self.roster, &self.workers);
+            .update(function_index, fingerprint, &self.in_service, &self.workers);
         let (invocation, function) = self.find_invocation(index)?;
         let fleet = &self.settings.fleet;
         let mean_load = self.mean_load();
--- a/src/balancer/ranking.rs
+++ b/src/balancer/ranking.rs
@@ -21,18 +21,18 @@
 
 /// Counts the workers in service, and notes which of them have joined, left or been replaced.
 #[derive(Default)]
-pub(super) struct Roster {
-    in_service: usize,
+pub(super) struct WorkersInService {
+    count: usize,
     /// The workers that have changed, the latest last.
     changes: VecDeque<WorkerIndex>,
     /// Number of changes that are no longer in `changes`.
     dropped: u64,
 }
 
-impl Roster {
+impl WorkersInService {
     /// Number of workers in service.
-    pub(super) fn in_service(&self) -> usize {
-        self.in_service
+    pub(super) fn count(&self) -> usize {
+        self.count
     }
 
     /// Notes a change of a worker: whether it was in service before it, and is after it.
@@ -42,12 +42,12 @@
         was_in_service: bool,
         is_in_service: bool,
     ) {
-        self.in_service += usize::from(is_in_service);
-        self.in_service -= usize::from(was_in_service);
+        self.count += usize::from(is_in_service);
+        self.count -= usize::from(was_in_service);
         if was_in_service || is_in_service {
             self.changes.push_back(worker);
         }
-        while self.changes.len() > MIN_CHANGES_KEPT.max(self.in_service / CHANGES_KEPT_DIVISOR) {
+        while self.changes.len() > MIN_CHANGES_KEPT.max(self.count / CHANGES_KEPT_DIVISOR) {
             self.changes.pop_front();
             self.dropped += 1;
         }
@@ -70,7 +70,7 @@
 
 /// The workers in service in the rendezvous order of one function.
 struct Ranking {
-    /// The version of the [`Roster`] that it follows.
+    /// The version of the [`WorkersInService`] that it follows.
     version: u64,
     workers: Vec<WorkerIndex>,
 }
@@ -134,10 +134,10 @@
         &mut self,
         function: FunctionIndex,
         fingerprint: u64,
-        roster: &Roster,
+        in_service: &WorkersInService,
         workers: &[WorkerState],
     ) {
-        let version = roster.version();
+        let version = in_service.version();
         let kept = self.by_function.get(&function);
         if kept.is_some_and(|ranking| ranking.version == version) {
             return;
@@ -147,7 +147,7 @@
             (hash_pair((worker_fingerprint, fingerprint)), worker)
         };
         let followed = self.take(function).and_then(|mut ranking| {
-            let changed = roster.changed_since(ranking.version)?;
+            let changed = in_service.changed_since(ranking.version)?;
             follow(&mut ranking.workers, &changed, workers, key);
             Some(ranking.workers)
         });
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -61,7 +61,7 @@
     /// attributed to the remaining ones.
     pub(super) fn record_completion(&mut self) {
         let window = self.settings.rules.overload_window.max(1) as f64;
-        let in_service = self.roster.in_service().max(1);
+        let in_service = self.in_service.count().max(1);
         self.completions_per_worker.add(
             self.now,
             THROUGHPUT_WINDOWS * window,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,8 +9,6 @@
 //! * the index of a worker, once the worker is gone and no invocation or order refers to it. An [`Endpoint`] with
 //!   another fingerprint under the same index announces the new worker.
 
-use std::fmt;
-
 /// A duration or a point in time, in microseconds.
 pub type Micros = i64;
 /// Index of a worker.
@@ -20,36 +18,6 @@
 /// Index of an invocation.
 pub type InvocationIndex = u32;
 
-/// The size of a table that callers, workers or discovery fill, for the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TableSize {
-    /// What the table holds.
-    pub name: &'static str,
-    /// Number of entries.
-    pub entries: usize,
-    /// Estimated memory that the entries take, in bytes.
-    pub bytes: usize,
-}
-
-/// The sizes of several tables; displayed as `name: entries (bytes B)`, separated by commas.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct TableSizes(pub Vec<TableSize>);
-
-impl fmt::Display for TableSizes {
-    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
-        for (number, table) in self.0.iter().enumerate() {
-            let separator = if number > 0 { ", " } else { "" };
-            let TableSize {
-                name,
-                entries,
-                bytes,
-            } = table;
-            write!(out, "{separator}{name}: {entries} ({bytes} B)")?;
-        }
-        Ok(())
-    }
-}
-
 /// The position of this router among all routers that share the same workers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FleetPosition {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! * [`balancer`]: all decisions, behind one entry point, [`Balancer::handle`].
 //! * [`interface`]: the types of the balancer's events, actions and settings, independent of any wire format.
+//! * [`table_size`]: the sizes of the module's tables, for the log.
 //! * [`ids`]: maps external ids to the small indices that both of them use.
 
 #![warn(missing_docs)]
@@ -10,6 +11,7 @@
 pub mod balancer;
 pub mod ids;
 pub mod interface;
+pub mod table_size;
 
 pub use balancer::Balancer;
 
