Node: no further request is stored while the input of clients exceeds its memory

Change: while the share is exceeded, a request sent ahead is counted and refused in its turn (503), as above the other bounds. Test: requests_are_not_stored_without_memory.

--- a/crates/platform-node/src/client_connections/connection.rs
+++ b/crates/platform-node/src/client_connections/connection.rs
@@ -137,9 +137,9 @@
                 return;
             }
             let add_bytes = |bytes: &[u8]| {
-                self.requests
-                    .borrow_mut()
-                    .put(arrived, bytes, node.clients.rules())
+                let mut requests = self.requests.borrow_mut();
+                requests.set_out_of_memory(node.clients.input_memory_exceeded());
+                requests.put(arrived, bytes, node.clients.rules());
             };
             match node.read(&self.stream, add_bytes) {
                 ReadResult::Bytes(()) => {
--- a/crates/platform-node/src/client_connections/mod.rs
+++ b/crates/platform-node/src/client_connections/mod.rs
@@ -205,10 +205,15 @@
         }
     }
 
+    /// Whether the input of all clients takes more memory than its share.
+    fn input_memory_exceeded(&self) -> bool {
+        self.memory.input.is_exceeded()
+    }
+
     /// While the input of all clients takes more memory than its share, rejects the largest of the requests that have been
     /// received in part.
     fn limit_input_memory(&self) {
-        while self.memory.input.is_exceeded() {
+        while self.input_memory_exceeded() {
             let connections = self.connections.borrow();
             let largest = connections
                 .values()
--- a/crates/platform/src/client_protocol/queue.rs
+++ b/crates/platform/src/client_protocol/queue.rs
@@ -53,6 +53,8 @@
     malformed: Option<QueuedRequest>,
     /// Whether a malformed request has arrived, so that all further input is ignored.
     input_ended: bool,
+    /// Whether no request may be stored, as there is no memory left.
+    out_of_memory: bool,
     last_arrival: Micros,
 }
 
@@ -80,7 +82,15 @@
     }
 
     fn is_full(&self) -> bool {
-        self.queued.len() >= MAX_PIPELINED_REQUESTS || self.bytes() >= MAX_PIPELINED_BYTES
+        self.out_of_memory
+            || self.queued.len() >= MAX_PIPELINED_REQUESTS
+            || self.bytes() >= MAX_PIPELINED_BYTES
+    }
+
+    /// Sets whether there is no memory left for the input of clients. Requests that are completed meanwhile are not stored,
+    /// but rejected in their turn.
+    pub fn set_out_of_memory(&mut self, out_of_memory: bool) {
+        self.out_of_memory = out_of_memory;
     }
 
     /// Removes and returns the next request: first the stored ones, then a [`RequestError::TooManyPipelined`] for each
--- a/crates/platform/tests/client_protocol.rs
+++ b/crates/platform/tests/client_protocol.rs
@@ -564,6 +564,24 @@
     }
 }
 
+/// Without memory left, whole requests are rejected in their turn, and those stored before are served.
+#[test]
+fn requests_are_not_stored_without_memory() {
+    let first = request("00000000000000aa", "", b"hi");
+    let second = request("00000000000000ab", "", b"hi");
+    let third = request("00000000000000ac", "", b"hi");
+    let mut queue = RequestQueue::default();
+    queue.put(0, &first, &rules());
+    queue.set_out_of_memory(true);
+    queue.put(0, &second, &rules());
+    queue.set_out_of_memory(false);
+    assert!(queue.take().expect("the first").request.is_ok());
+    let rejected = queue.take().expect("the second").request;
+    assert_eq!(rejected, Err(RequestError::TooManyPipelined));
+    queue.put(0, &third, &rules());
+    assert!(queue.take().expect("the third").request.is_ok());
+}
+
 /// A request that is rejected for lack of memory frees its buffer and ends the input, but it changes nothing for the request
 /// before it, which may be executing.
 #[test]
