--- a/crates/cli/tests/discovery_outage.rs
+++ b/crates/cli/tests/discovery_outage.rs
@@ -8,7 +8,7 @@
 //! time. Before the fix, in each test the first of 60 invocations was sent to that worker and rejected.
 
 use std::io::{BufReader, Write};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -28,13 +28,14 @@
     config.replace(r#""cancel":true"#, r#""cancel":true,"probes":true"#)
 }
 
-/// Starts a router with two workers.
+/// Starts a router with two workers, which may send them health checks.
 fn with_second_worker(part: u16) -> (World, Shared) {
-    let (w, at, seen) = (
-        World::with(part, probes_allowed),
-        own(part),
-        Shared::default(),
-    );
+    with_workers(part, probes_allowed)
+}
+
+/// Starts a router with two workers and an edited configuration.
+fn with_workers(part: u16, edit: impl FnOnce(String) -> String) -> (World, Shared) {
+    let (w, at, seen) = (World::with(part, edit), own(part), Shared::default());
     worker(TcpListener::bind(at).expect("bind"), seen.clone());
     w.tell(2, "s-2", at, "active");
     (w, seen)
@@ -112,18 +113,20 @@
     assert_unannounced_drain_stops_new_work(33, lose(Outage::Behind));
 }
 
+/// Lets the router follow discovery at another address.
+fn move_discovery(w: &World, from: SocketAddr, to: SocketAddr) {
+    let text = std::fs::read_to_string(&w.file).expect("read");
+    let channel = |address| format!(r#""channel":"{address}""#);
+    let text = text.replace(&channel(from), &channel(to));
+    std::fs::write(&w.file, text).expect("written");
+    w.signal(Signal::HUP);
+}
+
 /// The new configuration names a channel address without a listener.
 #[test]
 fn a_worker_draining_after_discovery_moves_to_a_dead_address_gets_no_new_work() {
     assert_unannounced_drain_stops_new_work(34, |w| {
-        let text = std::fs::read_to_string(&w.file).expect("read");
-        let (old, new) = (w.first_channel, own(34));
-        let text = text.replace(
-            &format!(r#""channel":"{old}""#),
-            &format!(r#""channel":"{new}""#),
-        );
-        std::fs::write(&w.file, text).expect("written");
-        w.signal(Signal::HUP);
+        move_discovery(w, w.first_channel, own(34));
     });
 }
 
@@ -240,3 +243,153 @@
     let answers = answer(&mut BufReader::new(kept)).expect("an answer");
     assert_eq!(answers.0, 200);
 }
+
+/// All messages that a worker has received: calls, load orders and health checks.
+fn received(worker: &Shared) -> (usize, usize, usize) {
+    let seen = worker.lock().expect("seen");
+    let turned_away = seen.turned_away.len();
+    (
+        seen.calls.len() + turned_away,
+        seen.orders.len(),
+        seen.probes,
+    )
+}
+
+/// Checks that each invocation is refused with a Retry-After, and that no worker receives anything.
+fn assert_all_refused(w: &World, workers: [&Shared; 2], first: u32) {
+    let before = workers.map(received);
+    for n in first..first + REQUESTS {
+        let class = if n.is_multiple_of(2) { "plain" } else { "once" };
+        let text = call(&id(n), class, GOOD, "", "x");
+        let (status, head, _) = w.ask(&text).expect("an answer");
+        assert_eq!(status, 503);
+        assert!(head.contains("Srv-Wait-Ms: 1000\r\n"), "{head}");
+    }
+    assert_eq!(workers.map(received), before, "sent in the outage");
+}
+
+/// Causes a long outage of discovery with `lose` for a router that may send no health checks, and ends it with `find`.
+/// Checks that nothing is sent to any worker once unannounced drains may be over, and that all is served after the outage.
+fn assert_outage_without_checks_stops_new_work(
+    part: u16,
+    lose: impl FnOnce(&mut World),
+    find: impl FnOnce(&mut World),
+) {
+    let (mut w, second) = with_workers(part, |config| config);
+    assert_eq!(successes(&w, 1), REQUESTS as usize);
+    lose(&mut w);
+    let lost = Instant::now();
+    drain(&w.seen);
+    thread::sleep(
+        (lost + COUNTS_AS_RECEIVED_AFTER + GRACE).saturating_duration_since(Instant::now()),
+    );
+    assert_all_refused(&w, [&w.seen, &second], 1_000);
+    assert!(metrics(&w).contains("cedarpulley_node_new_work_refused 1\n"));
+    let refused = format!("cedarpulley_node_drains_unknown_total {REQUESTS}\n");
+    assert!(metrics(&w).contains(&refused));
+    // In the outage, another worker has taken the address of the first one, and the second one has left.
+    w.seen.lock().expect("seen").draining = false;
+    drain(&second);
+    for (number, worker, at, state) in [
+        (3, "s-1", w.workers, "left"),
+        (4, "s-3", w.workers, "active"),
+        (5, "s-2", own(part), "left"),
+    ] {
+        let told = event(number, at, worker, state);
+        w.channel.lock().expect("channel").events.push(told);
+    }
+    find(&mut w);
+    w.until("the router has received the events", |w| {
+        w.channel.lock().expect("channel").asked.contains(&5)
+    });
+    let found = Instant::now();
+    assert_eq!(successes(&w, 2_000), REQUESTS as usize);
+    assert_eq!(rejected_since(&second, found), 0);
+    assert_eq!((received(&w.seen).2, received(&second).2), (0, 0));
+    assert!(metrics(&w).contains("cedarpulley_node_new_work_refused 0\n"));
+}
+
+fn metrics(w: &World) -> String {
+    let answer = w.ask("GET /-/metrics HTTP/1.1\r\n\r\n");
+    String::from_utf8(answer.expect("an answer").2).expect("text")
+}
+
+fn find(w: &mut World) {
+    w.channel.lock().expect("channel").outage = None;
+}
+
+/// The settings of these tests have no `permissions.probes`.
+#[test]
+fn without_health_checks_nothing_is_sent_while_discovery_is_silent() {
+    assert_outage_without_checks_stops_new_work(44, lose(Outage::Silent), find);
+}
+
+#[test]
+fn without_health_checks_nothing_is_sent_while_discovery_closes_connections() {
+    assert_outage_without_checks_stops_new_work(45, lose(Outage::Closes), find);
+}
+
+#[test]
+fn without_health_checks_nothing_is_sent_while_discovery_is_unreadable() {
+    assert_outage_without_checks_stops_new_work(46, lose(Outage::Garbled), find);
+}
+
+#[test]
+fn without_health_checks_nothing_is_sent_while_discovery_lags() {
+    assert_outage_without_checks_stops_new_work(47, lose(Outage::Behind), find);
+}
+
+#[test]
+fn without_health_checks_nothing_is_sent_after_discovery_moves_to_a_dead_address() {
+    let dead = own(48);
+    assert_outage_without_checks_stops_new_work(
+        48,
+        |w| move_discovery(w, w.first_channel, dead),
+        |w| move_discovery(w, dead, w.first_channel),
+    );
+}
+
+/// An outage that is over before announcements count as received must cost nothing. The drain grace is long, so that a slow
+/// machine does not end it.
+#[test]
+fn without_health_checks_a_short_outage_costs_nothing() {
+    let long_grace = |config: String| {
+        let grace = "\"stopSendingWithin\":500000000";
+        assert!(config.contains(grace));
+        config.replace(grace, "\"stopSendingWithin\":5000000000")
+    };
+    for (part, outage) in [(49, Outage::Silent), (50, Outage::Closes)] {
+        let (w, _second) = with_workers(part, long_grace);
+        w.channel.lock().expect("channel").outage = Some(outage);
+        let over = Instant::now() + Duration::from_millis(1_900);
+        let mut first = 1;
+        while Instant::now() < over {
+            assert_eq!(successes(&w, first), REQUESTS as usize, "{outage:?}");
+            first += REQUESTS;
+        }
+        w.channel.lock().expect("channel").outage = None;
+        assert_eq!(successes(&w, first), REQUESTS as usize, "{outage:?}");
+    }
+}
+
+/// A router that starts in an outage knows only the workers of its configuration, which may be of any age.
+#[test]
+fn without_health_checks_a_router_started_without_discovery_refuses() {
+    for (part, outage) in [(51, Outage::Silent), (52, Outage::Closes)] {
+        let (mut w, second) = with_workers(part, |config| config);
+        w.channel.lock().expect("channel").outage = Some(outage);
+        w.node.kill().expect("killed");
+        w.node.wait().expect("ended");
+        w.node = start(&w.file, &w.folder, w.address);
+        w.until("the router serves requests again", |w| {
+            w.ask("GET /-/healthy HTTP/1.1\r\n\r\n")
+                .is_some_and(|a| a.0 == 200)
+        });
+        assert_all_refused(&w, [&w.seen, &second], 1);
+        w.channel.lock().expect("channel").outage = None;
+        w.until("the router serves requests again", |w| {
+            w.ask(&call(&id(1_000), "plain", GOOD, "", "x"))
+                .is_some_and(|answer| answer.0 == 200)
+        });
+    }
+}
--- a/crates/gateway/src/outcome_names.rs
+++ b/crates/gateway/src/outcome_names.rs
@@ -26,6 +26,7 @@
         AnswerReason::NoMajority => "no-majority",
         AnswerReason::SessionOver => "session-over",
         AnswerReason::Alone => "worker-alone",
+        AnswerReason::DrainsUnknown => "drains-unknown",
     }
 }
 
--- a/crates/platform-node/src/client_connections/session.rs
+++ b/crates/platform-node/src/client_connections/session.rs
@@ -164,6 +164,13 @@
         let close = request.close;
         let mut reply = match request.kind {
             RequestKind::Health => Reply::bare(health_status(self.node.is_shutting_down()), close),
+            RequestKind::Metrics => Reply {
+                response: Response {
+                    body: self.node.metrics().encode(),
+                    ..Response::bare(200, close)
+                },
+                deadline: None,
+            },
             // A request whose client has disconnected is not executed.
             RequestKind::Call(_) if self.connection.is_disconnected() => return None,
             RequestKind::Call(call) if !self.node.accepts(arrived) => {
--- a/crates/platform-node/src/core_loop.rs
+++ b/crates/platform-node/src/core_loop.rs
@@ -112,7 +112,9 @@
         Input::DispatchEnded { .. } => Activity::AttemptEnded,
         Input::OrderEnded { .. } => Activity::LoadOrderEnded,
         Input::ProbeEnded { .. } => Activity::HealthCheckEnded,
-        Input::EndpointList { .. } | Input::EndpointListLease { .. } => Activity::EndpointList,
+        Input::EndpointList { .. } | Input::EndpointListLease { .. } | Input::DrainLease { .. } => {
+            Activity::EndpointList
+        }
         Input::Tick => Activity::Timer,
         _ => Activity::Request,
     }
--- a/crates/platform-node/src/discovery.rs
+++ b/crates/platform-node/src/discovery.rs
@@ -10,8 +10,9 @@
 use cedarpulley_errors::Remedy;
 use cedarpulley_net::{FairStream, Notifier, PeerStream, connect, duration_from_micros};
 use cedarpulley_platform::discovery::{
-    DiscoveryContact, DiscoveryError, EndpointListUpdate, EventBatch, FIRST_POLL_WAIT, LIST_LEASE,
-    MAX_BACKOFF, POLL_WAIT, RESPONSE_MARGIN, ResponseReader, Silence, WorkerListFollower,
+    DiscoveryContact, DiscoveryError, DiscoveryLoss, DrainLease, EndpointListUpdate, EventBatch,
+    FIRST_POLL_WAIT, LIST_LEASE, MAX_BACKOFF, POLL_WAIT, RESPONSE_MARGIN, ResponseReader, Silence,
+    WorkerListFollower,
 };
 use cedarpulley_router::backoff::Backoff;
 use cedarpulley_startup::Names;
@@ -29,8 +30,13 @@
     address: Cell<SocketAddr>,
     /// Notified when the address has changed.
     address_changed: Notifier,
+    /// When the signal arrived, at the earliest, that changed the address last.
+    moved_at: Cell<Micros>,
     worker_list: RefCell<WorkerListFollower>,
     contact: Cell<DiscoveryContact>,
+    drain_lease: Cell<DrainLease>,
+    /// Notified when a poll has ended, with or without a response.
+    poll_ended: Notifier,
 }
 
 impl Discovery {
@@ -46,14 +52,18 @@
             names,
             address: Cell::new(address),
             address_changed: Notifier::default(),
+            moved_at: Cell::new(now),
             worker_list: RefCell::new(worker_list),
             contact: Cell::new(DiscoveryContact::new(now)),
+            drain_lease: Cell::default(),
+            poll_ended: Notifier::default(),
         }
     }
 
-    /// Changes the address at which the channel is followed.
-    pub fn set_address(&self, address: SocketAddr) {
+    /// Changes the address at which the channel is followed, because of a signal that arrived at `signalled_at` or later.
+    pub fn set_address(&self, address: SocketAddr, signalled_at: Micros) {
         self.address.set(address);
+        self.moved_at.set(signalled_at);
         self.address_changed.notify();
     }
 
@@ -75,6 +85,28 @@
             .apply_batch(batch, &self.names, wall_at_zero, max_age)
     }
 
+    /// Waits until a poll has ended, with or without a response.
+    pub async fn poll_ended(&self) {
+        self.poll_ended.notified().await;
+    }
+
+    /// Time since the last response, in microseconds.
+    pub fn unheard(&self, now: Micros) -> Micros {
+        self.contact.get().silence(now).0
+    }
+
+    /// Until when the endpoint list holds every drain that counts as announced.
+    pub fn drains_known_until(&self) -> Micros {
+        self.drain_lease.get().until()
+    }
+
+    fn update_drain_lease<T>(&self, update: impl FnOnce(&mut DrainLease) -> T) -> T {
+        let mut lease = self.drain_lease.get();
+        let result = update(&mut lease);
+        self.drain_lease.set(lease);
+        result
+    }
+
     /// Records that a response was applied, and logs it if discovery had been reported as unreachable.
     fn record_response(&self, now: Micros) {
         let mut contact = self.contact.get();
@@ -82,6 +114,7 @@
             tracing::warn!(unheard_ms = silence / 1_000, "discovery is reachable again");
         }
         self.contact.set(contact);
+        self.poll_ended.notify();
     }
 
     /// Records that a poll failed. Logs once that discovery is unreachable when the silence has outlasted the lease of
@@ -96,6 +129,7 @@
             tracing::warn!(%address, error, last_event, unheard_ms, "discovery is unreachable");
         }
         self.contact.set(contact);
+        self.poll_ended.notify();
     }
 
     /// The number of repeated events and the number of workers above the limit that have been ignored so far.
@@ -120,6 +154,16 @@
     Response(#[from] DiscoveryError),
 }
 
+impl ChannelError {
+    /// How discovery was lost by this error.
+    fn loss(&self) -> DiscoveryLoss {
+        match self {
+            ChannelError::Timeout => DiscoveryLoss::Silent,
+            _ => DiscoveryLoss::Broken,
+        }
+    }
+}
+
 impl Remedy for ChannelError {
     fn remedy(&self) -> &'static str {
         match self {
@@ -142,16 +186,28 @@
         let poll_and_back_off = async {
             if let Err(error) = poll_on_one_connection(&node).await {
                 node.discovery.record_failure(node.clock.now(), &error);
+                record_loss(&node, error.loss(), node.arrival_time());
             }
             let pause = backoff.next_delay(node.clock.now() - connected_at);
             Timer::after(duration_from_micros(pause)).await;
         };
+        let moved = async {
+            node.discovery.address_changed.notified().await;
+            let moved_at = node.discovery.moved_at.get();
+            record_loss(&node, DiscoveryLoss::Moved, moved_at);
+        };
         // A change of the address ends a poll or a backoff at once: there is no backoff before the new address is used.
-        node.discovery
-            .address_changed
-            .notified()
-            .or(poll_and_back_off)
-            .await;
+        moved.or(poll_and_back_off).await;
+    }
+}
+
+/// Records that discovery was lost at `lost_at` or later, and until when the endpoint list can still be relied on.
+fn record_loss(node: &Rc<Node>, loss: DiscoveryLoss, lost_at: Micros) {
+    let lease = node
+        .discovery
+        .update_drain_lease(|lease| lease.lost(loss, lost_at));
+    if let Some(until) = lease {
+        node.renew_drain_lease(until);
     }
 }
 
@@ -171,6 +227,9 @@
             .borrow()
             .poll_request(&address.to_string(), wait);
         stream.write_all(&request).await?;
+        let now = node.clock.now();
+        node.discovery
+            .update_drain_lease(|lease| lease.poll_sent(now, wait));
         let timeout = async {
             Timer::after(duration_from_micros(POLL_WAIT + RESPONSE_MARGIN)).await;
             Err(ChannelError::Timeout)
@@ -188,6 +247,10 @@
         node.apply_events(&batch, max_age.max(node.lag()))?;
         node.discovery.record_response(node.clock.now());
         node.renew_list_lease(arrived + LIST_LEASE);
+        let drains_known_until = node
+            .discovery
+            .update_drain_lease(|lease| lease.response_applied(arrived));
+        node.renew_drain_lease(drains_known_until);
         max_age = 0;
         wait = POLL_WAIT;
     }
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -16,13 +16,16 @@
 use cedarpulley_platform::listen_queue::ListenQueue;
 use cedarpulley_platform::loop_activity::{Activity, TaskOwner};
 use cedarpulley_router::core::RepeatBasis;
-use cedarpulley_router::{Input, LoadOrderTicket, Output, Router, Ticket};
+use cedarpulley_router::drain_gate::DrainBasis;
+use cedarpulley_router::{AnswerReason, Input, LoadOrderTicket, Output, Router, Ticket};
 use futures_lite::future::yield_now;
 
 use crate::client_connections::ClientConnections;
 use crate::core_loop::CoreLoop;
 use crate::discovery::Discovery;
+use crate::metrics::NodeMetrics;
 use crate::read_buffer::{ReadBuffer, ReadResult};
+use crate::refusal_log::RefusalLog;
 use crate::worker_connections::{Attempt, LoadOrder, WorkerConnections};
 
 /// Time between two sweeps, each of which closes overdue connections and measures the lag of the event loop.
@@ -43,6 +46,7 @@
     core: CoreLoop,
     shutdown: RefCell<GracefulShutdown>,
     event_loop_lag: Cell<EventLoopLag>,
+    refusal_log: RefusalLog,
     tables_logged_at: Cell<Micros>,
     read_buffer: ReadBuffer,
 }
@@ -68,6 +72,7 @@
             core: CoreLoop::new(parts.router, clock.now()),
             shutdown: RefCell::new(parts.shutdown),
             event_loop_lag: Cell::new(new_event_loop_lag(&clock)),
+            refusal_log: RefusalLog::default(),
             tables_logged_at: Cell::new(clock.now()),
             read_buffer: ReadBuffer::new(),
         }
@@ -167,6 +172,18 @@
         self.core.router().repeat_basis(ticket)
     }
 
+    /// What shows whether the drain grace of an attempt's worker is over, for the log.
+    pub fn drain_basis_of_attempt(&self, ticket: Ticket) -> Option<DrainBasis> {
+        let router = self.core.router();
+        router.drain_basis_of_attempt(self.clock.now(), ticket)
+    }
+
+    /// What shows whether the drain grace of a load order's worker is over, for the log.
+    pub fn drain_basis_of_load_order(&self, ticket: LoadOrderTicket) -> DrainBasis {
+        let router = self.core.router();
+        router.drain_basis_of_load_order(self.clock.now(), ticket)
+    }
+
     /// The worker's name in the endpoint list, for the log; empty if the worker is not listed.
     pub fn worker_name(&self, worker: WorkerIndex) -> String {
         let router = self.core.router();
@@ -209,6 +226,17 @@
         self.feed(Input::EndpointListLease { until });
     }
 
+    /// Records that the endpoint list holds every drain that counts as announced before `until`, in microseconds of the
+    /// router's clock.
+    pub fn renew_drain_lease(self: &Rc<Self>, until: Micros) {
+        self.feed(Input::DrainLease { until });
+    }
+
+    /// Whether health checks may be sent to workers.
+    pub fn allows_health_checks(&self) -> bool {
+        self.core.router().allows_health_checks()
+    }
+
     /// Reads once from a connection without waiting.
     pub fn read<T>(&self, stream: &Stream, process: impl FnOnce(&[u8]) -> T) -> ReadResult<T> {
         self.read_buffer.read(stream, process)
@@ -243,10 +271,27 @@
             self.event_loop_lag.set(lag);
             self.clients.sweep(&self);
             self.workers.sweep(&self);
+            self.report_refusal();
             self.log_tables_periodically();
         }
     }
 
+    /// Logs when the router begins and ends to refuse all new work.
+    fn report_refusal(&self) {
+        self.refusal_log.observe(self.clock.now(), self.metrics());
+    }
+
+    /// The present metrics.
+    pub fn metrics(&self) -> NodeMetrics {
+        let now = self.clock.now();
+        let router = self.core.router();
+        NodeMetrics {
+            refuses_new_work: router.refuses_new_work(now),
+            drains_unknown: router.counts.answers_for(AnswerReason::DrainsUnknown),
+            unheard: self.discovery.unheard(now),
+        }
+    }
+
     fn log_tables_periodically(&self) {
         let now = self.clock.now();
         let is_due = now - self.tables_logged_at.get() >= TABLE_LOG_PERIOD;
--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use cedarpulley::interface::{Effect, Micros, StateLimits, TriggerType};
 use cedarpulley_errors::Remedy;
@@ -22,6 +24,7 @@
 use cedarpulley_platform::resource_limits::ResourceLimits;
 use cedarpulley_router::{CoreSettings, Router};
 use cedarpulley_startup::StartupSettings;
+use futures_lite::FutureExt;
 use rustix::process::{Resource, getrlimit};
 use thiserror::Error;
 
@@ -33,6 +36,9 @@
 use crate::signals::handle_signals;
 use crate::worker_connections::{WorkerConnections, WorkerProtocol};
 
+/// Longest time for which clients wait at the start for the first poll of discovery.
+const MAX_FIRST_POLL_TIME: Duration = Duration::from_millis(500);
+
 /// The reason for which a router cannot start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -122,6 +128,7 @@
     // The list from the initial events may be out of date, so its lease ends now; the first response of discovery
     // renews it.
     node.renew_list_lease(clock.now());
+    node.renew_drain_lease(node.discovery.drains_known_until());
     let listener = listen(address).map_err(|source| StartError::Listen { address, source })?;
     let listener = Rc::new(ClientListener::new(listener));
     node.block_on(serve(node.clone(), listener, signals, file, seed));
@@ -151,7 +158,7 @@
     node.spawn(TaskOwner::Core, node.clone().run_left_inputs());
     node.spawn(TaskOwner::Sweeping, node.clone().run_sweeps());
     node.spawn(TaskOwner::Discovery, discovery::follow(node.clone(), seed));
-    let accepting = listener.clone().accept_clients(node.clone());
+    let accepting = accept_clients(node.clone(), listener.clone());
     node.spawn(TaskOwner::Accepting, accepting);
     let handling_signals = handle_signals(node.clone(), signals, file, stop.clone());
     node.spawn(TaskOwner::Signals, handling_signals);
@@ -161,6 +168,18 @@
     node.log_counts();
 }
 
+/// Accepts clients. Where health checks are not allowed, all new work is refused until discovery has been heard, so
+/// clients wait in the listen queue until the first poll has ended.
+async fn accept_clients(node: Rc<Node>, listener: Rc<ClientListener>) {
+    if !node.allows_health_checks() {
+        let limit = async {
+            Timer::after(MAX_FIRST_POLL_TIME).await;
+        };
+        node.discovery.poll_ended().or(limit).await;
+    }
+    listener.accept_clients(node).await;
+}
+
 fn node_parts(config: StartupConfig, now: Micros) -> NodeParts {
     let limits = ResourceLimits::of(config.limits, process_descriptors(config.limits.sockets));
     let settings = StartupSettings {
--- a/crates/platform-node/src/worker_connections/sending.rs
+++ b/crates/platform-node/src/worker_connections/sending.rs
@@ -73,7 +73,9 @@
         let Some(queued) = self.connection.next_message() else {
             return Progress::Stop;
         };
-        if !self.may_send(&queued) {
+        let may_send = self.may_send(&queued);
+        self.log_basis(&queued, may_send);
+        if !may_send {
             let end = ExchangeEnd::Withheld;
             let workers = &self.node.workers;
             workers.exchange_ended(self.node, self.connection, &queued.id, end, None);
@@ -89,6 +91,27 @@
         self.progress_after(result)
     }
 
+    /// Logs whether new work is sent, what shows that its worker may get it, and how old the endpoint list is.
+    fn log_basis(self, queued: &QueuedMessage, may_send: bool) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        let drain_basis = match self.connection.purpose_of(&queued.id) {
+            Some(Purpose::Attempt(ticket)) => self.node.drain_basis_of_attempt(ticket),
+            Some(Purpose::LoadOrder(ticket)) => Some(self.node.drain_basis_of_load_order(ticket)),
+            Some(Purpose::Probe { .. }) | None => return,
+        };
+        let unheard_ms = self.node.discovery.unheard(self.node.clock.now()) / 1_000;
+        let id = &queued.id;
+        tracing::debug!(
+            id,
+            may_send,
+            ?drain_basis,
+            unheard_ms,
+            "new work for a worker"
+        );
+    }
+
     /// Records that the first bytes of a message were sent.
     fn record_sent(self, queued: &QueuedMessage) {
         if let Message::Call(_) = &queued.message {
--- a/crates/platform/src/client_protocol/head.rs
+++ b/crates/platform/src/client_protocol/head.rs
@@ -16,6 +16,8 @@
 const CALL_PATH_END: &str = "/call";
 /// The path of a question whether the router is healthy.
 const HEALTH_PATH: &str = "/-/healthy";
+/// The path of a request for the router's metrics.
+const METRICS_PATH: &str = "/-/metrics";
 
 /// The parsed head of a request.
 #[derive(Debug)]
@@ -48,6 +50,7 @@
     let method = head.method.unwrap_or("");
     let kind = match (method, head.path.unwrap_or("")) {
         ("GET", HEALTH_PATH) => RequestKind::Health,
+        ("GET", METRICS_PATH) => RequestKind::Metrics,
         ("POST", path) => {
             let function = path
                 .strip_prefix(CALL_PATH_START)
@@ -56,7 +59,7 @@
                 .ok_or(RequestError::UnknownPath)?;
             RequestKind::Call(parse_call(function, &fields, rules)?)
         }
-        (_, HEALTH_PATH) => return Err(RequestError::MethodNotAllowed),
+        (_, HEALTH_PATH | METRICS_PATH) => return Err(RequestError::MethodNotAllowed),
         (_, path) if path.starts_with(CALL_PATH_START) => {
             return Err(RequestError::MethodNotAllowed);
         }
--- a/crates/platform/src/client_protocol/mod.rs
+++ b/crates/platform/src/client_protocol/mod.rs
@@ -85,6 +85,8 @@
 pub enum RequestKind {
     /// A question whether the router is healthy.
     Health,
+    /// A request for the router's metrics.
+    Metrics,
     /// A call of a function.
     Call(Call),
 }
--- a/crates/platform/src/discovery/contact.rs
+++ b/crates/platform/src/discovery/contact.rs
@@ -25,6 +25,11 @@
         }
     }
 
+    /// The silence at `now`.
+    pub fn silence(&self, now: Micros) -> Silence {
+        Silence(now - self.last_response)
+    }
+
     /// Records a response; returns the silence that it ends if [`DiscoveryContact::record_failure`] has reported that
     /// silence.
     pub fn record_response(&mut self, now: Micros) -> Option<Silence> {
--- /dev/null
+++ b/crates/platform/src/discovery/drain_lease.rs
@@ -0,0 +1,83 @@
+//! [`DrainLease`]: until when the endpoint list holds every drain that counts as announced.
+//!
+//! By the protocol, what discovery would have announced while it was lost counts as announced at a later time, which
+//! depends on how it was lost. Until then the list can be relied on for drains, and after that for the drain grace.
+
+use cedarpulley::interface::Micros;
+
+/// Time after the connection to discovery broke at which its announcements count as received, in microseconds.
+const BREAK_TERM: Micros = 2_000_000;
+/// Time after the end of the wait that an unanswered poll asked for at which the announcements count as received, in
+/// microseconds.
+const SILENCE_TERM: Micros = 2_000_000;
+/// Time after the signal that moved discovery to another address at which the announcements count as received, in
+/// microseconds.
+const MOVE_TERM: Micros = 4_000_000;
+
+/// How discovery was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoveryLoss {
+    /// The connection ended, or its responses could not be used any longer.
+    Broken,
+    /// A poll was not answered, although the connection stayed open.
+    Silent,
+    /// A signal moved discovery to another address.
+    Moved,
+}
+
+/// The lease of the endpoint list for drains. All times are in microseconds of the router's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainLease {
+    until: Micros,
+    /// Whether the present connection has answered a poll.
+    answered: bool,
+    /// When the wait ends that the present poll asked for; `None` unless the connection has answered a poll before.
+    wait_ends: Option<Micros>,
+}
+
+impl Default for DrainLease {
+    /// A lease that has ended: discovery has not been heard yet.
+    fn default() -> Self {
+        DrainLease {
+            until: Micros::MIN,
+            answered: false,
+            wait_ends: None,
+        }
+    }
+}
+
+impl DrainLease {
+    /// When the lease ends.
+    pub fn until(&self) -> Micros {
+        self.until
+    }
+
+    /// Records that a poll is sent at `now` which discovery may hold open for `wait`.
+    pub fn poll_sent(&mut self, now: Micros, wait: Micros) {
+        self.wait_ends = self.answered.then_some(now + wait);
+    }
+
+    /// Records a response that arrived at `arrived` or later, and that was applied. Returns when the lease ends.
+    pub fn response_applied(&mut self, arrived: Micros) -> Micros {
+        self.answered = true;
+        self.extend(arrived + BREAK_TERM)
+    }
+
+    /// Records that discovery was lost at `lost_at` or later. Returns when the lease ends; `None` if discovery had been
+    /// lost before, which leaves the lease as it is.
+    pub fn lost(&mut self, loss: DiscoveryLoss, lost_at: Micros) -> Option<Micros> {
+        self.answered = false;
+        let silence_counts_at = self.wait_ends.take()? + SILENCE_TERM;
+        let counts_at = match loss {
+            DiscoveryLoss::Broken => silence_counts_at.min(lost_at + BREAK_TERM),
+            DiscoveryLoss::Silent => silence_counts_at,
+            DiscoveryLoss::Moved => lost_at + MOVE_TERM,
+        };
+        Some(self.extend(counts_at))
+    }
+
+    fn extend(&mut self, until: Micros) -> Micros {
+        self.until = self.until.max(until);
+        self.until
+    }
+}
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -16,6 +16,7 @@
 mod address_table;
 mod batch_merge;
 mod contact;
+mod drain_lease;
 mod error;
 mod events;
 mod follower;
@@ -24,6 +25,7 @@
 use cedarpulley::interface::Micros;
 
 pub use contact::{DiscoveryContact, Silence};
+pub use drain_lease::{DiscoveryLoss, DrainLease};
 pub use error::DiscoveryError;
 pub use events::{
     Command as WatchEvent, EventBatch, Nodes as EndpointListEvent, Server as WorkerEntry,
--- a/crates/router/src/core/balancer_actions.rs
+++ b/crates/router/src/core/balancer_actions.rs
@@ -128,9 +128,14 @@
         } else {
             FinalOutcome::Throttled
         };
+        let reason = if self.refuses_new_work(self.now) {
+            AnswerReason::DrainsUnknown
+        } else {
+            AnswerReason::GivenUp
+        };
         let answer = Answer {
             retry_after,
-            ..Answer::without_body(outcome, AnswerReason::GivenUp)
+            ..Answer::without_body(outcome, reason)
         };
         self.give_answer(index, answer, out);
         self.release(index, out);
--- a/crates/router/src/core/completion.rs
+++ b/crates/router/src/core/completion.rs
@@ -80,7 +80,7 @@
             account: invocation.request.account,
             accepted_at: invocation.request.accepted_at,
         };
-        let signal = self.load_signal(invocation, answer.outcome);
+        let signal = self.load_signal(invocation, &answer);
         self.cache_answer(index, &answer);
         let answer = self.adjust_answer(index, answer);
         self.share_answer(index, &answer, out);
@@ -96,9 +96,13 @@
         }
     }
 
-    /// The signal that an answer with this outcome, given now, is to the concurrency limits.
-    fn load_signal(&self, invocation: &Invocation, outcome: FinalOutcome) -> LoadSignal {
-        match outcome {
+    /// The signal that this answer, given now, is to the concurrency limits.
+    fn load_signal(&self, invocation: &Invocation, answer: &Answer) -> LoadSignal {
+        match answer.outcome {
+            // Nothing was sent, so nothing shows how busy the workers are.
+            FinalOutcome::Throttled if answer.reason == AnswerReason::DrainsUnknown => {
+                LoadSignal::Neutral
+            }
             FinalOutcome::Succeeded if self.is_late(invocation) => LoadSignal::Late,
             FinalOutcome::Succeeded => LoadSignal::OnTime,
             FinalOutcome::Throttled => LoadSignal::Rejected,
--- a/crates/router/src/core/counters.rs
+++ b/crates/router/src/core/counters.rs
@@ -52,3 +52,14 @@
     /// Requests rejected before their body was read, by front and reason.
     pub rejected: BTreeMap<(FrontIndex, RejectionReason), u64>,
 }
+
+impl RouterCounters {
+    /// Number of final answers for this reason.
+    pub fn answers_for(&self, reason: AnswerReason) -> u64 {
+        let counted = self
+            .answers
+            .iter()
+            .filter(|((_, found), _)| *found == reason);
+        counted.map(|(_, count)| count).sum()
+    }
+}
--- a/crates/router/src/core/messages.rs
+++ b/crates/router/src/core/messages.rs
@@ -53,6 +53,12 @@
         /// When the lease ends, unless it is renewed.
         until: Micros,
     },
+    /// No drain that the endpoint list lacks counts as announced before `until`. Ignored where health checks are allowed:
+    /// there, [`Input::EndpointListLease`] limits how long the list is relied on for drains.
+    DrainLease {
+        /// When the lease ends, unless it is renewed.
+        until: Micros,
+    },
     /// A dispatch ended, with or without an answer from the worker.
     DispatchEnded {
         /// The dispatch, as in [`Output::Send`].
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -12,6 +12,7 @@
 //! * `balancer_actions`: calls the balancer and carries out its actions.
 //! * `dispatch`: sends attempts to workers and handles their results.
 //! * `repeat_basis`: tells, for the log, why an attempt was allowed although an earlier one may have run.
+//! * `drain_basis`: tells what shows that a worker may get new work although it may have been told to drain.
 //! * `load_orders`: sends load orders and handles the copies that workers report.
 //! * `replication`: coordinates invocations with the group of routers.
 //! * `completion`: sends the final answer and ends an invocation.
@@ -21,6 +22,7 @@
 mod completion;
 mod counters;
 mod dispatch;
+mod drain_basis;
 mod intake;
 mod load_orders;
 mod messages;
@@ -180,12 +182,16 @@
         match input {
             Input::EndpointList { kind, workers } => self.update_workers(kind, &workers, out),
             Input::EndpointListLease { until } => {
-                // Without health checks there would be no way to check a worker after the end of the lease: its state in the
-                // list is then relied on.
-                let limits_drains = self.balancer.allows_health_checks();
-                self.workers.renew_lease(until, limits_drains);
+                self.workers.renew_lease(until);
+                if self.balancer.allows_health_checks() {
+                    self.workers.renew_drain_lease(until);
+                }
                 self.decide(&Event::EndpointListLease { until }, out);
             }
+            Input::DrainLease { until } if !self.balancer.allows_health_checks() => {
+                self.workers.renew_drain_lease(until);
+                self.decide(&Event::DrainLease { until }, out);
+            }
             Input::OrderEnded {
                 ticket,
                 result,
--- a/crates/router/src/core/state/workers.rs
+++ b/crates/router/src/core/state/workers.rs
@@ -5,7 +5,7 @@
     DeduplicationScope, Effect, Endpoint, EndpointListKind, Micros, WorkerIndex,
 };
 
-use crate::drain_gate::DrainGate;
+use crate::drain_gate::{DrainBasis, DrainGate};
 use crate::endpoint_list::ListedWorker;
 use crate::worker_index_allocator::WorkerIndexAllocator;
 
@@ -103,13 +103,24 @@
         self.drain_gate.accepts(now, worker)
     }
 
-    /// Extends the lease of the endpoint list: the list is up to date and remains valid until then. `limits_drains`:
-    /// whether workers get new work after the end of the lease only if they have passed a health check.
-    pub(crate) fn renew_lease(&mut self, until: Micros, limits_drains: bool) {
+    /// What shows whether the worker's drain grace is over.
+    pub(crate) fn drain_basis(&self, now: Micros, worker: WorkerIndex) -> DrainBasis {
+        self.drain_gate.basis(now, worker)
+    }
+
+    /// Whether the endpoint list shows every drain whose grace is over.
+    pub(crate) fn list_covers_drains(&self, now: Micros) -> bool {
+        self.drain_gate.list_covers_drains(now)
+    }
+
+    /// Extends the lease of the endpoint list: the list is up to date and remains valid until then.
+    pub(crate) fn renew_lease(&mut self, until: Micros) {
         self.lease_until = Some(until);
-        if limits_drains {
-            self.drain_gate.renew_lease(until);
-        }
+    }
+
+    /// Extends the lease for drains: the endpoint list holds all drains that count as announced before then.
+    pub(crate) fn renew_drain_lease(&mut self, until: Micros) {
+        self.drain_gate.renew_lease(until);
     }
 
     /// Whether the endpoint list is known to be up to date.
--- a/crates/router/src/drain_gate.rs
+++ b/crates/router/src/drain_gate.rs
@@ -3,7 +3,7 @@
 //!
 //! The caller reports each endpoint list to [`DrainGate::update`], each confirmation that the list is up to date to
 //! [`DrainGate::renew_lease`], and each passed health check to [`DrainGate::passed_health_check`].
-//! [`DrainGate::accepts`] returns the decision.
+//! [`DrainGate::accepts`] returns the decision, [`DrainGate::basis`] what it rests on.
 
 use std::collections::HashSet;
 
@@ -12,6 +12,33 @@
 /// A point in time before all others, for events that have not happened yet.
 const DISTANT_PAST: Micros = Micros::MIN;
 
+/// What shows whether a worker drains and its drain grace is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrainBasis {
+    /// The endpoint list says that the worker has left, or drains and its grace is over.
+    Listed,
+    /// No lease is used: the endpoint list is always relied on.
+    ListWithoutLease,
+    /// The endpoint list holds all announced drains.
+    CurrentList,
+    /// The lease of the endpoint list has ended, but a drain announced since then would be within its grace.
+    DrainGrace,
+    /// The worker passed a health check that was sent this long ago, in microseconds.
+    HealthCheck {
+        /// Time since the check was sent.
+        age: Micros,
+    },
+    /// Nothing: the worker may have been told to drain, and its grace may be over.
+    Unknown,
+}
+
+impl DrainBasis {
+    /// Whether new work may be sent to the worker.
+    pub fn allows_new_work(self) -> bool {
+        !matches!(self, DrainBasis::Listed | DrainBasis::Unknown)
+    }
+}
+
 /// Records for each worker the time from which it accepts no new work.
 #[derive(Debug, Default)]
 pub struct DrainGate {
@@ -95,19 +122,36 @@
 
     /// Returns whether new work may be sent to the worker at `now`.
     pub fn accepts(&self, now: Micros, worker: WorkerIndex) -> bool {
-        let closes_at = self.closes_at.get(worker as usize);
-        closes_at.is_some_and(|closes_at| now < *closes_at)
-            && self.ended_drain_would_be_known(now, worker)
+        self.basis(now, worker).allows_new_work()
     }
 
-    /// Returns whether any drain of this worker whose grace has ended would be known by now: from the endpoint list
-    /// while its lease lasts, or from a health check after the lease has ended.
-    fn ended_drain_would_be_known(&self, now: Micros, worker: WorkerIndex) -> bool {
+    /// Returns what shows whether the worker's drain grace is over at `now`: the endpoint list while its lease lasts, or a
+    /// health check after the lease has ended.
+    pub fn basis(&self, now: Micros, worker: WorkerIndex) -> DrainBasis {
+        let index = worker as usize;
+        if self.closes_at.get(index).is_none_or(|at| now >= *at) {
+            return DrainBasis::Listed;
+        }
         let Some(lease_until) = self.lease_until else {
-            return true;
+            return DrainBasis::ListWithoutLease;
         };
-        let healthy_at = self.healthy_at.get(worker as usize);
-        let known_until = lease_until.max(healthy_at.copied().unwrap_or(DISTANT_PAST));
-        now < known_until.saturating_add(self.drain_grace)
+        let healthy_at = self.healthy_at.get(index).copied();
+        let healthy_at = healthy_at.unwrap_or(DISTANT_PAST);
+        if now < lease_until {
+            DrainBasis::CurrentList
+        } else if self.list_covers_drains(now) {
+            DrainBasis::DrainGrace
+        } else if now < healthy_at.saturating_add(self.drain_grace) {
+            let age = now - healthy_at;
+            DrainBasis::HealthCheck { age }
+        } else {
+            DrainBasis::Unknown
+        }
+    }
+
+    /// Returns whether the endpoint list shows every drain whose grace is over at `now`.
+    pub fn list_covers_drains(&self, now: Micros) -> bool {
+        self.lease_until
+            .is_none_or(|until| now < until.saturating_add(self.drain_grace))
     }
 }
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -79,6 +79,8 @@
     SessionOver,
     /// A worker answered; the invocation ran without a majority of the group, which the operator's settings allow.
     Alone,
+    /// Discovery has been unreachable for so long that any worker may drain, and health checks are not allowed.
+    DrainsUnknown,
 }
 
 /// The body of a request or of an answer. Decisions depend on its length only.
--- a/crates/router/tests/balancer_only.rs
+++ b/crates/router/tests/balancer_only.rs
@@ -217,3 +217,31 @@
     }
     assert!(rejected > 0);
 }
+
+/// Guards against attempts and load orders that wait for a connection and leave after the drain grace that follows the drain
+/// lease, where health checks are not allowed.
+#[test]
+fn what_waits_for_a_connection_is_withheld_once_any_drain_grace_may_be_over() {
+    let mut router = RouterHarness::balancer_only(2);
+    let until = router.now + SECOND;
+    router.handle(Input::DrainLease { until });
+    router.receive("w", NON_IDEMPOTENT, 0, 1);
+    let waiting = router.sent_tickets()[0];
+    let last = until + SECOND - 1;
+    assert!(router.core.may_send(last, waiting));
+    assert!(!router.core.may_send(last + 1, waiting));
+    router.advance(2 * SECOND);
+    router.end_dispatch(waiting, DispatchOutcome::NotSent);
+    let refused = (1, FinalOutcome::Throttled, AnswerReason::DrainsUnknown);
+    assert_eq!(router.answers(), [refused]);
+    assert_eq!(
+        router.core.counts.answers_for(AnswerReason::DrainsUnknown),
+        1
+    );
+    assert!(router.core.refuses_new_work(router.now));
+    router.handle(Input::DrainLease {
+        until: router.now + SECOND,
+    });
+    router.receive("x", NON_IDEMPOTENT, 0, 2);
+    assert_eq!(router.sent_tickets().len(), 1);
+}
--- a/crates/router/tests/drain_gate.rs
+++ b/crates/router/tests/drain_gate.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use cedarpulley::interface::{Endpoint, EndpointListKind, EndpointState, WorkerIndex};
-use cedarpulley_router::drain_gate::DrainGate;
+use cedarpulley_router::drain_gate::{DrainBasis, DrainGate};
 use harness::{MILLISECOND, SECOND};
 
 fn endpoint(worker: WorkerIndex, state: EndpointState) -> Endpoint {
@@ -148,3 +148,22 @@
             && gate.accepts(MILLISECOND, 2)
     );
 }
+
+/// The log must tell why work was sent to a worker, or held back from it.
+#[test]
+fn the_basis_of_a_decision_is_told() {
+    let mut gate = DrainGate::new(500 * MILLISECOND);
+    let listed = [0, 1].map(|worker| endpoint(worker, EndpointState::InService));
+    gate.update(0, EndpointListKind::Complete, &listed);
+    let at = |gate: &DrainGate, now| gate.basis(now, 0);
+    assert_eq!(at(&gate, 9 * SECOND), DrainBasis::ListWithoutLease);
+    gate.renew_lease(SECOND);
+    assert_eq!(at(&gate, SECOND - 1), DrainBasis::CurrentList);
+    assert_eq!(at(&gate, SECOND), DrainBasis::DrainGrace);
+    assert_eq!(at(&gate, 2 * SECOND), DrainBasis::Unknown);
+    gate.passed_health_check(0, 2 * SECOND);
+    let age = 3 * MILLISECOND;
+    assert_eq!(at(&gate, 2 * SECOND + age), DrainBasis::HealthCheck { age });
+    gate.update(0, EndpointListKind::Complete, &listed[1..]);
+    assert_eq!(at(&gate, 0), DrainBasis::Listed);
+}
--- a/crates/trace/src/blocks.rs
+++ b/crates/trace/src/blocks.rs
@@ -293,7 +293,10 @@
             each(NameKind::Worker, worker);
             each(NameKind::Function, function);
         }
-        Event::ClientLeft { .. } | Event::EndpointListLease { .. } | Event::Timer { .. } => {}
+        Event::ClientLeft { .. }
+        | Event::EndpointListLease { .. }
+        | Event::DrainLease { .. }
+        | Event::Timer { .. } => {}
     }
 }
 
--- a/crates/trace/src/event_codec.rs
+++ b/crates/trace/src/event_codec.rs
@@ -37,6 +37,7 @@
 const COPY_WANTED: u8 = 9;
 const COPIES_REPORTED: u8 = 10;
 const ENDPOINT_LIST_LEASE: u8 = 11;
+const DRAIN_LEASE: u8 = 12;
 
 /// Writes the position of a value in its table. New values are only appended to a table.
 pub(crate) fn encode_tag<T: PartialEq>(out: &mut Encoder, table: &[T], value: &T) {
@@ -233,6 +234,10 @@
             out.byte(ENDPOINT_LIST_LEASE);
             out.signed(until);
         }
+        Event::DrainLease { until } => {
+            out.byte(DRAIN_LEASE);
+            out.signed(until);
+        }
         _ => encode_worker_event(out, event),
     }
 }
@@ -286,6 +291,7 @@
         | Event::AnswerStarted { .. }
         | Event::DispatchEnded(_)
         | Event::EndpointListLease { .. }
+        | Event::DrainLease { .. }
         | Event::Timer { .. } => {}
     }
 }
@@ -326,6 +332,9 @@
         ENDPOINT_LIST_LEASE => Event::EndpointListLease {
             until: input.signed()?,
         },
+        DRAIN_LEASE => Event::DrainLease {
+            until: input.signed()?,
+        },
         tag => decode_worker_event(tag, input, fingerprint)?,
     };
     Ok(RecordedEvent::Other(event))
--- a/crates/trace/src/record_codec.rs
+++ b/crates/trace/src/record_codec.rs
@@ -12,7 +12,7 @@
 };
 use crate::records::{NameKind, Record};
 
-tag_table!(REASONS: AnswerReason, Worker, GivenUp, Expired, MayHaveRun, Overdue, Functions, Size, Share, NoMajority, SessionOver, Alone);
+tag_table!(REASONS: AnswerReason, Worker, GivenUp, Expired, MayHaveRun, Overdue, Functions, Size, Share, NoMajority, SessionOver, Alone, DrainsUnknown);
 tag_table!(OUTCOMES: FinalOutcome, Succeeded, Throttled, Errored);
 tag_table!(REJECTION_REASONS: RejectionReason, Stopping, Memory, All, Front, Account, Connection, Worth);
 
--- a/crates/trace/src/selection.rs
+++ b/crates/trace/src/selection.rs
@@ -177,7 +177,10 @@
             ) => self.selected.contains(invocation),
             // Endpoint lists are recorded as `RecordedEvent::List`.
             RecordedEvent::Other(
-                Event::Timer { .. } | Event::EndpointListLease { .. } | Event::EndpointList { .. },
+                Event::Timer { .. }
+                | Event::EndpointListLease { .. }
+                | Event::DrainLease { .. }
+                | Event::EndpointList { .. },
             ) => false,
         }
     }
--- a/crates/trace/tests/file_format.rs
+++ b/crates/trace/tests/file_format.rs
@@ -405,6 +405,7 @@
         }),
         any::<u64>().prop_map(|token| Event::Timer { token }),
         t().prop_map(|until| Event::EndpointListLease { until }),
+        t().prop_map(|until| Event::DrainLease { until }),
     ]
 }
 
--- a/src/balancer/readiness.rs
+++ b/src/balancer/readiness.rs
@@ -4,6 +4,10 @@
 //! relies on the list only until its lease ends ([`Event::EndpointListLease`]). After that, a worker gets new work
 //! only for a limited time after it has passed a health check. A worker is checked only when there is work for it, so
 //! that a large fleet is not probed as a whole; the invocation waits in the queue meanwhile.
+//!
+//! Where health checks are not allowed, nothing shows whether a worker drains once the list may lack announced drains
+//! ([`Event::DrainLease`]). After the drain grace that follows the end of that lease, invocations are answered without
+//! being sent, until the list is heard again.
 
 use super::Balancer;
 use crate::interface::*;
@@ -43,6 +47,8 @@
 pub(super) struct ReadinessChecks {
     /// When the lease of the list ends; without a lease the list can always be relied on.
     lease_until: Option<Micros>,
+    /// Until when the list holds all drains that count as announced; without a lease it always does.
+    drains_known_until: Option<Micros>,
     /// Whether the list could not be obtained when it was requested last.
     list_failed: bool,
     /// By worker index.
@@ -75,6 +81,12 @@
         self.lease_until.is_none_or(|until| now < until)
     }
 
+    /// Whether the list holds all drains whose grace is over.
+    fn knows_ended_drains(&self, now: Micros, drain_grace: Micros) -> bool {
+        self.drains_known_until
+            .is_none_or(|until| now < until.saturating_add(drain_grace))
+    }
+
     /// Renews the lease of the list. An up-to-date list takes precedence over earlier health checks, so their results
     /// are dropped.
     fn renew(&mut self, until: Micros) {
@@ -138,6 +150,22 @@
         }
     }
 
+    /// Handles a drain lease: the endpoint list holds all drains that count as announced before `until`.
+    pub(super) fn on_drain_lease(&mut self, until: Micros, out: &mut Vec<Action>) {
+        let knew_drains = self.knows_ended_drains();
+        self.readiness.drains_known_until = Some(until);
+        if !knew_drains {
+            self.retry_queued(None, out);
+        }
+    }
+
+    /// Rule 3: whether every drain whose grace is over is known. If not, any worker may be such a worker, and none gets new
+    /// work.
+    pub(super) fn knows_ended_drains(&self) -> bool {
+        let drain_grace = self.settings.rules.drain_grace;
+        self.readiness.knows_ended_drains(self.now, drain_grace)
+    }
+
     /// The readiness of a worker: ready while the list can be relied on, or if no health checks are allowed; otherwise
     /// according to its health checks.
     pub(super) fn readiness_of(&self, worker: usize) -> Readiness {
@@ -151,6 +179,7 @@
     /// Rule 3: whether the worker may get new work, if necessary after it has passed a health check.
     pub(super) fn accepts_new_work(&self, worker: usize) -> bool {
         self.workers[worker].accepts_new_work(self.now)
+            && self.knows_ended_drains()
             && self.readiness_of(worker) != Readiness::NotReady
     }
 
--- a/src/balancer/routing.rs
+++ b/src/balancer/routing.rs
@@ -12,6 +12,10 @@
         let Some((invocation, function)) = self.find_invocation(index) else {
             return;
         };
+        // No worker may get new work, and waiting for the list would take longer than the client's timeout.
+        if !self.knows_ended_drains() {
+            return self.answer_without_success(index, out);
+        }
         let first_attempt = invocation.dispatches.is_empty();
         // Attempts with too little time for the work would fill the workers with invocations whose clients no longer
         // wait. Under pressure, work that is beyond an account's quota or too late for its objective would displace
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -406,6 +406,13 @@
         /// When the lease ends, unless it is renewed.
         until: Micros,
     },
+    /// No drain that the endpoint list lacks counts as announced before `until`. Used where health checks are not allowed:
+    /// once the drain grace after the lease is over, no worker gets new work until the lease is renewed. If there has
+    /// never been such a lease, the list is relied on for drains.
+    DrainLease {
+        /// When the lease ends, unless it is renewed.
+        until: Micros,
+    },
     /// An invocation was accepted.
     Invocation(Arrival),
     /// The client has left: the invocation needs no answer any longer.
--- a/tests/decisions/readiness.rs
+++ b/tests/decisions/readiness.rs
@@ -122,3 +122,60 @@
     assert_eq!((probed(&actions), sent(&actions)), (vec![], vec![]));
     assert_eq!(probed(&script.advance(10 * MS)), [warm_worker]);
 }
+
+/// A script without health checks in which one worker has function 0 loaded and the drain lease ends now.
+fn without_health_checks() -> (Script, WorkerIndex) {
+    let site = Site {
+        health_checks: false,
+        orders: true,
+        ..PLAIN
+    };
+    let (mut script, warm_worker) = with_ended_lease(site, 2);
+    script.renew_lease(0);
+    (script, warm_worker)
+}
+
+/// During an outage of discovery, workers that drained were sent new work until the outage ended, where health checks are
+/// not allowed.
+#[test]
+fn without_health_checks_new_work_is_refused_once_any_drain_grace_may_be_over() {
+    let (mut script, _) = without_health_checks();
+    let arrived: Vec<_> = (0..4)
+        .map(|_| script.arrive(0, 0, 1, 2 * SECOND).0)
+        .collect();
+    let is_queued = |script: &Script, invocation| {
+        script.is_unanswered(invocation) && !script.is_in_flight(invocation)
+    };
+    let queued = arrived.into_iter().find(|&one| is_queued(&script, one));
+    let actions = script.advance(DRAIN_GRACE);
+    assert!(actions.iter().any(is_rejection), "{actions:?}");
+    assert!(!script.is_unanswered(queued.expect("one is queued")));
+    for trigger in 0..3 {
+        let (_, actions) = script.arrive(trigger, 0, 1, 2 * SECOND);
+        assert!(actions.iter().any(is_rejection), "{actions:?}");
+        assert_eq!((sent(&actions), probed(&actions)), (vec![], vec![]));
+    }
+    assert_eq!(ordered(&script.request_copy(0, 7)), []);
+    script.renew_lease(2 * SECOND);
+    assert_eq!(ordered(&script.request_copy(0, 7)), [0]);
+    let (again, _) = script.arrive(0, 0, 1, 2 * SECOND);
+    assert!(script.is_unanswered(again));
+}
+
+/// The rule must cost nothing while any drain that is not in the list would be within its grace.
+#[test]
+fn without_health_checks_work_is_sent_within_the_drain_grace_after_the_lease() {
+    let (mut script, warm_worker) = without_health_checks();
+    script.advance(DRAIN_GRACE - MS);
+    assert_eq!(sent(&script.arrive(0, 0, 1, 2 * SECOND).1), [warm_worker]);
+}
+
+fn is_rejection(action: &Action) -> bool {
+    matches!(
+        action,
+        Action::Reject {
+            retry_after: Some(_),
+            ..
+        }
+    )
+}
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::helpers::sent;
 use crate::script::*;
 use cedarpulley::interface::*;
 use proptest::prelude::*;
@@ -445,8 +446,8 @@
     }
 }
 
-#[test]
-fn the_rules_hold_while_discovery_is_unreachable() {
+/// Runs random steps with outages of discovery. `check`: whether these numbers of health checks and of dispatches are right.
+fn runs_with_outages(health_checks: bool, check: impl Fn(usize, usize) -> bool) {
     let config = Config {
         cases: 100,
         rng_seed: RngSeed::Fixed(20_261_202),
@@ -459,11 +460,14 @@
     let result = runner.run(&runs, |(seed, site, steps)| {
         let renewed_once = (0, Step::Renew { span: SECOND });
         let steps: Vec<_> = std::iter::once(renewed_once).chain(steps).collect();
+        let site = Site {
+            health_checks,
+            ..site
+        };
         let log = run(seed, site, &steps);
-        let probes = log
-            .iter()
-            .filter(|action| matches!(action, Action::Probe { .. }));
-        prop_assert!(probes.count() > 0, "no health check");
+        let is_probe = |action: &&Action| matches!(action, Action::Probe { .. });
+        let probes = log.iter().filter(is_probe).count();
+        prop_assert!(check(probes, sent(&log).len()), "{probes} health checks");
         prop_assert!(log == run(seed, site, &steps));
         Ok(())
     });
@@ -471,3 +475,14 @@
         panic!("{e}");
     }
 }
+
+#[test]
+fn the_rules_hold_while_discovery_is_unreachable() {
+    runs_with_outages(true, |health_checks, _| health_checks > 0);
+}
+
+/// Guards against new work for workers that drained unannounced where health checks are not allowed.
+#[test]
+fn the_rules_hold_while_discovery_is_unreachable_and_health_checks_are_not_allowed() {
+    runs_with_outages(false, |health_checks, sent| health_checks == 0 && sent > 0);
+}
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -244,11 +244,15 @@
         self.handle(&Event::EndpointList { kind, endpoints })
     }
 
-    /// Renews the lease of the endpoint list for this span of time.
+    /// Renews the lease of the endpoint list for this span of time, for drains too.
     pub fn renew_lease(&mut self, span: Micros) -> Vec<Action> {
         let until = self.now + span;
         self.lease_until = Some(until);
-        self.handle(&Event::EndpointListLease { until })
+        let mut actions = self.handle(&Event::EndpointListLease { until });
+        if !self.site.health_checks {
+            actions.extend(self.handle(&Event::DrainLease { until }));
+        }
+        actions
     }
 
     /// Ends a health check that was sent `took` ago.
