Node: after the router stood still, work waits for the list and is not refused

Cause: the lease for drains was over although discovery was there; its answer was only not read yet, and a late answer renews a lease that is over already. Change: the lease says whether discovery is lost (broken, unanswered, moved, or not heard since the start). If it is not, new work waits in the queue; a response that was read late is followed by a poll that is answered at once. Where health checks are allowed nothing changes.

--- a/crates/platform-node/src/discovery.rs
+++ b/crates/platform-node/src/discovery.rs
@@ -95,16 +95,16 @@
         self.contact.get().silence(now).0
     }
 
-    /// Until when the endpoint list holds every drain that counts as announced.
-    pub fn drains_known_until(&self) -> Micros {
-        self.drain_lease.get().until()
+    /// The lease of the endpoint list for drains.
+    pub fn drain_lease(&self) -> DrainLease {
+        self.drain_lease.get()
     }
 
-    fn update_drain_lease<T>(&self, update: impl FnOnce(&mut DrainLease) -> T) -> T {
+    fn update_drain_lease(&self, update: impl FnOnce(&mut DrainLease)) -> DrainLease {
         let mut lease = self.drain_lease.get();
-        let result = update(&mut lease);
+        update(&mut lease);
         self.drain_lease.set(lease);
-        result
+        lease
     }
 
     /// Records that a response was applied, and logs it if discovery had been reported as unreachable.
@@ -203,12 +203,13 @@
 
 /// Records that discovery was lost at `lost_at` or later, and until when the endpoint list can still be relied on.
 fn record_loss(node: &Rc<Node>, loss: DiscoveryLoss, lost_at: Micros) {
+    if node.discovery.drain_lease().is_lost() {
+        return;
+    }
     let lease = node
         .discovery
         .update_drain_lease(|lease| lease.lost(loss, lost_at));
-    if let Some(until) = lease {
-        node.renew_drain_lease(until);
-    }
+    node.renew_drain_lease(lease);
 }
 
 /// Polls on one connection until it fails.
@@ -247,12 +248,16 @@
         node.apply_events(&batch, max_age.max(node.lag()))?;
         node.discovery.record_response(node.clock.now());
         node.renew_list_lease(arrived + LIST_LEASE);
-        let drains_known_until = node
+        let lease = node
             .discovery
             .update_drain_lease(|lease| lease.response_applied(arrived));
-        node.renew_drain_lease(drains_known_until);
+        node.renew_drain_lease(lease);
         max_age = 0;
-        wait = POLL_WAIT;
+        wait = if node.allows_health_checks() {
+            POLL_WAIT
+        } else {
+            lease.next_poll_wait(node.clock.now())
+        };
     }
 }
 
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -10,7 +10,7 @@
 use cedarpulley::interface::{Micros, WorkerIndex};
 use cedarpulley::table_size::TableSizes;
 use cedarpulley_net::{Clock, Stream, measured, run_tasks};
-use cedarpulley_platform::discovery::{DiscoveryError, EventBatch};
+use cedarpulley_platform::discovery::{DiscoveryError, DrainLease, EventBatch};
 use cedarpulley_platform::event_loop_lag::EventLoopLag;
 use cedarpulley_platform::graceful_shutdown::GracefulShutdown;
 use cedarpulley_platform::listen_queue::ListenQueue;
@@ -226,10 +226,12 @@
         self.feed(Input::EndpointListLease { until });
     }
 
-    /// Records that the endpoint list holds every drain that counts as announced before `until`, in microseconds of the
-    /// router's clock.
-    pub fn renew_drain_lease(self: &Rc<Self>, until: Micros) {
-        self.feed(Input::DrainLease { until });
+    /// Passes the lease for drains to the core.
+    pub fn renew_drain_lease(self: &Rc<Self>, lease: DrainLease) {
+        self.feed(Input::DrainLease {
+            until: lease.until(),
+            discovery_lost: lease.is_lost(),
+        });
     }
 
     /// Whether health checks may be sent to workers.
--- a/crates/platform/src/discovery/drain_lease.rs
+++ b/crates/platform/src/discovery/drain_lease.rs
@@ -5,6 +5,8 @@
 
 use cedarpulley::interface::Micros;
 
+use super::{FIRST_POLL_WAIT, POLL_WAIT};
+
 /// Time after the connection to discovery broke at which its announcements count as received, in microseconds.
 const BREAK_TERM: Micros = 2_000_000;
 /// Time after the end of the wait that an unanswered poll asked for at which the announcements count as received, in
@@ -29,8 +31,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct DrainLease {
     until: Micros,
-    /// Whether the present connection has answered a poll.
-    answered: bool,
+    /// Whether discovery has been lost since its last response, or has not responded yet.
+    lost: bool,
     /// When the wait ends that the present poll asked for; `None` unless the connection has answered a poll before.
     wait_ends: Option<Micros>,
 }
@@ -40,7 +42,7 @@
     fn default() -> Self {
         DrainLease {
             until: Micros::MIN,
-            answered: false,
+            lost: true,
             wait_ends: None,
         }
     }
@@ -52,32 +54,48 @@
         self.until
     }
 
-    /// Records that a poll is sent at `now` which discovery may hold open for `wait`.
+    /// For how long discovery may hold the next poll open. If the lease is over, as this process stood still while the last
+    /// response waited to be read, the next poll is to be answered at once.
+    pub fn next_poll_wait(&self, now: Micros) -> Micros {
+        if now < self.until {
+            POLL_WAIT
+        } else {
+            FIRST_POLL_WAIT
+        }
+    }
+
+    /// Whether discovery is lost: it has not responded since its connection broke, a poll was not answered, or it moved.
+    pub fn is_lost(&self) -> bool {
+        self.lost
+    }
+
+    /// Records that a poll is sent at `now` which discovery may hold open for `wait`. After a loss, the lease does not
+    /// depend on it.
     pub fn poll_sent(&mut self, now: Micros, wait: Micros) {
-        self.wait_ends = self.answered.then_some(now + wait);
+        self.wait_ends = (!self.lost).then_some(now + wait);
     }
 
-    /// Records a response that arrived at `arrived` or later, and that was applied. Returns when the lease ends.
-    pub fn response_applied(&mut self, arrived: Micros) -> Micros {
-        self.answered = true;
-        self.extend(arrived + BREAK_TERM)
+    /// Records a response that arrived at `arrived` or later, and that was applied.
+    pub fn response_applied(&mut self, arrived: Micros) {
+        self.lost = false;
+        self.extend(arrived + BREAK_TERM);
     }
 
-    /// Records that discovery was lost at `lost_at` or later. Returns when the lease ends; `None` if discovery had been
-    /// lost before, which leaves the lease as it is.
-    pub fn lost(&mut self, loss: DiscoveryLoss, lost_at: Micros) -> Option<Micros> {
-        self.answered = false;
-        let silence_counts_at = self.wait_ends.take()? + SILENCE_TERM;
-        let counts_at = match loss {
+    /// Records that discovery was lost at `lost_at` or later. If it had been lost before, the lease stays as it is.
+    pub fn lost(&mut self, loss: DiscoveryLoss, lost_at: Micros) {
+        self.lost = true;
+        let Some(wait_ends) = self.wait_ends.take() else {
+            return;
+        };
+        let silence_counts_at = wait_ends + SILENCE_TERM;
+        self.extend(match loss {
             DiscoveryLoss::Broken => silence_counts_at.min(lost_at + BREAK_TERM),
             DiscoveryLoss::Silent => silence_counts_at,
             DiscoveryLoss::Moved => lost_at + MOVE_TERM,
-        };
-        Some(self.extend(counts_at))
+        });
     }
 
-    fn extend(&mut self, until: Micros) -> Micros {
+    fn extend(&mut self, until: Micros) {
         self.until = self.until.max(until);
-        self.until
     }
 }
--- a/crates/platform/tests/drain_lease.rs
+++ b/crates/platform/tests/drain_lease.rs
@@ -1,7 +1,7 @@
 //! Tests of the lease for drains: until when the endpoint list holds every drain that counts as announced.
 
 use cedarpulley::interface::Micros;
-use cedarpulley_platform::discovery::{DiscoveryLoss, DrainLease};
+use cedarpulley_platform::discovery::{DiscoveryLoss, DrainLease, FIRST_POLL_WAIT, POLL_WAIT};
 
 const SECOND: Micros = 1_000_000;
 const MILLISECOND: Micros = 1_000;
@@ -10,7 +10,8 @@
 fn with_open_poll() -> DrainLease {
     let mut lease = DrainLease::default();
     lease.poll_sent(9 * SECOND, MILLISECOND);
-    assert_eq!(lease.response_applied(10 * SECOND), 12 * SECOND);
+    lease.response_applied(10 * SECOND);
+    assert_eq!((lease.until(), lease.is_lost()), (12 * SECOND, false));
     lease.poll_sent(10 * SECOND, SECOND);
     lease
 }
@@ -28,8 +29,8 @@
         (DiscoveryLoss::Moved, broken_at, broken_at + 4 * SECOND),
     ] {
         let mut lease = with_open_poll();
-        assert_eq!(lease.lost(loss, lost_at), Some(until), "{loss:?}");
-        assert_eq!(lease.until(), until);
+        lease.lost(loss, lost_at);
+        assert_eq!((lease.until(), lease.is_lost()), (until, true), "{loss:?}");
     }
 }
 
@@ -44,10 +45,11 @@
         DiscoveryLoss::Moved,
     ] {
         lease.poll_sent(11 * SECOND, MILLISECOND);
-        assert_eq!(lease.lost(loss, 11 * SECOND), None, "{loss:?}");
+        lease.lost(loss, 11 * SECOND);
+        assert_eq!(lease.until(), 12 * SECOND, "{loss:?}");
     }
-    assert_eq!(lease.until(), 12 * SECOND);
-    assert_eq!(lease.response_applied(20 * SECOND), 22 * SECOND);
+    lease.response_applied(20 * SECOND);
+    assert_eq!((lease.until(), lease.is_lost()), (22 * SECOND, false));
 }
 
 /// Guards against a list of any age that is relied on at the start, before discovery has been heard.
@@ -55,6 +57,14 @@
 fn a_router_that_has_not_heard_of_discovery_has_no_lease() {
     let mut lease = DrainLease::default();
     lease.poll_sent(0, MILLISECOND);
-    assert_eq!(lease.lost(DiscoveryLoss::Silent, SECOND), None);
-    assert_eq!(lease.until(), Micros::MIN);
+    lease.lost(DiscoveryLoss::Silent, SECOND);
+    assert_eq!((lease.until(), lease.is_lost()), (Micros::MIN, true));
+}
+
+/// Guards against refusals for the whole wait of a poll after the process stood still.
+#[test]
+fn a_response_that_is_read_late_is_followed_by_a_poll_without_a_wait() {
+    let lease = with_open_poll();
+    assert_eq!(lease.next_poll_wait(12 * SECOND - 1), POLL_WAIT);
+    assert_eq!(lease.next_poll_wait(12 * SECOND), FIRST_POLL_WAIT);
 }
--- a/crates/router/src/core/drain_basis.rs
+++ b/crates/router/src/core/drain_basis.rs
@@ -23,9 +23,9 @@
         self.balancer.allows_health_checks()
     }
 
-    /// Whether all new work is refused: the endpoint list may lack drains whose grace is over, and health checks, which
-    /// would show them, are not allowed.
+    /// Whether all new work is refused: discovery is unreachable, the endpoint list may lack drains whose grace is over,
+    /// and health checks, which would show them, are not allowed.
     pub fn refuses_new_work(&self, now: Micros) -> bool {
-        !self.allows_health_checks() && !self.workers.list_covers_drains(now)
+        self.discovery_lost && !self.workers.list_covers_drains(now)
     }
 }
--- a/crates/router/src/core/messages.rs
+++ b/crates/router/src/core/messages.rs
@@ -58,6 +58,8 @@
     DrainLease {
         /// When the lease ends, unless it is renewed.
         until: Micros,
+        /// Whether discovery is unreachable; see [`cedarpulley::interface::Event::DrainLease`].
+        discovery_lost: bool,
     },
     /// A dispatch ended, with or without an answer from the worker.
     DispatchEnded {
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -77,6 +77,8 @@
     invocations: InvocationTable,
     functions: FunctionTable,
     workers: WorkerDirectory,
+    /// Whether discovery is unreachable; used where health checks are not allowed.
+    discovery_lost: bool,
     orders: LoadOrders,
     /// Term of the upgrade plan whose request the balancer is handling; absent otherwise.
     plan_term: Option<Arc<str>>,
@@ -109,6 +111,7 @@
             invocations: InvocationTable::default(),
             functions: FunctionTable::default(),
             workers: WorkerDirectory::new(settings.drain_grace),
+            discovery_lost: false,
             orders: LoadOrders::default(),
             plan_term: None,
             answers: AnswerRegistry::within_memory(answer_bytes),
@@ -188,9 +191,17 @@
                 }
                 self.decide(&Event::EndpointListLease { until }, out);
             }
-            Input::DrainLease { until } if !self.balancer.allows_health_checks() => {
+            Input::DrainLease {
+                until,
+                discovery_lost,
+            } if !self.balancer.allows_health_checks() => {
                 self.workers.renew_drain_lease(until);
-                self.decide(&Event::DrainLease { until }, out);
+                self.discovery_lost = discovery_lost;
+                let event = Event::DrainLease {
+                    until,
+                    discovery_lost,
+                };
+                self.decide(&event, out);
             }
             Input::OrderEnded {
                 ticket,
--- a/crates/router/tests/balancer_only.rs
+++ b/crates/router/tests/balancer_only.rs
@@ -224,7 +224,10 @@
 fn what_waits_for_a_connection_is_withheld_once_any_drain_grace_may_be_over() {
     let mut router = RouterHarness::balancer_only(2);
     let until = router.now + SECOND;
-    router.handle(Input::DrainLease { until });
+    router.handle(Input::DrainLease {
+        until,
+        discovery_lost: true,
+    });
     router.receive("w", NON_IDEMPOTENT, 0, 1);
     let waiting = router.sent_tickets()[0];
     let last = until + SECOND - 1;
@@ -241,6 +244,7 @@
     assert!(router.core.refuses_new_work(router.now));
     router.handle(Input::DrainLease {
         until: router.now + SECOND,
+        discovery_lost: false,
     });
     router.receive("x", NON_IDEMPOTENT, 0, 2);
     assert_eq!(router.sent_tickets().len(), 1);
--- a/crates/trace/src/event_codec.rs
+++ b/crates/trace/src/event_codec.rs
@@ -234,9 +234,13 @@
             out.byte(ENDPOINT_LIST_LEASE);
             out.signed(until);
         }
-        Event::DrainLease { until } => {
+        Event::DrainLease {
+            until,
+            discovery_lost,
+        } => {
             out.byte(DRAIN_LEASE);
             out.signed(until);
+            out.byte(discovery_lost.into());
         }
         _ => encode_worker_event(out, event),
     }
@@ -334,6 +338,7 @@
         },
         DRAIN_LEASE => Event::DrainLease {
             until: input.signed()?,
+            discovery_lost: input.flag()?,
         },
         tag => decode_worker_event(tag, input, fingerprint)?,
     };
--- a/src/balancer/queue.rs
+++ b/src/balancer/queue.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Answers a queued invocation if its time has run out or no worker may get new work; otherwise dispatches it or starts a load if possible.
+    /// Answers a queued invocation if its time has run out or all new work is refused; otherwise dispatches it or starts a load if possible.
     fn retry_one_queued(&mut self, index: InvocationIndex, out: &mut Vec<Action>) {
         let Some((invocation, function)) = self.find_invocation(index) else {
             return;
@@ -116,7 +116,7 @@
             true => invocation.objective_at,
             false => invocation.client_timeout_at,
         };
-        if ends_at - self.now <= service.mean || !self.knows_ended_drains() {
+        if ends_at - self.now <= service.mean || self.refuses_new_work() {
             self.answer_without_success(index, out);
         } else if self.now < invocation.retry_from {
             // It waits for a connection of this router.
--- a/src/balancer/readiness.rs
+++ b/src/balancer/readiness.rs
@@ -7,7 +7,7 @@
 //!
 //! Where health checks are not allowed, nothing shows whether a worker drains once the list may lack announced drains
 //! ([`Event::DrainLease`]). After the drain grace that follows the end of that lease, invocations are answered without
-//! being sent, until the list is heard again.
+//! being sent, until the list is heard again. If only this router stood still, they wait in the queue for the list.
 
 use super::Balancer;
 use crate::interface::*;
@@ -49,6 +49,8 @@
     lease_until: Option<Micros>,
     /// Until when the list holds all drains that count as announced; without a lease it always does.
     drains_known_until: Option<Micros>,
+    /// Whether that lease is not renewed soon, as discovery is unreachable.
+    discovery_lost: bool,
     /// Whether the list could not be obtained when it was requested last.
     list_failed: bool,
     /// By worker index.
@@ -151,9 +153,15 @@
     }
 
     /// Handles a drain lease: the endpoint list holds all drains that count as announced before `until`.
-    pub(super) fn on_drain_lease(&mut self, until: Micros, out: &mut Vec<Action>) {
+    pub(super) fn on_drain_lease(
+        &mut self,
+        until: Micros,
+        discovery_lost: bool,
+        out: &mut Vec<Action>,
+    ) {
         let knew_drains = self.knows_ended_drains();
         self.readiness.drains_known_until = Some(until);
+        self.readiness.discovery_lost = discovery_lost;
         if !knew_drains {
             self.retry_queued(None, out);
         }
@@ -166,6 +174,11 @@
         self.readiness.knows_ended_drains(self.now, drain_grace)
     }
 
+    /// Whether all new work is refused: no worker may get any, and waiting for the list would take too long.
+    pub(super) fn refuses_new_work(&self) -> bool {
+        self.readiness.discovery_lost && !self.knows_ended_drains()
+    }
+
     /// The readiness of a worker: ready while the list can be relied on, or if no health checks are allowed; otherwise
     /// according to its health checks.
     pub(super) fn readiness_of(&self, worker: usize) -> Readiness {
--- a/src/balancer/routing.rs
+++ b/src/balancer/routing.rs
@@ -12,8 +12,7 @@
         let Some((invocation, function)) = self.find_invocation(index) else {
             return;
         };
-        // No worker may get new work, and waiting for the list would take longer than the client's timeout.
-        if !self.knows_ended_drains() {
+        if self.refuses_new_work() {
             return self.answer_without_success(index, out);
         }
         let first_attempt = invocation.dispatches.is_empty();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -412,6 +412,9 @@
     DrainLease {
         /// When the lease ends, unless it is renewed.
         until: Micros,
+        /// Whether discovery is unreachable. Otherwise, a lease that has ended is about to be renewed: the router stood
+        /// still, and has not read the latest response yet.
+        discovery_lost: bool,
     },
     /// An invocation was accepted.
     Invocation(Arrival),
--- a/tests/decisions/readiness.rs
+++ b/tests/decisions/readiness.rs
@@ -162,6 +162,22 @@
     assert!(script.is_unanswered(again));
 }
 
+/// A router that stood still reads what discovery sent meanwhile right afterwards: what arrived before waits for that.
+#[test]
+fn without_health_checks_work_waits_for_the_list_while_discovery_is_not_lost() {
+    let (mut script, _) = without_health_checks();
+    let lease = |until, discovery_lost| Event::DrainLease {
+        until,
+        discovery_lost,
+    };
+    script.handle(&lease(script.now, false));
+    script.advance(DRAIN_GRACE);
+    let (invocation, actions) = script.arrive(0, 0, 1, 2 * SECOND);
+    assert!(sent(&actions).is_empty() && script.is_unanswered(invocation));
+    let actions = script.handle(&lease(script.now + SECOND, false));
+    assert_eq!(sent(&actions).len(), 1);
+}
+
 /// The rule must cost nothing while any drain that is not in the list would be within its grace.
 #[test]
 fn without_health_checks_work_is_sent_within_the_drain_grace_after_the_lease() {
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -250,7 +250,10 @@
         self.lease_until = Some(until);
         let mut actions = self.handle(&Event::EndpointListLease { until });
         if !self.site.health_checks {
-            actions.extend(self.handle(&Event::DrainLease { until }));
+            actions.extend(self.handle(&Event::DrainLease {
+                until,
+                discovery_lost: true,
+            }));
         }
         actions
     }
