Tests: a started router is waited for at all addresses at which it listens

Cause: a router binds its listeners one after the other, and start_with waited for the first one only; a test whose first connect goes to the second may come too early. No product code is concerned. Change: start_with waits for each address after `listen =` in the settings. No assertion or bound is touched.

--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -126,7 +126,7 @@
          [trace]\nfolder = \"traces\"\n[[kserve]]\nlisten = \"{address}\"\n{front}[workers]\nlist = [{{ address = \"{}\" }}]\n",
         worker.address
     );
-    std::fs::write(&file, settings).expect("written");
+    std::fs::write(&file, &settings).expect("written");
     let router = Command::new(env!("CARGO_BIN_EXE_cedarpulley"))
         .args(["--level", "warn", "serve"])
         .arg(&file)
@@ -142,12 +142,22 @@
         _store: store,
     };
     let until = Instant::now() + Duration::from_secs(10);
-    while Instant::now() < until && TcpStream::connect(address).is_err() {
-        std::thread::sleep(Duration::from_millis(20));
+    // A router listens at one address after the other.
+    for address in listen_addresses(&settings) {
+        while Instant::now() < until && TcpStream::connect(address).is_err() {
+            std::thread::sleep(Duration::from_millis(20));
+        }
     }
     running
 }
 
+/// The addresses at which a router with these settings listens.
+fn listen_addresses(settings: &str) -> Vec<SocketAddr> {
+    let rests = settings.split("listen = \"").skip(1);
+    let texts = rests.filter_map(|rest| rest.split('"').next());
+    texts.filter_map(|text| text.parse().ok()).collect()
+}
+
 impl Running {
     /// Returns the number of invocations that have reached the worker.
     pub fn received(&self) -> usize {
