--- a/crates/cli/tests/discovery_outage.rs
+++ b/crates/cli/tests/discovery_outage.rs
@@ -12,6 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rstest::rstest;
 use rustix::process::Signal;
 
 mod platform;
@@ -122,11 +123,33 @@
     w.signal(Signal::HUP);
 }
 
+/// An address without a listener.
+fn dead_address(w: &World) -> SocketAddr {
+    SocketAddr::new(w.first_channel.ip(), 1)
+}
+
+fn move_to_dead_address(w: &mut World) {
+    move_discovery(w, w.first_channel, dead_address(w));
+}
+
+fn move_back(w: &mut World) {
+    move_discovery(w, dead_address(w), w.first_channel);
+}
+
 /// The new configuration names a channel address without a listener.
 #[test]
 fn a_worker_draining_after_discovery_moves_to_a_dead_address_gets_no_new_work() {
-    assert_unannounced_drain_stops_new_work(34, |w| {
-        move_discovery(w, w.first_channel, own(34));
+    assert_unannounced_drain_stops_new_work(34, move_to_dead_address);
+}
+
+/// Kills the router and starts it again.
+fn restart(w: &mut World) {
+    w.node.kill().expect("killed");
+    w.node.wait().expect("ended");
+    w.node = start(&w.file, &w.folder, w.address);
+    w.until("the router serves requests again", |w| {
+        w.ask("GET /-/healthy HTTP/1.1\r\n\r\n")
+            .is_some_and(|a| a.0 == 200)
     });
 }
 
@@ -137,14 +160,8 @@
     // The configuration names only the first worker.
     w.channel.lock().expect("channel").outage = Some(Outage::Closes);
     drain(&w.seen);
-    w.node.kill().expect("killed");
-    w.node.wait().expect("ended");
     let restarted = Instant::now();
-    w.node = start(&w.file, &w.folder, w.address);
-    w.until("the router serves requests again", |w| {
-        w.ask("GET /-/healthy HTTP/1.1\r\n\r\n")
-            .is_some_and(|a| a.0 == 200)
-    });
+    restart(&mut w);
     let text = call(&id(1), "plain", GOOD, "", "x").replace("Wait-Ms: 60000", "Wait-Ms: 9000");
     assert_eq!(w.ask(&text).expect("an answer").0, 503);
     assert_eq!(rejected_since(&w.seen, restarted), 0);
@@ -319,77 +336,67 @@
 }
 
 /// The settings of these tests have no `permissions.probes`.
-#[test]
-fn without_health_checks_nothing_is_sent_while_discovery_is_silent() {
-    assert_outage_without_checks_stops_new_work(44, lose(Outage::Silent), find);
-}
-
-#[test]
-fn without_health_checks_nothing_is_sent_while_discovery_closes_connections() {
-    assert_outage_without_checks_stops_new_work(45, lose(Outage::Closes), find);
-}
-
-#[test]
-fn without_health_checks_nothing_is_sent_while_discovery_is_unreadable() {
-    assert_outage_without_checks_stops_new_work(46, lose(Outage::Garbled), find);
-}
-
-#[test]
-fn without_health_checks_nothing_is_sent_while_discovery_lags() {
-    assert_outage_without_checks_stops_new_work(47, lose(Outage::Behind), find);
+#[rstest]
+#[case::silent(44, Outage::Silent)]
+#[case::closing_connections(45, Outage::Closes)]
+#[case::unreadable(46, Outage::Garbled)]
+#[case::lagging(47, Outage::Behind)]
+fn without_health_checks_nothing_is_sent_while_discovery_is(
+    #[case] part: u16,
+    #[case] outage: Outage,
+) {
+    assert_outage_without_checks_stops_new_work(part, lose(outage), find);
 }
 
 #[test]
 fn without_health_checks_nothing_is_sent_after_discovery_moves_to_a_dead_address() {
-    let dead = own(48);
-    assert_outage_without_checks_stops_new_work(
-        48,
-        |w| move_discovery(w, w.first_channel, dead),
-        |w| move_discovery(w, dead, w.first_channel),
-    );
+    assert_outage_without_checks_stops_new_work(48, move_to_dead_address, move_back);
 }
 
-/// An outage that is over before announcements count as received must cost nothing. The drain grace is long, so that a slow
-/// machine does not end it.
-#[test]
-fn without_health_checks_a_short_outage_costs_nothing() {
-    let long_grace = |config: String| {
-        let grace = "\"stopSendingWithin\":500000000";
-        assert!(config.contains(grace));
-        config.replace(grace, "\"stopSendingWithin\":5000000000")
+/// An outage that is over before announcements count as received must cost nothing: 2 s after a break or a silence, 4 s
+/// after a move. The drain grace leaves a slow machine time to hear of the end.
+#[rstest]
+#[case::silence(49, 1_900, |w: &mut World| lose(Outage::Silent)(w), find)]
+#[case::break_(50, 1_900, |w: &mut World| lose(Outage::Closes)(w), find)]
+#[case::move_(53, 3_900, move_to_dead_address, move_back)]
+fn without_health_checks_nothing_is_refused_in_a_short(
+    #[case] part: u16,
+    #[case] length_ms: u64,
+    #[case] lose: fn(&mut World),
+    #[case] find: fn(&mut World),
+) {
+    let longer_grace = |config: String| {
+        let grace = |ns: u64| format!(r#""stopSendingWithin":{ns}"#);
+        assert!(config.contains(&grace(500_000_000)));
+        config.replace(&grace(500_000_000), &grace(1_500_000_000))
     };
-    for (part, outage) in [(49, Outage::Silent), (50, Outage::Closes)] {
-        let (w, _second) = with_workers(part, long_grace);
-        w.channel.lock().expect("channel").outage = Some(outage);
-        let over = Instant::now() + Duration::from_millis(1_900);
-        let mut first = 1;
-        while Instant::now() < over {
-            assert_eq!(successes(&w, first), REQUESTS as usize, "{outage:?}");
-            first += REQUESTS;
-        }
-        w.channel.lock().expect("channel").outage = None;
-        assert_eq!(successes(&w, first), REQUESTS as usize, "{outage:?}");
+    let (mut w, _second) = with_workers(part, longer_grace);
+    lose(&mut w);
+    let over = Instant::now() + Duration::from_millis(length_ms);
+    let mut first = 1;
+    while Instant::now() < over {
+        assert_eq!(successes(&w, first), REQUESTS as usize);
+        first += REQUESTS;
     }
+    find(&mut w);
+    assert_eq!(successes(&w, first), REQUESTS as usize);
 }
 
-/// A router that starts in an outage knows only the workers of its configuration, which may be of any age.
-#[test]
-fn without_health_checks_a_router_started_without_discovery_refuses() {
-    for (part, outage) in [(51, Outage::Silent), (52, Outage::Closes)] {
-        let (mut w, second) = with_workers(part, |config| config);
-        w.channel.lock().expect("channel").outage = Some(outage);
-        w.node.kill().expect("killed");
-        w.node.wait().expect("ended");
-        w.node = start(&w.file, &w.folder, w.address);
-        w.until("the router serves requests again", |w| {
-            w.ask("GET /-/healthy HTTP/1.1\r\n\r\n")
-                .is_some_and(|a| a.0 == 200)
-        });
-        assert_all_refused(&w, [&w.seen, &second], 1);
-        w.channel.lock().expect("channel").outage = None;
-        w.until("the router serves requests again", |w| {
-            w.ask(&call(&id(1_000), "plain", GOOD, "", "x"))
-                .is_some_and(|answer| answer.0 == 200)
-        });
-    }
+/// As `a_router_started_without_discovery_checks_its_workers`, where no worker can be checked.
+#[rstest]
+#[case::silent(51, Outage::Silent)]
+#[case::closing_connections(52, Outage::Closes)]
+fn without_health_checks_a_router_refuses_that_starts_while_discovery_is(
+    #[case] part: u16,
+    #[case] outage: Outage,
+) {
+    let (mut w, second) = with_workers(part, |config| config);
+    lose(outage)(&mut w);
+    restart(&mut w);
+    assert_all_refused(&w, [&w.seen, &second], 1);
+    find(&mut w);
+    w.until("the router serves requests again", |w| {
+        w.ask(&call(&id(1_000), "plain", GOOD, "", "x"))
+            .is_some_and(|answer| answer.0 == 200)
+    });
 }
--- a/crates/platform-node/src/core_loop.rs
+++ b/crates/platform-node/src/core_loop.rs
@@ -112,7 +112,7 @@
         Input::DispatchEnded { .. } => Activity::AttemptEnded,
         Input::OrderEnded { .. } => Activity::LoadOrderEnded,
         Input::ProbeEnded { .. } => Activity::HealthCheckEnded,
-        Input::EndpointList { .. } | Input::EndpointListLease { .. } | Input::DrainLease { .. } => {
+        Input::EndpointList { .. } | Input::EndpointListLease { .. } | Input::DrainLease(_) => {
             Activity::EndpointList
         }
         Input::Tick => Activity::Timer,
--- a/crates/platform-node/src/discovery.rs
+++ b/crates/platform-node/src/discovery.rs
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 
 use async_io::Timer;
-use cedarpulley::interface::Micros;
+use cedarpulley::interface::{DrainLease, Micros};
 use cedarpulley_errors::Remedy;
 use cedarpulley_net::{FairStream, Notifier, PeerStream, connect, duration_from_micros};
 use cedarpulley_platform::discovery::{
-    DiscoveryContact, DiscoveryError, DiscoveryLoss, DrainLease, EndpointListUpdate, EventBatch,
-    FIRST_POLL_WAIT, LIST_LEASE, MAX_BACKOFF, POLL_WAIT, RESPONSE_MARGIN, ResponseReader, Silence,
-    WorkerListFollower,
+    DiscoveryContact, DiscoveryError, DiscoveryLoss, DrainLeaseTracker, EndpointListUpdate,
+    EventBatch, FIRST_POLL_WAIT, LIST_LEASE, MAX_BACKOFF, POLL_WAIT, RESPONSE_MARGIN,
+    ResponseReader, Silence, WorkerListFollower,
 };
 use cedarpulley_router::backoff::Backoff;
 use cedarpulley_startup::Names;
@@ -34,7 +34,7 @@
     moved_at: Cell<Micros>,
     worker_list: RefCell<WorkerListFollower>,
     contact: Cell<DiscoveryContact>,
-    drain_lease: Cell<DrainLease>,
+    drain_lease: Cell<DrainLeaseTracker>,
     /// Notified when a poll has ended, with or without a response.
     poll_ended: Notifier,
 }
@@ -90,21 +90,29 @@
         self.poll_ended.notified().await;
     }
 
-    /// Time since the last response, in microseconds.
+    /// Time since the last response, or since the start if there was none, in microseconds.
     pub fn unheard(&self, now: Micros) -> Micros {
         self.contact.get().silence(now).0
     }
 
     /// The lease of the endpoint list for drains.
     pub fn drain_lease(&self) -> DrainLease {
-        self.drain_lease.get()
+        self.drain_lease.get().lease()
     }
 
-    fn update_drain_lease(&self, update: impl FnOnce(&mut DrainLease)) -> DrainLease {
-        let mut lease = self.drain_lease.get();
-        update(&mut lease);
-        self.drain_lease.set(lease);
-        lease
+    fn update_drain_lease(&self, update: impl FnOnce(&mut DrainLeaseTracker)) {
+        let mut tracker = self.drain_lease.get();
+        update(&mut tracker);
+        self.drain_lease.set(tracker);
+    }
+
+    /// For how long discovery may hold the next poll open at `now`.
+    fn next_poll_wait(&self, now: Micros, allows_health_checks: bool) -> Micros {
+        if allows_health_checks {
+            POLL_WAIT
+        } else {
+            self.drain_lease.get().next_poll_wait(now)
+        }
     }
 
     /// Records that a response was applied, and logs it if discovery had been reported as unreachable.
@@ -203,13 +211,11 @@
 
 /// Records that discovery was lost at `lost_at` or later, and until when the endpoint list can still be relied on.
 fn record_loss(node: &Rc<Node>, loss: DiscoveryLoss, lost_at: Micros) {
-    if node.discovery.drain_lease().is_lost() {
-        return;
+    let discovery = &node.discovery;
+    if !discovery.drain_lease().discovery_lost {
+        discovery.update_drain_lease(|tracker| tracker.lost(loss, lost_at));
+        node.renew_drain_lease();
     }
-    let lease = node
-        .discovery
-        .update_drain_lease(|lease| lease.lost(loss, lost_at));
-    node.renew_drain_lease(lease);
 }
 
 /// Polls on one connection until it fails.
@@ -230,7 +236,7 @@
         stream.write_all(&request).await?;
         let now = node.clock.now();
         node.discovery
-            .update_drain_lease(|lease| lease.poll_sent(now, wait));
+            .update_drain_lease(|tracker| tracker.poll_sent(now, wait));
         let timeout = async {
             Timer::after(duration_from_micros(POLL_WAIT + RESPONSE_MARGIN)).await;
             Err(ChannelError::Timeout)
@@ -248,16 +254,14 @@
         node.apply_events(&batch, max_age.max(node.lag()))?;
         node.discovery.record_response(node.clock.now());
         node.renew_list_lease(arrived + LIST_LEASE);
-        let lease = node
-            .discovery
-            .update_drain_lease(|lease| lease.response_applied(arrived));
-        node.renew_drain_lease(lease);
+        node.discovery
+            .update_drain_lease(|tracker| tracker.response_applied(arrived));
+        node.renew_drain_lease();
         max_age = 0;
-        wait = if node.allows_health_checks() {
-            POLL_WAIT
-        } else {
-            lease.next_poll_wait(node.clock.now())
-        };
+        let now = node.clock.now();
+        wait = node
+            .discovery
+            .next_poll_wait(now, node.allows_health_checks());
     }
 }
 
--- a/crates/platform-node/src/metrics.rs
+++ b/crates/platform-node/src/metrics.rs
@@ -10,7 +10,7 @@
     pub refuses_new_work: bool,
     /// Number of requests refused for that reason since the start.
     pub drains_unknown: u64,
-    /// Time since discovery's last response, in microseconds.
+    /// Time since discovery's last response, or since the start if there was none, in microseconds.
     pub unheard: Micros,
 }
 
--- a/crates/platform-node/src/node.rs
+++ b/crates/platform-node/src/node.rs
@@ -10,7 +10,7 @@
 use cedarpulley::interface::{Micros, WorkerIndex};
 use cedarpulley::table_size::TableSizes;
 use cedarpulley_net::{Clock, Stream, measured, run_tasks};
-use cedarpulley_platform::discovery::{DiscoveryError, DrainLease, EventBatch};
+use cedarpulley_platform::discovery::{DiscoveryError, EventBatch};
 use cedarpulley_platform::event_loop_lag::EventLoopLag;
 use cedarpulley_platform::graceful_shutdown::GracefulShutdown;
 use cedarpulley_platform::listen_queue::ListenQueue;
@@ -226,12 +226,14 @@
         self.feed(Input::EndpointListLease { until });
     }
 
-    /// Passes the lease for drains to the core.
-    pub fn renew_drain_lease(self: &Rc<Self>, lease: DrainLease) {
-        self.feed(Input::DrainLease {
-            until: lease.until(),
-            discovery_lost: lease.is_lost(),
-        });
+    /// Passes the present lease for drains to the core.
+    pub fn renew_drain_lease(self: &Rc<Self>) {
+        self.feed(Input::DrainLease(self.discovery.drain_lease()));
+    }
+
+    /// Begins to log refusals of all new work; called when clients are accepted.
+    pub fn log_refusals(&self) {
+        self.refusal_log.enable();
     }
 
     /// Whether health checks may be sent to workers.
--- a/crates/platform-node/src/refusal_log.rs
+++ b/crates/platform-node/src/refusal_log.rs
@@ -10,6 +10,8 @@
 /// The present refusal of all new work, if there is one.
 #[derive(Default)]
 pub(crate) struct RefusalLog {
+    /// Whether refusals are logged. Before clients are accepted, nobody is refused.
+    is_enabled: Cell<bool>,
     /// When the refusal was noticed; `None` while new work is accepted.
     began_at: Cell<Option<Micros>>,
     /// Number of requests that had been refused when the last refusal ended.
@@ -17,10 +19,15 @@
 }
 
 impl RefusalLog {
+    /// Begins to log refusals.
+    pub fn enable(&self) {
+        self.is_enabled.set(true);
+    }
+
     /// Logs the beginning or the end of a refusal; called periodically.
     pub fn observe(&self, now: Micros, metrics: NodeMetrics) {
         match (self.began_at.get(), metrics.refuses_new_work) {
-            (None, true) => self.began(now, metrics),
+            (None, true) if self.is_enabled.get() => self.began(now, metrics),
             (Some(began_at), false) => self.ended(now - began_at, metrics),
             _ => {}
         }
@@ -30,6 +37,7 @@
         self.began_at.set(Some(now));
         tracing::warn!(
             unheard_ms = metrics.unheard / 1_000,
+            remedy = "restore discovery; do not restart routers",
             "new work is refused: workers may drain unannounced, and health checks are not permitted"
         );
     }
--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -128,7 +128,7 @@
     // The list from the initial events may be out of date, so its lease ends now; the first response of discovery
     // renews it.
     node.renew_list_lease(clock.now());
-    node.renew_drain_lease(node.discovery.drain_lease());
+    node.renew_drain_lease();
     let listener = listen(address).map_err(|source| StartError::Listen { address, source })?;
     let listener = Rc::new(ClientListener::new(listener));
     node.block_on(serve(node.clone(), listener, signals, file, seed));
@@ -177,6 +177,7 @@
         };
         node.discovery.poll_ended().or(limit).await;
     }
+    node.log_refusals();
     listener.accept_clients(node).await;
 }
 
--- a/crates/platform/src/discovery/drain_lease.rs
+++ b/crates/platform/src/discovery/drain_lease.rs
@@ -1,9 +1,9 @@
-//! [`DrainLease`]: until when the endpoint list holds every drain that counts as announced.
+//! [`DrainLeaseTracker`]: until when the endpoint list holds every drain that counts as announced.
 //!
 //! By the protocol, what discovery would have announced while it was lost counts as announced at a later time, which
 //! depends on how it was lost. Until then the list can be relied on for drains, and after that for the drain grace.
 
-use cedarpulley::interface::Micros;
+use cedarpulley::interface::{DrainLease, Micros};
 
 use super::{FIRST_POLL_WAIT, POLL_WAIT};
 
@@ -27,63 +27,59 @@
     Moved,
 }
 
-/// The lease of the endpoint list for drains. All times are in microseconds of the router's clock.
+/// Tracks the lease of the endpoint list for drains. All times are in microseconds of the router's clock.
 #[derive(Clone, Copy, Debug)]
-pub struct DrainLease {
-    until: Micros,
-    /// Whether discovery has been lost since its last response, or has not responded yet.
-    lost: bool,
+pub struct DrainLeaseTracker {
+    lease: DrainLease,
     /// When the wait ends that the present poll asked for; `None` unless the connection has answered a poll before.
     wait_ends: Option<Micros>,
 }
 
-impl Default for DrainLease {
-    /// A lease that has ended: discovery has not been heard yet.
+impl Default for DrainLeaseTracker {
+    /// Discovery has not been heard yet: the lease has ended.
     fn default() -> Self {
-        DrainLease {
-            until: Micros::MIN,
-            lost: true,
+        DrainLeaseTracker {
+            lease: DrainLease {
+                until: Micros::MIN,
+                discovery_lost: true,
+            },
             wait_ends: None,
         }
     }
 }
 
-impl DrainLease {
-    /// When the lease ends.
-    pub fn until(&self) -> Micros {
-        self.until
+impl DrainLeaseTracker {
+    /// The present lease. Discovery counts as lost if its connection broke, a poll was not answered or it moved, and it has
+    /// not responded since, or if it has never responded.
+    pub fn lease(&self) -> DrainLease {
+        self.lease
     }
 
     /// For how long discovery may hold the next poll open. If the lease is over, as this process stood still while the last
     /// response waited to be read, the next poll is to be answered at once.
     pub fn next_poll_wait(&self, now: Micros) -> Micros {
-        if now < self.until {
+        if now < self.lease.until {
             POLL_WAIT
         } else {
             FIRST_POLL_WAIT
         }
     }
 
-    /// Whether discovery is lost: it has not responded since its connection broke, a poll was not answered, or it moved.
-    pub fn is_lost(&self) -> bool {
-        self.lost
-    }
-
     /// Records that a poll is sent at `now` which discovery may hold open for `wait`. After a loss, the lease does not
     /// depend on it.
     pub fn poll_sent(&mut self, now: Micros, wait: Micros) {
-        self.wait_ends = (!self.lost).then_some(now + wait);
+        self.wait_ends = (!self.lease.discovery_lost).then_some(now + wait);
     }
 
     /// Records a response that arrived at `arrived` or later, and that was applied.
     pub fn response_applied(&mut self, arrived: Micros) {
-        self.lost = false;
+        self.lease.discovery_lost = false;
         self.extend(arrived + BREAK_TERM);
     }
 
     /// Records that discovery was lost at `lost_at` or later. If it had been lost before, the lease stays as it is.
     pub fn lost(&mut self, loss: DiscoveryLoss, lost_at: Micros) {
-        self.lost = true;
+        self.lease.discovery_lost = true;
         let Some(wait_ends) = self.wait_ends.take() else {
             return;
         };
@@ -96,6 +92,6 @@
     }
 
     fn extend(&mut self, until: Micros) {
-        self.until = self.until.max(until);
+        self.lease.until = self.lease.until.max(until);
     }
 }
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -25,7 +25,7 @@
 use cedarpulley::interface::Micros;
 
 pub use contact::{DiscoveryContact, Silence};
-pub use drain_lease::{DiscoveryLoss, DrainLease};
+pub use drain_lease::{DiscoveryLoss, DrainLeaseTracker};
 pub use error::DiscoveryError;
 pub use events::{
     Command as WatchEvent, EventBatch, Nodes as EndpointListEvent, Server as WorkerEntry,
--- a/crates/platform/tests/drain_lease.rs
+++ b/crates/platform/tests/drain_lease.rs
@@ -1,70 +1,69 @@
 //! Tests of the lease for drains: until when the endpoint list holds every drain that counts as announced.
 
-use cedarpulley::interface::Micros;
-use cedarpulley_platform::discovery::{DiscoveryLoss, DrainLease, FIRST_POLL_WAIT, POLL_WAIT};
+use cedarpulley::interface::{DrainLease, Micros};
+use cedarpulley_platform::discovery::{
+    DiscoveryLoss, DrainLeaseTracker, FIRST_POLL_WAIT, POLL_WAIT,
+};
 
 const SECOND: Micros = 1_000_000;
 const MILLISECOND: Micros = 1_000;
 
-/// A lease whose connection answered at 10 s and was sent the next poll then, with a wait of one second.
-fn with_open_poll() -> DrainLease {
-    let mut lease = DrainLease::default();
-    lease.poll_sent(9 * SECOND, MILLISECOND);
-    lease.response_applied(10 * SECOND);
-    assert_eq!((lease.until(), lease.is_lost()), (12 * SECOND, false));
-    lease.poll_sent(10 * SECOND, SECOND);
-    lease
+fn lease(until: Micros, discovery_lost: bool) -> DrainLease {
+    DrainLease {
+        until,
+        discovery_lost,
+    }
+}
+
+/// The state after a response at 10 s and the next poll, which asked for a wait of one second.
+fn with_open_poll() -> DrainLeaseTracker {
+    let mut tracker = DrainLeaseTracker::default();
+    tracker.poll_sent(9 * SECOND, MILLISECOND);
+    tracker.response_applied(10 * SECOND);
+    assert_eq!(tracker.lease(), lease(12 * SECOND, false));
+    tracker.poll_sent(10 * SECOND, SECOND);
+    tracker
 }
 
-/// Guards against a refusal within the time in which the protocol lets the list be relied on, and against relying on it
-/// any longer.
+/// Guards against a refusal within the time in which the protocol lets the list be relied on, against relying on it any
+/// longer, and against a lease that grows with each failed poll of an outage.
 #[test]
 fn the_lease_ends_when_announcements_count_as_received() {
-    let broken_at = 10 * SECOND + 700 * MILLISECOND;
+    use DiscoveryLoss::{Broken, Moved, Silent};
+    let lost_at = 10 * SECOND + 700 * MILLISECOND;
     for (loss, lost_at, until) in [
-        (DiscoveryLoss::Broken, broken_at, broken_at + 2 * SECOND),
+        (Broken, lost_at, lost_at + 2 * SECOND),
         // A break that is noticed late may have been a silence before.
-        (DiscoveryLoss::Broken, 12 * SECOND, 13 * SECOND),
-        (DiscoveryLoss::Silent, 11_500 * MILLISECOND, 13 * SECOND),
-        (DiscoveryLoss::Moved, broken_at, broken_at + 4 * SECOND),
-    ] {
-        let mut lease = with_open_poll();
-        lease.lost(loss, lost_at);
-        assert_eq!((lease.until(), lease.is_lost()), (until, true), "{loss:?}");
-    }
-}
-
-/// Guards against a lease that grows with each failed poll of an outage.
-#[test]
-fn further_losses_in_an_outage_do_not_extend_the_lease() {
-    let mut lease = with_open_poll();
-    lease.lost(DiscoveryLoss::Broken, 10 * SECOND);
-    for loss in [
-        DiscoveryLoss::Broken,
-        DiscoveryLoss::Silent,
-        DiscoveryLoss::Moved,
+        (Broken, 12 * SECOND, 13 * SECOND),
+        (Silent, 11_500 * MILLISECOND, 13 * SECOND),
+        (Moved, lost_at, lost_at + 4 * SECOND),
     ] {
-        lease.poll_sent(11 * SECOND, MILLISECOND);
-        lease.lost(loss, 11 * SECOND);
-        assert_eq!(lease.until(), 12 * SECOND, "{loss:?}");
+        let mut tracker = with_open_poll();
+        tracker.lost(loss, lost_at);
+        assert_eq!(tracker.lease(), lease(until, true), "{loss:?}");
+        for further_loss in [Broken, Silent, Moved] {
+            tracker.poll_sent(14 * SECOND, MILLISECOND);
+            tracker.lost(further_loss, 15 * SECOND);
+            assert_eq!(tracker.lease(), lease(until, true), "{further_loss:?}");
+        }
+        tracker.response_applied(20 * SECOND);
+        assert_eq!(tracker.lease(), lease(22 * SECOND, false));
     }
-    lease.response_applied(20 * SECOND);
-    assert_eq!((lease.until(), lease.is_lost()), (22 * SECOND, false));
 }
 
 /// Guards against a list of any age that is relied on at the start, before discovery has been heard.
 #[test]
 fn a_router_that_has_not_heard_of_discovery_has_no_lease() {
-    let mut lease = DrainLease::default();
-    lease.poll_sent(0, MILLISECOND);
-    lease.lost(DiscoveryLoss::Silent, SECOND);
-    assert_eq!((lease.until(), lease.is_lost()), (Micros::MIN, true));
+    let mut tracker = DrainLeaseTracker::default();
+    tracker.poll_sent(0, MILLISECOND);
+    tracker.lost(DiscoveryLoss::Silent, SECOND);
+    assert_eq!(tracker.lease(), lease(Micros::MIN, true));
 }
 
 /// Guards against refusals for the whole wait of a poll after the process stood still.
 #[test]
 fn a_response_that_is_read_late_is_followed_by_a_poll_without_a_wait() {
-    let lease = with_open_poll();
-    assert_eq!(lease.next_poll_wait(12 * SECOND - 1), POLL_WAIT);
-    assert_eq!(lease.next_poll_wait(12 * SECOND), FIRST_POLL_WAIT);
+    let tracker = with_open_poll();
+    assert_eq!(tracker.next_poll_wait(12 * SECOND - 1), POLL_WAIT);
+    assert_eq!(tracker.next_poll_wait(12 * SECOND), FIRST_POLL_WAIT);
 }
--- a/crates/router/src/core/drain_basis.rs
+++ b/crates/router/src/core/drain_basis.rs
@@ -1,12 +1,30 @@
-//! Tells what shows that a worker may get new work although it may have been told to drain.
+//! The leases of the endpoint list, and what shows that a worker may get new work although it may have been told to drain.
 
-use cedarpulley::interface::Micros;
+use cedarpulley::interface::{DrainLease, Event, Micros};
 
-use super::Router;
+use super::{Output, Router};
 use crate::drain_gate::DrainBasis;
 use crate::{LoadOrderTicket, Ticket};
 
 impl Router {
+    /// Records that the endpoint list is up to date until then. Where health checks are allowed, its drains are too.
+    pub(super) fn renew_list_lease(&mut self, until: Micros, out: &mut Vec<Output>) {
+        self.workers.renew_lease(until);
+        if self.allows_health_checks() {
+            self.workers.renew_drain_lease(until);
+        }
+        self.decide(&Event::EndpointListLease { until }, out);
+    }
+
+    /// Records until when the endpoint list holds all announced drains; ignored where health checks are allowed.
+    pub(super) fn renew_drain_lease(&mut self, lease: DrainLease, out: &mut Vec<Output>) {
+        if !self.allows_health_checks() {
+            self.workers.renew_drain_lease(lease.until);
+            self.discovery_lost = lease.discovery_lost;
+            self.decide(&Event::DrainLease(lease), out);
+        }
+    }
+
     /// What shows whether the drain grace of an attempt's worker is over; `None` if the attempt has ended.
     pub fn drain_basis_of_attempt(&self, now: Micros, ticket: Ticket) -> Option<DrainBasis> {
         let attempt = self.invocations.attempt_in_flight(ticket)?;
--- a/crates/router/src/core/messages.rs
+++ b/crates/router/src/core/messages.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use cedarpulley::interface::{
-    CopyStatus, DispatchOutcome, EndpointListKind, LoadOrderResult, LoadReport, Micros, WorkerIndex,
+    CopyStatus, DispatchOutcome, DrainLease, EndpointListKind, LoadOrderResult, LoadReport, Micros,
+    WorkerIndex,
 };
 use cedarpulley_usage_metering::MemoryTotals;
 
@@ -53,14 +54,9 @@
         /// When the lease ends, unless it is renewed.
         until: Micros,
     },
-    /// No drain that the endpoint list lacks counts as announced before `until`. Ignored where health checks are allowed:
-    /// there, [`Input::EndpointListLease`] limits how long the list is relied on for drains.
-    DrainLease {
-        /// When the lease ends, unless it is renewed.
-        until: Micros,
-        /// Whether discovery is unreachable; see [`cedarpulley::interface::Event::DrainLease`].
-        discovery_lost: bool,
-    },
+    /// No drain that the endpoint list lacks counts as announced before the end of this lease. Ignored where health checks
+    /// are allowed: there, [`Input::EndpointListLease`] limits how long the list is relied on for drains.
+    DrainLease(DrainLease),
     /// A dispatch ended, with or without an answer from the worker.
     DispatchEnded {
         /// The dispatch, as in [`Output::Send`].
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -12,7 +12,7 @@
 //! * `balancer_actions`: calls the balancer and carries out its actions.
 //! * `dispatch`: sends attempts to workers and handles their results.
 //! * `repeat_basis`: tells, for the log, why an attempt was allowed although an earlier one may have run.
-//! * `drain_basis`: tells what shows that a worker may get new work although it may have been told to drain.
+//! * `drain_basis`: renews the leases of the endpoint list, and tells on what a worker gets new work.
 //! * `load_orders`: sends load orders and handles the copies that workers report.
 //! * `replication`: coordinates invocations with the group of routers.
 //! * `completion`: sends the final answer and ends an invocation.
@@ -184,25 +184,8 @@
     fn apply_worker_input(&mut self, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::EndpointList { kind, workers } => self.update_workers(kind, &workers, out),
-            Input::EndpointListLease { until } => {
-                self.workers.renew_lease(until);
-                if self.balancer.allows_health_checks() {
-                    self.workers.renew_drain_lease(until);
-                }
-                self.decide(&Event::EndpointListLease { until }, out);
-            }
-            Input::DrainLease {
-                until,
-                discovery_lost,
-            } if !self.balancer.allows_health_checks() => {
-                self.workers.renew_drain_lease(until);
-                self.discovery_lost = discovery_lost;
-                let event = Event::DrainLease {
-                    until,
-                    discovery_lost,
-                };
-                self.decide(&event, out);
-            }
+            Input::EndpointListLease { until } => self.renew_list_lease(until, out),
+            Input::DrainLease(lease) => self.renew_drain_lease(lease, out),
             Input::OrderEnded {
                 ticket,
                 result,
--- a/crates/router/tests/balancer_only.rs
+++ b/crates/router/tests/balancer_only.rs
@@ -224,10 +224,11 @@
 fn what_waits_for_a_connection_is_withheld_once_any_drain_grace_may_be_over() {
     let mut router = RouterHarness::balancer_only(2);
     let until = router.now + SECOND;
-    router.handle(Input::DrainLease {
+    let lease = DrainLease {
         until,
         discovery_lost: true,
-    });
+    };
+    router.handle(Input::DrainLease(lease));
     router.receive("w", NON_IDEMPOTENT, 0, 1);
     let waiting = router.sent_tickets()[0];
     let last = until + SECOND - 1;
@@ -242,10 +243,11 @@
         1
     );
     assert!(router.core.refuses_new_work(router.now));
-    router.handle(Input::DrainLease {
+    let lease = DrainLease {
         until: router.now + SECOND,
         discovery_lost: false,
-    });
+    };
+    router.handle(Input::DrainLease(lease));
     router.receive("x", NON_IDEMPOTENT, 0, 2);
     assert_eq!(router.sent_tickets().len(), 1);
 }
--- a/crates/trace/src/blocks.rs
+++ b/crates/trace/src/blocks.rs
@@ -295,7 +295,7 @@
         }
         Event::ClientLeft { .. }
         | Event::EndpointListLease { .. }
-        | Event::DrainLease { .. }
+        | Event::DrainLease(_)
         | Event::Timer { .. } => {}
     }
 }
--- a/crates/trace/src/event_codec.rs
+++ b/crates/trace/src/event_codec.rs
@@ -234,13 +234,10 @@
             out.byte(ENDPOINT_LIST_LEASE);
             out.signed(until);
         }
-        Event::DrainLease {
-            until,
-            discovery_lost,
-        } => {
+        Event::DrainLease(lease) => {
             out.byte(DRAIN_LEASE);
-            out.signed(until);
-            out.byte(discovery_lost.into());
+            out.signed(lease.until);
+            out.byte(lease.discovery_lost.into());
         }
         _ => encode_worker_event(out, event),
     }
@@ -295,7 +292,7 @@
         | Event::AnswerStarted { .. }
         | Event::DispatchEnded(_)
         | Event::EndpointListLease { .. }
-        | Event::DrainLease { .. }
+        | Event::DrainLease(_)
         | Event::Timer { .. } => {}
     }
 }
@@ -336,10 +333,10 @@
         ENDPOINT_LIST_LEASE => Event::EndpointListLease {
             until: input.signed()?,
         },
-        DRAIN_LEASE => Event::DrainLease {
+        DRAIN_LEASE => Event::DrainLease(DrainLease {
             until: input.signed()?,
             discovery_lost: input.flag()?,
-        },
+        }),
         tag => decode_worker_event(tag, input, fingerprint)?,
     };
     Ok(RecordedEvent::Other(event))
--- a/crates/trace/src/selection.rs
+++ b/crates/trace/src/selection.rs
@@ -179,7 +179,7 @@
             RecordedEvent::Other(
                 Event::Timer { .. }
                 | Event::EndpointListLease { .. }
-                | Event::DrainLease { .. }
+                | Event::DrainLease(_)
                 | Event::EndpointList { .. },
             ) => false,
         }
--- a/crates/trace/tests/file_format.rs
+++ b/crates/trace/tests/file_format.rs
@@ -405,9 +405,11 @@
         }),
         any::<u64>().prop_map(|token| Event::Timer { token }),
         t().prop_map(|until| Event::EndpointListLease { until }),
-        (t(), any::<bool>()).prop_map(|(until, discovery_lost)| Event::DrainLease {
-            until,
-            discovery_lost
+        (t(), any::<bool>()).prop_map(|(until, discovery_lost)| {
+            Event::DrainLease(DrainLease {
+                until,
+                discovery_lost,
+            })
         }),
     ]
 }
--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -143,7 +143,7 @@
         else {
             return;
         };
-        let may_retry = (0..self.workers.len()).any(|worker| self.may_dispatch(invocation, worker));
+        let may_retry = self.may_retry(invocation);
         let left = invocation.client_timeout_at - self.now;
         if !may_retry || left <= self.service_time(function).mean {
             self.answer_without_success(index, out);
--- a/src/balancer/eligibility.rs
+++ b/src/balancer/eligibility.rs
@@ -15,14 +15,26 @@
 impl Balancer {
     /// Rules 2 and 3: whether the invocation may be sent to this worker at all.
     pub(super) fn may_dispatch(&self, invocation: &Invocation, worker: usize) -> bool {
-        if invocation.answered
-            || invocation.in_flight()
-            || invocation.attempts() >= self.settings.limits.max_dispatches
-            || !self.accepts_new_work(worker)
-        {
-            return false;
-        }
-        self.drops_repeats(invocation, worker)
+        self.accepts_new_work(worker) && self.may_attempt(invocation, worker)
+    }
+
+    /// Rule 2: whether the invocation may have a further attempt at this worker, if the worker gets new work.
+    fn may_attempt(&self, invocation: &Invocation, worker: usize) -> bool {
+        !invocation.answered
+            && !invocation.in_flight()
+            && invocation.attempts() < self.settings.limits.max_dispatches
+            && self.drops_repeats(invocation, worker)
+    }
+
+    /// Whether the invocation may have a further attempt: now, or once the endpoint list is heard if that is expected at
+    /// once.
+    pub(super) fn may_retry(&self, invocation: &Invocation) -> bool {
+        let awaits_list = self.awaits_list();
+        (0..self.workers.len()).any(|worker| {
+            let is_listed = self.workers[worker].accepts_new_work(self.now);
+            self.may_dispatch(invocation, worker)
+                || awaits_list && is_listed && self.may_attempt(invocation, worker)
+        })
     }
 
     /// Whether the worker is eligible for this invocation: it is allowed by the rules, fast enough, within its
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -192,10 +192,7 @@
         match *event {
             Event::EndpointList { kind, endpoints } => self.on_endpoint_list(kind, endpoints, out),
             Event::EndpointListLease { until } => self.on_list_lease(until, out),
-            Event::DrainLease {
-                until,
-                discovery_lost,
-            } => self.on_drain_lease(until, discovery_lost, out),
+            Event::DrainLease(lease) => self.on_drain_lease(lease, out),
             Event::Invocation(arrival) => {
                 self.accept(&arrival);
                 self.route(arrival.invocation, out);
--- a/src/balancer/queue.rs
+++ b/src/balancer/queue.rs
@@ -101,7 +101,8 @@
         }
     }
 
-    /// Answers a queued invocation if its time has run out or all new work is refused; otherwise dispatches it or starts a load if possible.
+    /// Answers a queued invocation if its time has run out or all new work is refused; otherwise dispatches it or starts
+    /// a load if possible.
     fn retry_one_queued(&mut self, index: InvocationIndex, out: &mut Vec<Action>) {
         let Some((invocation, function)) = self.find_invocation(index) else {
             return;
--- a/src/balancer/readiness.rs
+++ b/src/balancer/readiness.rs
@@ -48,9 +48,7 @@
     /// When the lease of the list ends; without a lease the list can always be relied on.
     lease_until: Option<Micros>,
     /// Until when the list holds all drains that count as announced; without a lease it always does.
-    drains_known_until: Option<Micros>,
-    /// Whether that lease is not renewed soon, as discovery is unreachable.
-    discovery_lost: bool,
+    drain_lease: Option<DrainLease>,
     /// Whether the list could not be obtained when it was requested last.
     list_failed: bool,
     /// By worker index.
@@ -85,8 +83,8 @@
 
     /// Whether the list holds all drains whose grace is over.
     fn knows_ended_drains(&self, now: Micros, drain_grace: Micros) -> bool {
-        self.drains_known_until
-            .is_none_or(|until| now < until.saturating_add(drain_grace))
+        self.drain_lease
+            .is_none_or(|lease| now < lease.until.saturating_add(drain_grace))
     }
 
     /// Renews the lease of the list. An up-to-date list takes precedence over earlier health checks, so their results
@@ -152,16 +150,10 @@
         }
     }
 
-    /// Handles a drain lease: the endpoint list holds all drains that count as announced before `until`.
-    pub(super) fn on_drain_lease(
-        &mut self,
-        until: Micros,
-        discovery_lost: bool,
-        out: &mut Vec<Action>,
-    ) {
+    /// Handles a drain lease: the endpoint list holds all drains that count as announced before it ends.
+    pub(super) fn on_drain_lease(&mut self, lease: DrainLease, out: &mut Vec<Action>) {
         let knew_drains = self.knows_ended_drains();
-        self.readiness.drains_known_until = Some(until);
-        self.readiness.discovery_lost = discovery_lost;
+        self.readiness.drain_lease = Some(lease);
         if !knew_drains {
             self.retry_queued(None, out);
         }
@@ -176,7 +168,13 @@
 
     /// Whether all new work is refused: no worker may get any, and waiting for the list would take too long.
     pub(super) fn refuses_new_work(&self) -> bool {
-        self.readiness.discovery_lost && !self.knows_ended_drains()
+        let lease = self.readiness.drain_lease;
+        lease.is_some_and(|lease| lease.discovery_lost) && !self.knows_ended_drains()
+    }
+
+    /// Whether no worker may get new work until the list is heard, which is expected at once.
+    pub(super) fn awaits_list(&self) -> bool {
+        !self.knows_ended_drains() && !self.refuses_new_work()
     }
 
     /// The readiness of a worker: ready while the list can be relied on, or if no health checks are allowed; otherwise
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -390,6 +390,16 @@
     pub report: LoadReport,
 }
 
+/// A lease of the endpoint list for drains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainLease {
+    /// When the lease ends, unless it is renewed.
+    pub until: Micros,
+    /// Whether discovery is unreachable. Otherwise, a lease that has ended is about to be renewed: the router stood still,
+    /// and has not read the latest response yet.
+    pub discovery_lost: bool,
+}
+
 /// An event that the balancer handles.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
@@ -406,16 +416,10 @@
         /// When the lease ends, unless it is renewed.
         until: Micros,
     },
-    /// No drain that the endpoint list lacks counts as announced before `until`. Used where health checks are not allowed:
+    /// No drain that the endpoint list lacks counts as announced before the end of this lease. Used where health checks are not allowed:
     /// once the drain grace after the lease is over, no worker gets new work until the lease is renewed. If there has
     /// never been such a lease, the list is relied on for drains.
-    DrainLease {
-        /// When the lease ends, unless it is renewed.
-        until: Micros,
-        /// Whether discovery is unreachable. Otherwise, a lease that has ended is about to be renewed: the router stood
-        /// still, and has not read the latest response yet.
-        discovery_lost: bool,
-    },
+    DrainLease(DrainLease),
     /// An invocation was accepted.
     Invocation(Arrival),
     /// The client has left: the invocation needs no answer any longer.
--- a/tests/decisions/readiness.rs
+++ b/tests/decisions/readiness.rs
@@ -162,20 +162,26 @@
     assert!(script.is_unanswered(again));
 }
 
-/// A router that stood still reads what discovery sent meanwhile right afterwards: what arrived before waits for that.
+/// A router that stood still reads what discovery sent meanwhile right afterwards: what arrived before waits for that, and
+/// so does an invocation whose attempt was held back.
 #[test]
 fn without_health_checks_work_waits_for_the_list_while_discovery_is_not_lost() {
     let (mut script, _) = without_health_checks();
-    let lease = |until, discovery_lost| Event::DrainLease {
-        until,
-        discovery_lost,
-    };
-    script.handle(&lease(script.now, false));
+    script.renew_drain_lease(script.now, false);
+    let (withheld, _) = script.arrive(2, 0, 1, 2 * SECOND);
+    assert!(script.is_in_flight(withheld));
     script.advance(DRAIN_GRACE);
-    let (invocation, actions) = script.arrive(0, 0, 1, 2 * SECOND);
-    assert!(sent(&actions).is_empty() && script.is_unanswered(invocation));
-    let actions = script.handle(&lease(script.now + SECOND, false));
-    assert_eq!(sent(&actions).len(), 1);
+    let (arrived, actions) = script.arrive(0, 3, 1, 2 * SECOND);
+    assert_eq!(sent(&actions), []);
+    script.end(
+        withheld,
+        0,
+        DispatchOutcome::NotSent,
+        CopyStatus::Unreported,
+    );
+    assert!(script.is_unanswered(withheld) && script.is_unanswered(arrived));
+    script.renew_drain_lease(script.now + SECOND, false);
+    assert!(script.is_in_flight(withheld) && script.is_in_flight(arrived));
 }
 
 /// The rule must cost nothing while any drain that is not in the list would be within its grace.
--- a/tests/decisions/script.rs
+++ b/tests/decisions/script.rs
@@ -250,14 +250,19 @@
         self.lease_until = Some(until);
         let mut actions = self.handle(&Event::EndpointListLease { until });
         if !self.site.health_checks {
-            actions.extend(self.handle(&Event::DrainLease {
-                until,
-                discovery_lost: true,
-            }));
+            actions.extend(self.renew_drain_lease(until, true));
         }
         actions
     }
 
+    /// Renews the lease of the endpoint list for drains.
+    pub fn renew_drain_lease(&mut self, until: Micros, discovery_lost: bool) -> Vec<Action> {
+        self.handle(&Event::DrainLease(DrainLease {
+            until,
+            discovery_lost,
+        }))
+    }
+
     /// Ends a health check that was sent `took` ago.
     pub fn end_probe(
         &mut self,
