Node: no cancellation goes to a worker where the settings do not allow it

Workers got KILL for attempts that timed out although permissions.cancel was false or absent; callers saw nothing. Cause: the balancer asks for the permission, the core and the connections did not. Change: there, the connection of the attempt is closed, which gives up everything open on it, so no attempt is out beside the next.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use procfs::net::TcpState::{CloseWait, SynSent};
+use procfs::net::TcpState::{CloseWait, Established, SynSent};
 use rustix::process::Signal;
 
 mod platform;
@@ -290,6 +290,20 @@
     });
 }
 
+/// Guards against cancellations that the settings do not allow: an attempt that timed out was given up by one. The end of
+/// its connection gives it up, too.
+#[test]
+fn an_attempt_that_timed_out_is_not_cancelled_where_that_is_not_allowed() {
+    let w = World::with(56, |config| config.replace(r#""cancel":true,"#, ""));
+    let text = call(&id(1), "once", KEPT, "", "x").replace("Wait-Ms: 60000", "Wait-Ms: 4000");
+    assert_eq!(w.ask(&text).expect("an answer").0, 500);
+    w.until("the connection to the worker is closed", |w| {
+        let connections = rows(Some(w.workers), None);
+        connections.iter().all(|r| r.state != Established)
+    });
+    assert_eq!(w.seen.lock().expect("seen").killed, [""; 0]);
+}
+
 /// Guards against a dispatch after the drain grace: establishing a connection takes longer than the drain grace of a
 /// worker that drains in the meantime, and the invocations that wait for the connection are sent nevertheless.
 #[test]
--- a/crates/platform-node/src/startup.rs
+++ b/crates/platform-node/src/startup.rs
@@ -201,6 +201,7 @@
         report_fields: config.report_fields.clone(),
         reports_function_load: settings.loads.reports_function_load,
         connect_timeout: connections.connect_timeout,
+        allows_cancellation: settings.limits.cancellation,
     };
     let worker_list = WorkerListFollower::new(settings.rules.drain_grace, limits.listed_workers);
     NodeParts {
--- a/crates/platform-node/src/worker_connections/connection.rs
+++ b/crates/platform-node/src/worker_connections/connection.rs
@@ -44,6 +44,8 @@
     LateAnswerPossible,
     /// A message that is not wanted any more was sent in part.
     PartlySent,
+    /// An attempt on it was given up, and cancellations are not allowed.
+    GivenUp,
     /// The worker answered a message that it cannot have received.
     AnswerBeforeMessage,
     /// An answer is malformed.
--- a/crates/platform-node/src/worker_connections/mod.rs
+++ b/crates/platform-node/src/worker_connections/mod.rs
@@ -42,6 +42,8 @@
     pub reports_function_load: bool,
     /// Time limit for establishing a connection, and for the answer to a health check, in microseconds.
     pub connect_timeout: Micros,
+    /// Whether cancellations may be sent to workers.
+    pub allows_cancellation: bool,
 }
 
 impl WorkerProtocol {
@@ -193,8 +195,8 @@
         }
     }
 
-    /// Cancels an attempt. If its message was sent completely, a cancellation is sent to the worker. If the message was
-    /// sent in part, the connection is closed.
+    /// Gives up an attempt. If its message was sent completely, a cancellation is sent to the worker, or the connection is
+    /// closed if cancellations are not allowed. If the message was sent in part, the connection is closed.
     pub fn cancel(&self, node: &Rc<Node>, ticket: Ticket) {
         let Some(location) = self.attempts.borrow_mut().remove(&ticket) else {
             return;
@@ -208,15 +210,17 @@
         let late_answer = if !exchange.has_sent_bytes() {
             connection.dequeue(&location.request_id);
             LateAnswer::Impossible
-        } else if connection.is_sent(&exchange) {
+        } else if !connection.is_sent(&exchange) {
+            // A part of the message was sent: the worker must never receive the rest.
+            return connection.close(CloseReason::PartlySent);
+        } else if self.protocol.allows_cancellation {
             let mut bytes = Vec::new();
             worker_protocol::write_cancellation(&mut bytes, &location.request_id);
             connection.enqueue(QueuedMessage::one_way(bytes));
             Sender::new(node, &connection).flush();
             LateAnswer::Possible
         } else {
-            // A part of the message was sent: the worker must never receive the rest.
-            return connection.close(CloseReason::PartlySent);
+            return connection.close(CloseReason::GivenUp);
         };
         self.release(node, &connection, late_answer);
     }
